--- /dev/null
+++ b/catkinpin/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: HTTP, gRPC and disk around the deterministic core."""
--- /dev/null
+++ b/catkinpin/adapters/admin.py
@@ -0,0 +1,163 @@
+"""The inner HTTP interface: health, metrics, servers, operators."""
+
+from __future__ import annotations
+
+import hmac
+import uuid
+from typing import TYPE_CHECKING, Any, Literal
+
+import pydantic
+import sanic
+from sanic import response
+
+from catkinpin import configuration, metrics
+from catkinpin.adapters import web
+from catkinpin.core import messages, routing
+from catkinpin.exceptions import BadRequestError, PeerLostError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.entry import Entry
+
+_MAX_BODY = 4 * 1024 * 1024
+_ANNOUNCE_EVERY_MS = 500
+_APPLY_TIMEOUT_S = 5.0
+
+Count = pydantic.NonNegativeInt
+
+
+class Announcement(pydantic.BaseModel):
+    """What a backend server says about itself; see docs/user/servers.md."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    server: str = pydantic.Field(min_length=1, max_length=200)
+    incarnation: str = pydantic.Field(min_length=1, max_length=100)
+    address: str = pydantic.Field(pattern=r"^https?://[^/]+$")
+    kind: Literal["model", "service"]
+    serves: list[str] = pydantic.Field(min_length=1)
+    failure_domain: str = ""
+    region: str = ""
+    capacity: int = pydantic.Field(default=1, gt=0)
+    cache_tokens: Count = 0
+    running: Count = 0
+    waiting: Count = 0
+    leaving: bool = False
+    honours_fencing: bool = False
+    checks_sender: bool = False
+    held: list[str] = []
+
+    def report(self) -> messages.ServerReport:
+        """Returns the announcement as it travels between our processes."""
+        fields = self.model_dump()
+        fields["domain"] = fields.pop("failure_domain")
+        return messages.ServerReport(**fields)
+
+
+def make_app(role: str, not_ready: Callable[[], str]) -> sanic.Sanic[Any, Any]:
+    """Returns an application with health and metrics.
+
+    Args:
+        role: part of the application's name.
+        not_ready: returns why no work should come here, or an empty string.
+    """
+    app = web.new_app(role, _MAX_BODY)
+
+    @app.get("/health/live")
+    async def live(req: sanic.Request) -> Any:
+        return response.text("live\n")
+
+    @app.get("/health/ready")
+    async def ready(req: sanic.Request) -> Any:
+        problem = not_ready()
+        return response.text(
+            (problem or "ready") + "\n", status=503 if problem else 200
+        )
+
+    @app.get("/metrics")
+    async def exposition(req: sanic.Request) -> Any:
+        return response.raw(
+            metrics.exposition(), content_type="text/plain; version=0.0.4"
+        )
+
+    @app.exception(BadRequestError)
+    async def bad_request(req: sanic.Request, exc: BadRequestError) -> Any:
+        return response.json(
+            {"error": {"field": exc.field, "message": str(exc)}}, status=400
+        )
+
+    return app
+
+
+def add_server_routes(app: sanic.Sanic[Any, Any], entry: Entry) -> None:
+    """Adds what backend servers call."""
+
+    @app.post("/v1/servers/announce")
+    async def announce(req: sanic.Request) -> Any:
+        try:
+            announcement = Announcement.model_validate_json(req.body)
+        except pydantic.ValidationError as exc:
+            raise BadRequestError("body", configuration.describe(exc)) from exc
+        entry.announced(announcement.report())
+        return response.json({"next_ms": _ANNOUNCE_EVERY_MS})
+
+
+def add_operator_routes(app: sanic.Sanic[Any, Any], entry: Entry) -> None:
+    """Adds what operators call; all need the operators' key."""
+
+    @app.get("/v1/operator/configuration")
+    async def show(req: sanic.Request) -> Any:
+        _check_operator(entry, req)
+        return response.json(
+            {
+                "revision": entry.revision,
+                "content": entry.content.decode(),
+            }
+        )
+
+    @app.post("/v1/operator/configuration")
+    async def apply(req: sanic.Request) -> Any:
+        _check_operator(entry, req)
+        return await _apply(entry, req)
+
+
+async def _apply(entry: Entry, req: sanic.Request) -> Any:
+    configuration.parse(req.body)
+    base = req.headers.get("catkinpin-base-revision", "")
+    if not base.isdigit():
+        raise BadRequestError("Catkinpin-Base-Revision", "a number is needed")
+    request_id = req.headers.get("idempotency-key") or uuid.uuid4().hex
+
+    def make(ask: int) -> messages.Apply:
+        return messages.Apply(
+            ask=ask,
+            request_id=request_id,
+            base_revision=int(base),
+            content=req.body,
+            operator=req.headers.get("catkinpin-operator", ""),
+        )
+
+    try:
+        applied = await entry.replicas.ask(
+            routing.CONTROL_GROUP, make, _APPLY_TIMEOUT_S
+        )
+    except PeerLostError as exc:
+        return response.json(
+            {"error": {"message": str(exc), "outcome": "unknown"}}, status=503
+        )
+    body = {
+        "accepted": applied.accepted,
+        "revision": applied.revision,
+        "operator": applied.operator,
+    }
+    return response.json(body, status=200 if applied.accepted else 409)
+
+
+def _check_operator(entry: Entry, req: sanic.Request) -> None:
+    scheme, _, key = req.headers.get("authorization", "").partition(" ")
+    given = configuration.key_digest(key.strip())
+    wanted = entry.cfg.operator_key_sha256
+    ok = scheme.lower() == "bearer" and hmac.compare_digest(given, wanted)
+    if not wanted or not ok:
+        raise sanic.exceptions.Unauthorized("the operators' key is needed")
--- /dev/null
+++ b/catkinpin/adapters/callers.py
@@ -0,0 +1,417 @@
+"""The callers' HTTP interface."""
+
+from __future__ import annotations
+
+import json
+import logging
+import re
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import sanic
+from sanic import exceptions as sanic_exceptions
+from sanic import response
+
+from catkinpin import chat, configuration, digest, metrics
+from catkinpin.adapters import web
+from catkinpin.adapters.calls import CallRequest, RunningCall
+from catkinpin.core import messages, routing
+from catkinpin.exceptions import BadRequestError, PeerLostError
+from catkinpin.verdicts import Reason, Verdict, http_status
+
+if TYPE_CHECKING:
+    from catkinpin.entry import Entry
+
+log = logging.getLogger(__name__)
+
+VERDICT_HEADER = "Catkinpin-Verdict"
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/@-]{0,199}")
+_MAX_SEQ = 1_000_000
+_MAX_DEADLINE_MS = 3_600_000
+_HOP_BY_HOP = {
+    "authorization", "connection", "content-length", "expect", "host",
+    "keep-alive", "proxy-authorization", "te", "trailer",
+    "transfer-encoding", "upgrade", "idempotency-key", "traceparent",
+}  # fmt: skip
+_OWN_HEADERS = "catkinpin-"
+_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+_MS_PER_S = 1000
+_GET_TIMEOUT_S = 5.0
+
+
+def make_app(entry: Entry) -> sanic.Sanic[Any, Any]:
+    """Returns the application that answers callers."""
+    app = web.new_app("callers", entry.cfg.max_body_bytes)
+
+    @app.post("/v1/chat/completions")
+    async def chat_completions(req: sanic.Request) -> Any:
+        return await _chat(entry, req)
+
+    @app.route("/v1/services/<name:str>/<path:path>", methods=_METHODS)
+    async def service(req: sanic.Request, name: str, path: str) -> Any:
+        return await _service(entry, req, name, path)
+
+    @app.get("/v1/programs/<program:path>")
+    async def get_program(req: sanic.Request, program: str) -> Any:
+        return await _get_program(entry, req, program)
+
+    @app.delete("/v1/programs/<program:path>")
+    async def end_program(req: sanic.Request, program: str) -> Any:
+        return await _end_program(entry, req, program)
+
+    @app.get("/health/live")
+    async def live(req: sanic.Request) -> Any:
+        return response.text("live\n")
+
+    @app.get("/health/ready")
+    async def ready(req: sanic.Request) -> Any:
+        problem = entry.not_ready()
+        return response.text(
+            (problem or "ready") + "\n", status=503 if problem else 200
+        )
+
+    @app.exception(Exception)
+    async def failed(req: sanic.Request, exc: Exception) -> Any:
+        return _from_exception(exc)
+
+    return app
+
+
+def refusal_response(refused: messages.Refused) -> Any:
+    """Returns a refusal as an OpenAI error object with our headers."""
+    headers: dict[str, str] = {VERDICT_HEADER: refused.verdict}
+    if refused.retry_after_ms:
+        seconds = -(-refused.retry_after_ms // _MS_PER_S)
+        headers["Retry-After"] = str(seconds)
+        headers["Retry-After-Ms"] = str(refused.retry_after_ms)
+    return response.json(
+        _error_body(refused),
+        status=http_status(refused.reason),
+        headers=headers,
+    )
+
+
+def _error_body(refused: messages.Refused) -> dict[str, Any]:
+    return {
+        "error": {
+            "message": refused.text,
+            "type": "catkinpin_error",
+            "code": refused.reason,
+            "param": refused.detail or None,
+            "verdict": refused.verdict,
+        }
+    }
+
+
+def _not_run(reason: Reason, text: str, detail: str = "") -> messages.Refused:
+    return messages.Refused(
+        ask=0,
+        reason=reason,
+        text=text,
+        verdict=Verdict.NOT_RUN,
+        detail=detail,
+        retry_after_ms=_MS_PER_S if http_status(reason) == 503 else 0,
+    )
+
+
+def _from_exception(exc: Exception) -> Any:
+    if isinstance(exc, BadRequestError):
+        refused = _not_run(Reason.BAD_REQUEST, str(exc), exc.field)
+        metrics.REFUSALS.labels(refused.reason).inc()
+        return refusal_response(refused)
+    if isinstance(exc, _RefusedError):
+        metrics.REFUSALS.labels(exc.refused.reason).inc()
+        return refusal_response(exc.refused)
+    if isinstance(exc, sanic_exceptions.SanicException):
+        refused = _not_run(Reason.BAD_REQUEST, str(exc))
+        return response.json(
+            _error_body(refused),
+            status=exc.status_code,
+            headers={VERDICT_HEADER: Verdict.NOT_RUN},
+        )
+    log.error("request failed", exc_info=exc)
+    refused = messages.Refused(
+        ask=0,
+        reason=Reason.INTERNAL,
+        text="internal error",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
+    return refusal_response(refused)
+
+
+class _RefusedError(Exception):
+    """Carries a refusal to the error handler."""
+
+    def __init__(self, refused: messages.Refused) -> None:
+        super().__init__(refused.text)
+        self.refused = refused
+
+
+def _account(entry: Entry, req: sanic.Request) -> str:
+    """Returns the account whose key the request carries."""
+    scheme, _, key = req.headers.get("authorization", "").partition(" ")
+    if scheme.lower() == "bearer" and key:
+        account = entry.accounts.get(configuration.key_digest(key.strip()))
+        if account is not None:
+            return account
+    text = "Authorization: no account has this key"
+    raise _RefusedError(_not_run(Reason.UNAUTHORIZED, text, "Authorization"))
+
+
+def _check_ready(entry: Entry) -> None:
+    if entry.stopping:
+        text = "this host is stopping; another will answer"
+        raise _RefusedError(_not_run(Reason.STOPPING, text))
+    if entry.configuration is None:
+        text = "this host has no confirmed configuration yet"
+        raise _RefusedError(_not_run(Reason.NOT_READY, text))
+
+
+def _name(req: sanic.Request, header: str, default: str) -> str:
+    value: str = req.headers.get(header, default)
+    if value and not _NAME.fullmatch(value):
+        raise BadRequestError(
+            header, "1 to 200 letters, digits and . _ : / @ - are allowed"
+        )
+    return value
+
+
+def _number(
+    req: sanic.Request, header: str, default: int, low: int, high: int
+) -> int:
+    text = req.headers.get(header, "")
+    if not text:
+        return default
+    if not re.fullmatch(r"-?\d{1,18}", text) or not low <= int(text) <= high:
+        raise BadRequestError(
+            header, f"a whole number from {low} to {high} is allowed"
+        )
+    return int(text)
+
+
+def _flag(req: sanic.Request, header: str, *, default: bool) -> bool:
+    text = req.headers.get(header, "").lower()
+    if not text:
+        return default
+    if text not in ("true", "false"):
+        raise BadRequestError(header, "true or false is allowed")
+    return bool(text == "true")
+
+
+def _begin(
+    entry: Entry, req: sanic.Request, kind: str, target: str
+) -> messages.Begin:
+    """Returns what the headers say of a call."""
+    account = _account(entry, req)
+    _check_ready(entry)
+    request_id = _name(req, "Idempotency-Key", uuid.uuid4().hex)
+    program = _name(req, "Catkinpin-Program", f"single-{request_id}")
+    parent = _name(req, "Catkinpin-Parent", "")
+    if parent and routing.root_of(parent) != routing.root_of(program):
+        raise BadRequestError(
+            "Catkinpin-Parent",
+            "a sub-agent's program id begins with its root's id and a slash",
+        )
+    return messages.Begin(
+        ask=0,
+        key=messages.CallKey(
+            account=account, program=program, request_id=request_id
+        ),
+        kind=kind,
+        target=target,
+        parent=parent,
+        seq=_number(req, "Catkinpin-Seq", 0, 1, _MAX_SEQ),
+        idempotent=_flag(req, "Catkinpin-Idempotent", default=kind == "model"),
+        deadline_ms=_number(
+            req,
+            "Catkinpin-Deadline-Ms",
+            entry.cfg.default_deadline_ms,
+            1,
+            _MAX_DEADLINE_MS,
+        ),
+        region=entry.cfg.region,
+        traceparent=req.headers.get("traceparent", ""),
+    )
+
+
+def _forwarded_headers(req: sanic.Request) -> list[tuple[str, str]]:
+    return [
+        (name, value)
+        for name, value in req.headers.items()
+        if name.lower() not in _HOP_BY_HOP
+        and not name.lower().startswith(_OWN_HEADERS)
+    ]
+
+
+def _replace(begin: messages.Begin, **changes: Any) -> messages.Begin:
+    return msgspec.structs.replace(begin, **changes)
+
+
+async def _chat(entry: Entry, req: sanic.Request) -> Any:
+    begin = _begin(entry, req, "model", "")
+    parsed = chat.parse_request(req.body)
+    canonical = chat.canonical_messages(parsed)
+    begin = _replace(
+        begin,
+        target=parsed.model,
+        whole=req.headers.get("Catkinpin-History", "whole") != "new",
+        digests=[digest.of_bytes(message) for message in canonical],
+        fingerprint=digest.of_json([parsed.model, *map(bytes.hex, canonical)]),
+        prompt_tokens=chat.most_prompt_tokens(canonical, parsed),
+        max_tokens=parsed.most_tokens,
+    )
+    call = entry.calls.start(
+        CallRequest(
+            begin=begin,
+            method="POST",
+            path="/v1/chat/completions",
+            headers=[],
+            body=req.body,
+            messages=canonical,
+        )
+    )
+    if parsed.stream:
+        return await _stream(req, call, begin)
+    return _whole(await call.wait(), begin)
+
+
+async def _service(
+    entry: Entry, req: sanic.Request, name: str, path: str
+) -> Any:
+    begin = _begin(entry, req, "service", name)
+    query = f"?{req.query_string}" if req.query_string else ""
+    begin = _replace(
+        begin,
+        fingerprint=digest.of_bytes(
+            f"{req.method} {name} {path}{query}\0".encode() + req.body
+        ),
+    )
+    call = entry.calls.start(
+        CallRequest(
+            begin=begin,
+            method=req.method,
+            path=f"/{path}{query}",
+            headers=_forwarded_headers(req),
+            body=req.body,
+            messages=[],
+        )
+    )
+    return _whole(await call.wait(), begin)
+
+
+def _whole(
+    final: messages.Finished | messages.Refused, begin: messages.Begin
+) -> Any:
+    if isinstance(final, messages.Refused):
+        return refusal_response(final)
+    answer = final.answer
+    return response.raw(
+        answer.body,
+        status=answer.status,
+        content_type=answer.content_type,
+        headers={
+            VERDICT_HEADER: Verdict.RAN,
+            "Catkinpin-Call": begin.key.request_id,
+            "Catkinpin-Program": begin.key.program,
+            "Catkinpin-Seq": str(final.seq),
+        },
+    )
+
+
+async def _stream(
+    req: sanic.Request, call: RunningCall, begin: messages.Begin
+) -> Any:
+    """Streams events; those that end the answer wait until it is durable."""
+    held: list[bytes] = []
+    resp = None
+    while (data := await call.events.get()) is not None:
+        if held or _ends_answer(data):
+            held.append(data)
+            continue
+        resp = resp or await _respond(req, begin)
+        await resp.send(b"data: " + data + b"\n\n")
+    final = call.final
+    assert final is not None
+    if isinstance(final, messages.Refused):
+        if resp is None:
+            return refusal_response(final)
+        error = json.dumps(_error_body(final)).encode()
+        await resp.send(b"data: " + error + b"\n\n")
+    else:
+        if resp is None and not held:
+            held = [
+                json.dumps(chunk).encode()
+                for chunk in chat.chunks_of(final.answer.body)
+            ]
+        resp = resp or await _respond(req, begin)
+        for data in held:
+            await resp.send(b"data: " + data + b"\n\n")
+        await resp.send(b": catkinpin-verdict ran\n\ndata: [DONE]\n\n")
+    await resp.eof()
+    return resp
+
+
+async def _respond(req: sanic.Request, begin: messages.Begin) -> Any:
+    return await req.respond(
+        content_type="text/event-stream",
+        headers={
+            "Catkinpin-Call": begin.key.request_id,
+            "Catkinpin-Program": begin.key.program,
+            "Cache-Control": "no-store",
+        },
+    )
+
+
+def _ends_answer(data: bytes) -> bool:
+    chunk = json.loads(data)
+    choices = chunk.get("choices") or []
+    return any(choice.get("finish_reason") for choice in choices)
+
+
+def _program_key(
+    entry: Entry, req: sanic.Request, program: str
+) -> messages.ProgramKey:
+    account = _account(entry, req)
+    if not _NAME.fullmatch(program):
+        raise BadRequestError("program", "not a program id")
+    return messages.ProgramKey(account=account, program=program)
+
+
+async def _get_program(entry: Entry, req: sanic.Request, program: str) -> Any:
+    key = _program_key(entry, req, program)
+    return await _program_reply(
+        entry, key, lambda ask: messages.GetProgram(ask=ask, key=key)
+    )
+
+
+async def _end_program(entry: Entry, req: sanic.Request, program: str) -> Any:
+    key = _program_key(entry, req, program)
+    return await _program_reply(
+        entry, key, lambda ask: messages.EndProgram(ask=ask, key=key)
+    )
+
+
+async def _program_reply(
+    entry: Entry, key: messages.ProgramKey, make: Any
+) -> Any:
+    group = routing.group_of(key, entry.cfg.shards)
+    try:
+        info = await entry.replicas.ask(group, make, _GET_TIMEOUT_S)
+    except PeerLostError:
+        text = "the shard's leader did not answer in time"
+        return refusal_response(_not_run(Reason.NO_LEADER, text))
+    if isinstance(info, messages.Refused):
+        return refusal_response(info)
+    return response.json(
+        {
+            "program": info.key.program,
+            "parent": info.parent or None,
+            "next_seq": info.next_seq,
+            "turns": info.turns,
+            "ended": info.ended,
+            "spent_tokens": info.spent_tokens,
+            "reserved_tokens": info.reserved_tokens,
+            "budget_tokens": info.budget_tokens,
+        }
+    )
--- /dev/null
+++ b/catkinpin/adapters/web.py
@@ -0,0 +1,69 @@
+"""Sanic inside our own loop: no worker processes, no signal handlers."""
+
+from __future__ import annotations
+
+import itertools
+import logging
+from typing import TYPE_CHECKING, Any
+
+import sanic
+
+if TYPE_CHECKING:
+    from sanic.server.async_server import AsyncioServer
+
+log = logging.getLogger(__name__)
+
+_names = itertools.count(1)
+
+
+def new_app(role: str, max_body_bytes: int) -> sanic.Sanic[Any, Any]:
+    """Returns an application without routes."""
+    app: sanic.Sanic[Any, Any] = sanic.Sanic(
+        f"catkinpin-{role}-{next(_names)}", configure_logging=False
+    )
+    app.config.ACCESS_LOG = False
+    app.config.MOTD = False
+    # The rewriting of methods that this switches off fails for a second
+    # application in one process.
+    app.config.TOUCHUP = False
+    app.config.REQUEST_MAX_SIZE = max_body_bytes
+    app.config.RESPONSE_TIMEOUT = 3600
+    app.config.KEEP_ALIVE_TIMEOUT = 75
+    app.config.FALLBACK_ERROR_FORMAT = "json"
+    return app
+
+
+class WebServer:
+    """A listening application.
+
+    Attributes:
+        address: IP and real port.
+    """
+
+    def __init__(self, server: AsyncioServer, address: str) -> None:
+        self._server = server
+        self.address = address
+
+    async def close(self) -> None:
+        """Stops listening and closes idle connections."""
+        await self._server.close()
+
+
+async def serve(app: sanic.Sanic[Any, Any], address: str) -> WebServer:
+    """Listens on `address` and returns once requests are accepted."""
+    host, _, port = address.rpartition(":")
+    server = await app.create_server(
+        host=host.strip("[]"),
+        port=int(port),
+        return_asyncio_server=True,
+        access_log=False,
+        asyncio_server_kwargs={"start_serving": False},
+    )
+    assert server is not None
+    await server.startup()
+    await server.before_start()
+    await server.start_serving()
+    await server.after_start()
+    sock = server.server.sockets[0]
+    bound = sock.getsockname()
+    return WebServer(server, f"{host}:{bound[1]}")
--- /dev/null
+++ b/catkinpin/chat.py
@@ -0,0 +1,207 @@
+"""The parts of the OpenAI chat protocol that the scheduler must understand."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pydantic
+
+from catkinpin import configuration, digest
+from catkinpin.core.messages import Usage
+from catkinpin.exceptions import BadRequestError
+
+_DEFAULT_MAX_TOKENS = 1024
+_TOKENS_PER_MESSAGE = 16  # Role markers and separators of a chat template.
+_KEPT_FIELDS = (
+    "role",
+    "content",
+    "name",
+    "tool_calls",
+    "tool_call_id",
+    "function_call",
+)
+
+
+class ChatMessage(pydantic.BaseModel):
+    """A message; fields this system does not use pass through unchanged."""
+
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    role: str
+    content: str | list[dict[str, Any]] | None = None
+
+
+class ChatRequest(pydantic.BaseModel):
+    """Body of `POST /v1/chat/completions`."""
+
+    model_config = pydantic.ConfigDict(extra="allow")
+
+    model: str = pydantic.Field(min_length=1)
+    messages: list[ChatMessage] = pydantic.Field(min_length=1)
+    stream: bool = False
+    max_tokens: int | None = pydantic.Field(default=None, gt=0)
+    max_completion_tokens: int | None = pydantic.Field(default=None, gt=0)
+    n: int = pydantic.Field(default=1, ge=1, le=1)
+
+    @property
+    def most_tokens(self) -> int:
+        """Most tokens that may be generated."""
+        return (
+            self.max_completion_tokens or self.max_tokens or _DEFAULT_MAX_TOKENS
+        )
+
+
+def parse_request(body: bytes) -> ChatRequest:
+    """Returns the validated body.
+
+    Raises:
+        BadRequestError: naming every field at fault.
+    """
+    try:
+        return ChatRequest.model_validate_json(body)
+    except pydantic.ValidationError as exc:
+        raise BadRequestError("body", configuration.describe(exc)) from exc
+
+
+def canonical_message(message: dict[str, Any]) -> bytes:
+    """Returns a message in the form that is stored and digested.
+
+    Clients send back an answer's message with empty fields added or left out;
+    neither may make it a different message.
+    """
+    kept = {
+        field: message[field]
+        for field in _KEPT_FIELDS
+        if message.get(field) not in (None, [], {})
+    }
+    return digest.canonical(kept)
+
+
+def canonical_messages(request: ChatRequest) -> list[bytes]:
+    """Returns the canonical form of each message of a request."""
+    return [canonical_message(m.model_dump()) for m in request.messages]
+
+
+def most_prompt_tokens(canonical: list[bytes], request: ChatRequest) -> int:
+    """Returns an upper bound of the prompt's tokens.
+
+    A token of a byte-level vocabulary covers at least one byte.
+    """
+    text = sum(len(message) for message in canonical)
+    extra = len(digest.canonical(request.model_extra or {}))
+    return text + extra + _TOKENS_PER_MESSAGE * len(canonical)
+
+
+class Assembler:
+    """Puts a streamed answer together again.
+
+    Attributes:
+        finish_reason: why the engine stopped, empty while it generates.
+        usage: tokens, once the engine has sent them.
+    """
+
+    def __init__(self) -> None:
+        self.finish_reason = ""
+        self.usage: Usage | None = None
+        self._content: list[str] = []
+        self._tool_calls: dict[int, dict[str, Any]] = {}
+        self._first: dict[str, Any] = {}
+
+    def add(self, chunk: dict[str, Any]) -> None:
+        """Takes in a `chat.completion.chunk` object."""
+        if not self._first:
+            self._first = chunk
+        if chunk.get("usage"):
+            self.usage = _usage(chunk["usage"])
+        for choice in chunk.get("choices", []):
+            delta = choice.get("delta") or {}
+            if delta.get("content"):
+                self._content.append(delta["content"])
+            for part in delta.get("tool_calls") or []:
+                self._add_tool_call(part)
+            if choice.get("finish_reason"):
+                self.finish_reason = choice["finish_reason"]
+
+    def message(self) -> dict[str, Any]:
+        """Returns the assistant's message."""
+        message: dict[str, Any] = {
+            "role": "assistant",
+            "content": "".join(self._content),
+        }
+        if self._tool_calls:
+            calls = [self._tool_calls[i] for i in sorted(self._tool_calls)]
+            message["tool_calls"] = calls
+        return message
+
+    def completion(self, model: str) -> bytes:
+        """Returns the `chat.completion` object as JSON."""
+        usage = self.usage or Usage()
+        total = usage.prompt_tokens + usage.completion_tokens
+        body = {
+            "id": self._first.get("id", ""),
+            "object": "chat.completion",
+            "created": self._first.get("created", 0),
+            "model": self._first.get("model", model),
+            "choices": [
+                {
+                    "index": 0,
+                    "message": self.message(),
+                    "finish_reason": self.finish_reason or "stop",
+                }
+            ],
+            "usage": {
+                "prompt_tokens": usage.prompt_tokens,
+                "completion_tokens": usage.completion_tokens,
+                "total_tokens": total,
+                "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
+            },
+        }
+        return json.dumps(body, ensure_ascii=False).encode()
+
+    def _add_tool_call(self, part: dict[str, Any]) -> None:
+        call = self._tool_calls.setdefault(
+            int(part.get("index", 0)),
+            {
+                "id": "",
+                "type": "function",
+                "function": {"name": "", "arguments": ""},
+            },
+        )
+        call["id"] = part.get("id") or call["id"]
+        function = part.get("function") or {}
+        for field in ("name", "arguments"):
+            call["function"][field] += function.get(field) or ""
+
+
+def _usage(usage: dict[str, Any]) -> Usage:
+    details = usage.get("prompt_tokens_details") or {}
+    return Usage(
+        prompt_tokens=int(usage.get("prompt_tokens") or 0),
+        completion_tokens=int(usage.get("completion_tokens") or 0),
+        cached_tokens=int(details.get("cached_tokens") or 0),
+    )
+
+
+def chunks_of(completion: bytes) -> list[dict[str, Any]]:
+    """Returns the stream that a stored whole answer would have been."""
+    body = json.loads(completion)
+    base = {
+        "id": body["id"],
+        "object": "chat.completion.chunk",
+        "created": body["created"],
+        "model": body["model"],
+    }
+    choice = body["choices"][0]
+    delta = dict(choice["message"])
+    if "tool_calls" in delta:
+        delta["tool_calls"] = [
+            {"index": i, **call} for i, call in enumerate(delta["tool_calls"])
+        ]
+    first = {"index": 0, "delta": delta, "finish_reason": None}
+    last = {
+        "index": 0,
+        "delta": {},
+        "finish_reason": choice["finish_reason"],
+    }
+    return [{**base, "choices": [first]}, {**base, "choices": [last]}]
--- /dev/null
+++ b/catkinpin/clock.py
@@ -0,0 +1,34 @@
+"""Time in whole milliseconds."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_NS_PER_MS = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Clock:
+    """A source of time.
+
+    Attributes:
+        now_ms: monotonic milliseconds; use it for leases, timeouts and gaps.
+        wall_ms: milliseconds since the Unix epoch; use it only for what must
+            keep its meaning on another host or after a restart.
+    """
+
+    now_ms: Callable[[], int]
+    wall_ms: Callable[[], int]
+
+
+def system_clock() -> Clock:
+    """Returns the clock of the operating system."""
+    return Clock(
+        now_ms=lambda: time.monotonic_ns() // _NS_PER_MS,
+        wall_ms=lambda: time.time_ns() // _NS_PER_MS,
+    )
--- /dev/null
+++ b/catkinpin/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, one module each."""
--- /dev/null
+++ b/catkinpin/core/records.py
@@ -0,0 +1,99 @@
+"""Records of the replicated logs: what state machines are rebuilt from."""
+
+from __future__ import annotations
+
+from catkinpin.codec import Message
+from catkinpin.core.messages import (
+    Answer,
+    Begin,
+    CallKey,
+    ProgramKey,
+    ServerRef,
+    Usage,
+)
+from catkinpin.verdicts import Reason, Verdict
+
+
+class Choice(Message, frozen=True):
+    """The leader's choice of a server for the next attempt.
+
+    Attributes:
+        entry: process id of the entry that the grant is for.
+        entry_incarnation: the life of that entry; another can't use the grant.
+    """
+
+    server: ServerRef
+    entry: str
+    entry_incarnation: str
+    dispatcher: str = ""
+    priority: int = 0
+
+
+class CallBegun(Message, frozen=True):
+    """A call was admitted; with a choice, its first attempt starts too."""
+
+    at_ms: int
+    begin: Begin
+    budget_tokens: int
+    choice: Choice | None = None
+
+
+class AttemptStarted(Message, frozen=True):
+    """A waiting call, or one to be tried again, got a server."""
+
+    at_ms: int
+    key: CallKey
+    choice: Choice
+
+
+class AttemptFinished(Message, frozen=True):
+    """An attempt has an outcome; with a choice, the next one starts."""
+
+    at_ms: int
+    key: CallKey
+    attempt: str
+    verdict: Verdict
+    reason: Reason | None = None
+    text: str = ""
+    answer: Answer | None = None
+    usage: Usage = Usage()
+    messages: list[bytes] = []
+    crashed: bool = False
+    choice: Choice | None = None
+
+
+class CallRefused(Message, frozen=True):
+    """A call got its final answer without a backend server's answer."""
+
+    at_ms: int
+    key: CallKey
+    reason: Reason
+    text: str
+    verdict: Verdict
+    retry_after_ms: int = 0
+
+
+class ProgramEnded(Message, frozen=True):
+    """A program is over: asked for, idle, or stopped by a limit."""
+
+    at_ms: int
+    key: ProgramKey
+    reason: str
+
+
+ShardRecord = (
+    CallBegun | AttemptStarted | AttemptFinished | CallRefused | ProgramEnded
+)
+
+
+class ConfigChanged(Message, frozen=True):
+    """An operator's change of configuration, decided when it is applied."""
+
+    at_ms: int
+    request_id: str
+    base_revision: int
+    content: bytes
+    operator: str = ""
+
+
+ControlRecord = ConfigChanged
--- /dev/null
+++ b/catkinpin/entry.py
@@ -0,0 +1,234 @@
+"""The entry process: callers in front, backend servers behind."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import uuid
+from typing import TYPE_CHECKING, Any
+
+from catkinpin import clock, configuration, metrics
+from catkinpin.adapters import (
+    admin,
+    callers,
+    calls,
+    dispatch,
+    peers,
+    shards,
+    web,
+)
+from catkinpin.core import messages, routing
+
+if TYPE_CHECKING:
+    from catkinpin.settings import EntrySettings
+
+log = logging.getLogger(__name__)
+
+_REPORT_EVERY_S = 0.1
+_KEEP_REPORT_MS = 10_000
+
+
+class Entry:
+    """An entry process and its parts.
+
+    Attributes:
+        accounts: account by the digest of its key.
+        stopping: set once a graceful stop has begun.
+    """
+
+    def __init__(self, cfg: EntrySettings) -> None:
+        self.cfg = cfg
+        self.clock = clock.system_clock()
+        self.incarnation = uuid.uuid4().hex
+        self.stopping = False
+        self.configuration: configuration.Configuration | None = None
+        self.revision = 0
+        self.content = b""
+        self.accounts: dict[str, str] = {}
+        self.caller_address = ""
+        self.admin_address = ""
+        self._reports: dict[str, tuple[messages.ServerReport, int]] = {}
+        self._fresh: set[str] = set()
+        self._links: dict[str, peers.PeerLink] = {}
+        self._relays: set[asyncio.Task[None]] = set()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._web: list[web.WebServer] = []
+        self._peers = peers.PeerServer(
+            messages.BetweenEntries, self._on_peer_message, lambda _: None
+        )
+
+    async def start(self) -> None:
+        """Connects and listens."""
+        address = await self._peers.start(self.cfg.peer_listen)
+        self._hello = messages.Hello(
+            process=self.cfg.name or address,
+            incarnation=self.incarnation,
+            role="entry",
+            address=address,
+            domain=self.cfg.failure_domain,
+            region=self.cfg.region,
+        )
+        self._dispatcher = dispatch.Dispatcher(
+            dispatch.Timeouts(
+                connect_s=self.cfg.connect_timeout_ms / 1000,
+                progress_s=self.cfg.progress_timeout_ms / 1000,
+            )
+        )
+        self.replicas = shards.Replicas(
+            self.cfg.replicas, self._hello, self._on_message, self._on_replica
+        )
+        self.calls = calls.Calls(
+            self.replicas, self._dispatcher, self.cfg.shards, self._link_to
+        )
+        self.replicas.start()
+        await self._listen()
+        self._tasks.append(asyncio.create_task(self._send_reports()))
+        log.info(
+            "entry ready",
+            extra={
+                "callers": self.caller_address,
+                "admin": self.admin_address,
+                "peer": address,
+            },
+        )
+
+    async def stop(self) -> None:
+        """Refuses new calls, finishes those in flight, then closes."""
+        self.stopping = True
+        waiting = [*self.calls.running, *self._relays]
+        if waiting:
+            log.info("stopping", extra={"in_flight": len(waiting)})
+            await asyncio.wait(waiting, timeout=self.cfg.stop_timeout_ms / 1000)
+        for server in self._web:
+            await server.close()
+        for task in self._tasks:
+            task.cancel()
+        for link in self._links.values():
+            await link.stop()
+        await self.replicas.stop()
+        await self._peers.stop()
+        await self._dispatcher.close()
+
+    def not_ready(self) -> str:
+        """Returns why no calls should come here, or an empty string."""
+        if self.stopping:
+            return "stopping"
+        if self.configuration is None:
+            return "no confirmed configuration"
+        names = [routing.CONTROL_GROUP]
+        names += map(routing.shard_group, range(self.cfg.shards))
+        for group in names:
+            if not self.replicas.knows_leader(group):
+                return f"no leader of {group}"
+        return ""
+
+    def announced(self, report: messages.ServerReport) -> None:
+        """Takes a server's announcement; replicas get it in a batch."""
+        self._reports[report.server] = (report, self.clock.now_ms())
+        self._fresh.add(report.server)
+
+    async def _listen(self) -> None:
+        caller_app = callers.make_app(self)
+        admin_app = admin.make_app("entry", self.not_ready)
+        admin.add_server_routes(admin_app, self)
+        admin.add_operator_routes(admin_app, self)
+        self._web = [
+            await web.serve(caller_app, self.cfg.listen),
+            await web.serve(admin_app, self.cfg.admin_listen),
+        ]
+        self.caller_address = self._web[0].address
+        self.admin_address = self._web[1].address
+
+    def _on_replica(self, link: peers.PeerLink) -> None:
+        if self._reports:
+            link.send(self._batch(list(self._reports)))
+
+    def _on_message(self, message: Any) -> None:
+        if isinstance(message, messages.ConfigUpdate):
+            self._configure(message)
+
+    def _configure(self, update: messages.ConfigUpdate) -> None:
+        # A replica that lags may send an older revision than another sent
+        # before; going back would let a withdrawn key or budget work again.
+        if update.revision <= self.revision:
+            return
+        cfg = configuration.parse(update.content)
+        self.configuration = cfg
+        self.revision = update.revision
+        self.content = update.content
+        self.accounts = {a.key_sha256: a.name for a in cfg.accounts}
+        metrics.REVISION.set(update.revision)
+        self.replicas.broadcast(
+            messages.ConfigConfirmed(revision=update.revision)
+        )
+
+    async def _send_reports(self) -> None:
+        while True:
+            await asyncio.sleep(_REPORT_EVERY_S)
+            self._forget_old_reports()
+            names = [name for name in self._fresh if name in self._reports]
+            self._fresh.clear()
+            if names:
+                self.replicas.broadcast(self._batch(names))
+
+    def _forget_old_reports(self) -> None:
+        oldest = self.clock.now_ms() - _KEEP_REPORT_MS
+        self._reports = {
+            name: (report, at)
+            for name, (report, at) in self._reports.items()
+            if at >= oldest
+        }
+
+    def _batch(self, names: list[str]) -> messages.Reports:
+        now = self.clock.now_ms()
+        chosen = [self._reports[name] for name in names]
+        return messages.Reports(
+            reports=[report for report, _ in chosen],
+            age_ms=[now - at for _, at in chosen],
+        )
+
+    def _link_to(self, address: str) -> peers.PeerLink:
+        """Returns the stream to another entry, opened at its first use."""
+        link = self._links.get(address)
+        if link is None:
+            link = peers.PeerLink(
+                address,
+                self._hello,
+                messages.BetweenEntries,
+                self._on_entry_message,
+            )
+            link.start()
+            self._links[address] = link
+        return link
+
+    def _on_entry_message(self, message: Any) -> None:
+        if isinstance(message, messages.Chunk):
+            self.calls.relayed_chunk(message)
+
+    def _on_peer_message(self, stream: peers.Stream, message: Any) -> None:
+        if isinstance(message, messages.Dispatch):
+            task = asyncio.create_task(self._dispatch_for(stream, message))
+            self._relays.add(task)
+            task.add_done_callback(self._relays.discard)
+
+    async def _dispatch_for(
+        self, stream: peers.Stream, message: messages.Dispatch
+    ) -> None:
+        """Dispatches for an entry of another region."""
+        req = dispatch.Outgoing(
+            kind=message.kind,
+            method=message.method,
+            path=message.path,
+            headers=message.headers,
+            body=message.body,
+            deadline_ms=message.deadline_ms,
+            traceparent=message.traceparent,
+        )
+        finish = await self._dispatcher.dispatch(
+            message.grant,
+            req,
+            lambda data: stream.send(
+                messages.Chunk(ask=message.ask, data=data)
+            ),
+        )
+        stream.send(messages.Dispatched(ask=message.ask, finish=finish))
--- /dev/null
+++ b/catkinpin/logs.py
@@ -0,0 +1,21 @@
+"""JSON logs on standard error."""
+
+from __future__ import annotations
+
+import logging
+
+from pythonjsonlogger.json import JsonFormatter
+
+
+def set_up(level: str, process: str) -> None:
+    """Sends all log records as JSON lines to standard error."""
+    formatter = JsonFormatter(
+        "%(asctime)s %(levelname)s %(name)s %(message)s",
+        rename_fields={"asctime": "time", "levelname": "level"},
+        static_fields={"process": process},
+    )
+    handler = logging.StreamHandler()
+    handler.setFormatter(formatter)
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+    for noisy in ("sanic.access", "sanic.root", "sanic.server"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
--- /dev/null
+++ b/catkinpin/metrics.py
@@ -0,0 +1,48 @@
+"""All metrics, declared once."""
+
+from __future__ import annotations
+
+import prometheus_client
+from prometheus_client import Counter, Gauge, Histogram
+
+_LATENCY_BUCKETS = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120,
+)  # fmt: skip
+
+CALLS = Counter(
+    "catkinpin_calls_total", "Calls answered to callers.", ["kind", "verdict"]
+)
+REFUSALS = Counter(
+    "catkinpin_refusals_total", "Calls refused or failed.", ["reason"]
+)
+ATTEMPTS = Counter(
+    "catkinpin_attempts_total", "Dispatches to servers.", ["verdict"]
+)
+FIRST_TOKEN = Histogram(
+    "catkinpin_first_token_seconds",
+    "From a call's arrival to its first event.",
+    buckets=_LATENCY_BUCKETS,
+)
+CALL_SECONDS = Histogram(
+    "catkinpin_call_seconds",
+    "From a call's arrival to its last byte.",
+    buckets=_LATENCY_BUCKETS,
+)
+IN_FLIGHT = Gauge("catkinpin_calls_in_flight", "Calls not yet answered.")
+REVISION = Gauge(
+    "catkinpin_configuration_revision", "Revision this process serves under."
+)
+DROPPED_ANSWERS = Counter(
+    "catkinpin_dropped_answers_total",
+    "Answers dropped since they belong to another attempt.",
+)
+PEER_BYTES = Counter(
+    "catkinpin_peer_bytes_total", "Bytes sent to other processes.", ["peer"]
+)
+LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
+LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
+
+
+def exposition() -> bytes:
+    """Returns all metrics in the Prometheus text format."""
+    return prometheus_client.generate_latest()
--- /dev/null
+++ b/catkinpin/process.py
@@ -0,0 +1,58 @@
+"""Runs a process until it is asked to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from typing import TYPE_CHECKING, Protocol
+
+import uvloop
+
+from catkinpin import logs, tracing
+from catkinpin.exceptions import CatkinpinError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.settings import ProcessSettings
+
+log = logging.getLogger(__name__)
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_STORAGE = 3
+
+
+class Stoppable(Protocol):
+    """A process that can be started and gracefully stopped."""
+
+    async def start(self) -> None:
+        """Begins to serve."""
+
+    async def stop(self) -> None:
+        """Finishes what is in flight and closes."""
+
+
+def run(cfg: ProcessSettings, make: Callable[[], Stoppable]) -> None:
+    """Serves until SIGTERM or SIGINT, then stops gracefully and exits."""
+    logs.set_up(cfg.log_level, cfg.name)
+    tracing.set_up(cfg.trace_file, cfg.name)
+    try:
+        uvloop.run(_serve(make))
+    except CatkinpinError as exc:
+        log.critical("%s", exc)
+        sys.exit(EXIT_STORAGE)
+
+
+async def _serve(make: Callable[[], Stoppable]) -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    process = make()
+    await process.start()
+    await stop.wait()
+    await process.stop()
--- /dev/null
+++ b/catkinpin/settings.py
@@ -0,0 +1,141 @@
+"""Every setting of every binary, declared once.
+
+Each field is a flag (`--data-folder`) and an environment variable
+(`CATKINPIN_DATA_FOLDER`). All problems are reported together.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+from typing import Annotated, TypeVar
+
+import pydantic
+
+_HOST_PORT = r"^[0-9A-Za-z_.\-\[\]:]+:[0-9]{1,5}$"
+
+Address = Annotated[str, pydantic.Field(pattern=_HOST_PORT)]
+Milliseconds = Annotated[int, pydantic.Field(gt=0)]
+
+_EXIT_USAGE = 2
+_S = TypeVar("_S", bound=pydantic.BaseModel)
+
+
+def defaults(kind: type[_S]) -> _S:
+    """Returns settings of which none was given; exits where some must be."""
+    try:
+        return kind()
+    except pydantic.ValidationError as exc:
+        print(exc, file=sys.stderr)
+        sys.exit(_EXIT_USAGE)
+
+
+class ProcessSettings(pydantic.BaseModel):
+    """Settings that every long-running process has."""
+
+    model_config = pydantic.ConfigDict(validate_default=True, frozen=True)
+
+    name: str = pydantic.Field(
+        default="", description="Name of this process, unique in the system."
+    )
+    region: str = pydantic.Field(
+        default="", description="Region this host stands in."
+    )
+    failure_domain: str = pydantic.Field(
+        default="", description="Failure domain this host stands in."
+    )
+    peer_listen: Address = pydantic.Field(
+        default="127.0.0.1:0",
+        description="IP and port for the other catkinpin processes (gRPC).",
+    )
+    admin_listen: Address = pydantic.Field(
+        default="127.0.0.1:0",
+        description="IP and port for health, metrics, servers and operators.",
+    )
+    trace_file: str = pydantic.Field(
+        default="",
+        description="File for spans, one JSON object a line; empty: no spans.",
+    )
+    log_level: str = pydantic.Field(
+        default="INFO",
+        pattern="^(DEBUG|INFO|WARNING|ERROR)$",
+        description="Least severe log records that are written.",
+    )
+    stop_timeout_ms: Milliseconds = pydantic.Field(
+        default=30_000,
+        description="Longest a graceful stop waits for work in flight, in ms.",
+    )
+
+
+class EntrySettings(ProcessSettings):
+    """Settings of `catkinpin-entry`."""
+
+    listen: Address = pydantic.Field(
+        default="127.0.0.1:8080", description="IP and port for callers (HTTP)."
+    )
+    replicas: list[Address] = pydantic.Field(
+        default=[],
+        min_length=1,
+        description="Peer addresses of all replicas.",
+    )
+    shards: int = pydantic.Field(
+        default=1,
+        gt=0,
+        le=1024,
+        description="Number of program shards; the same in all processes.",
+    )
+    operator_key_sha256: str = pydantic.Field(
+        default="",
+        pattern="^([0-9a-f]{64})?$",
+        description="SHA-256 of the operators' key; empty: no operator calls.",
+    )
+    max_body_bytes: int = pydantic.Field(
+        default=8 * 1024 * 1024,
+        gt=0,
+        description="Largest request body, in bytes.",
+    )
+    default_deadline_ms: Milliseconds = pydantic.Field(
+        default=120_000,
+        description="Deadline of a call that names none, in ms.",
+    )
+    progress_timeout_ms: Milliseconds = pydantic.Field(
+        default=5_000,
+        description="Longest gap in a stream before it is checked, in ms.",
+    )
+    connect_timeout_ms: Milliseconds = pydantic.Field(
+        default=1_000, description="Longest connect to a server, in ms."
+    )
+
+
+class ReplicaSettings(ProcessSettings):
+    """Settings of `catkinpin-replica`."""
+
+    data_folder: pathlib.Path = pydantic.Field(
+        default=pathlib.Path("data"),
+        description="Folder for the log; the only place that is written.",
+    )
+    replicas: list[Address] = pydantic.Field(
+        default=[],
+        description="Peer addresses of all replicas, this one included.",
+    )
+    shards: int = pydantic.Field(
+        default=1,
+        gt=0,
+        le=1024,
+        description="Number of program shards; the same in all processes.",
+    )
+
+
+class OperatorSettings(pydantic.BaseModel):
+    """Settings of the operator's command `catkinpin`."""
+
+    entry: str = pydantic.Field(
+        default="http://127.0.0.1:8081",
+        description="Admin address (URL) of any entry.",
+    )
+    operator_key: str = pydantic.Field(
+        default="", description="The operators' key."
+    )
+    timeout_ms: Milliseconds = pydantic.Field(
+        default=10_000, description="Longest wait for an answer, in ms."
+    )
--- /dev/null
+++ b/catkinpin/tracing.py
@@ -0,0 +1,89 @@
+"""Spans for each hop, joined by W3C `traceparent`."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+from typing import IO, TYPE_CHECKING
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import (
+    SimpleSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    from opentelemetry.sdk.trace import ReadableSpan
+
+_propagator = TraceContextTextMapPropagator()
+_tracer = trace.get_tracer("catkinpin")
+
+
+class _JsonLines(SpanExporter):
+    """Writes a span a line."""
+
+    def __init__(self, out: IO[str]) -> None:
+        self._out = out
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        for span in spans:
+            text = span.to_json(indent=None)
+            self._out.write(json.dumps(json.loads(text)) + "\n")
+        self._out.flush()
+        return SpanExportResult.SUCCESS
+
+
+def set_up(path: str, process: str) -> None:
+    """Writes spans to the file at `path`; an empty path writes none."""
+    if not path:
+        return
+    provider = TracerProvider(
+        resource=Resource.create({"service.name": process})
+    )
+    out = open(path, "a", encoding="utf-8")  # noqa: SIM115
+    provider.add_span_processor(SimpleSpanProcessor(_JsonLines(out)))
+    trace.set_tracer_provider(provider)
+
+
+class Hop:
+    """A span in progress.
+
+    Attributes:
+        traceparent: what the next hop gets.
+        trace_id: in hex, for logs.
+    """
+
+    def __init__(self, span: trace.Span) -> None:
+        self._span = span
+        carrier: dict[str, str] = {}
+        context = trace.set_span_in_context(span)
+        _propagator.inject(carrier, context)
+        self.traceparent = carrier.get("traceparent", "")
+        self.trace_id = f"{span.get_span_context().trace_id:032x}"
+
+    def note(self, key: str, value: str | int) -> None:
+        """Adds an attribute."""
+        self._span.set_attribute(key, value)
+
+    def event(self, name: str) -> None:
+        """Marks a moment, such as the first token."""
+        self._span.add_event(name)
+
+
+@contextlib.contextmanager
+def hop(name: str, traceparent: str) -> Iterator[Hop]:
+    """Opens the span of one hop below the one that `traceparent` names."""
+    context = _propagator.extract({"traceparent": traceparent})
+    span = _tracer.start_span(name, context=context)
+    try:
+        yield Hop(span)
+    finally:
+        span.end()
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration behind `make demo`."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the modules mirror those of the package."""
--- /dev/null
+++ b/tests/base.py
@@ -0,0 +1,387 @@
+"""Helpers that the tests share: processes, ports, waiting, HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import zlib
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import testtools
+import uvloop
+
+from catkinpin import configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Coroutine
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+OPERATOR_KEY = "operator-key"
+ACCOUNT_KEYS = {"ruegg": "ruegg-key", "kunci": "kunci-key"}
+_WAIT_S = 20.0
+_POLL_S = 0.02
+_STOP_S = 15.0
+
+
+class TestCase(testtools.TestCase):
+    """A test with a folder of its own."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="catkinpin-"))
+        self.addCleanup(shutil.rmtree, self.folder, ignore_errors=True)
+
+    def run_async(self, main: Coroutine[Any, Any, None]) -> None:
+        """Runs a coroutine to its end."""
+        uvloop.run(main)
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that are free now."""
+    with contextlib.ExitStack() as stack:
+        socks = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(("127.0.0.1", 0))
+            socks.append(sock)
+        return [sock.getsockname()[1] for sock in socks]
+
+
+async def until(
+    check: Callable[[], Awaitable[Any]], what: str, wait_s: float = _WAIT_S
+) -> Any:
+    """Waits until `check` returns something true, and returns it."""
+    end = time.monotonic() + wait_s
+    while True:
+        with contextlib.suppress(
+            aiohttp.ClientError, TimeoutError, ConnectionError
+        ):
+            if result := await check():
+                return result
+        if time.monotonic() > end:
+            raise AssertionError(f"waited {wait_s} s in vain for: {what}")
+        await asyncio.sleep(_POLL_S)
+
+
+class Process:
+    """A child process that ends with the test."""
+
+    def __init__(self, module: str, args: list[str], log: pathlib.Path) -> None:
+        self._command = [sys.executable, "-m", *module.split(), *args]
+        self.log = log
+        self._popen: subprocess.Popen[bytes] | None = None
+        self.start()
+
+    def start(self) -> None:
+        """Starts the process, or starts it again with the same arguments."""
+        with self.log.open("ab") as out:
+            self._popen = subprocess.Popen(
+                self._command, stdout=out, stderr=out, cwd=ROOT
+            )
+
+    @property
+    def pid(self) -> int:
+        """Id of the running process."""
+        assert self._popen is not None
+        return self._popen.pid
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal."""
+        os.kill(self.pid, number)
+
+    def kill(self) -> None:
+        """Kills the process and waits until it is gone."""
+        assert self._popen is not None
+        self._popen.kill()
+        self._popen.wait()
+
+    def stop(self) -> int:
+        """Stops the process gracefully and returns its exit code."""
+        assert self._popen is not None
+        if self._popen.poll() is None:
+            self._popen.send_signal(signal.SIGCONT)
+            self._popen.terminate()
+        try:
+            return self._popen.wait(_STOP_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise
+
+    def end(self) -> None:
+        """Ends the process in whatever state it is."""
+        assert self._popen is not None
+        if self._popen.poll() is None:
+            self._popen.kill()
+        self._popen.wait()
+
+
+class Cluster:
+    """Replicas, entries and fakes as real processes on loopback.
+
+    Attributes:
+        http: a client session for the test's own requests.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.processes: dict[str, Process] = {}
+        self.addresses: dict[str, str] = {}
+        self.admin: dict[str, str] = {}
+        self.replicas: list[str] = []
+        self.entries: list[str] = []
+        self.shards = 1
+        self.http: aiohttp.ClientSession
+
+    async def __aenter__(self) -> Cluster:
+        timeout = aiohttp.ClientTimeout(total=60)
+        self.http = aiohttp.ClientSession(timeout=timeout)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.http.close()
+        for process in self.processes.values():
+            process.end()
+
+    def spawn(self, name: str, module: str, /, **flags: Any) -> Process:
+        """Starts a process; each flag's name gets dashes."""
+        args = []
+        for flag, value in flags.items():
+            values = value if isinstance(value, list) else [value]
+            for one in values:
+                args += ["--" + flag.replace("_", "-"), str(one)]
+        log = self.folder / f"{name}.log"
+        self.processes[name] = Process(module, args, log)
+        return self.processes[name]
+
+    def add_replicas(self, count: int, **flags: Any) -> None:
+        """Starts replicas that know one another."""
+        ports = free_ports(2 * count)
+        self.replicas = [f"127.0.0.1:{port}" for port in ports[:count]]
+        for number in range(count):
+            name = f"replica-{number + 1}"
+            self.admin[name] = f"127.0.0.1:{ports[count + number]}"
+            self.spawn(
+                name,
+                "catkinpin replica",
+                name=name,
+                peer_listen=self.replicas[number],
+                admin_listen=self.admin[name],
+                data_folder=self.folder / name,
+                replicas=self.replicas,
+                shards=self.shards,
+                trace_file=self.folder / "spans.jsonl",
+                **flags,
+            )
+
+    def add_entry(self, name: str, region: str = "", **flags: Any) -> str:
+        """Starts an entry and returns its URL for callers."""
+        callers, admin, peer = free_ports(3)
+        self.addresses[name] = f"http://127.0.0.1:{callers}"
+        self.admin[name] = f"127.0.0.1:{admin}"
+        self.entries.append(self.admin[name])
+        self.spawn(
+            name,
+            "catkinpin entry",
+            name=name,
+            region=region,
+            listen=f"127.0.0.1:{callers}",
+            admin_listen=self.admin[name],
+            peer_listen=f"127.0.0.1:{peer}",
+            replicas=flags.pop("replicas", self.replicas),
+            shards=self.shards,
+            operator_key_sha256=configuration.key_digest(OPERATOR_KEY),
+            trace_file=self.folder / "spans.jsonl",
+            **flags,
+        )
+        return self.addresses[name]
+
+    def add_fake(self, kind: str, name: str, **flags: Any) -> str:
+        """Starts a fake engine or service and returns its URL."""
+        port = free_ports(1)[0]
+        self.addresses[name] = f"http://127.0.0.1:{port}"
+        self.spawn(
+            name,
+            f"tests.fakes.{kind}",
+            name=name,
+            port=port,
+            entries=",".join(self.entries),
+            **flags,
+        )
+        return self.addresses[name]
+
+    def add_proxy(self, name: str, target: str) -> str:
+        """Starts a proxy before `target` and returns its address."""
+        port, control = free_ports(2)
+        self.addresses[name] = f"http://127.0.0.1:{control}"
+        self.spawn(
+            name, "tests.fakes.proxy", port=port, control=control, target=target
+        )
+        return f"127.0.0.1:{port}"
+
+    async def steer(self, name: str, **settings: Any) -> None:
+        """Changes a fake's settings."""
+        url = self.addresses[name] + "/fake"
+
+        async def done() -> bool:
+            async with self.http.post(url, json=settings) as resp:
+                return resp.ok
+
+        await until(done, f"{name} takes its settings")
+
+    async def look(self, name: str) -> Any:
+        """Returns what a fake has seen."""
+        async with self.http.get(self.addresses[name] + "/fake") as resp:
+            return await resp.json()
+
+    async def ready(self, name: str) -> None:
+        """Waits until an entry or replica reports that it is ready."""
+
+        async def check() -> bool:
+            url = f"http://{self.admin[name]}/health/ready"
+            async with self.http.get(url) as resp:
+                return resp.status == 200
+
+        await until(check, f"{name} is ready")
+
+    async def apply(self, content: str, base: int = 0) -> Any:
+        """Applies a configuration through the first entry."""
+        url = f"http://{self.entries[0]}/v1/operator/configuration"
+        headers = {
+            "Authorization": f"Bearer {OPERATOR_KEY}",
+            "Catkinpin-Base-Revision": str(base),
+            "Idempotency-Key": f"change-{base}-{zlib.crc32(content.encode())}",
+        }
+
+        async def check() -> Any:
+            async with self.http.post(
+                url, data=content, headers=headers
+            ) as resp:
+                return await resp.json() if resp.status in (200, 409) else None
+
+        return await until(check, "the configuration is applied")
+
+    async def serving(self, entry: str, target: str, kind: str) -> None:
+        """Waits until calls to a target are answered."""
+
+        async def check() -> bool:
+            if kind == "model":
+                answer = await self.chat(entry, target, [user("probe")])
+            else:
+                answer = await self.call_service(entry, target, "probe", "")
+            return bool(answer.status == 200)
+
+        await until(check, f"{target} is served through {entry}")
+
+    async def chat(
+        self,
+        entry: str,
+        model: str,
+        messages: list[Any],
+        account: str = "ruegg",
+        headers: dict[str, str] | None = None,
+        **fields: Any,
+    ) -> Reply:
+        """Makes a model call."""
+        body = {"model": model, "messages": messages, **fields}
+        url = self.addresses[entry] + "/v1/chat/completions"
+        auth = {"Authorization": f"Bearer {ACCOUNT_KEYS[account]}"}
+        async with self.http.post(
+            url, json=body, headers={**auth, **(headers or {})}
+        ) as resp:
+            return await Reply.read(resp)
+
+    async def call_service(
+        self,
+        entry: str,
+        name: str,
+        path: str,
+        data: str,
+        account: str = "kunci",
+        headers: dict[str, str] | None = None,
+        method: str = "POST",
+    ) -> Reply:
+        """Makes a service call."""
+        url = f"{self.addresses[entry]}/v1/services/{name}/{path}"
+        auth = {"Authorization": f"Bearer {ACCOUNT_KEYS[account]}"}
+        async with self.http.request(
+            method, url, data=data, headers={**auth, **(headers or {})}
+        ) as resp:
+            return await Reply.read(resp)
+
+
+class Reply:
+    """An HTTP answer that has been read to its end."""
+
+    def __init__(self, status: int, headers: Any, body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    @classmethod
+    async def read(cls, resp: aiohttp.ClientResponse) -> Reply:
+        """Reads an answer."""
+        return cls(resp.status, resp.headers, await resp.read())
+
+    @property
+    def json(self) -> Any:
+        """The body as JSON."""
+        return json.loads(self.body)
+
+    @property
+    def verdict(self) -> str:
+        """The verdict header."""
+        value: str = self.headers.get("Catkinpin-Verdict", "")
+        return value
+
+
+def user(text: str) -> dict[str, str]:
+    """Returns a user's message."""
+    return {"role": "user", "content": text}
+
+
+def config(budget: int = 1_000_000) -> str:
+    """Returns a configuration with both users' accounts and targets."""
+    lines = []
+    for name, key in ACCOUNT_KEYS.items():
+        digest = configuration.key_digest(key)
+        lines += [
+            "[[accounts]]",
+            f'name = "{name}"',
+            f'key_sha256 = "{digest}"',
+        ]
+    targets = '["berater", "melder", "agent-models", "kiosk-app"]'
+    lines += [
+        "[[deployments]]",
+        'name = "all"',
+        f"targets = {targets}",
+        f"budget_tokens = {budget}",
+    ]
+    return "\n".join(lines)
+
+
+async def small(folder: pathlib.Path, entries: int = 1) -> Cluster:
+    """Starts one replica, entries, an engine and a service, all serving."""
+    cluster = Cluster(folder)
+    await cluster.__aenter__()
+    cluster.add_replicas(1)
+    for number in range(entries):
+        cluster.add_entry(f"entry-{number + 1}")
+    cluster.add_fake("engine", "engine-1")
+    cluster.add_fake("service", "service-1")
+    await cluster.apply(config())
+    for number in range(entries):
+        await cluster.ready(f"entry-{number + 1}")
+    await cluster.serving("entry-1", "berater", "model")
+    await cluster.serving("entry-1", "kiosk-app", "service")
+    return cluster
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the outside world, each a process of its own."""
--- /dev/null
+++ b/tests/fakes/common.py
@@ -0,0 +1,66 @@
+"""What the fakes share: arguments, announcing and running."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import signal
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import uvloop
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ANNOUNCE_EVERY_S = 0.3
+
+
+def arguments(**defaults: Any) -> argparse.Namespace:
+    """Parses flags, one for each default given."""
+    parser = argparse.ArgumentParser()
+    for name, default in defaults.items():
+        kind = str if default is None else type(default)
+        flag = "--" + name.replace("_", "-")
+        parser.add_argument(flag, default=default, type=kind)
+    return parser.parse_args()
+
+
+async def announce(entries: list[str], make: Callable[[], Any]) -> None:
+    """Announces to the first entry that answers, for ever."""
+    timeout = aiohttp.ClientTimeout(total=1)
+    async with aiohttp.ClientSession(timeout=timeout) as http:
+        while True:
+            report = make()
+            for entry in entries if report is not None else []:
+                url = f"http://{entry}/v1/servers/announce"
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    async with http.post(url, json=report) as resp:
+                        if resp.ok:
+                            break
+            await asyncio.sleep(ANNOUNCE_EVERY_S)
+
+
+async def serve(app: web.Application, port: int) -> None:
+    """Serves on the loopback address until SIGTERM."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    await stop.wait()
+    await runner.cleanup()
+
+
+def run(main: Any) -> None:
+    """Runs a fake's main coroutine."""
+    uvloop.run(main)
+
+
+def new_incarnation() -> str:
+    """Returns an id for this life of the process."""
+    return uuid.uuid4().hex
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,161 @@
+"""The whole path, from callers to backend servers, with real processes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import openai
+
+from tests import base
+
+
+class WholePathTest(base.TestCase):
+    """A program is served from one end to the other."""
+
+    def test_openai_client_streams_and_continues(self) -> None:
+        self.run_async(self._openai())
+
+    async def _openai(self) -> None:
+        cluster = await base.small(self.folder)
+        async with cluster:
+            client = openai.AsyncOpenAI(
+                base_url=cluster.addresses["entry-1"] + "/v1",
+                api_key=base.ACCOUNT_KEYS["ruegg"],
+                default_headers={"Catkinpin-Program": "advisory-1"},
+            )
+            history: list[Any] = [base.user("Which cantonal calls fit us?")]
+            whole = await client.chat.completions.create(
+                model="berater", messages=history
+            )
+            message = whole.choices[0].message
+            self.assertTrue(message.content)
+            history += [message.model_dump(), base.user("And federal ones?")]
+            stream = await client.chat.completions.create(
+                model="berater", messages=history, stream=True
+            )
+            words = [
+                chunk.choices[0].delta.content or ""
+                async for chunk in stream
+                if chunk.choices
+            ]
+            self.assertEqual(20, len([word for word in words if word]))
+            seen = await cluster.look("engine-1")
+            last = seen["seen"][-1]
+            self.assertEqual(3, len(last["messages"]))
+            self.assertTrue(last["traceparent"])
+            await client.close()
+
+    def test_service_effect_happens_once_for_a_resent_request(self) -> None:
+        """A caller loses the answer and sends its request again.
+
+        The user notices nothing: the same answer comes back, and the card is
+        charged once.
+        """
+        self.run_async(self._resend())
+
+    async def _resend(self) -> None:
+        cluster = await base.small(self.folder, entries=2)
+        async with cluster:
+            headers = {
+                "Idempotency-Key": "order-1",
+                "Catkinpin-Program": "kiosk-1",
+            }
+            replies = [
+                await cluster.call_service(
+                    entry, "kiosk-app", "pay", "12.50", headers=headers
+                )
+                for entry in ("entry-1", "entry-2", "entry-1")
+            ]
+            self.assertEqual([200] * 3, [reply.status for reply in replies])
+            self.assertEqual(1, len({reply.body for reply in replies}))
+            self.assertEqual("ran", replies[0].verdict)
+            seen = await cluster.look("service-1")
+            self.assertEqual(1, seen["effects"]["order-1"])
+
+    def test_bad_input_is_refused_and_named(self) -> None:
+        self.run_async(self._bad_input())
+
+    async def _bad_input(self) -> None:
+        cluster = await base.small(self.folder)
+        async with cluster:
+            for headers, field in (
+                ({"Catkinpin-Seq": "-1"}, "Catkinpin-Seq"),
+                ({"Catkinpin-Deadline-Ms": "x"}, "Catkinpin-Deadline-Ms"),
+                ({"Catkinpin-Idempotent": "maybe"}, "Catkinpin-Idempotent"),
+                ({"Catkinpin-Program": "a b"}, "Catkinpin-Program"),
+            ):
+                reply = await cluster.chat(
+                    "entry-1", "berater", [base.user("x")], headers=headers
+                )
+                self.assertEqual(400, reply.status)
+                self.assertEqual("not-run", reply.verdict)
+                self.assertIn(field, reply.json["error"]["message"])
+            reply = await cluster.chat("entry-1", "berater", [], n=7)
+            self.assertEqual(400, reply.status)
+            self.assertIn("messages", reply.json["error"]["message"])
+            self.assertIn("n:", reply.json["error"]["message"])
+            reply = await cluster.chat("entry-1", "x", [base.user("x")])
+            self.assertEqual("unknown-model", reply.json["error"]["code"])
+            reply = await cluster.chat("entry-1", "berater", [base.user("x")])
+            self.assertEqual(200, reply.status)
+
+    def test_history_conflict_names_the_first_message(self) -> None:
+        self.run_async(self._conflict())
+
+    async def _conflict(self) -> None:
+        cluster = await base.small(self.folder)
+        async with cluster:
+            headers = {"Catkinpin-Program": "p"}
+            first = [base.user("one")]
+            reply = await cluster.chat(
+                "entry-1", "berater", first, headers=headers
+            )
+            answer = reply.json["choices"][0]["message"]
+            other = [base.user("other"), answer, base.user("two")]
+            reply = await cluster.chat(
+                "entry-1", "berater", other, headers=headers
+            )
+            self.assertEqual("history-conflict", reply.json["error"]["code"])
+            self.assertIn("messages[0]", reply.json["error"]["message"])
+
+    def test_accounts_are_kept_apart(self) -> None:
+        self.run_async(self._accounts())
+
+    async def _accounts(self) -> None:
+        cluster = await base.small(self.folder)
+        async with cluster:
+            headers = {"Catkinpin-Program": "mine"}
+            await cluster.chat(
+                "entry-1", "berater", [base.user("x")], headers=headers
+            )
+            url = cluster.addresses["entry-1"] + "/v1/programs/mine"
+            for key, status in (("ruegg-key", 200), ("kunci-key", 404)):
+                auth = {"Authorization": f"Bearer {key}"}
+                async with cluster.http.get(url, headers=auth) as resp:
+                    self.assertEqual(status, resp.status)
+            async with cluster.http.get(url) as resp:
+                self.assertEqual(401, resp.status)
+
+    def test_state_outlives_a_killed_replica(self) -> None:
+        """The replica's process is killed and started again on its disk.
+
+        A caller that resends gets the stored answer; nothing runs twice.
+        """
+        self.run_async(self._killed_replica())
+
+    async def _killed_replica(self) -> None:
+        cluster = await base.small(self.folder)
+        async with cluster:
+            headers = {"Idempotency-Key": "once"}
+            first = await cluster.call_service(
+                "entry-1", "kiosk-app", "cut", "key", headers=headers
+            )
+            cluster.processes["replica-1"].kill()
+            cluster.processes["replica-1"].start()
+            await cluster.ready("replica-1")
+            again = await cluster.call_service(
+                "entry-1", "kiosk-app", "cut", "key", headers=headers
+            )
+            self.assertEqual(first.body, again.body)
+            seen = await cluster.look("service-1")
+            self.assertEqual(1, seen["effects"]["once"])
