Draw the module borders for work side by side

Cause: replica, leader and messages each held several jobs that will grow in different hands. Change: shard and control hosts, a scheduler between leader and placement, the state machine protocol of a log group, the operators' routes and the entry's configuration in modules of their own. A retry now goes through the scheduler, at the price of one more append for retries only. Ruled out: carrying the next choice in the outcome's record; the scheduler may want the call to wait, and the common case has no retry.

--- a/catkinpin/adapters/callers.py
+++ b/catkinpin/adapters/callers.py
@@ -152,7 +152,9 @@
     """Returns the account whose key the request carries."""
     scheme, _, key = req.headers.get("authorization", "").partition(" ")
     if scheme.lower() == "bearer" and key:
-        account = entry.accounts.get(configuration.key_digest(key.strip()))
+        account = entry.configured.accounts.get(
+            configuration.key_digest(key.strip())
+        )
         if account is not None:
             return account
     text = "Authorization: no account has this key"
@@ -163,7 +165,7 @@
     if entry.stopping:
         text = "this host is stopping; another will answer"
         raise _RefusedError(_not_run(Reason.STOPPING, text))
-    if entry.configuration is None:
+    if entry.configured.configuration is None:
         text = "this host has no confirmed configuration yet"
         raise _RefusedError(_not_run(Reason.NOT_READY, text))
 
--- a/catkinpin/adapters/shards.py
+++ b/catkinpin/adapters/shards.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters import peers
+from catkinpin.adapters import peers, wire
 from catkinpin.core import messages
 from catkinpin.exceptions import NotLeaderError, PeerLostError
 
@@ -41,7 +41,7 @@
         self.links: dict[str, peers.PeerLink] = {}
         for address in addresses:
             self.links[address] = peers.PeerLink(
-                address, hello, messages.ToEntry, self._take, on_connected
+                address, hello, wire.ToEntry, self._take, on_connected
             )
 
     def start(self) -> None:
--- /dev/null
+++ b/catkinpin/adapters/wire.py
@@ -0,0 +1,35 @@
+"""Which messages travel between which processes."""
+
+from __future__ import annotations
+
+from catkinpin.core import changes, messages
+
+ToReplica = (
+    messages.Hello
+    | messages.Ping
+    | messages.Begin
+    | messages.Finish
+    | messages.GetProgram
+    | messages.EndProgram
+    | messages.Reports
+    | changes.ConfigConfirmed
+    | changes.Apply
+)
+ToEntry = (
+    messages.Ping
+    | messages.GroupLeader
+    | messages.Granted
+    | messages.Finished
+    | messages.Refused
+    | messages.NotLeader
+    | messages.ProgramInfo
+    | changes.ConfigUpdate
+    | changes.Applied
+)
+BetweenEntries = (
+    messages.Hello
+    | messages.Ping
+    | messages.Dispatch
+    | messages.Chunk
+    | messages.Dispatched
+)
--- a/catkinpin/core/control.py
+++ b/catkinpin/core/control.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from catkinpin.core import records
+    from catkinpin.core import changes
 
 _REMEMBERED_CHANGES = 10_000
 
@@ -34,7 +34,7 @@
         self.operator = ""
         self.results: dict[str, ChangeResult] = {}
 
-    def apply(self, index: int, record: records.ControlRecord) -> ChangeResult:
+    def apply(self, index: int, record: changes.ControlRecord) -> ChangeResult:
         """Applies a committed change and returns its outcome."""
         known = self.results.get(record.request_id)
         if known is not None:
@@ -45,7 +45,7 @@
             self.results.pop(next(iter(self.results)))
         return result
 
-    def _decide(self, record: records.ControlRecord) -> ChangeResult:
+    def _decide(self, record: changes.ControlRecord) -> ChangeResult:
         # Two operators who both start from the same revision would overwrite
         # each other unseen; the second one is told who was first instead.
         if record.base_revision != self.revision:
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -5,18 +5,17 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core import messages, placement, records, shard
+from catkinpin.core import messages, records, scheduler, shard
 from catkinpin.core.shard import CallState
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
     from catkinpin.configuration import Configuration
     from catkinpin.core.messages import Begin, CallKey
-    from catkinpin.core.servers import ServerView
+    from catkinpin.core.scheduler import Scheduler
 
 # A grant must be used within this time of its receipt.
 GRANT_EXPIRES_MS = 1_000
-_RETRY_AFTER_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,13 +82,11 @@
     def __init__(
         self,
         state: shard.Shard,
-        view: ServerView,
-        policy: placement.Policy,
+        jobs: Scheduler,
         cfg: Configuration,
     ) -> None:
         self._shard = state
-        self._view = view
-        self._policy = policy
+        self._scheduler = jobs
         self.cfg = cfg
         self._waiters: dict[CallKey, list[_Waiter]] = {}
         self._entries: dict[str, EntryRef] = {}
@@ -113,14 +110,13 @@
         rejected = self._shard.check_begin(begin)
         if rejected is not None:
             return [_refuse_rejected(entry, begin.ask, rejected)]
-        choice = self._choose(entry, begin, [], now_ms, deployment.priority)
-        if choice is None:
-            text = f"no server for {begin.target!r} takes work now"
-            return [
-                _refuse(
-                    entry, begin.ask, Reason.NO_SERVER, text, _RETRY_AFTER_MS
-                )
-            ]
+        choice = None
+        if self._is_next(begin):
+            job = self._job(begin, now_ms, deployment.priority)
+            for decision in self._scheduler.submit(job, now_ms):
+                if isinstance(decision, scheduler.Reject):
+                    return [_refuse_decision(entry, begin.ask, decision)]
+                choice = self._choice(decision, entry, deployment.priority)
         self._wait(begin.key, entry, begin.ask)
         record = records.CallBegun(
             at_ms=wall_ms,
@@ -133,7 +129,7 @@
     def finish(
         self, entry: EntryRef, finish: messages.Finish, now_ms: int, wall: int
     ) -> list[Command]:
-        """Takes an attempt's outcome; proposes the next attempt if due."""
+        """Takes an attempt's outcome."""
         found = self._shard.find_call(finish.key)
         if found is None:
             text = "the call is not known to this shard"
@@ -150,16 +146,6 @@
         self._wait(finish.key, entry, finish.ask)
         if call.attempt is None or call.attempt.attempt != finish.attempt:
             return self._answer_waiters(call)
-        choice = None
-        if finish.answer is None:
-            failed = [*call.failed_servers, call.attempt.choice.server.server]
-            choice = self._choose(
-                entry,
-                call.begin,
-                failed,
-                now_ms,
-                call.attempt.choice.priority,
-            )
         record = records.AttemptFinished(
             at_ms=wall,
             key=finish.key,
@@ -171,7 +157,6 @@
             usage=finish.usage,
             messages=finish.messages,
             crashed=finish.crashed,
-            choice=choice,
         )
         return [Propose(record)]
 
@@ -194,10 +179,14 @@
         return [Propose(record), info]
 
     def applied(
-        self, effects: list[shard.Effect], now_ms: int, wall_ms: int
+        self,
+        record: records.ShardRecord,
+        effects: list[shard.Effect],
+        now_ms: int,
+        wall_ms: int,
     ) -> list[Command]:
-        """Acts on the effects of a committed record."""
-        commands: list[Command] = []
+        """Acts on a committed record and its effects."""
+        commands = self._free_servers(_calls_of(record), now_ms, wall_ms)
         for effect in effects:
             match effect:
                 case shard.CallGranted():
@@ -256,7 +245,6 @@
         attempt = call.attempt
         if attempt is None:
             return []
-        self._view.attempt_started(attempt.choice.server.server)
         waiters = self._waiters.get(call.begin.key, [])
         for position, waiter in enumerate(waiters):
             if waiter.entry.incarnation == attempt.choice.entry_incarnation:
@@ -292,52 +280,84 @@
     def _place(
         self, effect: shard.CallReady, now_ms: int, wall_ms: int
     ) -> list[Command]:
-        call = effect.call
-        waiters = self._waiters.get(call.begin.key)
-        if not waiters:
-            return []
-        choice = self._choose(
-            waiters[0].entry, call.begin, call.failed_servers, now_ms, 0
+        begin = effect.call.begin
+        deployment = self.cfg.deployment_for(begin.key.account, begin.target)
+        priority = deployment.priority if deployment is not None else 0
+        job = self._job(begin, now_ms, priority, effect.call)
+        decisions = self._scheduler.submit(job, now_ms)
+        return self.decided(decisions, wall_ms)
+
+    def decided(
+        self, decisions: list[scheduler.Decision], wall_ms: int
+    ) -> list[Command]:
+        """Turns the scheduler's decisions about waiting calls into records."""
+        commands: list[Command] = []
+        for decision in decisions:
+            waiters = self._waiters.get(decision.key)
+            if isinstance(decision, scheduler.Reject):
+                record: records.ShardRecord = records.CallRefused(
+                    at_ms=wall_ms,
+                    key=decision.key,
+                    reason=decision.reason,
+                    text=decision.text,
+                    verdict=self._verdict_of(decision.key),
+                    retry_after_ms=decision.retry_after_ms,
+                )
+            elif waiters:
+                record = records.AttemptStarted(
+                    at_ms=wall_ms,
+                    key=decision.key,
+                    choice=self._choice(decision, waiters[0].entry, 0),
+                )
+            else:
+                continue
+            commands.append(Propose(record))
+        return commands
+
+    def _verdict_of(self, key: CallKey) -> Verdict:
+        found = self._shard.find_call(key)
+        return found[1].verdict if found is not None else Verdict.NOT_RUN
+
+    def _is_next(self, begin: Begin) -> bool:
+        program = self._shard.programs.get(begin.key.program_key)
+        if program is None:
+            return True
+        return begin.seq in (0, program.next_seq) and not any(
+            call.state in (CallState.WAITING, CallState.RUNNING)
+            for call in program.calls.values()
         )
-        if choice is None:
-            record: records.ShardRecord = records.CallRefused(
-                at_ms=wall_ms,
-                key=call.begin.key,
-                reason=Reason.NO_SERVER,
-                text=f"no server for {call.begin.target!r} takes work now",
-                verdict=call.verdict,
-                retry_after_ms=_RETRY_AFTER_MS,
-            )
-        else:
-            record = records.AttemptStarted(
-                at_ms=wall_ms, key=call.begin.key, choice=choice
-            )
-        return [Propose(record)]
 
-    def _choose(
+    def _job(
         self,
-        entry: EntryRef,
         begin: Begin,
-        without: list[str],
         now_ms: int,
         priority: int,
-    ) -> records.Choice | None:
-        usable = self._view.usable(begin.kind, begin.target, now_ms, without)
-        req = placement.Request(
-            program=self._shard.programs.get(begin.key.program_key),
+        call: shard.Call | None = None,
+    ) -> scheduler.Job:
+        program = self._shard.programs.get(begin.key.program_key)
+        return scheduler.Job(
+            key=begin.key,
             kind=begin.kind,
             target=begin.target,
             prompt_tokens=begin.prompt_tokens,
-            region=entry.region,
+            max_tokens=begin.max_tokens,
+            turns=program.turns if program is not None else 0,
+            attained_tokens=program.spent if program is not None else 0,
+            region=begin.region,
+            last_server=program.last_server if program is not None else "",
+            priority=priority,
+            deadline_ms=now_ms + begin.deadline_ms,
+            without=tuple(call.failed_servers) if call is not None else (),
         )
-        server = self._policy(req, usable, now_ms)
-        if server is None:
-            return None
+
+    def _choice(
+        self, place: scheduler.Place, entry: EntryRef, priority: int
+    ) -> records.Choice:
         return records.Choice(
-            server=server.ref,
+            server=place.server.ref,
             entry=entry.process,
             entry_incarnation=entry.incarnation,
-            dispatcher=self._dispatcher(entry, server.report.region),
+            dispatcher=self._dispatcher(entry, place.server.report.region),
             priority=priority,
         )
 
@@ -376,9 +396,18 @@
         )
         return Send(entry, info)
 
-    def attempt_ended(self, server: str) -> None:
-        """Takes a finished attempt off the server's count."""
-        self._view.attempt_ended(server)
+    def _free_servers(
+        self, keys: list[CallKey], now_ms: int, wall_ms: int
+    ) -> list[Command]:
+        """Gives back the servers of calls that hold no attempt any more."""
+        commands: list[Command] = []
+        for key in keys:
+            found = self._shard.find_call(key)
+            if found is not None and found[1].attempt is not None:
+                continue
+            decisions = self._scheduler.ended(key, now_ms)
+            commands += self.decided(decisions, wall_ms)
+        return commands
 
 
 def _refuse(
@@ -401,6 +430,25 @@
     return Send(entry, message)
 
 
+def _calls_of(record: records.ShardRecord) -> list[CallKey]:
+    """Returns the calls whose attempt the record may have ended or denied."""
+    match record:
+        case records.CallBegun():
+            return [record.begin.key]
+        case records.AttemptStarted() | records.AttemptFinished():
+            return [record.key]
+        case _:
+            return []
+
+
+def _refuse_decision(
+    entry: EntryRef, ask: int, decision: scheduler.Reject
+) -> Send:
+    return _refuse(
+        entry, ask, decision.reason, decision.text, decision.retry_after_ms
+    )
+
+
 def _refuse_rejected(
     entry: EntryRef, ask: int, rejected: shard.BeginRejected
 ) -> Send:
--- a/catkinpin/core/messages.py
+++ b/catkinpin/core/messages.py
@@ -285,43 +285,6 @@
     age_ms: list[int]
 
 
-class ConfigUpdate(Message, frozen=True):
-    """The newest configuration."""
-
-    revision: int
-    content: bytes
-
-
-class ConfigConfirmed(Message, frozen=True):
-    """The sender serves under this revision from now on."""
-
-    revision: int
-
-
-class Apply(Message, frozen=True):
-    """An operator's change of configuration."""
-
-    ask: int
-    request_id: str
-    base_revision: int
-    content: bytes
-    operator: str = ""
-
-
-class Applied(Message, frozen=True):
-    """Answers `Apply`.
-
-    Attributes:
-        accepted: whether this change became `revision`; else `revision` and
-            `operator` are those of the configuration that is in force.
-    """
-
-    ask: int
-    accepted: bool
-    revision: int
-    operator: str = ""
-
-
 class Dispatch(Message, frozen=True):
     """Asks another entry to dispatch a granted call."""
 
@@ -348,28 +311,3 @@
 
     ask: int
     finish: Finish
-
-
-ToReplica = (
-    Hello
-    | Ping
-    | Begin
-    | Finish
-    | GetProgram
-    | EndProgram
-    | Reports
-    | ConfigConfirmed
-    | Apply
-)
-ToEntry = (
-    Ping
-    | GroupLeader
-    | Granted
-    | Finished
-    | Refused
-    | NotLeader
-    | ProgramInfo
-    | ConfigUpdate
-    | Applied
-)
-BetweenEntries = Hello | Ping | Dispatch | Chunk | Dispatched
--- a/catkinpin/core/records.py
+++ b/catkinpin/core/records.py
@@ -1,4 +1,4 @@
-"""Records of the replicated logs: what state machines are rebuilt from."""
+"""Records of a shard's log: what its state machine is rebuilt from."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
 
 
 class AttemptFinished(Message, frozen=True):
-    """An attempt has an outcome; with a choice, the next one starts."""
+    """An attempt has an outcome."""
 
     at_ms: int
     key: CallKey
@@ -59,7 +59,6 @@
     usage: Usage = Usage()
     messages: list[bytes] = []
     crashed: bool = False
-    choice: Choice | None = None
 
 
 class CallRefused(Message, frozen=True):
@@ -84,16 +83,3 @@
 ShardRecord = (
     CallBegun | AttemptStarted | AttemptFinished | CallRefused | ProgramEnded
 )
-
-
-class ConfigChanged(Message, frozen=True):
-    """An operator's change of configuration, decided when it is applied."""
-
-    at_ms: int
-    request_id: str
-    base_revision: int
-    content: bytes
-    operator: str = ""
-
-
-ControlRecord = ConfigChanged
--- a/catkinpin/core/servers.py
+++ b/catkinpin/core/servers.py
@@ -58,7 +58,7 @@
         known.seen_ms = made_ms
 
     def usable(
-        self, kind: str, target: str, now_ms: int, without: list[str]
+        self, kind: str, target: str, now_ms: int, without: tuple[str, ...] = ()
     ) -> list[Server]:
         """Returns the servers that may get new work for `target`."""
         found = []
--- a/catkinpin/core/shard.py
+++ b/catkinpin/core/shard.py
@@ -384,7 +384,7 @@
         call.attempt = None
         call.state = CallState.WAITING
         if self._may_retry(call, record):
-            return self._start_or_ask(index, program, call, record.choice)
+            return [CallReady(program, call)]
         reason = record.reason or Reason.SERVER_FAILED
         return self._turn_down(program, call, reason, record.text)
 
--- a/catkinpin/entry.py
+++ b/catkinpin/entry.py
@@ -7,17 +7,20 @@
 import uuid
 from typing import TYPE_CHECKING, Any
 
-from catkinpin import clock, configuration, metrics
+from catkinpin import clock
 from catkinpin.adapters import (
     admin,
     callers,
     calls,
+    configured,
     dispatch,
+    operators,
     peers,
     shards,
     web,
+    wire,
 )
-from catkinpin.core import messages, routing
+from catkinpin.core import changes, messages, routing
 
 if TYPE_CHECKING:
     from catkinpin.settings import EntrySettings
@@ -32,7 +35,7 @@
     """An entry process and its parts.
 
     Attributes:
-        accounts: account by the digest of its key.
+        configured: the configuration that this process serves under.
         stopping: set once a graceful stop has begun.
     """
 
@@ -41,10 +44,7 @@
         self.clock = clock.system_clock()
         self.incarnation = uuid.uuid4().hex
         self.stopping = False
-        self.configuration: configuration.Configuration | None = None
-        self.revision = 0
-        self.content = b""
-        self.accounts: dict[str, str] = {}
+        self.configured = configured.Configured()
         self.caller_address = ""
         self.admin_address = ""
         self._reports: dict[str, tuple[messages.ServerReport, int]] = {}
@@ -54,7 +54,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._web: list[web.WebServer] = []
         self._peers = peers.PeerServer(
-            messages.BetweenEntries, self._on_peer_message, lambda _: None
+            wire.BetweenEntries, self._on_peer_message, lambda _: None
         )
 
     async def start(self) -> None:
@@ -113,7 +113,7 @@
         """Returns why no calls should come here, or an empty string."""
         if self.stopping:
             return "stopping"
-        if self.configuration is None:
+        if self.configured.configuration is None:
             return "no confirmed configuration"
         names = [routing.CONTROL_GROUP]
         names += map(routing.shard_group, range(self.cfg.shards))
@@ -131,7 +131,7 @@
         caller_app = callers.make_app(self)
         admin_app = admin.make_app("entry", self.not_ready)
         admin.add_server_routes(admin_app, self)
-        admin.add_operator_routes(admin_app, self)
+        operators.add_routes(admin_app, self)
         self._web = [
             await web.serve(caller_app, self.cfg.listen),
             await web.serve(admin_app, self.cfg.admin_listen),
@@ -144,23 +144,12 @@
             link.send(self._batch(list(self._reports)))
 
     def _on_message(self, message: Any) -> None:
-        if isinstance(message, messages.ConfigUpdate):
-            self._configure(message)
-
-    def _configure(self, update: messages.ConfigUpdate) -> None:
-        # A replica that lags may send an older revision than another sent
-        # before; going back would let a withdrawn key or budget work again.
-        if update.revision <= self.revision:
-            return
-        cfg = configuration.parse(update.content)
-        self.configuration = cfg
-        self.revision = update.revision
-        self.content = update.content
-        self.accounts = {a.key_sha256: a.name for a in cfg.accounts}
-        metrics.REVISION.set(update.revision)
-        self.replicas.broadcast(
-            messages.ConfigConfirmed(revision=update.revision)
-        )
+        if isinstance(message, changes.ConfigUpdate):
+            revision = self.configured.take(message)
+            if revision:
+                self.replicas.broadcast(
+                    changes.ConfigConfirmed(revision=revision)
+                )
 
     async def _send_reports(self) -> None:
         while True:
@@ -194,7 +183,7 @@
             link = peers.PeerLink(
                 address,
                 self._hello,
-                messages.BetweenEntries,
+                wire.BetweenEntries,
                 self._on_entry_message,
             )
             link.start()
--- a/tests/base.py
+++ b/tests/base.py
@@ -144,8 +144,9 @@
         self.http: aiohttp.ClientSession
 
     async def __aenter__(self) -> Cluster:
-        timeout = aiohttp.ClientTimeout(total=60)
-        self.http = aiohttp.ClientSession(timeout=timeout)
+        if not hasattr(self, "http"):
+            timeout = aiohttp.ClientTimeout(total=60)
+            self.http = aiohttp.ClientSession(timeout=timeout)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
