Add the consensus core and drive it through seeded faults

Cause: every promise rests on state that outlives a host, and there was a single voter only.

Ruled out: promoting a learner before the lost voter leaves (four voters of which one is gone: a second loss leaves no quorum for ever), so the lost one leaves first. Renewing the lease from the time of the answer: the promise may be as old as the question, so it counts from the question.

Shown failing first, by seams in the tests: without votes on the disk seed 3 of five elects two leaders in a term; with a lease longer than the followers' promise seed 7 of five shows two leases; without pre-vote the return of a cut-off replica raises the term.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = $(shell .ci/venv)/bin/python
 
-.PHONY: demo test lint format
+.PHONY: demo test fuzz lint format
 
 demo:
 	$(PYTHON) -m demo
@@ -8,6 +8,12 @@
 test:
 	$(PYTHON) -m pytest
 
+# Seeds FIRST to LAST-1 of the consensus simulation; about half a second each.
+FIRST ?= 0
+LAST ?= 2000
+fuzz:
+	$(PYTHON) -m tests.simulation $(FIRST) $(LAST)
+
 lint:
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
--- /dev/null
+++ b/catkinpin/core/consensus/state.py
@@ -0,0 +1,200 @@
+"""State of one replica of a log group, and what all its parts need."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+from catkinpin.core.consensus import commands, messages
+from catkinpin.core.consensus.log import LogIndex
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from catkinpin.core.consensus.progress import Progress
+
+# Two clocks may run apart by this part of the time that they measure.
+CLOCK_DRIFT = 0.05
+# A fresh group that no one has ever led need not wait for a lease to run out.
+_FIRST_ELECTION_MS = (20, 250)
+_NEVER = -(10**15)
+
+
+class Role(enum.Enum):
+    """What a replica does in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Times in ms.
+
+    A follower that hears from a leader lets no other be elected for
+    `election_ms` on its clock. The leader counts on that for `lease_ms` on
+    its own, so the lease must be shorter even where the clocks drift apart.
+    """
+
+    heartbeat_ms: int = 100
+    election_ms: int = 600
+    lease_ms: int = 500
+    offer_ms: int = 2_000
+    transfer_ms: int = 1_000
+
+    def __post_init__(self) -> None:
+        longest = self.lease_ms * (1 + CLOCK_DRIFT) / (1 - CLOCK_DRIFT)
+        if longest >= self.election_ms:
+            raise ValueError("lease_ms is too long for election_ms")
+
+
+@dataclasses.dataclass(frozen=True)
+class Stored:
+    """What was found on the disk at start.
+
+    Attributes:
+        base: last index that the log no longer holds.
+        snapshot: last index in the newest snapshot, 0 for none.
+        members: the members as of `base`.
+    """
+
+    members: messages.Members
+    term: int = 0
+    vote: str = ""
+    base: int = 0
+    base_term: int = 0
+    snapshot: int = 0
+    entries: Iterable[messages.Entry] = ()
+
+
+class State:
+    """Everything that one replica knows of its group.
+
+    Attributes:
+        node: identity of this replica.
+        leader: identity of the leader of `term`, empty where not known.
+        commit: last index known to be committed.
+        applied: last index handed out to be applied.
+        heard_ms: when a leader was last heard; no other may be elected
+            within `election_ms` of it.
+        deadline_ms: when to stand for election.
+        lease_until_ms: end of this leader's lease.
+        announced: whether `Lead(True)` was handed out in this term.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        stored: Stored,
+        rng: random.Random,
+        now_ms: int,
+        timing: Timing,
+    ) -> None:
+        self.node = node
+        self.rng = rng
+        self.timing = timing
+        self.term = stored.term
+        self.vote = stored.vote
+        self.log = LogIndex(stored.base, stored.base_term, stored.members)
+        for entry in stored.entries:
+            self.log.append(entry)
+        self.snapshot = stored.snapshot
+        self.commit = max(stored.snapshot, stored.base)
+        self.applied = self.commit
+        self.synced = self.log.last
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        # A replica that starts again has forgotten whom it heard last: it
+        # could vote at once and break the lease of a leader that counts on
+        # its silence, so it waits as if it had heard one just now.
+        self.heard_ms = now_ms if self.term else _NEVER
+        self.deadline_ms = 0
+        self.granted: set[str] = set()
+        self.progress: dict[str, Progress] = {}
+        self.elected_ms = _NEVER
+        self.lease_until_ms = _NEVER
+        self.term_start = 0
+        self.announced = False
+        self.beat = -1
+        self.transfer_to = ""
+        self.transfer_until_ms = 0
+        self.out: list[commands.Command] = []
+        self.reset_deadline(now_ms)
+        if not self.term:
+            self.deadline_ms = now_ms + rng.randint(*_FIRST_ELECTION_MS)
+
+    def emit(self, command: commands.Command) -> None:
+        """Hands out a command."""
+        self.out.append(command)
+
+    def send(
+        self, to: str, message: messages.GroupMessage, synced: bool = False
+    ) -> None:
+        """Sends a message, maybe only after the next sync."""
+        self.emit(commands.Send(to, message, synced))
+
+    def is_voter(self) -> bool:
+        """Returns whether this replica votes, by the newest members."""
+        member = self.log.members.find(self.node)
+        return member is not None and member.voter
+
+    def others(self) -> list[str]:
+        """Returns the identities of all other members."""
+        return [
+            member.node
+            for member in self.log.members.members
+            if member.node != self.node
+        ]
+
+    def reset_deadline(self, now_ms: int) -> None:
+        """Puts the next election off by a random time."""
+        shortest = self.timing.election_ms
+        self.deadline_ms = now_ms + self.rng.randint(shortest, 2 * shortest)
+
+    def hears_leader(self, now_ms: int) -> bool:
+        """Returns whether a leader may still hold a lease through us."""
+        if self.role is Role.LEADER:
+            return now_ms < self.lease_until_ms
+        return now_ms - self.heard_ms < self.timing.election_ms
+
+    def is_current(self, last_index: int, last_term: int) -> bool:
+        """Returns whether another's log holds all that ours may commit."""
+        ours = (self.log.last_term, self.log.last)
+        return (last_term, last_index) >= ours
+
+    def save(self, term: int, vote: str) -> None:
+        """Changes term and vote."""
+        self.term = term
+        self.vote = vote
+        self.emit(commands.SaveState(term, vote))
+
+    def follow(self, term: int, leader: str, now_ms: int) -> None:
+        """Becomes a follower in `term`."""
+        if term > self.term:
+            self.save(term, "")
+            self.leader = ""
+        if self.role is Role.LEADER:
+            self.reset_deadline(now_ms)
+            if self.announced:
+                self.emit(commands.Lead(False))
+        self.role = Role.FOLLOWER
+        self.announced = False
+        self.lease_until_ms = _NEVER
+        self.transfer_to = ""
+        self.leader = leader
+
+    def hear(self, now_ms: int) -> None:
+        """Notes that the leader of this term was heard."""
+        self.heard_ms = now_ms
+        self.reset_deadline(now_ms)
+
+    def commit_to(self, index: int) -> None:
+        """Moves the commit index and hands out what is to be applied."""
+        self.commit = max(self.commit, index)
+        if self.commit > self.applied:
+            self.emit(commands.Apply(self.applied + 1, self.commit))
+            self.applied = self.commit
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,156 @@
+"""Groups of consensus cores through faults, each run from one seed."""
+
+from __future__ import annotations
+
+import random
+from unittest import mock
+
+from catkinpin.core.consensus import core, election, messages, state
+from catkinpin.core.consensus.messages import Kind, Member, Members
+from tests import base, simulation
+
+_SEEDS = range(24)
+
+
+class FaultsTest(base.TestCase):
+    """What must hold, through faults at any step."""
+
+    def test_seeds_keep_every_promise(self) -> None:
+        """Hosts die, freeze, lose disks, and the network loses and reorders.
+
+        Callers keep what was committed, read nothing old, and are served
+        again within seconds once the faults end.
+        """
+        for seed in _SEEDS:
+            simulation.run(seed, 5 if seed % 2 else 3)
+
+    def test_disk_lost_right_after_a_repair(self) -> None:
+        """A second host loses its disk just after the first was replaced.
+
+        What callers were told is still there.
+        """
+        for seed in range(4):
+            sim = simulation.Simulation(seed, 3, loses_disks=False)
+            sim.propose()
+            sim.run_until(3_000)
+            for _ in range(3):
+                node = sim.rng.choice(sim.nodes)
+                sim.lose_disk(node)
+                end = sim.now + 20_000
+                while not sim.whole() and sim.now < end:
+                    sim.run_until(sim.now + 10)
+                self.assertTrue(sim.whole())
+            before = len(sim.committed)
+            sim.run_until(sim.now + 8_000)
+            self.assertGreater(len(sim.committed), before)
+
+
+class ChecksBiteTest(base.TestCase):
+    """With one mechanism taken out, a named seed fails a check."""
+
+    def assert_fails(
+        self, seed: int, size: int, kind: type[simulation.Simulation], text: str
+    ) -> None:
+        with self.assertRaisesRegex(simulation.CheckError, text):
+            simulation.run(seed, size, kind)
+
+    def test_without_votes_on_disk(self) -> None:
+        class Forgetful(simulation.Simulation):
+            saves_votes = False
+
+        self.assert_fails(3, 5, Forgetful, "two leaders")
+
+    def test_with_a_lease_longer_than_the_promise(self) -> None:
+        timing = state.Timing()
+        object.__setattr__(timing, "lease_ms", 5_000)
+
+        class Long(simulation.Simulation):
+            pass
+
+        Long.timing = timing
+        self.assert_fails(7, 5, Long, "two leases")
+
+
+class ElectionTest(base.TestCase):
+    """Single cores, step by step."""
+
+    def cores(self, count: int) -> list[core.Core]:
+        members = Members(
+            members=[Member(node=f"n{n}", address="") for n in range(count)]
+        )
+        stored = state.Stored(members=members)
+        return [
+            core.Core(f"n{n}", stored, random.Random(n), 0)
+            for n in range(count)
+        ]
+
+    def test_return_of_a_cut_off_replica_deposes_no_one(self) -> None:
+        """A replica that was cut off for long comes back.
+
+        Callers notice nothing: pre-vote keeps its term low, and without it
+        its first message would end the leader's term.
+        """
+        leader_terms = []
+        for skip_pre_vote in (False, True):
+            patch = (
+                mock.patch.object(election, "stand", election.campaign)
+                if skip_pre_vote
+                else mock.patch.object(election, "stand", election.stand)
+            )
+            with patch:
+                sim = simulation.Simulation(1, 3, loses_disks=False)
+                sim.run_until(2_000)
+                away = next(n for n in sim.nodes if not n.leading)
+                links = {
+                    (a.address, b.address)
+                    for a in sim.nodes
+                    for b in sim.nodes
+                    if away in (a, b)
+                }
+                sim.cut(links, 12_000)
+                before = max(n.core.term for n in sim.nodes if n is not away)
+                sim.run_until(15_000)
+                after = max(n.core.term for n in sim.nodes)
+                leader_terms.append(after - before)
+        self.assertEqual(0, leader_terms[0])
+        self.assertGreater(leader_terms[1], 0)
+
+    def test_entry_of_an_older_term_is_not_committed_by_count(self) -> None:
+        """A leader finds an entry of an older term on a majority.
+
+        Another could still replace it, so a caller told that it is committed
+        could lose it.
+        """
+        members = Members(
+            members=[Member(node=f"n{n}", address="") for n in range(3)]
+        )
+        old = messages.Entry(1, 1, Kind.DATA, b"old")
+        stored = state.Stored(members=members, term=3, entries=[old])
+        one = core.Core("n0", stored, random.Random(1), 0)
+        one.tick(5_000)
+        one.step("n1", messages.PreVoteReply(term=4, granted=True), 5_001)
+        one.step("n1", messages.VoteReply(term=4, granted=True), 5_002)
+        self.assertIs(state.Role.LEADER, one.role)
+        for index, commit in ((1, 0), (2, 2)):
+            one.synced(index, one.state.log.term_at(index), 5_003)
+            reply = messages.AppendReply(
+                term=4, ok=True, index=index, sent_ms=5_002
+            )
+            one.step("n1", reply, 5_003)
+            self.assertEqual(commit, one.state.commit)
+
+    def test_leadership_moves_on_request_without_a_wait(self) -> None:
+        """An operator stops the leader's process in a planned way.
+
+        Callers wait for a few messages, not for an election timeout.
+        """
+        sim = simulation.Simulation(2, 3, loses_disks=False)
+        sim.propose()
+        sim.run_until(2_000)
+        old = next(n for n in sim.nodes if n.leading)
+        old.run(lambda: old.core.transfer(old.now()))
+        sim.run_until(2_100)
+        new = [n for n in sim.nodes if n.leading]
+        self.assertEqual(1, len(new))
+        self.assertIsNot(old, new[0])
+        self.assertTrue(new[0].core.serves(new[0].now()))
