--- a/catkinpin/__main__.py
+++ b/catkinpin/__main__.py
@@ -43,6 +43,7 @@
     """Runs `catkinpin`, the operators' command."""
     app = _app("catkinpin", "Plan, apply and watch changes of the system.")
     app.command("catkinpin.commands.apply:apply", name="apply")
+    app.command("catkinpin.commands.repair:repair", name="repair")
     app()
 
 
--- a/catkinpin/adapters/controlhost.py
+++ b/catkinpin/adapters/controlhost.py
@@ -5,12 +5,9 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import codec
-from catkinpin.adapters import groups
 from catkinpin.core import changes, control, messages, routing
 
 if TYPE_CHECKING:
-    import pathlib
-
     from catkinpin.adapters import peers
     from catkinpin.replica import Replica
 
@@ -20,11 +17,11 @@
 class ControlHost:
     """The control group's state, and what its leader answers."""
 
-    def __init__(self, replica: Replica, data_folder: pathlib.Path) -> None:
+    def __init__(self, replica: Replica) -> None:
         self._replica = replica
         self._waiters: dict[str, list[tuple[peers.Stream, int]]] = {}
         self.state = control.Control()
-        self.group = groups.Group(routing.CONTROL_GROUP, data_folder, self)
+        self.group = replica.node.add_group(routing.CONTROL_GROUP, self)
 
     def propose_change(
         self, stream: peers.Stream, change: changes.Apply
--- /dev/null
+++ b/catkinpin/adapters/files.py
@@ -0,0 +1,51 @@
+"""File operations; tests put failing ones in their place."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Callable
+
+
+@dataclasses.dataclass(frozen=True)
+class FileOps:
+    """The operations that may fail while a process runs."""
+
+    pwrite: Callable[[int, memoryview, int], int] = os.pwrite
+    fdatasync: Callable[[int], None] = os.fdatasync
+    fsync: Callable[[int], None] = os.fsync
+
+
+def write_all(ops: FileOps, fd: int, data: bytes, offset: int) -> None:
+    """Writes all of `data` at `offset`."""
+    view = memoryview(data)
+    while view:
+        written = ops.pwrite(fd, view, offset)
+        view = view[written:]
+        offset += written
+
+
+def sync_folder(ops: FileOps, folder: pathlib.Path) -> None:
+    """Makes the names in a folder last; a new file is lost without it."""
+    fd = os.open(folder, os.O_RDONLY)
+    try:
+        ops.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def replace(ops: FileOps, path: pathlib.Path, data: bytes) -> None:
+    """Writes a file so that a crash leaves the old one or the new one."""
+    beside = path.with_name(path.name + ".tmp")
+    fd = os.open(beside, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        write_all(ops, fd, data, 0)
+        ops.fsync(fd)
+    finally:
+        os.close(fd)
+    beside.replace(path)
+    sync_folder(ops, path.parent)
--- /dev/null
+++ b/catkinpin/adapters/founding.py
@@ -0,0 +1,119 @@
+"""How the first members find one another, and how a lost one is replaced."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from catkinpin.adapters import replicas
+from catkinpin.core.consensus.messages import Member, Members
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.adapters.identity import Identity
+    from catkinpin.adapters.mesh import Mesh
+
+log = logging.getLogger(__name__)
+
+
+class Founding:
+    """Decides when this replica takes part in the groups.
+
+    A system is founded once, by all replicas together, each with an empty
+    folder. A replica whose folder is empty while another's is not has lost
+    its disk; were it to found anew, or to vote under its old name, what it
+    has forgotten could be decided twice. It waits for an operator's repair.
+
+    Args:
+        identity: who this replica is.
+        address: its peer address, as the others know it.
+        mesh: streams to the others.
+        begin: called once this replica may take part.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        address: str,
+        mesh: Mesh,
+        begin: Callable[[], None],
+    ) -> None:
+        self._identity = identity
+        self._address = address
+        self._mesh = mesh
+        self._begin = begin
+        self._infos: dict[str, replicas.NodeInfo] = {}
+
+    def start(self) -> None:
+        """Takes part at once where that was settled in an earlier run."""
+        if not self._identity.belongs and not self._mesh.addresses:
+            self._identity.found(self._members([]))
+        if self._identity.belongs:
+            self._begin()
+
+    def tick(self) -> None:
+        """Introduces this replica while it waits."""
+        if not self._identity.belongs:
+            self._mesh.broadcast(self.info())
+
+    def info(self) -> replicas.NodeInfo:
+        """Returns who this replica is."""
+        return replicas.NodeInfo(
+            node=self._identity.node,
+            address=self._address,
+            founded=self._identity.belongs,
+        )
+
+    def heard(self, info: replicas.NodeInfo) -> None:
+        """Takes what another replica says of itself."""
+        self._infos[info.address] = info
+        founders = self._identity.founders
+        if founders is not None and founders.find(info.node) is not None:
+            if not info.founded:
+                found = replicas.Found(members=founders)
+                self._mesh.send(info.node, found)
+        elif not self._identity.belongs:
+            self._try_to_found()
+
+    def founded(self, members: Members) -> None:
+        """Takes the founding by another replica."""
+        ours = members.find(self._identity.node) is not None
+        if ours and not self._identity.belongs:
+            self._take_part(members)
+
+    def repair(self) -> None:
+        """Lets this replica replace the one that was lost at its address."""
+        if not self._identity.belongs:
+            self._identity.join()
+            self._begin()
+
+    def needs_repair(self) -> bool:
+        """Returns whether the others have state and this replica has none."""
+        known = self._infos.values()
+        return not self._identity.belongs and any(i.founded for i in known)
+
+    def waits_for(self) -> list[str]:
+        """Returns the addresses that have not answered."""
+        return [a for a in self._mesh.addresses if a not in self._infos]
+
+    def _try_to_found(self) -> None:
+        if self.waits_for() or self.needs_repair():
+            return
+        # The lowest address founds, so that two don't with other members.
+        if all(self._address < other for other in self._mesh.addresses):
+            others = [self._infos[a] for a in self._mesh.addresses]
+            self._take_part(self._members(others))
+            assert self._identity.founders is not None
+            found = replicas.Found(members=self._identity.founders)
+            self._mesh.broadcast(found)
+
+    def _members(self, others: list[replicas.NodeInfo]) -> Members:
+        us = Member(node=self._identity.node, address=self._address)
+        rest = [Member(node=i.node, address=i.address) for i in others]
+        return Members(members=[us, *rest])
+
+    def _take_part(self, members: Members) -> None:
+        self._identity.found(members)
+        log.info("system founded", extra={"members": len(members.members)})
+        self._begin()
--- a/catkinpin/adapters/groups.py
+++ b/catkinpin/adapters/groups.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
-import asyncio
-from typing import TYPE_CHECKING, Protocol
+import array
+import logging
+from typing import TYPE_CHECKING, Any, Protocol
+
+import msgspec
 
 from catkinpin import metrics
-from catkinpin.adapters import storage
+from catkinpin.adapters import fetching, replicas, snapshots
+from catkinpin.core.consensus import commands, core, messages
+from catkinpin.core.consensus.messages import Kind, Members
+from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
-    import pathlib
     from collections.abc import Iterable
 
+    from catkinpin.adapters.grouplog import GroupLog
+    from catkinpin.adapters.node import Node
+    from catkinpin.core.consensus.messages import Entry
+
+log = logging.getLogger(__name__)
+
 
 class StateMachine(Protocol):
     """What a log group drives; all of it runs on the loop."""
@@ -40,64 +51,288 @@
 
 
 class Group:
-    """A log group with a single voter.
+    """This replica's part in a log group.
 
     Args:
-        name: name of the group, and of its folder.
-        folder: where the group's folder is made.
+        node: the process's replica, which owns disk, streams and time.
+        group_log: the group's log.
         machine: the state machine that the log drives.
-
-    Attributes:
-        leader: peer address of the leader, empty where it is not known.
     """
 
     def __init__(
-        self, name: str, folder: pathlib.Path, machine: StateMachine
+        self, node: Node, group_log: GroupLog, machine: StateMachine
     ) -> None:
-        self.name = name
-        self.term = 1
-        self.leader = ""
+        self.name = group_log.name
+        self.log = group_log
+        self._node = node
         self._machine = machine
+        self._core: core.Core | None = None
         self._applied = 0
-        self._flush_due = False
-        path = folder / name
-        path.mkdir(parents=True, exist_ok=True)
-        self._log = storage.Log(path / "log")
+        self._leading = False
+        self._fetch: fetching.Fetch | None = None
+        self._restoring: snapshots.Snapshot | None = None
+
+    @property
+    def term(self) -> int:
+        """The newest term that this replica knows."""
+        return self._core.term if self._core is not None else 0
 
-    def start(self, address: str) -> None:
-        """Applies the log and takes part in the group at `address`."""
-        self._apply_all()
-        self.leader = address
-        self._machine.leadership(leading=True)
+    @property
+    def leader(self) -> str:
+        """Peer address of the leader, empty where it is not known."""
+        return self._core.leader_address if self._core is not None else ""
+
+    @property
+    def members(self) -> Members:
+        """The newest members that this replica knows."""
+        if self._core is None:
+            return Members()
+        return self._core.state.log.members
 
     def is_leader(self) -> bool:
         """Returns whether this replica may decide for the group now."""
-        return bool(self.leader)
+        if self._core is None or not self._leading:
+            return False
+        return self._core.serves(self._node.now_ms())
 
     def propose(self, payload: bytes) -> None:
-        """Appends a record; `apply` gets it once it is committed."""
-        self._log.append(payload)
-        metrics.LOG_RECORDS.inc()
-        if not self._flush_due:
-            self._flush_due = True
-            asyncio.get_running_loop().call_soon(self._flush)
+        """Appends a record; `apply` gets it once it is committed.
+
+        Where this replica doesn't lead the record goes: who waits for it
+        learns of the new leader and asks that one.
+        """
+        if self._core is None:
+            return
+        index = self._core.propose(payload, self._node.now_ms())
+        if index:
+            metrics.LOG_RECORDS.inc()
+            self._node.wake(self)
+        else:
+            log.debug("not proposed", extra={"group": self.name})
 
     def read(self, index: int) -> bytes:
         """Returns a record."""
-        return self._log.read(index)
-
-    def close(self) -> None:
-        """Closes the log."""
-        self._log.close()
-
-    def _flush(self) -> None:
-        # All records proposed in this turn of the loop share one sync.
-        self._flush_due = False
-        self._log.sync()
-        metrics.LOG_SYNCS.inc()
-        self._apply_all()
-
-    def _apply_all(self) -> None:
-        while self._applied < len(self._log):
-            self._applied += 1
-            self._machine.apply(self._applied, self._log.read(self._applied))
+        try:
+            return self.log.read(index).payload
+        except StorageError as exc:
+            self._node.fail(exc)
+            raise
+
+    # What follows is for the node only.
+
+    def start(self, founders: Members) -> None:
+        """Restores the state and takes part in the group."""
+        snapshot = self.log.load_snapshot()
+        if snapshot is not None:
+            self._machine.restore(snapshot.data)
+        self._applied = self.log.snapshot
+        self._core = core.Core(
+            self._node.identity,
+            self.log.stored(founders),
+            self._node.rng,
+            self._node.now_ms(),
+        )
+        self._node.wake(self)
+
+    def tick(self, now_ms: int) -> None:
+        """Acts on time that has passed."""
+        if self._core is None:
+            return
+        self._core.tick(now_ms)
+        if self._core.has_output():
+            self._node.wake(self)
+        if self._fetch is not None:
+            self._fetch.tick(now_ms)
+
+    def take(self, message: Any) -> None:
+        """Takes a message of another replica."""
+        if self._core is None:
+            return
+        now_ms = self._node.now_ms()
+        match message:
+            case replicas.Routed():
+                self._core.step(message.sender, message.body, now_ms)
+            case replicas.SnapshotPull():
+                reply = fetching.part(self.log, self._node.identity, message)
+                self._node.send(message.sender, reply)
+            case replicas.RecordsPull():
+                records = fetching.records(
+                    self.log, self._node.identity, message
+                )
+                self._node.send(message.sender, records)
+            case replicas.SnapshotPart() if self._fetch is not None:
+                self._fetched(self._fetch, self._fetch.part(message), now_ms)
+            case replicas.Records() if self._fetch is not None:
+                held = self._fetch.records(message.entries)
+                self._fetched(self._fetch, held, now_ms)
+        self._node.wake(self)
+
+    def begin_flush(self, now_ms: int) -> list[commands.Command]:
+        """Writes and sends what may go before the sync; returns the rest."""
+        assert self._core is not None
+        out = self._core.take(now_ms)
+        return [c for c in out if not self._before_sync(c)]
+
+    def synced(self, now_ms: int) -> None:
+        """Notes that all that was written is synced."""
+        assert self._core is not None
+        last = self._core.state.log
+        self._core.synced(last.last, last.last_term, now_ms)
+        if self._core.has_output():
+            self._node.wake(self)
+
+    def finish_flush(self, later: list[commands.Command]) -> None:
+        """Carries out what had to wait for the sync."""
+        for command in later:
+            self._after_sync(command)
+
+    def transfer(self) -> bool:
+        """Hands leadership over; returns whether anyone can take it."""
+        if self._core is None:
+            return False
+        begun = self._core.transfer(self._node.now_ms())
+        self._node.wake(self)
+        return begun
+
+    def add_learner(self, join: replicas.Join) -> None:
+        """Adds a replica that replaces a lost one, where we lead."""
+        if self._core is not None:
+            self._core.add_learner(join.node, join.address, self._node.now_ms())
+            self._node.wake(self)
+
+    def is_settled(self, node: str) -> bool:
+        """Returns whether `node` votes, alone at its address, up to date.
+
+        Only this replica itself can say that of itself.
+        """
+        if self._core is None:
+            return False
+        state = self._core.state
+        member = state.log.members.find(node)
+        if member is None or not member.voter:
+            return False
+        same = [m for m in self.members.members if m.address == member.address]
+        return len(same) == 1 and state.log.members_index <= state.commit
+
+    def needs_snapshot(self, entries: int) -> bool:
+        """Returns whether `entries` were applied since the last snapshot."""
+        return self._applied - self.log.snapshot >= entries
+
+    def take_snapshot(self, keep: int) -> None:
+        """Writes a snapshot and cuts the log, but for the last `keep`.
+
+        All that was applied must be synced.
+        """
+        assert self._core is not None
+        index = self._core.state.log
+        applied = self._applied
+        if applied <= self.log.snapshot and keep:
+            return
+        description = snapshots.Description(
+            group=self.name,
+            index=applied,
+            term=index.term_at(applied),
+            members=index.members_at(applied),
+            referenced=snapshots.pack(
+                array.array("Q", sorted(self._machine.referenced()))
+            ),
+        )
+        snapshot = snapshots.Snapshot(description, self._machine.snapshot())
+        base = max(index.base, applied - keep)
+        self.log.save_snapshot(
+            snapshot, base, index.term_at(base), index.members_at(base)
+        )
+        self._node.storage.sync()
+        self._core.compact(applied, base)
+
+    def _before_sync(self, command: commands.Command) -> bool:
+        match command:
+            case commands.SaveState(term, vote):
+                self.log.save_state(term, vote)
+            case commands.SaveEntries(entries):
+                self.log.append(entries)
+            case commands.Restore(_, keeps_tail):
+                self._install(keeps_tail)
+                return False
+            case commands.Send(to, message, False):
+                self._send(to, message)
+            case commands.SendEntries(to, message, first, last):
+                entries = self._entries(first, last)
+                self._send(
+                    to, msgspec.structs.replace(message, entries=entries)
+                )
+            case _:
+                return False
+        return True
+
+    def _after_sync(self, command: commands.Command) -> None:
+        match command:
+            case commands.Send(to, message):
+                self._send(to, message)
+            case commands.Apply(first, last):
+                self._apply(first, last)
+            case commands.Lead(leading):
+                self._leading = leading
+                self._machine.leadership(leading)
+            case commands.Fetch(sender, offer):
+                self._begin_fetch(sender, offer)
+            case commands.Restore():
+                self._restore()
+
+    def _send(self, to: str, body: messages.GroupMessage) -> None:
+        routed = replicas.Routed(
+            group=self.name, sender=self._node.identity, to=to, body=body
+        )
+        self._node.send(to, routed)
+
+    def _entries(self, first: int, last: int) -> list[Entry]:
+        return [self.log.read(index) for index in range(first, last + 1)]
+
+    def _apply(self, first: int, last: int) -> None:
+        for index in range(first, last + 1):
+            entry = self.log.read(index)
+            self._applied = index
+            if entry.kind is Kind.DATA:
+                self._machine.apply(index, entry.payload)
+
+    def _begin_fetch(self, sender: str, offer: messages.SnapshotOffer) -> None:
+        assert self._core is not None
+        old = self._fetch
+        wanted = (sender, offer.index)
+        if old is not None and (old.sender, old.offer.index) == wanted:
+            return
+        log.info("fetching a snapshot", extra={"group": self.name})
+        self._fetch = fetching.Fetch(
+            self.log,
+            self._node.identity,
+            sender,
+            offer,
+            self._node.send,
+            self._core.state.commit,
+        )
+        self._fetch.ask(self._node.now_ms())
+
+    def _fetched(self, fetch: fetching.Fetch, held: bool, now_ms: int) -> None:
+        """Goes on with a fetch; a new offer follows where it is gone."""
+        assert self._core is not None
+        if not held:
+            self._fetch = None
+        elif not fetch.is_complete():
+            fetch.ask(now_ms)
+        elif not self._core.install(fetch.sender, fetch.offer):
+            self._fetch = None
+
+    def _install(self, keeps_tail: bool) -> None:
+        assert self._fetch is not None
+        assert self._fetch.snapshot is not None
+        self._restoring = self._fetch.snapshot
+        self._fetch = None
+        self.log.install(self._restoring, keeps_tail)
+
+    def _restore(self) -> None:
+        assert self._restoring is not None
+        snapshot = self._restoring
+        self._restoring = None
+        self._applied = snapshot.description.index
+        self._machine.restore(snapshot.data)
+        log.info("snapshot installed", extra={"group": self.name})
--- /dev/null
+++ b/catkinpin/adapters/identity.py
@@ -0,0 +1,99 @@
+"""Who this replica is, kept in its data folder."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from catkinpin.adapters import files
+from catkinpin.core.consensus.messages import Members  # noqa: TC001
+from catkinpin.exceptions import StorageError
+
+if TYPE_CHECKING:
+    import pathlib
+
+VERSION = 1
+
+
+class _File(msgspec.Struct, forbid_unknown_fields=True):
+    """Content of the identity file.
+
+    Attributes:
+        founders: the first members of all groups; None before the founding.
+        joining: whether an operator let this replica replace a lost one.
+    """
+
+    version: int
+    node: str
+    founders: Members | None = None
+    joining: bool = False
+
+
+class Identity:
+    """The identity file.
+
+    A new folder gets a new identity: its replica has forgotten its votes and
+    what it acknowledged, and must not count as the one that it was.
+    """
+
+    def __init__(self, folder: pathlib.Path, ops: files.FileOps) -> None:
+        self._path = folder / "identity.json"
+        self._ops = ops
+        if self._path.exists():
+            self._file = self._read()
+        else:
+            self._file = _File(version=VERSION, node=uuid.uuid4().hex)
+            self._write()
+
+    @property
+    def node(self) -> str:
+        """The identity."""
+        return self._file.node
+
+    @property
+    def founders(self) -> Members | None:
+        """The first members of all groups, None before the founding."""
+        return self._file.founders
+
+    @property
+    def joining(self) -> bool:
+        """Whether this replica replaces a lost one."""
+        return self._file.joining
+
+    @property
+    def belongs(self) -> bool:
+        """Whether this replica takes part in the groups."""
+        return self.founders is not None or self.joining
+
+    def found(self, founders: Members) -> None:
+        """Notes the first members; lasts once this returns."""
+        self._file.founders = founders
+        self._write()
+
+    def join(self) -> None:
+        """Notes that this replica replaces a lost one."""
+        self._file.joining = True
+        self._write()
+
+    def _read(self) -> _File:
+        try:
+            content = self._path.read_bytes()
+            version = msgspec.json.decode(content).get("version")
+            if version != VERSION:
+                raise StorageError(
+                    f"{self._path}: format version {version}; this program"
+                    f" knows only version {VERSION}"
+                )
+            return msgspec.json.decode(content, type=_File)
+        except (OSError, msgspec.DecodeError, AttributeError) as exc:
+            raise StorageError(f"{self._path}: {exc}") from exc
+
+    def _write(self) -> None:
+        try:
+            files.replace(
+                self._ops, self._path, msgspec.json.encode(self._file)
+            )
+        except OSError as exc:
+            raise StorageError(f"{self._path}: {exc}") from exc
--- /dev/null
+++ b/catkinpin/adapters/mesh.py
@@ -0,0 +1,63 @@
+"""Streams between the replicas."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from catkinpin.adapters import peers, replicas
+from catkinpin.core import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ROLE = "replica"
+# Replicas speak on the stream that they opened; only pings come back on it.
+_Back = messages.Ping | replicas.NodeInfo
+
+
+class Mesh:
+    """One stream to each other replica, and who answers at its end.
+
+    Args:
+        addresses: peer addresses of the other replicas.
+        on_connected: called with the address of each stream that comes up.
+    """
+
+    def __init__(
+        self, addresses: list[str], on_connected: Callable[[str], None]
+    ) -> None:
+        self.addresses = addresses
+        self._on_connected = on_connected
+        self._links: dict[str, peers.PeerLink] = {}
+        self._address_of: dict[str, str] = {}
+
+    def start(self, hello: messages.Hello) -> None:
+        """Begins to connect."""
+        for address in self.addresses:
+            self._links[address] = peers.PeerLink(
+                address, hello, _Back, lambda _: None, self._connected
+            )
+            self._links[address].start()
+
+    async def stop(self) -> None:
+        """Closes all streams."""
+        for link in self._links.values():
+            await link.stop()
+
+    def learn(self, node: str, address: str) -> None:
+        """Notes at which address a replica answers now."""
+        self._address_of[node] = address
+
+    def send(self, node: str, message: Any) -> None:
+        """Sends to a replica; dropped where it can't be reached."""
+        link = self._links.get(self._address_of.get(node, ""))
+        if link is not None:
+            link.send(message)
+
+    def broadcast(self, message: Any) -> None:
+        """Sends to all other replicas that can be reached."""
+        for link in self._links.values():
+            link.send(message)
+
+    def _connected(self, link: peers.PeerLink) -> None:
+        self._on_connected(link.address)
--- /dev/null
+++ b/catkinpin/adapters/node.py
@@ -0,0 +1,259 @@
+"""This process as a replica: its groups share disk, streams and time."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from typing import TYPE_CHECKING, Any
+
+from catkinpin.adapters import mesh, replicas
+from catkinpin.adapters.founding import Founding
+from catkinpin.adapters.groups import Group
+from catkinpin.adapters.identity import Identity
+from catkinpin.adapters.storage import Storage
+from catkinpin.core.consensus.messages import Members
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.adapters.groups import StateMachine
+    from catkinpin.core import messages
+    from catkinpin.settings import ReplicaSettings
+
+log = logging.getLogger(__name__)
+
+_TICK_S = 0.025
+_INTRODUCE_TICKS = 8
+_NS_PER_MS = 1_000_000
+_TRANSFER_S = 1.5
+# Segments that idle groups may keep from being removed.
+_PINNED_SEGMENTS = 4
+_TAIL_PART = 4
+
+
+class Node:
+    """This replica's part in all groups.
+
+    Everything that the groups write in one turn of the loop is written and
+    synced at once, at the end of that turn.
+
+    Args:
+        cfg: the settings.
+        on_leader: called with each group whose leader has changed.
+        on_failure: called with what makes it unsafe to go on.
+
+    Attributes:
+        identity: who this replica is, new for each new data folder.
+        address: peer address as the other replicas know it.
+    """
+
+    def __init__(
+        self,
+        cfg: ReplicaSettings,
+        on_leader: Callable[[Group], None],
+        on_failure: Callable[[Exception], None],
+    ) -> None:
+        self.storage = Storage(cfg.data_folder)
+        self._file = Identity(cfg.data_folder, self.storage.ops)
+        self.identity = self._file.node
+        self.rng = random.Random()
+        self.address = ""
+        self.groups: dict[str, Group] = {}
+        self._cfg = cfg
+        self._on_leader = on_leader
+        self._on_failure = on_failure
+        self._woken: dict[str, Group] = {}
+        self._told: dict[str, tuple[int, str]] = {}
+        self._ticks = 0
+        self._started = False
+        self._stopped = False
+        self._tick_task: asyncio.Task[None] | None = None
+        self._mesh: mesh.Mesh
+        self._founding: Founding
+
+    def now_ms(self) -> int:
+        """Returns monotonic time that counts a suspended host's sleep, too.
+
+        A leader whose host was suspended would otherwise believe in a lease
+        that ran out while it slept.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
+
+    def add_group(self, name: str, machine: StateMachine) -> Group:
+        """Adds a group before the start."""
+        group = Group(self, self.storage.group(name), machine)
+        self.groups[name] = group
+        return group
+
+    def start(self, hello: messages.Hello) -> None:
+        """Connects to the other replicas and takes part in the groups."""
+        self.storage.sync()
+        self.address = hello.address
+        others = [a for a in self._cfg.replicas if a != self.address]
+        self._mesh = mesh.Mesh(others, self._introduce)
+        self._founding = Founding(
+            self._file, self.address, self._mesh, self._begin
+        )
+        self._mesh.start(hello)
+        self._founding.start()
+        self._tick_task = asyncio.create_task(self._run_ticks())
+
+    async def stop(self) -> None:
+        """Hands leadership over, then leaves."""
+        handed = [g for g in self.groups.values() if g.transfer()]
+        until = time.monotonic() + _TRANSFER_S
+        while time.monotonic() < until:
+            if all(g.leader not in ("", self.address) for g in handed):
+                break
+            await asyncio.sleep(_TICK_S)
+        if self._tick_task is not None:
+            self._tick_task.cancel()
+        self._stopped = True
+        await self._mesh.stop()
+        self.storage.close()
+
+    def not_ready(self) -> str:
+        """Returns why this replica takes no part, or an empty string."""
+        if not self._started:
+            if self._founding.needs_repair():
+                return (
+                    "this data folder is empty and the other replicas have"
+                    " state; run `catkinpin repair` if its disk was lost"
+                )
+            return f"waiting for {', '.join(self._founding.waits_for())}"
+        for group in self.groups.values():
+            if not group.leader:
+                return f"no leader of {group.name}"
+        return ""
+
+    def needs_repair(self) -> bool:
+        """Returns whether this replica waits for an operator's repair."""
+        return self._founding.needs_repair()
+
+    def repair(self) -> None:
+        """Lets this replica replace the one that was lost at its address."""
+        self._founding.repair()
+
+    def settled(self) -> dict[str, bool]:
+        """Returns for each group whether this replica votes, up to date."""
+        return {
+            name: group.is_settled(self.identity)
+            for name, group in self.groups.items()
+        }
+
+    def hello(self, hello: messages.Hello) -> None:
+        """Notes who another replica is."""
+        self._mesh.learn(hello.process, hello.address)
+
+    def take(self, message: Any) -> None:
+        """Takes a message of another replica."""
+        if self._stopped:
+            return
+        try:
+            self._take(message)
+        except Exception as exc:
+            self.fail(exc)
+
+    def fail(self, exc: Exception) -> None:
+        """Gives up: another replica must go on from what a quorum holds.
+
+        What was half written, or half applied, can't be taken back.
+        """
+        if not self._stopped:
+            self._stopped = True
+            self._on_failure(exc)
+
+    def _take(self, message: Any) -> None:
+        match message:
+            case replicas.NodeInfo():
+                self._mesh.learn(message.node, message.address)
+                self._founding.heard(message)
+            case replicas.Found():
+                self._founding.founded(message.members)
+            case replicas.Join():
+                self._mesh.learn(message.node, message.address)
+                for group in self.groups.values():
+                    group.add_learner(message)
+            case _:
+                group_of = self.groups.get(message.group)
+                if group_of is not None and message.to == self.identity:
+                    group_of.take(message)
+
+    def send(self, node: str, message: Any) -> None:
+        """Sends to a replica; dropped where it can't be reached."""
+        self._mesh.send(node, message)
+
+    def wake(self, group: Group) -> None:
+        """Has a group's commands carried out at the end of this turn."""
+        if self._stopped:
+            return
+        if not self._woken:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._woken[group.name] = group
+
+    def _begin(self) -> None:
+        self._started = True
+        founders = self._file.founders or Members()
+        for group in self.groups.values():
+            group.start(founders)
+
+    def _introduce(self, address: str) -> None:
+        self._mesh.broadcast(self._founding.info())
+
+    async def _run_ticks(self) -> None:
+        while not self._stopped:
+            await asyncio.sleep(_TICK_S)
+            try:
+                self._tick()
+            except Exception as exc:
+                self.fail(exc)
+
+    def _tick(self) -> None:
+        now_ms = self.now_ms()
+        for group in self.groups.values():
+            group.tick(now_ms)
+        self._ticks += 1
+        if self._ticks % _INTRODUCE_TICKS == 0:
+            self._founding.tick()
+            self._join()
+
+    def _join(self) -> None:
+        if self._file.joining and not all(self.settled().values()):
+            join = replicas.Join(node=self.identity, address=self.address)
+            self._mesh.broadcast(join)
+
+    def _flush(self) -> None:
+        if self._stopped:
+            return
+        try:
+            self._flush_woken()
+        except Exception as exc:
+            self.fail(exc)
+
+    def _flush_woken(self) -> None:
+        woken, self._woken = self._woken, {}
+        now_ms = self.now_ms()
+        later = [(g, g.begin_flush(now_ms)) for g in woken.values()]
+        self.storage.sync()
+        for group, _ in later:
+            group.synced(now_ms)
+        for group, rest in later:
+            group.finish_flush(rest)
+            self._tell_leader(group)
+            if group.needs_snapshot(self._cfg.snapshot_entries):
+                self._take_snapshot(group)
+
+    def _take_snapshot(self, group: Group) -> None:
+        group.take_snapshot(self._cfg.snapshot_entries // _TAIL_PART)
+        if self.storage.count() > _PINNED_SEGMENTS:
+            for name in self.storage.pinning():
+                self.groups[name].take_snapshot(0)
+        self.storage.collect()
+
+    def _tell_leader(self, group: Group) -> None:
+        known = (group.term, group.leader)
+        if group.leader and self._told.get(group.name) != known:
+            self._told[group.name] = known
+            self._on_leader(group)
--- /dev/null
+++ b/catkinpin/adapters/repairs.py
@@ -0,0 +1,58 @@
+"""The operators' HTTP interface of a replica: replacing a lost disk."""
+
+from __future__ import annotations
+
+import hmac
+from typing import TYPE_CHECKING, Any
+
+import sanic
+from sanic import response
+
+from catkinpin import configuration
+
+if TYPE_CHECKING:
+    from catkinpin.adapters.node import Node
+
+PATH = "/v1/operator/repair"
+
+
+def add_routes(app: sanic.Sanic[Any, Any], node: Node, key_sha256: str) -> None:
+    """Adds the routes; both need the operators' key."""
+
+    @app.get(PATH)
+    async def show(req: sanic.Request) -> Any:
+        _check_operator(req, key_sha256)
+        return response.json(_state(node))
+
+    @app.post(PATH)
+    async def repair(req: sanic.Request) -> Any:
+        _check_operator(req, key_sha256)
+        if node.needs_repair():
+            node.repair()
+        return response.json(_state(node))
+
+
+def _state(node: Node) -> dict[str, Any]:
+    settled = node.settled()
+    waiting = [name for name, done in settled.items() if not done]
+    if node.needs_repair():
+        state = "needs-repair"
+    elif waiting:
+        state = "catching-up"
+    else:
+        state = "safe"
+    return {
+        "node": node.identity,
+        "state": state,
+        "groups": len(settled),
+        "waiting": waiting,
+        "detail": node.not_ready(),
+    }
+
+
+def _check_operator(req: sanic.Request, wanted: str) -> None:
+    scheme, _, key = req.headers.get("authorization", "").partition(" ")
+    given = configuration.key_digest(key.strip())
+    ok = scheme.lower() == "bearer" and hmac.compare_digest(given, wanted)
+    if not wanted or not ok:
+        raise sanic.exceptions.Unauthorized("the operators' key is needed")
--- /dev/null
+++ b/catkinpin/adapters/replicas.py
@@ -0,0 +1,91 @@
+"""Messages between replicas that are not part of consensus itself."""
+
+from __future__ import annotations
+
+from catkinpin.codec import Message
+from catkinpin.core.consensus.messages import Entry, GroupMessage, Members
+
+
+class Routed(Message, frozen=True):
+    """A consensus message of one group.
+
+    Attributes:
+        to: identity that it is for; a replica whose disk was lost has the
+            address of its former life, and must not answer in its name.
+    """
+
+    group: str
+    sender: str
+    to: str
+    body: GroupMessage
+
+
+class NodeInfo(Message, frozen=True):
+    """Who a replica is.
+
+    Attributes:
+        founded: whether it belongs to a system already.
+    """
+
+    node: str
+    address: str
+    founded: bool
+
+
+class Found(Message, frozen=True):
+    """Names the first members of all groups."""
+
+    members: Members
+
+
+class Join(Message, frozen=True):
+    """A replica with a new identity asks to take its address's place."""
+
+    node: str
+    address: str
+
+
+class SnapshotPull(Message, frozen=True):
+    """Asks for a part of a snapshot file."""
+
+    group: str
+    sender: str
+    to: str
+    index: int
+    offset: int
+
+
+class SnapshotPart(Message, frozen=True):
+    """A part of a snapshot file; `size` 0 says that it is gone."""
+
+    group: str
+    sender: str
+    to: str
+    index: int
+    offset: int
+    size: int
+    data: bytes = b""
+
+
+class RecordsPull(Message, frozen=True):
+    """Asks for records that a snapshot refers to."""
+
+    group: str
+    sender: str
+    to: str
+    indexes: list[int]
+
+
+class Records(Message, frozen=True):
+    """Some of the records asked for; none where they are gone."""
+
+    group: str
+    sender: str
+    to: str
+    entries: list[Entry]
+
+
+GroupReplicaMessage = (
+    Routed | SnapshotPull | SnapshotPart | RecordsPull | Records
+)
+ReplicaMessage = GroupReplicaMessage | NodeInfo | Found | Join
--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/shardhost.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import codec, configuration, tracing
-from catkinpin.adapters import groups
 from catkinpin.core import (
     leader,
     messages,
@@ -16,8 +15,6 @@
 )
 
 if TYPE_CHECKING:
-    import pathlib
-
     from catkinpin.adapters import peers
     from catkinpin.replica import Replica
 
@@ -27,15 +24,13 @@
 class ShardHost:
     """A program shard: its log group, its state and its leader's part."""
 
-    def __init__(
-        self, replica: Replica, name: str, data_folder: pathlib.Path
-    ) -> None:
+    def __init__(self, replica: Replica, name: str) -> None:
         self._replica = replica
         self._leading = False
         self.cfg = configuration.Configuration()
         self.state = shard.Shard(name)
         self.leader = self._new_leader()
-        self.group = groups.Group(name, data_folder, self)
+        self.group = replica.node.add_group(name, self)
 
     def configured(self, cfg: configuration.Configuration) -> None:
         """Decides by a new configuration from now on."""
--- a/catkinpin/adapters/storage.py
+++ b/catkinpin/adapters/storage.py
@@ -1,131 +1,308 @@
-"""The log on disk: one file of checksummed records, synced in groups."""
+"""The data folder's log: all groups of a process in one stream of segments.
+
+One stream means one sync for everything that the groups wrote in a turn of
+the loop. Memory holds one position a record, not the records.
+"""
 
 from __future__ import annotations
 
+import fcntl
 import os
-import struct
-import zlib
 from typing import TYPE_CHECKING
 
+from catkinpin import metrics
+from catkinpin.adapters import files, logrecords, segments, snapshots
+from catkinpin.adapters.grouplog import GroupLog, Recovery
+from catkinpin.adapters.logrecords import Record, RecordType
 from catkinpin.exceptions import DamagedLogError, StorageError
 
 if TYPE_CHECKING:
     import pathlib
 
-MAGIC = b"CATKLOG1"
-_HEADER = struct.Struct("<II")  # Payload length and its CRC-32.
-_MAX_RECORD = 64 * 1024 * 1024
+    from catkinpin.core.consensus.messages import Entry
+
+SEGMENT_BYTES = 64 * 1024 * 1024
+# A sealed segment is rewritten once less than this part of it is needed.
+_LIVE_PART = 0.5
+
 
+class Storage:
+    """The log of all groups of a process.
 
-class Log:
-    """An append-only file of records, numbered from 1.
+    After a `StorageError` it refuses everything: what a failed sync left in
+    the file is not known, so nothing after it may be acknowledged.
 
-    Memory holds one offset a record, not the records.
+    Args:
+        folder: the data folder.
+        ops: file operations.
+        segment_bytes: size at which a new segment begins.
+
+    Attributes:
+        syncs: how often the log was synced.
     """
 
-    def __init__(self, path: pathlib.Path) -> None:
-        self._path = path
-        self._offsets: list[int] = []
-        self._fd = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
-        self._end = self._recover()
-        self._pending: list[bytes] = []
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        ops: files.FileOps | None = None,
+        segment_bytes: int = SEGMENT_BYTES,
+    ) -> None:
+        self.folder = folder
+        self.ops = ops or files.FileOps()
+        self.syncs = 0
+        self._segment_bytes = segment_bytes
+        self._segments: dict[int, segments.Segment] = {}
+        self._active: segments.Segment
+        # Entries and copies a segment holds, and how many are needed.
+        self._written: dict[int, int] = {}
+        self._needed: dict[int, int] = {}
+        self._buffer = bytearray()
+        self._sequence = 1
+        self._dirty = False
+        self._failed: StorageError | None = None
+        self._log_folder = folder / "log"
+        self._snapshot_folder = folder / "snapshots"
+        for path in (self._log_folder, self._snapshot_folder):
+            path.mkdir(parents=True, exist_ok=True)
+        files.sync_folder(self.ops, folder)
+        self._lock = _lock(folder)
+        self._groups: dict[str, GroupLog] = {}
+        self._recover()
 
-    def __len__(self) -> int:
-        return len(self._offsets)
+    def group(self, name: str) -> GroupLog:
+        """Returns the log of a group, which may be new."""
+        if name not in self._groups:
+            log = GroupLog(self, name, len(self._groups))
+            self._groups[name] = log
+            log.write_start()
+        return self._groups[name]
 
-    def append(self, payload: bytes) -> int:
-        """Buffers a record and returns its index; it lasts after `sync`."""
-        header = _HEADER.pack(len(payload), zlib.crc32(payload))
-        self._offsets.append(self._end)
-        self._end += len(header) + len(payload)
-        self._pending += [header, payload]
-        return len(self._offsets)
+    def add(self, record: Record) -> int:
+        """Buffers a record and returns its position."""
+        self._check()
+        number = self._active.number
+        start = self._active.size + segments.FRAME_SIZE
+        offset = start + len(self._buffer)
+        self._buffer += logrecords.pack(record)
+        if record.type in (RecordType.ENTRY, RecordType.COPY):
+            self._written[number] += 1
+            self._needed[number] += 1
+        return logrecords.position(number, offset)
+
+    def write(self) -> None:
+        """Hands what is buffered to the operating system."""
+        self._check()
+        if not self._buffer:
+            return
+        payload = bytes(self._buffer)
+        self._buffer.clear()
+        try:
+            self._active.write(self._sequence, payload)
+        except StorageError as exc:
+            self._failed = exc
+            raise
+        self._sequence += 1
+        self._dirty = True
 
     def sync(self) -> None:
-        """Writes and syncs all buffered records with one system call each.
+        """Makes everything added so far last.
 
         Raises:
-            StorageError: the records may or may not last; the caller must not
-                acknowledge them and must stop using this log.
+            StorageError: it may or may not last; nothing of it may be
+                acknowledged, and this object refuses all further work.
         """
-        if not self._pending:
+        self.write()
+        if not self._dirty:
             return
-        data = b"".join(self._pending)
-        self._pending = []
-        try:
-            _write_all(self._fd, data, self._end - len(data))
-            os.fdatasync(self._fd)
-        except OSError as exc:
-            raise StorageError(f"{self._path}: {exc}") from exc
+        self._sync_active()
+        if self._active.size >= self._segment_bytes:
+            self._next_segment()
 
-    def read(self, index: int) -> bytes:
-        """Returns record `index`.
+    def read(self, position: int) -> Entry:
+        """Returns the entry at a position.
 
         Raises:
             DamagedLogError: its checksum fails.
         """
-        offset = self._offsets[index - 1]
-        header = os.pread(self._fd, _HEADER.size, offset)
-        length, crc = _HEADER.unpack(header)
-        payload = os.pread(self._fd, length, offset + _HEADER.size)
-        if zlib.crc32(payload) != crc:
-            raise DamagedLogError(self._damage(offset))
-        return payload
+        if self._buffer:
+            self.write()
+        segment = self._segments[logrecords.segment_of(position)]
+        offset = logrecords.offset_of(position)
+        header = segment.read(offset, logrecords.OVERHEAD)
+        size = logrecords.OVERHEAD + logrecords.payload_size(header)
+        entry = logrecords.unpack_entry(segment.read(offset, size))
+        if entry is None:
+            raise DamagedLogError(segments.damage(segment.path, offset))
+        return entry
+
+    def forget(self, position: int) -> None:
+        """Notes that a record is needed no more."""
+        self._needed[logrecords.segment_of(position)] -= 1
+
+    def write_snapshot(self, snapshot: snapshots.Snapshot) -> None:
+        """Writes a snapshot file that lasts."""
+        self._check()
+        try:
+            snapshots.write(self.ops, self._snapshot_folder, snapshot)
+        except StorageError as exc:
+            self._failed = exc
+            raise
+
+    def read_snapshot(
+        self, group: str, index: int
+    ) -> snapshots.Snapshot | None:
+        """Returns a group's snapshot, None for index 0."""
+        if not index:
+            return None
+        return snapshots.read(self._snapshot_folder, group, index)
+
+    def read_snapshot_part(
+        self, group: str, index: int, offset: int, size: int
+    ) -> tuple[bytes, int]:
+        """Returns a part of a snapshot's file, and its whole size."""
+        path = snapshots.path_of(self._snapshot_folder, group, index)
+        try:
+            with path.open("rb") as file:
+                file.seek(offset)
+                return file.read(size), os.fstat(file.fileno()).st_size
+        except FileNotFoundError:
+            return b"", 0
+
+    def count(self) -> int:
+        """Returns how many segments there are."""
+        return len(self._segments)
+
+    def collect(self) -> None:
+        """Removes old files, once what is needed of them is copied."""
+        self.sync()
+        for log in self._groups.values():
+            snapshots.remove_others(
+                self._snapshot_folder, log.name, log.snapshot
+            )
+        for number in sorted(self._segments):
+            if number >= self._first_in_use():
+                return
+            if self._needed[number] <= _LIVE_PART * self._written[number]:
+                self._rewrite(number)
+
+    def pinning(self) -> list[str]:
+        """Returns the groups whose log keeps the oldest segment in use.
+
+        A snapshot of each would let it go.
+        """
+        oldest = min(self._segments)
+        if oldest == self._active.number:
+            return []
+        return [
+            log.name
+            for log in self._groups.values()
+            if _first_segment(log, self._active.number) == oldest
+        ]
 
     def close(self) -> None:
-        """Closes the file."""
-        os.close(self._fd)
-
-    def _damage(self, offset: int) -> str:
-        return (
-            f"{self._path}: the record at offset {offset} fails its checksum;"
-            " remove this data folder and repair the replica from the others"
-        )
-
-    def _recover(self) -> int:
-        """Reads offsets; cuts a torn tail, refuses damage before the tail."""
-        data_end = os.fstat(self._fd).st_size
-        if data_end < len(MAGIC):
-            os.ftruncate(self._fd, 0)
-            _write_all(self._fd, MAGIC, 0)
-            os.fsync(self._fd)
-            return len(MAGIC)
-        if os.pread(self._fd, len(MAGIC), 0) != MAGIC:
-            raise StorageError(f"{self._path}: unknown format version")
-        offset = len(MAGIC)
-        while offset < data_end:
-            end = self._check(offset, data_end)
-            if end == 0:
-                os.ftruncate(self._fd, offset)
-                os.fsync(self._fd)
-                break
-            self._offsets.append(offset)
-            offset = end
-        return offset
-
-    def _check(self, offset: int, data_end: int) -> int:
-        """Returns the end of the record at `offset`, 0 for a torn tail."""
-        header = os.pread(self._fd, _HEADER.size, offset)
-        if len(header) < _HEADER.size:
-            return 0
-        length, crc = _HEADER.unpack(header)
-        end: int = offset + _HEADER.size + length
-        if length > _MAX_RECORD or end > data_end:
-            return 0
-        payload = os.pread(self._fd, length, offset + _HEADER.size)
-        if zlib.crc32(payload) == crc:
-            return end
-        # A crash tears only the last record: it was never acknowledged and
-        # may go. Bytes after it mean that a synced record was damaged, and
-        # cutting there would lose acknowledged records unseen.
-        if end == data_end:
-            return 0
-        raise DamagedLogError(self._damage(offset))
-
-
-def _write_all(fd: int, data: bytes, offset: int) -> None:
-    view = memoryview(data)
-    while view:
-        written = os.pwrite(fd, view, offset)
-        view = view[written:]
-        offset += written
+        """Closes all files."""
+        for segment in self._segments.values():
+            segment.close()
+        os.close(self._lock)
+
+    def _check(self) -> None:
+        if self._failed is not None:
+            raise self._failed
+
+    def _sync_active(self) -> None:
+        try:
+            self._active.sync()
+        except StorageError as exc:
+            self._failed = exc
+            raise
+        self._dirty = False
+        self.syncs += 1
+        metrics.LOG_SYNCS.inc()
+
+    def _first_in_use(self) -> int:
+        """Returns the first segment that holds entries after a base."""
+        active = self._active.number
+        logs = self._groups.values()
+        return min((_first_segment(log, active) for log in logs), default=0)
+
+    def _rewrite(self, number: int) -> None:
+        for log in self._groups.values():
+            log.move_kept(number)
+        self.sync()
+        segment = self._segments.pop(number)
+        del self._written[number], self._needed[number]
+        segment.close()
+        segment.path.unlink()
+
+    def _next_segment(self) -> None:
+        number = max(self._segments, default=0) + 1
+        path = self._log_folder / f"{number:08}.segment"
+        try:
+            self._active = segments.Segment(path, self.ops, create=True)
+        except (OSError, StorageError) as exc:
+            self._failed = StorageError(f"{path}: {exc}")
+            raise self._failed from exc
+        self._segments[number] = self._active
+        self._written[number] = self._needed[number] = 0
+        for log in self._groups.values():
+            log.write_start()
+        self.write()
+        self._sync_active()
+
+    def _recover(self) -> None:
+        paths = sorted(self._log_folder.glob("*.segment"))
+        if not paths:
+            self._next_segment()
+            return
+        by_number: dict[int, Recovery] = {}
+        expected = 0
+        for path in paths:
+            segment = segments.Segment(path, self.ops)
+            if segment.number - 1 not in self._segments:
+                expected = 0  # Rewritten segments before it are gone.
+            self._segments[segment.number] = self._active = segment
+            self._written[segment.number] = 0
+            for frame in segment.frames(expected, path == paths[-1]):
+                expected = frame.sequence + 1
+                start = logrecords.position(segment.number, frame.offset)
+                for record in logrecords.unpack_all(frame.payload, start):
+                    self._recover_record(record, by_number)
+        self._sequence = max(expected, 1)
+        # What a killed process wrote without a sync is in the file now, but
+        # would be gone after a loss of power: nothing counts before a sync.
+        self._sync_active()
+        self._needed = dict.fromkeys(self._segments, 0)
+        for recovery in by_number.values():
+            recovery.finish()
+            for position in recovery.log.positions():
+                self._needed[logrecords.segment_of(position)] += 1
+
+    def _recover_record(
+        self, record: Record, by_number: dict[int, Recovery]
+    ) -> None:
+        if record.type is not RecordType.NAME:
+            by_number[record.group].take(record)
+            if record.type in (RecordType.ENTRY, RecordType.COPY):
+                self._written[logrecords.segment_of(record.position)] += 1
+        elif record.group not in by_number:
+            name = bytes(record.payload).decode()
+            log = GroupLog(self, name, record.group)
+            self._groups[name] = log
+            by_number[record.group] = Recovery(log)
+
+
+def _first_segment(log: GroupLog, active: int) -> int:
+    position = log.oldest_position()
+    return active if position is None else logrecords.segment_of(position)
+
+
+def _lock(folder: pathlib.Path) -> int:
+    """Takes the folder; two processes on one log would destroy it."""
+    fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as exc:
+        os.close(fd)
+        text = f"{folder}: another process uses this data folder"
+        raise StorageError(text) from exc
+    return fd
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from catkinpin.adapters import replicas
 from catkinpin.core import changes, messages
 
 ToReplica = (
@@ -14,6 +15,7 @@
     | messages.Reports
     | changes.ConfigConfirmed
     | changes.Apply
+    | replicas.ReplicaMessage
 )
 ToEntry = (
     messages.Ping
--- a/catkinpin/core/consensus/core.py
+++ b/catkinpin/core/consensus/core.py
@@ -151,9 +151,17 @@
         if base > self.state.log.base:
             self.state.log.compact(base)
 
-    def install(self, sender: str, offer: messages.SnapshotOffer) -> None:
-        """Continues from the fetched snapshot that `sender` offered."""
-        following.install(self.state, sender, offer)
+    def install(self, sender: str, offer: messages.SnapshotOffer) -> bool:
+        """Continues from the fetched snapshot that `sender` offered.
+
+        Returns:
+            Whether it was of use; False where we are past it by now.
+        """
+        return following.install(self.state, sender, offer)
+
+    def has_output(self) -> bool:
+        """Returns whether commands wait to be taken."""
+        return bool(self.state.out)
 
     def take(self, now_ms: int) -> list[commands.Command]:
         """Returns the commands since the last call.
--- a/catkinpin/core/consensus/following.py
+++ b/catkinpin/core/consensus/following.py
@@ -61,10 +61,10 @@
         state.emit(commands.Fetch(sender, msg))
 
 
-def install(state: State, sender: str, offer: messages.SnapshotOffer) -> None:
-    """Continues from a snapshot that has been fetched."""
+def install(state: State, sender: str, offer: messages.SnapshotOffer) -> bool:
+    """Continues from a fetched snapshot; returns whether it was of use."""
     if offer.index <= state.commit:
-        return
+        return False
     keeps_tail = state.log.term_at(offer.index) == offer.last_term
     if keeps_tail:
         state.log.compact(offer.index)
@@ -77,6 +77,7 @@
     state.applied = offer.index
     state.emit(commands.Restore(offer, keeps_tail))
     _reply_installed(state, sender, offer)
+    return True
 
 
 def _accepts(state: State, sender: str, msg: _FromLeader, now_ms: int) -> bool:
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -4,15 +4,18 @@
 
 import asyncio
 import logging
+import os
 import uuid
 from typing import TYPE_CHECKING, Any
 
-from catkinpin import clock, configuration
+from catkinpin import clock, configuration, process
 from catkinpin.adapters import (
     admin,
     controlhost,
-    groups,
+    mesh,
+    node,
     peers,
+    repairs,
     shardhost,
     web,
     wire,
@@ -20,6 +23,7 @@
 from catkinpin.core import changes, leader, messages, routing, servers
 
 if TYPE_CHECKING:
+    from catkinpin.adapters import groups
     from catkinpin.settings import ReplicaSettings
 
 log = logging.getLogger(__name__)
@@ -37,24 +41,32 @@
         self.incarnation = uuid.uuid4().hex
         self.address = ""
         self._streams: dict[str, peers.Stream] = {}
-        cfg.data_folder.mkdir(parents=True, exist_ok=True)
+        self.node = node.Node(cfg, self._leader_changed, _stop_at_once)
         self.shards = {
-            name: shardhost.ShardHost(self, name, cfg.data_folder)
+            name: shardhost.ShardHost(self, name)
             for name in map(routing.shard_group, range(cfg.shards))
         }
-        self.control = controlhost.ControlHost(self, cfg.data_folder)
+        self.control = controlhost.ControlHost(self)
         self._peers = peers.PeerServer(
             wire.ToReplica, self._on_message, self._on_closed
         )
         self._admin: web.WebServer | None = None
         self._task: asyncio.Task[None] | None = None
+        self._stopping = False
 
     async def start(self) -> None:
         """Listens, then takes part in its groups."""
-        self.address = await self._peers.start(self.cfg.peer_listen)
-        for group in self._groups():
-            group.start(self.address)
-        app = admin.make_app("replica", lambda: "")
+        self.address = self.cfg.peer_advertise or self.cfg.peer_listen
+        if self.address.endswith(":0"):
+            self.address = await self._peers.start(self.cfg.peer_listen)
+            self.node.start(self._hello())
+        else:
+            # Known to others before they can reach us: what they say at once
+            # is not lost.
+            self.node.start(self._hello())
+            await self._peers.start(self.cfg.peer_listen)
+        app = admin.make_app("replica", self.not_ready)
+        repairs.add_routes(app, self.node, self.cfg.operator_key_sha256)
         self._admin = await web.serve(app, self.cfg.admin_listen)
         self._task = asyncio.create_task(self._tick())
         log.info(
@@ -63,14 +75,18 @@
         )
 
     async def stop(self) -> None:
-        """Stops gracefully."""
+        """Hands leadership over and stops."""
+        self._stopping = True
+        await self.node.stop()
         if self._task is not None:
             self._task.cancel()
         await self._peers.stop()
         if self._admin is not None:
             await self._admin.close()
-        for group in self._groups():
-            group.close()
+
+    def not_ready(self) -> str:
+        """Returns why this replica takes no part, or an empty string."""
+        return "stopping" if self._stopping else self.node.not_ready()
 
     def send(self, to: leader.EntryRef, message: Any) -> None:
         """Sends to an entry; dropped where that life of it has gone."""
@@ -86,13 +102,26 @@
         for stream in self._streams.values():
             stream.send(self.control.update())
 
-    def _groups(self) -> list[groups.Group]:
-        return [
-            self.control.group,
-            *(host.group for host in self.shards.values()),
-        ]
+    def _hello(self) -> messages.Hello:
+        return messages.Hello(
+            process=self.node.identity,
+            incarnation=self.incarnation,
+            role=mesh.ROLE,
+            address=self.address,
+            domain=self.cfg.failure_domain,
+            region=self.cfg.region,
+        )
+
+    def _leader_changed(self, group: groups.Group) -> None:
+        for stream in self._streams.values():
+            stream.send(_leader_of(group))
 
     def _on_message(self, stream: peers.Stream, message: Any) -> None:
+        if stream.hello is None:
+            return
+        if stream.hello.role == mesh.ROLE:
+            self._on_replica_message(message)
+            return
         match message:
             case messages.Hello():
                 self._welcome(stream)
@@ -109,17 +138,20 @@
                 group = routing.group_of(key, self.cfg.shards)
                 self.shards[group].handle(stream, message)
 
+    def _on_replica_message(self, message: Any) -> None:
+        if isinstance(message, messages.Hello):
+            self.node.hello(message)
+        else:
+            self.node.take(message)
+
     def _welcome(self, stream: peers.Stream) -> None:
         assert stream.hello is not None
         self._streams[stream.hello.incarnation] = stream
         for host in self.shards.values():
             host.leader.entry_connected(shardhost.entry_ref(stream))
-        for group in self._groups():
-            stream.send(
-                messages.GroupLeader(
-                    group=group.name, term=group.term, leader=group.leader
-                )
-            )
+        for group in self.node.groups.values():
+            if group.leader:
+                stream.send(_leader_of(group))
         stream.send(self.control.update())
 
     def _on_closed(self, stream: peers.Stream) -> None:
@@ -140,3 +172,21 @@
             self.view.forget_silent(self.clock.now_ms())
             for host in self.shards.values():
                 host.tick()
+
+
+def _leader_of(group: groups.Group) -> messages.GroupLeader:
+    return messages.GroupLeader(
+        group=group.name, term=group.term, leader=group.leader
+    )
+
+
+def _stop_at_once(exc: Exception) -> None:
+    """Ends the process without another word to anyone.
+
+    After a failed write or sync the disk may hold less than memory says. A
+    graceful stop would still answer and acknowledge from memory, and those
+    who heard it would believe in records that are gone.
+    """
+    log.critical("%s", exc, exc_info=exc)
+    logging.shutdown()
+    os._exit(process.EXIT_STORAGE)
--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -110,6 +110,22 @@
 class ReplicaSettings(ProcessSettings):
     """Settings of `catkinpin-replica`."""
 
+    peer_advertise: str = pydantic.Field(
+        default="",
+        pattern=f"{_HOST_PORT}|^$",
+        description="IP and port at which the other processes reach this one;"
+        " empty: as in peer_listen.",
+    )
+    snapshot_entries: int = pydantic.Field(
+        default=100_000,
+        gt=0,
+        description="Records of a group between two of its snapshots.",
+    )
+    operator_key_sha256: str = pydantic.Field(
+        default="",
+        pattern="^([0-9a-f]{64})?$",
+        description="SHA-256 of the operators' key; empty: no operator calls.",
+    )
     data_folder: pathlib.Path = pydantic.Field(
         default=pathlib.Path("data"),
         description="Folder for the log; the only place that is written.",
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -70,20 +70,22 @@
         Long.timing = timing
         self.assert_fails(7, 5, Long, "two leases")
 
+    def test_with_acknowledgements_before_the_sync(self) -> None:
+        class Early(simulation.Simulation):
+            acks_early = True
+
+        self.assert_fails(282, 3, Early, "was committed")
+
+    def test_with_votes_against_a_leader_that_is_heard(self) -> None:
+        with mock.patch.object(
+            state.State, "hears_leader", lambda state, now_ms: False
+        ):
+            self.assert_fails(46, 3, simulation.Simulation, "two leases")
+
 
 class ElectionTest(base.TestCase):
     """Single cores, step by step."""
 
-    def cores(self, count: int) -> list[core.Core]:
-        members = Members(
-            members=[Member(node=f"n{n}", address="") for n in range(count)]
-        )
-        stored = state.Stored(members=members)
-        return [
-            core.Core(f"n{n}", stored, random.Random(n), 0)
-            for n in range(count)
-        ]
-
     def test_return_of_a_cut_off_replica_deposes_no_one(self) -> None:
         """A replica that was cut off for long comes back.
 
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,330 @@
+"""The log on disk: crashes, damage, failing operations, kept records."""
+
+from __future__ import annotations
+
+import array
+import errno
+import os
+from typing import TYPE_CHECKING
+
+from catkinpin.adapters import files, segments, snapshots, storage
+from catkinpin.core.consensus.messages import Entry, Kind, Members
+from catkinpin.exceptions import DamagedLogError, StorageError
+from tests import base
+
+if TYPE_CHECKING:
+    import pathlib
+
+    from catkinpin.adapters.grouplog import GroupLog
+
+
+def entries(first: int, last: int, term: int = 1) -> list[Entry]:
+    """Returns entries whose payloads tell index and term."""
+    return [
+        Entry(index, term, Kind.DATA, b"%d/%d" % (index, term) * 20)
+        for index in range(first, last + 1)
+    ]
+
+
+class StorageTestCase(base.TestCase):
+    """Opens storage on the test's folder, closed at the end."""
+
+    def open(
+        self, ops: files.FileOps | None = None, size: int = 1 << 20
+    ) -> storage.Storage:
+        opened = storage.Storage(self.folder, ops, size)
+        self.addCleanup(self.close, opened)
+        return opened
+
+    def close(self, opened: storage.Storage) -> None:
+        if opened.folder is not None:
+            opened.close()
+            opened.folder = None  # type: ignore[assignment]
+
+    def written(self, *batches: list[Entry]) -> None:
+        """Writes batches, each with a sync of its own."""
+        opened = self.open()
+        log = opened.group("g")
+        for batch in batches:
+            log.append(batch)
+            opened.sync()
+        self.close(opened)
+
+    def segment(self) -> pathlib.Path:
+        return max((self.folder / "log").iterdir())
+
+    def snapshot(
+        self, log: GroupLog, index: int, base_index: int, refs: list[int]
+    ) -> None:
+        description = snapshots.Description(
+            group=log.name,
+            index=index,
+            term=1,
+            members=Members(),
+            referenced=snapshots.pack(array.array("Q", refs)),
+        )
+        taken = snapshots.Snapshot(description, b"state at %d" % index)
+        log.save_snapshot(taken, base_index, 1, Members())
+
+
+class RecoveryTest(StorageTestCase):
+    """What is found after a stop."""
+
+    def test_state_and_entries_are_found_again(self) -> None:
+        opened = self.open()
+        log = opened.group("g")
+        log.save_state(3, "n1")
+        log.append(entries(1, 9))
+        log.append(entries(5, 6, term=2))
+        opened.sync()
+        self.close(opened)
+        log = self.open().group("g")
+        found = log.stored(Members())
+        self.assertEqual((3, "n1"), (found.term, found.vote))
+        wanted = entries(1, 4) + entries(5, 6, term=2)
+        self.assertEqual(wanted, list(found.entries))
+
+    def test_torn_tail_is_cut_at_every_byte(self) -> None:
+        """The host loses power while a batch is being written.
+
+        No one was told of that batch; all before it is there, and the log
+        takes new records.
+        """
+        self.written(entries(1, 3), entries(4, 5))
+        whole = self.segment().read_bytes()
+        self.written(entries(6, 8))
+        torn = self.segment().read_bytes()
+        for size in range(len(whole), len(torn)):
+            self.segment().write_bytes(torn[:size])
+            opened = self.open()
+            log = opened.group("g")
+            self.assertEqual(5, log.last)
+            self.close(opened)
+        self.written(entries(6, 6))
+        self.assertEqual(6, self.open().group("g").last)
+
+    def test_torn_batch_with_a_hole(self) -> None:
+        """Of an unsynced batch a later page reached the disk, a first not."""
+        self.written(entries(1, 3))
+        whole = self.segment().read_bytes()
+        self.written(entries(4, 8))
+        torn = self.segment().read_bytes()
+        hole = bytes(64) + torn[len(whole) + 64 :]
+        self.segment().write_bytes(whole + hole)
+        self.assertEqual(3, self.open().group("g").last)
+
+    def test_damage_before_a_synced_batch_stops_the_replica(self) -> None:
+        """A sector of the disk decays under an acknowledged record.
+
+        The operator reads which file, where, and what to do; cutting there
+        would lose records unseen.
+        """
+        self.written(entries(1, 3), entries(4, 5))
+        content = bytearray(self.segment().read_bytes())
+        content[content.find(b"2/1") + 1] ^= 1
+        self.segment().write_bytes(content)
+        exc = self.assertRaises(DamagedLogError, self.open)
+        for part in (str(self.segment()), "offset", "catkinpin repair"):
+            self.assertIn(part, str(exc))
+
+    def test_damage_found_while_reading(self) -> None:
+        opened = self.open()
+        log = opened.group("g")
+        log.append(entries(1, 3))
+        opened.sync()
+        content = bytearray(self.segment().read_bytes())
+        content[content.find(b"2/1") + 1] ^= 1
+        self.segment().write_bytes(content)
+        self.assertRaises(DamagedLogError, log.read, 2)
+        self.assertEqual(entries(3, 3)[0], log.read(3))
+
+    def test_missing_segment_stops_the_replica(self) -> None:
+        """Someone removes a file of the log by hand."""
+        opened = self.open(size=400)
+        log = opened.group("g")
+        for index in range(1, 9):
+            log.append(entries(index, index))
+            opened.sync()
+        self.close(opened)
+        paths = sorted((self.folder / "log").iterdir())
+        paths[len(paths) // 2].unlink()
+        self.assertRaises(DamagedLogError, self.open)
+
+    def test_unknown_versions_are_refused(self) -> None:
+        self.written(entries(1, 3))
+        path = self.segment()
+        content = bytearray(path.read_bytes())
+        content[len(segments.MAGIC)] = 99
+        path.write_bytes(content)
+        exc = self.assertRaises(StorageError, self.open)
+        self.assertIn("version 99", str(exc))
+
+    def test_two_processes_on_one_folder(self) -> None:
+        """An operator starts a replica twice; the second one says why not."""
+        self.open()
+        exc = self.assertRaises(StorageError, self.open)
+        self.assertIn("another process", str(exc))
+
+
+class FailingDiskTest(StorageTestCase):
+    """A disk that is full, or that fails to sync."""
+
+    def test_after_a_failed_sync_nothing_is_taken(self) -> None:
+        """The disk fails a sync, and the next one would seem to succeed.
+
+        The operating system drops what it could not write, so the second
+        success says nothing about the first records.
+        """
+        broken: list[int] = []
+
+        def fdatasync(fd: int) -> None:
+            if broken:
+                broken.clear()
+                raise OSError(errno.EIO, "input/output error")
+            os.fdatasync(fd)
+
+        self.check_refuses(files.FileOps(fdatasync=fdatasync), broken)
+
+    def test_on_a_full_disk_nothing_is_taken(self) -> None:
+        """The disk is full in the midst of a batch."""
+        broken: list[int] = []
+
+        def pwrite(fd: int, data: memoryview, offset: int) -> int:
+            if broken:
+                raise OSError(errno.ENOSPC, "no space left on device")
+            return os.pwrite(fd, data, offset)
+
+        self.check_refuses(files.FileOps(pwrite=pwrite), broken)
+
+    def check_refuses(self, ops: files.FileOps, broken: list[int]) -> None:
+        opened = self.open(ops)
+        log = opened.group("g")
+        log.append(entries(1, 3))
+        opened.sync()
+        broken.append(1)
+        log.append(entries(4, 4))
+        self.assertRaises(StorageError, opened.sync)
+        broken.clear()
+        self.assertRaises(StorageError, opened.sync)
+        self.assertRaises(StorageError, log.append, entries(5, 5))
+        self.close(opened)
+        self.assertIn(self.open().group("g").last, (3, 4))
+
+
+class KeptRecordsTest(StorageTestCase):
+    """Records that a snapshot refers to outlive the log."""
+
+    def test_referenced_records_outlive_segments_and_restarts(self) -> None:
+        opened = self.open(size=2_000)
+        log, other = opened.group("g"), opened.group("other")
+        refs: list[int] = []
+        for first in range(1, 200, 10):
+            log.append(entries(first, first + 9))
+            opened.sync()
+            refs.append(first)
+            self.snapshot(log, first + 9, first + 5, refs)
+            opened.collect()
+            self.assertEqual(first + 5, log.base)
+        other.append(entries(1, 1))
+        opened.sync()
+        count = opened.count()
+        self.assertLess(count, 12)
+        for _ in range(2):
+            for index in refs:
+                self.assertEqual(entries(index, index)[0], log.read(index))
+            self.assertRaises(StorageError, log.read, 2)
+            self.assertEqual(entries(200, 200)[0], log.read(200))
+            self.close(opened)
+            opened = self.open(size=2_000)
+            log = opened.group("g")
+        self.assertEqual(1, opened.group("other").last)
+        taken = log.load_snapshot()
+        assert taken is not None
+        self.assertEqual(b"state at 200", taken.data)
+
+    def test_idle_group_is_named_for_what_it_pins(self) -> None:
+        opened = self.open(size=2_000)
+        opened.group("idle").append(entries(1, 1))
+        log = opened.group("g")
+        for first in range(1, 100, 10):
+            log.append(entries(first, first + 9))
+            opened.sync()
+        self.snapshot(log, 100, 100, [])
+        opened.collect()
+        self.assertEqual(["idle"], opened.pinning())
+        self.snapshot(opened.group("idle"), 1, 1, [])
+        opened.collect()
+        self.assertEqual(1, opened.count())
+
+    def test_snapshot_of_another_replica(self) -> None:
+        opened = self.open()
+        log = opened.group("g")
+        log.append(entries(1, 3))
+        opened.sync()
+        log.keep(entries(20, 20)[0])
+        description = snapshots.Description(
+            group="g",
+            index=50,
+            term=4,
+            members=Members(),
+            referenced=snapshots.pack(array.array("Q", [20])),
+        )
+        log.install(snapshots.Snapshot(description, b"s"), keeps_tail=False)
+        log.append(entries(51, 52, term=4))
+        opened.sync()
+        self.close(opened)
+        log = self.open().group("g")
+        self.assertEqual((50, 4, 52), (log.base, log.base_term, log.last))
+        self.assertEqual(entries(20, 20)[0], log.read(20))
+        self.assertRaises(StorageError, log.read, 3)
+
+    def test_crash_at_each_step_of_a_snapshot(self) -> None:
+        """The process dies between any two operations of a truncation.
+
+        The old snapshot or the new one is there, and never neither.
+        """
+        limit = 0
+        while not self.truncate(limit):
+            limit += 1
+        self.assertGreater(limit, 20)
+
+    def truncate(self, limit: int) -> bool:
+        """Truncates until the disk dies; returns whether it lasted."""
+        left = [limit]
+
+        def alive() -> None:
+            left[0] -= 1
+            if left[0] < 0:
+                raise OSError(errno.EIO, "dead")
+
+        def pwrite(fd: int, data: memoryview, offset: int) -> int:
+            alive()
+            return os.pwrite(fd, data, offset)
+
+        def sync(fd: int) -> None:
+            alive()
+            os.fsync(fd)
+
+        self.folder = self.folder / "next"
+        self.folder.mkdir()
+        self.written(entries(1, 30))
+        ops = files.FileOps(pwrite=pwrite, fdatasync=sync, fsync=sync)
+        opened = None
+        try:
+            opened = self.open(ops, size=100)
+            log = opened.group("g")
+            self.snapshot(log, 10, 10, [2])
+            opened.collect()
+            self.snapshot(log, 20, 18, [2, 15])
+            opened.collect()
+        except (OSError, StorageError):
+            if opened is None:
+                return False
+        assert opened is not None
+        self.close(opened)
+        again = self.open()
+        log = again.group("g")
+        self.assertEqual(30, log.last)
+        self.assertEqual(entries(2, 2)[0], log.read(2))
+        self.close(again)
+        return left[0] >= 0
