Kill, freeze, cut off and wipe real replica processes

The writer of a silent stream cancels the call, the reader got that as its own cancellation, and the link's task ended. A frozen leader that woke up so stayed without news for ever (the frozen-leader test failed for that, 20 s in vain). The link now tells the two apart.

--- a/catkinpin/adapters/groups.py
+++ b/catkinpin/adapters/groups.py
@@ -273,6 +273,7 @@
                 self._apply(first, last)
             case commands.Lead(leading):
                 self._leading = leading
+                metrics.LEADS.labels(self.name).set(leading)
                 self._machine.leadership(leading)
             case commands.Fetch(sender, offer):
                 self._begin_fetch(sender, offer)
--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -260,6 +260,12 @@
             writer = asyncio.ensure_future(self._write(stream, rpc))
             try:
                 await self._read(stream, rpc)
+            except asyncio.CancelledError:
+                # The writer cancels the call of a stream that went silent,
+                # and the reader gets that as its own cancellation: the link
+                # would end here and never connect again.
+                if _is_cancelled():
+                    raise
             finally:
                 stream.close()
                 writer.cancel()
@@ -300,6 +306,11 @@
                 )
 
 
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 _asks = itertools.count(1)
 
 
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -39,6 +39,9 @@
 PEER_BYTES = Counter(
     "catkinpin_peer_bytes_total", "Bytes sent to other processes.", ["peer"]
 )
+LEADS = Gauge(
+    "catkinpin_group_leads", "Whether this replica leads a group.", ["group"]
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
--- /dev/null
+++ b/tests/test_replicas.py
@@ -0,0 +1,273 @@
+"""Replicas as real processes that are killed, frozen, cut off and wiped."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from typing import TYPE_CHECKING, Any
+
+from catkinpin import configuration
+from tests import base
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Awaitable, Callable
+
+_KEY = configuration.key_digest(base.OPERATOR_KEY)
+_GROUP = "shard-0"
+
+
+class ReplicasTest(base.TestCase):
+    """Three replicas, an entry, and a service whose effects count."""
+
+    def start(
+        self, main: Callable[[base.Cluster], Awaitable[None]], proxied: bool
+    ) -> None:
+        """Runs `main` with a cluster that serves."""
+
+        async def whole() -> None:
+            cluster = base.Cluster(self.folder)
+            async with cluster:
+                if proxied:
+                    add_proxied_replicas(cluster)
+                else:
+                    cluster.add_replicas(3, operator_key_sha256=_KEY)
+                cluster.add_entry("entry-1")
+                cluster.add_fake("service", "service-1")
+                await cluster.apply(base.config())
+                await cluster.ready("entry-1")
+                await cluster.serving("entry-1", "kiosk-app", "service")
+                await main(cluster)
+
+        self.run_async(whole())
+
+    async def pay(self, cluster: base.Cluster, order: str) -> None:
+        """Makes a call that must not be repeated, and checks its answer."""
+        reply = await cluster.call_service(
+            "entry-1",
+            "kiosk-app",
+            "pay",
+            "12.50",
+            headers={"Idempotency-Key": order},
+        )
+        self.assertEqual(200, reply.status, reply.body)
+        self.assertEqual(order, reply.json["done"])
+
+    async def paid_once(self, cluster: base.Cluster, *orders: str) -> None:
+        """Checks the effects, and that a resend gets the stored answer."""
+        for order in orders:
+            await self.pay(cluster, order)
+        effects = (await cluster.look("service-1"))["effects"]
+        self.assertEqual([1] * len(orders), [effects[o] for o in orders])
+
+    def test_leader_is_killed_during_a_call(self) -> None:
+        """The process of the shard's leader dies while a service acts.
+
+        The caller gets its answer a moment later, and nothing is done twice.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            await self.pay(cluster, "before")
+            await cluster.steer("service-1", delay_ms=300)
+            call = asyncio.create_task(self.pay(cluster, "during"))
+            await acting(cluster, "during")
+            leader = await leader_of(cluster)
+            cluster.processes[leader].kill()
+            await call
+            await cluster.steer("service-1", delay_ms=0)
+            await self.pay(cluster, "after")
+            await self.paid_once(cluster, "before", "during", "after")
+            cluster.processes[leader].start()
+            await cluster.ready(leader)
+
+        self.start(main, proxied=False)
+
+    def test_leader_is_frozen_and_wakes(self) -> None:
+        """The host of the leader stands still for seconds, then goes on.
+
+        The others serve meanwhile; the one that wakes up decides nothing.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            await cluster.steer("service-1", delay_ms=300)
+            call = asyncio.create_task(self.pay(cluster, "during"))
+            await acting(cluster, "during")
+            old = await leader_of(cluster)
+            cluster.processes[old].signal(signal.SIGSTOP)
+            await call
+            await cluster.steer("service-1", delay_ms=0)
+            await self.pay(cluster, "frozen")
+            new = await leader_of(cluster, but=old)
+            cluster.processes[old].signal(signal.SIGCONT)
+            await cluster.ready(old)
+            self.assertEqual(new, await leader_of(cluster))
+            await self.paid_once(cluster, "during", "frozen")
+
+        self.start(main, proxied=False)
+
+    def test_planned_stop_of_the_leader(self) -> None:
+        """An operator stops the leader's process while calls come in.
+
+        None fails, and none waits for an election timeout.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            leader = await leader_of(cluster)
+            stop = asyncio.create_task(
+                asyncio.to_thread(cluster.processes[leader].stop)
+            )
+            slowest = 0.0
+            number = 0
+            while not stop.done() or number < 20:
+                begun = time.monotonic()
+                await self.pay(cluster, f"order-{number}")
+                slowest = max(slowest, time.monotonic() - begun)
+                number += 1
+            self.assertEqual(0, await stop)
+            self.assertLess(slowest, 0.5)
+            orders = [f"order-{n}" for n in range(number)]
+            await self.paid_once(cluster, *orders)
+
+        self.start(main, proxied=False)
+
+    def test_leader_hears_nothing_but_is_heard(self) -> None:
+        """What is sent to the leader's host is lost, what it sends arrives.
+
+        It would go on as leader for ever, and its callers would wait; it
+        steps down by itself and another serves them.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            await self.pay(cluster, "before")
+            old = await leader_of(cluster)
+            await cluster.steer(f"proxy-{old}", up_silent=True)
+            await self.pay(cluster, "cut")
+            await leader_of(cluster, but=old)
+            await cluster.steer(f"proxy-{old}", up_silent=False)
+            await cluster.ready(old)
+            await self.paid_once(cluster, "before", "cut")
+
+        self.start(main, proxied=True)
+
+    def test_second_host_is_lost_right_after_a_repair(self) -> None:
+        """A disk is lost and repaired, and then another host dies.
+
+        The operator ran one command and read that it is safe; callers find
+        all their answers, and new calls are served.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            orders = [f"order-{n}" for n in range(20)]
+            for order in orders:
+                await self.pay(cluster, order)
+            lost = await leader_of(cluster)
+            wipe(cluster, lost)
+            code, out = await repair(cluster, lost)
+            self.assertEqual((0, True), (code, out.startswith("safe")), out)
+            others = [n for n in ("replica-1", "replica-2", "replica-3")]
+            others.remove(lost)
+            shutil.rmtree(self.folder / others[0])
+            cluster.processes[others[0]].kill()
+            await self.paid_once(cluster, *orders, "after")
+
+        self.start(main, proxied=False)
+
+    def test_wiped_replica_waits_for_the_operator(self) -> None:
+        """A replica starts with an empty folder, maybe by a wrong mount.
+
+        It takes no part by itself, and its readiness says why.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            wipe(cluster, "replica-2")
+
+            async def says_why() -> bool:
+                url = f"http://{cluster.admin['replica-2']}/health/ready"
+                async with cluster.http.get(url) as resp:
+                    return "catkinpin repair" in await resp.text()
+
+            await base.until(says_why, "the replica asks for a repair")
+            await self.pay(cluster, "with-two")
+
+        self.start(main, proxied=False)
+
+
+def add_proxied_replicas(cluster: base.Cluster) -> None:
+    """Starts replicas that are reached through a proxy each."""
+    ports = base.free_ports(6)
+    for number in range(3):
+        name = f"replica-{number + 1}"
+        proxy = cluster.add_proxy(f"proxy-{name}", f"127.0.0.1:{ports[number]}")
+        cluster.replicas.append(proxy)
+    for number, advertised in enumerate(cluster.replicas):
+        name = f"replica-{number + 1}"
+        cluster.admin[name] = f"127.0.0.1:{ports[number + 3]}"
+        cluster.spawn(
+            name,
+            "catkinpin replica",
+            name=name,
+            peer_listen=f"127.0.0.1:{ports[number]}",
+            peer_advertise=advertised,
+            admin_listen=cluster.admin[name],
+            data_folder=cluster.folder / name,
+            replicas=cluster.replicas,
+        )
+
+
+async def leader_of(cluster: base.Cluster, but: str = "") -> str:
+    """Waits until one replica, and not `but`, leads the shard."""
+    names = [name for name in cluster.admin if name.startswith("replica")]
+
+    async def leads(name: str) -> bool:
+        url = f"http://{cluster.admin[name]}/metrics"
+        async with cluster.http.get(url) as resp:
+            text = await resp.text()
+        return f'catkinpin_group_leads{{group="{_GROUP}"}} 1.0' in text
+
+    async def find() -> Any:
+        found = []
+        for name in names:
+            if name != but and await leads(name):
+                found.append(name)
+        return found[0] if len(found) == 1 else None
+
+    leader: str = await base.until(find, f"a leader other than {but!r}")
+    return leader
+
+
+async def acting(cluster: base.Cluster, order: str) -> None:
+    """Waits until the service acts on an order."""
+
+    async def check() -> bool:
+        return order in (await cluster.look("service-1"))["effects"]
+
+    await base.until(check, f"the service acts on {order}")
+
+
+def wipe(cluster: base.Cluster, name: str) -> None:
+    """Kills a replica and starts it on an empty data folder."""
+    cluster.processes[name].kill()
+    folder: pathlib.Path = cluster.folder / name
+    shutil.rmtree(folder)
+    cluster.processes[name].start()
+
+
+async def repair(cluster: base.Cluster, name: str) -> tuple[int, str]:
+    """Runs the operator's command until the replica can be repaired."""
+    command = [sys.executable, "-m", "catkinpin", "repair"]
+    command += [f"http://{cluster.admin[name]}"]
+    command += ["--operator-key", base.OPERATOR_KEY]
+
+    async def run() -> Any:
+        done = await asyncio.to_thread(
+            subprocess.run, command, capture_output=True, cwd=base.ROOT
+        )
+        out = done.stdout.decode() + done.stderr.decode()
+        return None if done.returncode == 1 else (done.returncode, out)
+
+    code, out = await base.until(run, "the repair command is taken")
+    return code, out
