Settle every attempt, keep places free, chain ends and releases

Cause: the state machine burned the place of a call that had not run, kept a call running for ever when its entry was gone or its waiter had left, never released engine memory and could not be snapshotted.

Retry budgets, admission and outlier ejection are soft state of the leader.

Ruled out: storing every refusal (a refused call could never be resent) and granting again on a resend (the first grant may be in use).

--- a/catkinpin/adapters/callers.py
+++ b/catkinpin/adapters/callers.py
@@ -234,6 +234,7 @@
         ),
         region=entry.cfg.region,
         traceparent=req.headers.get("traceparent", ""),
+        once="catkinpin-program" not in req.headers,
     )
 
 
--- a/catkinpin/adapters/calls.py
+++ b/catkinpin/adapters/calls.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from catkinpin import metrics, tracing
-from catkinpin.adapters import dispatch, peers, shards
+from catkinpin.adapters import dispatch, grants, peers, shards
 from catkinpin.core import messages, routing
 from catkinpin.exceptions import PeerLostError
 from catkinpin.verdicts import Reason, Verdict
@@ -88,6 +88,7 @@
         self._shard_count = shard_count
         self._link_to = link_to
         self._relayed: dict[int, Callable[[bytes], None]] = {}
+        self._grants = grants.Grants()
         self.running: set[asyncio.Task[None]] = set()
 
     def start(self, req: CallRequest) -> RunningCall:
@@ -107,6 +108,22 @@
             return
         on_data(chunk.data)
 
+    def recalled(self, recall: messages.Recall) -> None:
+        """Answers a leader that takes a grant back."""
+        state = self._grants.recall(recall.attempt)
+        if state is grants.GrantState.IN_USE:
+            return
+        not_run = state is grants.GrantState.REVOKED
+        finish = messages.Finish(
+            ask=0,
+            key=recall.key,
+            attempt=recall.attempt,
+            verdict=Verdict.NOT_RUN if not_run else Verdict.MAY_HAVE_RUN,
+            reason=Reason.NOT_READY if not_run else Reason.OUTCOME_UNKNOWN,
+            text="the grant was taken back",
+        )
+        self._replicas.broadcast(finish)
+
     def _done(self, task: asyncio.Task[None]) -> None:
         self.running.discard(task)
         metrics.IN_FLIGHT.set(len(self.running))
@@ -141,14 +158,20 @@
             with tracing.hop("begin", traceparent):
                 reply = await self._begin(group, req, deadline)
             while isinstance(reply, messages.Granted):
+                if not self._grants.use(reply.attempt):
+                    reply = await self._begin(group, req, deadline)
+                    continue
                 verdict = Verdict.MAY_HAVE_RUN
                 left_ms = int((deadline - loop.time()) * 1000)
                 finish = await self._attempt(
                     reply, req, call, left_ms, traceparent
                 )
                 verdict = finish.verdict
-                with tracing.hop("finish", traceparent):
-                    reply = await self._finish(group, finish)
+                try:
+                    with tracing.hop("finish", traceparent):
+                        reply = await self._finish(group, finish)
+                finally:
+                    self._grants.over(finish.attempt)
         except PeerLostError:
             text = "the shard's leader did not answer in time"
             return _refusal(Reason.NO_LEADER, text, verdict)
--- a/catkinpin/adapters/dispatch.py
+++ b/catkinpin/adapters/dispatch.py
@@ -108,6 +108,44 @@
                     return attempt.not_run(Reason.SERVER_FAILED, text)
                 return attempt.failed(Reason.SERVER_FAILED, text, crashed=True)
 
+    async def release(
+        self, order: messages.OrderRelease
+    ) -> messages.ReleaseDone | None:
+        """Orders a server to release the memory of programs.
+
+        Returns:
+            What it released, or None where it answered nothing.
+        """
+        url = order.server.address + "/v1/programs/release"
+        released = []
+        incarnation = ""
+        try:
+            for program in order.programs:
+                async with self._engines.post(
+                    url,
+                    json={"program": program},
+                    timeout=self._client_timeout(),
+                ) as resp:
+                    resp.raise_for_status()
+                    answer = await resp.json()
+                # Orders to another life of the server prove nothing here.
+                if answer["incarnation"] != order.server.incarnation:
+                    break
+                incarnation = order.server.incarnation
+                released.append(program)
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as exc:
+            log.warning(
+                "release failed: %s", exc, extra={"server": order.server.server}
+            )
+        if not released:
+            return None
+        return messages.ReleaseDone(
+            group=order.group,
+            server=order.server.server,
+            incarnation=incarnation,
+            programs=released,
+        )
+
     def _headers(
         self, grant: messages.Granted, req: Outgoing, traceparent: str
     ) -> dict[str, str]:
--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/shardhost.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import codec, configuration, tracing
@@ -14,9 +15,17 @@
     scheduler,
     shard,
 )
+from catkinpin.core.commands import (
+    Command,
+    Propose,
+    Send,
+    SendAnswer,
+    SendGrant,
+)
 
 if TYPE_CHECKING:
     import pathlib
+    from collections.abc import Iterable
 
     from catkinpin.adapters import peers
     from catkinpin.replica import Replica
@@ -33,7 +42,7 @@
         self._replica = replica
         self._leading = False
         self.cfg = configuration.Configuration()
-        self.state = shard.Shard(name)
+        self.state = shard.Shard(name, replica.cfg.shards)
         self.leader = self._new_leader()
         self.group = groups.Group(name, data_folder, self)
 
@@ -49,16 +58,36 @@
         now = self._replica.clock.now_ms()
         wall = self._replica.clock.wall_ms()
         decisions = self.scheduler.tick(now)
-        self._run(self.leader.decided(decisions, wall))
+        self._run(self.leader.decided(decisions, now, wall))
+        self._run(self.leader.tick(now, wall))
+
+    def reported(self, report: messages.ServerReport, made_ms: int) -> None:
+        """Takes a server's report, made at a monotonic time."""
+        self.leader.reported(report, made_ms)
+
+    def entry_connected(self, stream: peers.Stream) -> None:
+        """Notes an entry's new stream."""
+        commands = self.leader.entry_connected(entry_ref(stream))
+        if self._leading:
+            self._run(commands)
+
+    def entry_lost(self, stream: peers.Stream) -> None:
+        """Notes that an entry's stream broke."""
+        now = self._replica.clock.now_ms()
+        self.leader.entry_lost(entry_ref(stream), now)
 
     def _new_leader(self) -> leader.ShardLeader:
         self.scheduler = scheduler.Scheduler(
             self._replica.view, placement.sticky
         )
-        return leader.ShardLeader(self.state, self.scheduler, self.cfg)
+        rng = random.Random()
+        return leader.ShardLeader(self.state, self.scheduler, self.cfg, rng)
 
     def handle(self, stream: peers.Stream, message: Any) -> None:
         """Takes an entry's message for this shard."""
+        if isinstance(message, messages.ReleaseDone):
+            self._release_done(message)
+            return
         if not self.group.is_leader():
             stream.send(
                 messages.NotLeader(
@@ -71,7 +100,7 @@
         entry = entry_ref(stream)
         now = self._replica.clock.now_ms()
         wall = self._replica.clock.wall_ms()
-        commands: list[leader.Command] = []
+        commands: list[Command] = []
         match message:
             case messages.Begin():
                 with tracing.hop("leader.begin", message.traceparent):
@@ -84,6 +113,11 @@
                 commands = self.leader.end_program(entry, message, wall)
         self._run(commands)
 
+    def _release_done(self, done: messages.ReleaseDone) -> None:
+        if self.group.is_leader():
+            wall = self._replica.clock.wall_ms()
+            self._run(self.leader.release_done(done, wall))
+
     def apply(self, index: int, payload: bytes) -> None:
         """Applies a committed record; only a leader acts on its effects."""
         record = _decoder.decode(payload)
@@ -97,46 +131,50 @@
     def leadership(self, leading: bool) -> None:
         """Takes up or lays down the leader's part."""
         self._leading = leading
-        if leading:
-            self.leader = self._new_leader()
+        if not leading:
+            return
+        self.leader = self._new_leader()
+        for stream in self._replica.entry_streams():
+            self.leader.entry_connected(entry_ref(stream))
+        now = self._replica.clock.now_ms()
+        self._run(self.leader.start(now, self._replica.clock.wall_ms()))
 
     def snapshot(self) -> bytes:
         """Returns the state without the texts."""
-        raise NotImplementedError
+        return self.state.snapshot()
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by a snapshot."""
-        raise NotImplementedError
+        self.state.restore(data)
 
-    def referenced(self) -> list[int]:
+    def referenced(self) -> Iterable[int]:
         """Returns the log indexes whose records are still read."""
-        raise NotImplementedError
+        return self.state.referenced()
 
-    def _run(self, commands: list[leader.Command]) -> None:
+    def _run(self, commands: list[Command]) -> None:
         for command in commands:
             match command:
-                case leader.Propose():
+                case Propose():
                     self.group.propose(codec.encode(command.record))
-                case leader.Send():
+                case Send():
                     self._replica.send(command.to, command.message)
-                case leader.SendAnswer():
+                case SendAnswer():
                     self._replica.send(command.to, self._answer(command))
-                case leader.SendGrant():
+                case SendGrant():
                     self._replica.send(command.to, self._grant(command))
 
-    def _answer(self, command: leader.SendAnswer) -> messages.Finished:
-        call = command.call
-        record = _decoder.decode(self.group.read(call.record_index))
+    def _answer(self, command: SendAnswer) -> messages.Finished:
+        record = _decoder.decode(self.group.read(command.record_index))
         return messages.Finished(
             ask=command.ask,
-            key=call.begin.key,
+            key=command.key,
             attempt=record.attempt,
             answer=record.answer,
-            seq=call.seq,
+            seq=command.seq,
             usage=record.usage,
         )
 
-    def _grant(self, command: leader.SendGrant) -> messages.Granted:
+    def _grant(self, command: SendGrant) -> messages.Granted:
         texts = []
         for item in command.history:
             record = _decoder.decode(self.group.read(item.record_index))
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -11,6 +11,7 @@
     | messages.Finish
     | messages.GetProgram
     | messages.EndProgram
+    | messages.ReleaseDone
     | messages.Reports
     | changes.ConfigConfirmed
     | changes.Apply
@@ -23,6 +24,8 @@
     | messages.Refused
     | messages.NotLeader
     | messages.ProgramInfo
+    | messages.Recall
+    | messages.OrderRelease
     | changes.ConfigUpdate
     | changes.Applied
 )
--- /dev/null
+++ b/catkinpin/core/commands.py
@@ -0,0 +1,65 @@
+"""Commands of a shard's leader to the replica around it."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from catkinpin.core import messages, records
+    from catkinpin.core.history import HistoryItem
+    from catkinpin.core.messages import CallKey
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryRef:
+    """An entry that asks, in its present life."""
+
+    process: str
+    incarnation: str
+    region: str
+    address: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Propose:
+    """Append this record to the shard's log."""
+
+    record: records.ShardRecord
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """Send this message to an entry."""
+
+    to: EntryRef
+    message: (
+        messages.Granted
+        | messages.Refused
+        | messages.ProgramInfo
+        | messages.Recall
+        | messages.OrderRelease
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class SendAnswer:
+    """Read the answer in the log and send it to an entry."""
+
+    to: EntryRef
+    ask: int
+    key: CallKey
+    seq: int
+    record_index: int
+
+
+@dataclasses.dataclass(frozen=True)
+class SendGrant:
+    """Read the stored messages in the log and send the grant."""
+
+    to: EntryRef
+    grant: messages.Granted
+    history: list[HistoryItem]
+
+
+Command = Propose | Send | SendAnswer | SendGrant
--- a/catkinpin/core/messages.py
+++ b/catkinpin/core/messages.py
@@ -95,6 +95,7 @@
         max_tokens: most tokens the caller wants generated.
         region: region of the entry that the caller is connected to.
         traceparent: W3C trace context of the caller's span.
+        once: whether the caller named no program, so that none continues.
     """
 
     ask: int
@@ -112,6 +113,7 @@
     max_tokens: int = 0
     region: str = ""
     traceparent: str = ""
+    once: bool = False
 
 
 class ServerRef(Message, frozen=True):
@@ -176,6 +178,45 @@
     crashed: bool = False
 
 
+class Recall(Message, frozen=True):
+    """Takes a grant back unless the entry has used it.
+
+    The entry answers with a `Finish`: `NOT_RUN` where it never used the grant,
+    and then refuses to use it later; `MAY_HAVE_RUN` where it used the grant
+    and no longer knows the outcome. While the attempt is under way there is
+    no answer; its own `Finish` comes.
+    """
+
+    key: CallKey
+    attempt: str
+
+
+class OrderRelease(Message, frozen=True):
+    """Has an entry order a server to release the memory of programs.
+
+    Attributes:
+        group: the log group whose leader asks.
+        programs: `ACCOUNT/PROGRAM`, as the engine knows them.
+    """
+
+    group: str
+    server: ServerRef
+    programs: list[str]
+
+
+class ReleaseDone(Message, frozen=True):
+    """The server confirmed the release.
+
+    Attributes:
+        incarnation: the life of the server that confirmed.
+    """
+
+    group: str
+    server: str
+    incarnation: str
+    programs: list[str]
+
+
 class Finished(Message, frozen=True):
     """The final answer of a call, durable in the shard's log."""
 
--- /dev/null
+++ b/catkinpin/core/placing.py
@@ -0,0 +1,233 @@
+"""Between a shard's leader and its scheduler: jobs in, outcomes out."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from catkinpin.core import scheduler
+from catkinpin.core.limits import Caps
+from catkinpin.core.records import ProgramLimits
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.configuration import Deployment
+    from catkinpin.core.messages import Begin, CallKey
+    from catkinpin.core.outliers import Outliers
+    from catkinpin.core.program import Attempt, Call, Program
+    from catkinpin.core.scheduler import Decision, Job, Scheduler
+    from catkinpin.core.servers import Server
+    from catkinpin.core.shard import Shard
+    from catkinpin.verdicts import Reason
+
+# A suspect that finds no server without another suspect tries again.
+_SUSPECT_WAIT_MS = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class Placed:
+    """The call gets this server."""
+
+    key: CallKey
+    server: Server
+
+
+@dataclasses.dataclass(frozen=True)
+class Later:
+    """The call must be placed again after a while."""
+
+    key: CallKey
+    wait_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """The call gets no server."""
+
+    key: CallKey
+    reason: Reason
+    text: str
+    retry_after_ms: int
+
+
+Outcome = Placed | Later | Rejected
+
+
+@dataclasses.dataclass(frozen=True)
+class Submitted:
+    """What came of a new call.
+
+    Attributes:
+        own: outcomes of the call itself; none while it is queued.
+        others: decisions about other calls.
+    """
+
+    own: list[Outcome]
+    others: list[Decision]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Aboard:
+    """Where a suspect runs."""
+
+    server: str
+    content: bytes
+
+
+class Placing:
+    """Submits calls, keeping suspects apart and outliers out.
+
+    Args:
+        state: the shard's state, only read here.
+        jobs: the scheduler.
+        outliers: servers that get no work for a while.
+        deployment_of: the deployment that lets a call run, or None.
+    """
+
+    def __init__(
+        self,
+        state: Shard,
+        jobs: Scheduler,
+        outliers: Outliers,
+        deployment_of: Callable[[Begin], Deployment | None],
+    ) -> None:
+        self._shard = state
+        self._scheduler = jobs
+        self._outliers = outliers
+        self._deployment_of = deployment_of
+        self._jobs: dict[CallKey, Job] = {}
+        self._suspects: dict[CallKey, _Aboard] = {}
+
+    def submit_new(self, begin: Begin, now_ms: int) -> Submitted:
+        """Submits a call that is not in the log yet."""
+        job = self._job(begin, None, None, now_ms + begin.deadline_ms, now_ms)
+        decisions = self._scheduler.submit(job, now_ms)
+        own = [one for one in decisions if one.key == begin.key]
+        others = [one for one in decisions if one.key != begin.key]
+        outcomes = self.outcomes(own, now_ms)
+        if any(isinstance(outcome, Rejected) for outcome in outcomes):
+            self._jobs.pop(begin.key, None)
+        return Submitted(outcomes, others)
+
+    def submit(
+        self, program: Program, call: Call, now_ms: int, wall_ms: int
+    ) -> list[Decision]:
+        """Submits a call whose turn it is."""
+        deadline = now_ms + call.deadline_wall_ms - wall_ms
+        job = self._job(call.begin, program, call, deadline, now_ms)
+        return self._scheduler.submit(job, now_ms)
+
+    def outcomes(self, decisions: list[Decision], now_ms: int) -> list[Outcome]:
+        """Judges decisions; a call that could be placed otherwise gets that."""
+        found: list[Outcome] = []
+        waiting = list(decisions)
+        while waiting:
+            decision = waiting.pop(0)
+            job = self._jobs.get(decision.key)
+            if isinstance(decision, scheduler.Place):
+                server = decision.server.report.server
+                if job is not None and job.suspect:
+                    if self._with_suspect(job, server):
+                        waiting += self.ended(decision.key, now_ms)
+                        found.append(Later(decision.key, _SUSPECT_WAIT_MS))
+                        continue
+                    aboard = _Aboard(server, job.content)
+                    self._suspects[decision.key] = aboard
+                found.append(Placed(decision.key, decision.server))
+            elif job is not None and job.without:
+                again = self._submit_forgiving(job, now_ms)
+                waiting += again
+                if not again and job.suspect:
+                    found.append(Later(decision.key, _SUSPECT_WAIT_MS))
+            else:
+                found.append(_rejected(decision))
+        return found
+
+    def ended(self, key: CallKey, now_ms: int) -> list[Decision]:
+        """Notes that a call holds no server any more."""
+        self._jobs.pop(key, None)
+        self._suspects.pop(key, None)
+        return self._scheduler.ended(key, now_ms)
+
+    def resume(self, key: CallKey, attempt: Attempt) -> None:
+        """Notes an attempt that an earlier leader granted."""
+        self._scheduler.resume(key, attempt.choice.server.server)
+
+    def _submit_forgiving(self, job: Job, now_ms: int) -> list[Decision]:
+        """Submits a job again that found no server but those it avoids.
+
+        Servers that failed a call once are better than no server. A suspect
+        still keeps off servers that run another suspect.
+        """
+        without = tuple(self._suspect_servers()) if job.suspect else ()
+        if job.suspect and set(job.without) <= set(without):
+            return []
+        job = dataclasses.replace(job, without=without)
+        self._jobs[job.key] = job
+        return self._scheduler.submit(job, now_ms)
+
+    def _with_suspect(self, job: Job, server: str) -> bool:
+        """Returns whether a suspect must not run there now.
+
+        Two on one server could not be told apart when it crashes; one content
+        on two servers could crash both.
+        """
+        return any(
+            aboard.server == server or aboard.content == job.content
+            for aboard in self._suspects.values()
+        )
+
+    def _suspect_servers(self) -> list[str]:
+        return [aboard.server for aboard in self._suspects.values()]
+
+    def _job(
+        self,
+        begin: Begin,
+        program: Program | None,
+        call: Call | None,
+        deadline_ms: int,
+        now_ms: int,
+    ) -> Job:
+        if program is None:
+            program = self._shard.programs.get(begin.key.program_key)
+        deployment = self._deployment_of(begin)
+        content = self._shard.content_of(begin)
+        suspect = self._shard.quarantine.is_suspect(content)
+        without = set(self._outliers.ejected(now_ms))
+        without.update(call.failed_servers if call is not None else ())
+        without.update(self._suspect_servers() if suspect else ())
+        job = scheduler.Job(
+            key=begin.key,
+            kind=begin.kind,
+            target=begin.target,
+            prompt_tokens=begin.prompt_tokens,
+            max_tokens=begin.max_tokens,
+            turns=program.turns if program is not None else 0,
+            attained_tokens=program.spent if program is not None else 0,
+            region=begin.region,
+            last_server=program.last_server if program is not None else "",
+            priority=deployment.priority if deployment is not None else 0,
+            deadline_ms=deadline_ms,
+            without=tuple(sorted(without)),
+            suspect=suspect,
+            content=content,
+        )
+        self._jobs[begin.key] = job
+        return job
+
+
+def _rejected(decision: scheduler.Reject) -> Rejected:
+    return Rejected(
+        decision.key, decision.reason, decision.text, decision.retry_after_ms
+    )
+
+
+def caps_of(deployment: Deployment) -> Caps:
+    """Returns the most open calls at once that a deployment allows."""
+    return Caps()
+
+
+def limits_of(deployment: Deployment) -> ProgramLimits:
+    """Returns the limits of a program of a deployment."""
+    return ProgramLimits(budget_tokens=deployment.budget_tokens)
--- /dev/null
+++ b/catkinpin/core/quarantine.py
@@ -0,0 +1,112 @@
+"""Requests that crash servers: suspects, strikes and quarantine.
+
+A request aboard a server that crashed gets a strike, whether it is at fault
+or not. Suspects run apart from one another, so that the next crash tells them
+apart; an answer clears a suspect. With two strikes the content is quarantined,
+under whatever request id, program or account it comes again.
+
+A broken connection is not yet a crash. A strike is open until the server shows
+the same incarnation again (no crash) or a new one, or stays silent (a crash).
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+CRASHES_ALLOWED = 2
+_MOST_SUSPECTS = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class Strike:
+    """A break of the connection to a server while it held the request."""
+
+    server: str
+    incarnation: str
+    at_ms: int
+    confirmed: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """Content that was aboard when connections broke."""
+
+    strikes: list[Strike] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class Quarantine:
+    """Suspects by content digest, in hex, and what is quarantined."""
+
+    suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
+    refused: set[str] = dataclasses.field(default_factory=set)
+
+    def strike(
+        self, content: bytes, server: str, incarnation: str, at_ms: int
+    ) -> None:
+        """Notes that the request was aboard when its connection broke."""
+        suspect = self.suspects.setdefault(content.hex(), Suspect())
+        suspect.strikes.append(Strike(server, incarnation, at_ms))
+        if len(self.suspects) > _MOST_SUSPECTS:
+            self.suspects.pop(next(iter(self.suspects)))
+
+    def resolve(self, server: str, incarnation: str, crashed: bool) -> None:
+        """Decides the open strikes of one life of a server."""
+        for content, suspect in list(self.suspects.items()):
+            kept = []
+            for strike in suspect.strikes:
+                of_this = (strike.server, strike.incarnation) == (
+                    server,
+                    incarnation,
+                )
+                if of_this and not strike.confirmed:
+                    if not crashed:
+                        continue
+                    strike.confirmed = True
+                kept.append(strike)
+            suspect.strikes = kept
+            if not kept:
+                del self.suspects[content]
+
+    def condemn(self) -> list[bytes]:
+        """Quarantines what was aboard too many crashes; returns what is new."""
+        found = [
+            content
+            for content, suspect in self.suspects.items()
+            if sum(strike.confirmed for strike in suspect.strikes)
+            >= CRASHES_ALLOWED
+        ]
+        for content in found:
+            del self.suspects[content]
+            self.refused.add(content)
+        return [bytes.fromhex(content) for content in found]
+
+    def cleared(self, content: bytes) -> None:
+        """Notes that the request was answered: it crashes nothing."""
+        self.suspects.pop(content.hex(), None)
+
+    def is_refused(self, content: bytes) -> bool:
+        """Returns whether no server may get the content."""
+        return content.hex() in self.refused
+
+    def is_suspect(self, content: bytes) -> bool:
+        """Returns whether the content must run apart from other suspects."""
+        return content.hex() in self.suspects
+
+    def must_wait(self, content: bytes) -> bool:
+        """Returns whether open strikes must be decided before another run.
+
+        A third run while the second break is undecided could cost a third
+        server.
+        """
+        suspect = self.suspects.get(content.hex())
+        return suspect is not None and len(suspect.strikes) >= CRASHES_ALLOWED
+
+    def open_strikes(self) -> list[Strike]:
+        """Returns the strikes that are not decided."""
+        return [
+            strike
+            for suspect in self.suspects.values()
+            for strike in suspect.strikes
+            if not strike.confirmed
+        ]
--- a/catkinpin/core/records.py
+++ b/catkinpin/core/records.py
@@ -29,12 +29,29 @@
     priority: int = 0
 
 
+class ProgramLimits(Message, frozen=True):
+    """What a program with its sub-agents may use, from its deployment.
+
+    Attributes:
+        max_turns: answered calls of the whole tree.
+        max_age_ms: time from the first call.
+        idle_ms: time without a call after which the program is over.
+        retain_ms: how long answers are kept for resends after the end.
+    """
+
+    budget_tokens: int
+    max_turns: int = 1_000
+    max_age_ms: int = 30 * 86_400_000
+    idle_ms: int = 86_400_000
+    retain_ms: int = 600_000
+
+
 class CallBegun(Message, frozen=True):
     """A call was admitted; with a choice, its first attempt starts too."""
 
     at_ms: int
     begin: Begin
-    budget_tokens: int
+    limits: ProgramLimits
     choice: Choice | None = None
 
 
@@ -80,6 +97,44 @@
     reason: str
 
 
+class ProgramsForgotten(Message, frozen=True):
+    """Programs ended so long ago that no resend is expected any more."""
+
+    at_ms: int
+    keys: list[ProgramKey]
+
+
+class MemoryReleased(Message, frozen=True):
+    """A server's incarnation released programs.
+
+    Attributes:
+        empty: whether the server showed this incarnation for the first time,
+            so that what earlier ones held is gone.
+    """
+
+    at_ms: int
+    server: str
+    incarnation: str
+    programs: list[str] = []
+    empty: bool = False
+
+
+class ServerFate(Message, frozen=True):
+    """Whether the life of a server whose connections broke is over."""
+
+    at_ms: int
+    server: str
+    incarnation: str
+    crashed: bool
+
+
 ShardRecord = (
-    CallBegun | AttemptStarted | AttemptFinished | CallRefused | ProgramEnded
+    CallBegun
+    | AttemptStarted
+    | AttemptFinished
+    | CallRefused
+    | ProgramEnded
+    | ProgramsForgotten
+    | MemoryReleased
+    | ServerFate
 )
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -34,7 +34,9 @@
         last_server: the server that last answered the program, or empty.
         priority: of the deployment; higher goes first.
         deadline_ms: monotonic time after which nobody waits for the answer.
-        without: servers that failed this call.
+        without: servers that failed this call, or that failed many.
+        suspect: whether the call was aboard a server that crashed.
+        content: digest of all that a server would get.
     """
 
     key: CallKey
@@ -50,6 +52,8 @@
     priority: int = 0
     deadline_ms: int = 0
     without: tuple[str, ...] = ()
+    suspect: bool = False
+    content: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/catkinpin/entry.py
+++ b/catkinpin/entry.py
@@ -144,12 +144,31 @@
             link.send(self._batch(list(self._reports)))
 
     def _on_message(self, message: Any) -> None:
-        if isinstance(message, changes.ConfigUpdate):
-            revision = self.configured.take(message)
-            if revision:
-                self.replicas.broadcast(
-                    changes.ConfigConfirmed(revision=revision)
+        match message:
+            case changes.ConfigUpdate():
+                revision = self.configured.take(message)
+                if revision:
+                    self.replicas.broadcast(
+                        changes.ConfigConfirmed(revision=revision)
+                    )
+            case messages.Recall():
+                self.calls.recalled(message)
+            case messages.Granted():
+                # Who asked has given up; the grant must not stay outstanding.
+                recall = messages.Recall(
+                    key=message.key, attempt=message.attempt
                 )
+                self.calls.recalled(recall)
+            case messages.OrderRelease():
+                task = asyncio.create_task(self._release(message))
+                self._relays.add(task)
+                task.add_done_callback(self._relays.discard)
+
+    async def _release(self, order: messages.OrderRelease) -> None:
+        """Orders a server to release programs, and confirms what it did."""
+        done = await self._dispatcher.release(order)
+        if done is not None:
+            self.replicas.broadcast(done)
 
     async def _send_reports(self) -> None:
         while True:
--- a/catkinpin/exceptions.py
+++ b/catkinpin/exceptions.py
@@ -45,3 +45,12 @@
     def __init__(self, field: str, text: str) -> None:
         super().__init__(f"{field}: {text}")
         self.field = field
+
+
+class SnapshotVersionError(StorageError):
+    """A snapshot was written by a newer program."""
+
+    def __init__(self, found: int, known: int) -> None:
+        super().__init__(
+            f"the snapshot has version {found}; this program knows {known}"
+        )
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -78,6 +78,10 @@
         if stream is not None:
             stream.send(message)
 
+    def entry_streams(self) -> list[peers.Stream]:
+        """Returns the streams of all entries that are connected."""
+        return list(self._streams.values())
+
     def configuration_changed(self, content: bytes) -> None:
         """Puts a new configuration in force here and sends it on."""
         cfg = configuration.parse(content)
@@ -102,6 +106,8 @@
                 self.control.propose_change(stream, message)
             case changes.ConfigConfirmed():
                 pass
+            case messages.ReleaseDone():
+                self.shards[message.group].handle(stream, message)
             case _:
                 key = message.key
                 if isinstance(key, messages.CallKey):
@@ -113,7 +119,7 @@
         assert stream.hello is not None
         self._streams[stream.hello.incarnation] = stream
         for host in self.shards.values():
-            host.leader.entry_connected(shardhost.entry_ref(stream))
+            host.entry_connected(stream)
         for group in self._groups():
             stream.send(
                 messages.GroupLeader(
@@ -127,12 +133,14 @@
         if self._streams.get(stream.hello.incarnation) is stream:
             del self._streams[stream.hello.incarnation]
             for host in self.shards.values():
-                host.leader.entry_lost(shardhost.entry_ref(stream))
+                host.entry_lost(stream)
 
     def _take_reports(self, reports: messages.Reports) -> None:
         now = self.clock.now_ms()
         for report, age_ms in zip(reports.reports, reports.age_ms, strict=True):
             self.view.report(report, now - age_ms)
+            for host in self.shards.values():
+                host.reported(report, now - age_ms)
 
     async def _tick(self) -> None:
         while True:
