Run the fault matrix of the core: 16 faults at 14 steps, seeded

Cause: nothing showed that the promises hold when a fault strikes between two steps of a call.

A stepped clock drives Shard, ShardLeader and Scheduler among fakes of entries, servers, callers and the log. The checks use what servers saw and callers got.

--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -143,7 +143,7 @@
         self, entry: EntryRef, begin: Begin, now_ms: int, wall_ms: int
     ) -> list[Command]:
         """Admits a call, or attaches to it where it is known already."""
-        waiter = Waiter(entry, begin.ask, now_ms + begin.deadline_ms)
+        waiter = Waiter(entry, begin.ask, now_ms, now_ms + begin.deadline_ms)
         known = self._known(begin.key)
         if known is not None:
             if not same_request(known, begin):
@@ -173,7 +173,7 @@
             due = now_ms + attempts.SETTLE_AFTER_MS
             if found is not None:
                 due = max(due, now_ms + found[1].deadline_wall_ms - wall)
-            self._wait(finish.key, Waiter(entry, finish.ask, due))
+            self._wait(finish.key, Waiter(entry, finish.ask, now_ms, due))
         if not self._is_settled(finish):
             record = records.AttemptFinished(
                 at_ms=wall,
@@ -590,7 +590,7 @@
         self._watch.add(call.key, attempt)
         due = now_ms + _RECALL_AFTER_MS
         self._timers.add(due, _RecallDue(attempt.attempt))
-        return [replies.grant(waiter, effect.program, call, attempt)]
+        return [replies.grant(waiter, effect.program, call, attempt, now_ms)]
 
     def _deployment(self, begin: Begin) -> Deployment | None:
         return self.cfg.deployment_for(begin.key.account, begin.target)
--- a/catkinpin/core/messages.py
+++ b/catkinpin/core/messages.py
@@ -132,8 +132,12 @@
         attempt: id of this dispatch, unique for ever.
         dispatcher: address of the entry that shall dispatch; empty for the
             entry that asked.
-        expires_ms: milliseconds from receipt within which the dispatch must
-            begin; after that the grant must be handed back.
+        expires_ms: milliseconds within which the dispatch must begin, from
+            when the entry sent its question plus `waited_ms`, on the entry's
+            monotonic clock; after that the grant must be handed back. Counted
+            from the receipt, a grant that lay unread in a stopped process
+            would look fresh, and overtake the program's next call.
+        waited_ms: milliseconds that the leader kept the question.
         max_tokens: most tokens that the budget allows.
         skip: how many of the request's messages the history already holds.
         history: stored messages (JSON) that go before the request's own; only
@@ -146,6 +150,7 @@
     server: ServerRef
     dispatcher: str = ""
     expires_ms: int = 0
+    waited_ms: int = 0
     max_tokens: int = 0
     priority: int = 0
     seq: int = 0
--- a/catkinpin/core/replies.py
+++ b/catkinpin/core/replies.py
@@ -83,7 +83,11 @@
 
 
 def grant(
-    waiter: Waiter, program: Program, call: Call, attempt: Attempt
+    waiter: Waiter,
+    program: Program,
+    call: Call,
+    attempt: Attempt,
+    now_ms: int,
 ) -> Command:
     """Returns the grant of an attempt to the entry that asked."""
     begin = call.begin
@@ -94,6 +98,7 @@
         server=attempt.choice.server,
         dispatcher=attempt.choice.dispatcher,
         expires_ms=GRANT_EXPIRES_MS,
+        waited_ms=now_ms - waiter.since_ms,
         max_tokens=attempt.max_tokens,
         priority=attempt.choice.priority,
         seq=call.seq,
--- a/catkinpin/core/waiters.py
+++ b/catkinpin/core/waiters.py
@@ -16,12 +16,14 @@
 
     Attributes:
         ask: number that correlates the reply.
+        since_ms: monotonic time at which the question came.
         deadline_ms: monotonic time by which the reply is due.
         grants: whether the entry takes a grant, or only the final answer.
     """
 
     entry: EntryRef
     ask: int
+    since_ms: int
     deadline_ms: int
     grants: bool = True
 
--- /dev/null
+++ b/tests/test_matrix.py
@@ -0,0 +1,320 @@
+"""The fault matrix of the core: every fault at every step, seeded.
+
+The checks look at what the fake servers saw and what the fake callers got,
+never at the core's own counters.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from catkinpin import digest
+from catkinpin.core import messages
+from catkinpin.verdicts import Verdict
+from tests import base
+from tests.fakes import world as worlds
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.fakes.world import Entry, Server, World
+
+STEPS = (
+    "announce", "begin", "append 1", "grant", "connect", "sent", "first token",
+    "mid", "last token", "finish", "append 2", "last event", "end", "release",
+)  # fmt: skip
+SEEDS = (1, 2)
+_TARGET = "p0"
+_RUN_MS = 60_000
+_LEAVE_MS = 2_000
+
+
+class Struck:
+    """What a fault can act on: the target call's entry, server, program."""
+
+    def __init__(self, world: World, programs: list[worlds.Program]) -> None:
+        self.world = world
+        self.program = programs[0]
+
+    @property
+    def entry(self) -> Entry:
+        sends = self.program.sends
+        return self.world.entries[sends[-1].entry if sends else "e0"]
+
+    @property
+    def server(self) -> Server:
+        seen = [s for s in self.world.seen if s.key.program == _TARGET]
+        return self.world.servers[seen[-1].server if seen else "m0"]
+
+
+def _delay(at: Struck) -> None:
+    entry = at.entry
+    entry.delay = 700
+    at.world.after(1_500, lambda: setattr(entry, "delay", 0))
+
+
+def _silence(at: Struck) -> None:
+    server = at.server
+    server.silent = True
+    at.world.after(4_000, lambda: setattr(server, "silent", False))
+
+
+def _cross(at: Struck) -> None:
+    at.program.send()
+    _delay(at)
+
+
+def _leave(at: Struck) -> None:
+    at.server.leaving_since = at.world.now
+
+
+def _kill_entry_and_leader(at: Struck) -> None:
+    at.world.depose()
+    at.entry.kill()
+
+
+def _kill_server_and_leader(at: Struck) -> None:
+    at.server.kill()
+    at.world.depose()
+
+
+def _duplicate(at: Struck) -> None:
+    at.entry.ask_again()
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fault and what it may cost.
+
+    Attributes:
+        slowest_ms: longest that a call may take from its first sending.
+        unsure: whether a service call's outcome may stay unknown.
+    """
+
+    strike: Callable[[Struck], object]
+    slowest_ms: int
+    unsure: bool = False
+
+
+FAULTS = {
+    "entry killed": Fault(lambda at: at.entry.kill(), 3_600, unsure=True),
+    "entry frozen": Fault(lambda at: at.entry.freeze(1_500), 2_000),
+    "entry frozen long": Fault(
+        lambda at: at.entry.freeze(9_000), 5_600, unsure=True
+    ),
+    "message lost": Fault(lambda at: at.entry.cut(), 700),
+    "message delayed": Fault(_delay, 2_500),
+    "message duplicated": Fault(_duplicate, 500),
+    "messages crossed": Fault(_cross, 2_500),
+    "server killed": Fault(lambda at: at.server.kill(), 500, unsure=True),
+    "server silent": Fault(_silence, 2_600, unsure=True),
+    "leader changed": Fault(lambda at: at.world.depose(), 1_200),
+    "server leaving": Fault(_leave, 500),
+    "configuration changed": Fault(lambda at: at.world.reconfigure(), 500),
+    "resend elsewhere": Fault(lambda at: at.program.send(), 500),
+    "program ended": Fault(lambda at: at.program.stop(), 1_000),
+    "leader and entry": Fault(_kill_entry_and_leader, 4_200, unsure=True),
+    "server and leader": Fault(_kill_server_and_leader, 1_500, unsure=True),
+}
+
+
+class Run:
+    """One cell of the matrix, run to its end."""
+
+    def __init__(self, fault: str, step: str, seed: int) -> None:
+        self.world = worlds.World(seed)
+        self.fault = FAULTS[fault]
+        self.struck_at = 0
+        self.world.run(500)
+        call = 2 + seed % 2
+        self.programs = [
+            worlds.Program(self.world, f"p{i}", "msmm" if i % 2 else "smsm")
+            for i in range(3)
+        ]
+        # One program sends all its calls at once, the later ones first.
+        self.programs += [
+            worlds.Program(self.world, "p3", "s", first=number)
+            for number in (2, 3, 1, 4)
+        ]
+        at = Struck(self.world, self.programs)
+
+        def on_step(name: str, key: messages.CallKey | None) -> None:
+            if self.struck_at or name != step:
+                return
+            if key is not None:
+                wanted = ("", f"{_TARGET}-{call}")
+                if key.program != _TARGET or key.request_id not in wanted:
+                    return
+            elif self.world.now < 1_700:
+                return
+            self.struck_at = self.world.now
+            self.fault.strike(at)
+
+        self.world.on_step = on_step
+        end = self.world.now + _RUN_MS
+        while self.world.now < end and not self.done():
+            self.world.run(250)
+        self.world.run(250)
+
+    def done(self) -> bool:
+        """Returns whether all programs ended and all memory is free."""
+        held = any(server.held for server in self.world.servers.values())
+        return all(program.ended for program in self.programs) and not held
+
+    def problems(self) -> list[str]:
+        """Returns every broken promise."""
+        return [
+            *self._lost(),
+            *self._order(),
+            *self._mixed(),
+            *self._twice(),
+            *self._not_run(),
+            *self._late(),
+            *self._budget(),
+            *self._memory(),
+            *self._leaving(),
+        ]
+
+    def _lost(self) -> list[str]:
+        found = []
+        for program in self.programs:
+            missing = len(program.answers) < len(program.kinds)
+            unsure = None in program.answers and not self.fault.unsure
+            slow = max(program.times, default=0) > self.fault.slowest_ms
+            if (missing and not program.stopped) or unsure or slow:
+                found.append(f"{program.answers} {program.times}")
+        return found
+
+    def _order(self) -> list[str]:
+        found = []
+        last: dict[str, int] = collections.defaultdict(int)
+        for seen in self.world.seen:
+            number = int(seen.key.request_id.rpartition("-")[2])
+            if number < last[seen.key.program]:
+                found.append(f"order: {seen}")
+            last[seen.key.program] = number
+        return found
+
+    def _mixed(self) -> list[str]:
+        found = []
+        for seen in self.world.seen:
+            texts = self._texts(seen.key.program)
+            expected = [digest.of_bytes(text) for text in texts]
+            if seen.prompt != expected[: len(seen.prompt)]:
+                found.append(f"mixed prompt: {seen}")
+        for program in self.programs:
+            for number, body in enumerate(program.answers, program.first):
+                did = f"did {program.name}-{number}".encode()
+                service = program.kinds[number - program.first] == "s"
+                if service and body not in (None, did):
+                    found.append(f"another's answer: {program.name} {body!r}")
+        return found
+
+    def _texts(self, name: str) -> list[bytes]:
+        program = next(p for p in self.programs if p.name == name)
+        texts: list[bytes] = []
+        for number, kind in enumerate(program.kinds, 1):
+            if kind == "m":
+                texts.append(f"ask {name}-{number}".encode())
+                digests = [digest.of_bytes(text) for text in texts]
+                texts.append(worlds.answer_text(digests))
+        return texts
+
+    def _twice(self) -> list[str]:
+        counts = collections.Counter(
+            seen.key.request_id
+            for seen in self.world.seen
+            if seen.server.startswith("s")
+        )
+        return [f"twice: {name}" for name, n in counts.items() if n > 1]
+
+    def _not_run(self) -> list[str]:
+        found = []
+        for sent in self.world.sent:
+            final = sent.final
+            if not isinstance(final, messages.Refused):
+                continue
+            if final.verdict is not Verdict.NOT_RUN:
+                continue
+            if final.text == "" and not sent.done_at:
+                continue
+            again = [
+                other.at
+                for other in self.world.sent
+                if other.key == sent.key and other is not sent
+            ]
+            for seen in self.world.seen:
+                ran = seen.key == sent.key and seen.at >= sent.at
+                if ran and not any(sent.at <= at <= seen.at for at in again):
+                    found.append(f"not-run ran: {seen} {final}")
+        return found
+
+    def _late(self) -> list[str]:
+        return [
+            f"late: {sent}"
+            for sent in self.world.sent
+            if not self._frozen(sent)
+            and (sent.done_at or self.world.now) - sent.at
+            > worlds.DEADLINE_MS + worlds.BOUND_MS
+        ]
+
+    def _frozen(self, sent: worlds.Sent) -> bool:
+        return self.world.entries[sent.entry].frozen
+
+    def _budget(self) -> list[str]:
+        spent: collections.Counter[str] = collections.Counter()
+        for seen in self.world.seen:
+            if seen.server.startswith("m"):
+                spent[seen.key.program] += worlds.TOKENS + seen.max_tokens
+        return [
+            f"budget: {name} {count}"
+            for name, count in spent.items()
+            if count > worlds.BUDGET
+        ]
+
+    def _memory(self) -> list[str]:
+        return [
+            f"held: {server.name} {server.held}"
+            for server in self.world.servers.values()
+            if server.held
+        ]
+
+    def _leaving(self) -> list[str]:
+        found = []
+        for server in self.world.servers.values():
+            since = server.leaving_since
+            for seen in self.world.seen:
+                late = since and seen.at > since + _LEAVE_MS
+                if late and seen.server == server.name:
+                    found.append(f"work for a leaving server: {seen}")
+        return found
+
+
+class MatrixTest(base.TestCase):
+    """A fault strikes a program's call at each of its steps.
+
+    The caller of a program resends what it got no answer to, as the client
+    libraries do. It notices a delay and nothing else; a service call whose
+    outcome nobody can know is reported as such, and is never run again.
+    """
+
+
+def _test_of(fault: str) -> Callable[[MatrixTest], None]:
+    def test(self: MatrixTest) -> None:
+        problems = []
+        for step in STEPS:
+            for seed in SEEDS:
+                run = Run(fault, step, seed)
+                for problem in run.problems():
+                    problems.append(f"{step}, seed {seed}: {problem}")
+        self.assertEqual([], problems)
+
+    test.__doc__ = f"The fault is: {fault}; at each step in turn."
+    return test
+
+
+for _fault in FAULTS:
+    _name = "test_" + _fault.replace(" ", "_")
+    setattr(MatrixTest, _name, _test_of(_fault))
