Lose at most two servers to one request, also when it comes at once

The same content sent eight times at the same moment crashed as many servers.

A content that waits for a server's fate gets no attempt, checked when the record is applied; and a content that no server has answered yet runs at most twice at a time in a shard, once it is suspect only once.

--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -405,7 +405,9 @@
     ) -> list[Command]:
         choice = None
         commands: list[Command] = []
-        if self._is_next(begin):
+        content = self._shard.content_of(begin)
+        waits = self._shard.quarantine.must_wait(content)
+        if self._is_next(begin) and not waits:
             outcomes = self._placing.submit_new(begin, now_ms)
             for outcome in outcomes.own:
                 if isinstance(outcome, placing.Rejected):
@@ -617,6 +619,8 @@
     def _finished(
         self, record: records.AttemptFinished, now_ms: int, wall_ms: int
     ) -> list[Command]:
+        if record.answer is not None:
+            self._placing.answered(record.key)
         watched = self._watch.remove(record.attempt)
         if watched is not None:
             self._judge_server(watched, record, now_ms)
@@ -781,7 +785,7 @@
             return
         self._admission.started(call.key)
         self._watch.add(call.key, call.attempt)
-        self._placing.resume(call.key, call.attempt)
+        self._placing.resume(call, call.attempt)
         due = now_ms + _RECALL_AFTER_MS
         self._timers.add(due, _RecallDue(call.attempt.attempt))
 
--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placing.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
 from catkinpin.core import scheduler
 from catkinpin.core.limits import Caps
+from catkinpin.core.quarantine import CRASHES_ALLOWED
 from catkinpin.core.records import ProgramLimits
 
 if TYPE_CHECKING:
@@ -21,8 +23,10 @@
     from catkinpin.core.shard import Shard
     from catkinpin.verdicts import Reason
 
-# A suspect that finds no server without another suspect tries again.
-_SUSPECT_WAIT_MS = 100
+# A call that must run apart from others tries again after this time.
+_APART_WAIT_MS = 100
+# Contents of which an answer is remembered.
+_KNOWN_GOOD = 10_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,10 +73,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Aboard:
-    """Where a suspect runs."""
+    """Where a call runs."""
 
     server: str
     content: bytes
+    suspect: bool
 
 
 class Placing:
@@ -97,7 +102,10 @@
         self._outliers = outliers
         self._deployment_of = deployment_of
         self._jobs: dict[CallKey, Job] = {}
+        self._aboard: dict[CallKey, _Aboard] = {}
         self._suspects: dict[CallKey, _Aboard] = {}
+        self._contents: collections.Counter[bytes] = collections.Counter()
+        self._known_good: dict[bytes, None] = {}
 
     def submit_new(self, begin: Begin, now_ms: int) -> Submitted:
         """Submits a call that is not in the log yet."""
@@ -127,19 +135,19 @@
             job = self._jobs.get(decision.key)
             if isinstance(decision, scheduler.Place):
                 server = decision.server.report.server
-                if job is not None and job.suspect:
-                    if self._with_suspect(job, server):
-                        waiting += self.ended(decision.key, now_ms)
-                        found.append(Later(decision.key, _SUSPECT_WAIT_MS))
-                        continue
-                    aboard = _Aboard(server, job.content)
-                    self._suspects[decision.key] = aboard
+                if job is not None and self._must_wait(job, server):
+                    waiting += self.ended(decision.key, now_ms)
+                    found.append(Later(decision.key, _APART_WAIT_MS))
+                    continue
+                if job is not None:
+                    aboard = _Aboard(server, job.content, job.suspect)
+                    self._add(decision.key, aboard)
                 found.append(Placed(decision.key, decision.server))
             elif job is not None and job.without:
                 again = self._submit_forgiving(job, now_ms)
                 waiting += again
                 if not again and job.suspect:
-                    found.append(Later(decision.key, _SUSPECT_WAIT_MS))
+                    found.append(Later(decision.key, _APART_WAIT_MS))
             else:
                 found.append(_rejected(decision))
         return found
@@ -148,11 +156,35 @@
         """Notes that a call holds no server any more."""
         self._jobs.pop(key, None)
         self._suspects.pop(key, None)
+        aboard = self._aboard.pop(key, None)
+        if aboard is not None:
+            self._contents[aboard.content] -= 1
+            if not self._contents[aboard.content]:
+                del self._contents[aboard.content]
         return self._scheduler.ended(key, now_ms)
 
-    def resume(self, key: CallKey, attempt: Attempt) -> None:
+    def answered(self, key: CallKey) -> None:
+        """Notes that a server survived the call's content."""
+        aboard = self._aboard.get(key)
+        if aboard is None or not aboard.content:
+            return
+        self._known_good.pop(aboard.content, None)
+        self._known_good[aboard.content] = None
+        if len(self._known_good) > _KNOWN_GOOD:
+            del self._known_good[next(iter(self._known_good))]
+
+    def resume(self, call: Call, attempt: Attempt) -> None:
         """Notes an attempt that an earlier leader granted."""
-        self._scheduler.resume(key, attempt.choice.server.server)
+        server = attempt.choice.server.server
+        suspect = self._shard.quarantine.is_suspect(call.content)
+        self._add(call.key, _Aboard(server, call.content, suspect))
+        self._scheduler.resume(call.key, server)
+
+    def _add(self, key: CallKey, aboard: _Aboard) -> None:
+        self._aboard[key] = aboard
+        self._contents[aboard.content] += 1
+        if aboard.suspect:
+            self._suspects[key] = aboard
 
     def _submit_forgiving(self, job: Job, now_ms: int) -> list[Decision]:
         """Submits a job again that found no server but those it avoids.
@@ -167,16 +199,20 @@
         self._jobs[job.key] = job
         return self._scheduler.submit(job, now_ms)
 
-    def _with_suspect(self, job: Job, server: str) -> bool:
-        """Returns whether a suspect must not run there now.
+    def _must_wait(self, job: Job, server: str) -> bool:
+        """Returns whether a call must not run there now.
 
-        Two on one server could not be told apart when it crashes; one content
-        on two servers could crash both.
+        Two suspects on one server could not be told apart when it crashes.
+        And one content on many servers at once, sent by a caller that does
+        not wait, would crash them all before the first crash is known; only
+        what was answered before may run more often at a time.
         """
-        return any(
-            aboard.server == server or aboard.content == job.content
-            for aboard in self._suspects.values()
-        )
+        running = self._contents[job.content] if job.content else 0
+        if not job.suspect:
+            limited = job.content not in self._known_good
+            return limited and running >= CRASHES_ALLOWED
+        apart = server not in self._suspect_servers()
+        return running > 0 or not apart
 
     def _suspect_servers(self) -> list[str]:
         return [aboard.server for aboard in self._suspects.values()]
--- a/catkinpin/core/shard.py
+++ b/catkinpin/core/shard.py
@@ -268,7 +268,7 @@
         refusal = self._obstacle(at_ms, program, call)
         if refusal is not None:
             return self._turn_down(program, call, refusal)
-        if choice is None:
+        if choice is None or self.quarantine.must_wait(call.content):
             return [CallReady(program, call)]
         root = self.root_of(program)
         begin = call.begin
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -548,6 +548,7 @@
         self.leaving_since = 0
         self.held: set[str] = set()
         self.poison: set[bytes] = set()
+        self.restarts = True
         self.crashes = 0
         self._aboard: list[tuple[Entry, Call, messages.Granted]] = []
         world.after(1, self._announce)
@@ -593,7 +594,8 @@
         aboard, self._aboard = self._aboard, []
         for entry, call, grant in aboard:
             self._to_entry(entry, call, grant, _broken(call, grant))
-        self.world.after(1_000, self._restart)
+        if self.restarts:
+            self.world.after(1_000, self._restart)
 
     def _restart(self) -> None:
         self.life += 1
