--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = $(shell .ci/venv)/bin/python
 
-.PHONY: demo test lint format
+.PHONY: demo test lint format bench
 
 demo:
 	$(PYTHON) -m demo
@@ -16,3 +16,6 @@
 format:
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
+
+bench:
+	$(PYTHON) -m bench
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions and of what each role costs."""
--- a/catkinpin/core/placement.py
+++ b/catkinpin/core/placement.py
@@ -33,3 +33,18 @@
         if server.report.server == job.last_server:
             return server
     return least_outstanding(job, servers, now_ms)
+
+
+def round_robin() -> Policy:
+    """Returns a policy that takes the servers in turn."""
+    turns: dict[str, int] = {}
+
+    def choose(job: Job, servers: list[Server], now_ms: int) -> Server | None:
+        if not servers:
+            return None
+        turn = turns.get(job.target, 0)
+        turns[job.target] = turn + 1
+        names = sorted(servers, key=lambda server: server.report.server)
+        return names[turn % len(names)]
+
+    return choose
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.messages import CallKey
+    from catkinpin.core.messages import CallKey, ProgramKey
     from catkinpin.core.servers import Server, ServerView
 
 _RETRY_AFTER_MS = 1_000
@@ -35,6 +35,9 @@
         priority: of the deployment; higher goes first.
         deadline_ms: monotonic time after which nobody waits for the answer.
         without: servers that failed this call.
+        interactive: whether someone waits at a screen.
+        parent: id of the program that started this one, or empty.
+        shared_tokens: leading tokens that the parent's history holds too.
     """
 
     key: CallKey
@@ -50,6 +53,9 @@
     priority: int = 0
     deadline_ms: int = 0
     without: tuple[str, ...] = ()
+    interactive: bool = False
+    parent: str = ""
+    shared_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -105,6 +111,9 @@
             self._view.attempt_ended(server)
         return []
 
+    def program_ended(self, key: ProgramKey) -> None:
+        """Notes that a program will make no more calls."""
+
     def resume(self, key: CallKey, server: str) -> None:
         """Notes an attempt that an earlier leader granted."""
         self._running[key] = server
