Place by cost, keep room for active programs, let calls wait

Cause: sticky evicts its own active programs above 0.6 of capacity. A server now has a ledger of programs, corrected by its reports; new programs wait until their context fits beside the active ones; what waits goes by attained service, after 30 s by age.

--- a/bench/variants.py
+++ b/bench/variants.py
@@ -20,8 +20,16 @@
     return lambda view: scheduler.Scheduler(view, make())
 
 
+def _policy(view: ServerView) -> scheduler.Scheduler:
+    prices = placement.Prices()
+    return scheduler.Scheduler(
+        view, placement.by_cost(prices), scheduler.WaitPlan()
+    )
+
+
 VARIANTS: dict[str, Make] = {
     "round robin": _baseline(placement.round_robin),
     "least outstanding": _baseline(lambda: placement.least_outstanding),
     "sticky": _baseline(lambda: placement.sticky),
+    POLICY: _policy,
 }
--- a/bench/world.py
+++ b/bench/world.py
@@ -31,6 +31,7 @@
 _BYTES_PER_STREAMED_TOKEN = 30
 _BYTES_PER_MESSAGE = 700
 _MAX_TOKENS = 1_024
+_ACCOUNT = "user"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -224,7 +225,7 @@
             capacity = machine.shape.slots
             cache = machine.shape.cache_tokens
             held = [
-                program
+                f"{_ACCOUNT}/{program}"
                 for program in sorted(machine.cache.held())
                 if self._noise.random() >= _HELD_GAP
             ]
@@ -268,7 +269,7 @@
     ) -> None:
         self.script = script
         self.parent = parent
-        self.key = messages.ProgramKey(account="user", program=script.program)
+        self.key = messages.ProgramKey(account=_ACCOUNT, program=script.program)
         self.started_ms = world.events.now_ms
         self.own: list[Segment] = []
         self._world = world
@@ -374,7 +375,7 @@
         self.begun_ms = world.events.now_ms
         number = f"{run._position}"
         self.key = messages.CallKey(
-            account="user", program=run.script.program, request_id=number
+            account=_ACCOUNT, program=run.script.program, request_id=number
         )
         self._world = world
         self._run = run
--- a/catkinpin/core/placement.py
+++ b/catkinpin/core/placement.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from catkinpin.core.messages import ProgramKey
+
 if TYPE_CHECKING:
     from catkinpin.core.scheduler import Job
     from catkinpin.core.servers import Server
@@ -12,6 +15,131 @@
 Policy = Callable[["Job", list["Server"], int], "Server | None"]
 
 
+@dataclasses.dataclass(frozen=True)
+class Prices:
+    """What a choice assumes of engines and links; all times in milliseconds.
+
+    Attributes:
+        prefill_per_ms: tokens an engine computes in a millisecond.
+        gap_per_call_ms: what a further call adds to the time between tokens.
+        output_tokens: tokens that a call is expected to generate.
+        region_ms: delay of a call and its answer between regions.
+        link_bytes_per_ms: what the link between regions carries.
+        text_bytes: bytes of a token's text on the link.
+        fill: share of an engine's cache that active programs may fill.
+        hold_ms: a program that has paused for longer is not active.
+    """
+
+    prefill_per_ms: float = 10.0
+    gap_per_call_ms: float = 0.35
+    output_tokens: int = 150
+    region_ms: float = 16.0
+    link_bytes_per_ms: float = 1_875.0
+    text_bytes: float = 1.6
+    fill: float = 0.9
+    hold_ms: int = 10_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """What a server would cost a call, in milliseconds.
+
+    Attributes:
+        wait: slower tokens and waiting beside the calls aboard.
+        prefill: computing what the server does not hold.
+        transfer: delay and bytes between regions.
+        fits: whether a slot and memory are free for it.
+    """
+
+    server: Server
+    wait: float
+    prefill: float
+    transfer: float
+    fits: bool
+
+    @property
+    def total(self) -> float:
+        """All together."""
+        return self.wait + self.prefill + self.transfer
+
+
+def costs(
+    job: Job, servers: list[Server], now_ms: int, prices: Prices
+) -> list[Cost]:
+    """Returns what each server would cost, the cheapest first."""
+    found = [_cost(job, server, now_ms, prices) for server in servers]
+    return sorted(
+        found, key=lambda cost: (cost.total, cost.server.report.server)
+    )
+
+
+def by_cost(prices: Prices) -> Policy:
+    """Returns the policy that takes the cheapest server with room."""
+
+    def choose(job: Job, servers: list[Server], now_ms: int) -> Server | None:
+        for cost in costs(job, servers, now_ms, prices):
+            if cost.fits:
+                return cost.server
+        return None
+
+    return choose
+
+
+def missing_tokens(job: Job, server: Server) -> int:
+    """Returns the tokens of the prompt that a server would have to compute."""
+    key = job.key.program_key
+    held = server.residents.cached_tokens(key)
+    if job.parent and job.shared_tokens:
+        parent = ProgramKey(account=key.account, program=job.parent)
+        shared = server.residents.cached_tokens(parent)
+        held += min(shared, job.shared_tokens)
+    return max(0, job.prompt_tokens - held)
+
+
+def own_tokens(job: Job, server: Server) -> int:
+    """Returns the memory that the call's context needs on a server."""
+    if job.parent and job.shared_tokens:
+        key = ProgramKey(account=job.key.account, program=job.parent)
+        shared = server.residents.cached_tokens(key)
+        return job.prompt_tokens - min(shared, job.shared_tokens)
+    return job.prompt_tokens
+
+
+def _cost(job: Job, server: Server, now_ms: int, prices: Prices) -> Cost:
+    report = server.report
+    slots = max(1, report.capacity)
+    transfer = 0.0
+    if job.region and report.region and report.region != job.region:
+        size = job.prompt_tokens - job.history_tokens
+        if report.server != job.last_server:
+            size = job.prompt_tokens
+        transfer = prices.region_ms
+        transfer += size * prices.text_bytes / prices.link_bytes_per_ms
+    if report.kind != "model":
+        wait = 1_000.0 * server.load / slots
+        return Cost(server, wait, 0.0, transfer, server.load < slots)
+    server.residents.rest(now_ms, prices.hold_ms, report.cache_tokens)
+    wait = server.load * prices.gap_per_call_ms * prices.output_tokens
+    prefill = missing_tokens(job, server) / prices.prefill_per_ms
+    fits = server.load < slots and _has_memory(job, server, prices)
+    return Cost(server, wait, prefill, transfer, fits)
+
+
+def _has_memory(job: Job, server: Server, prices: Prices) -> bool:
+    """Returns whether the context fits beside those of active programs.
+
+    Without this limit the active programs of a busy engine evict one another
+    in each pause, and every turn computes its whole history again.
+    """
+    cache = server.report.cache_tokens
+    residents = server.residents
+    if not cache or residents.is_active(job.key.program_key):
+        return True
+    room = prices.fill * cache - residents.active_tokens
+    # A context beyond half the cache could wait for ever for that much room.
+    return min(own_tokens(job, server), cache / 2) <= room
+
+
 def least_outstanding(
     job: Job, servers: list[Server], now_ms: int
 ) -> Server | None:
--- /dev/null
+++ b/catkinpin/core/residents.py
@@ -0,0 +1,159 @@
+"""Which programs' prefixes a server is thought to hold, and which are active.
+
+The engine's own reports come late and with gaps, so the ledger starts from
+what was sent to the server and takes reports only as corrections.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from catkinpin.core.messages import ProgramKey
+
+# One report may omit a prefix by a gap; two in a row mean an eviction.
+_MISSED_REPORTS = 2
+
+
+@dataclasses.dataclass
+class Resident:
+    """A program's prefix on a server.
+
+    Attributes:
+        tokens: size of what the server computed for the program itself.
+        cached: whether the server is thought to hold it still.
+        used_ms: when a call of the program last began or ended there.
+        running: calls of the program that run there.
+        missed: reports in a row that did not show the prefix.
+    """
+
+    tokens: int
+    used_ms: int
+    cached: bool = True
+    running: int = 0
+    missed: int = 0
+
+
+class Residents:
+    """The programs of one server, active ones apart from idle ones.
+
+    Attributes:
+        active_tokens: memory that the active programs need.
+    """
+
+    def __init__(self) -> None:
+        # Both in order of last use, the oldest first.
+        self._active: collections.OrderedDict[ProgramKey, Resident] = (
+            collections.OrderedDict()
+        )
+        self._idle: collections.OrderedDict[ProgramKey, Resident] = (
+            collections.OrderedDict()
+        )
+        self.active_tokens = 0
+        self._idle_tokens = 0
+
+    def __len__(self) -> int:
+        return len(self._active)
+
+    def is_active(self, key: ProgramKey) -> bool:
+        """Returns whether room is kept for the program."""
+        return key in self._active
+
+    def cached_tokens(self, key: ProgramKey) -> int:
+        """Returns the tokens of the program that are thought to be held."""
+        found = self._active.get(key) or self._idle.get(key)
+        return found.tokens if found is not None and found.cached else 0
+
+    def started(self, key: ProgramKey, tokens: int, now_ms: int) -> None:
+        """Notes a call that was granted with a context of `tokens`."""
+        resident = self._take(key) or Resident(tokens, now_ms)
+        resident.tokens = max(tokens, resident.tokens)
+        resident.running += 1
+        resident.cached = True
+        self._add_active(key, resident, now_ms)
+
+    def ended(self, key: ProgramKey, now_ms: int) -> None:
+        """Notes that a call has ended."""
+        resident = self._take(key)
+        if resident is None:
+            return
+        resident.running = max(0, resident.running - 1)
+        self._add_active(key, resident, now_ms)
+
+    def pause(self, key: ProgramKey) -> None:
+        """Keeps no room for a program any more; its prefix may stay."""
+        resident = self._take(key)
+        if resident is not None:
+            self._idle[key] = resident
+            self._idle_tokens += resident.tokens
+
+    def drop(self, key: ProgramKey) -> None:
+        """Forgets a program that has ended."""
+        self._take(key)
+
+    def rest(self, now_ms: int, hold_ms: int, cache_tokens: int) -> None:
+        """Stops keeping room for programs that have paused for long.
+
+        Their prefixes stay until the engine needs the memory: those used
+        longest ago count as evicted once all would not fit any more.
+        """
+        while self._active:
+            key = next(iter(self._active))
+            resident = self._active[key]
+            if now_ms - resident.used_ms < hold_ms:
+                break
+            if resident.running:
+                # It counts as used now, so that it is not met at each call.
+                self._active.move_to_end(key)
+                resident.used_ms = now_ms
+            else:
+                self.pause(key)
+        while self._idle and (
+            self.active_tokens + self._idle_tokens > cache_tokens
+        ):
+            self._take(next(iter(self._idle)))
+
+    def correct(self, held: Iterable[str], made_ms: int) -> None:
+        """Takes the engine's own list of what it holds at `made_ms`.
+
+        A prefix that the engine has evicted would otherwise draw its program
+        back to a server that has to compute it anew.
+        """
+        names = set(held)
+        for table in (self._active, self._idle):
+            for key, resident in table.items():
+                if resident.running or resident.used_ms >= made_ms:
+                    continue
+                if f"{key.account}/{key.program}" in names:
+                    resident.missed = 0
+                    resident.cached = True
+                    continue
+                resident.missed += 1
+                if resident.missed >= _MISSED_REPORTS:
+                    resident.cached = False
+
+    def programs(self) -> list[tuple[ProgramKey, Resident]]:
+        """Returns the active programs, the longest unused first."""
+        return list(self._active.items())
+
+    def _take(self, key: ProgramKey) -> Resident | None:
+        resident = self._active.pop(key, None)
+        if resident is not None:
+            self.active_tokens -= resident.tokens
+            return resident
+        resident = self._idle.pop(key, None)
+        if resident is not None:
+            self._idle_tokens -= resident.tokens
+        return resident
+
+    def _add_active(
+        self, key: ProgramKey, resident: Resident, now_ms: int
+    ) -> None:
+        resident.used_ms = now_ms
+        resident.missed = 0
+        self._active[key] = resident
+        self.active_tokens += resident.tokens
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
+from catkinpin.core import placement, waiting
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
@@ -79,6 +81,32 @@
 Decision = Place | Reject
 
 
+@dataclasses.dataclass(frozen=True)
+class WaitPlan:
+    """How calls may wait for a better server.
+
+    Attributes:
+        order: gives each call its place among those that wait.
+        most: calls that may wait for one target.
+        starved_after_ms: a call that has waited this long goes first, and no
+            program without room overtakes it.
+        tries: calls that get no server in a row before a round ends.
+    """
+
+    order: waiting.Order = waiting.least_attained
+    most: int = 1_000
+    starved_after_ms: int = 30_000
+    tries: int = 32
+
+
+@dataclasses.dataclass
+class _Running:
+    """A call aboard a server."""
+
+    server: str
+    program: ProgramKey
+
+
 class Scheduler:
     """Waiting and running calls of one leader."""
 
@@ -86,39 +114,155 @@
         self,
         view: ServerView,
         policy: Callable[[Job, list[Server], int], Server | None],
+        plan: WaitPlan | None = None,
     ) -> None:
+        """Creates a scheduler.
+
+        Args:
+            view: the servers; the scheduler counts its grants there.
+            policy: chooses a server, or none while the call should wait.
+            plan: how calls wait; without it a call without a server is
+                refused at once.
+        """
         self._view = view
         self._policy = policy
-        self._running: dict[CallKey, str] = {}
+        self._plan = plan
+        self._running: dict[CallKey, _Running] = {}
+        self._homes: dict[ProgramKey, str] = {}
+        self._waiting: dict[tuple[str, str], waiting.WaitingCalls] = {}
 
     def submit(self, job: Job, now_ms: int) -> list[Decision]:
         """Takes a call; one that is known already changes nothing."""
-        if job.key in self._running:
+        calls = self._calls(job)
+        if job.key in self._running or job.key in calls:
             return []
         usable = self._view.usable(job.kind, job.target, now_ms, job.without)
-        server = self._policy(job, usable, now_ms)
-        if server is None:
+        if not usable:
             text = f"no server for {job.target!r} takes work now"
             return [Reject(job.key, Reason.NO_SERVER, text, _RETRY_AFTER_MS)]
-        self._running[job.key] = server.report.server
-        self._view.attempt_started(server.report.server)
-        return [Place(job.key, server)]
+        if not self._must_queue(job, calls):
+            server = self._policy(job, usable, now_ms)
+            if server is not None:
+                return [self._place(job, server, now_ms)]
+        if self._plan is None or len(calls) >= self._plan.most:
+            text = f"every server for {job.target!r} is busy"
+            return [Reject(job.key, Reason.OVERLOADED, text, _RETRY_AFTER_MS)]
+        calls.add(job, now_ms)
+        return []
 
     def ended(self, key: CallKey, now_ms: int) -> list[Decision]:
         """Notes that a call holds no server any more, and fills the room."""
-        server = self._running.pop(key, "")
-        if server:
-            self._view.attempt_ended(server)
-        return []
+        running = self._running.pop(key, None)
+        if running is None:
+            return []
+        self._view.attempt_ended(running.server)
+        server = self._view.servers.get(running.server)
+        if server is None:
+            return []
+        server.residents.ended(running.program, now_ms)
+        decisions = []
+        for target in server.report.serves:
+            calls = self._waiting.get((server.report.kind, target))
+            if calls is not None:
+                decisions += self._fill(calls, now_ms)
+        return decisions
 
     def program_ended(self, key: ProgramKey) -> None:
         """Notes that a program will make no more calls."""
+        home = self._view.servers.get(self._homes.pop(key, ""))
+        if home is not None:
+            home.residents.drop(key)
 
     def resume(self, key: CallKey, server: str) -> None:
         """Notes an attempt that an earlier leader granted."""
-        self._running[key] = server
+        self._running[key] = _Running(server, key.program_key)
         self._view.attempt_started(server)
 
     def tick(self, now_ms: int) -> list[Decision]:
         """Decides anew after reports have come or time has passed."""
-        return []
+        decisions: list[Decision] = []
+        for calls in self._waiting.values():
+            for job in calls.overdue(now_ms):
+                calls.remove(job.key)
+                text = f"no server for {job.target!r} was free in time"
+                decisions.append(
+                    Reject(job.key, Reason.DEADLINE, text, _RETRY_AFTER_MS)
+                )
+            calls.promote(now_ms)
+            decisions += self._fill(calls, now_ms)
+        return decisions
+
+    def _calls(self, job: Job) -> waiting.WaitingCalls:
+        plan = self._plan or WaitPlan()
+        key = (job.kind, job.target)
+        if key not in self._waiting:
+            self._waiting[key] = waiting.WaitingCalls(
+                plan.order, plan.starved_after_ms
+            )
+        return self._waiting[key]
+
+    def _must_queue(self, job: Job, calls: waiting.WaitingCalls) -> bool:
+        """Returns whether the call would overtake one that has starved."""
+        return calls.starved() > 0 and self._wants_room(job)
+
+    def _fill(self, calls: waiting.WaitingCalls, now_ms: int) -> list[Decision]:
+        """Places the calls that can go now, in order."""
+        if not len(calls):
+            return []
+        plan = self._plan or WaitPlan()
+        placed: list[Decision] = []
+        misses = 0
+        starved = calls.starved()
+        # A program that needs as much memory as one that found none, or
+        # more, finds none either: it need not be tried.
+        least_missed = math.inf
+        for position, job in enumerate(list(calls)):
+            wants_room = self._wants_room(job)
+            if wants_room and job.prompt_tokens >= least_missed:
+                continue
+            usable = self._view.usable(
+                job.kind, job.target, now_ms, job.without
+            )
+            server = self._policy(job, usable, now_ms)
+            if server is not None:
+                calls.remove(job.key)
+                placed.append(self._place(job, server, now_ms))
+                continue
+            if wants_room and not job.without:
+                least_missed = min(least_missed, job.prompt_tokens)
+            # What runs out would go to a starved call; a younger one that
+            # needs less must not keep it from ever getting enough.
+            if position < starved and wants_room:
+                least_missed = 0
+            misses += 1
+            if misses >= plan.tries:
+                break
+        return placed
+
+    def _wants_room(self, job: Job) -> bool:
+        """Returns whether no server keeps room for the call's program."""
+        program = job.key.program_key
+        home = self._view.servers.get(self._homes.get(program, ""))
+        return (
+            job.kind == "model"
+            and not job.parent
+            and (home is None or not home.residents.is_active(program))
+        )
+
+    def _place(self, job: Job, server: Server, now_ms: int) -> Place:
+        name = server.report.server
+        program = job.key.program_key
+        self._running[job.key] = _Running(name, program)
+        self._view.attempt_started(name)
+        if job.kind == "model":
+            self._move(program, name)
+            tokens = placement.own_tokens(job, server)
+            server.residents.started(program, tokens, now_ms)
+        return Place(job.key, server)
+
+    def _move(self, program: ProgramKey, name: str) -> None:
+        """Makes a server the program's home and keeps no room at another."""
+        before = self._view.servers.get(self._homes.get(program, ""))
+        if before is not None and before.report.server != name:
+            before.residents.pause(program)
+        self._homes[program] = name
--- a/catkinpin/core/servers.py
+++ b/catkinpin/core/servers.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.core.messages import ServerRef
+from catkinpin.core.residents import Residents
 
 if TYPE_CHECKING:
     from catkinpin.core.messages import ServerReport
@@ -22,11 +23,15 @@
     Attributes:
         seen_ms: when the last report was made, on our monotonic clock.
         granted: attempts that we granted and that have not finished.
+        others: calls aboard that we did not grant, as the reports suggest.
+        residents: the programs whose prefixes it is thought to hold.
     """
 
     report: ServerReport
     seen_ms: int
     granted: int = 0
+    others: int = 0
+    residents: Residents = dataclasses.field(default_factory=Residents)
 
     @property
     def ref(self) -> ServerRef:
@@ -38,35 +43,62 @@
             region=self.report.region,
         )
 
+    @property
+    def load(self) -> int:
+        """Calls aboard now: what we granted, and what others did."""
+        return self.granted + self.others
+
+    def correct(self, report: ServerReport, made_ms: int) -> None:
+        """Takes in a newer report of the same life of the server.
+
+        A report that claims more calls than fit is held for a lie beyond the
+        capacity: otherwise one broken counter would keep a server idle for
+        ever. A report that claims too few changes nothing, as what we granted
+        counts in any case.
+        """
+        self.report = report
+        self.seen_ms = made_ms
+        foreign = report.running + report.waiting - self.granted
+        self.others = max(0, min(foreign, report.capacity))
+        if report.kind == "model":
+            self.residents.correct(report.held, made_ms)
+
 
 class ServerView:
     """Every backend server that announced itself."""
 
     def __init__(self) -> None:
         self.servers: dict[str, Server] = {}
+        # Names by what they serve, so that a choice looks at no other server.
+        self._by_target: dict[tuple[str, str], dict[str, Server]] = {}
 
     def report(self, report: ServerReport, made_ms: int) -> None:
         """Takes in a report made at `made_ms`; an older one is dropped."""
         known = self.servers.get(report.server)
         if known is None or known.report.incarnation != report.incarnation:
             if known is None or made_ms >= known.seen_ms:
-                self.servers[report.server] = Server(report, made_ms)
+                self._forget(report.server)
+                self._remember(Server(report, made_ms))
             return
         if made_ms < known.seen_ms:
             return
-        known.report = report
-        known.seen_ms = made_ms
+        same = (
+            known.report.kind == report.kind
+            and known.report.serves == report.serves
+        )
+        if not same:
+            self._forget(report.server)
+        known.correct(report, made_ms)
+        if not same:
+            self._remember(known)
 
     def usable(
         self, kind: str, target: str, now_ms: int, without: tuple[str, ...] = ()
     ) -> list[Server]:
         """Returns the servers that may get new work for `target`."""
         found = []
-        for server in self.servers.values():
-            report = server.report
-            if report.kind != kind or target not in report.serves:
-                continue
-            if report.leaving or report.server in without:
+        for name, server in self._by_target.get((kind, target), {}).items():
+            if server.report.leaving or name in without:
                 continue
             if now_ms - server.seen_ms > SILENT_AFTER_MS:
                 continue
@@ -75,10 +107,7 @@
 
     def serves(self, kind: str, target: str) -> bool:
         """Returns whether any known server, even a silent one, serves it."""
-        return any(
-            server.report.kind == kind and target in server.report.serves
-            for server in self.servers.values()
-        )
+        return bool(self._by_target.get((kind, target)))
 
     def attempt_started(self, server: str) -> None:
         """Counts a grant, which reports will show only later."""
@@ -93,8 +122,21 @@
 
     def forget_silent(self, now_ms: int) -> None:
         """Drops servers that have been silent for long."""
-        self.servers = {
-            name: server
-            for name, server in self.servers.items()
-            if now_ms - server.seen_ms < _FORGET_AFTER_MS
-        }
+        for name, server in list(self.servers.items()):
+            if now_ms - server.seen_ms >= _FORGET_AFTER_MS:
+                self._forget(name)
+
+    def _remember(self, server: Server) -> None:
+        report = server.report
+        self.servers[report.server] = server
+        for target in report.serves:
+            names = self._by_target.setdefault((report.kind, target), {})
+            names[report.server] = server
+
+    def _forget(self, name: str) -> None:
+        server = self.servers.pop(name, None)
+        if server is None:
+            return
+        for target in server.report.serves:
+            served = self._by_target.get((server.report.kind, target), {})
+            served.pop(name, None)
