--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = $(shell .ci/venv)/bin/python
 
-.PHONY: demo test fuzz lint format
+.PHONY: demo test fuzz lint format bench
 
 demo:
 	$(PYTHON) -m demo
@@ -22,3 +22,6 @@
 format:
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
+
+bench:
+	$(PYTHON) -m bench
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -12,6 +12,7 @@
     | messages.Finish
     | messages.GetProgram
     | messages.EndProgram
+    | messages.ReleaseDone
     | messages.Reports
     | changes.ConfigConfirmed
     | changes.Apply
@@ -25,6 +26,8 @@
     | messages.Refused
     | messages.NotLeader
     | messages.ProgramInfo
+    | messages.Recall
+    | messages.OrderRelease
     | changes.ConfigUpdate
     | changes.Applied
 )
