--- /dev/null
+++ b/tests/test_groups.py
@@ -0,0 +1,132 @@
+"""Log groups on nodes that share a process: snapshots, catching up, repair."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+from typing import TYPE_CHECKING
+
+from tests import base
+from tests.fakes.lognode import LogNode
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+class GroupsTest(base.TestCase):
+    """Three nodes and a machine whose snapshot refers to old records."""
+
+    def start(self, main: Callable[[list[LogNode]], Awaitable[None]]) -> None:
+        async def whole() -> None:
+            self.ports = base.free_ports(3)
+            nodes = [await self.open(place) for place in range(3)]
+            try:
+                await main(nodes)
+            finally:
+                await asyncio.gather(*(one.stop() for one in nodes))
+                self.assertEqual([None] * 3, [one.failed for one in nodes])
+
+        self.run_async(whole())
+
+    async def open(self, place: int) -> LogNode:
+        one = LogNode(self.folder / str(place), place, self.ports)
+        await one.start()
+        return one
+
+    async def fill(self, nodes: list[LogNode], first: int, last: int) -> None:
+        """Commits records that tell their number."""
+        leader = await self.leader(nodes)
+        await asyncio.gather(
+            *(leader.commit(b"record %d" % n) for n in range(first, last + 1))
+        )
+
+    async def leader(self, nodes: list[LogNode]) -> LogNode:
+        async def find() -> LogNode | None:
+            return next((n for n in nodes if n.groups[0].is_leader()), None)
+
+        found: LogNode = await base.until(find, "a leader")
+        return found
+
+    async def same(self, nodes: list[LogNode], applied: int) -> None:
+        """Waits until all nodes hold the same, old records included."""
+
+        async def check() -> bool:
+            return all(n.machines[0].applied == applied for n in nodes)
+
+        await base.until(check, f"{applied} records on each node")
+        refs = nodes[0].machines[0].refs
+        for one in nodes:
+            self.assertEqual(refs, one.machines[0].refs)
+            for place, index in enumerate(refs):
+                wanted = b"record %d" % (10 * place + 10)
+                self.assertEqual(wanted, one.groups[0].read(index))
+
+    def test_replica_that_missed_hundreds_of_records(self) -> None:
+        """A replica was down while hundreds of records passed it by.
+
+        It gets the newest state and the texts that are still needed, not
+        each change, and can then serve callers like the others.
+        """
+
+        async def main(nodes: list[LogNode]) -> None:
+            await self.fill(nodes, 1, 50)
+            away = next(n for n in nodes if not n.groups[0].is_leader())
+            place = nodes.index(away)
+            await away.stop()
+            rest = [n for n in nodes if n is not away]
+            await self.fill(rest, 51, 900)
+            nodes[place] = await self.open(place)
+            await self.same(nodes, 900)
+            self.assertGreater(nodes[place].machines[0].restored, 0)
+
+        self.start(main)
+
+    def test_lost_disk_is_replaced(self) -> None:
+        """A disk is lost after the log was cut many times.
+
+        The new replica holds every text, and the old one is a member no
+        more; the group then survives the loss of another.
+        """
+
+        async def main(nodes: list[LogNode]) -> None:
+            await self.fill(nodes, 1, 700)
+            await nodes[0].stop()
+            lost = nodes[0].node.identity
+            shutil.rmtree(self.folder / "0")
+            nodes[0] = await self.open(0)
+            fresh = nodes[0].node
+
+            async def asks() -> bool:
+                return fresh.needs_repair()
+
+            await base.until(asks, "the empty node asks for a repair")
+            fresh.repair()
+
+            async def safe() -> bool:
+                return all(fresh.settled().values())
+
+            await base.until(safe, "the repair is safe")
+            await self.same(nodes, 700)
+            members = nodes[0].groups[0].members
+            self.assertIsNone(members.find(lost))
+            await nodes[1].stop()
+            await self.fill([nodes[0], nodes[2]], 701, 720)
+            nodes[1] = await self.open(1)
+            await self.same(nodes, 720)
+
+        self.start(main)
+
+    def test_all_start_again_from_snapshots(self) -> None:
+        """All replicas are stopped and started; nothing is missing."""
+
+        async def main(nodes: list[LogNode]) -> None:
+            await self.fill(nodes, 1, 330)
+            await self.same(nodes, 330)
+            await asyncio.gather(*(one.stop() for one in nodes))
+            for place in range(3):
+                nodes[place] = await self.open(place)
+            await self.fill(nodes, 331, 340)
+            await self.same(nodes, 340)
+            self.assertEqual(1, nodes[0].machines[0].restored)
+
+        self.start(main)
