--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -40,8 +40,8 @@
 
 
 async def _start(cluster: base.Cluster) -> None:
-    print("Starting a replica, three entries and both users' servers ...")
-    cluster.add_replicas(1)
+    print("Starting three replicas, three entries and both users' servers ...")
+    cluster.add_replicas(3)
     for name, region in _REGIONS:
         cluster.add_entry(name, region=region)
     for number in range(5):
