Keep one replica's damage from stopping another

The list of records still to be fetched was searched for each record; now a set of 512 asked for at a time. A list of replicas without this replica's own address is refused at the start: the others would have founded the system without it.

--- a/catkinpin/adapters/fetching.py
+++ b/catkinpin/adapters/fetching.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from catkinpin.adapters import replicas, snapshots
+from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,6 +19,8 @@
     from catkinpin.adapters.grouplog import GroupLog
     from catkinpin.core.consensus.messages import Entry, SnapshotOffer
 
+log = logging.getLogger(__name__)
+
 _PART_BYTES = 512 * 1024
 _PART_RECORDS = 512
 _AGAIN_MS = 1_000
@@ -52,6 +56,7 @@
         self._commit = commit
         self._data = bytearray()
         self._missing: list[int] = []
+        self._asked: set[int] = set()
         self._asked_ms = 0
 
     def tick(self, now_ms: int) -> None:
@@ -71,11 +76,14 @@
                 offset=len(self._data),
             )
         else:
+            if not self._asked:
+                self._asked = set(self._missing[-_PART_RECORDS:])
+                del self._missing[-_PART_RECORDS:]
             pull = replicas.RecordsPull(
                 group=self._log.name,
                 sender=self._node,
                 to=self.sender,
-                indexes=self._missing[-_PART_RECORDS:],
+                indexes=sorted(self._asked),
             )
         self._send(self.sender, pull)
 
@@ -89,27 +97,34 @@
             return True
         self._data += part.data
         if len(self._data) == part.size:
-            content = bytes(self._data)
-            self._data.clear()
-            self.snapshot = snapshots.from_bytes(content, self.sender)
-            self._missing = [
-                index
-                for index in self.snapshot.referenced()
-                if not self._holds(index)
-            ]
+            return self._whole()
         return True
 
     def records(self, entries: list[Entry]) -> bool:
         """Takes records; returns False where they are gone."""
         for entry in entries:
-            if entry.index in self._missing[-_PART_RECORDS:]:
-                self._missing.remove(entry.index)
+            if entry.index in self._asked:
+                self._asked.discard(entry.index)
                 self._log.keep(entry)
         return bool(entries)
 
     def is_complete(self) -> bool:
         """Returns whether the snapshot can be installed."""
-        return self.snapshot is not None and not self._missing
+        left = self._missing or self._asked
+        return self.snapshot is not None and not left
+
+    def _whole(self) -> bool:
+        content = bytes(self._data)
+        self._data.clear()
+        try:
+            self.snapshot = snapshots.from_bytes(content, self.sender)
+        except StorageError:
+            # The damage is at the other end; this replica must not stop.
+            log.exception("snapshot refused", extra={"group": self._log.name})
+            return False
+        referenced = self.snapshot.referenced()
+        self._missing = [i for i in referenced if not self._holds(i)]
+        return True
 
     def _holds(self, index: int) -> bool:
         # What is past our commit index may be another leader's record.
@@ -117,14 +132,14 @@
 
 
 def part(
-    log: GroupLog, node: str, pull: replicas.SnapshotPull
+    group_log: GroupLog, node: str, pull: replicas.SnapshotPull
 ) -> replicas.SnapshotPart:
     """Returns the part of the newest snapshot that was asked for."""
     data, size = b"", 0
-    if pull.index == log.snapshot:
-        data, size = log.read_snapshot_part(pull.offset, _PART_BYTES)
+    if pull.index == group_log.snapshot:
+        data, size = group_log.read_snapshot_part(pull.offset, _PART_BYTES)
     return replicas.SnapshotPart(
-        group=log.name,
+        group=group_log.name,
         sender=node,
         to=pull.sender,
         index=pull.index,
@@ -135,16 +150,16 @@
 
 
 def records(
-    log: GroupLog, node: str, pull: replicas.RecordsPull
+    group_log: GroupLog, node: str, pull: replicas.RecordsPull
 ) -> replicas.Records:
     """Returns records that were asked for, as many as fit."""
     entries: list[Entry] = []
     size = 0
     for index in reversed(pull.indexes):
-        if size > _PART_BYTES or not log.holds(index):
+        if size > _PART_BYTES or not group_log.holds(index):
             break
-        entries.append(log.read(index))
+        entries.append(group_log.read(index))
         size += len(entries[-1].payload)
     return replicas.Records(
-        group=log.name, sender=node, to=pull.sender, entries=entries
+        group=group_log.name, sender=node, to=pull.sender, entries=entries
     )
--- a/catkinpin/adapters/node.py
+++ b/catkinpin/adapters/node.py
@@ -14,6 +14,7 @@
 from catkinpin.adapters.identity import Identity
 from catkinpin.adapters.storage import Storage
 from catkinpin.core.consensus.messages import Members
+from catkinpin.exceptions import SettingsError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -92,7 +93,14 @@
         """Connects to the other replicas and takes part in the groups."""
         self.storage.sync()
         self.address = hello.address
-        others = [a for a in self._cfg.replicas if a != self.address]
+        listed = self._cfg.replicas
+        if listed and self.address not in listed:
+            # The others would found without this replica.
+            raise SettingsError(
+                f"replicas: {', '.join(listed)} does not hold this replica's"
+                f" own address {self.address}; see peer_advertise"
+            )
+        others = [a for a in listed if a != self.address]
         self._mesh = mesh.Mesh(others, self._introduce)
         self._founding = Founding(
             self._file, self.address, self._mesh, self._begin
@@ -265,7 +273,8 @@
         group.take_snapshot(self._cfg.snapshot_entries // _TAIL_PART)
         if self.storage.count() > _PINNED_SEGMENTS:
             for name in self.storage.pinning():
-                self.groups[name].take_snapshot(0)
+                if name in self.groups:
+                    self.groups[name].take_snapshot(0)
         self.storage.collect()
 
     def _tell_leader(self, group: Group) -> None:
--- a/tests/base.py
+++ b/tests/base.py
@@ -96,6 +96,11 @@
         assert self._popen is not None
         return self._popen.pid
 
+    def exit_code(self) -> int | None:
+        """Returns the exit code, None while the process runs."""
+        assert self._popen is not None
+        return self._popen.poll()
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal."""
         os.kill(self.pid, number)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import configuration
+from catkinpin.process import EXIT_STORAGE
 from tests import base
 
 if TYPE_CHECKING:
@@ -176,6 +177,30 @@
 
         self.start(main, proxied=False)
 
+    def test_damaged_disk_stops_only_its_replica(self) -> None:
+        """A sector of one replica's disk decays while it is down.
+
+        It refuses to start and says what to do; the others serve.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            for number in range(5):
+                await self.pay(cluster, f"order-{number}")
+            process = cluster.processes["replica-3"]
+            process.kill()
+            damage(min((self.folder / "replica-3" / "log").iterdir()))
+            process.start()
+
+            async def ended() -> bool:
+                return process.exit_code() is not None
+
+            await base.until(ended, "the replica stops by itself")
+            self.assertEqual(EXIT_STORAGE, process.exit_code())
+            self.assertIn("catkinpin repair", process.log.read_text())
+            await self.pay(cluster, "with-two")
+
+        self.start(main, proxied=False)
+
     def test_wiped_replica_waits_for_the_operator(self) -> None:
         """A replica starts with an empty folder, maybe by a wrong mount.
 
@@ -196,6 +221,13 @@
         self.start(main, proxied=False)
 
 
+def damage(path: pathlib.Path) -> None:
+    """Flips a bit in the first third of a file."""
+    content = bytearray(path.read_bytes())
+    content[len(content) // 3] ^= 1
+    path.write_bytes(content)
+
+
 def add_proxied_replicas(cluster: base.Cluster) -> None:
     """Starts replicas that are reached through a proxy each."""
     ports = base.free_ports(6)
