Ask again when leadership moves; lead only on a current configuration

Cause 1: a leader that loses its office while its process lives forgets who waits for it, and its streams stay open, so a caller waited until its deadline. The new test of a call that waits while the leader changes failed for that (TimeoutError after 20 s). Entries now ask again on each new term. While a leader hands over it took messages and dropped their records; it now says that it doesn't lead.

Cause 2, seen once by the frozen-leader test: the new leader of a shard had not applied the control group's newest records, as that group had no leader yet, and refused a call with unknown-service (404). A new leader of a shard now takes its office once the control group's state here is current. Not shown by a test of its own: it needs two groups to elect in a certain order; the frozen-leader test ran three times without the fault after the change.

--- a/catkinpin/adapters/groups.py
+++ b/catkinpin/adapters/groups.py
@@ -68,6 +68,7 @@
         self._machine = machine
         self._core: core.Core | None = None
         self._applied = 0
+        self._elected = False
         self._leading = False
         self._wrote = False
         self._fetch: fetching.Fetch | None = None
@@ -96,6 +97,12 @@
             return False
         return self._core.serves(self._node.now_ms())
 
+    def is_current(self) -> bool:
+        """Returns whether the state here is that of the present leader."""
+        if self._core is None:
+            return False
+        return self._core.is_current(self._applied, self._node.now_ms())
+
     def propose(self, payload: bytes) -> None:
         """Appends a record; `apply` gets it once it is committed.
 
@@ -142,6 +149,8 @@
         self._core.tick(now_ms)
         if self._core.has_output():
             self._node.wake(self)
+        if self._elected and not self._leading:
+            self._take_office()
         if self._fetch is not None:
             self._fetch.tick(now_ms)
 
@@ -298,14 +307,27 @@
             case commands.Apply(first, last):
                 self._apply(first, last)
             case commands.Lead(leading):
-                self._leading = leading
-                metrics.LEADS.labels(self.name).set(leading)
-                self._machine.leadership(leading)
+                self._elected = leading
+                self._take_office()
             case commands.Fetch(sender, offer):
                 self._begin_fetch(sender, offer)
             case commands.Restore():
                 self._restore()
 
+    def _take_office(self) -> None:
+        """Tells the machine whether it leads.
+
+        A new leader of a shard may lag in the control group: it would refuse
+        calls under a configuration that was replaced, or under none. So it
+        waits until the state of that group is current here.
+        """
+        if self._elected and not self._node.may_lead(self):
+            return
+        if self._elected != self._leading:
+            self._leading = self._elected
+            metrics.LEADS.labels(self.name).set(self._leading)
+            self._machine.leadership(self._leading)
+
     def _send(self, to: str, body: messages.GroupMessage) -> None:
         routed = replicas.Routed(
             group=self.name, sender=self._node.identity, to=to, body=body
--- a/catkinpin/adapters/node.py
+++ b/catkinpin/adapters/node.py
@@ -44,6 +44,7 @@
         cfg: the settings.
         on_leader: called with each group whose leader has changed.
         on_failure: called with what makes it unsafe to go on.
+        first: the group whose state the leaders of the others depend on.
 
     Attributes:
         identity: who this replica is, new for each new data folder.
@@ -55,6 +56,7 @@
         cfg: ReplicaSettings,
         on_leader: Callable[[Group], None],
         on_failure: Callable[[Exception], None],
+        first: str = "",
     ) -> None:
         self.storage = Storage(cfg.data_folder)
         self._file = Identity(cfg.data_folder, self.storage.ops)
@@ -66,6 +68,7 @@
         self._cfg = cfg
         self._on_leader = on_leader
         self._on_failure = on_failure
+        self._first = first
         self._woken: dict[str, Group] = {}
         self._told: dict[str, tuple[int, str]] = {}
         self._ticks = 0
@@ -89,6 +92,11 @@
         self.groups[name] = group
         return group
 
+    def may_lead(self, group: Group) -> bool:
+        """Returns whether the state that a leader depends on is current."""
+        first = self.groups.get(self._first)
+        return first is None or first is group or first.is_current()
+
     def start(self, hello: messages.Hello) -> None:
         """Connects to the other replicas and takes part in the groups."""
         self.storage.sync()
--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -238,6 +238,12 @@
         finally:
             self._asks.pop(message.ask, None)
 
+    def give_up(self, ask: int) -> None:
+        """Ends the wait for a reply, as if the stream had broken."""
+        fut = self._asks.get(ask)
+        if fut is not None and not fut.done():
+            fut.set_exception(PeerLostError(f"gave up on {self.address}"))
+
     async def _run(self) -> None:
         while True:
             try:
--- a/catkinpin/adapters/shards.py
+++ b/catkinpin/adapters/shards.py
@@ -37,6 +37,7 @@
         on_connected: Callable[[peers.PeerLink], None],
     ) -> None:
         self._leaders: dict[str, messages.GroupLeader] = {}
+        self._asked: dict[int, tuple[str, peers.PeerLink]] = {}
         self._on_message = on_message
         self.links: dict[str, peers.PeerLink] = {}
         for address in addresses:
@@ -96,7 +97,12 @@
         link = self._leader(group)
         if link is None:
             raise PeerLostError(f"no leader of {group} is known")
-        reply = await link.ask(make(peers.next_ask()), left)
+        ask = peers.next_ask()
+        self._asked[ask] = (group, link)
+        try:
+            reply = await link.ask(make(ask), left)
+        finally:
+            del self._asked[ask]
         if isinstance(reply, messages.NotLeader):
             raise NotLeaderError(reply.leader)
         return reply
@@ -105,10 +111,22 @@
         known = self._leaders.get(group)
         return self.links.get(known.leader) if known is not None else None
 
+    def _ask_again(self, group: str) -> None:
+        """Takes back what was asked under an earlier term.
+
+        A leader that lost its office forgets who waits for it. Its stream
+        may stay open for ever, and the caller would wait until its deadline.
+        """
+        for ask, (asked, link) in list(self._asked.items()):
+            if asked == group:
+                link.give_up(ask)
+
     def _take(self, message: Any) -> None:
         if isinstance(message, messages.GroupLeader):
             known = self._leaders.get(message.group)
             if known is None or message.term >= known.term:
                 self._leaders[message.group] = message
+            if known is not None and message.term > known.term:
+                self._ask_again(message.group)
             return
         self._on_message(message)
--- a/catkinpin/core/consensus/core.py
+++ b/catkinpin/core/consensus/core.py
@@ -68,10 +68,25 @@
         """Returns whether this replica may decide and answer reads now.
 
         True only for a leader that holds a lease, so for one at a time, and
-        only once it has handed out everything committed before its term.
+        only once it has handed out everything committed before its term. One
+        that hands over decides nothing more: it takes no records.
         """
         state = self.state
-        return state.announced and now_ms < state.lease_until_ms
+        leads = state.announced and not state.transfer_to
+        return leads and now_ms < state.lease_until_ms
+
+    def is_current(self, applied: int, now_ms: int) -> bool:
+        """Returns whether the state at `applied` is not an old one.
+
+        It then holds all that was committed before the present leader, and
+        what that one has committed until it was last heard.
+        """
+        state = self.state
+        if state.log.term_at(applied) != state.term:
+            return False
+        if state.role is Role.LEADER:
+            return self.serves(now_ms)
+        return bool(state.leader) and state.hears_leader(now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Acts on time that has passed."""
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -41,7 +41,12 @@
         self.incarnation = uuid.uuid4().hex
         self.address = ""
         self._streams: dict[str, peers.Stream] = {}
-        self.node = node.Node(cfg, self._leader_changed, _stop_at_once)
+        self.node = node.Node(
+            cfg,
+            self._leader_changed,
+            _stop_at_once,
+            first=routing.CONTROL_GROUP,
+        )
         self.shards = {
             name: shardhost.ShardHost(self, name)
             for name in map(routing.shard_group, range(cfg.shards))
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -20,6 +20,7 @@
 
 _KEY = configuration.key_digest(base.OPERATOR_KEY)
 _GROUP = "shard-0"
+_CAPACITY = 8  # Of the fake service.
 
 
 class ReplicasTest(base.TestCase):
@@ -53,7 +54,7 @@
             "kiosk-app",
             "pay",
             "12.50",
-            headers={"Idempotency-Key": order},
+            headers={"Idempotency-Key": order, "Catkinpin-Program": order},
         )
         self.assertEqual(200, reply.status, reply.body)
         self.assertEqual(order, reply.json["done"])
@@ -110,6 +111,31 @@
 
         self.start(main, proxied=False)
 
+    def test_call_that_waits_while_the_leader_changes(self) -> None:
+        """A call waits for a server at a leader that stands still a moment.
+
+        The old leader wakes up on the same connections and has nothing to
+        tell any more. The caller must not wait for it until its deadline.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            await cluster.steer("service-1", delay_ms=2_500)
+            calls = [
+                asyncio.create_task(self.pay(cluster, f"order-{number}"))
+                for number in range(_CAPACITY + 1)
+            ]
+            await acting(cluster, "order-0")
+            await known(cluster, _CAPACITY + 1)
+            old = await leader_of(cluster)
+            cluster.processes[old].signal(signal.SIGSTOP)
+            await leader_of(cluster, but=old)
+            cluster.processes[old].signal(signal.SIGCONT)
+            await cluster.steer("service-1", delay_ms=0)
+            await asyncio.wait_for(asyncio.gather(*calls), 20)
+            await self.paid_once(cluster, "order-0", f"order-{_CAPACITY}")
+
+        self.start(main, proxied=False)
+
     def test_planned_stop_of_the_leader(self) -> None:
         """An operator stops the leader's process while calls come in.
 
@@ -280,6 +306,21 @@
     await base.until(check, f"the service acts on {order}")
 
 
+async def known(cluster: base.Cluster, orders: int) -> None:
+    """Waits until the shard knows the programs of so many orders."""
+    auth = {"Authorization": f"Bearer {base.ACCOUNT_KEYS['kunci']}"}
+
+    async def check() -> bool:
+        for number in range(orders):
+            url = f"{cluster.addresses['entry-1']}/v1/programs/order-{number}"
+            async with cluster.http.get(url, headers=auth) as resp:
+                if resp.status != 200:
+                    return False
+        return True
+
+    await base.until(check, f"{orders} programs are known")
+
+
 def wipe(cluster: base.Cluster, name: str) -> None:
     """Kills a replica and starts it on an empty data folder."""
     cluster.processes[name].kill()
