Split the shard, its index and its leader's deadlines apart

The outbox is keyed by server and program, as adding an order walked all of them; a program that got a call is not ended as idle by a record on its way.

--- a/catkinpin/core/fates.py
+++ b/catkinpin/core/fates.py
@@ -105,7 +105,7 @@
             wall_ms: wall time.
         """
         commands: list[Command] = []
-        for server in sorted(self._shard.outbox.servers()):
+        for server in self._shard.outbox.servers():
             seen = self._servers.get(server)
             if seen is None:
                 continue
--- /dev/null
+++ b/catkinpin/core/index.py
@@ -0,0 +1,157 @@
+"""The programs of a shard, their trees, and what is known of their calls."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from catkinpin import digest
+from catkinpin.core import history, routing, rules
+from catkinpin.core.effects import BeginRejected
+from catkinpin.core.messages import ProgramKey
+from catkinpin.core.program import Program
+from catkinpin.verdicts import Reason, Verdict
+
+if TYPE_CHECKING:
+    from catkinpin.core import records
+    from catkinpin.core.messages import Begin, CallKey
+    from catkinpin.core.program import Call, ClosedCall
+
+
+class ProgramIndex:
+    """Finds programs and calls; adds and drops programs.
+
+    Attributes:
+        programs: every program not yet forgotten, by key.
+    """
+
+    def __init__(self) -> None:
+        self.programs: dict[ProgramKey, Program] = {}
+
+    def find_open(self, key: CallKey) -> tuple[Program, Call] | None:
+        """Returns the open call and its program, or None."""
+        program = self.programs.get(key.program_key)
+        if program is None or key.request_id not in program.open:
+            return None
+        return program, program.open[key.request_id]
+
+    def find_closed(self, key: CallKey) -> ClosedCall | None:
+        """Returns the call whose final answer is kept, or None."""
+        program = self.programs.get(key.program_key)
+        return program.closed.get(key.request_id) if program else None
+
+    def verdict_of(self, key: CallKey) -> Verdict:
+        """Returns what a refusal must say of a call without an answer."""
+        found = self.find_open(key)
+        if found is not None:
+            return found[1].verdict
+        program = self.programs.get(key.program_key)
+        if program is not None and key.request_id in program.maybe_ran:
+            return Verdict.MAY_HAVE_RUN
+        return Verdict.NOT_RUN
+
+    def root_of(self, program: Program) -> Program:
+        """Returns the root of the program's tree."""
+        return self.programs.get(program.root_key, program)
+
+    def check_begin(self, begin: Begin) -> BeginRejected | None:
+        """Returns why a new call can't be admitted now, or None."""
+        key = begin.key.program_key
+        program = self.programs.get(key)
+        if program is None:
+            return self._check_new_program(begin)
+        if program.ended:
+            text = f"the program has ended: {program.end_reason}"
+            return BeginRejected(begin, Reason.PROGRAM_ENDED, text)
+        if not begin.seq:
+            return None
+        if begin.seq < program.next_seq:
+            text = f"seq {begin.seq} is taken; the next is {program.next_seq}"
+            return BeginRejected(begin, Reason.SEQ_TAKEN, text)
+        if any(call.seq == begin.seq for call in program.open.values()):
+            text = f"seq {begin.seq} is taken by a call that is under way"
+            return BeginRejected(begin, Reason.SEQ_TAKEN, text)
+        return None
+
+    def content_of(self, begin: Begin) -> bytes:
+        """Returns a digest of all that a server would get.
+
+        A model request gets the same digest whether its history came with it
+        or was kept here, and whatever program and account it belongs to.
+        """
+        if begin.kind != "model":
+            return begin.fingerprint
+        program = self.programs.get(begin.key.program_key)
+        head, rest = b"", begin.digests
+        if program is not None:
+            head = program.history.head
+            rest = rest[len(program.history) :] if begin.whole else rest
+        head = history.chain_all(head, rest)
+        return digest.chain(head, begin.target.encode())
+
+    def _check_new_program(self, begin: Begin) -> BeginRejected | None:
+        if begin.seq > 1:
+            text = "the program is not known; its first call has seq 1"
+            return BeginRejected(begin, Reason.UNKNOWN_PROGRAM, text)
+        key = begin.key.program_key
+        for above in (begin.parent, *rules.ancestors(key.program)):
+            found = self.programs.get(
+                ProgramKey(account=key.account, program=above)
+            )
+            if found is not None and found.ended:
+                text = f"program {above!r}, which started this one, has ended"
+                return BeginRejected(begin, Reason.PROGRAM_ENDED, text)
+        return None
+
+    def program_for(self, record: records.CallBegun) -> Program:
+        """Returns the program of a begin, made now where it is new."""
+        key = record.begin.key.program_key
+        program = self.programs.get(key)
+        if program is not None:
+            return program
+        program = Program(
+            key,
+            record.begin.parent,
+            record.limits,
+            begun_ms=record.at_ms,
+            once=record.begin.once,
+        )
+        self.programs[key] = program
+        if program.root_key != key:
+            root = self._root_for(program, record)
+            root.members.append(key.program)
+        return program
+
+    def _root_for(self, program: Program, record: records.CallBegun) -> Program:
+        """Returns the root, made now where it has made no call itself."""
+        root = self.programs.get(program.root_key)
+        if root is None:
+            root = Program(
+                program.root_key, "", record.limits, begun_ms=record.at_ms
+            )
+            self.programs[root.key] = root
+        return root
+
+    def below(self, top: Program) -> list[Program]:
+        """Returns the programs that `top` started, and those started by them."""
+        root = self.root_of(top)
+        below: dict[str, Program] = {top.key.program: top}
+        prefix = top.key.program + routing.SUB_AGENT_SEPARATOR
+        for name in root.members:
+            key = ProgramKey(account=top.key.account, program=name)
+            program = self.programs[key]
+            if program.parent in below or name.startswith(prefix):
+                below[name] = program
+        del below[top.key.program]
+        return list(below.values())
+
+    def member(self, root: Program, name: str) -> Program | None:
+        """Returns a sub-agent of a root by its id."""
+        key = ProgramKey(account=root.key.account, program=name)
+        return self.programs.get(key)
+
+    def drop(self, program: Program) -> None:
+        """Forgets a program."""
+        del self.programs[program.key]
+        root = self.programs.get(program.root_key)
+        if root is not None and program.key.program in root.members:
+            root.members.remove(program.key.program)
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import collections
 import random
 from typing import TYPE_CHECKING, TypeGuard
 
@@ -18,10 +18,10 @@
 from catkinpin.core.attempts import Watch
 from catkinpin.core.commands import Command, Propose, Send
 from catkinpin.core.commands import EntryRef as EntryRef
+from catkinpin.core.deadlines import Deadlines
 from catkinpin.core.fates import Fates
 from catkinpin.core.outliers import Outliers
-from catkinpin.core.program import Call, ClosedCall, Program, same_request
-from catkinpin.core.timers import Timers
+from catkinpin.core.program import Call, ClosedCall, same_request
 from catkinpin.core.waiters import Waiter, Waiters
 from catkinpin.verdicts import Reason, Verdict
 
@@ -31,54 +31,6 @@
     from catkinpin.core.scheduler import Decision, Scheduler
     from catkinpin.core.shard import Shard
 
-# An entry reports the deadline itself; after this bound the leader does.
-_DEADLINE_GRACE_MS = 500
-# A grant or an outcome may be lost with a stream, or with a leader. Attempts
-# older than this are asked about, again and again.
-_RECALL_AFTER_MS = 2 * replies.GRANT_EXPIRES_MS
-_RECALL_AGAIN_MS = 10_000
-_FORGET_EVERY_MS = 1_000
-
-
-@dataclasses.dataclass(frozen=True)
-class _CallDue:
-    """The call's deadline has come."""
-
-    key: CallKey
-    grace: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class _WaiterDue:
-    """A waiter's own deadline has come."""
-
-    key: CallKey
-    waiter: Waiter
-
-
-@dataclasses.dataclass(frozen=True)
-class _PlaceDue:
-    """A call may be placed again."""
-
-    key: CallKey
-
-
-@dataclasses.dataclass(frozen=True)
-class _RecallDue:
-    """An attempt has been under way for long."""
-
-    attempt: str
-
-
-@dataclasses.dataclass(frozen=True)
-class _ProgramDue:
-    """A program may have been idle too long, or ended long ago."""
-
-    key: ProgramKey
-
-
-_Due = _CallDue | _WaiterDue | _PlaceDue | _RecallDue | _ProgramDue
-
 
 class ShardLeader:
     """Leads a shard: turns entries' messages into records and replies.
@@ -105,10 +57,15 @@
         self.cfg = cfg
         self._waiters = Waiters()
         self._pending: dict[CallKey, Begin] = {}
+        self._pending_programs: collections.Counter[ProgramKey] = (
+            collections.Counter()
+        )
         self._entries: dict[str, EntryRef] = {}
         self._watch = Watch()
         self._fates = Fates(state)
-        self._timers: Timers[_Due] = Timers()
+        self._deadlines = Deadlines(
+            state, self._waiters, self._watch, self._entries
+        )
         self._admission = limits.Admission()
         self.retries = limits.RetryBudget()
         self.outliers = Outliers(rng)
@@ -117,8 +74,6 @@
             state, jobs, self.outliers, self._deployment
         )
         self._held: set[CallKey] = set()
-        self._watched: set[ProgramKey] = set()
-        self._over: dict[ProgramKey, None] = {}
 
     def start(self, now_ms: int, wall_ms: int) -> list[Command]:
         """Takes over: watches what the log says is under way.
@@ -126,9 +81,9 @@
         Entries that are connected must be known before.
         """
         for program in self._shard.programs.values():
-            self._watch_program(program, now_ms, wall_ms)
+            self._deadlines.program_seen(program, now_ms, wall_ms)
             for call in program.open.values():
-                self._watch_call(call, now_ms, wall_ms)
+                self._opened(call, now_ms, wall_ms)
                 self._adopt(call, now_ms)
         commands: list[Command] = []
         for incarnation in self._watch.entries():
@@ -136,7 +91,7 @@
             if entry is None:
                 self._watch.entry_gone(incarnation, now_ms)
             else:
-                commands += self._recall_all(entry)
+                commands += self._deadlines.recall_all(entry)
         return commands
 
     def begin(
@@ -238,7 +193,7 @@
         """Notes an entry that can dispatch in its region."""
         self._entries[entry.incarnation] = entry
         self._watch.entry_back(entry.incarnation)
-        return self._recall_all(entry)
+        return self._deadlines.recall_all(entry)
 
     def entry_lost(self, entry: EntryRef, now_ms: int) -> None:
         """Forgets an entry whose stream broke."""
@@ -256,8 +211,8 @@
                 case placing.Placed():
                     commands += self._start_attempt(outcome, now_ms, wall_ms)
                 case placing.Later():
-                    due = now_ms + outcome.wait_ms
-                    self._timers.add(due, _PlaceDue(outcome.key))
+                    wait = outcome.wait_ms
+                    self._deadlines.place_later(outcome.key, now_ms, wait)
                 case placing.Rejected():
                     record = records.CallRefused(
                         at_ms=wall_ms,
@@ -272,19 +227,15 @@
 
     def tick(self, now_ms: int, wall_ms: int) -> list[Command]:
         """Acts on what has fallen due."""
-        commands: list[Command] = []
-        for due in self._timers.due(now_ms):
-            commands += self._fall_due(due, now_ms, wall_ms)
+        fallen = self._deadlines.fall_due(now_ms, wall_ms)
+        commands = fallen.commands
+        for key in fallen.place:
+            commands += self._place(key, now_ms, wall_ms)
         for watched in self._watch.overdue(now_ms):
             commands.append(Propose(attempts.lost(watched, wall_ms)))
         commands += self._fates.decide(now_ms, wall_ms)
         entries = list(self._entries.values())
         commands += self._fates.releases(entries, now_ms, wall_ms)
-        if self._over:
-            keys = list(self._over)
-            self._over.clear()
-            record = records.ProgramsForgotten(at_ms=wall_ms, keys=keys)
-            commands.append(Propose(record))
         return commands
 
     def applied(
@@ -345,9 +296,7 @@
                     for waiter in self._waiters.take_all(effect.begin.key)
                 ]
             case effects.ProgramOver():
-                retain = effect.program.limits.retain_ms
-                due = _ProgramDue(effect.program.key)
-                self._timers.add(now_ms + retain, due)
+                self._deadlines.program_over(effect.program, now_ms)
                 return []
             case effects.ContentQuarantined():
                 return []
@@ -424,6 +373,7 @@
             commands += self.decided(outcomes.others, now_ms, wall_ms)
         self._wait(begin.key, waiter)
         self._pending[begin.key] = begin
+        self._pending_programs[begin.key.program_key] += 1
         self._admission.opened(begin.key, deployment.name)
         self.retries.first_attempt(deployment.name)
         record = records.CallBegun(
@@ -436,7 +386,7 @@
 
     def _is_next(self, begin: Begin) -> bool:
         key = begin.key.program_key
-        if any(pending.program_key == key for pending in self._pending):
+        if key in self._pending_programs:
             return False
         program = self._shard.programs.get(key)
         if program is None:
@@ -456,19 +406,21 @@
 
     def _wait(self, key: CallKey, waiter: Waiter) -> None:
         self._waiters.add(key, waiter)
-        due = waiter.deadline_ms + _DEADLINE_GRACE_MS
-        self._timers.add(due, _WaiterDue(key, waiter))
+        self._deadlines.waiting(key, waiter)
 
     def _begun(self, key: CallKey, now_ms: int, wall_ms: int) -> list[Command]:
-        self._pending.pop(key, None)
+        if self._pending.pop(key, None) is not None:
+            self._pending_programs[key.program_key] -= 1
+            if not self._pending_programs[key.program_key]:
+                del self._pending_programs[key.program_key]
         commands = self._free_server(key, now_ms, wall_ms)
         found = self._shard.find_open(key)
         if found is None:
             self._admission.closed(key, now_ms, answered=False)
             return commands
         program, call = found
-        self._watch_call(call, now_ms, wall_ms)
-        self._watch_program(program, now_ms, wall_ms)
+        self._opened(call, now_ms, wall_ms)
+        self._deadlines.program_seen(program, now_ms, wall_ms)
         return commands
 
     # Placement and grants.
@@ -532,7 +484,7 @@
             return [Propose(refusal)]
         wait = limits.backoff_ms(call.attempts, self._rng)
         if wait:
-            self._timers.add(now_ms + wait, _PlaceDue(call.key))
+            self._deadlines.place_later(call.key, now_ms, wait)
             return []
         return self._place(call.key, now_ms, wall_ms)
 
@@ -590,8 +542,7 @@
             return [Propose(record)]
         self._waiters.take(call.key, waiter)
         self._watch.add(call.key, attempt)
-        due = now_ms + _RECALL_AFTER_MS
-        self._timers.add(due, _RecallDue(attempt.attempt))
+        self._deadlines.started(attempt.attempt, now_ms)
         return [replies.grant(waiter, effect.program, call, attempt, now_ms)]
 
     def _deployment(self, begin: Begin) -> Deployment | None:
@@ -675,109 +626,11 @@
             for waiter in waiters
         ]
 
-    # What falls due.
-
-    def _fall_due(self, due: _Due, now_ms: int, wall_ms: int) -> list[Command]:
-        match due:
-            case _CallDue():
-                return self._call_due(due, now_ms, wall_ms)
-            case _WaiterDue():
-                return self._waiter_due(due)
-            case _PlaceDue():
-                return self._place(due.key, now_ms, wall_ms)
-            case _RecallDue():
-                return self._recall_due(due, now_ms)
-            case _ProgramDue():
-                return self._program_due(due.key, now_ms, wall_ms)
-
-    def _call_due(
-        self, due: _CallDue, now_ms: int, wall_ms: int
-    ) -> list[Command]:
-        found = self._shard.find_open(due.key)
-        if found is None:
-            return []
-        call = found[1]
-        # An attempt that starts meanwhile makes the record below void.
-        left = call.deadline_wall_ms - wall_ms
-        again = _CallDue(due.key, grace=left <= 0)
-        self._timers.add(now_ms + max(left, _DEADLINE_GRACE_MS), again)
-        if left > 0:
-            return []
-        if call.attempt is None:
-            record = records.CallRefused(
-                at_ms=wall_ms,
-                key=due.key,
-                reason=Reason.DEADLINE,
-                text="the deadline passed before the call's turn came",
-                verdict=call.verdict,
-            )
-            return [Propose(record)]
-        if not due.grace:
-            return []
-        attempt = call.attempt.attempt
-        return [Propose(attempts.too_late(due.key, attempt, wall_ms))]
-
-    def _waiter_due(self, due: _WaiterDue) -> list[Command]:
-        if not self._waiters.take(due.key, due.waiter):
-            return []
-        # The call is still open and may run for another waiter.
-        return [
-            replies.refuse(
-                due.waiter.entry,
-                due.waiter.ask,
-                Reason.DEADLINE,
-                "the deadline passed; a resend gets the outcome",
-                verdict=Verdict.MAY_HAVE_RUN,
-            )
-        ]
-
-    def _recall_due(self, due: _RecallDue, now_ms: int) -> list[Command]:
-        watched = self._watch.get(due.attempt)
-        if watched is None:
-            return []
-        self._timers.add(now_ms + _RECALL_AGAIN_MS, due)
-        entry = self._entries.get(watched.incarnation)
-        return [] if entry is None else [_recall(entry, watched)]
-
-    def _recall_all(self, entry: EntryRef) -> list[Command]:
-        held = self._watch.held_by(entry.incarnation)
-        return [_recall(entry, watched) for watched in held]
-
-    def _program_due(
-        self, key: ProgramKey, now_ms: int, wall_ms: int
-    ) -> list[Command]:
-        program = self._shard.programs.get(key)
-        if program is None:
-            self._watched.discard(key)
-            return []
-        if program.ended:
-            return self._forget_due(program, now_ms, wall_ms)
-        end = _end_of(program)
-        if program.open or end > wall_ms:
-            wait = max(end - wall_ms, _FORGET_EVERY_MS)
-            self._timers.add(now_ms + wait, _ProgramDue(key))
-            return []
-        text = f"no call for {_idle_ms(program)} ms"
-        record = records.ProgramEnded(at_ms=wall_ms, key=key, reason=text)
-        self._timers.add(now_ms + _FORGET_EVERY_MS, _ProgramDue(key))
-        return [Propose(record)]
-
-    def _forget_due(
-        self, program: Program, now_ms: int, wall_ms: int
-    ) -> list[Command]:
-        due_ms = program.ended_ms + program.limits.retain_ms
-        wait = max(due_ms - wall_ms, _FORGET_EVERY_MS)
-        if due_ms <= wall_ms:
-            self._over[program.key] = None
-        self._timers.add(now_ms + wait, _ProgramDue(program.key))
-        return []
-
-    def _watch_call(self, call: Call, now_ms: int, wall_ms: int) -> None:
+    def _opened(self, call: Call, now_ms: int, wall_ms: int) -> None:
         """Notes an open call of the log."""
         name = self._deployment_name(call.begin)
         self._admission.opened(call.key, name)
-        wait = max(0, call.deadline_wall_ms - wall_ms)
-        self._timers.add(now_ms + wait, _CallDue(call.key))
+        self._deadlines.call_open(call, now_ms, wall_ms)
 
     def _adopt(self, call: Call, now_ms: int) -> None:
         """Watches the attempt that an earlier leader granted."""
@@ -786,21 +639,7 @@
         self._admission.started(call.key)
         self._watch.add(call.key, call.attempt)
         self._placing.resume(call, call.attempt)
-        due = now_ms + _RECALL_AFTER_MS
-        self._timers.add(due, _RecallDue(call.attempt.attempt))
-
-    def _watch_program(
-        self, program: Program, now_ms: int, wall_ms: int
-    ) -> None:
-        if program.key in self._watched:
-            return
-        self._watched.add(program.key)
-        if program.ended:
-            end = program.ended_ms + program.limits.retain_ms
-        else:
-            end = _end_of(program)
-        wait = max(0, end - wall_ms)
-        self._timers.add(now_ms + wait, _ProgramDue(program.key))
+        self._deadlines.started(call.attempt.attempt, now_ms)
 
 
 def _ends_attempt_of(
@@ -811,26 +650,6 @@
     )
 
 
-def _recall(entry: EntryRef, watched: attempts.Watched) -> Send:
-    recall = messages.Recall(key=watched.key, attempt=watched.attempt)
-    return Send(entry, recall)
-
-
-def _idle_ms(program: Program) -> int:
-    """Returns after how long without a call the program is over."""
-    if program.once:
-        # No call follows; the program waits for resends only.
-        return min(program.limits.idle_ms, program.limits.retain_ms)
-    return program.limits.idle_ms
-
-
-def _end_of(program: Program) -> int:
-    """Returns the wall time at which an idle program ends."""
-    active = max(program.active_ms, program.begun_ms)
-    age = program.begun_ms + program.limits.max_age_ms
-    return min(active + _idle_ms(program), age)
-
-
 def _worse(verdict: Verdict) -> int:
     """Orders verdicts by how much may have happened."""
     order = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
--- a/catkinpin/core/outbox.py
+++ b/catkinpin/core/outbox.py
@@ -31,43 +31,46 @@
 
 @dataclasses.dataclass(slots=True)
 class Outbox:
-    """Orders not yet confirmed, oldest first."""
+    """Orders not yet confirmed, by server and program, oldest first."""
 
-    orders: list[Order] = dataclasses.field(default_factory=list)
+    orders: dict[str, dict[str, Order]] = dataclasses.field(
+        default_factory=dict
+    )
 
     def add(self, order: Order) -> None:
-        """Adds an order unless it waits already."""
-        known = self.pending(order.server)
-        if order.program not in {one.program for one in known}:
-            self.orders.append(order)
+        """Adds an order; it takes the place of one to an earlier life."""
+        known = self.orders.setdefault(order.server, {})
+        known[order.program] = order
         oldest = order.made_ms - _KEPT_MS
-        if self.orders[0].made_ms < oldest:
-            self.orders = [o for o in self.orders if o.made_ms >= oldest]
+        while (first := next(iter(known.values()))).made_ms < oldest:
+            del known[first.program]
 
     def pending(self, server: str) -> list[Order]:
         """Returns the orders for a server."""
-        return [order for order in self.orders if order.server == server]
+        return list(self.orders.get(server, {}).values())
 
-    def servers(self) -> set[str]:
+    def servers(self) -> list[str]:
         """Returns the servers that have orders."""
-        return {order.server for order in self.orders}
+        return list(self.orders)
 
     def confirmed(
         self, server: str, incarnation: str, programs: list[str]
     ) -> None:
         """Drops the orders that this incarnation carried out."""
-        self.orders = [
-            order
-            for order in self.orders
-            if order.server != server
-            or order.incarnation != incarnation
-            or order.program not in programs
-        ]
+        known = self.orders.get(server, {})
+        for program in programs:
+            order = known.get(program)
+            if order is not None and order.incarnation == incarnation:
+                del known[program]
+        self._tidy(server)
 
     def restarted(self, server: str, incarnation: str) -> None:
         """Drops the orders to other incarnations: their memory is gone."""
-        self.orders = [
-            order
-            for order in self.orders
-            if order.server != server or order.incarnation == incarnation
-        ]
+        for order in self.pending(server):
+            if order.incarnation != incarnation:
+                del self.orders[server][order.program]
+        self._tidy(server)
+
+    def _tidy(self, server: str) -> None:
+        if not self.orders.get(server):
+            self.orders.pop(server, None)
--- a/catkinpin/core/records.py
+++ b/catkinpin/core/records.py
@@ -90,11 +90,16 @@
 
 
 class ProgramEnded(Message, frozen=True):
-    """A program is over: asked for, idle, or stopped by a limit."""
+    """A program is over: asked for, idle, or stopped by a limit.
+
+    Attributes:
+        if_idle: whether a call that has come meanwhile makes this void.
+    """
 
     at_ms: int
     key: ProgramKey
     reason: str
+    if_idle: bool = False
 
 
 class ProgramsForgotten(Message, frozen=True):
--- a/catkinpin/core/shard.py
+++ b/catkinpin/core/shard.py
@@ -11,9 +11,8 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import codec, digest
-from catkinpin.core import budgets, history, records, routing
+from catkinpin.core import budgets, history, records, rules
 from catkinpin.core.effects import (
-    BeginRejected,
     CallAnswered,
     CallGranted,
     CallReady,
@@ -22,7 +21,7 @@
     Effect,
     ProgramOver,
 )
-from catkinpin.core.messages import ProgramKey
+from catkinpin.core.index import ProgramIndex
 from catkinpin.core.outbox import Order, Outbox
 from catkinpin.core.program import (
     Attempt,
@@ -38,7 +37,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from catkinpin.core.messages import Begin, CallKey
 
 # Dispatches of one call; a request that every server fails ends here.
 MAX_ATTEMPTS = 8
@@ -47,20 +45,19 @@
 _decoder = codec.decoder(ShardSnapshot)
 
 
-class Shard:
+class Shard(ProgramIndex):
     """The programs of one shard.
 
     Attributes:
         shards: number of program shards in the system.
-        programs: every program not yet forgotten, by key.
         outbox: orders to release engine memory.
         quarantine: requests that crash servers.
     """
 
     def __init__(self, name: str, shards: int = 1) -> None:
+        super().__init__()
         self.name = name
         self.shards = shards
-        self.programs: dict[ProgramKey, Program] = {}
         self.outbox = Outbox()
         self.quarantine = Quarantine()
 
@@ -127,81 +124,6 @@
                 if closed.record_index:
                     yield closed.record_index
 
-    def find_open(self, key: CallKey) -> tuple[Program, Call] | None:
-        """Returns the open call and its program, or None."""
-        program = self.programs.get(key.program_key)
-        if program is None or key.request_id not in program.open:
-            return None
-        return program, program.open[key.request_id]
-
-    def find_closed(self, key: CallKey) -> ClosedCall | None:
-        """Returns the call whose final answer is kept, or None."""
-        program = self.programs.get(key.program_key)
-        return program.closed.get(key.request_id) if program else None
-
-    def verdict_of(self, key: CallKey) -> Verdict:
-        """Returns what a refusal must say of a call without an answer."""
-        found = self.find_open(key)
-        if found is not None:
-            return found[1].verdict
-        program = self.programs.get(key.program_key)
-        if program is not None and key.request_id in program.maybe_ran:
-            return Verdict.MAY_HAVE_RUN
-        return Verdict.NOT_RUN
-
-    def root_of(self, program: Program) -> Program:
-        """Returns the root of the program's tree."""
-        return self.programs.get(program.root_key, program)
-
-    def check_begin(self, begin: Begin) -> BeginRejected | None:
-        """Returns why a new call can't be admitted now, or None."""
-        key = begin.key.program_key
-        program = self.programs.get(key)
-        if program is None:
-            return self._check_new_program(begin)
-        if program.ended:
-            text = f"the program has ended: {program.end_reason}"
-            return BeginRejected(begin, Reason.PROGRAM_ENDED, text)
-        if not begin.seq:
-            return None
-        if begin.seq < program.next_seq:
-            text = f"seq {begin.seq} is taken; the next is {program.next_seq}"
-            return BeginRejected(begin, Reason.SEQ_TAKEN, text)
-        if any(call.seq == begin.seq for call in program.open.values()):
-            text = f"seq {begin.seq} is taken by a call that is under way"
-            return BeginRejected(begin, Reason.SEQ_TAKEN, text)
-        return None
-
-    def content_of(self, begin: Begin) -> bytes:
-        """Returns a digest of all that a server would get.
-
-        A model request gets the same digest whether its history came with it
-        or was kept here, and whatever program and account it belongs to.
-        """
-        if begin.kind != "model":
-            return begin.fingerprint
-        program = self.programs.get(begin.key.program_key)
-        head, rest = b"", begin.digests
-        if program is not None:
-            head = program.history.head
-            rest = rest[len(program.history) :] if begin.whole else rest
-        head = history.chain_all(head, rest)
-        return digest.chain(head, begin.target.encode())
-
-    def _check_new_program(self, begin: Begin) -> BeginRejected | None:
-        if begin.seq > 1:
-            text = "the program is not known; its first call has seq 1"
-            return BeginRejected(begin, Reason.UNKNOWN_PROGRAM, text)
-        key = begin.key.program_key
-        for above in (begin.parent, *_ancestors(key.program)):
-            found = self.programs.get(
-                ProgramKey(account=key.account, program=above)
-            )
-            if found is not None and found.ended:
-                text = f"program {above!r}, which started this one, has ended"
-                return BeginRejected(begin, Reason.PROGRAM_ENDED, text)
-        return None
-
     def _call_begun(
         self, index: int, record: records.CallBegun
     ) -> list[Effect]:
@@ -212,7 +134,7 @@
         rejected = self.check_begin(begin)
         if rejected is not None:
             return [rejected]
-        program = self._program_for(record)
+        program = self.program_for(record)
         call = Call(
             begin=begin,
             seq=begin.seq,
@@ -227,34 +149,6 @@
             return []
         return self._start(index, record.at_ms, program, call, record.choice)
 
-    def _program_for(self, record: records.CallBegun) -> Program:
-        key = record.begin.key.program_key
-        program = self.programs.get(key)
-        if program is not None:
-            return program
-        program = Program(
-            key,
-            record.begin.parent,
-            record.limits,
-            begun_ms=record.at_ms,
-            once=record.begin.once,
-        )
-        self.programs[key] = program
-        if program.root_key != key:
-            root = self._root_for(program, record)
-            root.members.append(key.program)
-        return program
-
-    def _root_for(self, program: Program, record: records.CallBegun) -> Program:
-        """Returns the root, made now where it has made no call itself."""
-        root = self.programs.get(program.root_key)
-        if root is None:
-            root = Program(
-                program.root_key, "", record.limits, begun_ms=record.at_ms
-            )
-            self.programs[root.key] = root
-        return root
-
     def _start(
         self,
         index: int,
@@ -298,23 +192,25 @@
         """Returns the refusal of a call that may not get an attempt."""
         begin = call.begin
         root = self.root_of(program)
-        if limit := _limit_reached(root, at_ms):
-            return _refusal(at_ms, call, Reason.LIMIT_REACHED, limit)
+        if limit := rules.limit_reached(root, at_ms):
+            return rules.refusal(at_ms, call, Reason.LIMIT_REACHED, limit)
         if begin.kind == "model" and begin.whole:
             place = program.history.first_difference(begin.digests)
             if place is not None:
                 text = f"messages[{place}] differs from the program's history"
-                return _refusal(at_ms, call, Reason.HISTORY_CONFLICT, text)
+                return rules.refusal(at_ms, call, Reason.HISTORY_CONFLICT, text)
         if self.quarantine.is_refused(call.content):
             text = "this request crashed servers and is quarantined"
-            return _refusal(at_ms, call, Reason.QUARANTINED, text)
+            return rules.refusal(at_ms, call, Reason.QUARANTINED, text)
         if begin.kind != "model":
             return None
         if not budgets.worst_case(root, begin.prompt_tokens, begin.max_tokens):
             text = "the program's token budget does not cover this call"
             # What is reserved may come back when attempts settle.
             wait = _RETRY_AFTER_MS if root.reserved else 0
-            return _refusal(at_ms, call, Reason.BUDGET_EXHAUSTED, text, wait)
+            return rules.refusal(
+                at_ms, call, Reason.BUDGET_EXHAUSTED, text, wait
+            )
         return None
 
     def _turn_down(
@@ -351,8 +247,8 @@
         """Goes on once a call has its final answer."""
         if program.ended:
             return self._memory_free(program)
-        if not program.open and _left_no_trace(program):
-            self._drop(program)
+        if not program.open and rules.left_no_trace(program):
+            self.drop(program)
             return []
         return self._advance(program)
 
@@ -405,10 +301,10 @@
         self._settle(program, attempt, record)
         self._judge_content(call, attempt, record)
         if record.verdict is Verdict.RAN and record.answer is not None:
-            if _fits(call.begin, attempt.skip, record):
+            if rules.fits(call.begin, attempt.skip, record):
                 return self._answered(index, program, call, attempt, record)
             text = "the entry's messages are not those of the request"
-            refusal = _refusal(
+            refusal = rules.refusal(
                 record.at_ms, call, Reason.INTERNAL, text, verdict=Verdict.RAN
             )
             return self._turn_down(program, call, refusal)
@@ -417,7 +313,7 @@
             call.verdict = record.verdict
         if self._may_retry(program, call, record):
             return [CallReady(program, call)]
-        refusal = _failure(program, call, record)
+        refusal = rules.failure(program, call, record)
         return self._turn_down(program, call, refusal, record.attempt)
 
     def _settle(
@@ -510,7 +406,7 @@
         if call is not None:
             skip = len(program.history) if call.begin.whole else 0
             waits = program.next_call() is call
-            if waits and _fits(call.begin, skip, record):
+            if waits and rules.fits(call.begin, skip, record):
                 return self._answered(index, program, call, None, record)
             return []
         closed = program.closed.get(record.key.request_id)
@@ -531,7 +427,7 @@
         if call.state is not CallState.WAITING:
             return []
         # The call may have been dispatched since the refusal was proposed.
-        refusal = _refusal(
+        refusal = rules.refusal(
             record.at_ms,
             call,
             record.reason,
@@ -544,28 +440,18 @@
         program = self.programs.get(record.key)
         if program is None or program.ended:
             return []
+        if record.if_idle and program.open:
+            return []
         return self._end_tree(program, record.reason, record.at_ms)
 
     def _end_tree(self, top: Program, reason: str, at_ms: int) -> list[Effect]:
         """Ends a program and all that it started."""
         effects: list[Effect] = []
-        for program in [top, *self._below(top)]:
+        for program in [top, *self.below(top)]:
             if not program.ended:
                 effects += self._end(program, reason, at_ms)
         return effects
 
-    def _below(self, top: Program) -> list[Program]:
-        root = self.root_of(top)
-        below: dict[str, Program] = {top.key.program: top}
-        prefix = top.key.program + routing.SUB_AGENT_SEPARATOR
-        for name in root.members:
-            key = ProgramKey(account=top.key.account, program=name)
-            program = self.programs[key]
-            if program.parent in below or name.startswith(prefix):
-                below[name] = program
-        del below[top.key.program]
-        return list(below.values())
-
     def _end(self, program: Program, reason: str, at_ms: int) -> list[Effect]:
         program.ended = True
         program.end_reason = reason
@@ -575,7 +461,7 @@
             if call.state is CallState.RUNNING:
                 continue
             text = f"the program has ended: {reason}"
-            refusal = _refusal(at_ms, call, Reason.PROGRAM_ENDED, text)
+            refusal = rules.refusal(at_ms, call, Reason.PROGRAM_ENDED, text)
             program.close(call, None)
             effects.append(CallTurnedDown(call.key, refusal))
         effects.append(ProgramOver(program))
@@ -602,21 +488,11 @@
             program = self.programs.get(key)
             if program is None or not program.ended or program.open:
                 continue
-            if any(self._member(program, name) for name in program.members):
+            if any(self.member(program, name) for name in program.members):
                 continue
-            self._drop(program)
+            self.drop(program)
         return []
 
-    def _member(self, root: Program, name: str) -> Program | None:
-        key = ProgramKey(account=root.key.account, program=name)
-        return self.programs.get(key)
-
-    def _drop(self, program: Program) -> None:
-        del self.programs[program.key]
-        root = self.programs.get(program.root_key)
-        if root is not None and program.key.program in root.members:
-            root.members.remove(program.key.program)
-
     def _memory_released(self, record: records.MemoryReleased) -> list[Effect]:
         if record.empty:
             self.outbox.restarted(record.server, record.incarnation)
@@ -632,88 +508,3 @@
         return [
             ContentQuarantined(content) for content in self.quarantine.condemn()
         ]
-
-
-def _ancestors(program: str) -> Iterator[str]:
-    """Yields the ids that a sub-agent's id begins with, its root's first."""
-    parts = program.split(routing.SUB_AGENT_SEPARATOR)
-    for length in range(1, len(parts)):
-        yield routing.SUB_AGENT_SEPARATOR.join(parts[:length])
-
-
-def _limit_reached(root: Program, at_ms: int) -> str:
-    """Returns which limit a tree of programs has reached, or an empty text."""
-    limits = root.limits
-    if root.turns >= limits.max_turns:
-        return f"the program has made {limits.max_turns} turns, its limit"
-    if at_ms - root.begun_ms >= limits.max_age_ms:
-        return f"the program is {limits.max_age_ms} ms old, its limit"
-    return ""
-
-
-def _left_no_trace(program: Program) -> bool:
-    """Returns whether nothing of the program ever ran."""
-    return not (
-        program.closed
-        or program.unknown
-        or program.maybe_ran
-        or program.members
-        or program.servers
-        or program.turns
-    )
-
-
-def _refusal(
-    at_ms: int,
-    call: Call,
-    reason: Reason,
-    text: str,
-    retry_after_ms: int = 0,
-    verdict: Verdict | None = None,
-) -> records.CallRefused:
-    return records.CallRefused(
-        at_ms=at_ms,
-        key=call.key,
-        reason=reason,
-        text=text,
-        verdict=verdict or call.verdict,
-        retry_after_ms=retry_after_ms,
-    )
-
-
-def _failure(
-    program: Program, call: Call, record: records.AttemptFinished
-) -> records.CallRefused:
-    """Returns the refusal of a call that is not tried again."""
-    reason = record.reason or Reason.SERVER_FAILED
-    text = record.text
-    verdict = record.verdict
-    if verdict is Verdict.NOT_RUN:
-        # An earlier attempt may have run even if this one did not.
-        verdict = call.verdict
-        if program.ended:
-            reason = Reason.PROGRAM_ENDED
-            text = f"the program has ended: {program.end_reason}"
-    retry = 0
-    if not program.ended and (
-        verdict is Verdict.NOT_RUN or call.begin.idempotent
-    ):
-        retry = _RETRY_AFTER_MS
-    return _refusal(record.at_ms, call, reason, text, retry, verdict)
-
-
-def _fits(begin: Begin, skip: int, record: records.AttemptFinished) -> bool:
-    """Returns whether an answer's messages are the request's and one more.
-
-    An entry that mixed up two calls would put one program's messages into
-    another's history; the digests it sent with the begin show that.
-    """
-    if begin.kind != "model":
-        return not record.messages
-    asked = begin.digests[skip:]
-    if len(record.messages) != len(asked) + 1:
-        return False
-    return all(
-        digest.of_bytes(message) == item
-        for message, item in zip(record.messages, asked, strict=False)
-    )
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -157,7 +157,7 @@
         self.assertEqual(40, bench.program().spent)
 
     def _orders(self, bench: Bench) -> list[str]:
-        return [order.program for order in bench.shard.outbox.orders]
+        return [order.program for order in bench.shard.outbox.pending("s")]
 
     def test_loop_without_end_is_stopped(self) -> None:
         """A program calls on and on.
