--- a/catkinpin/core/index.py
+++ b/catkinpin/core/index.py
@@ -132,7 +132,7 @@
         return root
 
     def below(self, top: Program) -> list[Program]:
-        """Returns the programs that `top` started, and those started by them."""
+        """Returns what `top` started, and what that started in turn."""
         root = self.root_of(top)
         below: dict[str, Program] = {top.key.program: top}
         prefix = top.key.program + routing.SUB_AGENT_SEPARATOR
