Hold configuration as items, with leases, plans and orders in control

Cause: the control group held one opaque text; an entry served under the newest text it happened to have got, for ever, also after being frozen or cut off, so a withdrawn key could go on working.

Now: accounts, deployments and drains are items with a revision each; changes travel as differences, a process that is far behind gets the newest state. An entry and a shard's leader serve only within a lease that the control leader renews for those on the newest revision, counted from when they asked. The registration of a process is in the log before its first lease, so that a new leader waits for it. Plans, fencing tokens, hard facts of servers and the quarantine are records of the same group.

Ruled out: refusing a begin at a shard leader whose lease lapsed with "not run": test_state_outlives_a_killed_replica showed that a resend of a call that ran got this false promise. The leader sends the entry back instead ("not leader"), which asks again.

The scheduler asks Job.allowed at each placement, since the configuration may change while a call waits.

--- a/catkinpin/adapters/callers.py
+++ b/catkinpin/adapters/callers.py
@@ -150,6 +150,9 @@
 
 def _account(entry: Entry, req: sanic.Request) -> str:
     """Returns the account whose key the request carries."""
+    if problem := entry.lease.problem():
+        text = f"this host does not serve now: {problem}"
+        raise _RefusedError(_not_run(Reason.NOT_READY, text))
     scheme, _, key = req.headers.get("authorization", "").partition(" ")
     if scheme.lower() == "bearer" and key:
         account = entry.configured.accounts.get(
@@ -165,9 +168,6 @@
     if entry.stopping:
         text = "this host is stopping; another will answer"
         raise _RefusedError(_not_run(Reason.STOPPING, text))
-    if entry.configured.configuration is None:
-        text = "this host has no confirmed configuration yet"
-        raise _RefusedError(_not_run(Reason.NOT_READY, text))
 
 
 def _name(req: sanic.Request, header: str, default: str) -> str:
--- a/catkinpin/adapters/configured.py
+++ b/catkinpin/adapters/configured.py
@@ -1,13 +1,28 @@
-"""The configuration that an entry serves under."""
+"""The configuration that a process serves under, and its lease to do so."""
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import logging
 from typing import TYPE_CHECKING
 
-from catkinpin import configuration, metrics
+from catkinpin import metrics
+from catkinpin.core import changes, routing
+from catkinpin.core.deployments import Configuration
+from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
-    from catkinpin.core import changes
+    from collections.abc import Callable
+
+    from catkinpin.adapters.shards import Replicas
+    from catkinpin.clock import Clock
+
+log = logging.getLogger(__name__)
+
+RENEW_EVERY_S = 1.0
+_ASK_TIMEOUT_S = 1.0
+_SOON_S = 0.05
 
 
 class Configured:
@@ -19,23 +34,104 @@
     """
 
     def __init__(self) -> None:
-        self.configuration: configuration.Configuration | None = None
+        self.configuration: Configuration | None = None
         self.revision = 0
-        self.content = b""
         self.accounts: dict[str, str] = {}
 
-    def take(self, update: changes.ConfigUpdate) -> int:
-        """Serves under `update`; returns its revision, 0 if it is not newer.
+    def take(self, update: changes.ConfigUpdate) -> bool:
+        """Serves under `update`; returns False where it does not fit.
 
-        A replica that lags may send an older revision than another sent
-        before; going back would let a withdrawn key or budget work again.
+        An update that is late may carry an older revision than one before;
+        going back would let a withdrawn key or budget work again.
         """
-        if update.revision <= self.revision:
-            return 0
-        cfg = configuration.parse(update.content)
+        if update.revision <= self.revision or update.base > self.revision:
+            return False
+        if update.base == 0 or self.configuration is None:
+            cfg = Configuration(update.upserts)
+        else:
+            cfg = self.configuration.changed(update.upserts, update.removes)
         self.configuration = cfg
         self.revision = update.revision
-        self.content = update.content
-        self.accounts = {a.key_sha256: a.name for a in cfg.accounts}
+        self.accounts = {a.key_sha256: a.name for a in cfg.accounts.values()}
         metrics.REVISION.set(update.revision)
-        return update.revision
+        return True
+
+
+class LeaseHolder:
+    """Keeps the lease under which this process may serve.
+
+    A process that is frozen or cut off misses changes: a key withdrawn in the
+    meantime would still open the door, and nobody would notice. So it serves
+    only for a short time after the control leader has last told it that its
+    revision is the newest, counted on its own monotonic clock from when it
+    *sent* its question.
+
+    Args:
+        replicas: streams to the replicas.
+        clock: source of time.
+        revision: returns the revision that this process serves under.
+        take: called with updates; None where they come another way.
+    """
+
+    def __init__(
+        self,
+        replicas: Replicas,
+        clock: Clock,
+        revision: Callable[[], int],
+        take: Callable[[changes.ConfigUpdate], bool] | None,
+    ) -> None:
+        self._replicas = replicas
+        self._clock = clock
+        self._revision = revision
+        self._take = take
+        self._lapses_ms = 0
+        self._wake = asyncio.Event()
+
+    def problem(self) -> str:
+        """Returns why this process may not serve now, or an empty string."""
+        if self._revision() == 0:
+            return "no confirmed configuration"
+        if self._clock.now_ms() >= self._lapses_ms:
+            return "the configuration is not confirmed: its lease lapsed"
+        return ""
+
+    def changed(self) -> None:
+        """Confirms a new revision at once."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Renews the lease for ever."""
+        while True:
+            pause_s = _SOON_S
+            self._wake.clear()
+            try:
+                pause_s = await self._renew()
+            except PeerLostError as exc:
+                log.debug("lease not renewed: %s", exc)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), pause_s)
+
+    async def _renew(self) -> float:
+        revision = self._revision()
+        sent_ms = 0
+
+        def make(ask: int) -> changes.RenewLease:
+            nonlocal sent_ms
+            sent_ms = self._clock.now_ms()
+            return changes.RenewLease(
+                ask=ask,
+                revision=revision,
+                wants_update=self._take is not None,
+            )
+
+        lease = await self._replicas.ask(
+            routing.CONTROL_GROUP, make, _ASK_TIMEOUT_S
+        )
+        if lease.update is not None and self._take is not None:
+            self._take(lease.update)
+            return 0.0
+        if lease.lease_ms and lease.revision >= revision:
+            lapses_ms = sent_ms + lease.lease_ms
+            self._lapses_ms = max(self._lapses_ms, lapses_ms)
+            return RENEW_EVERY_S
+        return _SOON_S
--- a/catkinpin/adapters/operators.py
+++ b/catkinpin/adapters/operators.py
@@ -2,21 +2,36 @@
 
 from __future__ import annotations
 
+import asyncio
+import hashlib
 import hmac
+import re
 import uuid
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import sanic
 from sanic import response
 
 from catkinpin import configuration
-from catkinpin.core import changes, routing
+from catkinpin.adapters import intents
+from catkinpin.core import changes, deployments, routing
 from catkinpin.exceptions import BadRequestError, PeerLostError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinpin.entry import Entry
 
-_APPLY_TIMEOUT_S = 5.0
+_ANSWER_TIMEOUT_S = 8.0
+_CATCH_UP_S = 2.0
+_POLL_S = 0.02
+_OK = 200
+_BAD = 400
+_CONFLICT = 409
+_UNKNOWN = 503
+_ID = re.compile(r"[0-9A-Za-z._:-]{1,100}")
+_FINGERPRINT = re.compile(r"([0-9a-f]{2}){1,64}")
 
 
 def add_routes(app: sanic.Sanic[Any, Any], entry: Entry) -> None:
@@ -25,49 +40,197 @@
     @app.get("/v1/operator/configuration")
     async def show(req: sanic.Request) -> Any:
         _check_operator(entry, req)
-        return response.json(
-            {
-                "revision": entry.configured.revision,
-                "content": entry.configured.content.decode(),
-            }
-        )
+        return response.json(_shown(entry))
 
     @app.post("/v1/operator/configuration")
     async def apply(req: sanic.Request) -> Any:
         _check_operator(entry, req)
         return await _apply(entry, req)
 
+    @app.get("/v1/operator/in-force")
+    async def in_force(req: sanic.Request) -> Any:
+        _check_operator(entry, req)
+        revision = _number("revision", req.args.get("revision", ""))
+        return await _ask(
+            entry, lambda ask: changes.GetInForce(ask=ask, revision=revision)
+        )
+
+    @app.get("/v1/operator/status")
+    async def status(req: sanic.Request) -> Any:
+        _check_operator(entry, req)
+        return await _ask(entry, lambda ask: changes.GetStatus(ask=ask))
+
+    @app.post("/v1/operator/plans")
+    async def plan(req: sanic.Request) -> Any:
+        _check_operator(entry, req)
+        return await _plan(entry, req)
+
+    @app.post("/v1/operator/plans/<plan_id>/<verb:confirm|stop|undo>")
+    async def act(req: sanic.Request, plan_id: str, verb: str) -> Any:
+        _check_operator(entry, req)
+        return await _act(entry, req, plan_id, verb)
+
+    @app.post("/v1/operator/quarantine/<fingerprint>/lift")
+    async def lift(req: sanic.Request, fingerprint: str) -> Any:
+        _check_operator(entry, req)
+        return await _lift(entry, req, fingerprint)
+
+
+def _shown(entry: Entry) -> dict[str, Any]:
+    cfg = entry.configured.configuration or configuration.Configuration()
+    items = {
+        "accounts": list(cfg.accounts.values()),
+        "deployments": cfg.deployments,
+        "drains": cfg.drains,
+    }
+    return {
+        "revision": entry.configured.revision,
+        **msgspec.to_builtins(items),
+    }
+
 
 async def _apply(entry: Entry, req: sanic.Request) -> Any:
-    configuration.parse(req.body)
-    base = req.headers.get("catkinpin-base-revision", "")
-    if not base.isdigit():
-        raise BadRequestError("Catkinpin-Base-Revision", "a number is needed")
-    request_id = req.headers.get("idempotency-key") or uuid.uuid4().hex
+    wanted = configuration.parse(req.body)
+    base = _number(
+        "Catkinpin-Base-Revision",
+        req.headers.get("catkinpin-base-revision", ""),
+    )
+    request_id = _request_id(req)
+    operator = req.headers.get("catkinpin-operator", "")
+    upserts, removes = await _difference(entry, base, wanted)
+    digest = hashlib.sha256(f"{base}\0{operator}\0".encode() + req.body)
 
     def make(ask: int) -> changes.Apply:
         return changes.Apply(
             ask=ask,
             request_id=request_id,
-            base_revision=int(base),
-            content=req.body,
-            operator=req.headers.get("catkinpin-operator", ""),
+            base_revision=base,
+            upserts=upserts,
+            removes=removes,
+            operator=operator,
+            content_digest=digest.digest(),
         )
 
+    return await _ask(entry, make, request_id)
+
+
+async def _difference(
+    entry: Entry, base: int, wanted: configuration.Configuration
+) -> tuple[list[deployments.Item], list[deployments.ItemKey]]:
+    """Returns what leads from the base to what is wanted.
+
+    Where this process is beyond the base, the change can only lose, or be one
+    that is sent again; its content does not matter then. Drains belong to
+    plans and stay as they are.
+    """
+    end = asyncio.get_running_loop().time() + _CATCH_UP_S
+    while entry.configured.revision < base:
+        if asyncio.get_running_loop().time() > end:
+            text = f"revision {base} is not known here yet"
+            raise BadRequestError("Catkinpin-Base-Revision", text)
+        await asyncio.sleep(_POLL_S)
+    if entry.configured.revision > base:
+        return [], []
+    cfg = entry.configured.configuration or configuration.Configuration()
+    old = {deployments.key_of(item): item for item in cfg.items()}
+    new = {deployments.key_of(item): item for item in wanted.items()}
+    upserts = [item for key, item in new.items() if old.get(key) != item]
+    removes = [key for key in old if key.kind != "drain" and key not in new]
+    return upserts, removes
+
+
+async def _plan(entry: Entry, req: sanic.Request) -> Any:
+    intent = intents.parse(req.body)
+    request_id = _request_id(req)
+    digest = hashlib.sha256(request_id.encode()).hexdigest()
+    plan_id = f"plan-{digest[:8]}"
+    operator = req.headers.get("catkinpin-operator", "")
+    return await _ask(
+        entry,
+        lambda ask: changes.MakePlan(
+            ask=ask, plan_id=plan_id, intent=intent, operator=operator
+        ),
+        request_id,
+    )
+
+
+async def _act(
+    entry: Entry, req: sanic.Request, plan_id: str, verb: str
+) -> Any:
+    kinds: dict[str, Any] = {
+        "confirm": changes.ConfirmPlan,
+        "stop": changes.StopPlan,
+        "undo": changes.UndoPlan,
+    }
+    operator = req.headers.get("catkinpin-operator", "")
+    return await _ask(
+        entry,
+        lambda ask: kinds[verb](ask=ask, plan_id=plan_id, operator=operator),
+    )
+
+
+async def _lift(entry: Entry, req: sanic.Request, fingerprint: str) -> Any:
+    if not _FINGERPRINT.fullmatch(fingerprint):
+        raise BadRequestError("fingerprint", "a number in hex is allowed")
+    operator = req.headers.get("catkinpin-operator", "")
+    return await _ask(
+        entry,
+        lambda ask: changes.Quarantine(
+            ask=ask,
+            fingerprint=bytes.fromhex(fingerprint),
+            lift=True,
+            operator=operator,
+        ),
+    )
+
+
+async def _ask(
+    entry: Entry, make: Callable[[int], Any], request_id: str = ""
+) -> Any:
+    """Asks the control leader and returns its answer as JSON."""
     try:
-        applied = await entry.replicas.ask(
-            routing.CONTROL_GROUP, make, _APPLY_TIMEOUT_S
+        answer = await entry.replicas.ask(
+            routing.CONTROL_GROUP, make, _ANSWER_TIMEOUT_S
         )
     except PeerLostError as exc:
-        return response.json(
-            {"error": {"message": str(exc), "outcome": "unknown"}}, status=503
-        )
-    body = {
-        "accepted": applied.accepted,
-        "revision": applied.revision,
-        "operator": applied.operator,
-    }
-    return response.json(body, status=200 if applied.accepted else 409)
+        error = {
+            "message": f"{exc}; whether it was carried out is not known",
+            "outcome": "unknown",
+            "request_id": request_id,
+        }
+        return response.json({"error": error}, status=_UNKNOWN)
+    body = msgspec.to_builtins(answer)
+    body.pop("ask", None)
+    body.pop("type", None)
+    if request_id:
+        body.setdefault("request_id", request_id)
+    return response.json(body, status=_status_of(answer))
+
+
+def _status_of(answer: Any) -> int:
+    match answer:
+        case changes.Applied(accepted=False):
+            return _CONFLICT
+        case changes.PlanShown(plan=None):
+            return _BAD
+        case changes.PlanShown() if answer.problems:
+            return _CONFLICT
+    return _OK
+
+
+def _request_id(req: sanic.Request) -> str:
+    request_id: str = req.headers.get("idempotency-key") or uuid.uuid4().hex
+    if not _ID.fullmatch(request_id):
+        text = "1 to 100 letters, digits and . _ : - are allowed"
+        raise BadRequestError("Idempotency-Key", text)
+    return request_id
+
+
+def _number(field: str, text: str) -> int:
+    if not re.fullmatch(r"[0-9]{1,18}", text):
+        text = f"a whole number from 0 is allowed, got {text!r}"
+        raise BadRequestError(field, text)
+    return int(text)
 
 
 def _check_operator(entry: Entry, req: sanic.Request) -> None:
--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/shardhost.py
@@ -20,7 +20,6 @@
 
     from catkinpin.adapters import peers
     from catkinpin.replica import Replica
-
 _decoder = codec.decoder(records.ShardRecord)
 
 
@@ -59,7 +58,12 @@
 
     def handle(self, stream: peers.Stream, message: Any) -> None:
         """Takes an entry's message for this shard."""
-        if not self.group.is_leader():
+        # A leader that missed a change would place calls on servers that were
+        # drained meanwhile, unseen; it decides again once it has confirmed its
+        # configuration, and until then the entry asks again.
+        unconfirmed = bool(self._replica.lease.problem())
+        begins = isinstance(message, messages.Begin)
+        if not self.group.is_leader() or (begins and unconfirmed):
             stream.send(
                 messages.NotLeader(
                     ask=message.ask,
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -12,8 +12,7 @@
     | messages.GetProgram
     | messages.EndProgram
     | messages.Reports
-    | changes.ConfigConfirmed
-    | changes.Apply
+    | changes.FromProcess
 )
 ToEntry = (
     messages.Ping
@@ -23,8 +22,7 @@
     | messages.Refused
     | messages.NotLeader
     | messages.ProgramInfo
-    | changes.ConfigUpdate
-    | changes.Applied
+    | changes.ToProcess
 )
 BetweenEntries = (
     messages.Hello
--- a/catkinpin/configuration.py
+++ b/catkinpin/configuration.py
@@ -1,79 +1,80 @@
-"""The operators' configuration: validated as a whole at the border."""
+"""The border of the configuration: TOML or JSON, validated as a whole."""
 
 from __future__ import annotations
 
 import hashlib
+import json
 import tomllib
+from typing import Annotated, Any
 
 import pydantic
 
+from catkinpin.core import deployments
+from catkinpin.core.deployments import Configuration as Configuration
 from catkinpin.exceptions import BadRequestError
 
+_DAY_S = 86_400
+_MOST_SHOWN = 80
 
-class Account(pydantic.BaseModel):
-    """A caller's account.
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[0-9A-Za-z_.@-][0-9A-Za-z_.@/: -]{0,199}$")
+]
+Names = Annotated[list[Name], pydantic.Field(max_length=10_000)]
 
-    Attributes:
-        key_sha256: SHA-256 of the account's API key, in hex; the key itself is
-            nowhere stored.
-    """
 
+class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
-    name: str = pydantic.Field(min_length=1, max_length=200)
-    key_sha256: str = pydantic.Field(pattern="^[0-9a-f]{64}$")
 
+class LimitsModel(_Model):
+    """Limits as operators write them; see `deployments.Limits`."""
 
-class Deployment(pydantic.BaseModel):
-    """Which models and services programs may use, and at what price.
+    calls_running: int = pydantic.Field(default=0, ge=0, le=1_000_000)
+    calls_per_second: float = pydantic.Field(
+        default=0.0, ge=0, le=1_000_000, allow_inf_nan=False
+    )
+    queue: int = pydantic.Field(default=0, ge=0, le=1_000_000)
 
-    Attributes:
-        targets: names of models and services.
-        budget_tokens: tokens that one program with its sub-agents may spend.
-        priority: higher goes first.
-    """
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+class AccountModel(_Model):
+    """An account as operators write it."""
 
-    name: str = pydantic.Field(min_length=1, max_length=200)
-    targets: list[str] = pydantic.Field(min_length=1)
-    accounts: list[str] = pydantic.Field(default=[])
-    budget_tokens: int = pydantic.Field(default=1_000_000, gt=0)
-    priority: int = pydantic.Field(default=0, ge=0, le=100)
+    name: Name
+    key_sha256: str = pydantic.Field(pattern="^[0-9a-f]{64}$")
+    limits: LimitsModel = LimitsModel()
 
 
-class Configuration(pydantic.BaseModel):
-    """Everything operators decide."""
+class ServerSetModel(_Model):
+    """A set of backend servers as operators write it."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    names: Names = []
+    failure_domains: Names = []
+    regions: Names = []
+    off: Names = []
 
-    accounts: list[Account] = []
-    deployments: list[Deployment] = []
-
-    @pydantic.model_validator(mode="after")
-    def _names_are_unique_and_known(self) -> Configuration:
-        problems = []
-        names = [account.name for account in self.accounts]
-        for name in {name for name in names if names.count(name) > 1}:
-            problems.append(f"accounts: {name!r} stands twice")
-        for deployment in self.deployments:
-            for account in deployment.accounts:
-                if account not in names:
-                    problems.append(
-                        f"deployments: {deployment.name!r} names the unknown"
-                        f" account {account!r}"
-                    )
-        if problems:
-            raise ValueError("; ".join(problems))
-        return self
-
-    def deployment_for(self, account: str, target: str) -> Deployment | None:
-        """Returns the deployment that lets `account` use `target`."""
-        for deployment in self.deployments:
-            allowed = not deployment.accounts or account in deployment.accounts
-            if allowed and target in deployment.targets:
-                return deployment
-        return None
+
+class DeploymentModel(_Model):
+    """A deployment as operators write it; see `deployments.Deployment`."""
+
+    name: Name
+    targets: list[Name] = pydantic.Field(min_length=1, max_length=1_000)
+    accounts: Names = []
+    versions: dict[Name, Name] = {}
+    servers: ServerSetModel = ServerSetModel()
+    budget_tokens: int = pydantic.Field(
+        default=1_000_000, gt=0, le=1_000_000_000
+    )
+    budget_turns: int = pydantic.Field(default=0, ge=0, le=1_000_000)
+    budget_seconds: int = pydantic.Field(default=0, ge=0, le=800 * _DAY_S)
+    idle_timeout_seconds: int = pydantic.Field(default=0, ge=0, le=800 * _DAY_S)
+    priority: int = pydantic.Field(default=0, ge=0, le=100)
+    interactive: bool = False
+    limits: LimitsModel = LimitsModel()
+
+
+class _File(_Model):
+    accounts: list[AccountModel] = []
+    deployments: list[DeploymentModel] = []
 
 
 def key_digest(key: str) -> str:
@@ -85,17 +86,99 @@
     """Returns the configuration in `content`, which is TOML or JSON.
 
     Raises:
-        BadRequestError: naming every field at fault.
+        BadRequestError: naming every field at fault, its value and what is
+            allowed, one a line.
     """
+    data = _load(content)
+    problems = []
     try:
-        if content.lstrip().startswith(b"{"):
-            return Configuration.model_validate_json(content)
-        text = content.decode()
-        return Configuration.model_validate(tomllib.loads(text))
+        file = _File.model_validate(data)
     except pydantic.ValidationError as exc:
-        raise BadRequestError("configuration", describe(exc)) from exc
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
-        raise BadRequestError("configuration", str(exc)) from exc
+        problems.append(describe(exc))
+    problems += _contradictions(data)
+    if problems:
+        raise BadRequestError("configuration", "\n".join(problems))
+    accounts = [_account(model) for model in file.accounts]
+    return Configuration([*accounts, *map(_deployment, file.deployments)])
+
+
+def _load(content: bytes) -> dict[str, Any]:
+    try:
+        text = content.decode()
+        if text.lstrip().startswith("{"):
+            return dict(json.loads(text))
+        return tomllib.loads(text)
+    except (ValueError, RecursionError) as exc:
+        text = f"neither TOML nor JSON: {exc}"
+        raise BadRequestError("configuration", text) from exc
+
+
+def _account(model: AccountModel) -> deployments.Account:
+    limits = deployments.Limits(**model.limits.model_dump())
+    return deployments.Account(
+        name=model.name, key_sha256=model.key_sha256, limits=limits
+    )
+
+
+def _deployment(model: DeploymentModel) -> deployments.Deployment:
+    fields = model.model_dump()
+    fields["limits"] = deployments.Limits(**fields["limits"])
+    fields["servers"] = deployments.ServerSet(**fields["servers"])
+    return deployments.Deployment(**fields)
+
+
+def _contradictions(data: dict[str, Any]) -> list[str]:
+    """Returns what single fields can't show; tolerates malformed fields."""
+    accounts = _dicts(data.get("accounts"))
+    found = _dicts(data.get("deployments"))
+    problems = [
+        *_twice("accounts", "name", accounts),
+        *_twice("accounts", "key_sha256", accounts),
+        *_twice("deployments", "name", found),
+    ]
+    known = {str(account.get("name")) for account in accounts}
+    for place, deployment in enumerate(found):
+        for name in _strings(deployment.get("accounts")):
+            if name not in known:
+                problems.append(
+                    f"deployments.{place}.accounts: an account of this"
+                    f" configuration is allowed, got {name!r}"
+                )
+        targets = _strings(deployment.get("targets"))
+        versions = deployment.get("versions")
+        for target in versions if isinstance(versions, dict) else ():
+            if target not in targets:
+                problems.append(
+                    f"deployments.{place}.versions: a target of this"
+                    f" deployment is allowed, got {target!r}"
+                )
+    return problems
+
+
+def _dicts(value: Any) -> list[dict[str, Any]]:
+    items = value if isinstance(value, list) else []
+    return [item if isinstance(item, dict) else {} for item in items]
+
+
+def _strings(value: Any) -> list[str]:
+    items = value if isinstance(value, list) else []
+    return [item for item in items if isinstance(item, str)]
+
+
+def _twice(kind: str, field: str, items: list[dict[str, Any]]) -> list[str]:
+    problems = []
+    first: dict[str, int] = {}
+    for place, item in enumerate(items):
+        value = item.get(field)
+        if not isinstance(value, str):
+            continue
+        if value in first:
+            problems.append(
+                f"{kind}.{place}.{field}: a value that no other has is"
+                f" allowed, got that of {kind}.{first[value]}: {value!r}"
+            )
+        first.setdefault(value, place)
+    return problems
 
 
 def describe(exc: pydantic.ValidationError) -> str:
@@ -103,7 +186,8 @@
     lines = []
     for problem in exc.errors():
         place = ".".join(str(part) for part in problem["loc"]) or "(whole)"
-        value = problem.get("input")
-        shown = f", got {value!r}" if isinstance(value, str | int) else ""
-        lines.append(f"{place}: {problem['msg']}{shown}")
+        shown = repr(problem.get("input"))
+        if len(shown) > _MOST_SHOWN:
+            shown = shown[:_MOST_SHOWN] + "..."
+        lines.append(f"{place}: {problem['msg']}, got {shown}")
     return "\n".join(lines)
--- /dev/null
+++ b/catkinpin/core/controlsnapshot.py
@@ -0,0 +1,152 @@
+"""The control group's state as bytes, with a version of the format."""
+
+from __future__ import annotations
+
+import msgspec
+
+from catkinpin import codec
+from catkinpin.core import changes, control, plans
+from catkinpin.core.deployments import Item, ItemKey
+from catkinpin.exceptions import StorageError
+
+FORMAT = 1
+
+
+class _Item(codec.Message, frozen=True):
+    key: ItemKey
+    item: Item | None
+    revision: int
+    operator: str
+
+
+class _Result(codec.Message, frozen=True):
+    request_id: str
+    result: control.ChangeResult
+
+
+class _Before(codec.Message, frozen=True):
+    key: ItemKey
+    item: Item | None
+    wrote: int
+
+
+class _Run(codec.Message, frozen=True):
+    plan: plans.Plan
+    state: plans.PlanState
+    step: int
+    steps: list[plans.Step]
+    before: list[_Before]
+    fence: int
+    ordered: list[plans.OrderStep]
+    at_ms: int
+
+
+class _State(codec.Message, frozen=True):
+    revision: int
+    now_ms: int
+    oldest_base: int
+    fence: int
+    last: control.ChangeResult
+    items: list[_Item]
+    results: list[_Result]
+    processes: list[changes.ProcessInfo]
+    servers: list[changes.ServerFacts]
+    quarantine: list[changes.Quarantined]
+    plans: list[_Run]
+
+
+_decoder = codec.decoder(_State)
+
+
+def save(state: control.Control) -> bytes:
+    """Returns the state as bytes that `load` takes."""
+    saved = _State(
+        revision=state.revision,
+        now_ms=state.now_ms,
+        oldest_base=state.oldest_base,
+        fence=state.fence,
+        last=state.last,
+        items=[
+            _Item(
+                key=key,
+                item=version.item,
+                revision=version.revision,
+                operator=version.operator,
+            )
+            for key, version in state.items.items()
+        ],
+        results=[
+            _Result(request_id=request_id, result=result)
+            for request_id, result in state.results.items()
+        ],
+        processes=list(state.processes.values()),
+        servers=list(state.servers.values()),
+        quarantine=[
+            changes.Quarantined(fingerprint=fingerprint, reason=reason)
+            for fingerprint, reason in state.quarantine.items()
+        ],
+        plans=[_save_run(run) for run in state.plans.values()],
+    )
+    return bytes([FORMAT]) + codec.encode(saved)
+
+
+def load(data: bytes) -> control.Control:
+    """Returns the state in a snapshot.
+
+    Raises:
+        StorageError: the format is unknown or the content does not fit it.
+    """
+    if not data or data[0] != FORMAT:
+        found = data[0] if data else "nothing"
+        text = f"control snapshot: format {FORMAT} is known, got {found}"
+        raise StorageError(text)
+    try:
+        saved = _decoder.decode(data[1:])
+    except msgspec.MsgspecError as exc:
+        raise StorageError(f"control snapshot: {exc}") from exc
+    state = control.Control()
+    state.revision = saved.revision
+    state.now_ms = saved.now_ms
+    state.oldest_base = saved.oldest_base
+    state.fence = saved.fence
+    state.last = saved.last
+    state.restore_items(
+        (one.key, control.ItemVersion(one.item, one.revision, one.operator))
+        for one in saved.items
+    )
+    state.results = {one.request_id: one.result for one in saved.results}
+    state.processes = {one.incarnation: one for one in saved.processes}
+    state.servers = {one.server: one for one in saved.servers}
+    state.quarantine = {one.fingerprint: one.reason for one in saved.quarantine}
+    state.plans = {one.plan.plan_id: _load_run(one) for one in saved.plans}
+    return state
+
+
+def _save_run(run: control.PlanRun) -> _Run:
+    return _Run(
+        plan=run.plan,
+        state=run.state,
+        step=run.step,
+        steps=run.steps,
+        before=[
+            _Before(key=key, item=item, wrote=run.wrote[key])
+            for key, item in run.before.items()
+        ],
+        fence=run.fence,
+        ordered=run.ordered,
+        at_ms=run.at_ms,
+    )
+
+
+def _load_run(saved: _Run) -> control.PlanRun:
+    return control.PlanRun(
+        plan=saved.plan,
+        state=saved.state,
+        step=saved.step,
+        steps=saved.steps,
+        before={one.key: one.item for one in saved.before},
+        wrote={one.key: one.wrote for one in saved.before},
+        fence=saved.fence,
+        ordered=saved.ordered,
+        at_ms=saved.at_ms,
+    )
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -348,8 +348,14 @@
             priority=priority,
             deadline_ms=now_ms + begin.deadline_ms,
             without=tuple(call.failed_servers) if call is not None else (),
+            allowed=lambda report: self._allowed(begin, report),
         )
 
+    def _allowed(self, begin: Begin, report: messages.ServerReport) -> bool:
+        """Returns whether the configuration of now lets a call go there."""
+        found = self.cfg.deployment_for(begin.key.account, begin.target)
+        return found is not None and self.cfg.allows(found.name, report)
+
     def _choice(
         self, place: scheduler.Place, entry: EntryRef, priority: int
     ) -> records.Choice:
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.messages import CallKey
+    from catkinpin.core.messages import CallKey, ServerReport
     from catkinpin.core.servers import Server, ServerView
 
 _RETRY_AFTER_MS = 1_000
@@ -35,6 +35,8 @@
         priority: of the deployment; higher goes first.
         deadline_ms: monotonic time after which nobody waits for the answer.
         without: servers that failed this call.
+        allowed: whether the configuration lets the call go to a server; asked
+            at each placement, since it may change while the call waits.
     """
 
     key: CallKey
@@ -50,6 +52,7 @@
     priority: int = 0
     deadline_ms: int = 0
     without: tuple[str, ...] = ()
+    allowed: Callable[[ServerReport], bool] = lambda _: True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,7 +92,9 @@
         """Takes a call; one that is known already changes nothing."""
         if job.key in self._running:
             return []
-        usable = self._view.usable(job.kind, job.target, now_ms, job.without)
+        usable = self._view.usable(
+            job.kind, job.target, now_ms, job.without, job.allowed
+        )
         server = self._policy(job, usable, now_ms)
         if server is None:
             text = f"no server for {job.target!r} takes work now"
--- a/catkinpin/core/servers.py
+++ b/catkinpin/core/servers.py
@@ -8,6 +8,8 @@
 from catkinpin.core.messages import ServerRef
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinpin.core.messages import ServerReport
 
 # A server that has not announced itself for this long gets no new work.
@@ -58,7 +60,12 @@
         known.seen_ms = made_ms
 
     def usable(
-        self, kind: str, target: str, now_ms: int, without: tuple[str, ...] = ()
+        self,
+        kind: str,
+        target: str,
+        now_ms: int,
+        without: tuple[str, ...] = (),
+        allowed: Callable[[ServerReport], bool] = lambda _: True,
     ) -> list[Server]:
         """Returns the servers that may get new work for `target`."""
         found = []
@@ -70,9 +77,19 @@
                 continue
             if now_ms - server.seen_ms > SILENT_AFTER_MS:
                 continue
+            if not allowed(report):
+                continue
             found.append(server)
         return found
 
+    def silent(self, now_ms: int) -> list[str]:
+        """Returns the servers that have not reported for some time."""
+        return [
+            name
+            for name, server in self.servers.items()
+            if now_ms - server.seen_ms > SILENT_AFTER_MS
+        ]
+
     def serves(self, kind: str, target: str) -> bool:
         """Returns whether any known server, even a silent one, serves it."""
         return any(
--- a/catkinpin/entry.py
+++ b/catkinpin/entry.py
@@ -15,12 +15,13 @@
     configured,
     dispatch,
     operators,
+    orders,
     peers,
     shards,
     web,
     wire,
 )
-from catkinpin.core import changes, messages, routing
+from catkinpin.core import changes, deployments, messages, routing
 
 if TYPE_CHECKING:
     from catkinpin.settings import EntrySettings
@@ -77,12 +78,20 @@
         self.replicas = shards.Replicas(
             self.cfg.replicas, self._hello, self._on_message, self._on_replica
         )
+        self.lease = configured.LeaseHolder(
+            self.replicas,
+            self.clock,
+            lambda: self.configured.revision,
+            self.configured.take,
+        )
+        self._orders = orders.OrderCarrier(self.replicas, self.clock)
         self.calls = calls.Calls(
             self.replicas, self._dispatcher, self.cfg.shards, self._link_to
         )
         self.replicas.start()
         await self._listen()
         self._tasks.append(asyncio.create_task(self._send_reports()))
+        self._tasks.append(asyncio.create_task(self.lease.run()))
         log.info(
             "entry ready",
             extra={
@@ -105,6 +114,7 @@
             task.cancel()
         for link in self._links.values():
             await link.stop()
+        await self._orders.stop()
         await self.replicas.stop()
         await self._peers.stop()
         await self._dispatcher.close()
@@ -113,8 +123,10 @@
         """Returns why no calls should come here, or an empty string."""
         if self.stopping:
             return "stopping"
-        if self.configured.configuration is None:
-            return "no confirmed configuration"
+        if problem := self.lease.problem():
+            return problem
+        if self._drained():
+            return "drained by an operator"
         names = [routing.CONTROL_GROUP]
         names += map(routing.shard_group, range(self.cfg.shards))
         for group in names:
@@ -144,12 +156,24 @@
             link.send(self._batch(list(self._reports)))
 
     def _on_message(self, message: Any) -> None:
-        if isinstance(message, changes.ConfigUpdate):
-            revision = self.configured.take(message)
-            if revision:
-                self.replicas.broadcast(
-                    changes.ConfigConfirmed(revision=revision)
-                )
+        match message:
+            case changes.ConfigUpdate():
+                self.configured.take(message)
+                self.lease.changed()
+            case changes.OrderOffer():
+                self._orders.offered(message)
+
+    def _drained(self) -> bool:
+        """Returns whether an operator drained the place this host stands in.
+
+        Calls that still arrive are served; the balancer sends no new ones.
+        """
+        cfg = self.configured.configuration
+        return cfg is not None and cfg.place_drained(
+            deployments.host_of(self.admin_address),
+            self.cfg.failure_domain,
+            self.cfg.region,
+        )
 
     async def _send_reports(self) -> None:
         while True:
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -7,19 +7,22 @@
 import uuid
 from typing import TYPE_CHECKING, Any
 
-from catkinpin import clock, configuration
+from catkinpin import clock
 from catkinpin.adapters import (
     admin,
+    configured,
     controlhost,
     groups,
     peers,
     shardhost,
+    shards,
     web,
     wire,
 )
-from catkinpin.core import changes, leader, messages, routing, servers
+from catkinpin.core import changes, messages, routing, servers
 
 if TYPE_CHECKING:
+    from catkinpin.core import deployments, leader
     from catkinpin.settings import ReplicaSettings
 
 log = logging.getLogger(__name__)
@@ -47,16 +50,23 @@
             wire.ToReplica, self._on_message, self._on_closed
         )
         self._admin: web.WebServer | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self.replicas: shards.Replicas
+        self.lease: configured.LeaseHolder
 
     async def start(self) -> None:
         """Listens, then takes part in its groups."""
         self.address = await self._peers.start(self.cfg.peer_listen)
+        self._hold_lease()
         for group in self._groups():
             group.start(self.address)
+        self.replicas.start()
         app = admin.make_app("replica", lambda: "")
         self._admin = await web.serve(app, self.cfg.admin_listen)
-        self._task = asyncio.create_task(self._tick())
+        self._tasks = [
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self.lease.run()),
+        ]
         log.info(
             "replica ready",
             extra={"peer": self.address, "admin": self._admin.address},
@@ -64,8 +74,9 @@
 
     async def stop(self) -> None:
         """Stops gracefully."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await self.replicas.stop()
         await self._peers.stop()
         if self._admin is not None:
             await self._admin.close()
@@ -74,17 +85,42 @@
 
     def send(self, to: leader.EntryRef, message: Any) -> None:
         """Sends to an entry; dropped where that life of it has gone."""
-        stream = self._streams.get(to.incarnation)
+        self.send_to(to.incarnation, message)
+
+    def send_to(self, incarnation: str, message: Any) -> None:
+        """Sends to a process in a life of it; dropped where that has gone."""
+        stream = self._streams.get(incarnation)
         if stream is not None:
             stream.send(message)
 
-    def configuration_changed(self, content: bytes) -> None:
-        """Puts a new configuration in force here and sends it on."""
-        cfg = configuration.parse(content)
+    def configuration_changed(self, cfg: deployments.Configuration) -> None:
+        """Puts a new configuration in force here."""
         for host in self.shards.values():
             host.configured(cfg)
-        for stream in self._streams.values():
-            stream.send(self.control.update())
+        self.lease.changed()
+
+    def _hold_lease(self) -> None:
+        """Makes this replica confirm its configuration as an entry does."""
+        hello = messages.Hello(
+            process=self.cfg.name or self.address,
+            incarnation=self.incarnation,
+            role="replica",
+            address=self.address,
+            domain=self.cfg.failure_domain,
+            region=self.cfg.region,
+        )
+        self.replicas = shards.Replicas(
+            list(self.cfg.replicas) or [self.address],
+            hello,
+            lambda _: None,
+            lambda _: None,
+        )
+        self.lease = configured.LeaseHolder(
+            self.replicas,
+            self.clock,
+            lambda: self.control.state.revision,
+            None,
+        )
 
     def _groups(self) -> list[groups.Group]:
         return [
@@ -98,10 +134,8 @@
                 self._welcome(stream)
             case messages.Reports():
                 self._take_reports(message)
-            case changes.Apply():
-                self.control.propose_change(stream, message)
-            case changes.ConfigConfirmed():
-                pass
+            case _ if isinstance(message, changes.FromProcess):
+                self.control.handle(stream, message)
             case _:
                 key = message.key
                 if isinstance(key, messages.CallKey):
@@ -112,20 +146,21 @@
     def _welcome(self, stream: peers.Stream) -> None:
         assert stream.hello is not None
         self._streams[stream.hello.incarnation] = stream
-        for host in self.shards.values():
-            host.leader.entry_connected(shardhost.entry_ref(stream))
+        if stream.hello.role == "entry":
+            for host in self.shards.values():
+                host.leader.entry_connected(shardhost.entry_ref(stream))
         for group in self._groups():
             stream.send(
                 messages.GroupLeader(
                     group=group.name, term=group.term, leader=group.leader
                 )
             )
-        stream.send(self.control.update())
 
     def _on_closed(self, stream: peers.Stream) -> None:
         assert stream.hello is not None
         if self._streams.get(stream.hello.incarnation) is stream:
             del self._streams[stream.hello.incarnation]
+            self.control.disconnected(stream)
             for host in self.shards.values():
                 host.leader.entry_lost(shardhost.entry_ref(stream))
 
@@ -133,10 +168,12 @@
         now = self.clock.now_ms()
         for report, age_ms in zip(reports.reports, reports.age_ms, strict=True):
             self.view.report(report, now - age_ms)
+        self.control.reported(reports.reports)
 
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(_TICK_S)
             self.view.forget_silent(self.clock.now_ms())
+            self.control.tick()
             for host in self.shards.values():
                 host.tick()
