Test races, resends, leases and revisions of the control group

Each test was seen failing with its mechanism switched off on a scratch copy: no check of base revisions, no memory of results, no digest of a request, a lease for any revision, a new leader that knows no lease, updates taken whatever their revision (the first version of that test let this pass, since its updates were never late; mended).

--- a/catkinpin/core/control.py
+++ b/catkinpin/core/control.py
@@ -214,9 +214,10 @@
 
     def _forget_old_results(self) -> None:
         oldest = self.now_ms - RESULTS_KEPT_MS
-        for request_id, result in list(self.results.items()):
+        while self.results:
+            request_id, result = next(iter(self.results.items()))
             if result.at_ms >= oldest:
-                break
+                return
             del self.results[request_id]
 
     def _decide(self, record: changes.ConfigChanged) -> ChangeResult:
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,298 @@
+"""The control group's core: changes, leases, revisions, snapshots."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from catkinpin import configuration
+from catkinpin.adapters import configured
+from catkinpin.core import changes, control, controlleader, controlsnapshot
+from catkinpin.core import deployments as items
+from catkinpin.core.leases import DRIFT_MS, LEASE_MS
+from catkinpin.exceptions import BadRequestError, StorageError
+from tests import base
+
+
+def account(name: str, key: str = "key") -> items.Account:
+    """Returns an account."""
+    digest = configuration.key_digest(f"{name} {key}")
+    return items.Account(name=name, key_sha256=digest)
+
+
+def change(
+    request_id: str, revision: int, *upserts: items.Item, **fields: Any
+) -> changes.ConfigChanged:
+    """Returns a change whose digest stands for its content."""
+    fields.setdefault("at_ms", 0)
+    fields.setdefault("operator", "ana")
+    digest = repr((upserts, fields["operator"], revision)).encode()
+    return changes.ConfigChanged(
+        request_id=request_id,
+        base_revision=revision,
+        upserts=list(upserts),
+        content_digest=digest,
+        **fields,
+    )
+
+
+class ChangesTest(base.TestCase):
+    """Operators' changes under races and resends."""
+
+    def test_one_of_two_operators_under_equal_numbers_wins(self) -> None:
+        """Two operators start from the same revision at the same time.
+
+        One change comes into force; the other operator is told by whom, by
+        which request and what was changed, and nothing of hers is in force.
+        """
+        state = control.Control()
+        state.apply(1, change("a", 0, account("ruegg")))
+        first = state.apply(2, change("b", 1, account("kunci")))
+        second = state.apply(
+            3, change("c", 1, account("other"), operator="ben")
+        )
+        assert isinstance(first, control.ChangeResult)
+        assert isinstance(second, control.ChangeResult)
+        self.assertEqual((True, 2), (first.accepted, first.revision))
+        self.assertEqual(
+            (False, 2, "ana", "b", ("account kunci",)),
+            (
+                second.accepted,
+                second.revision,
+                second.operator,
+                second.request_id,
+                second.changed,
+            ),
+        )
+        self.assertNotIn("other", state.cfg.accounts)
+
+    def test_a_resend_gets_the_first_answer(self) -> None:
+        """An operator loses the answer and sends the change again, much later.
+
+        She gets the first answer, and the change is made once. After a day
+        the answer is forgotten; then she is told that her base has passed.
+        """
+        state = control.Control()
+        first = state.apply(1, change("a", 0, account("ruegg")))
+        for number in range(20_000):
+            state.apply(2, change(f"x{number}", number + 1, account("kunci")))
+        again = state.apply(3, change("a", 0, account("ruegg")))
+        self.assertEqual(first, again)
+        late = change(
+            "a", 0, account("ruegg"), at_ms=control.RESULTS_KEPT_MS + 1
+        )
+        result = state.apply(4, late)
+        assert isinstance(result, control.ChangeResult)
+        self.assertFalse(result.accepted)
+        self.assertEqual(20_001, state.revision)
+
+    def test_a_request_id_used_twice_is_told_apart(self) -> None:
+        """Two operators use the same request id for two changes.
+
+        The second must not take the first one's answer for her own.
+        """
+        state = control.Control()
+        state.apply(1, change("a", 0, account("ruegg")))
+        other = state.apply(2, change("a", 0, account("kunci"), operator="b"))
+        assert isinstance(other, control.ChangeResult)
+        self.assertEqual((False, True), (other.accepted, other.reused))
+        self.assertNotIn("kunci", state.cfg.accounts)
+
+    def test_no_revision_goes_back_whatever_is_lost(self) -> None:
+        """Processes miss updates, get them late, twice, or restart.
+
+        Whatever they miss, their revision never goes back, and the newest
+        update brings each to exactly the newest configuration; replicas that
+        replay the log or restore a snapshot hold the same.
+        """
+        rng = random.Random(4)
+        state = control.Control()
+        replayed = control.Control()
+        receivers = [configured.Configured() for _ in range(4)]
+        late: list[changes.ConfigUpdate] = []
+        for step in range(400):
+            names = [f"a{rng.randrange(30)}" for _ in range(2)]
+            record = change(
+                f"r{step}",
+                state.revision,
+                account(names[0], str(step)),
+                removes=[items.ItemKey(kind="account", name=names[1])],
+            )
+            if names[0] == names[1]:
+                continue
+            state.apply(step, record)
+            replayed.apply(step, record)
+            if rng.random() < 0.1:
+                state = controlsnapshot.load(controlsnapshot.save(state))
+            for receiver in receivers:
+                late.append(state.update_since(receiver.revision))
+                update = rng.choice(late[-40:])
+                before = receiver.revision
+                receiver.take(update)
+                self.assertGreaterEqual(receiver.revision, before)
+                if rng.random() < 0.02:
+                    receiver.__init__()  # type: ignore[misc]
+        self.assertEqual(replayed.cfg.accounts, state.cfg.accounts)
+        for receiver in receivers:
+            receiver.take(state.update_since(receiver.revision))
+            assert receiver.configuration is not None
+            self.assertEqual(state.revision, receiver.revision)
+            self.assertEqual(
+                state.cfg.accounts, receiver.configuration.accounts
+            )
+
+    def test_a_snapshot_of_another_format_is_refused(self) -> None:
+        """A replica of another version has written the snapshot.
+
+        The replica says so and does not start on a state it can't read.
+        """
+        data = controlsnapshot.save(control.Control())
+        self.assertRaises(StorageError, controlsnapshot.load, b"\x09" + data)
+        self.assertRaises(StorageError, controlsnapshot.load, data[:-3])
+
+
+class LeasesTest(base.TestCase):
+    """Who may serve under which revision, and for how long."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state = control.Control()
+        self.state.apply(1, change("a", 0, account("ruegg")))
+        self.leader = self.elected(0)
+        self.entry = changes.ProcessInfo(
+            process="entry-1", incarnation="i1", role="entry"
+        )
+
+    def elected(self, now_ms: int) -> controlleader.ControlLeader:
+        """Returns a new leader."""
+        return controlleader.ControlLeader(self.state, now_ms, self.fail)
+
+    def renew(self, revision: int, now_ms: int) -> changes.Lease:
+        """Asks for a lease, and registers the entry where that is needed."""
+        message = changes.RenewLease(ask=1, revision=revision)
+        for _ in range(2):
+            commands = self.leader.handle(self.entry, message, now_ms, 0)
+            commands = commands or self.run_tick(now_ms)
+            sent = commands[-1]
+            assert isinstance(sent, controlleader.Send)
+            lease = sent.message
+            if lease.lease_ms or lease.update is not None:
+                break
+        assert isinstance(lease, changes.Lease)
+        return lease
+
+    def run_tick(self, now_ms: int) -> list[Any]:
+        """Commits what the leader proposes."""
+        answers = []
+        for command in self.leader.tick(now_ms, 0):
+            assert isinstance(command, controlleader.Propose)
+            outcome = self.state.apply(0, command.record)
+            answers += self.leader.applied(command.record, outcome, now_ms)
+        return answers
+
+    def lacking(self, revision: int, now_ms: int) -> list[str]:
+        """Returns who lacks a revision."""
+        found = self.leader.leases.lacking(revision, now_ms)
+        return [one.process for one in found]
+
+    def test_a_lease_only_under_the_newest_revision(self) -> None:
+        """A process has missed a change.
+
+        It gets the change in place of a lease, and a lease once it has
+        confirmed; until then the change does not count as in force.
+        """
+        self.assertEqual(LEASE_MS, self.renew(1, 100).lease_ms)
+        self.state.apply(2, change("b", 1, account("kunci")))
+        lease = self.renew(1, 200)
+        self.assertEqual(0, lease.lease_ms)
+        assert lease.update is not None
+        self.assertEqual((1, 2), (lease.update.base, lease.update.revision))
+        self.assertEqual(["entry-1"], self.lacking(2, 300))
+        self.assertEqual(LEASE_MS, self.renew(2, 400).lease_ms)
+        self.assertEqual([], self.lacking(2, 400))
+
+    def test_a_change_is_in_force_once_the_lease_of_a_silent_one_lapses(
+        self,
+    ) -> None:
+        """A process is frozen when a change comes.
+
+        The change counts as in force once that process can't serve any more,
+        and not before.
+        """
+        self.renew(1, 100)
+        self.state.apply(2, change("b", 1, account("kunci")))
+        end = 100 + LEASE_MS + DRIFT_MS
+        self.assertEqual(["entry-1"], self.lacking(2, end - 1))
+        self.assertEqual([], self.lacking(2, end))
+
+    def test_a_new_leader_knows_who_may_hold_a_lease(self) -> None:
+        """The control leader dies right after it has given a lease.
+
+        The next one has never heard of that process's lease; a change must
+        still not count as in force while it runs.
+        """
+        self.renew(1, 100)
+        self.leader = self.elected(1_000)
+        self.state.apply(2, change("b", 1, account("kunci")))
+        self.assertEqual(["entry-1"], self.lacking(2, 100 + LEASE_MS))
+        self.assertEqual([], self.lacking(2, 1_000 + LEASE_MS + DRIFT_MS))
+
+    def test_idle_renewals_write_nothing(self) -> None:
+        """Nothing happens for an hour but renewals of leases."""
+        self.renew(1, 100)
+        for now in range(200, 3_600_000, 1_000):
+            self.renew(1, now)
+            self.assertEqual([], self.leader.tick(now, 0))
+
+
+class ConfigurationTest(base.TestCase):
+    """Files that operators hand in."""
+
+    def test_all_errors_at_once_with_field_and_value(self) -> None:
+        """An operator's file has several mistakes.
+
+        She gets all of them in one answer, each with its field, the value and
+        what is allowed; nothing changes.
+        """
+        text = """
+            [[accounts]]
+            name = "ruegg"
+            key_sha256 = "short"
+            [[deployments]]
+            name = "advice"
+            targets = []
+            accounts = ["nobody"]
+            budget_tokens = -5
+            budgt = 3
+            [deployments.limits]
+            calls_running = 99999999
+            calls_per_second = nan
+            queue = -1
+        """
+        error = self.assertRaises(
+            BadRequestError, configuration.parse, text.encode()
+        )
+        for wanted in (
+            "accounts.0.key_sha256",
+            "deployments.0.targets",
+            "deployments.0.accounts: an account of this configuration is"
+            " allowed, got 'nobody'",
+            "deployments.0.budget_tokens: Input should be greater than 0,"
+            " got -5",
+            "deployments.0.budgt",
+            "limits.calls_running: Input should be less than or equal to"
+            " 1000000, got 99999999",
+            "limits.calls_per_second",
+            "limits.queue: Input should be greater than or equal to 0, got -1",
+        ):
+            self.assertIn(wanted, str(error))
+
+    def test_what_is_neither_toml_nor_json_is_refused(self) -> None:
+        for content in (
+            b"\xff\xfe",
+            b"{",
+            b"[1]",
+            b'{"accounts": 3}',
+            b"{[" * 9,
+        ):
+            self.assertRaises(BadRequestError, configuration.parse, content)
