--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/shardhost.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import TYPE_CHECKING, Any
 
@@ -21,6 +22,7 @@
     Send,
     SendAnswer,
     SendGrant,
+    ShareQuarantine,
 )
 
 if TYPE_CHECKING:
@@ -29,7 +31,6 @@
 
     from catkinpin.adapters import peers
     from catkinpin.replica import Replica
-
 _decoder = codec.decoder(records.ShardRecord)
 
 
@@ -41,6 +42,7 @@
     ) -> None:
         self._replica = replica
         self._leading = False
+        self._tasks: set[asyncio.Task[bool]] = set()
         self.cfg = configuration.Configuration()
         self.state = shard.Shard(name, replica.cfg.shards)
         self.leader = self._new_leader()
@@ -81,14 +83,33 @@
             self._replica.view, placement.sticky
         )
         rng = random.Random()
-        return leader.ShardLeader(self.state, self.scheduler, self.cfg, rng)
+        return leader.ShardLeader(
+            self.state, self.scheduler, self.cfg, rng, self._is_quarantined
+        )
+
+    def _is_quarantined(self, content: bytes) -> bool:
+        return content in self._replica.control.state.quarantine
+
+    def _share(self, content: bytes) -> None:
+        """Has the control group quarantine a content; the leader repeats it."""
+        reason = f"{self.group.name}: it was aboard two servers that crashed"
+        task = asyncio.create_task(
+            self._replica.control.quarantine(content, reason)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def handle(self, stream: peers.Stream, message: Any) -> None:
         """Takes an entry's message for this shard."""
         if isinstance(message, messages.ReleaseDone):
             self._release_done(message)
             return
-        if not self.group.is_leader():
+        # A leader that missed a change would place calls on servers that were
+        # drained meanwhile, unseen; it decides again once it has confirmed its
+        # configuration, and until then the entry asks again.
+        unconfirmed = bool(self._replica.lease.problem())
+        begins = isinstance(message, messages.Begin)
+        if not self.group.is_leader() or (begins and unconfirmed):
             stream.send(
                 messages.NotLeader(
                     ask=message.ask,
@@ -160,6 +181,8 @@
                     self._replica.send(command.to, command.message)
                 case SendAnswer():
                     self._replica.send(command.to, self._answer(command))
+                case ShareQuarantine():
+                    self._share(command.content)
                 case SendGrant():
                     self._replica.send(command.to, self._grant(command))
 
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -13,8 +13,7 @@
     | messages.EndProgram
     | messages.ReleaseDone
     | messages.Reports
-    | changes.ConfigConfirmed
-    | changes.Apply
+    | changes.FromProcess
 )
 ToEntry = (
     messages.Ping
@@ -26,8 +25,7 @@
     | messages.ProgramInfo
     | messages.Recall
     | messages.OrderRelease
-    | changes.ConfigUpdate
-    | changes.Applied
+    | changes.ToProcess
 )
 BetweenEntries = (
     messages.Hello
--- a/catkinpin/core/commands.py
+++ b/catkinpin/core/commands.py
@@ -62,4 +62,11 @@
     history: list[HistoryItem]
 
 
-Command = Propose | Send | SendAnswer | SendGrant
+@dataclasses.dataclass(frozen=True)
+class ShareQuarantine:
+    """Have the control group quarantine this content everywhere."""
+
+    content: bytes
+
+
+Command = Propose | Send | SendAnswer | SendGrant | ShareQuarantine
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -14,9 +14,15 @@
     placing,
     records,
     replies,
+    routing,
 )
 from catkinpin.core.attempts import Watch
-from catkinpin.core.commands import Command, Propose, Send
+from catkinpin.core.commands import (
+    Command,
+    Propose,
+    Send,
+    ShareQuarantine,
+)
 from catkinpin.core.commands import EntryRef as EntryRef
 from catkinpin.core.deadlines import Deadlines
 from catkinpin.core.fates import Fates
@@ -26,12 +32,19 @@
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
-    from catkinpin.configuration import Configuration, Deployment
+    from collections.abc import Callable
+
+    from catkinpin.core.deployments import Configuration, Deployment
     from catkinpin.core.messages import Begin, CallKey, ProgramKey
     from catkinpin.core.scheduler import Decision, Scheduler
     from catkinpin.core.shard import Shard
 
 
+# A call that is kept back by a limit on running calls tries again.
+_ROOM_WAIT_MS = 100
+_SHARE_AGAIN_MS = 5_000
+
+
 class ShardLeader:
     """Leads a shard: turns entries' messages into records and replies.
 
@@ -43,6 +56,7 @@
         jobs: queues calls and chooses servers.
         cfg: the configuration in force.
         rng: seeded source of jitter.
+        quarantined: whether the control group quarantined a content.
     """
 
     def __init__(
@@ -51,10 +65,13 @@
         jobs: Scheduler,
         cfg: Configuration,
         rng: random.Random | None = None,
+        quarantined: Callable[[bytes], bool] = lambda _: False,
     ) -> None:
         rng = rng or random.Random(0)
         self._shard = state
         self.cfg = cfg
+        self._shared_quarantine = quarantined
+        self._share_at_ms = 0
         self._waiters = Waiters()
         self._pending: dict[CallKey, Begin] = {}
         self._pending_programs: collections.Counter[ProgramKey] = (
@@ -71,7 +88,11 @@
         self.outliers = Outliers(rng)
         self._rng = rng
         self._placing = placing.Placing(
-            state, jobs, self.outliers, self._deployment
+            state,
+            jobs,
+            self.outliers,
+            self._deployment,
+            lambda name, report: self.cfg.allows(name, report),
         )
         self._held: set[CallKey] = set()
 
@@ -109,7 +130,7 @@
         deployment = self.cfg.deployment_for(begin.key.account, begin.target)
         if deployment is None:
             return [self._refuse_target(waiter, begin)]
-        rejected = self._check(begin, deployment)
+        rejected = self._check(begin, deployment, now_ms)
         if rejected is not None:
             verdict = self._shard.verdict_of(begin.key)
             return [replies.refuse_rejected(waiter, rejected, verdict)]
@@ -234,6 +255,7 @@
         for watched in self._watch.overdue(now_ms):
             commands.append(Propose(attempts.lost(watched, wall_ms)))
         commands += self._fates.decide(now_ms, wall_ms)
+        commands += self._share(now_ms, wall_ms)
         entries = list(self._entries.values())
         commands += self._fates.releases(entries, now_ms, wall_ms)
         return commands
@@ -320,21 +342,17 @@
         )
 
     def _check(
-        self, begin: Begin, deployment: Deployment
+        self, begin: Begin, deployment: Deployment, now_ms: int
     ) -> effects.BeginRejected | None:
         rejected = self._shard.check_begin(begin)
         if rejected is not None:
             return rejected
         content = self._shard.content_of(begin)
-        if self._shard.quarantine.is_refused(content):
+        if self._is_quarantined(content):
             text = "this request crashed servers and is quarantined"
             return effects.BeginRejected(begin, Reason.QUARANTINED, text)
-        down = self._admission.check(
-            begin.key,
-            deployment.name,
-            placing.caps_of(deployment),
-            begin.deadline_ms,
-        )
+        scopes = self._scopes(begin, deployment)
+        down = self._admission.check(scopes, begin.deadline_ms, now_ms)
         if down is None:
             return None
         return effects.BeginRejected(
@@ -356,6 +374,8 @@
         commands: list[Command] = []
         content = self._shard.content_of(begin)
         waits = self._shard.quarantine.must_wait(content)
+        scopes = self._scopes(begin, deployment)
+        waits = waits or not self._admission.may_start(scopes)
         if self._is_next(begin) and not waits:
             outcomes = self._placing.submit_new(begin, now_ms)
             for outcome in outcomes.own:
@@ -374,7 +394,7 @@
         self._wait(begin.key, waiter)
         self._pending[begin.key] = begin
         self._pending_programs[begin.key.program_key] += 1
-        self._admission.opened(begin.key, deployment.name)
+        self._admission.opened(begin.key, scopes, now_ms)
         self.retries.first_attempt(deployment.name)
         record = records.CallBegun(
             at_ms=wall_ms,
@@ -434,9 +454,15 @@
         if program.next_call() is not call:
             return []
         content = self._shard.content_of(call.begin)
+        if self._is_quarantined(content):
+            return [self._refuse_quarantined(call, wall_ms)]
         if self._shard.quarantine.must_wait(content):
             self._held.add(key)
             return []
+        scopes = self._scopes(call.begin, self._deployment(call.begin))
+        if not self._admission.may_start(scopes):
+            self._deadlines.place_later(key, now_ms, _ROOM_WAIT_MS)
+            return []
         decisions = self._placing.submit(program, call, now_ms, wall_ms)
         return self.decided(decisions, now_ms, wall_ms)
 
@@ -445,21 +471,36 @@
         held, self._held = sorted(self._held, key=str), set()
         commands: list[Command] = []
         for key in held:
-            found = self._shard.find_open(key)
-            if found is None:
-                continue
-            content = self._shard.content_of(found[1].begin)
-            if not self._shard.quarantine.is_refused(content):
-                commands += self._place(key, now_ms, wall_ms)
-                continue
-            record = records.CallRefused(
-                at_ms=wall_ms,
-                key=key,
-                reason=Reason.QUARANTINED,
-                text="this request crashed servers and is quarantined",
-                verdict=found[1].verdict,
-            )
+            commands += self._place(key, now_ms, wall_ms)
+        return commands
+
+    def _is_quarantined(self, content: bytes) -> bool:
+        here = self._shard.quarantine.is_refused(content)
+        return here or self._shared_quarantine(content)
+
+    def _refuse_quarantined(self, call: Call, wall_ms: int) -> Propose:
+        record = records.CallRefused(
+            at_ms=wall_ms,
+            key=call.key,
+            reason=Reason.QUARANTINED,
+            text="this request crashed servers and is quarantined",
+            verdict=call.verdict,
+        )
+        return Propose(record)
+
+    def _share(self, now_ms: int, wall_ms: int) -> list[Command]:
+        """Has the control group take over what was quarantined here."""
+        waiting = self._shard.quarantine.to_share()
+        if not waiting:
+            return []
+        taken = [one for one in waiting if self._shared_quarantine(one)]
+        commands: list[Command] = []
+        if taken:
+            record = records.QuarantineShared(at_ms=wall_ms, contents=taken)
             commands.append(Propose(record))
+        if now_ms >= self._share_at_ms:
+            self._share_at_ms = now_ms + _SHARE_AGAIN_MS
+            commands += map(ShareQuarantine, set(waiting) - set(taken))
         return commands
 
     def _retry(
@@ -548,6 +589,25 @@
     def _deployment(self, begin: Begin) -> Deployment | None:
         return self.cfg.deployment_for(begin.key.account, begin.target)
 
+    def _scopes(
+        self, begin: Begin, deployment: Deployment | None
+    ) -> list[limits.Scope]:
+        """Returns what a call counts for."""
+        key = begin.key
+        tree = f"{key.account}/{routing.root_of(key.program)}"
+        scopes = [limits.Scope(limits.PROGRAM, tree, limits.PROGRAM_LIMITS)]
+        account = self.cfg.accounts.get(key.account)
+        if account is not None:
+            scope = limits.Scope(limits.ACCOUNT, key.account, account.limits)
+            scopes.append(scope)
+        if deployment is not None:
+            scopes.append(
+                limits.Scope(
+                    limits.DEPLOYMENT, deployment.name, deployment.limits
+                )
+            )
+        return scopes
+
     def _deployment_name(self, begin: Begin) -> str:
         found = self._deployment(begin)
         return found.name if found is not None else ""
@@ -595,6 +655,7 @@
         found = self._shard.find_open(key)
         if found is not None and found[1].attempt is not None:
             return []
+        self._admission.stopped(key)
         decisions = self._placing.ended(key, now_ms)
         return self.decided(decisions, now_ms, wall_ms)
 
@@ -628,8 +689,8 @@
 
     def _opened(self, call: Call, now_ms: int, wall_ms: int) -> None:
         """Notes an open call of the log."""
-        name = self._deployment_name(call.begin)
-        self._admission.opened(call.key, name)
+        scopes = self._scopes(call.begin, self._deployment(call.begin))
+        self._admission.opened(call.key, scopes, now_ms)
         self._deadlines.call_open(call, now_ms, wall_ms)
 
     def _adopt(self, call: Call, now_ms: int) -> None:
--- a/catkinpin/core/records.py
+++ b/catkinpin/core/records.py
@@ -133,6 +133,13 @@
     crashed: bool
 
 
+class QuarantineShared(Message, frozen=True):
+    """The control group holds the quarantine of these contents."""
+
+    at_ms: int
+    contents: list[bytes]
+
+
 ShardRecord = (
     CallBegun
     | AttemptStarted
@@ -142,4 +149,5 @@
     | ProgramsForgotten
     | MemoryReleased
     | ServerFate
+    | QuarantineShared
 )
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.messages import CallKey
+    from catkinpin.core.messages import CallKey, ServerReport
     from catkinpin.core.servers import Server, ServerView
 
 _RETRY_AFTER_MS = 1_000
@@ -37,6 +37,8 @@
         without: servers that failed this call, or that failed many.
         suspect: whether the call was aboard a server that crashed.
         content: digest of all that a server would get.
+        allowed: whether the configuration lets the call go to a server; asked
+            at each placement, since it may change while the call waits.
     """
 
     key: CallKey
@@ -54,6 +56,7 @@
     without: tuple[str, ...] = ()
     suspect: bool = False
     content: bytes = b""
+    allowed: Callable[[ServerReport], bool] = lambda _: True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -93,7 +96,9 @@
         """Takes a call; one that is known already changes nothing."""
         if job.key in self._running:
             return []
-        usable = self._view.usable(job.kind, job.target, now_ms, job.without)
+        usable = self._view.usable(
+            job.kind, job.target, now_ms, job.without, job.allowed
+        )
         server = self._policy(job, usable, now_ms)
         if server is None:
             text = f"no server for {job.target!r} takes work now"
--- a/catkinpin/core/shard.py
+++ b/catkinpin/core/shard.py
@@ -88,6 +88,9 @@
                 return self._memory_released(record)
             case records.ServerFate():
                 return self._server_fate(record)
+            case records.QuarantineShared():
+                self.quarantine.shared(record.contents)
+                return []
 
     def snapshot(self) -> bytes:
         """Returns the state, without the texts."""
@@ -364,8 +367,12 @@
         if root is not program:
             program.turns += 1
         root.active_ms = max(root.active_ms, record.at_ms)
-        if call.begin.kind == "model" and attempt is not None:
-            program.last_server = attempt.choice.server.server
+        if call.begin.kind == "model":
+            if attempt is not None:
+                program.last_server = attempt.choice.server.server
+            program.last_target = call.begin.target
+            used = record.usage
+            program.history_tokens = used.prompt_tokens + used.completion_tokens
         if not program.ended and not program.once:
             for position, message in enumerate(record.messages):
                 program.history.add(digest.of_bytes(message), index, position)
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -95,6 +95,7 @@
         self.seen: list[Seen] = []
         self.sent: list[Sent] = []
         self.programs: list[Program] = []
+        self.quarantined: set[bytes] = set()
         self.entries = {f"e{i}": Entry(self, f"e{i}") for i in range(3)}
         kinds = {"m": "model", "s": "service"}
         self.servers = {
@@ -147,7 +148,11 @@
         self.view = servers.ServerView()
         self.jobs = scheduler.Scheduler(self.view, placement.sticky)
         self.leader = leader.ShardLeader(
-            self.state, self.jobs, self.cfg, random.Random(self.term)
+            self.state,
+            self.jobs,
+            self.cfg,
+            random.Random(self.term),
+            self.quarantined.__contains__,
         )
         for entry in self.entries.values():
             if entry.connected:
@@ -176,6 +181,8 @@
                     self._append(codec.encode(command.record), self.term)
                 case commands.Send():
                     self._to_entry(command.to, command.message)
+                case commands.ShareQuarantine():
+                    self.quarantined.add(command.content)
                 case commands.SendGrant():
                     raise AssertionError("the fakes send whole histories")
                 case commands.SendAnswer():
