--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -319,6 +319,7 @@
                 ]
             case effects.ProgramOver():
                 self._deadlines.program_over(effect.program, now_ms)
+                self._placing.program_over(effect.program.key)
                 return []
             case effects.ContentQuarantined():
                 return []
