--- a/catkinpin/__main__.py
+++ b/catkinpin/__main__.py
@@ -43,6 +43,15 @@
     """Runs `catkinpin`, the operators' command."""
     app = _app("catkinpin", "Plan, apply and watch changes of the system.")
     app.command("catkinpin.commands.apply:apply", name="apply")
+    app.command("catkinpin.commands.apply:show", name="show")
+    app.command("catkinpin.commands.status:status", name="status")
+    app.command("catkinpin.commands.status:lift", name="lift")
+    plan = App(name="plan", help="Shows what a change would bring.")
+    for name in ("move", "drain", "undrain", "budget", "scale", "version"):
+        plan.command(f"catkinpin.commands.plan:{name}", name=name)
+    app.command(plan)
+    for name in ("confirm", "stop", "undo"):
+        app.command(f"catkinpin.commands.plan:{name}", name=name)
     app()
 
 
--- a/catkinpin/core/control.py
+++ b/catkinpin/core/control.py
@@ -73,6 +73,7 @@
         wrote: revision that the plan gave to each item it changed.
         fence: fencing token of the order that is under way.
         ordered: orders that an engine may have carried out.
+        operator: who confirmed it, or took it back.
     """
 
     plan: plans.Plan
@@ -84,6 +85,7 @@
     fence: int = 0
     ordered: list[plans.OrderStep] = dataclasses.field(default_factory=list)
     at_ms: int = 0
+    operator: str = ""
 
     @property
     def active(self) -> bool:
@@ -313,7 +315,8 @@
         if problems:
             return problems
         run.state = PlanState.RUNNING
-        self._run_changes(run, record.operator)
+        run.operator = record.operator or run.plan.operator
+        self._run_changes(run)
         return []
 
     def _changed_since(self, known: dict[ItemKey, int]) -> list[str]:
@@ -329,7 +332,7 @@
                 )
         return problems
 
-    def _run_changes(self, run: PlanRun, operator: str) -> None:
+    def _run_changes(self, run: PlanRun) -> None:
         """Carries out steps that are done at once, up to one that is not."""
         run.at_ms = self.now_ms
         while run.step < len(run.steps):
@@ -341,26 +344,24 @@
                     run.ordered.append(step)
             if not isinstance(step, plans.ChangeStep):
                 return
-            self._change_for(run, step, operator)
+            self._change_for(run, step)
             run.step += 1
         undoing = run.state is PlanState.UNDOING
         run.state = PlanState.UNDONE if undoing else PlanState.DONE
 
-    def _change_for(
-        self, run: PlanRun, step: plans.ChangeStep, operator: str
-    ) -> None:
+    def _change_for(self, run: PlanRun, step: plans.ChangeStep) -> None:
         keys = [key_of(item) for item in step.upserts] + list(step.removes)
         for key in keys:
             version = self.items.get(key)
             item = version.item if version is not None else None
             run.before.setdefault(key, item)
-        names = self._change(step.upserts, step.removes, operator)
+        names = self._change(step.upserts, step.removes, run.operator)
         for key in keys:
             run.wrote[key] = self.revision
         self.last = ChangeResult(
             True,
             self.revision,
-            operator,
+            run.operator,
             run.plan.plan_id,
             names,
             at_ms=self.now_ms,
@@ -371,7 +372,7 @@
         if run is None or run.current() is None or run.step != record.step:
             return []
         run.step += 1
-        self._run_changes(run, run.plan.operator)
+        self._run_changes(run)
         return []
 
     def _plan_stopped(self, record: changes.PlanStopped) -> list[str]:
@@ -397,7 +398,8 @@
         run.state = PlanState.UNDOING
         run.step = 0
         run.steps = self._reversed(run)
-        self._run_changes(run, record.operator)
+        run.operator = record.operator or run.operator
+        self._run_changes(run)
         return []
 
     def _reversed(self, run: PlanRun) -> list[plans.Step]:
--- a/catkinpin/core/controlleader.py
+++ b/catkinpin/core/controlleader.py
@@ -445,7 +445,7 @@
         return plans.PlanProgress(
             plan_id=run.plan.plan_id,
             state=run.state,
-            operator=run.plan.operator,
+            operator=run.operator or run.plan.operator,
             step=run.step,
             steps=[step.text for step in run.steps],
             calls_left=sum(one.calls for one in found),
--- a/catkinpin/core/controlsnapshot.py
+++ b/catkinpin/core/controlsnapshot.py
@@ -39,6 +39,7 @@
     fence: int
     ordered: list[plans.OrderStep]
     at_ms: int
+    operator: str
 
 
 class _State(codec.Message, frozen=True):
@@ -135,6 +136,7 @@
         fence=run.fence,
         ordered=run.ordered,
         at_ms=run.at_ms,
+        operator=run.operator,
     )
 
 
@@ -149,4 +151,5 @@
         fence=saved.fence,
         ordered=saved.ordered,
         at_ms=saved.at_ms,
+        operator=saved.operator,
     )
--- a/catkinpin/core/plans.py
+++ b/catkinpin/core/plans.py
@@ -495,7 +495,7 @@
             continue
         if not facts.cfg.allows(usage.deployment, left):
             continue
-        rest = _rest(facts.servers, after, usage.deployment, usage.target)
+        rest = _rest(facts, after, usage.deployment, usage.target)
         programs += usage.programs
         tokens += usage.tokens
         gone[usage.server] += usage.calls
@@ -504,10 +504,14 @@
         _spread(usage.calls, rest, added)
     for deployment in after.deployments:
         refused += _refusals(facts, after, deployment)
+    staying = {
+        report.server
+        for name, target in _touched(facts, after, draft)
+        for report in _rest(facts, after, name, target)
+    }
     loads = [
-        _load(report, added[name], gone[name])
-        for name, report in sorted(reports.items())
-        if _stays(report, after, draft)
+        _load(reports[name], added[name], gone[name])
+        for name in sorted(staying)
     ]
     for load in loads:
         if load.after > 1 and load.after > load.before:
@@ -522,13 +526,15 @@
 
 
 def _rest(
-    reports: list[ServerReport], cfg: Configuration, name: str, target: str
+    facts: Facts, cfg: Configuration, name: str, target: str
 ) -> list[ServerReport]:
+    """Returns the servers that can take a deployment's calls for a target."""
     return [
         report
-        for report in reports
+        for report in facts.servers
         if target in report.serves
         and not report.leaving
+        and report.server not in facts.silent
         and cfg.allows(name, report)
     ]
 
@@ -547,9 +553,9 @@
     """Returns which targets had a server and would have none."""
     lines = []
     for target in deployment.targets:
-        if _rest(facts.servers, after, deployment.name, target):
+        if _rest(facts, after, deployment.name, target):
             continue
-        if _rest(facts.servers, facts.cfg, deployment.name, target):
+        if _rest(facts, facts.cfg, deployment.name, target):
             lines.append(
                 f"every call of {deployment.name} for {target}: no server"
                 " would be left"
@@ -557,16 +563,19 @@
     return lines
 
 
-def _stays(report: ServerReport, after: Configuration, draft: _Draft) -> bool:
-    if report.leaving:
-        return False
-    touched = [item for item in draft.upserts if isinstance(item, Deployment)]
-    names = [item.name for item in touched] or [
-        deployment.name
-        for deployment in after.deployments
-        if any(target in report.serves for target in deployment.targets)
-    ]
-    return any(after.allows(name, report) for name in names)
+def _touched(
+    facts: Facts, after: Configuration, draft: _Draft
+) -> set[tuple[str, str]]:
+    """Returns deployment and target pairs whose servers change."""
+    found = set()
+    for deployment in after.deployments:
+        for report in facts.servers:
+            before = facts.cfg.allows(deployment.name, report)
+            changes = before != after.allows(deployment.name, report)
+            if changes or report.server in draft.reloaded:
+                shared = set(deployment.targets) & set(report.serves)
+                found |= {(deployment.name, target) for target in shared}
+    return found
 
 
 def _load(report: ServerReport, added: int, gone: int) -> ServerLoad:
