--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -11,6 +11,7 @@
     | messages.Finish
     | messages.GetProgram
     | messages.EndProgram
+    | messages.ReleaseDone
     | messages.Reports
     | changes.FromProcess
 )
@@ -22,6 +23,8 @@
     | messages.Refused
     | messages.NotLeader
     | messages.ProgramInfo
+    | messages.Recall
+    | messages.OrderRelease
     | changes.ToProcess
 )
 BetweenEntries = (
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -34,7 +34,9 @@
         last_server: the server that last answered the program, or empty.
         priority: of the deployment; higher goes first.
         deadline_ms: monotonic time after which nobody waits for the answer.
-        without: servers that failed this call.
+        without: servers that failed this call, or that failed many.
+        suspect: whether the call was aboard a server that crashed.
+        content: digest of all that a server would get.
         allowed: whether the configuration lets the call go to a server; asked
             at each placement, since it may change while the call waits.
     """
@@ -52,6 +54,8 @@
     priority: int = 0
     deadline_ms: int = 0
     without: tuple[str, ...] = ()
+    suspect: bool = False
+    content: bytes = b""
     allowed: Callable[[ServerReport], bool] = lambda _: True
 
 
--- a/catkinpin/core/usage.py
+++ b/catkinpin/core/usage.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable, Iterable
 
     from catkinpin.core.deployments import Configuration
-    from catkinpin.core.shard import Program
+    from catkinpin.core.program import Program
 
 
 @dataclasses.dataclass
@@ -52,15 +52,12 @@
 
 def _add(program: Program, place: Callable[[str, str, str], _Sum]) -> None:
     account = program.key.account
-    last = None
-    for call in program.calls.values():
+    for call in program.open.values():
         if call.attempt is not None:
             server = call.attempt.choice.server.server
             place(account, call.begin.target, server).calls += 1
-        if call.begin.kind == "model":
-            last = call
-    if program.ended or not program.last_server or last is None:
+    if program.ended or not program.last_server:
         return
-    held = place(account, last.begin.target, program.last_server)
+    held = place(account, program.last_target, program.last_server)
     held.programs += 1
-    held.tokens += min(program.spent, last.begin.prompt_tokens)
+    held.tokens += program.history_tokens
--- a/catkinpin/entry.py
+++ b/catkinpin/entry.py
@@ -162,6 +162,24 @@
                 self.lease.changed()
             case changes.OrderOffer():
                 self._orders.offered(message)
+            case messages.Recall():
+                self.calls.recalled(message)
+            case messages.Granted():
+                # Who asked has given up; the grant must not stay outstanding.
+                recall = messages.Recall(
+                    key=message.key, attempt=message.attempt
+                )
+                self.calls.recalled(recall)
+            case messages.OrderRelease():
+                task = asyncio.create_task(self._release(message))
+                self._relays.add(task)
+                task.add_done_callback(self._relays.discard)
+
+    async def _release(self, order: messages.OrderRelease) -> None:
+        """Orders a server to release programs, and confirms what it did."""
+        done = await self._dispatcher.release(order)
+        if done is not None:
+            self.replicas.broadcast(done)
 
     def _drained(self) -> bool:
         """Returns whether an operator drained the place this host stands in.
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -93,6 +93,14 @@
         if stream is not None:
             stream.send(message)
 
+    def entry_streams(self) -> list[peers.Stream]:
+        """Returns the streams of all entries that are connected."""
+        return [
+            stream
+            for stream in self._streams.values()
+            if stream.hello is not None and stream.hello.role == "entry"
+        ]
+
     def configuration_changed(self, cfg: deployments.Configuration) -> None:
         """Puts a new configuration in force here."""
         for host in self.shards.values():
@@ -134,6 +142,8 @@
                 self._welcome(stream)
             case messages.Reports():
                 self._take_reports(message)
+            case messages.ReleaseDone():
+                self.shards[message.group].handle(stream, message)
             case _ if isinstance(message, changes.FromProcess):
                 self.control.handle(stream, message)
             case _:
@@ -148,7 +158,7 @@
         self._streams[stream.hello.incarnation] = stream
         if stream.hello.role == "entry":
             for host in self.shards.values():
-                host.leader.entry_connected(shardhost.entry_ref(stream))
+                host.entry_connected(stream)
         for group in self._groups():
             stream.send(
                 messages.GroupLeader(
@@ -162,12 +172,14 @@
             del self._streams[stream.hello.incarnation]
             self.control.disconnected(stream)
             for host in self.shards.values():
-                host.leader.entry_lost(shardhost.entry_ref(stream))
+                host.entry_lost(stream)
 
     def _take_reports(self, reports: messages.Reports) -> None:
         now = self.clock.now_ms()
         for report, age_ms in zip(reports.reports, reports.age_ms, strict=True):
             self.view.report(report, now - age_ms)
+            for host in self.shards.values():
+                host.reported(report, now - age_ms)
         self.control.reported(reports.reports)
 
     async def _tick(self) -> None:
