--- a/catkinpin/adapters/controlhost.py
+++ b/catkinpin/adapters/controlhost.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import codec
-from catkinpin.adapters import groups
 from catkinpin.core import (
     changes,
     control,
@@ -21,7 +20,6 @@
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
-    import pathlib
     from collections.abc import Iterable
 
     from catkinpin.adapters import peers
@@ -36,12 +34,12 @@
 class ControlHost:
     """The control group's state, and what its leader answers."""
 
-    def __init__(self, replica: Replica, data_folder: pathlib.Path) -> None:
+    def __init__(self, replica: Replica) -> None:
         self._replica = replica
         self._reported: dict[str, changes.ServerFacts] = {}
         self.state = control.Control()
         self.leader: controlleader.ControlLeader | None = None
-        self.group = groups.Group(routing.CONTROL_GROUP, data_folder, self)
+        self.group = replica.node.add_group(routing.CONTROL_GROUP, self)
 
     def handle(self, stream: peers.Stream, message: Any) -> None:
         """Takes a process's message for the control group."""
