--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/shardhost.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import codec, configuration, tracing
-from catkinpin.adapters import groups
 from catkinpin.core import (
     leader,
     messages,
@@ -26,7 +25,6 @@
 )
 
 if TYPE_CHECKING:
-    import pathlib
     from collections.abc import Iterable
 
     from catkinpin.adapters import peers
@@ -37,16 +35,14 @@
 class ShardHost:
     """A program shard: its log group, its state and its leader's part."""
 
-    def __init__(
-        self, replica: Replica, name: str, data_folder: pathlib.Path
-    ) -> None:
+    def __init__(self, replica: Replica, name: str) -> None:
         self._replica = replica
         self._leading = False
         self._tasks: set[asyncio.Task[bool]] = set()
         self.cfg = configuration.Configuration()
         self.state = shard.Shard(name, replica.cfg.shards)
         self.leader = self._new_leader()
-        self.group = groups.Group(name, data_folder, self)
+        self.group = replica.node.add_group(name, self)
 
     def configured(self, cfg: configuration.Configuration) -> None:
         """Decides by a new configuration from now on."""
