--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -260,6 +260,12 @@
             writer = asyncio.ensure_future(self._write(stream, rpc))
             try:
                 await self._read(stream, rpc)
+            except asyncio.CancelledError:
+                # The writer cancels the call of a stream that went silent,
+                # and the reader gets that as its own cancellation: the link
+                # would end here and never connect again.
+                if _is_cancelled():
+                    raise
             finally:
                 stream.close()
                 writer.cancel()
@@ -267,8 +273,10 @@
 
     async def _write(self, stream: Stream, rpc: Any) -> None:
         try:
-            async for batch in stream.batches():
-                await rpc.write(batch)
+            # The call may have ended since the reader last looked.
+            with contextlib.suppress(asyncio.InvalidStateError):
+                async for batch in stream.batches():
+                    await rpc.write(batch)
         finally:
             rpc.cancel()
 
@@ -300,6 +308,11 @@
                 )
 
 
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 _asks = itertools.count(1)
 
 
