Count what contexts really need, shed what can't stay, wait longer

Cause: the ledger counted the prompt that all programs begin with once a program, kept room for 10 s of pause only, and let contexts grow past the cache. Usage of answers now corrects it (the cached tokens of a new program's first call are what it shares), room is kept for 30 s, and a server whose active programs outgrow its cache holds back the longest unused one. Those under way go first, then those at a screen; the starvation bound is 60 s or half of the time to the deadline.

--- a/bench/engine.py
+++ b/bench/engine.py
@@ -50,12 +50,14 @@
         chain: the context; the last segment is this turn's.
         work: tokens to generate, or milliseconds of a service's work.
         done: called with whether the server answered.
+        cached_tokens: what the cache held of the context, once it started.
     """
 
     chain: list[Segment]
     work: float
     done: Callable[[bool], None]
     prefill: float = 0.0
+    cached_tokens: int = 0
 
 
 class Engine:
@@ -130,6 +132,8 @@
             if tokens is None:
                 break
             req.prefill = tokens
+            context = sum(segment.tokens for segment in req.chain)
+            req.cached_tokens = context - tokens
             self._prefills.append(req)
             del self._queue[0]
         self._wakeup += 1
--- a/bench/world.py
+++ b/bench/world.py
@@ -146,9 +146,10 @@
         self._placed[job.key] = then
         self._decided(self.scheduler.submit(job, round(self.events.now_ms)))
 
-    def freed(self, key: messages.CallKey) -> None:
+    def freed(self, key: messages.CallKey, usage: messages.Usage) -> None:
         """Tells the leader that a call's attempt has ended."""
-        self._decided(self.scheduler.ended(key, round(self.events.now_ms)))
+        now = round(self.events.now_ms)
+        self._decided(self.scheduler.ended(key, now, usage))
 
     def travel(
         self, here: Domain, there: Domain, size: int, then: Callable[[], None]
@@ -415,17 +416,24 @@
         req = Request(
             chain,
             float(self.step.work),
-            lambda ran: self._served(server, chain, ran),
+            lambda ran: self._served(server, req, ran),
         )
         self._world.machines[server].submit(req)
 
-    def _served(self, server: str, chain: list[Segment], ran: bool) -> None:
+    def _served(self, server: str, req: Request, ran: bool) -> None:
         there = self._world.domain_of(server)
         here = self._run.script.domain
         size = _BYTES_PER_MESSAGE
+        usage = messages.Usage()
         if ran and self._model:
             size += self.step.work * _BYTES_PER_STREAMED_TOKEN
-            self._run.keep(chain[-1])
+            self._run.keep(self._segment)
+            context = sum(segment.tokens for segment in req.chain)
+            usage = messages.Usage(
+                prompt_tokens=context - self.step.work,
+                completion_tokens=self.step.work,
+                cached_tokens=req.cached_tokens,
+            )
         self._world.travel(
             there,
             here,
@@ -434,12 +442,12 @@
                 here,
                 self._world.leader_domain,
                 _BYTES_PER_MESSAGE,
-                lambda: self._finished(server, ran),
+                lambda: self._finished(server, ran, usage),
             ),
         )
 
-    def _finished(self, server: str, ran: bool) -> None:
-        self._world.freed(self.key)
+    def _finished(self, server: str, ran: bool, usage: messages.Usage) -> None:
+        self._world.freed(self.key, usage)
         if not ran and self.step.idempotent:
             self._failed = (*self._failed, server)
             self.ask()
--- a/catkinpin/core/placement.py
+++ b/catkinpin/core/placement.py
@@ -37,7 +37,7 @@
     link_bytes_per_ms: float = 1_875.0
     text_bytes: float = 1.6
     fill: float = 0.9
-    hold_ms: int = 10_000
+    hold_ms: int = 30_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,22 +87,20 @@
 
 def missing_tokens(job: Job, server: Server) -> int:
     """Returns the tokens of the prompt that a server would have to compute."""
-    key = job.key.program_key
-    held = server.residents.cached_tokens(key)
-    if job.parent and job.shared_tokens:
-        parent = ProgramKey(account=key.account, program=job.parent)
-        shared = server.residents.cached_tokens(parent)
-        held += min(shared, job.shared_tokens)
-    return max(0, job.prompt_tokens - held)
+    held = server.residents.cached_tokens(job.key.program_key)
+    return max(0, own_tokens(job, server) - held)
 
 
 def own_tokens(job: Job, server: Server) -> int:
-    """Returns the memory that the call's context needs on a server."""
-    if job.parent and job.shared_tokens:
-        key = ProgramKey(account=job.key.account, program=job.parent)
-        shared = server.residents.cached_tokens(key)
-        return job.prompt_tokens - min(shared, job.shared_tokens)
-    return job.prompt_tokens
+    """Returns the memory that the call's context needs on a server.
+
+    What other programs there share with it needs no memory of its own.
+    """
+    shared = job.shared_tokens
+    if job.parent and shared:
+        parent = ProgramKey(account=job.key.account, program=job.parent)
+        shared = min(shared, server.residents.cached_tokens(parent))
+    return max(0, job.prompt_tokens - shared)
 
 
 def _cost(job: Job, server: Server, now_ms: int, prices: Prices) -> Cost:
--- a/catkinpin/core/residents.py
+++ b/catkinpin/core/residents.py
@@ -76,11 +76,12 @@
         resident.cached = True
         self._add_active(key, resident, now_ms)
 
-    def ended(self, key: ProgramKey, now_ms: int) -> None:
-        """Notes that a call has ended."""
+    def ended(self, key: ProgramKey, tokens: int, now_ms: int) -> None:
+        """Notes that a call has ended, with a context of `tokens` if known."""
         resident = self._take(key)
         if resident is None:
             return
+        resident.tokens = tokens or resident.tokens
         resident.running = max(0, resident.running - 1)
         self._add_active(key, resident, now_ms)
 
@@ -112,11 +113,27 @@
                 resident.used_ms = now_ms
             else:
                 self.pause(key)
+        self._shed(cache_tokens)
         while self._idle and (
             self.active_tokens + self._idle_tokens > cache_tokens
         ):
             self._take(next(iter(self._idle)))
 
+    def _shed(self, cache_tokens: int) -> None:
+        """Keeps no room for what the engine must evict to serve the others.
+
+        Contexts grow past what was there when their programs were admitted.
+        Were all still let in, each turn would evict another's prefix; so the
+        one unused for longest, which the engine evicts first, has to wait.
+        """
+        while self.active_tokens > cache_tokens:
+            for key, resident in self._active.items():
+                if not resident.running:
+                    self.pause(key)
+                    break
+            else:
+                return
+
     def correct(self, held: Iterable[str], made_ms: int) -> None:
         """Takes the engine's own list of what it holds at `made_ms`.
 
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.messages import CallKey, ProgramKey
+    from catkinpin.core.messages import CallKey, ProgramKey, Usage
     from catkinpin.core.servers import Server, ServerView
 
 _RETRY_AFTER_MS = 1_000
@@ -39,7 +39,8 @@
         without: servers that failed this call.
         interactive: whether someone waits at a screen.
         parent: id of the program that started this one, or empty.
-        shared_tokens: leading tokens that the parent's history holds too.
+        shared_tokens: leading tokens that the parent's history holds too; of
+            a program without a parent, those that others begin with as well.
     """
 
     key: CallKey
@@ -95,7 +96,7 @@
 
     order: waiting.Order = waiting.least_attained
     most: int = 1_000
-    starved_after_ms: int = 30_000
+    starved_after_ms: int = 60_000
     tries: int = 32
 
 
@@ -104,7 +105,7 @@
     """A call aboard a server."""
 
     server: str
-    program: ProgramKey
+    job: Job | None = None
 
 
 class Scheduler:
@@ -128,11 +129,16 @@
         self._policy = policy
         self._plan = plan
         self._running: dict[CallKey, _Running] = {}
+        # Learned: what the programs of an account begin with alike.
+        self._common: dict[tuple[str, str], int] = {}
         self._homes: dict[ProgramKey, str] = {}
         self._waiting: dict[tuple[str, str], waiting.WaitingCalls] = {}
 
     def submit(self, job: Job, now_ms: int) -> list[Decision]:
         """Takes a call; one that is known already changes nothing."""
+        if not job.parent:
+            common = self._common.get((job.key.account, job.target), 0)
+            job = dataclasses.replace(job, shared_tokens=common)
         calls = self._calls(job)
         if job.key in self._running or job.key in calls:
             return []
@@ -150,8 +156,16 @@
         calls.add(job, now_ms)
         return []
 
-    def ended(self, key: CallKey, now_ms: int) -> list[Decision]:
-        """Notes that a call holds no server any more, and fills the room."""
+    def ended(
+        self, key: CallKey, now_ms: int, usage: Usage | None = None
+    ) -> list[Decision]:
+        """Notes that a call holds no server any more, and fills the room.
+
+        Args:
+            key: the call.
+            now_ms: monotonic time.
+            usage: what the engine counted, where it answered.
+        """
         running = self._running.pop(key, None)
         if running is None:
             return []
@@ -159,7 +173,7 @@
         server = self._view.servers.get(running.server)
         if server is None:
             return []
-        server.residents.ended(running.program, now_ms)
+        self._learn(running, server, usage, now_ms)
         decisions = []
         for target in server.report.serves:
             calls = self._waiting.get((server.report.kind, target))
@@ -167,6 +181,27 @@
                 decisions += self._fill(calls, now_ms)
         return decisions
 
+    def _learn(
+        self,
+        running: _Running,
+        server: Server,
+        usage: Usage | None,
+        now_ms: int,
+    ) -> None:
+        """Takes what an ended call tells about its context."""
+        job = running.job
+        if job is None or job.kind != "model":
+            return
+        tokens = 0
+        if usage is not None and usage.prompt_tokens:
+            if job.turns == 0 and not job.parent:
+                # What a new program finds in the cache is another's.
+                common = (job.key.account, job.target)
+                self._common[common] = usage.cached_tokens
+            tokens = usage.prompt_tokens + usage.completion_tokens
+            tokens -= job.prompt_tokens - placement.own_tokens(job, server)
+        server.residents.ended(job.key.program_key, max(0, tokens), now_ms)
+
     def program_ended(self, key: ProgramKey) -> None:
         """Notes that a program will make no more calls."""
         home = self._view.servers.get(self._homes.pop(key, ""))
@@ -175,7 +210,7 @@
 
     def resume(self, key: CallKey, server: str) -> None:
         """Notes an attempt that an earlier leader granted."""
-        self._running[key] = _Running(server, key.program_key)
+        self._running[key] = _Running(server)
         self._view.attempt_started(server)
 
     def tick(self, now_ms: int) -> list[Decision]:
@@ -252,7 +287,7 @@
     def _place(self, job: Job, server: Server, now_ms: int) -> Place:
         name = server.report.server
         program = job.key.program_key
-        self._running[job.key] = _Running(name, program)
+        self._running[job.key] = _Running(name, job)
         self._view.attempt_started(name)
         if job.kind == "model":
             self._move(program, name)
--- a/catkinpin/core/waiting.py
+++ b/catkinpin/core/waiting.py
@@ -20,8 +20,8 @@
     """Orders calls by what their programs have been given.
 
     Programs under way hold engine memory, and sub-agents hold up a program
-    that does: both go before new programs. Among equals a customer at a
-    screen goes first, then the program that has been served least: nobody
+    that does: both go before new programs. Among equals someone who waits at
+    a screen goes first, then the program that has been served least: nobody
     knows how long a program will be, but one that has taken little so far is
     likelier to end soon.
     """
@@ -29,8 +29,8 @@
     served = job.attained_tokens + job.prompt_tokens
     return (
         -job.priority,
-        0 if job.interactive else 1,
         0 if under_way else 1,
+        0 if job.interactive else 1,
         round(math.log2(1 + served)),
         now_ms,
     )
@@ -42,14 +42,15 @@
 
     order: OrderKey
     number: int
-    since_ms: int = dataclasses.field(compare=False)
+    starves_ms: int = dataclasses.field(compare=False)
     job: Job = dataclasses.field(compare=False)
 
 
 class WaitingCalls:
     """The calls that wait for the servers of one target, in order.
 
-    A call that has waited for the starvation bound goes before all others.
+    A call that has waited for the starvation bound, or for half the time that
+    its caller gives it, goes before all others.
     """
 
     def __init__(self, order: Order, starved_after_ms: int) -> None:
@@ -70,7 +71,10 @@
         """Lets a call wait."""
         self._number += 1
         order = self._order(job, now_ms)
-        waiting = Waiting(order, self._number, now_ms, job)
+        bound = self._starved_after_ms
+        if job.deadline_ms:
+            bound = min(bound, (job.deadline_ms - now_ms) // 2)
+        waiting = Waiting(order, self._number, now_ms + bound, job)
         self._by_key[job.key] = waiting
         bisect.insort(self._sorted, waiting)
 
@@ -87,15 +91,13 @@
     def promote(self, now_ms: int) -> None:
         """Moves calls that have waited too long to the front."""
         starved = [
-            waiting
-            for waiting in self._sorted
-            if now_ms - waiting.since_ms >= self._starved_after_ms
+            waiting for waiting in self._sorted if waiting.starves_ms <= now_ms
         ]
         if not starved:
             return
         gone = {waiting.number for waiting in starved}
         self._sorted = [w for w in self._sorted if w.number not in gone]
-        self._starved += sorted(starved, key=lambda w: w.since_ms)
+        self._starved += sorted(starved, key=lambda w: w.starves_ms)
 
     def overdue(self, now_ms: int) -> list[Job]:
         """Returns the calls whose callers no longer wait."""
