--- a/catkinpin/core/placement.py
+++ b/catkinpin/core/placement.py
@@ -21,6 +21,8 @@
 
     Attributes:
         prefill_per_ms: tokens an engine computes in a millisecond.
+        recompute: weight of computing history again; it wastes memory that
+            holds it elsewhere, and the reason to move may pass.
         gap_per_call_ms: what a further call adds to the time between tokens.
         output_tokens: tokens that a call is expected to generate.
         region_ms: delay of a call and its answer between regions.
@@ -31,6 +33,7 @@
     """
 
     prefill_per_ms: float = 10.0
+    recompute: float = 4.0
     gap_per_call_ms: float = 0.35
     output_tokens: int = 150
     region_ms: float = 16.0
@@ -118,7 +121,10 @@
         return Cost(server, wait, 0.0, transfer, server.load < slots)
     server.residents.rest(now_ms, prices.hold_ms, report.cache_tokens)
     wait = server.load * prices.gap_per_call_ms * prices.output_tokens
-    prefill = missing_tokens(job, server) / prices.prefill_per_ms
+    missing = missing_tokens(job, server)
+    new = min(missing, job.prompt_tokens - job.history_tokens)
+    weighed = new + prices.recompute * (missing - new)
+    prefill = weighed / prices.prefill_per_ms
     fits = server.load < slots and _has_memory(job, server, prices)
     return Cost(server, wait, prefill, transfer, fits)
 
