--- a/catkinpin/adapters/admin.py
+++ b/catkinpin/adapters/admin.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Literal
+from typing import TYPE_CHECKING, Any, Literal, TypeVar
 
 import pydantic
 import sanic
@@ -22,6 +22,7 @@
 _ANNOUNCE_EVERY_MS = 500
 
 Count = pydantic.NonNegativeInt
+_Body = TypeVar("_Body", bound=pydantic.BaseModel)
 
 
 class Announcement(pydantic.BaseModel):
@@ -52,6 +53,35 @@
         return messages.ServerReport(**fields)
 
 
+class CacheEvent(pydantic.BaseModel):
+    """A change of an engine's prefix cache."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    seq: int = pydantic.Field(gt=0)
+    kind: Literal["held", "evicted"]
+    program: str = pydantic.Field(min_length=1, max_length=500)
+    tokens: Count = 0
+
+
+class CacheEvents(pydantic.BaseModel):
+    """Cache events of one engine; see docs/user/servers.md."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    server: str = pydantic.Field(min_length=1, max_length=200)
+    incarnation: str = pydantic.Field(min_length=1, max_length=100)
+    events: list[CacheEvent] = pydantic.Field(max_length=10_000)
+
+    def message(self) -> messages.CacheEvents:
+        """Returns the events as they travel between our processes."""
+        return messages.CacheEvents(
+            server=self.server,
+            incarnation=self.incarnation,
+            events=[messages.CacheEvent(**e.model_dump()) for e in self.events],
+        )
+
+
 def make_app(role: str, not_ready: Callable[[], str]) -> sanic.Sanic[Any, Any]:
     """Returns an application with health and metrics.
 
@@ -92,9 +122,17 @@
 
     @app.post("/v1/servers/announce")
     async def announce(req: sanic.Request) -> Any:
-        try:
-            announcement = Announcement.model_validate_json(req.body)
-        except pydantic.ValidationError as exc:
-            raise BadRequestError("body", configuration.describe(exc)) from exc
-        entry.announced(announcement.report())
+        entry.announced(_parse(Announcement, req.body).report())
         return response.json({"next_ms": _ANNOUNCE_EVERY_MS})
+
+    @app.post("/v1/servers/events")
+    async def events(req: sanic.Request) -> Any:
+        entry.cache_changed(_parse(CacheEvents, req.body).message())
+        return response.json({})
+
+
+def _parse(kind: type[_Body], body: bytes) -> _Body:
+    try:
+        return kind.model_validate_json(body)
+    except pydantic.ValidationError as exc:
+        raise BadRequestError("body", configuration.describe(exc)) from exc
--- a/catkinpin/adapters/callers.py
+++ b/catkinpin/adapters/callers.py
@@ -37,6 +37,7 @@
 _OWN_HEADERS = "catkinpin-"
 _METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 _MS_PER_S = 1000
+_STATUS_OK = 200
 _GET_TIMEOUT_S = 5.0
 
 
@@ -271,6 +272,7 @@
             headers=[],
             body=req.body,
             messages=canonical,
+            resendable="idempotency-key" in req.headers,
         )
     )
     if parsed.stream:
@@ -297,6 +299,7 @@
             headers=_forwarded_headers(req),
             body=req.body,
             messages=[],
+            resendable="idempotency-key" in req.headers,
         )
     )
     return _whole(await call.wait(), begin)
@@ -341,6 +344,8 @@
         error = json.dumps(_error_body(final)).encode()
         await resp.send(b"data: " + error + b"\n\n")
     else:
+        if final.answer.status != _STATUS_OK:
+            return _whole(final, begin)
         if resp is None and not held:
             held = [
                 json.dumps(chunk).encode()
--- a/catkinpin/adapters/calls.py
+++ b/catkinpin/adapters/calls.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from catkinpin import metrics, tracing
-from catkinpin.adapters import dispatch, peers, shards
-from catkinpin.core import messages, routing
-from catkinpin.exceptions import PeerLostError
+from catkinpin import chat, digest, metrics, tracing
+from catkinpin.adapters import dispatch, outcomes, relays, shards
+from catkinpin.core import messages, routing, splice
+from catkinpin.exceptions import DivergedError, PeerLostError
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
@@ -23,6 +23,9 @@
 # How long the outcome of a dispatch is offered to the shard's leader.
 _FINISH_TIMEOUT_S = 30.0
 _RETRY_AFTER_MS = 1_000
+_MS_PER_S = 1000
+# At the deadline the leader's own answer is given this time to come first.
+_DEADLINE_GRACE_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,6 +35,8 @@
     Attributes:
         begin: what the shard's leader gets; `ask` is set at each sending.
         messages: canonical messages of a model call.
+        resendable: whether the caller chose the request id, so that another
+            entry may have got the same request.
     """
 
     begin: messages.Begin
@@ -40,6 +45,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     messages: list[bytes]
+    resendable: bool = False
 
 
 Final = messages.Finished | messages.Refused
@@ -50,14 +56,45 @@
 
     Attributes:
         events: data of a model's stream, then None when `final` is set.
+        verdict: what is known so far of whether the request ran.
     """
 
     def __init__(self) -> None:
         self.events: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.final: Final | None = None
+        self.verdict = Verdict.NOT_RUN
+        self._splice = splice.Splice()
+        self._diverged = False
+
+    def restart(self) -> None:
+        """Notes that another attempt answers from the start."""
+        self._splice.restart()
+
+    def take(self, data: bytes) -> None:
+        """Passes on what is new of an event of the answer's stream."""
+        if self.final is not None or self._diverged:
+            return
+        try:
+            fresh = self._splice.take(data)
+        except DivergedError:
+            self._diverged = True
+            return
+        if fresh is not None:
+            self.events.put_nowait(fresh)
 
     def end(self, final: Final) -> None:
-        """Sets the final answer."""
+        """Sets the final answer; the first one counts."""
+        if self.final is not None:
+            return
+        if self._diverged and isinstance(final, messages.Finished):
+            # What the caller has does not begin this answer. The whole of it
+            # is stored; it comes with the same request sent again.
+            text = (
+                "the server was lost and the answer, generated anew, differs"
+                " from the part already sent; send the request again with its"
+                " Idempotency-Key to get the whole answer"
+            )
+            final = _refusal(Reason.ANSWER_CHANGED, text, Verdict.RAN)
         self.final = final
         self.events.put_nowait(None)
 
@@ -73,85 +110,147 @@
     """Runs callers' calls; one that lost its caller still runs to its end.
 
     Attributes:
-        running: calls without a final answer.
+        running: calls without a final answer, by their task.
     """
 
     def __init__(
         self,
         replicas: shards.Replicas,
         dispatcher: dispatch.Dispatcher,
+        relay: relays.RelayClient,
         shard_count: int,
-        link_to: Callable[[str], peers.PeerLink],
     ) -> None:
         self._replicas = replicas
         self._dispatcher = dispatcher
+        self._relay = relay
         self._shard_count = shard_count
-        self._link_to = link_to
-        self._relayed: dict[int, Callable[[bytes], None]] = {}
-        self.running: set[asyncio.Task[None]] = set()
+        self._reporting: set[asyncio.Task[None]] = set()
+        self.running: dict[asyncio.Task[None], CallRequest] = {}
+
+    def waits_for(self) -> list[str]:
+        """Returns the programs and request ids of calls under way."""
+        keys = [req.begin.key for req in self.running.values()]
+        return [f"{key.program} {key.request_id}" for key in keys]
 
     def start(self, req: CallRequest) -> RunningCall:
         """Starts a call in a task of its own."""
         call = RunningCall()
         task = asyncio.create_task(self._run(req, call))
-        self.running.add(task)
+        self.running[task] = req
         metrics.IN_FLIGHT.set(len(self.running))
         task.add_done_callback(self._done)
         return call
 
-    def relayed_chunk(self, chunk: messages.Chunk) -> None:
-        """Takes part of an answer that another entry streams to us."""
-        on_data = self._relayed.get(chunk.ask)
-        if on_data is None:
-            metrics.DROPPED_ANSWERS.inc()
+    def late_grant(self, grant: messages.Granted) -> None:
+        """Hands back a grant whose call no longer waits for it.
+
+        Left alone it would hold the server's place and the program's budget
+        until the leader gives this process up.
+        """
+        if self._dispatcher.was_used(grant.attempt):
             return
-        on_data(chunk.data)
+        self._dispatcher.use(grant)
+        text = "the call no longer waits"
+        finish = outcomes.not_run(grant, Reason.DEADLINE, text)
+        task = asyncio.create_task(self.report(finish))
+        self._reporting.add(task)
+        task.add_done_callback(self._reporting.discard)
+
+    async def report(self, finish: messages.Finish) -> None:
+        """Takes to the leader an outcome that no caller waits for here."""
+        group = routing.group_of(finish.key.program_key, self._shard_count)
+        try:
+            await self._finish(group, finish)
+        except PeerLostError:
+            log.warning("outcome lost", extra={"attempt": finish.attempt})
 
     def _done(self, task: asyncio.Task[None]) -> None:
-        self.running.discard(task)
+        self.running.pop(task, None)
         metrics.IN_FLIGHT.set(len(self.running))
 
     async def _run(self, req: CallRequest, call: RunningCall) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        # Whatever this process still waits for, at the deadline the caller
+        # gets its answer.
+        timer = loop.call_later(
+            req.begin.deadline_ms / _MS_PER_S + _DEADLINE_GRACE_S,
+            lambda: call.end(
+                _refusal(Reason.DEADLINE, "the deadline passed", call.verdict)
+            ),
+        )
         with tracing.hop("call", req.begin.traceparent) as hop:
             hop.note("program", req.begin.key.program)
             hop.note("request_id", req.begin.key.request_id)
             try:
                 final = await self._to_the_end(req, call, hop.traceparent)
             except Exception:
-                log.exception("call failed", extra=_log_fields(req))
+                fields = _log_fields(req, hop.trace_id)
+                log.exception("call failed", extra=fields)
                 final = _refusal(
                     Reason.INTERNAL, "internal error", Verdict.MAY_HAVE_RUN
                 )
+            call.end(final)
+            timer.cancel()
+            self._account(req, call, hop, loop.time() - began)
+
+    def _account(
+        self,
+        req: CallRequest,
+        call: RunningCall,
+        hop: tracing.Hop,
+        seconds: float,
+    ) -> None:
+        """Counts a call that has ended, and logs one that was refused."""
+        final = call.final
+        verdict = Verdict.RAN
         if isinstance(final, messages.Refused):
-            metrics.REFUSALS.labels(final.reason).inc()
             verdict = final.verdict
-        else:
-            verdict = Verdict.RAN
+            metrics.REFUSALS.labels(final.reason).inc()
+            log.info(
+                "call refused",
+                extra={
+                    **_log_fields(req, hop.trace_id),
+                    "reason": final.reason,
+                    "verdict": verdict,
+                    "text": final.text,
+                },
+            )
+        hop.note("verdict", verdict)
         metrics.CALLS.labels(req.begin.kind, verdict).inc()
-        call.end(final)
+        metrics.CALL_SECONDS.observe(seconds)
 
     async def _to_the_end(
         self, req: CallRequest, call: RunningCall, traceparent: str
     ) -> Final:
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + req.begin.deadline_ms / 1000
+        deadline = loop.time() + req.begin.deadline_ms / _MS_PER_S
         group = routing.group_of(req.begin.key.program_key, self._shard_count)
-        verdict = Verdict.NOT_RUN
         try:
             with tracing.hop("begin", traceparent):
                 reply = await self._begin(group, req, deadline)
             while isinstance(reply, messages.Granted):
-                verdict = Verdict.MAY_HAVE_RUN
-                left_ms = int((deadline - loop.time()) * 1000)
+                if self._dispatcher.was_used(reply.attempt):
+                    # A copy of a grant under way: attach to its outcome.
+                    metrics.DROPPED_ANSWERS.inc()
+                    reply = await self._begin(group, req, deadline)
+                    continue
+                before = call.verdict
+                call.verdict = Verdict.MAY_HAVE_RUN
+                left_ms = int((deadline - loop.time()) * _MS_PER_S)
                 finish = await self._attempt(
                     reply, req, call, left_ms, traceparent
                 )
-                verdict = finish.verdict
+                call.verdict = max(before, finish.verdict, key=_certainty)
                 with tracing.hop("finish", traceparent):
                     reply = await self._finish(group, finish)
-        except PeerLostError:
+        except PeerLostError as exc:
             text = "the shard's leader did not answer in time"
-            return _refusal(Reason.NO_LEADER, text, verdict)
+            if exc.sent and req.resendable:
+                # The leader may have granted this request to another entry
+                # that got it too.
+                call.verdict = Verdict.MAY_HAVE_RUN
+            return _refusal(Reason.NO_LEADER, text, call.verdict)
         final: Final = reply
         return final
 
@@ -161,7 +260,7 @@
         loop = asyncio.get_running_loop()
 
         def make(ask: int) -> messages.Begin:
-            left_ms = max(1, int((deadline - loop.time()) * 1000))
+            left_ms = max(1, int((deadline - loop.time()) * _MS_PER_S))
             return msgspec.structs.replace(
                 req.begin, ask=ask, deadline_ms=left_ms
             )
@@ -182,69 +281,50 @@
         left_ms: int,
         traceparent: str,
     ) -> messages.Finish:
+        call.restart()
+        body = req.body
+        digests = req.begin.digests
+        known = grant.skip
+        if grant.history:
+            body = chat.with_messages(
+                body, [*grant.history, *chat.raw_messages(body)]
+            )
+            digests = [*map(digest.of_bytes, grant.history), *digests]
+            known = len(grant.history)
         outgoing = dispatch.Outgoing(
             kind=req.begin.kind,
             method=req.method,
             path=req.path,
             headers=req.headers,
-            body=req.body,
-            deadline_ms=left_ms,
+            body=body,
+            deadline_ms=max(1, left_ms),
             traceparent=traceparent,
         )
-        on_data = call.events.put_nowait
-        if grant.dispatcher:
-            finish = await self._relay(grant, outgoing, on_data)
-        else:
-            finish = await self._dispatcher.dispatch(grant, outgoing, on_data)
+        history = relays.History(digests, known)
+        finish = await self._dispatch(grant, outgoing, history, call.take)
         metrics.ATTEMPTS.labels(finish.verdict).inc()
-        if finish.answer is None or req.begin.kind != "model":
+        if not finish.messages:
             return finish
         new = req.messages[grant.skip :]
         return msgspec.structs.replace(
             finish, messages=[*new, *finish.messages]
         )
 
-    async def _relay(
+    async def _dispatch(
         self,
         grant: messages.Granted,
         req: dispatch.Outgoing,
+        history: relays.History,
         on_data: Callable[[bytes], None],
     ) -> messages.Finish:
-        """Has the call dispatched by an entry in the server's region."""
-        link = self._link_to(grant.dispatcher)
-        ask = peers.next_ask()
-        message = messages.Dispatch(
-            ask=ask,
-            grant=grant,
-            kind=req.kind,
-            method=req.method,
-            path=req.path,
-            headers=req.headers,
-            body=req.body,
-            deadline_ms=req.deadline_ms,
-            traceparent=req.traceparent,
-        )
-        self._relayed[ask] = on_data
-        sent = False
-        try:
-            async with asyncio.timeout(req.deadline_ms / 1000):
-                await link.connected.wait()
-                sent = True
-                reply = await link.ask(message, req.deadline_ms / 1000)
-                finish: messages.Finish = reply.finish
-                return finish
-        except (PeerLostError, TimeoutError):
-            verdict = Verdict.MAY_HAVE_RUN if sent else Verdict.NOT_RUN
-            return messages.Finish(
-                ask=0,
-                key=grant.key,
-                attempt=grant.attempt,
-                verdict=verdict,
-                reason=Reason.SERVER_FAILED,
-                text="the entry in the server's region was lost",
-            )
-        finally:
-            del self._relayed[ask]
+        refused = self._dispatcher.use(grant)
+        if refused is not None:
+            return refused
+        if grant.recover:
+            return await self._dispatcher.recover(grant, req, 0, on_data)
+        if grant.dispatcher:
+            return await self._relay.dispatch(grant, req, history, on_data)
+        return await self._dispatcher.dispatch(grant, req, on_data)
 
 
 def _refusal(reason: Reason, text: str, verdict: Verdict) -> messages.Refused:
@@ -257,11 +337,16 @@
     )
 
 
-def _log_fields(req: CallRequest) -> dict[str, str]:
+def _certainty(verdict: Verdict) -> int:
+    """Orders verdicts by how much a request may have done."""
+    return (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN).index(verdict)
+
+
+def _log_fields(req: CallRequest, trace_id: str) -> dict[str, str]:
     key = req.begin.key
     return {
+        "trace_id": trace_id,
         "account": key.account,
         "program": key.program,
         "call": key.request_id,
-        "traceparent": req.begin.traceparent,
     }
--- a/catkinpin/adapters/dispatch.py
+++ b/catkinpin/adapters/dispatch.py
@@ -4,25 +4,26 @@
 
 import asyncio
 import dataclasses
-import json
 import logging
 from typing import TYPE_CHECKING
 
-import aiohttp
-
-from catkinpin import chat, tracing
-from catkinpin.core import messages
-from catkinpin.core.messages import Answer, Finish
+from catkinpin import metrics, tracing
+from catkinpin.adapters import backends, modelcalls, outcomes, servicecalls
+from catkinpin.core import gaps
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import Awaitable, Callable
+
+    from catkinpin.clock import Clock
+    from catkinpin.core.messages import Finish, Granted
 
 log = logging.getLogger(__name__)
 
-VERDICT_HEADER = "Catkinpin-Verdict"
-_STATUS_OK = 200
-_SSE_END = b"[DONE]"
+_MS_PER_S = 1000
+# Attempt ids that were used are remembered for this long; a grant expires
+# within seconds, so that no copy of it can arrive later.
+_REMEMBER_MS = 600_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,38 +46,63 @@
 
 @dataclasses.dataclass(frozen=True)
 class Timeouts:
-    """How long to wait for a backend server, in seconds."""
+    """How long to wait for a backend server, in milliseconds.
+
+    Attributes:
+        connect_ms: for a connection.
+        progress_low_ms: shortest silence of a stream that is looked into.
+        progress_high_ms: longest silence that is not looked into.
+        first_token_ms: for an engine's first event.
+    """
 
-    connect_s: float
-    progress_s: float
+    connect_ms: int
+    progress_low_ms: int
+    progress_high_ms: int
+    first_token_ms: int
 
 
 class Dispatcher:
     """Dispatches calls to the servers of this entry's region."""
 
-    def __init__(self, timeouts: Timeouts) -> None:
+    def __init__(self, timeouts: Timeouts, clock: Clock) -> None:
         self._timeouts = timeouts
-        self._engines = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0)
-        )
-        # A server may close a kept connection while a request is on its way.
-        # Whether it ran is then unknown, and the library would send some
-        # methods again by itself. A fresh connection for each service call
-        # rules out both.
-        self._services = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        self._clock = clock
+        self._servers = backends.Backends(timeouts.connect_ms / _MS_PER_S)
+        self._gaps = gaps.Gaps(
+            timeouts.progress_low_ms, timeouts.progress_high_ms
         )
+        self._used: dict[str, int] = {}
+        self._cancels: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._engines.close()
-        await self._services.close()
+        await self._servers.close()
+
+    def use(self, grant: Granted) -> Finish | None:
+        """Uses a grant up; returns the outcome where it can't be used.
+
+        A grant that comes a second time, by a reply that was sent again,
+        must not send the request a second time; one that lay in a buffer
+        while this process stood still may have been given to another since.
+        """
+        now = self._clock.now_ms()
+        self._forget_used(now)
+        if grant.attempt in self._used:
+            metrics.DROPPED_ANSWERS.inc()
+            text = "this grant was used before"
+            return outcomes.failed(grant, Reason.OUTCOME_UNKNOWN, text)
+        self._used[grant.attempt] = now
+        if grant.until_ms and now >= grant.until_ms:
+            text = "the grant came too late to be used"
+            return outcomes.not_run(grant, Reason.NOT_READY, text)
+        return None
+
+    def was_used(self, attempt: str) -> bool:
+        """Returns whether a grant was used or handed back by this process."""
+        return attempt in self._used
 
     async def dispatch(
-        self,
-        grant: messages.Granted,
-        req: Outgoing,
-        on_data: Callable[[bytes], None],
+        self, grant: Granted, req: Outgoing, on_data: Callable[[bytes], None]
     ) -> Finish:
         """Runs one attempt.
 
@@ -88,186 +114,115 @@
         Returns:
             The outcome; never raises but for cancellation.
         """
-        attempt = _Attempt(grant)
-        with tracing.hop("dispatch", req.traceparent) as hop:
-            hop.note("attempt", grant.attempt)
-            hop.note("server", grant.server.server)
-            headers = self._headers(grant, req, hop.traceparent)
-            try:
-                async with asyncio.timeout(req.deadline_ms / 1000):
-                    if req.kind == "model":
-                        return await self._model(
-                            attempt, grant, req, headers, on_data
-                        )
-                    return await self._service(attempt, grant, req, headers)
-            except TimeoutError:
-                return attempt.failed(Reason.DEADLINE, "the deadline passed")
-            except (aiohttp.ClientError, OSError, ValueError) as exc:
-                text = f"{grant.server.server}: {type(exc).__name__}"
-                if _connect_failed(exc):
-                    return attempt.not_run(Reason.SERVER_FAILED, text)
-                return attempt.failed(Reason.SERVER_FAILED, text, crashed=True)
-
-    def _headers(
-        self, grant: messages.Granted, req: Outgoing, traceparent: str
-    ) -> dict[str, str]:
-        headers = dict(req.headers)
-        headers["Catkinpin-Attempt"] = grant.attempt
-        headers["Catkinpin-Program"] = (
-            f"{grant.key.account}/{grant.key.program}"
-        )
-        headers["Catkinpin-Priority"] = str(grant.priority)
-        headers["Catkinpin-Deadline-Ms"] = str(req.deadline_ms)
-        headers["Idempotency-Key"] = grant.key.request_id
-        if traceparent:
-            headers["traceparent"] = traceparent
-        return headers
-
-    def _client_timeout(self) -> aiohttp.ClientTimeout:
-        return aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=self._timeouts.connect_s,
-            sock_read=self._timeouts.progress_s,
-        )
 
-    async def _model(
+        async def work(headers: dict[str, str]) -> Finish:
+            if req.kind == "model":
+                return await self._model(grant, req, headers, on_data).run()
+            return await self._service(grant, req, headers).run()
+
+        return await self._bounded("dispatch", grant, req, work)
+
+    async def recover(
         self,
-        attempt: _Attempt,
-        grant: messages.Granted,
+        grant: Granted,
         req: Outgoing,
-        headers: dict[str, str],
+        offset: int,
         on_data: Callable[[bytes], None],
     ) -> Finish:
-        body = json.loads(req.body)
-        body["stream"] = True
-        body["stream_options"] = {"include_usage": True}
-        body["max_tokens"] = grant.max_tokens
-        body.pop("max_completion_tokens", None)
-        url = grant.server.address + "/v1/chat/completions"
-        async with self._engines.post(
-            url,
-            json=body,
-            headers=headers,
-            timeout=self._client_timeout(),
-        ) as resp:
-            if resp.status != _STATUS_OK:
-                return await _refused_by_server(attempt, resp)
-            assembler = chat.Assembler()
-            async for data in _events(resp):
-                if data == _SSE_END:
-                    return attempt.answered(assembler, body["model"])
-                assembler.add(json.loads(data))
-                on_data(data)
-            return attempt.failed(
-                Reason.SERVER_FAILED, "the stream ended early", crashed=True
-            )
-
-    async def _service(
-        self,
-        attempt: _Attempt,
-        grant: messages.Granted,
-        req: Outgoing,
-        headers: dict[str, str],
-    ) -> Finish:
-        url = grant.server.address + req.path
-        async with self._services.request(
-            req.method,
-            url,
-            data=req.body,
-            headers=headers,
-            timeout=self._client_timeout(),
-            allow_redirects=False,
-        ) as resp:
-            if resp.headers.get(VERDICT_HEADER) == Verdict.NOT_RUN:
-                return await _refused_by_server(attempt, resp)
-            content = await resp.read()
-            content_type = resp.headers.get("Content-Type", "")
-            return attempt.whole(
-                Answer(
-                    status=resp.status, content_type=content_type, body=content
-                )
-            )
+        """Goes on with an attempt that another process has sent, or may have.
 
+        Args:
+            grant: the grant that was used for it.
+            req: the request; it is not sent again.
+            offset: text events that the caller's entry already has.
+            on_data: called with each further event.
+        """
 
-class _Attempt:
-    """Collects what decides an attempt's verdict."""
+        async def work(headers: dict[str, str]) -> Finish:
+            if req.kind == "model":
+                call = self._model(grant, req, headers, on_data)
+                return await call.recover(offset)
+            return await self._service(grant, req, headers).recover()
 
-    def __init__(self, grant: messages.Granted) -> None:
-        self._grant = grant
+        return await self._bounded("recover", grant, req, work)
 
-    def failed(
-        self, reason: Reason, text: str, *, crashed: bool = False
+    async def _bounded(
+        self,
+        name: str,
+        grant: Granted,
+        req: Outgoing,
+        work: Callable[[dict[str, str]], Awaitable[Finish]],
     ) -> Finish:
-        """Returns the outcome where no answer came."""
-        return Finish(
-            ask=0,
-            key=self._grant.key,
-            attempt=self._grant.attempt,
-            verdict=Verdict.MAY_HAVE_RUN,
-            reason=reason,
-            text=text,
-            crashed=crashed,
-        )
-
-    def not_run(self, reason: Reason, text: str) -> Finish:
-        """Returns the outcome where the request certainly did not run."""
-        return Finish(
-            ask=0,
-            key=self._grant.key,
-            attempt=self._grant.attempt,
-            verdict=Verdict.NOT_RUN,
-            reason=reason,
-            text=text,
-        )
+        """Runs `work` in a span of its own, to the deadline at most."""
+        with tracing.hop(name, req.traceparent) as hop:
+            hop.note("attempt", grant.attempt)
+            hop.note("server", grant.server.server)
+            headers = _headers(grant, req, hop.traceparent)
+            try:
+                async with asyncio.timeout(req.deadline_ms / _MS_PER_S):
+                    finish = await work(headers)
+            except TimeoutError:
+                text = "the deadline passed"
+                finish = outcomes.failed(grant, Reason.DEADLINE, text)
+            except ValueError as exc:
+                finish = outcomes.failed(
+                    grant,
+                    Reason.SERVER_FAILED,
+                    f"{grant.server.server}: {type(exc).__name__}",
+                )
+            hop.note("verdict", finish.verdict)
+        unknown = finish.verdict is Verdict.MAY_HAVE_RUN
+        if unknown and req.kind == "model":
+            self._cancel(grant)
+        return finish
 
-    def answered(self, assembler: chat.Assembler, model: str) -> Finish:
-        """Returns the outcome of a model call that went well."""
-        answer = Answer(
-            status=_STATUS_OK,
-            content_type="application/json",
-            body=assembler.completion(model),
-        )
-        return Finish(
-            ask=0,
-            key=self._grant.key,
-            attempt=self._grant.attempt,
-            verdict=Verdict.RAN,
-            answer=answer,
-            usage=assembler.usage or messages.Usage(),
-            messages=[chat.canonical_message(assembler.message())],
+    def _model(
+        self,
+        grant: Granted,
+        req: Outgoing,
+        headers: dict[str, str],
+        on_data: Callable[[bytes], None],
+    ) -> modelcalls.ModelCall:
+        return modelcalls.ModelCall(
+            self._servers,
+            grant,
+            req,
+            headers,
+            self._gaps,
+            self._timeouts.first_token_ms / _MS_PER_S,
+            on_data,
         )
 
-    def whole(self, answer: Answer) -> Finish:
-        """Returns the outcome of a service call that was answered."""
-        return Finish(
-            ask=0,
-            key=self._grant.key,
-            attempt=self._grant.attempt,
-            verdict=Verdict.RAN,
-            answer=answer,
+    def _service(
+        self, grant: Granted, req: Outgoing, headers: dict[str, str]
+    ) -> servicecalls.ServiceCall:
+        check_s = self._timeouts.progress_high_ms / _MS_PER_S
+        return servicecalls.ServiceCall(
+            self._servers, grant, req, headers, check_s
         )
 
-
-async def _refused_by_server(
-    attempt: _Attempt, resp: aiohttp.ClientResponse
-) -> Finish:
-    text = (await resp.read())[:500].decode(errors="replace")
-    text = f"the server answered {resp.status}: {text}"
-    if resp.headers.get(VERDICT_HEADER) == Verdict.NOT_RUN:
-        return attempt.not_run(Reason.SERVER_REFUSED, text)
-    return attempt.failed(Reason.SERVER_REFUSED, text)
-
-
-async def _events(resp: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    """Yields the data of each server-sent event."""
-    async for line in resp.content:
-        line = line.strip()
-        if line.startswith(b"data:"):
-            yield line[5:].strip()
-
-
-def _connect_failed(exc: Exception) -> bool:
-    """Returns whether no byte of the request can have left this host."""
-    return isinstance(
-        exc, aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError
-    )
+    def _cancel(self, grant: Granted) -> None:
+        """Has an engine stop an attempt that nobody waits for any more."""
+        task = asyncio.create_task(self._servers.cancel(grant))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    def _forget_used(self, now_ms: int) -> None:
+        for attempt, used_ms in list(self._used.items()):
+            if now_ms - used_ms < _REMEMBER_MS:
+                return
+            del self._used[attempt]
+
+
+def _headers(grant: Granted, req: Outgoing, traceparent: str) -> dict[str, str]:
+    headers = dict(req.headers)
+    headers[backends.ATTEMPT_HEADER] = grant.attempt
+    headers["Catkinpin-Program"] = f"{grant.key.account}/{grant.key.program}"
+    headers["Catkinpin-Priority"] = str(grant.priority)
+    headers["Catkinpin-Deadline-Ms"] = str(req.deadline_ms)
+    headers["Idempotency-Key"] = grant.key.request_id
+    # A server that checks it refuses a request meant for an earlier life.
+    headers[backends.INCARNATION_HEADER] = grant.server.incarnation
+    if traceparent:
+        headers["traceparent"] = traceparent
+    return headers
--- a/catkinpin/adapters/groups.py
+++ b/catkinpin/adapters/groups.py
@@ -98,6 +98,9 @@
         self._apply_all()
 
     def _apply_all(self) -> None:
-        while self._applied < len(self._log):
+        # A record that is proposed while another is applied has not been
+        # synced yet; it waits for the flush that its proposal asked for.
+        synced = len(self._log)
+        while self._applied < synced:
             self._applied += 1
             self._machine.apply(self._applied, self._log.read(self._applied))
--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -4,6 +4,11 @@
 waiting when the writer got its turn. Both ends send pings, and a stream on
 which nothing arrives is given up: a connection that has gone silent for good
 would otherwise hold its calls for ever while new connections work.
+
+Pings carry numbers that the other end echoes, so that a receiver knows a time
+of its own before which nothing it receives now can have been sent. A process
+that was stopped and goes on reads messages that lay in its buffers; by the time
+of receipt alone they would seem new.
 """
 
 from __future__ import annotations
@@ -12,12 +17,15 @@
 import contextlib
 import itertools
 import logging
+import time
+import zlib
 from typing import TYPE_CHECKING, Any
 
 import grpc
 import grpc.aio
+import msgspec
 
-from catkinpin import codec
+from catkinpin import codec, metrics
 from catkinpin.core import messages
 from catkinpin.exceptions import PeerLostError
 
@@ -29,6 +37,11 @@
 PING_EVERY_S = 0.5
 SILENT_AFTER_S = 2.0
 _RECONNECT_S = 0.1
+# A batch that goes out anyway carries a new number after this time.
+_NONCE_EVERY_S = 0.05
+_MS_PER_S = 1000
+_COMPRESSION_KEY = "catkinpin-compression"
+_COMPRESSION = "deflate"
 _SERVICE = "catkinpin.Peer"
 _METHOD = "Session"
 _OPTIONS = [
@@ -43,19 +56,46 @@
 AnyMessage = Any
 
 
+class _Deflate:
+    """Compresses batches, each with all earlier ones as its dictionary.
+
+    Events of a token stream are alike but for a word; alone each would hardly
+    shrink.
+    """
+
+    def __init__(self) -> None:
+        self._out = zlib.compressobj(wbits=-zlib.MAX_WBITS)
+        self._in = zlib.decompressobj(wbits=-zlib.MAX_WBITS)
+
+    def pack(self, data: bytes) -> bytes:
+        return self._out.compress(data) + self._out.flush(zlib.Z_SYNC_FLUSH)
+
+    def unpack(self, data: bytes) -> bytes:
+        return self._in.decompress(data)
+
+
 class Stream:
     """One end of a stream: an outbox and what is known of the other end.
 
     Attributes:
         hello: how the other end introduced itself.
+        fresh_ms: our monotonic time before which nothing that arrives now can
+            have been sent.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, link: str, *, compressed: bool = False) -> None:
         self.hello: messages.Hello | None = None
         self.closed = False
+        self.fresh_ms = _now_ms()
+        self._link = link
+        self._deflate = _Deflate() if compressed else None
         self._outbox: list[AnyMessage] = []
         self._wake = asyncio.Event()
-        self._heard = asyncio.get_running_loop().time()
+        self._heard = time.monotonic()
+        self._nonces = itertools.count(1)
+        self._nonce_at = 0.0
+        self._sent_ms: dict[int, int] = {}
+        self._echo = 0
 
     def send(self, message: AnyMessage) -> None:
         """Queues a message; dropped where the stream is closed."""
@@ -64,13 +104,22 @@
         self._outbox.append(message)
         self._wake.set()
 
-    def heard(self) -> None:
-        """Notes that the other end is there."""
-        self._heard = asyncio.get_running_loop().time()
+    def unpack(self, data: bytes) -> bytes:
+        """Takes in a batch as it came, and notes that the other end lives."""
+        self._heard = time.monotonic()
+        return self._deflate.unpack(data) if self._deflate else data
+
+    def pinged(self, ping: messages.Ping) -> None:
+        """Takes in a ping."""
+        self._echo = ping.nonce or self._echo
+        if ping.echo in self._sent_ms:
+            self.fresh_ms = self._sent_ms[ping.echo]
+            for nonce in [n for n in self._sent_ms if n <= ping.echo]:
+                del self._sent_ms[nonce]
 
     def silent_s(self) -> float:
         """Returns how long nothing has arrived."""
-        return asyncio.get_running_loop().time() - self._heard
+        return time.monotonic() - self._heard
 
     def close(self) -> None:
         """Ends the stream; its writer and reader stop."""
@@ -86,12 +135,39 @@
                 log.warning("peer silent", extra={"peer": str(self.hello)})
                 self.close()
                 return
-            if not self._outbox:
-                self._outbox.append(messages.Ping(nonce=0))
             batch, self._outbox = self._outbox, []
             self._wake.clear()
-            if batch:
-                yield codec.encode(batch)
+            yield self._pack([*self._pings(), *batch])
+
+    def _pings(self) -> list[messages.Ping]:
+        """Returns the ping that goes before the next batch, if any is due."""
+        now = time.monotonic()
+        nonce = 0
+        if now - self._nonce_at >= _NONCE_EVERY_S:
+            self._nonce_at = now
+            nonce = next(self._nonces)
+            self._sent_ms[nonce] = _now_ms()
+        if not nonce and not self._echo:
+            return []
+        echo, self._echo = self._echo, 0
+        return [messages.Ping(nonce=nonce, echo=echo)]
+
+    def _pack(self, batch: list[AnyMessage]) -> bytes:
+        encoded = []
+        for message in batch:
+            data = codec.encode(message)
+            kind = type(message).__name__
+            metrics.PEER_BYTES.labels(self._link, kind).inc(len(data))
+            encoded.append(msgspec.Raw(data))
+        packed = codec.encode(encoded)
+        if self._deflate is not None:
+            packed = self._deflate.pack(packed)
+        metrics.WIRE_BYTES.labels(self._link).inc(len(packed))
+        return packed
+
+
+def _now_ms() -> int:
+    return int(time.monotonic() * _MS_PER_S)
 
 
 class PeerServer:
@@ -101,6 +177,7 @@
         kinds: union of the messages that may arrive.
         on_message: called with the stream and each message but pings.
         on_closed: called once a stream that said hello has ended.
+        link: label of the bytes sent, in the metrics.
     """
 
     def __init__(
@@ -108,7 +185,9 @@
         kinds: Any,
         on_message: Callable[[Stream, Any], None],
         on_closed: Callable[[Stream], None],
+        link: str = "replica-entry",
     ) -> None:
+        self._link = link
         self._decoder = codec.decoder(list[kinds])
         self._on_message = on_message
         self._on_closed = on_closed
@@ -141,7 +220,11 @@
     async def _session(
         self, batches: AsyncIterator[bytes], context: Any
     ) -> None:
-        stream = Stream()
+        asked = dict(context.invocation_metadata() or ())
+        stream = Stream(
+            self._link,
+            compressed=asked.get(_COMPRESSION_KEY) == _COMPRESSION,
+        )
         self.streams.add(stream)
         reader = asyncio.ensure_future(self._read(stream, batches))
         try:
@@ -159,13 +242,14 @@
     ) -> None:
         try:
             async for batch in batches:
-                stream.heard()
-                for message in self._decoder.decode(batch):
+                for message in self._decoder.decode(stream.unpack(batch)):
+                    if isinstance(message, messages.Ping):
+                        stream.pinged(message)
+                        continue
                     if isinstance(message, messages.Hello):
                         stream.hello = message
-                        stream.send(messages.Ping(nonce=0))
-                    if not isinstance(message, messages.Ping):
-                        self._on_message(stream, message)
+                        stream.send(messages.Ping())
+                    self._on_message(stream, message)
         except Exception:
             log.exception("stream failed")
         finally:
@@ -181,6 +265,8 @@
         kinds: union of the messages that may arrive.
         on_message: called with each message that is not a reply to `ask`.
         on_connected: called whenever a new stream is up.
+        compressed: whether batches are compressed, for a narrow link.
+        link: label of the bytes sent, in the metrics.
     """
 
     def __init__(
@@ -190,8 +276,13 @@
         kinds: Any,
         on_message: Callable[[Any], None],
         on_connected: Callable[[PeerLink], None] = lambda _: None,
+        *,
+        compressed: bool = False,
+        link: str = "entry-replica",
     ) -> None:
         self.address = address
+        self._compressed = compressed
+        self._link = link
         self._hello = hello
         self._decoder = codec.decoder(list[kinds])
         self._on_message = on_message
@@ -230,7 +321,8 @@
         self._asks[message.ask] = fut
         try:
             if not self.send(message):
-                raise PeerLostError(f"no stream to {self.address}")
+                text = f"no stream to {self.address}"
+                raise PeerLostError(text, sent=False)
             return await asyncio.wait_for(fut, timeout_s)
         except TimeoutError as exc:
             text = f"no reply from {self.address} in {timeout_s:.1f} s"
@@ -246,6 +338,15 @@
                 log.debug(
                     "no stream: %s", exc.code(), extra={"peer": self.address}
                 )
+            except asyncio.CancelledError:
+                # A call that our own writer gave up ends its reader this way
+                # too. Taken for the end of this task, the link would stay
+                # down for good after one silent connection.
+                task = asyncio.current_task()
+                if task is None or task.cancelling():
+                    raise
+            except Exception:
+                log.exception("stream failed", extra={"peer": self.address})
             finally:
                 self._lost()
             await asyncio.sleep(_RECONNECT_S)
@@ -254,8 +355,13 @@
         async with grpc.aio.insecure_channel(
             self.address, options=_OPTIONS
         ) as channel:
-            rpc = channel.stream_stream(f"/{_SERVICE}/{_METHOD}")()
-            stream = Stream()
+            metadata = []
+            if self._compressed:
+                metadata.append((_COMPRESSION_KEY, _COMPRESSION))
+            rpc = channel.stream_stream(f"/{_SERVICE}/{_METHOD}")(
+                metadata=metadata
+            )
+            stream = Stream(self._link, compressed=self._compressed)
             stream.send(self._hello)
             writer = asyncio.ensure_future(self._write(stream, rpc))
             try:
@@ -274,20 +380,25 @@
 
     async def _read(self, stream: Stream, rpc: Any) -> None:
         async for batch in rpc:
-            stream.heard()
+            data = stream.unpack(batch)
             if self._stream is not stream:
                 self._stream = stream
                 self.connected.set()
                 self._on_connected(self)
-            for message in self._decoder.decode(batch):
-                self._take(message)
+            for message in self._decoder.decode(data):
+                self._take(stream, message)
 
-    def _take(self, message: Any) -> None:
+    def _take(self, stream: Stream, message: Any) -> None:
+        if isinstance(message, messages.Ping):
+            stream.pinged(message)
+            return
+        if isinstance(message, messages.Granted):
+            message = received_grant(message, stream)
         fut = self._asks.get(getattr(message, "ask", 0))
         if fut is not None and not isinstance(message, messages.Chunk):
             if not fut.done():
                 fut.set_result(message)
-        elif not isinstance(message, messages.Ping):
+        else:
             self._on_message(message)
 
     def _lost(self) -> None:
@@ -306,3 +417,9 @@
 def next_ask() -> int:
     """Returns a number that correlates a message with its reply."""
     return next(_asks)
+
+
+def received_grant(grant: messages.Granted, stream: Stream) -> messages.Granted:
+    """Returns a grant with its expiry on our own monotonic clock."""
+    until_ms = stream.fresh_ms + grant.expires_ms if grant.expires_ms else 0
+    return msgspec.structs.replace(grant, until_ms=until_ms)
--- a/catkinpin/adapters/shards.py
+++ b/catkinpin/adapters/shards.py
@@ -80,13 +80,16 @@
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
+        sent = False
         while True:
             left = deadline - loop.time()
             if left <= 0:
-                raise PeerLostError(f"no leader of {group} answered")
+                text = f"no leader of {group} answered"
+                raise PeerLostError(text, sent=sent)
             try:
                 return await self._ask_leader(group, make, left)
             except (PeerLostError, NotLeaderError) as exc:
+                sent = sent or (isinstance(exc, PeerLostError) and exc.sent)
                 log.debug("ask again: %s", exc, extra={"group": group})
             await asyncio.sleep(_RETRY_S)
 
@@ -95,7 +98,8 @@
     ) -> Any:
         link = self._leader(group)
         if link is None:
-            raise PeerLostError(f"no leader of {group} is known")
+            text = f"no leader of {group} is known"
+            raise PeerLostError(text, sent=False)
         reply = await link.ask(make(peers.next_ask()), left)
         if isinstance(reply, messages.NotLeader):
             raise NotLeaderError(reply.leader)
--- a/catkinpin/adapters/web.py
+++ b/catkinpin/adapters/web.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import logging
 from typing import TYPE_CHECKING, Any
@@ -13,6 +14,9 @@
 
 log = logging.getLogger(__name__)
 
+_CLOSE_S = 2.0
+_CLOSE_POLL_S = 0.01
+
 _names = itertools.count(1)
 
 
@@ -44,9 +48,28 @@
         self._server = server
         self.address = address
 
-    async def close(self) -> None:
-        """Stops listening and closes idle connections."""
-        await self._server.close()
+    async def close(self, timeout_s: float = _CLOSE_S) -> bool:
+        """Stops listening, and ends each connection once it is idle.
+
+        An answer that is being written reaches its caller whole.
+
+        Returns:
+            Whether all connections ended within `timeout_s`.
+        """
+        self._server.server.close()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        while self._connections() and loop.time() < end:
+            for conn in self._connections():
+                conn.close_if_idle()
+            await asyncio.sleep(_CLOSE_POLL_S)
+        left = self._connections()
+        for conn in left:
+            conn.abort()
+        return not left
+
+    def _connections(self) -> list[Any]:
+        return list(self._server.connections or ())
 
 
 async def serve(app: sanic.Sanic[Any, Any], address: str) -> WebServer:
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -12,6 +12,7 @@
     | messages.GetProgram
     | messages.EndProgram
     | messages.Reports
+    | messages.CacheEvents
     | changes.ConfigConfirmed
     | changes.Apply
 )
@@ -30,6 +31,7 @@
     messages.Hello
     | messages.Ping
     | messages.Dispatch
+    | messages.NeedWhole
     | messages.Chunk
     | messages.Dispatched
 )
--- a/catkinpin/chat.py
+++ b/catkinpin/chat.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+import msgspec
 import pydantic
 
 from catkinpin import configuration, digest
@@ -23,6 +24,14 @@
 )
 
 
+class _Messages(msgspec.Struct):
+    messages: list[msgspec.Raw]
+
+
+_messages = msgspec.json.Decoder(_Messages)
+_fields = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
 class ChatMessage(pydantic.BaseModel):
     """A message; fields this system does not use pass through unchanged."""
 
@@ -83,6 +92,38 @@
     return [canonical_message(m.model_dump()) for m in request.messages]
 
 
+def canonical_raw(message: bytes) -> bytes:
+    """Returns the canonical form of a message given as JSON."""
+    return canonical_message(json.loads(message))
+
+
+def raw_messages(body: bytes) -> list[bytes]:
+    """Returns the JSON of each message of a request's body."""
+    return [bytes(raw) for raw in _messages.decode(body).messages]
+
+
+def with_messages(body: bytes, messages: list[bytes]) -> bytes:
+    """Returns a request's body with these messages, given as JSON."""
+    raws = [msgspec.Raw(message) for message in messages]
+    return with_fields(body, messages=raws)
+
+
+def without_messages(body: bytes, count: int) -> bytes:
+    """Returns a request's body without its first `count` messages."""
+    return with_fields(body, messages=_messages.decode(body).messages[count:])
+
+
+def with_fields(body: bytes, **fields: Any) -> bytes:
+    """Returns a JSON object with fields set, or left out where None.
+
+    The other fields are copied without being read: a prompt may be large.
+    """
+    whole: dict[str, Any] = _fields.decode(body)
+    whole.update(fields)
+    kept = {name: value for name, value in whole.items() if value is not None}
+    return msgspec.json.encode(kept)
+
+
 def most_prompt_tokens(canonical: list[bytes], request: ChatRequest) -> int:
     """Returns an upper bound of the prompt's tokens.
 
@@ -134,7 +175,7 @@
             message["tool_calls"] = calls
         return message
 
-    def completion(self, model: str) -> bytes:
+    def completion(self) -> bytes:
         """Returns the `chat.completion` object as JSON."""
         usage = self.usage or Usage()
         total = usage.prompt_tokens + usage.completion_tokens
@@ -142,7 +183,7 @@
             "id": self._first.get("id", ""),
             "object": "chat.completion",
             "created": self._first.get("created", 0),
-            "model": self._first.get("model", model),
+            "model": self._first.get("model", ""),
             "choices": [
                 {
                     "index": 0,
--- a/catkinpin/core/messages.py
+++ b/catkinpin/core/messages.py
@@ -60,9 +60,15 @@
 
 
 class Ping(Message, frozen=True):
-    """Asks the other end to prove that the stream still carries data."""
+    """Asks the other end to prove that the stream still carries data.
 
-    nonce: int
+    Attributes:
+        nonce: of this ping, or 0 where none is meant to be echoed.
+        echo: the last nonce that the sender has got.
+    """
+
+    nonce: int = 0
+    echo: int = 0
 
 
 class GroupLeader(Message, frozen=True):
@@ -136,6 +142,10 @@
         skip: how many of the request's messages the history already holds.
         history: stored messages (JSON) that go before the request's own; only
             filled where the request does not carry the whole history.
+        recover: the attempt was granted to an entry that is gone; find out
+            at the server what became of it, and send nothing.
+        until_ms: set by the receiver: when the grant expires on its own
+            monotonic clock; 0 on the way.
     """
 
     ask: int
@@ -149,6 +159,8 @@
     seq: int = 0
     skip: int = 0
     history: list[bytes] = []
+    recover: bool = False
+    until_ms: int = 0
 
 
 class Finish(Message, frozen=True):
@@ -285,8 +297,39 @@
     age_ms: list[int]
 
 
+class CacheEvent(Message, frozen=True):
+    """A change of an engine's prefix cache.
+
+    Attributes:
+        seq: counted by the engine from 1 in each life; a gap means that
+            events were lost.
+        kind: `held` or `evicted`.
+        program: `ACCOUNT/PROGRAM` whose prefix changed.
+        tokens: length of the prefix that is held now.
+    """
+
+    seq: int
+    kind: str
+    program: str
+    tokens: int = 0
+
+
+class CacheEvents(Message, frozen=True):
+    """Cache events of one engine, in order, some perhaps missing."""
+
+    server: str
+    incarnation: str
+    events: list[CacheEvent]
+
+
 class Dispatch(Message, frozen=True):
-    """Asks another entry to dispatch a granted call."""
+    """Asks another entry to dispatch a granted call.
+
+    Attributes:
+        base: digest chain over the messages left out of `body`, which the
+            receiver may hold; empty where `body` is whole.
+        head: digest chain over all messages of the prompt.
+    """
 
     ask: int
     grant: Granted
@@ -297,6 +340,14 @@
     body: bytes
     deadline_ms: int
     traceparent: str = ""
+    base: bytes = b""
+    head: bytes = b""
+
+
+class NeedWhole(Message, frozen=True):
+    """Answers a `Dispatch` whose `base` the receiver does not hold."""
+
+    ask: int
 
 
 class Chunk(Message, frozen=True):
--- a/catkinpin/core/servers.py
+++ b/catkinpin/core/servers.py
@@ -8,7 +8,7 @@
 from catkinpin.core.messages import ServerRef
 
 if TYPE_CHECKING:
-    from catkinpin.core.messages import ServerReport
+    from catkinpin.core.messages import CacheEvents, ServerReport
 
 # A server that has not announced itself for this long gets no new work.
 SILENT_AFTER_MS = 2_000
@@ -57,6 +57,9 @@
         known.report = report
         known.seen_ms = made_ms
 
+    def cache_events(self, events: CacheEvents) -> None:
+        """Takes in what an engine says of its prefix cache."""
+
     def usable(
         self, kind: str, target: str, now_ms: int, without: tuple[str, ...] = ()
     ) -> list[Server]:
--- a/catkinpin/entry.py
+++ b/catkinpin/entry.py
@@ -16,11 +16,13 @@
     dispatch,
     operators,
     peers,
+    relays,
     shards,
     web,
     wire,
 )
 from catkinpin.core import changes, messages, routing
+from catkinpin.exceptions import StopTimeoutError
 
 if TYPE_CHECKING:
     from catkinpin.settings import EntrySettings
@@ -29,6 +31,7 @@
 
 _REPORT_EVERY_S = 0.1
 _KEEP_REPORT_MS = 10_000
+_MOST_LOGGED = 10
 
 
 class Entry:
@@ -36,13 +39,15 @@
 
     Attributes:
         configured: the configuration that this process serves under.
-        stopping: set once a graceful stop has begun.
+        leaving: set once a graceful stop has begun; the host is not ready.
+        stopping: set once new calls are refused.
     """
 
     def __init__(self, cfg: EntrySettings) -> None:
         self.cfg = cfg
         self.clock = clock.system_clock()
         self.incarnation = uuid.uuid4().hex
+        self.leaving = False
         self.stopping = False
         self.configured = configured.Configured()
         self.caller_address = ""
@@ -50,11 +55,13 @@
         self._reports: dict[str, tuple[messages.ServerReport, int]] = {}
         self._fresh: set[str] = set()
         self._links: dict[str, peers.PeerLink] = {}
-        self._relays: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._web: list[web.WebServer] = []
         self._peers = peers.PeerServer(
-            wire.BetweenEntries, self._on_peer_message, lambda _: None
+            wire.BetweenEntries,
+            self._on_peer_message,
+            lambda _: None,
+            link="entry-entry",
         )
 
     async def start(self) -> None:
@@ -64,21 +71,30 @@
             process=self.cfg.name or address,
             incarnation=self.incarnation,
             role="entry",
-            address=address,
+            address=self.cfg.peer_address or address,
             domain=self.cfg.failure_domain,
             region=self.cfg.region,
         )
         self._dispatcher = dispatch.Dispatcher(
             dispatch.Timeouts(
-                connect_s=self.cfg.connect_timeout_ms / 1000,
-                progress_s=self.cfg.progress_timeout_ms / 1000,
-            )
+                connect_ms=self.cfg.connect_timeout_ms,
+                progress_low_ms=self.cfg.progress_timeout_low_ms,
+                progress_high_ms=self.cfg.progress_timeout_ms,
+                first_token_ms=self.cfg.first_token_timeout_ms,
+            ),
+            self.clock,
         )
         self.replicas = shards.Replicas(
             self.cfg.replicas, self._hello, self._on_message, self._on_replica
         )
+        self._relay = relays.RelayClient(self._dispatcher, self._link_to)
         self.calls = calls.Calls(
-            self.replicas, self._dispatcher, self.cfg.shards, self._link_to
+            self.replicas, self._dispatcher, self._relay, self.cfg.shards
+        )
+        self.relayed = relays.RelayServer(
+            self._dispatcher,
+            self.calls.report,
+            self.cfg.history_cache_bytes,
         )
         self.replicas.start()
         await self._listen()
@@ -93,14 +109,32 @@
         )
 
     async def stop(self) -> None:
-        """Refuses new calls, finishes those in flight, then closes."""
+        """Refuses new calls, finishes those in flight, then closes.
+
+        Raises:
+            StopTimeoutError: calls in flight were cut off.
+        """
+        self.leaving = True
+        # Until the balancer has seen that this host is not ready, it sends
+        # calls here; refusing them would make callers wait for nothing.
+        await asyncio.sleep(self.cfg.balancer_wait_ms / 1000)
         self.stopping = True
-        waiting = [*self.calls.running, *self._relays]
-        if waiting:
-            log.info("stopping", extra={"in_flight": len(waiting)})
-            await asyncio.wait(waiting, timeout=self.cfg.stop_timeout_ms / 1000)
-        for server in self._web:
-            await server.close()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self.cfg.stop_timeout_ms / 1000
+        while self._in_flight() and loop.time() < end:
+            log.info(
+                "waiting for calls in flight",
+                extra={
+                    "in_flight": len(self._in_flight()),
+                    "calls": self.calls.waits_for()[:_MOST_LOGGED],
+                },
+            )
+            await asyncio.wait(
+                self._in_flight(), timeout=min(1.0, end - loop.time())
+            )
+        cut = len(self._in_flight())
+        answered = await self._web[0].close(max(1.0, end - loop.time()))
+        await self._web[1].close()
         for task in self._tasks:
             task.cancel()
         for link in self._links.values():
@@ -108,10 +142,16 @@
         await self.replicas.stop()
         await self._peers.stop()
         await self._dispatcher.close()
+        if cut or not answered:
+            text = f"the stop took too long; {cut} calls were cut off"
+            raise StopTimeoutError(text)
+
+    def _in_flight(self) -> list[asyncio.Task[None]]:
+        return [*self.calls.running, *self.relayed.running]
 
     def not_ready(self) -> str:
         """Returns why no calls should come here, or an empty string."""
-        if self.stopping:
+        if self.leaving:
             return "stopping"
         if self.configured.configuration is None:
             return "no confirmed configuration"
@@ -127,6 +167,10 @@
         self._reports[report.server] = (report, self.clock.now_ms())
         self._fresh.add(report.server)
 
+    def cache_changed(self, events: messages.CacheEvents) -> None:
+        """Passes an engine's cache events on to the replicas."""
+        self.replicas.broadcast(events)
+
     async def _listen(self) -> None:
         caller_app = callers.make_app(self)
         admin_app = admin.make_app("entry", self.not_ready)
@@ -144,7 +188,9 @@
             link.send(self._batch(list(self._reports)))
 
     def _on_message(self, message: Any) -> None:
-        if isinstance(message, changes.ConfigUpdate):
+        if isinstance(message, messages.Granted):
+            self.calls.late_grant(message)
+        elif isinstance(message, changes.ConfigUpdate):
             revision = self.configured.take(message)
             if revision:
                 self.replicas.broadcast(
@@ -185,6 +231,8 @@
                 self._hello,
                 wire.BetweenEntries,
                 self._on_entry_message,
+                compressed=True,
+                link="entry-entry",
             )
             link.start()
             self._links[address] = link
@@ -192,32 +240,8 @@
 
     def _on_entry_message(self, message: Any) -> None:
         if isinstance(message, messages.Chunk):
-            self.calls.relayed_chunk(message)
+            self._relay.chunk(message)
 
     def _on_peer_message(self, stream: peers.Stream, message: Any) -> None:
         if isinstance(message, messages.Dispatch):
-            task = asyncio.create_task(self._dispatch_for(stream, message))
-            self._relays.add(task)
-            task.add_done_callback(self._relays.discard)
-
-    async def _dispatch_for(
-        self, stream: peers.Stream, message: messages.Dispatch
-    ) -> None:
-        """Dispatches for an entry of another region."""
-        req = dispatch.Outgoing(
-            kind=message.kind,
-            method=message.method,
-            path=message.path,
-            headers=message.headers,
-            body=message.body,
-            deadline_ms=message.deadline_ms,
-            traceparent=message.traceparent,
-        )
-        finish = await self._dispatcher.dispatch(
-            message.grant,
-            req,
-            lambda data: stream.send(
-                messages.Chunk(ask=message.ask, data=data)
-            ),
-        )
-        stream.send(messages.Dispatched(ask=message.ask, finish=finish))
+            self.relayed.take(stream, message)
--- a/catkinpin/exceptions.py
+++ b/catkinpin/exceptions.py
@@ -20,7 +20,15 @@
 
 
 class PeerLostError(CatkinpinError):
-    """The stream to another catkinpin process broke before the reply came."""
+    """The stream to another catkinpin process broke before the reply came.
+
+    Attributes:
+        sent: whether the other process may have got the message.
+    """
+
+    def __init__(self, text: str, *, sent: bool = True) -> None:
+        super().__init__(text)
+        self.sent = sent
 
 
 class NotLeaderError(CatkinpinError):
@@ -45,3 +53,31 @@
     def __init__(self, field: str, text: str) -> None:
         super().__init__(f"{field}: {text}")
         self.field = field
+
+
+class StopTimeoutError(CatkinpinError):
+    """A graceful stop took too long; work in flight was cut off."""
+
+
+class SentError(CatkinpinError):
+    """A connection broke after the request may have left this host."""
+
+
+class BrokenStreamError(CatkinpinError):
+    """A server's stream ended early.
+
+    Attributes:
+        silent: nothing came for too long on a connection that stands.
+        gone: the life of the server that ran the attempt is gone.
+    """
+
+    def __init__(
+        self, text: str, *, silent: bool = False, gone: bool = False
+    ) -> None:
+        super().__init__(text)
+        self.silent = silent
+        self.gone = gone
+
+
+class DivergedError(CatkinpinError):
+    """A new answer differs from the part that the caller already has."""
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -37,7 +37,24 @@
     "Answers dropped since they belong to another attempt.",
 )
 PEER_BYTES = Counter(
-    "catkinpin_peer_bytes_total", "Bytes sent to other processes.", ["peer"]
+    "catkinpin_peer_bytes_total",
+    "Bytes sent to other processes, before compression.",
+    ["link", "kind"],
+)
+WIRE_BYTES = Counter(
+    "catkinpin_peer_wire_bytes_total",
+    "Bytes sent to other processes, as they go out.",
+    ["link"],
+)
+RETIRED_CONNECTIONS = Counter(
+    "catkinpin_retired_connections_total",
+    "Connections given up since they had gone silent.",
+    ["kind"],
+)
+RELAY_CACHE = Counter(
+    "catkinpin_relay_cache_total",
+    "Requests relayed with new messages only, by whether the rest was held.",
+    ["result"],
 )
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import signal
 import sys
 from typing import TYPE_CHECKING, Protocol
@@ -11,7 +12,7 @@
 import uvloop
 
 from catkinpin import logs, tracing
-from catkinpin.exceptions import CatkinpinError
+from catkinpin.exceptions import CatkinpinError, StopTimeoutError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +25,8 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 EXIT_STORAGE = 3
+EXIT_CUT = 4
+EXIT_FORCED = 5
 
 
 class Stoppable(Protocol):
@@ -33,7 +36,11 @@
         """Begins to serve."""
 
     async def stop(self) -> None:
-        """Finishes what is in flight and closes."""
+        """Finishes what is in flight and closes.
+
+        Raises:
+            StopTimeoutError: it took too long; the rest was cut off.
+        """
 
 
 def run(cfg: ProcessSettings, make: Callable[[], Stoppable]) -> None:
@@ -42,6 +49,9 @@
     tracing.set_up(cfg.trace_file, cfg.name)
     try:
         uvloop.run(_serve(make))
+    except StopTimeoutError as exc:
+        log.error("%s", exc)
+        sys.exit(EXIT_CUT)
     except CatkinpinError as exc:
         log.critical("%s", exc)
         sys.exit(EXIT_STORAGE)
@@ -50,8 +60,16 @@
 async def _serve(make: Callable[[], Stoppable]) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
+
+    def signalled() -> None:
+        if stop.is_set():
+            # Whoever asks twice no longer wants to wait for what is in flight.
+            log.error("asked to stop again; ending at once")
+            os._exit(EXIT_FORCED)
+        stop.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, signalled)
     process = make()
     await process.start()
     await stop.wait()
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -98,6 +98,8 @@
                 self._welcome(stream)
             case messages.Reports():
                 self._take_reports(message)
+            case messages.CacheEvents():
+                self.view.cache_events(message)
             case changes.Apply():
                 self.control.propose_change(stream, message)
             case changes.ConfigConfirmed():
--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -48,6 +48,12 @@
         default="127.0.0.1:0",
         description="IP and port for the other catkinpin processes (gRPC).",
     )
+    peer_address: str = pydantic.Field(
+        default="",
+        pattern="^$|" + _HOST_PORT,
+        description="Address that other catkinpin processes use to reach this"
+        " one; empty: the one it listens on.",
+    )
     admin_listen: Address = pydantic.Field(
         default="127.0.0.1:0",
         description="IP and port for health, metrics, servers and operators.",
@@ -100,7 +106,29 @@
     )
     progress_timeout_ms: Milliseconds = pydantic.Field(
         default=5_000,
-        description="Longest gap in a stream before it is checked, in ms.",
+        description="Longest silence of a server before it is asked on a new"
+        " connection, in ms.",
+    )
+    progress_timeout_low_ms: Milliseconds = pydantic.Field(
+        default=500,
+        description="Shortest silence of a stream that is looked into, however"
+        " fast its server has been, in ms.",
+    )
+    first_token_timeout_ms: Milliseconds = pydantic.Field(
+        default=30_000,
+        description="Longest wait for an engine's first token before the call"
+        " goes elsewhere, in ms.",
+    )
+    history_cache_bytes: int = pydantic.Field(
+        default=32 * 1024 * 1024,
+        gt=0,
+        description="Histories held for other regions' entries, in bytes.",
+    )
+    balancer_wait_ms: int = pydantic.Field(
+        default=0,
+        ge=0,
+        description="How long a stopping entry still takes new calls after"
+        " its readiness went down, so that the balancer notices, in ms.",
     )
     connect_timeout_ms: Milliseconds = pydantic.Field(
         default=1_000, description="Longest connect to a server, in ms."
--- a/catkinpin/verdicts.py
+++ b/catkinpin/verdicts.py
@@ -41,6 +41,7 @@
     SERVER_FAILED = "server-failed"
     SERVER_REFUSED = "server-refused"
     OUTCOME_UNKNOWN = "outcome-unknown"
+    ANSWER_CHANGED = "answer-changed"
     REVISION_CONFLICT = "revision-conflict"
     INTERNAL = "internal"
 
@@ -66,6 +67,7 @@
     Reason.SERVER_FAILED: 502,
     Reason.SERVER_REFUSED: 502,
     Reason.OUTCOME_UNKNOWN: 502,
+    Reason.ANSWER_CHANGED: 502,
     Reason.INTERNAL: 500,
 }
 _STATUS_UNAVAILABLE = 503
--- a/tests/base.py
+++ b/tests/base.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -47,15 +48,22 @@
         uvloop.run(main)
 
 
+# Below the range from which the system takes ports for outgoing connections:
+# one of those could take a port between its choice and its use.
+_FIRST_PORT = 10_000
+_PORTS = 20_000
+_next_port = itertools.count(os.getpid() * 101)
+
+
 def free_ports(count: int) -> list[int]:
-    """Returns ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        socks = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind(("127.0.0.1", 0))
-            socks.append(sock)
-        return [sock.getsockname()[1] for sock in socks]
+    """Returns ports that are free now; none is returned twice."""
+    found: list[int] = []
+    while len(found) < count:
+        port = _FIRST_PORT + next(_next_port) % _PORTS
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            found.append(port)
+    return found
 
 
 async def until(
@@ -207,9 +215,17 @@
         )
         return self.addresses[name]
 
-    def add_fake(self, kind: str, name: str, **flags: Any) -> str:
-        """Starts a fake engine or service and returns its URL."""
+    def add_fake(
+        self, kind: str, name: str, *, proxied: bool = False, **flags: Any
+    ) -> str:
+        """Starts a fake engine or service and returns its URL.
+
+        With `proxied` it announces the address of the proxy `NAME-proxy`.
+        """
         port = free_ports(1)[0]
+        if proxied:
+            proxy = self.add_proxy(f"{name}-proxy", f"127.0.0.1:{port}")
+            flags["address"] = f"http://{proxy}"
         self.addresses[name] = f"http://127.0.0.1:{port}"
         self.spawn(
             name,
@@ -302,6 +318,29 @@
         ) as resp:
             return await Reply.read(resp)
 
+    async def stream(
+        self,
+        entry: str,
+        model: str,
+        messages: list[Any],
+        headers: dict[str, str] | None = None,
+        on_token: Callable[[int], Awaitable[None]] | None = None,
+    ) -> Streamed:
+        """Makes a streamed model call; `on_token` is told of each token."""
+        body = {"model": model, "messages": messages, "stream": True}
+        url = self.addresses[entry] + "/v1/chat/completions"
+        auth = {"Authorization": f"Bearer {ACCOUNT_KEYS['ruegg']}"}
+        got = Streamed()
+        async with self.http.post(
+            url, json=body, headers={**auth, **(headers or {})}
+        ) as resp:
+            got.status = resp.status
+            async for line in resp.content:
+                got.take(line.strip())
+                if on_token is not None and got.fresh:
+                    await on_token(len(got.words))
+        return got
+
     async def call_service(
         self,
         entry: str,
@@ -321,6 +360,42 @@
             return await Reply.read(resp)
 
 
+class Streamed:
+    """A streamed answer as its caller got it.
+
+    Attributes:
+        fresh: whether the last line brought a token.
+        done: whether the stream ended as it should.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.words: list[str] = []
+        self.error: Any = None
+        self.finished = 0
+        self.done = False
+        self.fresh = False
+
+    def take(self, line: bytes) -> None:
+        """Takes a line of the stream."""
+        self.fresh = False
+        if line == b"data: [DONE]":
+            self.done = True
+        elif line.startswith(b"data: "):
+            event = json.loads(line[6:])
+            self.error = event.get("error", self.error)
+            for choice in event.get("choices", []):
+                if choice["delta"].get("content"):
+                    self.words.append(choice["delta"]["content"])
+                    self.fresh = True
+                self.finished += bool(choice.get("finish_reason"))
+
+    @property
+    def text(self) -> str:
+        """The answer's text."""
+        return "".join(self.words)
+
+
 class Reply:
     """An HTTP answer that has been read to its end."""
 
@@ -371,15 +446,31 @@
     return "\n".join(lines)
 
 
-async def small(folder: pathlib.Path, entries: int = 1) -> Cluster:
-    """Starts one replica, entries, an engine and a service, all serving."""
+async def small(
+    folder: pathlib.Path,
+    entries: int = 1,
+    engines: dict[str, Any] | None = None,
+    services: dict[str, Any] | None = None,
+    **flags: Any,
+) -> Cluster:
+    """Starts a replica, entries, engines and services, all serving.
+
+    Args:
+        folder: for logs and data.
+        entries: how many.
+        engines: flags of each engine by its name; None: one, `engine-1`.
+        services: the same for services.
+        **flags: of all entries.
+    """
     cluster = Cluster(folder)
     await cluster.__aenter__()
     cluster.add_replicas(1)
     for number in range(entries):
-        cluster.add_entry(f"entry-{number + 1}")
-    cluster.add_fake("engine", "engine-1")
-    cluster.add_fake("service", "service-1")
+        cluster.add_entry(f"entry-{number + 1}", **flags)
+    for name, own in (engines or {"engine-1": {}}).items():
+        cluster.add_fake("engine", name, **own)
+    for name, own in (services or {"service-1": {}}).items():
+        cluster.add_fake("service", name, **own)
     await cluster.apply(config())
     for number in range(entries):
         await cluster.ready(f"entry-{number + 1}")
--- a/tests/fakes/common.py
+++ b/tests/fakes/common.py
@@ -29,21 +29,31 @@
     return parser.parse_args()
 
 
-async def announce(entries: list[str], make: Callable[[], Any]) -> None:
+async def announce(
+    entries: list[str],
+    make: Callable[[], Any],
+    make_events: Callable[[], Any] = lambda: None,
+) -> None:
     """Announces to the first entry that answers, for ever."""
     timeout = aiohttp.ClientTimeout(total=1)
     async with aiohttp.ClientSession(timeout=timeout) as http:
         while True:
-            report = make()
-            for entry in entries if report is not None else []:
-                url = f"http://{entry}/v1/servers/announce"
-                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                    async with http.post(url, json=report) as resp:
-                        if resp.ok:
-                            break
+            for path, body in (("announce", make()), ("events", make_events())):
+                if body is not None:
+                    await _send(http, entries, f"/v1/servers/{path}", body)
             await asyncio.sleep(ANNOUNCE_EVERY_S)
 
 
+async def _send(
+    http: aiohttp.ClientSession, entries: list[str], path: str, body: Any
+) -> None:
+    for entry in entries:
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with http.post(f"http://{entry}{path}", json=body) as resp:
+                if resp.ok:
+                    return
+
+
 async def serve(app: web.Application, port: int) -> None:
     """Serves on the loopback address until SIGTERM."""
     stop = asyncio.Event()
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -33,8 +33,11 @@
 class Attempt:
     """One running or ended generation."""
 
-    def __init__(self, attempt: str, program: str, prompt: list[str]) -> None:
+    def __init__(
+        self, attempt: str, program: str, prompt: list[str], model: str
+    ) -> None:
         self.attempt = attempt
+        self.model = model
         self.program = program
         self.prompt = prompt
         self.words: list[str] = []
@@ -43,6 +46,12 @@
         self.cached_tokens = 0
         self.grew = asyncio.Event()
 
+    def state(self) -> str:
+        """Returns how far the generation is."""
+        if self.done:
+            return "done"
+        return "running" if self.words else "waiting"
+
 
 class Engine:
     """State of the fake; `settings` can be changed while it runs."""
@@ -57,7 +66,16 @@
             "refuse": False,
             "stall_after": -1,
             "lie_running": -1,
+            "cut_after": -1,
+            "kill_after": -1,
+            "cross": False,
+            "events_lag_ms": 0,
+            "events_drop_every": 0,
+            "load_lag_ms": 0,
         }
+        self.events: list[dict[str, Any]] = []
+        self.event_seq = 0
+        self.loads: list[tuple[float, int, int]] = []
         self.cache: collections.OrderedDict[str, list[str]] = (
             collections.OrderedDict()
         )
@@ -65,6 +83,8 @@
         self.waiting: list[tuple[int, int, asyncio.Future[None]]] = []
         self.arrivals = 0
         self.attempts: dict[str, Attempt] = {}
+        self.barred: set[str] = set()
+        self.resumed: list[tuple[str, int]] = []
         self.seen: list[dict[str, Any]] = []
         self.released: list[str] = []
         self.orders: list[dict[str, Any]] = []
@@ -75,6 +95,7 @@
         if not self.settings["announce"]:
             return None
         lie = self.settings["lie_running"]
+        running, waiting = self.lagged_load()
         return {
             "server": self.args.name,
             "incarnation": self.incarnation,
@@ -86,14 +107,56 @@
             "region": self.args.region,
             "capacity": self.args.capacity,
             "cache_tokens": self.args.cache_tokens,
-            "running": self.running if lie < 0 else lie,
-            "waiting": len(self.waiting),
+            "running": running if lie < 0 else lie,
+            "waiting": waiting,
             "leaving": self.settings["leaving"],
             "honours_fencing": bool(self.args.honours_fencing),
             "checks_sender": False,
             "held": list(self.cache),
         }
 
+    def lagged_load(self) -> tuple[int, int]:
+        """Returns the load as it was a setting's time ago."""
+        now = time.monotonic()
+        self.loads.append((now, self.running, len(self.waiting)))
+        oldest = now - self.settings["load_lag_ms"] / 1000
+        while len(self.loads) > 1 and self.loads[1][0] <= oldest:
+            self.loads.pop(0)
+        return self.loads[0][1:]
+
+    def note_event(self, kind: str, program: str) -> None:
+        """Numbers a cache event; some are lost, all are sent late."""
+        self.event_seq += 1
+        every = self.settings["events_drop_every"]
+        if every and self.event_seq % every == 0:
+            return
+        held = sum(map(tokens, self.cache.get(program, [])))
+        self.events.append(
+            {
+                "seq": self.event_seq,
+                "kind": kind,
+                "program": program,
+                "tokens": held,
+                "at": time.monotonic(),
+            }
+        )
+
+    def due_events(self) -> dict[str, Any] | None:
+        """Returns the cache events whose time to be sent has come."""
+        limit = time.monotonic() - self.settings["events_lag_ms"] / 1000
+        due = [event for event in self.events if event["at"] <= limit]
+        self.events = [event for event in self.events if event["at"] > limit]
+        if not due:
+            return None
+        return {
+            "server": self.args.name,
+            "incarnation": self.incarnation,
+            "events": [
+                {name: value for name, value in event.items() if name != "at"}
+                for event in due
+            ],
+        }
+
     async def admit(self, priority: int) -> None:
         """Waits for a place in the batch; higher priorities go first."""
         if self.running < self.args.capacity:
@@ -128,9 +191,11 @@
         """Caches a program's prefix; the least recently used goes first."""
         self.cache[program] = messages
         self.cache.move_to_end(program)
+        self.note_event("held", program)
         limit = self.args.cache_tokens
         while sum(map(total, self.cache.values())) > limit:
-            self.cache.popitem(last=False)
+            evicted, _ = self.cache.popitem(last=False)
+            self.note_event("evicted", evicted)
             if not self.cache:
                 break
 
@@ -139,7 +204,8 @@
         attempt.cached_tokens = self.match(attempt.program, attempt.prompt)
         new = total(attempt.prompt) - attempt.cached_tokens
         await asyncio.sleep(new * self.args.prefill_us / 1e6)
-        seed = hashlib.sha256("".join(attempt.prompt).encode()).digest()
+        text = self.args.salt + "".join(attempt.prompt)
+        seed = hashlib.sha256(text.encode()).digest()
         wanted = min(most, self.args.answer_tokens)
         for i in range(wanted):
             if attempt.cancelled:
@@ -147,6 +213,8 @@
             await asyncio.sleep(self.args.token_ms / 1000)
             while i == self.settings["stall_after"]:
                 await asyncio.sleep(0.02)
+            if i == self.settings["kill_after"]:
+                os._exit(9)
             word = _WORDS[seed[i % len(seed)] % len(_WORDS)]
             attempt.words.append(word if i == 0 else " " + word)
             attempt.grew.set()
@@ -164,43 +232,59 @@
     return sum(map(tokens, messages))
 
 
-def event(attempt: Attempt, model: str, **fields: Any) -> bytes:
+def event(attempt: Attempt, **fields: Any) -> bytes:
     """Returns a `chat.completion.chunk` event."""
     body = {
         "id": f"chatcmpl-{attempt.attempt}",
         "object": "chat.completion.chunk",
         "created": int(time.time()),
-        "model": model,
+        "model": attempt.model,
         **fields,
     }
     return b"data: " + json.dumps(body).encode() + b"\n\n"
 
 
 async def stream(
-    engine: Engine, req: web.Request, attempt: Attempt, model: str, at: int
+    engine: Engine, req: web.Request, attempt: Attempt, at: int
 ) -> web.StreamResponse:
     """Streams an attempt's tokens from offset `at` to its end."""
-    resp = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+    named = attempt.attempt
+    if engine.settings["cross"]:
+        engine.settings["cross"] = False
+        named = "another"
+    resp = web.StreamResponse(
+        headers={
+            "Content-Type": "text/event-stream",
+            "Catkinpin-Attempt": named,
+            "Catkinpin-Incarnation": engine.incarnation,
+            "Catkinpin-Attempt-State": attempt.state(),
+        }
+    )
     await resp.prepare(req)
     while True:
         while at < len(attempt.words):
             delta = {"role": "assistant", "content": attempt.words[at]}
             choice = {"index": 0, "delta": delta, "finish_reason": None}
-            await resp.write(event(attempt, model, choices=[choice]))
+            await resp.write(event(attempt, choices=[choice]))
             at += 1
+            if at == engine.settings["cut_after"]:
+                engine.settings["cut_after"] = -1
+                assert req.transport is not None
+                req.transport.abort()
+                return resp
         if attempt.done:
             break
         attempt.grew.clear()
         await attempt.grew.wait()
     choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
-    await resp.write(event(attempt, model, choices=[choice]))
+    await resp.write(event(attempt, choices=[choice]))
     usage = {
         "prompt_tokens": total(attempt.prompt),
         "completion_tokens": len(attempt.words),
         "total_tokens": total(attempt.prompt) + len(attempt.words),
         "prompt_tokens_details": {"cached_tokens": attempt.cached_tokens},
     }
-    await resp.write(event(attempt, model, choices=[], usage=usage))
+    await resp.write(event(attempt, choices=[], usage=usage))
     await resp.write(_END)
     return resp
 
@@ -229,14 +313,20 @@
         poison = engine.settings["crash_on"]
         if poison and poison in "".join(prompt):
             os._exit(9)
-        if engine.settings["refuse"] or engine.settings["leaving"]:
+        named = req.headers.get("Catkinpin-Attempt", "")
+        meant = req.headers.get("Catkinpin-Incarnation", engine.incarnation)
+        refuses = engine.settings["refuse"] or engine.settings["leaving"]
+        if refuses or named in engine.barred or meant != engine.incarnation:
             return web.json_response(
                 {"error": "no new work"},
                 status=503,
                 headers={"Catkinpin-Verdict": "not-run"},
             )
         attempt = Attempt(
-            req.headers.get("Catkinpin-Attempt", ""), program, prompt
+            req.headers.get("Catkinpin-Attempt", ""),
+            program,
+            prompt,
+            body["model"],
         )
         engine.attempts[attempt.attempt] = attempt
         priority = int(req.headers.get("Catkinpin-Priority", "0"))
@@ -258,15 +348,23 @@
         task = asyncio.create_task(work())
         background.add(task)
         task.add_done_callback(background.discard)
-        return await stream(engine, req, attempt, body["model"], 0)
+        return await stream(engine, req, attempt, 0)
 
     @routes.get("/v1/attempts/{attempt}")
     async def resume(req: web.Request) -> web.StreamResponse:
-        attempt = engine.attempts.get(req.match_info["attempt"])
+        named = req.match_info["attempt"]
+        attempt = engine.attempts.get(named)
         if attempt is None:
-            raise web.HTTPNotFound
+            engine.barred.add(named)
+            headers = {
+                "Catkinpin-Attempt": named,
+                "Catkinpin-Incarnation": engine.incarnation,
+                "Catkinpin-Verdict": "not-run",
+            }
+            return web.json_response({}, status=404, headers=headers)
         at = int(req.query.get("offset", "0"))
-        return await stream(engine, req, attempt, "", at)
+        engine.resumed.append((named, at))
+        return await stream(engine, req, attempt, at)
 
     @routes.delete("/v1/attempts/{attempt}")
     async def cancel(req: web.Request) -> web.Response:
@@ -279,7 +377,8 @@
     @routes.post("/v1/programs/release")
     async def release(req: web.Request) -> web.Response:
         body = await req.json()
-        engine.cache.pop(body["program"], None)
+        if engine.cache.pop(body["program"], None) is not None:
+            engine.note_event("evicted", body["program"])
         engine.released.append(body["program"])
         return web.json_response({"incarnation": engine.incarnation})
 
@@ -318,6 +417,7 @@
                 "running": engine.running,
                 "held": list(engine.cache),
                 "released": engine.released,
+                "resumed": engine.resumed,
                 "seen": engine.seen,
                 "orders": engine.orders,
             }
@@ -344,10 +444,13 @@
         token_ms=2.0,
         answer_tokens=20,
         honours_fencing=0,
+        salt="",
     )
     engine = Engine(args)
     entries = [entry for entry in args.entries.split(",") if entry]
-    announcing = asyncio.create_task(common.announce(entries, engine.report))
+    announcing = asyncio.create_task(
+        common.announce(entries, engine.report, engine.due_events)
+    )
     await common.serve(make_app(engine), args.port)
     announcing.cancel()
 
--- a/tests/fakes/proxy.py
+++ b/tests/fakes/proxy.py
@@ -1,8 +1,9 @@
 """A fault-injecting TCP proxy, steered at `/fake` on its control port.
 
 Each direction (`up` towards the target, `down` towards the client) has a
-delay, a rate, silence for connections that are open when it is switched on,
-and a reset once so many bytes have passed. `cut` ends all connections and
+delay, a rate, silence for all connections, for those that are open when it is
+switched on or for the next so many, and a reset once so many bytes have
+passed. `cut` ends all connections and
 refuses new ones.
 """
 
@@ -34,6 +35,7 @@
             self.settings[f"{way}_bytes_per_s"] = 0
             self.settings[f"{way}_silent"] = False
             self.settings[f"{way}_silent_open"] = False
+            self.settings[f"{way}_silent_next"] = 0
             self.settings[f"{way}_reset_at"] = -1
 
     def steer(self, changes: dict[str, Any]) -> None:
@@ -61,6 +63,10 @@
             return
         pair = Pair(writer, up[1])
         self.pairs.add(pair)
+        for way in ("up", "down"):
+            if self.settings[f"{way}_silent_next"]:
+                self.settings[f"{way}_silent_next"] -= 1
+                pair.silent.add(way)
         try:
             await asyncio.gather(
                 self._carry("up", reader, up[1], pair),
--- a/tests/fakes/service.py
+++ b/tests/fakes/service.py
@@ -1,7 +1,7 @@
 """A plain service that counts its effects by request id.
 
-Steered at `/fake`: it can answer late, crash on a text, or break off the
-connection before or after the effect.
+Steered at `/fake`: it can answer late, crash on a text, break off the
+connection before or after the effect, die after it, or answer another attempt.
 """
 
 from __future__ import annotations
@@ -24,7 +24,10 @@
         self.incarnation = common.new_incarnation()
         self.effects: collections.Counter[str] = collections.Counter()
         self.order: list[tuple[str, str]] = []
-        self.attempts: dict[str, str] = {}
+        self.begun: set[str] = set()
+        self.answers: dict[str, Any] = {}
+        self.barred: set[str] = set()
+        self.asked: list[str] = []
         self.running = 0
         self.settings: dict[str, Any] = {
             "leaving": False,
@@ -32,8 +35,16 @@
             "delay_ms": 0,
             "crash_on": "",
             "cut": "",
+            "cross": False,
+            "answers_attempts": True,
         }
 
+    def note_effect(self, request_id: str) -> None:
+        """Writes an effect to a file that outlives this process."""
+        if self.args.effects_file:
+            with open(self.args.effects_file, "a", encoding="utf-8") as out:
+                out.write(request_id + "\n")
+
     def report(self) -> dict[str, Any] | None:
         """Returns the announcement, or None while silent."""
         if not self.settings["announce"]:
@@ -65,15 +76,37 @@
     @routes.get("/fake")
     async def look(req: web.Request) -> web.Response:
         return web.json_response(
-            {"effects": service.effects, "order": service.order}
+            {
+                "effects": service.effects,
+                "order": service.order,
+                "asked": service.asked,
+            }
         )
 
+    def about(attempt: str, state: str) -> dict[str, str]:
+        return {
+            "Catkinpin-Attempt": attempt,
+            "Catkinpin-Incarnation": service.incarnation,
+            "Catkinpin-Attempt-State": state,
+        }
+
     @routes.get("/v1/attempts/{attempt}")
     async def outcome(req: web.Request) -> web.Response:
-        state = service.attempts.get(req.match_info["attempt"])
-        if state is None:
+        attempt = req.match_info["attempt"]
+        service.asked.append(attempt)
+        if not service.settings["answers_attempts"]:
             raise web.HTTPNotFound
-        return web.json_response({"state": state})
+        if attempt in service.answers:
+            return web.json_response(
+                service.answers[attempt], headers=about(attempt, "done")
+            )
+        if attempt in service.begun:
+            return web.json_response({}, headers=about(attempt, "running"))
+        # Whoever was told that it did not run may run it elsewhere: a copy
+        # that is still on its way must not run here.
+        service.barred.add(attempt)
+        headers = about(attempt, "") | {"Catkinpin-Verdict": "not-run"}
+        return web.json_response({}, status=404, headers=headers)
 
     @routes.route("*", "/{path:.*}")
     async def act(req: web.Request) -> web.StreamResponse:
@@ -81,25 +114,36 @@
         settings = service.settings
         request_id = req.headers.get("Idempotency-Key", "")
         attempt = req.headers.get("Catkinpin-Attempt", "")
+        meant = req.headers.get("Catkinpin-Incarnation", service.incarnation)
+        if attempt in service.barred or meant != service.incarnation:
+            headers = {"Catkinpin-Verdict": "not-run"}
+            return web.json_response({}, status=409, headers=headers)
         if settings["crash_on"] and settings["crash_on"] in text:
             os._exit(9)
         if settings["cut"] == "before":
             assert req.transport is not None
             req.transport.abort()
         service.running += 1
-        service.attempts[attempt] = "running"
-        service.effects[request_id] += 1
+        service.begun.add(attempt)
         program = req.headers.get("Catkinpin-Program", "")
         service.order.append((program, request_id))
+        service.effects[request_id] += 1
+        service.note_effect(request_id)
+        if settings["cut"] == "kill":
+            os._exit(9)
         await asyncio.sleep(settings["delay_ms"] / 1000)
         service.running -= 1
-        service.attempts[attempt] = "done"
+        answer = {"done": request_id, "path": req.path, "echo": text}
+        service.answers[attempt] = answer
         if settings["cut"] == "after":
             assert req.transport is not None
             req.transport.abort()
-        return web.json_response(
-            {"done": request_id, "path": req.path, "echo": text}
-        )
+        headers = about(attempt, "done")
+        if settings["cross"]:
+            settings["cross"] = False
+            headers["Catkinpin-Attempt"] = "another"
+            answer = {"done": "another"}
+        return web.json_response(answer, headers=headers)
 
     app = web.Application(client_max_size=64 * 1024 * 1024)
     app.add_routes(routes)
@@ -117,6 +161,7 @@
         failure_domain="",
         region="",
         capacity=8,
+        effects_file="",
     )
     service = Service(args)
     entries = [entry for entry in args.entries.split(",") if entry]
