--- a/catkinpin/adapters/calls.py
+++ b/catkinpin/adapters/calls.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from catkinpin import chat, digest, metrics, tracing
-from catkinpin.adapters import dispatch, outcomes, relays, shards
+from catkinpin.adapters import dispatch, grants, relays, shards
 from catkinpin.core import messages, routing, splice
 from catkinpin.exceptions import DivergedError, PeerLostError
 from catkinpin.verdicts import Reason, Verdict
@@ -23,6 +23,8 @@
 # How long the outcome of a dispatch is offered to the shard's leader.
 _FINISH_TIMEOUT_S = 30.0
 _RETRY_AFTER_MS = 1_000
+_REPORTS = 3
+_REPORT_AGAIN_S = 1.0
 _MS_PER_S = 1000
 # At the deadline the leader's own answer is given this time to come first.
 _DEADLINE_GRACE_S = 0.25
@@ -124,7 +126,6 @@
         self._dispatcher = dispatcher
         self._relay = relay
         self._shard_count = shard_count
-        self._reporting: set[asyncio.Task[None]] = set()
         self.running: dict[asyncio.Task[None], CallRequest] = {}
 
     def waits_for(self) -> list[str]:
@@ -141,28 +142,31 @@
         task.add_done_callback(self._done)
         return call
 
-    def late_grant(self, grant: messages.Granted) -> None:
-        """Hands back a grant whose call no longer waits for it.
-
-        Left alone it would hold the server's place and the program's budget
-        until the leader gives this process up.
-        """
-        if self._dispatcher.was_used(grant.attempt):
+    def recalled(self, recall: messages.Recall) -> None:
+        """Answers a leader that takes a grant back."""
+        state = self._dispatcher.grants.recall(recall.attempt)
+        if state is grants.GrantState.IN_USE:
             return
-        self._dispatcher.use(grant)
-        text = "the call no longer waits"
-        finish = outcomes.not_run(grant, Reason.DEADLINE, text)
-        task = asyncio.create_task(self.report(finish))
-        self._reporting.add(task)
-        task.add_done_callback(self._reporting.discard)
+        not_run = state is grants.GrantState.REVOKED
+        finish = messages.Finish(
+            ask=0,
+            key=recall.key,
+            attempt=recall.attempt,
+            verdict=Verdict.NOT_RUN if not_run else Verdict.MAY_HAVE_RUN,
+            reason=Reason.NOT_READY if not_run else Reason.OUTCOME_UNKNOWN,
+            text="the grant was taken back",
+        )
+        self._replicas.broadcast(finish)
 
     async def report(self, finish: messages.Finish) -> None:
-        """Takes to the leader an outcome that no caller waits for here."""
-        group = routing.group_of(finish.key.program_key, self._shard_count)
-        try:
-            await self._finish(group, finish)
-        except PeerLostError:
-            log.warning("outcome lost", extra={"attempt": finish.attempt})
+        """Takes to the leader an outcome that no caller waits for here.
+
+        Nothing confirms it, so it is sent a few times; a leader that has it
+        already drops it.
+        """
+        for _ in range(_REPORTS):
+            self._replicas.broadcast(finish)
+            await asyncio.sleep(_REPORT_AGAIN_S)
 
     def _done(self, task: asyncio.Task[None]) -> None:
         self.running.pop(task, None)
@@ -230,7 +234,7 @@
             with tracing.hop("begin", traceparent):
                 reply = await self._begin(group, req, deadline)
             while isinstance(reply, messages.Granted):
-                if self._dispatcher.was_used(reply.attempt):
+                if self._dispatcher.grants.knows(reply.attempt):
                     # A copy of a grant under way: attach to its outcome.
                     metrics.DROPPED_ANSWERS.inc()
                     reply = await self._begin(group, req, deadline)
@@ -242,8 +246,11 @@
                     reply, req, call, left_ms, traceparent
                 )
                 call.verdict = max(before, finish.verdict, key=_certainty)
-                with tracing.hop("finish", traceparent):
-                    reply = await self._finish(group, finish)
+                try:
+                    with tracing.hop("finish", traceparent):
+                        reply = await self._finish(group, finish)
+                finally:
+                    self._dispatcher.grants.over(finish.attempt)
         except PeerLostError as exc:
             text = "the shard's leader did not answer in time"
             if exc.sent and req.resendable:
--- a/catkinpin/adapters/dispatch.py
+++ b/catkinpin/adapters/dispatch.py
@@ -7,9 +7,17 @@
 import logging
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 from catkinpin import metrics, tracing
-from catkinpin.adapters import backends, modelcalls, outcomes, servicecalls
-from catkinpin.core import gaps
+from catkinpin.adapters import (
+    backends,
+    grants,
+    modelcalls,
+    outcomes,
+    servicecalls,
+)
+from catkinpin.core import gaps, messages
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
@@ -21,9 +29,7 @@
 log = logging.getLogger(__name__)
 
 _MS_PER_S = 1000
-# Attempt ids that were used are remembered for this long; a grant expires
-# within seconds, so that no copy of it can arrive later.
-_REMEMBER_MS = 600_000
+_RELEASE_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,7 +68,11 @@
 
 
 class Dispatcher:
-    """Dispatches calls to the servers of this entry's region."""
+    """Dispatches calls to the servers of this entry's region.
+
+    Attributes:
+        grants: those used or taken back here.
+    """
 
     def __init__(self, timeouts: Timeouts, clock: Clock) -> None:
         self._timeouts = timeouts
@@ -71,7 +81,7 @@
         self._gaps = gaps.Gaps(
             timeouts.progress_low_ms, timeouts.progress_high_ms
         )
-        self._used: dict[str, int] = {}
+        self.grants = grants.Grants()
         self._cancels: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -85,22 +95,15 @@
         must not send the request a second time; one that lay in a buffer
         while this process stood still may have been given to another since.
         """
-        now = self._clock.now_ms()
-        self._forget_used(now)
-        if grant.attempt in self._used:
+        if not self.grants.use(grant.attempt):
             metrics.DROPPED_ANSWERS.inc()
             text = "this grant was used before"
             return outcomes.failed(grant, Reason.OUTCOME_UNKNOWN, text)
-        self._used[grant.attempt] = now
-        if grant.until_ms and now >= grant.until_ms:
+        if grant.until_ms and self._clock.now_ms() >= grant.until_ms:
             text = "the grant came too late to be used"
             return outcomes.not_run(grant, Reason.NOT_READY, text)
         return None
 
-    def was_used(self, attempt: str) -> bool:
-        """Returns whether a grant was used or handed back by this process."""
-        return attempt in self._used
-
     async def dispatch(
         self, grant: Granted, req: Outgoing, on_data: Callable[[bytes], None]
     ) -> Finish:
@@ -176,6 +179,44 @@
             self._cancel(grant)
         return finish
 
+    async def release(
+        self, order: messages.OrderRelease
+    ) -> messages.ReleaseDone | None:
+        """Orders a server to release the memory of programs.
+
+        Returns:
+            What it released, or None where it answered nothing.
+        """
+        url = order.server.address + "/v1/programs/release"
+        released = []
+        incarnation = ""
+        try:
+            for program in order.programs:
+                async with self._servers.pooled.post(
+                    url,
+                    json={"program": program},
+                    timeout=aiohttp.ClientTimeout(total=_RELEASE_S),
+                ) as resp:
+                    resp.raise_for_status()
+                    answer = await resp.json()
+                # Orders to another life of the server prove nothing here.
+                if answer["incarnation"] != order.server.incarnation:
+                    break
+                incarnation = order.server.incarnation
+                released.append(program)
+        except (*backends.BROKEN, TimeoutError, ValueError, KeyError) as exc:
+            log.warning(
+                "release failed: %s", exc, extra={"server": order.server.server}
+            )
+        if not released:
+            return None
+        return messages.ReleaseDone(
+            group=order.group,
+            server=order.server.server,
+            incarnation=incarnation,
+            programs=released,
+        )
+
     def _model(
         self,
         grant: Granted,
@@ -207,12 +248,6 @@
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
-    def _forget_used(self, now_ms: int) -> None:
-        for attempt, used_ms in list(self._used.items()):
-            if now_ms - used_ms < _REMEMBER_MS:
-                return
-            del self._used[attempt]
-
 
 def _headers(grant: Granted, req: Outgoing, traceparent: str) -> dict[str, str]:
     headers = dict(req.headers)
--- a/catkinpin/adapters/relays.py
+++ b/catkinpin/adapters/relays.py
@@ -183,7 +183,7 @@
             prompt = [*held, *chat.raw_messages(body)]
             body = chat.with_messages(body, prompt)
         grant = peers.received_grant(message.grant, stream)
-        if self._dispatcher.was_used(grant.attempt):
+        if self._dispatcher.grants.knows(grant.attempt):
             metrics.DROPPED_ANSWERS.inc()
             return
         refused = self._dispatcher.use(grant)
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from catkinpin.adapters import replicas
 from catkinpin.core import changes, messages
 
 ToReplica = (
@@ -11,10 +12,12 @@
     | messages.Finish
     | messages.GetProgram
     | messages.EndProgram
+    | messages.ReleaseDone
     | messages.Reports
     | messages.CacheEvents
     | changes.ConfigConfirmed
     | changes.Apply
+    | replicas.ReplicaMessage
 )
 ToEntry = (
     messages.Ping
@@ -24,6 +27,8 @@
     | messages.Refused
     | messages.NotLeader
     | messages.ProgramInfo
+    | messages.Recall
+    | messages.OrderRelease
     | changes.ConfigUpdate
     | changes.Applied
 )
--- a/catkinpin/exceptions.py
+++ b/catkinpin/exceptions.py
@@ -81,3 +81,12 @@
 
 class DivergedError(CatkinpinError):
     """A new answer differs from the part that the caller already has."""
+
+
+class SnapshotVersionError(StorageError):
+    """A snapshot was written by a newer program."""
+
+    def __init__(self, found: int, known: int) -> None:
+        super().__init__(
+            f"the snapshot has version {found}; this program knows {known}"
+        )
