--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -15,6 +15,7 @@
     | messages.ReleaseDone
     | messages.Reports
     | changes.FromProcess
+    | messages.CacheEvents
     | replicas.ReplicaMessage
 )
 ToEntry = (
@@ -33,6 +34,7 @@
     messages.Hello
     | messages.Ping
     | messages.Dispatch
+    | messages.NeedWhole
     | messages.Chunk
     | messages.Dispatched
 )
--- a/catkinpin/core/servers.py
+++ b/catkinpin/core/servers.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.messages import ServerReport
+    from catkinpin.core.messages import CacheEvents, ServerReport
 
 # A server that has not announced itself for this long gets no new work.
 SILENT_AFTER_MS = 2_000
@@ -94,6 +94,9 @@
         if not same:
             self._remember(known)
 
+    def cache_events(self, events: CacheEvents) -> None:
+        """Takes in what an engine says of its prefix cache."""
+
     def usable(
         self,
         kind: str,
