--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -14,8 +14,8 @@
     | messages.EndProgram
     | messages.ReleaseDone
     | messages.Reports
-    | changes.ConfigConfirmed
-    | changes.Apply
+    | changes.FromProcess
+    | messages.CacheEvents
     | replicas.ReplicaMessage
 )
 ToEntry = (
@@ -28,13 +28,13 @@
     | messages.ProgramInfo
     | messages.Recall
     | messages.OrderRelease
-    | changes.ConfigUpdate
-    | changes.Applied
+    | changes.ToProcess
 )
 BetweenEntries = (
     messages.Hello
     | messages.Ping
     | messages.Dispatch
+    | messages.NeedWhole
     | messages.Chunk
     | messages.Dispatched
 )
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import collections
 import random
 from typing import TYPE_CHECKING, TypeGuard
 
@@ -14,70 +14,35 @@
     placing,
     records,
     replies,
+    routing,
 )
 from catkinpin.core.attempts import Watch
-from catkinpin.core.commands import Command, Propose, Send
+from catkinpin.core.commands import (
+    Command,
+    Propose,
+    Send,
+    ShareQuarantine,
+)
 from catkinpin.core.commands import EntryRef as EntryRef
+from catkinpin.core.deadlines import Deadlines
 from catkinpin.core.fates import Fates
 from catkinpin.core.outliers import Outliers
-from catkinpin.core.program import Call, ClosedCall, Program, same_request
-from catkinpin.core.timers import Timers
+from catkinpin.core.program import Call, ClosedCall, same_request
 from catkinpin.core.waiters import Waiter, Waiters
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
-    from catkinpin.configuration import Configuration, Deployment
+    from collections.abc import Callable
+
+    from catkinpin.core.deployments import Configuration, Deployment
     from catkinpin.core.messages import Begin, CallKey, ProgramKey
     from catkinpin.core.scheduler import Decision, Scheduler
     from catkinpin.core.shard import Shard
 
-# An entry reports the deadline itself; after this bound the leader does.
-_DEADLINE_GRACE_MS = 500
-# A grant or an outcome may be lost with a stream, or with a leader. Attempts
-# older than this are asked about, again and again.
-_RECALL_AFTER_MS = 2 * replies.GRANT_EXPIRES_MS
-_RECALL_AGAIN_MS = 10_000
-_FORGET_EVERY_MS = 1_000
-
-
-@dataclasses.dataclass(frozen=True)
-class _CallDue:
-    """The call's deadline has come."""
-
-    key: CallKey
-    grace: bool = False
-
-
-@dataclasses.dataclass(frozen=True)
-class _WaiterDue:
-    """A waiter's own deadline has come."""
-
-    key: CallKey
-    waiter: Waiter
-
-
-@dataclasses.dataclass(frozen=True)
-class _PlaceDue:
-    """A call may be placed again."""
 
-    key: CallKey
-
-
-@dataclasses.dataclass(frozen=True)
-class _RecallDue:
-    """An attempt has been under way for long."""
-
-    attempt: str
-
-
-@dataclasses.dataclass(frozen=True)
-class _ProgramDue:
-    """A program may have been idle too long, or ended long ago."""
-
-    key: ProgramKey
-
-
-_Due = _CallDue | _WaiterDue | _PlaceDue | _RecallDue | _ProgramDue
+# A call that is kept back by a limit on running calls tries again.
+_ROOM_WAIT_MS = 100
+_SHARE_AGAIN_MS = 5_000
 
 
 class ShardLeader:
@@ -91,6 +56,7 @@
         jobs: queues calls and chooses servers.
         cfg: the configuration in force.
         rng: seeded source of jitter.
+        quarantined: whether the control group quarantined a content.
     """
 
     def __init__(
@@ -99,26 +65,36 @@
         jobs: Scheduler,
         cfg: Configuration,
         rng: random.Random | None = None,
+        quarantined: Callable[[bytes], bool] = lambda _: False,
     ) -> None:
         rng = rng or random.Random(0)
         self._shard = state
         self.cfg = cfg
+        self._shared_quarantine = quarantined
+        self._share_at_ms = 0
         self._waiters = Waiters()
         self._pending: dict[CallKey, Begin] = {}
+        self._pending_programs: collections.Counter[ProgramKey] = (
+            collections.Counter()
+        )
         self._entries: dict[str, EntryRef] = {}
         self._watch = Watch()
         self._fates = Fates(state)
-        self._timers: Timers[_Due] = Timers()
+        self._deadlines = Deadlines(
+            state, self._waiters, self._watch, self._entries
+        )
         self._admission = limits.Admission()
         self.retries = limits.RetryBudget()
         self.outliers = Outliers(rng)
         self._rng = rng
         self._placing = placing.Placing(
-            state, jobs, self.outliers, self._deployment
+            state,
+            jobs,
+            self.outliers,
+            self._deployment,
+            lambda name, report: self.cfg.allows(name, report),
         )
         self._held: set[CallKey] = set()
-        self._watched: set[ProgramKey] = set()
-        self._over: dict[ProgramKey, None] = {}
 
     def start(self, now_ms: int, wall_ms: int) -> list[Command]:
         """Takes over: watches what the log says is under way.
@@ -126,9 +102,9 @@
         Entries that are connected must be known before.
         """
         for program in self._shard.programs.values():
-            self._watch_program(program, now_ms, wall_ms)
+            self._deadlines.program_seen(program, now_ms, wall_ms)
             for call in program.open.values():
-                self._watch_call(call, now_ms, wall_ms)
+                self._opened(call, now_ms, wall_ms)
                 self._adopt(call, now_ms)
         commands: list[Command] = []
         for incarnation in self._watch.entries():
@@ -136,7 +112,7 @@
             if entry is None:
                 self._watch.entry_gone(incarnation, now_ms)
             else:
-                commands += self._recall_all(entry)
+                commands += self._deadlines.recall_all(entry)
         return commands
 
     def begin(
@@ -154,7 +130,7 @@
         deployment = self.cfg.deployment_for(begin.key.account, begin.target)
         if deployment is None:
             return [self._refuse_target(waiter, begin)]
-        rejected = self._check(begin, deployment)
+        rejected = self._check(begin, deployment, now_ms)
         if rejected is not None:
             verdict = self._shard.verdict_of(begin.key)
             return [replies.refuse_rejected(waiter, rejected, verdict)]
@@ -238,7 +214,7 @@
         """Notes an entry that can dispatch in its region."""
         self._entries[entry.incarnation] = entry
         self._watch.entry_back(entry.incarnation)
-        return self._recall_all(entry)
+        return self._deadlines.recall_all(entry)
 
     def entry_lost(self, entry: EntryRef, now_ms: int) -> None:
         """Forgets an entry whose stream broke."""
@@ -256,8 +232,8 @@
                 case placing.Placed():
                     commands += self._start_attempt(outcome, now_ms, wall_ms)
                 case placing.Later():
-                    due = now_ms + outcome.wait_ms
-                    self._timers.add(due, _PlaceDue(outcome.key))
+                    wait = outcome.wait_ms
+                    self._deadlines.place_later(outcome.key, now_ms, wait)
                 case placing.Rejected():
                     record = records.CallRefused(
                         at_ms=wall_ms,
@@ -272,19 +248,16 @@
 
     def tick(self, now_ms: int, wall_ms: int) -> list[Command]:
         """Acts on what has fallen due."""
-        commands: list[Command] = []
-        for due in self._timers.due(now_ms):
-            commands += self._fall_due(due, now_ms, wall_ms)
+        fallen = self._deadlines.fall_due(now_ms, wall_ms)
+        commands = fallen.commands
+        for key in fallen.place:
+            commands += self._place(key, now_ms, wall_ms)
         for watched in self._watch.overdue(now_ms):
             commands.append(Propose(attempts.lost(watched, wall_ms)))
         commands += self._fates.decide(now_ms, wall_ms)
+        commands += self._share(now_ms, wall_ms)
         entries = list(self._entries.values())
         commands += self._fates.releases(entries, now_ms, wall_ms)
-        if self._over:
-            keys = list(self._over)
-            self._over.clear()
-            record = records.ProgramsForgotten(at_ms=wall_ms, keys=keys)
-            commands.append(Propose(record))
         return commands
 
     def applied(
@@ -345,9 +318,8 @@
                     for waiter in self._waiters.take_all(effect.begin.key)
                 ]
             case effects.ProgramOver():
-                retain = effect.program.limits.retain_ms
-                due = _ProgramDue(effect.program.key)
-                self._timers.add(now_ms + retain, due)
+                self._deadlines.program_over(effect.program, now_ms)
+                self._placing.program_over(effect.program.key)
                 return []
             case effects.ContentQuarantined():
                 return []
@@ -371,21 +343,17 @@
         )
 
     def _check(
-        self, begin: Begin, deployment: Deployment
+        self, begin: Begin, deployment: Deployment, now_ms: int
     ) -> effects.BeginRejected | None:
         rejected = self._shard.check_begin(begin)
         if rejected is not None:
             return rejected
         content = self._shard.content_of(begin)
-        if self._shard.quarantine.is_refused(content):
+        if self._is_quarantined(content):
             text = "this request crashed servers and is quarantined"
             return effects.BeginRejected(begin, Reason.QUARANTINED, text)
-        down = self._admission.check(
-            begin.key,
-            deployment.name,
-            placing.caps_of(deployment),
-            begin.deadline_ms,
-        )
+        scopes = self._scopes(begin, deployment)
+        down = self._admission.check(scopes, begin.deadline_ms, now_ms)
         if down is None:
             return None
         return effects.BeginRejected(
@@ -407,6 +375,8 @@
         commands: list[Command] = []
         content = self._shard.content_of(begin)
         waits = self._shard.quarantine.must_wait(content)
+        scopes = self._scopes(begin, deployment)
+        waits = waits or not self._admission.may_start(scopes)
         if self._is_next(begin) and not waits:
             outcomes = self._placing.submit_new(begin, now_ms)
             for outcome in outcomes.own:
@@ -424,7 +394,8 @@
             commands += self.decided(outcomes.others, now_ms, wall_ms)
         self._wait(begin.key, waiter)
         self._pending[begin.key] = begin
-        self._admission.opened(begin.key, deployment.name)
+        self._pending_programs[begin.key.program_key] += 1
+        self._admission.opened(begin.key, scopes, now_ms)
         self.retries.first_attempt(deployment.name)
         record = records.CallBegun(
             at_ms=wall_ms,
@@ -436,7 +407,7 @@
 
     def _is_next(self, begin: Begin) -> bool:
         key = begin.key.program_key
-        if any(pending.program_key == key for pending in self._pending):
+        if key in self._pending_programs:
             return False
         program = self._shard.programs.get(key)
         if program is None:
@@ -456,19 +427,21 @@
 
     def _wait(self, key: CallKey, waiter: Waiter) -> None:
         self._waiters.add(key, waiter)
-        due = waiter.deadline_ms + _DEADLINE_GRACE_MS
-        self._timers.add(due, _WaiterDue(key, waiter))
+        self._deadlines.waiting(key, waiter)
 
     def _begun(self, key: CallKey, now_ms: int, wall_ms: int) -> list[Command]:
-        self._pending.pop(key, None)
+        if self._pending.pop(key, None) is not None:
+            self._pending_programs[key.program_key] -= 1
+            if not self._pending_programs[key.program_key]:
+                del self._pending_programs[key.program_key]
         commands = self._free_server(key, now_ms, wall_ms)
         found = self._shard.find_open(key)
         if found is None:
             self._admission.closed(key, now_ms, answered=False)
             return commands
         program, call = found
-        self._watch_call(call, now_ms, wall_ms)
-        self._watch_program(program, now_ms, wall_ms)
+        self._opened(call, now_ms, wall_ms)
+        self._deadlines.program_seen(program, now_ms, wall_ms)
         return commands
 
     # Placement and grants.
@@ -482,9 +455,15 @@
         if program.next_call() is not call:
             return []
         content = self._shard.content_of(call.begin)
+        if self._is_quarantined(content):
+            return [self._refuse_quarantined(call, wall_ms)]
         if self._shard.quarantine.must_wait(content):
             self._held.add(key)
             return []
+        scopes = self._scopes(call.begin, self._deployment(call.begin))
+        if not self._admission.may_start(scopes):
+            self._deadlines.place_later(key, now_ms, _ROOM_WAIT_MS)
+            return []
         decisions = self._placing.submit(program, call, now_ms, wall_ms)
         return self.decided(decisions, now_ms, wall_ms)
 
@@ -493,21 +472,36 @@
         held, self._held = sorted(self._held, key=str), set()
         commands: list[Command] = []
         for key in held:
-            found = self._shard.find_open(key)
-            if found is None:
-                continue
-            content = self._shard.content_of(found[1].begin)
-            if not self._shard.quarantine.is_refused(content):
-                commands += self._place(key, now_ms, wall_ms)
-                continue
-            record = records.CallRefused(
-                at_ms=wall_ms,
-                key=key,
-                reason=Reason.QUARANTINED,
-                text="this request crashed servers and is quarantined",
-                verdict=found[1].verdict,
-            )
+            commands += self._place(key, now_ms, wall_ms)
+        return commands
+
+    def _is_quarantined(self, content: bytes) -> bool:
+        here = self._shard.quarantine.is_refused(content)
+        return here or self._shared_quarantine(content)
+
+    def _refuse_quarantined(self, call: Call, wall_ms: int) -> Propose:
+        record = records.CallRefused(
+            at_ms=wall_ms,
+            key=call.key,
+            reason=Reason.QUARANTINED,
+            text="this request crashed servers and is quarantined",
+            verdict=call.verdict,
+        )
+        return Propose(record)
+
+    def _share(self, now_ms: int, wall_ms: int) -> list[Command]:
+        """Has the control group take over what was quarantined here."""
+        waiting = self._shard.quarantine.to_share()
+        if not waiting:
+            return []
+        taken = [one for one in waiting if self._shared_quarantine(one)]
+        commands: list[Command] = []
+        if taken:
+            record = records.QuarantineShared(at_ms=wall_ms, contents=taken)
             commands.append(Propose(record))
+        if now_ms >= self._share_at_ms:
+            self._share_at_ms = now_ms + _SHARE_AGAIN_MS
+            commands += map(ShareQuarantine, set(waiting) - set(taken))
         return commands
 
     def _retry(
@@ -532,7 +526,7 @@
             return [Propose(refusal)]
         wait = limits.backoff_ms(call.attempts, self._rng)
         if wait:
-            self._timers.add(now_ms + wait, _PlaceDue(call.key))
+            self._deadlines.place_later(call.key, now_ms, wait)
             return []
         return self._place(call.key, now_ms, wall_ms)
 
@@ -590,13 +584,31 @@
             return [Propose(record)]
         self._waiters.take(call.key, waiter)
         self._watch.add(call.key, attempt)
-        due = now_ms + _RECALL_AFTER_MS
-        self._timers.add(due, _RecallDue(attempt.attempt))
+        self._deadlines.started(attempt.attempt, now_ms)
         return [replies.grant(waiter, effect.program, call, attempt, now_ms)]
 
     def _deployment(self, begin: Begin) -> Deployment | None:
         return self.cfg.deployment_for(begin.key.account, begin.target)
 
+    def _scopes(
+        self, begin: Begin, deployment: Deployment | None
+    ) -> list[limits.Scope]:
+        """Returns what a call counts for."""
+        key = begin.key
+        tree = f"{key.account}/{routing.root_of(key.program)}"
+        scopes = [limits.Scope(limits.PROGRAM, tree, limits.PROGRAM_LIMITS)]
+        account = self.cfg.accounts.get(key.account)
+        if account is not None:
+            scope = limits.Scope(limits.ACCOUNT, key.account, account.limits)
+            scopes.append(scope)
+        if deployment is not None:
+            scopes.append(
+                limits.Scope(
+                    limits.DEPLOYMENT, deployment.name, deployment.limits
+                )
+            )
+        return scopes
+
     def _deployment_name(self, begin: Begin) -> str:
         found = self._deployment(begin)
         return found.name if found is not None else ""
@@ -644,6 +656,7 @@
         found = self._shard.find_open(key)
         if found is not None and found[1].attempt is not None:
             return []
+        self._admission.stopped(key)
         decisions = self._placing.ended(key, now_ms)
         return self.decided(decisions, now_ms, wall_ms)
 
@@ -675,109 +688,11 @@
             for waiter in waiters
         ]
 
-    # What falls due.
-
-    def _fall_due(self, due: _Due, now_ms: int, wall_ms: int) -> list[Command]:
-        match due:
-            case _CallDue():
-                return self._call_due(due, now_ms, wall_ms)
-            case _WaiterDue():
-                return self._waiter_due(due)
-            case _PlaceDue():
-                return self._place(due.key, now_ms, wall_ms)
-            case _RecallDue():
-                return self._recall_due(due, now_ms)
-            case _ProgramDue():
-                return self._program_due(due.key, now_ms, wall_ms)
-
-    def _call_due(
-        self, due: _CallDue, now_ms: int, wall_ms: int
-    ) -> list[Command]:
-        found = self._shard.find_open(due.key)
-        if found is None:
-            return []
-        call = found[1]
-        # An attempt that starts meanwhile makes the record below void.
-        left = call.deadline_wall_ms - wall_ms
-        again = _CallDue(due.key, grace=left <= 0)
-        self._timers.add(now_ms + max(left, _DEADLINE_GRACE_MS), again)
-        if left > 0:
-            return []
-        if call.attempt is None:
-            record = records.CallRefused(
-                at_ms=wall_ms,
-                key=due.key,
-                reason=Reason.DEADLINE,
-                text="the deadline passed before the call's turn came",
-                verdict=call.verdict,
-            )
-            return [Propose(record)]
-        if not due.grace:
-            return []
-        attempt = call.attempt.attempt
-        return [Propose(attempts.too_late(due.key, attempt, wall_ms))]
-
-    def _waiter_due(self, due: _WaiterDue) -> list[Command]:
-        if not self._waiters.take(due.key, due.waiter):
-            return []
-        # The call is still open and may run for another waiter.
-        return [
-            replies.refuse(
-                due.waiter.entry,
-                due.waiter.ask,
-                Reason.DEADLINE,
-                "the deadline passed; a resend gets the outcome",
-                verdict=Verdict.MAY_HAVE_RUN,
-            )
-        ]
-
-    def _recall_due(self, due: _RecallDue, now_ms: int) -> list[Command]:
-        watched = self._watch.get(due.attempt)
-        if watched is None:
-            return []
-        self._timers.add(now_ms + _RECALL_AGAIN_MS, due)
-        entry = self._entries.get(watched.incarnation)
-        return [] if entry is None else [_recall(entry, watched)]
-
-    def _recall_all(self, entry: EntryRef) -> list[Command]:
-        held = self._watch.held_by(entry.incarnation)
-        return [_recall(entry, watched) for watched in held]
-
-    def _program_due(
-        self, key: ProgramKey, now_ms: int, wall_ms: int
-    ) -> list[Command]:
-        program = self._shard.programs.get(key)
-        if program is None:
-            self._watched.discard(key)
-            return []
-        if program.ended:
-            return self._forget_due(program, now_ms, wall_ms)
-        end = _end_of(program)
-        if program.open or end > wall_ms:
-            wait = max(end - wall_ms, _FORGET_EVERY_MS)
-            self._timers.add(now_ms + wait, _ProgramDue(key))
-            return []
-        text = f"no call for {_idle_ms(program)} ms"
-        record = records.ProgramEnded(at_ms=wall_ms, key=key, reason=text)
-        self._timers.add(now_ms + _FORGET_EVERY_MS, _ProgramDue(key))
-        return [Propose(record)]
-
-    def _forget_due(
-        self, program: Program, now_ms: int, wall_ms: int
-    ) -> list[Command]:
-        due_ms = program.ended_ms + program.limits.retain_ms
-        wait = max(due_ms - wall_ms, _FORGET_EVERY_MS)
-        if due_ms <= wall_ms:
-            self._over[program.key] = None
-        self._timers.add(now_ms + wait, _ProgramDue(program.key))
-        return []
-
-    def _watch_call(self, call: Call, now_ms: int, wall_ms: int) -> None:
+    def _opened(self, call: Call, now_ms: int, wall_ms: int) -> None:
         """Notes an open call of the log."""
-        name = self._deployment_name(call.begin)
-        self._admission.opened(call.key, name)
-        wait = max(0, call.deadline_wall_ms - wall_ms)
-        self._timers.add(now_ms + wait, _CallDue(call.key))
+        scopes = self._scopes(call.begin, self._deployment(call.begin))
+        self._admission.opened(call.key, scopes, now_ms)
+        self._deadlines.call_open(call, now_ms, wall_ms)
 
     def _adopt(self, call: Call, now_ms: int) -> None:
         """Watches the attempt that an earlier leader granted."""
@@ -786,21 +701,7 @@
         self._admission.started(call.key)
         self._watch.add(call.key, call.attempt)
         self._placing.resume(call, call.attempt)
-        due = now_ms + _RECALL_AFTER_MS
-        self._timers.add(due, _RecallDue(call.attempt.attempt))
-
-    def _watch_program(
-        self, program: Program, now_ms: int, wall_ms: int
-    ) -> None:
-        if program.key in self._watched:
-            return
-        self._watched.add(program.key)
-        if program.ended:
-            end = program.ended_ms + program.limits.retain_ms
-        else:
-            end = _end_of(program)
-        wait = max(0, end - wall_ms)
-        self._timers.add(now_ms + wait, _ProgramDue(program.key))
+        self._deadlines.started(call.attempt.attempt, now_ms)
 
 
 def _ends_attempt_of(
@@ -811,26 +712,6 @@
     )
 
 
-def _recall(entry: EntryRef, watched: attempts.Watched) -> Send:
-    recall = messages.Recall(key=watched.key, attempt=watched.attempt)
-    return Send(entry, recall)
-
-
-def _idle_ms(program: Program) -> int:
-    """Returns after how long without a call the program is over."""
-    if program.once:
-        # No call follows; the program waits for resends only.
-        return min(program.limits.idle_ms, program.limits.retain_ms)
-    return program.limits.idle_ms
-
-
-def _end_of(program: Program) -> int:
-    """Returns the wall time at which an idle program ends."""
-    active = max(program.active_ms, program.begun_ms)
-    age = program.begun_ms + program.limits.max_age_ms
-    return min(active + _idle_ms(program), age)
-
-
 def _worse(verdict: Verdict) -> int:
     """Orders verdicts by how much may have happened."""
     order = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placing.py
@@ -7,26 +7,31 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.core import scheduler
-from catkinpin.core.limits import Caps
 from catkinpin.core.quarantine import CRASHES_ALLOWED
 from catkinpin.core.records import ProgramLimits
+from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.configuration import Deployment
-    from catkinpin.core.messages import Begin, CallKey
+    from catkinpin.core.deployments import Deployment
+    from catkinpin.core.messages import (
+        Begin,
+        CallKey,
+        ProgramKey,
+        ServerReport,
+    )
     from catkinpin.core.outliers import Outliers
     from catkinpin.core.program import Attempt, Call, Program
     from catkinpin.core.scheduler import Decision, Job, Scheduler
     from catkinpin.core.servers import Server
     from catkinpin.core.shard import Shard
-    from catkinpin.verdicts import Reason
 
 # A call that must run apart from others tries again after this time.
 _APART_WAIT_MS = 100
 # Contents of which an answer is remembered.
 _KNOWN_GOOD = 10_000
+_MS_PER_S = 1_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,6 +93,7 @@
         jobs: the scheduler.
         outliers: servers that get no work for a while.
         deployment_of: the deployment that lets a call run, or None.
+        allows: whether a deployment's calls may go to a server now.
     """
 
     def __init__(
@@ -96,11 +102,13 @@
         jobs: Scheduler,
         outliers: Outliers,
         deployment_of: Callable[[Begin], Deployment | None],
+        allows: Callable[[str, ServerReport], bool],
     ) -> None:
         self._shard = state
         self._scheduler = jobs
         self._outliers = outliers
         self._deployment_of = deployment_of
+        self._allows = allows
         self._jobs: dict[CallKey, Job] = {}
         self._aboard: dict[CallKey, _Aboard] = {}
         self._suspects: dict[CallKey, _Aboard] = {}
@@ -143,7 +151,11 @@
                     aboard = _Aboard(server, job.content, job.suspect)
                     self._add(decision.key, aboard)
                 found.append(Placed(decision.key, decision.server))
-            elif job is not None and job.without:
+            elif (
+                job is not None
+                and job.without
+                and decision.reason is Reason.NO_SERVER
+            ):
                 again = self._submit_forgiving(job, now_ms)
                 waiting += again
                 if not again and job.suspect:
@@ -163,6 +175,10 @@
                 del self._contents[aboard.content]
         return self._scheduler.ended(key, now_ms)
 
+    def program_over(self, key: ProgramKey) -> None:
+        """Notes that a program makes no more calls."""
+        self._scheduler.program_ended(key)
+
     def answered(self, key: CallKey) -> None:
         """Notes that a server survived the call's content."""
         aboard = self._aboard.get(key)
@@ -214,6 +230,11 @@
         apart = server not in self._suspect_servers()
         return running > 0 or not apart
 
+    def _allowed(self, begin: Begin, report: ServerReport) -> bool:
+        """Returns whether the configuration of now lets a call go there."""
+        found = self._deployment_of(begin)
+        return found is not None and self._allows(found.name, report)
+
     def _suspect_servers(self) -> list[str]:
         return [aboard.server for aboard in self._suspects.values()]
 
@@ -238,6 +259,7 @@
             kind=begin.kind,
             target=begin.target,
             prompt_tokens=begin.prompt_tokens,
+            history_tokens=program.history_tokens if program else 0,
             max_tokens=begin.max_tokens,
             turns=program.turns if program is not None else 0,
             attained_tokens=program.spent if program is not None else 0,
@@ -245,9 +267,12 @@
             last_server=program.last_server if program is not None else "",
             priority=deployment.priority if deployment is not None else 0,
             deadline_ms=deadline_ms,
+            interactive=deployment.interactive if deployment else False,
+            parent=program.parent if program else begin.parent,
             without=tuple(sorted(without)),
             suspect=suspect,
             content=content,
+            allowed=lambda report: self._allowed(begin, report),
         )
         self._jobs[begin.key] = job
         return job
@@ -259,11 +284,14 @@
     )
 
 
-def caps_of(deployment: Deployment) -> Caps:
-    """Returns the most open calls at once that a deployment allows."""
-    return Caps()
-
-
 def limits_of(deployment: Deployment) -> ProgramLimits:
     """Returns the limits of a program of a deployment."""
-    return ProgramLimits(budget_tokens=deployment.budget_tokens)
+    default = ProgramLimits(budget_tokens=deployment.budget_tokens)
+    age_ms = deployment.budget_seconds * _MS_PER_S
+    idle_ms = deployment.idle_timeout_seconds * _MS_PER_S
+    return ProgramLimits(
+        budget_tokens=deployment.budget_tokens,
+        max_turns=deployment.budget_turns or default.max_turns,
+        max_age_ms=age_ms or default.max_age_ms,
+        idle_ms=idle_ms or default.idle_ms,
+    )
--- a/catkinpin/core/program.py
+++ b/catkinpin/core/program.py
@@ -108,6 +108,8 @@
             run: no refusal of a resend may say that they did not.
         turns: calls that were answered; at the root, those of the tree.
         last_server: the server that last answered, likely to hold the prefix.
+        last_target: the model that last answered.
+        history_tokens: size of the history as that engine counted it.
         servers: incarnation of each server that may hold the prefix.
         members: ids of the sub-agents; kept at the root.
         once: whether the caller named no program, so that no call follows.
@@ -125,6 +127,8 @@
     reserved: int = 0
     overcounted: int = 0
     last_server: str = ""
+    last_target: str = ""
+    history_tokens: int = 0
     once: bool = False
     ended: bool = False
     end_reason: str = ""
--- a/catkinpin/core/quarantine.py
+++ b/catkinpin/core/quarantine.py
@@ -36,7 +36,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Quarantine:
-    """Suspects by content digest, in hex, and what is quarantined."""
+    """Suspects by content digest, in hex, and what is quarantined.
+
+    Attributes:
+        refused: what is quarantined here until the control group holds it.
+    """
 
     suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
     refused: set[str] = dataclasses.field(default_factory=set)
@@ -81,6 +85,14 @@
             self.refused.add(content)
         return [bytes.fromhex(content) for content in found]
 
+    def shared(self, contents: list[bytes]) -> None:
+        """Notes that the control group holds these: it may lift them later."""
+        self.refused -= {content.hex() for content in contents}
+
+    def to_share(self) -> list[bytes]:
+        """Returns what the control group does not hold yet."""
+        return [bytes.fromhex(content) for content in sorted(self.refused)]
+
     def cleared(self, content: bytes) -> None:
         """Notes that the request was answered: it crashes nothing."""
         self.suspects.pop(content.hex(), None)
--- a/catkinpin/core/servers.py
+++ b/catkinpin/core/servers.py
@@ -9,7 +9,9 @@
 from catkinpin.core.residents import Residents
 
 if TYPE_CHECKING:
-    from catkinpin.core.messages import ServerReport
+    from collections.abc import Callable
+
+    from catkinpin.core.messages import CacheEvents, ServerReport
 
 # A server that has not announced itself for this long gets no new work.
 SILENT_AFTER_MS = 2_000
@@ -92,8 +94,16 @@
         if not same:
             self._remember(known)
 
+    def cache_events(self, events: CacheEvents) -> None:
+        """Takes in what an engine says of its prefix cache."""
+
     def usable(
-        self, kind: str, target: str, now_ms: int, without: tuple[str, ...] = ()
+        self,
+        kind: str,
+        target: str,
+        now_ms: int,
+        without: tuple[str, ...] = (),
+        allowed: Callable[[ServerReport], bool] = lambda _: True,
     ) -> list[Server]:
         """Returns the servers that may get new work for `target`."""
         found = []
@@ -102,9 +112,19 @@
                 continue
             if now_ms - server.seen_ms > SILENT_AFTER_MS:
                 continue
+            if not allowed(server.report):
+                continue
             found.append(server)
         return found
 
+    def silent(self, now_ms: int) -> list[str]:
+        """Returns the servers that have not reported for some time."""
+        return [
+            name
+            for name, server in self.servers.items()
+            if now_ms - server.seen_ms > SILENT_AFTER_MS
+        ]
+
     def serves(self, kind: str, target: str) -> bool:
         """Returns whether any known server, even a silent one, serves it."""
         return bool(self._by_target.get((kind, target)))
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -8,26 +8,31 @@
 import uuid
 from typing import TYPE_CHECKING, Any
 
-from catkinpin import clock, configuration, process
+from catkinpin import clock, process
 from catkinpin.adapters import (
     admin,
+    configured,
     controlhost,
     mesh,
     node,
     peers,
     repairs,
     shardhost,
+    shards,
     web,
     wire,
 )
-from catkinpin.core import changes, leader, messages, routing, servers
+from catkinpin.core import changes, messages, routing, servers
 
 if TYPE_CHECKING:
     from catkinpin.adapters import groups
+    from catkinpin.core import deployments, leader
     from catkinpin.settings import ReplicaSettings
 
 log = logging.getLogger(__name__)
 
+# A replica's stream on which it confirms its configuration as entries do.
+_LEASE_ROLE = "replica's shards"
 _TICK_S = 0.1
 
 
@@ -56,24 +61,32 @@
             wire.ToReplica, self._on_message, self._on_closed
         )
         self._admin: web.WebServer | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self._stopping = False
+        self.replicas: shards.Replicas
+        self.lease: configured.LeaseHolder
 
     async def start(self) -> None:
         """Listens, then takes part in its groups."""
         self.address = self.cfg.peer_advertise or self.cfg.peer_listen
         if self.address.endswith(":0"):
             self.address = await self._peers.start(self.cfg.peer_listen)
+            self._hold_lease()
             self.node.start(self._hello())
         else:
             # Known to others before they can reach us: what they say at once
             # is not lost.
+            self._hold_lease()
             self.node.start(self._hello())
             await self._peers.start(self.cfg.peer_listen)
+        self.replicas.start()
         app = admin.make_app("replica", self.not_ready)
         repairs.add_routes(app, self.node, self.cfg.operator_key_sha256)
         self._admin = await web.serve(app, self.cfg.admin_listen)
-        self._task = asyncio.create_task(self._tick())
+        self._tasks = [
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self.lease.run()),
+        ]
         log.info(
             "replica ready",
             extra={"peer": self.address, "admin": self._admin.address},
@@ -83,8 +96,9 @@
         """Hands leadership over and stops."""
         self._stopping = True
         await self.node.stop()
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await self.replicas.stop()
         await self._peers.stop()
         if self._admin is not None:
             await self._admin.close()
@@ -95,21 +109,48 @@
 
     def send(self, to: leader.EntryRef, message: Any) -> None:
         """Sends to an entry; dropped where that life of it has gone."""
-        stream = self._streams.get(to.incarnation)
+        self.send_to(to.incarnation, message)
+
+    def send_to(self, incarnation: str, message: Any) -> None:
+        """Sends to a process in a life of it; dropped where that has gone."""
+        stream = self._streams.get(incarnation)
         if stream is not None:
             stream.send(message)
 
     def entry_streams(self) -> list[peers.Stream]:
         """Returns the streams of all entries that are connected."""
-        return list(self._streams.values())
+        return [
+            stream for stream in self._streams.values() if _is_entry(stream)
+        ]
 
-    def configuration_changed(self, content: bytes) -> None:
-        """Puts a new configuration in force here and sends it on."""
-        cfg = configuration.parse(content)
+    def configuration_changed(self, cfg: deployments.Configuration) -> None:
+        """Puts a new configuration in force here."""
         for host in self.shards.values():
             host.configured(cfg)
-        for stream in self._streams.values():
-            stream.send(self.control.update())
+        self.lease.changed()
+
+    def _hold_lease(self) -> None:
+        """Makes this replica confirm its configuration as an entry does."""
+        hello = messages.Hello(
+            process=self.cfg.name or self.address,
+            incarnation=self.incarnation,
+            role=_LEASE_ROLE,
+            address=self.address,
+            domain=self.cfg.failure_domain,
+            region=self.cfg.region,
+        )
+        self.replicas = shards.Replicas(
+            list(self.cfg.replicas) or [self.address],
+            hello,
+            lambda _: None,
+            lambda _: None,
+        )
+        self.lease = configured.LeaseHolder(
+            self.replicas,
+            self.clock,
+            lambda: self.control.state.revision,
+            None,
+        )
 
     def _hello(self) -> messages.Hello:
         return messages.Hello(
@@ -136,10 +177,10 @@
                 self._welcome(stream)
             case messages.Reports():
                 self._take_reports(message)
-            case changes.Apply():
-                self.control.propose_change(stream, message)
-            case changes.ConfigConfirmed():
-                pass
+            case messages.CacheEvents():
+                self.view.cache_events(message)
+            case _ if isinstance(message, changes.FromProcess):
+                self.control.handle(stream, message)
             case messages.ReleaseDone():
                 self.shards[message.group].handle(stream, message)
             case _:
@@ -158,17 +199,18 @@
     def _welcome(self, stream: peers.Stream) -> None:
         assert stream.hello is not None
         self._streams[stream.hello.incarnation] = stream
-        for host in self.shards.values():
-            host.entry_connected(stream)
+        if _is_entry(stream):
+            for host in self.shards.values():
+                host.entry_connected(stream)
         for group in self.node.groups.values():
             if group.leader:
                 stream.send(_leader_of(group))
-        stream.send(self.control.update())
 
     def _on_closed(self, stream: peers.Stream) -> None:
         assert stream.hello is not None
         if self._streams.get(stream.hello.incarnation) is stream:
             del self._streams[stream.hello.incarnation]
+            self.control.disconnected(stream)
             for host in self.shards.values():
                 host.entry_lost(stream)
 
@@ -178,15 +220,21 @@
             self.view.report(report, now - age_ms)
             for host in self.shards.values():
                 host.reported(report, now - age_ms)
+        self.control.reported(reports.reports)
 
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(_TICK_S)
             self.view.forget_silent(self.clock.now_ms())
+            self.control.tick()
             for host in self.shards.values():
                 host.tick()
 
 
+def _is_entry(stream: peers.Stream) -> bool:
+    return stream.hello is not None and stream.hello.role == "entry"
+
+
 def _leader_of(group: groups.Group) -> messages.GroupLeader:
     return messages.GroupLeader(
         group=group.name, term=group.term, leader=group.leader
