--- a/bench/logbench.py
+++ b/bench/logbench.py
@@ -318,6 +318,7 @@
     took: list[float] = []
     numbers = itertools.count()
     syncs = one.node.storage.syncs
+    spent = _usage(one)["cpu_s"]
     until = time.perf_counter() + _LOAD_S
     run = os.urandom(8).hex()
 
@@ -329,6 +330,7 @@
     await asyncio.gather(*(work() for _ in range(outstanding)))
     return {
         "commits_a_s": len(took) / _LOAD_S,
+        "cpu_us": 1e6 * (_usage(one)["cpu_s"] - spent) / len(took),
         "batch": len(took) / (one.node.storage.syncs - syncs),
         **_quantiles(took),
     }
