--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import shutil
 from typing import TYPE_CHECKING
 
+from catkinpin.core.consensus.state import Role
 from tests import base
 from tests.fakes.lognode import LogNode
 
@@ -92,7 +92,7 @@
             await self.fill(nodes, 1, 700)
             await nodes[0].stop()
             lost = nodes[0].node.identity
-            shutil.rmtree(self.folder / "0")
+            (self.folder / "0").rename(self.folder / "old")
             nodes[0] = await self.open(0)
             fresh = nodes[0].node
 
@@ -113,9 +113,32 @@
             await self.fill([nodes[0], nodes[2]], 701, 720)
             nodes[1] = await self.open(1)
             await self.same(nodes, 720)
+            await self.with_old_disk(nodes, 721)
+            nodes[0] = await self.open(0)
+            await self.same(nodes, 730)
 
         self.start(main)
 
+    async def with_old_disk(self, nodes: list[LogNode], first: int) -> None:
+        """Puts the old disk back, against the advice, and commits ten."""
+        await nodes[0].stop()
+        (self.folder / "0").rename(self.folder / "new")
+        (self.folder / "old").rename(self.folder / "0")
+        old = await self.open(0)
+        term = nodes[1].groups[0].term
+        await self.fill(nodes[1:], first, first + 9)
+
+        async def stood() -> bool:
+            core = old.groups[0]._core
+            return core is not None and core.role is Role.PRE_CANDIDATE
+
+        await base.until(stood, "the old replica asks for an election")
+        self.assertEqual("", old.groups[0].leader)
+        self.assertLessEqual(nodes[1].groups[0].term, term + 1)
+        await old.stop()
+        (self.folder / "0").rename(self.folder / "old")
+        (self.folder / "new").rename(self.folder / "0")
+
     def test_all_start_again_from_snapshots(self) -> None:
         """All replicas are stopped and started; nothing is missing."""
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -37,7 +37,9 @@
                 if proxied:
                     add_proxied_replicas(cluster)
                 else:
-                    cluster.add_replicas(3, operator_key_sha256=_KEY)
+                    cluster.add_replicas(
+                        3, operator_key_sha256=_KEY, snapshot_entries=20
+                    )
                 cluster.add_entry("entry-1")
                 cluster.add_fake("service", "service-1")
                 await cluster.apply(base.config())
@@ -195,6 +197,8 @@
             wipe(cluster, lost)
             code, out = await repair(cluster, lost)
             self.assertEqual((0, True), (code, out.startswith("safe")), out)
+            taken = (self.folder / lost / "snapshots").glob(f"{_GROUP}-*")
+            self.assertTrue(list(taken))
             others = [n for n in ("replica-1", "replica-2", "replica-3")]
             others.remove(lost)
             shutil.rmtree(self.folder / others[0])
