--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/shardhost.py
@@ -148,6 +148,7 @@
     def leadership(self, leading: bool) -> None:
         """Takes up or lays down the leader's part."""
         self._leading = leading
+        self.scheduler.abandon(self._replica.clock.now_ms())
         if not leading:
             return
         self.leader = self._new_leader()
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -83,7 +83,7 @@
         self._deadlines = Deadlines(
             state, self._waiters, self._watch, self._entries
         )
-        self._admission = limits.Admission()
+        self.admission = limits.Admission()
         self.retries = limits.RetryBudget()
         self.outliers = Outliers(rng)
         self._rng = rng
@@ -295,13 +295,13 @@
             case effects.CallGranted():
                 return self._granted(effect, now_ms, wall_ms)
             case effects.CallAnswered():
-                self._admission.closed(effect.key, now_ms, answered=True)
+                self.admission.closed(effect.key, now_ms, answered=True)
                 return [
                     replies.final(waiter, effect.key, effect.call)
                     for waiter in self._waiters.take_all(effect.key)
                 ]
             case effects.CallTurnedDown():
-                self._admission.closed(effect.key, now_ms, answered=False)
+                self.admission.closed(effect.key, now_ms, answered=False)
                 decisions = self._placing.ended(effect.key, now_ms)
                 return [
                     *self._refuse_waiters(effect.key, effect.refusal),
@@ -353,7 +353,7 @@
             text = "this request crashed servers and is quarantined"
             return effects.BeginRejected(begin, Reason.QUARANTINED, text)
         scopes = self._scopes(begin, deployment)
-        down = self._admission.check(scopes, begin.deadline_ms, now_ms)
+        down = self.admission.check(scopes, begin.deadline_ms, now_ms)
         if down is None:
             return None
         return effects.BeginRejected(
@@ -376,7 +376,7 @@
         content = self._shard.content_of(begin)
         waits = self._shard.quarantine.must_wait(content)
         scopes = self._scopes(begin, deployment)
-        waits = waits or not self._admission.may_start(scopes)
+        waits = waits or not self.admission.may_start(scopes)
         if self._is_next(begin) and not waits:
             outcomes = self._placing.submit_new(begin, now_ms)
             for outcome in outcomes.own:
@@ -395,7 +395,7 @@
         self._wait(begin.key, waiter)
         self._pending[begin.key] = begin
         self._pending_programs[begin.key.program_key] += 1
-        self._admission.opened(begin.key, scopes, now_ms)
+        self.admission.opened(begin.key, scopes, now_ms)
         self.retries.first_attempt(deployment.name)
         record = records.CallBegun(
             at_ms=wall_ms,
@@ -437,7 +437,7 @@
         commands = self._free_server(key, now_ms, wall_ms)
         found = self._shard.find_open(key)
         if found is None:
-            self._admission.closed(key, now_ms, answered=False)
+            self.admission.closed(key, now_ms, answered=False)
             return commands
         program, call = found
         self._opened(call, now_ms, wall_ms)
@@ -461,7 +461,7 @@
             self._held.add(key)
             return []
         scopes = self._scopes(call.begin, self._deployment(call.begin))
-        if not self._admission.may_start(scopes):
+        if not self.admission.may_start(scopes):
             self._deadlines.place_later(key, now_ms, _ROOM_WAIT_MS)
             return []
         decisions = self._placing.submit(program, call, now_ms, wall_ms)
@@ -575,7 +575,7 @@
         call = effect.call
         attempt = call.attempt
         assert attempt is not None
-        self._admission.started(call.key)
+        self.admission.started(call.key, now_ms)
         incarnation = attempt.choice.entry_incarnation
         waiter = self._waiters.for_grant(call.key, incarnation)
         if waiter is None:
@@ -656,7 +656,8 @@
         found = self._shard.find_open(key)
         if found is not None and found[1].attempt is not None:
             return []
-        self._admission.stopped(key)
+        if found is not None:
+            self.admission.stopped(key)
         decisions = self._placing.ended(key, now_ms)
         return self.decided(decisions, now_ms, wall_ms)
 
@@ -691,14 +692,14 @@
     def _opened(self, call: Call, now_ms: int, wall_ms: int) -> None:
         """Notes an open call of the log."""
         scopes = self._scopes(call.begin, self._deployment(call.begin))
-        self._admission.opened(call.key, scopes, now_ms)
+        self.admission.opened(call.key, scopes, now_ms)
         self._deadlines.call_open(call, now_ms, wall_ms)
 
     def _adopt(self, call: Call, now_ms: int) -> None:
         """Watches the attempt that an earlier leader granted."""
         if call.attempt is None:
             return
-        self._admission.started(call.key)
+        self.admission.started(call.key, now_ms)
         self._watch.add(call.key, call.attempt)
         self._placing.resume(call, call.attempt)
         self._deadlines.started(call.attempt.attempt, now_ms)
--- a/catkinpin/core/limits.py
+++ b/catkinpin/core/limits.py
@@ -34,8 +34,10 @@
 _BACKOFF_CAP_MS = 2_000
 _MIN_RETRY_AFTER_MS = 200
 _MAX_RETRY_AFTER_MS = 30_000
-# Weight of the newest answer in the mean time between answers.
-_GAP_WEIGHT = 0.1
+# Weight of the newest answer in mean times.
+_WEIGHT = 0.03
+# What an estimate of a wait may fall short of.
+_MARGIN = 1.25
 # Waiting calls below which no wait is estimated: too few to tell.
 _FEW = 16
 
@@ -64,8 +66,9 @@
     Attributes:
         open: calls without a final answer.
         running: those that hold a server.
-        gap_ms: mean time between answers, 0 while there was none.
-        last_ms: when the last answer came.
+        gap_ms: mean time between answers while calls waited, 0 before.
+        last_ms: when the last of these came, 0 after a time without waiting.
+        run_ms: mean time that an answered call held its server.
         left: calls that the rate allows now.
         left_at_ms: when that was worked out.
     """
@@ -74,6 +77,7 @@
     running: int = 0
     gap_ms: float = 0.0
     last_ms: int = 0
+    run_ms: float = 0.0
     left: float = 0.0
     left_at_ms: int | None = None
 
@@ -87,11 +91,20 @@
         self.left_at_ms = now_ms
         return self.left
 
-    def answered(self, now_ms: int) -> None:
-        """Notes an answer."""
+    def answered(self, now_ms: int, run_ms: int) -> None:
+        """Notes an answer.
+
+        Only answers that came while calls waited show how fast a queue
+        empties; the others come as slowly as calls do, and after a quiet time
+        a burst would be refused for nothing.
+        """
+        self.run_ms += _WEIGHT * (run_ms - self.run_ms)
+        if self.open - self.running < _FEW:
+            self.last_ms = 0
+            return
         if self.last_ms:
             gap = now_ms - self.last_ms
-            self.gap_ms += _GAP_WEIGHT * (gap - self.gap_ms)
+            self.gap_ms += _WEIGHT * (gap - self.gap_ms)
         self.last_ms = now_ms
 
     def expected_wait_ms(self) -> int:
@@ -113,7 +126,7 @@
         self._early = early
         self._flows: dict[tuple[str, str], _Flow] = {}
         self._calls: dict[CallKey, list[Scope]] = {}
-        self._running: set[CallKey] = set()
+        self._running: dict[CallKey, int] = {}
 
     def check(
         self, scopes: list[Scope], deadline_ms: int, now_ms: int
@@ -151,28 +164,28 @@
             if rate:
                 flow.left = flow.refill(rate, now_ms) - 1
 
-    def started(self, key: CallKey) -> None:
+    def started(self, key: CallKey, now_ms: int) -> None:
         """Notes that the call holds a server."""
         if key in self._calls and key not in self._running:
-            self._running.add(key)
+            self._running[key] = now_ms
             for scope in self._calls[key]:
                 self._flow(scope).running += 1
 
     def stopped(self, key: CallKey) -> None:
         """Notes that the call holds no server."""
-        if key in self._running:
-            self._running.remove(key)
+        if self._running.pop(key, None) is not None:
             for scope in self._calls[key]:
                 self._flow(scope).running -= 1
 
     def closed(self, key: CallKey, now_ms: int, *, answered: bool) -> None:
         """Takes a call off the counts."""
+        run_ms = now_ms - self._running.get(key, now_ms)
         self.stopped(key)
         for scope in self._calls.pop(key, []):
             flow = self._flow(scope)
             flow.open -= 1
             if answered:
-                flow.answered(now_ms)
+                flow.answered(now_ms, run_ms)
             if not flow.open and scope.kind == PROGRAM:
                 del self._flows[scope.kind, scope.name]
 
@@ -194,9 +207,10 @@
             return Turndown(text, _bounded(int(_MS_PER_S / rate)))
         # Admitted, the call would be given up on at its deadline after it has
         # held a place in the queue: its caller hears now, and others move up.
-        if self._early and scope.kind == DEPLOYMENT and wait > deadline_ms:
-            text = f"about {wait} ms until its turn, later than the deadline"
-            return Turndown(text, _bounded(wait - deadline_ms))
+        late = int(wait * _MARGIN + flow.run_ms) - deadline_ms
+        if self._early and scope.kind == DEPLOYMENT and wait and late > 0:
+            text = f"about {wait} ms until its turn, too late for its deadline"
+            return Turndown(text, _bounded(late))
         return None
 
 
--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placing.py
@@ -113,7 +113,11 @@
         self._aboard: dict[CallKey, _Aboard] = {}
         self._suspects: dict[CallKey, _Aboard] = {}
         self._contents: collections.Counter[bytes] = collections.Counter()
+        self._held_by: collections.Counter[str] = collections.Counter()
         self._known_good: dict[bytes, None] = {}
+        self._begins: dict[CallKey, Begin] = {}
+        self._forgiven: set[CallKey] = set()
+        self._now_ms = 0
 
     def submit_new(self, begin: Begin, now_ms: int) -> Submitted:
         """Submits a call that is not in the log yet."""
@@ -124,6 +128,7 @@
         outcomes = self.outcomes(own, now_ms)
         if any(isinstance(outcome, Rejected) for outcome in outcomes):
             self._jobs.pop(begin.key, None)
+            self._begins.pop(begin.key, None)
         return Submitted(outcomes, others)
 
     def submit(
@@ -153,12 +158,13 @@
                 found.append(Placed(decision.key, decision.server))
             elif (
                 job is not None
-                and job.without
+                and decision.key not in self._forgiven
                 and decision.reason is Reason.NO_SERVER
             ):
                 again = self._submit_forgiving(job, now_ms)
                 waiting += again
                 if not again and job.suspect:
+                    self._forgiven.discard(decision.key)
                     found.append(Later(decision.key, _APART_WAIT_MS))
             else:
                 found.append(_rejected(decision))
@@ -166,10 +172,14 @@
 
     def ended(self, key: CallKey, now_ms: int) -> list[Decision]:
         """Notes that a call holds no server any more."""
+        self._now_ms = now_ms
         self._jobs.pop(key, None)
+        self._begins.pop(key, None)
+        self._forgiven.discard(key)
         self._suspects.pop(key, None)
         aboard = self._aboard.pop(key, None)
         if aboard is not None:
+            self._held_by[aboard.server] -= 1
             self._contents[aboard.content] -= 1
             if not self._contents[aboard.content]:
                 del self._contents[aboard.content]
@@ -199,6 +209,7 @@
     def _add(self, key: CallKey, aboard: _Aboard) -> None:
         self._aboard[key] = aboard
         self._contents[aboard.content] += 1
+        self._held_by[aboard.server] += 1
         if aboard.suspect:
             self._suspects[key] = aboard
 
@@ -208,10 +219,16 @@
         Servers that failed a call once are better than no server. A suspect
         still keeps off servers that run another suspect.
         """
+        self._forgiven.add(job.key)
         without = tuple(self._suspect_servers()) if job.suspect else ()
         if job.suspect and set(job.without) <= set(without):
             return []
-        job = dataclasses.replace(job, without=without)
+        begin = self._begins[job.key]
+        job = dataclasses.replace(
+            job,
+            without=without,
+            allowed=lambda report: self._allowed(begin, report),
+        )
         self._jobs[job.key] = job
         return self._scheduler.submit(job, now_ms)
 
@@ -235,6 +252,13 @@
         found = self._deployment_of(begin)
         return found is not None and self._allows(found.name, report)
 
+    def _healthy(self, begin: Begin, report: ServerReport) -> bool:
+        """Returns whether the server may get one more call just now."""
+        held = self._held_by[report.server]
+        if not self._outliers.admits(report.server, held, self._now_ms):
+            return False
+        return self._allowed(begin, report)
+
     def _suspect_servers(self) -> list[str]:
         return [aboard.server for aboard in self._suspects.values()]
 
@@ -248,6 +272,7 @@
     ) -> Job:
         if program is None:
             program = self._shard.programs.get(begin.key.program_key)
+        self._now_ms = now_ms
         deployment = self._deployment_of(begin)
         content = self._shard.content_of(begin)
         suspect = self._shard.quarantine.is_suspect(content)
@@ -272,9 +297,10 @@
             without=tuple(sorted(without)),
             suspect=suspect,
             content=content,
-            allowed=lambda report: self._allowed(begin, report),
+            allowed=lambda report: self._healthy(begin, report),
         )
         self._jobs[begin.key] = job
+        self._begins[begin.key] = begin
         return job
 
 
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -177,6 +177,16 @@
                 decisions += self._fill(calls, now_ms)
         return decisions
 
+    def abandon(self, now_ms: int) -> None:
+        """Gives back every server: the leader's office has ended.
+
+        The view of the servers outlives a leader; grants that nobody takes
+        back would make servers look busy for good.
+        """
+        self._waiting.clear()
+        for key in list(self._running):
+            self.ended(key, now_ms)
+
     def program_ended(self, key: ProgramKey) -> None:
         """Notes that a program will make no more calls."""
         home = self._view.servers.get(self._homes.pop(key, ""))
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -78,7 +78,13 @@
 class World:
     """The clock, the log, the leader, and the fakes around it."""
 
-    def __init__(self, seed: int, server_count: int = 3) -> None:
+    def __init__(
+        self,
+        seed: int,
+        server_count: int = 3,
+        make_server: Callable[[World, str, str], Server] | None = None,
+    ) -> None:
+        make_server = make_server or Server
         self.rng = random.Random(seed)
         self.now = 1_000
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
@@ -99,7 +105,7 @@
         self.entries = {f"e{i}": Entry(self, f"e{i}") for i in range(3)}
         kinds = {"m": "model", "s": "service"}
         self.servers = {
-            f"{letter}{i}": Server(self, f"{letter}{i}", kind)
+            f"{letter}{i}": make_server(self, f"{letter}{i}", kind)
             for letter, kind in kinds.items()
             for i in range(server_count)
         }
@@ -146,7 +152,7 @@
                 self.state.apply(index, _decoder.decode(payload))
         assert self.state.snapshot() == old.snapshot() or not self.log
         self.view = servers.ServerView()
-        self.jobs = scheduler.Scheduler(self.view, placement.sticky)
+        self.jobs = self.make_scheduler(self.view)
         self.leader = leader.ShardLeader(
             self.state,
             self.jobs,
@@ -161,6 +167,10 @@
         for entry in self.entries.values():
             entry.do(entry.ask_again)
 
+    def make_scheduler(self, view: servers.ServerView) -> scheduler.Scheduler:
+        """Returns the scheduler of a new leader."""
+        return scheduler.Scheduler(view, placement.sticky)
+
     def reconfigure(self) -> None:
         """Puts another configuration in force."""
         self.cfg = configuration.parse(_CONFIG % (b"0" * 64, BUDGET, 7))
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,119 @@
+"""Limits, retry budgets and ejection under overload and failing servers."""
+
+from __future__ import annotations
+
+import random
+
+from catkinpin.core import limits, outliers
+from catkinpin.core.deployments import Limits
+from catkinpin.core.messages import CallKey
+from tests import base
+
+
+def _key(number: int) -> CallKey:
+    return CallKey(account="a", program=f"p{number}", request_id="1")
+
+
+class AdmissionTest(base.TestCase):
+    """What would be answered late is refused early."""
+
+    def test_burst_after_a_quiet_time_is_admitted(self) -> None:
+        """Calls come rarely, and then a hundred at once.
+
+        The answers of the quiet time say nothing of how fast a queue empties;
+        the user of the burst gets no refusal on their account.
+        """
+        admission = limits.Admission()
+        scope = limits.Scope(limits.DEPLOYMENT, "d", Limits())
+        for number in range(50):
+            now = number * 10_000
+            admission.opened(_key(number), [scope], now)
+            admission.started(_key(number), now)
+            admission.closed(_key(number), now + 100, answered=True)
+        for number in range(100):
+            self.assertIsNone(admission.check([scope], 2_000, now + 200))
+            admission.opened(_key(number), [scope], now + 200)
+
+    def test_call_that_would_be_late_is_refused_with_a_time(self) -> None:
+        """Callers come faster than servers answer.
+
+        A caller who would wait in vain hears at once when to come back.
+        """
+        admission = limits.Admission()
+        scope = limits.Scope(limits.DEPLOYMENT, "d", Limits())
+        for number in range(400):
+            admission.opened(_key(number), [scope], 0)
+        for number in range(200):
+            admission.started(_key(number), number * 10)
+            admission.closed(_key(number), number * 10 + 5, answered=True)
+        down = admission.check([scope], 1_000, 2_000)
+        assert down is not None
+        self.assertGreaterEqual(down.retry_after_ms, 200)
+        self.assertIsNone(admission.check([scope], 60_000, 2_000))
+
+    def test_queue_and_rate_of_an_account_are_bounded(self) -> None:
+        admission = limits.Admission()
+        bounds = Limits(queue=2, calls_per_second=3.0, calls_running=1)
+        scope = limits.Scope(limits.ACCOUNT, "a", bounds)
+        for number in range(2):
+            self.assertIsNone(admission.check([scope], 9_000, 0))
+            admission.opened(_key(number), [scope], 0)
+        down = admission.check([scope], 9_000, 0)
+        assert down is not None
+        self.assertIn("waiting", down.text)
+        self.assertTrue(admission.may_start([scope]))
+        admission.started(_key(0), 0)
+        self.assertFalse(admission.may_start([scope]))
+        admission.opened(_key(2), [scope], 0)
+        admission.closed(_key(1), 0, answered=False)
+        down = admission.check([scope], 9_000, 0)
+        assert down is not None
+        self.assertIn("calls a second", down.text)
+        self.assertIsNone(admission.check([scope], 9_000, 1_000))
+
+    def test_retries_are_a_share_of_first_attempts(self) -> None:
+        """Every server fails every call.
+
+        Retries add a fixed share to the load instead of multiplying it.
+        """
+        budget = limits.RetryBudget(share=0.1)
+        retried = 0
+        for _ in range(10_000):
+            budget.first_attempt("d")
+            retried += budget.take("d") + budget.take("d")
+        self.assertLessEqual(retried, 1_100)
+
+
+class OutlierTest(base.TestCase):
+    """A sick server gets no work, but never too many at once."""
+
+    def test_sick_server_is_ejected_and_comes_back_slowly(self) -> None:
+        """One server fails all its calls, and always looks idle.
+
+        Callers notice a few retries and no more; once it works again it gets
+        one call at a time first.
+        """
+        found = outliers.Outliers(random.Random(1))
+        for number in range(10):
+            found.seen(f"s{number}", "i")
+        for _ in range(outliers.FAILURES_IN_A_ROW):
+            self.assertTrue(found.admits("s0", 0, 0))
+            found.failed("s0", 0)
+        self.assertFalse(found.admits("s0", 0, 1_000))
+        self.assertTrue(found.admits("s0", 0, 5_000))
+        self.assertFalse(found.admits("s0", 1, 5_000))
+        for _ in range(5):
+            found.succeeded("s0")
+        self.assertTrue(found.admits("s0", 3, 5_000))
+
+    def test_most_servers_stay_when_all_fail(self) -> None:
+        """The fault lies elsewhere, and every server seems to fail.
+
+        Ejecting all of them would turn failures into a standstill.
+        """
+        found = outliers.Outliers(random.Random(1))
+        for number in range(10):
+            found.seen(f"s{number}", "i")
+        for number in range(100):
+            found.failed(f"s{number % 10}", 0)
+        self.assertLessEqual(len(found.ejected(1)), 3)
