--- a/catkinpin/adapters/grants.py
+++ b/catkinpin/adapters/grants.py
@@ -27,6 +27,10 @@
     def __init__(self) -> None:
         self._states: dict[str, GrantState] = {}
 
+    def knows(self, attempt: str) -> bool:
+        """Returns whether a grant was used or taken back here."""
+        return attempt in self._states
+
     def use(self, attempt: str) -> bool:
         """Marks a grant as used; returns False where it must not be."""
         if attempt in self._states:
--- a/catkinpin/core/placement.py
+++ b/catkinpin/core/placement.py
@@ -21,6 +21,8 @@
 
     Attributes:
         prefill_per_ms: tokens an engine computes in a millisecond.
+        recompute: weight of computing history again; it wastes memory that
+            holds it elsewhere, and the reason to move may pass.
         gap_per_call_ms: what a further call adds to the time between tokens.
         output_tokens: tokens that a call is expected to generate.
         region_ms: delay of a call and its answer between regions.
@@ -31,13 +33,14 @@
     """
 
     prefill_per_ms: float = 10.0
+    recompute: float = 4.0
     gap_per_call_ms: float = 0.35
     output_tokens: int = 150
     region_ms: float = 16.0
     link_bytes_per_ms: float = 1_875.0
     text_bytes: float = 1.6
     fill: float = 0.9
-    hold_ms: int = 10_000
+    hold_ms: int = 30_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,22 +90,20 @@
 
 def missing_tokens(job: Job, server: Server) -> int:
     """Returns the tokens of the prompt that a server would have to compute."""
-    key = job.key.program_key
-    held = server.residents.cached_tokens(key)
-    if job.parent and job.shared_tokens:
-        parent = ProgramKey(account=key.account, program=job.parent)
-        shared = server.residents.cached_tokens(parent)
-        held += min(shared, job.shared_tokens)
-    return max(0, job.prompt_tokens - held)
+    held = server.residents.cached_tokens(job.key.program_key)
+    return max(0, own_tokens(job, server) - held)
 
 
 def own_tokens(job: Job, server: Server) -> int:
-    """Returns the memory that the call's context needs on a server."""
-    if job.parent and job.shared_tokens:
-        key = ProgramKey(account=job.key.account, program=job.parent)
-        shared = server.residents.cached_tokens(key)
-        return job.prompt_tokens - min(shared, job.shared_tokens)
-    return job.prompt_tokens
+    """Returns the memory that the call's context needs on a server.
+
+    What other programs there share with it needs no memory of its own.
+    """
+    shared = job.shared_tokens
+    if job.parent and shared:
+        parent = ProgramKey(account=job.key.account, program=job.parent)
+        shared = min(shared, server.residents.cached_tokens(parent))
+    return max(0, job.prompt_tokens - shared)
 
 
 def _cost(job: Job, server: Server, now_ms: int, prices: Prices) -> Cost:
@@ -120,7 +121,10 @@
         return Cost(server, wait, 0.0, transfer, server.load < slots)
     server.residents.rest(now_ms, prices.hold_ms, report.cache_tokens)
     wait = server.load * prices.gap_per_call_ms * prices.output_tokens
-    prefill = missing_tokens(job, server) / prices.prefill_per_ms
+    missing = missing_tokens(job, server)
+    new = min(missing, job.prompt_tokens - job.history_tokens)
+    weighed = new + prices.recompute * (missing - new)
+    prefill = weighed / prices.prefill_per_ms
     fits = server.load < slots and _has_memory(job, server, prices)
     return Cost(server, wait, prefill, transfer, fits)
 
