--- a/catkinpin/adapters/calls.py
+++ b/catkinpin/adapters/calls.py
@@ -126,6 +126,7 @@
         self._dispatcher = dispatcher
         self._relay = relay
         self._shard_count = shard_count
+        self._recovering: set[asyncio.Task[None]] = set()
         self.running: dict[asyncio.Task[None], CallRequest] = {}
 
     def waits_for(self) -> list[str]:
@@ -158,6 +159,30 @@
         )
         self._replicas.broadcast(finish)
 
+    def recover(self, order: messages.Recover) -> None:
+        """Finds out what became of an attempt whose own entry is gone."""
+        if self._dispatcher.grants.use(order.attempt):
+            task = asyncio.create_task(self._recover(order))
+            self._recovering.add(task)
+            task.add_done_callback(self._recovering.discard)
+
+    async def _recover(self, order: messages.Recover) -> None:
+        grant = messages.Granted(
+            ask=0, key=order.key, attempt=order.attempt, server=order.server
+        )
+        req = dispatch.Outgoing(
+            kind="service",
+            method="GET",
+            path="",
+            headers=[],
+            body=b"",
+            deadline_ms=order.deadline_ms,
+            traceparent="",
+        )
+        finish = await self._dispatcher.recover(grant, req, 0, _drop)
+        await self.report(finish)
+        self._dispatcher.grants.over(order.attempt)
+
     async def report(self, finish: messages.Finish) -> None:
         """Takes to the leader an outcome that no caller waits for here.
 
@@ -327,8 +352,6 @@
         refused = self._dispatcher.use(grant)
         if refused is not None:
             return refused
-        if grant.recover:
-            return await self._dispatcher.recover(grant, req, 0, on_data)
         if grant.dispatcher:
             return await self._relay.dispatch(grant, req, history, on_data)
         return await self._dispatcher.dispatch(grant, req, on_data)
@@ -344,6 +367,10 @@
     )
 
 
+def _drop(data: bytes) -> None:
+    """Takes an event that nobody wants."""
+
+
 def _certainty(verdict: Verdict) -> int:
     """Orders verdicts by how much a request may have done."""
     return (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN).index(verdict)
--- a/catkinpin/adapters/dispatch.py
+++ b/catkinpin/adapters/dispatch.py
@@ -134,6 +134,10 @@
     ) -> Finish:
         """Goes on with an attempt that another process has sent, or may have.
 
+        Where that process may send it only now, a server's word that it did
+        not run is still safe: a server that gives it refuses the attempt from
+        then on (docs/user/servers.md).
+
         Args:
             grant: the grant that was used for it.
             req: the request; it is not sent again.
--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -289,6 +289,7 @@
         self._on_connected = on_connected
         self._stream: Stream | None = None
         self._asks: dict[int, asyncio.Future[Any]] = {}
+        self._asked_ms: dict[int, int] = {}
         self._task: asyncio.Task[None] | None = None
         self.connected = asyncio.Event()
 
@@ -319,6 +320,7 @@
         """
         fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._asks[message.ask] = fut
+        self._asked_ms[message.ask] = _now_ms()
         try:
             if not self.send(message):
                 text = f"no stream to {self.address}"
@@ -329,6 +331,7 @@
             raise PeerLostError(text) from exc
         finally:
             self._asks.pop(message.ask, None)
+            self._asked_ms.pop(message.ask, None)
 
     async def _run(self) -> None:
         while True:
@@ -393,7 +396,8 @@
             stream.pinged(message)
             return
         if isinstance(message, messages.Granted):
-            message = received_grant(message, stream)
+            asked_ms = self._asked_ms.get(message.ask, 0)
+            message = received_grant(message, stream, asked_ms)
         fut = self._asks.get(getattr(message, "ask", 0))
         if fut is not None and not isinstance(message, messages.Chunk):
             if not fut.done():
@@ -419,7 +423,19 @@
     return next(_asks)
 
 
-def received_grant(grant: messages.Granted, stream: Stream) -> messages.Granted:
-    """Returns a grant with its expiry on our own monotonic clock."""
-    until_ms = stream.fresh_ms + grant.expires_ms if grant.expires_ms else 0
+def received_grant(
+    grant: messages.Granted, stream: Stream, asked_ms: int = 0
+) -> messages.Granted:
+    """Returns a grant with its expiry on our own monotonic clock.
+
+    Args:
+        grant: as it came.
+        stream: the stream it came on.
+        asked_ms: when we sent the question that it answers, if it does.
+    """
+    if not grant.expires_ms:
+        return grant
+    # The later of two times before which it can't have been sent.
+    since_ms = max(stream.fresh_ms, asked_ms and asked_ms + grant.waited_ms)
+    until_ms = since_ms + grant.expires_ms
     return msgspec.structs.replace(grant, until_ms=until_ms)
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -28,6 +28,7 @@
     | messages.NotLeader
     | messages.ProgramInfo
     | messages.Recall
+    | messages.Recover
     | messages.OrderRelease
     | changes.ConfigUpdate
     | changes.Applied
--- a/catkinpin/core/attempts.py
+++ b/catkinpin/core/attempts.py
@@ -27,6 +27,7 @@
         incarnation: the life of the entry that holds the grant.
         server: name of the backend server.
         life: incarnation of the server.
+        recovering: whether another entry asks the server about the attempt.
     """
 
     key: CallKey
@@ -34,6 +35,7 @@
     incarnation: str
     server: str
     life: str
+    recovering: bool = False
 
 
 class Watch:
@@ -57,6 +59,14 @@
         held = self._by_entry.setdefault(choice.entry_incarnation, set())
         held.add(attempt.attempt)
 
+    def recover(self, watched: Watched, incarnation: str) -> None:
+        """Notes that another entry finds out what became of an attempt."""
+        self.remove(watched.attempt)
+        self._attempts[watched.attempt] = dataclasses.replace(
+            watched, incarnation=incarnation, recovering=True
+        )
+        self._by_entry.setdefault(incarnation, set()).add(watched.attempt)
+
     def remove(self, attempt: str) -> Watched | None:
         """Stops watching an attempt and returns what was known of it."""
         known = self._attempts.pop(attempt, None)
--- a/catkinpin/core/commands.py
+++ b/catkinpin/core/commands.py
@@ -38,6 +38,7 @@
         | messages.Refused
         | messages.ProgramInfo
         | messages.Recall
+        | messages.Recover
         | messages.OrderRelease
     )
 
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -276,7 +276,7 @@
         for due in self._timers.due(now_ms):
             commands += self._fall_due(due, now_ms, wall_ms)
         for watched in self._watch.overdue(now_ms):
-            commands.append(Propose(attempts.lost(watched, wall_ms)))
+            commands.append(self._recover_or_lose(watched, wall_ms))
         commands += self._fates.decide(now_ms, wall_ms)
         entries = list(self._entries.values())
         commands += self._fates.releases(entries, now_ms, wall_ms)
@@ -737,11 +737,63 @@
             return []
         self._timers.add(now_ms + _RECALL_AGAIN_MS, due)
         entry = self._entries.get(watched.incarnation)
-        return [] if entry is None else [_recall(entry, watched)]
+        return [] if entry is None else self._recall(entry, watched)
 
     def _recall_all(self, entry: EntryRef) -> list[Command]:
         held = self._watch.held_by(entry.incarnation)
-        return [_recall(entry, watched) for watched in held]
+        commands: list[Command] = []
+        for watched in held:
+            commands += self._recall(entry, watched)
+        return commands
+
+    def _recall(
+        self, entry: EntryRef, watched: attempts.Watched
+    ) -> list[Command]:
+        # An entry that never got a `Recover` would answer a recall with "not
+        # run", though the gone entry may have sent the request.
+        if watched.recovering:
+            recover = self._recover(watched)
+            return [] if recover is None else [Send(entry, recover)]
+        recall = messages.Recall(key=watched.key, attempt=watched.attempt)
+        return [Send(entry, recall)]
+
+    def _recover_or_lose(
+        self, watched: attempts.Watched, wall_ms: int
+    ) -> Command:
+        """Has another entry ask the server, or settles a lost attempt.
+
+        A service's answer outlives the entry that asked for it, and a call
+        that must not be repeated has no other way to get it. A model call is
+        made again elsewhere.
+        """
+        message = self._recover(watched)
+        region = message.server.region if message is not None else ""
+        entry = min(
+            self._entries.values(),
+            key=lambda e: (e.region != region, e.process),
+            default=None,
+        )
+        if message is None or entry is None:
+            return Propose(attempts.lost(watched, wall_ms))
+        self._watch.recover(watched, entry.incarnation)
+        return Send(entry, message)
+
+    def _recover(self, watched: attempts.Watched) -> messages.Recover | None:
+        found = self._shard.find_open(watched.key)
+        if found is None:
+            return None
+        call = found[1]
+        attempt = call.attempt
+        if attempt is None or attempt.attempt != watched.attempt:
+            return None
+        if call.begin.kind != "service":
+            return None
+        return messages.Recover(
+            key=watched.key,
+            attempt=watched.attempt,
+            server=attempt.choice.server,
+            deadline_ms=call.begin.deadline_ms,
+        )
 
     def _program_due(
         self, key: ProgramKey, now_ms: int, wall_ms: int
@@ -811,11 +863,6 @@
     )
 
 
-def _recall(entry: EntryRef, watched: attempts.Watched) -> Send:
-    recall = messages.Recall(key=watched.key, attempt=watched.attempt)
-    return Send(entry, recall)
-
-
 def _idle_ms(program: Program) -> int:
     """Returns after how long without a call the program is over."""
     if program.once:
--- a/catkinpin/core/messages.py
+++ b/catkinpin/core/messages.py
@@ -148,8 +148,6 @@
         skip: how many of the request's messages the history already holds.
         history: stored messages (JSON) that go before the request's own; only
             filled where the request does not carry the whole history.
-        recover: the attempt was granted to an entry that is gone; find out
-            at the server what became of it, and send nothing.
         until_ms: set by the receiver: when the grant expires on its own
             monotonic clock; 0 on the way.
     """
@@ -166,7 +164,6 @@
     seq: int = 0
     skip: int = 0
     history: list[bytes] = []
-    recover: bool = False
     until_ms: int = 0
 
 
@@ -195,6 +192,22 @@
     crashed: bool = False
 
 
+class Recover(Message, frozen=True):
+    """Asks an entry what became of an attempt whose own entry is gone.
+
+    The entry asks the server and sends nothing else; a `Finish` follows.
+
+    Attributes:
+        deadline_ms: milliseconds that the entry may ask for, at most; the
+            leader itself settles the call at its deadline.
+    """
+
+    key: CallKey
+    attempt: str
+    server: ServerRef
+    deadline_ms: int
+
+
 class Recall(Message, frozen=True):
     """Takes a grant back unless the entry has used it.
 
--- a/catkinpin/entry.py
+++ b/catkinpin/entry.py
@@ -72,7 +72,7 @@
             process=self.cfg.name or address,
             incarnation=self.incarnation,
             role="entry",
-            address=self.cfg.peer_address or address,
+            address=self.cfg.peer_advertise or address,
             domain=self.cfg.failure_domain,
             region=self.cfg.region,
         )
@@ -198,6 +198,8 @@
                     )
             case messages.Recall():
                 self.calls.recalled(message)
+            case messages.Recover():
+                self.calls.recover(message)
             case messages.Granted():
                 # Who asked has given up; the grant must not stay outstanding.
                 recall = messages.Recall(
--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -48,11 +48,11 @@
         default="127.0.0.1:0",
         description="IP and port for the other catkinpin processes (gRPC).",
     )
-    peer_address: str = pydantic.Field(
+    peer_advertise: str = pydantic.Field(
         default="",
-        pattern="^$|" + _HOST_PORT,
-        description="Address that other catkinpin processes use to reach this"
-        " one; empty: the one it listens on.",
+        pattern=f"{_HOST_PORT}|^$",
+        description="IP and port at which the other processes reach this one;"
+        " empty: as in peer_listen.",
     )
     admin_listen: Address = pydantic.Field(
         default="127.0.0.1:0",
@@ -138,12 +138,6 @@
 class ReplicaSettings(ProcessSettings):
     """Settings of `catkinpin-replica`."""
 
-    peer_advertise: str = pydantic.Field(
-        default="",
-        pattern=f"{_HOST_PORT}|^$",
-        description="IP and port at which the other processes reach this one;"
-        " empty: as in peer_listen.",
-    )
     snapshot_entries: int = pydantic.Field(
         default=100_000,
         gt=0,
--- a/tests/base.py
+++ b/tests/base.py
@@ -126,6 +126,11 @@
             self.kill()
             raise
 
+    def wait(self) -> int:
+        """Waits until the process has ended and returns its exit code."""
+        assert self._popen is not None
+        return self._popen.wait(_STOP_S)
+
     def end(self) -> None:
         """Ends the process in whatever state it is."""
         assert self._popen is not None
@@ -173,10 +178,20 @@
         self.processes[name] = Process(module, args, log)
         return self.processes[name]
 
-    def add_replicas(self, count: int, **flags: Any) -> None:
-        """Starts replicas that know one another."""
+    def add_replicas(
+        self, count: int, *, proxied: bool = False, **flags: Any
+    ) -> None:
+        """Starts replicas that know one another.
+
+        With `proxied` all reach one through the proxy `NAME-proxy`.
+        """
         ports = free_ports(2 * count)
-        self.replicas = [f"127.0.0.1:{port}" for port in ports[:count]]
+        self.replicas = listen = [f"127.0.0.1:{port}" for port in ports[:count]]
+        if proxied:
+            self.replicas = [
+                self.add_proxy(f"replica-{number}-proxy", address)
+                for number, address in enumerate(listen, start=1)
+            ]
         for number in range(count):
             name = f"replica-{number + 1}"
             self.admin[name] = f"127.0.0.1:{ports[count + number]}"
@@ -184,7 +199,8 @@
                 name,
                 "catkinpin replica",
                 name=name,
-                peer_listen=self.replicas[number],
+                peer_listen=listen[number],
+                peer_advertise=self.replicas[number],
                 admin_listen=self.admin[name],
                 data_folder=self.folder / name,
                 replicas=self.replicas,
@@ -193,9 +209,22 @@
                 **flags,
             )
 
-    def add_entry(self, name: str, region: str = "", **flags: Any) -> str:
-        """Starts an entry and returns its URL for callers."""
+    def add_entry(
+        self,
+        name: str,
+        region: str = "",
+        *,
+        proxied: bool = False,
+        **flags: Any,
+    ) -> str:
+        """Starts an entry and returns its URL for callers.
+
+        With `proxied` other entries reach it through the proxy `NAME-proxy`.
+        """
         callers, admin, peer = free_ports(3)
+        if proxied:
+            proxy = self.add_proxy(f"{name}-proxy", f"127.0.0.1:{peer}")
+            flags["peer_advertise"] = proxy
         self.addresses[name] = f"http://127.0.0.1:{callers}"
         self.admin[name] = f"127.0.0.1:{admin}"
         self.entries.append(self.admin[name])
@@ -451,6 +480,8 @@
     entries: int = 1,
     engines: dict[str, Any] | None = None,
     services: dict[str, Any] | None = None,
+    replicas: int = 1,
+    replicas_proxied: bool = False,
     **flags: Any,
 ) -> Cluster:
     """Starts a replica, entries, engines and services, all serving.
@@ -460,11 +491,13 @@
         entries: how many.
         engines: flags of each engine by its name; None: one, `engine-1`.
         services: the same for services.
+        replicas: how many.
+        replicas_proxied: whether they are reached through proxies.
         **flags: of all entries.
     """
     cluster = Cluster(folder)
     await cluster.__aenter__()
-    cluster.add_replicas(1)
+    cluster.add_replicas(replicas, proxied=replicas_proxied)
     for number in range(entries):
         cluster.add_entry(f"entry-{number + 1}", **flags)
     for name, own in (engines or {"engine-1": {}}).items():
--- /dev/null
+++ b/tests/cells.py
@@ -0,0 +1,71 @@
+"""What tests of faults share: a cell of the fault matrix and its checks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from tests import base
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+FAST = {"progress_timeout_ms": 600, "progress_timeout_low_ms": 200}
+AT_ONCE_S = 3.0
+TOKENS = 20
+
+
+def at(number: int, act: Callable[[], Any]) -> Any:
+    """Returns a callback that acts when token `number` has come."""
+
+    async def on_token(count: int) -> None:
+        if count == number:
+            result = act()
+            if result is not None:
+                await result
+
+    return on_token
+
+
+class FaultsTest(base.TestCase):
+    """Base: a cluster, and checks that many cells share."""
+
+    def cell(
+        self, body: Callable[[base.Cluster], Awaitable[None]], **parts: Any
+    ) -> None:
+        """Runs a test's body on a fresh small cluster."""
+
+        async def main() -> None:
+            async with await base.small(self.folder, **parts) as cluster:
+                await body(cluster)
+
+        self.run_async(main())
+
+    def assert_whole(self, got: base.Streamed) -> None:
+        """Checks that a caller got each token once and the proper end."""
+        self.assertIsNone(got.error)
+        self.assertEqual(TOKENS, len(got.text.split(" ")), got.text)
+        self.assertEqual(1, got.finished)
+        self.assertTrue(got.done)
+
+    async def effect(self, cluster: base.Cluster, key: str) -> None:
+        """Waits until a request has had its effect."""
+
+        async def check() -> bool:
+            seen = await cluster.look("service-1")
+            return bool(seen["effects"].get(key))
+
+        await base.until(check, f"the effect of {key}")
+
+    async def pay(
+        self,
+        cluster: base.Cluster,
+        entry: str = "entry-1",
+        key: str = "pay-1",
+        **options: Any,
+    ) -> base.Reply:
+        """Makes a non-idempotent call."""
+        headers = {"Idempotency-Key": key, "Catkinpin-Deadline-Ms": "8000"}
+        headers |= options.pop("headers", {})
+        return await cluster.call_service(
+            entry, "kiosk-app", "pay", "12.50", headers=headers, **options
+        )
--- a/tests/fakes/common.py
+++ b/tests/fakes/common.py
@@ -33,14 +33,19 @@
     entries: list[str],
     make: Callable[[], Any],
     make_events: Callable[[], Any] = lambda: None,
+    *,
+    everywhere: bool = False,
 ) -> None:
-    """Announces to the first entry that answers, for ever."""
+    """Announces to the first entry that answers or to all, for ever."""
     timeout = aiohttp.ClientTimeout(total=1)
     async with aiohttp.ClientSession(timeout=timeout) as http:
         while True:
             for path, body in (("announce", make()), ("events", make_events())):
                 if body is not None:
-                    await _send(http, entries, f"/v1/servers/{path}", body)
+                    url = f"/v1/servers/{path}"
+                    for entry in entries if everywhere else []:
+                        await _send(http, [entry], url, body)
+                    await _send(http, entries, url, body)
             await asyncio.sleep(ANNOUNCE_EVERY_S)
 
 
--- a/tests/fakes/engine.py
+++ b/tests/fakes/engine.py
@@ -61,6 +61,7 @@
         self.incarnation = common.new_incarnation()
         self.settings: dict[str, Any] = {
             "leaving": False,
+            "lenient": False,
             "announce": True,
             "crash_on": "",
             "refuse": False,
@@ -315,7 +316,8 @@
             os._exit(9)
         named = req.headers.get("Catkinpin-Attempt", "")
         meant = req.headers.get("Catkinpin-Incarnation", engine.incarnation)
-        refuses = engine.settings["refuse"] or engine.settings["leaving"]
+        leaving = engine.settings["leaving"] and not engine.settings["lenient"]
+        refuses = engine.settings["refuse"] or leaving
         if refuses or named in engine.barred or meant != engine.incarnation:
             return web.json_response(
                 {"error": "no new work"},
--- a/tests/fakes/service.py
+++ b/tests/fakes/service.py
@@ -162,10 +162,15 @@
         region="",
         capacity=8,
         effects_file="",
+        announce_all=0,
     )
     service = Service(args)
     entries = [entry for entry in args.entries.split(",") if entry]
-    announcing = asyncio.create_task(common.announce(entries, service.report))
+    announcing = asyncio.create_task(
+        common.announce(
+            entries, service.report, everywhere=bool(args.announce_all)
+        )
+    )
     await common.serve(make_app(service), args.port)
     announcing.cancel()
 
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -386,6 +386,16 @@
         """Takes a message of the leader."""
         if isinstance(message, messages.Recall):
             self._recalled(message)
+        elif isinstance(message, messages.Recover):
+            # These servers can't tell what became of an attempt.
+            finish = messages.Finish(
+                ask=0,
+                key=message.key,
+                attempt=message.attempt,
+                verdict=Verdict.MAY_HAVE_RUN,
+                reason=Reason.OUTCOME_UNKNOWN,
+            )
+            self.world.to_leader(self, finish)
         elif isinstance(message, messages.OrderRelease):
             self._release(message)
         elif message.ask in self._asks:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,4 +1,4 @@
-"""Faults at each step of a call, with real processes behind a proxy.
+"""Faults of backend servers and of the way to them, with real processes.
 
 What is checked comes from the fakes and the callers, not from our counters.
 """
@@ -8,67 +8,11 @@
 import asyncio
 import signal
 import time
-from typing import TYPE_CHECKING, Any
 
-from tests import base
+from tests import base, cells
 
-if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
 
-_FAST = {"progress_timeout_ms": 600, "progress_timeout_low_ms": 200}
-_AT_ONCE_S = 3.0
-_TOKENS = 20
-
-
-def _at(number: int, act: Callable[[], Any]) -> Any:
-    """Returns a callback that acts when token `number` has come."""
-
-    async def on_token(count: int) -> None:
-        if count == number:
-            result = act()
-            if result is not None:
-                await result
-
-    return on_token
-
-
-class FaultsTest(base.TestCase):
-    """Base: a cluster, and checks that many cells share."""
-
-    def cell(
-        self, body: Callable[[base.Cluster], Awaitable[None]], **parts: Any
-    ) -> None:
-        """Runs a test's body on a fresh small cluster."""
-
-        async def main() -> None:
-            async with await base.small(self.folder, **parts) as cluster:
-                await body(cluster)
-
-        self.run_async(main())
-
-    def assert_whole(self, got: base.Streamed) -> None:
-        """Checks that a caller got each token once and the proper end."""
-        self.assertIsNone(got.error)
-        self.assertEqual(_TOKENS, len(got.text.split(" ")), got.text)
-        self.assertEqual(1, got.finished)
-        self.assertTrue(got.done)
-
-    async def pay(
-        self,
-        cluster: base.Cluster,
-        entry: str = "entry-1",
-        key: str = "pay-1",
-        **options: Any,
-    ) -> base.Reply:
-        """Makes a non-idempotent call."""
-        headers = {"Idempotency-Key": key, "Catkinpin-Deadline-Ms": "8000"}
-        headers |= options.pop("headers", {})
-        return await cluster.call_service(
-            entry, "kiosk-app", "pay", "12.50", headers=headers, **options
-        )
-
-
-class ServiceFaultsTest(FaultsTest):
+class ServiceFaultsTest(cells.FaultsTest):
     """Faults between an entry and a plain service."""
 
     def test_service_breaks_off_after_the_effect(self) -> None:
@@ -87,7 +31,7 @@
             await cluster.steer("service-1", answers_attempts=False)
             began = time.monotonic()
             reply = await self.pay(cluster, key="untold", method="PUT")
-            self.assertLess(time.monotonic() - began, _AT_ONCE_S)
+            self.assertLess(time.monotonic() - began, cells.AT_ONCE_S)
             self.assertEqual("may-have-run", reply.verdict)
             self.assertEqual("outcome-unknown", reply.json["error"]["code"])
             seen = await cluster.look("service-1")
@@ -108,7 +52,7 @@
             await cluster.steer("service-2", cut="kill")
             began = time.monotonic()
             first = await self.pay(cluster)
-            self.assertLess(time.monotonic() - began, _AT_ONCE_S)
+            self.assertLess(time.monotonic() - began, cells.AT_ONCE_S)
             again = await self.pay(cluster)
             verdicts = [first.verdict, again.verdict]
             self.assertEqual(["may-have-run"] * 2, verdicts)
@@ -148,7 +92,7 @@
         async def body(cluster: base.Cluster) -> None:
             await cluster.steer("service-1", delay_ms=300)
             call = asyncio.create_task(self.pay(cluster))
-            await self._effect(cluster, "pay-1")
+            await self.effect(cluster, "pay-1")
             await cluster.steer("service-1-proxy", down_silent_open=True)
             reply = await call
             self.assertEqual((200, "pay-1"), (reply.status, reply.json["done"]))
@@ -156,7 +100,7 @@
             self.assertEqual(1, seen["effects"]["pay-1"])
 
         services = {"service-1": {"proxied": True}}
-        self.cell(body, services=services, **_FAST)
+        self.cell(body, services=services, **cells.FAST)
 
     def test_request_is_lost_on_a_silent_connection(self) -> None:
         """The way to a service swallows a request on a new connection.
@@ -175,7 +119,7 @@
             self.assertEqual(1, sum(e.get("pay-1", 0) for e in effects))
 
         services = {"service-1": {"proxied": True}, "service-2": {}}
-        self.cell(body, services=services, **_FAST)
+        self.cell(body, services=services, **cells.FAST)
 
     def test_tool_hangs_until_the_deadline(self) -> None:
         """A tool never answers.
@@ -188,7 +132,7 @@
             began = time.monotonic()
             headers = {"Catkinpin-Deadline-Ms": "700"}
             reply = await self.pay(cluster, headers=headers)
-            self.assertLess(time.monotonic() - began, 0.7 + _AT_ONCE_S)
+            self.assertLess(time.monotonic() - began, 0.7 + cells.AT_ONCE_S)
             self.assertEqual("may-have-run", reply.verdict)
             self.assertEqual("deadline", reply.json["error"]["code"])
 
@@ -214,15 +158,8 @@
 
         self.cell(body)
 
-    async def _effect(self, cluster: base.Cluster, key: str) -> None:
-        async def check() -> bool:
-            seen = await cluster.look("service-1")
-            return bool(seen["effects"].get(key))
-
-        await base.until(check, f"the effect of {key}")
-
 
-class StreamFaultsTest(FaultsTest):
+class StreamFaultsTest(cells.FaultsTest):
     """Faults between an entry and an engine in the middle of an answer."""
 
     def test_engine_dies_mid_stream(self) -> None:
@@ -256,7 +193,7 @@
                 headers={"Idempotency-Key": "a"},
             )
             text = whole.json["choices"][0]["message"]["content"]
-            self.assertEqual(_TOKENS, len(text.split(" ")))
+            self.assertEqual(cells.TOKENS, len(text.split(" ")))
             self.assertNotEqual(got.text, text[: len(got.text)])
 
         self.cell(body)
@@ -286,7 +223,7 @@
         """
 
         async def body(cluster: base.Cluster) -> None:
-            act = _at(
+            act = cells.at(
                 5,
                 lambda: cluster.steer("engine-1-proxy", down_silent_open=True),
             )
@@ -295,12 +232,12 @@
                 "entry-1", "berater", [base.user("a")], on_token=act
             )
             self.assert_whole(got)
-            self.assertLess(time.monotonic() - began, _AT_ONCE_S)
+            self.assertLess(time.monotonic() - began, cells.AT_ONCE_S)
             seen = await cluster.look("engine-1")
             self.assertEqual(1, len(seen["resumed"]))
 
         engines = {"engine-1": {"proxied": True, "token_ms": 20}}
-        self.cell(body, engines=engines, **_FAST)
+        self.cell(body, engines=engines, **cells.FAST)
 
     def test_engine_stops_still_and_goes_on(self) -> None:
         """An engine's process is stopped for a while in mid-stream.
@@ -310,7 +247,7 @@
 
         async def body(cluster: base.Cluster) -> None:
             process = cluster.processes["engine-1"]
-            stop = _at(5, lambda: process.signal(signal.SIGSTOP))
+            stop = cells.at(5, lambda: process.signal(signal.SIGSTOP))
             cluster.add_fake("engine", "engine-2")
             asyncio.get_running_loop().call_later(
                 2.5, process.signal, signal.SIGCONT
@@ -321,7 +258,7 @@
             self.assert_whole(got)
 
         engines = {"engine-1": {"token_ms": 20}}
-        self.cell(body, engines=engines, **_FAST)
+        self.cell(body, engines=engines, **cells.FAST)
 
     async def _take_over(
         self, cluster: base.Cluster, key: str, salt: str
