--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -15,8 +15,7 @@
     | messages.ReleaseDone
     | messages.Reports
     | messages.CacheEvents
-    | changes.ConfigConfirmed
-    | changes.Apply
+    | changes.FromProcess
     | replicas.ReplicaMessage
 )
 ToEntry = (
@@ -30,8 +29,7 @@
     | messages.Recall
     | messages.Recover
     | messages.OrderRelease
-    | changes.ConfigUpdate
-    | changes.Applied
+    | changes.ToProcess
 )
 BetweenEntries = (
     messages.Hello
--- a/catkinpin/core/records.py
+++ b/catkinpin/core/records.py
@@ -90,11 +90,16 @@
 
 
 class ProgramEnded(Message, frozen=True):
-    """A program is over: asked for, idle, or stopped by a limit."""
+    """A program is over: asked for, idle, or stopped by a limit.
+
+    Attributes:
+        if_idle: whether a call that has come meanwhile makes this void.
+    """
 
     at_ms: int
     key: ProgramKey
     reason: str
+    if_idle: bool = False
 
 
 class ProgramsForgotten(Message, frozen=True):
@@ -128,6 +133,13 @@
     crashed: bool
 
 
+class QuarantineShared(Message, frozen=True):
+    """The control group holds the quarantine of these contents."""
+
+    at_ms: int
+    contents: list[bytes]
+
+
 ShardRecord = (
     CallBegun
     | AttemptStarted
@@ -137,4 +149,5 @@
     | ProgramsForgotten
     | MemoryReleased
     | ServerFate
+    | QuarantineShared
 )
--- a/catkinpin/entry.py
+++ b/catkinpin/entry.py
@@ -15,13 +15,14 @@
     configured,
     dispatch,
     operators,
+    orders,
     peers,
     relays,
     shards,
     web,
     wire,
 )
-from catkinpin.core import changes, messages, routing
+from catkinpin.core import changes, deployments, messages, routing
 from catkinpin.exceptions import StopTimeoutError
 
 if TYPE_CHECKING:
@@ -55,7 +56,7 @@
         self._reports: dict[str, tuple[messages.ServerReport, int]] = {}
         self._fresh: set[str] = set()
         self._links: dict[str, peers.PeerLink] = {}
-        self._orders: set[asyncio.Task[None]] = set()
+        self._releases: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._web: list[web.WebServer] = []
         self._peers = peers.PeerServer(
@@ -89,6 +90,13 @@
             self.cfg.replicas, self._hello, self._on_message, self._on_replica
         )
         self._relay = relays.RelayClient(self._dispatcher, self._link_to)
+        self.lease = configured.LeaseHolder(
+            self.replicas,
+            self.clock,
+            lambda: self.configured.revision,
+            self.configured.take,
+        )
+        self._orders = orders.OrderCarrier(self.replicas, self.clock)
         self.calls = calls.Calls(
             self.replicas, self._dispatcher, self._relay, self.cfg.shards
         )
@@ -100,6 +108,7 @@
         self.replicas.start()
         await self._listen()
         self._tasks.append(asyncio.create_task(self._send_reports()))
+        self._tasks.append(asyncio.create_task(self.lease.run()))
         log.info(
             "entry ready",
             extra={
@@ -140,6 +149,7 @@
             task.cancel()
         for link in self._links.values():
             await link.stop()
+        await self._orders.stop()
         await self.replicas.stop()
         await self._peers.stop()
         await self._dispatcher.close()
@@ -154,8 +164,10 @@
         """Returns why no calls should come here, or an empty string."""
         if self.leaving:
             return "stopping"
-        if self.configured.configuration is None:
-            return "no confirmed configuration"
+        if problem := self.lease.problem():
+            return problem
+        if self._drained():
+            return "drained by an operator"
         names = [routing.CONTROL_GROUP]
         names += map(routing.shard_group, range(self.cfg.shards))
         for group in names:
@@ -191,11 +203,10 @@
     def _on_message(self, message: Any) -> None:
         match message:
             case changes.ConfigUpdate():
-                revision = self.configured.take(message)
-                if revision:
-                    self.replicas.broadcast(
-                        changes.ConfigConfirmed(revision=revision)
-                    )
+                self.configured.take(message)
+                self.lease.changed()
+            case changes.OrderOffer():
+                self._orders.offered(message)
             case messages.Recall():
                 self.calls.recalled(message)
             case messages.Recover():
@@ -208,8 +219,8 @@
                 self.calls.recalled(recall)
             case messages.OrderRelease():
                 task = asyncio.create_task(self._release(message))
-                self._orders.add(task)
-                task.add_done_callback(self._orders.discard)
+                self._releases.add(task)
+                task.add_done_callback(self._releases.discard)
 
     async def _release(self, order: messages.OrderRelease) -> None:
         """Orders a server to release programs, and confirms what it did."""
@@ -217,6 +228,18 @@
         if done is not None:
             self.replicas.broadcast(done)
 
+    def _drained(self) -> bool:
+        """Returns whether an operator drained the place this host stands in.
+
+        Calls that still arrive are served; the balancer sends no new ones.
+        """
+        cfg = self.configured.configuration
+        return cfg is not None and cfg.place_drained(
+            deployments.host_of(self.admin_address),
+            self.cfg.failure_domain,
+            self.cfg.region,
+        )
+
     async def _send_reports(self) -> None:
         while True:
             await asyncio.sleep(_REPORT_EVERY_S)
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -56,6 +56,9 @@
     "Requests relayed with new messages only, by whether the rest was held.",
     ["result"],
 )
+LEADS = Gauge(
+    "catkinpin_group_leads", "Whether this replica leads a group.", ["group"]
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
