--- a/tests/base.py
+++ b/tests/base.py
@@ -239,8 +239,7 @@
             replicas=flags.pop("replicas", self.replicas),
             shards=self.shards,
             operator_key_sha256=configuration.key_digest(OPERATOR_KEY),
-            trace_file=self.folder / "spans.jsonl",
-            **flags,
+            **{"trace_file": self.folder / "spans.jsonl", **flags},
         )
         return self.addresses[name]
 
