Decode each stream event by msgspec

Cause: a profile of an entry under 32 streams showed json.loads at 0.5 of some 2.4 s busy, three decodings an event.

--- a/catkinpin/adapters/callers.py
+++ b/catkinpin/adapters/callers.py
@@ -371,10 +371,20 @@
     )
 
 
+class _Choice(msgspec.Struct):
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+
+
+_event = msgspec.json.Decoder(_Event)
+
+
 def _ends_answer(data: bytes) -> bool:
-    chunk = json.loads(data)
-    choices = chunk.get("choices") or []
-    return any(choice.get("finish_reason") for choice in choices)
+    choices = _event.decode(data).choices
+    return any(choice.finish_reason for choice in choices)
 
 
 def _program_key(
--- a/catkinpin/adapters/modelcalls.py
+++ b/catkinpin/adapters/modelcalls.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from catkinpin import chat, metrics
 from catkinpin.adapters import backends, outcomes
 from catkinpin.exceptions import BrokenStreamError
@@ -200,7 +201,7 @@
         )
 
     def _take(self, data: bytes) -> None:
-        chunk = json.loads(data)
+        chunk = msgspec.json.decode(data)
         if _has_text(chunk):
             self._offset += 1
             self._measure()
--- a/catkinpin/core/splice.py
+++ b/catkinpin/core/splice.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
+import msgspec
+
 from catkinpin.exceptions import DivergedError
 
 _Channel = tuple[int, int, str]
@@ -42,7 +43,7 @@
         Raises:
             DivergedError: the answer differs from what the caller has.
         """
-        chunk = json.loads(data)
+        chunk = msgspec.json.decode(data)
         if not self._again:
             self._note(chunk)
             return data
@@ -53,7 +54,7 @@
         for field in ("id", "created"):
             if field in self._first:
                 chunk[field] = self._first[field]
-        return json.dumps(chunk, ensure_ascii=False).encode()
+        return msgspec.json.encode(chunk)
 
     def _note(self, chunk: dict[str, Any]) -> None:
         if not self.started:
