--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -14,8 +14,8 @@
     | messages.EndProgram
     | messages.ReleaseDone
     | messages.Reports
-    | changes.FromProcess
     | messages.CacheEvents
+    | changes.FromProcess
     | replicas.ReplicaMessage
 )
 ToEntry = (
@@ -27,6 +27,7 @@
     | messages.NotLeader
     | messages.ProgramInfo
     | messages.Recall
+    | messages.Recover
     | messages.OrderRelease
     | changes.ToProcess
 )
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -253,7 +253,7 @@
         for key in fallen.place:
             commands += self._place(key, now_ms, wall_ms)
         for watched in self._watch.overdue(now_ms):
-            commands.append(Propose(attempts.lost(watched, wall_ms)))
+            commands.append(self._deadlines.gone(watched, wall_ms))
         commands += self._fates.decide(now_ms, wall_ms)
         commands += self._share(now_ms, wall_ms)
         entries = list(self._entries.values())
