--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -168,8 +168,11 @@
             entry.do(entry.ask_again)
 
     def make_scheduler(self, view: servers.ServerView) -> scheduler.Scheduler:
-        """Returns the scheduler of a new leader."""
-        return scheduler.Scheduler(view, placement.sticky)
+        """Returns a new leader's scheduler: calls may wait, or never do."""
+        if self.rng.random() < 0.5:
+            return scheduler.Scheduler(view, placement.sticky)
+        policy = placement.by_cost(placement.Prices())
+        return scheduler.Scheduler(view, policy, scheduler.WaitPlan())
 
     def reconfigure(self) -> None:
         """Puts another configuration in force."""
