Read held programs' names safely, keep fewer timers and counters

Cause: an account's name may hold a slash, and "a/b/p" was read as account "a": its live program would have been released every two seconds. Each call left two timers in the heap until its deadline had passed, where one does; counters of accounts that call no more were kept for good.

--- a/catkinpin/core/fates.py
+++ b/catkinpin/core/fates.py
@@ -10,6 +10,8 @@
 from catkinpin.core.servers import SILENT_AFTER_MS
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinpin.core.messages import ServerReport
     from catkinpin.core.shard import Shard
 
@@ -42,10 +44,12 @@
 
     Args:
         state: the shard's state, only read here.
+        is_account: whether the configuration has an account of this name.
     """
 
-    def __init__(self, state: Shard) -> None:
+    def __init__(self, state: Shard, is_account: Callable[[str], bool]) -> None:
         self._shard = state
+        self._is_account = is_account
         self._servers: dict[str, _Seen] = {}
         self._breaks: dict[tuple[str, str], int] = {}
         self._turn = 0
@@ -144,13 +148,31 @@
 
     def _is_over(self, name: str) -> bool:
         """Returns whether `name` is a program of this shard that is gone."""
-        account, _, program = name.partition("/")
-        key = messages.ProgramKey(account=account, program=program)
+        key = self._key_of(name)
+        if key is None:
+            return False
         if routing.group_of(key, self._shard.shards) != self._shard.name:
             return False
         known = self._shard.programs.get(key)
         return known is None or (known.ended and not known.open)
 
+    def _key_of(self, name: str) -> messages.ProgramKey | None:
+        """Returns the program that an engine calls `name`, or None.
+
+        Accounts and programs may both have slashes in their names. Read
+        wrongly, a live program would look like one that nobody knows, and
+        would lose its cache again and again; so a doubtful name is left.
+        """
+        keys = [
+            messages.ProgramKey(account=name[:at], program=name[at + 1 :])
+            for at, letter in enumerate(name)
+            if letter == "/"
+        ]
+        known = [key for key in keys if self._is_account(key.account)]
+        if len(known) > 1:
+            return None
+        return next(iter(known or keys), None)
+
     def _order(
         self,
         seen: _Seen,
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -79,7 +79,7 @@
         )
         self._entries: dict[str, EntryRef] = {}
         self._watch = Watch()
-        self._fates = Fates(state)
+        self._fates = Fates(state, lambda name: name in self.cfg.accounts)
         self._deadlines = Deadlines(
             state, self._waiters, self._watch, self._entries
         )
@@ -145,11 +145,9 @@
         that a caller got; see `Shard` for what it still does.
         """
         if finish.ask:
-            found = self._shard.find_open(finish.key)
-            due = now_ms + attempts.SETTLE_AFTER_MS
-            if found is not None:
-                due = max(due, now_ms + found[1].deadline_wall_ms - wall)
-            self._wait(finish.key, Waiter(entry, finish.ask, now_ms, due))
+            # Answered when the outcome is in the log, or the call is closed.
+            waiter = Waiter(entry, finish.ask, now_ms, now_ms)
+            self._waiters.add(finish.key, waiter)
         if not self._is_settled(finish):
             record = records.AttemptFinished(
                 at_ms=wall,
@@ -392,7 +390,8 @@
                 if isinstance(outcome, placing.Placed):
                     choice = self._choice(outcome, waiter.entry, begin)
             commands += self.decided(outcomes.others, now_ms, wall_ms)
-        self._wait(begin.key, waiter)
+        # The call's own deadline is this waiter's too.
+        self._waiters.add(begin.key, waiter)
         self._pending[begin.key] = begin
         self._pending_programs[begin.key.program_key] += 1
         self.admission.opened(begin.key, scopes, now_ms)
--- a/catkinpin/core/limits.py
+++ b/catkinpin/core/limits.py
@@ -186,7 +186,7 @@
             flow.open -= 1
             if answered:
                 flow.answered(now_ms, run_ms)
-            if not flow.open and scope.kind == PROGRAM:
+            if not flow.open and _leaves_nothing(scope):
                 del self._flows[scope.kind, scope.name]
 
     def _flow(self, scope: Scope) -> _Flow:
@@ -214,6 +214,14 @@
         return None
 
 
+def _leaves_nothing(scope: Scope) -> bool:
+    """Returns whether a scope without calls can be forgotten.
+
+    A deployment keeps its means, and one with a rate what it has used of it.
+    """
+    return scope.kind != DEPLOYMENT and not scope.limits.calls_per_second
+
+
 def _bounded(wait_ms: int) -> int:
     return max(_MIN_RETRY_AFTER_MS, min(_MAX_RETRY_AFTER_MS, wait_ms))
 
