--- a/catkinpin/core/index.py
+++ b/catkinpin/core/index.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from catkinpin.core import records
-    from catkinpin.core.messages import Begin, CallKey
+    from catkinpin.core.messages import Begin, CallKey, Finish
     from catkinpin.core.program import Call, ClosedCall
 
 
@@ -155,3 +155,16 @@
         root = self.programs.get(program.root_key)
         if root is not None and program.key.program in root.members:
             root.members.remove(program.key.program)
+
+    def is_settled(self, finish: Finish) -> bool:
+        """Returns whether the outcome of the attempt is known for good."""
+        program = self.programs.get(finish.key.program_key)
+        if program is None:
+            return True
+        call = program.open.get(finish.key.request_id)
+        attempt = call.attempt if call is not None else None
+        if attempt is not None and attempt.attempt == finish.attempt:
+            return False
+        if finish.verdict is Verdict.MAY_HAVE_RUN:
+            return True
+        return finish.attempt not in program.unknown
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -9,19 +9,18 @@
 from catkinpin.core import (
     attempts,
     effects,
+    gate,
     limits,
     messages,
     placing,
     records,
     replies,
-    routing,
 )
 from catkinpin.core.attempts import Watch
 from catkinpin.core.commands import (
     Command,
     Propose,
     Send,
-    ShareQuarantine,
 )
 from catkinpin.core.commands import EntryRef as EntryRef
 from catkinpin.core.deadlines import Deadlines
@@ -42,7 +41,6 @@
 
 # A call that is kept back by a limit on running calls tries again.
 _ROOM_WAIT_MS = 100
-_SHARE_AGAIN_MS = 5_000
 
 
 class ShardLeader:
@@ -70,8 +68,6 @@
         rng = rng or random.Random(0)
         self._shard = state
         self.cfg = cfg
-        self._shared_quarantine = quarantined
-        self._share_at_ms = 0
         self._waiters = Waiters()
         self._pending: dict[CallKey, Begin] = {}
         self._pending_programs: collections.Counter[ProgramKey] = (
@@ -94,7 +90,7 @@
             self._deployment,
             lambda name, report: self.cfg.allows(name, report),
         )
-        self._held: set[CallKey] = set()
+        self._gate = gate.Gate(state, quarantined)
 
     def start(self, now_ms: int, wall_ms: int) -> list[Command]:
         """Takes over: watches what the log says is under way.
@@ -148,7 +144,7 @@
             # Answered when the outcome is in the log, or the call is closed.
             waiter = Waiter(entry, finish.ask, now_ms, now_ms)
             self._waiters.add(finish.key, waiter)
-        if not self._is_settled(finish):
+        if not self._shard.is_settled(finish):
             record = records.AttemptFinished(
                 at_ms=wall,
                 key=finish.key,
@@ -253,7 +249,7 @@
         for watched in self._watch.overdue(now_ms):
             commands.append(self._deadlines.gone(watched, wall_ms))
         commands += self._fates.decide(now_ms, wall_ms)
-        commands += self._share(now_ms, wall_ms)
+        commands += self._gate.share(now_ms, wall_ms)
         entries = list(self._entries.values())
         commands += self._fates.releases(entries, now_ms, wall_ms)
         return commands
@@ -275,7 +271,8 @@
             case records.AttemptFinished():
                 commands += self._finished(record, now_ms, wall_ms)
             case records.ServerFate():
-                commands += self._place_held(now_ms, wall_ms)
+                for key in self._gate.released():
+                    commands += self._place(key, now_ms, wall_ms)
         for effect in found:
             commands += self._act(effect, record, now_ms, wall_ms)
         if isinstance(record, records.AttemptFinished):
@@ -347,10 +344,10 @@
         if rejected is not None:
             return rejected
         content = self._shard.content_of(begin)
-        if self._is_quarantined(content):
+        if self._gate.is_closed(content):
             text = "this request crashed servers and is quarantined"
             return effects.BeginRejected(begin, Reason.QUARANTINED, text)
-        scopes = self._scopes(begin, deployment)
+        scopes = placing.scopes_of(self.cfg, begin)
         down = self.admission.check(scopes, begin.deadline_ms, now_ms)
         if down is None:
             return None
@@ -373,7 +370,7 @@
         commands: list[Command] = []
         content = self._shard.content_of(begin)
         waits = self._shard.quarantine.must_wait(content)
-        scopes = self._scopes(begin, deployment)
+        scopes = placing.scopes_of(self.cfg, begin)
         waits = waits or not self.admission.may_start(scopes)
         if self._is_next(begin) and not waits:
             outcomes = self._placing.submit_new(begin, now_ms)
@@ -454,55 +451,18 @@
         if program.next_call() is not call:
             return []
         content = self._shard.content_of(call.begin)
-        if self._is_quarantined(content):
-            return [self._refuse_quarantined(call, wall_ms)]
+        if self._gate.is_closed(content):
+            return [Propose(gate.refusal(call, wall_ms))]
         if self._shard.quarantine.must_wait(content):
-            self._held.add(key)
+            self._gate.hold(key)
             return []
-        scopes = self._scopes(call.begin, self._deployment(call.begin))
+        scopes = placing.scopes_of(self.cfg, call.begin)
         if not self.admission.may_start(scopes):
             self._deadlines.place_later(key, now_ms, _ROOM_WAIT_MS)
             return []
         decisions = self._placing.submit(program, call, now_ms, wall_ms)
         return self.decided(decisions, now_ms, wall_ms)
 
-    def _place_held(self, now_ms: int, wall_ms: int) -> list[Command]:
-        """Goes on with calls that waited for a server's fate."""
-        held, self._held = sorted(self._held, key=str), set()
-        commands: list[Command] = []
-        for key in held:
-            commands += self._place(key, now_ms, wall_ms)
-        return commands
-
-    def _is_quarantined(self, content: bytes) -> bool:
-        here = self._shard.quarantine.is_refused(content)
-        return here or self._shared_quarantine(content)
-
-    def _refuse_quarantined(self, call: Call, wall_ms: int) -> Propose:
-        record = records.CallRefused(
-            at_ms=wall_ms,
-            key=call.key,
-            reason=Reason.QUARANTINED,
-            text="this request crashed servers and is quarantined",
-            verdict=call.verdict,
-        )
-        return Propose(record)
-
-    def _share(self, now_ms: int, wall_ms: int) -> list[Command]:
-        """Has the control group take over what was quarantined here."""
-        waiting = self._shard.quarantine.to_share()
-        if not waiting:
-            return []
-        taken = [one for one in waiting if self._shared_quarantine(one)]
-        commands: list[Command] = []
-        if taken:
-            record = records.QuarantineShared(at_ms=wall_ms, contents=taken)
-            commands.append(Propose(record))
-        if now_ms >= self._share_at_ms:
-            self._share_at_ms = now_ms + _SHARE_AGAIN_MS
-            commands += map(ShareQuarantine, set(waiting) - set(taken))
-        return commands
-
     def _retry(
         self,
         effect: effects.CallReady,
@@ -552,21 +512,10 @@
     def _choice(
         self, placed: placing.Placed, entry: EntryRef, begin: Begin
     ) -> records.Choice:
-        server = placed.server.ref
         deployment = self._deployment(begin)
-        return records.Choice(
-            server=server,
-            entry=entry.process,
-            entry_incarnation=entry.incarnation,
-            dispatcher=self._dispatcher(entry, server.region),
-            priority=deployment.priority if deployment is not None else 0,
-        )
-
-    def _dispatcher(self, entry: EntryRef, region: str) -> str:
-        if not region or region == entry.region:
-            return ""
-        near = [e for e in self._entries.values() if e.region == region]
-        return min((e.address for e in near), default="")
+        priority = deployment.priority if deployment is not None else 0
+        entries = list(self._entries.values())
+        return placing.choice_of(placed, entry, entries, priority)
 
     def _granted(
         self, effect: effects.CallGranted, now_ms: int, wall_ms: int
@@ -589,44 +538,12 @@
     def _deployment(self, begin: Begin) -> Deployment | None:
         return self.cfg.deployment_for(begin.key.account, begin.target)
 
-    def _scopes(
-        self, begin: Begin, deployment: Deployment | None
-    ) -> list[limits.Scope]:
-        """Returns what a call counts for."""
-        key = begin.key
-        tree = f"{key.account}/{routing.root_of(key.program)}"
-        scopes = [limits.Scope(limits.PROGRAM, tree, limits.PROGRAM_LIMITS)]
-        account = self.cfg.accounts.get(key.account)
-        if account is not None:
-            scope = limits.Scope(limits.ACCOUNT, key.account, account.limits)
-            scopes.append(scope)
-        if deployment is not None:
-            scopes.append(
-                limits.Scope(
-                    limits.DEPLOYMENT, deployment.name, deployment.limits
-                )
-            )
-        return scopes
-
     def _deployment_name(self, begin: Begin) -> str:
         found = self._deployment(begin)
         return found.name if found is not None else ""
 
     # Outcomes.
 
-    def _is_settled(self, finish: messages.Finish) -> bool:
-        """Returns whether the outcome of the attempt is known for good."""
-        program = self._shard.programs.get(finish.key.program_key)
-        if program is None:
-            return True
-        call = program.open.get(finish.key.request_id)
-        attempt = call.attempt if call is not None else None
-        if attempt is not None and attempt.attempt == finish.attempt:
-            return False
-        if finish.verdict is Verdict.MAY_HAVE_RUN:
-            return True
-        return finish.attempt not in program.unknown
-
     def _finished(
         self, record: records.AttemptFinished, now_ms: int, wall_ms: int
     ) -> list[Command]:
@@ -690,7 +607,7 @@
 
     def _opened(self, call: Call, now_ms: int, wall_ms: int) -> None:
         """Notes an open call of the log."""
-        scopes = self._scopes(call.begin, self._deployment(call.begin))
+        scopes = placing.scopes_of(self.cfg, call.begin)
         self.admission.opened(call.key, scopes, now_ms)
         self._deadlines.call_open(call, now_ms, wall_ms)
 
--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placing.py
@@ -6,15 +6,16 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core import scheduler
+from catkinpin.core import limits, routing, scheduler
 from catkinpin.core.quarantine import CRASHES_ALLOWED
-from catkinpin.core.records import ProgramLimits
+from catkinpin.core.records import Choice, ProgramLimits
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.deployments import Deployment
+    from catkinpin.core.commands import EntryRef
+    from catkinpin.core.deployments import Configuration, Deployment
     from catkinpin.core.messages import (
         Begin,
         CallKey,
@@ -321,3 +322,43 @@
         max_age_ms=age_ms or default.max_age_ms,
         idle_ms=idle_ms or default.idle_ms,
     )
+
+
+def scopes_of(cfg: Configuration, begin: Begin) -> list[limits.Scope]:
+    """Returns what a call counts for, with the limits of each."""
+    key = begin.key
+    tree = f"{key.account}/{routing.root_of(key.program)}"
+    scopes = [limits.Scope(limits.PROGRAM, tree, limits.PROGRAM_LIMITS)]
+    account = cfg.accounts.get(key.account)
+    if account is not None:
+        scopes.append(limits.Scope(limits.ACCOUNT, key.account, account.limits))
+    deployment = cfg.deployment_for(key.account, begin.target)
+    if deployment is not None:
+        scopes.append(
+            limits.Scope(limits.DEPLOYMENT, deployment.name, deployment.limits)
+        )
+    return scopes
+
+
+def choice_of(
+    placed: Placed, entry: EntryRef, entries: list[EntryRef], priority: int
+) -> Choice:
+    """Returns a placement as it goes into the log.
+
+    Args:
+        placed: the call and its server.
+        entry: who gets the grant.
+        entries: those that are connected; one in the server's region
+            dispatches where the one that asks is in another.
+        priority: of the deployment.
+    """
+    server = placed.server.ref
+    near = [e.address for e in entries if e.region == server.region]
+    here = not server.region or server.region == entry.region
+    return Choice(
+        server=server,
+        entry=entry.process,
+        entry_incarnation=entry.incarnation,
+        dispatcher="" if here else min(near, default=""),
+        priority=priority,
+    )
