--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from catkinpin import codec, digest
+from catkinpin import codec, configuration, digest
 from catkinpin.core import messages, records, shard
 from catkinpin.core.messages import CallKey, ProgramKey
 from catkinpin.core.program import CallState
@@ -289,6 +289,46 @@
         self.assertEqual({}, bench.shard.programs)
 
 
+class IdleTest(base.TestCase):
+    """Programs whose caller went away don't stay."""
+
+    def test_idle_program_is_ended_released_and_forgotten(self) -> None:
+        """A caller dies between two turns and never ends its program.
+
+        After the idle timeout its engine memory is free for others; a resend
+        of its last call still gets the answer, until that is forgotten too.
+        """
+        world = worlds.World(1)
+        world.cfg = configuration.parse(
+            b"[[accounts]]\nname = 'a'\nkey_sha256 = '%s'\n"
+            b"[[deployments]]\nname = 'd'\ntargets = ['model']\n"
+            b"idle_timeout_seconds = 5\n" % (b"0" * 64)
+        )
+        assert world.leader is not None
+        world.leader.cfg = world.cfg
+        world.run(500)
+        program = worlds.Program(world, "p", "mm")
+        program.kinds = "m"
+        program.stopped = True
+        world.run(1_000)
+        self.assertEqual(1, len(program.answers))
+        held = [s for s in world.servers.values() if s.held]
+        self.assertEqual(1, len(held))
+        world.run(4_000)
+        self.assertTrue(held[0].held)
+        world.run(4_000)
+        self.assertFalse(held[0].held)
+        world.depose()
+        world.run(2_000)
+        program.send()
+        world.run(1_000)
+        final = program.sends[-1].final
+        assert isinstance(final, messages.Finished)
+        self.assertEqual(program.answers[0], final.answer.body)
+        world.run(620_000)
+        self.assertEqual({}, world.state.programs)
+
+
 class QuarantineTest(base.TestCase):
     """At most two servers are lost to one request."""
 
