Ask the configuration once a server, not once a placement

Cause: each placement asked the configuration about every server: 300 servers cost most of a call's time. The answers are kept until the configuration or the server's incarnation changes, and only sick servers are looked up.

--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -84,11 +84,7 @@
         self.outliers = Outliers(rng)
         self._rng = rng
         self._placing = placing.Placing(
-            state,
-            jobs,
-            self.outliers,
-            self._deployment,
-            lambda name, report: self.cfg.allows(name, report),
+            state, jobs, self.outliers, lambda: self.cfg
         )
         self._gate = gate.Gate(state, quarantined)
 
--- a/catkinpin/core/outliers.py
+++ b/catkinpin/core/outliers.py
@@ -41,16 +41,19 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._servers: dict[str, _Health] = {}
+        self._sick: dict[str, _Health] = {}
 
     def seen(self, server: str, incarnation: str) -> None:
         """Notes a server; a new incarnation starts without a record."""
         known = self._servers.get(server)
         if known is None or known.incarnation != incarnation:
             self._servers[server] = _Health(incarnation)
+            self._sick.pop(server, None)
 
     def forget(self, server: str) -> None:
         """Forgets a server that is gone."""
         self._servers.pop(server, None)
+        self._sick.pop(server, None)
 
     def succeeded(self, server: str) -> None:
         """Notes an answer."""
@@ -62,6 +65,7 @@
             health.probation -= 1
             if not health.probation:
                 health.ejections = 0
+                self._sick.pop(server, None)
 
     def failed(self, server: str, now_ms: int) -> None:
         """Notes a failure that was the server's."""
@@ -72,7 +76,7 @@
         # On probation one failure is enough: it has not recovered.
         due = health.failures >= FAILURES_IN_A_ROW or health.probation
         if due and self._room(now_ms):
-            self._eject(health, now_ms)
+            self._eject(server, health, now_ms)
 
     def admits(self, server: str, granted: int, now_ms: int) -> bool:
         """Returns whether the server may get one more call.
@@ -82,7 +86,7 @@
             granted: calls it holds now.
             now_ms: monotonic time.
         """
-        health = self._servers.get(server)
+        health = self._sick.get(server)
         if health is None:
             return True
         if health.until_ms > now_ms:
@@ -93,7 +97,7 @@
         """Returns the servers that are ejected now."""
         return [
             name
-            for name, health in self._servers.items()
+            for name, health in self._sick.items()
             if health.until_ms > now_ms
         ]
 
@@ -103,7 +107,8 @@
             most = max(1, most)
         return len(self.ejected(now_ms)) < most
 
-    def _eject(self, health: _Health, now_ms: int) -> None:
+    def _eject(self, server: str, health: _Health, now_ms: int) -> None:
+        self._sick[server] = health
         health.ejections += 1
         health.failures = 0
         health.probation = _PROBATION
--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placing.py
@@ -93,8 +93,7 @@
         state: the shard's state, only read here.
         jobs: the scheduler.
         outliers: servers that get no work for a while.
-        deployment_of: the deployment that lets a call run, or None.
-        allows: whether a deployment's calls may go to a server now.
+        cfg_of: the configuration in force.
     """
 
     def __init__(
@@ -102,14 +101,14 @@
         state: Shard,
         jobs: Scheduler,
         outliers: Outliers,
-        deployment_of: Callable[[Begin], Deployment | None],
-        allows: Callable[[str, ServerReport], bool],
+        cfg_of: Callable[[], Configuration],
     ) -> None:
         self._shard = state
         self._scheduler = jobs
         self._outliers = outliers
-        self._deployment_of = deployment_of
-        self._allows = allows
+        self._cfg_of = cfg_of
+        self._answers: dict[tuple[str, str], tuple[str, bool]] = {}
+        self._answers_for: Configuration | None = None
         self._jobs: dict[CallKey, Job] = {}
         self._aboard: dict[CallKey, _Aboard] = {}
         self._suspects: dict[CallKey, _Aboard] = {}
@@ -224,11 +223,11 @@
         without = tuple(self._suspect_servers()) if job.suspect else ()
         if job.suspect and set(job.without) <= set(without):
             return []
-        begin = self._begins[job.key]
+        name = self._name_of(self._begins[job.key])
         job = dataclasses.replace(
             job,
             without=without,
-            allowed=lambda report: self._allowed(begin, report),
+            allowed=lambda report: self._allowed(name, report),
         )
         self._jobs[job.key] = job
         return self._scheduler.submit(job, now_ms)
@@ -248,17 +247,34 @@
         apart = server not in self._suspect_servers()
         return running > 0 or not apart
 
-    def _allowed(self, begin: Begin, report: ServerReport) -> bool:
-        """Returns whether the configuration of now lets a call go there."""
-        found = self._deployment_of(begin)
-        return found is not None and self._allows(found.name, report)
+    def _allowed(self, deployment: str, report: ServerReport) -> bool:
+        """Returns whether a deployment's calls may go to the server now.
 
-    def _healthy(self, begin: Begin, report: ServerReport) -> bool:
+        Asked for every server at every placement, so the answers are kept
+        until the configuration or the server's incarnation changes.
+        """
+        cfg = self._cfg_of()
+        if cfg is not self._answers_for:
+            self._answers_for = cfg
+            self._answers.clear()
+        key = (deployment, report.server)
+        known = self._answers.get(key)
+        if known is None or known[0] != report.incarnation:
+            known = (report.incarnation, cfg.allows(deployment, report))
+            self._answers[key] = known
+        return known[1]
+
+    def _healthy(self, deployment: str, report: ServerReport) -> bool:
         """Returns whether the server may get one more call just now."""
         held = self._held_by[report.server]
         if not self._outliers.admits(report.server, held, self._now_ms):
             return False
-        return self._allowed(begin, report)
+        return self._allowed(deployment, report)
+
+    def _name_of(self, begin: Begin) -> str:
+        account = begin.key.account
+        found = self._cfg_of().deployment_for(account, begin.target)
+        return found.name if found is not None else ""
 
     def _suspect_servers(self) -> list[str]:
         return [aboard.server for aboard in self._suspects.values()]
@@ -274,7 +290,9 @@
         if program is None:
             program = self._shard.programs.get(begin.key.program_key)
         self._now_ms = now_ms
-        deployment = self._deployment_of(begin)
+        account = begin.key.account
+        deployment = self._cfg_of().deployment_for(account, begin.target)
+        name = deployment.name if deployment is not None else ""
         content = self._shard.content_of(begin)
         suspect = self._shard.quarantine.is_suspect(content)
         without = set(self._outliers.ejected(now_ms))
@@ -298,7 +316,7 @@
             without=tuple(sorted(without)),
             suspect=suspect,
             content=content,
-            allowed=lambda report: self._healthy(begin, report),
+            allowed=lambda report: self._healthy(name, report),
         )
         self._jobs[begin.key] = job
         self._begins[begin.key] = begin
