--- a/catkinpin/core/deadlines.py
+++ b/catkinpin/core/deadlines.py
@@ -162,7 +162,47 @@
     def recall_all(self, entry: EntryRef) -> list[Command]:
         """Asks an entry about every attempt that it was granted."""
         held = self._watch.held_by(entry.incarnation)
-        return [_recall(entry, watched) for watched in held]
+        commands: list[Command] = []
+        for watched in held:
+            commands += self._recall_from(entry, watched)
+        return commands
+
+    def gone(self, watched: attempts.Watched, wall_ms: int) -> Command:
+        """Acts on an attempt whose entry has been gone for too long.
+
+        Another entry asks the server, or the attempt is lost. A service's
+        answer outlives the entry that asked for it, and a call that must not
+        be repeated has no other way to get it. A model call is made again
+        elsewhere.
+        """
+        message = self._recover(watched)
+        region = message.server.region if message is not None else ""
+        entry = min(
+            self._entries.values(),
+            key=lambda e: (e.region != region, e.process),
+            default=None,
+        )
+        if message is None or entry is None:
+            return Propose(attempts.lost(watched, wall_ms))
+        self._watch.recover(watched, entry.incarnation)
+        return Send(entry, message)
+
+    def _recover(self, watched: attempts.Watched) -> messages.Recover | None:
+        found = self._shard.find_open(watched.key)
+        if found is None:
+            return None
+        call = found[1]
+        attempt = call.attempt
+        if attempt is None or attempt.attempt != watched.attempt:
+            return None
+        if call.begin.kind != "service":
+            return None
+        return messages.Recover(
+            key=watched.key,
+            attempt=watched.attempt,
+            server=attempt.choice.server,
+            deadline_ms=call.begin.deadline_ms,
+        )
 
     def _call(self, due: CallDue, now_ms: int, wall_ms: int) -> list[Command]:
         found = self._shard.find_open(due.key)
@@ -210,7 +250,18 @@
             return []
         self._timers.add(now_ms + _RECALL_AGAIN_MS, due)
         entry = self._entries.get(watched.incarnation)
-        return [] if entry is None else [_recall(entry, watched)]
+        return [] if entry is None else self._recall_from(entry, watched)
+
+    def _recall_from(
+        self, entry: EntryRef, watched: attempts.Watched
+    ) -> list[Command]:
+        # An entry that never got a `Recover` would answer a recall with "not
+        # run", though the gone entry may have sent the request.
+        if watched.recovering:
+            recover = self._recover(watched)
+            return [] if recover is None else [Send(entry, recover)]
+        recall = messages.Recall(key=watched.key, attempt=watched.attempt)
+        return [Send(entry, recall)]
 
     def _program(
         self, key: ProgramKey, fallen: Fallen, now_ms: int, wall_ms: int
@@ -238,11 +289,6 @@
         return False
 
 
-def _recall(entry: EntryRef, watched: attempts.Watched) -> Send:
-    recall = messages.Recall(key=watched.key, attempt=watched.attempt)
-    return Send(entry, recall)
-
-
 def _next_step(program: Program) -> int:
     """Returns the wall time at which the program ends, or is forgotten."""
     limits = program.limits
