Keep one caller's odd number from cutting an entry off

Cause: max_tokens of 10**30 passed validation and could not be encoded. The writer of the stream to the leader died of it, the question was asked again on each new stream, and the entry lost its configuration lease: all its callers were refused. Seen first as a hang of test_malformed_requests_harm_nothing.

--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -89,7 +89,7 @@
         self.fresh_ms = _now_ms()
         self._link = link
         self._deflate = _Deflate() if compressed else None
-        self._outbox: list[AnyMessage] = []
+        self._outbox: list[msgspec.Raw] = []
         self._wake = asyncio.Event()
         self._heard = time.monotonic()
         self._nonces = itertools.count(1)
@@ -98,10 +98,17 @@
         self._echo = 0
 
     def send(self, message: AnyMessage) -> None:
-        """Queues a message; dropped where the stream is closed."""
+        """Queues a message; dropped where the stream is closed.
+
+        Raises:
+            OverflowError, TypeError: the message can't be encoded.
+        """
         if self.closed:
             return
-        self._outbox.append(message)
+        # Encoded here, a message that can't be fails whoever sends it. In the
+        # writer it would end the stream, and that again at each resend: one
+        # caller's odd number would cut this process off from the others.
+        self._outbox.append(self._encode(message))
         self._wake.set()
 
     def unpack(self, data: bytes) -> bytes:
@@ -139,7 +146,13 @@
             self._wake.clear()
             yield self._pack([*self._pings(), *batch])
 
-    def _pings(self) -> list[messages.Ping]:
+    def _encode(self, message: AnyMessage) -> msgspec.Raw:
+        data = codec.encode(message)
+        kind = type(message).__name__
+        metrics.PEER_BYTES.labels(self._link, kind).inc(len(data))
+        return msgspec.Raw(data)
+
+    def _pings(self) -> list[msgspec.Raw]:
         """Returns the ping that goes before the next batch, if any is due."""
         now = time.monotonic()
         nonce = 0
@@ -150,16 +163,10 @@
         if not nonce and not self._echo:
             return []
         echo, self._echo = self._echo, 0
-        return [messages.Ping(nonce=nonce, echo=echo)]
-
-    def _pack(self, batch: list[AnyMessage]) -> bytes:
-        encoded = []
-        for message in batch:
-            data = codec.encode(message)
-            kind = type(message).__name__
-            metrics.PEER_BYTES.labels(self._link, kind).inc(len(data))
-            encoded.append(msgspec.Raw(data))
-        packed = codec.encode(encoded)
+        return [self._encode(messages.Ping(nonce=nonce, echo=echo))]
+
+    def _pack(self, batch: list[msgspec.Raw]) -> bytes:
+        packed = codec.encode(batch)
         if self._deflate is not None:
             packed = self._deflate.pack(packed)
         metrics.WIRE_BYTES.labels(self._link).inc(len(packed))
--- a/catkinpin/chat.py
+++ b/catkinpin/chat.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 import pydantic
@@ -13,6 +13,7 @@
 from catkinpin.exceptions import BadRequestError
 
 _DEFAULT_MAX_TOKENS = 1024
+_MOST_TOKENS = 100_000_000
 _TOKENS_PER_MESSAGE = 16  # Role markers and separators of a chat template.
 _KEPT_FIELDS = (
     "role",
@@ -24,6 +25,9 @@
 )
 
 
+_TokenCount = Annotated[int, pydantic.Field(gt=0, le=_MOST_TOKENS)]
+
+
 class _Messages(msgspec.Struct):
     messages: list[msgspec.Raw]
 
@@ -46,11 +50,11 @@
 
     model_config = pydantic.ConfigDict(extra="allow")
 
-    model: str = pydantic.Field(min_length=1)
+    model: str = pydantic.Field(min_length=1, max_length=200)
     messages: list[ChatMessage] = pydantic.Field(min_length=1)
     stream: bool = False
-    max_tokens: int | None = pydantic.Field(default=None, gt=0)
-    max_completion_tokens: int | None = pydantic.Field(default=None, gt=0)
+    max_tokens: _TokenCount | None = None
+    max_completion_tokens: _TokenCount | None = None
     n: int = pydantic.Field(default=1, ge=1, le=1)
 
     @property
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import openai
@@ -9,6 +10,15 @@
 from tests import base
 
 
+_RAW = b'{"model": "berater", "messages": [{"role": "user", "content": %s}]}'
+
+
+def _body(**fields: Any) -> bytes:
+    """Returns a chat request's body with some fields changed."""
+    body = {"model": "berater", "messages": [base.user("bad")], **fields}
+    return json.dumps(body).encode()
+
+
 class WholePathTest(base.TestCase):
     """A program is served from one end to the other."""
 
@@ -99,6 +109,132 @@
             reply = await cluster.chat("entry-1", "berater", [base.user("x")])
             self.assertEqual(200, reply.status)
 
+    def test_malformed_requests_harm_nothing(self) -> None:
+        """Callers send whatever: broken JSON, wrong types, huge bodies.
+
+        Each gets a 4xx error object that says that nothing ran, and the same
+        processes go on serving.
+        """
+        self.run_async(self._malformed())
+
+    async def _malformed(self) -> None:
+        cluster = await base.small(self.folder, max_body_bytes=200_000)
+        async with cluster:
+            await cluster.chat(
+                "entry-1",
+                "berater",
+                [base.user("x")],
+                headers={"Catkinpin-Program": "mine"},
+            )
+            chat = "/v1/chat/completions"
+            cases: list[tuple[str, str, bytes]] = [
+                ("POST", chat, b"{"),
+                ("POST", chat, b"[1, 2]"),
+                ("POST", chat, b"\xff\xfe"),
+                ("POST", chat, b'{"model": 5, "messages": "x"}'),
+                ("POST", chat, b'{"model": "berater", "messages": [7]}'),
+                (
+                    "POST",
+                    chat,
+                    _body(messages=[{"role": "user", "content": 3}]),
+                ),
+                ("POST", chat, _body(max_tokens=-1)),
+                ("POST", chat, _body(max_tokens="many")),
+                ("POST", chat, _body(max_tokens=10**30)),
+                ("POST", chat, _body(model="b" * 10_000)),
+                ("POST", chat, _body(messages=[base.user("x" * 300_000)])),
+                ("POST", chat, b"[" * 100_000),
+                ("POST", chat, _body(tools=[]) + b"x"),
+                ("POST", chat, _RAW % b'"\\ud800"'),
+                ("POST", chat, _RAW % (b"[" * 5_000 + b"]" * 5_000)),
+                ("GET", chat, b""),
+                ("POST", "/v1/nothing", b"{}"),
+                ("POST", "/v1/services/unknown/x", b"{}"),
+                ("GET", "/v1/programs/unknown", b""),
+                ("DELETE", "/v1/programs/unknown", b""),
+                ("GET", "/v1/programs/" + "p" * 3_000, b""),
+            ]
+            pids = [p.pid for p in cluster.processes.values()]
+            for method, path, body in cases:
+                await self._refused(cluster, "ruegg", method, path, body)
+            await self._refused(cluster, "kunci", "GET", "/v1/programs/mine")
+            await self._refused(cluster, "kunci", "DELETE", "/v1/programs/mine")
+            reply = await cluster.chat("entry-1", "berater", [base.user("y")])
+            self.assertEqual(200, reply.status)
+            self.assertEqual(pids, [p.pid for p in cluster.processes.values()])
+            seen = (await cluster.look("engine-1"))["seen"]
+            asked = {one["messages"][0]["content"] for one in seen}
+            self.assertEqual({"probe", "x", "y"}, asked)
+
+    async def _refused(
+        self,
+        cluster: base.Cluster,
+        account: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+    ) -> None:
+        auth = {"Authorization": f"Bearer {base.ACCOUNT_KEYS[account]}"}
+        url = cluster.addresses["entry-1"] + path
+        async with cluster.http.request(
+            method, url, data=body, headers=auth
+        ) as resp:
+            shown = f"{method} {path[:40]} {body[:60]!r}: {resp.status}"
+            self.assertTrue(400 <= resp.status < 500, shown)
+            self.assertEqual("not-run", resp.headers["Catkinpin-Verdict"])
+            error = (await resp.json())["error"]
+            self.assertTrue(error["message"], shown)
+            self.assertTrue(error["code"], shown)
+
+    def test_only_new_messages_are_sent(self) -> None:
+        """A caller that keeps no history sends new messages only.
+
+        The engine gets the whole of it, in order.
+        """
+        self.run_async(self._only_new())
+
+    async def _only_new(self) -> None:
+        cluster = await base.small(self.folder)
+        async with cluster:
+            headers = {"Catkinpin-Program": "p", "Catkinpin-History": "new"}
+            answers = []
+            for text in ("one", "two", "three"):
+                reply = await cluster.chat(
+                    "entry-1", "berater", [base.user(text)], headers=headers
+                )
+                self.assertEqual(200, reply.status, reply.body)
+                message = reply.json["choices"][0]["message"]
+                answers.append(message["content"])
+            seen = (await cluster.look("engine-1"))["seen"][-1]["messages"]
+            texts = [message["content"] for message in seen]
+            wanted = ["one", answers[0], "two", answers[1], "three"]
+            self.assertEqual(wanted, texts)
+
+    def test_spans_join_from_caller_to_server(self) -> None:
+        """An operator follows one call from its caller to the engine."""
+        self.run_async(self._spans())
+
+    async def _spans(self) -> None:
+        cluster = await base.small(self.folder)
+        async with cluster:
+            trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+            headers = {"traceparent": f"00-{trace}-00f067aa0ba902b7-01"}
+            await cluster.chat(
+                "entry-1", "berater", [base.user("x")], headers=headers
+            )
+            seen = (await cluster.look("engine-1"))["seen"][-1]
+            lines = (self.folder / "spans.jsonl").read_text().splitlines()
+            spans = {}
+            for span in map(json.loads, lines):
+                if span["context"]["trace_id"] == f"0x{trace}":
+                    spans[span["name"]] = span
+            wanted = {"call", "begin", "leader.begin", "dispatch", "finish"}
+            self.assertEqual(wanted, wanted & set(spans))
+            self.assertEqual("0x00f067aa0ba902b7", spans["call"]["parent_id"])
+            server_parent = seen["traceparent"].split("-")[2]
+            dispatch = spans["dispatch"]["context"]["span_id"]
+            self.assertEqual(f"0x{server_parent}", dispatch)
+
     def test_history_conflict_names_the_first_message(self) -> None:
         self.run_async(self._conflict())
 
