--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -14,8 +14,8 @@
     | messages.EndProgram
     | messages.ReleaseDone
     | messages.Reports
-    | messages.CacheEvents
     | changes.FromProcess
+    | messages.CacheEvents
     | replicas.ReplicaMessage
 )
 ToEntry = (
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -9,7 +9,6 @@
 
 from tests import base
 
-
 _RAW = b'{"model": "berater", "messages": [{"role": "user", "content": %s}]}'
 
 
