--- a/bench/pathbench.py
+++ b/bench/pathbench.py
@@ -129,6 +129,31 @@
             )
 
 
+async def link_bytes(cluster: base.Cluster, calls: int) -> None:
+    """Prints the bytes that a relayed stream costs the entries' link."""
+    before = await _sent(cluster)
+    for _ in range(calls):
+        await stream(cluster, cluster.addresses["entry-2"])
+    after = await _sent(cluster)
+    print("bytes a stream of 20 tokens on the link between entries:")
+    for name, value in after.items():
+        print(f"  {name}: {(value - before.get(name, 0)) / calls:.0f}")
+
+
+async def _sent(cluster: base.Cluster) -> dict[str, float]:
+    found: dict[str, float] = {}
+    for name in ("entry-1", "entry-2"):
+        url = f"http://{cluster.admin[name]}/metrics"
+        async with cluster.http.get(url) as resp:
+            lines = (await resp.text()).splitlines()
+        for line in lines:
+            if line.startswith("catkinpin_peer_") and 'link="entry-e' in line:
+                label, _, value = line.rpartition(" ")
+                if "_bytes_total" in label:
+                    found[f"{name} {label[15:]}"] = float(value)
+    return found
+
+
 async def run(args: argparse.Namespace, folder: pathlib.Path) -> None:
     """Runs all parts on one cluster."""
     async with base.Cluster(folder) as cluster:
@@ -151,6 +176,7 @@
                 print(f"  {name}: {memory:.0f} MB, {threads} threads")
         print(f"  catkinpin --help: {_operator_mb():.0f} MB at its peak")
         await latency(cluster, args.calls)
+        await link_bytes(cluster, args.calls)
         if args.seconds:
             await loads(cluster, args.seconds)
 
