--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placing.py
@@ -15,7 +15,12 @@
     from collections.abc import Callable
 
     from catkinpin.core.deployments import Deployment
-    from catkinpin.core.messages import Begin, CallKey, ServerReport
+    from catkinpin.core.messages import (
+        Begin,
+        CallKey,
+        ProgramKey,
+        ServerReport,
+    )
     from catkinpin.core.outliers import Outliers
     from catkinpin.core.program import Attempt, Call, Program
     from catkinpin.core.scheduler import Decision, Job, Scheduler
@@ -170,6 +175,10 @@
                 del self._contents[aboard.content]
         return self._scheduler.ended(key, now_ms)
 
+    def program_over(self, key: ProgramKey) -> None:
+        """Notes that a program makes no more calls."""
+        self._scheduler.program_ended(key)
+
     def answered(self, key: CallKey) -> None:
         """Notes that a server survived the call's content."""
         aboard = self._aboard.get(key)
@@ -258,6 +267,8 @@
             last_server=program.last_server if program is not None else "",
             priority=deployment.priority if deployment is not None else 0,
             deadline_ms=deadline_ms,
+            interactive=deployment.interactive if deployment else False,
+            parent=program.parent if program else begin.parent,
             without=tuple(sorted(without)),
             suspect=suspect,
             content=content,
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -172,6 +172,8 @@
                 self._welcome(stream)
             case messages.Reports():
                 self._take_reports(message)
+            case messages.CacheEvents():
+                self.view.cache_events(message)
             case _ if isinstance(message, changes.FromProcess):
                 self.control.handle(stream, message)
             case messages.ReleaseDone():
