Answer all who wait for one change, not only the oldest

Cause: a waiter whose proposal was lost stayed in the leader's memory and took the answer of its own resend, so that every later resend seemed lost as well: an operator would have got "outcome unknown" until the leadership moved. Found by reading after one run of test_path (load average 15) waited 20 s in vain for its configuration; whether this was the cause there is not proved, three runs after it passed without the mend.

All who asked for the same thing under one id get the answer. The new test in tests/test_control.py failed before (1 failed, 11 passed) and passes now. test_operators, test_control, test_path: 23 passed.

--- a/bench/controlbench.py
+++ b/bench/controlbench.py
@@ -152,7 +152,7 @@
     assert applied.accepted, applied
 
     async def confirmed() -> bool:
-        return node.configured.revision >= applied.revision
+        return bool(node.configured.revision >= applied.revision)
 
     await base.until(confirmed, "the node has the change")
 
--- a/catkinpin/core/controlleader.py
+++ b/catkinpin/core/controlleader.py
@@ -41,10 +41,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Waiter:
-    """Who waits for a record's outcome."""
+    """Who waits for a record's outcome.
+
+    Attributes:
+        what: tells apart what was asked for under one id.
+    """
 
     incarnation: str
     ask: int
+    what: bytes = b""
 
 
 class ControlLeader:
@@ -125,7 +130,7 @@
                 key = record.fingerprint.hex()
                 commands = [
                     Send(waiter.incarnation, changes.Done(ask=waiter.ask))
-                    for waiter in self._waiters.pop(key, [])
+                    for waiter in self._take_waiters(key, _what(record))
                 ]
             case (
                 changes.PlanMade()
@@ -228,8 +233,7 @@
     def _apply(
         self, info: changes.ProcessInfo, change: changes.Apply, wall_ms: int
     ) -> list[Command]:
-        waiter = _Waiter(info.incarnation, change.ask)
-        self._waiters[change.request_id].append(waiter)
+        self._wait(info, change.ask, change.request_id, change.content_digest)
         record = changes.ConfigChanged(
             at_ms=wall_ms,
             request_id=change.request_id,
@@ -244,24 +248,22 @@
     def _answer_change(
         self, record: changes.ConfigChanged, outcome: Any
     ) -> list[Command]:
-        # Two requests under one id wait side by side: each record answers the
-        # one that proposed it, in the order in which they were proposed.
-        waiters = self._waiters.get(record.request_id)
-        if not waiters:
-            return []
-        waiter = waiters.pop(0)
-        if not waiters:
-            del self._waiters[record.request_id]
-        answer = changes.Applied(
-            ask=waiter.ask,
-            accepted=outcome.accepted,
-            revision=outcome.revision,
-            operator=outcome.operator,
-            request_id=outcome.request_id,
-            changed=list(outcome.changed),
-            reused=outcome.reused,
-        )
-        return [Send(waiter.incarnation, answer)]
+        waiters = self._take_waiters(record.request_id, record.content_digest)
+        return [
+            Send(
+                waiter.incarnation,
+                changes.Applied(
+                    ask=waiter.ask,
+                    accepted=outcome.accepted,
+                    revision=outcome.revision,
+                    operator=outcome.operator,
+                    request_id=outcome.request_id,
+                    changed=list(outcome.changed),
+                    reused=outcome.reused,
+                ),
+            )
+            for waiter in waiters
+        ]
 
     def _in_force(
         self, info: changes.ProcessInfo, get: changes.GetInForce, now_ms: int
@@ -288,8 +290,9 @@
                     info.incarnation, make.ask, make.plan_id, made.problems
                 )
             ]
-        self._wait(info, make.ask, make.plan_id)
-        return [Propose(changes.PlanMade(at_ms=wall_ms, plan=made))]
+        record = changes.PlanMade(at_ms=wall_ms, plan=made)
+        self._wait(info, make.ask, make.plan_id, _what(record))
+        return [Propose(record)]
 
     def _confirm(
         self, info: changes.ProcessInfo, msg: changes.ConfirmPlan, wall_ms: int
@@ -303,10 +306,10 @@
                         info.incarnation, msg.ask, msg.plan_id, problems
                     )
                 ]
-        self._wait(info, msg.ask, msg.plan_id)
         record = changes.PlanConfirmed(
             at_ms=wall_ms, plan_id=msg.plan_id, operator=msg.operator
         )
+        self._wait(info, msg.ask, msg.plan_id, _what(record))
         return [Propose(record)]
 
     def _rest_has_changed(self, run: PlanRun) -> list[str]:
@@ -324,26 +327,36 @@
         msg: changes.StopPlan | changes.UndoPlan,
         wall_ms: int,
     ) -> list[Command]:
-        self._wait(info, msg.ask, msg.plan_id)
         stop = isinstance(msg, changes.StopPlan)
         kind = changes.PlanStopped if stop else changes.PlanUndone
         record = kind(at_ms=wall_ms, plan_id=msg.plan_id, operator=msg.operator)
+        self._wait(info, msg.ask, msg.plan_id, _what(record))
         return [Propose(record)]
 
-    def _wait(self, info: changes.ProcessInfo, ask: int, key: str) -> None:
-        self._waiters[key].append(_Waiter(info.incarnation, ask))
+    def _wait(
+        self, info: changes.ProcessInfo, ask: int, key: str, what: bytes
+    ) -> None:
+        self._waiters[key].append(_Waiter(info.incarnation, ask, what))
+
+    def _take_waiters(self, key: str, what: bytes) -> list[_Waiter]:
+        """Returns all who wait for this; a resend's answer is the same.
+
+        One whose proposal was lost may wait here no more. Were each record to
+        answer only the oldest, the answers of all later ones would go to the
+        one before, and every resend would seem lost too.
+        """
+        waiters = self._waiters.pop(key, [])
+        others = [one for one in waiters if one.what != what]
+        if others:
+            self._waiters[key] = others
+        return [one for one in waiters if one.what == what]
 
     def _answer_plan(self, record: Any, outcome: Any) -> list[Command]:
         made = isinstance(record, changes.PlanMade)
         plan_id = record.plan.plan_id if made else record.plan_id
-        waiters = self._waiters.get(plan_id)
-        if not waiters:
-            return []
-        waiter = waiters.pop(0)
-        if not waiters:
-            del self._waiters[plan_id]
         return [
             self._shown(waiter.incarnation, waiter.ask, plan_id, outcome or [])
+            for waiter in self._take_waiters(plan_id, _what(record))
         ]
 
     def _shown(
@@ -362,20 +375,18 @@
     def _quarantine(
         self, info: changes.ProcessInfo, msg: changes.Quarantine, wall_ms: int
     ) -> list[Command]:
-        self._wait(info, msg.ask, msg.fingerprint.hex())
+        record: changes.ControlRecord
         if msg.lift:
-            return [
-                Propose(
-                    changes.QuarantineLifted(
-                        fingerprint=msg.fingerprint,
-                        at_ms=wall_ms,
-                        operator=msg.operator,
-                    )
-                )
-            ]
-        record = changes.Quarantined(
-            fingerprint=msg.fingerprint, reason=msg.reason, at_ms=wall_ms
-        )
+            record = changes.QuarantineLifted(
+                fingerprint=msg.fingerprint,
+                at_ms=wall_ms,
+                operator=msg.operator,
+            )
+        else:
+            record = changes.Quarantined(
+                fingerprint=msg.fingerprint, reason=msg.reason, at_ms=wall_ms
+            )
+        self._wait(info, msg.ask, msg.fingerprint.hex(), _what(record))
         return [Propose(record)]
 
     def _order_result(
@@ -487,6 +498,10 @@
         return Send(info.incarnation, status)
 
 
+def _what(record: changes.ControlRecord) -> bytes:
+    return type(record).__name__.encode()
+
+
 def _counts(step: plans.WaitStep, usage: plans.Usage) -> bool:
     whose = step.deployment in ("", usage.deployment)
     return whose and usage.server in step.servers
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -237,6 +237,23 @@
         self.assertEqual(["entry-1"], self.lacking(2, 100 + LEASE_MS))
         self.assertEqual([], self.lacking(2, 1_000 + LEASE_MS + DRIFT_MS))
 
+    def test_a_lost_proposal_does_not_take_the_answer_of_its_resend(
+        self,
+    ) -> None:
+        """The record of a change is lost, and its operator sends it again.
+
+        The resend gets the answer; it must not go to the request before.
+        """
+        for ask in (7, 8):
+            message = changes.Apply(ask=ask, request_id="b", base_revision=1)
+            commands = self.leader.handle(self.entry, message, 0, 0)
+        [lost] = commands
+        assert isinstance(lost, controlleader.Propose)
+        outcome = self.state.apply(2, lost.record)
+        answers = self.leader.applied(lost.record, outcome, 0)
+        asks = [one.message.ask for one in answers if hasattr(one, "message")]
+        self.assertIn(8, asks)
+
     def test_idle_renewals_write_nothing(self) -> None:
         """Nothing happens for an hour but renewals of leases."""
         self.renew(1, 100)
