--- a/catkinpin/adapters/callers.py
+++ b/catkinpin/adapters/callers.py
@@ -37,6 +37,7 @@
 _OWN_HEADERS = "catkinpin-"
 _METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 _MS_PER_S = 1000
+_STATUS_OK = 200
 _GET_TIMEOUT_S = 5.0
 
 
@@ -150,6 +151,9 @@
 
 def _account(entry: Entry, req: sanic.Request) -> str:
     """Returns the account whose key the request carries."""
+    if problem := entry.lease.problem():
+        text = f"this host does not serve now: {problem}"
+        raise _RefusedError(_not_run(Reason.NOT_READY, text))
     scheme, _, key = req.headers.get("authorization", "").partition(" ")
     if scheme.lower() == "bearer" and key:
         account = entry.configured.accounts.get(
@@ -165,9 +169,6 @@
     if entry.stopping:
         text = "this host is stopping; another will answer"
         raise _RefusedError(_not_run(Reason.STOPPING, text))
-    if entry.configured.configuration is None:
-        text = "this host has no confirmed configuration yet"
-        raise _RefusedError(_not_run(Reason.NOT_READY, text))
 
 
 def _name(req: sanic.Request, header: str, default: str) -> str:
@@ -234,6 +235,7 @@
         ),
         region=entry.cfg.region,
         traceparent=req.headers.get("traceparent", ""),
+        once="catkinpin-program" not in req.headers,
     )
 
 
@@ -271,6 +273,7 @@
             headers=[],
             body=req.body,
             messages=canonical,
+            resendable="idempotency-key" in req.headers,
         )
     )
     if parsed.stream:
@@ -297,6 +300,7 @@
             headers=_forwarded_headers(req),
             body=req.body,
             messages=[],
+            resendable="idempotency-key" in req.headers,
         )
     )
     return _whole(await call.wait(), begin)
@@ -341,6 +345,8 @@
         error = json.dumps(_error_body(final)).encode()
         await resp.send(b"data: " + error + b"\n\n")
     else:
+        if final.answer.status != _STATUS_OK:
+            return _whole(final, begin)
         if resp is None and not held:
             held = [
                 json.dumps(chunk).encode()
--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/shardhost.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+import random
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import codec, configuration, tracing
-from catkinpin.adapters import groups
 from catkinpin.core import (
     leader,
     messages,
@@ -14,28 +15,34 @@
     scheduler,
     shard,
 )
+from catkinpin.core.commands import (
+    Command,
+    Propose,
+    Send,
+    SendAnswer,
+    SendGrant,
+    ShareQuarantine,
+)
 
 if TYPE_CHECKING:
-    import pathlib
+    from collections.abc import Iterable
 
     from catkinpin.adapters import peers
     from catkinpin.replica import Replica
-
 _decoder = codec.decoder(records.ShardRecord)
 
 
 class ShardHost:
     """A program shard: its log group, its state and its leader's part."""
 
-    def __init__(
-        self, replica: Replica, name: str, data_folder: pathlib.Path
-    ) -> None:
+    def __init__(self, replica: Replica, name: str) -> None:
         self._replica = replica
         self._leading = False
+        self._tasks: set[asyncio.Task[bool]] = set()
         self.cfg = configuration.Configuration()
-        self.state = shard.Shard(name)
+        self.state = shard.Shard(name, replica.cfg.shards)
         self.leader = self._new_leader()
-        self.group = groups.Group(name, data_folder, self)
+        self.group = replica.node.add_group(name, self)
 
     def configured(self, cfg: configuration.Configuration) -> None:
         """Decides by a new configuration from now on."""
@@ -49,17 +56,56 @@
         now = self._replica.clock.now_ms()
         wall = self._replica.clock.wall_ms()
         decisions = self.scheduler.tick(now)
-        self._run(self.leader.decided(decisions, wall))
+        self._run(self.leader.decided(decisions, now, wall))
+        self._run(self.leader.tick(now, wall))
+
+    def reported(self, report: messages.ServerReport, made_ms: int) -> None:
+        """Takes a server's report, made at a monotonic time."""
+        self.leader.reported(report, made_ms)
+
+    def entry_connected(self, stream: peers.Stream) -> None:
+        """Notes an entry's new stream."""
+        commands = self.leader.entry_connected(entry_ref(stream))
+        if self._leading:
+            self._run(commands)
+
+    def entry_lost(self, stream: peers.Stream) -> None:
+        """Notes that an entry's stream broke."""
+        now = self._replica.clock.now_ms()
+        self.leader.entry_lost(entry_ref(stream), now)
 
     def _new_leader(self) -> leader.ShardLeader:
         self.scheduler = scheduler.Scheduler(
             self._replica.view, placement.sticky
         )
-        return leader.ShardLeader(self.state, self.scheduler, self.cfg)
+        rng = random.Random()
+        return leader.ShardLeader(
+            self.state, self.scheduler, self.cfg, rng, self._is_quarantined
+        )
+
+    def _is_quarantined(self, content: bytes) -> bool:
+        return content in self._replica.control.state.quarantine
+
+    def _share(self, content: bytes) -> None:
+        """Has the control group quarantine a content; the leader repeats it."""
+        reason = f"{self.group.name}: it was aboard two servers that crashed"
+        task = asyncio.create_task(
+            self._replica.control.quarantine(content, reason)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def handle(self, stream: peers.Stream, message: Any) -> None:
         """Takes an entry's message for this shard."""
-        if not self.group.is_leader():
+        if isinstance(message, messages.ReleaseDone):
+            self._release_done(message)
+            return
+        # A leader that missed a change would place calls on servers that were
+        # drained meanwhile, unseen; it decides again once it has confirmed its
+        # configuration, and until then the entry asks again.
+        unconfirmed = bool(self._replica.lease.problem())
+        begins = isinstance(message, messages.Begin)
+        if not self.group.is_leader() or (begins and unconfirmed):
             stream.send(
                 messages.NotLeader(
                     ask=message.ask,
@@ -71,7 +117,7 @@
         entry = entry_ref(stream)
         now = self._replica.clock.now_ms()
         wall = self._replica.clock.wall_ms()
-        commands: list[leader.Command] = []
+        commands: list[Command] = []
         match message:
             case messages.Begin():
                 with tracing.hop("leader.begin", message.traceparent):
@@ -84,6 +130,11 @@
                 commands = self.leader.end_program(entry, message, wall)
         self._run(commands)
 
+    def _release_done(self, done: messages.ReleaseDone) -> None:
+        if self.group.is_leader():
+            wall = self._replica.clock.wall_ms()
+            self._run(self.leader.release_done(done, wall))
+
     def apply(self, index: int, payload: bytes) -> None:
         """Applies a committed record; only a leader acts on its effects."""
         record = _decoder.decode(payload)
@@ -97,46 +148,52 @@
     def leadership(self, leading: bool) -> None:
         """Takes up or lays down the leader's part."""
         self._leading = leading
-        if leading:
-            self.leader = self._new_leader()
+        if not leading:
+            return
+        self.leader = self._new_leader()
+        for stream in self._replica.entry_streams():
+            self.leader.entry_connected(entry_ref(stream))
+        now = self._replica.clock.now_ms()
+        self._run(self.leader.start(now, self._replica.clock.wall_ms()))
 
     def snapshot(self) -> bytes:
         """Returns the state without the texts."""
-        raise NotImplementedError
+        return self.state.snapshot()
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by a snapshot."""
-        raise NotImplementedError
+        self.state.restore(data)
 
-    def referenced(self) -> list[int]:
+    def referenced(self) -> Iterable[int]:
         """Returns the log indexes whose records are still read."""
-        raise NotImplementedError
+        return self.state.referenced()
 
-    def _run(self, commands: list[leader.Command]) -> None:
+    def _run(self, commands: list[Command]) -> None:
         for command in commands:
             match command:
-                case leader.Propose():
+                case Propose():
                     self.group.propose(codec.encode(command.record))
-                case leader.Send():
+                case Send():
                     self._replica.send(command.to, command.message)
-                case leader.SendAnswer():
+                case SendAnswer():
                     self._replica.send(command.to, self._answer(command))
-                case leader.SendGrant():
+                case ShareQuarantine():
+                    self._share(command.content)
+                case SendGrant():
                     self._replica.send(command.to, self._grant(command))
 
-    def _answer(self, command: leader.SendAnswer) -> messages.Finished:
-        call = command.call
-        record = _decoder.decode(self.group.read(call.record_index))
+    def _answer(self, command: SendAnswer) -> messages.Finished:
+        record = _decoder.decode(self.group.read(command.record_index))
         return messages.Finished(
             ask=command.ask,
-            key=call.begin.key,
+            key=command.key,
             attempt=record.attempt,
             answer=record.answer,
-            seq=call.seq,
+            seq=command.seq,
             usage=record.usage,
         )
 
-    def _grant(self, command: leader.SendGrant) -> messages.Granted:
+    def _grant(self, command: SendGrant) -> messages.Granted:
         texts = []
         for item in command.history:
             record = _decoder.decode(self.group.read(item.record_index))
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from catkinpin.adapters import replicas
 from catkinpin.core import changes, messages
 
 ToReplica = (
@@ -11,9 +12,11 @@
     | messages.Finish
     | messages.GetProgram
     | messages.EndProgram
+    | messages.ReleaseDone
     | messages.Reports
-    | changes.ConfigConfirmed
-    | changes.Apply
+    | changes.FromProcess
+    | messages.CacheEvents
+    | replicas.ReplicaMessage
 )
 ToEntry = (
     messages.Ping
@@ -23,13 +26,15 @@
     | messages.Refused
     | messages.NotLeader
     | messages.ProgramInfo
-    | changes.ConfigUpdate
-    | changes.Applied
+    | messages.Recall
+    | messages.OrderRelease
+    | changes.ToProcess
 )
 BetweenEntries = (
     messages.Hello
     | messages.Ping
     | messages.Dispatch
+    | messages.NeedWhole
     | messages.Chunk
     | messages.Dispatched
 )
--- a/catkinpin/core/messages.py
+++ b/catkinpin/core/messages.py
@@ -60,9 +60,15 @@
 
 
 class Ping(Message, frozen=True):
-    """Asks the other end to prove that the stream still carries data."""
+    """Asks the other end to prove that the stream still carries data.
 
-    nonce: int
+    Attributes:
+        nonce: of this ping, or 0 where none is meant to be echoed.
+        echo: the last nonce that the sender has got.
+    """
+
+    nonce: int = 0
+    echo: int = 0
 
 
 class GroupLeader(Message, frozen=True):
@@ -95,6 +101,7 @@
         max_tokens: most tokens the caller wants generated.
         region: region of the entry that the caller is connected to.
         traceparent: W3C trace context of the caller's span.
+        once: whether the caller named no program, so that none continues.
     """
 
     ask: int
@@ -112,6 +119,7 @@
     max_tokens: int = 0
     region: str = ""
     traceparent: str = ""
+    once: bool = False
 
 
 class ServerRef(Message, frozen=True):
@@ -130,12 +138,20 @@
         attempt: id of this dispatch, unique for ever.
         dispatcher: address of the entry that shall dispatch; empty for the
             entry that asked.
-        expires_ms: milliseconds from receipt within which the dispatch must
-            begin; after that the grant must be handed back.
+        expires_ms: milliseconds within which the dispatch must begin, from
+            when the entry sent its question plus `waited_ms`, on the entry's
+            monotonic clock; after that the grant must be handed back. Counted
+            from the receipt, a grant that lay unread in a stopped process
+            would look fresh, and overtake the program's next call.
+        waited_ms: milliseconds that the leader kept the question.
         max_tokens: most tokens that the budget allows.
         skip: how many of the request's messages the history already holds.
         history: stored messages (JSON) that go before the request's own; only
             filled where the request does not carry the whole history.
+        recover: the attempt was granted to an entry that is gone; find out
+            at the server what became of it, and send nothing.
+        until_ms: set by the receiver: when the grant expires on its own
+            monotonic clock; 0 on the way.
     """
 
     ask: int
@@ -144,11 +160,14 @@
     server: ServerRef
     dispatcher: str = ""
     expires_ms: int = 0
+    waited_ms: int = 0
     max_tokens: int = 0
     priority: int = 0
     seq: int = 0
     skip: int = 0
     history: list[bytes] = []
+    recover: bool = False
+    until_ms: int = 0
 
 
 class Finish(Message, frozen=True):
@@ -176,6 +195,45 @@
     crashed: bool = False
 
 
+class Recall(Message, frozen=True):
+    """Takes a grant back unless the entry has used it.
+
+    The entry answers with a `Finish`: `NOT_RUN` where it never used the grant,
+    and then refuses to use it later; `MAY_HAVE_RUN` where it used the grant
+    and no longer knows the outcome. While the attempt is under way there is
+    no answer; its own `Finish` comes.
+    """
+
+    key: CallKey
+    attempt: str
+
+
+class OrderRelease(Message, frozen=True):
+    """Has an entry order a server to release the memory of programs.
+
+    Attributes:
+        group: the log group whose leader asks.
+        programs: `ACCOUNT/PROGRAM`, as the engine knows them.
+    """
+
+    group: str
+    server: ServerRef
+    programs: list[str]
+
+
+class ReleaseDone(Message, frozen=True):
+    """The server confirmed the release.
+
+    Attributes:
+        incarnation: the life of the server that confirmed.
+    """
+
+    group: str
+    server: str
+    incarnation: str
+    programs: list[str]
+
+
 class Finished(Message, frozen=True):
     """The final answer of a call, durable in the shard's log."""
 
@@ -285,8 +343,39 @@
     age_ms: list[int]
 
 
+class CacheEvent(Message, frozen=True):
+    """A change of an engine's prefix cache.
+
+    Attributes:
+        seq: counted by the engine from 1 in each life; a gap means that
+            events were lost.
+        kind: `held` or `evicted`.
+        program: `ACCOUNT/PROGRAM` whose prefix changed.
+        tokens: length of the prefix that is held now.
+    """
+
+    seq: int
+    kind: str
+    program: str
+    tokens: int = 0
+
+
+class CacheEvents(Message, frozen=True):
+    """Cache events of one engine, in order, some perhaps missing."""
+
+    server: str
+    incarnation: str
+    events: list[CacheEvent]
+
+
 class Dispatch(Message, frozen=True):
-    """Asks another entry to dispatch a granted call."""
+    """Asks another entry to dispatch a granted call.
+
+    Attributes:
+        base: digest chain over the messages left out of `body`, which the
+            receiver may hold; empty where `body` is whole.
+        head: digest chain over all messages of the prompt.
+    """
 
     ask: int
     grant: Granted
@@ -297,6 +386,14 @@
     body: bytes
     deadline_ms: int
     traceparent: str = ""
+    base: bytes = b""
+    head: bytes = b""
+
+
+class NeedWhole(Message, frozen=True):
+    """Answers a `Dispatch` whose `base` the receiver does not hold."""
+
+    ask: int
 
 
 class Chunk(Message, frozen=True):
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -17,7 +17,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.messages import CallKey, ProgramKey, Usage
+    from catkinpin.core.messages import (
+        CallKey,
+        ProgramKey,
+        ServerReport,
+        Usage,
+    )
     from catkinpin.core.servers import Server, ServerView
 
 _RETRY_AFTER_MS = 1_000
@@ -36,7 +41,11 @@
         last_server: the server that last answered the program, or empty.
         priority: of the deployment; higher goes first.
         deadline_ms: monotonic time after which nobody waits for the answer.
-        without: servers that failed this call.
+        without: servers that failed this call, or that failed many.
+        suspect: whether the call was aboard a server that crashed.
+        content: digest of all that a server would get.
+        allowed: whether the configuration lets the call go to a server; asked
+            at each placement, since it may change while the call waits.
         interactive: whether someone waits at a screen.
         parent: id of the program that started this one, or empty.
         shared_tokens: leading tokens that the parent's history holds too; of
@@ -56,6 +65,9 @@
     priority: int = 0
     deadline_ms: int = 0
     without: tuple[str, ...] = ()
+    suspect: bool = False
+    content: bytes = b""
+    allowed: Callable[[ServerReport], bool] = lambda _: True
     interactive: bool = False
     parent: str = ""
     shared_tokens: int = 0
@@ -142,7 +154,9 @@
         calls = self._calls(job)
         if job.key in self._running or job.key in calls:
             return []
-        usable = self._view.usable(job.kind, job.target, now_ms, job.without)
+        usable = self._view.usable(
+            job.kind, job.target, now_ms, job.without, job.allowed
+        )
         if not usable:
             text = f"no server for {job.target!r} takes work now"
             return [Reject(job.key, Reason.NO_SERVER, text, _RETRY_AFTER_MS)]
@@ -168,6 +182,7 @@
         """
         running = self._running.pop(key, None)
         if running is None:
+            self._give_up(key)
             return []
         self._view.attempt_ended(running.server)
         server = self._view.servers.get(running.server)
@@ -227,6 +242,12 @@
             decisions += self._fill(calls, now_ms)
         return decisions
 
+    def _give_up(self, key: CallKey) -> None:
+        """Takes a call that got its final answer out of the queue."""
+        for calls in self._waiting.values():
+            if key in calls:
+                calls.remove(key)
+
     def _calls(self, job: Job) -> waiting.WaitingCalls:
         plan = self._plan or WaitPlan()
         key = (job.kind, job.target)
@@ -256,7 +277,7 @@
             if wants_room and job.prompt_tokens >= least_missed:
                 continue
             usable = self._view.usable(
-                job.kind, job.target, now_ms, job.without
+                job.kind, job.target, now_ms, job.without, job.allowed
             )
             server = self._policy(job, usable, now_ms)
             if server is not None:
