Put the policy in force in the replicas

Cause: the shards' leaders still chose by stickiness alone. They now place by cost and let calls wait. Usage of an answer reaches the scheduler; a replica fills its part of each cache, by the shards it leads; a leader that steps down gives back what it counted on the shared view, or its calls would never end there. A call whose program's server holds the prefix looks at no other where none can be cheaper, and of many servers 32 are compared, others each time. A queued call of one deployment no longer stands for those of another, whose servers may differ. Engines' cache events reach the ledger.

Ruled out: comparing all servers of a target at each call; with 1,300 servers that is most of the time of a decision.

--- a/bench/variants.py
+++ b/bench/variants.py
@@ -23,7 +23,10 @@
 def _policy(view: ServerView) -> scheduler.Scheduler:
     prices = placement.Prices()
     return scheduler.Scheduler(
-        view, placement.by_cost(prices), scheduler.WaitPlan()
+        view,
+        placement.by_cost(prices),
+        scheduler.WaitPlan(),
+        placement.keeps_home(prices),
     )
 
 
--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/shardhost.py
@@ -75,8 +75,13 @@
         self.leader.entry_lost(entry_ref(stream), now)
 
     def _new_leader(self) -> leader.ShardLeader:
+        prices = placement.Prices()
+        share = self._replica.led_share
         self.scheduler = scheduler.Scheduler(
-            self._replica.view, placement.sticky
+            self._replica.view,
+            placement.by_cost(prices, share),
+            scheduler.WaitPlan(),
+            placement.keeps_home(prices, share),
         )
         rng = random.Random()
         return leader.ShardLeader(
@@ -95,6 +100,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @property
+    def leading(self) -> bool:
+        """Whether this replica leads the shard."""
+        return self._leading
+
     def handle(self, stream: peers.Stream, message: Any) -> None:
         """Takes an entry's message for this shard."""
         if isinstance(message, messages.ReleaseDone):
@@ -148,6 +158,7 @@
     def leadership(self, leading: bool) -> None:
         """Takes up or lays down the leader's part."""
         self._leading = leading
+        self.scheduler.stop()
         if not leading:
             return
         self.leader = self._new_leader()
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/leader.py
@@ -636,7 +636,7 @@
         watched = self._watch.remove(record.attempt)
         if watched is not None:
             self._judge_server(watched, record, now_ms)
-        return self._free_server(record.key, now_ms, wall_ms)
+        return self._free_server(record.key, now_ms, wall_ms, record.usage)
 
     def _judge_server(
         self,
@@ -650,14 +650,18 @@
             self.outliers.failed(watched.server, now_ms)
 
     def _free_server(
-        self, key: CallKey, now_ms: int, wall_ms: int
+        self,
+        key: CallKey,
+        now_ms: int,
+        wall_ms: int,
+        usage: messages.Usage | None = None,
     ) -> list[Command]:
         """Gives back the server of a call that holds no attempt any more."""
         found = self._shard.find_open(key)
         if found is not None and found[1].attempt is not None:
             return []
         self._admission.stopped(key)
-        decisions = self._placing.ended(key, now_ms)
+        decisions = self._placing.ended(key, now_ms, usage)
         return self.decided(decisions, now_ms, wall_ms)
 
     def _refuse_waiters(
--- a/catkinpin/core/placement.py
+++ b/catkinpin/core/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import zlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,9 @@
     from catkinpin.core.scheduler import Job
     from catkinpin.core.servers import Server
 
+# Costs are worked out for so many servers at most.
+_MOST_CANDIDATES = 32
+
 Policy = Callable[["Job", list["Server"], int], "Server | None"]
 
 
@@ -69,20 +73,34 @@
 
 
 def costs(
-    job: Job, servers: list[Server], now_ms: int, prices: Prices
+    job: Job,
+    servers: list[Server],
+    now_ms: int,
+    prices: Prices,
+    share: float = 1.0,
 ) -> list[Cost]:
-    """Returns what each server would cost, the cheapest first."""
-    found = [_cost(job, server, now_ms, prices) for server in servers]
+    """Returns what each server would cost, the cheapest first.
+
+    Args:
+        job: the call.
+        servers: those that may get it.
+        now_ms: monotonic time.
+        prices: what to assume of engines and links.
+        share: part of each cache that this process may fill; other leaders'
+            programs, unseen here, fill the rest.
+    """
+    found = [_cost(job, one, now_ms, prices, share) for one in servers]
     return sorted(
         found, key=lambda cost: (cost.total, cost.server.report.server)
     )
 
 
-def by_cost(prices: Prices) -> Policy:
+def by_cost(prices: Prices, share: Callable[[], float] = lambda: 1.0) -> Policy:
     """Returns the policy that takes the cheapest server with room."""
 
     def choose(job: Job, servers: list[Server], now_ms: int) -> Server | None:
-        for cost in costs(job, servers, now_ms, prices):
+        few = sample(job, servers, now_ms)
+        for cost in costs(job, few, now_ms, prices, share()):
             if cost.fits:
                 return cost.server
         return None
@@ -90,6 +108,38 @@
     return choose
 
 
+def keeps_home(
+    prices: Prices, share: Callable[[], float] = lambda: 1.0
+) -> Callable[[Job, Server, int], bool]:
+    """Returns a check whether no other server can cost a call less."""
+
+    def check(job: Job, home: Server, now_ms: int) -> bool:
+        if not job.history_tokens or job.kind != "model":
+            return False
+        if not home.residents.cached_tokens(job.key.program_key):
+            return False
+        cost = _cost(job, home, now_ms, prices, share())
+        new = job.prompt_tokens - job.history_tokens
+        history = own_tokens(job, home) - new
+        elsewhere = (new + prices.recompute * history) / prices.prefill_per_ms
+        return cost.fits and cost.total <= elsewhere
+
+    return check
+
+
+def sample(job: Job, servers: list[Server], now_ms: int) -> list[Server]:
+    """Returns some of many servers, others at other times.
+
+    Among many, the best of a few dozen is nearly as good as the best of all.
+    """
+    if len(servers) <= _MOST_CANDIDATES:
+        return servers
+    seed = zlib.crc32(f"{job.key.program}/{now_ms}".encode())
+    start = seed % len(servers)
+    chosen = servers[start : start + _MOST_CANDIDATES]
+    return chosen + servers[: _MOST_CANDIDATES - len(chosen)]
+
+
 def missing_tokens(job: Job, server: Server) -> int:
     """Returns the tokens of the prompt that a server would have to compute."""
     held = server.residents.cached_tokens(job.key.program_key)
@@ -108,7 +158,9 @@
     return max(0, job.prompt_tokens - shared)
 
 
-def _cost(job: Job, server: Server, now_ms: int, prices: Prices) -> Cost:
+def _cost(
+    job: Job, server: Server, now_ms: int, prices: Prices, share: float
+) -> Cost:
     report = server.report
     slots = max(1, report.capacity)
     transfer = 0.0
@@ -121,26 +173,26 @@
     if report.kind != "model":
         wait = 1_000.0 * server.load / slots
         return Cost(server, wait, 0.0, transfer, server.load < slots)
-    server.residents.rest(now_ms, prices.hold_ms, report.cache_tokens)
+    cache = report.cache_tokens * share
+    server.residents.rest(now_ms, prices.hold_ms, round(cache))
     wait = server.load * prices.gap_per_call_ms * prices.output_tokens
     missing = missing_tokens(job, server)
     new = min(missing, job.prompt_tokens - job.history_tokens)
     weighed = new + prices.recompute * (missing - new)
     prefill = weighed / prices.prefill_per_ms
     if not server.residents.is_active(job.key.program_key):
-        used = server.residents.active_tokens / max(1, report.cache_tokens)
+        used = server.residents.active_tokens / max(1.0, cache)
         wait += prices.memory_ms * used
-    fits = server.load < slots and _has_memory(job, server, prices)
+    fits = server.load < slots and _has_memory(job, server, prices, cache)
     return Cost(server, wait, prefill, transfer, fits)
 
 
-def _has_memory(job: Job, server: Server, prices: Prices) -> bool:
+def _has_memory(job: Job, server: Server, prices: Prices, cache: float) -> bool:
     """Returns whether the context fits beside those of active programs.
 
     Without this limit the active programs of a busy engine evict one another
     in each pause, and every turn computes its whole history again.
     """
-    cache = server.report.cache_tokens
     residents = server.residents
     if not cache or residents.is_active(job.key.program_key):
         return True
--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placing.py
@@ -20,6 +20,7 @@
         CallKey,
         ProgramKey,
         ServerReport,
+        Usage,
     )
     from catkinpin.core.outliers import Outliers
     from catkinpin.core.program import Attempt, Call, Program
@@ -164,7 +165,9 @@
                 found.append(_rejected(decision))
         return found
 
-    def ended(self, key: CallKey, now_ms: int) -> list[Decision]:
+    def ended(
+        self, key: CallKey, now_ms: int, usage: Usage | None = None
+    ) -> list[Decision]:
         """Notes that a call holds no server any more."""
         self._jobs.pop(key, None)
         self._suspects.pop(key, None)
@@ -173,7 +176,7 @@
             self._contents[aboard.content] -= 1
             if not self._contents[aboard.content]:
                 del self._contents[aboard.content]
-        return self._scheduler.ended(key, now_ms)
+        return self._scheduler.ended(key, now_ms, usage)
 
     def program_over(self, key: ProgramKey) -> None:
         """Notes that a program makes no more calls."""
@@ -267,6 +270,7 @@
             last_server=program.last_server if program is not None else "",
             priority=deployment.priority if deployment is not None else 0,
             deadline_ms=deadline_ms,
+            deployment=deployment.name if deployment is not None else "",
             interactive=deployment.interactive if deployment else False,
             parent=program.parent if program else begin.parent,
             without=tuple(sorted(without)),
--- a/catkinpin/core/residents.py
+++ b/catkinpin/core/residents.py
@@ -153,6 +153,13 @@
                 if resident.missed >= _MISSED_REPORTS:
                     resident.cached = False
 
+    def changed(self, key: ProgramKey, held_tokens: int) -> None:
+        """Notes an engine's event: so much of a program is held now."""
+        resident = self._active.get(key) or self._idle.get(key)
+        if resident is not None and not resident.running:
+            resident.cached = held_tokens > 0
+            resident.missed = 0
+
     def programs(self) -> list[tuple[ProgramKey, Resident]]:
         """Returns the active programs, the longest unused first."""
         return list(self._active.items())
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 from typing import TYPE_CHECKING
@@ -46,6 +47,7 @@
         content: digest of all that a server would get.
         allowed: whether the configuration lets the call go to a server; asked
             at each placement, since it may change while the call waits.
+        deployment: name of the deployment that lets the call run.
         interactive: whether someone waits at a screen.
         parent: id of the program that started this one, or empty.
         shared_tokens: leading tokens that the parent's history holds too; of
@@ -68,6 +70,7 @@
     suspect: bool = False
     content: bytes = b""
     allowed: Callable[[ServerReport], bool] = lambda _: True
+    deployment: str = ""
     interactive: bool = False
     parent: str = ""
     shared_tokens: int = 0
@@ -114,9 +117,9 @@
 
 @dataclasses.dataclass
 class _Running:
-    """A call aboard a server."""
+    """A call aboard a server, in the life of it that is known here."""
 
-    server: str
+    server: Server | None
     job: Job | None = None
 
 
@@ -128,6 +131,7 @@
         view: ServerView,
         policy: Callable[[Job, list[Server], int], Server | None],
         plan: WaitPlan | None = None,
+        keeps: Callable[[Job, Server, int], bool] = lambda *_: False,
     ) -> None:
         """Creates a scheduler.
 
@@ -136,7 +140,9 @@
             policy: chooses a server, or none while the call should wait.
             plan: how calls wait; without it a call without a server is
                 refused at once.
+            keeps: whether a program's server is surely the best for a call.
         """
+        self._keeps = keeps
         self._view = view
         self._policy = policy
         self._plan = plan
@@ -154,12 +160,9 @@
         calls = self._calls(job)
         if job.key in self._running or job.key in calls:
             return []
-        usable = self._view.usable(
-            job.kind, job.target, now_ms, job.without, job.allowed
-        )
+        usable = self._usable(job, now_ms)
         if not usable:
-            text = f"no server for {job.target!r} takes work now"
-            return [Reject(job.key, Reason.NO_SERVER, text, _RETRY_AFTER_MS)]
+            return [_no_server(job)]
         if not self._must_queue(job, calls):
             server = self._policy(job, usable, now_ms)
             if server is not None:
@@ -184,10 +187,10 @@
         if running is None:
             self._give_up(key)
             return []
-        self._view.attempt_ended(running.server)
-        server = self._view.servers.get(running.server)
+        server = running.server
         if server is None:
             return []
+        server.granted = max(0, server.granted - 1)
         self._learn(running, server, usage, now_ms)
         decisions = []
         for target in server.report.serves:
@@ -225,8 +228,23 @@
 
     def resume(self, key: CallKey, server: str) -> None:
         """Notes an attempt that an earlier leader granted."""
-        self._running[key] = _Running(server)
-        self._view.attempt_started(server)
+        found = self._view.servers.get(server)
+        self._running[key] = _Running(found)
+        if found is not None:
+            found.granted += 1
+
+    def stop(self) -> None:
+        """Gives back all that it counted on servers; its leader steps down.
+
+        Several shards' schedulers share a view. What a former leader counted
+        would look like calls that never end, and keep others off the servers.
+        """
+        for running in self._running.values():
+            if running.server is not None:
+                running.server.granted = max(0, running.server.granted - 1)
+        self._running.clear()
+        for program in list(self._homes):
+            self.program_ended(program)
 
     def tick(self, now_ms: int) -> list[Decision]:
         """Decides anew after reports have come or time has passed."""
@@ -271,30 +289,52 @@
         starved = calls.starved()
         # A program that needs as much memory as one that found none, or
         # more, finds none either: it need not be tried.
-        least_missed = math.inf
+        least_missed: dict[str, float] = collections.defaultdict(
+            lambda: math.inf
+        )
         for position, job in enumerate(list(calls)):
             wants_room = self._wants_room(job)
-            if wants_room and job.prompt_tokens >= least_missed:
+            group = job.deployment
+            if wants_room and job.prompt_tokens >= least_missed[group]:
                 continue
-            usable = self._view.usable(
-                job.kind, job.target, now_ms, job.without, job.allowed
-            )
+            usable = self._usable(job, now_ms)
             server = self._policy(job, usable, now_ms)
+            if not usable:
+                calls.remove(job.key)
+                placed.append(_no_server(job))
+                continue
             if server is not None:
                 calls.remove(job.key)
                 placed.append(self._place(job, server, now_ms))
                 continue
             if wants_room and not job.without:
-                least_missed = min(least_missed, job.prompt_tokens)
+                least = min(least_missed[group], job.prompt_tokens)
+                least_missed[group] = least
             # What runs out would go to a starved call; a younger one that
             # needs less must not keep it from ever getting enough.
             if position < starved and wants_room:
-                least_missed = 0
+                least_missed[group] = 0
             misses += 1
             if misses >= plan.tries:
                 break
         return placed
 
+    def _usable(self, job: Job, now_ms: int) -> list[Server]:
+        """Returns the servers to choose from.
+
+        Where the program's own server holds its prefix and any other would
+        take longer to compute it, no other need be looked at.
+        """
+        home = self._homes.get(job.key.program_key, "")
+        found = self._view.usable(
+            job.kind, job.target, now_ms, job.without, job.allowed, home
+        )
+        if found and self._keeps(job, found[0], now_ms):
+            return found
+        return self._view.usable(
+            job.kind, job.target, now_ms, job.without, job.allowed
+        )
+
     def _wants_room(self, job: Job) -> bool:
         """Returns whether no server keeps room for the call's program."""
         program = job.key.program_key
@@ -308,8 +348,8 @@
     def _place(self, job: Job, server: Server, now_ms: int) -> Place:
         name = server.report.server
         program = job.key.program_key
-        self._running[job.key] = _Running(name, job)
-        self._view.attempt_started(name)
+        self._running[job.key] = _Running(server, job)
+        server.granted += 1
         if job.kind == "model":
             self._move(program, name)
             tokens = placement.own_tokens(job, server)
@@ -322,3 +362,8 @@
         if before is not None and before.report.server != name:
             before.residents.pause(program)
         self._homes[program] = name
+
+
+def _no_server(job: Job) -> Reject:
+    text = f"no server for {job.target!r} takes work now"
+    return Reject(job.key, Reason.NO_SERVER, text, _RETRY_AFTER_MS)
--- a/catkinpin/core/servers.py
+++ b/catkinpin/core/servers.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core.messages import ServerRef
+from catkinpin.core.messages import ProgramKey, ServerRef
 from catkinpin.core.residents import Residents
 
 if TYPE_CHECKING:
@@ -95,7 +95,18 @@
             self._remember(known)
 
     def cache_events(self, events: CacheEvents) -> None:
-        """Takes in what an engine says of its prefix cache."""
+        """Takes in what an engine says of its prefix cache.
+
+        Events that were lost leave the ledger wrong until the next report of
+        all that the engine holds.
+        """
+        server = self.servers.get(events.server)
+        if server is None or server.report.incarnation != events.incarnation:
+            return
+        for event in events.events:
+            account, _, program = event.program.partition("/")
+            key = ProgramKey(account=account, program=program)
+            server.residents.changed(key, event.tokens)
 
     def usable(
         self,
@@ -104,10 +115,17 @@
         now_ms: int,
         without: tuple[str, ...] = (),
         allowed: Callable[[ServerReport], bool] = lambda _: True,
+        only: str | None = None,
     ) -> list[Server]:
-        """Returns the servers that may get new work for `target`."""
+        """Returns the servers that may get new work for `target`.
+
+        With `only`, no other server is looked at.
+        """
         found = []
-        for name, server in self._by_target.get((kind, target), {}).items():
+        servers = self._by_target.get((kind, target), {})
+        if only is not None:
+            servers = {only: servers[only]} if only in servers else {}
+        for name, server in servers.items():
             if server.report.leaving or name in without:
                 continue
             if now_ms - server.seen_ms > SILENT_AFTER_MS:
@@ -129,17 +147,6 @@
         """Returns whether any known server, even a silent one, serves it."""
         return bool(self._by_target.get((kind, target)))
 
-    def attempt_started(self, server: str) -> None:
-        """Counts a grant, which reports will show only later."""
-        if server in self.servers:
-            self.servers[server].granted += 1
-
-    def attempt_ended(self, server: str) -> None:
-        """Takes back a counted grant."""
-        found = self.servers.get(server)
-        if found is not None and found.granted > 0:
-            found.granted -= 1
-
     def forget_silent(self, now_ms: int) -> None:
         """Drops servers that have been silent for long."""
         for name, server in list(self.servers.items()):
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -98,6 +98,15 @@
         if self._admin is not None:
             await self._admin.close()
 
+    def led_share(self) -> float:
+        """Returns the part of the shards that this replica leads.
+
+        Each leading replica places as much in an engine's cache as its part
+        of the programs: it knows nothing of what the others place there.
+        """
+        led = sum(host.leading for host in self.shards.values())
+        return max(1, led) / len(self.shards)
+
     def not_ready(self) -> str:
         """Returns why this replica takes no part, or an empty string."""
         return "stopping" if self._stopping else self.node.not_ready()
