Test waiting, lies and lost servers; judge prompts by what engines count

Cause: a request's bound is in bytes, several times what the engine counts; by it a program seemed to lack most of its history on the server that holds it, and a cache seemed full at a quarter. The scheduler learns the ratio for each model. A sub-agent's share of its parent's history is taken from the digests and weighs like history: a test showed it go to an idle server and compute 4,000 tokens there. A report that claims to run more calls than fit counts for nothing: clipped to the capacity, as it was, it would have kept the server idle for as long as it lied, which the comment denied.

--- a/catkinpin/core/placement.py
+++ b/catkinpin/core/placement.py
@@ -177,7 +177,8 @@
     server.residents.rest(now_ms, prices.hold_ms, round(cache))
     wait = server.load * prices.gap_per_call_ms * prices.output_tokens
     missing = missing_tokens(job, server)
-    new = min(missing, job.prompt_tokens - job.history_tokens)
+    known = max(job.history_tokens, job.shared_tokens if job.parent else 0)
+    new = max(0, min(missing, job.prompt_tokens - known))
     weighed = new + prices.recompute * (missing - new)
     prefill = weighed / prices.prefill_per_ms
     if not server.residents.is_active(job.key.program_key):
--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placing.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.core import scheduler
+from catkinpin.core.messages import ProgramKey
 from catkinpin.core.quarantine import CRASHES_ALLOWED
 from catkinpin.core.records import ProgramLimits
 from catkinpin.verdicts import Reason
@@ -18,7 +19,6 @@
     from catkinpin.core.messages import (
         Begin,
         CallKey,
-        ProgramKey,
         ServerReport,
         Usage,
     )
@@ -241,6 +241,20 @@
     def _suspect_servers(self) -> list[str]:
         return [aboard.server for aboard in self._suspects.values()]
 
+    def _shared_tokens(self, begin: Begin, parent: str) -> int:
+        """Returns the tokens that a sub-agent's request shares with a parent.
+
+        Where the parent's prefix is, the sub-agent need not compute them.
+        """
+        key = ProgramKey(account=begin.key.account, program=parent)
+        found = self._shard.programs.get(key)
+        if found is None or not len(found.history) or not begin.whole:
+            return 0
+        same = found.history.first_difference(begin.digests)
+        whole = len(found.history)
+        share = (whole if same is None else same) / whole
+        return round(share * found.history_tokens)
+
     def _job(
         self,
         begin: Begin,
@@ -257,12 +271,15 @@
         without = set(self._outliers.ejected(now_ms))
         without.update(call.failed_servers if call is not None else ())
         without.update(self._suspect_servers() if suspect else ())
+        history = program.history_tokens if program is not None else 0
+        parent = program.parent if program is not None else begin.parent
         job = scheduler.Job(
             key=begin.key,
             kind=begin.kind,
             target=begin.target,
             prompt_tokens=begin.prompt_tokens,
-            history_tokens=program.history_tokens if program else 0,
+            stored_tokens=0 if begin.whole else history,
+            history_tokens=history,
             max_tokens=begin.max_tokens,
             turns=program.turns if program is not None else 0,
             attained_tokens=program.spent if program is not None else 0,
@@ -272,7 +289,8 @@
             deadline_ms=deadline_ms,
             deployment=deployment.name if deployment is not None else "",
             interactive=deployment.interactive if deployment else False,
-            parent=program.parent if program else begin.parent,
+            parent=parent,
+            shared_tokens=self._shared_tokens(begin, parent),
             without=tuple(sorted(without)),
             suspect=suspect,
             content=content,
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -27,6 +27,8 @@
     from catkinpin.core.servers import Server, ServerView
 
 _RETRY_AFTER_MS = 1_000
+# Weight of the newest answer in what is learned of prompts.
+_LEARNING = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,7 +36,10 @@
     """A call that waits for a server, and what is known of its program.
 
     Attributes:
-        prompt_tokens: upper bound of the prompt, in tokens.
+        prompt_tokens: upper bound of the request's tokens; the scheduler
+            puts its estimate of the whole prompt in its place.
+        stored_tokens: history that goes before the request, which leaves it
+            out.
         history_tokens: tokens of the program's history so far.
         turns: calls of the program that have been answered.
         attained_tokens: tokens the program has been served so far.
@@ -47,6 +52,7 @@
         content: digest of all that a server would get.
         allowed: whether the configuration lets the call go to a server; asked
             at each placement, since it may change while the call waits.
+        bound_tokens: the upper bound as it came; the scheduler's own note.
         deployment: name of the deployment that lets the call run.
         interactive: whether someone waits at a screen.
         parent: id of the program that started this one, or empty.
@@ -58,6 +64,7 @@
     kind: str
     target: str
     prompt_tokens: int = 0
+    stored_tokens: int = 0
     history_tokens: int = 0
     max_tokens: int = 0
     turns: int = 0
@@ -70,6 +77,7 @@
     suspect: bool = False
     content: bytes = b""
     allowed: Callable[[ServerReport], bool] = lambda _: True
+    bound_tokens: int = 0
     deployment: str = ""
     interactive: bool = False
     parent: str = ""
@@ -149,17 +157,17 @@
         self._running: dict[CallKey, _Running] = {}
         # Learned: what the programs of an account begin with alike.
         self._common: dict[tuple[str, str], int] = {}
+        # Learned: tokens that engines count by the bound, for each target.
+        self._scale: dict[str, float] = {}
         self._homes: dict[ProgramKey, str] = {}
         self._waiting: dict[tuple[str, str], waiting.WaitingCalls] = {}
 
     def submit(self, job: Job, now_ms: int) -> list[Decision]:
         """Takes a call; one that is known already changes nothing."""
-        if not job.parent:
-            common = self._common.get((job.key.account, job.target), 0)
-            job = dataclasses.replace(job, shared_tokens=common)
         calls = self._calls(job)
         if job.key in self._running or job.key in calls:
             return []
+        job = self._estimated(job)
         usable = self._usable(job, now_ms)
         if not usable:
             return [_no_server(job)]
@@ -173,6 +181,27 @@
         calls.add(job, now_ms)
         return []
 
+    def _estimated(self, job: Job) -> Job:
+        """Returns the call with what was learned about its prompt.
+
+        The bound that a budget needs is several times the tokens that the
+        engine counts in the end. By the bound, a program would seem to lack a
+        large part of its history on the server that holds it.
+        """
+        if job.kind != "model":
+            return job
+        scale = self._scale.get(job.target, 1.0)
+        prompt = job.stored_tokens + round(scale * job.prompt_tokens)
+        shared = job.shared_tokens
+        if not job.parent:
+            shared = self._common.get((job.key.account, job.target), 0)
+        return dataclasses.replace(
+            job,
+            prompt_tokens=max(prompt, job.history_tokens),
+            shared_tokens=shared,
+            bound_tokens=job.prompt_tokens,
+        )
+
     def ended(
         self, key: CallKey, now_ms: int, usage: Usage | None = None
     ) -> list[Decision]:
@@ -216,6 +245,11 @@
                 # What a new program finds in the cache is another's.
                 common = (job.key.account, job.target)
                 self._common[common] = usage.cached_tokens
+            counted = usage.prompt_tokens - job.stored_tokens
+            if job.bound_tokens and counted > 0:
+                before = self._scale.get(job.target, 1.0)
+                step = _LEARNING * (counted / job.bound_tokens - before)
+                self._scale[job.target] = before + step
             tokens = usage.prompt_tokens + usage.completion_tokens
             tokens -= job.prompt_tokens - placement.own_tokens(job, server)
         server.residents.ended(job.key.program_key, max(0, tokens), now_ms)
--- a/catkinpin/core/servers.py
+++ b/catkinpin/core/servers.py
@@ -53,15 +53,16 @@
     def correct(self, report: ServerReport, made_ms: int) -> None:
         """Takes in a newer report of the same life of the server.
 
-        A report that claims more calls than fit is held for a lie beyond the
-        capacity: otherwise one broken counter would keep a server idle for
-        ever. A report that claims too few changes nothing, as what we granted
-        counts in any case.
+        A report that claims to run more calls than fit is a lie: one broken
+        counter would keep a server idle for ever, beside callers that wait. It
+        counts for nothing. A report that claims too few changes nothing, as
+        what we granted counts in any case.
         """
         self.report = report
         self.seen_ms = made_ms
+        honest = report.running <= report.capacity
         foreign = report.running + report.waiting - self.granted
-        self.others = max(0, min(foreign, report.capacity))
+        self.others = max(0, foreign) if honest else 0
         if report.kind == "model":
             self.residents.correct(report.held, made_ms)
 
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,261 @@
+"""Waiting, priorities and placement under load and with servers that fail."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from bench import variants, workloads, world
+from catkinpin.core import messages, placement, scheduler, servers
+from catkinpin.verdicts import Reason
+from tests import base
+
+_CACHE = 10_000
+_LONG_MS = 3_600_000
+
+
+def _report(name: str, **fields: object) -> messages.ServerReport:
+    report = messages.ServerReport(
+        server=name,
+        incarnation="1",
+        address=f"http://{name}",
+        kind="model",
+        serves=["berater"],
+        domain="zh-a",
+        region="ch-nord",
+        capacity=4,
+        cache_tokens=_CACHE,
+    )
+    return msgspec.structs.replace(report, **fields)
+
+
+def _job(program: str, tokens: int = 100, **fields: object) -> scheduler.Job:
+    turn = fields.get("turns", 0)
+    key = messages.CallKey(
+        account="ruegg", program=program, request_id=f"{program}-{turn}"
+    )
+    job = scheduler.Job(key, "model", "berater", prompt_tokens=tokens)
+    return dataclasses.replace(job, **fields)  # type: ignore[arg-type]
+
+
+def _places(decisions: list[scheduler.Decision]) -> dict[str, str]:
+    return {
+        one.key.program: one.server.report.server
+        for one in decisions
+        if isinstance(one, scheduler.Place)
+    }
+
+
+class SchedulerTest(base.TestCase):
+    """The scheduler on a view that the test reports into."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.view = servers.ServerView()
+        self.report("a")
+        self.jobs = self.scheduler()
+
+    def scheduler(self, **plan: Any) -> scheduler.Scheduler:
+        prices = placement.Prices()
+        return scheduler.Scheduler(
+            self.view,
+            placement.by_cost(prices),
+            scheduler.WaitPlan(**plan),
+            placement.keeps_home(prices),
+        )
+
+    def report(self, name: str, at_ms: int = 0, **fields: object) -> None:
+        self.view.report(_report(name, **fields), at_ms)
+
+    def test_full_queue_refuses_at_once(self) -> None:
+        """More callers come than servers and queue hold.
+
+        Those beyond the bound hear at once that their call did not run.
+        """
+        jobs = self.scheduler(most=2)
+        placed = [jobs.submit(_job(f"p{n}"), 0) for n in range(4)]
+        self.assertEqual(4, sum(len(_places(one)) for one in placed))
+        self.assertEqual([], jobs.submit(_job("p4"), 0))
+        self.assertEqual([], jobs.submit(_job("p5"), 0))
+        (refused,) = jobs.submit(_job("p6"), 0)
+        assert isinstance(refused, scheduler.Reject)
+        self.assertEqual(Reason.OVERLOADED, refused.reason)
+        self.assertGreater(refused.retry_after_ms, 0)
+
+    def test_wait_ends_at_the_deadline(self) -> None:
+        """No server gets free while a caller waits.
+
+        The caller is refused when its time is up, not left without answer.
+        """
+        for number in range(4):
+            self.jobs.submit(_job(f"p{number}"), 0)
+        self.assertEqual([], self.jobs.submit(_job("q", deadline_ms=900), 0))
+        self.assertEqual([], self.jobs.tick(800))
+        (refused,) = self.jobs.tick(900)
+        assert isinstance(refused, scheduler.Reject)
+        self.assertEqual(Reason.DEADLINE, refused.reason)
+
+    def test_contexts_of_active_programs_fit_in_the_cache(self) -> None:
+        """Programs with long histories come while an engine's memory is full.
+
+        Without a limit they evict one another and each turn gets slow; the
+        new one waits until one of them ends.
+        """
+        for number in range(2):
+            job = _job(f"p{number}", 4_000)
+            self.assertIn(job.key.program, _places(self.jobs.submit(job, 0)))
+            self.jobs.ended(job.key, 1)
+        new = _job("new", 4_000)
+        self.assertEqual([], self.jobs.submit(new, 2))
+        later = _job("p0", 4_200, turns=1, history_tokens=4_000)
+        self.assertEqual({"p0": "a"}, _places(self.jobs.submit(later, 3)))
+        self.jobs.program_ended(_job("p1").key.program_key)
+        self.assertEqual({"new": "a"}, _places(self.jobs.tick(4)))
+
+    def test_large_program_is_not_starved_by_small_ones(self) -> None:
+        """Small programs keep coming and take each bit of memory that frees.
+
+        A large one would wait for ever; once it has waited for the bound, no
+        other gets room before it.
+        """
+        jobs = self.scheduler(starved_after_ms=1_000)
+        for number in range(3):
+            jobs.submit(_job(f"p{number}", 2_900), 0)
+        self.assertEqual([], jobs.submit(_job("large", 5_000), 0))
+        jobs.tick(1_000)
+        self.assertEqual([], jobs.submit(_job("small", 100), 1_001))
+        placed = {}
+        for number in range(3):
+            job = _job(f"p{number}")
+            placed.update(_places(jobs.ended(job.key, 1_100)))
+            jobs.program_ended(job.key.program_key)
+            placed.update(_places(jobs.tick(1_100 + number)))
+        self.assertEqual(["large", "small"], list(placed))
+
+    def test_call_of_one_deployment_does_not_hold_up_others(self) -> None:
+        """A deployment is limited to a server that is full.
+
+        Programs of another deployment that may use an idle server must not
+        wait behind it.
+        """
+        self.jobs.submit(_job("p0", 8_000), 0)
+        drained = _job(
+            "drained",
+            5_000,
+            deployment="one",
+            allowed=lambda report: report.server == "a",
+        )
+        other = _job("other", 6_000, deployment="two")
+        self.assertEqual([], self.jobs.submit(drained, 0))
+        self.assertEqual([], self.jobs.submit(other, 0))
+        self.report("b", 1)
+        self.assertEqual({"other": "b"}, _places(self.jobs.tick(1)))
+
+    def test_reports_that_lie_neither_block_nor_overload(self) -> None:
+        """An engine's load counter is broken, far too high or always zero.
+
+        Too high, the server would stay idle beside callers that wait; at
+        zero, it would get more calls than it runs at once.
+        """
+        self.report("a", 1, running=10_000, waiting=10_000)
+        self.assertEqual({"p0": "a"}, _places(self.jobs.submit(_job("p0"), 1)))
+        placed = {}
+        for number in range(1, 9):
+            self.report("a", 2 + number, running=0)
+            placed.update(_places(self.jobs.submit(_job(f"p{number}"), 10)))
+        self.assertEqual(3, len(placed))
+
+    def test_programs_of_a_silent_server_go_on_elsewhere(self) -> None:
+        """A server dies between the turns of its programs.
+
+        Their next calls go to servers that live, spread over them.
+        """
+        for number in range(4):
+            job = _job(f"p{number}", 2_000)
+            self.jobs.submit(job, 0)
+            self.jobs.ended(job.key, 1)
+        for name in "bc":
+            self.report(name, 5_000)
+        found: list[str] = []
+        for number in range(4):
+            job = _job(f"p{number}", 2_100, turns=1, history_tokens=2_000)
+            found += _places(self.jobs.submit(job, 5_001)).values()
+        self.assertEqual(["b", "b", "c", "c"], sorted(found))
+
+    def test_leader_that_steps_down_gives_its_counts_back(self) -> None:
+        """Leadership of a shard moves while calls are under way.
+
+        The other shards of the process share the view; what the former leader
+        counted there must not look like calls that never end.
+        """
+        for number in range(4):
+            self.jobs.submit(_job(f"p{number}", 2_000), 0)
+        other = self.scheduler()
+        self.assertEqual([], other.submit(_job("q", 2_000), 1))
+        self.jobs.stop()
+        self.assertEqual({"q": "a"}, _places(other.tick(2)))
+
+    def test_prefix_counts_as_lost_after_two_reports(self) -> None:
+        """Reports of what an engine holds have gaps.
+
+        One without a prefix is no proof; after the second the program may go
+        to a server that is less busy, as no time is saved by staying.
+        """
+        job = _job("p0", 4_000)
+        self.jobs.submit(job, 0)
+        self.jobs.ended(job.key, 1)
+        key = job.key.program_key
+        residents = self.view.servers["a"].residents
+        self.report("a", 10, held=[])
+        self.assertEqual(4_000, residents.cached_tokens(key))
+        self.report("a", 20, held=["ruegg/p0"])
+        self.report("a", 30, held=[])
+        self.assertEqual(4_000, residents.cached_tokens(key))
+        self.report("a", 40, held=[])
+        self.assertEqual(0, residents.cached_tokens(key))
+
+    def test_sub_agents_go_where_their_parents_prefix_is(self) -> None:
+        """A session starts sub-agents that share its history.
+
+        On another server each of them would compute that history anew.
+        """
+        parent = _job("p0", 4_000)
+        self.jobs.submit(parent, 0)
+        self.report("b", 0)
+        child = _job("p0/x", 4_100, parent="p0", shared_tokens=4_000)
+        self.assertEqual({"p0/x": "a"}, _places(self.jobs.submit(child, 1)))
+
+    def test_bound_of_a_prompt_is_not_taken_for_its_size(self) -> None:
+        """Requests carry a bound in bytes, engines count a quarter of it.
+
+        By the bound, two sessions would fill a cache that holds eight, and
+        callers would wait beside an idle engine.
+        """
+        for number in range(200):
+            job = _job(f"short{number}", 400)
+            self.jobs.submit(job, 0)
+            usage = messages.Usage(prompt_tokens=100)
+            self.jobs.ended(job.key, 1, usage)
+            self.jobs.program_ended(job.key.program_key)
+        for number in range(4):
+            job = _job(f"p{number}", 8_000)
+            self.assertIn(job.key.program, _places(self.jobs.submit(job, 2)))
+
+
+class BenchTest(base.TestCase):
+    """A short run of the bench."""
+
+    def test_run_is_the_same_for_a_seed(self) -> None:
+        workload = workloads.kunci()
+        per_ms = workloads.capacity(workload)
+        plan = world.RunPlan(
+            workload, per_ms, 0.8, 7, arrivals_ms=10_000, lost="server"
+        )
+        make = variants.VARIANTS[variants.POLICY]
+        first = world.World(plan, make).run()
+        again = world.World(plan, make).run()
+        self.assertEqual(first, again)
+        self.assertEqual(0, first.unfinished)
+        self.assertGreater(len(first.latencies), 10)
