--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -11,7 +11,7 @@
 import tracemalloc
 
 from catkinpin import codec
-from catkinpin.core import messages, placement, scheduler, servers
+from catkinpin.core import decisions, messages, placement, scheduler, servers
 
 _DECISIONS = 2_000
 _TARGETS = 4
@@ -49,7 +49,7 @@
     prices = placement.Prices()
     return scheduler.Scheduler(
         view,
-        placement.by_cost(prices),
+        placement.by_cost(prices, note=decisions.Decisions().note),
         scheduler.WaitPlan(),
         placement.keeps_home(prices),
     )
@@ -72,7 +72,7 @@
     )
 
 
-def decisions(count: int) -> tuple[float, float]:
+def costs(count: int) -> tuple[float, float]:
     """Returns microseconds of a new program's call, and of a later one.
 
     Both with the note of the call's end.
@@ -130,7 +130,7 @@
     """Prints the figures."""
     print("| servers | new program, us | later call, us |")
     for count in _SERVERS:
-        new, later = decisions(count)
+        new, later = costs(count)
         print(f"| {count} | {new:.0f} | {later:.0f} |")
     print("| programs | bytes a program |")
     for programs in _PROGRAMS:
--- a/catkinpin/__main__.py
+++ b/catkinpin/__main__.py
@@ -52,6 +52,7 @@
     app.command(plan)
     for name in ("confirm", "stop", "undo"):
         app.command(f"catkinpin.commands.plan:{name}", name=name)
+    app.command("catkinpin.commands.explain:explain", name="explain")
     app.command("catkinpin.commands.repair:repair", name="repair")
     app()
 
--- a/catkinpin/adapters/operators.py
+++ b/catkinpin/adapters/operators.py
@@ -15,7 +15,7 @@
 
 from catkinpin import configuration
 from catkinpin.adapters import intents
-from catkinpin.core import changes, deployments, routing
+from catkinpin.core import changes, decisions, deployments, messages, routing
 from catkinpin.exceptions import BadRequestError, PeerLostError
 
 if TYPE_CHECKING:
@@ -28,8 +28,10 @@
 _POLL_S = 0.02
 _OK = 200
 _BAD = 400
+_NOT_FOUND = 404
 _CONFLICT = 409
 _UNKNOWN = 503
+_CALL = re.compile(r"([^/]+)/(.+)/([^/]+)")
 _ID = re.compile(r"[0-9A-Za-z._:-]{1,100}")
 _FINGERPRINT = re.compile(r"([0-9a-f]{2}){1,64}")
 
@@ -60,6 +62,16 @@
         _check_operator(entry, req)
         return await _ask(entry, lambda ask: changes.GetStatus(ask=ask))
 
+    @app.get("/v1/operator/explain")
+    async def explain(req: sanic.Request) -> Any:
+        _check_operator(entry, req)
+        key = _call_key(req.args.get("call", ""))
+        return await _ask(
+            entry,
+            lambda ask: decisions.Explain(ask=ask, key=key),
+            group=routing.group_of(key.program_key, entry.cfg.shards),
+        )
+
     @app.post("/v1/operator/plans")
     async def plan(req: sanic.Request) -> Any:
         _check_operator(entry, req)
@@ -185,13 +197,14 @@
 
 
 async def _ask(
-    entry: Entry, make: Callable[[int], Any], request_id: str = ""
+    entry: Entry,
+    make: Callable[[int], Any],
+    request_id: str = "",
+    group: str = routing.CONTROL_GROUP,
 ) -> Any:
-    """Asks the control leader and returns its answer as JSON."""
+    """Asks a group's leader and returns its answer as JSON."""
     try:
-        answer = await entry.replicas.ask(
-            routing.CONTROL_GROUP, make, _ANSWER_TIMEOUT_S
-        )
+        answer = await entry.replicas.ask(group, make, _ANSWER_TIMEOUT_S)
     except PeerLostError as exc:
         error = {
             "message": f"{exc}; whether it was carried out is not known",
@@ -207,8 +220,20 @@
     return response.json(body, status=_status_of(answer))
 
 
+def _call_key(text: str) -> messages.CallKey:
+    match = _CALL.fullmatch(text)
+    if match is None:
+        raise BadRequestError("call", "ACCOUNT/PROGRAM/REQUEST-ID is needed")
+    account, program, request_id = match.groups()
+    return messages.CallKey(
+        account=account, program=program, request_id=request_id
+    )
+
+
 def _status_of(answer: Any) -> int:
     match answer:
+        case decisions.Explained(known=False):
+            return _NOT_FOUND
         case changes.Applied(accepted=False):
             return _CONFLICT
         case changes.PlanShown(plan=None):
--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/shardhost.py
@@ -8,6 +8,7 @@
 
 from catkinpin import codec, configuration, tracing
 from catkinpin.core import (
+    decisions,
     leader,
     messages,
     placement,
@@ -75,11 +76,12 @@
         self.leader.entry_lost(entry_ref(stream), now)
 
     def _new_leader(self) -> leader.ShardLeader:
+        self.decisions = decisions.Decisions()
         prices = placement.Prices()
         share = self._replica.led_share
         self.scheduler = scheduler.Scheduler(
             self._replica.view,
-            placement.by_cost(prices, share),
+            placement.by_cost(prices, share, self.decisions.note),
             scheduler.WaitPlan(),
             placement.keeps_home(prices, share),
         )
@@ -136,6 +138,8 @@
                 commands = self.leader.finish(entry, message, now, wall)
             case messages.GetProgram():
                 commands = self.leader.get_program(entry, message)
+            case decisions.Explain():
+                stream.send(self.decisions.explain(message, now))
             case messages.EndProgram():
                 commands = self.leader.end_program(entry, message, wall)
         self._run(commands)
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from catkinpin.adapters import replicas
-from catkinpin.core import changes, messages
+from catkinpin.core import changes, decisions, messages
 
 ToReplica = (
     messages.Hello
@@ -12,6 +12,7 @@
     | messages.Finish
     | messages.GetProgram
     | messages.EndProgram
+    | decisions.Explain
     | messages.ReleaseDone
     | messages.Reports
     | changes.FromProcess
@@ -26,6 +27,7 @@
     | messages.Refused
     | messages.NotLeader
     | messages.ProgramInfo
+    | decisions.Explained
     | messages.Recall
     | messages.OrderRelease
     | changes.ToProcess
--- a/catkinpin/core/placement.py
+++ b/catkinpin/core/placement.py
@@ -72,6 +72,9 @@
         return self.wait + self.prefill + self.transfer
 
 
+Note = Callable[["Job", list[Cost], "Server | None", int], None]
+
+
 def costs(
     job: Job,
     servers: list[Server],
@@ -95,15 +98,26 @@
     )
 
 
-def by_cost(prices: Prices, share: Callable[[], float] = lambda: 1.0) -> Policy:
-    """Returns the policy that takes the cheapest server with room."""
+def by_cost(
+    prices: Prices,
+    share: Callable[[], float] = lambda: 1.0,
+    note: Note = lambda *_: None,
+) -> Policy:
+    """Returns the policy that takes the cheapest server with room.
+
+    Args:
+        prices: what to assume of engines and links.
+        share: see `costs`.
+        note: told of each decision.
+    """
 
     def choose(job: Job, servers: list[Server], now_ms: int) -> Server | None:
         few = sample(job, servers, now_ms)
-        for cost in costs(job, few, now_ms, prices, share()):
-            if cost.fits:
-                return cost.server
-        return None
+        found = costs(job, few, now_ms, prices, share())
+        fitting = (cost.server for cost in found if cost.fits)
+        chosen = next(fitting, None)
+        note(job, found, chosen, now_ms)
+        return chosen
 
     return choose
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -11,6 +11,7 @@
 from catkinpin.core import messages, placement, scheduler, servers
 from catkinpin.verdicts import Reason
 from tests import base
+from tests.test_operators import command
 
 _CACHE = 10_000
 _LONG_MS = 3_600_000
@@ -244,6 +245,28 @@
             self.assertIn(job.key.program, _places(self.jobs.submit(job, 2)))
 
 
+class ExplainTest(base.TestCase):
+    """`catkinpin explain` against real processes."""
+
+    def test_explain_shows_candidates_and_choice(self) -> None:
+        self.run_async(self._explain())
+
+    async def _explain(self) -> None:
+        cluster = await base.small(self.folder)
+        async with cluster:
+            headers = {"Catkinpin-Program": "p0", "Idempotency-Key": "r1"}
+            reply = await cluster.chat(
+                "entry-1", "berater", [base.user("hello")], headers=headers
+            )
+            self.assertEqual(200, reply.status)
+            entry = cluster.entries[0]
+            found = await command(entry, "explain", "ruegg/p0/r1", "--json")
+            self.assertEqual("engine-1", found["chosen"])
+            (candidate,) = found["candidates"]
+            self.assertTrue(candidate["fits"])
+            await command(entry, "explain", "ruegg/p0/none", code=1)
+
+
 class BenchTest(base.TestCase):
     """A short run of the bench."""
 
