--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -7,16 +7,27 @@
 from __future__ import annotations
 
 import pathlib
+import re
 import sys
 from typing import Annotated, TypeVar
 
 import pydantic
 
-_HOST_PORT = r"^[0-9A-Za-z_.\-\[\]:]+:[0-9]{1,5}$"
+_HOST_PORT = re.compile(r"[0-9A-Za-z_.\-\[\]:]+:([0-9]{1,5})")
+_MAX_PORT = 65_535
 
-Address = Annotated[str, pydantic.Field(pattern=_HOST_PORT)]
+
+def _address(value: str) -> str:
+    match = _HOST_PORT.fullmatch(value)
+    if match is None or int(match[1]) > _MAX_PORT:
+        raise ValueError("an IP and a port are needed, as in 127.0.0.1:8080")
+    return value
+
+
+Address = Annotated[str, pydantic.AfterValidator(_address)]
 Milliseconds = Annotated[int, pydantic.Field(gt=0)]
 
+ENV_PREFIX = "CATKINPIN_"
 _EXIT_USAGE = 2
 _S = TypeVar("_S", bound=pydantic.BaseModel)
 
@@ -26,10 +37,21 @@
     try:
         return kind()
     except pydantic.ValidationError as exc:
-        print(exc, file=sys.stderr)
+        print(problems(exc), file=sys.stderr)
         sys.exit(_EXIT_USAGE)
 
 
+def problems(exc: pydantic.ValidationError) -> str:
+    """Returns every invalid setting, one a line, by flag and variable."""
+    lines = [f"{exc.error_count()} invalid settings:"]
+    for problem in exc.errors():
+        name = str(problem["loc"][0]) if problem["loc"] else "settings"
+        flag = "--" + name.replace("_", "-")
+        text = f"  {flag} ({ENV_PREFIX}{name.upper()}): {problem['msg']}"
+        lines.append(f"{text}, got {problem.get('input')!r}")
+    return "\n".join(lines)
+
+
 class ProcessSettings(pydantic.BaseModel):
     """Settings that every long-running process has."""
 
