Spread leaders over the replicas; give up streams that never begin

Cause 1: after a replica was away the others lead all groups, and a leader's processor is what limits commits. Every 10 s a replica that leads three or more groups more than another hands one over. Weighed: a fixed preference a group (moves back and forth with a flaky host) and the region of the servers (no one tells the replicas yet).

Cause 2, found by the new test: a call that gRPC begins towards a server that is just shutting down may never begin. Reader and writer of the link wait for that for ever, and the check for silence stood behind the same wait. The link now watches for silence beside its reader.

--- a/catkinpin/adapters/groups.py
+++ b/catkinpin/adapters/groups.py
@@ -219,11 +219,15 @@
         for command in later:
             self._after_sync(command)
 
-    def transfer(self) -> bool:
-        """Hands leadership over; returns whether anyone can take it."""
+    def transfer(self, address: str = "") -> bool:
+        """Hands leadership over; returns whether anyone can take it.
+
+        Args:
+            address: peer address of who shall take it; empty for any.
+        """
         if self._core is None:
             return False
-        begun = self._core.transfer(self._node.now_ms())
+        begun = self._core.transfer(self._node.now_ms(), address)
         self._node.wake(self)
         return begun
 
--- a/catkinpin/adapters/node.py
+++ b/catkinpin/adapters/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
 import random
 import time
@@ -27,6 +28,9 @@
 
 _TICK_S = 0.05
 _INTRODUCE_TICKS = 4
+_SPREAD_TICKS = 200
+# Groups that one replica may lead more than another; moves cost a moment.
+_SPREAD_MOST = 2
 _NS_PER_MS = 1_000_000
 _TRANSFER_S = 1.5
 # Segments that idle groups may keep from being removed.
@@ -249,6 +253,25 @@
         if self._ticks % _INTRODUCE_TICKS == 0:
             self._founding.tick()
             self._join()
+        if self._ticks % _SPREAD_TICKS == 0:
+            self._spread()
+
+    def _spread(self) -> None:
+        """Hands one group over where this replica leads far too many.
+
+        After a replica was away the others lead all of its groups, and one
+        processor would carry what three should.
+        """
+        leaders = [group.leader for group in self.groups.values()]
+        if not self._started or "" in leaders:
+            return
+        led = collections.Counter(leaders)
+        least = min(self._mesh.addresses, key=led.__getitem__, default="")
+        if least and led[self.address] - led[least] > _SPREAD_MOST:
+            for group in self.groups.values():
+                if group.is_leader() and group.transfer(least):
+                    log.info("handing over", extra={"group": group.name})
+                    return
 
     def _join(self) -> None:
         if self._file.joining and not all(self.settled().values()):
--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -370,16 +370,12 @@
             stream = Stream(self._link, compressed=self._compressed)
             stream.send(self._hello)
             writer = asyncio.ensure_future(self._write(stream, rpc))
+            reader = asyncio.ensure_future(self._read(stream, rpc))
             try:
-                await self._read(stream, rpc)
-            except asyncio.CancelledError:
-                # The writer cancels the call of a stream that went silent,
-                # and the reader gets that as its own cancellation: the link
-                # would end here and never connect again.
-                if _is_cancelled():
-                    raise
+                await _until_silent(stream, reader)
             finally:
                 stream.close()
+                reader.cancel()
                 writer.cancel()
                 rpc.cancel()
 
@@ -425,9 +421,21 @@
                 )
 
 
-def _is_cancelled() -> bool:
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
+async def _until_silent(stream: Stream, reader: asyncio.Future[None]) -> None:
+    """Waits until the reader ends, or nothing has come for too long.
+
+    A call to a server that is just shutting down may never begin: reader and
+    writer then wait for that for ever, and only this notices.
+
+    Raises:
+        grpc.aio.AioRpcError: the call failed.
+    """
+    while not reader.done():
+        await asyncio.wait({reader}, timeout=PING_EVERY_S)
+        if stream.silent_s() > SILENT_AFTER_S:
+            return
+    if not reader.cancelled():
+        reader.result()
 
 
 _asks = itertools.count(1)
--- a/catkinpin/core/consensus/core.py
+++ b/catkinpin/core/consensus/core.py
@@ -151,11 +151,16 @@
             if state.role is Role.LEADER:
                 leading.synced(state, now_ms)
 
-    def transfer(self, now_ms: int) -> bool:
-        """Hands leadership over; returns whether anyone can take it."""
+    def transfer(self, now_ms: int, address: str = "") -> bool:
+        """Hands leadership over; returns whether anyone can take it.
+
+        Args:
+            now_ms: the time.
+            address: peer address of the voter to take it; empty for any.
+        """
         if self.state.role is not Role.LEADER:
             return False
-        return leading.transfer(self.state, now_ms)
+        return leading.transfer(self.state, now_ms, address)
 
     def add_learner(self, node: str, address: str, now_ms: int) -> bool:
         """Adds a replica; it becomes a voter once it has caught up.
--- a/catkinpin/core/consensus/leading.py
+++ b/catkinpin/core/consensus/leading.py
@@ -131,13 +131,15 @@
         state.follow(state.term, "", now_ms)
 
 
-def transfer(state: State, now_ms: int) -> bool:
+def transfer(state: State, now_ms: int, address: str) -> bool:
     """Begins to hand over; returns whether there is anyone to take over."""
     recent = now_ms - state.timing.election_ms
     voters = [
         (member.match, node)
         for node, member in state.progress.items()
-        if node in state.log.voters and member.acked_ms > recent
+        if node in state.log.voters
+        and member.acked_ms > recent
+        and address in ("", _address(state, node))
     ]
     if not voters:
         return False
@@ -147,6 +149,11 @@
     return True
 
 
+def _address(state: State, node: str) -> str:
+    member = state.log.members.find(node)
+    return member.address if member is not None else ""
+
+
 def _give_up(state: State, now_ms: int) -> None:
     """Hands over once the next leader has the whole log."""
     if not state.transfer_to or state.role is not Role.LEADER:
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -4,7 +4,9 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from unittest import mock
 
+from catkinpin.adapters import node
 from catkinpin.core.consensus.state import Role
 from tests import base
 from tests.fakes.lognode import LogNode
@@ -16,6 +18,8 @@
 class GroupsTest(base.TestCase):
     """Three nodes and a machine whose snapshot refers to old records."""
 
+    count = 1
+
     def start(self, main: Callable[[list[LogNode]], Awaitable[None]]) -> None:
         async def whole() -> None:
             self.ports = base.free_ports(3)
@@ -29,7 +33,8 @@
         self.run_async(whole())
 
     async def open(self, place: int) -> LogNode:
-        one = LogNode(self.folder / str(place), place, self.ports)
+        folder = self.folder / str(place)
+        one = LogNode(folder, place, self.ports, self.count)
         await one.start()
         return one
 
@@ -139,6 +144,25 @@
         (self.folder / "0").rename(self.folder / "old")
         (self.folder / "new").rename(self.folder / "0")
 
+    def test_leaders_spread_again_after_a_replica_was_away(self) -> None:
+        """A replica was away, and the others lead all groups.
+
+        Its processor would stay idle while callers wait for the others.
+        """
+
+        async def main(nodes: list[LogNode]) -> None:
+            async def spread() -> bool:
+                led = [sum(g.is_leader() for g in n.groups) for n in nodes]
+                return sum(led) == 9 and max(led) - min(led) <= 2
+
+            with mock.patch.object(node, "_SPREAD_TICKS", 3):
+                await nodes[0].stop()
+                nodes[0] = await self.open(0)
+                await base.until(spread, "the leaders are spread")
+
+        self.count = 9
+        self.start(main)
+
     def test_all_start_again_from_snapshots(self) -> None:
         """All replicas are stopped and started; nothing is missing."""
 
