--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -34,7 +34,7 @@
 
 log = logging.getLogger(__name__)
 
-PING_EVERY_S = 0.5
+PING_EVERY_S = 0.75
 SILENT_AFTER_S = 2.0
 _RECONNECT_S = 0.1
 # A batch that goes out anyway carries a new number after this time.
@@ -50,6 +50,7 @@
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1000),
     ("grpc.so_reuseport", 0),
+    ("grpc.http2.bdp_probe", 0),
     ("grpc.use_local_subchannel_pool", 1),
 ]
 
