--- a/catkinpin/commands/client.py
+++ b/catkinpin/commands/client.py
@@ -92,7 +92,10 @@
             async with self._http.request(
                 method, url, data=data, headers=headers
             ) as resp:
-                return Reply(resp.status, json.loads(await resp.read()))
+                body = json.loads(await resp.read())
+                if not resp.ok and "message" in body:
+                    body = {"error": {"message": body["message"]}}
+                return Reply(resp.status, body)
         except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
             text = f"no answer from {url}: {exc!r}"
             return Reply(0, {"error": {"message": text}})
