--- a/catkinpin/adapters/node.py
+++ b/catkinpin/adapters/node.py
@@ -14,6 +14,7 @@
 from catkinpin.adapters.identity import Identity
 from catkinpin.adapters.storage import Storage
 from catkinpin.core.consensus.messages import Members
+from catkinpin.exceptions import SettingsError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,6 +44,7 @@
         cfg: the settings.
         on_leader: called with each group whose leader has changed.
         on_failure: called with what makes it unsafe to go on.
+        first: the group whose state the leaders of the others depend on.
 
     Attributes:
         identity: who this replica is, new for each new data folder.
@@ -54,6 +56,7 @@
         cfg: ReplicaSettings,
         on_leader: Callable[[Group], None],
         on_failure: Callable[[Exception], None],
+        first: str = "",
     ) -> None:
         self.storage = Storage(cfg.data_folder)
         self._file = Identity(cfg.data_folder, self.storage.ops)
@@ -65,6 +68,7 @@
         self._cfg = cfg
         self._on_leader = on_leader
         self._on_failure = on_failure
+        self._first = first
         self._woken: dict[str, Group] = {}
         self._told: dict[str, tuple[int, str]] = {}
         self._ticks = 0
@@ -88,11 +92,23 @@
         self.groups[name] = group
         return group
 
+    def may_lead(self, group: Group) -> bool:
+        """Returns whether the state that a leader depends on is current."""
+        first = self.groups.get(self._first)
+        return first is None or first is group or first.is_current()
+
     def start(self, hello: messages.Hello) -> None:
         """Connects to the other replicas and takes part in the groups."""
         self.storage.sync()
         self.address = hello.address
-        others = [a for a in self._cfg.replicas if a != self.address]
+        listed = self._cfg.replicas
+        if listed and self.address not in listed:
+            # The others would found without this replica.
+            raise SettingsError(
+                f"replicas: {', '.join(listed)} does not hold this replica's"
+                f" own address {self.address}; see peer_advertise"
+            )
+        others = [a for a in listed if a != self.address]
         self._mesh = mesh.Mesh(others, self._introduce)
         self._founding = Founding(
             self._file, self.address, self._mesh, self._begin
@@ -265,7 +281,8 @@
         group.take_snapshot(self._cfg.snapshot_entries // _TAIL_PART)
         if self.storage.count() > _PINNED_SEGMENTS:
             for name in self.storage.pinning():
-                self.groups[name].take_snapshot(0)
+                if name in self.groups:
+                    self.groups[name].take_snapshot(0)
         self.storage.collect()
 
     def _tell_leader(self, group: Group) -> None:
--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -90,7 +90,7 @@
         self.fresh_ms = _now_ms()
         self._link = link
         self._deflate = _Deflate() if compressed else None
-        self._outbox: list[AnyMessage] = []
+        self._outbox: list[msgspec.Raw] = []
         self._wake = asyncio.Event()
         self._heard = time.monotonic()
         self._nonces = itertools.count(1)
@@ -99,10 +99,17 @@
         self._echo = 0
 
     def send(self, message: AnyMessage) -> None:
-        """Queues a message; dropped where the stream is closed."""
+        """Queues a message; dropped where the stream is closed.
+
+        Raises:
+            OverflowError, TypeError: the message can't be encoded.
+        """
         if self.closed:
             return
-        self._outbox.append(message)
+        # Encoded here, a message that can't be fails whoever sends it. In the
+        # writer it would end the stream, and that again at each resend: one
+        # caller's odd number would cut this process off from the others.
+        self._outbox.append(self._encode(message))
         self._wake.set()
 
     def unpack(self, data: bytes) -> bytes:
@@ -140,7 +147,13 @@
             self._wake.clear()
             yield self._pack([*self._pings(), *batch])
 
-    def _pings(self) -> list[messages.Ping]:
+    def _encode(self, message: AnyMessage) -> msgspec.Raw:
+        data = codec.encode(message)
+        kind = type(message).__name__
+        metrics.PEER_BYTES.labels(self._link, kind).inc(len(data))
+        return msgspec.Raw(data)
+
+    def _pings(self) -> list[msgspec.Raw]:
         """Returns the ping that goes before the next batch, if any is due."""
         now = time.monotonic()
         nonce = 0
@@ -151,16 +164,10 @@
         if not nonce and not self._echo:
             return []
         echo, self._echo = self._echo, 0
-        return [messages.Ping(nonce=nonce, echo=echo)]
-
-    def _pack(self, batch: list[AnyMessage]) -> bytes:
-        encoded = []
-        for message in batch:
-            data = codec.encode(message)
-            kind = type(message).__name__
-            metrics.PEER_BYTES.labels(self._link, kind).inc(len(data))
-            encoded.append(msgspec.Raw(data))
-        packed = codec.encode(encoded)
+        return [self._encode(messages.Ping(nonce=nonce, echo=echo))]
+
+    def _pack(self, batch: list[msgspec.Raw]) -> bytes:
+        packed = codec.encode(batch)
         if self._deflate is not None:
             packed = self._deflate.pack(packed)
         metrics.WIRE_BYTES.labels(self._link).inc(len(packed))
@@ -290,6 +297,7 @@
         self._on_connected = on_connected
         self._stream: Stream | None = None
         self._asks: dict[int, asyncio.Future[Any]] = {}
+        self._asked_ms: dict[int, int] = {}
         self._task: asyncio.Task[None] | None = None
         self.connected = asyncio.Event()
 
@@ -320,6 +328,7 @@
         """
         fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._asks[message.ask] = fut
+        self._asked_ms[message.ask] = _now_ms()
         try:
             if not self.send(message):
                 text = f"no stream to {self.address}"
@@ -330,6 +339,13 @@
             raise PeerLostError(text) from exc
         finally:
             self._asks.pop(message.ask, None)
+            self._asked_ms.pop(message.ask, None)
+
+    def give_up(self, ask: int) -> None:
+        """Ends the wait for a reply, as if the stream had broken."""
+        fut = self._asks.get(ask)
+        if fut is not None and not fut.done():
+            fut.set_exception(PeerLostError(f"gave up on {self.address}"))
 
     async def _run(self) -> None:
         while True:
@@ -402,7 +418,8 @@
             stream.pinged(message)
             return
         if isinstance(message, messages.Granted):
-            message = received_grant(message, stream)
+            asked_ms = self._asked_ms.get(message.ask, 0)
+            message = received_grant(message, stream, asked_ms)
         fut = self._asks.get(getattr(message, "ask", 0))
         if fut is not None and not isinstance(message, messages.Chunk):
             if not fut.done():
@@ -433,7 +450,19 @@
     return next(_asks)
 
 
-def received_grant(grant: messages.Granted, stream: Stream) -> messages.Granted:
-    """Returns a grant with its expiry on our own monotonic clock."""
-    until_ms = stream.fresh_ms + grant.expires_ms if grant.expires_ms else 0
+def received_grant(
+    grant: messages.Granted, stream: Stream, asked_ms: int = 0
+) -> messages.Granted:
+    """Returns a grant with its expiry on our own monotonic clock.
+
+    Args:
+        grant: as it came.
+        stream: the stream it came on.
+        asked_ms: when we sent the question that it answers, if it does.
+    """
+    if not grant.expires_ms:
+        return grant
+    # The later of two times before which it can't have been sent.
+    since_ms = max(stream.fresh_ms, asked_ms and asked_ms + grant.waited_ms)
+    until_ms = since_ms + grant.expires_ms
     return msgspec.structs.replace(grant, until_ms=until_ms)
--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placing.py
@@ -6,20 +6,22 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core import scheduler
+from catkinpin.core import limits, routing, scheduler
+from catkinpin.core.messages import ProgramKey
 from catkinpin.core.quarantine import CRASHES_ALLOWED
-from catkinpin.core.records import ProgramLimits
+from catkinpin.core.records import Choice, ProgramLimits
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.deployments import Deployment
+    from catkinpin.core.commands import EntryRef
+    from catkinpin.core.deployments import Configuration, Deployment
     from catkinpin.core.messages import (
         Begin,
         CallKey,
-        ProgramKey,
         ServerReport,
+        Usage,
     )
     from catkinpin.core.outliers import Outliers
     from catkinpin.core.program import Attempt, Call, Program
@@ -92,8 +94,7 @@
         state: the shard's state, only read here.
         jobs: the scheduler.
         outliers: servers that get no work for a while.
-        deployment_of: the deployment that lets a call run, or None.
-        allows: whether a deployment's calls may go to a server now.
+        cfg_of: the configuration in force.
     """
 
     def __init__(
@@ -101,19 +102,23 @@
         state: Shard,
         jobs: Scheduler,
         outliers: Outliers,
-        deployment_of: Callable[[Begin], Deployment | None],
-        allows: Callable[[str, ServerReport], bool],
+        cfg_of: Callable[[], Configuration],
     ) -> None:
         self._shard = state
         self._scheduler = jobs
         self._outliers = outliers
-        self._deployment_of = deployment_of
-        self._allows = allows
+        self._cfg_of = cfg_of
+        self._answers: dict[tuple[str, str], tuple[str, bool]] = {}
+        self._answers_for: Configuration | None = None
         self._jobs: dict[CallKey, Job] = {}
         self._aboard: dict[CallKey, _Aboard] = {}
         self._suspects: dict[CallKey, _Aboard] = {}
         self._contents: collections.Counter[bytes] = collections.Counter()
+        self._held_by: collections.Counter[str] = collections.Counter()
         self._known_good: dict[bytes, None] = {}
+        self._begins: dict[CallKey, Begin] = {}
+        self._forgiven: set[CallKey] = set()
+        self._now_ms = 0
 
     def submit_new(self, begin: Begin, now_ms: int) -> Submitted:
         """Submits a call that is not in the log yet."""
@@ -124,6 +129,7 @@
         outcomes = self.outcomes(own, now_ms)
         if any(isinstance(outcome, Rejected) for outcome in outcomes):
             self._jobs.pop(begin.key, None)
+            self._begins.pop(begin.key, None)
         return Submitted(outcomes, others)
 
     def submit(
@@ -153,27 +159,34 @@
                 found.append(Placed(decision.key, decision.server))
             elif (
                 job is not None
-                and job.without
+                and decision.key not in self._forgiven
                 and decision.reason is Reason.NO_SERVER
             ):
                 again = self._submit_forgiving(job, now_ms)
                 waiting += again
                 if not again and job.suspect:
+                    self._forgiven.discard(decision.key)
                     found.append(Later(decision.key, _APART_WAIT_MS))
             else:
                 found.append(_rejected(decision))
         return found
 
-    def ended(self, key: CallKey, now_ms: int) -> list[Decision]:
+    def ended(
+        self, key: CallKey, now_ms: int, usage: Usage | None = None
+    ) -> list[Decision]:
         """Notes that a call holds no server any more."""
+        self._now_ms = now_ms
         self._jobs.pop(key, None)
+        self._begins.pop(key, None)
+        self._forgiven.discard(key)
         self._suspects.pop(key, None)
         aboard = self._aboard.pop(key, None)
         if aboard is not None:
+            self._held_by[aboard.server] -= 1
             self._contents[aboard.content] -= 1
             if not self._contents[aboard.content]:
                 del self._contents[aboard.content]
-        return self._scheduler.ended(key, now_ms)
+        return self._scheduler.ended(key, now_ms, usage)
 
     def program_over(self, key: ProgramKey) -> None:
         """Notes that a program makes no more calls."""
@@ -199,6 +212,7 @@
     def _add(self, key: CallKey, aboard: _Aboard) -> None:
         self._aboard[key] = aboard
         self._contents[aboard.content] += 1
+        self._held_by[aboard.server] += 1
         if aboard.suspect:
             self._suspects[key] = aboard
 
@@ -208,10 +222,16 @@
         Servers that failed a call once are better than no server. A suspect
         still keeps off servers that run another suspect.
         """
+        self._forgiven.add(job.key)
         without = tuple(self._suspect_servers()) if job.suspect else ()
         if job.suspect and set(job.without) <= set(without):
             return []
-        job = dataclasses.replace(job, without=without)
+        name = self._name_of(self._begins[job.key])
+        job = dataclasses.replace(
+            job,
+            without=without,
+            allowed=lambda report: self._allowed(name, report),
+        )
         self._jobs[job.key] = job
         return self._scheduler.submit(job, now_ms)
 
@@ -230,14 +250,52 @@
         apart = server not in self._suspect_servers()
         return running > 0 or not apart
 
-    def _allowed(self, begin: Begin, report: ServerReport) -> bool:
-        """Returns whether the configuration of now lets a call go there."""
-        found = self._deployment_of(begin)
-        return found is not None and self._allows(found.name, report)
+    def _allowed(self, deployment: str, report: ServerReport) -> bool:
+        """Returns whether a deployment's calls may go to the server now.
+
+        Asked for every server at every placement, so the answers are kept
+        until the configuration or the server's incarnation changes.
+        """
+        cfg = self._cfg_of()
+        if cfg is not self._answers_for:
+            self._answers_for = cfg
+            self._answers.clear()
+        key = (deployment, report.server)
+        known = self._answers.get(key)
+        if known is None or known[0] != report.incarnation:
+            known = (report.incarnation, cfg.allows(deployment, report))
+            self._answers[key] = known
+        return known[1]
+
+    def _healthy(self, deployment: str, report: ServerReport) -> bool:
+        """Returns whether the server may get one more call just now."""
+        held = self._held_by[report.server]
+        if not self._outliers.admits(report.server, held, self._now_ms):
+            return False
+        return self._allowed(deployment, report)
+
+    def _name_of(self, begin: Begin) -> str:
+        account = begin.key.account
+        found = self._cfg_of().deployment_for(account, begin.target)
+        return found.name if found is not None else ""
 
     def _suspect_servers(self) -> list[str]:
         return [aboard.server for aboard in self._suspects.values()]
 
+    def _shared_tokens(self, begin: Begin, parent: str) -> int:
+        """Returns the tokens that a sub-agent's request shares with a parent.
+
+        Where the parent's prefix is, the sub-agent need not compute them.
+        """
+        key = ProgramKey(account=begin.key.account, program=parent)
+        found = self._shard.programs.get(key)
+        if found is None or not len(found.history) or not begin.whole:
+            return 0
+        same = found.history.first_difference(begin.digests)
+        whole = len(found.history)
+        share = (whole if same is None else same) / whole
+        return round(share * found.history_tokens)
+
     def _job(
         self,
         begin: Begin,
@@ -248,18 +306,24 @@
     ) -> Job:
         if program is None:
             program = self._shard.programs.get(begin.key.program_key)
-        deployment = self._deployment_of(begin)
+        self._now_ms = now_ms
+        account = begin.key.account
+        deployment = self._cfg_of().deployment_for(account, begin.target)
+        name = deployment.name if deployment is not None else ""
         content = self._shard.content_of(begin)
         suspect = self._shard.quarantine.is_suspect(content)
         without = set(self._outliers.ejected(now_ms))
         without.update(call.failed_servers if call is not None else ())
         without.update(self._suspect_servers() if suspect else ())
+        history = program.history_tokens if program is not None else 0
+        parent = program.parent if program is not None else begin.parent
         job = scheduler.Job(
             key=begin.key,
             kind=begin.kind,
             target=begin.target,
             prompt_tokens=begin.prompt_tokens,
-            history_tokens=program.history_tokens if program else 0,
+            stored_tokens=0 if begin.whole else history,
+            history_tokens=history,
             max_tokens=begin.max_tokens,
             turns=program.turns if program is not None else 0,
             attained_tokens=program.spent if program is not None else 0,
@@ -267,14 +331,17 @@
             last_server=program.last_server if program is not None else "",
             priority=deployment.priority if deployment is not None else 0,
             deadline_ms=deadline_ms,
+            deployment=deployment.name if deployment is not None else "",
             interactive=deployment.interactive if deployment else False,
-            parent=program.parent if program else begin.parent,
+            parent=parent,
+            shared_tokens=self._shared_tokens(begin, parent),
             without=tuple(sorted(without)),
             suspect=suspect,
             content=content,
-            allowed=lambda report: self._allowed(begin, report),
+            allowed=lambda report: self._healthy(name, report),
         )
         self._jobs[begin.key] = job
+        self._begins[begin.key] = begin
         return job
 
 
@@ -295,3 +362,43 @@
         max_age_ms=age_ms or default.max_age_ms,
         idle_ms=idle_ms or default.idle_ms,
     )
+
+
+def scopes_of(cfg: Configuration, begin: Begin) -> list[limits.Scope]:
+    """Returns what a call counts for, with the limits of each."""
+    key = begin.key
+    tree = f"{key.account}/{routing.root_of(key.program)}"
+    scopes = [limits.Scope(limits.PROGRAM, tree, limits.PROGRAM_LIMITS)]
+    account = cfg.accounts.get(key.account)
+    if account is not None:
+        scopes.append(limits.Scope(limits.ACCOUNT, key.account, account.limits))
+    deployment = cfg.deployment_for(key.account, begin.target)
+    if deployment is not None:
+        scopes.append(
+            limits.Scope(limits.DEPLOYMENT, deployment.name, deployment.limits)
+        )
+    return scopes
+
+
+def choice_of(
+    placed: Placed, entry: EntryRef, entries: list[EntryRef], priority: int
+) -> Choice:
+    """Returns a placement as it goes into the log.
+
+    Args:
+        placed: the call and its server.
+        entry: who gets the grant.
+        entries: those that are connected; one in the server's region
+            dispatches where the one that asks is in another.
+        priority: of the deployment.
+    """
+    server = placed.server.ref
+    near = [e.address for e in entries if e.region == server.region]
+    here = not server.region or server.region == entry.region
+    return Choice(
+        server=server,
+        entry=entry.process,
+        entry_incarnation=entry.incarnation,
+        dispatcher="" if here else min(near, default=""),
+        priority=priority,
+    )
--- a/catkinpin/core/servers.py
+++ b/catkinpin/core/servers.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core.messages import ServerRef
+from catkinpin.core.messages import ProgramKey, ServerRef
 from catkinpin.core.residents import Residents
 
 if TYPE_CHECKING:
@@ -53,15 +53,16 @@
     def correct(self, report: ServerReport, made_ms: int) -> None:
         """Takes in a newer report of the same life of the server.
 
-        A report that claims more calls than fit is held for a lie beyond the
-        capacity: otherwise one broken counter would keep a server idle for
-        ever. A report that claims too few changes nothing, as what we granted
-        counts in any case.
+        A report that claims to run more calls than fit is a lie: one broken
+        counter would keep a server idle for ever, beside callers that wait. It
+        counts for nothing. A report that claims too few changes nothing, as
+        what we granted counts in any case.
         """
         self.report = report
         self.seen_ms = made_ms
+        honest = report.running <= report.capacity
         foreign = report.running + report.waiting - self.granted
-        self.others = max(0, min(foreign, report.capacity))
+        self.others = max(0, foreign) if honest else 0
         if report.kind == "model":
             self.residents.correct(report.held, made_ms)
 
@@ -95,7 +96,18 @@
             self._remember(known)
 
     def cache_events(self, events: CacheEvents) -> None:
-        """Takes in what an engine says of its prefix cache."""
+        """Takes in what an engine says of its prefix cache.
+
+        Events that were lost leave the ledger wrong until the next report of
+        all that the engine holds.
+        """
+        server = self.servers.get(events.server)
+        if server is None or server.report.incarnation != events.incarnation:
+            return
+        for event in events.events:
+            account, _, program = event.program.partition("/")
+            key = ProgramKey(account=account, program=program)
+            server.residents.changed(key, event.tokens)
 
     def usable(
         self,
@@ -104,10 +116,17 @@
         now_ms: int,
         without: tuple[str, ...] = (),
         allowed: Callable[[ServerReport], bool] = lambda _: True,
+        only: str | None = None,
     ) -> list[Server]:
-        """Returns the servers that may get new work for `target`."""
+        """Returns the servers that may get new work for `target`.
+
+        With `only`, no other server is looked at.
+        """
         found = []
-        for name, server in self._by_target.get((kind, target), {}).items():
+        servers = self._by_target.get((kind, target), {})
+        if only is not None:
+            servers = {only: servers[only]} if only in servers else {}
+        for name, server in servers.items():
             if server.report.leaving or name in without:
                 continue
             if now_ms - server.seen_ms > SILENT_AFTER_MS:
@@ -129,17 +148,6 @@
         """Returns whether any known server, even a silent one, serves it."""
         return bool(self._by_target.get((kind, target)))
 
-    def attempt_started(self, server: str) -> None:
-        """Counts a grant, which reports will show only later."""
-        if server in self.servers:
-            self.servers[server].granted += 1
-
-    def attempt_ended(self, server: str) -> None:
-        """Takes back a counted grant."""
-        found = self.servers.get(server)
-        if found is not None and found.granted > 0:
-            found.granted -= 1
-
     def forget_silent(self, now_ms: int) -> None:
         """Drops servers that have been silent for long."""
         for name, server in list(self.servers.items()):
