--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/shardhost.py
@@ -8,6 +8,7 @@
 
 from catkinpin import codec, configuration, tracing
 from catkinpin.core import (
+    decisions,
     leader,
     messages,
     placement,
@@ -75,8 +76,14 @@
         self.leader.entry_lost(entry_ref(stream), now)
 
     def _new_leader(self) -> leader.ShardLeader:
+        self.decisions = decisions.Decisions()
+        prices = placement.Prices()
+        share = self._replica.led_share
         self.scheduler = scheduler.Scheduler(
-            self._replica.view, placement.sticky
+            self._replica.view,
+            placement.by_cost(prices, share, self.decisions.note),
+            scheduler.WaitPlan(),
+            placement.keeps_home(prices, share),
         )
         rng = random.Random()
         return leader.ShardLeader(
@@ -95,6 +102,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @property
+    def leading(self) -> bool:
+        """Whether this replica leads the shard."""
+        return self._leading
+
     def handle(self, stream: peers.Stream, message: Any) -> None:
         """Takes an entry's message for this shard."""
         if isinstance(message, messages.ReleaseDone):
@@ -126,6 +138,8 @@
                 commands = self.leader.finish(entry, message, now, wall)
             case messages.GetProgram():
                 commands = self.leader.get_program(entry, message)
+            case decisions.Explain():
+                stream.send(self.decisions.explain(message, now))
             case messages.EndProgram():
                 commands = self.leader.end_program(entry, message, wall)
         self._run(commands)
@@ -148,7 +162,7 @@
     def leadership(self, leading: bool) -> None:
         """Takes up or lays down the leader's part."""
         self._leading = leading
-        self.scheduler.abandon(self._replica.clock.now_ms())
+        self.scheduler.stop()
         if not leading:
             return
         self.leader = self._new_leader()
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import configuration
+from catkinpin.process import EXIT_STORAGE
 from tests import base
 
 if TYPE_CHECKING:
@@ -19,6 +20,7 @@
 
 _KEY = configuration.key_digest(base.OPERATOR_KEY)
 _GROUP = "shard-0"
+_CAPACITY = 8  # Of the fake service.
 
 
 class ReplicasTest(base.TestCase):
@@ -35,7 +37,9 @@
                 if proxied:
                     add_proxied_replicas(cluster)
                 else:
-                    cluster.add_replicas(3, operator_key_sha256=_KEY)
+                    cluster.add_replicas(
+                        3, operator_key_sha256=_KEY, snapshot_entries=20
+                    )
                 cluster.add_entry("entry-1")
                 cluster.add_fake("service", "service-1")
                 await cluster.apply(base.config())
@@ -52,7 +56,7 @@
             "kiosk-app",
             "pay",
             "12.50",
-            headers={"Idempotency-Key": order},
+            headers={"Idempotency-Key": order, "Catkinpin-Program": order},
         )
         self.assertEqual(200, reply.status, reply.body)
         self.assertEqual(order, reply.json["done"])
@@ -109,6 +113,31 @@
 
         self.start(main, proxied=False)
 
+    def test_call_that_waits_while_the_leader_changes(self) -> None:
+        """A call waits for a server at a leader that stands still a moment.
+
+        The old leader wakes up on the same connections and has nothing to
+        tell any more. The caller must not wait for it until its deadline.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            await cluster.steer("service-1", delay_ms=2_500)
+            calls = [
+                asyncio.create_task(self.pay(cluster, f"order-{number}"))
+                for number in range(_CAPACITY + 1)
+            ]
+            await acting(cluster, "order-0")
+            await known(cluster, _CAPACITY + 1)
+            old = await leader_of(cluster)
+            cluster.processes[old].signal(signal.SIGSTOP)
+            await leader_of(cluster, but=old)
+            cluster.processes[old].signal(signal.SIGCONT)
+            await cluster.steer("service-1", delay_ms=0)
+            await asyncio.wait_for(asyncio.gather(*calls), 20)
+            await self.paid_once(cluster, "order-0", f"order-{_CAPACITY}")
+
+        self.start(main, proxied=False)
+
     def test_planned_stop_of_the_leader(self) -> None:
         """An operator stops the leader's process while calls come in.
 
@@ -168,6 +197,8 @@
             wipe(cluster, lost)
             code, out = await repair(cluster, lost)
             self.assertEqual((0, True), (code, out.startswith("safe")), out)
+            taken = (self.folder / lost / "snapshots").glob(f"{_GROUP}-*")
+            self.assertTrue(list(taken))
             others = [n for n in ("replica-1", "replica-2", "replica-3")]
             others.remove(lost)
             shutil.rmtree(self.folder / others[0])
@@ -176,6 +207,30 @@
 
         self.start(main, proxied=False)
 
+    def test_damaged_disk_stops_only_its_replica(self) -> None:
+        """A sector of one replica's disk decays while it is down.
+
+        It refuses to start and says what to do; the others serve.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            for number in range(5):
+                await self.pay(cluster, f"order-{number}")
+            process = cluster.processes["replica-3"]
+            process.kill()
+            damage(min((self.folder / "replica-3" / "log").iterdir()))
+            process.start()
+
+            async def ended() -> bool:
+                return process.exit_code() is not None
+
+            await base.until(ended, "the replica stops by itself")
+            self.assertEqual(EXIT_STORAGE, process.exit_code())
+            self.assertIn("catkinpin repair", process.log.read_text())
+            await self.pay(cluster, "with-two")
+
+        self.start(main, proxied=False)
+
     def test_wiped_replica_waits_for_the_operator(self) -> None:
         """A replica starts with an empty folder, maybe by a wrong mount.
 
@@ -196,6 +251,13 @@
         self.start(main, proxied=False)
 
 
+def damage(path: pathlib.Path) -> None:
+    """Flips a bit in the first third of a file."""
+    content = bytearray(path.read_bytes())
+    content[len(content) // 3] ^= 1
+    path.write_bytes(content)
+
+
 def add_proxied_replicas(cluster: base.Cluster) -> None:
     """Starts replicas that are reached through a proxy each."""
     ports = base.free_ports(6)
@@ -248,6 +310,21 @@
     await base.until(check, f"the service acts on {order}")
 
 
+async def known(cluster: base.Cluster, orders: int) -> None:
+    """Waits until the shard knows the programs of so many orders."""
+    auth = {"Authorization": f"Bearer {base.ACCOUNT_KEYS['kunci']}"}
+
+    async def check() -> bool:
+        for number in range(orders):
+            url = f"{cluster.addresses['entry-1']}/v1/programs/order-{number}"
+            async with cluster.http.get(url, headers=auth) as resp:
+                if resp.status != 200:
+                    return False
+        return True
+
+    await base.until(check, f"{orders} programs are known")
+
+
 def wipe(cluster: base.Cluster, name: str) -> None:
     """Kills a replica and starts it on an empty data folder."""
     cluster.processes[name].kill()
