--- a/catkinpin/core/program.py
+++ b/catkinpin/core/program.py
@@ -1,6 +1,7 @@
 """Data of a program and its calls, as the shard's state machine keeps them.
 
-Everything here is part of a snapshot: plain data classes without texts.
+Everything here is part of a snapshot: plain data classes without texts, and
+dictionaries in place of sets, whose order would differ between replicas.
 """
 
 from __future__ import annotations
@@ -137,7 +138,7 @@
     open: dict[str, Call] = dataclasses.field(default_factory=dict)
     closed: dict[str, ClosedCall] = dataclasses.field(default_factory=dict)
     unknown: dict[str, int] = dataclasses.field(default_factory=dict)
-    maybe_ran: set[str] = dataclasses.field(default_factory=set)
+    maybe_ran: dict[str, None] = dataclasses.field(default_factory=dict)
     servers: dict[str, str] = dataclasses.field(default_factory=dict)
     members: list[str] = dataclasses.field(default_factory=list)
 
@@ -182,9 +183,9 @@
         del self.open[request_id]
         if closed is None:
             if call.verdict is not Verdict.NOT_RUN:
-                self.maybe_ran.add(request_id)
+                self.maybe_ran[request_id] = None
             return
-        self.maybe_ran.discard(request_id)
+        self.maybe_ran.pop(request_id, None)
         self.closed[request_id] = closed
         if closed.seq == self.next_seq:
             self.next_seq += 1
--- a/catkinpin/core/quarantine.py
+++ b/catkinpin/core/quarantine.py
@@ -43,7 +43,7 @@
     """
 
     suspects: dict[str, Suspect] = dataclasses.field(default_factory=dict)
-    refused: set[str] = dataclasses.field(default_factory=set)
+    refused: dict[str, None] = dataclasses.field(default_factory=dict)
 
     def strike(
         self, content: bytes, server: str, incarnation: str, at_ms: int
@@ -82,12 +82,13 @@
         ]
         for content in found:
             del self.suspects[content]
-            self.refused.add(content)
+            self.refused[content] = None
         return [bytes.fromhex(content) for content in found]
 
     def shared(self, contents: list[bytes]) -> None:
         """Notes that the control group holds these: it may lift them later."""
-        self.refused -= {content.hex() for content in contents}
+        for content in contents:
+            self.refused.pop(content.hex(), None)
 
     def to_share(self) -> list[bytes]:
         """Returns what the control group does not hold yet."""
