Relay service calls; report an attempt that failed inside us

Cause: a new test, a payment in another region whose caller's entry dies, hung from the start. Header names come from sanic as a string type of its own, which the codec can't encode: no service call was ever relayed between regions. And a call that failed inside an entry after its grant was never reported: its attempt held the server's place and the program's next call to the deadline.

--- a/catkinpin/adapters/callers.py
+++ b/catkinpin/adapters/callers.py
@@ -241,7 +241,8 @@
 
 def _forwarded_headers(req: sanic.Request) -> list[tuple[str, str]]:
     return [
-        (name, value)
+        # The names are of a type of their own that our codec can't encode.
+        (str(name), value)
         for name, value in req.headers.items()
         if name.lower() not in _HOP_BY_HOP
         and not name.lower().startswith(_OWN_HEADERS)
--- a/catkinpin/adapters/calls.py
+++ b/catkinpin/adapters/calls.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from catkinpin import chat, digest, metrics, tracing
-from catkinpin.adapters import dispatch, grants, relays, shards
+from catkinpin.adapters import dispatch, grants, outcomes, relays, shards
 from catkinpin.core import messages, routing, splice
 from catkinpin.exceptions import DivergedError, PeerLostError
 from catkinpin.verdicts import Reason, Verdict
@@ -267,9 +267,16 @@
                 before = call.verdict
                 call.verdict = Verdict.MAY_HAVE_RUN
                 left_ms = int((deadline - loop.time()) * _MS_PER_S)
-                finish = await self._attempt(
-                    reply, req, call, left_ms, traceparent
-                )
+                try:
+                    finish = await self._attempt(
+                        reply, req, call, left_ms, traceparent
+                    )
+                except Exception:
+                    # Unreported, the attempt would hold its server's place
+                    # and the program's next call until the deadline.
+                    log.exception("attempt failed", extra=_log_fields(req, ""))
+                    text = "internal error"
+                    finish = outcomes.failed(reply, Reason.INTERNAL, text)
                 call.verdict = max(before, finish.verdict, key=_certainty)
                 try:
                     with tracing.hop("finish", traceparent):
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -295,6 +295,27 @@
         """The link goes silent one way in mid-answer, for good."""
         self._relay_lost(lambda c: c.steer("entry-2-proxy", down_silent=True))
 
+    def test_callers_entry_dies_while_another_region_works(self) -> None:
+        """The caller's entry is killed while a payment runs far away.
+
+        The entry in the service's region reports the outcome, so that the
+        caller's resend gets it without a question to the service.
+        """
+
+        async def body(cluster: base.Cluster) -> None:
+            await cluster.steer("service-1", delay_ms=500)
+            call = asyncio.create_task(self.pay(cluster))
+            await self.effect(cluster, "pay-1")
+            cluster.processes["entry-1"].kill()
+            await asyncio.gather(call, return_exceptions=True)
+            reply = await self.pay(cluster, "entry-3")
+            self.assertEqual((200, "pay-1"), (reply.status, reply.json["done"]))
+            seen = await cluster.look("service-1")
+            self.assertEqual(1, seen["effects"]["pay-1"])
+            self.assertEqual([], seen["asked"])
+
+        self.regions(body)
+
     def _relay_lost(self, act: Callable[[base.Cluster], Any]) -> None:
         async def body(cluster: base.Cluster) -> None:
             got = await cluster.stream(
@@ -318,11 +339,15 @@
                 cluster.add_replicas(1)
                 cluster.add_entry("entry-1", region="a")
                 cluster.add_entry("entry-2", region="b", proxied=True)
+                cluster.add_entry("entry-3", region="a")
                 cluster.add_fake("engine", "engine-1", region="b", token_ms=20)
+                cluster.add_fake("service", "service-1", region="b")
                 await cluster.apply(base.config())
                 await cluster.ready("entry-1")
                 await cluster.ready("entry-2")
+                await cluster.ready("entry-3")
                 await cluster.serving("entry-1", "berater", "model")
+                await cluster.serving("entry-1", "kiosk-app", "service")
                 await body(cluster)
 
         self.run_async(main())
