--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -340,6 +340,12 @@
             self._asks.pop(message.ask, None)
             self._asked_ms.pop(message.ask, None)
 
+    def give_up(self, ask: int) -> None:
+        """Ends the wait for a reply, as if the stream had broken."""
+        fut = self._asks.get(ask)
+        if fut is not None and not fut.done():
+            fut.set_exception(PeerLostError(f"gave up on {self.address}"))
+
     async def _run(self) -> None:
         while True:
             try:
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from catkinpin.adapters import replicas
-from catkinpin.core import changes, messages
+from catkinpin.core import changes, decisions, messages
 
 ToReplica = (
     messages.Hello
@@ -12,10 +12,11 @@
     | messages.Finish
     | messages.GetProgram
     | messages.EndProgram
+    | decisions.Explain
     | messages.ReleaseDone
     | messages.Reports
-    | changes.FromProcess
     | messages.CacheEvents
+    | changes.FromProcess
     | replicas.ReplicaMessage
 )
 ToEntry = (
@@ -26,6 +27,7 @@
     | messages.Refused
     | messages.NotLeader
     | messages.ProgramInfo
+    | decisions.Explained
     | messages.Recall
     | messages.Recover
     | messages.OrderRelease
--- a/catkinpin/entry.py
+++ b/catkinpin/entry.py
@@ -89,6 +89,7 @@
         self.replicas = shards.Replicas(
             self.cfg.replicas, self._hello, self._on_message, self._on_replica
         )
+        self._relay = relays.RelayClient(self._dispatcher, self._link_to)
         self.lease = configured.LeaseHolder(
             self.replicas,
             self.clock,
@@ -96,7 +97,6 @@
             self.configured.take,
         )
         self._orders = orders.OrderCarrier(self.replicas, self.clock)
-        self._relay = relays.RelayClient(self._dispatcher, self._link_to)
         self.calls = calls.Calls(
             self.replicas, self._dispatcher, self._relay, self.cfg.shards
         )
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -288,6 +288,7 @@
             cluster.processes["replica-1"].kill()
             cluster.processes["replica-1"].start()
             await cluster.ready("replica-1")
+            await cluster.ready("entry-1")
             again = await cluster.call_service(
                 "entry-1", "kiosk-app", "cut", "key", headers=headers
             )
