--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/wire.py
@@ -15,8 +15,8 @@
     | decisions.Explain
     | messages.ReleaseDone
     | messages.Reports
-    | changes.FromProcess
     | messages.CacheEvents
+    | changes.FromProcess
     | replicas.ReplicaMessage
 )
 ToEntry = (
@@ -29,6 +29,7 @@
     | messages.ProgramInfo
     | decisions.Explained
     | messages.Recall
+    | messages.Recover
     | messages.OrderRelease
     | changes.ToProcess
 )
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/scheduler.py
@@ -277,6 +277,7 @@
             if running.server is not None:
                 running.server.granted = max(0, running.server.granted - 1)
         self._running.clear()
+        self._waiting.clear()
         for program in list(self._homes):
             self.program_ended(program)
 
--- a/catkinpin/entry.py
+++ b/catkinpin/entry.py
@@ -73,7 +73,7 @@
             process=self.cfg.name or address,
             incarnation=self.incarnation,
             role="entry",
-            address=self.cfg.peer_address or address,
+            address=self.cfg.peer_advertise or address,
             domain=self.cfg.failure_domain,
             region=self.cfg.region,
         )
@@ -89,6 +89,7 @@
         self.replicas = shards.Replicas(
             self.cfg.replicas, self._hello, self._on_message, self._on_replica
         )
+        self._relay = relays.RelayClient(self._dispatcher, self._link_to)
         self.lease = configured.LeaseHolder(
             self.replicas,
             self.clock,
@@ -96,7 +97,6 @@
             self.configured.take,
         )
         self._orders = orders.OrderCarrier(self.replicas, self.clock)
-        self._relay = relays.RelayClient(self._dispatcher, self._link_to)
         self.calls = calls.Calls(
             self.replicas, self._dispatcher, self._relay, self.cfg.shards
         )
@@ -209,6 +209,8 @@
                 self._orders.offered(message)
             case messages.Recall():
                 self.calls.recalled(message)
+            case messages.Recover():
+                self.calls.recover(message)
             case messages.Granted():
                 # Who asked has given up; the grant must not stay outstanding.
                 recall = messages.Recall(
