--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = $(shell .ci/venv)/bin/python
 
-.PHONY: demo test fuzz lint format bench
+.PHONY: demo test fuzz lint format bench bench-ruegg bench-kunci
 
 demo:
 	$(PYTHON) -m demo
@@ -23,5 +23,8 @@
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
 
-bench:
-	$(PYTHON) -m bench
+# Both users' workloads, each in a process of its own: make -j2 bench
+bench: bench-ruegg bench-kunci
+
+bench-ruegg bench-kunci: bench-%:
+	$(PYTHON) -m bench --users $*
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -27,6 +27,7 @@
         *listed,
         ("server lost", _FAULT_LOAD, "server", False),
         ("domain lost", _FAULT_LOAD, "domain", False),
+        ("server drained", _FAULT_LOAD, "drain", False),
         ("reports lie", _FAULT_LOAD, "", True),
     ]
 
--- a/bench/world.py
+++ b/bench/world.py
@@ -42,7 +42,8 @@
         load: arrivals as a share of capacity.
         arrivals_ms: how long programs arrive.
         patience_ms: how long the run lasts after that at most.
-        lost: `server` or `domain` fails midway; empty for no failure.
+        lost: `server` or `domain` fails midway, or with `drain` a server gets
+            no new work from then on; empty for no failure.
         lying: whether one server's reports always say that it is idle.
     """
 
@@ -103,6 +104,7 @@
         self._placed: dict[
             messages.CallKey, Callable[[scheduler.Decision], None]
         ] = {}
+        self._drained: set[str] = set()
         self._alive: set[ProgramRun] = set()
         self._arriving = True
 
@@ -192,6 +194,9 @@
 
     def _lose(self) -> None:
         workload = self.plan.workload
+        if self.plan.lost == "drain":
+            self._drained.add(workload.lost_server)
+            return
         for name, machine in self.machines.items():
             domain = self._plans[name].domain.name
             gone = (
@@ -246,6 +251,10 @@
             held=held,
         )
 
+    def allowed(self, report: messages.ServerReport) -> bool:
+        """Returns whether the configuration lets calls go to a server."""
+        return report.server not in self._drained
+
     def domain_of(self, server: str) -> Domain:
         """Returns where a server stands."""
         return self._plans[server].domain
@@ -349,6 +358,7 @@
             interactive=self.script.interactive,
             parent=self.parent.script.program if self.parent else "",
             shared_tokens=shared,
+            allowed=self._world.allowed,
         )
 
     def chain(self, segment: Segment) -> list[Segment]:
