--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -25,6 +25,9 @@
 
 
 Address = Annotated[str, pydantic.AfterValidator(_address)]
+OptionalAddress = Annotated[
+    str, pydantic.AfterValidator(lambda v: _address(v) if v else v)
+]
 Milliseconds = Annotated[int, pydantic.Field(gt=0)]
 
 ENV_PREFIX = "CATKINPIN_"
@@ -70,9 +73,8 @@
         default="127.0.0.1:0",
         description="IP and port for the other catkinpin processes (gRPC).",
     )
-    peer_advertise: str = pydantic.Field(
+    peer_advertise: OptionalAddress = pydantic.Field(
         default="",
-        pattern=f"{_HOST_PORT}|^$",
         description="IP and port at which the other processes reach this one;"
         " empty: as in peer_listen.",
     )
