--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 
-from tests import base, cells
+from tests import base, cells, test_replicas
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -44,6 +44,29 @@
 
         self.cell(body, entries=2)
 
+    def test_entry_and_leader_die_together(self) -> None:
+        """The hosts of the caller's entry and of the leader fail at once.
+
+        The caller resends through another entry and gets the answer of the
+        one payment.
+        """
+
+        async def body(cluster: base.Cluster) -> None:
+            await cluster.steer("service-1", delay_ms=500)
+            leader = await test_replicas.leader_of(cluster)
+            call = asyncio.create_task(self.pay(cluster))
+            await self.effect(cluster, "pay-1")
+            cluster.processes["entry-1"].kill()
+            cluster.processes[leader].kill()
+            await asyncio.gather(call, return_exceptions=True)
+            headers = {"Catkinpin-Deadline-Ms": "20000"}
+            reply = await self.pay(cluster, "entry-2", headers=headers)
+            self.assertEqual((200, "pay-1"), (reply.status, reply.json["done"]))
+            seen = await cluster.look("service-1")
+            self.assertEqual(1, seen["effects"]["pay-1"])
+
+        self.cell(body, entries=2, replicas=3)
+
     def test_entry_dies_mid_stream(self) -> None:
         """An entry is killed in the middle of an answer.
 
