Split the end of a stream from who keeps it open

adapters/peers.py had grown to 476 lines. Batches, pings and the age of messages are in adapters/streams.py; no behaviour changes.

--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -4,11 +4,6 @@
 waiting when the writer got its turn. Both ends send pings, and a stream on
 which nothing arrives is given up: a connection that has gone silent for good
 would otherwise hold its calls for ever while new connections work.
-
-Pings carry numbers that the other end echoes, so that a receiver knows a time
-of its own before which nothing it receives now can have been sent. A process
-that was stopped and goes on reads messages that lay in its buffers; by the time
-of receipt alone they would seem new.
 """
 
 from __future__ import annotations
@@ -17,15 +12,14 @@
 import contextlib
 import itertools
 import logging
-import time
-import zlib
 from typing import TYPE_CHECKING, Any
 
 import grpc
 import grpc.aio
-import msgspec
 
-from catkinpin import codec, metrics
+from catkinpin import codec
+from catkinpin.adapters import streams
+from catkinpin.adapters.streams import Stream as Stream
 from catkinpin.core import messages
 from catkinpin.exceptions import PeerLostError
 
@@ -34,12 +28,7 @@
 
 log = logging.getLogger(__name__)
 
-PING_EVERY_S = 0.75
-SILENT_AFTER_S = 2.0
 _RECONNECT_S = 0.1
-# A batch that goes out anyway carries a new number after this time.
-_NONCE_EVERY_S = 0.05
-_MS_PER_S = 1000
 _COMPRESSION_KEY = "catkinpin-compression"
 _COMPRESSION = "deflate"
 _SERVICE = "catkinpin.Peer"
@@ -54,129 +43,6 @@
     ("grpc.use_local_subchannel_pool", 1),
 ]
 
-AnyMessage = Any
-
-
-class _Deflate:
-    """Compresses batches, each with all earlier ones as its dictionary.
-
-    Events of a token stream are alike but for a word; alone each would hardly
-    shrink.
-    """
-
-    def __init__(self) -> None:
-        self._out = zlib.compressobj(wbits=-zlib.MAX_WBITS)
-        self._in = zlib.decompressobj(wbits=-zlib.MAX_WBITS)
-
-    def pack(self, data: bytes) -> bytes:
-        return self._out.compress(data) + self._out.flush(zlib.Z_SYNC_FLUSH)
-
-    def unpack(self, data: bytes) -> bytes:
-        return self._in.decompress(data)
-
-
-class Stream:
-    """One end of a stream: an outbox and what is known of the other end.
-
-    Attributes:
-        hello: how the other end introduced itself.
-        fresh_ms: our monotonic time before which nothing that arrives now can
-            have been sent.
-    """
-
-    def __init__(self, link: str, *, compressed: bool = False) -> None:
-        self.hello: messages.Hello | None = None
-        self.closed = False
-        self.fresh_ms = _now_ms()
-        self._link = link
-        self._deflate = _Deflate() if compressed else None
-        self._outbox: list[msgspec.Raw] = []
-        self._wake = asyncio.Event()
-        self._heard = time.monotonic()
-        self._nonces = itertools.count(1)
-        self._nonce_at = 0.0
-        self._sent_ms: dict[int, int] = {}
-        self._echo = 0
-
-    def send(self, message: AnyMessage) -> None:
-        """Queues a message; dropped where the stream is closed.
-
-        Raises:
-            OverflowError, TypeError: the message can't be encoded.
-        """
-        if self.closed:
-            return
-        # Encoded here, a message that can't be fails whoever sends it. In the
-        # writer it would end the stream, and that again at each resend: one
-        # caller's odd number would cut this process off from the others.
-        self._outbox.append(self._encode(message))
-        self._wake.set()
-
-    def unpack(self, data: bytes) -> bytes:
-        """Takes in a batch as it came, and notes that the other end lives."""
-        self._heard = time.monotonic()
-        return self._deflate.unpack(data) if self._deflate else data
-
-    def pinged(self, ping: messages.Ping) -> None:
-        """Takes in a ping."""
-        self._echo = ping.nonce or self._echo
-        if ping.echo in self._sent_ms:
-            self.fresh_ms = self._sent_ms[ping.echo]
-            for nonce in [n for n in self._sent_ms if n <= ping.echo]:
-                del self._sent_ms[nonce]
-
-    def silent_s(self) -> float:
-        """Returns how long nothing has arrived."""
-        return time.monotonic() - self._heard
-
-    def close(self) -> None:
-        """Ends the stream; its writer and reader stop."""
-        self.closed = True
-        self._wake.set()
-
-    async def batches(self) -> AsyncIterator[bytes]:
-        """Yields encoded batches of what waits, until closed."""
-        while not self.closed:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), PING_EVERY_S)
-            if self.silent_s() > SILENT_AFTER_S:
-                log.warning("peer silent", extra={"peer": str(self.hello)})
-                self.close()
-                return
-            batch, self._outbox = self._outbox, []
-            self._wake.clear()
-            yield self._pack([*self._pings(), *batch])
-
-    def _encode(self, message: AnyMessage) -> msgspec.Raw:
-        data = codec.encode(message)
-        kind = type(message).__name__
-        metrics.PEER_BYTES.labels(self._link, kind).inc(len(data))
-        return msgspec.Raw(data)
-
-    def _pings(self) -> list[msgspec.Raw]:
-        """Returns the ping that goes before the next batch, if any is due."""
-        now = time.monotonic()
-        nonce = 0
-        if now - self._nonce_at >= _NONCE_EVERY_S:
-            self._nonce_at = now
-            nonce = next(self._nonces)
-            self._sent_ms[nonce] = _now_ms()
-        if not nonce and not self._echo:
-            return []
-        echo, self._echo = self._echo, 0
-        return [self._encode(messages.Ping(nonce=nonce, echo=echo))]
-
-    def _pack(self, batch: list[msgspec.Raw]) -> bytes:
-        packed = codec.encode(batch)
-        if self._deflate is not None:
-            packed = self._deflate.pack(packed)
-        metrics.WIRE_BYTES.labels(self._link).inc(len(packed))
-        return packed
-
-
-def _now_ms() -> int:
-    return int(time.monotonic() * _MS_PER_S)
-
 
 class PeerServer:
     """Accepts streams from other processes.
@@ -312,7 +178,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self._task
 
-    def send(self, message: AnyMessage) -> bool:
+    def send(self, message: Any) -> bool:
         """Sends a message; returns False where there is no stream."""
         if self._stream is None or self._stream.closed:
             return False
@@ -328,7 +194,7 @@
         """
         fut: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._asks[message.ask] = fut
-        self._asked_ms[message.ask] = _now_ms()
+        self._asked_ms[message.ask] = streams.now_ms()
         try:
             if not self.send(message):
                 text = f"no stream to {self.address}"
@@ -415,7 +281,7 @@
             return
         if isinstance(message, messages.Granted):
             asked_ms = self._asked_ms.get(message.ask, 0)
-            message = received_grant(message, stream, asked_ms)
+            message = streams.received_grant(message, stream, asked_ms)
         fut = self._asks.get(getattr(message, "ask", 0))
         if fut is not None and not isinstance(message, messages.Chunk):
             if not fut.done():
@@ -443,8 +309,8 @@
         grpc.aio.AioRpcError: the call failed.
     """
     while not reader.done():
-        await asyncio.wait({reader}, timeout=PING_EVERY_S)
-        if stream.silent_s() > SILENT_AFTER_S:
+        await asyncio.wait({reader}, timeout=streams.PING_EVERY_S)
+        if stream.silent_s() > streams.SILENT_AFTER_S:
             return
     if not reader.cancelled():
         reader.result()
@@ -456,21 +322,3 @@
 def next_ask() -> int:
     """Returns a number that correlates a message with its reply."""
     return next(_asks)
-
-
-def received_grant(
-    grant: messages.Granted, stream: Stream, asked_ms: int = 0
-) -> messages.Granted:
-    """Returns a grant with its expiry on our own monotonic clock.
-
-    Args:
-        grant: as it came.
-        stream: the stream it came on.
-        asked_ms: when we sent the question that it answers, if it does.
-    """
-    if not grant.expires_ms:
-        return grant
-    # The later of two times before which it can't have been sent.
-    since_ms = max(stream.fresh_ms, asked_ms and asked_ms + grant.waited_ms)
-    until_ms = since_ms + grant.expires_ms
-    return msgspec.structs.replace(grant, until_ms=until_ms)
--- a/catkinpin/adapters/relays.py
+++ b/catkinpin/adapters/relays.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from catkinpin import chat, digest, metrics
-from catkinpin.adapters import outcomes, peers
+from catkinpin.adapters import outcomes, peers, streams
 from catkinpin.adapters.dispatch import Outgoing
 from catkinpin.core import histories, messages
 from catkinpin.exceptions import PeerLostError
@@ -182,7 +182,7 @@
                 return
             prompt = [*held, *chat.raw_messages(body)]
             body = chat.with_messages(body, prompt)
-        grant = peers.received_grant(message.grant, stream)
+        grant = streams.received_grant(message.grant, stream)
         if self._dispatcher.grants.knows(grant.attempt):
             metrics.DROPPED_ANSWERS.inc()
             return
