Accept an advertised address again

Cause: the address pattern became a compiled expression, and the advertised address still put it into a string: every replica refused its settings, so every test with processes waited 20 s for a configuration. Found by a replica that was started by hand.

--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -24,7 +24,12 @@
     return value
 
 
+def _address_or_empty(value: str) -> str:
+    return _address(value) if value else value
+
+
 Address = Annotated[str, pydantic.AfterValidator(_address)]
+OptionalAddress = Annotated[str, pydantic.AfterValidator(_address_or_empty)]
 Milliseconds = Annotated[int, pydantic.Field(gt=0)]
 
 ENV_PREFIX = "CATKINPIN_"
@@ -70,9 +75,8 @@
         default="127.0.0.1:0",
         description="IP and port for the other catkinpin processes (gRPC).",
     )
-    peer_advertise: str = pydantic.Field(
+    peer_advertise: OptionalAddress = pydantic.Field(
         default="",
-        pattern=f"{_HOST_PORT}|^$",
         description="IP and port at which the other processes reach this one;"
         " empty: as in peer_listen.",
     )
