--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -24,12 +24,10 @@
     return value
 
 
-def _address_or_empty(value: str) -> str:
-    return _address(value) if value else value
-
-
 Address = Annotated[str, pydantic.AfterValidator(_address)]
-OptionalAddress = Annotated[str, pydantic.AfterValidator(_address_or_empty)]
+OptionalAddress = Annotated[
+    str, pydantic.AfterValidator(lambda v: _address(v) if v else v)
+]
 Milliseconds = Annotated[int, pydantic.Field(gt=0)]
 
 ENV_PREFIX = "CATKINPIN_"
