Keep entries ready while the control group elects a leader

Cause: an entry that knew no leader of the control group called itself not ready, so that all entries would have left the balancer together for an election; a valid lease already says that it may serve.

New test: the control leader is killed right after a change, a resend gets the first answer from its successor and the change is in force everywhere.

--- a/catkinpin/entry.py
+++ b/catkinpin/entry.py
@@ -168,9 +168,10 @@
             return problem
         if self._drained():
             return "drained by an operator"
-        names = [routing.CONTROL_GROUP]
-        names += map(routing.shard_group, range(self.cfg.shards))
-        for group in names:
+        # The control group's leader is not asked for: all entries would leave
+        # the balancer at once for as long as an election takes, while their
+        # leases still let them serve.
+        for group in map(routing.shard_group, range(self.cfg.shards)):
             if not self.replicas.knows_leader(group):
                 return f"no leader of {group}"
         return ""
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -34,6 +34,22 @@
     return (body, process.returncode) if code is None else body
 
 
+async def leader_of(cluster: base.Cluster) -> str:
+    """Waits until one replica leads the control group."""
+
+    async def find() -> str:
+        for name in cluster.admin:
+            url = f"http://{cluster.admin[name]}/metrics"
+            async with cluster.http.get(url) as resp:
+                text = await resp.text()
+            if 'catkinpin_group_leads{group="control"} 1.0' in text:
+                return name
+        return ""
+
+    found: str = await base.until(find, "a leader of the control group")
+    return found
+
+
 class OperatorsTest(base.TestCase):
     """Changes and plans as operators make them."""
 
@@ -145,6 +161,32 @@
                 self.assertIn(reply.status, (401, 503))
                 self.assertEqual("not-run", reply.verdict)
 
+    def test_the_control_leader_dies_after_a_change(self) -> None:
+        """The control leader is killed right after a change was accepted.
+
+        A resend gets the first answer from its successor, the change comes
+        into force everywhere, and calls are answered all the while.
+        """
+        self.run_async(self._leader_dies())
+
+    async def _leader_dies(self) -> None:
+        cluster = await base.small(self.folder, replicas=3)
+        async with cluster:
+            leader = await leader_of(cluster)
+            file = self.write("new.toml", base.config(500_000))
+            args = ("apply", file, "--base", 1, "--json", "--request-id", "r")
+            first = await command(cluster.entries[0], *args)
+            cluster.processes[leader].kill()
+            call = cluster.chat("entry-1", "berater", [base.user("go on")])
+            again, reply = await asyncio.gather(
+                command(cluster.entries[0], *args, "--wait"), call
+            )
+            self.assertEqual({"revision": 2}, again)
+            self.assertEqual((True, 2), (first["accepted"], first["revision"]))
+            self.assertEqual(200, reply.status)
+            shown = await command(cluster.entries[0], "show")
+            self.assertEqual(2, shown["revision"])
+
     def test_a_drain_by_plan_cuts_no_call(self) -> None:
         """An operator drains a backend server by a plan while calls run.
 
