--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = $(shell .ci/venv)/bin/python
 
-.PHONY: demo test fuzz lint format bench bench-ruegg bench-kunci
+.PHONY: demo test fuzz lint format bench
 
 demo:
 	$(PYTHON) -m demo
@@ -23,8 +23,11 @@
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
 
-# Both users' workloads, each in a process of its own: make -j2 bench
-bench: bench-ruegg bench-kunci
+# Each part in a process of its own: make -j4 bench
+BENCHES = ruegg-loads ruegg-faults kunci-loads kunci-faults
 
-bench-ruegg bench-kunci: bench-%:
-	$(PYTHON) -m bench --users $*
+bench: $(BENCHES:%=bench-%)
+
+bench-%:
+	$(PYTHON) -m bench --users $(word 1,$(subst -, ,$*)) \
+		--part $(word 2,$(subst -, ,$*))
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
 REPORTING_SEEDS = (101, 102, 103)
 
 LOADS = (0.5, 0.8, 1.0, 1.3)
+_LOAD_CASES = [f"{load:.1f}" for load in LOADS]
 _FAULT_LOAD = 0.8
 _QUICK_MS = 60_000
 
@@ -22,7 +23,10 @@
     """Returns name, load, what is lost and whether a server lies."""
     if quick:
         return [("0.8", 0.8, "", False)]
-    listed = [(f"{load:.1f}", load, "", False) for load in LOADS]
+    listed = [
+        (name, load, "", False)
+        for name, load in zip(_LOAD_CASES, LOADS, strict=True)
+    ]
     return [
         *listed,
         ("server lost", _FAULT_LOAD, "server", False),
@@ -43,7 +47,7 @@
     rows = []
     for user in args.users:
         rows += _run_user(args, user, seeds)
-    name = args.name or "-".join(args.users)
+    name = args.name or "-".join([*args.users, args.part or "all"])
     text = figures.table(rows) + "\n" + figures.ratios(rows, variants.POLICY)
     (folder / f"{name}.md").write_text(f"seeds {seeds}\n\n{text}")
     (folder / f"{name}.json").write_text(
@@ -63,6 +67,8 @@
     for case, load, lost, lying in cases(user, args.quick):
         if args.cases and case not in args.cases:
             continue
+        if args.part and (args.part == "loads") != (case in _LOAD_CASES):
+            continue
         for variant in args.variants or variants.VARIANTS:
             begin = time.monotonic()
             outcomes = []
@@ -87,6 +93,7 @@
     parser.add_argument("--users", nargs="+", default=["ruegg", "kunci"])
     parser.add_argument("--cases", nargs="+")
     parser.add_argument("--variants", nargs="+")
+    parser.add_argument("--part", choices=["loads", "faults"])
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--tuning", action="store_true")
     parser.add_argument("--out", default="out")
