Reserve for the stored history where only new messages are sent

Cause: with Catkinpin-History: new the reserve covered the new messages only, while the engine bills the stored ones that go before them; a long session could be billed beyond its budget (kept apart as overcounted, but billed). Ruled out: the engine's own count of the last answer as the bound; another model may count otherwise, and a bound must hold before the call.

--- a/catkinpin/chat.py
+++ b/catkinpin/chat.py
@@ -9,12 +9,12 @@
 import pydantic
 
 from catkinpin import configuration, digest
+from catkinpin.core import budgets
 from catkinpin.core.messages import Usage
 from catkinpin.exceptions import BadRequestError
 
 _DEFAULT_MAX_TOKENS = 1024
 _MOST_TOKENS = 100_000_000
-_TOKENS_PER_MESSAGE = 16  # Role markers and separators of a chat template.
 _KEPT_FIELDS = (
     "role",
     "content",
@@ -135,7 +135,7 @@
     """
     text = sum(len(message) for message in canonical)
     extra = len(digest.canonical(request.model_extra or {}))
-    return text + extra + _TOKENS_PER_MESSAGE * len(canonical)
+    return text + extra + budgets.MESSAGE_TOKENS * len(canonical)
 
 
 class Assembler:
--- a/catkinpin/core/budgets.py
+++ b/catkinpin/core/budgets.py
@@ -8,15 +8,30 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from catkinpin.core.messages import Usage
+    from catkinpin.core.messages import Begin, Usage
     from catkinpin.core.program import Program
 
+# Role markers and separators of a message in a chat template.
+MESSAGE_TOKENS = 16
+
 
 def left(root: Program) -> int:
     """Returns the tokens that are neither spent nor reserved."""
     return root.limits.budget_tokens - root.spent - root.reserved
 
 
+def prompt_bound(program: Program, begin: Begin) -> int:
+    """Returns the most tokens that the call's prompt can have.
+
+    A caller may send only its new messages. The stored ones go before them,
+    and the engine bills both; a reserve without them would be exceeded.
+    """
+    if begin.whole:
+        return begin.prompt_tokens
+    stored = program.history
+    return begin.prompt_tokens + stored.size + MESSAGE_TOKENS * len(stored)
+
+
 def worst_case(root: Program, prompt_tokens: int, max_tokens: int) -> int:
     """Returns what an attempt must reserve, 0 where too little is left.
 
--- a/catkinpin/core/history.py
+++ b/catkinpin/core/history.py
@@ -40,11 +40,13 @@
         head: digest chain over all messages.
         digests: digests one after the other.
         places: log index and position of each message, packed.
+        size: bytes of all messages together.
     """
 
     head: bytes = b""
     digests: bytearray = dataclasses.field(default_factory=bytearray)
     places: bytearray = dataclasses.field(default_factory=bytearray)
+    size: int = 0
 
     def __len__(self) -> int:
         return len(self.places) // _PLACE_SIZE
@@ -64,8 +66,10 @@
         at = number * digest.DIGEST_SIZE
         return bytes(self.digests[at : at + digest.DIGEST_SIZE])
 
-    def add(self, item: bytes, record_index: int, position: int) -> None:
-        """Adds a message by its digest and its place in the log."""
+    def add(self, message: bytes, record_index: int, position: int) -> None:
+        """Adds a message, of which the log keeps the text."""
+        item = digest.of_bytes(message)
+        self.size += len(message)
         place = record_index << _POSITION_BITS | position
         self.digests += item
         self.places += place.to_bytes(_PLACE_SIZE, "big")
--- a/catkinpin/core/shard.py
+++ b/catkinpin/core/shard.py
@@ -10,7 +10,7 @@
 
 from typing import TYPE_CHECKING
 
-from catkinpin import codec, digest
+from catkinpin import codec
 from catkinpin.core import budgets, history, records, rules
 from catkinpin.core.effects import (
     CallAnswered,
@@ -170,15 +170,14 @@
         root = self.root_of(program)
         begin = call.begin
         reserved = 0
+        prompt = budgets.prompt_bound(program, begin)
         if begin.kind == "model":
-            reserved = budgets.worst_case(
-                root, begin.prompt_tokens, begin.max_tokens
-            )
+            reserved = budgets.worst_case(root, prompt, begin.max_tokens)
         call.attempt = Attempt(
             attempt=f"{self.name}-{index}",
             choice=choice,
             reserved=reserved,
-            max_tokens=reserved - begin.prompt_tokens,
+            max_tokens=reserved - prompt,
             skip=len(program.history) if begin.whole else 0,
         )
         call.seq = program.next_seq
@@ -207,7 +206,8 @@
             return rules.refusal(at_ms, call, Reason.QUARANTINED, text)
         if begin.kind != "model":
             return None
-        if not budgets.worst_case(root, begin.prompt_tokens, begin.max_tokens):
+        prompt = budgets.prompt_bound(program, begin)
+        if not budgets.worst_case(root, prompt, begin.max_tokens):
             text = "the program's token budget does not cover this call"
             # What is reserved may come back when attempts settle.
             wait = _RETRY_AFTER_MS if root.reserved else 0
@@ -375,7 +375,7 @@
             program.history_tokens = used.prompt_tokens + used.completion_tokens
         if not program.ended and not program.once:
             for position, message in enumerate(record.messages):
-                program.history.add(digest.of_bytes(message), index, position)
+                program.history.add(message, index, position)
         closed = ClosedCall(
             seq=call.seq,
             fingerprint=call.begin.fingerprint,
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from catkinpin import codec, configuration, digest
-from catkinpin.core import messages, records, shard
+from catkinpin.core import budgets, messages, records, shard
 from catkinpin.core.messages import CallKey, ProgramKey
 from catkinpin.core.program import CallState
 from catkinpin.exceptions import SnapshotVersionError
@@ -136,6 +136,25 @@
         self.assertEqual(Reason.BUDGET_EXHAUSTED, refused.refusal.reason)
         self.assertEqual(Verdict.NOT_RUN, refused.refusal.verdict)
 
+    def test_stored_history_counts_where_only_new_messages_are_sent(
+        self,
+    ) -> None:
+        """A caller sends only its new messages, and the history goes before.
+
+        The engine bills the whole prompt. The reserve must cover what we add,
+        or a long session with a small budget is billed beyond it.
+        """
+        bench = Bench()
+        bench.begin("1")
+        bench.finish("1", texts=(b"ask", b"answer"), used=1)
+        bench.begin("2", texts=(b"more",), whole=False)
+        stored = len(b"ask") + len(b"answer") + 2 * budgets.MESSAGE_TOKENS
+        self.assertEqual(99 - 10 - stored, bench.attempt("2").max_tokens)
+        self.assertEqual(99, bench.program().reserved)
+        bench.finish("2", texts=(b"more", b"a" * 40), used=1)
+        refused = bench.begin("3", texts=(b"last",), whole=False)[0]
+        self.assertEqual(Reason.BUDGET_EXHAUSTED, refused.refusal.reason)
+
     def test_sub_agents_share_the_root_and_end_with_it(self) -> None:
         """A sub-agent loops on while its root has ended.
 
