Spread the relays of a region by rendezvous hashing

Cause: every call to another region went through the entry with the smallest address there: one host carried it all, and when that host went, the history cache of every program was gone with it. Ruled out: round robin (a program's history would cross the link once for each entry); modulo hashing (a lost entry would move nearly all programs). Before: 300 programs on 1 of 3 entries (the test fails so); after: on all 3, each above a sixth, and only a lost entry's programs move. test_entries, test_matrix, test_placing passed.

--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placing.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from catkinpin import digest
 from catkinpin.core import limits, routing, scheduler
 from catkinpin.core.messages import ProgramKey
 from catkinpin.core.quarantine import CRASHES_ALLOWED
@@ -393,12 +394,27 @@
         priority: of the deployment.
     """
     server = placed.server.ref
-    near = [e.address for e in entries if e.region == server.region]
     here = not server.region or server.region == entry.region
+    near = [e.address for e in entries if e.region == server.region]
     return Choice(
         server=server,
         entry=entry.process,
         entry_incarnation=entry.incarnation,
-        dispatcher="" if here else min(near, default=""),
+        dispatcher="" if here else _relay_of(placed.key, near),
         priority=priority,
     )
+
+
+def _relay_of(key: CallKey, near: list[str]) -> str:
+    """Returns the entry that relays a program's calls in another region.
+
+    By rendezvous hashing: programs spread over the entries, a program stays
+    with the one that holds its history, and when an entry goes only its own
+    programs move.
+    """
+    root = f"{key.account}/{routing.root_of(key.program)}"
+
+    def weight(address: str) -> bytes:
+        return digest.of_bytes(f"{root}\0{address}".encode())
+
+    return max(near, key=weight, default="")
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,68 @@
+"""How a placement becomes a choice in the log."""
+
+from __future__ import annotations
+
+import collections
+
+from catkinpin.core import messages, placing, servers
+from catkinpin.core.commands import EntryRef
+from catkinpin.core.messages import CallKey
+from tests import base
+
+_PROGRAMS = 300
+
+
+def _entry(number: int, region: str) -> EntryRef:
+    return EntryRef(
+        process=f"entry-{number}",
+        incarnation=str(number),
+        region=region,
+        address=f"127.0.0.1:{number}",
+    )
+
+
+def _relays(entries: list[EntryRef]) -> dict[str, str]:
+    """Returns the relay of each program, for a server of another region."""
+    report = messages.ServerReport(
+        server="berater-1",
+        incarnation="1",
+        address="",
+        kind="model",
+        serves=["berater"],
+        domain="ge-a",
+        region="ch-west",
+    )
+    found = {}
+    for number in range(_PROGRAMS):
+        program = f"p{number}"
+        key = CallKey(account="a", program=program, request_id="1")
+        placed = placing.Placed(key, servers.Server(report, seen_ms=0))
+        caller = _entry(99, "ch-nord")
+        choice = placing.choice_of(placed, caller, entries, priority=0)
+        found[program] = choice.dispatcher
+    return found
+
+
+class RelayTest(base.TestCase):
+    """Which entry of the server's region relays."""
+
+    def test_programs_spread_over_the_entries_of_the_region(self) -> None:
+        entries = [_entry(number, "ch-west") for number in range(3)]
+        entries.append(_entry(7, "ch-nord"))
+        counts = collections.Counter(_relays(entries).values())
+        self.assertEqual({e.address for e in entries[:3]}, set(counts))
+        self.assertGreater(min(counts.values()), _PROGRAMS // 6)
+
+    def test_only_the_programs_of_a_lost_entry_move(self) -> None:
+        """An entry of the server's region dies.
+
+        The sessions that it did not relay keep the entry that holds their
+        history, and nothing of theirs crosses the link again.
+        """
+        entries = [_entry(number, "ch-west") for number in range(3)]
+        before = _relays(entries)
+        lost = entries.pop(1)
+        after = _relays(entries)
+        for program, relay in before.items():
+            if relay != lost.address:
+                self.assertEqual(relay, after[program])
