Show that an answer waits until a quorum has stored it

Cause: no test with real processes struck between finish and append 2, where an answer given too early could be lost with one disk. Both followers are frozen just when the service has acted; the caller's answer must not come before they go on, and the effect stays single.

--- a/tests/fakes/service.py
+++ b/tests/fakes/service.py
@@ -79,6 +79,7 @@
             {
                 "effects": service.effects,
                 "order": service.order,
+                "running": service.running,
                 "asked": service.asked,
             }
         )
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -20,6 +20,7 @@
 
 _KEY = configuration.key_digest(base.OPERATOR_KEY)
 _GROUP = "shard-0"
+_NAMES = ("replica-1", "replica-2", "replica-3")
 _CAPACITY = 8  # Of the fake service.
 
 
@@ -138,6 +139,39 @@
 
         self.start(main, proxied=False)
 
+    def test_answer_waits_until_a_quorum_has_it(self) -> None:
+        """Both other replicas stand still just when a service has acted.
+
+        The answer is on one disk only, which could be lost, so the caller does
+        not get it yet. It comes once the others go on, and nothing runs twice.
+        """
+
+        async def main(cluster: base.Cluster) -> None:
+            leader = await leader_of(cluster)
+            others = [name for name in _NAMES if name != leader]
+            await cluster.steer("service-1", delay_ms=300)
+            call = asyncio.create_task(self.pay(cluster, "during"))
+            await acting(cluster, "during")
+            for name in others:
+                cluster.processes[name].signal(signal.SIGSTOP)
+
+            async def has_lost_office() -> bool:
+                return not await leads(cluster, leader)
+
+            async def has_acted() -> bool:
+                return (await cluster.look("service-1"))["running"] == 0
+
+            await base.until(has_acted, "the service has answered")
+            await base.until(has_lost_office, "the leader lacks a quorum")
+            self.assertFalse(call.done())
+            for name in others:
+                cluster.processes[name].signal(signal.SIGCONT)
+            await call
+            await cluster.steer("service-1", delay_ms=0)
+            await self.paid_once(cluster, "during")
+
+        self.start(main, proxied=False)
+
     def test_planned_stop_of_the_leader(self) -> None:
         """An operator stops the leader's process while calls come in.
 
@@ -280,20 +314,21 @@
         )
 
 
+async def leads(cluster: base.Cluster, name: str) -> bool:
+    """Returns whether a replica leads the shard."""
+    url = f"http://{cluster.admin[name]}/metrics"
+    async with cluster.http.get(url) as resp:
+        text = await resp.text()
+    return f'catkinpin_group_leads{{group="{_GROUP}"}} 1.0' in text
+
+
 async def leader_of(cluster: base.Cluster, but: str = "") -> str:
     """Waits until one replica, and not `but`, leads the shard."""
-    names = [name for name in cluster.admin if name.startswith("replica")]
-
-    async def leads(name: str) -> bool:
-        url = f"http://{cluster.admin[name]}/metrics"
-        async with cluster.http.get(url) as resp:
-            text = await resp.text()
-        return f'catkinpin_group_leads{{group="{_GROUP}"}} 1.0' in text
 
     async def find() -> Any:
         found = []
-        for name in names:
-            if name != but and await leads(name):
+        for name in _NAMES:
+            if name != but and await leads(cluster, name):
                 found.append(name)
         return found[0] if len(found) == 1 else None
 
