--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -318,7 +318,7 @@
     """Returns whether a replica leads the shard."""
     url = f"http://{cluster.admin[name]}/metrics"
     async with cluster.http.get(url) as resp:
-        text = await resp.text()
+        text: str = await resp.text()
     return f'catkinpin_group_leads{{group="{_GROUP}"}} 1.0' in text
 
 
