--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -159,7 +159,7 @@
                 return not await leads(cluster, leader)
 
             async def has_acted() -> bool:
-                return (await cluster.look("service-1"))["running"] == 0
+                return bool((await cluster.look("service-1"))["running"] == 0)
 
             await base.until(has_acted, "the service has answered")
             await base.until(has_lost_office, "the leader lacks a quorum")
