--- a/catkinpin/core/controlleader.py
+++ b/catkinpin/core/controlleader.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.core import changes, messages, plans, routing
+from catkinpin.core import changes, drafts, messages, plans, routing
 from catkinpin.core.leases import LEASE_MS, Leases
 from catkinpin.core.orders import Orders
 
@@ -281,7 +281,7 @@
         known = self._state.plans.get(make.plan_id)
         if known is not None:
             return [self._shown(info.incarnation, make.ask, make.plan_id, [])]
-        made = plans.make_plan(
+        made = drafts.make_plan(
             make.plan_id, make.intent, make.operator, self._look()
         )
         if isinstance(made, plans.Impossible):
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from catkinpin.core import changes, control, controlsnapshot, plans
+from catkinpin.core import changes, control, controlsnapshot, drafts, plans
 from catkinpin.core import deployments as items
 from catkinpin.core.messages import ServerReport
 from catkinpin.core.orders import CLAIM_MS, Orders
@@ -58,7 +58,7 @@
 
     def made(self, intent: plans.Intent) -> plans.Plan:
         """Makes a plan."""
-        plan = plans.make_plan("p", intent, "ana", self.facts())
+        plan = drafts.make_plan("p", intent, "ana", self.facts())
         assert isinstance(plan, plans.Plan), plan
         self.state.apply(0, changes.PlanMade(at_ms=0, plan=plan))
         return plan
@@ -107,7 +107,7 @@
         forecast = self.made(region).forecast
         self.assertEqual(900 * plans.BYTES_PER_TOKEN, forecast.link_bytes)
         everything = plans.Move(deployment="advice", off=["s1", "s2", "s3"])
-        made = plans.make_plan("q", everything, "", self.facts())
+        made = drafts.make_plan("q", everything, "", self.facts())
         assert isinstance(made, plans.Plan)
         self.assertIn("every call of advice", made.forecast.refused[0])
 
@@ -186,7 +186,7 @@
             (plans.SetBudget(deployment="advice"), "tokens"),
             (plans.Undrain(scope="server", name="s1"), "name"),
         ):
-            made = plans.make_plan("q", intent, "", self.facts())
+            made = drafts.make_plan("q", intent, "", self.facts())
             assert isinstance(made, plans.Impossible)
             self.assertTrue(made.problems[0].startswith(field))
 
