Leave no engine idle beside callers for programs that never end

Cause: room in an engine's cache was kept for 30 s for every program, also for those whose callers stopped without ending them. Ruled out by runs: the stopped entries (frozen engines showed the same wait), the shard's leader (it answered service calls meanwhile). Change: a paused program keeps its room for 30 s only on a server with a quarter of its slots taken, for less on an idler one, for 2 s at the least.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = $(shell .ci/venv)/bin/python
 
-.PHONY: demo test fuzz lint format bench
+.PHONY: demo test fuzz lint format bench soak
 
 demo:
 	$(PYTHON) -m demo
@@ -14,6 +14,12 @@
 fuzz:
 	$(PYTHON) -m tests.simulation $(FIRST) $(LAST)
 
+# Random faults against real processes for SECONDS, by SEED.
+SEED ?= 1
+SECONDS ?= 60
+soak:
+	$(PYTHON) -m tests.soak $(SEED) $(SECONDS) ""
+
 lint:
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
--- a/catkinpin/core/placement.py
+++ b/catkinpin/core/placement.py
@@ -14,6 +14,8 @@
     from catkinpin.core.servers import Server
 
 # Costs are worked out for so many servers at most.
+# The full time is held once one in so many slots is taken.
+_FULL_HOLD = 4
 _MOST_CANDIDATES = 32
 
 Policy = Callable[["Job", list["Server"], int], "Server | None"]
@@ -34,7 +36,9 @@
         text_bytes: bytes of a token's text on the link.
         fill: share of an engine's cache that active programs may fill.
         memory_ms: price of a place in a cache that is full already.
-        hold_ms: a program that has paused for longer is not active.
+        hold_ms: a program that has paused for longer is not active; on a
+            server with few calls aboard a part of this is enough.
+        least_hold_ms: no shorter pause costs a program its room.
     """
 
     prefill_per_ms: float = 10.0
@@ -47,6 +51,7 @@
     fill: float = 0.9
     memory_ms: float = 1_000.0
     hold_ms: int = 30_000
+    least_hold_ms: int = 2_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -188,7 +193,12 @@
         wait = 1_000.0 * server.load / slots
         return Cost(server, wait, 0.0, transfer, server.load < slots)
     cache = report.cache_tokens * share
-    server.residents.rest(now_ms, prices.hold_ms, round(cache))
+    # Room kept for programs that never say they have ended would leave the
+    # engine idle while others wait for it: the idler it is, the sooner a
+    # paused program loses its room.
+    busy = min(1.0, _FULL_HOLD * server.load / slots)
+    hold_ms = round(max(prices.least_hold_ms, prices.hold_ms * busy))
+    server.residents.rest(now_ms, hold_ms, round(cache))
     wait = server.load * prices.gap_per_call_ms * prices.output_tokens
     missing = missing_tokens(job, server)
     known = max(job.history_tokens, job.shared_tokens if job.parent else 0)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -115,6 +115,22 @@
         self.jobs.program_ended(_job("p1").key.program_key)
         self.assertEqual({"new": "a"}, _places(self.jobs.tick(4)))
 
+    def test_programs_that_never_end_leave_no_engine_idle(self) -> None:
+        """Callers stop calling and never say that their programs have ended.
+
+        Their room would keep others waiting for half a minute beside an idle
+        engine; after a short pause the new program gets it.
+        """
+        for number in range(2):
+            job = _job(f"p{number}", 4_000)
+            self.jobs.submit(job, 0)
+            self.jobs.ended(job.key, 1)
+        self.assertEqual([], self.jobs.submit(_job("new", 4_000), 2))
+        self.report("a", 1_500)
+        self.assertEqual([], self.jobs.tick(1_900))
+        self.report("a", 2_100)
+        self.assertEqual({"new": "a"}, _places(self.jobs.tick(2_100)))
+
     def test_large_program_is_not_starved_by_small_ones(self) -> None:
         """Small programs keep coming and take each bit of memory that frees.
 
