--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,10 +1,10 @@
 """Random faults against real processes under load: `make soak`.
 
 Callers run kiosk orders and short model programs through all entries while
-processes are killed, frozen and stopped, one fault at a time by a seed; a third argument
-names those to keep, as in `freeze entry`. What
-the service saw and what callers got decides; times differ from run to run, so
-this is no test of CI.
+processes are killed, frozen and stopped, one fault at a time by a seed; a
+third argument names those to keep, as in `freeze entry`. What the service saw
+and what callers got decides. Times differ from run to run, so this is no test
+of CI.
 """
 
 from __future__ import annotations
