--- a/catkinpin/adapters/calls.py
+++ b/catkinpin/adapters/calls.py
@@ -61,8 +61,11 @@
         verdict: what is known so far of whether the request ran.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now_s: Callable[[], float]) -> None:
         self.events: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._now_s = now_s
+        self._began_s = now_s()
+        self._streams = False
         self.final: Final | None = None
         self.verdict = Verdict.NOT_RUN
         self._splice = splice.Splice()
@@ -81,8 +84,12 @@
         except DivergedError:
             self._diverged = True
             return
-        if fresh is not None:
-            self.events.put_nowait(fresh)
+        if fresh is None:
+            return
+        if not self._streams:
+            self._streams = True
+            metrics.FIRST_TOKEN.observe(self._now_s() - self._began_s)
+        self.events.put_nowait(fresh)
 
     def end(self, final: Final) -> None:
         """Sets the final answer; the first one counts."""
@@ -150,7 +157,7 @@
 
     def start(self, req: CallRequest) -> RunningCall:
         """Starts a call in a task of its own."""
-        call = RunningCall()
+        call = RunningCall(asyncio.get_running_loop().time)
         task = asyncio.create_task(self._run(req, call))
         self.running[task] = req
         metrics.IN_FLIGHT.set(len(self.running))
--- a/catkinpin/adapters/shards.py
+++ b/catkinpin/adapters/shards.py
@@ -16,7 +16,6 @@
 log = logging.getLogger(__name__)
 
 _RETRY_S = 0.05
-_ASK_TIMEOUT_S = 600.0
 
 
 class Replicas:
--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -23,7 +23,6 @@
 
 EXIT_OK = 0
 EXIT_FAILED = 1
-EXIT_USAGE = 2
 EXIT_STORAGE = 3
 EXIT_CUT = 4
 EXIT_FORCED = 5
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,6 +5,9 @@
 import json
 from typing import Any
 
+import prometheus_client
+
+from catkinpin.adapters import calls
 from catkinpin.core import gaps, histories, splice
 from catkinpin.exceptions import DivergedError
 from tests import base
@@ -75,6 +78,31 @@
         self.assertEqual({"amount": 5}, json.loads(text))
 
 
+class FirstTokenTest(base.TestCase):
+    """The time to the first token, as operators see it."""
+
+    def test_only_the_first_event_of_a_call_is_timed(self) -> None:
+        """A call streams many events, and is generated anew on the way.
+
+        The metric counts the call once, with the time to its first event.
+        """
+        times = iter((1.0, 1.5))
+        name = "catkinpin_first_token_seconds"
+        before = [self._value(f"{name}_{part}") for part in ("count", "sum")]
+        call = calls.RunningCall(lambda: next(times))
+        for word in _words("some text", 4):
+            call.take(word)
+        call.restart()
+        for word in _words("some text and more", 4):
+            call.take(word)
+        after = [self._value(f"{name}_{part}") for part in ("count", "sum")]
+        self.assertEqual(before[0] + 1, after[0])
+        self.assertAlmostEqual(before[1] + 0.5, after[1])
+
+    def _value(self, name: str) -> float:
+        return prometheus_client.REGISTRY.get_sample_value(name) or 0.0
+
+
 class GapsTest(base.TestCase):
     """Patience with a silent stream follows the server's own pace."""
 
