--- a/catkinpin/adapters/founding.py
+++ b/catkinpin/adapters/founding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,23 @@
 log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True)
+class Joining:
+    """How a replica takes part where no operator repairs lost ones.
+
+    Attributes:
+        seeds: peer addresses of the replicas that found the system.
+        first_start: whether the whole system starts for the first time.
+    """
+
+    seeds: tuple[str, ...]
+    first_start: bool
+
+    def is_founder(self, address: str) -> bool:
+        """Returns whether the replica at `address` founds the system."""
+        return self.first_start and address in self.seeds
+
+
 class Founding:
     """Decides when this replica takes part in the groups.
 
@@ -25,11 +43,16 @@
     its disk; were it to found anew, or to vote under its old name, what it
     has forgotten could be decided twice. It waits for an operator's repair.
 
+    Where hosts come and go with nobody to repair them, a replica with an empty
+    folder joins by itself instead, under its new identity. Its settings say
+    whether the system starts for the first time; that is never guessed.
+
     Args:
         identity: who this replica is.
         address: its peer address, as the others know it.
         mesh: streams to the others.
         begin: called once this replica may take part.
+        joining: how it takes part without an operator; None: it doesn't.
     """
 
     def __init__(
@@ -38,16 +61,28 @@
         address: str,
         mesh: Mesh,
         begin: Callable[[], None],
+        joining: Joining | None = None,
     ) -> None:
         self._identity = identity
         self._address = address
         self._mesh = mesh
         self._begin = begin
+        self._joining = joining
+        if joining is not None:
+            self._founders = [a for a in joining.seeds if a != address]
+        else:
+            self._founders = list(mesh.addresses)
         self._infos: dict[str, replicas.NodeInfo] = {}
 
     def start(self) -> None:
         """Takes part at once where that was settled in an earlier run."""
-        if not self._identity.belongs and not self._mesh.addresses:
+        joins = self._joining is not None and not self._joining.is_founder(
+            self._address
+        )
+        if not self._identity.belongs and joins:
+            log.info("joins with an empty data folder")
+            self._identity.join()
+        if not self._identity.belongs and not self._founders:
             self._identity.found(self._members([]))
         if self._identity.belongs:
             self._begin()
@@ -63,6 +98,7 @@
             node=self._identity.node,
             address=self._address,
             founded=self._identity.belongs,
+            known=list(self._mesh.addresses),
         )
 
     def heard(self, info: replicas.NodeInfo) -> None:
@@ -95,14 +131,14 @@
 
     def waits_for(self) -> list[str]:
         """Returns the addresses that have not answered."""
-        return [a for a in self._mesh.addresses if a not in self._infos]
+        return [a for a in self._founders if a not in self._infos]
 
     def _try_to_found(self) -> None:
         if self.waits_for() or self.needs_repair():
             return
         # The lowest address founds, so that two don't with other members.
-        if all(self._address < other for other in self._mesh.addresses):
-            others = [self._infos[a] for a in self._mesh.addresses]
+        if all(self._address < other for other in self._founders):
+            others = [self._infos[a] for a in self._founders]
             self._take_part(self._members(others))
             assert self._identity.founders is not None
             found = replicas.Found(members=self._identity.founders)
--- /dev/null
+++ b/catkinpin/adapters/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""How a gateway serves a request: route, server, exchange, answer."""
--- /dev/null
+++ b/catkinpin/adapters/gateway/turns.py
@@ -0,0 +1,340 @@
+"""A program's turns, as a gateway sees them: begin, bytes, settle."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import logging
+from typing import TYPE_CHECKING, Any
+
+from catkinpin import decisions
+from catkinpin.core import keeping
+from catkinpin.core.ledger import Begin, Denial, Finish
+from catkinpin.exceptions import PeerLostError
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from catkinpin.adapters.keepers import Host, Keepers
+    from catkinpin.core.calls import RouteCall
+    from catkinpin.core.ledger import Link
+    from catkinpin.core.routes import Route
+
+log = logging.getLogger(__name__)
+
+# Hosts that hold each turn's bytes: the loss of one disk loses nothing.
+_COPIES = 2
+# A holder that has not stored by then is slow; another one is asked as well.
+# Several times a sync and the way to the other region.
+_SLOW_STORE_S = 0.15
+_STORE_S = 1.5
+# One read of a chain's bytes from one holder.
+_FETCH_S = 0.6
+# A turn that is not settled keeps its reserve, so the gateway insists.
+_SETTLE_S = 6.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Unknown:
+    """Sentinel: the ledger could not be asked.
+
+    Attributes:
+        reason: why, for the log.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Started:
+    """A turn that may begin.
+
+    Attributes:
+        history: bytes of the chain before it.
+    """
+
+    history: bytes
+
+
+class _Cache:
+    """Bytes of recent turns; the next turn mostly comes in at the same place.
+
+    It saves most reads over the link between regions.
+    """
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._size = 0
+        self._parts: collections.OrderedDict[str, bytes] = (
+            collections.OrderedDict()
+        )
+
+    def get(self, attempt: str) -> bytes | None:
+        """Returns a turn's bytes, None where they aren't held."""
+        data = self._parts.get(attempt)
+        if data is not None:
+            self._parts.move_to_end(attempt)
+        return data
+
+    def put(self, attempt: str, data: bytes) -> None:
+        """Takes a turn's bytes; the oldest go."""
+        if attempt in self._parts or len(data) > self._most:
+            return
+        self._parts[attempt] = data
+        self._size += len(data)
+        while self._size > self._most:
+            _, old = self._parts.popitem(last=False)
+            self._size -= len(old)
+
+
+class Turns:
+    """Asks the keepers on behalf of this gateway's requests.
+
+    Args:
+        keepers: links to them.
+        region: where this gateway stands.
+        domain: its failure domain.
+        cache_bytes: bytes of turns kept in memory.
+    """
+
+    def __init__(
+        self, keepers: Keepers, region: str, domain: str, cache_bytes: int
+    ) -> None:
+        self._keepers = keepers
+        self._region = region
+        self._domain = domain
+        self._cache = _Cache(cache_bytes)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._next = 0
+
+    @property
+    def unsettled(self) -> int:
+        """How many turns still wait to be settled."""
+        return len(self._tasks)
+
+    async def begin(
+        self, call: RouteCall, route: Route, wait_s: float
+    ) -> Started | Denial | Unknown:
+        """Reserves for a turn and fetches what came before it."""
+        begin = Begin(
+            attempt=call.attempt,
+            program=call.program,
+            previous=call.previous if route.keeps_history else "",
+            budget=call.budget,
+            most=call.most_tokens,
+            retain_ms=route.retain_ms,
+            at_ms=0,
+        )
+        try:
+            began = await self._keepers.ask_leader(
+                lambda ask: keeping.AskBegin(ask=ask, begin=begin), wait_s
+            )
+        except PeerLostError as exc:
+            # It may have reserved; what is never settled counts for ever.
+            self.settle(call, 0)
+            return Unknown(str(exc))
+        if began.denial:
+            return Denial(began.denial)
+        history = await self._history(began.chain)
+        if history is None:
+            self.settle(call, 0)
+            return Unknown("the history can't be read now")
+        return Started(history)
+
+    async def finish(
+        self, call: RouteCall, route: Route, data: bytes, tokens: int
+    ) -> str:
+        """Makes a whole turn last; returns why not, or an empty string."""
+        holders = await self._store(call.attempt, data)
+        if not holders:
+            self.settle(call, tokens)
+            return "its bytes were not stored"
+        finish = Finish(
+            attempt=call.attempt,
+            program=call.program,
+            tokens=tokens,
+            is_whole=True,
+            holders=holders,
+            size=len(data),
+            at_ms=0,
+        )
+        try:
+            await self._keepers.ask_leader(
+                lambda ask: keeping.AskFinish(ask=ask, finish=finish), _STORE_S
+            )
+        except PeerLostError as exc:
+            return str(exc)
+        self._cache.put(call.attempt, data)
+        return ""
+
+    def settle(self, call: RouteCall, tokens: int) -> None:
+        """Settles a turn that can't be continued, without making anyone wait."""
+        finish = Finish(
+            attempt=call.attempt,
+            program=call.program,
+            tokens=tokens,
+            is_whole=False,
+            holders=[],
+            size=0,
+            at_ms=0,
+        )
+        self._spawn(self._settle(finish))
+
+    async def _settle(self, finish: Finish) -> None:
+        try:
+            await self._keepers.ask_leader(
+                lambda ask: keeping.AskFinish(ask=ask, finish=finish), _SETTLE_S
+            )
+        except PeerLostError as exc:
+            decisions.note(
+                "unsettled",
+                finish.attempt,
+                program=finish.program,
+                tokens=finish.tokens,
+                reason=str(exc),
+            )
+
+    async def _history(self, chain: list[Link]) -> bytes | None:
+        missing = [k for k in chain if self._cache.get(k.attempt) is None]
+        found: dict[str, bytes] = {}
+        if missing:
+            await self._fetch(missing, found)
+        parts = []
+        for link in chain:
+            data = found.get(link.attempt) or self._cache.get(link.attempt)
+            if data is None:
+                return None
+            parts.append(data)
+        for attempt, data in found.items():
+            self._cache.put(attempt, data)
+        return b"".join(parts)
+
+    async def _fetch(self, links: list[Link], found: dict[str, bytes]) -> None:
+        """Reads turns' bytes, each from its holders, the near one first."""
+        for attempt in range(_COPIES):
+            wanted: dict[str, list[str]] = {}
+            for link in links:
+                if link.attempt in found:
+                    continue
+                holders = sorted(
+                    (
+                        h
+                        for n in link.holders
+                        if (h := self._keepers.by_node(n))
+                    ),
+                    key=self._distance,
+                )
+                if holders:
+                    host = holders[min(attempt, len(holders) - 1)]
+                    address = host.link.address
+                    wanted.setdefault(address, []).append(link.attempt)
+            if not wanted:
+                return
+            await asyncio.gather(
+                *(self._read(a, names, found) for a, names in wanted.items())
+            )
+
+    async def _read(
+        self, address: str, attempts: list[str], found: dict[str, bytes]
+    ) -> None:
+        host = self._keepers.by_address(address)
+        if host is None:
+            return
+        try:
+            got = await self._keepers.ask(
+                host,
+                lambda ask: keeping.Get(ask=ask, attempts=attempts),
+                _FETCH_S,
+            )
+        except PeerLostError as exc:
+            log.info("turns not read: %s", exc, extra={"peer": address})
+            return
+        for attempt, data in zip(attempts, got.parts, strict=True):
+            if data is not None:
+                found[attempt] = data
+
+    async def _store(self, attempt: str, data: bytes) -> list[str]:
+        """Stores a turn's bytes on two hosts; returns them, or none."""
+        hosts = self._candidates()
+        stored: list[str] = []
+        running: set[asyncio.Task[str]] = set()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + _STORE_S
+        for _ in range(_COPIES):
+            if hosts:
+                running.add(self._start_put(hosts.pop(0), attempt, data))
+        while running and len(stored) < _COPIES and loop.time() < until:
+            done, running = await asyncio.wait(
+                running,
+                timeout=_SLOW_STORE_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            stored += [node for task in done if (node := task.result())]
+            failed = sum(not task.result() for task in done)
+            more = failed if done else 1
+            if len(stored) < _COPIES:
+                for _ in range(more):
+                    if hosts:
+                        running.add(
+                            self._start_put(hosts.pop(0), attempt, data)
+                        )
+        return stored[:_COPIES] if len(stored) >= _COPIES else []
+
+    def _start_put(
+        self, host: Host, attempt: str, data: bytes
+    ) -> asyncio.Task[str]:
+        task = asyncio.ensure_future(self._put(host, attempt, data))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _put(self, host: Host, attempt: str, data: bytes) -> str:
+        """Stores on one host; returns its identity, empty where it failed."""
+        node = host.info.node if host.info is not None else ""
+        try:
+            reply = await self._keepers.ask(
+                host,
+                lambda ask: keeping.Put(ask=ask, attempt=attempt, data=data),
+                _STORE_S,
+            )
+        except PeerLostError as exc:
+            log.info("turn not stored: %s", exc)
+            return ""
+        return node if isinstance(reply, keeping.Done) else ""
+
+    def _candidates(self) -> list[Host]:
+        """Returns the hosts to store at, the best first.
+
+        Two in this region, in two failure domains where it has them; the
+        leader last, since all others wait for its disk.
+        """
+        self._next += 1
+        hosts = self._keepers.connected()
+        turn = self._next
+        ranked = sorted(
+            enumerate(hosts),
+            key=lambda pair: (
+                self._distance(pair[1]),
+                pair[1].link.address == self._keepers.leader,
+                (pair[0] + turn) % max(len(hosts), 1),
+            ),
+        )
+        ordered = [host for _, host in ranked]
+        for place, host in enumerate(ordered[1:], 1):
+            if host.info and ordered[0].info:
+                apart = host.info.domain != ordered[0].info.domain
+                near = host.info.region == ordered[0].info.region
+                if apart and near:
+                    ordered.insert(1, ordered.pop(place))
+                    break
+        return ordered
+
+    def _distance(self, host: Host) -> int:
+        region = host.info.region if host.info is not None else ""
+        return int(region != self._region)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/catkinpin/adapters/gateway/view.py
@@ -0,0 +1,112 @@
+"""What a gateway believes: routes and servers, as the keepers tell them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from catkinpin import decisions
+from catkinpin.core import keeping
+from catkinpin.core.fleet import Fleet, ServerState
+from catkinpin.core.routes import RouteTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.clock import Clock
+    from catkinpin.core.fleet import Instance
+    from catkinpin.core.routes import Routing
+
+
+class View:
+    """Routes and servers.
+
+    Several keepers tell the same, some later than others. Versions, births
+    and sequence numbers decide, so that an old word changes nothing.
+
+    Args:
+        clock: time.
+        on_gone: called with each server that is gone.
+    """
+
+    def __init__(
+        self, clock: Clock, on_gone: Callable[[Instance], None]
+    ) -> None:
+        self.table: RouteTable | None = None
+        self.fleet = Fleet()
+        self.changed_ms = clock.now_ms()
+        self._clock = clock
+        self._on_gone = on_gone
+        self._is_current = False
+        self._index = 0
+
+    @property
+    def serves(self) -> bool:
+        """Whether the routes known are fit to decide by.
+
+        A process that has just started may hear first of a keeper that lags;
+        by its word a route that was removed long ago would be served again.
+        So it waits for one that knows the newest.
+        """
+        return self._is_current and self.table is not None
+
+    @property
+    def version(self) -> int:
+        """Version of the routes, -1 for none."""
+        return self.table.routing.version if self.table is not None else -1
+
+    def take(self, message: Any) -> None:
+        """Takes what a keeper says."""
+        match message:
+            case keeping.RoutingNow():
+                self._take_routing(message)
+            case keeping.FleetNow():
+                self._take_fleet(message)
+
+    def _take_routing(self, message: keeping.RoutingNow) -> None:
+        routing = message.routing
+        if routing is not None and routing.version > self.version:
+            self._replace(routing)
+        known = routing.version if routing is not None else -1
+        if message.is_current and known >= self.version:
+            self._is_current = True
+
+    def _replace(self, routing: Routing) -> None:
+        before = self.version
+        self.table = RouteTable(routing)
+        self.changed_ms = self._clock.now_ms()
+        decisions.note(
+            "routes",
+            "",
+            version=routing.version,
+            before=before,
+            routes=len(routing.routes),
+        )
+
+    def _take_fleet(self, message: keeping.FleetNow) -> None:
+        for told in message.instances:
+            for changed in self.fleet.apply(told):
+                self._note(changed)
+        if not message.whole:
+            self._index = max(self._index, message.index)
+            return
+        if message.index < self._index:
+            return
+        self._index = message.index
+        listed = {told.id for told in message.instances}
+        for instance in list(self.fleet.servers.values()):
+            if instance.id not in listed:
+                del self.fleet.servers[instance.id]
+                self._on_gone(instance)
+
+    def _note(self, changed: Instance) -> None:
+        decisions.note(
+            "server",
+            "",
+            server=changed.id,
+            state=changed.state,
+            service=changed.service,
+            address=changed.address,
+            sequence=changed.sequence,
+        )
+        if changed.state is not ServerState.READY:
+            self._on_gone(changed)
--- /dev/null
+++ b/catkinpin/adapters/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 with bytes unchanged, on the parser of `httptools`."""
--- /dev/null
+++ b/catkinpin/adapters/keeperhost.py
@@ -0,0 +1,219 @@
+"""A keeper's side of the control group: decides where it leads, else says who.
+
+Only the leader answers what others rely on: whether a turn may begin, that a
+routing document is in force, that a server's word was taken. It answers once
+a quorum has the record, and only while it holds its lease.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import logging
+from typing import TYPE_CHECKING, Any
+
+from catkinpin import codec, decisions
+from catkinpin.core import keeping
+from catkinpin.core.fleet import Instance, ServerState
+from catkinpin.core.ledger import Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.adapters.groups import Group
+    from catkinpin.clock import Clock
+    from catkinpin.core.routes import Routing
+
+log = logging.getLogger(__name__)
+
+
+class NotLeading:
+    """Sentinel: this keeper can't decide; the record may or may not last.
+
+    Attributes:
+        reason: why, for the log.
+    """
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+@dataclasses.dataclass
+class _Waiting:
+    """A record that was proposed here and is not applied yet."""
+
+    fut: asyncio.Future[Outcome | NotLeading]
+
+
+class KeeperHost:
+    """Drives `Keeping` by the control group's log.
+
+    Args:
+        clock: time.
+        identity: who this keeper is, new for each new data folder.
+        incarnation: this life of the process; makes tags unique.
+        silent_server_ms: a server not heard for so long is gone.
+        changed: called after each change that gateways must learn of.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        incarnation: str,
+        silent_server_ms: int,
+        on_routing: Callable[[], None],
+        on_fleet: Callable[[list[Instance]], None],
+        on_expired: Callable[[list[str]], None],
+    ) -> None:
+        self.state = keeping.Keeping(on_routing, on_fleet, on_expired)
+        self.group: Group
+        self.leading = False
+        self._clock = clock
+        self._silent_server_ms = silent_server_ms
+        self._tags = (f"{incarnation}.{n}" for n in itertools.count())
+        self._waiting: dict[str, _Waiting] = {}
+        self._heard_ms: dict[str, int] = {}
+        self._log_base_ms = 0
+        self._led_since_ms = 0
+
+    # What the group drives.
+
+    def apply(self, index: int, payload: bytes) -> None:
+        """Applies a committed record and answers whoever proposed it."""
+        record = keeping.record_decoder.decode(payload)
+        out = self.state.apply(index, record)
+        waiting = self._waiting.pop(record.tag, None)
+        if waiting is not None and not waiting.fut.done():
+            waiting.fut.set_result(out)
+
+    def leadership(self, leading: bool) -> None:
+        """Starts or ends this keeper's time as the leader."""
+        self.leading = leading
+        now = self._clock.now_ms()
+        self._led_since_ms = now
+        self._log_base_ms = self.state.ledger.now_ms
+        # Nobody has been heard by this leader yet: all get the whole time.
+        self._heard_ms = dict.fromkeys(self.state.fleet.servers, now)
+        decisions.note(
+            "leadership",
+            "",
+            leading=leading,
+            term=self.group.term,
+            version=self.state.version,
+        )
+        if not leading:
+            self._give_up("another leads")
+
+    def snapshot(self) -> bytes:
+        """Returns the state as of the last record applied."""
+        return self.state.snapshot()
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by a snapshot."""
+        self.state.restore(self.group.log.snapshot, data)
+
+    def referenced(self) -> list[int]:
+        """Returns no index: nothing in the state points into the log."""
+        return []
+
+    # What others ask for.
+
+    def log_ms(self) -> int:
+        """Returns the log's time, which only rises, over all leaders."""
+        return self._log_base_ms + self._clock.now_ms() - self._led_since_ms
+
+    def may_decide(self) -> bool:
+        """Returns whether this keeper leads under a lease now."""
+        return self.leading and self.group.is_leader()
+
+    async def propose(self, body: Any, wait_s: float) -> Outcome | NotLeading:
+        """Has a record committed and applied.
+
+        Returns:
+            What it brought about; or why that is not known.
+        """
+        if not self.may_decide():
+            return NotLeading("not the leader")
+        tag = next(self._tags)
+        fut: asyncio.Future[Outcome | NotLeading]
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[tag] = _Waiting(fut)
+        record = keeping.Record(tag=tag, body=body)
+        self.group.propose(codec.encode(record))
+        try:
+            out = await asyncio.wait_for(fut, wait_s)
+        except TimeoutError:
+            return NotLeading("no quorum in time")
+        finally:
+            self._waiting.pop(tag, None)
+        # Applied, but by whom? A leader that was frozen meanwhile would speak
+        # for a state that another has changed.
+        if isinstance(out, Outcome) and not self.may_decide():
+            return NotLeading("the lease ran out")
+        return out
+
+    async def set_routing(
+        self, routing: Routing, wait_s: float
+    ) -> NotLeading | None:
+        """Puts a document in force; one that is not newer changes nothing."""
+        if not self.may_decide():
+            return NotLeading("not the leader")
+        if routing.version <= self.state.version:
+            return None
+        out = await self.propose(keeping.SetRouting(routing=routing), wait_s)
+        return out if isinstance(out, NotLeading) else None
+
+    async def announce(
+        self, instance: Instance, wait_s: float
+    ) -> NotLeading | None:
+        """Takes a server's word; returns once that lasts."""
+        if not self.may_decide():
+            return NotLeading("not the leader")
+        self._heard_ms[instance.id] = self._clock.now_ms()
+        if not self.state.fleet.is_news(instance):
+            return None
+        out = await self.propose(keeping.Announce(instance=instance), wait_s)
+        if isinstance(out, NotLeading):
+            return out
+        decisions.note(
+            "server",
+            "",
+            server=instance.id,
+            state=instance.state,
+            service=instance.service,
+            address=instance.address,
+            sequence=instance.sequence,
+        )
+        return None
+
+    def silent_servers(self) -> list[Instance]:
+        """Returns servers that were not heard for too long, as gone.
+
+        A server that crashed says nothing, and its address may be given to
+        another one.
+        """
+        now = self._clock.now_ms()
+        gone = []
+        for instance in self.state.fleet.servers.values():
+            heard = self._heard_ms.setdefault(instance.id, now)
+            if now - heard > self._silent_server_ms:
+                gone.append(
+                    Instance(
+                        id=instance.id,
+                        service=instance.service,
+                        address=instance.address,
+                        domain=instance.domain,
+                        state=ServerState.LOST,
+                        born_ms=instance.born_ms,
+                        sequence=instance.sequence + 1,
+                        slots=instance.slots,
+                    )
+                )
+        return gone
+
+    def _give_up(self, reason: str) -> None:
+        for waiting in self._waiting.values():
+            if not waiting.fut.done():
+                waiting.fut.set_result(NotLeading(reason))
+        self._waiting.clear()
--- a/catkinpin/adapters/mesh.py
+++ b/catkinpin/adapters/mesh.py
@@ -21,23 +21,36 @@
     Args:
         addresses: peer addresses of the other replicas.
         on_connected: called with the address of each stream that comes up.
+        grows: whether replicas that are heard of later are connected, too.
     """
 
     def __init__(
-        self, addresses: list[str], on_connected: Callable[[str], None]
+        self,
+        addresses: list[str],
+        on_connected: Callable[[str], None],
+        *,
+        grows: bool = False,
     ) -> None:
         self.addresses = addresses
+        self._grows = grows
+        self._hello: messages.Hello | None = None
         self._on_connected = on_connected
         self._links: dict[str, peers.PeerLink] = {}
         self._address_of: dict[str, str] = {}
 
     def start(self, hello: messages.Hello) -> None:
         """Begins to connect."""
+        self._hello = hello
         for address in self.addresses:
-            self._links[address] = peers.PeerLink(
-                address, hello, _Back, lambda _: None, self._connected
-            )
-            self._links[address].start()
+            self._connect(address, hello)
+
+    def add(self, address: str) -> None:
+        """Connects to a replica that was heard of, where the mesh grows."""
+        if not self._grows or self._hello is None or not address:
+            return
+        if address not in self._links and address != self._hello.address:
+            self.addresses.append(address)
+            self._connect(address, self._hello)
 
     async def stop(self) -> None:
         """Closes all streams."""
@@ -47,6 +60,7 @@
     def learn(self, node: str, address: str) -> None:
         """Notes at which address a replica answers now."""
         self._address_of[node] = address
+        self.add(address)
 
     def send(self, node: str, message: Any) -> None:
         """Sends to a replica; dropped where it can't be reached."""
@@ -59,5 +73,11 @@
         for link in self._links.values():
             link.send(message)
 
+    def _connect(self, address: str, hello: messages.Hello) -> None:
+        self._links[address] = peers.PeerLink(
+            address, hello, _Back, lambda _: None, self._connected
+        )
+        self._links[address].start()
+
     def _connected(self, link: peers.PeerLink) -> None:
         self._on_connected(link.address)
--- a/catkinpin/adapters/node.py
+++ b/catkinpin/adapters/node.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import collections
+import dataclasses
 import logging
 import random
 import time
 from typing import TYPE_CHECKING, Any
 
 from catkinpin.adapters import beats, mesh, replicas
-from catkinpin.adapters.founding import Founding
+from catkinpin.adapters.founding import Founding, Joining
 from catkinpin.adapters.groups import Group
 from catkinpin.adapters.identity import Identity
 from catkinpin.adapters.storage import Storage
@@ -18,11 +19,11 @@
 from catkinpin.exceptions import SettingsError
 
 if TYPE_CHECKING:
+    import pathlib
     from collections.abc import Callable
 
     from catkinpin.adapters.groups import StateMachine
     from catkinpin.core import messages
-    from catkinpin.settings import ReplicaSettings
 
 log = logging.getLogger(__name__)
 
@@ -38,6 +39,23 @@
 _TAIL_PART = 4
 
 
+@dataclasses.dataclass(frozen=True)
+class NodeConfig:
+    """What a replica's part in its groups depends on.
+
+    Attributes:
+        data_folder: where its log lies.
+        replicas: peer addresses to begin with, its own included.
+        snapshot_entries: records of a group between two of its snapshots.
+        joining: how it takes part without an operator's repair; None: never.
+    """
+
+    data_folder: pathlib.Path
+    replicas: tuple[str, ...]
+    snapshot_entries: int
+    joining: Joining | None = None
+
+
 class Node:
     """This replica's part in all groups.
 
@@ -57,7 +75,7 @@
 
     def __init__(
         self,
-        cfg: ReplicaSettings,
+        cfg: NodeConfig,
         on_leader: Callable[[Group], None],
         on_failure: Callable[[Exception], None],
         first: str = "",
@@ -106,16 +124,21 @@
         self.storage.sync()
         self.address = hello.address
         listed = self._cfg.replicas
-        if listed and self.address not in listed:
+        fixed = self._cfg.joining is None
+        if fixed and listed and self.address not in listed:
             # The others would found without this replica.
             raise SettingsError(
                 f"replicas: {', '.join(listed)} does not hold this replica's"
                 f" own address {self.address}; see peer_advertise"
             )
         others = [a for a in listed if a != self.address]
-        self._mesh = mesh.Mesh(others, self._introduce)
+        self._mesh = mesh.Mesh(others, self._introduce, grows=not fixed)
         self._founding = Founding(
-            self._file, self.address, self._mesh, self._begin
+            self._file,
+            self.address,
+            self._mesh,
+            self._begin,
+            self._cfg.joining,
         )
         self._mesh.start(hello)
         self._founding.start()
@@ -135,6 +158,14 @@
         await self._mesh.stop()
         self.storage.close()
 
+    def meet(self, address: str) -> None:
+        """Connects to a replica that the settings name by now."""
+        self._mesh.add(address)
+
+    def known_addresses(self) -> list[str]:
+        """Returns the peer addresses of all replicas known."""
+        return list(self._mesh.addresses)
+
     def not_ready(self) -> str:
         """Returns why this replica takes no part, or an empty string."""
         if not self._started:
@@ -190,6 +221,8 @@
         match message:
             case replicas.NodeInfo():
                 self._mesh.learn(message.node, message.address)
+                for address in message.known:
+                    self._mesh.add(address)
                 self._founding.heard(message)
             case replicas.Found():
                 self._founding.founded(message.members)
@@ -252,6 +285,7 @@
         self._ticks += 1
         if self._ticks % _INTRODUCE_TICKS == 0:
             self._founding.tick()
+            self._meet_members()
             self._join()
         if self._ticks % _SPREAD_TICKS == 0:
             self._spread()
@@ -273,8 +307,32 @@
                     log.info("handing over", extra={"group": group.name})
                     return
 
+    def _meet_members(self) -> None:
+        """Connects to members that no seed and no replica has named yet."""
+        for group in self.groups.values():
+            for member in group.members.members:
+                if member.node != self.identity:
+                    self._mesh.learn(member.node, member.address)
+
     def _join(self) -> None:
-        if self._file.joining and not all(self.settled().values()):
+        if self._cfg.joining is not None:
+            self._join_alone()
+        elif self._file.joining and not all(self.settled().values()):
+            join = replicas.Join(node=self.identity, address=self.address)
+            self._mesh.broadcast(join)
+
+    def _join_alone(self) -> None:
+        """Asks to become a member, first or again.
+
+        A replica that was away for long has lost its place to another. It
+        hears of that from nobody: no leader speaks to it any more.
+        """
+        outside = [
+            group
+            for group in self.groups.values()
+            if not group.leader or group.members.find(self.identity) is None
+        ]
+        if self._started and outside:
             join = replicas.Join(node=self.identity, address=self.address)
             self._mesh.broadcast(join)
 
--- a/catkinpin/adapters/replicas.py
+++ b/catkinpin/adapters/replicas.py
@@ -51,11 +51,13 @@
 
     Attributes:
         founded: whether it belongs to a system already.
+        known: peer addresses of the replicas that it knows.
     """
 
     node: str
     address: str
     founded: bool
+    known: list[str] = []
 
 
 class Found(Message, frozen=True):
--- /dev/null
+++ b/catkinpin/core/balance.py
@@ -0,0 +1,272 @@
+"""Which server a gateway sends a request to.
+
+Each gateway decides by itself, from what its own requests brought back: the
+load that servers tell in their answers, what it has sent since, which prompt
+parts it has sent where, and which servers failed. It answers two patterns.
+
+Long shared prompts: reading 12,600 shared tokens takes some 87 ms, as long as
+a whole short answer. A request goes where its parts were read, unless the
+queue there costs more than reading them again.
+
+Many gateways that decide at once: the load that an answer tells is old when it
+is used. Picking the least loaded would send all gateways to the same server.
+So what we sent since counts on top, and near ties are drawn by lot.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from catkinpin.core.fleet import ServerState
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection, Iterable
+
+    from catkinpin.core.calls import Load, PromptPart, RouteCall
+    from catkinpin.core.fleet import Instance
+
+# Tokens of a prompt that an engine reads in a ms. Both users' engines do 145
+# to 147 alone; the batch they run beside slows them.
+_PREFILL_PER_MS = 120.0
+# What one more running request adds for the others and itself, in ms: a step
+# of 64 requests takes 0.87 + 64 x 0.04 ms, an answer some 250 steps.
+_BESIDE_MS = 4.0
+# What a request that waits for a slot costs, in ms: half of an answer.
+_QUEUED_MS = 60.0
+# Way to a server in another failure domain of the region, and in another
+# region, there and back, in ms. Bytes between regions cost besides.
+_DOMAIN_MS = 3.0
+_REGION_MS = 40.0
+# Load that was told longer ago says nothing any more.
+_LOAD_OLD_MS = 1_500
+# Costs this near are drawn by lot.
+_TIE_MS = 2.0
+# Prompt parts remembered per server; some 40 bytes each.
+_MOST_PARTS = 2_000
+# A server that failed gets nothing for this long, doubled each time in a row.
+_EJECT_MS = 400
+_EJECT_MOST_MS = 6_000
+# Failures by silence or reset within the window that eject a server.
+_FAILURES = 2
+_FAILURE_WINDOW_MS = 3_000
+
+
+@dataclasses.dataclass
+class _Server:
+    """What is known of one life of a server.
+
+    Attributes:
+        sent: requests under way there from here.
+        since: requests sent from here since it told its load.
+        parts: prompt parts that it has read, oldest use first.
+    """
+
+    born_ms: int
+    sent: int = 0
+    since: int = 0
+    load: Load | None = None
+    load_at_ms: int = 0
+    parts: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    failures: int = 0
+    failed_at_ms: int = 0
+    ejections: int = 0
+    ejected_until_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """A server and why it was picked, for the log.
+
+    Attributes:
+        cost_ms: what was expected when it was picked.
+        cached_tokens: of the prompt, believed to be held there.
+        load_age_ms: age of the load that was used, -1 for none.
+    """
+
+    instance: Instance
+    cost_ms: float
+    cached_tokens: int
+    load_age_ms: int
+
+
+class Balancer:
+    """Picks servers for one gateway.
+
+    Args:
+        domain: failure domain of this gateway.
+        regions: region of each failure domain.
+        rng: draws near ties.
+    """
+
+    def __init__(
+        self, domain: str, regions: dict[str, str], rng: random.Random
+    ) -> None:
+        self._domain = domain
+        self._regions = regions
+        self._rng = rng
+        self._servers: dict[str, _Server] = {}
+        self._affinity: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+
+    def pick(
+        self,
+        servers: Iterable[Instance],
+        call: RouteCall,
+        now_ms: int,
+        avoid: Collection[str] = (),
+    ) -> Choice | None:
+        """Returns the server for a request, None where there is none.
+
+        Args:
+            servers: of the service.
+            call: the request.
+            now_ms: monotonic time.
+            avoid: servers that this request was sent to already.
+        """
+        ready = [
+            one
+            for one in servers
+            if one.state is ServerState.READY and one.id not in avoid
+        ]
+        fit = [one for one in ready if not self._is_ejected(one, now_ms)]
+        # If all failed, the fault may be ours or on the way: try them anyway.
+        found = [self._weigh(one, call, now_ms) for one in fit or ready]
+        if not found:
+            return None
+        least = min(choice.cost_ms for choice in found)
+        near = [c for c in found if c.cost_ms <= least + _TIE_MS]
+        return self._rng.choice(near)
+
+    def sent(self, instance: Instance, call: RouteCall) -> None:
+        """Notes that a request goes to a server."""
+        server = self._of(instance)
+        server.sent += 1
+        server.since += 1
+        self.read(instance, call.prompt)
+        if call.affinity:
+            self._affinity[call.affinity] = instance.id
+            self._affinity.move_to_end(call.affinity)
+            while len(self._affinity) > _MOST_PARTS:
+                self._affinity.popitem(last=False)
+
+    def read(self, instance: Instance, prompt: Iterable[PromptPart]) -> None:
+        """Notes the prompt parts that a server holds from now on."""
+        parts = self._of(instance).parts
+        for part in prompt:
+            parts[part.id] = None
+            parts.move_to_end(part.id)
+        while len(parts) > _MOST_PARTS:
+            parts.popitem(last=False)
+
+    def ended(self, instance: Instance) -> None:
+        """Notes that a request is no longer under way."""
+        server = self._of(instance)
+        server.sent = max(0, server.sent - 1)
+
+    def told(self, instance: Instance, load: Load, now_ms: int) -> None:
+        """Takes the load that a server told with an answer."""
+        server = self._of(instance)
+        server.load = load
+        server.load_at_ms = now_ms
+        server.since = 0
+
+    def succeeded(self, instance: Instance) -> None:
+        """Notes an answer."""
+        server = self._of(instance)
+        server.failures = 0
+        server.ejections = 0
+
+    def failed(self, instance: Instance, now_ms: int, *, sure: bool) -> bool:
+        """Notes a failure; returns whether the server is ejected by it.
+
+        Args:
+            instance: the server.
+            now_ms: monotonic time.
+            sure: whether the server can't be reached at all.
+        """
+        server = self._of(instance)
+        if now_ms - server.failed_at_ms > _FAILURE_WINDOW_MS:
+            server.failures = 0
+        server.failed_at_ms = now_ms
+        server.failures += 1
+        if not sure and server.failures < _FAILURES:
+            return False
+        wait = min(_EJECT_MOST_MS, _EJECT_MS << min(server.ejections, 5))
+        server.ejections += 1
+        server.ejected_until_ms = now_ms + wait
+        server.parts.clear()
+        return True
+
+    def forget(self, server: str) -> None:
+        """Forgets a server that is gone."""
+        self._servers.pop(server, None)
+
+    def is_full(self, instance: Instance, now_ms: int) -> bool:
+        """Returns whether all slots of a server seem taken."""
+        return self._queued(instance, self._of(instance), now_ms) > 0
+
+    def _is_ejected(self, instance: Instance, now_ms: int) -> bool:
+        return self._of(instance).ejected_until_ms > now_ms
+
+    def _of(self, instance: Instance) -> _Server:
+        server = self._servers.get(instance.id)
+        if server is None or server.born_ms != instance.born_ms:
+            server = _Server(instance.born_ms)
+            self._servers[instance.id] = server
+        return server
+
+    def _weigh(
+        self, instance: Instance, call: RouteCall, now_ms: int
+    ) -> Choice:
+        server = self._of(instance)
+        cached = _cached(server, call.prompt)
+        wanted = sum(part.tokens for part in call.prompt)
+        running = self._running(server, now_ms)
+        cost = (wanted - cached) / _PREFILL_PER_MS
+        cost += running * _BESIDE_MS * _pace(instance)
+        cost += self._queued(instance, server, now_ms) * _QUEUED_MS
+        cost += self._way_ms(instance)
+        if call.affinity and self._affinity.get(call.affinity) == instance.id:
+            cost -= _QUEUED_MS / 2
+        age = now_ms - server.load_at_ms if server.load is not None else -1
+        return Choice(instance, cost, cached, age)
+
+    def _running(self, server: _Server, now_ms: int) -> int:
+        load = server.load
+        if load is None or now_ms - server.load_at_ms > _LOAD_OLD_MS:
+            return server.sent
+        told = load.running + load.waiting + server.since
+        return max(server.sent, told)
+
+    def _queued(self, instance: Instance, server: _Server, now_ms: int) -> int:
+        slots = server.load.slots if server.load else instance.slots
+        return max(0, self._running(server, now_ms) + 1 - max(slots, 1))
+
+    def _way_ms(self, instance: Instance) -> float:
+        if instance.domain == self._domain:
+            return 0.0
+        ours = self._regions.get(self._domain, "")
+        if self._regions.get(instance.domain, "") == ours:
+            return _DOMAIN_MS
+        return _REGION_MS
+
+
+def _pace(instance: Instance) -> float:
+    """Returns how much one more request weighs on a server of that size."""
+    return min(1.0, 12.0 / max(instance.slots, 1))
+
+
+def _cached(server: _Server, prompt: tuple[PromptPart, ...]) -> int:
+    """Returns the tokens of a prompt that the server is believed to hold."""
+    tokens = 0
+    for part in prompt:
+        if part.id not in server.parts:
+            break
+        tokens += part.tokens
+    return tokens
--- a/catkinpin/core/consensus/membership.py
+++ b/catkinpin/core/consensus/membership.py
@@ -46,7 +46,9 @@
     if learner is None or not _may_change(state):
         return
     members = state.log.members.members
-    lost = _voter_at(state, learner.address)
+    lost = _voter_at(state, learner.address) or _silent_voter(state, now_ms)
+    if lost is None and len(state.log.voters) >= state.timing.most_voters:
+        return
     if lost is not None:
         kept = [m for m in members if m is not lost]
     else:
@@ -55,6 +57,28 @@
     _change(state, kept, now_ms)
 
 
+def _silent_voter(state: State, now_ms: int) -> Member | None:
+    """Returns a voter that a waiting learner may replace.
+
+    A host that is gone for good stays a voter otherwise: after a few such
+    replacements the dead outnumber the living, and nothing commits any more.
+    It goes only while the voters that remain can commit without it.
+    """
+    timing = state.timing
+    kept = len(state.log.voters) - 1
+    alive = 1
+    silent = None
+    for node in state.log.voters:
+        if node == state.node:
+            continue
+        heard_ms = max(state.progress[node].acked_ms, state.elected_ms)
+        if now_ms - heard_ms < timing.election_ms:
+            alive += 1
+        elif now_ms - heard_ms > timing.silent_voter_ms:
+            silent = state.log.members.find(node)
+    return silent if alive > kept // 2 else None
+
+
 def _caught_up(state: State) -> Member | None:
     for member in state.log.members.members:
         if member.voter or member.node not in state.progress:
--- a/catkinpin/core/consensus/state.py
+++ b/catkinpin/core/consensus/state.py
@@ -45,6 +45,11 @@
     lease_ms: int = 500
     offer_ms: int = 2_000
     transfer_ms: int = 1_000
+    # A voter silent for so long gives its place to a learner that waits. Hosts
+    # that restart or thaw are back before; shorter would move voters in vain.
+    silent_voter_ms: int = 5_000
+    # Five voters bear the loss of two; more would only slow each commit.
+    most_voters: int = 5
 
     def __post_init__(self) -> None:
         longest = self.lease_ms * (1 + CLOCK_DRIFT) / (1 - CLOCK_DRIFT)
--- /dev/null
+++ b/catkinpin/core/fleet.py
@@ -0,0 +1,160 @@
+"""Which backend servers there are, from what they announce of themselves.
+
+Facts that must outlive a leader (a server leaves, is gone, or stands at an
+address) go through the log; that a server was heard again does not.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from catkinpin.codec import Message
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# Servers that are gone and could still be named by a late announcement. A day
+# of ordinary replacements is some hundreds.
+_MOST_GONE = 4_096
+
+
+class ServerState(enum.StrEnum):
+    """What a server says of itself, or what became of it.
+
+    LOST is one that was not heard for long; it may only have been cut off, so
+    unlike one that said it goes it counts again once it is heard.
+    """
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+    LOST = "lost"
+
+    @property
+    def is_over(self) -> bool:
+        """Whether such a server gets no requests any more."""
+        return self in (ServerState.GONE, ServerState.LOST)
+
+
+class Instance(Message, frozen=True):
+    """One life of a backend server.
+
+    Attributes:
+        born_ms: Unix time of its start; tells two lives of one id apart.
+        sequence: rises with each announcement of one life.
+        slots: requests that it runs at once.
+    """
+
+    id: str
+    service: str
+    address: str
+    domain: str
+    state: ServerState
+    born_ms: int
+    sequence: int
+    slots: int
+
+
+class Fleet:
+    """All servers that are known, and those that are gone."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, Instance] = {}
+        self._gone: dict[str, Instance] = {}
+
+    def is_news(self, told: Instance) -> bool:
+        """Returns whether an announcement changes what must be kept."""
+        known = self.servers.get(told.id) or self._gone.get(told.id)
+        if known is not None and _age(told) <= _age(known):
+            return False
+        if told.state.is_over:
+            return told.id in self.servers
+        if known is not None and known.state is ServerState.GONE:
+            return told.born_ms > known.born_ms
+        return known is None or _facts(told) != _facts(known)
+
+    def apply(self, told: Instance) -> list[Instance]:
+        """Takes an announcement; returns what changed, in order."""
+        if not self.is_news(told):
+            return []
+        if told.state.is_over:
+            return [self._remove(told)]
+        changed = []
+        for other in list(self.servers.values()):
+            if other.address == told.address and other.id != told.id:
+                # One address serves one process: the younger life has it. A
+                # late announcement of the older one would send it requests
+                # of another service.
+                if other.born_ms > told.born_ms:
+                    return []
+                gone = _with_state(other, ServerState.GONE)
+                changed.append(self._remove(gone))
+        self._gone.pop(told.id, None)
+        self.servers[told.id] = told
+        return [*changed, told]
+
+    def state(self) -> list[Instance]:
+        """Returns all that a snapshot needs."""
+        return [*self.servers.values(), *self._gone.values()]
+
+    def restore(self, instances: list[Instance]) -> None:
+        """Replaces everything by the content of a snapshot."""
+        self.servers = {}
+        self._gone = {}
+        for instance in instances:
+            if instance.state.is_over:
+                self._gone[instance.id] = instance
+            else:
+                self.servers[instance.id] = instance
+
+    def of(self, service: str) -> Iterator[Instance]:
+        """Yields the servers of a service."""
+        for instance in self.servers.values():
+            if instance.service == service:
+                yield instance
+
+    def _remove(self, told: Instance) -> Instance:
+        known = self.servers.pop(told.id, told)
+        gone = _with_state(
+            known,
+            told.state,
+            max(known.born_ms, told.born_ms),
+            max(known.sequence, told.sequence),
+        )
+        self._gone[told.id] = gone
+        while len(self._gone) > _MOST_GONE:
+            del self._gone[next(iter(self._gone))]
+        return gone
+
+
+def _age(instance: Instance) -> tuple[int, int]:
+    return instance.born_ms, instance.sequence
+
+
+def _facts(instance: Instance) -> tuple[str, str, str, str, int]:
+    return (
+        instance.service,
+        instance.address,
+        instance.domain,
+        instance.state,
+        instance.born_ms,
+    )
+
+
+def _with_state(
+    instance: Instance,
+    state: ServerState,
+    born_ms: int | None = None,
+    sequence: int | None = None,
+) -> Instance:
+    return Instance(
+        id=instance.id,
+        service=instance.service,
+        address=instance.address,
+        domain=instance.domain,
+        state=state,
+        born_ms=instance.born_ms if born_ms is None else born_ms,
+        sequence=instance.sequence if sequence is None else sequence,
+        slots=instance.slots,
+    )
--- /dev/null
+++ b/catkinpin/core/keeping.py
@@ -0,0 +1,313 @@
+"""The control group's state, and what gateways and keepers say to each other.
+
+A keeper is a replica of the control group: it holds the routes, the servers
+and the programs' ledger. A gateway serves callers and asks the leader.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from catkinpin import codec
+from catkinpin.codec import Message
+from catkinpin.core.fleet import Fleet, Instance
+from catkinpin.core.ledger import (
+    Begin,
+    Finish,
+    Ledger,
+    LedgerState,
+    Link,
+    Moved,
+    Outcome,
+)
+from catkinpin.core.messages import Hello, Ping
+from catkinpin.core.routes import Routing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class SetRouting(Message, frozen=True):
+    """Puts a routing document in force where its version is higher."""
+
+    routing: Routing
+
+
+class Announce(Message, frozen=True):
+    """Takes what a server says of itself."""
+
+    instance: Instance
+
+
+class Record(Message, frozen=True):
+    """One record of the control group's log.
+
+    Attributes:
+        tag: lets the proposer find whom to answer.
+    """
+
+    tag: str
+    body: SetRouting | Announce | Begin | Finish | Moved
+
+
+class KeeperState(Message, frozen=True):
+    """Content of a snapshot."""
+
+    routing: Routing | None
+    instances: list[Instance]
+    ledger: LedgerState
+
+
+class HostInfo(Message, frozen=True):
+    """A keeper introduces itself.
+
+    Attributes:
+        node: its identity, new for each new data folder.
+        address: peer address.
+        known: peer addresses of all keepers it knows.
+        leader: peer address of the group's leader, empty if not known.
+        term: the term of that leader.
+    """
+
+    node: str
+    address: str
+    domain: str
+    region: str
+    known: list[str]
+    leader: str
+    term: int
+
+
+class RoutingNow(Message, frozen=True):
+    """The routing document in force, to all gateways.
+
+    Attributes:
+        is_current: whether the keeper knows that there is no newer one that
+            was acknowledged.
+    """
+
+    routing: Routing | None
+    is_current: bool
+
+
+class FleetNow(Message, frozen=True):
+    """All servers, or those that changed.
+
+    Attributes:
+        index: the log index that this is as of.
+    """
+
+    index: int
+    instances: list[Instance]
+    whole: bool
+
+
+class AskBegin(Message, frozen=True):
+    """Asks the leader whether a turn may begin."""
+
+    ask: int
+    begin: Begin
+
+
+class AskFinish(Message, frozen=True):
+    """Asks the leader to settle a turn."""
+
+    ask: int
+    finish: Finish
+
+
+class AskRouting(Message, frozen=True):
+    """Asks the leader to put a routing document in force."""
+
+    ask: int
+    routing: Routing
+
+
+class AskCurrent(Message, frozen=True):
+    """Asks the leader for the routing document in force."""
+
+    ask: int
+
+
+class AskAnnounce(Message, frozen=True):
+    """Hands a server's announcement to the leader."""
+
+    ask: int
+    instance: Instance
+
+
+class Put(Message, frozen=True):
+    """Asks a keeper to store a turn's bytes."""
+
+    ask: int
+    attempt: str
+    data: bytes
+
+
+class Get(Message, frozen=True):
+    """Asks a keeper for turns' bytes."""
+
+    ask: int
+    attempts: list[str]
+
+
+class Adopt(Message, frozen=True):
+    """Asks a keeper to copy turns' bytes from another one.
+
+    Attributes:
+        source: peer address of a keeper that has them.
+    """
+
+    ask: int
+    attempts: list[str]
+    source: str
+
+
+class Began(Message, frozen=True):
+    """Answers `AskBegin`.
+
+    Attributes:
+        denial: as in `ledger.Denial`; empty where the turn may begin.
+    """
+
+    ask: int
+    denial: str
+    chain: list[Link]
+
+
+class Done(Message, frozen=True):
+    """Says that what was asked is done and lasts."""
+
+    ask: int
+
+
+class Refused(Message, frozen=True):
+    """Says that what was asked was not done here.
+
+    Attributes:
+        reason: for the log.
+        leader: whom to ask instead, empty if not known.
+    """
+
+    ask: int
+    reason: str
+    leader: str = ""
+
+
+class Current(Message, frozen=True):
+    """Answers `AskCurrent`."""
+
+    ask: int
+    routing: Routing | None
+
+
+class Got(Message, frozen=True):
+    """Answers `Get`.
+
+    Attributes:
+        parts: bytes of each turn asked for; None where they aren't here.
+    """
+
+    ask: int
+    parts: list[bytes | None]
+
+
+ToKeeper = (
+    Hello
+    | Ping
+    | AskBegin
+    | AskFinish
+    | AskRouting
+    | AskCurrent
+    | AskAnnounce
+    | Put
+    | Get
+    | Adopt
+)
+FromKeeper = (
+    Ping
+    | HostInfo
+    | RoutingNow
+    | FleetNow
+    | Began
+    | Done
+    | Refused
+    | Current
+    | Got
+)
+
+
+class Keeping:
+    """The state machine of the control group.
+
+    Args:
+        on_routing: called when another routing document is in force.
+        on_fleet: called with the servers that changed.
+        on_expired: called with turns whose bytes are needed no more.
+    """
+
+    def __init__(
+        self,
+        on_routing: Callable[[], None] = lambda: None,
+        on_fleet: Callable[[list[Instance]], None] = lambda _: None,
+        on_expired: Callable[[list[str]], None] = lambda _: None,
+    ) -> None:
+        self.routing: Routing | None = None
+        self.fleet = Fleet()
+        self.ledger = Ledger()
+        self.index = 0
+        self._on_routing = on_routing
+        self._on_fleet = on_fleet
+        self._on_expired = on_expired
+
+    @property
+    def version(self) -> int:
+        """Version of the routing document in force, -1 for none."""
+        return self.routing.version if self.routing is not None else -1
+
+    def apply(self, index: int, record: Record) -> Outcome:
+        """Applies a committed record."""
+        self.index = index
+        body = record.body
+        out = Outcome()
+        match body:
+            case SetRouting():
+                if body.routing.version > self.version:
+                    self.routing = body.routing
+                    self._on_routing()
+            case Announce():
+                changed = self.fleet.apply(body.instance)
+                if changed:
+                    self._on_fleet(changed)
+            case Begin():
+                out = self.ledger.begin(body)
+            case Finish():
+                out = self.ledger.finish(body)
+            case Moved():
+                self.ledger.moved(body)
+        if out.expired:
+            self._on_expired(out.expired)
+        return out
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        state = KeeperState(
+            routing=self.routing,
+            instances=self.fleet.state(),
+            ledger=self.ledger.state(),
+        )
+        return codec.encode(state)
+
+    def restore(self, index: int, data: bytes) -> None:
+        """Replaces the whole state."""
+        state = _state_decoder.decode(data)
+        self.index = index
+        self.routing = state.routing
+        self.fleet.restore(state.instances)
+        self.ledger.restore(state.ledger)
+        self._on_routing()
+        self._on_fleet(list(self.fleet.servers.values()))
+
+
+_state_decoder = codec.decoder(KeeperState)
+record_decoder = codec.decoder(Record)
--- /dev/null
+++ b/catkinpin/core/ledger.py
@@ -0,0 +1,309 @@
+"""Programs' budgets and their trees of turns, as a deterministic state.
+
+A turn continues an earlier one or starts a chain; several may continue the
+same. Time is the log's own: each record carries the leader's, which only
+rises, so that all replicas expire the same turns at the same record.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from catkinpin.codec import Message
+
+# A program's budget outlives its last turn by this much more than its turns:
+# one that was stopped comes back at the last moment, from a slower host.
+_BUDGET_SLACK_MS = 30_000
+# Expired turns are looked for at most so often.
+_SWEEP_EVERY_MS = 1_000
+
+
+class Begin(Message, frozen=True):
+    """Reserves a turn's most tokens.
+
+    Attributes:
+        attempt: identity of this turn, never used twice.
+        previous: the turn that it continues, empty for a new chain.
+        budget: tokens that the whole program may generate; -1 for no limit.
+        most: tokens that this turn may generate.
+        retain_ms: how long the program is remembered after it.
+        at_ms: the log's time.
+    """
+
+    attempt: str
+    program: str
+    previous: str
+    budget: int
+    most: int
+    retain_ms: int
+    at_ms: int
+
+
+class Finish(Message, frozen=True):
+    """Settles a turn.
+
+    Attributes:
+        tokens: handed to the caller; they count whatever came of the turn.
+        is_whole: whether the turn can be continued from now on.
+        holders: identities of the hosts that have its bytes.
+        size: length of these bytes.
+        at_ms: the log's time.
+    """
+
+    attempt: str
+    program: str
+    tokens: int
+    is_whole: bool
+    holders: list[str]
+    size: int
+    at_ms: int
+
+
+class Moved(Message, frozen=True):
+    """Names the hosts that have the bytes of some turns now."""
+
+    attempts: list[str]
+    holders: list[str]
+
+
+class Denial(enum.StrEnum):
+    """Why a turn may not begin."""
+
+    NONE = ""
+    NO_SUCH_TURN = "no-such-turn"
+    BUDGET_SPENT = "budget-spent"
+
+
+class Link(Message, frozen=True):
+    """One turn of a chain, and who has its bytes."""
+
+    attempt: str
+    holders: list[str]
+    size: int
+
+
+class Turn(Message):
+    """A finished turn.
+
+    Attributes:
+        until_ms: when it may be forgotten, by the log's time.
+    """
+
+    attempt: str
+    program: str
+    previous: str
+    holders: list[str]
+    size: int
+    until_ms: int
+
+
+class Open(Message, frozen=True):
+    """A turn that has begun and is not settled."""
+
+    attempt: str
+    program: str
+    previous: str
+    most: int
+    retain_ms: int
+    at_ms: int
+
+
+class Account(Message):
+    """What a program has spent.
+
+    Attributes:
+        spent: tokens of its settled turns.
+        reserved: tokens that its open turns may still generate.
+        until_ms: when it may be forgotten, by the log's time.
+    """
+
+    program: str
+    spent: int = 0
+    reserved: int = 0
+    until_ms: int = 0
+
+
+class LedgerState(Message, frozen=True):
+    """Content of a snapshot."""
+
+    turns: list[Turn]
+    open: list[Open]
+    accounts: list[Account]
+    now_ms: int
+    swept_ms: int
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What a record brought about.
+
+    Attributes:
+        denial: why a turn may not begin.
+        chain: the turns before it, the oldest first.
+        expired: turns whose bytes are needed no more.
+    """
+
+    denial: Denial = Denial.NONE
+    chain: list[Link] = dataclasses.field(default_factory=list)
+    expired: list[str] = dataclasses.field(default_factory=list)
+
+
+class Ledger:
+    """Budgets and turns of all programs.
+
+    Attributes:
+        turns: finished turns, by attempt.
+        now_ms: the log's time.
+    """
+
+    def __init__(self) -> None:
+        self.turns: dict[str, Turn] = {}
+        self.now_ms = 0
+        self._open: dict[str, Open] = {}
+        self._accounts: dict[str, Account] = {}
+        self._swept_ms = 0
+
+    def begin(self, record: Begin) -> Outcome:
+        """Reserves for a turn, or says why not; a resend changes nothing."""
+        out = self._advance(record.at_ms)
+        chain = self.chain(record.previous)
+        if chain is None:
+            out.denial = Denial.NO_SUCH_TURN
+            return out
+        out.chain = chain
+        if record.attempt in self._open or record.attempt in self.turns:
+            return out
+        account = self._accounts.get(record.program)
+        if account is None:
+            account = Account(program=record.program)
+        if not _affords(account, record):
+            out.denial = Denial.BUDGET_SPENT
+            return out
+        self._accounts[record.program] = account
+        account.reserved += record.most
+        self._keep(account, record.retain_ms)
+        self._open[record.attempt] = Open(
+            attempt=record.attempt,
+            program=record.program,
+            previous=record.previous,
+            most=record.most,
+            retain_ms=record.retain_ms,
+            at_ms=self.now_ms,
+        )
+        return out
+
+    def finish(self, record: Finish) -> Outcome:
+        """Settles a turn; a resend changes nothing."""
+        out = self._advance(record.at_ms)
+        begun = self._open.pop(record.attempt, None)
+        if begun is None:
+            return out
+        account = self._accounts.get(begun.program)
+        if account is not None:
+            account.reserved -= begun.most
+            account.spent += record.tokens
+            self._keep(account, begun.retain_ms)
+        if record.is_whole:
+            self._store(begun, record)
+        return out
+
+    def moved(self, record: Moved) -> None:
+        """Notes other holders of turns' bytes."""
+        for attempt in record.attempts:
+            turn = self.turns.get(attempt)
+            if turn is not None:
+                turn.holders = list(record.holders)
+
+    def chain(self, attempt: str) -> list[Link] | None:
+        """Returns the turns up to `attempt`, oldest first; None: no such."""
+        links: list[Link] = []
+        while attempt:
+            turn = self.turns.get(attempt)
+            if turn is None:
+                return None
+            links.append(
+                Link(attempt=attempt, holders=turn.holders, size=turn.size)
+            )
+            attempt = turn.previous
+        links.reverse()
+        return links
+
+    def state(self) -> LedgerState:
+        """Returns all that a snapshot needs."""
+        return LedgerState(
+            turns=list(self.turns.values()),
+            open=list(self._open.values()),
+            accounts=list(self._accounts.values()),
+            now_ms=self.now_ms,
+            swept_ms=self._swept_ms,
+        )
+
+    def restore(self, state: LedgerState) -> None:
+        """Replaces everything by the content of a snapshot."""
+        self.turns = {turn.attempt: turn for turn in state.turns}
+        self._open = {begun.attempt: begun for begun in state.open}
+        self._accounts = {a.program: a for a in state.accounts}
+        self.now_ms = state.now_ms
+        self._swept_ms = state.swept_ms
+
+    def _store(self, begun: Open, record: Finish) -> None:
+        until_ms = self.now_ms + begun.retain_ms
+        self.turns[begun.attempt] = Turn(
+            attempt=begun.attempt,
+            program=begun.program,
+            previous=begun.previous,
+            holders=list(record.holders),
+            size=record.size,
+            until_ms=until_ms,
+        )
+        # A turn is kept together with its chain.
+        previous = begun.previous
+        while previous in self.turns:
+            turn = self.turns[previous]
+            turn.until_ms = max(turn.until_ms, until_ms)
+            previous = turn.previous
+
+    def _keep(self, account: Account, retain_ms: int) -> None:
+        until_ms = self.now_ms + retain_ms + _BUDGET_SLACK_MS
+        account.until_ms = max(account.until_ms, until_ms)
+
+    def _advance(self, at_ms: int) -> Outcome:
+        self.now_ms = max(self.now_ms, at_ms)
+        out = Outcome()
+        if self.now_ms - self._swept_ms >= _SWEEP_EVERY_MS:
+            self._swept_ms = self.now_ms
+            out.expired = self._sweep()
+        return out
+
+    def _sweep(self) -> list[str]:
+        now_ms = self.now_ms
+        needed = {begun.previous for begun in self._open.values()}
+        expired = [
+            turn.attempt
+            for turn in self.turns.values()
+            if turn.until_ms < now_ms and turn.attempt not in needed
+        ]
+        for attempt in expired:
+            del self.turns[attempt]
+        # A front that died never settles: its turn holds its reserve until
+        # the program itself is forgotten.
+        gone = [
+            a.program for a in self._accounts.values() if a.until_ms < now_ms
+        ]
+        for program in gone:
+            del self._accounts[program]
+        lost = [
+            begun.attempt
+            for begun in self._open.values()
+            if begun.program not in self._accounts
+        ]
+        for attempt in lost:
+            del self._open[attempt]
+        return expired
+
+
+def _affords(account: Account, record: Begin) -> bool:
+    if record.budget < 0:
+        return True
+    return account.spent + account.reserved < record.budget
--- /dev/null
+++ b/catkinpin/core/routes.py
@@ -0,0 +1,165 @@
+"""Routes: which requests go to which service, and under which limits.
+
+A routing document replaces the one before it as a whole. Its version only
+rises; the highest one is in force.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from catkinpin.codec import Message
+
+if TYPE_CHECKING:
+    import random
+
+
+class RouteKind(enum.StrEnum):
+    """What a route's requests are, and so what may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAM = "stream"
+
+
+class Share(Message, frozen=True):
+    """A part of a route's requests.
+
+    Attributes:
+        weight: relative to the other shares of the route.
+    """
+
+    service: str
+    weight: int
+
+
+class Route(Message, frozen=True):
+    """Where the requests under one host and path prefix go.
+
+    Attributes:
+        timeout_ms: longest time that a request is kept waiting.
+        target_ms: latency within which an answer is worth most.
+        rank: 0 is the most urgent.
+        max_attempts: servers to which one request may be sent.
+        keeps_history: whether requests name an earlier turn and bring only
+            what is new.
+        retain_ms: how long a turn can be continued after its end.
+        affine: whether a server that had the same session does better.
+        resumable: whether a stream may go on at another server.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: list[Share]
+    timeout_ms: int
+    target_ms: float
+    rank: int
+    max_attempts: int
+    keeps_history: bool
+    retain_ms: int
+    affine: bool
+    resumable: bool
+
+
+class Engine(Message, frozen=True):
+    """What is known of the model servers of a service.
+
+    Attributes:
+        slots: requests that one runs at once.
+        memory_tokens: tokens that its cache holds.
+        event_tokens: tokens in one event of a stream.
+    """
+
+    slots: int
+    memory_tokens: int
+    event_tokens: int
+
+
+class Service(Message, frozen=True):
+    """A set of interchangeable backend servers.
+
+    Attributes:
+        health_path: path that answers 200 on a healthy server.
+        max_connections: connections that one server takes from all callers.
+        engine: None for a plain service.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: Engine | None = None
+
+
+class CallerLimits(Message, frozen=True):
+    """What a caller may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class Routing(Message, frozen=True):
+    """A whole routing document.
+
+    Attributes:
+        source: the document as it was sent, for those who read it back.
+    """
+
+    version: int
+    routes: list[Route]
+    services: list[Service]
+    limits: CallerLimits
+    source: bytes = b""
+
+
+class RouteTable:
+    """Finds the route of a request."""
+
+    def __init__(self, routing: Routing) -> None:
+        self.routing = routing
+        self.services = {service.name: service for service in routing.services}
+        self._by_host: dict[str, list[Route]] = {}
+        for route in routing.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix, None where none fits."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def pick_service(route: Route, rng: random.Random) -> str:
+    """Returns a service of the route, drawn by weight."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return rng.choices(route.shares, weights)[0].service
+
+
+def problems(routing: Routing) -> list[str]:
+    """Returns everything that makes a document invalid, empty if nothing."""
+    found = []
+    services = {service.name for service in routing.services}
+    places: set[tuple[str, str]] = set()
+    for route in routing.routes:
+        unknown = [s.service for s in route.shares if s.service not in services]
+        found += [f"route {route.name}: no service {name}" for name in unknown]
+        place = (route.host, route.prefix)
+        if place in places:
+            found.append(f"route {route.name}: {place} is taken")
+        places.add(place)
+        if sum(share.weight for share in route.shares) <= 0:
+            found.append(f"route {route.name}: the weights add up to 0")
+        if any(share.weight < 0 for share in route.shares):
+            found.append(f"route {route.name}: a weight is negative")
+        if route.timeout_ms <= 0:
+            found.append(f"route {route.name}: the timeout is 0")
+    return found
--- /dev/null
+++ b/catkinpin/gateway.py
@@ -0,0 +1,167 @@
+"""The gateway process: callers' HTTP, readiness, links to the keepers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import uuid
+from typing import TYPE_CHECKING
+
+from catkinpin import clock, decisions
+from catkinpin.adapters import keepers
+from catkinpin.adapters.gateway.serving import Serving
+from catkinpin.adapters.gateway.turns import Turns
+from catkinpin.adapters.gateway.view import View
+from catkinpin.adapters.http.client import Pool
+from catkinpin.adapters.http.server import HttpServer, ServerLimits
+from catkinpin.core import messages
+from catkinpin.core.balance import Balancer
+from catkinpin.keeper import GATEWAY_ROLE
+
+if TYPE_CHECKING:
+    from catkinpin.adapters.gateway.ports import HeaderCodec
+    from catkinpin.adapters.http.server import Request, Responder
+    from catkinpin.core.fleet import Instance
+    from catkinpin.settings import GatewaySettings
+
+log = logging.getLogger(__name__)
+
+_TICK_S = 0.1
+_MS = 1_000
+# Without any keeper for so long this gateway can begin no turn; callers do
+# better elsewhere. Longer than an election or a keeper's restart.
+_ALONE_MS = 2_000
+
+
+class Gateway:
+    """A gateway process and its parts.
+
+    Args:
+        cfg: the settings.
+        regions: region of each failure domain.
+        codec: translates headers.
+    """
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        regions: dict[str, str],
+        codec: HeaderCodec,
+    ) -> None:
+        self.cfg = cfg
+        self.clock = clock.system_clock()
+        self._pool = Pool()
+        self._balancer = Balancer(cfg.failure_domain, regions, random.Random())
+        self.view = View(self.clock, self._server_gone)
+        incarnation = uuid.uuid4().hex[:12]
+        self.keepers = keepers.Keepers(
+            messages.Hello(
+                process=cfg.name,
+                incarnation=incarnation,
+                role=GATEWAY_ROLE,
+                address="",
+                domain=cfg.failure_domain,
+                region=cfg.region,
+            ),
+            lambda _, message: self.view.take(message),
+        )
+        self._turns = Turns(
+            self.keepers, cfg.region, cfg.failure_domain, cfg.cache_bytes
+        )
+        serving = Serving(
+            self.view,
+            self._balancer,
+            self._pool,
+            self._turns,
+            codec,
+            self.clock,
+            cfg.gateways_expected,
+        )
+        self.server = HttpServer(serving.handle, self._limits)
+        self._ready = HttpServer(self._answer_ready)
+        self._stopping = False
+        self._met_ms = self.clock.now_ms()
+        self._was_ready = False
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listens and connects to the keepers."""
+        await self._ready.start(self.cfg.ready_listen)
+        await self.server.start(self.cfg.listen)
+        self.keepers.add(self.cfg.seeds)
+        self._task = asyncio.create_task(self._tick())
+        decisions.note(
+            "start", "", listen=self.cfg.listen, seeds=list(self.cfg.seeds)
+        )
+
+    async def stop(self) -> None:
+        """Lets the balancer notice, finishes what is in flight, and ends."""
+        decisions.note("stop", "", in_flight=self.server.busy())
+        self._stopping = True
+        loop = asyncio.get_running_loop()
+        until = loop.time() + self.cfg.stop_timeout_ms / _MS
+        self.server.close_when_answered()
+        # New connections still come until the balancer has asked twice; one
+        # that is refused costs its caller a try.
+        await asyncio.sleep(self.cfg.balancer_wait_ms / _MS)
+        while loop.time() < until and (
+            self.server.busy() or self._turns.unsettled
+        ):
+            self.server.close_idle()
+            await asyncio.sleep(_TICK_S)
+        self.server.close_idle()
+        decisions.note("stopped", "", cut=self.server.busy())
+        await self.server.stop()
+        await self._ready.stop()
+        if self._task is not None:
+            self._task.cancel()
+        await self.keepers.stop()
+
+    def reconfigured(self, seeds: list[str]) -> None:
+        """Takes other seeds while it runs."""
+        decisions.note("reload", "", seeds=seeds)
+        self.keepers.add(seeds)
+
+    def not_ready(self) -> str:
+        """Returns why callers should go elsewhere, or an empty string."""
+        if self._stopping:
+            return "stopping"
+        if not self.view.serves:
+            return "no routes known yet"
+        if self.clock.now_ms() - self._met_ms > _ALONE_MS:
+            return "no keeper can be reached"
+        return ""
+
+    async def _answer_ready(
+        self, request: Request, responder: Responder
+    ) -> None:
+        responder.answer(503 if self.not_ready() else 200)
+
+    def _limits(self) -> ServerLimits:
+        table = self.view.table
+        if table is None:
+            return ServerLimits()
+        told = table.routing.limits
+        return ServerLimits(
+            header_bytes=told.max_header_bytes,
+            body_bytes=told.max_body_bytes,
+            header_timeout_s=told.header_timeout_ms / _MS,
+            idle_timeout_s=told.idle_timeout_ms / _MS,
+        )
+
+    def _server_gone(self, instance: Instance) -> None:
+        self._pool.retire(instance.address)
+        if instance.state.is_over:
+            self._balancer.forget(instance.id)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self.keepers.tick()
+            if self.keepers.connected():
+                self._met_ms = self.clock.now_ms()
+            why = self.not_ready()
+            if (not why) != self._was_ready:
+                self._was_ready = not why
+                decisions.note("ready", "", ready=not why, reason=why)
--- /dev/null
+++ b/catkinpin/keeper.py
@@ -0,0 +1,538 @@
+"""The keeper process: the control group, turns' bytes, and their repair."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import uuid
+from typing import TYPE_CHECKING, Any
+
+from msgspec import structs
+
+from catkinpin import clock, decisions, exits
+from catkinpin.adapters import (
+    keeperhost,
+    keepers,
+    mesh,
+    node,
+    peers,
+    replicas,
+)
+from catkinpin.adapters.founding import Joining
+from catkinpin.adapters.http.server import HttpServer
+from catkinpin.adapters.keeperhost import NotLeading
+from catkinpin.adapters.turnbytes import TurnBytes
+from catkinpin.core import copies, keeping, messages
+from catkinpin.core.ledger import Moved
+from catkinpin.exceptions import PeerLostError, StorageError
+
+if TYPE_CHECKING:
+    from catkinpin.adapters.groups import Group
+    from catkinpin.core.fleet import Instance
+    from catkinpin.core.routes import Routing
+    from catkinpin.processes import ControlHandler
+    from catkinpin.settings import KeeperSettings
+
+log = logging.getLogger(__name__)
+
+ROLE = "keeper"
+GATEWAY_ROLE = "gateway"
+_GROUP = "control"
+_TICK_S = 0.1
+# A lost disk is looked for so often; a scan of 10,000 turns takes some ms.
+_REPAIR_TICKS = 5
+# Bytes without a turn go after two rounds: longer than any turn lasts.
+_FORGET_S = 20.0
+# Longest wait for a quorum: an election and twice the way between regions.
+_COMMIT_S = 1.5
+# A copy of a batch of turns over the link between regions.
+_ADOPT_S = 3.0
+
+
+class Keeper:
+    """A keeper process and its parts.
+
+    Args:
+        cfg: the settings.
+        control: returns the handler of servers' and operators' calls.
+    """
+
+    def __init__(self, cfg: KeeperSettings, control: ControlHandler) -> None:
+        self.cfg = cfg
+        self.clock = clock.system_clock()
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.address = cfg.peer_listen
+        self.node = node.Node(
+            node.NodeConfig(
+                cfg.data_folder,
+                tuple(cfg.seeds),
+                cfg.snapshot_entries,
+                Joining(tuple(cfg.seeds), cfg.first_start),
+            ),
+            self._leader_changed,
+            _stop_at_once,
+        )
+        self.bytes = TurnBytes(cfg.data_folder / "turns")
+        self.host = keeperhost.KeeperHost(
+            self.clock,
+            self.incarnation,
+            cfg.silent_server_ms,
+            self._routing_changed,
+            self._fleet_changed,
+            self.bytes.drop,
+        )
+        self.host.group = self.node.add_group(_GROUP, self.host)
+        self._hello = messages.Hello(
+            process=self.node.identity,
+            incarnation=self.incarnation,
+            role=mesh.ROLE,
+            address=self.address,
+            domain=cfg.failure_domain,
+            region=cfg.region,
+        )
+        self.others = keepers.Keepers(
+            messages.Hello(
+                process=self.node.identity,
+                incarnation=self.incarnation,
+                role=ROLE,
+                address=self.address,
+                domain=cfg.failure_domain,
+                region=cfg.region,
+            )
+        )
+        self._peers = peers.PeerServer(
+            keeping.ToKeeper | replicas.ReplicaMessage,
+            self._on_message,
+            lambda _: None,
+            link="from-keeper",
+        )
+        self._http = HttpServer(control(self))
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._syncing = False
+        self._unsynced: list[tuple[peers.Stream, int]] = []
+        self._stopping = False
+        self._repairing = False
+        self._was_current = False
+
+    async def start(self) -> None:
+        """Listens, then takes part in the control group."""
+        self.node.start(self._hello)
+        await self._peers.start(self.address)
+        self.others.add(self.cfg.seeds)
+        await self._http.start(self.cfg.listen)
+        self._spawn(self._tick())
+        self._spawn(self._forget_bytes())
+        decisions.note(
+            "start",
+            "",
+            identity=self.node.identity,
+            address=self.address,
+            first_start=self.cfg.first_start,
+            seeds=list(self.cfg.seeds),
+        )
+
+    async def stop(self) -> None:
+        """Hands leadership over and stops."""
+        self._stopping = True
+        decisions.note("stop", "", led=self.host.leading)
+        self._http.close_when_answered()
+        await self.node.stop()
+        await self._http.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        await self.others.stop()
+        await self._peers.stop()
+        self.bytes.close()
+
+    def reconfigured(self, seeds: list[str]) -> None:
+        """Takes other seeds while it runs."""
+        decisions.note("reload", "", seeds=seeds)
+        self.others.add(seeds)
+        for address in seeds:
+            self.node.meet(address)
+
+    # What servers and operators ask, through whichever keeper.
+
+    async def announce(self, instance: Instance) -> str:
+        """Takes a server's word; returns why not, or an empty string."""
+        out = await self.host.announce(instance, _COMMIT_S)
+        if out is None:
+            return ""
+        try:
+            await self.others.ask_leader(
+                lambda ask: keeping.AskAnnounce(ask=ask, instance=instance),
+                _COMMIT_S,
+            )
+        except PeerLostError as exc:
+            return str(exc)
+        return ""
+
+    async def set_routing(self, routing: Routing) -> str:
+        """Puts routes in force; returns why not, or an empty string."""
+        out = await self.host.set_routing(routing, _COMMIT_S)
+        why = ""
+        if out is not None:
+            try:
+                await self.others.ask_leader(
+                    lambda ask: keeping.AskRouting(ask=ask, routing=routing),
+                    _COMMIT_S,
+                )
+            except PeerLostError as exc:
+                why = str(exc)
+        decisions.note(
+            "routing",
+            "",
+            version=routing.version,
+            held=self.host.state.version,
+            outcome=why or "in force, or held already",
+        )
+        return why
+
+    async def current_routing(self) -> Routing | NotLeading | None:
+        """Returns the newest routes that were acknowledged."""
+        if self.host.may_decide():
+            return self.host.state.routing
+        try:
+            reply = await self.others.ask_leader(
+                lambda ask: keeping.AskCurrent(ask=ask), _COMMIT_S
+            )
+        except PeerLostError as exc:
+            return NotLeading(str(exc))
+        routing: Routing | None = reply.routing
+        return routing
+
+    @property
+    def leader(self) -> str:
+        """Peer address of the leader, empty where not known."""
+        return self.host.group.leader
+
+    # Messages.
+
+    def _on_message(self, stream: peers.Stream, message: Any) -> None:
+        if stream.hello is None:
+            return
+        if stream.hello.role == mesh.ROLE:
+            if isinstance(message, messages.Hello):
+                self.node.hello(message)
+            else:
+                self.node.take(message)
+            return
+        if isinstance(message, messages.Hello):
+            self._welcome(stream)
+            return
+        self._spawn(self._answer(stream, message))
+
+    def _welcome(self, stream: peers.Stream) -> None:
+        stream.send(self._info())
+        if stream.hello is not None and stream.hello.role == GATEWAY_ROLE:
+            stream.send(self._routing_now())
+            servers = list(self.host.state.fleet.servers.values())
+            stream.send(
+                keeping.FleetNow(
+                    index=self.host.state.index, instances=servers, whole=True
+                )
+            )
+
+    async def _answer(self, stream: peers.Stream, message: Any) -> None:
+        try:
+            match message:
+                case keeping.AskBegin():
+                    await self._begin(stream, message)
+                case keeping.AskFinish():
+                    await self._finish(stream, message)
+                case keeping.AskRouting():
+                    routing = message.routing
+                    done = await self.host.set_routing(routing, _COMMIT_S)
+                    self._reply(stream, message.ask, done)
+                case keeping.AskAnnounce():
+                    instance = message.instance
+                    done = await self.host.announce(instance, _COMMIT_S)
+                    self._reply(stream, message.ask, done)
+                case keeping.AskCurrent():
+                    self._tell_current(stream, message)
+                case keeping.Put():
+                    self._put(stream, message)
+                case keeping.Get():
+                    parts = [self.bytes.read(a) for a in message.attempts]
+                    stream.send(keeping.Got(ask=message.ask, parts=parts))
+                case keeping.Adopt():
+                    await self._adopt(stream, message)
+        except StorageError as exc:
+            _stop_at_once(exc)
+
+    async def _begin(
+        self, stream: peers.Stream, message: keeping.AskBegin
+    ) -> None:
+        out = await self.host.propose(
+            structs.replace(message.begin, at_ms=self.host.log_ms()), _COMMIT_S
+        )
+        if isinstance(out, NotLeading):
+            self._reply(stream, message.ask, out)
+            return
+        stream.send(
+            keeping.Began(ask=message.ask, denial=out.denial, chain=out.chain)
+        )
+
+    async def _finish(
+        self, stream: peers.Stream, message: keeping.AskFinish
+    ) -> None:
+        out = await self.host.propose(
+            structs.replace(message.finish, at_ms=self.host.log_ms()), _COMMIT_S
+        )
+        failed = out if isinstance(out, NotLeading) else None
+        self._reply(stream, message.ask, failed)
+
+    def _tell_current(
+        self, stream: peers.Stream, message: keeping.AskCurrent
+    ) -> None:
+        if not self.host.may_decide():
+            self._reply(stream, message.ask, NotLeading("not the leader"))
+            return
+        routing = self.host.state.routing
+        stream.send(keeping.Current(ask=message.ask, routing=routing))
+
+    def _reply(
+        self, stream: peers.Stream, ask: int, failed: NotLeading | None
+    ) -> None:
+        if failed is None:
+            stream.send(keeping.Done(ask=ask))
+            return
+        stream.send(
+            keeping.Refused(
+                ask=ask, reason=failed.reason, leader=self.host.group.leader
+            )
+        )
+
+    # Turns' bytes.
+
+    def _put(self, stream: peers.Stream, message: keeping.Put) -> None:
+        self.bytes.add(message.attempt, message.data)
+        self._unsynced.append((stream, message.ask))
+        if not self._syncing:
+            self._syncing = True
+            asyncio.get_running_loop().call_soon(self._sync_bytes)
+
+    def _sync_bytes(self) -> None:
+        """Syncs once for all that came in this turn of the loop."""
+        self._syncing = False
+        waiting, self._unsynced = self._unsynced, []
+        try:
+            self.bytes.sync()
+        except StorageError as exc:
+            _stop_at_once(exc)
+        for stream, ask in waiting:
+            stream.send(keeping.Done(ask=ask))
+
+    async def _adopt(
+        self, stream: peers.Stream, message: keeping.Adopt
+    ) -> None:
+        """Copies turns' bytes from another keeper."""
+        missing = [a for a in message.attempts if a not in self.bytes]
+        source = self.others.by_address(message.source)
+        if missing and source is None:
+            self._reply(stream, message.ask, NotLeading("no way to the source"))
+            return
+        if missing and source is not None:
+            try:
+                got = await self.others.ask(
+                    source,
+                    lambda ask: keeping.Get(ask=ask, attempts=missing),
+                    _ADOPT_S,
+                )
+            except PeerLostError as exc:
+                self._reply(stream, message.ask, NotLeading(str(exc)))
+                return
+            for attempt, part in zip(missing, got.parts, strict=True):
+                if part is not None:
+                    self.bytes.add(attempt, part)
+            self.bytes.sync()
+        stream.send(keeping.Done(ask=message.ask))
+
+    async def _repair_copies(self) -> None:
+        """Copies turns whose second holder lost its disk."""
+        members = self.host.group.members.members
+        hosts = [
+            copies.Holder(
+                host.info.node,
+                host.info.address,
+                host.info.region,
+                host.info.domain,
+            )
+            for host in self.others.connected()
+            if host.info is not None
+        ]
+        us = copies.Holder(
+            self.node.identity,
+            self.address,
+            self.cfg.region,
+            self.cfg.failure_domain,
+        )
+        plan = copies.plan(
+            self.host.state.ledger.turns.values(),
+            {member.node for member in members},
+            [us, *hosts],
+        )
+        for copy in plan:
+            await self._copy(copy, us)
+
+    async def _copy(self, copy: copies.Copy, us: copies.Holder) -> None:
+        adopt = keeping.Adopt(
+            ask=0, attempts=copy.attempts, source=copy.source.address
+        )
+        try:
+            if copy.target.node == us.node:
+                # Our own link to ourselves doesn't exist; pull directly.
+                stream = _Collector()
+                await self._adopt(stream, adopt)  # type: ignore[arg-type]
+                done = stream.done
+            else:
+                target = self.others.by_node(copy.target.node)
+                if target is None:
+                    return
+                reply = await self.others.ask(
+                    target,
+                    lambda ask: keeping.Adopt(
+                        ask=ask,
+                        attempts=copy.attempts,
+                        source=copy.source.address,
+                    ),
+                    _ADOPT_S,
+                )
+                done = isinstance(reply, keeping.Done)
+        except PeerLostError as exc:
+            log.info("copy failed: %s", exc)
+            return
+        if done:
+            holders = [copy.source.node, copy.target.node]
+            moved = Moved(attempts=copy.attempts, holders=holders)
+            await self.host.propose(moved, _COMMIT_S)
+            decisions.note(
+                "copied",
+                "",
+                turns=len(copy.attempts),
+                source=copy.source.address,
+                target=copy.target.address,
+            )
+
+    # Telling gateways.
+
+    def _info(self) -> keeping.HostInfo:
+        known = {m.address for m in self.host.group.members.members}
+        known |= set(self.node.known_addresses())
+        return keeping.HostInfo(
+            node=self.node.identity,
+            address=self.address,
+            domain=self.cfg.failure_domain,
+            region=self.cfg.region,
+            known=sorted(known | {self.address}),
+            leader=self.host.group.leader,
+            term=self.host.group.term,
+        )
+
+    def _routing_now(self) -> keeping.RoutingNow:
+        return keeping.RoutingNow(
+            routing=self.host.state.routing,
+            is_current=self.host.group.is_current(),
+        )
+
+    def _tell(self, message: Any, role: str = "") -> None:
+        for stream in self._peers.streams:
+            hello = stream.hello
+            if hello is None or hello.role == mesh.ROLE:
+                continue
+            if not role or hello.role == role:
+                stream.send(message)
+
+    def _leader_changed(self, group: Group) -> None:
+        decisions.note("leader", "", address=group.leader, term=group.term)
+        self._tell(self._info())
+
+    def _routing_changed(self) -> None:
+        if hasattr(self, "_peers"):
+            self._tell(self._routing_now(), GATEWAY_ROLE)
+
+    def _fleet_changed(self, instances: list[Instance]) -> None:
+        if hasattr(self, "_peers"):
+            self._tell(
+                keeping.FleetNow(
+                    index=self.host.state.index,
+                    instances=instances,
+                    whole=False,
+                ),
+                GATEWAY_ROLE,
+            )
+
+    async def _tick(self) -> None:
+        ticks = 0
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self.others.tick()
+            current = self.host.group.is_current()
+            if current != self._was_current:
+                self._was_current = current
+                self._tell(self._info())
+                self._tell(self._routing_now(), GATEWAY_ROLE)
+            if not self.host.may_decide():
+                continue
+            for gone in self.host.silent_servers():
+                self._spawn(self.host.announce(gone, _COMMIT_S))
+            ticks += 1
+            if ticks % _REPAIR_TICKS == 0 and not self._repairing:
+                self._repairing = True
+                self._spawn(self._repair())
+
+    async def _repair(self) -> None:
+        try:
+            await self._repair_copies()
+        finally:
+            self._repairing = False
+
+    async def _forget_bytes(self) -> None:
+        """Drops turns' bytes that no program can ask for any more.
+
+        A host that was away when turns expired never hears of them again, and
+        a gateway that died after storing never settles its turn.
+        """
+        before: set[str] = set()
+        while True:
+            await asyncio.sleep(_FORGET_S)
+            turns = self.host.state.ledger.turns
+            if not self.host.group.is_current():
+                before = set()
+                continue
+            unknown = {a for a in self.bytes.attempts() if a not in turns}
+            self.bytes.drop(unknown & before)
+            before = unknown - before
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("a task failed", exc_info=task.exception())
+
+
+class _Collector:
+    """Takes the one reply of work that this process does for itself."""
+
+    def __init__(self) -> None:
+        self.done = False
+
+    def send(self, reply: Any) -> None:
+        """Notes whether the work was done."""
+        self.done = isinstance(reply, keeping.Done)
+
+
+def _stop_at_once(exc: Exception) -> None:
+    """Ends the process without another word to anyone.
+
+    After a failed write or sync the disk may hold less than memory says. A
+    graceful stop would still acknowledge from memory.
+    """
+    log.critical("%s", exc, exc_info=exc)
+    logging.shutdown()
+    os._exit(exits.STORAGE)
--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -11,7 +11,7 @@
 
 import uvloop
 
-from catkinpin import logs, tracing
+from catkinpin import exits, logs, tracing
 from catkinpin.exceptions import CatkinpinError, StopTimeoutError
 
 if TYPE_CHECKING:
@@ -21,11 +21,11 @@
 
 log = logging.getLogger(__name__)
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_STORAGE = 3
-EXIT_CUT = 4
-EXIT_FORCED = 5
+EXIT_OK = exits.OK
+EXIT_FAILED = exits.FAILED
+EXIT_STORAGE = exits.STORAGE
+EXIT_CUT = exits.CUT
+EXIT_FORCED = exits.FORCED
 
 
 class Stoppable(Protocol):
--- /dev/null
+++ b/catkinpin/processes.py
@@ -0,0 +1,142 @@
+"""Runs gateways and keepers, and has them take settings that change."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+from typing import TYPE_CHECKING, Protocol
+
+import uvloop
+
+from catkinpin import decisions, exits
+from catkinpin.exceptions import CatkinpinError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from catkinpin.adapters.gateway.ports import HeaderCodec
+    from catkinpin.adapters.http.server import Request, Responder
+    from catkinpin.keeper import Keeper
+    from catkinpin.settings import GatewaySettings, KeeperSettings
+
+    ControlHandler = Callable[
+        [Keeper], Callable[[Request, Responder], Awaitable[None]]
+    ]
+
+log = logging.getLogger(__name__)
+
+# Settings may change without a signal; a read of a small file costs little.
+_SETTINGS_EVERY_S = 2.0
+
+
+class Reloading(Protocol):
+    """A process that takes other seeds while it runs."""
+
+    async def start(self) -> None:
+        """Begins to serve."""
+
+    async def stop(self) -> None:
+        """Finishes what is in flight and closes."""
+
+    def reconfigured(self, seeds: list[str]) -> None:
+        """Takes other seeds."""
+
+
+def run_gateway(
+    cfg: GatewaySettings,
+    regions: dict[str, str],
+    codec: HeaderCodec,
+    read_seeds: Callable[[], list[str]],
+) -> None:
+    """Runs a gateway until it is asked to stop.
+
+    Args:
+        cfg: the settings.
+        regions: region of each failure domain.
+        codec: translates headers.
+        read_seeds: returns the keepers that the settings name now.
+    """
+    from catkinpin.gateway import Gateway
+
+    _run(cfg.name, lambda: Gateway(cfg, regions, codec), read_seeds)
+
+
+def run_keeper(
+    cfg: KeeperSettings,
+    control: ControlHandler,
+    read_seeds: Callable[[], list[str]],
+) -> None:
+    """Runs a keeper until it is asked to stop.
+
+    Args:
+        cfg: the settings.
+        control: returns the handler of servers' and operators' calls.
+        read_seeds: returns the keepers that the settings name now.
+    """
+    from catkinpin.keeper import Keeper
+
+    _run(cfg.name, lambda: Keeper(cfg, control), read_seeds)
+
+
+def _run(
+    name: str,
+    make: Callable[[], Reloading],
+    read_seeds: Callable[[], list[str]],
+) -> None:
+    logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
+    decisions.set_up(name)
+    # What was loaded stays for good; collections need not look at it.
+    gc.freeze()
+    try:
+        uvloop.run(_serve(make, read_seeds))
+    except CatkinpinError as exc:
+        log.critical("%s", exc)
+        sys.exit(exits.STORAGE)
+    # Nothing is left to write; a second of interpreter shutdown would count
+    # against the time that a stop may take.
+    os._exit(0)
+
+
+async def _serve(
+    make: Callable[[], Reloading], read_seeds: Callable[[], list[str]]
+) -> None:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    process = make()
+    await process.start()
+    reload = _Reload(process, read_seeds)
+    loop.add_signal_handler(signal.SIGHUP, reload.now)
+    while not stop.is_set():
+        try:
+            await asyncio.wait_for(stop.wait(), _SETTINGS_EVERY_S)
+        except TimeoutError:
+            reload.now()
+    await process.stop()
+
+
+class _Reload:
+    """Takes seeds that have changed; a file that can't be read changes none."""
+
+    def __init__(
+        self, process: Reloading, read_seeds: Callable[[], list[str]]
+    ) -> None:
+        self._process = process
+        self._read_seeds = read_seeds
+        self._seeds = read_seeds()
+
+    def now(self) -> None:
+        """Reads the settings again."""
+        try:
+            seeds = self._read_seeds()
+        except (OSError, ValueError, KeyError, TypeError) as exc:
+            decisions.note("reload", "", outcome="kept", reason=repr(exc))
+            return
+        if seeds != self._seeds:
+            self._seeds = seeds
+            self._process.reconfigured(seeds)
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -47,7 +47,9 @@
         self.address = ""
         self._streams: dict[str, peers.Stream] = {}
         self.node = node.Node(
-            cfg,
+            node.NodeConfig(
+                cfg.data_folder, tuple(cfg.replicas), cfg.snapshot_entries
+            ),
             self._leader_changed,
             _stop_at_once,
             first=routing.CONTROL_GROUP,
--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -188,6 +188,80 @@
     )
 
 
+class KeeperSettings(ProcessSettings):
+    """Settings of `catkinpin-keeper`."""
+
+    listen: Address = pydantic.Field(
+        default="127.0.0.1:8082",
+        description="IP and port for servers and operators (HTTP).",
+    )
+    data_folder: pathlib.Path = pydantic.Field(
+        default=pathlib.Path("data"),
+        description="Folder for the log; the only place that is written.",
+    )
+    seeds: list[Address] = pydantic.Field(
+        default=[],
+        min_length=1,
+        description="Peer addresses of some keepers; at the first start, of"
+        " those that found the system.",
+    )
+    first_start: bool = pydantic.Field(
+        default=False,
+        description="Whether the whole system starts for the first time."
+        " A seed then founds it; without this an empty folder joins.",
+    )
+    snapshot_entries: int = pydantic.Field(
+        default=5_000,
+        gt=0,
+        description="Records of the log between two snapshots.",
+    )
+    silent_server_ms: Milliseconds = pydantic.Field(
+        default=15_000,
+        description="A server that announced nothing for so long is gone.",
+    )
+    stop_timeout_ms: Milliseconds = pydantic.Field(
+        default=5_000,
+        description="Longest a graceful stop waits for work in flight, in ms.",
+    )
+
+
+class GatewaySettings(ProcessSettings):
+    """Settings of `catkinpin-gateway`."""
+
+    listen: Address = pydantic.Field(
+        default="127.0.0.1:8080", description="IP and port for callers (HTTP)."
+    )
+    ready_listen: Address = pydantic.Field(
+        default="127.0.0.1:8081",
+        description="IP and port at which the balancer asks for readiness.",
+    )
+    seeds: list[Address] = pydantic.Field(
+        default=[],
+        min_length=1,
+        description="Peer addresses of some keepers.",
+    )
+    balancer_wait_ms: int = pydantic.Field(
+        default=3_000,
+        ge=0,
+        description="How long a stopping gateway still takes new calls after"
+        " its readiness went down, so that the balancer notices, in ms.",
+    )
+    stop_timeout_ms: Milliseconds = pydantic.Field(
+        default=7_000,
+        description="Longest a graceful stop takes, in ms.",
+    )
+    cache_bytes: int = pydantic.Field(
+        default=8 * 1024 * 1024,
+        ge=0,
+        description="Bytes of turns kept in memory for those that follow.",
+    )
+    gateways_expected: int = pydantic.Field(
+        default=9,
+        gt=0,
+        description="Gateways that share each server's connections.",
+    )
+
+
 class OperatorSettings(pydantic.BaseModel):
     """Settings of the operator's command `catkinpin`."""
 
--- a/tests/fakes/lognode.py
+++ b/tests/fakes/lognode.py
@@ -68,7 +68,15 @@
         )
         self.address = addresses[place]
         self.failed: Exception | None = None
-        self.node = node.Node(self.cfg, lambda group: None, self._fail)
+        self.node = node.Node(
+            node.NodeConfig(
+                self.cfg.data_folder,
+                tuple(self.cfg.replicas),
+                self.cfg.snapshot_entries,
+            ),
+            lambda group: None,
+            self._fail,
+        )
         self.machines = [ListMachine() for _ in range(count)]
         self.groups: list[Group] = [
             self.node.add_group(f"g{number}", machine)
