--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -18,7 +18,6 @@
 from catkinpin.adapters.gateway.ports import Sending
 from catkinpin.adapters.gateway.turns import Started, Unknown
 from catkinpin.adapters.http.client import Failure
-from catkinpin.adapters.http.headers import Headers
 from catkinpin.core import routes
 from catkinpin.core.events import EventReader
 from catkinpin.core.ledger import Denial
@@ -30,6 +29,7 @@
     from catkinpin.adapters.gateway.turns import Turns
     from catkinpin.adapters.gateway.view import View
     from catkinpin.adapters.http.client import Head, Pool, ServerConnection
+    from catkinpin.adapters.http.headers import Headers
     from catkinpin.adapters.http.server import Request, Responder
     from catkinpin.clock import Clock
     from catkinpin.core.balance import Balancer, Choice
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -10,6 +10,7 @@
 
 from catkinpin import decisions
 from catkinpin.core import keeping
+from catkinpin.core.copies import COPIES
 from catkinpin.core.ledger import Begin, Denial, Finish
 from catkinpin.exceptions import PeerLostError
 
@@ -23,8 +24,6 @@
 
 log = logging.getLogger(__name__)
 
-# Hosts that hold each turn's bytes: the loss of one disk loses nothing.
-_COPIES = 2
 # A holder that has not stored by then is slow; another one is asked as well.
 # Several times a sync and the way to the other region.
 _SLOW_STORE_S = 0.15
@@ -169,7 +168,7 @@
         return ""
 
     def settle(self, call: RouteCall, tokens: int) -> None:
-        """Settles a turn that can't be continued, without making anyone wait."""
+        """Settles a turn that can't be continued; nobody waits for it."""
         finish = Finish(
             attempt=call.attempt,
             program=call.program,
@@ -212,7 +211,7 @@
 
     async def _fetch(self, links: list[Link], found: dict[str, bytes]) -> None:
         """Reads turns' bytes, each from its holders, the near one first."""
-        for attempt in range(_COPIES):
+        for attempt in range(COPIES):
             wanted: dict[str, list[str]] = {}
             for link in links:
                 if link.attempt in found:
@@ -261,10 +260,10 @@
         running: set[asyncio.Task[str]] = set()
         loop = asyncio.get_running_loop()
         until = loop.time() + _STORE_S
-        for _ in range(_COPIES):
+        for _ in range(COPIES):
             if hosts:
                 running.add(self._start_put(hosts.pop(0), attempt, data))
-        while running and len(stored) < _COPIES and loop.time() < until:
+        while running and len(stored) < COPIES and loop.time() < until:
             done, running = await asyncio.wait(
                 running,
                 timeout=_SLOW_STORE_S,
@@ -273,13 +272,13 @@
             stored += [node for task in done if (node := task.result())]
             failed = sum(not task.result() for task in done)
             more = failed if done else 1
-            if len(stored) < _COPIES:
+            if len(stored) < COPIES:
                 for _ in range(more):
                     if hosts:
                         running.add(
                             self._start_put(hosts.pop(0), attempt, data)
                         )
-        return stored[:_COPIES] if len(stored) >= _COPIES else []
+        return stored[:COPIES] if len(stored) >= COPIES else []
 
     def _start_put(
         self, host: Host, attempt: str, data: bytes
@@ -310,7 +309,12 @@
         leader last, since all others wait for its disk.
         """
         self._next += 1
-        hosts = self._keepers.connected()
+        leaving = self._keepers.retiring
+        hosts = [
+            host
+            for host in self._keepers.connected()
+            if host.info is not None and host.info.node not in leaving
+        ]
         turn = self._next
         ranked = sorted(
             enumerate(hosts),
--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -86,6 +86,7 @@
         self._keep_alive = True
         self.idle_until_s = 0.0
         self.closed = False
+        self.on_closed: Callable[[], None] = lambda: None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Notes the transport."""
@@ -100,6 +101,7 @@
         else:
             self._lost = self._lost or f"connection lost: {exc or 'closed'}"
         self._event.set()
+        self.on_closed()
 
     def data_received(self, data: bytes) -> None:
         """Parses what came."""
@@ -281,7 +283,8 @@
         host, _, port = address.rpartition(":")
         try:
             _, conn = await asyncio.wait_for(
-                loop.create_connection(_Counted, host, int(port)), timeout_s
+                loop.create_connection(ServerConnection, host, int(port)),
+                timeout_s,
             )
         except (OSError, TimeoutError) as exc:
             self._closed(address)
@@ -313,16 +316,3 @@
             self._open[address] = left
         else:
             self._open.pop(address, None)
-
-
-class _Counted(ServerConnection):
-    """A connection that tells its pool when it is closed."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.on_closed: Callable[[], None] = lambda: None
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Ends what is under way and tells the pool."""
-        super().connection_lost(exc)
-        self.on_closed()
--- a/catkinpin/adapters/keepers.py
+++ b/catkinpin/adapters/keepers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import logging
 import time
 from typing import TYPE_CHECKING, Any
@@ -66,24 +67,21 @@
         self._hosts: dict[str, Host] = {}
         self._leader = ""
         self._term = 0
+        self.retiring: frozenset[str] = frozenset()
 
     def add(self, addresses: Iterable[str]) -> None:
         """Connects to keepers by their peer addresses."""
         for address in addresses:
             if address in self._hosts or address == self._hello.address:
                 continue
-            host = Host(
-                peers.PeerLink(
-                    address,
-                    self._hello,
-                    keeping.FromKeeper,
-                    lambda message, address=address: self._take(
-                        address, message
-                    ),
-                    link="to-keeper",
-                ),
-                seen_s=time.monotonic(),
+            link = peers.PeerLink(
+                address,
+                self._hello,
+                keeping.FromKeeper,
+                functools.partial(self._take, address),
+                link="to-keeper",
             )
+            host = Host(link, seen_s=time.monotonic())
             self._hosts[address] = host
             host.link.start()
 
@@ -182,4 +180,5 @@
             if message.term >= self._term and message.leader:
                 self._term = message.term
                 self._leader = message.leader
+                self.retiring = frozenset(message.retiring)
         self._on_message(host, message)
--- /dev/null
+++ b/catkinpin/adapters/turnhost.py
@@ -0,0 +1,110 @@
+"""Answers who puts, gets or copies turns' bytes, on keepers and stores."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any, Protocol
+
+from catkinpin.core import keeping
+from catkinpin.exceptions import PeerLostError, StorageError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.adapters.keepers import Keepers
+    from catkinpin.adapters.turnbytes import TurnBytes
+
+log = logging.getLogger(__name__)
+
+# A copy of a batch of turns over the link between regions.
+COPY_S = 3.0
+
+
+class Reply(Protocol):
+    """Whom an answer goes to."""
+
+    def send(self, message: Any) -> None:
+        """Sends an answer."""
+
+
+class TurnHost:
+    """Turns' bytes of this process, served to others.
+
+    Args:
+        data: the bytes.
+        others: links to other holders.
+        fail: called where the disk fails; nothing may be acknowledged then.
+    """
+
+    def __init__(
+        self,
+        data: TurnBytes,
+        others: Keepers,
+        fail: Callable[[Exception], None],
+    ) -> None:
+        self.data = data
+        self._others = others
+        self._fail = fail
+        self._syncing = False
+        self._unsynced: list[tuple[Reply, int]] = []
+
+    def put(self, reply: Reply, message: keeping.Put) -> None:
+        """Stores a turn's bytes; answers once they last."""
+        try:
+            self.data.add(message.attempt, message.data)
+        except StorageError as exc:
+            self._fail(exc)
+            return
+        self._unsynced.append((reply, message.ask))
+        if not self._syncing:
+            self._syncing = True
+            asyncio.get_running_loop().call_soon(self._sync)
+
+    def get(self, reply: Reply, message: keeping.Get) -> None:
+        """Answers with turns' bytes."""
+        parts = [self.data.read(attempt) for attempt in message.attempts]
+        reply.send(keeping.Got(ask=message.ask, parts=parts))
+
+    async def adopt(self, reply: Reply, message: keeping.Adopt) -> None:
+        """Copies turns' bytes from another holder; answers once they last."""
+        missing = [a for a in message.attempts if a not in self.data]
+        why = await self._pull(missing, message.source) if missing else ""
+        if why:
+            reply.send(keeping.Refused(ask=message.ask, reason=why))
+        else:
+            reply.send(keeping.Done(ask=message.ask))
+
+    async def _pull(self, attempts: list[str], source: str) -> str:
+        host = self._others.by_address(source)
+        if host is None:
+            return "no way to the source"
+        try:
+            got = await self._others.ask(
+                host,
+                lambda ask: keeping.Get(ask=ask, attempts=attempts),
+                COPY_S,
+            )
+            for attempt, part in zip(attempts, got.parts, strict=True):
+                if part is None:
+                    return f"the source doesn't hold {attempt}"
+                self.data.add(attempt, part)
+            self.data.sync()
+        except PeerLostError as exc:
+            return str(exc)
+        except StorageError as exc:
+            self._fail(exc)
+            return str(exc)
+        return ""
+
+    def _sync(self) -> None:
+        """Syncs once for all that came in this turn of the loop."""
+        self._syncing = False
+        waiting, self._unsynced = self._unsynced, []
+        try:
+            self.data.sync()
+        except StorageError as exc:
+            self._fail(exc)
+            return
+        for reply, ask in waiting:
+            reply.send(keeping.Done(ask=ask))
--- a/catkinpin/core/keeping.py
+++ b/catkinpin/core/keeping.py
@@ -22,6 +22,7 @@
 )
 from catkinpin.core.messages import Hello, Ping
 from catkinpin.core.routes import Routing
+from catkinpin.core.stores import Register, Retire, Store, Stores
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,7 +48,7 @@
     """
 
     tag: str
-    body: SetRouting | Announce | Begin | Finish | Moved
+    body: SetRouting | Announce | Begin | Finish | Moved | Register | Retire
 
 
 class KeeperState(Message, frozen=True):
@@ -56,15 +57,17 @@
     routing: Routing | None
     instances: list[Instance]
     ledger: LedgerState
+    stores: list[Store]
 
 
 class HostInfo(Message, frozen=True):
-    """A keeper introduces itself.
+    """A keeper or a store introduces itself.
 
     Attributes:
         node: its identity, new for each new data folder.
         address: peer address.
-        known: peer addresses of all keepers it knows.
+        known: peer addresses of all keepers and stores that it knows.
+        retiring: identities of stores that take nothing new.
         leader: peer address of the group's leader, empty if not known.
         term: the term of that leader.
     """
@@ -76,6 +79,13 @@
     known: list[str]
     leader: str
     term: int
+    retiring: list[str] = []
+
+
+class Expired(Message, frozen=True):
+    """Names turns whose bytes are needed no more."""
+
+    attempts: list[str]
 
 
 class RoutingNow(Message, frozen=True):
@@ -136,6 +146,40 @@
     instance: Instance
 
 
+class AskRegister(Message, frozen=True):
+    """A store asks the leader to count it."""
+
+    ask: int
+    store: Store
+
+
+class AskRetire(Message, frozen=True):
+    """Asks the leader to have a store emptied, or how far that is.
+
+    Attributes:
+        begin: whether to begin; False only asks.
+    """
+
+    ask: int
+    name: str
+    begin: bool
+
+
+class Retirement(Message, frozen=True):
+    """Answers `AskRetire`.
+
+    Attributes:
+        is_known: whether there is such a store.
+        too_few: whether too few would be left.
+        is_empty: whether it can be taken away.
+    """
+
+    ask: int
+    is_known: bool
+    too_few: bool
+    is_empty: bool
+
+
 class Put(Message, frozen=True):
     """Asks a keeper to store a turn's bytes."""
 
@@ -220,6 +264,8 @@
     | AskRouting
     | AskCurrent
     | AskAnnounce
+    | AskRegister
+    | AskRetire
     | Put
     | Get
     | Adopt
@@ -233,6 +279,8 @@
     | Done
     | Refused
     | Current
+    | Retirement
+    | Expired
     | Got
 )
 
@@ -255,6 +303,7 @@
         self.routing: Routing | None = None
         self.fleet = Fleet()
         self.ledger = Ledger()
+        self.stores = Stores()
         self.index = 0
         self._on_routing = on_routing
         self._on_fleet = on_fleet
@@ -285,6 +334,10 @@
                 out = self.ledger.finish(body)
             case Moved():
                 self.ledger.moved(body)
+            case Register():
+                self.stores.register(body.store)
+            case Retire():
+                self.stores.retire(body.name)
         if out.expired:
             self._on_expired(out.expired)
         return out
@@ -295,6 +348,7 @@
             routing=self.routing,
             instances=self.fleet.state(),
             ledger=self.ledger.state(),
+            stores=list(self.stores.by_node.values()),
         )
         return codec.encode(state)
 
@@ -305,6 +359,7 @@
         self.routing = state.routing
         self.fleet.restore(state.instances)
         self.ledger.restore(state.ledger)
+        self.stores.by_node = {store.node: store for store in state.stores}
         self._on_routing()
         self._on_fleet(list(self.fleet.servers.values()))
 
--- a/catkinpin/core/ledger.py
+++ b/catkinpin/core/ledger.py
@@ -10,6 +10,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 from catkinpin.codec import Message
 
 # A program's budget outlives its last turn by this much more than its turns:
@@ -83,7 +85,7 @@
     size: int
 
 
-class Turn(Message):
+class Turn(msgspec.Struct, kw_only=True):
     """A finished turn.
 
     Attributes:
@@ -109,7 +111,7 @@
     at_ms: int
 
 
-class Account(Message):
+class Account(msgspec.Struct, kw_only=True):
     """What a program has spent.
 
     Attributes:
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -23,14 +23,17 @@
 from catkinpin.adapters.http.server import HttpServer
 from catkinpin.adapters.keeperhost import NotLeading
 from catkinpin.adapters.turnbytes import TurnBytes
+from catkinpin.adapters.turnhost import COPY_S, TurnHost
 from catkinpin.core import copies, keeping, messages
 from catkinpin.core.ledger import Moved
+from catkinpin.core.stores import FEWEST, Register, Retire
 from catkinpin.exceptions import PeerLostError, StorageError
 
 if TYPE_CHECKING:
     from catkinpin.adapters.groups import Group
     from catkinpin.core.fleet import Instance
     from catkinpin.core.routes import Routing
+    from catkinpin.core.stores import Store
     from catkinpin.processes import ControlHandler
     from catkinpin.settings import KeeperSettings
 
@@ -38,6 +41,7 @@
 
 ROLE = "keeper"
 GATEWAY_ROLE = "gateway"
+STORE_ROLE = "store"
 _GROUP = "control"
 _TICK_S = 0.1
 # A lost disk is looked for so often; a scan of 10,000 turns takes some ms.
@@ -46,8 +50,9 @@
 _FORGET_S = 20.0
 # Longest wait for a quorum: an election and twice the way between regions.
 _COMMIT_S = 1.5
-# A copy of a batch of turns over the link between regions.
-_ADOPT_S = 3.0
+# A store silent for so long counts as lost until it is heard again. Hosts that
+# restart or thaw are back before.
+_SILENT_STORE_MS = 5_000
 
 
 class Keeper:
@@ -80,7 +85,7 @@
             cfg.silent_server_ms,
             self._routing_changed,
             self._fleet_changed,
-            self.bytes.drop,
+            self._expired,
         )
         self.host.group = self.node.add_group(_GROUP, self.host)
         self._hello = messages.Hello(
@@ -109,8 +114,8 @@
         )
         self._http = HttpServer(control(self))
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._syncing = False
-        self._unsynced: list[tuple[peers.Stream, int]] = []
+        self._turns = TurnHost(self.bytes, self.others, _stop_at_once)
+        self._heard_ms: dict[str, int] = {}
         self._stopping = False
         self._repairing = False
         self._was_current = False
@@ -251,13 +256,17 @@
                     self._reply(stream, message.ask, done)
                 case keeping.AskCurrent():
                     self._tell_current(stream, message)
+                case keeping.AskRegister():
+                    done = await self._register(message.store)
+                    self._reply(stream, message.ask, done)
+                case keeping.AskRetire():
+                    await self._answer_retire(stream, message)
                 case keeping.Put():
-                    self._put(stream, message)
+                    self._turns.put(stream, message)
                 case keeping.Get():
-                    parts = [self.bytes.read(a) for a in message.attempts]
-                    stream.send(keeping.Got(ask=message.ask, parts=parts))
+                    self._turns.get(stream, message)
                 case keeping.Adopt():
-                    await self._adopt(stream, message)
+                    await self._turns.adopt(stream, message)
         except StorageError as exc:
             _stop_at_once(exc)
 
@@ -274,9 +283,45 @@
             keeping.Began(ask=message.ask, denial=out.denial, chain=out.chain)
         )
 
+    async def _register(self, store: Store) -> NotLeading | None:
+        """Counts a store from now on."""
+        if not self.host.may_decide():
+            return NotLeading("not the leader")
+        self._heard_ms[store.node] = self.clock.now_ms()
+        if not self.host.state.stores.is_news(store):
+            return None
+        out = await self.host.propose(Register(store=store), _COMMIT_S)
+        if isinstance(out, NotLeading):
+            return out
+        self._tell(self._info())
+        decisions.note("store", "", store=store.name, address=store.address)
+        return None
+
+    async def _answer_retire(
+        self, stream: peers.Stream, message: keeping.AskRetire
+    ) -> None:
+        if not self.host.may_decide():
+            self._reply(stream, message.ask, NotLeading("not the leader"))
+            return
+        out = await self._retire(message.name, message.begin)
+        if isinstance(out, NotLeading):
+            self._reply(stream, message.ask, out)
+        else:
+            stream.send(structs.replace(out, ask=message.ask))
+
     async def _finish(
         self, stream: peers.Stream, message: keeping.AskFinish
     ) -> None:
+        stores = self.host.state.stores.by_node
+        if any(
+            store.retiring
+            for node in message.finish.holders
+            if (store := stores.get(node)) is not None
+        ):
+            # It may be taken away at any moment; its copy would not count.
+            refusal = NotLeading("a holder is to be emptied")
+            self._reply(stream, message.ask, refusal)
+            return
         out = await self.host.propose(
             structs.replace(message.finish, at_ms=self.host.log_ms()), _COMMIT_S
         )
@@ -306,53 +351,24 @@
 
     # Turns' bytes.
 
-    def _put(self, stream: peers.Stream, message: keeping.Put) -> None:
-        self.bytes.add(message.attempt, message.data)
-        self._unsynced.append((stream, message.ask))
-        if not self._syncing:
-            self._syncing = True
-            asyncio.get_running_loop().call_soon(self._sync_bytes)
-
-    def _sync_bytes(self) -> None:
-        """Syncs once for all that came in this turn of the loop."""
-        self._syncing = False
-        waiting, self._unsynced = self._unsynced, []
-        try:
-            self.bytes.sync()
-        except StorageError as exc:
-            _stop_at_once(exc)
-        for stream, ask in waiting:
-            stream.send(keeping.Done(ask=ask))
-
-    async def _adopt(
-        self, stream: peers.Stream, message: keeping.Adopt
-    ) -> None:
-        """Copies turns' bytes from another keeper."""
-        missing = [a for a in message.attempts if a not in self.bytes]
-        source = self.others.by_address(message.source)
-        if missing and source is None:
-            self._reply(stream, message.ask, NotLeading("no way to the source"))
-            return
-        if missing and source is not None:
-            try:
-                got = await self.others.ask(
-                    source,
-                    lambda ask: keeping.Get(ask=ask, attempts=missing),
-                    _ADOPT_S,
-                )
-            except PeerLostError as exc:
-                self._reply(stream, message.ask, NotLeading(str(exc)))
-                return
-            for attempt, part in zip(missing, got.parts, strict=True):
-                if part is not None:
-                    self.bytes.add(attempt, part)
-            self.bytes.sync()
-        stream.send(keeping.Done(ask=message.ask))
-
     async def _repair_copies(self) -> None:
-        """Copies turns whose second holder lost its disk."""
-        members = self.host.group.members.members
-        hosts = [
+        """Copies turns of which too few holders count."""
+        hosts = self._holders()
+        plan = copies.plan(
+            self.host.state.ledger.turns.values(), self._counted(), hosts
+        )
+        for copy in plan:
+            await self._copy(copy)
+
+    def _holders(self) -> list[copies.Holder]:
+        """Returns the hosts that can be asked now, this one included."""
+        us = copies.Holder(
+            self.node.identity,
+            self.address,
+            self.cfg.region,
+            self.cfg.failure_domain,
+        )
+        others = [
             copies.Holder(
                 host.info.node,
                 host.info.address,
@@ -362,64 +378,106 @@
             for host in self.others.connected()
             if host.info is not None
         ]
-        us = copies.Holder(
-            self.node.identity,
-            self.address,
-            self.cfg.region,
-            self.cfg.failure_domain,
-        )
-        plan = copies.plan(
-            self.host.state.ledger.turns.values(),
-            {member.node for member in members},
-            [us, *hosts],
-        )
-        for copy in plan:
-            await self._copy(copy, us)
+        return [us, *others]
+
+    def _counted(self) -> set[str]:
+        """Returns the identities of the hosts whose copies count.
 
-    async def _copy(self, copy: copies.Copy, us: copies.Holder) -> None:
+        A store that stays silent may be gone for good, with its disk; a
+        second loss would then take the last copy.
+        """
+        now_ms = self.clock.now_ms()
+        for host in self.others.connected():
+            if host.info is not None:
+                self._heard_ms[host.info.node] = now_ms
+        counted = {m.node for m in self.host.group.members.members}
+        for store in self.host.state.stores.by_node.values():
+            heard_ms = self._heard_ms.setdefault(store.node, now_ms)
+            if not store.retiring and now_ms - heard_ms < _SILENT_STORE_MS:
+                counted.add(store.node)
+        return counted
+
+    async def _copy(self, copy: copies.Copy) -> None:
         adopt = keeping.Adopt(
             ask=0, attempts=copy.attempts, source=copy.source.address
         )
+        if copy.target.node == self.node.identity:
+            collector = _Collector()
+            await self._turns.adopt(collector, adopt)
+            done = collector.done
+        else:
+            done = await self._have_copied(copy, adopt)
+        if not done:
+            return
+        holders = [*copy.kept, copy.target.node]
+        moved = Moved(attempts=copy.attempts, holders=holders)
+        await self.host.propose(moved, _COMMIT_S)
+        decisions.note(
+            "copied",
+            "",
+            turns=len(copy.attempts),
+            source=copy.source.address,
+            target=copy.target.address,
+        )
+
+    async def _have_copied(
+        self, copy: copies.Copy, adopt: keeping.Adopt
+    ) -> bool:
+        target = self.others.by_node(copy.target.node)
+        if target is None:
+            return False
         try:
-            if copy.target.node == us.node:
-                # Our own link to ourselves doesn't exist; pull directly.
-                stream = _Collector()
-                await self._adopt(stream, adopt)  # type: ignore[arg-type]
-                done = stream.done
-            else:
-                target = self.others.by_node(copy.target.node)
-                if target is None:
-                    return
-                reply = await self.others.ask(
-                    target,
-                    lambda ask: keeping.Adopt(
-                        ask=ask,
-                        attempts=copy.attempts,
-                        source=copy.source.address,
-                    ),
-                    _ADOPT_S,
-                )
-                done = isinstance(reply, keeping.Done)
+            reply = await self.others.ask(
+                target, lambda ask: structs.replace(adopt, ask=ask), COPY_S
+            )
         except PeerLostError as exc:
             log.info("copy failed: %s", exc)
-            return
-        if done:
-            holders = [copy.source.node, copy.target.node]
-            moved = Moved(attempts=copy.attempts, holders=holders)
-            await self.host.propose(moved, _COMMIT_S)
-            decisions.note(
-                "copied",
-                "",
-                turns=len(copy.attempts),
-                source=copy.source.address,
-                target=copy.target.address,
+            return False
+        return isinstance(reply, keeping.Done)
+
+    # Stores.
+
+    async def retire(
+        self, name: str, *, begin: bool
+    ) -> keeping.Retirement | NotLeading:
+        """Has a store emptied, or tells how far that is."""
+        if self.host.may_decide():
+            return await self._retire(name, begin)
+        try:
+            reply: keeping.Retirement = await self.others.ask_leader(
+                lambda ask: keeping.AskRetire(ask=ask, name=name, begin=begin),
+                _COMMIT_S,
             )
+        except PeerLostError as exc:
+            return NotLeading(str(exc))
+        return reply
+
+    async def _retire(
+        self, name: str, begin: bool
+    ) -> keeping.Retirement | NotLeading:
+        stores = self.host.state.stores
+        store = stores.find(name)
+        if store is None:
+            return _retirement(is_known=False)
+        if begin and not store.retiring:
+            if stores.left_without(name) < FEWEST:
+                return _retirement(too_few=True)
+            out = await self.host.propose(Retire(name=name), _COMMIT_S)
+            if isinstance(out, NotLeading):
+                return out
+            self._tell(self._info())
+            decisions.note("retire", "", store=name)
+        turns = self.host.state.ledger.turns.values()
+        held = sum(store.node in turn.holders for turn in turns)
+        return _retirement(is_empty=not held and not self._repairing)
 
     # Telling gateways.
 
     def _info(self) -> keeping.HostInfo:
         known = {m.address for m in self.host.group.members.members}
         known |= set(self.node.known_addresses())
+        stores = self.host.state.stores.by_node.values()
+        known |= {store.address for store in stores}
         return keeping.HostInfo(
             node=self.node.identity,
             address=self.address,
@@ -428,6 +486,7 @@
             known=sorted(known | {self.address}),
             leader=self.host.group.leader,
             term=self.host.group.term,
+            retiring=[store.node for store in stores if store.retiring],
         )
 
     def _routing_now(self) -> keeping.RoutingNow:
@@ -463,6 +522,11 @@
                 GATEWAY_ROLE,
             )
 
+    def _expired(self, attempts: list[str]) -> None:
+        self.bytes.drop(attempts)
+        if self.host.leading:
+            self._tell(keeping.Expired(attempts=attempts), STORE_ROLE)
+
     async def _tick(self) -> None:
         ticks = 0
         while True:
@@ -527,6 +591,14 @@
         self.done = isinstance(reply, keeping.Done)
 
 
+def _retirement(
+    *, is_known: bool = True, too_few: bool = False, is_empty: bool = False
+) -> keeping.Retirement:
+    return keeping.Retirement(
+        ask=0, is_known=is_known, too_few=too_few, is_empty=is_empty
+    )
+
+
 def _stop_at_once(exc: Exception) -> None:
     """Ends the process without another word to anyone.
 
--- a/catkinpin/processes.py
+++ b/catkinpin/processes.py
@@ -21,7 +21,11 @@
     from catkinpin.adapters.gateway.ports import HeaderCodec
     from catkinpin.adapters.http.server import Request, Responder
     from catkinpin.keeper import Keeper
-    from catkinpin.settings import GatewaySettings, KeeperSettings
+    from catkinpin.settings import (
+        GatewaySettings,
+        KeeperSettings,
+        StoreSettings,
+    )
 
     ControlHandler = Callable[
         [Keeper], Callable[[Request, Responder], Awaitable[None]]
@@ -82,6 +86,18 @@
     _run(cfg.name, lambda: Keeper(cfg, control), read_seeds)
 
 
+def run_store(cfg: StoreSettings, read_seeds: Callable[[], list[str]]) -> None:
+    """Runs a store until it is asked to stop.
+
+    Args:
+        cfg: the settings.
+        read_seeds: returns the keepers that the settings name now.
+    """
+    from catkinpin.store import Store
+
+    _run(cfg.name, lambda: Store(cfg), read_seeds)
+
+
 def _run(
     name: str,
     make: Callable[[], Reloading],
--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -225,6 +225,20 @@
     )
 
 
+class StoreSettings(ProcessSettings):
+    """Settings of `catkinpin-store`."""
+
+    data_folder: pathlib.Path = pydantic.Field(
+        default=pathlib.Path("data"),
+        description="Folder for turns' bytes; the only place that is written.",
+    )
+    seeds: list[Address] = pydantic.Field(
+        default=[],
+        min_length=1,
+        description="Peer addresses of some keepers.",
+    )
+
+
 class GatewaySettings(ProcessSettings):
     """Settings of `catkinpin-gateway`."""
 
--- /dev/null
+++ b/catkinpin/store.py
@@ -0,0 +1,153 @@
+"""The store process: turns' bytes, and nothing that is decided."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import uuid
+from typing import TYPE_CHECKING, Any
+
+from catkinpin import decisions, exits
+from catkinpin.adapters import keepers, peers
+from catkinpin.adapters.files import FileOps
+from catkinpin.adapters.identity import Identity
+from catkinpin.adapters.turnbytes import TurnBytes
+from catkinpin.adapters.turnhost import TurnHost
+from catkinpin.core import keeping, messages
+from catkinpin.core.stores import Store as StoreInfo
+from catkinpin.exceptions import PeerLostError
+
+if TYPE_CHECKING:
+    from catkinpin.settings import StoreSettings
+
+log = logging.getLogger(__name__)
+
+ROLE = "store"
+# Registering again costs one message and changes nothing; it finds a leader
+# that was elected with an older state.
+_REGISTER_S = 2.0
+_TICK_S = 0.5
+
+
+class Store:
+    """A store process and its parts."""
+
+    def __init__(self, cfg: StoreSettings) -> None:
+        self.cfg = cfg
+        ops = FileOps()
+        cfg.data_folder.mkdir(parents=True, exist_ok=True)
+        self.identity = Identity(cfg.data_folder, ops).node
+        self._info = StoreInfo(
+            node=self.identity,
+            name=cfg.name,
+            address=cfg.peer_listen,
+            domain=cfg.failure_domain,
+            region=cfg.region,
+        )
+        self.keepers = keepers.Keepers(
+            messages.Hello(
+                process=self.identity,
+                incarnation=uuid.uuid4().hex[:12],
+                role=ROLE,
+                address=cfg.peer_listen,
+                domain=cfg.failure_domain,
+                region=cfg.region,
+            ),
+            self._told,
+        )
+        self._turns = TurnHost(
+            TurnBytes(cfg.data_folder / "turns", ops),
+            self.keepers,
+            _stop_at_once,
+        )
+        self._peers = peers.PeerServer(
+            keeping.ToKeeper, self._on_message, lambda _: None, link="store"
+        )
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def start(self) -> None:
+        """Listens and registers with the keepers."""
+        await self._peers.start(self.cfg.peer_listen)
+        self.keepers.add(self.cfg.seeds)
+        for work in (self._register(), self._tick()):
+            self._spawn(work)
+        decisions.note(
+            "start",
+            "",
+            identity=self.identity,
+            turns=len(self._turns.data.attempts()),
+            seeds=list(self.cfg.seeds),
+        )
+
+    async def stop(self) -> None:
+        """Closes; what was acknowledged lasts."""
+        decisions.note("stop", "")
+        for task in list(self._tasks):
+            task.cancel()
+        await self.keepers.stop()
+        await self._peers.stop()
+        self._turns.data.close()
+
+    def reconfigured(self, seeds: list[str]) -> None:
+        """Takes other seeds while it runs."""
+        decisions.note("reload", "", seeds=seeds)
+        self.keepers.add(seeds)
+
+    def _on_message(self, stream: peers.Stream, message: Any) -> None:
+        match message:
+            case messages.Hello():
+                stream.send(
+                    keeping.HostInfo(
+                        node=self.identity,
+                        address=self.cfg.peer_listen,
+                        domain=self.cfg.failure_domain,
+                        region=self.cfg.region,
+                        known=[],
+                        leader="",
+                        term=0,
+                    )
+                )
+            case keeping.Put():
+                self._turns.put(stream, message)
+            case keeping.Get():
+                self._turns.get(stream, message)
+            case keeping.Adopt():
+                self._spawn(self._turns.adopt(stream, message))
+
+    def _told(self, host: keepers.Host, message: Any) -> None:
+        if isinstance(message, keeping.Expired):
+            self._turns.data.drop(message.attempts)
+
+    async def _register(self) -> None:
+        while True:
+            try:
+                await self.keepers.ask_leader(
+                    lambda ask: keeping.AskRegister(ask=ask, store=self._info),
+                    _REGISTER_S,
+                )
+                await asyncio.sleep(_REGISTER_S)
+            except PeerLostError as exc:
+                log.info("not registered: %s", exc)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self.keepers.tick()
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("a task failed", exc_info=task.exception())
+
+
+def _stop_at_once(exc: Exception) -> None:
+    """Ends the process: what a failed sync left on the disk is not known."""
+    log.critical("%s", exc, exc_info=exc)
+    logging.shutdown()
+    os._exit(exits.STORAGE)
