Found the system without waiting for hosts that join later

Cause: a host that joins belongs to the system as soon as it starts; founders took its word for a system that exists already, and none ever founded. Conclusion: only founders' words count for the founding.

--- a/catkinpin/adapters/founding.py
+++ b/catkinpin/adapters/founding.py
@@ -126,7 +126,9 @@
 
     def needs_repair(self) -> bool:
         """Returns whether the others have state and this replica has none."""
-        known = self._infos.values()
+        # Replicas that join later belong as soon as they start, before there
+        # is anything to belong to; only founders tell of a founded system.
+        known = [i for a, i in self._infos.items() if a in self._founders]
         return not self._identity.belongs and any(i.founded for i in known)
 
     def waits_for(self) -> list[str]:
