Take a server's goodbye that names no birth and no number

Cause: a DELETE has no body, so its birth and number read as 0 and it looked older than all that was known; requests went on reaching servers that leave. Ruled out: slow telling of gateways (they hear of draining within ms).

--- a/catkinpin/adapters/keeperhost.py
+++ b/catkinpin/adapters/keeperhost.py
@@ -74,6 +74,7 @@
         self._tags = (f"{incarnation}.{n}" for n in itertools.count())
         self._waiting: dict[str, _Waiting] = {}
         self._heard_ms: dict[str, int] = {}
+        self._heard_sequence: dict[str, int] = {}
         self._log_base_ms = 0
         self._led_since_ms = 0
 
@@ -171,6 +172,11 @@
         if not self.may_decide():
             return NotLeading("not the leader")
         self._heard_ms[instance.id] = self._clock.now_ms()
+        if instance.state is ServerState.GONE:
+            heard = self._heard_sequence.get(instance.id, 0)
+            instance = self.state.fleet.leaving(instance, heard)
+        else:
+            self._heard_sequence[instance.id] = instance.sequence
         if not self.state.fleet.is_news(instance):
             return None
         out = await self.propose(keeping.Announce(instance=instance), wait_s)
--- a/catkinpin/core/fleet.py
+++ b/catkinpin/core/fleet.py
@@ -74,6 +74,22 @@
             return told.born_ms > known.born_ms
         return known is None or _facts(told) != _facts(known)
 
+    def leaving(self, told: Instance, heard_sequence: int) -> Instance:
+        """Returns the word of a server that goes, as one of its known life.
+
+        Such a word may come without birth and sequence number. Taken as it
+        is, it would look older than all that is known, and change nothing.
+
+        Args:
+            told: what it said.
+            heard_sequence: the newest number heard of it.
+        """
+        known = self.servers.get(told.id)
+        if known is None or told.born_ms:
+            return told
+        newest = max(known.sequence, heard_sequence)
+        return _with_state(known, told.state, known.born_ms, newest + 1)
+
     def apply(self, told: Instance) -> list[Instance]:
         """Takes an announcement; returns what changed, in order."""
         if not self.is_news(told):
