Pack routing documents and fetch each from one keeper

Cause: a document of thousands of routes went whole from five keepers to each gateway, and again at each reconnect; the link between regions was full for seconds, heartbeats waited behind it and no leader kept its lease. Ruled out: a slow election (1.0 s after the start in the same log).

--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -37,6 +37,8 @@
         self._clock = clock
         self._on_gone = on_gone
         self._is_current = False
+        # Newest version of which a keeper knew that there was none newer.
+        self._current = -1
         self._index = 0
 
     @property
@@ -47,7 +49,7 @@
         by its word a route that was removed long ago would be served again.
         So it waits for one that knows the newest.
         """
-        return self._is_current and self.table is not None
+        return self._is_current
 
     @property
     def version(self) -> int:
@@ -63,14 +65,14 @@
                 self._take_fleet(message)
 
     def _take_routing(self, message: keeping.RoutingNow) -> None:
-        routing = message.routing
-        if routing is not None and routing.version > self.version:
-            self._replace(routing)
-        known = routing.version if routing is not None else -1
-        if message.is_current and known >= self.version:
-            self._is_current = True
+        if message.is_current:
+            self._current = max(self._current, message.version)
+            self._settle()
 
-    def _replace(self, routing: Routing) -> None:
+    def replace(self, routing: Routing) -> None:
+        """Takes a routing document; one that is not newer changes nothing."""
+        if routing.version <= self.version:
+            return
         before = self.version
         self.table = RouteTable(routing)
         self.changed_ms = self._clock.now_ms()
@@ -81,6 +83,15 @@
             before=before,
             routes=len(routing.routes),
         )
+        self._settle()
+
+    def _settle(self) -> None:
+        """Starts to serve once the routes are the newest; for good.
+
+        A newer version that is still being fetched stops nothing.
+        """
+        if 0 <= self._current <= self.version:
+            self._is_current = True
 
     def _take_fleet(self, message: keeping.FleetNow) -> None:
         for told in message.instances:
--- a/catkinpin/adapters/keeperhost.py
+++ b/catkinpin/adapters/keeperhost.py
@@ -23,7 +23,7 @@
 
     from catkinpin.adapters.groups import Group
     from catkinpin.clock import Clock
-    from catkinpin.core.routes import Routing
+    from catkinpin.core.routes import PackedRouting
 
 log = logging.getLogger(__name__)
 
@@ -155,7 +155,7 @@
         return out
 
     async def set_routing(
-        self, routing: Routing, wait_s: float
+        self, routing: PackedRouting, wait_s: float
     ) -> NotLeading | None:
         """Puts a document in force; one that is not newer changes nothing."""
         if not self.may_decide():
--- a/catkinpin/core/keeping.py
+++ b/catkinpin/core/keeping.py
@@ -21,7 +21,7 @@
     Outcome,
 )
 from catkinpin.core.messages import Hello, Ping
-from catkinpin.core.routes import Routing
+from catkinpin.core.routes import PackedRouting
 from catkinpin.core.stores import Register, Retire, Store, Stores
 
 if TYPE_CHECKING:
@@ -31,7 +31,7 @@
 class SetRouting(Message, frozen=True):
     """Puts a routing document in force where its version is higher."""
 
-    routing: Routing
+    routing: PackedRouting
 
 
 class Announce(Message, frozen=True):
@@ -54,7 +54,7 @@
 class KeeperState(Message, frozen=True):
     """Content of a snapshot."""
 
-    routing: Routing | None
+    routing: PackedRouting | None
     instances: list[Instance]
     ledger: LedgerState
     stores: list[Store]
@@ -89,14 +89,15 @@
 
 
 class RoutingNow(Message, frozen=True):
-    """The routing document in force, to all gateways.
+    """Says which routing document is in force, to all gateways.
 
     Attributes:
+        version: -1 for none.
         is_current: whether the keeper knows that there is no newer one that
             was acknowledged.
     """
 
-    routing: Routing | None
+    version: int
     is_current: bool
 
 
@@ -130,13 +131,19 @@
     """Asks the leader to put a routing document in force."""
 
     ask: int
-    routing: Routing
+    routing: PackedRouting
 
 
 class AskCurrent(Message, frozen=True):
-    """Asks the leader for the routing document in force."""
+    """Asks for the routing document in force.
+
+    Attributes:
+        from_leader: whether only the leader may answer, which knows that
+            there is no newer one.
+    """
 
     ask: int
+    from_leader: bool = True
 
 
 class AskAnnounce(Message, frozen=True):
@@ -242,7 +249,7 @@
     """Answers `AskCurrent`."""
 
     ask: int
-    routing: Routing | None
+    routing: PackedRouting | None
 
 
 class Got(Message, frozen=True):
@@ -300,7 +307,7 @@
         on_fleet: Callable[[list[Instance]], None] = lambda _: None,
         on_expired: Callable[[list[str]], None] = lambda _: None,
     ) -> None:
-        self.routing: Routing | None = None
+        self.routing: PackedRouting | None = None
         self.fleet = Fleet()
         self.ledger = Ledger()
         self.stores = Stores()
--- a/catkinpin/core/routes.py
+++ b/catkinpin/core/routes.py
@@ -7,13 +7,18 @@
 from __future__ import annotations
 
 import enum
+import zlib
 from typing import TYPE_CHECKING
 
+from catkinpin import codec
 from catkinpin.codec import Message
 
 if TYPE_CHECKING:
     import random
 
+# Fast; the names in a document repeat so often that more effort gains little.
+_COMPRESSION = 3
+
 
 class RouteKind(enum.StrEnum):
     """What a route's requests are, and so what may be repeated."""
@@ -116,6 +121,33 @@
     source: bytes = b""
 
 
+class PackedRouting(Message, frozen=True):
+    """A routing document as it is stored and sent.
+
+    A document of thousands of routes takes a megabyte. Sent as it is by each
+    keeper to each gateway it fills the link between regions for seconds: the
+    heartbeats wait behind it, and leaders lose their lease.
+
+    Attributes:
+        data: the document, encoded and compressed; a tenth of its size.
+    """
+
+    version: int
+    data: bytes
+
+
+def pack(routing: Routing) -> PackedRouting:
+    """Returns a document for storing and sending."""
+    data = zlib.compress(codec.encode(routing), _COMPRESSION)
+    return PackedRouting(version=routing.version, data=data)
+
+
+def unpack(packed: PackedRouting) -> Routing:
+    """Returns a packed document."""
+    found: Routing = _decoder.decode(zlib.decompress(packed.data))
+    return found
+
+
 class RouteTable:
     """Finds the route of a request."""
 
@@ -144,6 +176,9 @@
     return rng.choices(route.shares, weights)[0].service
 
 
+_decoder = codec.decoder(Routing)
+
+
 def problems(routing: Routing) -> list[str]:
     """Returns everything that makes a document invalid, empty if nothing."""
     found = []
--- a/catkinpin/gateway.py
+++ b/catkinpin/gateway.py
@@ -6,16 +6,17 @@
 import logging
 import random
 import uuid
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from catkinpin import clock, decisions
 from catkinpin.adapters import keepers
+from catkinpin.adapters.gateway.routefetch import RouteFetch
 from catkinpin.adapters.gateway.serving import Serving
 from catkinpin.adapters.gateway.turns import Turns
 from catkinpin.adapters.gateway.view import View
 from catkinpin.adapters.http.client import Pool
 from catkinpin.adapters.http.server import HttpServer, ServerLimits
-from catkinpin.core import messages
+from catkinpin.core import keeping, messages
 from catkinpin.core.balance import Balancer
 from catkinpin.keeper import GATEWAY_ROLE
 
@@ -32,6 +33,8 @@
 # Without any keeper for so long this gateway can begin no turn; callers do
 # better elsewhere. Longer than an election or a keeper's restart.
 _ALONE_MS = 2_000
+# Left of a stop's time for closing once nothing is in flight.
+_CLOSE_MS = 200
 
 
 class Gateway:
@@ -64,7 +67,7 @@
                 domain=cfg.failure_domain,
                 region=cfg.region,
             ),
-            lambda _, message: self.view.take(message),
+            self._told,
         )
         self._turns = Turns(
             self.keepers, cfg.region, cfg.failure_domain, cfg.cache_bytes
@@ -83,14 +86,18 @@
         self._stopping = False
         self._met_ms = self.clock.now_ms()
         self._was_ready = False
-        self._task: asyncio.Task[None] | None = None
+        self._routes = RouteFetch(self.keepers, self.view, cfg.region)
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Listens and connects to the keepers."""
         await self._ready.start(self.cfg.ready_listen)
         await self.server.start(self.cfg.listen)
         self.keepers.add(self.cfg.seeds)
-        self._task = asyncio.create_task(self._tick())
+        self._tasks = [
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self._routes.run()),
+        ]
         decisions.note(
             "start", "", listen=self.cfg.listen, seeds=list(self.cfg.seeds)
         )
@@ -100,7 +107,7 @@
         decisions.note("stop", "", in_flight=self.server.busy())
         self._stopping = True
         loop = asyncio.get_running_loop()
-        until = loop.time() + self.cfg.stop_timeout_ms / _MS
+        until = loop.time() + (self.cfg.stop_timeout_ms - _CLOSE_MS) / _MS
         self.server.close_when_answered()
         # New connections still come until the balancer has asked twice; one
         # that is refused costs its caller a try.
@@ -114,8 +121,8 @@
         decisions.note("stopped", "", cut=self.server.busy())
         await self.server.stop()
         await self._ready.stop()
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
         await self.keepers.stop()
 
     def reconfigured(self, seeds: list[str]) -> None:
@@ -133,6 +140,11 @@
             return "no keeper can be reached"
         return ""
 
+    def _told(self, host: keepers.Host, message: Any) -> None:
+        self.view.take(message)
+        if isinstance(message, keeping.RoutingNow):
+            self._routes.announced(host, message)
+
     async def _answer_ready(
         self, request: Request, responder: Responder
     ) -> None:
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -24,7 +24,7 @@
 from catkinpin.adapters.keeperhost import NotLeading
 from catkinpin.adapters.turnbytes import TurnBytes
 from catkinpin.adapters.turnhost import COPY_S, TurnHost
-from catkinpin.core import copies, keeping, messages
+from catkinpin.core import copies, keeping, messages, routes
 from catkinpin.core.ledger import Moved
 from catkinpin.core.stores import FEWEST, Register, Retire
 from catkinpin.exceptions import PeerLostError, StorageError
@@ -173,8 +173,9 @@
             return str(exc)
         return ""
 
-    async def set_routing(self, routing: Routing) -> str:
+    async def set_routing(self, told: Routing) -> str:
         """Puts routes in force; returns why not, or an empty string."""
+        routing = routes.pack(told)
         out = await self.host.set_routing(routing, _COMMIT_S)
         why = ""
         if out is not None:
@@ -196,16 +197,16 @@
 
     async def current_routing(self) -> Routing | NotLeading | None:
         """Returns the newest routes that were acknowledged."""
-        if self.host.may_decide():
-            return self.host.state.routing
-        try:
-            reply = await self.others.ask_leader(
-                lambda ask: keeping.AskCurrent(ask=ask), _COMMIT_S
-            )
-        except PeerLostError as exc:
-            return NotLeading(str(exc))
-        routing: Routing | None = reply.routing
-        return routing
+        packed = self.host.state.routing
+        if not self.host.may_decide():
+            try:
+                reply = await self.others.ask_leader(
+                    lambda ask: keeping.AskCurrent(ask=ask), _COMMIT_S
+                )
+            except PeerLostError as exc:
+                return NotLeading(str(exc))
+            packed = reply.routing
+        return routes.unpack(packed) if packed is not None else None
 
     @property
     def leader(self) -> str:
@@ -331,7 +332,7 @@
     def _tell_current(
         self, stream: peers.Stream, message: keeping.AskCurrent
     ) -> None:
-        if not self.host.may_decide():
+        if message.from_leader and not self.host.may_decide():
             self._reply(stream, message.ask, NotLeading("not the leader"))
             return
         routing = self.host.state.routing
@@ -491,7 +492,7 @@
 
     def _routing_now(self) -> keeping.RoutingNow:
         return keeping.RoutingNow(
-            routing=self.host.state.routing,
+            version=self.host.state.version,
             is_current=self.host.group.is_current(),
         )
 
--- a/catkinpin/processes.py
+++ b/catkinpin/processes.py
@@ -24,6 +24,7 @@
     from catkinpin.settings import (
         GatewaySettings,
         KeeperSettings,
+        ProcessSettings,
         StoreSettings,
     )
 
@@ -35,6 +36,7 @@
 
 # Settings may change without a signal; a read of a small file costs little.
 _SETTINGS_EVERY_S = 2.0
+_MS = 1_000
 
 
 class Reloading(Protocol):
@@ -66,7 +68,7 @@
     """
     from catkinpin.gateway import Gateway
 
-    _run(cfg.name, lambda: Gateway(cfg, regions, codec), read_seeds)
+    _run(cfg, lambda: Gateway(cfg, regions, codec), read_seeds)
 
 
 def run_keeper(
@@ -83,7 +85,7 @@
     """
     from catkinpin.keeper import Keeper
 
-    _run(cfg.name, lambda: Keeper(cfg, control), read_seeds)
+    _run(cfg, lambda: Keeper(cfg, control), read_seeds)
 
 
 def run_store(cfg: StoreSettings, read_seeds: Callable[[], list[str]]) -> None:
@@ -95,30 +97,29 @@
     """
     from catkinpin.store import Store
 
-    _run(cfg.name, lambda: Store(cfg), read_seeds)
+    _run(cfg, lambda: Store(cfg), read_seeds)
 
 
 def _run(
-    name: str,
+    cfg: ProcessSettings,
     make: Callable[[], Reloading],
     read_seeds: Callable[[], list[str]],
 ) -> None:
     logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
-    decisions.set_up(name)
+    decisions.set_up(cfg.name)
     # What was loaded stays for good; collections need not look at it.
     gc.freeze()
     try:
-        uvloop.run(_serve(make, read_seeds))
+        uvloop.run(_serve(cfg, make, read_seeds))
     except CatkinpinError as exc:
         log.critical("%s", exc)
         sys.exit(exits.STORAGE)
-    # Nothing is left to write; a second of interpreter shutdown would count
-    # against the time that a stop may take.
-    os._exit(0)
 
 
 async def _serve(
-    make: Callable[[], Reloading], read_seeds: Callable[[], list[str]]
+    cfg: ProcessSettings,
+    make: Callable[[], Reloading],
+    read_seeds: Callable[[], list[str]],
 ) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -133,7 +134,14 @@
             await asyncio.wait_for(stop.wait(), _SETTINGS_EVERY_S)
         except TimeoutError:
             reload.now()
-    await process.stop()
+    try:
+        await asyncio.wait_for(process.stop(), cfg.stop_timeout_ms / _MS)
+    except TimeoutError:
+        decisions.note("stopped", "", outcome="cut", reason="took too long")
+        os._exit(exits.CUT)
+    # Nothing is left to write; an orderly end of the interpreter would only
+    # take from the time that a stop may take.
+    os._exit(exits.OK)
 
 
 class _Reload:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -23,6 +23,8 @@
 
 
 class LeavingTest(testtools.TestCase):
+    """Servers that go, return and change places."""
+
     def test_goodbye_without_birth_or_number_ends_the_known_life(self) -> None:
         """A server says that it goes and gives nothing but its id.
 
