--- /dev/null
+++ b/tests/test_copies.py
@@ -0,0 +1,82 @@
+"""Which turns are copied after a loss."""
+
+from __future__ import annotations
+
+import testtools
+
+from catkinpin.core import copies
+from catkinpin.core.copies import Holder
+from catkinpin.core.ledger import Turn
+
+
+def _turn(number: int, holders: list[str], size: int = 1_000) -> Turn:
+    return Turn(
+        attempt=f"t{number}",
+        program="p",
+        previous="",
+        holders=holders,
+        size=size,
+        until_ms=0,
+    )
+
+
+def _host(node: str, region: str = "r", domain: str = "") -> Holder:
+    return Holder(node, f"{node}:1", region, domain or node)
+
+
+class PlanTest(testtools.TestCase):
+    """Plans of copies."""
+
+    def test_turns_of_a_lost_disk_get_a_second_copy_again(self) -> None:
+        """A store comes back with an empty disk, as a new identity.
+
+        Its turns have one copy left; the next lost disk would take them.
+        """
+        turns = [_turn(n, ["lost", "a"]) for n in range(5)]
+        turns += [_turn(9, ["a", "b"])]
+        hosts = [_host("a"), _host("b"), _host("new")]
+        plan = copies.plan(turns, {"a", "b", "new"}, hosts)
+        copied = {t for copy in plan for t in copy.attempts}
+        self.assertEqual({f"t{n}" for n in range(5)}, copied)
+        for copy in plan:
+            self.assertEqual("a", copy.source.node)
+            self.assertEqual(("a",), copy.kept)
+            self.assertNotEqual("a", copy.target.node)
+
+    def test_load_of_a_repair_is_spread_over_the_targets(self) -> None:
+        """Everything of a lost store is copied at once.
+
+        Sent to one target it would take as long as that one disk needs.
+        """
+        turns = [_turn(n, ["lost", "a"], 1_000) for n in range(20)]
+        hosts = [_host(n) for n in ("a", "b", "c")]
+        plan = copies.plan(turns, {"a", "b", "c"}, hosts)
+        sizes = {copy.target.node: copy.size for copy in plan}
+        self.assertEqual({"b": 10_000, "c": 10_000}, sizes)
+
+    def test_host_to_be_emptied_gives_its_turns_but_counts_no_more(
+        self,
+    ) -> None:
+        """An operator has a store emptied, whose turns' other holder is down.
+
+        It can still be read from, but must not stay among the holders: it is
+        taken away as soon as it is said to be empty.
+        """
+        turns = [_turn(1, ["leaving", "down"])]
+        hosts = [_host("leaving"), _host("a")]
+        (copy,) = copies.plan(turns, {"a", "down"}, hosts)
+        self.assertEqual("leaving", copy.source.node)
+        self.assertEqual("a", copy.target.node)
+        self.assertEqual(("down",), copy.kept)
+
+    def test_copies_stay_in_the_region_where_they_can(self) -> None:
+        """Both regions have room; the link between them is narrow."""
+        turns = [_turn(1, ["lost", "a"])]
+        hosts = [_host("a"), _host("far", "other"), _host("near")]
+        (copy,) = copies.plan(turns, {"a", "far", "near"}, hosts)
+        self.assertEqual("near", copy.target.node)
+
+    def test_nothing_is_copied_where_nothing_can_be_read(self) -> None:
+        """Both holders are out of reach for a while."""
+        plan = copies.plan([_turn(1, ["x", "y"])], {"y"}, [_host("a")])
+        self.assertEqual([], plan)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,166 @@
+"""Budgets and trees of turns."""
+
+from __future__ import annotations
+
+import msgspec
+import testtools
+
+from catkinpin import codec
+from catkinpin.core.ledger import (
+    Begin,
+    Denial,
+    Finish,
+    Ledger,
+    LedgerState,
+)
+
+_RETAIN_MS = 60_000
+
+
+def _begin(attempt: str, **changes: object) -> Begin:
+    plain = Begin(
+        attempt=attempt,
+        program="p",
+        previous="",
+        budget=1_000,
+        most=300,
+        retain_ms=_RETAIN_MS,
+        at_ms=0,
+    )
+    return msgspec.structs.replace(plain, **changes)
+
+
+def _finish(attempt: str, **changes: object) -> Finish:
+    plain = Finish(
+        attempt=attempt,
+        program="p",
+        tokens=100,
+        is_whole=True,
+        holders=["h1", "h2"],
+        size=10,
+        at_ms=0,
+    )
+    return msgspec.structs.replace(plain, **changes)
+
+
+class BudgetTest(testtools.TestCase):
+    """What a program may generate."""
+
+    def test_turns_side_by_side_cannot_overspend(self) -> None:
+        """Sub-agents begin turns at once, through gateways far apart.
+
+        Counted only at their end they would all begin, and the program would
+        be billed for far more than its budget.
+        """
+        ledger = Ledger()
+        denials = [ledger.begin(_begin(f"t{n}")).denial for n in range(6)]
+        begun = denials.count(Denial.NONE)
+        self.assertEqual(4, begun)
+        # At most one turn over the budget, whatever they generate.
+        self.assertLessEqual(begun * 300, 1_000 + 300)
+        self.assertEqual(Denial.BUDGET_SPENT, denials[-1])
+
+    def test_reserve_that_was_not_used_is_given_back(self) -> None:
+        """A turn breaks off early; what it didn't generate is free again.
+
+        Without this a program with budget left would be told that it is
+        spent.
+        """
+        ledger = Ledger()
+        for n in range(4):
+            ledger.begin(_begin(f"t{n}"))
+        ledger.finish(_finish("t0", tokens=0, is_whole=False))
+        self.assertEqual(Denial.NONE, ledger.begin(_begin("t9")).denial)
+
+    def test_resent_begin_and_finish_count_once(self) -> None:
+        """A leader dies after it acted; the gateway asks the next the same.
+
+        Counted twice, the program would run out of a budget it has.
+        """
+        ledger = Ledger()
+        for _ in range(5):
+            self.assertEqual(Denial.NONE, ledger.begin(_begin("t0")).denial)
+        for _ in range(5):
+            ledger.finish(_finish("t0", tokens=300))
+        for n in range(1, 4):
+            denial = ledger.begin(_begin(f"t{n}")).denial
+            self.assertEqual(Denial.NONE, denial)
+
+    def test_spent_budget_outlives_the_programs_turns(self) -> None:
+        """A program that was stopped comes back just within its retention.
+
+        Forgotten by then, it would begin with a whole budget again, and a
+        loop without end would never be stopped.
+        """
+        ledger = Ledger()
+        for n in range(4):
+            ledger.begin(_begin(f"t{n}"))
+            ledger.finish(_finish(f"t{n}", tokens=300))
+        late = _begin("late", at_ms=_RETAIN_MS - 1)
+        self.assertEqual(Denial.BUDGET_SPENT, ledger.begin(late).denial)
+
+
+class ChainTest(testtools.TestCase):
+    """Which turns can be continued."""
+
+    def _chain(self) -> Ledger:
+        ledger = Ledger()
+        for name, previous in (("a", ""), ("b", "a"), ("c", "b"), ("d", "a")):
+            begin = _begin(name, previous=previous, budget=-1)
+            self.assertEqual(Denial.NONE, ledger.begin(begin).denial)
+            ledger.finish(_finish(name))
+        return ledger
+
+    def test_chain_is_told_from_its_oldest_turn(self) -> None:
+        """Several turns continue the same one; each has its own line."""
+        ledger = self._chain()
+        chain = ledger.chain("c")
+        assert chain is not None
+        self.assertEqual(["a", "b", "c"], [link.attempt for link in chain])
+        side = ledger.chain("d")
+        assert side is not None
+        self.assertEqual(["a", "d"], [link.attempt for link in side])
+
+    def test_turn_that_never_ended_cannot_be_continued(self) -> None:
+        """A caller names a turn that broke off.
+
+        Continued, the server would get a history that no caller ever had.
+        """
+        ledger = self._chain()
+        ledger.begin(_begin("e", previous="c", budget=-1))
+        ledger.finish(_finish("e", is_whole=False))
+        out = ledger.begin(_begin("f", previous="e", budget=-1))
+        self.assertEqual(Denial.NO_SUCH_TURN, out.denial)
+
+    def test_old_turn_stays_as_long_as_its_chain(self) -> None:
+        """A long session goes on past the retention of its first turn.
+
+        Dropped by its own age, the first turn would be missing from the
+        prompt of the newest.
+        """
+        ledger = self._chain()
+        at = _RETAIN_MS - 1_000
+        ledger.begin(_begin("g", previous="c", budget=-1, at_ms=at))
+        ledger.finish(_finish("g", at_ms=at))
+        at += _RETAIN_MS - 1_000
+        out = ledger.begin(_begin("h", previous="g", budget=-1, at_ms=at))
+        self.assertEqual(Denial.NONE, out.denial)
+        self.assertEqual(4, len(out.chain))
+        self.assertNotIn("d", ledger.turns)
+
+    def test_restored_state_expires_at_the_same_record(self) -> None:
+        """A replica starts from a snapshot between two sweeps.
+
+        Would it sweep at another record than the others, it would deny a turn
+        that they allow, and their states would part for good.
+        """
+        ledger = self._chain()
+        ledger.begin(_begin("x", budget=-1, at_ms=61_500))
+        state = codec.encode(ledger.state())
+        other = Ledger()
+        other.restore(codec.decoder(LedgerState).decode(state))
+        for at in range(61_600, 64_000, 150):
+            begin = _begin(f"n{at}", previous="c", budget=-1, at_ms=at)
+            mine, theirs = ledger.begin(begin), other.begin(begin)
+            self.assertEqual(mine, theirs)
+            self.assertEqual(set(ledger.turns), set(other.turns))
