Weigh what a request costs the others; refuse late ones while stopping

Now: what it costs those beside it counts too. Cause: with two of three hosts of a domain stopping the balancer sends on to all; a request taken 5.8 s after SIGTERM was cut at its end. Now it is refused as not run.

--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -61,6 +61,7 @@
 # When to come back, in s: an election, and a queue that empties.
 _RETRY_LEADER_S = 0.3
 _RETRY_FULL_S = 0.15
+_RETRY_ELSEWHERE_S = 0.02
 # Connections that are open to one server besides those that answer.
 _SPARE_CONNECTIONS = 2
 
@@ -116,7 +117,11 @@
 
 
 class Serving:
-    """Serves requests through one gateway."""
+    """Serves requests through one gateway.
+
+    Attributes:
+        is_closing: whether requests that come now are refused, not run.
+    """
 
     def __init__(
         self,
@@ -136,6 +141,7 @@
         self._clock = clock
         self._share = connections_share
         self._rng = random.Random()
+        self.is_closing = False
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answers one request."""
@@ -155,6 +161,11 @@
 
     async def _serve(self, request: Request, responder: Responder) -> None:
         call = self._codec.call(request.headers)
+        if self.is_closing:
+            # Another gateway has the time that this one no longer has; cut
+            # off at the end, the request would have run for nothing.
+            self._refuse(responder, call, 503, "stopping", _RETRY_ELSEWHERE_S)
+            return
         if not self._view.serves or self._view.table is None:
             self._refuse(responder, call, 503, "no routes known yet", 0.5)
             return
--- a/catkinpin/core/balance.py
+++ b/catkinpin/core/balance.py
@@ -4,9 +4,12 @@
 load that servers tell in their answers, what it has sent since, which prompt
 parts it has sent where, and which servers failed. It answers two patterns.
 
-Long shared prompts: reading 12,600 shared tokens takes some 87 ms, as long as
-a whole short answer. A request goes where its parts were read, unless the
-queue there costs more than reading them again.
+Long shared prompts: reading 12,600 shared tokens takes some 87 ms, and all
+answers that run on that engine wait for it. So what a request costs the others
+counts like what it costs itself: a request goes where its parts were read,
+unless the queue there is worse than reading them again for all. Weighed by its
+own latency alone, work spread under load, half as much again was read, and
+every answer got slower.
 
 Many gateways that decide at once: the load that an answer tells is old when it
 is used. Picking the least loaded would send all gateways to the same server.
@@ -28,18 +31,25 @@
     from catkinpin.core.calls import Load, PromptPart, RouteCall
     from catkinpin.core.fleet import Instance
 
-# Tokens of a prompt that an engine reads in a ms. Both users' engines do 145
-# to 147 alone; the batch they run beside slows them.
-_PREFILL_PER_MS = 120.0
-# What one more running request adds for the others and itself, in ms: a step
-# of 64 requests takes 0.87 + 64 x 0.04 ms, an answer some 250 steps.
-_BESIDE_MS = 4.0
-# What a request that waits for a slot costs, in ms: half of an answer.
-_QUEUED_MS = 60.0
+# Tokens of a prompt that an engine reads in a ms; both users' do 145 to 147.
+_PREFILL_PER_MS = 145.0
+# What a token takes on an idle engine, and what each request that runs beside
+# adds to it, in ms. Both users' engines take 0.87 to 1.08 and 0.04: with 60 of
+# 64 slots taken an answer of 250 tokens lasts 0.8 s in place of 0.2 s.
+_TOKEN_MS = 0.95
+_BESIDE_MS = 0.04
+# What a request to a plain service takes, and one more beside it adds, in ms.
+# Both users' services take 20 to 87 on average.
+_PLAIN_MS = 50.0
+# Answers come to about half of the most that they may generate.
+_PART_OF_MOST = 0.5
+_PLAIN_BESIDE_MS = 2.0
+# What a server that had the same session saves, in ms: half of a plain call.
+_AFFINE_MS = 25.0
 # Way to a server in another failure domain of the region, and in another
 # region, there and back, in ms. Bytes between regions cost besides.
 _DOMAIN_MS = 3.0
-_REGION_MS = 40.0
+_REGION_MS = 24.0
 # Load that was told longer ago says nothing any more.
 _LOAD_OLD_MS = 1_500
 # Costs this near are drawn by lot.
@@ -209,7 +219,8 @@
 
     def is_full(self, instance: Instance, now_ms: int) -> bool:
         """Returns whether all slots of a server seem taken."""
-        return self._queued(instance, self._of(instance), now_ms) > 0
+        server = self._of(instance)
+        return self._running(server, now_ms) >= self._slots(instance, server)
 
     def _is_ejected(self, instance: Instance, now_ms: int) -> bool:
         return self._of(instance).ejected_until_ms > now_ms
@@ -228,12 +239,17 @@
         cached = _cached(server, call.prompt)
         wanted = sum(part.tokens for part in call.prompt)
         running = self._running(server, now_ms)
-        cost = (wanted - cached) / _PREFILL_PER_MS
-        cost += running * _BESIDE_MS * _pace(instance)
-        cost += self._queued(instance, server, now_ms) * _QUEUED_MS
-        cost += self._way_ms(instance)
+        slots = self._slots(instance, server)
+        beside = min(running, slots - 1)
+        queued = max(0, running + 1 - slots)
+        prefill = (wanted - cached) / _PREFILL_PER_MS
+        wait = queued * _work_ms(call, slots) / slots
+        own = wait + prefill + _work_ms(call, beside) + self._way_ms(instance)
+        others = beside * (prefill + _beside_ms(call))
+        others += queued * (prefill + _work_ms(call, beside)) / slots
+        cost = own + others
         if call.affinity and self._affinity.get(call.affinity) == instance.id:
-            cost -= _QUEUED_MS / 2
+            cost -= _AFFINE_MS
         age = now_ms - server.load_at_ms if server.load is not None else -1
         return Choice(instance, cost, cached, age)
 
@@ -244,9 +260,9 @@
         told = load.running + load.waiting + server.since
         return max(server.sent, told)
 
-    def _queued(self, instance: Instance, server: _Server, now_ms: int) -> int:
+    def _slots(self, instance: Instance, server: _Server) -> int:
         slots = server.load.slots if server.load else instance.slots
-        return max(0, self._running(server, now_ms) + 1 - max(slots, 1))
+        return max(slots, 1)
 
     def _way_ms(self, instance: Instance) -> float:
         if instance.domain == self._domain:
@@ -257,9 +273,19 @@
         return _REGION_MS
 
 
-def _pace(instance: Instance) -> float:
-    """Returns how much one more request weighs on a server of that size."""
-    return min(1.0, 12.0 / max(instance.slots, 1))
+def _work_ms(call: RouteCall, beside: int) -> float:
+    """Returns how long a request runs beside others."""
+    if call.most_tokens:
+        tokens = call.most_tokens * _PART_OF_MOST
+        return tokens * (_TOKEN_MS + _BESIDE_MS * beside)
+    return _PLAIN_MS + _PLAIN_BESIDE_MS * beside
+
+
+def _beside_ms(call: RouteCall) -> float:
+    """Returns how much longer each request beside it takes for it."""
+    if call.most_tokens:
+        return call.most_tokens * _PART_OF_MOST * _BESIDE_MS
+    return _PLAIN_BESIDE_MS
 
 
 def _cached(server: _Server, prompt: tuple[PromptPart, ...]) -> int:
--- a/catkinpin/gateway.py
+++ b/catkinpin/gateway.py
@@ -72,7 +72,7 @@
         self._turns = Turns(
             self.keepers, cfg.region, cfg.failure_domain, cfg.cache_bytes
         )
-        serving = Serving(
+        self._serving = Serving(
             self.view,
             self._balancer,
             self._pool,
@@ -81,7 +81,7 @@
             self.clock,
             cfg.gateways_expected,
         )
-        self.server = HttpServer(serving.handle, self._limits)
+        self.server = HttpServer(self._serving.handle, self._limits)
         self._ready = HttpServer(self._answer_ready)
         self._stopping = False
         self._met_ms = self.clock.now_ms()
@@ -112,6 +112,7 @@
         # New connections still come until the balancer has asked twice; one
         # that is refused costs its caller a try.
         await asyncio.sleep(self.cfg.balancer_wait_ms / _MS)
+        self._serving.is_closing = True
         while loop.time() < until and (
             self.server.busy() or self._turns.unsettled
         ):
