Count a retiring store's copy until another one is made

Now: such a turn is taken; the store is empty once no turn names it, each has two other holders, and 2 s have passed for what was under way.

--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -53,6 +53,9 @@
 # A store silent for so long counts as lost until it is heard again. Hosts that
 # restart or thaw are back before.
 _SILENT_STORE_MS = 5_000
+# From the word that a store is to be emptied to the last turn settled by a
+# gateway that had not heard it: a store's answer and a leader's.
+_SETTLE_MS = 2_000
 
 
 class Keeper:
@@ -116,6 +119,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._turns = TurnHost(self.bytes, self.others, _stop_at_once)
         self._heard_ms: dict[str, int] = {}
+        self._retiring_ms: dict[str, int] = {}
         self._stopping = False
         self._repairing = False
         self._was_current = False
@@ -313,16 +317,6 @@
     async def _finish(
         self, stream: peers.Stream, message: keeping.AskFinish
     ) -> None:
-        stores = self.host.state.stores.by_node
-        if any(
-            store.retiring
-            for node in message.finish.holders
-            if (store := stores.get(node)) is not None
-        ):
-            # It may be taken away at any moment; its copy would not count.
-            refusal = NotLeading("a holder is to be emptied")
-            self._reply(stream, message.ask, refusal)
-            return
         out = await self.host.propose(
             structs.replace(message.finish, at_ms=self.host.log_ms()), _COMMIT_S
         )
@@ -468,9 +462,24 @@
                 return out
             self._tell(self._info())
             decisions.note("retire", "", store=name)
-        turns = self.host.state.ledger.turns.values()
-        held = sum(store.node in turn.holders for turn in turns)
-        return _retirement(is_empty=not held and not self._repairing)
+        return _retirement(is_empty=self._is_empty(store))
+
+    def _is_empty(self, store: Store) -> bool:
+        """Returns whether a retiring store can go, with its disk.
+
+        Gateways that stored there before they heard of it settle their turns
+        a little later; these count on its copy until another one is made.
+        """
+        now_ms = self.clock.now_ms()
+        since_ms = self._retiring_ms.setdefault(store.node, now_ms)
+        if now_ms - since_ms < _SETTLE_MS:
+            return False
+        counted = self._counted()
+        return not any(
+            store.node in turn.holders
+            or sum(node in counted for node in turn.holders) < copies.COPIES
+            for turn in self.host.state.ledger.turns.values()
+        )
 
     # Telling gateways.
 
