Serve turns by what is left of their program's time

Cause: under overload turns were served in the order in which they came; a burst of seconds left a backlog of half a minute in which nearly all were late. Open: the time left never reads below 0, so hopeless programs look late only.

--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -18,7 +18,7 @@
 from catkinpin.adapters.gateway.ports import Sending
 from catkinpin.adapters.gateway.turns import Started, Unknown
 from catkinpin.adapters.http.client import Failure
-from catkinpin.core import routes
+from catkinpin.core import routes, urgency
 from catkinpin.core.events import EventReader
 from catkinpin.core.ledger import Denial
 from catkinpin.core.routes import RouteKind
@@ -99,6 +99,7 @@
         sent_to: servers that it was sent to.
         tokens: handed to the caller.
         reason: why the last try failed.
+        urgency: to a model server.
     """
 
     call: RouteCall
@@ -113,6 +114,7 @@
     runs: int = 0
     tokens: int = 0
     reason: str = ""
+    urgency: int = urgency.USUAL
     choice: Choice | None = None
 
 
@@ -315,6 +317,9 @@
             self._refuse(work.responder, work.call, 402, "the budget is spent")
             return
         assert isinstance(began, Started)
+        work.urgency = urgency.of_turn(
+            work.call.program_left_ms, began.allowed_ms
+        )
         is_settled = False
         try:
             is_settled = await self._stream(work, began.history)
@@ -524,7 +529,10 @@
     ) -> bytes:
         left_ms = max(1, int(self._left_s(work) * _MS))
         sending = Sending(
-            server=choice.instance.id, left_ms=left_ms, resume_at=resume_at
+            server=choice.instance.id,
+            left_ms=left_ms,
+            resume_at=resume_at,
+            urgency=work.urgency,
         )
         headers = self._codec.to_server(
             work.request.headers.end_to_end(), work.call, sending
@@ -616,6 +624,8 @@
             "servers": work.sent_to,
             "routes": self._view.version,
             "tokens": work.tokens,
+            "program_left_ms": work.call.program_left_ms,
+            "urgency": work.urgency,
         }
         if choice is not None:
             facts["cost_ms"] = round(choice.cost_ms, 1)
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -51,9 +51,11 @@
 
     Attributes:
         history: bytes of the chain before it.
+        allowed_ms: what its program had at its start to be finished in.
     """
 
     history: bytes
+    allowed_ms: int
 
 
 class _Cache:
@@ -124,6 +126,7 @@
             most=call.most_tokens,
             retain_ms=route.retain_ms,
             at_ms=0,
+            left_ms=call.program_left_ms,
         )
         try:
             began = await self._keepers.ask_leader(
@@ -139,7 +142,7 @@
         if history is None:
             self.settle(call, 0)
             return Unknown("the history can't be read now")
-        return Started(history)
+        return Started(history, began.allowed_ms)
 
     async def finish(
         self, call: RouteCall, route: Route, data: bytes, tokens: int
--- a/catkinpin/core/ledger.py
+++ b/catkinpin/core/ledger.py
@@ -31,6 +31,7 @@
         most: tokens that this turn may generate.
         retain_ms: how long the program is remembered after it.
         at_ms: the log's time.
+        left_ms: until the whole program should be finished.
     """
 
     attempt: str
@@ -40,6 +41,7 @@
     most: int
     retain_ms: int
     at_ms: int
+    left_ms: int = 0
 
 
 class Finish(Message, frozen=True):
@@ -118,9 +120,11 @@
         spent: tokens of its settled turns.
         reserved: tokens that its open turns may still generate.
         until_ms: when it may be forgotten, by the log's time.
+        allowed_ms: what it had at its start to be finished in.
     """
 
     program: str
+    allowed_ms: int = 0
     spent: int = 0
     reserved: int = 0
     until_ms: int = 0
@@ -144,11 +148,13 @@
         denial: why a turn may not begin.
         chain: the turns before it, the oldest first.
         expired: turns whose bytes are needed no more.
+        allowed_ms: what the program had at its start to be finished in.
     """
 
     denial: Denial = Denial.NONE
     chain: list[Link] = dataclasses.field(default_factory=list)
     expired: list[str] = dataclasses.field(default_factory=list)
+    allowed_ms: int = 0
 
 
 class Ledger:
@@ -174,11 +180,13 @@
             out.denial = Denial.NO_SUCH_TURN
             return out
         out.chain = chain
-        if record.attempt in self._open or record.attempt in self.turns:
-            return out
         account = self._accounts.get(record.program)
         if account is None:
             account = Account(program=record.program)
+        account.allowed_ms = max(account.allowed_ms, record.left_ms)
+        out.allowed_ms = account.allowed_ms
+        if record.attempt in self._open or record.attempt in self.turns:
+            return out
         if not _affords(account, record):
             out.denial = Denial.BUDGET_SPENT
             return out
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -285,7 +285,12 @@
             self._reply(stream, message.ask, out)
             return
         stream.send(
-            keeping.Began(ask=message.ask, denial=out.denial, chain=out.chain)
+            keeping.Began(
+                ask=message.ask,
+                denial=out.denial,
+                chain=out.chain,
+                allowed_ms=out.allowed_ms,
+            )
         )
 
     async def _register(self, store: Store) -> NotLeading | None:
