Rank turns by the time since their program began

Cause: the time left that callers tell never falls below 0, so a program past twice its time looked like one that can still end late.

--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -317,9 +317,7 @@
             self._refuse(work.responder, work.call, 402, "the budget is spent")
             return
         assert isinstance(began, Started)
-        work.urgency = urgency.of_turn(
-            work.call.program_left_ms, began.allowed_ms
-        )
+        work.urgency = urgency.of_turn(began.allowed_ms, began.elapsed_ms)
         is_settled = False
         try:
             is_settled = await self._stream(work, began.history)
@@ -461,6 +459,12 @@
         if choice is None:
             work.reason = work.reason or "no server is left"
             return None
+        hopeless = work.urgency >= urgency.HOPELESS
+        if hopeless and self._balancer.is_full(
+            choice.instance, self._clock.now_ms()
+        ):
+            work.reason = "past twice its time, and all places are taken"
+            return None
         work.choice = choice
         return choice
 
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -52,10 +52,12 @@
     Attributes:
         history: bytes of the chain before it.
         allowed_ms: what its program had at its start to be finished in.
+        elapsed_ms: since its start.
     """
 
     history: bytes
     allowed_ms: int
+    elapsed_ms: int
 
 
 class _Cache:
@@ -142,7 +144,7 @@
         if history is None:
             self.settle(call, 0)
             return Unknown("the history can't be read now")
-        return Started(history, began.allowed_ms)
+        return Started(history, began.allowed_ms, began.elapsed_ms)
 
     async def finish(
         self, call: RouteCall, route: Route, data: bytes, tokens: int
--- a/catkinpin/core/keeping.py
+++ b/catkinpin/core/keeping.py
@@ -220,12 +220,14 @@
     Attributes:
         denial: as in `ledger.Denial`; empty where the turn may begin.
         allowed_ms: what the program had at its start to be finished in.
+        elapsed_ms: since its start.
     """
 
     ask: int
     denial: str
     chain: list[Link]
     allowed_ms: int = 0
+    elapsed_ms: int = 0
 
 
 class Done(Message, frozen=True):
--- a/catkinpin/core/ledger.py
+++ b/catkinpin/core/ledger.py
@@ -121,10 +121,12 @@
         reserved: tokens that its open turns may still generate.
         until_ms: when it may be forgotten, by the log's time.
         allowed_ms: what it had at its start to be finished in.
+        begun_ms: its start, by the log's time.
     """
 
     program: str
     allowed_ms: int = 0
+    begun_ms: int = 0
     spent: int = 0
     reserved: int = 0
     until_ms: int = 0
@@ -149,12 +151,14 @@
         chain: the turns before it, the oldest first.
         expired: turns whose bytes are needed no more.
         allowed_ms: what the program had at its start to be finished in.
+        elapsed_ms: since its start.
     """
 
     denial: Denial = Denial.NONE
     chain: list[Link] = dataclasses.field(default_factory=list)
     expired: list[str] = dataclasses.field(default_factory=list)
     allowed_ms: int = 0
+    elapsed_ms: int = 0
 
 
 class Ledger:
@@ -182,9 +186,10 @@
         out.chain = chain
         account = self._accounts.get(record.program)
         if account is None:
-            account = Account(program=record.program)
+            account = Account(program=record.program, begun_ms=self.now_ms)
         account.allowed_ms = max(account.allowed_ms, record.left_ms)
         out.allowed_ms = account.allowed_ms
+        out.elapsed_ms = self.now_ms - account.begun_ms
         if record.attempt in self._open or record.attempt in self.turns:
             return out
         if not _affords(account, record):
--- a/catkinpin/core/urgency.py
+++ b/catkinpin/core/urgency.py
@@ -19,18 +19,17 @@
 HOPELESS = 8
 
 
-def of_turn(left_ms: int, allowed_ms: int) -> int:
+def of_turn(allowed_ms: int, elapsed_ms: int) -> int:
     """Returns how urgent a turn is.
 
     Args:
-        left_ms: until its program should be finished; 0 where not known,
-            negative once that is over.
-        allowed_ms: what the program had at its start.
+        allowed_ms: what its program had at its start; 0 where not known.
+        elapsed_ms: since its program's start.
     """
-    if not left_ms and not allowed_ms:
+    if not allowed_ms:
         return USUAL
-    if left_ms > 0:
+    if elapsed_ms <= allowed_ms:
         return IN_TIME
-    if left_ms > -allowed_ms:
+    if elapsed_ms <= 2 * allowed_ms:
         return LATE
     return HOPELESS
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -290,6 +290,7 @@
                 denial=out.denial,
                 chain=out.chain,
                 allowed_ms=out.allowed_ms,
+                elapsed_ms=out.elapsed_ms,
             )
         )
 
