--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -25,6 +25,8 @@
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinpin.adapters.gateway.ports import HeaderCodec
     from catkinpin.adapters.gateway.turns import Turns
     from catkinpin.adapters.gateway.view import View
@@ -62,8 +64,10 @@
 _RETRY_LEADER_S = 0.3
 _RETRY_FULL_S = 0.15
 _RETRY_ELSEWHERE_S = 0.02
-# Connections that are open to one server besides those that answer.
-_SPARE_CONNECTIONS = 2
+# Gateways that may come before all know of it, and connections that a server
+# has not seen closed yet, take this much more of its limit.
+_GATEWAYS_MARGIN = 1.2
+_FEWEST_CONNECTIONS = 2
 
 
 class _End(enum.Enum):
@@ -133,7 +137,7 @@
         turns: Turns,
         codec: HeaderCodec,
         clock: Clock,
-        connections_share: int,
+        gateways: Callable[[], int],
     ) -> None:
         self._view = view
         self._balancer = balancer
@@ -141,7 +145,7 @@
         self._turns = turns
         self._codec = codec
         self._clock = clock
-        self._share = connections_share
+        self._gateways = gateways
         self._rng = random.Random()
         self.is_closing = False
 
@@ -570,8 +574,10 @@
             )
 
     def _most(self, work: Work) -> int:
-        most = work.service.max_connections // self._share
-        return max(_SPARE_CONNECTIONS, most - _SPARE_CONNECTIONS)
+        """Returns how many connections this gateway may have to a server."""
+        gateways = max(self._gateways(), 1) * _GATEWAYS_MARGIN
+        limit = work.service.max_connections
+        return max(_FEWEST_CONNECTIONS, int(limit / gateways))
 
     def _left_s(self, work: Work) -> float:
         return work.deadline_s - asyncio.get_running_loop().time()
--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -26,6 +26,12 @@
     Args:
         clock: time.
         on_gone: called with each server that is gone.
+
+    Attributes:
+        table: the routes, None before any is known.
+        fleet: the servers.
+        quarantined: digests of requests that no server may get.
+        changed_ms: when the routes changed last.
     """
 
     def __init__(
@@ -33,6 +39,7 @@
     ) -> None:
         self.table: RouteTable | None = None
         self.fleet = Fleet()
+        self.quarantined: set[str] = set()
         self.changed_ms = clock.now_ms()
         self._clock = clock
         self._on_gone = on_gone
@@ -63,6 +70,8 @@
                 self._take_routing(message)
             case keeping.FleetNow():
                 self._take_fleet(message)
+            case keeping.QuarantineNow():
+                self.quarantined.update(message.contents)
 
     def _take_routing(self, message: keeping.RoutingNow) -> None:
         if message.is_current:
--- a/catkinpin/adapters/keeperhost.py
+++ b/catkinpin/adapters/keeperhost.py
@@ -17,6 +17,7 @@
 from catkinpin.core import keeping
 from catkinpin.core.fleet import Instance, ServerState
 from catkinpin.core.ledger import Outcome
+from catkinpin.core.quarantine import Quarantine
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -65,8 +66,12 @@
         on_routing: Callable[[], None],
         on_fleet: Callable[[list[Instance]], None],
         on_expired: Callable[[list[str]], None],
+        on_condemned: Callable[[list[str]], None],
     ) -> None:
-        self.state = keeping.Keeping(on_routing, on_fleet, on_expired)
+        self.state = keeping.Keeping(
+            on_routing, on_fleet, on_expired, on_condemned
+        )
+        self._quarantine = Quarantine()
         self.group: Group
         self.leading = False
         self._clock = clock
@@ -193,6 +198,28 @@
         )
         return None
 
+    async def struck(
+        self, content: str, server: str, wait_s: float
+    ) -> NotLeading | None:
+        """Notes that a server crashed while it ran a request.
+
+        One crash may be chance. With the second the content is quarantined:
+        its caller sends it again, and each time it would cost a server.
+        """
+        if not self.may_decide():
+            return NotLeading("not the leader")
+        digest = bytes.fromhex(content)
+        self._quarantine.strike(digest, server, server, self._clock.now_ms())
+        self._quarantine.resolve(server, server, crashed=True)
+        condemned = [found.hex() for found in self._quarantine.condemn()]
+        decisions.note(
+            "struck", "", content=content, server=server, condemned=condemned
+        )
+        if not condemned:
+            return None
+        out = await self.propose(keeping.Condemn(contents=condemned), wait_s)
+        return out if isinstance(out, NotLeading) else None
+
     def silent_servers(self) -> list[Instance]:
         """Returns servers that were not heard for too long, as gone.
 
--- a/catkinpin/adapters/keepers.py
+++ b/catkinpin/adapters/keepers.py
@@ -115,6 +115,11 @@
         """Peer address of the leader, empty where not known."""
         return self._leader
 
+    def gateways(self) -> int:
+        """Returns how many gateways the keepers know; 0 at first."""
+        counts = [h.info.gateways for h in self.connected() if h.info]
+        return max(counts, default=0)
+
     def tick(self) -> None:
         """Forgets keepers that are gone for good."""
         now = time.monotonic()
--- a/catkinpin/core/keeping.py
+++ b/catkinpin/core/keeping.py
@@ -28,6 +28,10 @@
     from collections.abc import Callable
 
 
+# Contents that stay quarantined, 32 bytes each; a day has a handful.
+_MOST_CONDEMNED = 4_096
+
+
 class SetRouting(Message, frozen=True):
     """Puts a routing document in force where its version is higher."""
 
@@ -40,6 +44,12 @@
     instance: Instance
 
 
+class Condemn(Message, frozen=True):
+    """Quarantines requests' contents, by digest in hex."""
+
+    contents: list[str]
+
+
 class Record(Message, frozen=True):
     """One record of the control group's log.
 
@@ -48,7 +58,16 @@
     """
 
     tag: str
-    body: SetRouting | Announce | Begin | Finish | Moved | Register | Retire
+    body: (
+        SetRouting
+        | Announce
+        | Begin
+        | Finish
+        | Moved
+        | Register
+        | Retire
+        | Condemn
+    )
 
 
 class KeeperState(Message, frozen=True):
@@ -58,6 +77,7 @@
     instances: list[Instance]
     ledger: LedgerState
     stores: list[Store]
+    condemned: list[str]
 
 
 class HostInfo(Message, frozen=True):
@@ -68,6 +88,7 @@
         address: peer address.
         known: peer addresses of all keepers and stores that it knows.
         retiring: identities of stores that take nothing new.
+        gateways: how many gateways are connected to it.
         leader: peer address of the group's leader, empty if not known.
         term: the term of that leader.
     """
@@ -80,6 +101,7 @@
     leader: str
     term: int
     retiring: list[str] = []
+    gateways: int = 0
 
 
 class Expired(Message, frozen=True):
@@ -153,6 +175,25 @@
     instance: Instance
 
 
+class AskStruck(Message, frozen=True):
+    """Tells the leader that a server crashed while it ran a request.
+
+    Attributes:
+        content: the request's digest, in hex.
+        server: identity of the server's life.
+    """
+
+    ask: int
+    content: str
+    server: str
+
+
+class QuarantineNow(Message, frozen=True):
+    """Names contents that no server may get any more."""
+
+    contents: list[str]
+
+
 class AskRegister(Message, frozen=True):
     """A store asks the leader to count it."""
 
@@ -276,6 +317,7 @@
     | AskCurrent
     | AskAnnounce
     | AskRegister
+    | AskStruck
     | AskRetire
     | Put
     | Get
@@ -292,6 +334,7 @@
     | Current
     | Retirement
     | Expired
+    | QuarantineNow
     | Got
 )
 
@@ -303,6 +346,7 @@
         on_routing: called when another routing document is in force.
         on_fleet: called with the servers that changed.
         on_expired: called with turns whose bytes are needed no more.
+        on_condemned: called with contents that are quarantined from now on.
     """
 
     def __init__(
@@ -310,7 +354,10 @@
         on_routing: Callable[[], None] = lambda: None,
         on_fleet: Callable[[list[Instance]], None] = lambda _: None,
         on_expired: Callable[[list[str]], None] = lambda _: None,
+        on_condemned: Callable[[list[str]], None] = lambda _: None,
     ) -> None:
+        self.condemned: dict[str, None] = {}
+        self._on_condemned = on_condemned
         self.routing: PackedRouting | None = None
         self.fleet = Fleet()
         self.ledger = Ledger()
@@ -349,6 +396,8 @@
                 self.stores.register(body.store)
             case Retire():
                 self.stores.retire(body.name)
+            case Condemn():
+                self._condemn(body.contents)
         if out.expired:
             self._on_expired(out.expired)
         return out
@@ -360,6 +409,7 @@
             instances=self.fleet.state(),
             ledger=self.ledger.state(),
             stores=list(self.stores.by_node.values()),
+            condemned=list(self.condemned),
         )
         return codec.encode(state)
 
@@ -371,9 +421,16 @@
         self.fleet.restore(state.instances)
         self.ledger.restore(state.ledger)
         self.stores.by_node = {store.node: store for store in state.stores}
+        self.condemned = dict.fromkeys(state.condemned)
         self._on_routing()
         self._on_fleet(list(self.fleet.servers.values()))
 
+    def _condemn(self, contents: list[str]) -> None:
+        self.condemned.update(dict.fromkeys(contents))
+        while len(self.condemned) > _MOST_CONDEMNED:
+            del self.condemned[next(iter(self.condemned))]
+        self._on_condemned(contents)
+
 
 _state_decoder = codec.decoder(KeeperState)
 record_decoder = codec.decoder(Record)
--- a/catkinpin/gateway.py
+++ b/catkinpin/gateway.py
@@ -79,7 +79,7 @@
             self._turns,
             codec,
             self.clock,
-            cfg.gateways_expected,
+            self._count_gateways,
         )
         self.server = HttpServer(self._serving.handle, self._limits)
         self._ready = HttpServer(self._answer_ready)
@@ -151,6 +151,9 @@
     ) -> None:
         responder.answer(503 if self.not_ready() else 200)
 
+    def _count_gateways(self) -> int:
+        return self.keepers.gateways() or self.cfg.gateways_expected
+
     def _limits(self) -> ServerLimits:
         table = self.view.table
         if table is None:
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -46,6 +46,8 @@
 _TICK_S = 0.1
 # A lost disk is looked for so often; a scan of 10,000 turns takes some ms.
 _REPAIR_TICKS = 5
+# Gateways learn how many they are so often.
+_COUNT_TICKS = 10
 # Bytes without a turn go after two rounds: longer than any turn lasts.
 _FORGET_S = 20.0
 # Longest wait for a quorum: an election and twice the way between regions.
@@ -89,6 +91,7 @@
             self._routing_changed,
             self._fleet_changed,
             self._expired,
+            self._condemned,
         )
         self.host.group = self.node.add_group(_GROUP, self.host)
         self._hello = messages.Hello(
@@ -243,6 +246,8 @@
                     index=self.host.state.index, instances=servers, whole=True
                 )
             )
+            contents = list(self.host.state.condemned)
+            stream.send(keeping.QuarantineNow(contents=contents))
 
     async def _answer(self, stream: peers.Stream, message: Any) -> None:
         try:
@@ -264,6 +269,11 @@
                 case keeping.AskRegister():
                     done = await self._register(message.store)
                     self._reply(stream, message.ask, done)
+                case keeping.AskStruck():
+                    done = await self.host.struck(
+                        message.content, message.server, _COMMIT_S
+                    )
+                    self._reply(stream, message.ask, done)
                 case keeping.AskRetire():
                     await self._answer_retire(stream, message)
                 case keeping.Put():
@@ -503,8 +513,14 @@
             leader=self.host.group.leader,
             term=self.host.group.term,
             retiring=[store.node for store in stores if store.retiring],
+            gateways=self._gateways(),
         )
 
+    def _gateways(self) -> int:
+        """Returns how many gateways are connected."""
+        hellos = [stream.hello for stream in self._peers.streams]
+        return sum(h is not None and h.role == GATEWAY_ROLE for h in hellos)
+
     def _routing_now(self) -> keeping.RoutingNow:
         return keeping.RoutingNow(
             version=self.host.state.version,
@@ -538,6 +554,9 @@
                 GATEWAY_ROLE,
             )
 
+    def _condemned(self, contents: list[str]) -> None:
+        self._tell(keeping.QuarantineNow(contents=contents), GATEWAY_ROLE)
+
     def _expired(self, attempts: list[str]) -> None:
         self.bytes.drop(attempts)
         if self.host.leading:
@@ -545,9 +564,15 @@
 
     async def _tick(self) -> None:
         ticks = 0
+        told_gateways = 0
         while True:
             await asyncio.sleep(_TICK_S)
             self.others.tick()
+            ticks += 1
+            gateways = self._gateways()
+            if ticks % _COUNT_TICKS == 0 and gateways != told_gateways:
+                told_gateways = gateways
+                self._tell(self._info(), GATEWAY_ROLE)
             current = self.host.group.is_current()
             if current != self._was_current:
                 self._was_current = current
@@ -557,7 +582,6 @@
                 continue
             for gone in self.host.silent_servers():
                 self._spawn(self.host.announce(gone, _COMMIT_S))
-            ticks += 1
             if ticks % _REPAIR_TICKS == 0 and not self._repairing:
                 self._repairing = True
                 self._spawn(self._repair())
--- a/catkinpin/processes.py
+++ b/catkinpin/processes.py
@@ -12,7 +12,9 @@
 
 import uvloop
 
-from catkinpin import decisions, exits
+from catkinpin import decisions, exits, metrics
+from catkinpin.adapters.http.headers import Headers
+from catkinpin.adapters.http.server import HttpServer
 from catkinpin.exceptions import CatkinpinError
 
 if TYPE_CHECKING:
@@ -126,6 +128,8 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     process = make()
+    if cfg.metrics_listen:
+        await HttpServer(_answer_metrics).start(cfg.metrics_listen)
     await process.start()
     reload = _Reload(process, read_seeds)
     loop.add_signal_handler(signal.SIGHUP, reload.now)
@@ -144,6 +148,11 @@
     os._exit(exits.OK)
 
 
+async def _answer_metrics(request: Request, responder: Responder) -> None:
+    headers = Headers([(b"Content-Type", b"text/plain; version=0.0.4")])
+    responder.answer(200, headers, metrics.exposition())
+
+
 class _Reload:
     """Takes seeds that have changed; a file that can't be read changes none."""
 
--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -82,6 +82,11 @@
         default="127.0.0.1:0",
         description="IP and port for health, metrics, servers and operators.",
     )
+    metrics_listen: OptionalAddress = pydantic.Field(
+        default="",
+        description="IP and port of the metrics of gateways, keepers and"
+        " stores; empty: none.",
+    )
     trace_file: str = pydantic.Field(
         default="",
         description="File for spans, one JSON object a line; empty: no spans.",
@@ -272,7 +277,8 @@
     gateways_expected: int = pydantic.Field(
         default=9,
         gt=0,
-        description="Gateways that share each server's connections.",
+        description="Gateways that share each server's connections, until the"
+        " keepers tell how many there are.",
     )
 
 
