Tell the keepers of servers that end with a request aboard

The gateway's part of the quarantine: on a lost connection it looks whether the server still takes connections, and reports the content's digest if not. A request without a body is known by its program too, so that innocent ones that share its path are not refused.

--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -10,6 +10,7 @@
 import asyncio
 import dataclasses
 import enum
+import hashlib
 import logging
 import random
 from typing import TYPE_CHECKING
@@ -57,6 +58,7 @@
 # least so long, goes on at another server.
 _SILENT_GAPS = 3
 _SILENT_LEAST_S = 1.0
+_DIGEST_BYTES = 16
 # Longest wait for a leader: an election takes about a second.
 _LEADER_S = 1.3
 _LEADER_PART = 0.4
@@ -64,6 +66,7 @@
 _RETRY_LEADER_S = 0.3
 _RETRY_FULL_S = 0.15
 _RETRY_ELSEWHERE_S = 0.02
+_RETRY_QUARANTINE_S = 10.0
 # Gateways that may come before all know of it, and connections that a server
 # has not seen closed yet, take this much more of its limit.
 _GATEWAYS_MARGIN = 1.2
@@ -148,6 +151,7 @@
         self._gateways = gateways
         self._rng = random.Random()
         self.is_closing = False
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answers one request."""
@@ -189,6 +193,10 @@
         work = Work(call, route, service, request, responder, 0.0, request.body)
         wait_ms = min(call.deadline_ms or route.timeout_ms, route.timeout_ms)
         work.deadline_s = request.arrived_s + wait_ms / _MS
+        if self._digest(work) in self._view.quarantined:
+            reason = "it crashed servers before"
+            self._refuse(responder, call, 503, reason, _RETRY_QUARANTINE_S)
+            return
         try:
             async with asyncio.timeout_at(work.deadline_s):
                 await self._run(work)
@@ -267,7 +275,7 @@
             if isinstance(data, Failure):
                 work.verdict = Verdict.MAY_HAVE_RUN
                 work.reason = data.reason
-                self._failed(choice, data.reason)
+                self._broke(work, choice, data)
                 if started:
                     work.responder.abort()
                 return started
@@ -398,7 +406,7 @@
             if isinstance(data, Failure):
                 work.reason = data.reason
                 work.verdict = Verdict.MAY_HAVE_RUN
-                self._failed(choice, data.reason)
+                self._broke(work, choice, data)
                 return _End.BROKEN
             events, raw = reader.feed(data)
             if not events:
@@ -451,6 +459,34 @@
         self._pool.give_back(choice.instance.address, probe)
         return False
 
+    # Requests that crash servers.
+
+    def _digest(self, work: Work) -> str:
+        """Returns what a request is known by when it comes again.
+
+        Its id is another one then. A request without a body is told apart by
+        its program as well: many share its path, and are not at fault.
+        """
+        request, call = work.request, work.call
+        digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+        parts = [request.method, request.target, call.affinity.encode()]
+        parts.append(request.body or call.program.encode())
+        for part in parts:
+            digest.update(len(part).to_bytes(4, "big") + part)
+        return digest.hexdigest()
+
+    async def _report_crash(self, work: Work, choice: Choice) -> None:
+        """Tells the keepers if the server that broke off has ended."""
+        instance = choice.instance
+        probe = await self._pool.take(
+            instance.address, self._most(work), _CONNECT_S
+        )
+        if not isinstance(probe, Failure):
+            self._pool.give_back(instance.address, probe)
+            return
+        life = f"{instance.id}/{instance.born_ms}"
+        await self._turns.report_crash(self._digest(work), life)
+
     # One server.
 
     def _pick(self, work: Work) -> Choice | None:
@@ -501,7 +537,7 @@
             raise
         if isinstance(head, Failure):
             work.reason = head.reason
-            self._failed(choice, head.reason)
+            self._broke(work, choice, head)
             self._end(choice, conn)
             return head
         facts = self._codec.answer(head.headers)
@@ -563,6 +599,14 @@
         while isinstance(await conn.chunk(), bytes):
             pass
 
+    def _broke(self, work: Work, choice: Choice, failure: Failure) -> None:
+        """Notes that a server broke off what it may have begun to run."""
+        self._failed(choice, failure.reason)
+        if failure.is_lost:
+            task = asyncio.ensure_future(self._report_crash(work, choice))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
     def _failed(
         self, choice: Choice, reason: str, *, sure: bool = False
     ) -> None:
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -185,6 +185,18 @@
         )
         self._spawn(self._settle(finish))
 
+    async def report_crash(self, content: str, server: str) -> None:
+        """Tells the leader that a server crashed while it ran a request."""
+        try:
+            await self._keepers.ask_leader(
+                lambda ask: keeping.AskStruck(
+                    ask=ask, content=content, server=server
+                ),
+                _STORE_S,
+            )
+        except PeerLostError as exc:
+            decisions.note("unreported", "", server=server, reason=str(exc))
+
     async def _settle(self, finish: Finish) -> None:
         try:
             await self._keepers.ask_leader(
--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -52,10 +52,12 @@
     Attributes:
         verdict: whether the request may have run.
         reason: what happened, for the log.
+        is_lost: whether the connection was lost with the request under way.
     """
 
     verdict: Verdict
     reason: str
+    is_lost: bool = False
 
 
 class ServerConnection(asyncio.Protocol):
@@ -144,7 +146,7 @@
         """Waits for the head of the response."""
         while self._head is None:
             if self._lost:
-                return Failure(Verdict.MAY_HAVE_RUN, self._lost)
+                return self._failure()
             self._event.clear()
             await self._event.wait()
         return self._head
@@ -155,7 +157,7 @@
             if self._complete:
                 return None
             if self._lost:
-                return Failure(Verdict.MAY_HAVE_RUN, self._lost)
+                return self._failure()
             self._event.clear()
             await self._event.wait()
         data = b"".join(self._chunks)
@@ -166,6 +168,9 @@
             self._transport.resume_reading()
         return data
 
+    def _failure(self) -> Failure:
+        return Failure(Verdict.MAY_HAVE_RUN, self._lost, is_lost=True)
+
     def finish(self, now_s: float) -> None:
         """Ends the exchange; the connection can serve another one."""
         self._under_way = False
