Keep sessions where their prompt was read; leave a silent server only for another

Cause: a turn that comes in at another gateway went to another server, which read its whole prompt anew. Now the ledger names the server of a program's latest turn.

--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -57,7 +57,7 @@
 # A resumable stream that is silent for so many of its longest good pauses, at
 # least so long, goes on at another server.
 _SILENT_GAPS = 3
-_SILENT_LEAST_S = 1.0
+_SILENT_LEAST_S = 1.5
 _DIGEST_BYTES = 16
 # Longest wait for a leader: an election takes about a second.
 _LEADER_S = 1.3
@@ -330,12 +330,23 @@
             return
         assert isinstance(began, Started)
         work.urgency = urgency.of_turn(began.allowed_ms, began.elapsed_ms)
+        self._remember_cache(work, began.server)
         is_settled = False
         try:
             is_settled = await self._stream(work, began.history)
         finally:
             if not is_settled:
-                self._turns.settle(work.call, work.tokens)
+                self._turns.settle(work.call, work.tokens, _server_of(work))
+
+    def _remember_cache(self, work: Work, server: str) -> None:
+        """Notes where the prompt lies that an earlier turn has read.
+
+        That turn may have come in at another gateway. Unknown here, the
+        session would move to another server, which reads it all anew.
+        """
+        instance = self._view.fleet.servers.get(server)
+        if instance is not None:
+            self._balancer.read(instance, work.call.prompt[:-1])
 
     async def _stream(self, work: Work, history: bytes) -> bool:
         """Streams an answer; returns whether its turn is settled."""
@@ -421,7 +432,7 @@
     async def _next_chunk(
         self, work: Work, conn: ServerConnection
     ) -> bytes | Failure | None:
-        if not work.route.resumable:
+        if not self._may_leave(work):
             return await conn.chunk()
         gap_s = max(_SILENT_LEAST_S, _SILENT_GAPS * work.route.target_ms / _MS)
         try:
@@ -436,7 +447,9 @@
             work.responder.finish()
             return False
         data = work.body + bytes(passed.output)
-        why = await self._turns.finish(work.call, work.route, data, work.tokens)
+        why = await self._turns.finish(
+            work.call, data, work.tokens, _server_of(work)
+        )
         if why:
             # The caller would build on a turn that may be lost.
             work.reason = why
@@ -551,7 +564,7 @@
         return conn, head
 
     async def _head(self, work: Work, conn: ServerConnection) -> Head | Failure:
-        if work.route.kind is not RouteKind.STREAM or not work.route.resumable:
+        if not self._may_leave(work):
             return await conn.head()
         gap_s = max(_SILENT_LEAST_S, 4 * work.route.target_ms / _MS)
         try:
@@ -560,6 +573,17 @@
         except TimeoutError:
             return Failure(Verdict.MAY_HAVE_RUN, "silent for too long")
 
+    def _may_leave(self, work: Work) -> bool:
+        """Returns whether a silent server may be left for another one.
+
+        An engine that is full is silent too: it has put the request back
+        behind more urgent ones. Broken off with nowhere else to go, a caller
+        would lose an answer that was only late.
+        """
+        route = work.route
+        streams = route.kind is RouteKind.STREAM and route.resumable
+        return streams and work.runs < route.max_attempts
+
     def _is_ours(
         self, work: Work, conn: ServerConnection, headers: Headers
     ) -> bool:
@@ -690,3 +714,10 @@
         else:
             facts["reason"] = work.reason
             decisions.note("failed", work.call.attempt, **facts)
+
+
+def _server_of(work: Work) -> str:
+    """Returns the server that has the request's prompt, if one ran it."""
+    if work.choice is None or work.verdict is Verdict.NOT_RUN:
+        return ""
+    return work.choice.instance.id
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -53,11 +53,13 @@
         history: bytes of the chain before it.
         allowed_ms: what its program had at its start to be finished in.
         elapsed_ms: since its start.
+        server: that ran its program's latest turn.
     """
 
     history: bytes
     allowed_ms: int
     elapsed_ms: int
+    server: str
 
 
 class _Cache:
@@ -144,10 +146,12 @@
         if history is None:
             self.settle(call, 0)
             return Unknown("the history can't be read now")
-        return Started(history, began.allowed_ms, began.elapsed_ms)
+        return Started(
+            history, began.allowed_ms, began.elapsed_ms, began.server
+        )
 
     async def finish(
-        self, call: RouteCall, route: Route, data: bytes, tokens: int
+        self, call: RouteCall, data: bytes, tokens: int, server: str
     ) -> str:
         """Makes a whole turn last; returns why not, or an empty string."""
         holders = await self._store(call.attempt, data)
@@ -162,6 +166,7 @@
             holders=holders,
             size=len(data),
             at_ms=0,
+            server=server,
         )
         try:
             await self._keepers.ask_leader(
@@ -172,7 +177,7 @@
         self._cache.put(call.attempt, data)
         return ""
 
-    def settle(self, call: RouteCall, tokens: int) -> None:
+    def settle(self, call: RouteCall, tokens: int, server: str = "") -> None:
         """Settles a turn that can't be continued; nobody waits for it."""
         finish = Finish(
             attempt=call.attempt,
@@ -182,6 +187,7 @@
             holders=[],
             size=0,
             at_ms=0,
+            server=server,
         )
         self._spawn(self._settle(finish))
 
--- a/catkinpin/core/keeping.py
+++ b/catkinpin/core/keeping.py
@@ -262,6 +262,7 @@
         denial: as in `ledger.Denial`; empty where the turn may begin.
         allowed_ms: what the program had at its start to be finished in.
         elapsed_ms: since its start.
+        server: that ran its latest turn.
     """
 
     ask: int
@@ -269,6 +270,7 @@
     chain: list[Link]
     allowed_ms: int = 0
     elapsed_ms: int = 0
+    server: str = ""
 
 
 class Done(Message, frozen=True):
--- a/catkinpin/core/ledger.py
+++ b/catkinpin/core/ledger.py
@@ -53,6 +53,7 @@
         holders: identities of the hosts that have its bytes.
         size: length of these bytes.
         at_ms: the log's time.
+        server: that ran it, whose cache holds its prompt; empty for none.
     """
 
     attempt: str
@@ -62,6 +63,7 @@
     holders: list[str]
     size: int
     at_ms: int
+    server: str = ""
 
 
 class Moved(Message, frozen=True):
@@ -122,11 +124,13 @@
         until_ms: when it may be forgotten, by the log's time.
         allowed_ms: what it had at its start to be finished in.
         begun_ms: its start, by the log's time.
+        server: that ran its latest turn.
     """
 
     program: str
     allowed_ms: int = 0
     begun_ms: int = 0
+    server: str = ""
     spent: int = 0
     reserved: int = 0
     until_ms: int = 0
@@ -152,6 +156,7 @@
         expired: turns whose bytes are needed no more.
         allowed_ms: what the program had at its start to be finished in.
         elapsed_ms: since its start.
+        server: that ran its latest turn.
     """
 
     denial: Denial = Denial.NONE
@@ -159,6 +164,7 @@
     expired: list[str] = dataclasses.field(default_factory=list)
     allowed_ms: int = 0
     elapsed_ms: int = 0
+    server: str = ""
 
 
 class Ledger:
@@ -190,6 +196,7 @@
         account.allowed_ms = max(account.allowed_ms, record.left_ms)
         out.allowed_ms = account.allowed_ms
         out.elapsed_ms = self.now_ms - account.begun_ms
+        out.server = account.server
         if record.attempt in self._open or record.attempt in self.turns:
             return out
         if not _affords(account, record):
@@ -218,6 +225,7 @@
         if account is not None:
             account.reserved -= begun.most
             account.spent += record.tokens
+            account.server = record.server or account.server
             self._keep(account, begun.retain_ms)
         if record.is_whole:
             self._store(begun, record)
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -301,6 +301,7 @@
                 chain=out.chain,
                 allowed_ms=out.allowed_ms,
                 elapsed_ms=out.elapsed_ms,
+                server=out.server,
             )
         )
 
