--- a/catkinpin/adapters/node.py
+++ b/catkinpin/adapters/node.py
@@ -14,7 +14,7 @@
 from catkinpin.adapters.founding import Founding, Joining
 from catkinpin.adapters.groups import Group
 from catkinpin.adapters.identity import Identity
-from catkinpin.adapters.storage import Storage
+from catkinpin.adapters.storage import SEGMENT_BYTES, Storage
 from catkinpin.core.consensus.messages import Members
 from catkinpin.exceptions import SettingsError
 
@@ -48,12 +48,14 @@
         replicas: peer addresses to begin with, its own included.
         snapshot_entries: records of a group between two of its snapshots.
         joining: how it takes part without an operator's repair; None: never.
+        segment_bytes: size of the log's files; two or three lie on the disk.
     """
 
     data_folder: pathlib.Path
     replicas: tuple[str, ...]
     snapshot_entries: int
     joining: Joining | None = None
+    segment_bytes: int = SEGMENT_BYTES
 
 
 class Node:
@@ -80,7 +82,7 @@
         on_failure: Callable[[Exception], None],
         first: str = "",
     ) -> None:
-        self.storage = Storage(cfg.data_folder)
+        self.storage = Storage(cfg.data_folder, segment_bytes=cfg.segment_bytes)
         self._file = Identity(cfg.data_folder, self.storage.ops)
         self.identity = self._file.node
         self.rng = random.Random()
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -44,6 +44,9 @@
 STORE_ROLE = "store"
 _GROUP = "control"
 _TICK_S = 0.1
+# A keeper's disk has 128 MB, most of it for turns' bytes; some minutes of
+# records of both users fill this.
+_SEGMENT_BYTES = 8 * 1024 * 1024
 # A lost disk is looked for so often; a scan of 10,000 turns takes some ms.
 _REPAIR_TICKS = 5
 # Gateways learn how many they are so often.
@@ -79,6 +82,7 @@
                 tuple(cfg.seeds),
                 cfg.snapshot_entries,
                 Joining(tuple(cfg.seeds), cfg.first_start),
+                segment_bytes=_SEGMENT_BYTES,
             ),
             self._leader_changed,
             _stop_at_once,
