--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,150 @@
+"""Which server a gateway picks, under the loads that it is made for."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from catkinpin.core.balance import Balancer
+from catkinpin.core.calls import Load, PromptPart, RouteCall
+from catkinpin.core.fleet import Instance, ServerState
+
+_SHARED = PromptPart("shared", 12_600)
+
+
+def _server(number: int, domain: str = "a", slots: int = 12) -> Instance:
+    return Instance(
+        id=f"s{number}",
+        service="models",
+        address=f"10.0.0.{number}:80",
+        domain=domain,
+        state=ServerState.READY,
+        born_ms=1,
+        sequence=1,
+        slots=slots,
+    )
+
+
+def _turn(session: str, tokens: int = 1_680) -> RouteCall:
+    return RouteCall(
+        attempt="x",
+        prompt=(_SHARED, PromptPart(session, tokens)),
+        most_tokens=500,
+    )
+
+
+def _balancer() -> Balancer:
+    regions = {"a": "near", "b": "near", "far": "far"}
+    return Balancer("a", regions, random.Random(1))
+
+
+class PlacementTest(testtools.TestCase):
+    """Sessions, bursts and broken servers."""
+
+    def test_session_stays_where_its_prompt_was_read(self) -> None:
+        """A busy engine holds a session; an idle one holds nothing of it.
+
+        Sent to the idle one, 14,000 tokens are read again, and all answers
+        that run there wait for it.
+        """
+        balancer = _balancer()
+        servers = [_server(n) for n in range(3)]
+        balancer.sent(servers[1], _turn("mine"))
+        balancer.told(servers[1], Load(6, 0, 12), 0)
+        balancer.told(servers[0], Load(5, 0, 12), 0)
+        balancer.told(servers[2], Load(5, 0, 12), 0)
+        choice = balancer.pick(servers, _turn("mine"), 100)
+        assert choice is not None
+        self.assertEqual("s1", choice.instance.id)
+        self.assertEqual(14_280, choice.cached_tokens)
+
+    def test_full_server_is_left_for_an_idle_one(self) -> None:
+        """A burst has filled the engine that holds a session.
+
+        Its turn would wait behind twenty others, longer than reading its
+        prompt anew takes elsewhere.
+        """
+        balancer = _balancer()
+        servers = [_server(n) for n in range(2)]
+        balancer.sent(servers[0], _turn("mine"))
+        balancer.told(servers[0], Load(12, 20, 12), 0)
+        balancer.told(servers[1], Load(0, 0, 12), 0)
+        choice = balancer.pick(servers, _turn("mine"), 100)
+        assert choice is not None
+        self.assertEqual("s1", choice.instance.id)
+
+    def test_many_gateways_do_not_all_pick_the_same_server(self) -> None:
+        """Nine gateways hear the same load, in which one server looks idle.
+
+        By that word alone all of the next requests would go there.
+        """
+        servers = [_server(n) for n in range(4)]
+        counts = dict.fromkeys((s.id for s in servers), 0)
+        for seed in range(9):
+            balancer = Balancer("a", {"a": "near"}, random.Random(seed))
+            for server in servers:
+                balancer.told(server, Load(2, 0, 12), 0)
+            for number in range(8):
+                call = RouteCall(attempt=str(number), most_tokens=500)
+                choice = balancer.pick(servers, call, 100)
+                assert choice is not None
+                balancer.sent(choice.instance, call)
+                counts[choice.instance.id] += 1
+        self.assertLess(max(counts.values()), 1.5 * 72 / 4)
+
+    def test_near_server_is_picked_until_it_is_busy(self) -> None:
+        """The other region costs the way; a queue here costs more."""
+        balancer = _balancer()
+        near, far = _server(1), _server(2, "far")
+        call = RouteCall(attempt="x", most_tokens=500)
+        choice = balancer.pick([near, far], call, 0)
+        assert choice is not None
+        self.assertEqual("s1", choice.instance.id)
+        balancer.told(near, Load(12, 6, 12), 0)
+        choice = balancer.pick([near, far], call, 10)
+        assert choice is not None
+        self.assertEqual("s2", choice.instance.id)
+
+    def test_server_that_cannot_be_reached_gets_nothing_for_a_while(
+        self,
+    ) -> None:
+        """A server has crashed; always idle, it would attract all work."""
+        balancer = _balancer()
+        servers = [_server(n) for n in range(2)]
+        balancer.failed(servers[0], 0, sure=True)
+        for _ in range(20):
+            choice = balancer.pick(servers, _turn("x"), 100)
+            assert choice is not None
+            self.assertEqual("s1", choice.instance.id)
+        later = {
+            choice.instance.id
+            for _ in range(50)
+            if (choice := balancer.pick(servers, _turn("y"), 2_000))
+        }
+        self.assertIn("s0", later)
+
+    def test_all_servers_are_tried_where_all_have_failed(self) -> None:
+        """The way to all of them was cut for a moment.
+
+        Left out for seconds, a healthy service would refuse everything.
+        """
+        balancer = _balancer()
+        servers = [_server(n) for n in range(2)]
+        for server in servers:
+            balancer.failed(server, 0, sure=True)
+        self.assertIsNotNone(balancer.pick(servers, _turn("x"), 10))
+
+    def test_draining_server_gets_nothing(self) -> None:
+        """A server says that it leaves; work sent now would be cut off."""
+        draining = Instance(
+            id="s9",
+            service="models",
+            address="10.0.0.9:80",
+            domain="a",
+            state=ServerState.DRAINING,
+            born_ms=1,
+            sequence=2,
+            slots=12,
+        )
+        self.assertIsNone(_balancer().pick([draining], _turn("x"), 0))
