Answer 413 and 431 to what is too large

Cause: the HTTP parser wraps what its callbacks raise, so the refusal of a large head or body was taken for a request that can't be parsed: 400.

--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -258,9 +258,12 @@
         except httptools.HttpParserUpgrade:
             self._refuse(400, "an upgrade is not served")
         except httptools.HttpParserError as exc:
-            self._refuse(400, str(exc))
-        except _TooLargeError as exc:
-            self._refuse(exc.status, "too large")
+            # The parser wraps what its callbacks raise.
+            cause = exc.__context__
+            if isinstance(cause, _TooLargeError):
+                self._refuse(cause.status, "too large")
+            else:
+                self._refuse(400, str(exc))
         if not self._refused and not self._in_head_or_body:
             self._reading = False
 
--- /dev/null
+++ b/tests/fakes/rawserver.py
@@ -0,0 +1,121 @@
+"""A backend server whose every byte a test decides."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+import httptools
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+@dataclasses.dataclass
+class Seen:
+    """A request that reached the server.
+
+    Attributes:
+        reader: what comes after it on its connection.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    reader: asyncio.StreamReader | None = None
+
+
+class _Parser:
+    """Collects one request after the other."""
+
+    def __init__(self) -> None:
+        self.found: list[Seen] = []
+        self._parser = httptools.HttpRequestParser(self)
+
+    def feed(self, data: bytes) -> None:
+        self._parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        self._target, self._body = b"", b""
+        self._headers: dict[str, str] = {}
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, data: bytes) -> None:
+        self._body += data
+
+    def on_message_complete(self) -> None:
+        method = self._parser.get_method().decode()
+        self.found.append(
+            Seen(method, self._target.decode(), self._headers, self._body)
+        )
+
+
+class RawServer:
+    """Listens on loopback and has each request answered by a function.
+
+    Args:
+        answer: gets the request and the writer; what it doesn't write isn't
+            answered.
+    """
+
+    def __init__(
+        self,
+        answer: Callable[[Seen, asyncio.StreamWriter], Awaitable[None]],
+    ) -> None:
+        self._answer = answer
+        self._server: asyncio.Server | None = None
+        self.seen: list[Seen] = []
+        self.connections = 0
+        self.address = ""
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Refuses new connections from now on."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        parser = _Parser()
+        try:
+            while data := await reader.read(65_536):
+                parser.feed(data)
+                while parser.found:
+                    seen = parser.found.pop(0)
+                    seen.reader = reader
+                    self.seen.append(seen)
+                    await self._answer(seen, writer)
+                    await writer.drain()
+        except ConnectionError:
+            return
+        finally:
+            writer.close()
+
+
+def sealed(
+    seen: Seen, body: bytes, status: str = "200 OK", **more: str
+) -> bytes:
+    """Returns a whole answer that the server vouches for."""
+    headers = {
+        "Request-Id": seen.headers.get("request-id", ""),
+        "Sealed": "yes",
+        "Content-Length": str(len(body)),
+        **{name.replace("_", "-"): value for name, value in more.items()},
+    }
+    lines = [f"HTTP/1.1 {status}"]
+    lines += [f"{name}: {value}" for name, value in headers.items() if value]
+    return "\r\n".join([*lines, "", ""]).encode() + body
