Test the whole path with real processes that are killed and wiped

Keepers, stores and gateways run as separate processes on loopback addresses before a model server of the tests: turns through any gateway, a killed leader, disks lost one after the other, all killed at once, a planned stop, a store to be emptied.

--- /dev/null
+++ b/tests/test_deployment.py
@@ -0,0 +1,155 @@
+"""The whole path on the platform, with real processes that are killed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from typing import TYPE_CHECKING
+
+from tests import base
+from tests.fakes.deployment import Deployment
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+class DeploymentTest(base.TestCase):
+    """Keepers, stores and gateways together."""
+
+    def play(self, work: Callable[[Deployment], Awaitable[None]]) -> None:
+        """Runs a play against a new deployment."""
+
+        async def main() -> None:
+            async with Deployment(self.folder) as system:
+                self.assertTrue(await system.served("first"))
+                await work(system)
+
+        self.run_async(main())
+
+    def test_turns_build_on_each_other_through_any_gateway(self) -> None:
+        """A program's turns come in at different gateways."""
+
+        async def work(system: Deployment) -> None:
+            self.assertEqual(200, await system.turn("a"))
+            self.assertEqual(200, await system.turn("b", "a", "gateway-2"))
+            self.assertEqual(200, await system.turn("c", "b"))
+            body = system.model.seen[-1].body
+            self.assertEqual(b"<a>a-1\na-2\n<b>b-1\nb-2\n<c>", body)
+            self.assertEqual(404, await system.turn("d", "never"))
+            spent = await system.turn("e", "c", X_Token_Budget="3")
+            self.assertEqual(402, spent)
+
+        self.play(work)
+
+    def test_manifest_is_read_back_and_only_rises(self) -> None:
+        """Operators send a manifest, an older one, and an invalid one."""
+
+        async def work(system: Deployment) -> None:
+            self.assertTrue(await system.configure(timeout_ms=2_000))
+            newest = system.version
+            system.version = 0
+            self.assertTrue(await system.configure(timeout_ms=9_000))
+            broken = b'{"version": 99, "routes": ['
+            status, _ = await system.control("PUT", "/-/config", broken)
+            self.assertEqual(400, status)
+            _, body = await system.control("GET", "/-/config")
+            told = json.loads(body)
+            self.assertEqual(newest, told["version"])
+            self.assertEqual(2_000, told["routes"][0]["timeout_ms"])
+
+        self.play(work)
+
+    def test_killed_leader_loses_nothing(self) -> None:
+        """The keeper that decides is killed between two turns.
+
+        A caller waits for the next leader; its history and budget are there.
+        """
+
+        async def work(system: Deployment) -> None:
+            self.assertEqual(200, await system.turn("a"))
+            system.kill(system.leader())
+            self.assertTrue(await system.served("b", "a"))
+            body = system.model.seen[-1].body
+            self.assertTrue(body.startswith(b"<a>a-1\na-2\n<b."))
+
+        self.play(work)
+
+    def test_lost_disks_one_after_the_other_lose_nothing(self) -> None:
+        """A keeper and a store come back empty; then others lose theirs.
+
+        Nobody confirms anything. Without a second copy made in between, the
+        second loss takes the only one that is left.
+        """
+
+        async def work(system: Deployment) -> None:
+            names = ["a", "b", "c", "d"]
+            for before, name in zip(["", *names], names, strict=False):
+                self.assertEqual(200, await system.turn(name, before))
+            for name in ("keeper-1", "store-1", "keeper-2", "store-2"):
+                system.wipe(name)
+                await asyncio.sleep(0.5)
+                system.start(name)
+                await asyncio.sleep(5.0)
+            # A gateway that has none of it in its memory.
+            system.kill("gateway-1")
+            system.start("gateway-1")
+            self.assertTrue(await system.served("e", "d"))
+            body = system.model.seen[-1].body
+            for name in names:
+                self.assertIn(f"<{name}>{name}-1\n{name}-2\n".encode(), body)
+
+        self.play(work)
+
+    def test_everything_killed_at_once_comes_back(self) -> None:
+        """All processes are killed right after a turn and a manifest."""
+
+        async def work(system: Deployment) -> None:
+            self.assertEqual(200, await system.turn("a"))
+            self.assertTrue(await system.configure(timeout_ms=2_000))
+            for name in system.hosts:
+                system.kill(name)
+            for name in system.hosts:
+                system.start(name)
+            await system.until(system.beat)
+            self.assertTrue(await system.served("b", "a"))
+            _, body = await system.control("GET", "/-/config")
+            self.assertEqual(system.version, json.loads(body)["version"])
+
+        self.play(work)
+
+    def test_planned_stop_of_a_gateway_cuts_nothing(self) -> None:
+        """A gateway is asked to stop while a turn streams through it.
+
+        The balancer hears of it at once; the turn ends whole.
+        """
+
+        async def work(system: Deployment) -> None:
+            system.gap_s = 0.5
+            asking = asyncio.ensure_future(system.turn("a"))
+            await asyncio.sleep(0.3)
+            system.kill("gateway-1", signal.SIGTERM)
+            await asyncio.sleep(0.1)
+            self.assertEqual(503, await system.ready("gateway-1"))
+            self.assertEqual(200, await asking)
+            process = system.hosts["gateway-1"].process
+            assert process is not None
+            code = await asyncio.to_thread(process.wait, 9.0)
+            self.assertEqual(0, code)
+
+        self.play(work)
+
+    def test_retired_store_is_done_only_when_copies_are_elsewhere(
+        self,
+    ) -> None:
+        """An operator has a store emptied; then too few would be left."""
+
+        async def work(system: Deployment) -> None:
+            self.assertEqual(200, await system.turn("a"))
+            call = ("POST", "/-/retire/store-1", b'{"duration_s": 5}')
+            status, _ = await system.control(*call)
+            self.assertEqual(409, status)
+            status, _ = await system.control("POST", "/-/retire/none", b"{}")
+            self.assertEqual(404, status)
+
+        self.play(work)
