--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
+	MYPYPATH=platform $(PYTHON) -m mypy --strict platform/*.py
 
 format:
 	$(PYTHON) -m ruff format .
