--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -24,6 +24,8 @@
 
 _WAIT_S = 15.0
 _POLL_S = 0.03
+# A lost holder is noticed within a second, and a copy takes a part of one.
+_SETTLED_S = 4.0
 # Settings that say nothing to these tests, as the platform writes them.
 _COMMON = """
 bootstrap = {first}
@@ -80,6 +82,8 @@
         self._beat = 0
         self._session: aiohttp.ClientSession
         self.gap_s = 0.0
+        # Times that the store which lost its disk last had registered before.
+        self._seen = 0
 
     async def __aenter__(self) -> Deployment:
         self._session = aiohttp.ClientSession()
@@ -126,6 +130,7 @@
     def wipe(self, name: str) -> None:
         """Takes a process's disk."""
         self.kill(name)
+        self._seen = self._count("store", name)
         shutil.rmtree(self.hosts[name].folder)
 
     def log(self, name: str) -> list[dict[str, Any]]:
@@ -147,6 +152,38 @@
                     newest, found = line["term"], host.name
         return found
 
+    async def repaired(self, name: str) -> None:
+        """Waits until a host that lost its disk is back and copies are made.
+
+        How long that takes depends on the machine; so it counts as done once
+        the host belongs again and no copy was made for some seconds.
+        """
+        host = self.hosts[name]
+        kind = "leader" if host.role == "keeper" else "store"
+
+        async def belongs() -> bool:
+            if kind == "leader":
+                lines = self.log(name)
+                starts = [ln["decision"] == "start" for ln in lines]
+                last = len(lines) - 1 - starts[::-1].index(True)
+                return any(ln["decision"] == kind for ln in lines[last:])
+            return self._count("store", name) > self._seen
+
+        await self.until(belongs)
+        before = -1
+        while before != self._count("copied"):
+            before = self._count("copied")
+            await asyncio.sleep(_SETTLED_S)
+
+    def _count(self, decision: str, store: str = "") -> int:
+        """Returns how many such lines the keepers have written."""
+        return sum(
+            line["decision"] == decision and line.get("store", "") == store
+            for host in self.hosts.values()
+            if host.role == "keeper"
+            for line in self.log(host.name)
+        )
+
     async def until(self, work: Callable[[], Any]) -> Any:
         """Repeats a call until it returns something true."""
         async with asyncio.timeout(_WAIT_S):
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -90,7 +90,7 @@
                 system.wipe(name)
                 await asyncio.sleep(0.5)
                 system.start(name)
-                await asyncio.sleep(5.0)
+                await system.repaired(name)
             # A gateway that has none of it in its memory.
             system.kill("gateway-1")
             system.start("gateway-1")
