--- a/catkinpin/adapters/__init__.py
+++ b/catkinpin/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters: HTTP, gRPC and disk around the deterministic core."""
+"""Adapters: HTTP, streams and disk around the deterministic core."""
--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -148,9 +148,6 @@
         self.finish()
 
 
-Handler = "Callable[[Request, Responder], Awaitable[None]]"
-
-
 class HttpServer:
     """Listens and keeps track of its connections.
 
--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -71,7 +71,7 @@
     )
     peer_listen: Address = pydantic.Field(
         default="127.0.0.1:0",
-        description="IP and port for the other catkinpin processes (gRPC).",
+        description="IP and port for the other catkinpin processes (TCP).",
     )
     peer_advertise: OptionalAddress = pydantic.Field(
         default="",
