Keep an operator's order to repair until the replica knows it is needed

`catkinpin repair` posts its order once; a replica that had not yet heard from the others answered "catching-up" and forgot it, then waited as "needs-repair" until the command's time ran out. The replica's HTTP answers before its first exchange with its peers, so the order wins on some machines.

Ruled out: the repair itself (the message says needs-repair, no order was taken), storage, elections.

An order to a system that is just being founded still changes nothing.

--- a/catkinpin/adapters/founding.py
+++ b/catkinpin/adapters/founding.py
@@ -73,6 +73,7 @@
         else:
             self._founders = list(mesh.addresses)
         self._infos: dict[str, replicas.NodeInfo] = {}
+        self._repair_asked = False
 
     def start(self) -> None:
         """Takes part at once where that was settled in an earlier run."""
@@ -110,6 +111,8 @@
                 found = replicas.Found(members=founders)
                 self._mesh.send(info.node, found)
         elif not self._identity.belongs:
+            if self._repair_asked:
+                self.repair()
             self._try_to_found()
 
     def founded(self, members: Members) -> None:
@@ -119,10 +122,23 @@
             self._take_part(members)
 
     def repair(self) -> None:
-        """Lets this replica replace the one that was lost at its address."""
-        if not self._identity.belongs:
-            self._identity.join()
-            self._begin()
+        """Lets this replica replace the one that was lost at its address.
+
+        An operator's order can come before this replica has heard that the
+        others have state. Forgotten, it would leave the replica waiting for
+        an order that was given, and the operator's command in vain for the
+        replica; so it is kept until then. Where the system turns out to be
+        new, all found it together and the order means nothing.
+        """
+        if self._identity.belongs:
+            return
+        if not self.needs_repair():
+            log.info("repair ordered, not yet known to be needed")
+            self._repair_asked = True
+            return
+        log.info("repair ordered, joins with an empty data folder")
+        self._identity.join()
+        self._begin()
 
     def needs_repair(self) -> bool:
         """Returns whether the others have state and this replica has none."""
@@ -136,7 +152,7 @@
         return [a for a in self._founders if a not in self._infos]
 
     def _try_to_found(self) -> None:
-        if self.waits_for() or self.needs_repair():
+        if self._identity.belongs or self.waits_for() or self.needs_repair():
             return
         # The lowest address founds, so that two don't with other members.
         if all(self._address < other for other in self._founders):
--- a/catkinpin/adapters/repairs.py
+++ b/catkinpin/adapters/repairs.py
@@ -27,8 +27,7 @@
     @app.post(PATH)
     async def repair(req: sanic.Request) -> Any:
         _check_operator(req, key_sha256)
-        if node.needs_repair():
-            node.repair()
+        node.repair()
         return response.json(_state(node))
 
 
