Wait for the second engine before the first one leaves, in the test

Beside load the second had not announced itself by then, and calls were refused rightly ("no server for 'berater' takes work now", not run); the test read that body as an empty answer ("20 != 1"). Ruled out: lost or cut streams, the entry and the leader: each failed answer was such a refusal.

The check is stricter now: an answer must have status 200 as well, and the wait that test_faults had of its own is shared.

--- a/tests/cells.py
+++ b/tests/cells.py
@@ -42,11 +42,21 @@
 
     def assert_whole(self, got: base.Streamed) -> None:
         """Checks that a caller got each token once and the proper end."""
+        self.assertEqual(200, got.status)
         self.assertIsNone(got.error)
         self.assertEqual(TOKENS, len(got.text.split(" ")), got.text)
         self.assertEqual(1, got.finished)
         self.assertTrue(got.done)
 
+    async def known(self, cluster: base.Cluster, name: str) -> None:
+        """Waits until an engine has been granted and has answered a call."""
+
+        async def check() -> bool:
+            await cluster.chat("entry-1", "berater", [base.user("probe")])
+            return bool((await cluster.look(name))["seen"])
+
+        await base.until(check, f"{name} is known")
+
     async def effect(self, cluster: base.Cluster, key: str) -> None:
         """Waits until a request has had its effect."""
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -216,6 +216,8 @@
 
         async def body(cluster: base.Cluster) -> None:
             cluster.add_fake("engine", "engine-2")
+            # Without another server that is known, calls are refused rightly.
+            await self.known(cluster, "engine-2")
             results: list[base.Streamed] = []
             until = time.monotonic() + 3.5
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -271,7 +271,7 @@
         async def on_token(count: int) -> None:
             if count == 8:
                 await cluster.steer("engine-2", refuse=False)
-                await self._known(cluster, "engine-2")
+                await self.known(cluster, "engine-2")
                 cluster.processes["engine-1"].kill()
 
         return await cluster.stream(
@@ -281,12 +281,3 @@
             {"Idempotency-Key": key},
             on_token,
         )
-
-    async def _known(self, cluster: base.Cluster, name: str) -> None:
-        """Waits until a server has been granted and has answered a call."""
-
-        async def check() -> bool:
-            await cluster.chat("entry-1", "berater", [base.user("probe")])
-            return bool((await cluster.look(name))["seen"])
-
-        await base.until(check, f"{name} is known")
