Stop waiting through wait_for, which can lose a cancellation

Cause of the hang beside load: asyncio.wait_for of Python 3.11 returns the result, and drops the cancellation, where what it waits for ends in the same turn of the loop. PeerLink.stop cancels its task and awaits it; where the connection came up in that turn, the task went on and the stop waited for ever.

The same loss was in Pool.take: a request whose caller left just then was sent all the same. Ruled out: the tests' own waits, orphaned processes (none were left), the disk.

Before: tests/test_peers.py hangs after 3 turns of the loop, each time; test_caller_that_leaves_while_a_connection_comes_up fails. After: both pass. A rule in test_rules keeps wait_for out of catkinpin/.

--- a/catkinpin/adapters/configured.py
+++ b/catkinpin/adapters/configured.py
@@ -109,7 +109,8 @@
             except PeerLostError as exc:
                 log.debug("lease not renewed: %s", exc)
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), pause_s)
+                async with asyncio.timeout(pause_s):
+                    await self._wake.wait()
 
     async def _renew(self) -> float:
         revision = self._revision()
--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -287,10 +287,10 @@
         self._open[address] = self._open.get(address, 0) + 1
         host, _, port = address.rpartition(":")
         try:
-            _, conn = await asyncio.wait_for(
-                loop.create_connection(ServerConnection, host, int(port)),
-                timeout_s,
-            )
+            async with asyncio.timeout(timeout_s):
+                _, conn = await loop.create_connection(
+                    ServerConnection, host, int(port)
+                )
         except (OSError, TimeoutError) as exc:
             self._closed(address)
             return Failure(Verdict.NOT_RUN, f"no connection: {exc!r}")
--- a/catkinpin/adapters/keeperhost.py
+++ b/catkinpin/adapters/keeperhost.py
@@ -148,7 +148,8 @@
         record = keeping.Record(tag=tag, body=body)
         self.group.propose(codec.encode(record))
         try:
-            out = await asyncio.wait_for(fut, wait_s)
+            async with asyncio.timeout(wait_s):
+                out = await fut
         except TimeoutError:
             return NotLeading("no quorum in time")
         finally:
--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers.py
@@ -223,7 +223,8 @@
             if not self.send(message):
                 text = f"no stream to {self.address}"
                 raise PeerLostError(text, sent=False)
-            return await asyncio.wait_for(fut, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await fut
         except TimeoutError as exc:
             text = f"no reply from {self.address} in {timeout_s:.1f} s"
             raise PeerLostError(text) from exc
@@ -251,9 +252,8 @@
 
     async def _connect_once(self) -> None:
         host, _, port = self.address.rpartition(":")
-        reader, writer = await asyncio.wait_for(
-            asyncio.open_connection(host, int(port)), _CONNECT_S
-        )
+        async with asyncio.timeout(_CONNECT_S):
+            reader, writer = await asyncio.open_connection(host, int(port))
         stream = Stream(self._link, compressed=self._compressed)
         stream.send(self._hello)
         _write_frame(writer, codec.encode(_Opening(self._compressed)))
@@ -333,9 +333,8 @@
         _write_frame(writer, batch)
         while True:
             try:
-                await asyncio.wait_for(
-                    asyncio.shield(writer.drain()), streams.PING_EVERY_S
-                )
+                async with asyncio.timeout(streams.PING_EVERY_S):
+                    await writer.drain()
                 break
             except TimeoutError:
                 if stream.silent_s() > streams.SILENT_AFTER_S:
--- a/catkinpin/adapters/relays.py
+++ b/catkinpin/adapters/relays.py
@@ -86,7 +86,8 @@
         """Has a call dispatched, or does it from here where that fails."""
         link = self._link_to(grant.dispatcher)
         try:
-            await asyncio.wait_for(link.connected.wait(), _CONNECT_S)
+            async with asyncio.timeout(_CONNECT_S):
+                await link.connected.wait()
         except TimeoutError:
             log.warning("relay not reached", extra={"peer": grant.dispatcher})
             return await self._dispatcher.dispatch(grant, req, on_data)
--- a/catkinpin/adapters/streams.py
+++ b/catkinpin/adapters/streams.py
@@ -116,7 +116,8 @@
         """Yields encoded batches of what waits, until closed."""
         while not self.closed:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), PING_EVERY_S)
+                async with asyncio.timeout(PING_EVERY_S):
+                    await self._wake.wait()
             if self.silent_s() > SILENT_AFTER_S:
                 log.warning("peer silent", extra={"peer": str(self.hello)})
                 self.close()
--- a/catkinpin/processes.py
+++ b/catkinpin/processes.py
@@ -135,11 +135,13 @@
     loop.add_signal_handler(signal.SIGHUP, reload.now)
     while not stop.is_set():
         try:
-            await asyncio.wait_for(stop.wait(), _SETTINGS_EVERY_S)
+            async with asyncio.timeout(_SETTINGS_EVERY_S):
+                await stop.wait()
         except TimeoutError:
             reload.now()
     try:
-        await asyncio.wait_for(process.stop(), cfg.stop_timeout_ms / _MS)
+        async with asyncio.timeout(cfg.stop_timeout_ms / _MS):
+            await process.stop()
     except TimeoutError:
         decisions.note("stopped", "", outcome="cut", reason="took too long")
         os._exit(exits.CUT)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -88,6 +88,32 @@
 
         _run(play())
 
+    def test_caller_that_leaves_while_a_connection_comes_up(self) -> None:
+        """A caller leaves in the very moment in which its server is reached.
+
+        Were its cancellation swallowed there, the request would be sent all
+        the same, and the server would work for nobody.
+        """
+
+        async def never(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            raise AssertionError("nothing was sent")
+
+        async def play() -> None:
+            server = RawServer(never)
+            await server.start()
+            for turns in range(40):
+                taking = asyncio.ensure_future(
+                    Pool().take(server.address, 9, 1)
+                )
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                was_under_way = taking.cancel()
+                await asyncio.wait({taking})
+                self.assertEqual(was_under_way, taking.cancelled(), turns)
+            await server.stop()
+
+        _run(play())
+
     def test_answer_to_an_older_request_is_passed_over(self) -> None:
         """An old answer arrives just where the next one is expected."""
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -41,6 +41,16 @@
         for path in sorted((base.ROOT / "catkinpin" / "core").rglob("*.py")):
             self.assertNotIn("catkinpin.adapters", path.read_text(), path.name)
 
+    def test_no_wait_swallows_a_cancellation(self) -> None:
+        """`asyncio.wait_for` of Python 3.11 can lose a cancellation.
+
+        It does where what it waits for ends in the same turn of the loop. A
+        process that stops then waits for ever for a part that goes on, and a
+        request whose caller has left is sent all the same.
+        """
+        for path in sorted((base.ROOT / "catkinpin").rglob("*.py")):
+            self.assertNotIn("wait_for(", path.read_text(), path.name)
+
     def test_every_setting_is_described(self) -> None:
         for kind in (
             settings.EntrySettings,
