Split serving and keeper by job; hold as many copies as losses to be borne

Fault: turns had two copies whatever the deployment says may be lost at once. Where two disks may be lost together, a turn that was answered whole could be lost. `copies` is a setting now (one more than the losses to be borne), the plan of a repair goes on until there are as many, and a gateway spreads them over failure domains by turns. Tests that failed first: the third copy's in test_copies (two holders at the end), SpreadTest.

Ruled out: the log itself, whose five voters bear two losses.

--- /dev/null
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -0,0 +1,230 @@
+"""One exchange with one server: picked, sent to, its answer's head read.
+
+What becomes of a request is a verdict: it has not run, it ran, or it may have.
+Only the first lets a non-idempotent request be sent again, or be refused with
+a status that promises that it never will run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from catkinpin import decisions, metrics
+from catkinpin.adapters.gateway.crashes import Crashes
+from catkinpin.adapters.gateway.ports import Sending
+from catkinpin.adapters.http.client import Failure
+from catkinpin.core import urgency
+from catkinpin.verdicts import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.adapters.gateway.ports import HeaderCodec
+    from catkinpin.adapters.gateway.turns import Turns
+    from catkinpin.adapters.gateway.view import View
+    from catkinpin.adapters.gateway.work import Work
+    from catkinpin.adapters.http.client import Head, Pool, ServerConnection
+    from catkinpin.adapters.http.headers import Headers
+    from catkinpin.clock import Clock
+    from catkinpin.core.balance import Balancer, Choice
+
+_MS = 1_000
+# Servers that may refuse a request one after the other before we do.
+_MOST_REFUSALS = 3
+# A server that can't be reached in this time is left out; a connection takes
+# some ms even between regions.
+_CONNECT_S = 0.3
+# Where another server can go on, one that says nothing for so many of the
+# route's target latencies, at least so long, is left.
+_SILENT_TARGETS = 4
+_SILENT_LEAST_S = 1.5
+# Gateways that may come before all know of it, and connections that a server
+# has not seen closed yet, take this much more of its limit.
+_GATEWAYS_MARGIN = 1.2
+_FEWEST_CONNECTIONS = 2
+
+
+class Exchange:
+    """Exchanges requests and answers with servers, one at a time.
+
+    Args:
+        view: the servers.
+        balancer: picks among them, and learns how they do.
+        pool: connections to them.
+        turns: tells the keepers of servers that crashed.
+        codec: translates headers.
+        clock: time.
+        gateways: returns how many gateways share the servers' limits.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        balancer: Balancer,
+        pool: Pool,
+        turns: Turns,
+        codec: HeaderCodec,
+        clock: Clock,
+        gateways: Callable[[], int],
+    ) -> None:
+        self._view = view
+        self._balancer = balancer
+        self._pool = pool
+        self._codec = codec
+        self._clock = clock
+        self._gateways = gateways
+        self._crashes = Crashes(turns, self.is_alive)
+
+    def pick(self, work: Work) -> Choice | None:
+        """Picks the next server; None where none is left to ask."""
+        if len(work.sent_to) > _MOST_REFUSALS:
+            return None
+        servers = self._view.fleet.of(work.service.name)
+        now_ms = self._clock.now_ms()
+        choice = self._balancer.pick(servers, work.call, now_ms, work.sent_to)
+        if choice is None:
+            work.reason = work.reason or "no server is left"
+            return None
+        hopeless = work.urgency >= urgency.HOPELESS
+        if hopeless and self._balancer.is_full(choice.instance, now_ms):
+            work.reason = "past twice its time, and all places are taken"
+            return None
+        work.choice = choice
+        return choice
+
+    async def send(
+        self, work: Work, choice: Choice, body: bytes, resume_at: str = ""
+    ) -> tuple[ServerConnection, Head] | Failure:
+        """Sends a request to a server and waits for the head of its answer."""
+        instance = choice.instance
+        work.sent_to.append(instance.id)
+        conn = await self._pool.take(
+            instance.address, self._most(work), _CONNECT_S
+        )
+        if isinstance(conn, Failure):
+            work.reason = conn.reason
+            if conn.reason.startswith("no connection:"):
+                self.failed(choice, conn.reason, sure=True)
+            return conn
+        self._balancer.sent(instance, work.call)
+        work.runs += 1
+        work.verdict = Verdict.MAY_HAVE_RUN
+        metrics.ATTEMPTS.labels("sent").inc()
+        try:
+            conn.send(
+                self._encode(work, choice, body, resume_at),
+                lambda headers: self._is_ours(work, conn, headers),
+            )
+            head = await self._head(work, conn)
+        except BaseException:
+            self.end(choice, conn)
+            raise
+        if isinstance(head, Failure):
+            work.reason = head.reason
+            self.broke(work, choice, head)
+            self.end(choice, conn)
+            return head
+        self._take_head(work, choice, head)
+        return conn, head
+
+    def not_run(self, head: Head) -> bool:
+        """Returns whether a server says that it did not run the request."""
+        return self._codec.answer(head.headers).not_run
+
+    def end(self, choice: Choice, conn: ServerConnection) -> None:
+        """Ends an exchange; one that is not over is cut off."""
+        conn.finish(asyncio.get_running_loop().time())
+        self._pool.give_back(choice.instance.address, conn)
+        self._balancer.ended(choice.instance)
+
+    async def drain(self, conn: ServerConnection) -> None:
+        """Reads the rest of a short answer, so that the connection stays."""
+        while isinstance(await conn.chunk(), bytes):
+            pass
+
+    def succeeded(self, choice: Choice) -> None:
+        """Notes a whole answer."""
+        self._balancer.succeeded(choice.instance)
+
+    def broke(self, work: Work, choice: Choice, failure: Failure) -> None:
+        """Notes that a server broke off what it may have begun to run."""
+        self.failed(choice, failure.reason)
+        if failure.is_lost:
+            self._crashes.suspect(work, choice)
+
+    def failed(
+        self, choice: Choice, reason: str, *, sure: bool = False
+    ) -> None:
+        """Notes that a server failed; one that fails often gets nothing."""
+        now = self._clock.now_ms()
+        if self._balancer.failed(choice.instance, now, sure=sure):
+            self._pool.retire(choice.instance.address)
+            decisions.note(
+                "ejected", "", server=choice.instance.id, reason=reason
+            )
+
+    async def is_alive(self, work: Work, choice: Choice) -> bool:
+        """Returns whether a server can still be reached."""
+        address = choice.instance.address
+        probe = await self._pool.take(address, self._most(work), _CONNECT_S)
+        if isinstance(probe, Failure):
+            return False
+        self._pool.give_back(address, probe)
+        return True
+
+    def _take_head(self, work: Work, choice: Choice, head: Head) -> None:
+        facts = self._codec.answer(head.headers)
+        if facts.load is not None:
+            now_ms = self._clock.now_ms()
+            self._balancer.told(choice.instance, facts.load, now_ms)
+        if facts.not_run:
+            work.runs -= 1
+            work.verdict = (
+                Verdict.NOT_RUN if work.runs == 0 else Verdict.MAY_HAVE_RUN
+            )
+
+    async def _head(self, work: Work, conn: ServerConnection) -> Head | Failure:
+        if not work.may_leave:
+            return await conn.head()
+        gap_s = max(
+            _SILENT_LEAST_S, _SILENT_TARGETS * work.route.target_ms / _MS
+        )
+        try:
+            async with asyncio.timeout(gap_s):
+                return await conn.head()
+        except TimeoutError:
+            return Failure(Verdict.MAY_HAVE_RUN, "silent for too long")
+
+    def _is_ours(
+        self, work: Work, conn: ServerConnection, headers: Headers
+    ) -> bool:
+        facts = self._codec.answer(headers)
+        if facts.attempt:
+            return facts.attempt == work.call.attempt
+        return facts.not_run and conn.is_fresh
+
+    def _encode(
+        self, work: Work, choice: Choice, body: bytes, resume_at: str
+    ) -> bytes:
+        sending = Sending(
+            server=choice.instance.id,
+            left_ms=max(1, int(work.left_s * _MS)),
+            resume_at=resume_at,
+            urgency=work.urgency,
+        )
+        headers = self._codec.to_server(
+            work.request.headers.end_to_end(), work.call, sending
+        )
+        request = work.request
+        head = request.method + b" " + request.target + b" HTTP/1.1\r\n"
+        has_body = bool(body) or bool(request.headers.get(b"content-length"))
+        if has_body:
+            headers.add(b"Content-Length", b"%d" % len(body))
+        return head + headers.encode() + b"\r\n" + body
+
+    def _most(self, work: Work) -> int:
+        """Returns how many connections this gateway may have to a server."""
+        gateways = max(self._gateways(), 1) * _GATEWAYS_MARGIN
+        limit = work.service.max_connections
+        return max(_FEWEST_CONNECTIONS, int(limit / gateways))
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -9,8 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import decisions
-from catkinpin.core import keeping
-from catkinpin.core.copies import COPIES
+from catkinpin.core import copies, keeping
 from catkinpin.core.ledger import Begin, Denial, Finish
 from catkinpin.exceptions import PeerLostError
 
@@ -99,16 +98,20 @@
     Args:
         keepers: links to them.
         region: where this gateway stands.
-        domain: its failure domain.
         cache_bytes: bytes of turns kept in memory.
+        copies: hosts that must hold a turn before it ends.
     """
 
     def __init__(
-        self, keepers: Keepers, region: str, domain: str, cache_bytes: int
+        self,
+        keepers: Keepers,
+        region: str,
+        cache_bytes: int,
+        copies: int,
     ) -> None:
+        self._copies = copies
         self._keepers = keepers
         self._region = region
-        self._domain = domain
         self._cache = _Cache(cache_bytes)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._next = 0
@@ -234,7 +237,7 @@
 
     async def _fetch(self, links: list[Link], found: dict[str, bytes]) -> None:
         """Reads turns' bytes, each from its holders, the near one first."""
-        for attempt in range(COPIES):
+        for attempt in range(self._copies):
             wanted: dict[str, list[str]] = {}
             for link in links:
                 if link.attempt in found:
@@ -283,10 +286,10 @@
         running: set[asyncio.Task[str]] = set()
         loop = asyncio.get_running_loop()
         until = loop.time() + _STORE_S
-        for _ in range(COPIES):
+        for _ in range(self._copies):
             if hosts:
                 running.add(self._start_put(hosts.pop(0), attempt, data))
-        while running and len(stored) < COPIES and loop.time() < until:
+        while running and len(stored) < self._copies and loop.time() < until:
             done, running = await asyncio.wait(
                 running,
                 timeout=_SLOW_STORE_S,
@@ -295,13 +298,13 @@
             stored += [node for task in done if (node := task.result())]
             failed = sum(not task.result() for task in done)
             more = failed if done else 1
-            if len(stored) < COPIES:
+            if len(stored) < self._copies:
                 for _ in range(more):
                     if hosts:
                         running.add(
                             self._start_put(hosts.pop(0), attempt, data)
                         )
-        return stored[:COPIES] if len(stored) >= COPIES else []
+        return stored[: self._copies] if len(stored) >= self._copies else []
 
     def _start_put(
         self, host: Host, attempt: str, data: bytes
@@ -326,36 +329,21 @@
         return node if isinstance(reply, keeping.Done) else ""
 
     def _candidates(self) -> list[Host]:
-        """Returns the hosts to store at, the best first.
-
-        Two in this region, in two failure domains where it has them; the
-        leader last, since all others wait for its disk.
-        """
+        """Returns the hosts to store at, the best first."""
         self._next += 1
         leaving = self._keepers.retiring
-        hosts = [
-            host
+        hosts = {
+            host.info.node: (host, copies.holder_of(host.info))
             for host in self._keepers.connected()
             if host.info is not None and host.info.node not in leaving
-        ]
-        turn = self._next
-        ranked = sorted(
-            enumerate(hosts),
-            key=lambda pair: (
-                self._distance(pair[1]),
-                pair[1].link.address == self._keepers.leader,
-                (pair[0] + turn) % max(len(hosts), 1),
-            ),
+        }
+        ordered = copies.spread(
+            [holder for _, holder in hosts.values()],
+            self._region,
+            self._keepers.leader,
+            self._next,
         )
-        ordered = [host for _, host in ranked]
-        for place, host in enumerate(ordered[1:], 1):
-            if host.info and ordered[0].info:
-                apart = host.info.domain != ordered[0].info.domain
-                near = host.info.region == ordered[0].info.region
-                if apart and near:
-                    ordered.insert(1, ordered.pop(place))
-                    break
-        return ordered
+        return [hosts[holder.node][0] for holder in ordered]
 
     def _distance(self, host: Host) -> int:
         region = host.info.region if host.info is not None else ""
--- /dev/null
+++ b/catkinpin/adapters/gateway/work.py
@@ -0,0 +1,71 @@
+"""One request on its way through a gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from catkinpin.core import urgency
+from catkinpin.core.routes import RouteKind
+from catkinpin.verdicts import Verdict
+
+if TYPE_CHECKING:
+    from catkinpin.adapters.http.server import Request, Responder
+    from catkinpin.core.balance import Choice
+    from catkinpin.core.calls import RouteCall
+    from catkinpin.core.routes import Route, Service
+
+
+@dataclasses.dataclass
+class Work:
+    """One request on its way.
+
+    Attributes:
+        deadline_s: the loop's time by which the caller must have its answer.
+        verdict: whether it may have run, as far as known.
+        sent_to: servers that it was sent to.
+        runs: servers that may have begun it.
+        tokens: handed to the caller.
+        reason: why the last try failed.
+        urgency: to a model server.
+        choice: the server picked last.
+    """
+
+    call: RouteCall
+    route: Route
+    service: Service
+    request: Request
+    responder: Responder
+    deadline_s: float
+    body: bytes
+    verdict: Verdict = Verdict.NOT_RUN
+    sent_to: list[str] = dataclasses.field(default_factory=list)
+    runs: int = 0
+    tokens: int = 0
+    reason: str = ""
+    urgency: int = urgency.USUAL
+    choice: Choice | None = None
+
+    @property
+    def left_s(self) -> float:
+        """Time until its deadline."""
+        return self.deadline_s - asyncio.get_running_loop().time()
+
+    @property
+    def may_leave(self) -> bool:
+        """Whether a silent server may be left for another one.
+
+        An engine that is full is silent too: it has put the request back
+        behind more urgent ones. Broken off with nowhere else to go, a caller
+        would lose an answer that was only late.
+        """
+        streams = self.route.kind is RouteKind.STREAM and self.route.resumable
+        return streams and self.runs < self.route.max_attempts
+
+    @property
+    def ran_on(self) -> str:
+        """The server that has its prompt, empty if none ran it."""
+        if self.choice is None or self.verdict is Verdict.NOT_RUN:
+            return ""
+        return self.choice.instance.id
--- /dev/null
+++ b/catkinpin/adapters/telling.py
@@ -0,0 +1,120 @@
+"""What a keeper tells all who are connected to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from catkinpin.adapters import mesh
+from catkinpin.core import keeping
+
+if TYPE_CHECKING:
+    from catkinpin.adapters import node, peers
+    from catkinpin.adapters.keeperhost import KeeperHost
+    from catkinpin.core.fleet import Instance
+    from catkinpin.settings import KeeperSettings
+
+GATEWAY_ROLE = "gateway"
+STORE_ROLE = "store"
+
+
+class Telling:
+    """Tells gateways, stores and other keepers what changed.
+
+    Args:
+        cfg: the keeper's settings.
+        replica: this keeper's part in the control group.
+        host: what this keeper believes.
+        server: the streams of those who are connected.
+    """
+
+    def __init__(
+        self,
+        cfg: KeeperSettings,
+        replica: node.Node,
+        host: KeeperHost,
+        server: peers.PeerServer,
+    ) -> None:
+        self._cfg = cfg
+        self._node = replica
+        self._host = host
+        self._server = server
+
+    def info(self) -> None:
+        """Tells all who this keeper is and whom it knows."""
+        self._tell(self._info())
+
+    def gateways_info(self) -> None:
+        """Tells gateways the same, as they share the servers' limits."""
+        self._tell(self._info(), GATEWAY_ROLE)
+
+    def routing(self) -> None:
+        """Tells gateways which routes are the newest known here."""
+        self._tell(self._routing_now(), GATEWAY_ROLE)
+
+    def fleet(self, instances: list[Instance]) -> None:
+        """Tells gateways of servers that changed."""
+        index = self._host.state.index
+        changed = keeping.FleetNow(
+            index=index, instances=instances, whole=False
+        )
+        self._tell(changed, GATEWAY_ROLE)
+
+    def condemned(self, contents: list[str]) -> None:
+        """Tells gateways of contents that no server may get."""
+        self._tell(keeping.QuarantineNow(contents=contents), GATEWAY_ROLE)
+
+    def expired(self, attempts: list[str]) -> None:
+        """Tells stores of turns whose bytes are needed no more."""
+        self._tell(keeping.Expired(attempts=attempts), STORE_ROLE)
+
+    def welcome(self, stream: peers.Stream) -> None:
+        """Tells one that has just connected all that it needs."""
+        stream.send(self._info())
+        if stream.hello is None or stream.hello.role != GATEWAY_ROLE:
+            return
+        stream.send(self._routing_now())
+        servers = list(self._host.state.fleet.servers.values())
+        stream.send(
+            keeping.FleetNow(
+                index=self._host.state.index, instances=servers, whole=True
+            )
+        )
+        contents = list(self._host.state.condemned)
+        stream.send(keeping.QuarantineNow(contents=contents))
+
+    def gateways(self) -> int:
+        """Returns how many gateways are connected."""
+        hellos = [stream.hello for stream in self._server.streams]
+        return sum(h is not None and h.role == GATEWAY_ROLE for h in hellos)
+
+    def _info(self) -> keeping.HostInfo:
+        group = self._host.group
+        known = {member.address for member in group.members.members}
+        known |= set(self._node.known_addresses())
+        stores = self._host.state.stores.by_node.values()
+        known |= {store.address for store in stores}
+        return keeping.HostInfo(
+            node=self._node.identity,
+            address=self._cfg.peer_listen,
+            domain=self._cfg.failure_domain,
+            region=self._cfg.region,
+            known=sorted(known | {self._cfg.peer_listen}),
+            leader=group.leader,
+            term=group.term,
+            retiring=[store.node for store in stores if store.retiring],
+            gateways=self.gateways(),
+        )
+
+    def _routing_now(self) -> keeping.RoutingNow:
+        return keeping.RoutingNow(
+            version=self._host.state.version,
+            is_current=self._host.group.is_current(),
+        )
+
+    def _tell(self, message: Any, role: str = "") -> None:
+        for stream in self._server.streams:
+            hello = stream.hello
+            if hello is None or hello.role == mesh.ROLE:
+                continue
+            if not role or hello.role == role:
+                stream.send(message)
--- a/catkinpin/core/copies.py
+++ b/catkinpin/core/copies.py
@@ -6,16 +6,16 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from catkinpin.core.keeping import HostInfo
     from catkinpin.core.ledger import Turn
 
-# Hosts that hold each turn: the loss of one disk loses nothing.
-COPIES = 2
 # Bytes of one copy: some 0.3 s of the link between regions.
 _BATCH_BYTES = 512 * 1024
 # Copies planned at once; the next round sees what has changed meanwhile.
@@ -32,6 +32,11 @@
     domain: str
 
 
+def holder_of(info: HostInfo) -> Holder:
+    """Returns a host that has introduced itself as one that can hold turns."""
+    return Holder(info.node, info.address, info.region, info.domain)
+
+
 @dataclasses.dataclass
 class Copy:
     """Turns to copy from one host to another.
@@ -48,7 +53,10 @@
 
 
 def plan(
-    turns: Iterable[Turn], counted: set[str], hosts: list[Holder]
+    turns: Iterable[Turn],
+    counted: set[str],
+    hosts: list[Holder],
+    wanted: int,
 ) -> list[Copy]:
     """Returns the next copies to make.
 
@@ -57,6 +65,7 @@
         counted: identities whose copies count; not those of hosts that lost
             their disk, are gone, or are to be emptied.
         hosts: hosts that can be reached now.
+        wanted: hosts that shall hold each turn.
     """
     reachable = {host.node: host for host in hosts}
     targets = [host for host in hosts if host.node in counted]
@@ -64,7 +73,7 @@
     load = dict.fromkeys(reachable, 0)
     for turn in turns:
         kept = tuple(node for node in turn.holders if node in counted)
-        if len(kept) >= COPIES:
+        if len(kept) >= wanted:
             continue
         source = next(
             (
@@ -76,7 +85,8 @@
         )
         if source is None:
             continue
-        target = _target(source, kept, targets, load)
+        apart = {reachable[n].domain for n in kept if n in reachable}
+        target = _target(source, kept, apart, targets, load)
         if target is None:
             continue
         key = (source.node, target.node, *kept)
@@ -92,13 +102,51 @@
     return list(batches.values())
 
 
+def spread(
+    hosts: list[Holder], region: str, last: str, turn: int
+) -> list[Holder]:
+    """Returns the hosts to store a turn at, the best first.
+
+    Those of one region come first, its failure domains by turns: with all
+    copies in one, the loss of that domain would lose the turn.
+
+    Args:
+        hosts: that can be reached.
+        region: of the gateway.
+        last: address of the leader, whose disk all others wait for.
+        turn: rises with each turn, so that equals take their part.
+    """
+    waiting = [
+        host
+        for _, host in sorted(
+            enumerate(hosts),
+            key=lambda pair: (
+                pair[1].address == last,
+                (pair[0] + turn) % len(hosts),
+            ),
+        )
+    ]
+    taken: collections.Counter[str] = collections.Counter()
+    ordered = []
+    while waiting:
+        best = min(waiting, key=lambda h: (h.region != region, taken[h.domain]))
+        waiting.remove(best)
+        taken[best.domain] += 1
+        ordered.append(best)
+    return ordered
+
+
 def _target(
     source: Holder,
     kept: tuple[str, ...],
+    apart: set[str],
     targets: list[Holder],
     load: dict[str, int],
 ) -> Holder | None:
-    """Returns the least loaded other host, near the source where possible."""
+    """Returns the least loaded other host, near the source where possible.
+
+    Failure domains in `apart` hold a copy already; others are better.
+    """
     others = [
         host
         for host in targets
@@ -108,7 +156,7 @@
         others,
         key=lambda host: (
             host.region != source.region,
-            host.domain == source.domain,
+            host.domain in {source.domain, *apart},
             load[host.node],
         ),
         default=None,
--- a/catkinpin/core/stores.py
+++ b/catkinpin/core/stores.py
@@ -4,9 +4,6 @@
 
 from catkinpin.codec import Message
 
-# Stores that must be left after one is emptied: as many as hold each turn.
-FEWEST = 2
-
 
 class Store(Message, frozen=True):
     """A store.
--- a/catkinpin/gateway.py
+++ b/catkinpin/gateway.py
@@ -16,9 +16,9 @@
 from catkinpin.adapters.gateway.view import View
 from catkinpin.adapters.http.client import Pool
 from catkinpin.adapters.http.server import HttpServer, ServerLimits
+from catkinpin.adapters.telling import GATEWAY_ROLE
 from catkinpin.core import keeping, messages
 from catkinpin.core.balance import Balancer
-from catkinpin.keeper import GATEWAY_ROLE
 
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.ports import HeaderCodec
@@ -70,7 +70,10 @@
             self._told,
         )
         self._turns = Turns(
-            self.keepers, cfg.region, cfg.failure_domain, cfg.cache_bytes
+            self.keepers,
+            cfg.region,
+            cfg.cache_bytes,
+            cfg.copies,
         )
         self._serving = Serving(
             self.view,
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -12,36 +12,33 @@
 
 from catkinpin import clock, decisions, exits
 from catkinpin.adapters import (
+    holding,
     keeperhost,
     keepers,
     mesh,
     node,
     peers,
     replicas,
+    telling,
 )
 from catkinpin.adapters.founding import Joining
 from catkinpin.adapters.http.server import HttpServer
 from catkinpin.adapters.keeperhost import NotLeading
 from catkinpin.adapters.turnbytes import TurnBytes
-from catkinpin.adapters.turnhost import COPY_S, TurnHost
-from catkinpin.core import copies, keeping, messages, routes
-from catkinpin.core.ledger import Moved
-from catkinpin.core.stores import FEWEST, Register, Retire
+from catkinpin.adapters.turnhost import TurnHost
+from catkinpin.core import keeping, messages, routes
 from catkinpin.exceptions import PeerLostError, StorageError
 
 if TYPE_CHECKING:
     from catkinpin.adapters.groups import Group
     from catkinpin.core.fleet import Instance
     from catkinpin.core.routes import Routing
-    from catkinpin.core.stores import Store
     from catkinpin.processes import ControlHandler
     from catkinpin.settings import KeeperSettings
 
 log = logging.getLogger(__name__)
 
 ROLE = "keeper"
-GATEWAY_ROLE = "gateway"
-STORE_ROLE = "store"
 _GROUP = "control"
 _TICK_S = 0.1
 # A keeper's disk has 128 MB, most of it for turns' bytes; some minutes of
@@ -55,12 +52,6 @@
 _FORGET_S = 20.0
 # Longest wait for a quorum: an election and twice the way between regions.
 _COMMIT_S = 1.5
-# A store silent for so long counts as lost until it is heard again. Hosts that
-# restart or thaw are back before.
-_SILENT_STORE_MS = 5_000
-# From the word that a store is to be emptied to the last turn settled by a
-# gateway that had not heard it: a store's answer and a leader's.
-_SETTLE_MS = 2_000
 
 
 class Keeper:
@@ -98,24 +89,7 @@
             self._condemned,
         )
         self.host.group = self.node.add_group(_GROUP, self.host)
-        self._hello = messages.Hello(
-            process=self.node.identity,
-            incarnation=self.incarnation,
-            role=mesh.ROLE,
-            address=self.address,
-            domain=cfg.failure_domain,
-            region=cfg.region,
-        )
-        self.others = keepers.Keepers(
-            messages.Hello(
-                process=self.node.identity,
-                incarnation=self.incarnation,
-                role=ROLE,
-                address=self.address,
-                domain=cfg.failure_domain,
-                region=cfg.region,
-            )
-        )
+        self.others = keepers.Keepers(self._hello(ROLE))
         self._peers = peers.PeerServer(
             keeping.ToKeeper | replicas.ReplicaMessage,
             self._on_message,
@@ -125,15 +99,31 @@
         self._http = HttpServer(control(self))
         self._tasks: set[asyncio.Task[Any]] = set()
         self._turns = TurnHost(self.bytes, self.others, _stop_at_once)
-        self._heard_ms: dict[str, int] = {}
-        self._retiring_ms: dict[str, int] = {}
-        self._stopping = False
-        self._repairing = False
+        self._telling = telling.Telling(cfg, self.node, self.host, self._peers)
+        self._holding = holding.Holding(
+            cfg,
+            self.node.identity,
+            self.clock,
+            self.host,
+            self.others,
+            self._turns,
+            _COMMIT_S,
+        )
         self._was_current = False
 
+    def _hello(self, role: str) -> messages.Hello:
+        return messages.Hello(
+            process=self.node.identity,
+            incarnation=self.incarnation,
+            role=role,
+            address=self.address,
+            domain=self.cfg.failure_domain,
+            region=self.cfg.region,
+        )
+
     async def start(self) -> None:
         """Listens, then takes part in the control group."""
-        self.node.start(self._hello)
+        self.node.start(self._hello(mesh.ROLE))
         await self._peers.start(self.address)
         self.others.add(self.cfg.seeds)
         await self._http.start(self.cfg.listen)
@@ -150,7 +140,6 @@
 
     async def stop(self) -> None:
         """Hands leadership over and stops."""
-        self._stopping = True
         decisions.note("stop", "", led=self.host.leading)
         self._http.close_when_answered()
         await self.node.stop()
@@ -236,23 +225,10 @@
                 self.node.take(message)
             return
         if isinstance(message, messages.Hello):
-            self._welcome(stream)
+            self._telling.welcome(stream)
             return
         self._spawn(self._answer(stream, message))
 
-    def _welcome(self, stream: peers.Stream) -> None:
-        stream.send(self._info())
-        if stream.hello is not None and stream.hello.role == GATEWAY_ROLE:
-            stream.send(self._routing_now())
-            servers = list(self.host.state.fleet.servers.values())
-            stream.send(
-                keeping.FleetNow(
-                    index=self.host.state.index, instances=servers, whole=True
-                )
-            )
-            contents = list(self.host.state.condemned)
-            stream.send(keeping.QuarantineNow(contents=contents))
-
     async def _answer(self, stream: peers.Stream, message: Any) -> None:
         try:
             match message:
@@ -271,8 +247,7 @@
                 case keeping.AskCurrent():
                     self._tell_current(stream, message)
                 case keeping.AskRegister():
-                    done = await self._register(message.store)
-                    self._reply(stream, message.ask, done)
+                    await self._register(stream, message)
                 case keeping.AskStruck():
                     done = await self.host.struck(
                         message.content, message.server, _COMMIT_S
@@ -309,19 +284,14 @@
             )
         )
 
-    async def _register(self, store: Store) -> NotLeading | None:
-        """Counts a store from now on."""
-        if not self.host.may_decide():
-            return NotLeading("not the leader")
-        self._heard_ms[store.node] = self.clock.now_ms()
-        if not self.host.state.stores.is_news(store):
-            return None
-        out = await self.host.propose(Register(store=store), _COMMIT_S)
-        if isinstance(out, NotLeading):
-            return out
-        self._tell(self._info())
-        decisions.note("store", "", store=store.name, address=store.address)
-        return None
+    async def _register(
+        self, stream: peers.Stream, message: keeping.AskRegister
+    ) -> None:
+        out = await self._holding.register(message.store)
+        if out is True:
+            self._telling.info()
+        failed = out if isinstance(out, NotLeading) else None
+        self._reply(stream, message.ask, failed)
 
     async def _answer_retire(
         self, stream: peers.Stream, message: keeping.AskRetire
@@ -329,7 +299,7 @@
         if not self.host.may_decide():
             self._reply(stream, message.ask, NotLeading("not the leader"))
             return
-        out = await self._retire(message.name, message.begin)
+        out = await self._retire(message.name, begin=message.begin)
         if isinstance(out, NotLeading):
             self._reply(stream, message.ask, out)
         else:
@@ -365,92 +335,6 @@
             )
         )
 
-    # Turns' bytes.
-
-    async def _repair_copies(self) -> None:
-        """Copies turns of which too few holders count."""
-        hosts = self._holders()
-        plan = copies.plan(
-            self.host.state.ledger.turns.values(), self._counted(), hosts
-        )
-        for copy in plan:
-            await self._copy(copy)
-
-    def _holders(self) -> list[copies.Holder]:
-        """Returns the hosts that can be asked now, this one included."""
-        us = copies.Holder(
-            self.node.identity,
-            self.address,
-            self.cfg.region,
-            self.cfg.failure_domain,
-        )
-        others = [
-            copies.Holder(
-                host.info.node,
-                host.info.address,
-                host.info.region,
-                host.info.domain,
-            )
-            for host in self.others.connected()
-            if host.info is not None
-        ]
-        return [us, *others]
-
-    def _counted(self) -> set[str]:
-        """Returns the identities of the hosts whose copies count.
-
-        A store that stays silent may be gone for good, with its disk; a
-        second loss would then take the last copy.
-        """
-        now_ms = self.clock.now_ms()
-        for host in self.others.connected():
-            if host.info is not None:
-                self._heard_ms[host.info.node] = now_ms
-        counted = {m.node for m in self.host.group.members.members}
-        for store in self.host.state.stores.by_node.values():
-            heard_ms = self._heard_ms.setdefault(store.node, now_ms)
-            if not store.retiring and now_ms - heard_ms < _SILENT_STORE_MS:
-                counted.add(store.node)
-        return counted
-
-    async def _copy(self, copy: copies.Copy) -> None:
-        adopt = keeping.Adopt(
-            ask=0, attempts=copy.attempts, source=copy.source.address
-        )
-        if copy.target.node == self.node.identity:
-            collector = _Collector()
-            await self._turns.adopt(collector, adopt)
-            done = collector.done
-        else:
-            done = await self._have_copied(copy, adopt)
-        if not done:
-            return
-        holders = [*copy.kept, copy.target.node]
-        moved = Moved(attempts=copy.attempts, holders=holders)
-        await self.host.propose(moved, _COMMIT_S)
-        decisions.note(
-            "copied",
-            "",
-            turns=len(copy.attempts),
-            source=copy.source.address,
-            target=copy.target.address,
-        )
-
-    async def _have_copied(
-        self, copy: copies.Copy, adopt: keeping.Adopt
-    ) -> bool:
-        target = self.others.by_node(copy.target.node)
-        if target is None:
-            return False
-        try:
-            reply = await self.others.ask(
-                target, lambda ask: structs.replace(adopt, ask=ask), COPY_S
-            )
-        except PeerLostError as exc:
-            log.info("copy failed: %s", exc)
-            return False
-        return isinstance(reply, keeping.Done)
-
     # Stores.
 
     async def retire(
@@ -458,7 +342,7 @@
     ) -> keeping.Retirement | NotLeading:
         """Has a store emptied, or tells how far that is."""
         if self.host.may_decide():
-            return await self._retire(name, begin)
+            return await self._retire(name, begin=begin)
         try:
             reply: keeping.Retirement = await self.others.ask_leader(
                 lambda ask: keeping.AskRetire(ask=ask, name=name, begin=begin),
@@ -469,103 +353,32 @@
         return reply
 
     async def _retire(
-        self, name: str, begin: bool
+        self, name: str, *, begin: bool
     ) -> keeping.Retirement | NotLeading:
-        stores = self.host.state.stores
-        store = stores.find(name)
-        if store is None:
-            return _retirement(is_known=False)
-        if begin and not store.retiring:
-            if stores.left_without(name) < FEWEST:
-                return _retirement(too_few=True)
-            out = await self.host.propose(Retire(name=name), _COMMIT_S)
-            if isinstance(out, NotLeading):
-                return out
-            self._tell(self._info())
-            decisions.note("retire", "", store=name)
-        return _retirement(is_empty=self._is_empty(store))
-
-    def _is_empty(self, store: Store) -> bool:
-        """Returns whether a retiring store can go, with its disk.
-
-        Gateways that stored there before they heard of it settle their turns
-        a little later; these count on its copy until another one is made.
-        """
-        now_ms = self.clock.now_ms()
-        since_ms = self._retiring_ms.setdefault(store.node, now_ms)
-        if now_ms - since_ms < _SETTLE_MS:
-            return False
-        counted = self._counted()
-        return not any(
-            store.node in turn.holders
-            or sum(node in counted for node in turn.holders) < copies.COPIES
-            for turn in self.host.state.ledger.turns.values()
-        )
+        out = await self._holding.retire(name, begin=begin)
+        if begin:
+            self._telling.info()
+        return out
 
-    # Telling gateways.
-
-    def _info(self) -> keeping.HostInfo:
-        known = {m.address for m in self.host.group.members.members}
-        known |= set(self.node.known_addresses())
-        stores = self.host.state.stores.by_node.values()
-        known |= {store.address for store in stores}
-        return keeping.HostInfo(
-            node=self.node.identity,
-            address=self.address,
-            domain=self.cfg.failure_domain,
-            region=self.cfg.region,
-            known=sorted(known | {self.address}),
-            leader=self.host.group.leader,
-            term=self.host.group.term,
-            retiring=[store.node for store in stores if store.retiring],
-            gateways=self._gateways(),
-        )
-
-    def _gateways(self) -> int:
-        """Returns how many gateways are connected."""
-        hellos = [stream.hello for stream in self._peers.streams]
-        return sum(h is not None and h.role == GATEWAY_ROLE for h in hellos)
-
-    def _routing_now(self) -> keeping.RoutingNow:
-        return keeping.RoutingNow(
-            version=self.host.state.version,
-            is_current=self.host.group.is_current(),
-        )
-
-    def _tell(self, message: Any, role: str = "") -> None:
-        for stream in self._peers.streams:
-            hello = stream.hello
-            if hello is None or hello.role == mesh.ROLE:
-                continue
-            if not role or hello.role == role:
-                stream.send(message)
+    # Changes that others must hear of.
 
     def _leader_changed(self, group: Group) -> None:
         decisions.note("leader", "", address=group.leader, term=group.term)
-        self._tell(self._info())
+        self._telling.info()
 
     def _routing_changed(self) -> None:
-        if hasattr(self, "_peers"):
-            self._tell(self._routing_now(), GATEWAY_ROLE)
+        self._telling.routing()
 
     def _fleet_changed(self, instances: list[Instance]) -> None:
-        if hasattr(self, "_peers"):
-            self._tell(
-                keeping.FleetNow(
-                    index=self.host.state.index,
-                    instances=instances,
-                    whole=False,
-                ),
-                GATEWAY_ROLE,
-            )
+        self._telling.fleet(instances)
 
     def _condemned(self, contents: list[str]) -> None:
-        self._tell(keeping.QuarantineNow(contents=contents), GATEWAY_ROLE)
+        self._telling.condemned(contents)
 
     def _expired(self, attempts: list[str]) -> None:
         self.bytes.drop(attempts)
         if self.host.leading:
-            self._tell(keeping.Expired(attempts=attempts), STORE_ROLE)
+            self._telling.expired(attempts)
 
     async def _tick(self) -> None:
         ticks = 0
@@ -574,28 +387,21 @@
             await asyncio.sleep(_TICK_S)
             self.others.tick()
             ticks += 1
-            gateways = self._gateways()
+            gateways = self._telling.gateways()
             if ticks % _COUNT_TICKS == 0 and gateways != told_gateways:
                 told_gateways = gateways
-                self._tell(self._info(), GATEWAY_ROLE)
+                self._telling.gateways_info()
             current = self.host.group.is_current()
             if current != self._was_current:
                 self._was_current = current
-                self._tell(self._info())
-                self._tell(self._routing_now(), GATEWAY_ROLE)
+                self._telling.info()
+                self._telling.routing()
             if not self.host.may_decide():
                 continue
             for gone in self.host.silent_servers():
                 self._spawn(self.host.announce(gone, _COMMIT_S))
-            if ticks % _REPAIR_TICKS == 0 and not self._repairing:
-                self._repairing = True
-                self._spawn(self._repair())
-
-    async def _repair(self) -> None:
-        try:
-            await self._repair_copies()
-        finally:
-            self._repairing = False
+            if ticks % _REPAIR_TICKS == 0:
+                self._spawn(self._holding.repair())
 
     async def _forget_bytes(self) -> None:
         """Drops turns' bytes that no program can ask for any more.
@@ -625,25 +431,6 @@
             log.error("a task failed", exc_info=task.exception())
 
 
-class _Collector:
-    """Takes the one reply of work that this process does for itself."""
-
-    def __init__(self) -> None:
-        self.done = False
-
-    def send(self, reply: Any) -> None:
-        """Notes whether the work was done."""
-        self.done = isinstance(reply, keeping.Done)
-
-
-def _retirement(
-    *, is_known: bool = True, too_few: bool = False, is_empty: bool = False
-) -> keeping.Retirement:
-    return keeping.Retirement(
-        ask=0, is_known=is_known, too_few=too_few, is_empty=is_empty
-    )
-
-
 def _stop_at_once(exc: Exception) -> None:
     """Ends the process without another word to anyone.
 
--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -220,6 +220,12 @@
         gt=0,
         description="Records of the log between two snapshots.",
     )
+    copies: int = pydantic.Field(
+        default=2,
+        gt=0,
+        description="Hosts that hold each turn's bytes: one more than disks"
+        " that may be lost at once.",
+    )
     silent_server_ms: Milliseconds = pydantic.Field(
         default=15_000,
         description="A server that announced nothing for so long is gone.",
@@ -269,6 +275,12 @@
         default=7_000,
         description="Longest a graceful stop takes, in ms.",
     )
+    copies: int = pydantic.Field(
+        default=2,
+        gt=0,
+        description="Hosts that hold each turn's bytes: one more than disks"
+        " that may be lost at once.",
+    )
     cache_bytes: int = pydantic.Field(
         default=8 * 1024 * 1024,
         ge=0,
--- a/catkinpin/store.py
+++ b/catkinpin/store.py
@@ -12,6 +12,7 @@
 from catkinpin.adapters import keepers, peers
 from catkinpin.adapters.files import FileOps
 from catkinpin.adapters.identity import Identity
+from catkinpin.adapters.telling import STORE_ROLE
 from catkinpin.adapters.turnbytes import TurnBytes
 from catkinpin.adapters.turnhost import TurnHost
 from catkinpin.core import keeping, messages
@@ -23,7 +24,6 @@
 
 log = logging.getLogger(__name__)
 
-ROLE = "store"
 # Registering again costs one message and changes nothing; it finds a leader
 # that was elected with an older state.
 _REGISTER_S = 2.0
@@ -49,7 +49,7 @@
             messages.Hello(
                 process=self.identity,
                 incarnation=uuid.uuid4().hex[:12],
-                role=ROLE,
+                role=STORE_ROLE,
                 address=cfg.peer_listen,
                 domain=cfg.failure_domain,
                 region=cfg.region,
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -40,6 +40,10 @@
 control = "{ip}:{control}"
 [limits]
 memory_mb = 200
+[tolerate]
+machines = 1
+zones = 0
+regions = 0
 [bounds]
 grace_s = 8
 """
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -35,7 +35,7 @@
         turns = [_turn(n, ["lost", "a"]) for n in range(5)]
         turns += [_turn(9, ["a", "b"])]
         hosts = [_host("a"), _host("b"), _host("new")]
-        plan = copies.plan(turns, {"a", "b", "new"}, hosts)
+        plan = copies.plan(turns, {"a", "b", "new"}, hosts, 2)
         copied = {t for copy in plan for t in copy.attempts}
         self.assertEqual({f"t{n}" for n in range(5)}, copied)
         for copy in plan:
@@ -50,7 +50,7 @@
         """
         turns = [_turn(n, ["lost", "a"], 1_000) for n in range(20)]
         hosts = [_host(n) for n in ("a", "b", "c")]
-        plan = copies.plan(turns, {"a", "b", "c"}, hosts)
+        plan = copies.plan(turns, {"a", "b", "c"}, hosts, 2)
         sizes = {copy.target.node: copy.size for copy in plan}
         self.assertEqual({"b": 10_000, "c": 10_000}, sizes)
 
@@ -64,7 +64,7 @@
         """
         turns = [_turn(1, ["leaving", "down"])]
         hosts = [_host("leaving"), _host("a")]
-        (copy,) = copies.plan(turns, {"a", "down"}, hosts)
+        (copy,) = copies.plan(turns, {"a", "down"}, hosts, 2)
         self.assertEqual("leaving", copy.source.node)
         self.assertEqual("a", copy.target.node)
         self.assertEqual(("down",), copy.kept)
@@ -73,10 +73,46 @@
         """Both regions have room; the link between them is narrow."""
         turns = [_turn(1, ["lost", "a"])]
         hosts = [_host("a"), _host("far", "other"), _host("near")]
-        (copy,) = copies.plan(turns, {"a", "far", "near"}, hosts)
+        (copy,) = copies.plan(turns, {"a", "far", "near"}, hosts, 2)
         self.assertEqual("near", copy.target.node)
 
     def test_nothing_is_copied_where_nothing_can_be_read(self) -> None:
         """Both holders are out of reach for a while."""
-        plan = copies.plan([_turn(1, ["x", "y"])], {"y"}, [_host("a")])
+        plan = copies.plan([_turn(1, ["x", "y"])], {"y"}, [_host("a")], 2)
         self.assertEqual([], plan)
+
+    def test_two_losses_at_once_need_a_third_copy(self) -> None:
+        """Two disks may be lost at once; a turn has one copy left.
+
+        A second copy alone would bear one loss only: the plan goes on until
+        there are three, each in a failure domain of its own.
+        """
+        turns = [_turn(1, ["lost", "gone", "a"])]
+        hosts = [_host(n, domain=n[0]) for n in ("a", "a2", "b", "b2", "c")]
+        counted = {host.node for host in hosts}
+        for _ in range(3):
+            for copy in copies.plan(turns, counted, hosts, 3):
+                turns[0].holders = [*copy.kept, copy.target.node]
+        self.assertEqual(["a", "b", "c"], sorted(turns[0].holders))
+
+
+class SpreadTest(testtools.TestCase):
+    """Where a gateway stores a turn."""
+
+    def test_copies_stand_in_failure_domains_of_their_own(self) -> None:
+        """A failure domain goes dark with all hosts in it.
+
+        Two of the best three hosts stand in it; a turn stored on these would
+        be lost with the third disk.
+        """
+        hosts = [_host(n, domain=n[0]) for n in ("a1", "a2", "b1", "c1")]
+        for turn in range(8):
+            best = copies.spread(hosts, "r", "a1:1", turn)[:3]
+            self.assertEqual({"a", "b", "c"}, {host.domain for host in best})
+            self.assertNotIn("a1", [host.node for host in best])
+
+    def test_far_hosts_come_last(self) -> None:
+        """The narrow link between regions carries no copy that need not go."""
+        hosts = [_host("far", "other"), _host("a"), _host("b")]
+        found = [h.node for h in copies.spread(hosts, "r", "", 1)]
+        self.assertEqual("far", found[-1])
