--- a/catkinpin/adapters/gateway/answers.py
+++ b/catkinpin/adapters/gateway/answers.py
@@ -115,6 +115,7 @@
             "servers": work.sent_to,
             "routes": self._view.version,
             "tokens": work.tokens,
+            "prompt": work.call.prompt_tokens,
             "program_left_ms": work.call.program_left_ms,
             "urgency": work.urgency,
             "program_lost_ms": work.standing.lost_ms,
--- a/catkinpin/core/balance.py
+++ b/catkinpin/core/balance.py
@@ -52,9 +52,6 @@
 _REGION_MS = 24.0
 # Load that was told longer ago says nothing any more.
 _LOAD_OLD_MS = 1_500
-# Of a server's slots. An engine with more taken reads prompts in more than
-# every other step, and its answers take twice the time that they take alone.
-_BUSY_PART = 0.5
 # Costs this near are drawn by lot.
 _TIE_MS = 2.0
 # Prompt parts remembered per server; some 40 bytes each.
@@ -133,6 +130,7 @@
         call: RouteCall,
         now_ms: int,
         avoid: Collection[str] = (),
+        part: float = 0.0,
     ) -> Choice | None:
         """Returns the server for a request, None where there is none.
 
@@ -141,6 +139,7 @@
             call: the request.
             now_ms: monotonic time.
             avoid: servers that this request was sent to already.
+            part: of a server's slots that may be taken; 0: all, and a queue.
         """
         ready = [
             one
@@ -149,7 +148,10 @@
         ]
         fit = [one for one in ready if not self._is_ejected(one, now_ms)]
         # If all failed, the fault may be ours or on the way: try them anyway.
-        found = [self._weigh(one, call, now_ms) for one in fit or ready]
+        fit = fit or ready
+        if part:
+            fit = [one for one in fit if self.taken(one, now_ms) < part]
+        found = [self._weigh(one, call, now_ms) for one in fit]
         if not found:
             return None
         least = min(choice.cost_ms for choice in found)
@@ -220,11 +222,11 @@
         """Forgets a server that is gone."""
         self._servers.pop(server, None)
 
-    def is_busy(self, instance: Instance, now_ms: int) -> bool:
-        """Returns whether one more request would make others late."""
+    def taken(self, instance: Instance, now_ms: int) -> float:
+        """Returns the part of a server's slots that seems taken."""
         server = self._of(instance)
-        busy = _BUSY_PART * self._slots(instance, server)
-        return self._running(server, now_ms) >= busy
+        slots = self._slots(instance, server)
+        return self._running(server, now_ms) / slots
 
     def _is_ejected(self, instance: Instance, now_ms: int) -> bool:
         return self._of(instance).ejected_until_ms > now_ms
