--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -84,16 +84,18 @@
         """Picks the next server; None where none is left to ask."""
         if len(work.sent_to) > _MOST_REFUSALS:
             return None
-        work.choice = self._balancer.pick(
-            self._view.fleet.of(work.service.name),
-            work.call,
-            self._clock.now_ms(),
-            work.sent_to,
-            urgency.part_of_slots(work.urgency),
-        )
-        if work.choice is None:
+        servers = self._view.fleet.of(work.service.name)
+        now_ms = self._clock.now_ms()
+        choice = self._balancer.pick(servers, work.call, now_ms, work.sent_to)
+        if choice is None:
             work.reason = work.reason or "no server is left"
-        return work.choice
+            return None
+        part = urgency.part_of_slots(work.urgency)
+        if part and self._balancer.taken(choice.instance, now_ms) >= part:
+            # Another one would read its prompt anew, at the others' cost.
+            return None
+        work.choice = choice
+        return choice
 
     async def wait_for_place(self, work: Work) -> Choice | None:
         """Picks a server for a turn, once one has room for its kind.
--- a/catkinpin/adapters/groups.py
+++ b/catkinpin/adapters/groups.py
@@ -139,6 +139,7 @@
             self.log.stored(founders),
             self._node.rng,
             self._node.now_ms(),
+            self._node.timing,
         )
         self._node.wake(self)
 
--- a/catkinpin/adapters/keepers.py
+++ b/catkinpin/adapters/keepers.py
@@ -37,11 +37,13 @@
     Attributes:
         info: what it said of itself, None before its first word.
         seen_s: monotonic time at which it was last connected.
+        asks: numbers of asks under way that only a leader answers.
     """
 
     link: peers.PeerLink
     info: keeping.HostInfo | None = None
     seen_s: float = 0.0
+    asks: set[int] = dataclasses.field(default_factory=set)
 
     @property
     def is_connected(self) -> bool:
@@ -165,7 +167,9 @@
             host = self.by_address(self._leader)
             if host is not None:
                 try:
-                    reply = await self.ask(host, make, min(left, _ONE_ASK_S))
+                    reply = await self._ask_once(
+                        host, make, min(left, _ONE_ASK_S)
+                    )
                 except PeerLostError as exc:
                     why = str(exc)
                 else:
@@ -175,6 +179,29 @@
             await asyncio.sleep(_AGAIN_S)
         raise PeerLostError(why)
 
+    async def _ask_once(
+        self, host: Host, make: Callable[[int], Any], wait_s: float
+    ) -> Any:
+        """Asks a leader until it answers or another one leads.
+
+        A leader whose host is frozen keeps its stream: only the word of the
+        next one tells. Waiting on would cost each turn that was under way the
+        rest of one ask's time on top of the election.
+        """
+        number = peers.next_ask()
+        host.asks.add(number)
+        try:
+            return await host.link.ask(make(number), wait_s)
+        finally:
+            host.asks.discard(number)
+
+    def _give_up_asks(self) -> None:
+        """Ends the waits for replies of keepers that lead no more."""
+        for address, host in self._hosts.items():
+            if address != self._leader:
+                for number in host.asks:
+                    host.link.give_up(number)
+
     def _take(self, address: str, message: Any) -> None:
         host = self._hosts.get(address)
         if host is None:
@@ -185,5 +212,6 @@
             if message.term >= self._term and message.leader:
                 self._term = message.term
                 self._leader = message.leader
+                self._give_up_asks()
                 self.retiring = frozenset(message.retiring)
         self._on_message(host, message)
--- a/catkinpin/adapters/node.py
+++ b/catkinpin/adapters/node.py
@@ -16,6 +16,7 @@
 from catkinpin.adapters.identity import Identity
 from catkinpin.adapters.storage import SEGMENT_BYTES, Storage
 from catkinpin.core.consensus.messages import Members
+from catkinpin.core.consensus.state import Timing
 from catkinpin.exceptions import SettingsError
 
 if TYPE_CHECKING:
@@ -49,6 +50,7 @@
         snapshot_entries: records of a group between two of its snapshots.
         joining: how it takes part without an operator's repair; None: never.
         segment_bytes: size of the log's files; two or three lie on the disk.
+        timing: of heartbeats and elections.
     """
 
     data_folder: pathlib.Path
@@ -56,6 +58,7 @@
     snapshot_entries: int
     joining: Joining | None = None
     segment_bytes: int = SEGMENT_BYTES
+    timing: Timing = dataclasses.field(default_factory=Timing)
 
 
 class Node:
@@ -102,6 +105,11 @@
         self._mesh: mesh.Mesh
         self._founding: Founding
 
+    @property
+    def timing(self) -> Timing:
+        """Times of heartbeats and elections."""
+        return self._cfg.timing
+
     def now_ms(self) -> int:
         """Returns monotonic time that counts a suspended host's sleep, too.
 
--- a/catkinpin/core/balance.py
+++ b/catkinpin/core/balance.py
@@ -130,7 +130,6 @@
         call: RouteCall,
         now_ms: int,
         avoid: Collection[str] = (),
-        part: float = 0.0,
     ) -> Choice | None:
         """Returns the server for a request, None where there is none.
 
@@ -139,7 +138,6 @@
             call: the request.
             now_ms: monotonic time.
             avoid: servers that this request was sent to already.
-            part: of a server's slots that may be taken; 0: all, and a queue.
         """
         ready = [
             one
@@ -149,8 +147,6 @@
         fit = [one for one in ready if not self._is_ejected(one, now_ms)]
         # If all failed, the fault may be ours or on the way: try them anyway.
         fit = fit or ready
-        if part:
-            fit = [one for one in fit if self.taken(one, now_ms) < part]
         found = [self._weigh(one, call, now_ms) for one in fit]
         if not found:
             return None
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -27,6 +27,7 @@
 from catkinpin.adapters.turnbytes import TurnBytes
 from catkinpin.adapters.turnhost import TurnHost
 from catkinpin.core import keeping, messages, routes
+from catkinpin.core.consensus.state import Timing
 from catkinpin.exceptions import PeerLostError, StorageError
 
 if TYPE_CHECKING:
@@ -44,6 +45,10 @@
 # A keeper's disk has 128 MB, most of it for turns' bytes; some minutes of
 # records of both users fill this.
 _SEGMENT_BYTES = 8 * 1024 * 1024
+# All turns wait for an election, and a short program's slack is some 500 ms.
+# Between regions a heartbeat takes 16 ms there and back, a slow disk's sync
+# 150 ms: an election on either's account would cost more than it saves.
+_TIMING = Timing(heartbeat_ms=50, election_ms=400, lease_ms=330)
 # A lost disk is looked for so often; a scan of 10,000 turns takes some ms.
 _REPAIR_TICKS = 5
 # Gateways learn how many they are so often.
@@ -74,6 +79,7 @@
                 cfg.snapshot_entries,
                 Joining(tuple(cfg.seeds), cfg.first_start),
                 segment_bytes=_SEGMENT_BYTES,
+                timing=_TIMING,
             ),
             self._leader_changed,
             _stop_at_once,
--- /dev/null
+++ b/tests/test_keepers.py
@@ -0,0 +1,111 @@
+"""A gateway's asks to the leader, on real sockets."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from catkinpin.adapters import keepers, peers
+from catkinpin.core import keeping, messages
+from tests import base
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# Well below the time for which one ask waits for its reply.
+_AT_ONCE_S = 0.35
+_HELLO = messages.Hello(
+    process="test",
+    incarnation="1",
+    role="gateway",
+    address="",
+    domain="a",
+    region="a",
+)
+
+
+class _Keeper:
+    """A keeper that says who leads, and answers where a test wants it to."""
+
+    def __init__(self, *, answers: bool) -> None:
+        self.asked = 0
+        self.address = ""
+        self.leader = ""
+        self.term = 1
+        self.on_asked: Callable[[], None] = lambda: None
+        self._answers = answers
+        self._server = peers.PeerServer(
+            keeping.ToKeeper, self._take, lambda _: None
+        )
+
+    async def start(self) -> None:
+        self.address = await self._server.start("127.0.0.1:0")
+
+    async def stop(self) -> None:
+        await self._server.stop()
+
+    def tell(self) -> None:
+        info = keeping.HostInfo(
+            node=self.address,
+            address=self.address,
+            domain="a",
+            region="a",
+            known=[],
+            leader=self.leader,
+            term=self.term,
+        )
+        for stream in self._server.streams:
+            stream.send(info)
+
+    def _take(self, stream: peers.Stream, message: Any) -> None:
+        if isinstance(message, messages.Hello):
+            self.tell()
+            return
+        self.asked += 1
+        self.on_asked()
+        if self._answers:
+            stream.send(keeping.Done(ask=message.ask))
+
+
+class LeaderTest(base.TestCase):
+    """Leaders that change under an ask."""
+
+    def test_ask_to_a_frozen_leader_goes_to_the_next_one(self) -> None:
+        """The leader's host freezes with asks of turns under way.
+
+        Another keeper is elected in less than a second. Turns that wait on
+        for the frozen one's reply would lose as much time again.
+        """
+
+        async def main() -> None:
+            frozen, fresh = _Keeper(answers=False), _Keeper(answers=True)
+            await frozen.start()
+            await fresh.start()
+            frozen.leader = fresh.leader = frozen.address
+
+            def elected() -> None:
+                fresh.leader = fresh.address
+                fresh.term = 2
+                fresh.tell()
+
+            frozen.on_asked = elected
+            asker = keepers.Keepers(_HELLO)
+            asker.add([frozen.address, fresh.address])
+
+            async def known() -> bool:
+                return len(asker.connected()) == 2
+
+            await base.until(known, "both keepers are connected")
+            begun = time.monotonic()
+            reply = await asker.ask_leader(
+                lambda ask: keeping.AskCurrent(ask=ask), 3.0
+            )
+            took_s = time.monotonic() - begun
+            self.assertIsInstance(reply, keeping.Done)
+            self.assertEqual((1, 1), (frozen.asked, fresh.asked))
+            self.assertLess(took_s, _AT_ONCE_S)
+            await asker.stop()
+            await frozen.stop()
+            await fresh.stop()
+
+        self.run_async(main())
