--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -39,10 +39,6 @@
 # route's target latencies, at least so long, is left.
 _SILENT_TARGETS = 4
 _SILENT_LEAST_S = 1.5
-# How often a turn without a place looks for one, and the part of its time that
-# it may wait so; after that a caller does better to come again.
-_PLACE_S = 0.015
-_PLACE_PART = 0.5
 # Gateways that may come before all know of it, and connections that a server
 # has not seen closed yet, take this much more of its limit.
 _GATEWAYS_MARGIN = 1.2
@@ -90,42 +86,13 @@
         if choice is None:
             work.reason = work.reason or "no server is left"
             return None
-        part = urgency.part_of_slots(work.urgency)
-        if part and self._balancer.taken(choice.instance, now_ms) >= part:
-            # Another one would read its prompt anew, at the others' cost.
+        hopeless = work.urgency >= urgency.HOPELESS
+        if hopeless and self._balancer.is_busy(choice.instance, now_ms):
+            work.reason = "past twice its time, and its server is busy"
             return None
         work.choice = choice
         return choice
 
-    async def wait_for_place(self, work: Work) -> Choice | None:
-        """Picks a server for a turn, once one has room for its kind.
-
-        A program past twice its time is given up at once where there is no
-        room; others wait for a part of their time.
-        """
-        begun_s = work.left_s
-        until_s = begun_s * (1 - _PLACE_PART)
-        while True:
-            choice = self.pick(work)
-            if choice is not None or self._is_over(work, until_s):
-                return choice
-            work.reason = ""
-            await asyncio.sleep(_PLACE_S)
-            waited_ms = int((begun_s - work.left_s) * _MS)
-            work.urgency = urgency.of_turn(work.standing, waited_ms)
-
-    def _is_over(self, work: Work, until_s: float) -> bool:
-        """Returns whether a turn without a place is given up."""
-        if not urgency.part_of_slots(work.urgency) or work.sent_to:
-            return True
-        if work.urgency >= urgency.HOPELESS:
-            work.reason = "past twice its time, and all servers are busy"
-            return True
-        if work.left_s < until_s:
-            work.reason = "no server had room for it in time"
-            return True
-        return False
-
     async def send(
         self, work: Work, choice: Choice, body: bytes, resume_at: str = ""
     ) -> tuple[ServerConnection, Head] | Failure:
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -139,7 +139,7 @@
         body = history + work.body
         passed = _Passed(work.call.resume_at)
         while True:
-            choice = await self._exchange.wait_for_place(work)
+            choice = self._exchange.pick(work)
             if choice is None:
                 break
             end = await self._try(work, choice, body, passed)
--- a/catkinpin/core/balance.py
+++ b/catkinpin/core/balance.py
@@ -55,6 +55,9 @@
 _REGION_MS = 24.0
 # Load that was told longer ago says nothing any more.
 _LOAD_OLD_MS = 1_500
+# Of a server's slots. An engine with more taken reads prompts in more than
+# every other step, and its answers take twice the time that they take alone.
+_BUSY_PART = 0.5
 # Of the others' load, what a server that was never heard of is taken to have:
 # it may have just come, or this gateway has.
 _NEW_PART = 0.5
@@ -231,6 +234,10 @@
         slots = self._slots(instance, server)
         return self._running(server, now_ms) / slots
 
+    def is_busy(self, instance: Instance, now_ms: int) -> bool:
+        """Returns whether one more request would make others late."""
+        return self.taken(instance, now_ms) >= _BUSY_PART
+
     def _is_ejected(self, instance: Instance, now_ms: int) -> bool:
         return self._of(instance).ejected_until_ms > now_ms
 
--- a/catkinpin/core/urgency.py
+++ b/catkinpin/core/urgency.py
@@ -30,12 +30,6 @@
 USUAL = 5
 BEHIND = 6
 HOPELESS = 8
-# Parts of an engine's slots beyond which turns of a program that is not under
-# way wait at their gateway. A full engine's memory holds its running requests
-# and little else: sessions and shared parts are dropped and read again, and
-# programs under way, slowed by that, lose their slack, too.
-_FRESH_PART = 0.67
-_BEHIND_PART = 0.5
 # Of what a program was allowed, so much may be lost before it is behind. Its
 # users allow 1.5 to 2.2 times its time on idle servers: a third to a half is
 # slack. In the model 0.3 to 0.4 serve best at all of these.
@@ -63,15 +57,10 @@
     turns: int = 0
 
 
-def of_turn(standing: Standing, waited_ms: int = 0) -> int:
-    """Returns how urgent a program's next turn is.
-
-    Args:
-        standing: of the program when the turn began.
-        waited_ms: since then, for a place at a server.
-    """
+def of_turn(standing: Standing) -> int:
+    """Returns how urgent a program's next turn is."""
     allowed_ms = standing.allowed_ms
-    elapsed_ms = standing.elapsed_ms + waited_ms
+    elapsed_ms = standing.elapsed_ms
     if not allowed_ms:
         return USUAL
     if elapsed_ms > 2 * allowed_ms:
@@ -80,22 +69,7 @@
     if not standing.turns:
         return FRESH if elapsed_ms <= slack_ms else BEHIND
     late = elapsed_ms > allowed_ms
-    lost_ms = standing.lost_ms + waited_ms
-    return BEHIND if late or lost_ms > slack_ms else UNDER_WAY
-
-
-def part_of_slots(rank: int) -> float:
-    """Returns the part of an engine's slots that a turn may find taken.
-
-    Args:
-        rank: how urgent it is.
-
-    Returns:
-        The part; 0 where it may wait in the engine's own queue.
-    """
-    if rank <= UNDER_WAY or rank == USUAL:
-        return 0.0
-    return _FRESH_PART if rank == FRESH else _BEHIND_PART
+    return BEHIND if late or standing.lost_ms > slack_ms else UNDER_WAY
 
 
 def lost_ms(call: RouteCall, tokens: int, took_ms: int) -> int:
