Soak gateways, keepers and stores; test what a gateway believes

A randomized soak of the real processes of the raw routes was missing: kills, freezes, planned stops, SIGHUP, lost disks one at a time, changed routes, and a server behind a proxy that cuts, delays or falls silent, two series at once. It checks from callers and server: each chain's bytes, no second run, "not run" is true, whole answers, budgets, routes that never go back.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = $(shell .ci/venv)/bin/python
 
-.PHONY: demo test fuzz lint format bench soak
+.PHONY: demo test fuzz lint format bench soak soak-platform
 
 demo:
 	$(PYTHON) -m demo
@@ -20,6 +20,10 @@
 soak:
 	$(PYTHON) -m tests.soak $(SEED) $(SECONDS) ""
 
+# The same against gateways, keepers and stores: seeds FIRST to LAST-1.
+soak-platform:
+	$(PYTHON) -m tests.soakplatform $(FIRST) $(LAST) $(SECONDS)
+
 lint:
 	$(PYTHON) -m ruff format --check .
 	$(PYTHON) -m ruff check .
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -89,6 +89,10 @@
         self._session: aiohttp.ClientSession
         self._beating: asyncio.Task[None]
         self.gap_s = 0.0
+        # Where the server says it is; a test may put a proxy before it.
+        self.server_address = ""
+        # Called with each request that reaches the server.
+        self.on_request: Callable[[Seen], None] = lambda _: None
         # Times that the store which lost its disk last had registered before.
         self._seen = 0
 
@@ -96,7 +100,8 @@
         self._session = aiohttp.ClientSession()
         for host in self.hosts.values():
             self.start(host.name)
-        await self.model.start()
+        if not self.model.address:
+            await self.model.start()
         await self.until(self.configure)
         await self.until(self.beat)
         self._beating = asyncio.create_task(self._keep_beating())
@@ -221,11 +226,18 @@
             "resumable": False,
             **route,
         }
+        plain = {
+            **told,
+            "name": "u",
+            "path_prefix": "/u/",
+            "kind": "unsafe",
+            "server_history": False,
+        }
         engine = {"slots": 8, "kv_capacity": 10_000, "event_tokens": 2}
         service = {"name": "models", "max_conns": 50, "engine": engine}
         manifest = {
             "version": self.version,
-            "routes": [told],
+            "routes": [told, plain],
             "services": [service],
         }
         body = json.dumps(manifest).encode()
@@ -236,7 +248,7 @@
         self._beat += 1
         told = {
             "service": "models",
-            "address": self.model.address,
+            "address": self.server_address or self.model.address,
             "zone": "a",
             "slots": 8,
             "state": "ready",
@@ -281,6 +293,10 @@
         async with self._session.get(url) as answer:
             return answer.status
 
+    def url(self, gateway: str, path: str) -> str:
+        """Returns the URL at which a gateway takes callers."""
+        return f"http://{self.hosts[gateway].ip}:{self._ports[1]}{path}"
+
     async def turn(
         self,
         name: str,
@@ -289,7 +305,6 @@
         **headers: str,
     ) -> int:
         """Sends a turn; returns its status, 0 where the answer broke off."""
-        ip = self.hosts[gateway].ip
         told = {
             "Host": "h.example",
             "X-Attempt-Id": name,
@@ -301,7 +316,7 @@
         }
         if previous:
             told["X-Previous-Turn"] = previous
-        url = f"http://{ip}:{self._ports[1]}/t/x"
+        url = self.url(gateway, "/t/x")
         try:
             async with self._session.post(
                 url, data=f"<{name}>".encode(), headers=told
@@ -321,7 +336,16 @@
         return False
 
     async def _stream(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        self.on_request(seen)
         name = seen.headers["x-attempt-id"]
+        if seen.target.startswith("/u/"):
+            body = (
+                f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {name}\r\n"
+                f"X-Response-Seal: s\r\nContent-Length: {len(name)}\r\n\r\n"
+                f"{name}"
+            )
+            writer.write(body.encode())
+            return
         head = (
             f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {name}\r\n"
             "X-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
--- /dev/null
+++ b/tests/soakplatform.py
@@ -0,0 +1,379 @@
+"""Faults in series against gateways, keepers and stores: `make soak-platform`.
+
+Callers run programs of turns, and calls that must not be repeated, through all
+gateways, while by a seed processes are killed, frozen, stopped and sent
+signals, disks are taken away one at a time, routes change, and the proxy
+before the backend server resets its connections or falls silent. What the
+server saw and what callers got decides. Two series of faults overlap.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+from typing import TYPE_CHECKING
+
+import aiohttp
+import uvloop
+
+from tests import base
+from tests.fakes.deployment import Deployment
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from tests.fakes.rawserver import Seen
+
+_CALLERS = 8
+_STRIKERS = 2
+_TURNS = 5
+_TRIES = 60
+_AGAIN_S = 0.15
+_DEADLINE_MS = 3_000
+# An answer that comes so long after its deadline came too late: a frozen
+# gateway thaws after 3 s at most.
+_LATE_S = _DEADLINE_MS / 1_000 + 4.0
+_BUDGET = 60
+_MOST = 6
+# Statuses that promise that the request has not run and never will.
+_PROMISES = frozenset({402, 408, 421, 429, 503})
+
+
+@dataclasses.dataclass
+class Findings:
+    """What was seen, and what must not have been.
+
+    Attributes:
+        statuses: of all answers; 0 for those that broke off.
+        promised: requests that have not run, as their callers were told.
+        runs: how often the server began each request.
+    """
+
+    statuses: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    promised: set[str] = dataclasses.field(default_factory=set)
+    runs: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    problems: list[str] = dataclasses.field(default_factory=list)
+    faults: list[str] = dataclasses.field(default_factory=list)
+
+
+class Soak:
+    """A deployment under load and faults.
+
+    Args:
+        deployment: that serves.
+        proxy: control address of the proxy before its server.
+        seed: decides all faults.
+        seconds: how long callers and faults go on.
+    """
+
+    def __init__(
+        self, deployment: Deployment, proxy: str, seed: int, seconds: float
+    ) -> None:
+        self._deployment = deployment
+        self._proxy = proxy
+        self._rng = random.Random(seed)
+        self._until = time.monotonic() + seconds
+        self._bodies: dict[str, bytes] = {}
+        self._disk = asyncio.Lock()
+        self._acknowledged = 0
+        # Ends of freezes, on the monotonic clock.
+        self._frozen_at: list[float] = []
+        self._http = aiohttp.ClientSession()
+        self._hands: dict[str, asyncio.Lock] = {
+            name: asyncio.Lock() for name in deployment.hosts
+        }
+        self.found = Findings()
+        deployment.on_request = self._ran
+
+    async def run(self) -> Findings:
+        """Runs callers and faults until the time is over, then checks."""
+        strikers = [
+            asyncio.create_task(self._strike()) for _ in range(_STRIKERS)
+        ]
+        callers = [self._caller(number) for number in range(_CALLERS)]
+        await asyncio.gather(*callers)
+        await asyncio.gather(*strikers)
+        for attempt in self.found.promised:
+            if self.found.runs[attempt]:
+                self._problem(f"{attempt} ran, though told that it had not")
+        for attempt, runs in self.found.runs.items():
+            if runs > 1:
+                self._problem(f"{attempt} ran {runs} times")
+        await self._read_back()
+        await self._http.close()
+        return self.found
+
+    def _problem(self, text: str) -> None:
+        self.found.problems.append(text)
+
+    def _ran(self, seen: Seen) -> None:
+        attempt = seen.headers["x-attempt-id"]
+        self.found.runs[attempt] += 1
+        expected = self._bodies.get(attempt)
+        if expected is None:
+            self._problem(f"{attempt} was sent by nobody")
+        elif seen.body != expected:
+            self._problem(f"{attempt} has {seen.body!r}, not {expected!r}")
+
+    # Callers.
+
+    async def _caller(self, number: int) -> None:
+        rng = random.Random(number)
+        program = 0
+        while time.monotonic() < self._until:
+            program += 1
+            await self._program(f"c{number}p{program}", rng)
+
+    async def _program(self, name: str, rng: random.Random) -> None:
+        """Runs a chain of turns, with a call that must not be repeated."""
+        history, previous, tokens = b"", "", 0
+        for turn in range(_TURNS):
+            said = f"<{name}.{turn}>".encode()
+            done = await self._turn(f"{name}.{turn}", previous, history + said)
+            if done is None:
+                return
+            previous, output = done
+            history += said + output
+            tokens += _MOST
+            if tokens > _BUDGET + _MOST:
+                self._problem(f"{name} got {tokens} tokens of {_BUDGET}")
+            await self._call(f"{name}.{turn}.pay")
+            await asyncio.sleep(rng.uniform(0, 0.05))
+
+    async def _turn(
+        self, name: str, previous: str, body: bytes
+    ) -> tuple[str, bytes] | None:
+        """Sends a turn until it is served; returns its id and its output."""
+        for number in range(_TRIES):
+            attempt = f"{name}.{number}"
+            self._bodies[attempt] = body
+            said = body[body.rindex(b"<") :]
+            program = name.partition(".")[0]
+            status, got = await self._send(
+                "/t/x", attempt, said, previous, program
+            )
+            if status == 200:
+                parts = [f"{attempt}-{n}".encode() for n in (1, 2)]
+                if not all(part in got for part in parts):
+                    self._problem(f"{attempt} got {got!r}")
+                return attempt, b"".join(part + b"\n" for part in parts)
+            if status == 404 or (status == 402 and not number):
+                self._problem(f"{attempt} after {previous!r}: {status}")
+            if status in (402, 404) or time.monotonic() > self._until + 20:
+                return None
+            await asyncio.sleep(_AGAIN_S)
+        self._problem(f"{name}: not served in {_TRIES} tries")
+        return None
+
+    async def _call(self, attempt: str) -> None:
+        self._bodies[attempt] = b"1"
+        status, got = await self._send("/u/pay", attempt, b"1", "", attempt)
+        if status == 200 and got != attempt.encode():
+            self._problem(f"{attempt} got {got!r}")
+
+    async def _send(
+        self, path: str, attempt: str, body: bytes, previous: str, program: str
+    ) -> tuple[int, bytes]:
+        """Sends once through any gateway; returns 0 for a broken answer."""
+        gateways = self._named("gateway")
+        headers = {
+            "X-Program-Id": program,
+            "X-Token-Usage": f"10,{_MOST}",
+            "X-Token-Budget": str(_BUDGET),
+            "X-Deadline-Ms": str(_DEADLINE_MS),
+        }
+        if previous:
+            headers["X-Previous-Turn"] = previous
+        url = self._deployment.url(self._rng.choice(gateways), path)
+        told = {"Host": "h.example", "X-Attempt-Id": attempt, **headers}
+        begun = time.monotonic()
+        status, got = 0, b""
+        try:
+            async with self._http.post(
+                url,
+                data=body,
+                headers=told,
+                timeout=aiohttp.ClientTimeout(total=_LATE_S),
+            ) as answer:
+                got = await answer.read()
+                status = answer.status
+        except TimeoutError:
+            # A gateway that is frozen answers nobody.
+            took_s = time.monotonic() - begun
+            if not self._was_frozen(begun):
+                self._problem(f"{attempt}: no answer in {took_s:.1f} s")
+        except (aiohttp.ClientError, ConnectionError):
+            status = 0
+        self.found.statuses[status] += 1
+        if status in _PROMISES:
+            self.found.promised.add(attempt)
+        return status, got
+
+    def _was_frozen(self, since: float) -> bool:
+        return any(at >= since - _LATE_S for at in self._frozen_at)
+
+    # Faults.
+
+    async def _strike(self) -> None:
+        faults: list[Callable[[], Awaitable[str]]] = [
+            self._kill,
+            self._freeze,
+            self._stop,
+            self._hang_up,
+            self._wipe,
+            self._reroute,
+            self._cut_server,
+        ]
+        while time.monotonic() < self._until:
+            fault = self._rng.choice(faults)
+            text = await fault()
+            if text:
+                self.found.faults.append(text)
+            await asyncio.sleep(self._rng.uniform(0.1, 1.2))
+
+    def _named(self, *roles: str) -> list[str]:
+        hosts = self._deployment.hosts.values()
+        return [host.name for host in hosts if host.role in roles]
+
+    def _any_host(self) -> str:
+        return self._rng.choice(list(self._deployment.hosts))
+
+    async def _kill(self) -> str:
+        name = self._any_host()
+        async with self._hands[name]:
+            self._deployment.kill(name)
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+            self._deployment.start(name)
+        return f"kill {name}"
+
+    async def _freeze(self) -> str:
+        name = self._any_host()
+        async with self._hands[name]:
+            self._deployment.kill(name, signal.SIGSTOP)
+            self._frozen_at.append(time.monotonic() + 3.0)
+            await asyncio.sleep(self._rng.uniform(0.1, 3.0))
+            self._deployment.kill(name, signal.SIGCONT)
+        return f"freeze {name}"
+
+    async def _stop(self) -> str:
+        name = self._any_host()
+        process = self._deployment.hosts[name].process
+        assert process is not None
+        async with self._hands[name]:
+            self._deployment.kill(name, signal.SIGTERM)
+            try:
+                code = await asyncio.to_thread(process.wait, 9.0)
+                if code:
+                    self._problem(f"{name} ended with {code} when stopped")
+            finally:
+                self._deployment.start(name)
+        return f"stop {name}"
+
+    async def _hang_up(self) -> str:
+        name = self._any_host()
+        async with self._hands[name]:
+            self._deployment.kill(name, signal.SIGHUP)
+        return f"hang up {name}"
+
+    async def _wipe(self) -> str:
+        """Takes one disk away; the next only once what it held is copied."""
+        if self._disk.locked():
+            return ""
+        name = self._rng.choice(self._named("keeper", "store"))
+        async with self._disk:
+            async with self._hands[name]:
+                self._deployment.wipe(name)
+                self._deployment.start(name)
+            await self._deployment.repaired(name)
+        return f"wipe {name}"
+
+    async def _reroute(self) -> str:
+        """Sends new routes, and reads them back from any keeper."""
+        if await self._deployment.configure(priority=self._rng.randint(0, 2)):
+            self._acknowledged = self._deployment.version
+        await self._read_back()
+        return "reroute"
+
+    async def _read_back(self) -> None:
+        wanted = self._acknowledged
+        status, body = await self._deployment.control("GET", "/-/config")
+        if status == 200 and json.loads(body)["version"] < wanted:
+            self._problem(f"routes read back are older than {wanted}")
+
+    async def _cut_server(self) -> str:
+        hows: list[dict[str, object]] = [
+            {"cut": True},
+            {"down_silent_open": True},
+            {"up_delay_ms": 300},
+        ]
+        how = self._rng.choice(hows)
+        await self._steer(how)
+        await asyncio.sleep(self._rng.uniform(0.1, 1.5))
+        await self._steer(
+            {"cut": False, "down_silent_open": False, "up_delay_ms": 0}
+        )
+        return f"server {next(iter(how))}"
+
+    async def _steer(self, how: dict[str, object]) -> None:
+        async with self._http.post(self._proxy + "/fake", json=how) as answer:
+            await answer.read()
+
+
+async def play(seed: int, seconds: float) -> Findings:
+    """Plays one seed."""
+    with tempfile.TemporaryDirectory(
+        prefix="catkinpin-soak-", ignore_cleanup_errors=True
+    ) as folder:
+        deployment = Deployment(pathlib.Path(folder), gateways=3)
+        control, port = base.free_ports(2)
+        await deployment.model.start()
+        proxy = base.Process(
+            "tests.fakes.proxy",
+            [
+                *("--port", str(port), "--control", str(control)),
+                *("--target", deployment.model.address),
+            ],
+            pathlib.Path(folder) / "proxy.log",
+        )
+        deployment.server_address = f"127.0.0.1:{port}"
+        try:
+            async with deployment:
+                soak = Soak(
+                    deployment, f"http://127.0.0.1:{control}", seed, seconds
+                )
+                return await soak.run()
+        finally:
+            proxy.end()
+
+
+async def main(first: int, last: int, seconds: float) -> int:
+    """Plays seeds and prints what was found."""
+    bad = 0
+    for seed in range(first, last):
+        found = await play(seed, seconds)
+        statuses = dict(sorted(found.statuses.items()))
+        print(f"seed {seed}: {len(found.faults)} faults, answers {statuses}")
+        for problem in found.problems:
+            print(f"PROBLEM {problem}")
+        if found.problems:
+            bad += 1
+            print(f"  faults: {', '.join(found.faults)}", flush=True)
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(
+        uvloop.run(main(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])))
+    )
--- /dev/null
+++ b/tests/test_view.py
@@ -0,0 +1,80 @@
+"""What a gateway believes of routes and servers, as keepers tell it."""
+
+from __future__ import annotations
+
+import testtools
+
+from catkinpin import clock
+from catkinpin.adapters.gateway.view import View
+from catkinpin.core import keeping
+from catkinpin.core.fleet import Instance, ServerState
+from catkinpin.core.routes import CallerLimits, Routing
+
+
+def _routing(version: int) -> Routing:
+    return Routing(
+        version=version, routes=[], services=[], limits=CallerLimits()
+    )
+
+
+def _server(name: str) -> Instance:
+    return Instance(
+        id=name,
+        service="models",
+        address=f"{name}:80",
+        domain="a",
+        state=ServerState.READY,
+        born_ms=1,
+        sequence=1,
+        slots=4,
+    )
+
+
+class RoutesTest(testtools.TestCase):
+    """A gateway that has just started, and keepers of which some lag."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.view = View(clock.system_clock(), lambda _: None)
+
+    def test_lagging_keeper_is_heard_first(self) -> None:
+        """The keeper that answers first was cut off and knows old routes.
+
+        By its word the gateway would refuse with 404 what is allowed by now,
+        or serve a route that was removed long ago.
+        """
+        self.view.take(keeping.RoutingNow(version=3, is_current=False))
+        self.view.replace(_routing(3))
+        self.assertFalse(self.view.serves)
+        self.view.take(keeping.RoutingNow(version=5, is_current=True))
+        self.assertFalse(self.view.serves)
+        self.view.replace(_routing(5))
+        self.assertTrue(self.view.serves)
+
+    def test_old_document_comes_late(self) -> None:
+        """Two keepers send two versions; the older one takes longer."""
+        self.view.replace(_routing(5))
+        self.view.replace(_routing(4))
+        self.assertEqual(5, self.view.version)
+
+    def test_newer_version_that_is_on_its_way_stops_nothing(self) -> None:
+        """Routes change; the document takes a while over the narrow link."""
+        self.view.replace(_routing(5))
+        self.view.take(keeping.RoutingNow(version=5, is_current=True))
+        self.view.take(keeping.RoutingNow(version=6, is_current=True))
+        self.assertTrue(self.view.serves)
+
+
+class ServersTest(testtools.TestCase):
+    """Servers that one keeper has forgotten and another not yet."""
+
+    def test_whole_list_of_a_lagging_keeper_takes_no_server_away(self) -> None:
+        """A keeper that lags lists servers as they were a while ago."""
+        gone: list[str] = []
+        view = View(clock.system_clock(), lambda one: gone.append(one.id))
+        new, old = [_server("a"), _server("b")], [_server("a")]
+        view.take(keeping.FleetNow(index=9, instances=new, whole=True))
+        view.take(keeping.FleetNow(index=7, instances=old, whole=True))
+        self.assertEqual({"a", "b"}, set(view.fleet.servers))
+        view.take(keeping.FleetNow(index=11, instances=old, whole=True))
+        self.assertEqual(["b"], gone)
