Send what must not run twice on no connection that was idle for long

Cause: servers of the grown sites drop idle connections without a word and sooner than they say; what is sent next is reset. For a request that may not be repeated that is the end: it may have run, its caller gets 502. A connection that was used within the last second is taken, else a new one (1 ms); where all that may be open are, the one idle longest makes room.

Ruled out: probing a connection first, which costs a way there and back and proves nothing about the moment after.

Test: test_connection_idle_for_long_is_not_used_for_what_runs_once, failing before.

--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -13,7 +13,7 @@
 from catkinpin import decisions, metrics
 from catkinpin.adapters.gateway.crashes import Crashes
 from catkinpin.adapters.gateway.ports import Sending
-from catkinpin.adapters.http.client import Failure
+from catkinpin.adapters.http.client import ANY_IDLE_S, Failure
 from catkinpin.core import urgency
 from catkinpin.verdicts import Verdict
 
@@ -35,6 +35,9 @@
 # A server that can't be reached in this time is left out; a connection takes
 # some ms even between regions.
 _CONNECT_S = 0.3
+# How long a connection may have been idle for a request that may not be sent
+# twice. A new one takes a ms; servers drop idle ones after seconds.
+_ONCE_IDLE_S = 1.0
 # Where another server can go on, one that says nothing for so many of the
 # route's target latencies, at least so long, is left.
 _SILENT_TARGETS = 4
@@ -100,7 +103,10 @@
         instance = choice.instance
         work.sent_to.append(instance.id)
         conn = await self._pool.take(
-            instance.address, self._most(work), _CONNECT_S
+            instance.address,
+            self._most(work),
+            _CONNECT_S,
+            ANY_IDLE_S if work.is_repeatable else _ONCE_IDLE_S,
         )
         if isinstance(conn, Failure):
             work.reason = conn.reason
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.adapters.http.client import Failure
-from catkinpin.core.routes import RouteKind
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -37,7 +36,7 @@
 
     async def serve(self, work: Work) -> None:
         """Serves one, at as many servers as it may run on."""
-        idempotent = work.route.kind is RouteKind.IDEMPOTENT
+        idempotent = work.is_repeatable
         while True:
             choice = self._exchange.pick(work)
             if choice is None:
--- a/catkinpin/adapters/gateway/work.py
+++ b/catkinpin/adapters/gateway/work.py
@@ -62,6 +62,13 @@
         """Time until its deadline."""
         return self.deadline_s - asyncio.get_running_loop().time()
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a second run does no harm."""
+        if self.route.kind is RouteKind.STREAM:
+            return self.route.resumable
+        return self.route.kind is RouteKind.IDEMPOTENT
+
     @property
     def may_leave(self) -> bool:
         """Whether a silent server may be left for another one.
--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -27,6 +27,8 @@
 # An idle connection is retired this much before the server would close it:
 # a request that crosses the close may or may not have run.
 _IDLE_MARGIN_S = 1.0
+# How long a connection may have been idle where that makes no difference.
+ANY_IDLE_S = 60.0
 # Idle time of a connection to a server that names none.
 _IDLE_S = 4.0
 
@@ -87,6 +89,7 @@
         self._by_close = False
         self._keep_alive = True
         self.idle_until_s = 0.0
+        self.idle_since_s = 0.0
         self.closed = False
         self.on_closed: Callable[[], None] = lambda: None
 
@@ -174,6 +177,7 @@
     def finish(self, now_s: float) -> None:
         """Ends the exchange; the connection can serve another one."""
         self._under_way = False
+        self.idle_since_s = now_s
         if not self._complete:
             self.abort("not read to its end")
         if self.idle_until_s == 0.0:
@@ -265,7 +269,11 @@
         self._open: dict[str, int] = {}
 
     async def take(
-        self, address: str, most: int, timeout_s: float
+        self,
+        address: str,
+        most: int,
+        timeout_s: float,
+        most_idle_s: float = ANY_IDLE_S,
     ) -> ServerConnection | Failure:
         """Returns a connection that nothing is under way on.
 
@@ -273,15 +281,23 @@
             address: of the server.
             most: connections that this process may have open to it.
             timeout_s: longest wait for a new one.
+            most_idle_s: one that was idle for longer is not taken. A server
+                may have dropped it without a word; what is sent on it then is
+                reset, and may have run for all one knows.
         """
         loop = asyncio.get_running_loop()
         now = loop.time()
         idle = self._idle.get(address, [])
         while idle:
-            conn = idle.pop()
-            if conn.is_usable(now):
-                return conn
-            conn.abort("idle for too long")
+            conn = idle[-1]
+            if not conn.is_usable(now):
+                idle.pop()
+                conn.abort("idle for too long")
+            elif now - conn.idle_since_s <= most_idle_s:
+                return idle.pop()
+            else:
+                self._make_room(address, most)
+                break
         if self._open.get(address, 0) >= most:
             return Failure(Verdict.NOT_RUN, "no connection is free")
         self._open[address] = self._open.get(address, 0) + 1
@@ -302,6 +318,15 @@
             self._closed(address)
         return conn
 
+    def _make_room(self, address: str, most: int) -> None:
+        """Closes the connection that is idle longest, where all are open."""
+        if self._open.get(address, 0) < most:
+            return
+        conn = self._idle[address].pop(0)
+        conn.on_closed = lambda: None
+        conn.abort("makes room for a new one")
+        self._closed(address)
+
     def give_back(self, address: str, conn: ServerConnection) -> None:
         """Takes a connection back whose exchange has ended."""
         now = asyncio.get_running_loop().time()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -114,6 +114,38 @@
 
         _run(play())
 
+    def test_connection_idle_for_long_is_not_used_for_what_runs_once(
+        self,
+    ) -> None:
+        """A server drops idle connections without a word, and sooner than told.
+
+        What is sent next on one is reset, and may have run for all one knows:
+        its caller would get no answer to a call that must not be repeated.
+        """
+
+        async def answer(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(sealed(seen, b"x"))
+
+        async def play() -> None:
+            server = RawServer(answer)
+            await server.start()
+            pool = Pool()
+            await _exchange(pool, server.address, "a")
+            await asyncio.sleep(0.1)
+            used = await pool.take(server.address, 1, 1.0)
+            assert not isinstance(used, Failure)
+            self.assertFalse(used.is_fresh)
+            pool.give_back(server.address, used)
+            # Where all that may be open are, the one idle longest makes room.
+            conn = await pool.take(server.address, 1, 1.0, most_idle_s=0.05)
+            assert not isinstance(conn, Failure)
+            self.assertTrue(conn.is_fresh)
+            self.assertEqual(2, server.connections)
+            conn.abort("the test is over")
+            await server.stop()
+
+        _run(play())
+
     def test_answer_to_an_older_request_is_passed_over(self) -> None:
         """An old answer arrives just where the next one is expected."""
 
