Take back the leaving of slow plain services: it served nobody better

Cause: a server that has turned slow has slots free, so its load shows nothing, and gateways near it go on sending it their part.

Conclusion: programs have slack for their tools, and with three servers the others are crowded by what the slow one doesn't take.

--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -153,11 +153,6 @@
         """Notes a whole answer."""
         self._balancer.succeeded(choice.instance)
 
-    def took(self, choice: Choice, took_s: float) -> None:
-        """Notes how long a plain answer took."""
-        now_ms = self._clock.now_ms()
-        self._balancer.took(choice.instance, int(took_s * _MS), now_ms)
-
     def broke(self, work: Work, choice: Choice, failure: Failure) -> None:
         """Notes that a server broke off what it may have begun to run."""
         self.failed(choice, failure.reason)
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -63,7 +63,6 @@
         self, work: Work, choice: Choice, idempotent: bool, last: bool
     ) -> bool:
         """Sends to one server; returns whether the caller was answered."""
-        left_s = work.left_s
         sent = await self._exchange.send(work, choice, work.body)
         if isinstance(sent, Failure):
             return False
@@ -78,9 +77,7 @@
                 work.reason = f"status {head.status}"
                 self._exchange.failed(choice, work.reason)
                 return False
-            done = await self.pass_on(work, choice, conn, head)
-            self._exchange.took(choice, left_s - work.left_s)
-            return done
+            return await self.pass_on(work, choice, conn, head)
         finally:
             self._exchange.end(choice, conn)
 
--- a/catkinpin/core/balance.py
+++ b/catkinpin/core/balance.py
@@ -61,17 +61,6 @@
 # Of the others' load, what a server that was never heard of is taken to have:
 # it may have just come, or this gateway has.
 _NEW_PART = 0.5
-# Weight of one answer in the moving mean of what answers take. With times that
-# scatter as both users' services' do, the mean scatters by a third.
-_TOOK_WEIGHT = 0.2
-# A server whose mean is so many times that of the middle one is slow: five
-# times its own scatter. It needs this many answers and servers to be told.
-_SLOW_X = 2.7
-_TOOK_FEWEST = 8
-_SLOW_AMONG = 2
-# A slow server is asked again after so long, or nobody would learn that it
-# has recovered.
-_TOOK_OLD_MS = 1_500
 # Costs this near are drawn by lot.
 _TIE_MS = 2.0
 # Prompt parts remembered per server; some 40 bytes each.
@@ -91,8 +80,6 @@
     Attributes:
         sent: requests under way there from here.
         since: requests sent from here since it told its load.
-        took_ms: what its plain answers take, a moving mean.
-        took: plain answers so far.
         parts: prompt parts that it has read, oldest use first.
     """
 
@@ -104,9 +91,6 @@
     parts: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
-    took_ms: float = 0.0
-    took: int = 0
-    took_at_ms: int = 0
     failures: int = 0
     failed_at_ms: int = 0
     ejections: int = 0
@@ -174,8 +158,6 @@
         fit = fit or ready
         usual = self._usual_load(fit, now_ms)
         found = [self._weigh(one, call, now_ms, usual) for one in fit]
-        if not call.most_tokens:
-            found = self._without_slow(found, now_ms)
         if not found:
             return None
         least = min(choice.cost_ms for choice in found)
@@ -215,14 +197,6 @@
         server.load_at_ms = now_ms
         server.since = 0
 
-    def took(self, instance: Instance, took_ms: int, now_ms: int) -> None:
-        """Takes how long a plain answer took."""
-        server = self._of(instance)
-        weight = max(_TOOK_WEIGHT, 1 / (server.took + 1))
-        server.took_ms += weight * (took_ms - server.took_ms)
-        server.took += 1
-        server.took_at_ms = now_ms
-
     def succeeded(self, instance: Instance) -> None:
         """Notes an answer."""
         server = self._of(instance)
@@ -298,24 +272,6 @@
         age = now_ms - server.load_at_ms if server.load is not None else -1
         return Choice(instance, cost, cached, age)
 
-    def _without_slow(self, found: list[Choice], now_ms: int) -> list[Choice]:
-        """Leaves servers out whose plain answers take far longer than others'.
-
-        A server that has turned slow has slots free for long: its load shows
-        nothing, and those near it would go on sending it their part.
-        """
-        known = {
-            choice.instance.id: server.took_ms
-            for choice in found
-            if (server := self._of(choice.instance)).took >= _TOOK_FEWEST
-            and now_ms - server.took_at_ms <= _TOOK_OLD_MS
-        }
-        if len(known) < _SLOW_AMONG:
-            return found
-        middle = sorted(known.values())[(len(known) - 1) // 2]
-        limit = middle * _SLOW_X
-        return [c for c in found if known.get(c.instance.id, 0.0) <= limit]
-
     def _usual_load(self, servers: list[Instance], now_ms: int) -> float:
         """Returns the mean part of slots taken, where it is known."""
         known = [
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -92,43 +92,6 @@
         assert choice is not None
         self.assertEqual("s1", choice.instance.id)
 
-    def test_slow_service_is_left_before_a_queue_shows_it(self) -> None:
-        """One of three servers of a plain service takes five times as long.
-
-        It stands in the gateway's own failure domain and has slots free, so
-        by its load alone a third of all calls would go on being slow.
-        """
-        balancer = _balancer()
-        servers = [_server(1), _server(2, "b"), _server(3, "b")]
-        call = RouteCall(attempt="x")
-        for number in range(30):
-            at_ms = number * 20
-            for server in servers:
-                took_ms = 250 if server.id == "s1" else 50
-                balancer.took(server, took_ms, at_ms)
-        choice = balancer.pick(servers, call, 700)
-        assert choice is not None
-        self.assertIn(choice.instance.id, ("s2", "s3"))
-        # It is asked again: nobody else would notice that it has recovered.
-        later = balancer.pick(servers, call, 5_000)
-        assert later is not None
-        self.assertEqual("s1", later.instance.id)
-
-    def test_one_long_call_does_not_make_a_server_slow(self) -> None:
-        """Calls take 20 to 400 ms as they come; a server just had a long one.
-
-        Left at each of them, every server would be left in turn.
-        """
-        balancer = _balancer()
-        servers = [_server(1), _server(2, "b")]
-        for number in range(30):
-            for server in servers:
-                balancer.took(server, 50, number * 20)
-        balancer.took(servers[0], 400, 610)
-        choice = balancer.pick(servers, RouteCall(attempt="x"), 620)
-        assert choice is not None
-        self.assertEqual("s1", choice.instance.id)
-
     def test_many_gateways_do_not_all_pick_the_same_server(self) -> None:
         """Nine gateways hear the same load, in which one server looks idle.
 
