Test that a store is empty once it is said to be

Three stores; one is emptied, taken away at its word, and another disk is lost at once; every turn still continues through a gateway that has none of their bytes.

--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -62,20 +62,23 @@
 
 
 class Deployment:
-    """Three keepers, two stores and gateways, and a model server.
+    """Three keepers, stores and gateways, and a model server.
 
     Args:
         folder: for settings, logs and data.
         gateways: how many.
+        stores: how many.
     """
 
-    def __init__(self, folder: pathlib.Path, gateways: int = 2) -> None:
+    def __init__(
+        self, folder: pathlib.Path, gateways: int = 2, stores: int = 2
+    ) -> None:
         self._folder = folder
         self._ports = base.free_ports(4)
         # Addresses of its own, so that several runs don't meet.
         net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
         self.hosts: dict[str, Host] = {}
-        roles = [("keeper", 3), ("store", 2), ("gateway", gateways)]
+        roles = [("keeper", 3), ("store", stores), ("gateway", gateways)]
         last = 1
         for role, count in roles:
             for number in range(1, count + 1):
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -17,11 +17,13 @@
 class DeploymentTest(base.TestCase):
     """Keepers, stores and gateways together."""
 
-    def play(self, work: Callable[[Deployment], Awaitable[None]]) -> None:
+    def play(
+        self, work: Callable[[Deployment], Awaitable[None]], stores: int = 2
+    ) -> None:
         """Runs a play against a new deployment."""
 
         async def main() -> None:
-            async with Deployment(self.folder) as system:
+            async with Deployment(self.folder, stores=stores) as system:
                 self.assertTrue(await system.served("first"))
                 await work(system)
 
@@ -139,6 +141,41 @@
 
         self.play(work)
 
+    def test_store_is_taken_away_once_it_is_said_to_be_empty(self) -> None:
+        """An operator has a store emptied, and takes it away with its disk.
+
+        Said too early, the turns that only it and another host held would
+        hang on that one disk, and programs would lose their history with it.
+        """
+
+        async def work(system: Deployment) -> None:
+            # Enough for each pair of neighbours to hold some.
+            turns = [f"t{number}" for number in range(18)]
+            for turn in turns:
+                self.assertEqual(200, await system.turn(turn))
+            path = "/-/retire/store-1"
+
+            async def begun() -> bool:
+                body = b'{"duration_s": 9}'
+                status, _ = await system.control("POST", path, body)
+                return status == 200
+
+            async def done() -> bool:
+                _, body = await system.control("GET", path)
+                return bool(json.loads(body or b"{}").get("state") == "done")
+
+            await system.until(begun)
+            await system.until(done)
+            system.kill("store-1")
+            # One more disk is lost at once, as the deployment has to bear.
+            system.kill("store-2")
+            for turn in turns:
+                # The other gateway has none of their bytes in its memory.
+                status = await system.turn(f"{turn}.n", turn, "gateway-2")
+                self.assertEqual(200, status, turn)
+
+        self.play(work, stores=3)
+
     def test_retired_store_is_done_only_when_copies_are_elsewhere(
         self,
     ) -> None:
