--- a/bench/logbench.py
+++ b/bench/logbench.py
@@ -33,7 +33,7 @@
     Member,
     Members,
 )
-from tests import base
+from tests import ports
 from tests.fakes.lognode import LogNode
 
 if TYPE_CHECKING:
@@ -93,7 +93,7 @@
     def __init__(self, groups: int = 1) -> None:
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="logbench-"))
         self.groups = groups
-        self.ports = ",".join(map(str, base.free_ports(3)))
+        self.ports = ",".join(map(str, ports.free_ports(3)))
         self.children = [self.child(place) for place in range(3)]
 
     def child(self, place: int) -> Child:
--- a/tests/base.py
+++ b/tests/base.py
@@ -4,16 +4,8 @@
 
 import asyncio
 import contextlib
-import fcntl
-import itertools
-import json
-import os
 import pathlib
 import shutil
-import signal
-import socket
-import subprocess
-import sys
 import tempfile
 import time
 import zlib
@@ -24,16 +16,17 @@
 import uvloop
 
 from catkinpin import configuration
+from tests import ports
+from tests.processes import Process
+from tests.replies import Reply, Streamed
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
 OPERATOR_KEY = "operator-key"
 ACCOUNT_KEYS = {"ruegg": "ruegg-key", "kunci": "kunci-key"}
 _WAIT_S = 20.0
 _POLL_S = 0.02
-_STOP_S = 15.0
 
 
 class TestCase(testtools.TestCase):
@@ -49,44 +42,6 @@
         uvloop.run(main)
 
 
-# Below the range from which the system takes ports for outgoing connections:
-# one of those could take a port between its choice and its use.
-_FIRST_PORT = 10_000
-_PORTS = 20_000
-_next_port = itertools.count(os.getpid() * 101)
-
-
-def free_ports(count: int) -> list[int]:
-    """Returns ports that are free now; none is returned twice."""
-    found: list[int] = []
-    while len(found) < count:
-        port = _FIRST_PORT + next(_next_port) % _PORTS
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            _reserve(port)
-            found.append(port)
-    return found
-
-
-def _reserve(port: int) -> None:
-    """Keeps a port from other test processes until this one ends.
-
-    Two of them could otherwise choose the same free port before either of
-    the processes that they start has bound it.
-
-    Raises:
-        OSError: another test process has it.
-    """
-    folder = pathlib.Path(tempfile.gettempdir()) / "catkinpin-ports"
-    folder.mkdir(exist_ok=True)
-    fd = os.open(folder / str(port), os.O_RDWR | os.O_CREAT, 0o600)
-    try:
-        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except OSError:
-        os.close(fd)
-        raise
-
-
 async def until(
     check: Callable[[], Awaitable[Any]], what: str, wait_s: float = _WAIT_S
 ) -> Any:
@@ -103,68 +58,6 @@
         await asyncio.sleep(_POLL_S)
 
 
-class Process:
-    """A child process that ends with the test."""
-
-    def __init__(self, module: str, args: list[str], log: pathlib.Path) -> None:
-        self._command = [sys.executable, "-m", *module.split(), *args]
-        self.log = log
-        self._popen: subprocess.Popen[bytes] | None = None
-        self.start()
-
-    def start(self) -> None:
-        """Starts the process, or starts it again with the same arguments."""
-        with self.log.open("ab") as out:
-            self._popen = subprocess.Popen(
-                self._command, stdout=out, stderr=out, cwd=ROOT
-            )
-
-    @property
-    def pid(self) -> int:
-        """Id of the running process."""
-        assert self._popen is not None
-        return self._popen.pid
-
-    def exit_code(self) -> int | None:
-        """Returns the exit code, None while the process runs."""
-        assert self._popen is not None
-        return self._popen.poll()
-
-    def signal(self, number: signal.Signals) -> None:
-        """Sends a signal."""
-        os.kill(self.pid, number)
-
-    def kill(self) -> None:
-        """Kills the process and waits until it is gone."""
-        assert self._popen is not None
-        self._popen.kill()
-        self._popen.wait()
-
-    def stop(self) -> int:
-        """Stops the process gracefully and returns its exit code."""
-        assert self._popen is not None
-        if self._popen.poll() is None:
-            self._popen.send_signal(signal.SIGCONT)
-            self._popen.terminate()
-        try:
-            return self._popen.wait(_STOP_S)
-        except subprocess.TimeoutExpired:
-            self.kill()
-            raise
-
-    def wait(self) -> int:
-        """Waits until the process has ended and returns its exit code."""
-        assert self._popen is not None
-        return self._popen.wait(_STOP_S)
-
-    def end(self) -> None:
-        """Ends the process in whatever state it is."""
-        assert self._popen is not None
-        if self._popen.poll() is None:
-            self._popen.kill()
-        self._popen.wait()
-
-
 class Cluster:
     """Replicas, entries and fakes as real processes on loopback.
 
@@ -211,8 +104,10 @@
 
         With `proxied` all reach one through the proxy `NAME-proxy`.
         """
-        ports = free_ports(2 * count)
-        self.replicas = listen = [f"127.0.0.1:{port}" for port in ports[:count]]
+        numbers = ports.free_ports(2 * count)
+        self.replicas = listen = [
+            f"127.0.0.1:{port}" for port in numbers[:count]
+        ]
         if proxied:
             self.replicas = [
                 self.add_proxy(f"replica-{number}-proxy", address)
@@ -220,7 +115,7 @@
             ]
         for number in range(count):
             name = f"replica-{number + 1}"
-            self.admin[name] = f"127.0.0.1:{ports[count + number]}"
+            self.admin[name] = f"127.0.0.1:{numbers[count + number]}"
             self.spawn(
                 name,
                 "catkinpin replica",
@@ -247,7 +142,7 @@
 
         With `proxied` other entries reach it through the proxy `NAME-proxy`.
         """
-        callers, admin, peer = free_ports(3)
+        callers, admin, peer = ports.free_ports(3)
         if proxied:
             proxy = self.add_proxy(f"{name}-proxy", f"127.0.0.1:{peer}")
             flags["peer_advertise"] = proxy
@@ -276,7 +171,7 @@
 
         With `proxied` it announces the address of the proxy `NAME-proxy`.
         """
-        port = free_ports(1)[0]
+        port = ports.free_ports(1)[0]
         if proxied:
             proxy = self.add_proxy(f"{name}-proxy", f"127.0.0.1:{port}")
             flags["address"] = f"http://{proxy}"
@@ -293,7 +188,7 @@
 
     def add_proxy(self, name: str, target: str) -> str:
         """Starts a proxy before `target` and returns its address."""
-        port, control = free_ports(2)
+        port, control = ports.free_ports(2)
         self.addresses[name] = f"http://127.0.0.1:{control}"
         self.spawn(
             name, "tests.fakes.proxy", port=port, control=control, target=target
@@ -414,67 +309,6 @@
             return await Reply.read(resp)
 
 
-class Streamed:
-    """A streamed answer as its caller got it.
-
-    Attributes:
-        fresh: whether the last line brought a token.
-        done: whether the stream ended as it should.
-    """
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.words: list[str] = []
-        self.error: Any = None
-        self.finished = 0
-        self.done = False
-        self.fresh = False
-
-    def take(self, line: bytes) -> None:
-        """Takes a line of the stream."""
-        self.fresh = False
-        if line == b"data: [DONE]":
-            self.done = True
-        elif line.startswith(b"data: "):
-            event = json.loads(line[6:])
-            self.error = event.get("error", self.error)
-            for choice in event.get("choices", []):
-                if choice["delta"].get("content"):
-                    self.words.append(choice["delta"]["content"])
-                    self.fresh = True
-                self.finished += bool(choice.get("finish_reason"))
-
-    @property
-    def text(self) -> str:
-        """The answer's text."""
-        return "".join(self.words)
-
-
-class Reply:
-    """An HTTP answer that has been read to its end."""
-
-    def __init__(self, status: int, headers: Any, body: bytes) -> None:
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-    @classmethod
-    async def read(cls, resp: aiohttp.ClientResponse) -> Reply:
-        """Reads an answer."""
-        return cls(resp.status, resp.headers, await resp.read())
-
-    @property
-    def json(self) -> Any:
-        """The body as JSON."""
-        return json.loads(self.body)
-
-    @property
-    def verdict(self) -> str:
-        """The verdict header."""
-        value: str = self.headers.get("Catkinpin-Verdict", "")
-        return value
-
-
 def user(text: str) -> dict[str, str]:
     """Returns a user's message."""
     return {"role": "user", "content": text}
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from tests import base
+from tests import base, replies
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -40,7 +40,7 @@
 
         self.run_async(main())
 
-    def assert_whole(self, got: base.Streamed) -> None:
+    def assert_whole(self, got: replies.Streamed) -> None:
         """Checks that a caller got each token once and the proper end."""
         self.assertEqual(200, got.status)
         self.assertIsNone(got.error)
@@ -72,7 +72,7 @@
         entry: str = "entry-1",
         key: str = "pay-1",
         **options: Any,
-    ) -> base.Reply:
+    ) -> replies.Reply:
         """Makes a non-idempotent call."""
         headers = {"Idempotency-Key": key, "Catkinpin-Deadline-Ms": "8000"}
         headers |= options.pop("headers", {})
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from tests import base
+from tests import ports, processes
 from tests.fakes.rawserver import RawServer, Seen
 
 if TYPE_CHECKING:
@@ -74,7 +74,7 @@
         self, folder: pathlib.Path, gateways: int = 2, stores: int = 2
     ) -> None:
         self._folder = folder
-        self._ports = base.free_ports(4)
+        self._ports = ports.free_ports(4)
         # Addresses of its own, so that several runs don't meet.
         net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
         self.hosts: dict[str, Host] = {}
@@ -123,12 +123,12 @@
         host.folder.mkdir(exist_ok=True)
         settings = self._folder / f"{name}.toml"
         settings.write_text(self._settings(host))
-        env = dict(os.environ, PYTHONPATH=str(base.ROOT))
+        env = dict(os.environ, PYTHONPATH=str(processes.ROOT))
         env["CATKINPIN_NODE_FILE"] = str(settings)
         with (self._folder / f"{name}.log").open("ab") as out:
             host.process = subprocess.Popen(
                 [sys.executable, "platform", host.role],
-                cwd=base.ROOT,
+                cwd=processes.ROOT,
                 env=env,
                 stdout=out,
                 stderr=out,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -23,7 +23,7 @@
 import aiohttp
 import uvloop
 
-from tests import base
+from tests import base, replies
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -83,7 +83,7 @@
         request = f"{name}-{step}"
         headers = {"Catkinpin-Program": name, "Idempotency-Key": request}
 
-        async def call(entry: str) -> base.Reply:
+        async def call(entry: str) -> replies.Reply:
             return await self.cluster.call_service(
                 entry, "kiosk-app", "pay", request, headers=self._all(headers)
             )
@@ -104,7 +104,7 @@
             "Idempotency-Key": f"{name}-{step}",
         }
 
-        async def call(entry: str) -> base.Reply:
+        async def call(entry: str) -> replies.Reply:
             return await self.cluster.chat(
                 entry,
                 "berater",
@@ -123,9 +123,9 @@
     async def _until_final(
         self,
         rng: random.Random,
-        call: Callable[[str], Awaitable[base.Reply]],
+        call: Callable[[str], Awaitable[replies.Reply]],
         request: str,
-    ) -> base.Reply | None:
+    ) -> replies.Reply | None:
         """Sends a request until it ran, or may have run for good."""
         for _ in range(_TRIES):
             began = time.monotonic()
--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -25,7 +25,7 @@
 import aiohttp
 import uvloop
 
-from tests import base
+from tests import base, ports, processes
 from tests.fakes.deployment import Deployment
 
 if TYPE_CHECKING:
@@ -359,9 +359,9 @@
         prefix="catkinpin-soak-", ignore_cleanup_errors=True
     ) as folder:
         deployment = Deployment(pathlib.Path(folder), gateways=3)
-        control, port = base.free_ports(2)
+        control, port = ports.free_ports(2)
         await deployment.model.start()
-        proxy = base.Process(
+        proxy = processes.Process(
             "tests.fakes.proxy",
             [
                 *("--port", str(port), "--control", str(control)),
@@ -386,7 +386,7 @@
 
 def _keep_logs(folder: pathlib.Path, seed: int) -> None:
     """Keeps what the processes wrote, to trace what was found."""
-    kept = base.ROOT / "out" / f"soak-{seed}"
+    kept = processes.ROOT / "out" / f"soak-{seed}"
     kept.mkdir(parents=True, exist_ok=True)
     for log in folder.glob("*.log"):
         shutil.copy(log, kept)
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 
-from tests import base, cells, test_replicas
+from tests import base, cells, processes, replies, test_replicas
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -95,7 +95,7 @@
 
         async def body(cluster: base.Cluster) -> None:
             process = cluster.processes["entry-1"]
-            late: list[base.Reply] = []
+            late: list[replies.Reply] = []
 
             async def on_token(count: int) -> None:
                 if count == 3:
@@ -200,7 +200,7 @@
 
         self.cell(body, replicas_proxied=True)
 
-    async def _logged(self, process: base.Process, text: str) -> bool:
+    async def _logged(self, process: processes.Process, text: str) -> bool:
         return text in process.log.read_text()
 
 
@@ -218,7 +218,7 @@
             cluster.add_fake("engine", "engine-2")
             # Without another server that is known, calls are refused rightly.
             await self.known(cluster, "engine-2")
-            results: list[base.Streamed] = []
+            results: list[replies.Streamed] = []
             until = time.monotonic() + 3.5
 
             async def load(worker: int) -> None:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -9,7 +9,7 @@
 import signal
 import time
 
-from tests import base, cells
+from tests import base, cells, replies
 
 
 class ServiceFaultsTest(cells.FaultsTest):
@@ -262,7 +262,7 @@
 
     async def _take_over(
         self, cluster: base.Cluster, key: str, salt: str
-    ) -> base.Streamed:
+    ) -> replies.Streamed:
         """Streams from an engine that is killed once a second one is known."""
         cluster.add_fake("engine", "engine-2", salt=salt)
         await cluster.steer("engine-2", refuse=True)
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -8,7 +8,7 @@
 
 from catkinpin.adapters import node
 from catkinpin.core.consensus.state import Role
-from tests import base
+from tests import base, ports
 from tests.fakes.lognode import LogNode
 
 if TYPE_CHECKING:
@@ -22,7 +22,7 @@
 
     def start(self, main: Callable[[list[LogNode]], Awaitable[None]]) -> None:
         async def whole() -> None:
-            self.ports = base.free_ports(3)
+            self.ports = ports.free_ports(3)
             nodes = [await self.open(place) for place in range(3)]
             try:
                 await main(nodes)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import configuration
-from tests import base
+from tests import base, processes, replies
 
 if TYPE_CHECKING:
     import pathlib
@@ -23,7 +23,7 @@
         *[sys.executable, "-m", "catkinpin", *map(str, args), *shown],
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE,
-        cwd=base.ROOT,
+        cwd=processes.ROOT,
     )
     out, err = await process.communicate()
     text = out.decode() + err.decode()
@@ -200,14 +200,14 @@
         async with cluster:
             cluster.add_fake("engine", "engine-2", token_ms=20)
             entry = cluster.entries[0]
-            replies: list[base.Reply] = []
+            got: list[replies.Reply] = []
             stop = asyncio.Event()
 
             async def load(number: int) -> None:
                 turn = 0
                 while not stop.is_set():
                     turn += 1
-                    replies.append(
+                    got.append(
                         await cluster.chat(
                             "entry-1",
                             "berater",
@@ -239,8 +239,8 @@
 
             body = await base.until(done, "the plan is done")
             await asyncio.sleep(max(0.0, since + 2 - time.monotonic()))
-            before, served = await seen(), len(replies)
-            while len(replies) < served + 20:
+            before, served = await seen(), len(got)
+            while len(got) < served + 20:
                 await asyncio.sleep(0.05)
             self.assertEqual(before, await seen())
             states = {s["server"]: s["state"] for s in body["servers"]}
@@ -253,7 +253,7 @@
             await base.until(again, "engine-2 has work again")
             stop.set()
             await asyncio.gather(*tasks)
-            self.assertEqual({200}, {reply.status for reply in replies})
+            self.assertEqual({200}, {reply.status for reply in got})
 
     def test_a_new_version_is_ordered_with_a_fencing_token(self) -> None:
         """An operator brings a new version to a model's servers.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,9 +10,9 @@
 
 import testtools
 
-from tests import base
+from tests import processes
 
-_FOLDER = base.ROOT / "platform"
+_FOLDER = processes.ROOT / "platform"
 # Names of the platform that must not stand in the product.
 _WORDS = re.compile(
     r"X-[A-Z][a-z]+-|Kv-|Last-Event-Id|heartbeat_addr|bootstrap|node_name"
@@ -28,8 +28,8 @@
     """Runs code as the processes do: with the folder first on the path."""
     done = subprocess.run(
         [sys.executable, "-c", code],
-        cwd=base.ROOT,
-        env={"PYTHONPATH": f"{_FOLDER}:{base.ROOT}"},
+        cwd=processes.ROOT,
+        env={"PYTHONPATH": f"{_FOLDER}:{processes.ROOT}"},
         capture_output=True,
         text=True,
         check=False,
@@ -55,7 +55,7 @@
     def test_product_knows_none_of_the_platforms_names(self) -> None:
         """A header's name in the product ties it to one platform."""
         found = []
-        for path in sorted((base.ROOT / "catkinpin").rglob("*.py")):
+        for path in sorted((processes.ROOT / "catkinpin").rglob("*.py")):
             for number, line in enumerate(path.read_text().splitlines(), 1):
                 if _WORDS.search(line):
                     found.append(f"{path.name}:{number}: {line.strip()}")
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -12,7 +12,7 @@
 
 from catkinpin import configuration
 from catkinpin.process import EXIT_STORAGE
-from tests import base
+from tests import base, ports, processes
 
 if TYPE_CHECKING:
     import pathlib
@@ -294,19 +294,21 @@
 
 def add_proxied_replicas(cluster: base.Cluster) -> None:
     """Starts replicas that are reached through a proxy each."""
-    ports = base.free_ports(6)
+    numbers = ports.free_ports(6)
     for number in range(3):
         name = f"replica-{number + 1}"
-        proxy = cluster.add_proxy(f"proxy-{name}", f"127.0.0.1:{ports[number]}")
+        proxy = cluster.add_proxy(
+            f"proxy-{name}", f"127.0.0.1:{numbers[number]}"
+        )
         cluster.replicas.append(proxy)
     for number, advertised in enumerate(cluster.replicas):
         name = f"replica-{number + 1}"
-        cluster.admin[name] = f"127.0.0.1:{ports[number + 3]}"
+        cluster.admin[name] = f"127.0.0.1:{numbers[number + 3]}"
         cluster.spawn(
             name,
             "catkinpin replica",
             name=name,
-            peer_listen=f"127.0.0.1:{ports[number]}",
+            peer_listen=f"127.0.0.1:{numbers[number]}",
             peer_advertise=advertised,
             admin_listen=cluster.admin[name],
             data_folder=cluster.folder / name,
@@ -376,7 +378,7 @@
 
     async def run() -> Any:
         done = await asyncio.to_thread(
-            subprocess.run, command, capture_output=True, cwd=base.ROOT
+            subprocess.run, command, capture_output=True, cwd=processes.ROOT
         )
         out = done.stdout.decode() + done.stderr.decode()
         return None if done.returncode == 1 else (done.returncode, out)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import settings
-from tests import base
+from tests import base, processes
 
 if TYPE_CHECKING:
     import pathlib
@@ -17,6 +17,7 @@
     "pathlib", "sanic", "select", "signal", "socket", "subprocess", "sys",
     "tempfile", "threading", "time", "uuid", "uvloop",
 }  # fmt: skip
+_CORE = processes.ROOT / "catkinpin" / "core"
 _TEST_ID = re.compile(r"`(tests/[a-z_/]+\.py)(?:::(\w+))?(?:::(\w+))?`")
 
 
@@ -34,11 +35,15 @@
     """What review would have to look for by hand."""
 
     def test_core_imports_nothing_that_performs_io(self) -> None:
-        for path in sorted((base.ROOT / "catkinpin" / "core").rglob("*.py")):
+        for path in sorted(
+            (processes.ROOT / "catkinpin" / "core").rglob("*.py")
+        ):
             self.assertEqual(set(), _imported(path) & _IO_MODULES, path.name)
 
     def test_core_imports_no_adapter(self) -> None:
-        for path in sorted((base.ROOT / "catkinpin" / "core").rglob("*.py")):
+        for path in sorted(
+            (processes.ROOT / "catkinpin" / "core").rglob("*.py")
+        ):
             self.assertNotIn("catkinpin.adapters", path.read_text(), path.name)
 
     def test_no_wait_swallows_a_cancellation(self) -> None:
@@ -48,7 +53,7 @@
         process that stops then waits for ever for a part that goes on, and a
         request whose caller has left is sent all the same.
         """
-        for path in sorted((base.ROOT / "catkinpin").rglob("*.py")):
+        for path in sorted((processes.ROOT / "catkinpin").rglob("*.py")):
             self.assertNotIn("wait_for(", path.read_text(), path.name)
 
     def test_every_setting_is_described(self) -> None:
@@ -62,8 +67,8 @@
 
     def test_proofs_name_tests_that_exist(self) -> None:
         """A page that names a test which is gone would prove nothing."""
-        for page in (base.ROOT / "docs").glob("*.md"):
+        for page in (processes.ROOT / "docs").glob("*.md"):
             for path, *names in _TEST_ID.findall(page.read_text()):
-                text = (base.ROOT / path).read_text()
+                text = (processes.ROOT / path).read_text()
                 for name in filter(None, names):
                     self.assertRegex(text, rf"(class|def) {name}\b")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 
-from tests import base
+from tests import base, processes
 
 _USAGE = 2
 _SLOW_S = 30
@@ -18,7 +18,7 @@
     def _start(self, *args: str, **env: str) -> tuple[int, str]:
         done = subprocess.run(
             [sys.executable, "-m", "catkinpin", *args],
-            cwd=base.ROOT,
+            cwd=processes.ROOT,
             env={**os.environ, **env},
             capture_output=True,
             text=True,
