Test that no more servers run a request than its route allows

Plain and streamed, four servers that all break off and a route for two: two run it, the caller gets 502. Passes as it is; with the bound taken out of Plain.serve it fails (2 != 4).

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -125,6 +125,24 @@
 
         self.play(work())
 
+    def test_no_more_servers_run_a_request_than_its_route_allows(self) -> None:
+        """Every server runs the request and breaks off, time after time.
+
+        Asked one after the other, all of them would do the same work at once
+        in the worst minute.
+        """
+
+        async def work() -> None:
+            for kind in (RouteKind.IDEMPOTENT, RouteKind.STREAM):
+                rig = Rig(kind, resumable=True, max_attempts=2)
+                await rig.start(dies, dies, dies, dies)
+                got = await rig.ask()
+                self.assertEqual(502, got.status)
+                self.assertEqual(2, rig.runs(), kind)
+                await rig.stop()
+
+        self.play(work())
+
     def test_answer_without_a_seal_is_no_success(self) -> None:
         """Something answers 200 that is not the server's own answer."""
 
