--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -18,7 +18,6 @@
 from catkinpin.core import keeping
 from catkinpin.core.balance import Balancer
 from catkinpin.core.calls import AnswerFacts, RouteCall
-from catkinpin.core.fleet import Instance, ServerState
 from catkinpin.core.routes import (
     CallerLimits,
     Engine,
@@ -29,6 +28,7 @@
     Share,
 )
 from catkinpin.core.urgency import Standing
+from tests.fakes.instances import instance
 from tests.fakes.rawserver import RawServer, Seen, sealed
 
 if TYPE_CHECKING:
@@ -171,17 +171,10 @@
             server = RawServer(answer)
             await server.start()
             self.servers.append(server)
-            instance = Instance(
-                id=f"s{number}",
-                service="s",
-                address=server.address,
-                domain="a",
-                state=ServerState.READY,
-                born_ms=1,
-                sequence=1,
-                slots=4,
+            told = instance(
+                f"s{number}", service="s", address=server.address, slots=4
             )
-            self.view.fleet.apply(instance)
+            self.view.fleet.apply(told)
 
     async def stop(self) -> None:
         await self.http.stop()
--- /dev/null
+++ b/tests/fakes/instances.py
@@ -0,0 +1,24 @@
+"""Backend servers as they announce themselves, for tests of decisions."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from catkinpin.core.fleet import Instance, ServerState
+
+
+def instance(name: str = "s1", **changes: Any) -> Instance:
+    """Returns a server that is ready, with some of its fields changed."""
+    plain = Instance(
+        id=name,
+        service="models",
+        address=f"{name}:80",
+        domain="a",
+        state=ServerState.READY,
+        born_ms=1,
+        sequence=1,
+        slots=12,
+    )
+    return msgspec.structs.replace(plain, **changes)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -9,21 +9,13 @@
 from catkinpin.core.balance import Balancer
 from catkinpin.core.calls import Load, PromptPart, RouteCall
 from catkinpin.core.fleet import Instance, ServerState
+from tests.fakes.instances import instance
 
 _SHARED = PromptPart("shared", 12_600)
 
 
 def _server(number: int, domain: str = "a", slots: int = 12) -> Instance:
-    return Instance(
-        id=f"s{number}",
-        service="models",
-        address=f"10.0.0.{number}:80",
-        domain=domain,
-        state=ServerState.READY,
-        born_ms=1,
-        sequence=1,
-        slots=slots,
-    )
+    return instance(f"s{number}", domain=domain, slots=slots)
 
 
 def _turn(session: str, tokens: int = 1_680) -> RouteCall:
@@ -155,14 +147,5 @@
 
     def test_draining_server_gets_nothing(self) -> None:
         """A server says that it leaves; work sent now would be cut off."""
-        draining = Instance(
-            id="s9",
-            service="models",
-            address="10.0.0.9:80",
-            domain="a",
-            state=ServerState.DRAINING,
-            born_ms=1,
-            sequence=2,
-            slots=12,
-        )
+        draining = instance("s9", state=ServerState.DRAINING, sequence=2)
         self.assertIsNone(_balancer().pick([draining], _turn("x"), 0))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,24 +2,17 @@
 
 from __future__ import annotations
 
-import msgspec
+from typing import Any
+
 import testtools
 
 from catkinpin.core.fleet import Fleet, Instance, ServerState
+from tests.fakes.instances import instance
 
 
-def _server(**changes: object) -> Instance:
-    plain = Instance(
-        id="s1",
-        service="tools",
-        address="10.0.0.1:80",
-        domain="a",
-        state=ServerState.READY,
-        born_ms=1_000,
-        sequence=4,
-        slots=6,
-    )
-    return msgspec.structs.replace(plain, **changes)
+def _server(**changes: Any) -> Instance:
+    own = {"service": "tools", "born_ms": 1_000, "sequence": 4, "slots": 6}
+    return instance(**{**own, "address": "10.0.0.1:80", **changes})
 
 
 class LeavingTest(testtools.TestCase):
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -7,8 +7,8 @@
 from catkinpin import clock
 from catkinpin.adapters.gateway.view import View
 from catkinpin.core import keeping
-from catkinpin.core.fleet import Instance, ServerState
 from catkinpin.core.routes import CallerLimits, Routing
+from tests.fakes.instances import instance
 
 
 def _routing(version: int) -> Routing:
@@ -17,19 +17,6 @@
     )
 
 
-def _server(name: str) -> Instance:
-    return Instance(
-        id=name,
-        service="models",
-        address=f"{name}:80",
-        domain="a",
-        state=ServerState.READY,
-        born_ms=1,
-        sequence=1,
-        slots=4,
-    )
-
-
 class RoutesTest(testtools.TestCase):
     """A gateway that has just started, and keepers of which some lag."""
 
@@ -72,7 +59,7 @@
         """A keeper that lags lists servers as they were a while ago."""
         gone: list[str] = []
         view = View(clock.system_clock(), lambda one: gone.append(one.id))
-        new, old = [_server("a"), _server("b")], [_server("a")]
+        new, old = [instance("a"), instance("b")], [instance("a")]
         view.take(keeping.FleetNow(index=9, instances=new, whole=True))
         view.take(keeping.FleetNow(index=7, instances=old, whole=True))
         self.assertEqual({"a", "b"}, set(view.fleet.servers))
