Let a far learner vote while records never stop

A learner had to hold all that is committed at one moment to become a voter. At 600 records a second the near voters commit each before the far learner has it, so it never voted, and a third loss stopped the system.

Ruled out: the empty start itself (it learned of the leader after 0.3 s).

--- a/catkinpin/core/consensus/leading.py
+++ b/catkinpin/core/consensus/leading.py
@@ -28,6 +28,8 @@
         node: Progress(next=state.log.last + 1) for node in state.others()
     }
     state.term_start = append(state, Kind.NOOP, b"", now_ms)
+    state.mark_ms = now_ms
+    state.mark_last = state.earlier_last = state.log.last
     _renew_lease(state, now_ms)
     tick(state, now_ms)
 
--- a/catkinpin/core/consensus/membership.py
+++ b/catkinpin/core/consensus/membership.py
@@ -42,6 +42,7 @@
     lost voter and the new one at once: four voters of which one is gone, so
     that a second loss before the next step would leave no quorum for ever.
     """
+    _mark(state, now_ms)
     learner = _caught_up(state)
     if learner is None or not _may_change(state):
         return
@@ -79,11 +80,25 @@
     return silent if alive > kept // 2 else None
 
 
+def _mark(state: State, now_ms: int) -> None:
+    """Notes how far the log was a while ago."""
+    if now_ms - state.mark_ms >= state.timing.election_ms // 2:
+        state.earlier_last = state.mark_last
+        state.mark_ms = now_ms
+        state.mark_last = state.log.last
+
+
 def _caught_up(state: State) -> Member | None:
+    """Returns a learner that has what the log held a while ago.
+
+    What is committed now is no measure: where records never stop, near voters
+    commit each of them before a far learner has it, and it would never vote.
+    One that is less than an election's time behind keeps up.
+    """
     for member in state.log.members.members:
         if member.voter or member.node not in state.progress:
             continue
-        if state.progress[member.node].match >= state.commit:
+        if state.progress[member.node].match >= state.earlier_last:
             return member
     return None
 
--- a/catkinpin/core/consensus/state.py
+++ b/catkinpin/core/consensus/state.py
@@ -90,6 +90,9 @@
         reached_ms: when a quorum last followed this leader, as it asked.
         lease_until_ms: end of this leader's lease.
         announced: whether `Lead(True)` was handed out in this term.
+        mark_ms: when `mark_last` was taken, by the leader.
+        mark_last: last index of the log then.
+        earlier_last: last index at the mark before that one.
     """
 
     def __init__(
@@ -126,6 +129,9 @@
         self.lease_until_ms = _NEVER
         self.term_start = 0
         self.announced = False
+        self.mark_ms = 0
+        self.mark_last = 0
+        self.earlier_last = 0
         self.beat = -1
         self.transfer_to = ""
         self.transfer_until_ms = 0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,7 +7,7 @@
 import testtools
 
 from catkinpin.core.consensus import leading, membership
-from catkinpin.core.consensus.messages import Member, Members
+from catkinpin.core.consensus.messages import Kind, Member, Members
 from catkinpin.core.consensus.state import State, Stored, Timing
 
 _NOW_MS = 100_000
@@ -91,3 +91,54 @@
         state = _leader("abcde", learners="f")
         state.progress["e"].acked_ms = _NOW_MS - 1_500
         self.assertEqual(list("abcde"), _settle(state))
+
+
+class BusyGroupTest(testtools.TestCase):
+    """Learners of a group that commits all the time."""
+
+    def test_far_learner_votes_though_records_never_stop(self) -> None:
+        """A host far away lost its disk, and turns go on at full rate.
+
+        The near voters commit each record before the far host has it, so it
+        is never as far as what is committed. Were that asked for, the lost
+        voter would keep its seat for as long as the load lasts; two more
+        losses, which must be borne, would then leave no quorum.
+        """
+        state = _leader("abcde", learners="f")
+        _silence(state, "e")
+        now_ms = _NOW_MS
+        for _ in range(40):
+            now_ms += 50
+            for node in "bcd":
+                state.progress[node].acked_ms = now_ms
+            # What it has is always 30 ms old: some records behind.
+            state.progress["f"].acked_ms = now_ms
+            state.progress["f"].match = state.log.last - 3
+            membership.settle(state, now_ms)
+            for _ in range(6):
+                leading.append(state, Kind.DATA, b"", now_ms)
+            state.commit = state.log.last
+        self.assertEqual(list("abcdf"), sorted(state.log.voters))
+
+    def test_learner_that_falls_behind_does_not_vote(self) -> None:
+        """A new host's disk is too slow for the load: it never keeps up.
+
+        As a voter it could not help to commit; the next loss would stop all.
+        """
+        state = _leader("abcde", learners="f")
+        _silence(state, "e")
+        for _ in range(100):
+            leading.append(state, Kind.DATA, b"", _NOW_MS)
+        state.commit = state.mark_last = state.log.last
+        state.progress["f"].match = 0
+        now_ms = _NOW_MS
+        for _ in range(40):
+            now_ms += 50
+            for node in "bcdf":
+                state.progress[node].acked_ms = now_ms
+            state.progress["f"].match += 1
+            membership.settle(state, now_ms)
+            for _ in range(6):
+                leading.append(state, Kind.DATA, b"", now_ms)
+            state.commit = state.log.last
+        self.assertNotIn("f", state.log.voters)
