Check settings of gateways, keepers and stores with msgspec, not pydantic

Settings stay declared once, in catkinpin/roles.py, and all problems are listed together; the exit code for them is 2.

--- a/catkinpin/adapters/holding.py
+++ b/catkinpin/adapters/holding.py
@@ -24,7 +24,7 @@
     from catkinpin.adapters.turnhost import TurnHost
     from catkinpin.clock import Clock
     from catkinpin.core.stores import Store
-    from catkinpin.settings import KeeperSettings
+    from catkinpin.roles import KeeperSettings
 
 log = logging.getLogger(__name__)
 
--- a/catkinpin/adapters/telling.py
+++ b/catkinpin/adapters/telling.py
@@ -11,7 +11,7 @@
     from catkinpin.adapters import node, peers
     from catkinpin.adapters.keeperhost import KeeperHost
     from catkinpin.core.fleet import Instance
-    from catkinpin.settings import KeeperSettings
+    from catkinpin.roles import KeeperSettings
 
 GATEWAY_ROLE = "gateway"
 STORE_ROLE = "store"
--- a/catkinpin/gateway.py
+++ b/catkinpin/gateway.py
@@ -24,7 +24,7 @@
     from catkinpin.adapters.gateway.ports import HeaderCodec
     from catkinpin.adapters.http.server import Request, Responder
     from catkinpin.core.fleet import Instance
-    from catkinpin.settings import GatewaySettings
+    from catkinpin.roles import GatewaySettings
 
 log = logging.getLogger(__name__)
 
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -35,7 +35,7 @@
     from catkinpin.core.fleet import Instance
     from catkinpin.core.routes import Routing
     from catkinpin.processes import ControlHandler
-    from catkinpin.settings import KeeperSettings
+    from catkinpin.roles import KeeperSettings
 
 log = logging.getLogger(__name__)
 
--- a/catkinpin/processes.py
+++ b/catkinpin/processes.py
@@ -23,10 +23,10 @@
     from catkinpin.adapters.gateway.ports import HeaderCodec
     from catkinpin.adapters.http.server import Request, Responder
     from catkinpin.keeper import Keeper
-    from catkinpin.settings import (
+    from catkinpin.roles import (
         GatewaySettings,
         KeeperSettings,
-        ProcessSettings,
+        RoleSettings,
         StoreSettings,
     )
 
@@ -103,7 +103,7 @@
 
 
 def _run(
-    cfg: ProcessSettings,
+    cfg: RoleSettings,
     make: Callable[[], Reloading],
     read_seeds: Callable[[], list[str]],
 ) -> None:
@@ -119,7 +119,7 @@
 
 
 async def _serve(
-    cfg: ProcessSettings,
+    cfg: RoleSettings,
     make: Callable[[], Reloading],
     read_seeds: Callable[[], list[str]],
 ) -> None:
--- a/catkinpin/settings.py
+++ b/catkinpin/settings.py
@@ -1,4 +1,4 @@
-"""Every setting of every binary, declared once.
+"""Every setting of entries, replicas and the command, declared once.
 
 Each field is a flag (`--data-folder`) and an environment variable
 (`CATKINPIN_DATA_FOLDER`). All problems are reported together.
@@ -13,6 +13,8 @@
 
 import pydantic
 
+from catkinpin import exits
+
 _HOST_PORT = re.compile(r"[0-9A-Za-z_.\-\[\]:]+:([0-9]{1,5})")
 _MAX_PORT = 65_535
 
@@ -31,7 +33,6 @@
 Milliseconds = Annotated[int, pydantic.Field(gt=0)]
 
 ENV_PREFIX = "CATKINPIN_"
-_EXIT_USAGE = 2
 _S = TypeVar("_S", bound=pydantic.BaseModel)
 
 
@@ -41,7 +42,7 @@
         return kind()
     except pydantic.ValidationError as exc:
         print(problems(exc), file=sys.stderr)
-        sys.exit(_EXIT_USAGE)
+        sys.exit(exits.USAGE)
 
 
 def problems(exc: pydantic.ValidationError) -> str:
@@ -82,11 +83,6 @@
         default="127.0.0.1:0",
         description="IP and port for health, metrics, servers and operators.",
     )
-    metrics_listen: OptionalAddress = pydantic.Field(
-        default="",
-        description="IP and port of the metrics of gateways, keepers and"
-        " stores; empty: none.",
-    )
     trace_file: str = pydantic.Field(
         default="",
         description="File for spans, one JSON object a line; empty: no spans.",
@@ -193,107 +189,6 @@
     )
 
 
-class KeeperSettings(ProcessSettings):
-    """Settings of `catkinpin-keeper`."""
-
-    listen: Address = pydantic.Field(
-        default="127.0.0.1:8082",
-        description="IP and port for servers and operators (HTTP).",
-    )
-    data_folder: pathlib.Path = pydantic.Field(
-        default=pathlib.Path("data"),
-        description="Folder for the log; the only place that is written.",
-    )
-    seeds: list[Address] = pydantic.Field(
-        default=[],
-        min_length=1,
-        description="Peer addresses of some keepers; at the first start, of"
-        " those that found the system.",
-    )
-    first_start: bool = pydantic.Field(
-        default=False,
-        description="Whether the whole system starts for the first time."
-        " A seed then founds it; without this an empty folder joins.",
-    )
-    snapshot_entries: int = pydantic.Field(
-        default=5_000,
-        gt=0,
-        description="Records of the log between two snapshots.",
-    )
-    copies: int = pydantic.Field(
-        default=2,
-        gt=0,
-        description="Hosts that hold each turn's bytes: one more than disks"
-        " that may be lost at once.",
-    )
-    silent_server_ms: Milliseconds = pydantic.Field(
-        default=15_000,
-        description="A server that announced nothing for so long is gone.",
-    )
-    stop_timeout_ms: Milliseconds = pydantic.Field(
-        default=5_000,
-        description="Longest a graceful stop waits for work in flight, in ms.",
-    )
-
-
-class StoreSettings(ProcessSettings):
-    """Settings of `catkinpin-store`."""
-
-    data_folder: pathlib.Path = pydantic.Field(
-        default=pathlib.Path("data"),
-        description="Folder for turns' bytes; the only place that is written.",
-    )
-    seeds: list[Address] = pydantic.Field(
-        default=[],
-        min_length=1,
-        description="Peer addresses of some keepers.",
-    )
-
-
-class GatewaySettings(ProcessSettings):
-    """Settings of `catkinpin-gateway`."""
-
-    listen: Address = pydantic.Field(
-        default="127.0.0.1:8080", description="IP and port for callers (HTTP)."
-    )
-    ready_listen: Address = pydantic.Field(
-        default="127.0.0.1:8081",
-        description="IP and port at which the balancer asks for readiness.",
-    )
-    seeds: list[Address] = pydantic.Field(
-        default=[],
-        min_length=1,
-        description="Peer addresses of some keepers.",
-    )
-    balancer_wait_ms: int = pydantic.Field(
-        default=3_000,
-        ge=0,
-        description="How long a stopping gateway still takes new calls after"
-        " its readiness went down, so that the balancer notices, in ms.",
-    )
-    stop_timeout_ms: Milliseconds = pydantic.Field(
-        default=7_000,
-        description="Longest a graceful stop takes, in ms.",
-    )
-    copies: int = pydantic.Field(
-        default=2,
-        gt=0,
-        description="Hosts that hold each turn's bytes: one more than disks"
-        " that may be lost at once.",
-    )
-    cache_bytes: int = pydantic.Field(
-        default=8 * 1024 * 1024,
-        ge=0,
-        description="Bytes of turns kept in memory for those that follow.",
-    )
-    gateways_expected: int = pydantic.Field(
-        default=9,
-        gt=0,
-        description="Gateways that share each server's connections, until the"
-        " keepers tell how many there are.",
-    )
-
-
 class OperatorSettings(pydantic.BaseModel):
     """Settings of the operator's command `catkinpin`."""
 
--- a/catkinpin/store.py
+++ b/catkinpin/store.py
@@ -20,7 +20,7 @@
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
-    from catkinpin.settings import StoreSettings
+    from catkinpin.roles import StoreSettings
 
 log = logging.getLogger(__name__)
 
