--- a/tests/base.py
+++ b/tests/base.py
@@ -16,7 +16,7 @@
 import uvloop
 
 from catkinpin import configuration
-from tests import ports
+from tests import ports, processes
 from tests.processes import Process
 from tests.replies import Reply, Streamed
 
@@ -36,6 +36,14 @@
         super().setUp()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="catkinpin-"))
         self.addCleanup(shutil.rmtree, self.folder, ignore_errors=True)
+        self.addOnException(self._keep_logs)
+
+    def _keep_logs(self, exc_info: Any) -> None:
+        """Keeps what processes wrote: some failures are not seen twice."""
+        kept = processes.ROOT / "out" / "failed" / self.id()
+        kept.mkdir(parents=True, exist_ok=True)
+        for path in self.folder.glob("*.log"):
+            shutil.copy(path, kept)
 
     def run_async(self, main: Coroutine[Any, Any, None]) -> None:
         """Runs a coroutine to its end."""
