--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -181,6 +181,7 @@
             at_ms=0,
             server=ran.server,
             lost_ms=ran.lost_ms,
+            shared=_shared(call),
         )
         try:
             await self._keepers.ask_leader(
@@ -203,6 +204,7 @@
             at_ms=0,
             server=ran.server,
             lost_ms=ran.lost_ms,
+            shared=_shared(call),
         )
         self._spawn(self._settle(finish))
 
@@ -365,3 +367,8 @@
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _shared(call: RouteCall) -> str:
+    """Returns the part of a prompt that other programs begin with, too."""
+    return call.prompt[0].id if len(call.prompt) > 1 else ""
