Let the deployment of tests wait until its stores are known

A store that has just started is not known yet; the test never waited for it. The checks are as they were.

--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -107,6 +107,7 @@
             await self.model.start()
         await self.until(self.configure)
         await self.until(self.beat)
+        await self.until(self._knows_stores)
         self._beating = asyncio.create_task(self._keep_beating())
         return self
 
@@ -169,6 +170,10 @@
                     newest, found = line["term"], host.name
         return found
 
+    async def _knows_stores(self) -> bool:
+        names = [h.name for h in self.hosts.values() if h.role == "store"]
+        return all(self._count("store", name) for name in names)
+
     async def repaired(self, name: str) -> None:
         """Waits until a host that lost its disk is back and copies are made.
 
