Hand leadership over while the leader's disk is slow

Cause: each of a turn's two records waits for the leader's sync, on average one and a half of them; a disk that takes 30 to 150 ms for some seconds costs all programs some hundred ms a turn, though the disks of the others are fine.

Ruled out: syncing on another thread (one loop on one thread), and an election by the others, who see nothing but a later answer.

Test: test_groups (real nodes, 30 ms a sync) failed first: the slow one led until the test ended; test_disks for what counts as slow.

--- a/catkinpin/adapters/node.py
+++ b/catkinpin/adapters/node.py
@@ -18,6 +18,7 @@
 from catkinpin.adapters.storage import SEGMENT_BYTES, Storage
 from catkinpin.core.consensus.messages import Members
 from catkinpin.core.consensus.state import Timing
+from catkinpin.core.disks import SyncTimes
 from catkinpin.exceptions import SettingsError
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
 # Groups that one replica may lead more than another; moves cost a moment.
 _SPREAD_MOST = 2
 _TRANSFER_S = 1.5
+_MS_PER_S = 1_000
 # Segments that idle groups may keep from being removed.
 _PINNED_SEGMENTS = 4
 _TAIL_PART = 4
@@ -74,6 +76,7 @@
         cfg: the settings.
         on_leader: called with each group whose leader has changed.
         on_failure: called with what makes it unsafe to go on.
+        on_slow_disk: called with each group handed over for a slow disk.
         first: the group whose state the leaders of the others depend on.
 
     Attributes:
@@ -87,6 +90,7 @@
         on_leader: Callable[[Group], None],
         on_failure: Callable[[Exception], None],
         first: str = "",
+        on_slow_disk: Callable[[Group], None] = lambda _: None,
     ) -> None:
         self.storage = Storage(cfg.data_folder, segment_bytes=cfg.segment_bytes)
         self._file = Identity(cfg.data_folder, self.storage.ops)
@@ -98,9 +102,11 @@
         self._cfg = cfg
         self._on_leader = on_leader
         self._on_failure = on_failure
+        self._on_slow_disk = on_slow_disk
         self._first = first
         self._woken: dict[str, Group] = {}
         self._told: dict[str, tuple[int, str]] = {}
+        self._sync_times = SyncTimes()
         self._ticks = 0
         self._started = False
         self._stopped = False
@@ -300,6 +306,7 @@
         now_ms = self.now_ms()
         for group in self.groups.values():
             group.tick(now_ms)
+        self._leave_office()
         self._ticks += 1
         if self._ticks % _INTRODUCE_TICKS == 0:
             self._founding.tick()
@@ -367,7 +374,7 @@
         now_ms = self.now_ms()
         later = [(g, g.begin_flush(now_ms)) for g in woken.values()]
         self.beats.send(self.identity, self.send)
-        self.storage.sync()
+        self._sync()
         for group, _ in later:
             group.synced(now_ms)
         for group, rest in later:
@@ -376,6 +383,24 @@
             if group.needs_snapshot(self._cfg.snapshot_entries):
                 self._take_snapshot(group)
 
+    def _sync(self) -> None:
+        began_s = time.monotonic()
+        if self.storage.sync():
+            self._sync_times.took((time.monotonic() - began_s) * _MS_PER_S)
+
+    def _leave_office(self) -> None:
+        """Hands all groups over while this host's disk is slow.
+
+        All that commit wait for the leader's disk; the others need only some.
+        """
+        if not self._sync_times.is_slow():
+            return
+        self._sync_times.forget()
+        for group in self.groups.values():
+            if group.is_leader() and group.transfer():
+                log.warning("slow disk", extra={"group": group.name})
+                self._on_slow_disk(group)
+
     def _take_snapshot(self, group: Group) -> None:
         group.take_snapshot(self._cfg.snapshot_entries // _TAIL_PART)
         if self.storage.count() > _PINNED_SEGMENTS:
--- a/catkinpin/adapters/storage.py
+++ b/catkinpin/adapters/storage.py
@@ -104,8 +104,8 @@
         self._sequence += 1
         self._dirty = True
 
-    def sync(self) -> None:
-        """Makes everything added so far last.
+    def sync(self) -> bool:
+        """Makes everything added so far last; returns whether there was any.
 
         Raises:
             StorageError: it may or may not last; nothing of it may be
@@ -113,10 +113,11 @@
         """
         self.write()
         if not self._dirty:
-            return
+            return False
         self._sync_active()
         if self._active.size >= self._segment_bytes:
             self._next_segment()
+        return True
 
     def read(self, position: int) -> Entry:
         """Returns the entry at a position.
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -84,6 +84,7 @@
             ),
             self._leader_changed,
             _stop_at_once,
+            on_slow_disk=_note_slow_disk,
         )
         self.bytes = TurnBytes(cfg.data_folder / "turns")
         self.host = keeperhost.KeeperHost(
@@ -442,6 +443,10 @@
             log.error("a task failed", exc_info=task.exception())
 
 
+def _note_slow_disk(group: Group) -> None:
+    decisions.note("handover", "", reason="slow disk", term=group.term)
+
+
 def _stop_at_once(exc: Exception) -> None:
     """Ends the process without another word to anyone.
 
--- /dev/null
+++ b/tests/test_disks.py
@@ -0,0 +1,52 @@
+"""Disks that turn slow, by their sync times."""
+
+from __future__ import annotations
+
+import testtools
+
+from catkinpin.core.disks import SyncTimes
+
+
+class SyncTimesTest(testtools.TestCase):
+    """What a leader makes of its own disk."""
+
+    def _disk(self, usual_ms: float) -> SyncTimes:
+        times = SyncTimes()
+        for n in range(50):
+            times.took(usual_ms * (0.8 + 0.4 * (n % 2)))
+        return times
+
+    def test_disk_that_turns_slow_is_noticed_within_a_few_syncs(self) -> None:
+        """The leader's disk takes 25 times as long from now on.
+
+        Each turn waits for several of its syncs; noticed late, programs are.
+        """
+        for usual_ms in (1.0, 5.0):
+            times = self._disk(usual_ms)
+            self.assertFalse(times.is_slow())
+            for _ in range(4):
+                times.took(25 * usual_ms)
+            self.assertTrue(times.is_slow())
+
+    def test_single_slow_syncs_move_no_leader(self) -> None:
+        times = self._disk(1.0)
+        for n in range(60):
+            times.took(200.0 if n % 3 == 0 else 1.0)
+            self.assertFalse(times.is_slow())
+
+    def test_disk_that_was_never_fast_is_not_slow(self) -> None:
+        """All disks of a system are slow ones: no other leader does better."""
+        times = self._disk(40.0)
+        self.assertFalse(times.is_slow())
+
+    def test_disk_is_looked_at_anew_after_its_leader_has_handed_over(
+        self,
+    ) -> None:
+        times = self._disk(1.0)
+        for _ in range(6):
+            times.took(30.0)
+        times.forget()
+        self.assertFalse(times.is_slow())
+        for _ in range(4):
+            times.took(30.0)
+        self.assertTrue(times.is_slow())
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import time
 from typing import TYPE_CHECKING
 from unittest import mock
 
@@ -15,6 +17,10 @@
     from collections.abc import Awaitable, Callable
 
 
+_FAST_RECORDS = 30
+_SLOW_S = 0.03
+
+
 class GroupsTest(base.TestCase):
     """Three nodes and a machine whose snapshot refers to old records."""
 
@@ -66,6 +72,42 @@
                 wanted = b"record %d" % (10 * place + 10)
                 self.assertEqual(wanted, one.groups[0].read(index))
 
+    def test_leader_whose_disk_turns_slow_hands_over(self) -> None:
+        """The leader's disk takes 30 ms a sync from now on, others' don't.
+
+        Every caller would wait for it as long as it stays so. Another replica
+        leads within a moment, and nothing that was committed is lost.
+        """
+
+        async def main(nodes: list[LogNode]) -> None:
+            slow = await self.leader(nodes)
+            for number in range(_FAST_RECORDS):
+                await slow.commit(b"fast %d" % number)
+            sync = slow.node.storage.sync
+
+            def slow_sync() -> bool:
+                time.sleep(_SLOW_S)
+                return sync()
+
+            with mock.patch.object(slow.node.storage, "sync", slow_sync):
+                for number in range(8):
+                    with contextlib.suppress(TimeoutError):
+                        async with asyncio.timeout(1.0):
+                            await slow.commit(b"slow %d" % number)
+                    if not slow.groups[0].is_leader():
+                        break
+
+                async def moved() -> bool:
+                    leader = await self.leader(nodes)
+                    return leader is not slow
+
+                await base.until(moved, "another leader")
+                leader = await self.leader(nodes)
+                await leader.commit(b"after")
+                self.assertIs(leader, await self.leader(nodes))
+
+        self.start(main)
+
     def test_replica_that_missed_hundreds_of_records(self) -> None:
         """A replica was down while hundreds of records passed it by.
 
