Ask holders that were slow last for a while

Cause: a turn ends when all its copies last. While one disk hangs, each turn that has a copy there waited 150 ms before another holder was asked, for as long as the disk stayed so.

Change: a holder that did not answer in that time, or failed, comes after all others for 2 s, also after those of the other region (16 ms away).

Test: test_turns: of nine turns beside a hanging holder six waited, now one.

--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -14,7 +14,7 @@
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Coroutine, Iterable
 
     from catkinpin.adapters.keepers import Host, Keepers
     from catkinpin.core.calls import RouteCall
@@ -28,6 +28,9 @@
 # Several times a sync and the way to the other region.
 _SLOW_STORE_S = 0.15
 _STORE_S = 1.5
+# A holder that was slow is asked last for so long. One turn in so many seconds
+# finds out whether it still is; each other one would wait for it.
+_AVOID_S = 2.0
 # One read of a chain's bytes from one holder.
 _FETCH_S = 0.6
 # A turn that is not settled keeps its reserve, so the gateway insists.
@@ -129,6 +132,8 @@
         self._cache = _Cache(cache_bytes)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._next = 0
+        # Until when holders that were slow are asked last, by identity.
+        self._avoided: dict[str, float] = {}
 
     @property
     def unsettled(self) -> int:
@@ -294,39 +299,56 @@
                 found[attempt] = data
 
     async def _store(self, attempt: str, data: bytes) -> list[str]:
-        """Stores a turn's bytes on two hosts; returns them, or none."""
+        """Stores a turn's bytes on enough hosts; returns them, or none."""
         hosts = self._candidates()
         stored: list[str] = []
-        running: set[asyncio.Task[str]] = set()
+        running: dict[asyncio.Task[str], str] = {}
         loop = asyncio.get_running_loop()
         until = loop.time() + _STORE_S
         for _ in range(self._copies):
-            if hosts:
-                running.add(self._start_put(hosts.pop(0), attempt, data))
+            self._put_next(hosts, attempt, data, running)
         while running and len(stored) < self._copies and loop.time() < until:
-            done, running = await asyncio.wait(
+            done, _ = await asyncio.wait(
                 running,
                 timeout=_SLOW_STORE_S,
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            if not done:
+                self._avoid(running.values())
             stored += [node for task in done if (node := task.result())]
             failed = sum(not task.result() for task in done)
+            self._avoid(running[task] for task in done if not task.result())
+            for task in done:
+                del running[task]
             more = failed if done else 1
             if len(stored) < self._copies:
                 for _ in range(more):
-                    if hosts:
-                        running.add(
-                            self._start_put(hosts.pop(0), attempt, data)
-                        )
+                    self._put_next(hosts, attempt, data, running)
         return stored[: self._copies] if len(stored) >= self._copies else []
 
-    def _start_put(
-        self, host: Host, attempt: str, data: bytes
-    ) -> asyncio.Task[str]:
+    def _put_next(
+        self,
+        hosts: list[Host],
+        attempt: str,
+        data: bytes,
+        running: dict[asyncio.Task[str], str],
+    ) -> None:
+        """Begins to store on the next host, where there is one."""
+        if not hosts:
+            return
+        host = hosts.pop(0)
         task = asyncio.ensure_future(self._put(host, attempt, data))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return task
+        running[task] = host.info.node if host.info is not None else ""
+
+    def _avoid(self, nodes: Iterable[str]) -> None:
+        """Has holders asked last for a while."""
+        until_s = asyncio.get_running_loop().time() + _AVOID_S
+        for node in nodes:
+            if node not in self._avoided:
+                decisions.note("slow-holder", "", holder=node)
+            self._avoided[node] = until_s
 
     async def _put(self, host: Host, attempt: str, data: bytes) -> str:
         """Stores on one host; returns its identity, empty where it failed."""
@@ -346,6 +368,10 @@
         """Returns the hosts to store at, the best first."""
         self._next += 1
         leaving = self._keepers.retiring
+        now_s = asyncio.get_running_loop().time()
+        for node, until_s in list(self._avoided.items()):
+            if until_s < now_s:
+                del self._avoided[node]
         hosts = {
             host.info.node: (host, copies.holder_of(host.info))
             for host in self._keepers.connected()
@@ -356,6 +382,7 @@
             self._region,
             self._keepers.leader,
             self._next,
+            self._avoided,
         )
         return [hosts[holder.node][0] for holder in ordered]
 
--- a/catkinpin/core/copies.py
+++ b/catkinpin/core/copies.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from catkinpin.core.keeping import HostInfo
     from catkinpin.core.ledger import Turn
@@ -103,7 +103,11 @@
 
 
 def spread(
-    hosts: list[Holder], region: str, last: str, turn: int
+    hosts: list[Holder],
+    region: str,
+    last: str,
+    turn: int,
+    slow: Collection[str] = (),
 ) -> list[Holder]:
     """Returns the hosts to store a turn at, the best first.
 
@@ -115,6 +119,8 @@
         region: of the gateway.
         last: address of the leader, whose disk all others wait for.
         turn: rises with each turn, so that equals take their part.
+        slow: identities of hosts that were slow lately. A turn's end waits for
+            all its copies, so each that is asked of one costs 150 ms.
     """
     waiting = [
         host
@@ -129,7 +135,14 @@
     taken: collections.Counter[str] = collections.Counter()
     ordered = []
     while waiting:
-        best = min(waiting, key=lambda h: (h.region != region, taken[h.domain]))
+        best = min(
+            waiting,
+            key=lambda host: (
+                host.node in slow,
+                host.region != region,
+                taken[host.domain],
+            ),
+        )
         waiting.remove(best)
         taken[best.domain] += 1
         ordered.append(best)
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -116,3 +116,9 @@
         hosts = [_host("far", "other"), _host("a"), _host("b")]
         found = [h.node for h in copies.spread(hosts, "r", "", 1)]
         self.assertEqual("far", found[-1])
+
+    def test_slow_hosts_come_after_far_ones(self) -> None:
+        """A near disk takes 150 ms and more; the far region is 16 ms away."""
+        hosts = [_host("far", "other"), _host("a"), _host("b")]
+        ordered = copies.spread(hosts, "r", "", 1, {"a"})
+        self.assertEqual(["b", "far", "a"], [h.node for h in ordered])
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,86 @@
+"""Storing turns' bytes while a holder is slow, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+import types
+from typing import TYPE_CHECKING, Any, cast
+
+from catkinpin.adapters.gateway.turns import Ran, Turns
+from catkinpin.core import keeping
+from catkinpin.core.calls import RouteCall
+from tests import base
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.adapters.keepers import Keepers
+
+# Well below what a turn waits for a slow holder before it asks another.
+_AT_ONCE_S = 0.1
+
+
+class _Holders:
+    """Stands in for the links to keepers and stores; `slow` never answers."""
+
+    leader = ""
+    retiring: frozenset[str] = frozenset()
+
+    def __init__(self, slow: str) -> None:
+        self._slow = slow
+        self.asked: list[str] = []
+
+    def connected(self) -> list[Any]:
+        return [self._host(name) for name in ("a", "b", "c")]
+
+    def _host(self, name: str) -> Any:
+        info = keeping.HostInfo(
+            node=name,
+            address=f"{name}:1",
+            domain=name,
+            region="r",
+            known=[],
+            leader="",
+            term=1,
+        )
+        return types.SimpleNamespace(info=info)
+
+    async def ask(
+        self, host: Any, make: Callable[[int], Any], wait_s: float
+    ) -> Any:
+        self.asked.append(host.info.node)
+        if host.info.node == self._slow:
+            await asyncio.sleep(wait_s)
+        return keeping.Done(ask=1)
+
+    async def ask_leader(
+        self, make: Callable[[int], Any], wait_s: float
+    ) -> Any:
+        return keeping.Done(ask=1)
+
+
+class SlowHolderTest(base.TestCase):
+    """One of three holders has a disk that hangs."""
+
+    def test_only_one_turn_waits_for_a_slow_holder(self) -> None:
+        """A store's disk turns slow for some seconds.
+
+        Two of three turns have a copy there, and each would end 150 ms later
+        until the disk is well again, with all that its program has to spare.
+        """
+
+        async def main() -> None:
+            holders = _Holders("b")
+            turns = Turns(cast("Keepers", holders), "r", 1_000, 2)
+            loop = asyncio.get_running_loop()
+            slow = 0
+            for number in range(9):
+                call = RouteCall(attempt=f"t{number}", program="p")
+                began_s = loop.time()
+                why = await turns.finish(call, b"bytes", Ran(1, "s"))
+                self.assertEqual("", why)
+                slow += loop.time() - began_s > _AT_ONCE_S
+            self.assertEqual(1, slow)
+            self.assertEqual(1, holders.asked.count("b"))
+
+        self.run_async(main())
