Keep background tasks and the end at once in one place each

Keeper and store, and turns and crashes of a gateway, each kept tasks by code of their own; three processes each had the end that follows a failed sync. A gateway's background task that failed was never seen in any log; now it is. Nothing else changes.

--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 from typing import TYPE_CHECKING
 
+from catkinpin.adapters.tasks import Tasks
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -47,13 +48,11 @@
     ) -> None:
         self._turns = turns
         self._is_alive = is_alive
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks()
 
     def suspect(self, work: Work, choice: Choice) -> None:
         """Looks whether a server that broke off has ended; reports it then."""
-        task = asyncio.ensure_future(self._report(work, choice))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._report(work, choice))
 
     async def _report(self, work: Work, choice: Choice) -> None:
         if await self._is_alive(work, choice):
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -6,15 +6,16 @@
 import collections
 import dataclasses
 import logging
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from catkinpin import decisions
+from catkinpin.adapters.tasks import Tasks
 from catkinpin.core import copies, keeping
 from catkinpin.core.ledger import Begin, Denial, Finish
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Iterable
+    from collections.abc import Iterable
 
     from catkinpin.adapters.keepers import Host, Keepers
     from catkinpin.core.calls import RouteCall
@@ -130,7 +131,7 @@
         self._keepers = keepers
         self._region = region
         self._cache = _Cache(cache_bytes)
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = Tasks()
         self._next = 0
         # Until when holders that were slow are asked last, by identity.
         self._avoided: dict[str, float] = {}
@@ -211,7 +212,7 @@
             lost_ms=ran.lost_ms,
             shared=_shared(call),
         )
-        self._spawn(self._settle(finish))
+        self._tasks.spawn(self._settle(finish))
 
     async def report_crash(self, content: str, server: str) -> None:
         """Tells the leader that a server crashed while it ran a request."""
@@ -337,9 +338,7 @@
         if not hosts:
             return
         host = hosts.pop(0)
-        task = asyncio.ensure_future(self._put(host, attempt, data))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task = self._tasks.spawn(self._put(host, attempt, data))
         running[task] = host.info.node if host.info is not None else ""
 
     def _avoid(self, nodes: Iterable[str]) -> None:
@@ -390,11 +389,6 @@
         region = host.info.region if host.info is not None else ""
         return int(region != self._region)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _shared(call: RouteCall) -> str:
     """Returns the part of a prompt that other programs begin with, too."""
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import os
 import uuid
 from typing import TYPE_CHECKING, Any
 
@@ -24,6 +23,7 @@
 from catkinpin.adapters.founding import Joining
 from catkinpin.adapters.http.server import HttpServer
 from catkinpin.adapters.keeperhost import NotLeading
+from catkinpin.adapters.tasks import Tasks
 from catkinpin.adapters.turnbytes import TurnBytes
 from catkinpin.adapters.turnhost import TurnHost
 from catkinpin.core import keeping, messages, routes
@@ -83,7 +83,7 @@
                 begun_ms=clock.process_begun_ms(),
             ),
             self._leader_changed,
-            _stop_at_once,
+            exits.stop_at_once,
             on_slow_disk=_note_slow_disk,
         )
         self.bytes = TurnBytes(cfg.data_folder / "turns")
@@ -106,8 +106,8 @@
             link="from-keeper",
         )
         self._http = HttpServer(control(self))
-        self._tasks: set[asyncio.Task[Any]] = set()
-        self._turns = TurnHost(self.bytes, self.others, _stop_at_once)
+        self._tasks = Tasks()
+        self._turns = TurnHost(self.bytes, self.others, exits.stop_at_once)
         self._telling = telling.Telling(cfg, self.node, self.host, self._peers)
         self._holding = holding.Holding(
             cfg,
@@ -136,8 +136,8 @@
         await self._peers.start(self.address)
         self.others.add(self.cfg.seeds)
         await self._http.start(self.cfg.listen)
-        self._spawn(self._tick())
-        self._spawn(self._forget_bytes())
+        self._tasks.spawn(self._tick())
+        self._tasks.spawn(self._forget_bytes())
         decisions.note(
             "start",
             "",
@@ -153,8 +153,7 @@
         self._http.close_when_answered()
         await self.node.stop()
         await self._http.stop()
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         await self.others.stop()
         await self._peers.stop()
         self.bytes.close()
@@ -236,7 +235,7 @@
         if isinstance(message, messages.Hello):
             self._telling.welcome(stream)
             return
-        self._spawn(self._answer(stream, message))
+        self._tasks.spawn(self._answer(stream, message))
 
     async def _answer(self, stream: peers.Stream, message: Any) -> None:
         try:
@@ -271,7 +270,7 @@
                 case keeping.Adopt():
                     await self._turns.adopt(stream, message)
         except StorageError as exc:
-            _stop_at_once(exc)
+            exits.stop_at_once(exc)
 
     async def _begin(
         self, stream: peers.Stream, message: keeping.AskBegin
@@ -411,9 +410,9 @@
             if not self.host.may_decide():
                 continue
             for gone in self.host.silent_servers():
-                self._spawn(self.host.announce(gone, _COMMIT_S))
+                self._tasks.spawn(self.host.announce(gone, _COMMIT_S))
             if ticks % _REPAIR_TICKS == 0:
-                self._spawn(self._holding.repair())
+                self._tasks.spawn(self._holding.repair())
 
     async def _forget_bytes(self) -> None:
         """Drops turns' bytes that no program can ask for any more.
@@ -432,27 +431,6 @@
             self.bytes.drop(unknown & before)
             before = unknown - before
 
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._ended)
-
-    def _ended(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("a task failed", exc_info=task.exception())
-
 
 def _note_slow_disk(group: Group) -> None:
     decisions.note("handover", "", reason="slow disk", term=group.term)
-
-
-def _stop_at_once(exc: Exception) -> None:
-    """Ends the process without another word to anyone.
-
-    After a failed write or sync the disk may hold less than memory says. A
-    graceful stop would still acknowledge from memory.
-    """
-    log.critical("%s", exc, exc_info=exc)
-    logging.shutdown()
-    os._exit(exits.STORAGE)
--- a/catkinpin/replica.py
+++ b/catkinpin/replica.py
@@ -4,11 +4,10 @@
 
 import asyncio
 import logging
-import os
 import uuid
 from typing import TYPE_CHECKING, Any
 
-from catkinpin import clock, process
+from catkinpin import clock, exits
 from catkinpin.adapters import (
     admin,
     configured,
@@ -51,7 +50,7 @@
                 cfg.data_folder, tuple(cfg.replicas), cfg.snapshot_entries
             ),
             self._leader_changed,
-            _stop_at_once,
+            exits.stop_at_once,
             first=routing.CONTROL_GROUP,
         )
         self.shards = {
@@ -250,15 +249,3 @@
     return messages.GroupLeader(
         group=group.name, term=group.term, leader=group.leader
     )
-
-
-def _stop_at_once(exc: Exception) -> None:
-    """Ends the process without another word to anyone.
-
-    After a failed write or sync the disk may hold less than memory says. A
-    graceful stop would still answer and acknowledge from memory, and those
-    who heard it would believe in records that are gone.
-    """
-    log.critical("%s", exc, exc_info=exc)
-    logging.shutdown()
-    os._exit(process.EXIT_STORAGE)
--- a/catkinpin/store.py
+++ b/catkinpin/store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import os
 import uuid
 from typing import TYPE_CHECKING, Any
 
@@ -12,6 +11,7 @@
 from catkinpin.adapters import keepers, peers
 from catkinpin.adapters.files import FileOps
 from catkinpin.adapters.identity import Identity
+from catkinpin.adapters.tasks import Tasks
 from catkinpin.adapters.telling import STORE_ROLE
 from catkinpin.adapters.turnbytes import TurnBytes
 from catkinpin.adapters.turnhost import TurnHost
@@ -59,19 +59,19 @@
         self._turns = TurnHost(
             TurnBytes(cfg.data_folder / "turns", ops),
             self.keepers,
-            _stop_at_once,
+            exits.stop_at_once,
         )
         self._peers = peers.PeerServer(
             keeping.ToKeeper, self._on_message, lambda _: None, link="store"
         )
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = Tasks()
 
     async def start(self) -> None:
         """Listens and registers with the keepers."""
         await self._peers.start(self.cfg.peer_listen)
         self.keepers.add(self.cfg.seeds)
         for work in (self._register(), self._tick()):
-            self._spawn(work)
+            self._tasks.spawn(work)
         decisions.note(
             "start",
             "",
@@ -83,8 +83,7 @@
     async def stop(self) -> None:
         """Closes; what was acknowledged lasts."""
         decisions.note("stop", "")
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         await self.keepers.stop()
         await self._peers.stop()
         self._turns.data.close()
@@ -113,7 +112,7 @@
             case keeping.Get():
                 self._turns.get(stream, message)
             case keeping.Adopt():
-                self._spawn(self._turns.adopt(stream, message))
+                self._tasks.spawn(self._turns.adopt(stream, message))
 
     def _told(self, host: keepers.Host, message: Any) -> None:
         if isinstance(message, keeping.Expired):
@@ -134,20 +133,3 @@
         while True:
             await asyncio.sleep(_TICK_S)
             self.keepers.tick()
-
-    def _spawn(self, work: Any) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._ended)
-
-    def _ended(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("a task failed", exc_info=task.exception())
-
-
-def _stop_at_once(exc: Exception) -> None:
-    """Ends the process: what a failed sync left on the disk is not known."""
-    log.critical("%s", exc, exc_info=exc)
-    logging.shutdown()
-    os._exit(exits.STORAGE)
