Let requests wait for a gateway that has just started

Change: a request waits for the routes, at most 0.4 of its time and only while the gateway is younger than 3 s; one that is cut off for longer refuses at once.

Ruled out: a shorter time to come back (it uses the tries up sooner).

Test: test_gateway, request before the routes: 503 before, 200 now.

--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -34,6 +34,11 @@
 _RETRY_ELSEWHERE_S = 0.02
 _RETRY_STARTING_S = 0.5
 _RETRY_QUARANTINE_S = 10.0
+# Of its time, what a request may wait for a gateway that has just started;
+# the rest must do for the request itself, at this gateway or another.
+_STARTING_PART = 0.4
+# Time of a request that names none.
+_WAIT_MS = 1_000
 
 
 class Serving:
@@ -90,7 +95,8 @@
             # off at the end, the request would have run for nothing.
             refuse(responder, call, 503, "stopping", _RETRY_ELSEWHERE_S)
             return
-        if not self._view.serves or self._view.table is None:
+        wait_s = (call.deadline_ms or _WAIT_MS) / _MS * _STARTING_PART
+        if not await self._view.wait_serves(wait_s) or not self._view.table:
             reason = "no routes known yet"
             refuse(responder, call, 503, reason, _RETRY_STARTING_S)
             return
--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import decisions
@@ -16,6 +18,11 @@
     from catkinpin.core.fleet import Instance
     from catkinpin.core.routes import Routing
 
+_MS = 1_000
+# Keepers that were restarted together have a leader 0.4 s after the last one
+# is up, and that takes up to a second. A multiple of both.
+_STARTING_MS = 3_000
+
 
 class View:
     """Routes and servers.
@@ -43,7 +50,8 @@
         self.changed_ms = clock.now_ms()
         self._clock = clock
         self._on_gone = on_gone
-        self._is_current = False
+        self._began_ms = clock.now_ms()
+        self._known = asyncio.Event()
         # Newest version of which a keeper knew that there was none newer.
         self._current = -1
         self._index = 0
@@ -56,7 +64,27 @@
         by its word a route that was removed long ago would be served again.
         So it waits for one that knows the newest.
         """
-        return self._is_current
+        return self._known.is_set()
+
+    async def wait_serves(self, wait_s: float) -> bool:
+        """Waits until the routes are fit to decide by; returns whether so.
+
+        After everything was restarted all gateways are up some hundred ms
+        before there is a leader. A caller that is refused meanwhile may come
+        back too late, or too often for its program; one that waits here is
+        served at the first moment. A process that has been up for longer
+        without routes is cut off: waiting there would only delay a refusal.
+        """
+        if self.serves:
+            return True
+        up_ms = self._clock.now_ms() - self._began_ms
+        wait_s = min(wait_s, (_STARTING_MS - up_ms) / _MS)
+        if wait_s <= 0:
+            return False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self._known.wait()
+        return self.serves
 
     @property
     def version(self) -> int:
@@ -100,7 +128,7 @@
         A newer version that is still being fetched stops nothing.
         """
         if 0 <= self._current <= self.version:
-            self._is_current = True
+            self._known.set()
 
     def _take_fleet(self, message: keeping.FleetNow) -> None:
         for told in message.instances:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -47,6 +47,48 @@
 class PlainTest(_Case):
     """Requests that are answered as a whole."""
 
+    def test_request_that_comes_before_the_routes_is_served(self) -> None:
+        """Everything was restarted; callers are back before a leader is.
+
+        A gateway that refuses them has them come back later, or give up.
+        """
+
+        async def work() -> None:
+            rig = Rig(RouteKind.NON_IDEMPOTENT, knows_routes=False)
+            await rig.start(good)
+            asking = asyncio.ensure_future(rig.ask(Deadline="1000"))
+            await asyncio.sleep(0.15)
+            self.assertFalse(asking.done())
+            rig.learn_routes()
+            got = await asking
+            self.assertEqual(200, got.status)
+            self.assertLess(got.took_s, 0.35)
+            await rig.stop()
+
+        self.play(work())
+
+    def test_gateway_that_never_learns_its_routes_refuses_in_time(self) -> None:
+        """A gateway comes up cut off from all keepers.
+
+        Its callers are told to go elsewhere, with most of their time left;
+        once it has been up for long they are told at once.
+        """
+
+        async def work() -> None:
+            rig = Rig(RouteKind.NON_IDEMPOTENT, knows_routes=False)
+            await rig.start(good)
+            got = await rig.ask(Deadline="500")
+            self.assertEqual(503, got.status)
+            self.assertLess(got.took_s, 0.35)
+            rig.clock.now += 5_000
+            got = await rig.ask(Deadline="500")
+            self.assertEqual(503, got.status)
+            self.assertLess(got.took_s, 0.1)
+            self.assertEqual(0, rig.runs())
+            await rig.stop()
+
+        self.play(work())
+
     def test_request_and_answer_pass_unchanged(self) -> None:
         """A tool call on a good day; nothing of it is rewritten."""
 
