Add `catkinpin why`: from a request's id to its cause, by logs

Whoever is on call has a request's id and the output of a hundred processes; the cause mostly stands in another process's lines.

--- a/catkinpin/__main__.py
+++ b/catkinpin/__main__.py
@@ -19,6 +19,7 @@
     "stop": ("plan:stop", "Stops a plan where it stands."),
     "undo": ("plan:undo", "Takes back what a plan has changed."),
     "explain": ("explain:explain", "Shows why a call went to its server."),
+    "why": ("why:why", "Joins logs around a request, to find its cause."),
     "repair": ("repair:repair", "Replaces a replica whose disk was lost."),
 }
 _PLANS = {
--- /dev/null
+++ b/tests/test_joined.py
@@ -0,0 +1,87 @@
+"""From a request's id to its cause, by logs alone."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from typing import Any
+
+from catkinpin import joined
+from tests import base, processes
+
+
+def _line(at_ms: int, process: str, decision: str, **facts: Any) -> str:
+    told = {"at_ms": at_ms, "process": process, "decision": decision, **facts}
+    return json.dumps(told)
+
+
+_LOG = [
+    _line(90_000, "keeper-1", "leader", address="10.0.0.1:1", term=3),
+    _line(99_100, "keeper-2", "leadership", leading=True, term=4),
+    _line(99_900, "gateway-2", "served", request="r0", program="p"),
+    _line(
+        100_050, "gateway-1", "failed", request="r1", program="p",
+        servers=["s1"], took_ms=40, status=502,
+        reason="connection lost: closed",
+    ),
+    _line(100_060, "gateway-1", "ejected", server="s1", reason="closed"),
+    _line(100_300, "keeper-2", "struck", server="s1", content="c"),
+    _line(100_400, "gateway-1", "served", request="r2", servers=["s1"]),
+    _line(100_500, "keeper-2", "server", server="s2", state="gone"),
+    _line(400_000, "keeper-2", "server", server="s1", state="gone"),
+]  # fmt: skip
+
+
+class JoinTest(base.TestCase):
+    """Which lines go with a request, and which don't."""
+
+    def _story(self) -> joined.Story:
+        lines = [ln for text in _LOG if (ln := joined.parse(text))]
+        return joined.join(reversed(lines), "r1")
+
+    def test_lines_of_program_servers_and_leaders_go_with_it(self) -> None:
+        """A tool call got 502; whoever is on call has only its id.
+
+        Its server crashed, which another process noticed.
+        """
+        story = self._story()
+        self.assertEqual([100_050], [ln.at_ms for ln in story.request])
+        self.assertEqual(["r0"], [ln.facts["request"] for ln in story.program])
+        self.assertEqual(
+            ["ejected", "struck"], [ln.decision for ln in story.servers]
+        )
+        self.assertEqual(
+            ["leader", "leadership"], [ln.decision for ln in story.system]
+        )
+
+    def test_other_words_in_a_log_are_passed_over(self) -> None:
+        texts = ["", "peer silent", "{broken", "[1]", '{"at_ms": "x"}', "{}"]
+        self.assertEqual([None] * 6, [joined.parse(text) for text in texts])
+        line = joined.parse("  12.5 gateway-1 " + _LOG[2])
+        assert line is not None
+        self.assertEqual("served", line.decision)
+
+    def _run(self, request: str) -> subprocess.CompletedProcess[str]:
+        log = self.folder / "gateway-1.out"
+        log.write_text("\n".join(_LOG))
+        return subprocess.run(
+            [sys.executable, "-m", "catkinpin", "why", request, str(log)],
+            cwd=processes.ROOT,
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+
+    def test_command_prints_the_parts_with_times_around_the_end(self) -> None:
+        done = self._run("r1")
+        self.assertEqual(0, done.returncode, done.stderr)
+        self.assertIn("+0 ms gateway-1 failed request", done.stdout)
+        self.assertIn("+250 ms keeper-2 struck", done.stdout)
+        self.assertNotIn('"r2"', done.stdout)
+
+    def test_command_says_so_where_no_line_names_the_request(self) -> None:
+        done = self._run("never")
+        self.assertEqual(1, done.returncode)
+        self.assertIn("no line names never", done.stderr)
