--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -29,8 +29,8 @@
 # Several times a sync and the way to the other region.
 _SLOW_STORE_S = 0.15
 _STORE_S = 1.5
-# A holder that was slow is asked last for so long. One turn in so many seconds
-# finds out whether it still is; each other one would wait for it.
+# A holder that was slow is asked last of its region for so long. One turn in
+# so many seconds finds out whether it still is; all others would wait for it.
 _AVOID_S = 2.0
 # One read of a chain's bytes from one holder.
 _FETCH_S = 0.6
--- a/catkinpin/core/copies.py
+++ b/catkinpin/core/copies.py
@@ -120,7 +120,10 @@
         last: address of the leader, whose disk all others wait for.
         turn: rises with each turn, so that equals take their part.
         slow: identities of hosts that were slow lately. A turn's end waits for
-            all its copies, so each that is asked of one costs 150 ms.
+            all its copies, so one that is asked of such a host costs 150 ms.
+            They come last in their region only: under load all hosts of a
+            region seem slow, and then the link to the other one must not
+            carry all copies as well.
     """
     waiting = [
         host
@@ -138,8 +141,8 @@
         best = min(
             waiting,
             key=lambda host: (
-                host.node in slow,
                 host.region != region,
+                host.node in slow,
                 taken[host.domain],
             ),
         )
