Take back that gateways are told where shared parts lie

Why: each of 85 gateways hears of a server's load every few seconds at best. What kept its sessions together was that it knew few prompts at other servers.

Where it could still pay is the moment after a restart; not tried further.

--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -187,7 +187,6 @@
             at_ms=0,
             server=ran.server,
             lost_ms=ran.lost_ms,
-            shared=_shared(call),
         )
         try:
             await self._keepers.ask_leader(
@@ -210,7 +209,6 @@
             at_ms=0,
             server=ran.server,
             lost_ms=ran.lost_ms,
-            shared=_shared(call),
         )
         self._tasks.spawn(self._settle(finish))
 
@@ -388,8 +386,3 @@
     def _distance(self, host: Host) -> int:
         region = host.info.region if host.info is not None else ""
         return int(region != self._region)
-
-
-def _shared(call: RouteCall) -> str:
-    """Returns the part of a prompt that other programs begin with, too."""
-    return call.prompt[0].id if len(call.prompt) > 1 else ""
--- a/catkinpin/adapters/keeperhost.py
+++ b/catkinpin/adapters/keeperhost.py
@@ -67,10 +67,9 @@
         on_fleet: Callable[[list[Instance]], None],
         on_expired: Callable[[list[str]], None],
         on_condemned: Callable[[list[str]], None],
-        on_part: Callable[[str, str], None],
     ) -> None:
         self.state = keeping.Keeping(
-            on_routing, on_fleet, on_expired, on_condemned, on_part
+            on_routing, on_fleet, on_expired, on_condemned
         )
         self._quarantine = Quarantine()
         self.group: Group
--- a/catkinpin/adapters/telling.py
+++ b/catkinpin/adapters/telling.py
@@ -6,7 +6,6 @@
 
 from catkinpin.adapters import mesh
 from catkinpin.core import keeping
-from catkinpin.core.prompts import PartHolders
 
 if TYPE_CHECKING:
     from catkinpin.adapters import node, peers
@@ -64,11 +63,6 @@
         """Tells gateways of contents that no server may get."""
         self._tell(keeping.QuarantineNow(contents=contents), GATEWAY_ROLE)
 
-    def part(self, part: str, server: str) -> None:
-        """Tells gateways that a server has read a part first."""
-        held = PartHolders(part=part, servers=[server])
-        self._tell(keeping.PartsNow(parts=[held]), GATEWAY_ROLE)
-
     def expired(self, attempts: list[str]) -> None:
         """Tells stores of turns whose bytes are needed no more."""
         self._tell(keeping.Expired(attempts=attempts), STORE_ROLE)
@@ -87,8 +81,6 @@
         )
         contents = list(self._host.state.condemned)
         stream.send(keeping.QuarantineNow(contents=contents))
-        # After the servers: a part at a server that isn't known says nothing.
-        stream.send(keeping.PartsNow(parts=self._host.state.parts.state()))
 
     def gateways(self) -> int:
         """Returns how many gateways are connected."""
--- a/catkinpin/core/keeping.py
+++ b/catkinpin/core/keeping.py
@@ -21,7 +21,6 @@
     Outcome,
 )
 from catkinpin.core.messages import Hello, Ping
-from catkinpin.core.prompts import PartHolders, SharedParts
 from catkinpin.core.routes import PackedRouting
 from catkinpin.core.stores import Register, Retire, Store, Stores
 from catkinpin.core.urgency import Standing
@@ -80,7 +79,6 @@
     ledger: LedgerState
     stores: list[Store]
     condemned: list[str]
-    parts: list[PartHolders] = []
 
 
 class HostInfo(Message, frozen=True):
@@ -138,12 +136,6 @@
     whole: bool
 
 
-class PartsNow(Message, frozen=True):
-    """Says where shared parts of prompts lie, all of them or some."""
-
-    parts: list[PartHolders]
-
-
 class AskBegin(Message, frozen=True):
     """Asks the leader whether a turn may begin."""
 
@@ -344,7 +336,6 @@
     | Retirement
     | Expired
     | QuarantineNow
-    | PartsNow
     | Got
 )
 
@@ -357,7 +348,6 @@
         on_fleet: called with the servers that changed.
         on_expired: called with turns whose bytes are needed no more.
         on_condemned: called with contents that are quarantined from now on.
-        on_part: called with a part and a server that has read it first.
     """
 
     def __init__(
@@ -366,16 +356,13 @@
         on_fleet: Callable[[list[Instance]], None] = lambda _: None,
         on_expired: Callable[[list[str]], None] = lambda _: None,
         on_condemned: Callable[[list[str]], None] = lambda _: None,
-        on_part: Callable[[str, str], None] = lambda _part, _server: None,
     ) -> None:
         self.condemned: dict[str, None] = {}
         self._on_condemned = on_condemned
-        self._on_part = on_part
         self.routing: PackedRouting | None = None
         self.fleet = Fleet()
         self.ledger = Ledger()
         self.stores = Stores()
-        self.parts = SharedParts()
         self.index = 0
         self._on_routing = on_routing
         self._on_fleet = on_fleet
@@ -397,12 +384,13 @@
                     self.routing = body.routing
                     self._on_routing()
             case Announce():
-                self._announce(body.instance)
+                changed = self.fleet.apply(body.instance)
+                if changed:
+                    self._on_fleet(changed)
             case Begin():
                 out = self.ledger.begin(body)
             case Finish():
                 out = self.ledger.finish(body)
-                self._note_part(body)
             case Moved():
                 self.ledger.moved(body)
             case Register():
@@ -423,7 +411,6 @@
             ledger=self.ledger.state(),
             stores=list(self.stores.by_node.values()),
             condemned=list(self.condemned),
-            parts=self.parts.state(),
         )
         return codec.encode(state)
 
@@ -436,22 +423,9 @@
         self.ledger.restore(state.ledger)
         self.stores.by_node = {store.node: store for store in state.stores}
         self.condemned = dict.fromkeys(state.condemned)
-        self.parts.restore(state.parts)
         self._on_routing()
         self._on_fleet(list(self.fleet.servers.values()))
 
-    def _announce(self, told: Instance) -> None:
-        changed = self.fleet.apply(told)
-        for instance in changed:
-            self.parts.forget(instance.id)
-        if changed:
-            self._on_fleet(changed)
-
-    def _note_part(self, finish: Finish) -> None:
-        known = finish.shared and finish.server in self.fleet.servers
-        if known and self.parts.read(finish.shared, finish.server):
-            self._on_part(finish.shared, finish.server)
-
     def _condemn(self, contents: list[str]) -> None:
         self.condemned.update(dict.fromkeys(contents))
         while len(self.condemned) > _MOST_CONDEMNED:
--- a/catkinpin/core/ledger.py
+++ b/catkinpin/core/ledger.py
@@ -56,7 +56,6 @@
         at_ms: the log's time.
         server: that ran it, whose cache holds its prompt; empty for none.
         lost_ms: what it took longer than on an idle server.
-        shared: first part of its prompt, which programs share; empty: none.
     """
 
     attempt: str
@@ -68,7 +67,6 @@
     at_ms: int
     server: str = ""
     lost_ms: int = 0
-    shared: str = ""
 
 
 class Moved(Message, frozen=True):
--- a/catkinpin/gateway.py
+++ b/catkinpin/gateway.py
@@ -19,13 +19,11 @@
 from catkinpin.adapters.telling import GATEWAY_ROLE
 from catkinpin.core import keeping, messages
 from catkinpin.core.balance import Balancer
-from catkinpin.core.calls import PromptPart
 
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.ports import HeaderCodec
     from catkinpin.adapters.http.server import Request, Responder
     from catkinpin.core.fleet import Instance
-    from catkinpin.core.prompts import PartHolders
     from catkinpin.roles import GatewaySettings
 
 log = logging.getLogger(__name__)
@@ -150,23 +148,12 @@
         self.view.take(message)
         if isinstance(message, keeping.RoutingNow):
             self._routes.announced(host, message)
-        elif isinstance(message, keeping.PartsNow):
-            self._take_parts(message.parts)
 
     async def _answer_ready(
         self, request: Request, responder: Responder
     ) -> None:
         responder.answer(503 if self.not_ready() else 200)
 
-    def _take_parts(self, parts: list[PartHolders]) -> None:
-        """Takes where others have sent prompts that begin alike."""
-        for held in parts:
-            part = PromptPart(held.part, 0)
-            for server in held.servers:
-                instance = self.view.fleet.servers.get(server)
-                if instance is not None:
-                    self._balancer.read(instance, (part,))
-
     def _count_gateways(self) -> int:
         return self.keepers.gateways() or self.cfg.gateways_expected
 
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -95,7 +95,6 @@
             self._fleet_changed,
             self._expired,
             self._condemned,
-            self._part_read,
         )
         self.host.group = self.node.add_group(_GROUP, self.host)
         self.others = keepers.Keepers(self._hello(ROLE))
@@ -382,10 +381,6 @@
     def _condemned(self, contents: list[str]) -> None:
         self._telling.condemned(contents)
 
-    def _part_read(self, part: str, server: str) -> None:
-        if self.host.leading:
-            self._telling.part(part, server)
-
     def _expired(self, attempts: list[str]) -> None:
         self.bytes.drop(attempts)
         if self.host.leading:
