Split the fake world of the shard's tests by what it stands in for

898 lines became five modules: the world, an entry, a server, a caller's program, and what they share.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -18,10 +18,13 @@
 from catkinpin.core import limits, messages, placement, scheduler
 from catkinpin.verdicts import Verdict
 from tests.fakes import world as worlds
+from tests.fakes.worldfacts import Sent
+from tests.fakes.worldserver import Server
 
 if TYPE_CHECKING:
     from catkinpin.core import servers
-    from tests.fakes.world import Call, Entry
+    from tests.fakes.worldentry import Entry
+    from tests.fakes.worldfacts import Call
 
 LOADS = (0.5, 1.0, 2.0, 5.0)
 SEEDS = (11, 12)
@@ -35,7 +38,7 @@
 _PER_MS = _SERVERS * _SLOTS / _SERVICE_MS
 
 
-class QueuedServer(worlds.Server):
+class QueuedServer(Server):
     """Runs a few requests at a time; the others wait in its queue."""
 
     def __init__(self, world: worlds.World, name: str, kind: str) -> None:
@@ -126,7 +129,7 @@
         self.number = number
         self.at = world.now
         self.answered_ms = 0
-        self.sends: list[worlds.Sent] = []
+        self.sends: list[Sent] = []
         self._send()
 
     def _send(self) -> None:
@@ -145,7 +148,7 @@
             once=True,
         )
         entry = self.world.rng.choice(list(self.world.entries.values()))
-        sent = worlds.Sent(key, self.world.now, entry.name)
+        sent = Sent(key, self.world.now, entry.name)
         self.sends.append(sent)
         entry.start(begin, sent, [])
         self.world.after(20, self._poll)
--- /dev/null
+++ b/tests/fakes/worldserver.py
@@ -0,0 +1,193 @@
+"""A backend server among the fakes."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+from catkinpin.core import messages
+from catkinpin.verdicts import Reason, Verdict
+from tests.fakes.worldfacts import TOKENS, Seen, answer_text
+
+if TYPE_CHECKING:
+    from tests.fakes.world import World
+    from tests.fakes.worldentry import Entry
+    from tests.fakes.worldfacts import Call
+
+_REPORT_MS = 200
+_TOKEN_MS = 20
+
+
+class Server:
+    """A backend server: runs requests, holds prefixes, may crash."""
+
+    def __init__(self, world: World, name: str, kind: str) -> None:
+        self.world = world
+        self.name = name
+        self.kind = kind
+        self.life = 0
+        self.alive = True
+        self.silent = False
+        self.leaving_since = 0
+        self.held: set[str] = set()
+        self.poison: set[bytes] = set()
+        self.restarts = True
+        self.crashes = 0
+        self._aboard: list[tuple[Entry, Call, messages.Granted]] = []
+        world.after(1, self._announce)
+
+    @property
+    def incarnation(self) -> str:
+        """This life of the server."""
+        return f"{self.name}.{self.life}"
+
+    def _announce(self) -> None:
+        self.world.after(_REPORT_MS, self._announce)
+        self.world.on_step("announce", None)
+        if not self.alive or self.silent:
+            return
+        report = messages.ServerReport(
+            server=self.name,
+            incarnation=self.incarnation,
+            address="",
+            kind=self.kind,
+            serves=[self.kind],
+            domain="",
+            region="",
+            capacity=4,
+            leaving=bool(self.leaving_since),
+            held=sorted(self.held),
+        )
+        made = self.world.now
+
+        def deliver() -> None:
+            if self.world.leader is not None:
+                self.world.view.report(report, made)
+                self.world.leader.reported(report, made)
+
+        self.world.after(self.world.latency(), deliver)
+
+    def kill(self) -> None:
+        """Ends this life; connections break, and another life begins."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.crashes += 1
+        self.held.clear()
+        aboard, self._aboard = self._aboard, []
+        for entry, call, grant in aboard:
+            self._to_entry(entry, call, grant, _broken(call, grant))
+        if self.restarts:
+            self.world.after(1_000, self._restart)
+
+    def _restart(self) -> None:
+        self.life += 1
+        self.alive = True
+
+    def request(
+        self, entry: Entry, call: Call, grant: messages.Granted
+    ) -> None:
+        """Takes a dispatched request."""
+        entry.progress(call, grant)
+        self.world.after(
+            self.world.latency(), lambda: self._arrived(entry, call, grant)
+        )
+
+    def _arrived(
+        self, entry: Entry, call: Call, grant: messages.Granted
+    ) -> None:
+        if not self.alive:
+            refused = messages.Finish(
+                ask=0,
+                key=grant.key,
+                attempt=grant.attempt,
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.SERVER_FAILED,
+            )
+            self._to_entry(entry, call, grant, refused)
+            return
+        prompt = list(call.begin.digests)
+        self.world.seen.append(
+            Seen(
+                self.world.now,
+                self.name,
+                grant.attempt,
+                grant.key,
+                prompt,
+                grant.max_tokens,
+            )
+        )
+        self._aboard.append((entry, call, grant))
+        if self.poison & {*prompt, call.begin.fingerprint}:
+            self.kill()
+            return
+        self.world.on_step("sent", grant.key)
+        life = self.life
+        for number, step in enumerate(("first token", "mid", "last token"), 1):
+            token = functools.partial(
+                self._token, life, entry, call, grant, step
+            )
+            self.world.after(number * _TOKEN_MS, token)
+
+    def _token(
+        self,
+        life: int,
+        entry: Entry,
+        call: Call,
+        grant: messages.Granted,
+        step: str,
+    ) -> None:
+        if not self.alive or self.life != life:
+            return
+        if step != "last token":
+            self._to_entry(entry, call, grant, None)
+            self.world.on_step(step, grant.key)
+            return
+        self._aboard.remove((entry, call, grant))
+        new = []
+        if self.kind == "model":
+            self.held.add(f"a/{grant.key.program}")
+            new = [*call.texts[grant.skip :], answer_text(call.begin.digests)]
+        body = new[-1] if new else f"did {grant.key.request_id}".encode()
+        finish = messages.Finish(
+            ask=0,
+            key=grant.key,
+            attempt=grant.attempt,
+            verdict=Verdict.RAN,
+            answer=messages.Answer(status=200, content_type="", body=body),
+            usage=messages.Usage(
+                prompt_tokens=TOKENS, completion_tokens=TOKENS
+            ),
+            messages=new,
+        )
+        self._to_entry(entry, call, grant, finish)
+        self.world.on_step(step, grant.key)
+
+    def _to_entry(
+        self,
+        entry: Entry,
+        call: Call,
+        grant: messages.Granted,
+        finish: messages.Finish | None,
+    ) -> None:
+        if self.silent:
+            return
+
+        def deliver() -> None:
+            if finish is None:
+                entry.progress(call, grant)
+            else:
+                entry.outcome(call, grant, finish)
+
+        entry.after(self.world.latency(), deliver)
+
+
+def _broken(call: Call, grant: messages.Granted) -> messages.Finish:
+    return messages.Finish(
+        ask=0,
+        key=grant.key,
+        attempt=grant.attempt,
+        verdict=Verdict.MAY_HAVE_RUN,
+        reason=Reason.SERVER_FAILED,
+        crashed=True,
+    )
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -16,11 +16,15 @@
 from catkinpin.verdicts import Verdict
 from tests import base
 from tests.fakes import world as worlds
+from tests.fakes import worldfacts
+from tests.fakes.worldprogram import Program
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from tests.fakes.world import Entry, Server, World
+    from tests.fakes.world import World
+    from tests.fakes.worldentry import Entry
+    from tests.fakes.worldserver import Server
 
 STEPS = (
     "announce", "begin", "append 1", "grant", "connect", "sent", "first token",
@@ -38,7 +42,7 @@
 class Struck:
     """What a fault can act on: the target call's entry, server, program."""
 
-    def __init__(self, world: World, programs: list[worlds.Program]) -> None:
+    def __init__(self, world: World, programs: list[Program]) -> None:
         self.world = world
         self.program = programs[0]
 
@@ -157,12 +161,12 @@
     def _start(self, strikes: list[tuple[Fault, str, int]]) -> None:
         self.world.run(500)
         self.programs = [
-            worlds.Program(self.world, f"p{i}", "msmm" if i % 2 else "smsm")
+            Program(self.world, f"p{i}", "msmm" if i % 2 else "smsm")
             for i in range(3)
         ]
         # One program sends all its calls at once, the later ones first.
         self.programs += [
-            worlds.Program(self.world, "p3", "s", first=number)
+            Program(self.world, "p3", "s", first=number)
             for number in (2, 3, 1, 4)
         ]
         at = Struck(self.world, self.programs)
@@ -249,7 +253,7 @@
             if kind == "m":
                 texts.append(f"ask {name}-{number}".encode())
                 digests = [digest.of_bytes(text) for text in texts]
-                texts.append(worlds.answer_text(digests))
+                texts.append(worldfacts.answer_text(digests))
         return texts
 
     def _twice(self) -> list[str]:
@@ -286,7 +290,10 @@
         for sent in self.world.sent:
             # A stopped process answers nobody until it is continued.
             stopped = self.world.entries[sent.entry].frozen_until
-            due = max(sent.at + worlds.DEADLINE_MS, stopped) + worlds.BOUND_MS
+            due = (
+                max(sent.at + worldfacts.DEADLINE_MS, stopped)
+                + worldfacts.BOUND_MS
+            )
             if (sent.done_at or self.world.now) > due:
                 found.append(f"late: {sent}")
         return found
@@ -295,11 +302,11 @@
         spent: collections.Counter[str] = collections.Counter()
         for seen in self.world.seen:
             if seen.server.startswith("m"):
-                spent[seen.key.program] += worlds.TOKENS + seen.max_tokens
+                spent[seen.key.program] += worldfacts.TOKENS + seen.max_tokens
         return [
             f"budget: {name} {count}"
             for name, count in spent.items()
-            if count > worlds.BUDGET
+            if count > worldfacts.BUDGET
         ]
 
     def _memory(self) -> list[str]:
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -14,6 +14,8 @@
 from catkinpin.verdicts import Reason, Verdict
 from tests import base
 from tests.fakes import world as worlds
+from tests.fakes import worldfacts
+from tests.fakes.worldprogram import Program
 
 _SERVER = messages.ServerRef(server="s", incarnation="s.0", address="")
 _CHOICE = records.Choice(server=_SERVER, entry="e", entry_incarnation="e.0")
@@ -326,7 +328,7 @@
         assert world.leader is not None
         world.leader.cfg = world.cfg
         world.run(500)
-        program = worlds.Program(world, "p", "mm")
+        program = Program(world, "p", "mm")
         program.kinds = "m"
         program.stopped = True
         world.run(1_000)
@@ -369,7 +371,7 @@
         for server in world.servers.values():
             server.poison = {digest.of_bytes(b"poison")}
             server.restarts = restarts
-        innocents = [worlds.Program(world, f"i{i}", "mmmm") for i in range(6)]
+        innocents = [Program(world, f"i{i}", "mmmm") for i in range(6)]
         sent = []
         for number in range(8):
             sent.append(self._poison(world, number))
@@ -385,7 +387,7 @@
         for program in innocents:
             self.assertTrue(program.ended, program.answers)
 
-    def _poison(self, world: worlds.World, number: int) -> worlds.Sent:
+    def _poison(self, world: worlds.World, number: int) -> worldfacts.Sent:
         key = CallKey(
             account="a", program=f"x{number}", request_id=f"x{number}-1"
         )
@@ -396,12 +398,12 @@
             kind="model",
             target="model",
             idempotent=True,
-            deadline_ms=worlds.DEADLINE_MS,
+            deadline_ms=worldfacts.DEADLINE_MS,
             fingerprint=digest.of_bytes(b"poison"),
             digests=[digest.of_bytes(b"poison")],
-            prompt_tokens=worlds.TOKENS,
-            max_tokens=worlds.TOKENS,
+            prompt_tokens=worldfacts.TOKENS,
+            max_tokens=worldfacts.TOKENS,
         )
-        sent = worlds.Sent(key, world.now, f"e{number % 3}")
+        sent = worldfacts.Sent(key, world.now, f"e{number % 3}")
         world.entries[sent.entry].start(begin, sent, texts)
         return sent
