--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,43 @@
+"""Work in the background."""
+
+from __future__ import annotations
+
+import asyncio
+
+from catkinpin.adapters.tasks import Tasks
+from tests import base
+
+
+class TasksTest(base.TestCase):
+    """What becomes of work that nobody waits for."""
+
+    def test_failure_is_written_to_the_log(self) -> None:
+        """A background task fails: nobody awaits it, so nobody would know."""
+
+        async def fails() -> None:
+            raise ValueError("broken")
+
+        async def main() -> None:
+            tasks = Tasks()
+            tasks.spawn(fails())
+            self.assertEqual(1, len(tasks))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            self.assertEqual(0, len(tasks))
+
+        with self.assertLogs("catkinpin.adapters.tasks", "ERROR") as logs:
+            self.run_async(main())
+        self.assertIn("broken", logs.output[0])
+
+    def test_cancelled_work_is_no_failure(self) -> None:
+        async def main() -> None:
+            tasks = Tasks()
+            waiting = tasks.spawn(asyncio.sleep(60))
+            await asyncio.sleep(0)
+            tasks.cancel()
+            await asyncio.wait({waiting})
+            await asyncio.sleep(0)
+            self.assertEqual(0, len(tasks))
+
+        with self.assertNoLogs("catkinpin.adapters.tasks", "ERROR"):
+            self.run_async(main())
