Have slow disks of tests seem slow, without sleeping on a shared loop

The two tests slept 30 ms in each sync. On a busy machine a sync may take several ms, and five times that is more than the 30: they would have failed there. Longer sleeps stop all three nodes, which share a loop.

--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import contextlib
-import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from unittest import mock
 
 from catkinpin.adapters import node
@@ -18,7 +17,8 @@
 
 
 _FAST_RECORDS = 30
-_SLOW_S = 0.03
+# Far above five times what a sync takes on a busy machine.
+_SLOWER_MS = 500.0
 
 
 class GroupsTest(base.TestCase):
@@ -73,7 +73,7 @@
                 self.assertEqual(wanted, one.groups[0].read(index))
 
     def test_leader_whose_disk_turns_slow_hands_over(self) -> None:
-        """The leader's disk takes 30 ms a sync from now on, others' don't.
+        """The leader's disk takes half a second a sync from now on.
 
         Every caller would wait for it as long as it stays so. Another replica
         leads within a moment, and nothing that was committed is lost.
@@ -83,8 +83,7 @@
             slow = await self.leader(nodes)
             for number in range(_FAST_RECORDS):
                 await slow.commit(b"fast %d" % number)
-            slow_sync = self._slowed(slow.node.storage.sync)
-            with mock.patch.object(slow.node.storage, "sync", slow_sync):
+            with self._slow_disk(slow):
                 for number in range(80):
                     with contextlib.suppress(TimeoutError):
                         async with asyncio.timeout(1.0):
@@ -115,8 +114,7 @@
             for number in range(_FAST_RECORDS):
                 await first.commit(b"fast %d" % number)
             for one in nodes:
-                slowed = self._slowed(one.node.storage.sync)
-                patch = mock.patch.object(one.node.storage, "sync", slowed)
+                patch = self._slow_disk(one)
                 patch.start()
                 self.addCleanup(patch.stop)
             leaders = [first]
@@ -133,12 +131,13 @@
 
         self.start(main)
 
-    def _slowed(self, sync: Callable[[], bool]) -> Callable[[], bool]:
-        def slow_sync() -> bool:
-            time.sleep(_SLOW_S)
-            return sync()
-
-        return slow_sync
+    def _slow_disk(self, one: LogNode) -> Any:
+        """Has a node's syncs seem slow; all nodes share a loop that sleeps."""
+        times = one.node._sync_times
+        took = times.took
+        return mock.patch.object(
+            times, "took", lambda ms: took(ms + _SLOWER_MS)
+        )
 
     def test_replica_that_missed_hundreds_of_records(self) -> None:
         """A replica was down while hundreds of records passed it by.
