--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -4,13 +4,15 @@
 gateways, while by a seed processes are killed, frozen, stopped and sent
 signals, disks are taken away one at a time, routes change, and the proxy
 before the backend server resets its connections or falls silent. What the
-server saw and what callers got decides. Two series of faults overlap.
+server saw and what callers got decides. Two series of faults overlap. Seeds
+from 100 on also kill everything at once.
 """
 
 from __future__ import annotations
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import itertools
 import json
@@ -34,6 +36,9 @@
 
     from tests.fakes.rawserver import Seen
 
+# Seeds from here on also kill everything at once; those before stay what they
+# were when they were played.
+_FIRST_BLACKOUT_SEED = 100
 _CALLERS = 8
 _STRIKERS = 2
 _TURNS = 5
@@ -87,6 +92,7 @@
     ) -> None:
         self._deployment = deployment
         self._proxy = proxy
+        self._seed = seed
         self._rng = random.Random(seed)
         self._until = time.monotonic() + seconds
         self._bodies: dict[str, bytes] = {}
@@ -265,6 +271,8 @@
             self._reroute,
             self._cut_server,
         ]
+        if self._seed >= _FIRST_BLACKOUT_SEED:
+            faults.append(self._blackout)
         while time.monotonic() < self._until:
             fault = self._rng.choice(faults)
             text = await fault()
@@ -299,6 +307,20 @@
             self._restart(name)
         return f"kill {name}"
 
+    async def _blackout(self) -> str:
+        """Kills everything at once; all are back within a second."""
+        names = sorted(self._deployment.hosts)
+        async with contextlib.AsyncExitStack() as held:
+            for name in names:
+                await held.enter_async_context(self._hands[name])
+            for name in names:
+                self._deployment.kill(name)
+            self._rng.shuffle(names)
+            for name in names:
+                await asyncio.sleep(self._rng.uniform(0.0, 0.1))
+                self._restart(name)
+        return "blackout"
+
     async def _freeze(self) -> str:
         name = self._any_host()
         async with self._hands[name]:
--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -16,9 +16,19 @@
         Callers get each answer once and whole, no call runs twice, and what
         was called not run never did.
         """
+        self._play(1)
 
+    def test_blackouts_among_other_faults_break_no_promise(self) -> None:
+        """Now and then everything is killed at once and starts again.
+
+        A leader that is back sets its own lease aside, and gateways let
+        callers wait for it. No turn is lost, and no call runs twice.
+        """
+        self._play(104)
+
+    def _play(self, seed: int) -> None:
         async def main() -> None:
-            found = await soakplatform.play(1, _SECONDS)
+            found = await soakplatform.play(seed, _SECONDS)
             self.assertEqual([], found.problems, found.faults)
             self.assertGreater(found.statuses[200], 0)
             self.assertTrue(found.faults)
