--- /dev/null
+++ b/tests/hellos.py
@@ -0,0 +1,14 @@
+"""How processes of tests introduce themselves to others."""
+
+from __future__ import annotations
+
+from catkinpin.core import messages
+
+GATEWAY_HELLO = messages.Hello(
+    process="test",
+    incarnation="1",
+    role="gateway",
+    address="",
+    domain="a",
+    region="a",
+)
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -8,20 +8,13 @@
 from catkinpin.adapters import keepers, peers
 from catkinpin.core import keeping, messages
 from tests import base
+from tests.hellos import GATEWAY_HELLO
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 # Well below the time for which one ask waits for its reply.
 _AT_ONCE_S = 0.35
-_HELLO = messages.Hello(
-    process="test",
-    incarnation="1",
-    role="gateway",
-    address="",
-    domain="a",
-    region="a",
-)
 
 
 class _Keeper:
@@ -89,7 +82,7 @@
                 fresh.tell()
 
             frozen.on_asked = elected
-            asker = keepers.Keepers(_HELLO)
+            asker = keepers.Keepers(GATEWAY_HELLO)
             asker.add([frozen.address, fresh.address])
 
             async def known() -> bool:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,8 +7,9 @@
 from typing import Any
 
 from catkinpin.adapters import peers
-from catkinpin.core import keeping, messages
+from catkinpin.core import keeping
 from tests import base, ports
+from tests.hellos import GATEWAY_HELLO
 
 _STOP_S = 2.0
 # Less than what is left of the second after which a lost first packet is sent
@@ -17,14 +18,6 @@
 # Turns of the loop after which a link is up on any machine seen so far: some
 # ten; each turn before is one at which a stop may come.
 _TURNS = 60
-_HELLO = messages.Hello(
-    process="test",
-    incarnation="1",
-    role="gateway",
-    address="",
-    domain="a",
-    region="a",
-)
 
 
 class StopTest(base.TestCase):
@@ -50,7 +43,7 @@
         self.run_async(main())
 
     async def _stop_after(self, turns: int, address: str) -> None:
-        link = peers.PeerLink(address, _HELLO, Any, lambda _: None)
+        link = peers.PeerLink(address, GATEWAY_HELLO, Any, lambda _: None)
         link.start()
         for _ in range(turns):
             await asyncio.sleep(0)
@@ -78,7 +71,7 @@
             for sock in filling:
                 sock.setblocking(False)
                 sock.connect_ex(("127.0.0.1", port))
-            link = peers.PeerLink(address, _HELLO, Any, lambda _: None)
+            link = peers.PeerLink(address, GATEWAY_HELLO, Any, lambda _: None)
             link.start()
             await asyncio.sleep(0.2)
             for sock in [dark, *filling]:
