Let a keeper or store with a full disk go on without writing

A write without room leaves what was synced sound, and its bytes are written again at the same place. So a replica keeps what it could not write, says nothing to the others meanwhile, as if its host stood still, and goes on where it was. They elect another leader. Turns' bytes are refused, read ones are still served, and the gateway asks the next holder.

Reads of what is not written yet come from memory, where they wrote it before.

--- a/catkinpin/adapters/files.py
+++ b/catkinpin/adapters/files.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import dataclasses
+import errno
 import os
 from typing import TYPE_CHECKING
 
+from catkinpin.exceptions import DiskFullError, StorageError
+
 if TYPE_CHECKING:
     import pathlib
     from collections.abc import Callable
 
 
+_FULL = (errno.ENOSPC, errno.EDQUOT)
+
+
 @dataclasses.dataclass(frozen=True)
 class FileOps:
     """The operations that may fail while a process runs."""
@@ -29,6 +35,12 @@
         offset += written
 
 
+def write_failure(what: object, exc: OSError) -> StorageError:
+    """Returns the error of a write that failed, a full disk apart."""
+    kind = DiskFullError if exc.errno in _FULL else StorageError
+    return kind(f"{what}: write failed: {exc}")
+
+
 def sync_folder(ops: FileOps, folder: pathlib.Path) -> None:
     """Makes the names in a folder last; a new file is lost without it."""
     fd = os.open(folder, os.O_RDONLY)
@@ -45,6 +57,10 @@
     try:
         write_all(ops, fd, data, 0)
         ops.fsync(fd)
+    except OSError:
+        # On a full disk half a file would take the room that others need.
+        beside.unlink()
+        raise
     finally:
         os.close(fd)
     beside.replace(path)
--- a/catkinpin/adapters/groups.py
+++ b/catkinpin/adapters/groups.py
@@ -93,13 +93,13 @@
 
     def is_leader(self) -> bool:
         """Returns whether this replica may decide for the group now."""
-        if self._core is None or not self._leading:
+        if self._core is None or not self._leading or self._node.is_full:
             return False
         return self._core.serves(self._node.now_ms())
 
     def is_current(self) -> bool:
         """Returns whether the state here is that of the present leader."""
-        if self._core is None:
+        if self._core is None or self._node.is_full:
             return False
         return self._core.is_current(self._applied, self._node.now_ms())
 
@@ -109,7 +109,7 @@
         Where this replica doesn't lead the record goes: who waits for it
         learns of the new leader and asks that one.
         """
-        if self._core is None:
+        if self._core is None or self._node.is_full:
             return
         index = self._core.propose(payload, self._node.now_ms())
         if index:
--- a/catkinpin/adapters/node.py
+++ b/catkinpin/adapters/node.py
@@ -19,7 +19,7 @@
 from catkinpin.core.consensus.messages import Members
 from catkinpin.core.consensus.state import Timing
 from catkinpin.core.disks import SyncTimes
-from catkinpin.exceptions import SettingsError
+from catkinpin.exceptions import DiskFullError, SettingsError
 
 if TYPE_CHECKING:
     import pathlib
@@ -27,6 +27,7 @@
 
     from catkinpin.adapters.groups import StateMachine
     from catkinpin.core import messages
+    from catkinpin.core.consensus import commands
 
 log = logging.getLogger(__name__)
 
@@ -43,6 +44,8 @@
 # Segments that idle groups may keep from being removed.
 _PINNED_SEGMENTS = 4
 _TAIL_PART = 4
+# After a snapshot that found no room, until the next one is tried.
+_NO_SNAPSHOT_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +72,14 @@
     begun_ms: int | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class _Unsynced:
+    """A group's commands that may be carried out after the sync."""
+
+    group: Group
+    rest: list[commands.Command]
+
+
 class Node:
     """This replica's part in all groups.
 
@@ -80,6 +91,7 @@
         on_leader: called with each group whose leader has changed.
         on_failure: called with what makes it unsafe to go on.
         on_slow_disk: called with each group handed over for a slow disk.
+        on_full_disk: called with whether the disk is full, at each change.
         first: the group whose state the leaders of the others depend on.
 
     Attributes:
@@ -94,6 +106,7 @@
         on_failure: Callable[[Exception], None],
         first: str = "",
         on_slow_disk: Callable[[Group], None] = lambda _: None,
+        on_full_disk: Callable[[bool], None] = lambda _: None,
     ) -> None:
         self.storage = Storage(cfg.data_folder, segment_bytes=cfg.segment_bytes)
         self._file = Identity(cfg.data_folder, self.storage.ops)
@@ -106,8 +119,12 @@
         self._on_leader = on_leader
         self._on_failure = on_failure
         self._on_slow_disk = on_slow_disk
+        self._on_full_disk = on_full_disk
         self._first = first
         self._woken: dict[str, Group] = {}
+        # What waits for a sync that a full disk has kept from being made.
+        self._unsynced: list[_Unsynced] = []
+        self._snapshot_ms = 0
         self._told: dict[str, tuple[int, str]] = {}
         self._sync_times = SyncTimes()
         # When this host was last seen to lead nothing.
@@ -137,6 +154,16 @@
         """
         return clock.elapsed_ms()
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the disk is full.
+
+        Nothing can be promised then. To the other replicas this one is as if
+        its host stood still: it says nothing, so that they elect a leader
+        whose disk has room, and goes on where it was once there is room here.
+        """
+        return bool(self._unsynced)
+
     def add_group(self, name: str, machine: StateMachine) -> Group:
         """Adds a group before the start."""
         group = Group(self, self.storage.group(name), machine)
@@ -247,6 +274,8 @@
             self._on_failure(exc)
 
     def _take(self, message: Any) -> None:
+        if self.is_full and not isinstance(message, replicas.NodeInfo):
+            return
         match message:
             case replicas.NodeInfo():
                 self._mesh.learn(message.node, message.address)
@@ -308,6 +337,9 @@
                 self.fail(exc)
 
     def _tick(self) -> None:
+        if self.is_full:
+            self._flush()
+            return
         now_ms = self.now_ms()
         for group in self.groups.values():
             group.tick(now_ms)
@@ -375,18 +407,39 @@
             self.fail(exc)
 
     def _flush_woken(self) -> None:
+        was_full = self.is_full
+        if not was_full:
+            self._begin_flush()
+        try:
+            self._sync()
+        except DiskFullError as exc:
+            if not was_full:
+                log.error("the disk is full: %s", exc)
+                self._on_full_disk(True)
+            return
+        later, self._unsynced = self._unsynced, []
+        if was_full:
+            log.info("the disk has room again")
+            self._on_full_disk(False)
+        now_ms = self.now_ms()
+        for one in later:
+            one.group.synced(now_ms)
+        for one in later:
+            one.group.finish_flush(one.rest)
+            self._tell_leader(one.group)
+            if one.group.needs_snapshot(self._cfg.snapshot_entries):
+                self._take_snapshot(one.group)
+        if was_full and self._woken:
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _begin_flush(self) -> None:
+        """Writes what all woken groups want to have synced."""
         woken, self._woken = self._woken, {}
         now_ms = self.now_ms()
-        later = [(g, g.begin_flush(now_ms)) for g in woken.values()]
+        for group in woken.values():
+            rest = group.begin_flush(now_ms)
+            self._unsynced.append(_Unsynced(group, rest))
         self.beats.send(self.identity, self.send)
-        self._sync()
-        for group, _ in later:
-            group.synced(now_ms)
-        for group, rest in later:
-            group.finish_flush(rest)
-            self._tell_leader(group)
-            if group.needs_snapshot(self._cfg.snapshot_entries):
-                self._take_snapshot(group)
 
     def _sync(self) -> None:
         began_s = time.monotonic()
@@ -413,6 +466,16 @@
                 self._on_slow_disk(group)
 
     def _take_snapshot(self, group: Group) -> None:
+        now_ms = self.now_ms()
+        if now_ms < self._snapshot_ms:
+            return
+        try:
+            self._snapshot(group)
+        except DiskFullError as exc:
+            log.warning("no snapshot: %s", exc, extra={"group": group.name})
+            self._snapshot_ms = now_ms + _NO_SNAPSHOT_MS
+
+    def _snapshot(self, group: Group) -> None:
         group.take_snapshot(self._cfg.snapshot_entries // _TAIL_PART)
         if self.storage.count() > _PINNED_SEGMENTS:
             for name in self.storage.pinning():
--- a/catkinpin/adapters/segments.py
+++ b/catkinpin/adapters/segments.py
@@ -15,7 +15,11 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.adapters import files
-from catkinpin.exceptions import DamagedLogError, StorageError
+from catkinpin.exceptions import (
+    DamagedLogError,
+    DiskFullError,
+    StorageError,
+)
 
 if TYPE_CHECKING:
     import pathlib
@@ -55,9 +59,20 @@
         flags = os.O_RDWR | (os.O_CREAT if create else 0)
         self.fd = os.open(path, flags, 0o600)
         if create:
+            self._begin()
+
+    def _begin(self) -> None:
+        """Makes a new file last; none is left where the disk is full."""
+        try:
             self._write(MAGIC + bytes([VERSION]))
-            self._ops.fsync(self.fd)
-            files.sync_folder(ops, path.parent)
+        except DiskFullError:
+            # A later segment would make a torn end of the one before it look
+            # like damage.
+            self.close()
+            self.path.unlink()
+            raise
+        self._ops.fsync(self.fd)
+        files.sync_folder(self._ops, self.path.parent)
 
     def write(self, sequence: int, payload: bytes) -> int:
         """Writes a frame, not yet synced; returns its payload's offset."""
@@ -118,7 +133,7 @@
         try:
             files.write_all(self._ops, self.fd, data, self.size)
         except OSError as exc:
-            raise StorageError(f"{self.path}: write failed: {exc}") from exc
+            raise files.write_failure(self.path, exc) from exc
         self.size += len(data)
 
     def _cut(self, size: int) -> None:
--- a/catkinpin/adapters/snapshots.py
+++ b/catkinpin/adapters/snapshots.py
@@ -120,7 +120,7 @@
     try:
         files.replace(ops, path, to_bytes(snapshot))
     except OSError as exc:
-        raise StorageError(f"{path}: {exc}") from exc
+        raise files.write_failure(path, exc) from exc
 
 
 def read(folder: pathlib.Path, group: str, index: int) -> Snapshot:
--- a/catkinpin/adapters/storage.py
+++ b/catkinpin/adapters/storage.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import fcntl
+import logging
 import os
 from typing import TYPE_CHECKING
 
@@ -14,13 +15,19 @@
 from catkinpin.adapters import files, logrecords, segments, snapshots
 from catkinpin.adapters.grouplog import GroupLog, Recovery
 from catkinpin.adapters.logrecords import Record, RecordType
-from catkinpin.exceptions import DamagedLogError, StorageError
+from catkinpin.exceptions import (
+    DamagedLogError,
+    DiskFullError,
+    StorageError,
+)
 
 if TYPE_CHECKING:
     import pathlib
 
     from catkinpin.core.consensus.messages import Entry
 
+log = logging.getLogger(__name__)
+
 SEGMENT_BYTES = 64 * 1024 * 1024
 # A sealed segment is rewritten once less than this part of it is needed.
 _LIVE_PART = 0.5
@@ -30,7 +37,9 @@
     """The log of all groups of a process.
 
     After a `StorageError` it refuses everything: what a failed sync left in
-    the file is not known, so nothing after it may be acknowledged.
+    the file is not known, so nothing after it may be acknowledged. A full disk
+    is another matter: what could not be written stays here, and is written at
+    the same place once there is room.
 
     Args:
         folder: the data folder.
@@ -94,13 +103,14 @@
         self._check()
         if not self._buffer:
             return
-        payload = bytes(self._buffer)
-        self._buffer.clear()
         try:
-            self._active.write(self._sequence, payload)
+            self._active.write(self._sequence, bytes(self._buffer))
+        except DiskFullError:
+            raise
         except StorageError as exc:
             self._failed = exc
             raise
+        self._buffer.clear()
         self._sequence += 1
         self._dirty = True
 
@@ -108,6 +118,7 @@
         """Makes everything added so far last; returns whether there was any.
 
         Raises:
+            DiskFullError: it doesn't last yet; try again once there is room.
             StorageError: it may or may not last; nothing of it may be
                 acknowledged, and this object refuses all further work.
         """
@@ -116,26 +127,40 @@
             return False
         self._sync_active()
         if self._active.size >= self._segment_bytes:
-            self._next_segment()
+            self._roll()
         return True
 
+    def _roll(self) -> None:
+        """Begins the next segment; on a full disk a later sync does."""
+        try:
+            self._next_segment()
+        except DiskFullError as exc:
+            log.warning("no new segment: %s", exc)
+
     def read(self, position: int) -> Entry:
         """Returns the entry at a position.
 
         Raises:
             DamagedLogError: its checksum fails.
         """
-        if self._buffer:
-            self.write()
         segment = self._segments[logrecords.segment_of(position)]
         offset = logrecords.offset_of(position)
-        header = segment.read(offset, logrecords.OVERHEAD)
+        header = self._bytes(segment, offset, logrecords.OVERHEAD)
         size = logrecords.OVERHEAD + logrecords.payload_size(header)
-        entry = logrecords.unpack_entry(segment.read(offset, size))
+        entry = logrecords.unpack_entry(self._bytes(segment, offset, size))
         if entry is None:
             raise DamagedLogError(segments.damage(segment.path, offset))
         return entry
 
+    def _bytes(
+        self, segment: segments.Segment, offset: int, size: int
+    ) -> bytes:
+        """Returns bytes of a segment, or of what is not written yet."""
+        begin = offset - segment.size - segments.FRAME_SIZE
+        if segment is self._active and begin >= 0:
+            return bytes(self._buffer[begin : begin + size])
+        return segment.read(offset, size)
+
     def forget(self, position: int) -> None:
         """Notes that a record is needed no more."""
         self._needed[logrecords.segment_of(position)] -= 1
@@ -145,6 +170,8 @@
         self._check()
         try:
             snapshots.write(self.ops, self._snapshot_folder, snapshot)
+        except DiskFullError:
+            raise
         except StorageError as exc:
             self._failed = exc
             raise
@@ -240,6 +267,8 @@
         path = self._log_folder / f"{number:08}.segment"
         try:
             self._active = segments.Segment(path, self.ops, create=True)
+        except DiskFullError:
+            raise
         except (OSError, StorageError) as exc:
             self._failed = StorageError(f"{path}: {exc}")
             raise self._failed from exc
--- a/catkinpin/adapters/turnbytes.py
+++ b/catkinpin/adapters/turnbytes.py
@@ -67,7 +67,12 @@
         return list(self._places)
 
     def add(self, attempt: str, data: bytes) -> None:
-        """Writes a turn's bytes; they last after the next sync."""
+        """Writes a turn's bytes; they last after the next sync.
+
+        Raises:
+            DiskFullError: they aren't here; all others are.
+            StorageError: this disk can't be trusted any more.
+        """
         if attempt in self._places:
             return
         if self._size >= _FILE_BYTES:
@@ -80,7 +85,8 @@
             fd = self._fds[self._active]
             files.write_all(self._ops, fd, record, self._size)
         except OSError as exc:
-            raise StorageError(f"{self._folder}: {exc}") from exc
+            # The next record is written over what this one left.
+            raise files.write_failure(self._folder, exc) from exc
         offset = self._size + _HEADER.size + len(name)
         self._size += len(record)
         self._note(attempt, _Place(self._active, offset, len(data)))
@@ -132,14 +138,15 @@
         self._live[place.file] = self._live.get(place.file, 0) + 1
 
     def _next_file(self) -> None:
-        self._active = max(self._fds, default=0) + 1
-        path = self._path(self._active)
+        number = max(self._fds, default=0) + 1
+        path = self._path(number)
         try:
             flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC
-            self._fds[self._active] = os.open(path, flags, 0o600)
+            self._fds[number] = os.open(path, flags, 0o600)
             files.sync_folder(self._ops, self._folder)
         except OSError as exc:
-            raise StorageError(f"{path}: {exc}") from exc
+            raise files.write_failure(path, exc) from exc
+        self._active = number
         self._live[self._active] = 0
         self._size = 0
 
--- a/catkinpin/adapters/turnhost.py
+++ b/catkinpin/adapters/turnhost.py
@@ -7,7 +7,11 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from catkinpin.core import keeping
-from catkinpin.exceptions import PeerLostError, StorageError
+from catkinpin.exceptions import (
+    DiskFullError,
+    PeerLostError,
+    StorageError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -53,6 +57,11 @@
         """Stores a turn's bytes; answers once they last."""
         try:
             self.data.add(message.attempt, message.data)
+        except DiskFullError as exc:
+            # Another host has room; what lies here can still be read.
+            log.warning("turn not taken: %s", exc)
+            reply.send(keeping.Refused(ask=message.ask, reason="disk full"))
+            return
         except StorageError as exc:
             self._fail(exc)
             return
@@ -90,7 +99,7 @@
                     return f"the source doesn't hold {attempt}"
                 self.data.add(attempt, part)
             self.data.sync()
-        except PeerLostError as exc:
+        except (PeerLostError, DiskFullError) as exc:
             return str(exc)
         except StorageError as exc:
             self._fail(exc)
--- a/catkinpin/exceptions.py
+++ b/catkinpin/exceptions.py
@@ -15,6 +15,14 @@
     """The data folder can't be read or written safely."""
 
 
+class DiskFullError(StorageError):
+    """The disk takes no more bytes; what was to be written isn't there.
+
+    Unlike after other failures all that was synced before is sound, and the
+    same may be written again once there is room.
+    """
+
+
 class DamagedLogError(StorageError):
     """A record in the middle of the log fails its checksum."""
 
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -85,6 +85,7 @@
             self._leader_changed,
             exits.stop_at_once,
             on_slow_disk=_note_slow_disk,
+            on_full_disk=_note_full_disk,
         )
         self.bytes = TurnBytes(cfg.data_folder / "turns")
         self.host = keeperhost.KeeperHost(
@@ -427,5 +428,9 @@
             before = unknown - before
 
 
+def _note_full_disk(full: bool) -> None:
+    decisions.note("disk", "", full=full)
+
+
 def _note_slow_disk(group: Group) -> None:
     decisions.note("handover", "", reason="slow disk", term=group.term)
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -9,6 +9,7 @@
 
 from catkinpin.adapters import node
 from catkinpin.core.consensus.state import Role
+from catkinpin.exceptions import DiskFullError
 from tests import base, ports
 from tests.fakes.lognode import LogNode
 
@@ -102,6 +103,44 @@
 
         self.start(main)
 
+    def test_leader_whose_disk_is_full_gives_its_place_up(self) -> None:
+        """The leader's disk takes no more bytes for a while.
+
+        It ends no process. Another replica leads within a moment; what was
+        committed stays, and the full one catches up once it has room.
+        """
+
+        async def main(nodes: list[LogNode]) -> None:
+            await self.fill(nodes, 1, 20)
+            full = await self.leader(nodes)
+            rest = [one for one in nodes if one is not full]
+            with self._full_disk(full):
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(0.3):
+                        await full.commit(b"never promised")
+                self.assertFalse(full.groups[0].is_leader())
+                leader = await self.leader(rest)
+                await leader.commit(b"while it is full")
+                self.assertIsNone(full.failed)
+            leader = await self.leader(nodes)
+            await leader.commit(b"after")
+            applied = leader.machines[0].applied
+
+            async def caught_up() -> bool:
+                return full.machines[0].applied == applied
+
+            await base.until(caught_up, "the full one to catch up")
+
+        self.start(main)
+
+    def _full_disk(self, one: LogNode) -> Any:
+        """Has a node's log find no room."""
+
+        def write(*_: object) -> int:
+            raise DiskFullError("the disk is full")
+
+        return mock.patch.object(one.node.storage._active, "write", write)
+
     def test_leadership_does_not_wander_where_all_disks_are_slow(self) -> None:
         """All disks turn slow at once, as where they share a controller.
 
--- a/tests/test_turnbytes.py
+++ b/tests/test_turnbytes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import pathlib
 import tempfile
 
@@ -10,7 +12,7 @@
 from catkinpin.adapters import turnbytes
 from catkinpin.adapters.files import FileOps
 from catkinpin.adapters.turnbytes import TurnBytes
-from catkinpin.exceptions import StorageError
+from catkinpin.exceptions import DiskFullError, StorageError
 
 
 class TurnBytesTest(testtools.TestCase):
@@ -85,3 +87,30 @@
         store = TurnBytes(self.folder, FileOps(fdatasync=fail))
         store.add("a", b"a")
         self.assertRaises(StorageError, store.sync)
+
+    def test_full_disk_takes_no_turn_and_loses_none(self) -> None:
+        """A disk has no room for one turn, and half of it is written.
+
+        The turns before it can still be read, also after a restart, and the
+        next one is taken once there is room.
+        """
+        full: list[int] = []
+
+        def pwrite(fd: int, data: memoryview, offset: int) -> int:
+            if full:
+                os.pwrite(fd, data[: len(data) // 2], offset)
+                raise OSError(errno.ENOSPC, "no space left on device")
+            return os.pwrite(fd, data, offset)
+
+        held = TurnBytes(self.folder, FileOps(pwrite=pwrite))
+        held.add("a", b"a" * 100)
+        held.sync()
+        full.append(1)
+        self.assertRaises(DiskFullError, held.add, "b", b"b" * 100)
+        self.assertEqual(b"a" * 100, held.read("a"))
+        self.assertIsNone(held.read("b"))
+        full.clear()
+        held.add("c", b"c" * 40)
+        held.sync()
+        again = TurnBytes(self.folder)
+        self.assertEqual(["a", "c"], sorted(again.attempts()))
