Learn servers' speeds, and serve what ends before a gateway does

Cause: balance.py and urgency.py held the first two customers' engines as constants. Engines that take six times as long a token made all programs seem late, and reading a prompt was weighed at a third of its cost.

Now it refuses what may not end in its time: six times what such a request takes, 2.5 s at least.

Mended on the way: seven wired parts handed through Serving are one Parts.

--- a/catkinpin/adapters/gateway/answers.py
+++ b/catkinpin/adapters/gateway/answers.py
@@ -124,6 +124,11 @@
             facts["cost_ms"] = round(choice.cost_ms, 1)
             facts["cached"] = choice.cached_tokens
             facts["load_age_ms"] = choice.load_age_ms
+            facts["running"] = choice.running
+        if choice is not None and choice.speed is not None:
+            facts["read_ms"] = round(choice.speed.read_ms, 4)
+            facts["token_ms"] = round(choice.speed.token_ms, 2)
+            facts["beside_ms"] = round(choice.speed.beside_ms, 3)
         if work.responder.finished and work.responder.status < 500:
             decisions.routine("served", work.call.attempt, **facts)
         else:
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -13,21 +13,18 @@
 from catkinpin import decisions, metrics
 from catkinpin.adapters.gateway.crashes import Crashes
 from catkinpin.adapters.gateway.ports import Sending
+from catkinpin.adapters.gateway.times import Times
 from catkinpin.adapters.http.client import ANY_IDLE_S, Failure
 from catkinpin.core import urgency
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from catkinpin.adapters.gateway.ports import HeaderCodec
-    from catkinpin.adapters.gateway.turns import Turns
-    from catkinpin.adapters.gateway.view import View
+    from catkinpin.adapters.gateway.parts import Parts
     from catkinpin.adapters.gateway.work import Work
-    from catkinpin.adapters.http.client import Head, Pool, ServerConnection
+    from catkinpin.adapters.http.client import Head, ServerConnection
     from catkinpin.adapters.http.headers import Headers
-    from catkinpin.clock import Clock
-    from catkinpin.core.balance import Balancer, Choice
+    from catkinpin.core.balance import Choice
+    from catkinpin.core.calls import Load
 
 _MS = 1_000
 # Servers that may refuse a request one after the other before we do.
@@ -49,35 +46,17 @@
 
 
 class Exchange:
-    """Exchanges requests and answers with servers, one at a time.
-
-    Args:
-        view: the servers.
-        balancer: picks among them, and learns how they do.
-        pool: connections to them.
-        turns: tells the keepers of servers that crashed.
-        codec: translates headers.
-        clock: time.
-        gateways: returns how many gateways share the servers' limits.
-    """
-
-    def __init__(
-        self,
-        view: View,
-        balancer: Balancer,
-        pool: Pool,
-        turns: Turns,
-        codec: HeaderCodec,
-        clock: Clock,
-        gateways: Callable[[], int],
-    ) -> None:
-        self._view = view
-        self._balancer = balancer
-        self._pool = pool
-        self._codec = codec
-        self._clock = clock
-        self._gateways = gateways
-        self._crashes = Crashes(turns, self.is_alive)
+    """Exchanges requests and answers with servers, one at a time."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._view = parts.view
+        self._balancer = parts.balancer
+        self._speeds = parts.speeds
+        self._pool = parts.pool
+        self._codec = parts.codec
+        self._clock = parts.clock
+        self._gateways = parts.gateways
+        self._crashes = Crashes(parts.turns, self.is_alive)
 
     def pick(self, work: Work) -> Choice | None:
         """Picks the next server; None where none is left to ask."""
@@ -85,7 +64,9 @@
             return None
         servers = self._view.fleet.of(work.service.name)
         now_ms = self._clock.now_ms()
-        choice = self._balancer.pick(servers, work.call, now_ms, work.sent_to)
+        choice = self._balancer.pick(
+            servers, work.call, now_ms, work.sent_to, work.route.name
+        )
         if choice is None:
             work.reason = work.reason or "no server is left"
             return None
@@ -122,6 +103,7 @@
                 self._encode(work, choice, body, resume_at),
                 lambda headers: self._is_ours(work, conn, headers),
             )
+            work.times = Times(asyncio.get_running_loop().time())
             head = await self._head(work, conn)
         except BaseException:
             self.end(choice, conn)
@@ -149,9 +131,19 @@
         while isinstance(await conn.chunk(), bytes):
             pass
 
-    def succeeded(self, choice: Choice) -> None:
-        """Notes a whole answer."""
-        self._balancer.succeeded(choice.instance)
+    def succeeded(self, work: Work, choice: Choice) -> None:
+        """Notes a whole answer, and what it tells of its server's speed."""
+        instance = choice.instance
+        self._balancer.succeeded(instance)
+        if work.service.engine is None:
+            self._speeds.answered(work.route.name, work.times.head_ms)
+            return
+        told = work.times.streamed(work.call, choice)
+        if told is not None:
+            now_ms = self._clock.now_ms()
+            self._speeds.streamed(
+                instance.service, instance.id, instance.born_ms, told, now_ms
+            )
 
     def broke(self, work: Work, choice: Choice, failure: Failure) -> None:
         """Notes that a server broke off what it may have begun to run."""
@@ -181,15 +173,32 @@
 
     def _take_head(self, work: Work, choice: Choice, head: Head) -> None:
         facts = self._codec.answer(head.headers)
-        if facts.load is not None:
-            now_ms = self._clock.now_ms()
-            self._balancer.told(choice.instance, facts.load, now_ms)
+        load = self._told(work, choice, facts.load)
+        work.times.head(asyncio.get_running_loop().time(), load)
         if facts.not_run:
             work.runs -= 1
             work.verdict = (
                 Verdict.NOT_RUN if work.runs == 0 else Verdict.MAY_HAVE_RUN
             )
 
+    def _told(
+        self, work: Work, choice: Choice, load: Load | None
+    ) -> Load | None:
+        """Takes a server's word of its load, where it can be true."""
+        if load is None:
+            return None
+        if self._balancer.told(choice.instance, load, self._clock.now_ms()):
+            return load
+        decisions.note(
+            "absurd-load",
+            work.call.attempt,
+            server=choice.instance.id,
+            running=load.running,
+            waiting=load.waiting,
+            slots=load.slots,
+        )
+        return None
+
     async def _head(self, work: Work, conn: ServerConnection) -> Head | Failure:
         if not work.may_leave:
             return await conn.head()
--- /dev/null
+++ b/catkinpin/adapters/gateway/parts.py
@@ -0,0 +1,42 @@
+"""What a gateway's requests share: servers, connections, turns, time."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from catkinpin.adapters.gateway.ports import HeaderCodec
+    from catkinpin.adapters.gateway.turns import Turns
+    from catkinpin.adapters.gateway.view import View
+    from catkinpin.adapters.http.client import Pool
+    from catkinpin.clock import Clock
+    from catkinpin.core.balance import Balancer
+    from catkinpin.core.speeds import Speeds
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """The parts.
+
+    Attributes:
+        view: routes and servers.
+        balancer: picks among the servers, and learns how they do.
+        speeds: of the servers, learned from their answers.
+        pool: connections to them.
+        turns: begins and settles programs' turns.
+        codec: translates headers.
+        clock: time.
+        gateways: returns how many gateways share the servers' limits.
+    """
+
+    view: View
+    balancer: Balancer
+    speeds: Speeds
+    pool: Pool
+    turns: Turns
+    codec: HeaderCodec
+    clock: Clock
+    gateways: Callable[[], int]
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -110,5 +110,5 @@
             return False
         work.responder.write(b"".join(held))
         work.responder.finish()
-        self._exchange.succeeded(choice)
+        self._exchange.succeeded(work, choice)
         return True
--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -16,17 +16,10 @@
 from catkinpin.core.routes import RouteKind
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from catkinpin.adapters.gateway.ports import HeaderCodec
-    from catkinpin.adapters.gateway.turns import Turns
-    from catkinpin.adapters.gateway.view import View
-    from catkinpin.adapters.http.client import Pool
+    from catkinpin.adapters.gateway.parts import Parts
     from catkinpin.adapters.http.server import Request, Responder
-    from catkinpin.clock import Clock
-    from catkinpin.core.balance import Balancer
     from catkinpin.core.calls import RouteCall
-    from catkinpin.core.routes import Route
+    from catkinpin.core.routes import Route, Service
 
 _MS = 1_000
 # When to come back, in s: to another gateway at once, to one that has just
@@ -34,6 +27,10 @@
 _RETRY_ELSEWHERE_S = 0.02
 _RETRY_STARTING_S = 0.5
 _RETRY_QUARANTINE_S = 10.0
+# While a gateway ends, a request must have so many times what it likely takes,
+# and at least so long: callers whose requests would end in time are served.
+_ENDING_TIMES = 6.0
+_ENDING_S = 2.5
 # Of its time, what a request may wait for a gateway that has just started;
 # the rest must do for the request itself, at this gateway or another.
 _STARTING_PART = 0.4
@@ -45,29 +42,20 @@
     """Serves requests through one gateway.
 
     Attributes:
-        is_closing: whether requests that come now are refused, not run.
+        ends_s: the loop's time by which all must have ended, None while this
+            gateway goes on.
     """
 
-    def __init__(
-        self,
-        view: View,
-        balancer: Balancer,
-        pool: Pool,
-        turns: Turns,
-        codec: HeaderCodec,
-        clock: Clock,
-        gateways: Callable[[], int],
-    ) -> None:
-        self._view = view
-        self._codec = codec
-        self._answers = Answers(view, codec, clock)
-        exchange = Exchange(view, balancer, pool, turns, codec, clock, gateways)
+    def __init__(self, parts: Parts) -> None:
+        self._view = parts.view
+        self._codec = parts.codec
+        self._speeds = parts.speeds
+        self._answers = Answers(parts.view, parts.codec, parts.clock)
+        exchange = Exchange(parts)
         self._plain = Plain(exchange, self._answers)
-        self._streaming = Streaming(
-            view, balancer, exchange, self._answers, self._plain, turns
-        )
+        self._streaming = Streaming(parts, exchange, self._answers, self._plain)
         self._rng = random.Random()
-        self.is_closing = False
+        self.ends_s: float | None = None
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answers one request."""
@@ -90,11 +78,6 @@
         self, request: Request, responder: Responder, call: RouteCall
     ) -> None:
         refuse = self._answers.refuse
-        if self.is_closing:
-            # Another gateway has the time that this one no longer has; cut
-            # off at the end, the request would have run for nothing.
-            refuse(responder, call, 503, "stopping", _RETRY_ELSEWHERE_S)
-            return
         wait_s = (call.deadline_ms or _WAIT_MS) / _MS * _STARTING_PART
         if not await self._view.wait_serves(wait_s) or not self._view.table:
             reason = "no routes known yet"
@@ -115,6 +98,11 @@
             return
         name = routes.pick_service(route, self._rng)
         service = self._view.table.services[name]
+        if self._ends_before(call, route, service):
+            # Another gateway has the time that this one no longer has; cut
+            # off at the end, the request would have run for nothing.
+            refuse(responder, call, 503, "stopping", _RETRY_ELSEWHERE_S)
+            return
         deadline_s = request.arrived_s + _wait_s(call, route)
         await self._run(
             Work(
@@ -123,6 +111,16 @@
             )
         )  # fmt: skip
 
+    def _ends_before(
+        self, call: RouteCall, route: Route, service: Service
+    ) -> bool:
+        """Returns whether this gateway may end before the request does."""
+        if self.ends_s is None:
+            return False
+        likely_ms = self._speeds.likely_ms(service.name, route.name, call)
+        need_s = max(_ENDING_S, _ENDING_TIMES * likely_ms / _MS)
+        return asyncio.get_running_loop().time() + need_s > self.ends_s
+
     def _is_quarantined(self, request: Request, call: RouteCall) -> bool:
         quarantined = self._view.quarantined
         return bool(quarantined) and digest_of(request, call) in quarantined
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -17,12 +17,11 @@
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.answers import Answers
     from catkinpin.adapters.gateway.exchange import Exchange
+    from catkinpin.adapters.gateway.parts import Parts
     from catkinpin.adapters.gateway.plain import Plain
-    from catkinpin.adapters.gateway.turns import Turns
-    from catkinpin.adapters.gateway.view import View
     from catkinpin.adapters.gateway.work import Work
     from catkinpin.adapters.http.client import Head, ServerConnection
-    from catkinpin.core.balance import Balancer, Choice
+    from catkinpin.core.balance import Choice
 
 _MS = 1_000
 # A resumable stream that is silent for so many of the route's target
@@ -63,29 +62,26 @@
     """Serves streams.
 
     Args:
-        view: the servers.
-        balancer: learns where prompts lie.
+        parts: servers, speeds and turns among them.
         exchange: with the servers.
         answers: to the callers.
         plain: passes a server's failure on, which is no stream.
-        turns: begins and settles turns.
     """
 
     def __init__(
         self,
-        view: View,
-        balancer: Balancer,
+        parts: Parts,
         exchange: Exchange,
         answers: Answers,
         plain: Plain,
-        turns: Turns,
     ) -> None:
-        self._view = view
-        self._balancer = balancer
+        self._view = parts.view
+        self._balancer = parts.balancer
+        self._speeds = parts.speeds
+        self._turns = parts.turns
         self._exchange = exchange
         self._answers = answers
         self._plain = plain
-        self._turns = turns
 
     async def serve(self, work: Work) -> None:
         """Serves one; a program's turn is begun before and settled after."""
@@ -109,7 +105,7 @@
             is_settled = await self._stream(work, began.history)
         finally:
             if not is_settled:
-                self._turns.settle(work.call, _ran(work))
+                self._turns.settle(work.call, self._ran(work))
 
     def _deny(self, work: Work, why: Unknown | Denial) -> None:
         """Refuses a turn that may not begin, or not now."""
@@ -207,7 +203,7 @@
                 if not reader.is_between:
                     work.reason = "the stream ended within an event"
                     return _End.BROKEN
-                self._exchange.succeeded(choice)
+                self._exchange.succeeded(work, choice)
                 return _End.WHOLE
             if isinstance(data, Failure):
                 work.reason = data.reason
@@ -221,6 +217,8 @@
                 passed.output += event.data + b"\n"
                 passed.last_id = event.id or passed.last_id
             work.tokens += tokens * len(events)
+            now_s = asyncio.get_running_loop().time()
+            work.times.events(now_s, tokens * len(events))
             work.responder.write(raw)
             await work.responder.drain()
 
@@ -230,7 +228,7 @@
             work.responder.finish()
             return False
         data = work.body + bytes(passed.output)
-        why = await self._turns.finish(work.call, data, _ran(work))
+        why = await self._turns.finish(work.call, data, self._ran(work))
         if why:
             # The caller would build on a turn that may be lost.
             work.reason = why
@@ -239,6 +237,12 @@
         work.responder.finish()
         return True
 
+    def _ran(self, work: Work) -> Ran:
+        """Returns what a turn came to."""
+        speed = self._speeds.engine(work.service.name)
+        lost_ms = urgency.lost_ms(work.call, work.tokens, work.took_ms, speed)
+        return Ran(work.tokens, work.ran_on, lost_ms)
+
     async def _may_resume(self, work: Work, choice: Choice) -> bool:
         if not work.route.resumable or work.responder.is_gone:
             return False
@@ -250,11 +254,6 @@
         return work.runs <= work.route.max_attempts
 
 
-def _ran(work: Work) -> Ran:
-    lost_ms = urgency.lost_ms(work.call, work.tokens, work.took_ms)
-    return Ran(work.tokens, work.ran_on, lost_ms)
-
-
 async def _next_chunk(
     work: Work, conn: ServerConnection
 ) -> bytes | Failure | None:
--- a/catkinpin/adapters/gateway/work.py
+++ b/catkinpin/adapters/gateway/work.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from catkinpin.adapters.gateway.times import Times
 from catkinpin.core.routes import RouteKind
 from catkinpin.core.urgency import USUAL, Standing
 from catkinpin.verdicts import Verdict
@@ -33,6 +34,7 @@
         urgency: to a model server.
         standing: of its program, where it is a turn.
         choice: the server picked last.
+        times: of its answer.
     """
 
     call: RouteCall
@@ -50,6 +52,7 @@
     urgency: int = USUAL
     standing: Standing = dataclasses.field(default_factory=Standing)
     choice: Choice | None = None
+    times: Times = dataclasses.field(default_factory=Times)
 
     @property
     def took_ms(self) -> int:
--- a/catkinpin/core/balance.py
+++ b/catkinpin/core/balance.py
@@ -1,22 +1,21 @@
 """Which server a gateway sends a request to.
 
 Each gateway decides by itself, from what its own requests brought back: the
-load that servers tell in their answers, what it has sent since, which prompt
-parts it has sent where, and which servers failed. It answers two patterns.
+load that servers tell in their answers, how fast they are, what it has sent
+since, which prompt parts it has sent where, and which servers failed. It
+answers two patterns.
 
-Long shared prompts: reading 12,600 shared tokens takes some 87 ms, and all
-answers that run on that engine wait for it. So what a request costs the others
-counts like what it costs itself: a request goes where its parts were read,
-unless the queue there is worse than reading them again for all. Weighed by its
-own latency alone, work spread under load, half as much again was read, and
-every answer got slower.
+Long shared prompts: all answers that run on an engine wait while it reads one.
+So what a request costs the others counts like what it costs itself: a request
+goes where its parts were read, unless the queue there is worse than reading
+them again for all. Weighed by its own latency alone, work spreads under load,
+more is read, and every answer gets slower.
 
 Many gateways that decide at once: the load that an answer tells is old when it
 is used. Picking the least loaded would send all gateways to the same server.
 So what we sent since counts on top, and near ties are drawn by lot. A server
 of which nothing was heard for long is taken to be as busy as the others are:
-taken for idle, it drew sessions away from where their prompts lay, which was
-two fifths of what a busy day's engines read.
+taken for idle, it would draw sessions away from where their prompts lie.
 """
 
 from __future__ import annotations
@@ -25,6 +24,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from catkinpin.core import speeds
 from catkinpin.core.fleet import ServerState
 
 if TYPE_CHECKING:
@@ -33,22 +33,15 @@
 
     from catkinpin.core.calls import Load, PromptPart, RouteCall
     from catkinpin.core.fleet import Instance
+    from catkinpin.core.speeds import EngineSpeed, Speeds
 
-# Tokens of a prompt that an engine reads in a ms; both users' do 145 to 147.
-_PREFILL_PER_MS = 145.0
-# What a token takes on an idle engine, and what each request that runs beside
-# adds to it, in ms. Both users' engines take 0.87 to 1.08 and 0.04: with 60 of
-# 64 slots taken an answer of 250 tokens lasts 0.8 s in place of 0.2 s.
-_TOKEN_MS = 0.95
-_BESIDE_MS = 0.04
-# What a request to a plain service takes, and one more beside it adds, in ms.
-# Both users' services take 20 to 87 on average.
-_PLAIN_MS = 50.0
 # Answers come to about half of the most that they may generate.
 _PART_OF_MOST = 0.5
-_PLAIN_BESIDE_MS = 2.0
-# What a server that had the same session saves, in ms: half of a plain call.
-_AFFINE_MS = 25.0
+# Of a plain call's time, what a server that had the same session saves.
+_AFFINE_PART = 0.5
+# What a ms of reading costs each request beside it, in ms: that one, and more
+# for the requests that come until the engine has made up for it.
+_READING_TIMES = 3.0
 # Way to a server in another failure domain of the region, and in another
 # region, there and back, in ms. Bytes between regions cost besides.
 _DOMAIN_MS = 3.0
@@ -56,11 +49,13 @@
 # Load that was told longer ago says nothing any more.
 _LOAD_OLD_MS = 1_500
 # Of a server's slots. Beyond it, a turn that gains nobody anything any more
-# would slow many that can still be in time, by 0.04 ms a token each. Not tuned.
+# would slow many that can still be in time.
 _BUSY_PART = 0.5
 # Of the others' load, what a server that was never heard of is taken to have:
 # it may have just come, or this gateway has.
 _NEW_PART = 0.5
+# No server runs, or has waiting, as many requests as this.
+_MOST_TOLD = 100_000
 # Costs this near are drawn by lot.
 _TIE_MS = 2.0
 # Prompt parts remembered per server; some 40 bytes each.
@@ -74,15 +69,18 @@
 
 
 @dataclasses.dataclass
-class _Server:
+class Server:
     """What is known of one life of a server.
 
     Attributes:
+        id: the same for all of its lives.
+        born_ms: start of this life.
         sent: requests under way there from here.
         since: requests sent from here since it told its load.
         parts: prompt parts that it has read, oldest use first.
     """
 
+    id: str
     born_ms: int
     sent: int = 0
     since: int = 0
@@ -102,15 +100,38 @@
     """A server and why it was picked, for the log.
 
     Attributes:
-        cost_ms: what was expected when it was picked.
+        cost_ms: what was expected when it was picked, for it and for others.
         cached_tokens: of the prompt, believed to be held there.
         load_age_ms: age of the load that was used, -1 for none.
+        running: requests believed to run and wait there.
+        speed: of the server, as it was learned; None for a plain service.
     """
 
     instance: Instance
     cost_ms: float
     cached_tokens: int
     load_age_ms: int
+    running: int = 0
+    speed: EngineSpeed | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """What a request takes at one server, in ms.
+
+    Attributes:
+        read: reading of its prompt, for which all others wait.
+        alone: the rest, where nothing runs beside it.
+        beside: what each request beside it adds to that, and it to theirs.
+    """
+
+    read: float
+    alone: float
+    beside: float
+
+    def among(self, running: int) -> float:
+        """Returns how long the rest takes beside others."""
+        return self.alone + self.beside * running
 
 
 class Balancer:
@@ -120,15 +141,21 @@
         domain: failure domain of this gateway.
         regions: region of each failure domain.
         rng: draws near ties.
+        speeds: of the servers, as far as known here.
     """
 
     def __init__(
-        self, domain: str, regions: dict[str, str], rng: random.Random
+        self,
+        domain: str,
+        regions: dict[str, str],
+        rng: random.Random,
+        speeds: Speeds,
     ) -> None:
         self._domain = domain
         self._regions = regions
         self._rng = rng
-        self._servers: dict[str, _Server] = {}
+        self._speeds = speeds
+        self._servers: dict[str, Server] = {}
         self._affinity: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
         )
@@ -139,6 +166,7 @@
         call: RouteCall,
         now_ms: int,
         avoid: Collection[str] = (),
+        route: str = "",
     ) -> Choice | None:
         """Returns the server for a request, None where there is none.
 
@@ -147,6 +175,7 @@
             call: the request.
             now_ms: monotonic time.
             avoid: servers that this request was sent to already.
+            route: its name; plain calls of one take about the same time.
         """
         ready = [
             one
@@ -157,7 +186,7 @@
         # If all failed, the fault may be ours or on the way: try them anyway.
         fit = fit or ready
         usual = self._usual_load(fit, now_ms)
-        found = [self._weigh(one, call, now_ms, usual) for one in fit]
+        found = [self._weigh(one, call, route, now_ms, usual) for one in fit]
         if not found:
             return None
         least = min(choice.cost_ms for choice in found)
@@ -190,12 +219,19 @@
         server = self._of(instance)
         server.sent = max(0, server.sent - 1)
 
-    def told(self, instance: Instance, load: Load, now_ms: int) -> None:
-        """Takes the load that a server told with an answer."""
+    def told(self, instance: Instance, load: Load, now_ms: int) -> bool:
+        """Takes the load that a server told with an answer.
+
+        Returns:
+            Whether it can be true; an absurd one changes nothing.
+        """
+        if not _is_plausible(load):
+            return False
         server = self._of(instance)
         server.load = load
         server.load_at_ms = now_ms
         server.since = 0
+        return True
 
     def succeeded(self, instance: Instance) -> None:
         """Notes an answer."""
@@ -227,6 +263,7 @@
     def forget(self, server: str) -> None:
         """Forgets a server that is gone."""
         self._servers.pop(server, None)
+        self._speeds.forget(server)
 
     def taken(self, instance: Instance, now_ms: int) -> float:
         """Returns the part of a server's slots that seems taken."""
@@ -241,54 +278,108 @@
     def _is_ejected(self, instance: Instance, now_ms: int) -> bool:
         return self._of(instance).ejected_until_ms > now_ms
 
-    def _of(self, instance: Instance) -> _Server:
+    def _of(self, instance: Instance) -> Server:
         server = self._servers.get(instance.id)
         if server is None or server.born_ms != instance.born_ms:
-            server = _Server(instance.born_ms)
+            server = Server(instance.id, instance.born_ms)
             self._servers[instance.id] = server
         return server
 
     def _weigh(
-        self, instance: Instance, call: RouteCall, now_ms: int, usual: float
+        self,
+        instance: Instance,
+        call: RouteCall,
+        route: str,
+        now_ms: int,
+        usual: float,
     ) -> Choice:
         server = self._of(instance)
-        cached = _cached(server, call.prompt)
-        wanted = sum(part.tokens for part in call.prompt)
+        cached = self._cached(server, call.prompt)
+        speed = self._speed(instance, call, now_ms)
+        work = self._work(call, route, cached, speed)
         slots = self._slots(instance, server)
         running = self._running(server, now_ms)
-        if not _is_fresh(server, now_ms):
+        if not self._is_fresh(server, now_ms):
             part = usual if server.load is not None else usual * _NEW_PART
             running = max(running, round(part * slots))
         beside = min(running, slots - 1)
         queued = max(0, running + 1 - slots)
-        prefill = (wanted - cached) / _PREFILL_PER_MS
-        wait = queued * _work_ms(call, slots) / slots
-        own = wait + prefill + _work_ms(call, beside) + self._way_ms(instance)
-        others = beside * (prefill + _beside_ms(call))
-        others += queued * (prefill + _work_ms(call, beside)) / slots
-        cost = own + others
+        wait = queued * work.among(slots) / slots
+        own = wait + work.read + work.among(beside) + self._way_ms(instance)
+        cost = own + self._others_ms(work, beside, queued, slots)
         if call.affinity and self._affinity.get(call.affinity) == instance.id:
-            cost -= _AFFINE_MS
+            cost -= self._speeds.plain_ms(route) * _AFFINE_PART
         age = now_ms - server.load_at_ms if server.load is not None else -1
-        return Choice(instance, cost, cached, age)
+        return Choice(instance, cost, cached, age, running, speed)
+
+    def _others_ms(
+        self, work: Work, beside: int, queued: int, slots: int
+    ) -> float:
+        """Returns what a request costs those that run and wait there."""
+        waiting = queued * (work.read + work.among(beside)) / slots
+        reading = work.read * _READING_TIMES
+        return beside * (reading + work.beside) + waiting
+
+    def _speed(
+        self, instance: Instance, call: RouteCall, now_ms: int
+    ) -> EngineSpeed | None:
+        """Returns how fast a model server is, None for a plain service."""
+        if not call.most_tokens:
+            return None
+        usual = self._speeds.engine(instance.service)
+        return usual.times(self._speeds.factor(instance.id, now_ms))
+
+    def _work(
+        self,
+        call: RouteCall,
+        route: str,
+        cached: int,
+        speed: EngineSpeed | None,
+    ) -> Work:
+        """Returns what a request takes at a server."""
+        if speed is None:
+            plain_ms = self._speeds.plain_ms(route)
+            return Work(0.0, plain_ms, speeds.plain_beside_ms(plain_ms))
+        wanted = sum(part.tokens for part in call.prompt)
+        tokens = call.most_tokens * _PART_OF_MOST
+        return Work(
+            (wanted - cached) * speed.read_ms,
+            tokens * speed.token_ms,
+            tokens * speed.beside_ms,
+        )
 
     def _usual_load(self, servers: list[Instance], now_ms: int) -> float:
         """Returns the mean part of slots taken, where it is known."""
         known = [
             self.taken(one, now_ms)
             for one in servers
-            if _is_fresh(self._of(one), now_ms)
+            if self._is_fresh(self._of(one), now_ms)
         ]
         return sum(known) / len(known) if known else 0.0
 
-    def _running(self, server: _Server, now_ms: int) -> int:
+    def _running(self, server: Server, now_ms: int) -> int:
         load = server.load
-        if load is None or not _is_fresh(server, now_ms):
+        if load is None or not self._is_fresh(server, now_ms):
             return server.sent
         told = load.running + load.waiting + server.since
         return max(server.sent, told)
 
-    def _slots(self, instance: Instance, server: _Server) -> int:
+    def _is_fresh(self, server: Server, now_ms: int) -> bool:
+        """Returns whether what a server told of its load says anything."""
+        return server.load is not None and (
+            now_ms - server.load_at_ms <= _LOAD_OLD_MS
+        )
+
+    def _cached(self, server: Server, prompt: tuple[PromptPart, ...]) -> int:
+        """Returns the tokens of a prompt that a server seems to hold."""
+        tokens = 0
+        for part in prompt:
+            if part.id not in server.parts:
+                break
+            tokens += part.tokens
+        return tokens
+
+    def _slots(self, instance: Instance, server: Server) -> int:
         slots = server.load.slots if server.load else instance.slots
         return max(slots, 1)
 
@@ -301,33 +392,6 @@
         return _REGION_MS
 
 
-def _is_fresh(server: _Server, now_ms: int) -> bool:
-    """Returns whether what a server told of its load still says anything."""
-    return server.load is not None and (
-        now_ms - server.load_at_ms <= _LOAD_OLD_MS
-    )
-
-
-def _work_ms(call: RouteCall, beside: int) -> float:
-    """Returns how long a request runs beside others."""
-    if call.most_tokens:
-        tokens = call.most_tokens * _PART_OF_MOST
-        return tokens * (_TOKEN_MS + _BESIDE_MS * beside)
-    return _PLAIN_MS + _PLAIN_BESIDE_MS * beside
-
-
-def _beside_ms(call: RouteCall) -> float:
-    """Returns how much longer each request beside it takes for it."""
-    if call.most_tokens:
-        return call.most_tokens * _PART_OF_MOST * _BESIDE_MS
-    return _PLAIN_BESIDE_MS
-
-
-def _cached(server: _Server, prompt: tuple[PromptPart, ...]) -> int:
-    """Returns the tokens of a prompt that the server is believed to hold."""
-    tokens = 0
-    for part in prompt:
-        if part.id not in server.parts:
-            break
-        tokens += part.tokens
-    return tokens
+def _is_plausible(load: Load) -> bool:
+    counts = (load.running, load.waiting, load.slots)
+    return all(0 <= n <= _MOST_TOLD for n in counts) and load.slots > 0
--- a/catkinpin/core/urgency.py
+++ b/catkinpin/core/urgency.py
@@ -8,9 +8,7 @@
 So programs that are under way and have lost little go first, at the engines'
 full speed; fresh ones get what these leave. A program that has lost more time
 to queues and crowded engines than its slack is behind: it can hardly be in
-time any more, and takes what is left. In a model of slots that serve one turn
-each, at 1.4 to 1.8 times their capacity for 6 s, 0.76 to 0.93 of all turns
-belong to programs that end in time so, 0.61 to 0.84 with all in time alike.
+time any more, and takes what is left.
 
 Nothing is refused for it while the engines have room.
 """
@@ -23,6 +21,7 @@
 
 if TYPE_CHECKING:
     from catkinpin.core.calls import RouteCall
+    from catkinpin.core.speeds import EngineSpeed
 
 # The scale of the engines: 0 is first, 9 last, 5 where nothing is said.
 UNDER_WAY = 3
@@ -30,14 +29,10 @@
 USUAL = 5
 BEHIND = 6
 HOPELESS = 8
-# Of what a program was allowed, so much may be lost before it is behind. Its
-# users allow 1.5 to 2.2 times its time on idle servers: a third to a half is
-# slack. In the model 0.3 to 0.4 serve best at all of these.
+# Of what a program was allowed, so much may be lost before it is behind.
+# Programs allowed twice their time on idle servers have half of it as slack.
 _SLACK = 0.35
-# On idle servers, a token takes 0.87 to 1.08 ms, a prompt token 1/145 ms, and
-# the ways, the start of a run and a turn's record some 20 ms.
-_TOKEN_MS = 1.0
-_PREFILL_PER_MS = 145.0
+# The ways, the start of a run and a turn's record.
 _TURN_MS = 20.0
 
 
@@ -72,14 +67,17 @@
     return BEHIND if late or standing.lost_ms > slack_ms else UNDER_WAY
 
 
-def lost_ms(call: RouteCall, tokens: int, took_ms: int) -> int:
+def lost_ms(
+    call: RouteCall, tokens: int, took_ms: int, speed: EngineSpeed
+) -> int:
     """Returns what a turn took longer than it would have on an idle server.
 
     Args:
         call: the turn; the last part of its prompt is new.
         tokens: that it generated.
         took_ms: from its arrival to its end.
+        speed: of a usual server.
     """
     new = call.prompt[-1].tokens if call.prompt else call.prompt_tokens
-    idle_ms = _TURN_MS + tokens * _TOKEN_MS + new / _PREFILL_PER_MS
+    idle_ms = _TURN_MS + tokens * speed.token_ms + new * speed.read_ms
     return max(0, int(took_ms - idle_ms))
--- a/catkinpin/gateway.py
+++ b/catkinpin/gateway.py
@@ -10,6 +10,7 @@
 
 from catkinpin import clock, decisions
 from catkinpin.adapters import keepers
+from catkinpin.adapters.gateway.parts import Parts
 from catkinpin.adapters.gateway.routefetch import RouteFetch
 from catkinpin.adapters.gateway.serving import Serving
 from catkinpin.adapters.gateway.turns import Turns
@@ -19,6 +20,7 @@
 from catkinpin.adapters.telling import GATEWAY_ROLE
 from catkinpin.core import keeping, messages
 from catkinpin.core.balance import Balancer
+from catkinpin.core.speeds import Speeds
 
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.ports import HeaderCodec
@@ -55,7 +57,10 @@
         self.cfg = cfg
         self.clock = clock.system_clock()
         self._pool = Pool()
-        self._balancer = Balancer(cfg.failure_domain, regions, random.Random())
+        speeds = Speeds()
+        self._balancer = Balancer(
+            cfg.failure_domain, regions, random.Random(), speeds
+        )
         self.view = View(self.clock, self._server_gone)
         incarnation = uuid.uuid4().hex[:12]
         self.keepers = keepers.Keepers(
@@ -76,13 +81,16 @@
             cfg.copies,
         )
         self._serving = Serving(
-            self.view,
-            self._balancer,
-            self._pool,
-            self._turns,
-            codec,
-            self.clock,
-            self._count_gateways,
+            Parts(
+                view=self.view,
+                balancer=self._balancer,
+                speeds=speeds,
+                pool=self._pool,
+                turns=self._turns,
+                codec=codec,
+                clock=self.clock,
+                gateways=self._count_gateways,
+            )
         )
         self.server = HttpServer(self._serving.handle, self._limits)
         self._ready = HttpServer(self._answer_ready)
@@ -115,7 +123,7 @@
         # New connections still come until the balancer has asked twice; one
         # that is refused costs its caller a try.
         await asyncio.sleep(self.cfg.balancer_wait_ms / _MS)
-        self._serving.is_closing = True
+        self._serving.ends_s = until
         while loop.time() < until and (
             self.server.busy() or self._turns.unsettled
         ):
