Add `catkinpin timeline`: what a restart was made up of, by logs

Cause: programs under way lose most around the end of processes, and what that time was made up of had to be put together by hand. The command shows, for each restart, the last word before, starts, routes, leader, readiness, the first request and turn served, and the last request refused.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = $(shell .ci/venv)/bin/python
 
-.PHONY: demo test fuzz lint format bench soak soak-platform
+.PHONY: demo test fuzz lint format bench experiment soak soak-platform
 
 demo:
 	$(PYTHON) -m demo
@@ -34,6 +34,29 @@
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
 
+# What gateways decide, in a model of what they serve: the scenarios that ship
+# with it, and CASES deployments drawn by lot from seed FIRST on; reports use
+# seeds from 1,000 on. Six processes; figures lie under out/deciding.
+CASES ?= 36
+COUNT ?= 6
+SCENARIOS = $(notdir $(basename $(wildcard bench/deciding/scenarios/*.toml)))
+PARTS = 0 1 2 3 4 5
+
+experiment: FIRST = 1000
+experiment:
+	$(MAKE) -j6 $(SCENARIOS:%=experiment-play-%) \
+		$(PARTS:%=experiment-drawn-%) FIRST=$(FIRST)
+	$(PYTHON) -m bench.deciding report --first $(FIRST)
+	$(PYTHON) -m bench.deciding plot
+
+experiment-play-%:
+	$(PYTHON) -m bench.deciding play bench/deciding/scenarios/$*.toml \
+		--count $(COUNT) --first $(FIRST)
+
+experiment-drawn-%:
+	$(PYTHON) -m bench.deciding drawn --cases $(CASES) --first $(FIRST) \
+		--part $* --parts $(words $(PARTS))
+
 # Each part in a process of its own: make -j4 bench
 BENCHES = ruegg-loads ruegg-faults kunci-loads kunci-faults
 
--- a/bench/deciding/__main__.py
+++ b/bench/deciding/__main__.py
@@ -9,7 +9,7 @@
 
 import cyclopts
 
-from bench.deciding import pairs, policies, scenario, sweep, world
+from bench.deciding import pairs, plots, policies, scenario, sweep, world
 
 app = cyclopts.App(name="deciding", help=__doc__)
 
@@ -97,6 +97,21 @@
     print(sweep.summary(rows))
 
 
+@app.command
+def plot(folder: pathlib.Path = _OUT) -> None:
+    """Draws each variant's payoff by scenario.
+
+    Args:
+        folder: with the figures.
+    """
+    rows: list[dict[str, str]] = []
+    for file in sorted(folder.glob("*.csv")):
+        if not file.name.startswith("drawn-"):
+            with file.open() as lines:
+                rows += list(csv.DictReader(lines))
+    plots.payoffs(rows, folder / "payoffs.png")
+
+
 def _plays(
     found: scenario.Scenario, chosen: list[str], seeds: range | list[int]
 ) -> list[dict[str, object]]:
--- a/catkinpin/__main__.py
+++ b/catkinpin/__main__.py
@@ -20,6 +20,7 @@
     "undo": ("plan:undo", "Takes back what a plan has changed."),
     "explain": ("explain:explain", "Shows why a call went to its server."),
     "why": ("why:why", "Joins logs around a request, to find its cause."),
+    "timeline": ("timeline:show", "Shows what restarts were made up of."),
     "repair": ("repair:repair", "Replaces a replica whose disk was lost."),
 }
 _PLANS = {
--- /dev/null
+++ b/catkinpin/commands/logfiles.py
@@ -0,0 +1,30 @@
+"""Decision lines out of files, or standard input."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+from typing import TYPE_CHECKING
+
+from catkinpin import joined
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from catkinpin.joined import Line
+
+
+def read(logs: tuple[str, ...]) -> Iterator[Line]:
+    """Yields the decision lines of files; without one, of standard input."""
+    for text in _texts(logs):
+        line = joined.parse(text)
+        if line is not None:
+            yield line
+
+
+def _texts(logs: tuple[str, ...]) -> Iterator[str]:
+    if not logs:
+        yield from sys.stdin
+    for name in logs:
+        with pathlib.Path(name).open(encoding="utf-8", errors="replace") as log:
+            yield from log
--- a/catkinpin/commands/why.py
+++ b/catkinpin/commands/why.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import json
-import pathlib
 import sys
 from typing import TYPE_CHECKING
 
 from catkinpin import exits, joined
+from catkinpin.commands import logfiles
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from catkinpin.joined import Line
 
 _PARTS = (
@@ -37,8 +35,7 @@
         request: the request's id.
         logs: files with lines.
     """
-    lines = (line for text in _read(logs) if (line := joined.parse(text)))
-    story = joined.join(lines, request)
+    story = joined.join(logfiles.read(logs), request)
     if not story.request:
         print(f"no line names {request}", file=sys.stderr)
         sys.exit(exits.FAILED)
@@ -49,14 +46,6 @@
             print("  " + _text(same, end_ms))
 
 
-def _read(logs: tuple[str, ...]) -> Iterator[str]:
-    if not logs:
-        yield from sys.stdin
-    for name in logs:
-        with pathlib.Path(name).open(encoding="utf-8", errors="replace") as log:
-            yield from log
-
-
 def _alike(lines: list[Line]) -> list[list[Line]]:
     """Returns lines in groups of what several processes say alike.
 
--- a/catkinpin/keeper.py
+++ b/catkinpin/keeper.py
@@ -42,8 +42,7 @@
 ROLE = "keeper"
 _GROUP = "control"
 _TICK_S = 0.1
-# A keeper's disk has 128 MB, most of it for turns' bytes; some minutes of
-# records of both users fill this.
+# Some minutes of records; most of a keeper's disk is for turns' bytes.
 _SEGMENT_BYTES = 8 * 1024 * 1024
 # All turns wait for an election, and a short program's slack is some 500 ms.
 # Between regions a heartbeat takes 16 ms there and back, a slow disk's sync
