--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -39,6 +39,8 @@
 # route's target latencies, at least so long, is left.
 _SILENT_TARGETS = 4
 _SILENT_LEAST_S = 1.5
+# Answers from this status on are a server's failures.
+_SERVER_FAILED = 500
 # Gateways that may come before all know of it, and connections that a server
 # has not seen closed yet, take this much more of its limit.
 _GATEWAYS_MARGIN = 1.2
@@ -145,6 +147,21 @@
                 instance.service, instance.id, instance.born_ms, told, now_ms
             )
 
+    def answered(self, work: Work, choice: Choice, status: int) -> None:
+        """Notes a whole answer, which may be a server's own failure.
+
+        A server that fails at once is always idle. Taken for a good one it
+        draws request after request, while the others have room; one sees an
+        engine with few requests running and many answers of 500. Engines
+        don't fail on a whim, so one such answer leaves them out; of a plain
+        service a call may fail for its own reasons, so it takes two in a row.
+        """
+        if status < _SERVER_FAILED:
+            self.succeeded(work, choice)
+            return
+        is_engine = work.service.engine is not None
+        self.failed(choice, f"status {status}", sure=is_engine)
+
     def broke(self, work: Work, choice: Choice, failure: Failure) -> None:
         """Notes that a server broke off what it may have begun to run."""
         self.failed(choice, failure.reason)
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -110,5 +110,5 @@
             return False
         work.responder.write(b"".join(held))
         work.responder.finish()
-        self._exchange.succeeded(work, choice)
+        self._exchange.answered(work, choice, head.status)
         return True
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -137,7 +137,12 @@
     """A gateway's serving before servers of the test's."""
 
     def __init__(
-        self, kind: RouteKind, *, knows_routes: bool = True, **route: Any
+        self,
+        kind: RouteKind,
+        *,
+        knows_routes: bool = True,
+        has_engine: bool = True,
+        **route: Any,
     ) -> None:
         self.turns = Turns()
         self.servers: list[RawServer] = []
@@ -161,7 +166,10 @@
         }
         engine = Engine(slots=4, memory_tokens=1_000, event_tokens=2)
         service = Service(
-            name="s", health_path="/", max_connections=50, engine=engine
+            name="s",
+            health_path="/",
+            max_connections=50,
+            engine=engine if has_engine else None,
         )
         routing = Routing(
             version=1,
@@ -174,17 +182,16 @@
             self.learn_routes()
         codec = HeaderCodec(_call, _to_server, _answer, _refusal)
         self.speeds = Speeds()
+        self.balancer = Balancer("a", {"a": "r"}, random.Random(1), self.speeds)
         self.serving = Serving(
             Parts(
                 view=self.view,
-                balancer=Balancer(
-                    "a", {"a": "r"}, random.Random(1), self.speeds
-                ),
+                balancer=self.balancer,
                 speeds=self.speeds,
                 pool=Pool(),
                 turns=cast("Any", self.turns),
                 codec=codec,
-                clock=clock.system_clock(),
+                clock=self.clock.clock(),
                 gateways=lambda: 1,
             )
         )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -364,6 +364,53 @@
 
         self.play(work())
 
+    def test_engine_that_fails_at_once_draws_no_turns(self) -> None:
+        """An engine answers each turn with 500 after a ms, and so seems idle.
+
+        Its callers ask again and again; most turns went there, and programs
+        failed while the other engine had room.
+        """
+
+        async def fails(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(sealed(seen, b"", "500 Failed"))
+
+        async def work() -> None:
+            rig = Rig(RouteKind.STREAM, max_attempts=1)
+            await rig.start(fails, streams)
+            statuses = [(await rig.ask(f"q{n}")).status for n in range(12)]
+            self.assertLessEqual(statuses.count(500), 1)
+            rig.clock.now += 500
+            statuses = [(await rig.ask(f"r{n}")).status for n in range(12)]
+            self.assertLessEqual(statuses.count(500), 1)
+            await rig.stop()
+
+        self.play(work())
+
+    def test_call_that_fails_for_its_own_reasons_ejects_no_server(
+        self,
+    ) -> None:
+        """Now and then a tool answers 500 to a call that is wrong itself."""
+        count = 0
+
+        async def some_fail(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            nonlocal count
+            count += 1
+            status = "500 Failed" if count % 2 else "200 OK"
+            writer.write(sealed(seen, b"x", status))
+
+        async def work() -> None:
+            rig = Rig(RouteKind.NON_IDEMPOTENT, has_engine=False)
+            await rig.start(some_fail)
+            for number in range(8):
+                await rig.ask(f"q{number}")
+            balancer = rig.balancer
+            now_ms = rig.clock.clock().now_ms()
+            (server,) = rig.view.fleet.servers.values()
+            self.assertFalse(balancer._is_ejected(server, now_ms))
+            await rig.stop()
+
+        self.play(work())
+
     def test_turn_that_was_not_stored_does_not_look_whole(self) -> None:
         """No quorum is there at the end of a turn."""
 
