--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -71,6 +71,18 @@
         log.save_snapshot(taken, base_index, 1, Members())
 
 
+def _filling(full: list[int]) -> files.FileOps:
+    """Returns a disk that is full, half a write in, while `full` holds any."""
+
+    def pwrite(fd: int, data: memoryview, offset: int) -> int:
+        if full:
+            os.pwrite(fd, data[: len(data) // 2], offset)
+            raise OSError(errno.ENOSPC, "no space left on device")
+        return os.pwrite(fd, data, offset)
+
+    return files.FileOps(pwrite=pwrite)
+
+
 class RecoveryTest(StorageTestCase):
     """What is found after a stop."""
 
@@ -197,14 +209,7 @@
         lasts, and whatever the process added meanwhile.
         """
         full: list[int] = []
-
-        def pwrite(fd: int, data: memoryview, offset: int) -> int:
-            if full:
-                os.pwrite(fd, data[: len(data) // 2], offset)
-                raise OSError(errno.ENOSPC, "no space left on device")
-            return os.pwrite(fd, data, offset)
-
-        opened = self.open(files.FileOps(pwrite=pwrite))
+        opened = self.open(_filling(full))
         log = opened.group("g")
         log.append(entries(1, 3))
         opened.sync()
@@ -225,14 +230,7 @@
     def test_kill_on_a_full_disk_loses_nothing_that_lasted(self) -> None:
         """The process is killed while the disk is full, half a batch on it."""
         full: list[int] = []
-
-        def pwrite(fd: int, data: memoryview, offset: int) -> int:
-            if full:
-                os.pwrite(fd, data[: len(data) // 2], offset)
-                raise OSError(errno.ENOSPC, "no space left on device")
-            return os.pwrite(fd, data, offset)
-
-        opened = self.open(files.FileOps(pwrite=pwrite))
+        opened = self.open(_filling(full))
         log = opened.group("g")
         log.append(entries(1, 3))
         opened.sync()
