--- a/bench/controlbench.py
+++ b/bench/controlbench.py
@@ -24,9 +24,11 @@
 import uvloop
 
 from catkinpin import clock, configuration
-from catkinpin.adapters import configured, shards
-from catkinpin.core import changes, messages, routing
-from catkinpin.core import deployments as items
+from catkinpin.adapters.entry import configured, shards
+from catkinpin.core import messages
+from catkinpin.core.operations import changes
+from catkinpin.core.operations import deployments as items
+from catkinpin.core.programs import sharding
 from tests import base
 
 # An IPv4 and a TCP header with timestamps, for a segment and its
@@ -123,7 +125,7 @@
 
     async def knows_leader(self) -> bool:
         """Returns whether changes can be made through this node."""
-        return bool(self.replicas.knows_leader(routing.CONTROL_GROUP))
+        return bool(self.replicas.knows_leader(sharding.CONTROL_GROUP))
 
     async def serves(self) -> bool:
         """Returns whether the node may serve."""
@@ -148,7 +150,7 @@
             operator="bench",
         )
 
-    applied = await node.replicas.ask(routing.CONTROL_GROUP, make, 10)
+    applied = await node.replicas.ask(sharding.CONTROL_GROUP, make, 10)
     assert applied.accepted, applied
 
     async def confirmed() -> bool:
--- a/bench/corebench.py
+++ b/bench/corebench.py
@@ -8,16 +8,9 @@
 import time
 
 from catkinpin import codec, configuration, digest
-from catkinpin.core import (
-    commands,
-    leader,
-    messages,
-    placement,
-    records,
-    scheduler,
-    servers,
-    shard,
-)
+from catkinpin.core import messages
+from catkinpin.core.placement import candidates, scheduler, servers
+from catkinpin.core.programs import commands, leader, records, shard
 from catkinpin.verdicts import Verdict
 
 _CALLS = 20_000
@@ -33,7 +26,7 @@
 class Loop:
     """A leader whose log commits at once."""
 
-    def __init__(self, policy: placement.Policy) -> None:
+    def __init__(self, policy: candidates.Policy) -> None:
         view = servers.ServerView()
         self.state = shard.Shard("shard-0")
         jobs = scheduler.Scheduler(view, policy, scheduler.WaitPlan())
@@ -112,7 +105,7 @@
     print("| turns a program | us a call |")
     print("| --- | --- |")
     for turns in (1, 10, 100):
-        loop = Loop(placement.sticky)
+        loop = Loop(candidates.sticky)
         began = time.process_time()
         for number in range(_CALLS // turns):
             digests: list[bytes] = []
--- a/bench/deciding/caller.py
+++ b/bench/deciding/caller.py
@@ -9,7 +9,7 @@
 import simpy
 
 from bench.deciding.gateway import End, Turn
-from catkinpin.core.calls import PromptPart
+from catkinpin.core.requests.calls import PromptPart
 
 if TYPE_CHECKING:
     from collections.abc import Generator
--- a/bench/deciding/draws.py
+++ b/bench/deciding/draws.py
@@ -9,7 +9,7 @@
 import numpy as np
 
 from bench.deciding.scenario import TroubleKind
-from catkinpin.core.calls import PromptPart
+from catkinpin.core.requests.calls import PromptPart
 
 if TYPE_CHECKING:
     from bench.deciding.scenario import (
--- a/bench/deciding/engine.py
+++ b/bench/deciding/engine.py
@@ -8,7 +8,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from catkinpin.core.calls import Load, PromptPart
+from catkinpin.core.requests.calls import Load, PromptPart
 
 if TYPE_CHECKING:
     from collections.abc import Generator
--- a/bench/deciding/gateway.py
+++ b/bench/deciding/gateway.py
@@ -6,10 +6,10 @@
 import enum
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.core import urgency
-from catkinpin.core.calls import PromptPart, RouteCall
-from catkinpin.core.ledger import Begin, Finish
-from catkinpin.core.speeds import Streamed
+from catkinpin.core.control.ledger import Begin, Finish
+from catkinpin.core.placement import urgency
+from catkinpin.core.placement.speeds import Streamed
+from catkinpin.core.requests.calls import PromptPart, RouteCall
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -21,8 +21,8 @@
     from bench.deciding.policies import Policy
     from bench.deciding.service import Call, Service
     from bench.deciding.world import World
-    from catkinpin.core.balance import Choice
-    from catkinpin.core.fleet import Instance
+    from catkinpin.core.control.servers import Instance
+    from catkinpin.core.placement.balance import Choice
 
     Steps = Generator[simpy.Event, Any, "End"]
 
--- a/bench/deciding/policies.py
+++ b/bench/deciding/policies.py
@@ -6,9 +6,9 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core import balance, urgency
-from catkinpin.core.balance import Balancer, Choice
-from catkinpin.core.speeds import EngineSpeed, Speeds, Streamed
+from catkinpin.core.placement import balance, urgency
+from catkinpin.core.placement.balance import Balancer, Choice
+from catkinpin.core.placement.speeds import EngineSpeed, Speeds, Streamed
 
 if TYPE_CHECKING:
     import random
@@ -16,9 +16,9 @@
 
     from bench.deciding.engine import Engine
     from bench.deciding.service import Service
-    from catkinpin.core.calls import Load, PromptPart, RouteCall
-    from catkinpin.core.fleet import Instance
-    from catkinpin.core.urgency import Standing
+    from catkinpin.core.control.servers import Instance
+    from catkinpin.core.placement.urgency import Standing
+    from catkinpin.core.requests.calls import Load, PromptPart, RouteCall
 
 
 @dataclasses.dataclass(frozen=True)
--- a/bench/deciding/service.py
+++ b/bench/deciding/service.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core.calls import Load
+from catkinpin.core.requests.calls import Load
 
 if TYPE_CHECKING:
     import simpy
--- a/bench/deciding/world.py
+++ b/bench/deciding/world.py
@@ -16,14 +16,14 @@
 from bench.deciding.policies import Place, Policy, Truth
 from bench.deciding.scenario import Trouble, TroubleKind
 from bench.deciding.service import Service
-from catkinpin.core.fleet import Instance, ServerState
-from catkinpin.core.ledger import Ledger
+from catkinpin.core.control.ledger import Ledger
+from catkinpin.core.control.servers import Instance, ServerState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Generator
 
     from bench.deciding.scenario import Scenario
-    from catkinpin.core.calls import PromptPart
+    from catkinpin.core.requests.calls import PromptPart
 
     Later = Generator[simpy.Event, Any, None]
 
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -13,7 +13,8 @@
 import tracemalloc
 
 from catkinpin import digest
-from catkinpin.core import messages, records, shard
+from catkinpin.core import messages
+from catkinpin.core.programs import records, shard
 from catkinpin.verdicts import Verdict
 from tests import test_matrix
 
--- a/bench/logbench.py
+++ b/bench/logbench.py
@@ -25,7 +25,7 @@
 
 import uvloop
 
-from catkinpin.adapters.storage import Storage
+from catkinpin.adapters.disk.storage import Storage
 from catkinpin.core.consensus.core import Core
 from catkinpin.core.consensus.messages import (
     Entry,
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -15,14 +15,15 @@
 import sys
 from typing import TYPE_CHECKING
 
-from catkinpin.core import limits, messages, placement, scheduler
+from catkinpin.core import messages
+from catkinpin.core.placement import candidates, limits, scheduler
 from catkinpin.verdicts import Verdict
 from tests.fakes import world as worlds
 from tests.fakes.worldfacts import Sent
 from tests.fakes.worldserver import Server
 
 if TYPE_CHECKING:
-    from catkinpin.core import servers
+    from catkinpin.core.placement import servers
     from tests.fakes.worldentry import Entry
     from tests.fakes.worldfacts import Call
 
@@ -75,7 +76,7 @@
 
     def make_scheduler(self, view: servers.ServerView) -> scheduler.Scheduler:
         """Returns a scheduler that keeps calls until a server has room."""
-        policy = placement.by_cost(placement.Prices())
+        policy = candidates.by_cost(candidates.Prices())
         return scheduler.Scheduler(view, policy, scheduler.WaitPlan())
 
 
@@ -84,7 +85,7 @@
 
     def make_scheduler(self, view: servers.ServerView) -> scheduler.Scheduler:
         """Returns a scheduler that never lets a call wait."""
-        return scheduler.Scheduler(view, placement.least_outstanding)
+        return scheduler.Scheduler(view, candidates.least_outstanding)
 
     def elect(self) -> None:
         """Takes the leader's limits away."""
--- a/bench/shardcost.py
+++ b/bench/shardcost.py
@@ -12,21 +12,15 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import codec, digest
-from catkinpin.core import (
-    deployments,
-    leader,
-    messages,
-    placement,
-    records,
-    scheduler,
-    servers,
-    shard,
-)
-from catkinpin.core.commands import Propose, Send
+from catkinpin.core import messages
+from catkinpin.core.operations import deployments
+from catkinpin.core.placement import candidates, scheduler, servers
+from catkinpin.core.programs import leader, records, shard
+from catkinpin.core.programs.commands import Propose, Send
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from catkinpin.core.commands import Command
+    from catkinpin.core.programs.commands import Command
 
 _SERVERS = 325
 _TURN_BYTES = 2_000
@@ -65,12 +59,12 @@
                 capacity=122,
             )
             view.report(report, 0)
-        prices = placement.Prices()
+        prices = candidates.Prices()
         jobs = scheduler.Scheduler(
             view,
-            placement.by_cost(prices),
+            candidates.by_cost(prices),
             scheduler.WaitPlan(),
-            placement.keeps_home(prices),
+            candidates.keeps_home(prices),
         )
         deployment = deployments.Deployment(
             name="all", targets=["model"], budget_tokens=1_000_000_000
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -11,7 +11,9 @@
 import tracemalloc
 
 from catkinpin import codec
-from catkinpin.core import decisions, messages, placement, scheduler, servers
+from catkinpin.core import messages
+from catkinpin.core.placement import candidates, scheduler, servers
+from catkinpin.core.programs import explanations
 
 _DECISIONS = 2_000
 _TARGETS = 4
@@ -46,12 +48,12 @@
 
 
 def _scheduler(view: servers.ServerView) -> scheduler.Scheduler:
-    prices = placement.Prices()
+    prices = candidates.Prices()
     return scheduler.Scheduler(
         view,
-        placement.by_cost(prices, note=decisions.Decisions().note),
+        candidates.by_cost(prices, note=explanations.Decisions().note),
         scheduler.WaitPlan(),
-        placement.keeps_home(prices),
+        candidates.keeps_home(prices),
     )
 
 
--- a/bench/world.py
+++ b/bench/world.py
@@ -12,7 +12,8 @@
 from bench.engine import Engine, Request, Service
 from bench.events import Events
 from bench.link import Link
-from catkinpin.core import messages, scheduler, servers
+from catkinpin.core import messages
+from catkinpin.core.placement import scheduler, servers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/catkinpin/adapters/disk/__init__.py
@@ -0,0 +1,1 @@
+"""Files: the log, its segments and snapshots, bytes of turns."""
--- a/catkinpin/adapters/grouplog.py
+++ b/catkinpin/adapters/disk/grouplog.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import codec
-from catkinpin.adapters import logrecords
-from catkinpin.adapters.logrecords import Base, Record, RecordType
+from catkinpin.adapters.disk import logrecords
+from catkinpin.adapters.disk.logrecords import Base, Record, RecordType
 from catkinpin.core.consensus.messages import Entry, Members
 from catkinpin.core.consensus.state import Stored
 from catkinpin.exceptions import DamagedLogError, StorageError
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from catkinpin.adapters.snapshots import Snapshot
-    from catkinpin.adapters.storage import Storage
+    from catkinpin.adapters.disk.snapshots import Snapshot
+    from catkinpin.adapters.disk.storage import Storage
 
 
 class GroupLog:
--- a/catkinpin/adapters/segments.py
+++ b/catkinpin/adapters/disk/segments.py
@@ -14,7 +14,7 @@
 import zlib
 from typing import TYPE_CHECKING
 
-from catkinpin.adapters import files
+from catkinpin.adapters.disk import files
 from catkinpin.exceptions import (
     DamagedLogError,
     DiskFullError,
--- a/catkinpin/adapters/snapshots.py
+++ b/catkinpin/adapters/disk/snapshots.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import codec
-from catkinpin.adapters import files
+from catkinpin.adapters.disk import files
 from catkinpin.codec import Message
 from catkinpin.core.consensus.messages import Members  # noqa: TC001
 from catkinpin.exceptions import DamagedLogError, StorageError
--- a/catkinpin/adapters/storage.py
+++ b/catkinpin/adapters/disk/storage.py
@@ -12,9 +12,9 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import metrics
-from catkinpin.adapters import files, logrecords, segments, snapshots
-from catkinpin.adapters.grouplog import GroupLog, Recovery
-from catkinpin.adapters.logrecords import Record, RecordType
+from catkinpin.adapters.disk import files, logrecords, segments, snapshots
+from catkinpin.adapters.disk.grouplog import GroupLog, Recovery
+from catkinpin.adapters.disk.logrecords import Record, RecordType
 from catkinpin.exceptions import (
     DamagedLogError,
     DiskFullError,
--- a/catkinpin/adapters/turnbytes.py
+++ b/catkinpin/adapters/disk/turnbytes.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from catkinpin.adapters import files
+from catkinpin.adapters.disk import files
 from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/catkinpin/adapters/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers and operators over HTTP, dispatch."""
--- a/catkinpin/adapters/admin.py
+++ b/catkinpin/adapters/entry/admin.py
@@ -9,14 +9,14 @@
 from sanic import response
 
 from catkinpin import configuration, metrics
-from catkinpin.adapters import web
+from catkinpin.adapters.entry import web
 from catkinpin.core import messages
 from catkinpin.exceptions import BadRequestError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.entry import Entry
+    from catkinpin.adapters.entry.process import Entry
 
 _MAX_BODY = 4 * 1024 * 1024
 _ANNOUNCE_EVERY_MS = 500
--- a/catkinpin/adapters/callers.py
+++ b/catkinpin/adapters/entry/callers.py
@@ -14,14 +14,15 @@
 from sanic import response
 
 from catkinpin import chat, configuration, digest, metrics
-from catkinpin.adapters import web
-from catkinpin.adapters.calls import CallRequest, RunningCall
-from catkinpin.core import messages, routing
+from catkinpin.adapters.entry import web
+from catkinpin.adapters.entry.calls import CallRequest, RunningCall
+from catkinpin.core import messages
+from catkinpin.core.programs import sharding
 from catkinpin.exceptions import BadRequestError, PeerLostError
 from catkinpin.verdicts import Reason, Verdict, http_status
 
 if TYPE_CHECKING:
-    from catkinpin.entry import Entry
+    from catkinpin.adapters.entry.process import Entry
 
 log = logging.getLogger(__name__)
 
@@ -211,7 +212,7 @@
     request_id = _name(req, "Idempotency-Key", uuid.uuid4().hex)
     program = _name(req, "Catkinpin-Program", f"single-{request_id}")
     parent = _name(req, "Catkinpin-Parent", "")
-    if parent and routing.root_of(parent) != routing.root_of(program):
+    if parent and sharding.root_of(parent) != sharding.root_of(program):
         raise BadRequestError(
             "Catkinpin-Parent",
             "a sub-agent's program id begins with its root's id and a slash",
@@ -420,7 +421,7 @@
 async def _program_reply(
     entry: Entry, key: messages.ProgramKey, make: Any
 ) -> Any:
-    group = routing.group_of(key, entry.cfg.shards)
+    group = sharding.group_of(key, entry.cfg.shards)
     try:
         info = await entry.replicas.ask(group, make, _GET_TIMEOUT_S)
     except PeerLostError:
--- a/catkinpin/adapters/calls.py
+++ b/catkinpin/adapters/entry/calls.py
@@ -10,8 +10,10 @@
 import msgspec
 
 from catkinpin import chat, digest, metrics, tracing
-from catkinpin.adapters import dispatch, grants, outcomes, relays, shards
-from catkinpin.core import messages, routing, splice
+from catkinpin.adapters.entry import dispatch, grants, outcomes, relays, shards
+from catkinpin.core import messages
+from catkinpin.core.programs import sharding
+from catkinpin.core.requests import splice
 from catkinpin.exceptions import DivergedError, PeerLostError
 from catkinpin.verdicts import Reason, Verdict
 
@@ -275,7 +277,7 @@
     ) -> Final:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + req.begin.deadline_ms / _MS_PER_S
-        group = routing.group_of(req.begin.key.program_key, self._shard_count)
+        group = sharding.group_of(req.begin.key.program_key, self._shard_count)
         try:
             with tracing.hop("begin", traceparent):
                 reply = await self._begin(group, req, deadline)
--- a/catkinpin/adapters/configured.py
+++ b/catkinpin/adapters/entry/configured.py
@@ -8,14 +8,15 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import metrics
-from catkinpin.core import changes, routing
-from catkinpin.core.deployments import Configuration
+from catkinpin.core.operations import changes
+from catkinpin.core.operations.deployments import Configuration
+from catkinpin.core.programs import sharding
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.adapters.shards import Replicas
+    from catkinpin.adapters.entry.shards import Replicas
     from catkinpin.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -126,7 +127,7 @@
             )
 
         lease = await self._replicas.ask(
-            routing.CONTROL_GROUP, make, _ASK_TIMEOUT_S
+            sharding.CONTROL_GROUP, make, _ASK_TIMEOUT_S
         )
         if lease.update is not None and self._take is not None:
             self._take(lease.update)
--- a/catkinpin/adapters/dispatch.py
+++ b/catkinpin/adapters/entry/dispatch.py
@@ -10,14 +10,15 @@
 import aiohttp
 
 from catkinpin import metrics, tracing
-from catkinpin.adapters import (
+from catkinpin.adapters.entry import (
     backends,
     grants,
     modelcalls,
     outcomes,
     servicecalls,
 )
-from catkinpin.core import gaps, messages
+from catkinpin.core import messages
+from catkinpin.core.requests import pauses
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
@@ -78,7 +79,7 @@
         self._timeouts = timeouts
         self._clock = clock
         self._servers = backends.Backends(timeouts.connect_ms / _MS_PER_S)
-        self._gaps = gaps.Gaps(
+        self._gaps = pauses.Gaps(
             timeouts.progress_low_ms, timeouts.progress_high_ms
         )
         self.grants = grants.Grants()
--- a/catkinpin/adapters/intents.py
+++ b/catkinpin/adapters/entry/intents.py
@@ -7,7 +7,7 @@
 import pydantic
 
 from catkinpin import configuration
-from catkinpin.core import plans
+from catkinpin.core.operations import plans
 from catkinpin.exceptions import BadRequestError
 
 Name = configuration.Name
--- a/catkinpin/adapters/modelcalls.py
+++ b/catkinpin/adapters/entry/modelcalls.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from catkinpin import chat, metrics
-from catkinpin.adapters import backends, outcomes
+from catkinpin.adapters.entry import backends, outcomes
 from catkinpin.exceptions import BrokenStreamError
 from catkinpin.verdicts import Reason
 
@@ -18,9 +18,9 @@
 
     import aiohttp
 
-    from catkinpin.adapters.dispatch import Outgoing
-    from catkinpin.core.gaps import Gaps
+    from catkinpin.adapters.entry.dispatch import Outgoing
     from catkinpin.core.messages import Finish, Granted
+    from catkinpin.core.requests.pauses import Gaps
 
 _SSE_END = b"[DONE]"
 _DATA = b"data:"
--- a/catkinpin/adapters/operators.py
+++ b/catkinpin/adapters/entry/operators.py
@@ -14,14 +14,16 @@
 from sanic import response
 
 from catkinpin import configuration
-from catkinpin.adapters import intents
-from catkinpin.core import changes, decisions, deployments, messages, routing
+from catkinpin.adapters.entry import intents
+from catkinpin.core import messages
+from catkinpin.core.operations import changes, deployments
+from catkinpin.core.programs import explanations, sharding
 from catkinpin.exceptions import BadRequestError, PeerLostError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.entry import Entry
+    from catkinpin.adapters.entry.process import Entry
 
 _ANSWER_TIMEOUT_S = 8.0
 _CATCH_UP_S = 2.0
@@ -68,8 +70,8 @@
         key = _call_key(req.args.get("call", ""))
         return await _ask(
             entry,
-            lambda ask: decisions.Explain(ask=ask, key=key),
-            group=routing.group_of(key.program_key, entry.cfg.shards),
+            lambda ask: explanations.Explain(ask=ask, key=key),
+            group=sharding.group_of(key.program_key, entry.cfg.shards),
         )
 
     @app.post("/v1/operator/plans")
@@ -200,7 +202,7 @@
     entry: Entry,
     make: Callable[[int], Any],
     request_id: str = "",
-    group: str = routing.CONTROL_GROUP,
+    group: str = sharding.CONTROL_GROUP,
 ) -> Any:
     """Asks a group's leader and returns its answer as JSON."""
     try:
@@ -232,7 +234,7 @@
 
 def _status_of(answer: Any) -> int:
     match answer:
-        case decisions.Explained(known=False):
+        case explanations.Explained(known=False):
             return _NOT_FOUND
         case changes.Applied(accepted=False):
             return _CONFLICT
--- a/catkinpin/adapters/orders.py
+++ b/catkinpin/adapters/entry/orders.py
@@ -9,11 +9,12 @@
 
 import aiohttp
 
-from catkinpin.core import changes, routing
+from catkinpin.core.operations import changes
+from catkinpin.core.programs import sharding
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.shards import Replicas
+    from catkinpin.adapters.entry.shards import Replicas
     from catkinpin.clock import Clock
 
 log = logging.getLogger(__name__)
@@ -54,7 +55,7 @@
 
         try:
             lease = await self._replicas.ask(
-                routing.CONTROL_GROUP, claim, _CLAIM_TIMEOUT_S
+                sharding.CONTROL_GROUP, claim, _CLAIM_TIMEOUT_S
             )
             # An entry that was frozen after its question would send an order
             # that has been overtaken; an engine that ignores fencing tokens
@@ -64,7 +65,7 @@
                 return
             ok, text = await _post(lease, left_ms)
             await self._replicas.ask(
-                routing.CONTROL_GROUP,
+                sharding.CONTROL_GROUP,
                 lambda ask: changes.OrderResult(
                     ask=ask,
                     plan_id=offer.plan_id,
--- a/catkinpin/entry.py
+++ b/catkinpin/adapters/entry/process.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import clock
-from catkinpin.adapters import (
+from catkinpin.adapters.entry import (
     admin,
     callers,
     calls,
@@ -16,13 +16,14 @@
     dispatch,
     operators,
     orders,
-    peers,
     relays,
     shards,
     web,
-    wire,
 )
-from catkinpin.core import changes, deployments, messages, routing
+from catkinpin.adapters.peers import links, wire
+from catkinpin.core import messages
+from catkinpin.core.operations import changes, deployments
+from catkinpin.core.programs import sharding
 from catkinpin.exceptions import StopTimeoutError
 
 if TYPE_CHECKING:
@@ -55,11 +56,11 @@
         self.admin_address = ""
         self._reports: dict[str, tuple[messages.ServerReport, int]] = {}
         self._fresh: set[str] = set()
-        self._links: dict[str, peers.PeerLink] = {}
+        self._links: dict[str, links.PeerLink] = {}
         self._releases: set[asyncio.Task[None]] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._web: list[web.WebServer] = []
-        self._peers = peers.PeerServer(
+        self._peers = links.PeerServer(
             wire.BetweenEntries,
             self._on_peer_message,
             lambda _: None,
@@ -171,7 +172,7 @@
         # The control group's leader is not asked for: all entries would leave
         # the balancer at once for as long as an election takes, while their
         # leases still let them serve.
-        for group in map(routing.shard_group, range(self.cfg.shards)):
+        for group in map(sharding.shard_group, range(self.cfg.shards)):
             if not self.replicas.knows_leader(group):
                 return f"no leader of {group}"
         return ""
@@ -197,7 +198,7 @@
         self.caller_address = self._web[0].address
         self.admin_address = self._web[1].address
 
-    def _on_replica(self, link: peers.PeerLink) -> None:
+    def _on_replica(self, link: links.PeerLink) -> None:
         if self._reports:
             link.send(self._batch(list(self._reports)))
 
@@ -266,11 +267,11 @@
             age_ms=[now - at for _, at in chosen],
         )
 
-    def _link_to(self, address: str) -> peers.PeerLink:
+    def _link_to(self, address: str) -> links.PeerLink:
         """Returns the stream to another entry, opened at its first use."""
         link = self._links.get(address)
         if link is None:
-            link = peers.PeerLink(
+            link = links.PeerLink(
                 address,
                 self._hello,
                 wire.BetweenEntries,
@@ -286,6 +287,6 @@
         if isinstance(message, messages.Chunk):
             self._relay.chunk(message)
 
-    def _on_peer_message(self, stream: peers.Stream, message: Any) -> None:
+    def _on_peer_message(self, stream: links.Stream, message: Any) -> None:
         if isinstance(message, messages.Dispatch):
             self.relayed.take(stream, message)
--- a/catkinpin/adapters/relays.py
+++ b/catkinpin/adapters/entry/relays.py
@@ -16,16 +16,18 @@
 import msgspec
 
 from catkinpin import chat, digest, metrics
-from catkinpin.adapters import outcomes, peers, streams
-from catkinpin.adapters.dispatch import Outgoing
-from catkinpin.core import histories, messages
+from catkinpin.adapters.entry import outcomes
+from catkinpin.adapters.entry.dispatch import Outgoing
+from catkinpin.adapters.peers import links, streams
+from catkinpin.core import messages
+from catkinpin.core.programs import texts
 from catkinpin.exceptions import PeerLostError
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from catkinpin.adapters.dispatch import Dispatcher
+    from catkinpin.adapters.entry.dispatch import Dispatcher
     from catkinpin.core.messages import Finish, Granted
 
 log = logging.getLogger(__name__)
@@ -62,7 +64,7 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
-        link_to: Callable[[str], peers.PeerLink],
+        link_to: Callable[[str], links.PeerLink],
     ) -> None:
         self._dispatcher = dispatcher
         self._link_to = link_to
@@ -121,7 +123,7 @@
 
     async def _ask(
         self,
-        link: peers.PeerLink,
+        link: links.PeerLink,
         grant: Granted,
         req: Outgoing,
         history: History,
@@ -131,7 +133,7 @@
         if history.known:
             body = chat.without_messages(body, history.known)
         message = messages.Dispatch(
-            ask=peers.next_ask(),
+            ask=links.next_ask(),
             grant=msgspec.structs.replace(grant, history=[]),
             kind=req.kind,
             method=req.method,
@@ -169,10 +171,10 @@
     ) -> None:
         self._dispatcher = dispatcher
         self._report = report
-        self._histories = histories.Histories(most_bytes)
+        self._histories = texts.Histories(most_bytes)
         self.running: set[asyncio.Task[None]] = set()
 
-    def take(self, stream: peers.Stream, message: messages.Dispatch) -> None:
+    def take(self, stream: links.Stream, message: messages.Dispatch) -> None:
         """Begins to dispatch a call for another entry."""
         body = message.body
         prompt: list[bytes] = []
@@ -215,7 +217,7 @@
 
     async def _dispatch(
         self,
-        stream: peers.Stream,
+        stream: links.Stream,
         message: messages.Dispatch,
         grant: Granted,
         req: Outgoing,
--- a/catkinpin/adapters/servicecalls.py
+++ b/catkinpin/adapters/entry/servicecalls.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import metrics
-from catkinpin.adapters import backends, outcomes
-from catkinpin.adapters.backends import AttemptFate
+from catkinpin.adapters.entry import backends, outcomes
+from catkinpin.adapters.entry.backends import AttemptFate
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.dispatch import Outgoing
+    from catkinpin.adapters.entry.dispatch import Outgoing
     from catkinpin.core.messages import Finish, Granted
 
 # Between two questions about an attempt whose connection has broken.
--- a/catkinpin/adapters/shards.py
+++ b/catkinpin/adapters/entry/shards.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters import peers, wire
+from catkinpin.adapters.peers import links, wire
 from catkinpin.core import messages
 from catkinpin.exceptions import NotLeaderError, PeerLostError
 
@@ -33,14 +33,14 @@
         addresses: list[str],
         hello: messages.Hello,
         on_message: Callable[[Any], None],
-        on_connected: Callable[[peers.PeerLink], None],
+        on_connected: Callable[[links.PeerLink], None],
     ) -> None:
         self._leaders: dict[str, messages.GroupLeader] = {}
-        self._asked: dict[int, tuple[str, peers.PeerLink]] = {}
+        self._asked: dict[int, tuple[str, links.PeerLink]] = {}
         self._on_message = on_message
-        self.links: dict[str, peers.PeerLink] = {}
+        self.links: dict[str, links.PeerLink] = {}
         for address in addresses:
-            self.links[address] = peers.PeerLink(
+            self.links[address] = links.PeerLink(
                 address, hello, wire.ToEntry, self._take, on_connected
             )
 
@@ -100,7 +100,7 @@
         if link is None:
             text = f"no leader of {group} is known"
             raise PeerLostError(text, sent=False)
-        ask = peers.next_ask()
+        ask = links.next_ask()
         self._asked[ask] = (group, link)
         try:
             reply = await link.ask(make(ask), left)
@@ -110,7 +110,7 @@
             raise NotLeaderError(reply.leader)
         return reply
 
-    def _leader(self, group: str) -> peers.PeerLink | None:
+    def _leader(self, group: str) -> links.PeerLink | None:
         known = self._leaders.get(group)
         return self.links.get(known.leader) if known is not None else None
 
--- a/catkinpin/adapters/gateway/answers.py
+++ b/catkinpin/adapters/gateway/answers.py
@@ -8,13 +8,13 @@
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.gateway.ports import HeaderCodec
+    from catkinpin.adapters.gateway.headers import HeaderCodec
     from catkinpin.adapters.gateway.view import View
     from catkinpin.adapters.gateway.work import Work
     from catkinpin.adapters.http.client import Head
     from catkinpin.adapters.http.server import Responder
     from catkinpin.clock import Clock
-    from catkinpin.core.calls import RouteCall
+    from catkinpin.core.requests.calls import RouteCall
 
 _MS = 1_000
 # Statuses that promise that the request has not run and never will.
--- a/catkinpin/adapters/gateway/parts.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -8,13 +8,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.adapters.gateway.ports import HeaderCodec
+    from catkinpin.adapters.gateway.headers import HeaderCodec
     from catkinpin.adapters.gateway.turns import Turns
     from catkinpin.adapters.gateway.view import View
     from catkinpin.adapters.http.client import Pool
     from catkinpin.clock import Clock
-    from catkinpin.core.balance import Balancer
-    from catkinpin.core.speeds import Speeds
+    from catkinpin.core.placement.balance import Balancer
+    from catkinpin.core.placement.speeds import Speeds
 
 
 @dataclasses.dataclass(frozen=True)
--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -13,8 +13,8 @@
     from catkinpin.adapters.gateway.turns import Turns
     from catkinpin.adapters.gateway.work import Work
     from catkinpin.adapters.http.server import Request
-    from catkinpin.core.balance import Choice
-    from catkinpin.core.calls import RouteCall
+    from catkinpin.core.placement.balance import Choice
+    from catkinpin.core.requests.calls import RouteCall
 
 _DIGEST_BYTES = 16
 
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -12,19 +12,19 @@
 
 from catkinpin import decisions, metrics
 from catkinpin.adapters.gateway.crashes import Crashes
-from catkinpin.adapters.gateway.ports import Sending
-from catkinpin.adapters.gateway.times import Times
+from catkinpin.adapters.gateway.headers import Sending
+from catkinpin.adapters.gateway.timings import Times
 from catkinpin.adapters.http.client import ANY_IDLE_S, Failure
-from catkinpin.core import urgency
+from catkinpin.core.placement import urgency
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.gateway.parts import Parts
+    from catkinpin.adapters.gateway.context import Parts
     from catkinpin.adapters.gateway.work import Work
     from catkinpin.adapters.http.client import Head, ServerConnection
     from catkinpin.adapters.http.headers import Headers
-    from catkinpin.core.balance import Choice
-    from catkinpin.core.calls import Load
+    from catkinpin.core.placement.balance import Choice
+    from catkinpin.core.requests.calls import Load
 
 _MS = 1_000
 # Servers that may refuse a request one after the other before we do.
--- a/catkinpin/adapters/gateway/ports.py
+++ b/catkinpin/adapters/gateway/headers.py
@@ -9,7 +9,7 @@
     from collections.abc import Callable
 
     from catkinpin.adapters.http.headers import Headers
-    from catkinpin.core.calls import AnswerFacts, RouteCall
+    from catkinpin.core.requests.calls import AnswerFacts, RouteCall
 
 
 @dataclasses.dataclass(frozen=True)
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -13,7 +13,7 @@
     from catkinpin.adapters.gateway.exchange import Exchange
     from catkinpin.adapters.gateway.work import Work
     from catkinpin.adapters.http.client import Head, ServerConnection
-    from catkinpin.core.balance import Choice
+    from catkinpin.core.placement.balance import Choice
 
 # The part of an idempotent request's time that its first server gets.
 _FIRST_PART = 0.4
--- a/catkinpin/gateway.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -9,23 +9,24 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import clock, decisions
-from catkinpin.adapters import keepers
-from catkinpin.adapters.gateway.parts import Parts
+from catkinpin.adapters.gateway.context import Parts
 from catkinpin.adapters.gateway.routefetch import RouteFetch
 from catkinpin.adapters.gateway.serving import Serving
 from catkinpin.adapters.gateway.turns import Turns
 from catkinpin.adapters.gateway.view import View
 from catkinpin.adapters.http.client import Pool
 from catkinpin.adapters.http.server import HttpServer, ServerLimits
-from catkinpin.adapters.telling import GATEWAY_ROLE
-from catkinpin.core import keeping, messages
-from catkinpin.core.balance import Balancer
-from catkinpin.core.speeds import Speeds
+from catkinpin.adapters.keeper.publisher import GATEWAY_ROLE
+from catkinpin.adapters.peers import keepers
+from catkinpin.core import messages
+from catkinpin.core.control import protocol
+from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.speeds import Speeds
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.gateway.ports import HeaderCodec
+    from catkinpin.adapters.gateway.headers import HeaderCodec
     from catkinpin.adapters.http.server import Request, Responder
-    from catkinpin.core.fleet import Instance
+    from catkinpin.core.control.servers import Instance
     from catkinpin.roles import GatewaySettings
 
 log = logging.getLogger(__name__)
@@ -154,7 +155,7 @@
 
     def _told(self, host: keepers.Host, message: Any) -> None:
         self.view.take(message)
-        if isinstance(message, keeping.RoutingNow):
+        if isinstance(message, protocol.RoutingNow):
             self._routes.announced(host, message)
 
     async def _answer_ready(
--- a/catkinpin/adapters/gateway/routefetch.py
+++ b/catkinpin/adapters/gateway/routefetch.py
@@ -6,12 +6,12 @@
 import logging
 from typing import TYPE_CHECKING
 
-from catkinpin.core import keeping, routes
+from catkinpin.core.control import protocol, routes
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.view import View
-    from catkinpin.adapters.keepers import Host, Keepers
+    from catkinpin.adapters.peers.keepers import Host, Keepers
 
 log = logging.getLogger(__name__)
 
@@ -38,7 +38,7 @@
         self._versions: dict[str, int] = {}
         self._news = asyncio.Event()
 
-    def announced(self, host: Host, message: keeping.RoutingNow) -> None:
+    def announced(self, host: Host, message: protocol.RoutingNow) -> None:
         """Takes what a keeper says of its version."""
         self._versions[host.link.address] = message.version
         if message.version > self._view.version:
@@ -59,7 +59,7 @@
         try:
             reply = await self._keepers.ask(
                 host,
-                lambda ask: keeping.AskCurrent(ask=ask, from_leader=False),
+                lambda ask: protocol.AskCurrent(ask=ask, from_leader=False),
                 _FETCH_S,
             )
         except PeerLostError as exc:
--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -12,14 +12,14 @@
 from catkinpin.adapters.gateway.plain import Plain
 from catkinpin.adapters.gateway.streaming import Streaming
 from catkinpin.adapters.gateway.work import Work
-from catkinpin.core import routes
-from catkinpin.core.routes import RouteKind
+from catkinpin.core.control import routes
+from catkinpin.core.control.routes import RouteKind
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.gateway.parts import Parts
+    from catkinpin.adapters.gateway.context import Parts
     from catkinpin.adapters.http.server import Request, Responder
-    from catkinpin.core.calls import RouteCall
-    from catkinpin.core.routes import Route, Service
+    from catkinpin.core.control.routes import Route, Service
+    from catkinpin.core.requests.calls import RouteCall
 
 _MS = 1_000
 # When to come back, in s: to another gateway at once, to one that has just
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -9,19 +9,19 @@
 
 from catkinpin.adapters.gateway.turns import Ran, Started, Unknown
 from catkinpin.adapters.http.client import Failure
-from catkinpin.core import urgency
-from catkinpin.core.events import EventReader
-from catkinpin.core.ledger import Denial
+from catkinpin.core.control.ledger import Denial
+from catkinpin.core.placement import urgency
+from catkinpin.core.requests.events import EventReader
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.answers import Answers
+    from catkinpin.adapters.gateway.context import Parts
     from catkinpin.adapters.gateway.exchange import Exchange
-    from catkinpin.adapters.gateway.parts import Parts
     from catkinpin.adapters.gateway.plain import Plain
     from catkinpin.adapters.gateway.work import Work
     from catkinpin.adapters.http.client import Head, ServerConnection
-    from catkinpin.core.balance import Choice
+    from catkinpin.core.placement.balance import Choice
 
 _MS = 1_000
 # A resumable stream that is silent for so many of the route's target
--- a/catkinpin/adapters/gateway/times.py
+++ b/catkinpin/adapters/gateway/timings.py
@@ -5,11 +5,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core.speeds import Streamed
+from catkinpin.core.placement.speeds import Streamed
 
 if TYPE_CHECKING:
-    from catkinpin.core.balance import Choice
-    from catkinpin.core.calls import Load, RouteCall
+    from catkinpin.core.placement.balance import Choice
+    from catkinpin.core.requests.calls import Load, RouteCall
 
 _MS = 1_000
 
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -10,18 +10,18 @@
 
 from catkinpin import decisions
 from catkinpin.adapters.tasks import Tasks
-from catkinpin.core import copies, keeping
-from catkinpin.core.ledger import Begin, Denial, Finish
+from catkinpin.core.control import copies, protocol
+from catkinpin.core.control.ledger import Begin, Denial, Finish
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from catkinpin.adapters.keepers import Host, Keepers
-    from catkinpin.core.calls import RouteCall
-    from catkinpin.core.ledger import Link
-    from catkinpin.core.routes import Route
-    from catkinpin.core.urgency import Standing
+    from catkinpin.adapters.peers.keepers import Host, Keepers
+    from catkinpin.core.control.ledger import Link
+    from catkinpin.core.control.routes import Route
+    from catkinpin.core.placement.urgency import Standing
+    from catkinpin.core.requests.calls import RouteCall
 
 log = logging.getLogger(__name__)
 
@@ -157,7 +157,7 @@
         )
         try:
             began = await self._keepers.ask_leader(
-                lambda ask: keeping.AskBegin(ask=ask, begin=begin), wait_s
+                lambda ask: protocol.AskBegin(ask=ask, begin=begin), wait_s
             )
         except PeerLostError as exc:
             # It may have reserved; what is never settled counts for ever.
@@ -190,7 +190,7 @@
         )
         try:
             await self._keepers.ask_leader(
-                lambda ask: keeping.AskFinish(ask=ask, finish=finish), _STORE_S
+                lambda ask: protocol.AskFinish(ask=ask, finish=finish), _STORE_S
             )
         except PeerLostError as exc:
             return str(exc)
@@ -216,7 +216,7 @@
         """Tells the leader that a server crashed while it ran a request."""
         try:
             await self._keepers.ask_leader(
-                lambda ask: keeping.AskStruck(
+                lambda ask: protocol.AskStruck(
                     ask=ask, content=content, server=server
                 ),
                 _STORE_S,
@@ -227,7 +227,8 @@
     async def _settle(self, finish: Finish) -> None:
         try:
             await self._keepers.ask_leader(
-                lambda ask: keeping.AskFinish(ask=ask, finish=finish), _SETTLE_S
+                lambda ask: protocol.AskFinish(ask=ask, finish=finish),
+                _SETTLE_S,
             )
         except PeerLostError as exc:
             decisions.note(
@@ -287,7 +288,7 @@
         try:
             got = await self._keepers.ask(
                 host,
-                lambda ask: keeping.Get(ask=ask, attempts=attempts),
+                lambda ask: protocol.Get(ask=ask, attempts=attempts),
                 _FETCH_S,
             )
         except PeerLostError as exc:
@@ -353,13 +354,13 @@
         try:
             reply = await self._keepers.ask(
                 host,
-                lambda ask: keeping.Put(ask=ask, attempt=attempt, data=data),
+                lambda ask: protocol.Put(ask=ask, attempt=attempt, data=data),
                 _STORE_S,
             )
         except PeerLostError as exc:
             log.info("turn not stored: %s", exc)
             return ""
-        return node if isinstance(reply, keeping.Done) else ""
+        return node if isinstance(reply, protocol.Done) else ""
 
     def _candidates(self) -> list[Host]:
         """Returns the hosts to store at, the best first."""
--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -7,16 +7,16 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import decisions
-from catkinpin.core import keeping
-from catkinpin.core.fleet import Fleet, ServerState
-from catkinpin.core.routes import RouteTable
+from catkinpin.core.control import protocol
+from catkinpin.core.control.routes import RouteTable
+from catkinpin.core.control.servers import Fleet, ServerState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from catkinpin.clock import Clock
-    from catkinpin.core.fleet import Instance
-    from catkinpin.core.routes import Routing
+    from catkinpin.core.control.routes import Routing
+    from catkinpin.core.control.servers import Instance
 
 _MS = 1_000
 # Keepers that were restarted together have a leader 0.4 s after the last one
@@ -94,14 +94,14 @@
     def take(self, message: Any) -> None:
         """Takes what a keeper says."""
         match message:
-            case keeping.RoutingNow():
+            case protocol.RoutingNow():
                 self._take_routing(message)
-            case keeping.FleetNow():
+            case protocol.FleetNow():
                 self._take_fleet(message)
-            case keeping.QuarantineNow():
+            case protocol.QuarantineNow():
                 self.quarantined.update(message.contents)
 
-    def _take_routing(self, message: keeping.RoutingNow) -> None:
+    def _take_routing(self, message: protocol.RoutingNow) -> None:
         if message.is_current:
             self._current = max(self._current, message.version)
             self._settle()
@@ -130,7 +130,7 @@
         if 0 <= self._current <= self.version:
             self._known.set()
 
-    def _take_fleet(self, message: keeping.FleetNow) -> None:
+    def _take_fleet(self, message: protocol.FleetNow) -> None:
         for told in message.instances:
             for changed in self.fleet.apply(told):
                 self._note(changed)
--- a/catkinpin/adapters/gateway/work.py
+++ b/catkinpin/adapters/gateway/work.py
@@ -6,16 +6,16 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.adapters.gateway.times import Times
-from catkinpin.core.routes import RouteKind
-from catkinpin.core.urgency import USUAL, Standing
+from catkinpin.adapters.gateway.timings import Times
+from catkinpin.core.control.routes import RouteKind
+from catkinpin.core.placement.urgency import USUAL, Standing
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
     from catkinpin.adapters.http.server import Request, Responder
-    from catkinpin.core.balance import Choice
-    from catkinpin.core.calls import RouteCall
-    from catkinpin.core.routes import Route, Service
+    from catkinpin.core.control.routes import Route, Service
+    from catkinpin.core.placement.balance import Choice
+    from catkinpin.core.requests.calls import RouteCall
 
 _MS = 1_000
 
--- /dev/null
+++ b/catkinpin/adapters/keeper/__init__.py
@@ -0,0 +1,1 @@
+"""The keeper process: the control group and what it publishes."""
--- a/catkinpin/keeper.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -10,31 +10,25 @@
 from msgspec import structs
 
 from catkinpin import clock, decisions, exits
-from catkinpin.adapters import (
-    holding,
-    keeperhost,
-    keepers,
-    mesh,
-    node,
-    peers,
-    replicas,
-    telling,
-)
-from catkinpin.adapters.founding import Joining
+from catkinpin.adapters.disk.turnbytes import TurnBytes
 from catkinpin.adapters.http.server import HttpServer
-from catkinpin.adapters.keeperhost import NotLeading
+from catkinpin.adapters.keeper import host, publisher, repair
+from catkinpin.adapters.keeper.host import NotLeading
+from catkinpin.adapters.peers import keepers, links
+from catkinpin.adapters.replica import mesh, node, transport
+from catkinpin.adapters.replica.founding import Joining
+from catkinpin.adapters.store.turnserver import TurnHost
 from catkinpin.adapters.tasks import Tasks
-from catkinpin.adapters.turnbytes import TurnBytes
-from catkinpin.adapters.turnhost import TurnHost
-from catkinpin.core import keeping, messages, routes
+from catkinpin.core import messages
 from catkinpin.core.consensus.state import Timing
+from catkinpin.core.control import protocol, routes
 from catkinpin.exceptions import PeerLostError, StorageError
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.groups import Group
-    from catkinpin.core.fleet import Instance
-    from catkinpin.core.routes import Routing
-    from catkinpin.processes import ControlHandler
+    from catkinpin.adapters.replica.groups import Group
+    from catkinpin.adapters.running import ControlHandler
+    from catkinpin.core.control.routes import Routing
+    from catkinpin.core.control.servers import Instance
     from catkinpin.roles import KeeperSettings
 
 log = logging.getLogger(__name__)
@@ -87,7 +81,7 @@
             on_full_disk=_note_full_disk,
         )
         self.bytes = TurnBytes(cfg.data_folder / "turns")
-        self.host = keeperhost.KeeperHost(
+        self.host = host.KeeperHost(
             self.clock,
             self.incarnation,
             cfg.silent_server_ms,
@@ -98,8 +92,8 @@
         )
         self.host.group = self.node.add_group(_GROUP, self.host)
         self.others = keepers.Keepers(self._hello(ROLE))
-        self._peers = peers.PeerServer(
-            keeping.ToKeeper | replicas.ReplicaMessage,
+        self._peers = links.PeerServer(
+            protocol.ToKeeper | transport.ReplicaMessage,
             self._on_message,
             lambda _: None,
             link="from-keeper",
@@ -107,8 +101,10 @@
         self._http = HttpServer(control(self))
         self._tasks = Tasks()
         self._turns = TurnHost(self.bytes, self.others, exits.stop_at_once)
-        self._telling = telling.Telling(cfg, self.node, self.host, self._peers)
-        self._holding = holding.Holding(
+        self._telling = publisher.Telling(
+            cfg, self.node, self.host, self._peers
+        )
+        self._holding = repair.Holding(
             cfg,
             self.node.identity,
             self.clock,
@@ -173,7 +169,7 @@
             return ""
         try:
             await self.others.ask_leader(
-                lambda ask: keeping.AskAnnounce(ask=ask, instance=instance),
+                lambda ask: protocol.AskAnnounce(ask=ask, instance=instance),
                 _COMMIT_S,
             )
         except PeerLostError as exc:
@@ -188,7 +184,7 @@
         if out is not None:
             try:
                 await self.others.ask_leader(
-                    lambda ask: keeping.AskRouting(ask=ask, routing=routing),
+                    lambda ask: protocol.AskRouting(ask=ask, routing=routing),
                     _COMMIT_S,
                 )
             except PeerLostError as exc:
@@ -208,7 +204,7 @@
         if not self.host.may_decide():
             try:
                 reply = await self.others.ask_leader(
-                    lambda ask: keeping.AskCurrent(ask=ask), _COMMIT_S
+                    lambda ask: protocol.AskCurrent(ask=ask), _COMMIT_S
                 )
             except PeerLostError as exc:
                 return NotLeading(str(exc))
@@ -222,7 +218,7 @@
 
     # Messages.
 
-    def _on_message(self, stream: peers.Stream, message: Any) -> None:
+    def _on_message(self, stream: links.Stream, message: Any) -> None:
         if stream.hello is None:
             return
         if stream.hello.role == mesh.ROLE:
@@ -236,43 +232,43 @@
             return
         self._tasks.spawn(self._answer(stream, message))
 
-    async def _answer(self, stream: peers.Stream, message: Any) -> None:
+    async def _answer(self, stream: links.Stream, message: Any) -> None:
         try:
             match message:
-                case keeping.AskBegin():
+                case protocol.AskBegin():
                     await self._begin(stream, message)
-                case keeping.AskFinish():
+                case protocol.AskFinish():
                     await self._finish(stream, message)
-                case keeping.AskRouting():
+                case protocol.AskRouting():
                     routing = message.routing
                     done = await self.host.set_routing(routing, _COMMIT_S)
                     self._reply(stream, message.ask, done)
-                case keeping.AskAnnounce():
+                case protocol.AskAnnounce():
                     instance = message.instance
                     done = await self.host.announce(instance, _COMMIT_S)
                     self._reply(stream, message.ask, done)
-                case keeping.AskCurrent():
+                case protocol.AskCurrent():
                     self._tell_current(stream, message)
-                case keeping.AskRegister():
+                case protocol.AskRegister():
                     await self._register(stream, message)
-                case keeping.AskStruck():
+                case protocol.AskStruck():
                     done = await self.host.struck(
                         message.content, message.server, _COMMIT_S
                     )
                     self._reply(stream, message.ask, done)
-                case keeping.AskRetire():
+                case protocol.AskRetire():
                     await self._answer_retire(stream, message)
-                case keeping.Put():
+                case protocol.Put():
                     self._turns.put(stream, message)
-                case keeping.Get():
+                case protocol.Get():
                     self._turns.get(stream, message)
-                case keeping.Adopt():
+                case protocol.Adopt():
                     await self._turns.adopt(stream, message)
         except StorageError as exc:
             exits.stop_at_once(exc)
 
     async def _begin(
-        self, stream: peers.Stream, message: keeping.AskBegin
+        self, stream: links.Stream, message: protocol.AskBegin
     ) -> None:
         out = await self.host.propose(
             structs.replace(message.begin, at_ms=self.host.log_ms()), _COMMIT_S
@@ -281,7 +277,7 @@
             self._reply(stream, message.ask, out)
             return
         stream.send(
-            keeping.Began(
+            protocol.Began(
                 ask=message.ask,
                 denial=out.denial,
                 chain=out.chain,
@@ -291,7 +287,7 @@
         )
 
     async def _register(
-        self, stream: peers.Stream, message: keeping.AskRegister
+        self, stream: links.Stream, message: protocol.AskRegister
     ) -> None:
         out = await self._holding.register(message.store)
         if out is True:
@@ -300,7 +296,7 @@
         self._reply(stream, message.ask, failed)
 
     async def _answer_retire(
-        self, stream: peers.Stream, message: keeping.AskRetire
+        self, stream: links.Stream, message: protocol.AskRetire
     ) -> None:
         if not self.host.may_decide():
             self._reply(stream, message.ask, NotLeading("not the leader"))
@@ -312,7 +308,7 @@
             stream.send(structs.replace(out, ask=message.ask))
 
     async def _finish(
-        self, stream: peers.Stream, message: keeping.AskFinish
+        self, stream: links.Stream, message: protocol.AskFinish
     ) -> None:
         out = await self.host.propose(
             structs.replace(message.finish, at_ms=self.host.log_ms()), _COMMIT_S
@@ -321,22 +317,22 @@
         self._reply(stream, message.ask, failed)
 
     def _tell_current(
-        self, stream: peers.Stream, message: keeping.AskCurrent
+        self, stream: links.Stream, message: protocol.AskCurrent
     ) -> None:
         if message.from_leader and not self.host.may_decide():
             self._reply(stream, message.ask, NotLeading("not the leader"))
             return
         routing = self.host.state.routing
-        stream.send(keeping.Current(ask=message.ask, routing=routing))
+        stream.send(protocol.Current(ask=message.ask, routing=routing))
 
     def _reply(
-        self, stream: peers.Stream, ask: int, failed: NotLeading | None
+        self, stream: links.Stream, ask: int, failed: NotLeading | None
     ) -> None:
         if failed is None:
-            stream.send(keeping.Done(ask=ask))
+            stream.send(protocol.Done(ask=ask))
             return
         stream.send(
-            keeping.Refused(
+            protocol.Refused(
                 ask=ask, reason=failed.reason, leader=self.host.group.leader
             )
         )
@@ -345,13 +341,13 @@
 
     async def retire(
         self, name: str, *, begin: bool
-    ) -> keeping.Retirement | NotLeading:
+    ) -> protocol.Retirement | NotLeading:
         """Has a store emptied, or tells how far that is."""
         if self.host.may_decide():
             return await self._retire(name, begin=begin)
         try:
-            reply: keeping.Retirement = await self.others.ask_leader(
-                lambda ask: keeping.AskRetire(ask=ask, name=name, begin=begin),
+            reply: protocol.Retirement = await self.others.ask_leader(
+                lambda ask: protocol.AskRetire(ask=ask, name=name, begin=begin),
                 _COMMIT_S,
             )
         except PeerLostError as exc:
@@ -360,7 +356,7 @@
 
     async def _retire(
         self, name: str, *, begin: bool
-    ) -> keeping.Retirement | NotLeading:
+    ) -> protocol.Retirement | NotLeading:
         out = await self._holding.retire(name, begin=begin)
         if begin:
             self._telling.info()
--- a/catkinpin/adapters/telling.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters import mesh
-from catkinpin.core import keeping
+from catkinpin.adapters.replica import mesh
+from catkinpin.core.control import protocol
 
 if TYPE_CHECKING:
-    from catkinpin.adapters import node, peers
-    from catkinpin.adapters.keeperhost import KeeperHost
-    from catkinpin.core.fleet import Instance
+    from catkinpin.adapters.keeper.host import KeeperHost
+    from catkinpin.adapters.peers import links
+    from catkinpin.adapters.replica import node
+    from catkinpin.core.control.servers import Instance
     from catkinpin.roles import KeeperSettings
 
 GATEWAY_ROLE = "gateway"
@@ -32,7 +33,7 @@
         cfg: KeeperSettings,
         replica: node.Node,
         host: KeeperHost,
-        server: peers.PeerServer,
+        server: links.PeerServer,
     ) -> None:
         self._cfg = cfg
         self._node = replica
@@ -54,20 +55,20 @@
     def fleet(self, instances: list[Instance]) -> None:
         """Tells gateways of servers that changed."""
         index = self._host.state.index
-        changed = keeping.FleetNow(
+        changed = protocol.FleetNow(
             index=index, instances=instances, whole=False
         )
         self._tell(changed, GATEWAY_ROLE)
 
     def condemned(self, contents: list[str]) -> None:
         """Tells gateways of contents that no server may get."""
-        self._tell(keeping.QuarantineNow(contents=contents), GATEWAY_ROLE)
+        self._tell(protocol.QuarantineNow(contents=contents), GATEWAY_ROLE)
 
     def expired(self, attempts: list[str]) -> None:
         """Tells stores of turns whose bytes are needed no more."""
-        self._tell(keeping.Expired(attempts=attempts), STORE_ROLE)
+        self._tell(protocol.Expired(attempts=attempts), STORE_ROLE)
 
-    def welcome(self, stream: peers.Stream) -> None:
+    def welcome(self, stream: links.Stream) -> None:
         """Tells one that has just connected all that it needs."""
         stream.send(self._info())
         if stream.hello is None or stream.hello.role != GATEWAY_ROLE:
@@ -75,25 +76,25 @@
         stream.send(self._routing_now())
         servers = list(self._host.state.fleet.servers.values())
         stream.send(
-            keeping.FleetNow(
+            protocol.FleetNow(
                 index=self._host.state.index, instances=servers, whole=True
             )
         )
         contents = list(self._host.state.condemned)
-        stream.send(keeping.QuarantineNow(contents=contents))
+        stream.send(protocol.QuarantineNow(contents=contents))
 
     def gateways(self) -> int:
         """Returns how many gateways are connected."""
         hellos = [stream.hello for stream in self._server.streams]
         return sum(h is not None and h.role == GATEWAY_ROLE for h in hellos)
 
-    def _info(self) -> keeping.HostInfo:
+    def _info(self) -> protocol.HostInfo:
         group = self._host.group
         known = {member.address for member in group.members.members}
         known |= set(self._node.known_addresses())
         stores = self._host.state.stores.by_node.values()
         known |= {store.address for store in stores}
-        return keeping.HostInfo(
+        return protocol.HostInfo(
             node=self._node.identity,
             address=self._cfg.peer_listen,
             domain=self._cfg.failure_domain,
@@ -105,8 +106,8 @@
             gateways=self.gateways(),
         )
 
-    def _routing_now(self) -> keeping.RoutingNow:
-        return keeping.RoutingNow(
+    def _routing_now(self) -> protocol.RoutingNow:
+        return protocol.RoutingNow(
             version=self._host.state.version,
             is_current=self._host.group.is_current(),
         )
--- a/catkinpin/adapters/holding.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -11,19 +11,19 @@
 from msgspec import structs
 
 from catkinpin import decisions
-from catkinpin.adapters.keeperhost import NotLeading
-from catkinpin.adapters.turnhost import COPY_S
-from catkinpin.core import copies, keeping
-from catkinpin.core.ledger import Moved
-from catkinpin.core.stores import Register, Retire
+from catkinpin.adapters.keeper.host import NotLeading
+from catkinpin.adapters.store.turnserver import COPY_S
+from catkinpin.core.control import copies, protocol
+from catkinpin.core.control.ledger import Moved
+from catkinpin.core.control.stores import Register, Retire
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.keeperhost import KeeperHost
-    from catkinpin.adapters.keepers import Keepers
-    from catkinpin.adapters.turnhost import TurnHost
+    from catkinpin.adapters.keeper.host import KeeperHost
+    from catkinpin.adapters.peers.keepers import Keepers
+    from catkinpin.adapters.store.turnserver import TurnHost
     from catkinpin.clock import Clock
-    from catkinpin.core.stores import Store
+    from catkinpin.core.control.stores import Store
     from catkinpin.roles import KeeperSettings
 
 log = logging.getLogger(__name__)
@@ -44,7 +44,7 @@
 
     def send(self, reply: Any) -> None:
         """Notes whether the work was done."""
-        self.done = isinstance(reply, keeping.Done)
+        self.done = isinstance(reply, protocol.Done)
 
 
 class Holding:
@@ -98,7 +98,7 @@
 
     async def retire(
         self, name: str, *, begin: bool
-    ) -> keeping.Retirement | NotLeading:
+    ) -> protocol.Retirement | NotLeading:
         """Has a store emptied, or tells how far that is; only the leader."""
         stores = self._host.state.stores
         store = stores.find(name)
@@ -180,7 +180,7 @@
         return counted
 
     async def _copy(self, copy: copies.Copy) -> None:
-        adopt = keeping.Adopt(
+        adopt = protocol.Adopt(
             ask=0, attempts=copy.attempts, source=copy.source.address
         )
         if copy.target.node == self._node:
@@ -203,7 +203,7 @@
         )
 
     async def _have_copied(
-        self, copy: copies.Copy, adopt: keeping.Adopt
+        self, copy: copies.Copy, adopt: protocol.Adopt
     ) -> bool:
         target = self._others.by_node(copy.target.node)
         if target is None:
@@ -215,12 +215,12 @@
         except PeerLostError as exc:
             log.info("copy failed: %s", exc)
             return False
-        return isinstance(reply, keeping.Done)
+        return isinstance(reply, protocol.Done)
 
 
 def _retirement(
     *, is_known: bool = True, too_few: bool = False, is_empty: bool = False
-) -> keeping.Retirement:
-    return keeping.Retirement(
+) -> protocol.Retirement:
+    return protocol.Retirement(
         ask=0, is_known=is_known, too_few=too_few, is_empty=is_empty
     )
--- /dev/null
+++ b/catkinpin/adapters/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of messages between our own processes."""
--- a/catkinpin/adapters/keepers.py
+++ b/catkinpin/adapters/peers/keepers.py
@@ -9,8 +9,8 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters import peers
-from catkinpin.core import keeping
+from catkinpin.adapters.peers import links
+from catkinpin.core.control import protocol
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
@@ -40,8 +40,8 @@
         asks: numbers of asks under way that only a leader answers.
     """
 
-    link: peers.PeerLink
-    info: keeping.HostInfo | None = None
+    link: links.PeerLink
+    info: protocol.HostInfo | None = None
     seen_s: float = 0.0
     asks: set[int] = dataclasses.field(default_factory=set)
 
@@ -76,10 +76,10 @@
         for address in addresses:
             if address in self._hosts or address == self._hello.address:
                 continue
-            link = peers.PeerLink(
+            link = links.PeerLink(
                 address,
                 self._hello,
-                keeping.FromKeeper,
+                protocol.FromKeeper,
                 functools.partial(self._take, address),
                 link="to-keeper",
             )
@@ -148,7 +148,7 @@
         Raises:
             PeerLostError: no reply came; the keeper may or may not have acted.
         """
-        return await host.link.ask(make(peers.next_ask()), wait_s)
+        return await host.link.ask(make(links.next_ask()), wait_s)
 
     async def ask_leader(
         self, make: Callable[[int], Any], wait_s: float
@@ -173,7 +173,7 @@
                 except PeerLostError as exc:
                     why = str(exc)
                 else:
-                    if not isinstance(reply, keeping.Refused):
+                    if not isinstance(reply, protocol.Refused):
                         return reply
                     why = reply.reason
             await asyncio.sleep(_AGAIN_S)
@@ -188,7 +188,7 @@
         next one tells. Waiting on would cost each turn that was under way the
         rest of one ask's time on top of the election.
         """
-        number = peers.next_ask()
+        number = links.next_ask()
         host.asks.add(number)
         try:
             return await host.link.ask(make(number), wait_s)
@@ -206,7 +206,7 @@
         host = self._hosts.get(address)
         if host is None:
             return
-        if isinstance(message, keeping.HostInfo):
+        if isinstance(message, protocol.HostInfo):
             host.info = message
             self.add(message.known)
             if message.term >= self._term and message.leader:
--- a/catkinpin/adapters/peers.py
+++ b/catkinpin/adapters/peers/links.py
@@ -21,8 +21,8 @@
 import msgspec
 
 from catkinpin import codec
-from catkinpin.adapters import streams
-from catkinpin.adapters.streams import Stream as Stream
+from catkinpin.adapters.peers import streams
+from catkinpin.adapters.peers.streams import Stream as Stream
 from catkinpin.core import messages
 from catkinpin.exceptions import PeerLostError
 
--- a/catkinpin/adapters/wire.py
+++ b/catkinpin/adapters/peers/wire.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from catkinpin.adapters import replicas
-from catkinpin.core import changes, decisions, messages
+from catkinpin.adapters.replica import transport
+from catkinpin.core import messages
+from catkinpin.core.operations import changes
+from catkinpin.core.programs import explanations
 
 ToReplica = (
     messages.Hello
@@ -12,12 +14,12 @@
     | messages.Finish
     | messages.GetProgram
     | messages.EndProgram
-    | decisions.Explain
+    | explanations.Explain
     | messages.ReleaseDone
     | messages.Reports
     | messages.CacheEvents
     | changes.FromProcess
-    | replicas.ReplicaMessage
+    | transport.ReplicaMessage
 )
 ToEntry = (
     messages.Ping
@@ -27,7 +29,7 @@
     | messages.Refused
     | messages.NotLeader
     | messages.ProgramInfo
-    | decisions.Explained
+    | explanations.Explained
     | messages.Recall
     | messages.Recover
     | messages.OrderRelease
--- /dev/null
+++ b/catkinpin/adapters/replica/__init__.py
@@ -0,0 +1,1 @@
+"""The replica process: log groups, their members and hosts."""
--- a/catkinpin/adapters/controlhost.py
+++ b/catkinpin/adapters/replica/controlhost.py
@@ -7,23 +7,23 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import codec
-from catkinpin.core import (
+from catkinpin.core import messages
+from catkinpin.core.operations import (
     changes,
     control,
-    controlleader,
-    controlsnapshot,
-    messages,
+    leader,
     plans,
-    routing,
+    snapshot,
     usage,
 )
+from catkinpin.core.programs import sharding
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from catkinpin.adapters import peers
-    from catkinpin.replica import Replica
+    from catkinpin.adapters.peers import links
+    from catkinpin.adapters.replica.process import Replica
 
 log = logging.getLogger(__name__)
 
@@ -38,10 +38,10 @@
         self._replica = replica
         self._reported: dict[str, changes.ServerFacts] = {}
         self.state = control.Control()
-        self.leader: controlleader.ControlLeader | None = None
-        self.group = replica.node.add_group(routing.CONTROL_GROUP, self)
+        self.leader: leader.ControlLeader | None = None
+        self.group = replica.node.add_group(sharding.CONTROL_GROUP, self)
 
-    def handle(self, stream: peers.Stream, message: Any) -> None:
+    def handle(self, stream: links.Stream, message: Any) -> None:
         """Takes a process's message for the control group."""
         if self.leader is None or not self.group.is_leader():
             stream.send(
@@ -78,7 +78,7 @@
             if self.state.servers.get(report.server) != facts:
                 self._reported[report.server] = facts
 
-    def disconnected(self, stream: peers.Stream) -> None:
+    def disconnected(self, stream: links.Stream) -> None:
         """Notes that a process has no stream to here any more."""
         if self.leader is not None and stream.hello is not None:
             self.leader.connected.pop(stream.hello.incarnation, None)
@@ -126,18 +126,16 @@
         self.leader = None
         if leading:
             now = self._replica.clock.now_ms()
-            self.leader = controlleader.ControlLeader(
-                self.state, now, self._look
-            )
+            self.leader = leader.ControlLeader(self.state, now, self._look)
 
     def snapshot(self) -> bytes:
         """Returns the state."""
-        return controlsnapshot.save(self.state)
+        return snapshot.save(self.state)
 
     def restore(self, data: bytes) -> None:
         """Replaces the state by a snapshot."""
         before = self.state.revision
-        self.state = controlsnapshot.load(data)
+        self.state = snapshot.load(data)
         if self.state.revision != before:
             self._replica.configuration_changed(self.state.cfg)
 
@@ -145,12 +143,12 @@
         """Returns the log indexes whose records are still read: none."""
         return []
 
-    def _run(self, commands: list[controlleader.Command]) -> None:
+    def _run(self, commands: list[leader.Command]) -> None:
         for command in commands:
             match command:
-                case controlleader.Propose():
+                case leader.Propose():
                     self.group.propose(codec.encode(command.record))
-                case controlleader.Send():
+                case leader.Send():
                     self._replica.send_to(command.to, command.message)
 
     def _look(self) -> plans.Facts:
@@ -172,7 +170,7 @@
         )
 
 
-def process_info(stream: peers.Stream) -> changes.ProcessInfo:
+def process_info(stream: links.Stream) -> changes.ProcessInfo:
     """Returns the process at the other end of a stream."""
     hello = stream.hello
     assert hello is not None
--- a/catkinpin/adapters/founding.py
+++ b/catkinpin/adapters/replica/founding.py
@@ -6,14 +6,14 @@
 import logging
 from typing import TYPE_CHECKING
 
-from catkinpin.adapters import replicas
+from catkinpin.adapters.replica import transport
 from catkinpin.core.consensus.messages import Member, Members
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.adapters.identity import Identity
-    from catkinpin.adapters.mesh import Mesh
+    from catkinpin.adapters.replica.identity import Identity
+    from catkinpin.adapters.replica.mesh import Mesh
 
 log = logging.getLogger(__name__)
 
@@ -72,7 +72,7 @@
             self._founders = [a for a in joining.seeds if a != address]
         else:
             self._founders = list(mesh.addresses)
-        self._infos: dict[str, replicas.NodeInfo] = {}
+        self._infos: dict[str, transport.NodeInfo] = {}
         self._repair_asked = False
 
     def start(self) -> None:
@@ -93,22 +93,22 @@
         if not self._identity.belongs:
             self._mesh.broadcast(self.info())
 
-    def info(self) -> replicas.NodeInfo:
+    def info(self) -> transport.NodeInfo:
         """Returns who this replica is."""
-        return replicas.NodeInfo(
+        return transport.NodeInfo(
             node=self._identity.node,
             address=self._address,
             founded=self._identity.belongs,
             known=list(self._mesh.addresses),
         )
 
-    def heard(self, info: replicas.NodeInfo) -> None:
+    def heard(self, info: transport.NodeInfo) -> None:
         """Takes what another replica says of itself."""
         self._infos[info.address] = info
         founders = self._identity.founders
         if founders is not None and founders.find(info.node) is not None:
             if not info.founded:
-                found = replicas.Found(members=founders)
+                found = transport.Found(members=founders)
                 self._mesh.send(info.node, found)
         elif not self._identity.belongs:
             if self._repair_asked:
@@ -159,10 +159,10 @@
             others = [self._infos[a] for a in self._founders]
             self._take_part(self._members(others))
             assert self._identity.founders is not None
-            found = replicas.Found(members=self._identity.founders)
+            found = transport.Found(members=self._identity.founders)
             self._mesh.broadcast(found)
 
-    def _members(self, others: list[replicas.NodeInfo]) -> Members:
+    def _members(self, others: list[transport.NodeInfo]) -> Members:
         us = Member(node=self._identity.node, address=self._address)
         rest = [Member(node=i.node, address=i.address) for i in others]
         return Members(members=[us, *rest])
--- a/catkinpin/adapters/groups.py
+++ b/catkinpin/adapters/replica/groups.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from catkinpin import metrics
-from catkinpin.adapters import fetching, replicas, snapshots
+from catkinpin.adapters.disk import snapshots
+from catkinpin.adapters.replica import transfers, transport
 from catkinpin.core.consensus import commands, core, messages
 from catkinpin.core.consensus.messages import Kind, Members
 from catkinpin.exceptions import StorageError
@@ -17,8 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from catkinpin.adapters.grouplog import GroupLog
-    from catkinpin.adapters.node import Node
+    from catkinpin.adapters.disk.grouplog import GroupLog
+    from catkinpin.adapters.replica.node import Node
     from catkinpin.core.consensus.messages import Entry
 
 log = logging.getLogger(__name__)
@@ -71,7 +72,7 @@
         self._elected = False
         self._leading = False
         self._wrote = False
-        self._fetch: fetching.Fetch | None = None
+        self._fetch: transfers.Fetch | None = None
         self._restoring: snapshots.Snapshot | None = None
 
     @property
@@ -162,19 +163,19 @@
             return
         now_ms = self._node.now_ms()
         match message:
-            case replicas.Routed():
+            case transport.Routed():
                 self._core.step(message.sender, message.body, now_ms)
-            case replicas.SnapshotPull():
-                reply = fetching.part(self.log, self._node.identity, message)
+            case transport.SnapshotPull():
+                reply = transfers.part(self.log, self._node.identity, message)
                 self._node.send(message.sender, reply)
-            case replicas.RecordsPull():
-                records = fetching.records(
+            case transport.RecordsPull():
+                records = transfers.records(
                     self.log, self._node.identity, message
                 )
                 self._node.send(message.sender, records)
-            case replicas.SnapshotPart() if self._fetch is not None:
+            case transport.SnapshotPart() if self._fetch is not None:
                 self._fetched(self._fetch, self._fetch.part(message), now_ms)
-            case replicas.Records() if self._fetch is not None:
+            case transport.Records() if self._fetch is not None:
                 held = self._fetch.records(message.entries)
                 self._fetched(self._fetch, held, now_ms)
         self._node.wake(self)
@@ -233,7 +234,7 @@
         self._node.wake(self)
         return begun
 
-    def add_learner(self, join: replicas.Join) -> None:
+    def add_learner(self, join: transport.Join) -> None:
         """Adds a replica that replaces a lost one, where we lead."""
         if self._core is not None:
             self._core.add_learner(join.node, join.address, self._node.now_ms())
@@ -335,7 +336,7 @@
             self._machine.leadership(self._leading)
 
     def _send(self, to: str, body: messages.GroupMessage) -> None:
-        routed = replicas.Routed(
+        routed = transport.Routed(
             group=self.name, sender=self._node.identity, to=to, body=body
         )
         self._node.send(to, routed)
@@ -357,7 +358,7 @@
         if old is not None and (old.sender, old.offer.index) == wanted:
             return
         log.info("fetching a snapshot", extra={"group": self.name})
-        self._fetch = fetching.Fetch(
+        self._fetch = transfers.Fetch(
             self.log,
             self._node.identity,
             sender,
@@ -367,7 +368,7 @@
         )
         self._fetch.ask(self._node.now_ms())
 
-    def _fetched(self, fetch: fetching.Fetch, held: bool, now_ms: int) -> None:
+    def _fetched(self, fetch: transfers.Fetch, held: bool, now_ms: int) -> None:
         """Goes on with a fetch; a new offer follows where it is gone."""
         assert self._core is not None
         if not held:
--- a/catkinpin/adapters/beats.py
+++ b/catkinpin/adapters/replica/heartbeats.py
@@ -7,13 +7,13 @@
 
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters import replicas
+from catkinpin.adapters.replica import transport
 from catkinpin.core.consensus.messages import Heartbeat, HeartbeatReply
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from catkinpin.adapters.groups import Group
+    from catkinpin.adapters.replica.groups import Group
 
 
 class Outbox:
@@ -30,7 +30,7 @@
     def send(self, sender: str, send: Callable[[str, Any], None]) -> None:
         """Sends one message to each replica."""
         for (to, sent_ms), listed in self._waiting.items():
-            message = replicas.Beats(
+            message = transport.Beats(
                 sender=sender,
                 to=to,
                 sent_ms=sent_ms,
@@ -43,8 +43,8 @@
 
 
 def take(
-    message: replicas.Beats, groups: Mapping[str, Group], now_ms: int
-) -> replicas.BeatReplies:
+    message: transport.Beats, groups: Mapping[str, Group], now_ms: int
+) -> transport.BeatReplies:
     """Takes heartbeats; returns the answer for those with nothing new."""
     names, terms = [], []
     sent_ms = message.sent_ms
@@ -58,7 +58,7 @@
         if group.beat(message.sender, beat, now_ms):
             names.append(name)
             terms.append(term)
-    return replicas.BeatReplies(
+    return transport.BeatReplies(
         sender=message.to,
         to=message.sender,
         sent_ms=sent_ms,
@@ -68,7 +68,7 @@
 
 
 def take_replies(
-    message: replicas.BeatReplies, groups: Mapping[str, Group], now_ms: int
+    message: transport.BeatReplies, groups: Mapping[str, Group], now_ms: int
 ) -> None:
     """Takes answers to heartbeats."""
     for name, term in zip(message.groups, message.terms, strict=True):
--- a/catkinpin/adapters/identity.py
+++ b/catkinpin/adapters/replica/identity.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from catkinpin.adapters import files
+from catkinpin.adapters.disk import files
 from catkinpin.core.consensus.messages import Members  # noqa: TC001
 from catkinpin.exceptions import StorageError
 
--- a/catkinpin/adapters/mesh.py
+++ b/catkinpin/adapters/replica/mesh.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters import peers, replicas
+from catkinpin.adapters.peers import links
+from catkinpin.adapters.replica import transport
 from catkinpin.core import messages
 
 if TYPE_CHECKING:
@@ -12,7 +13,7 @@
 
 ROLE = "replica"
 # Replicas speak on the stream that they opened; only pings come back on it.
-_Back = messages.Ping | replicas.NodeInfo
+_Back = messages.Ping | transport.NodeInfo
 
 
 class Mesh:
@@ -35,7 +36,7 @@
         self._grows = grows
         self._hello: messages.Hello | None = None
         self._on_connected = on_connected
-        self._links: dict[str, peers.PeerLink] = {}
+        self._links: dict[str, links.PeerLink] = {}
         self._address_of: dict[str, str] = {}
 
     def start(self, hello: messages.Hello) -> None:
@@ -74,10 +75,10 @@
             link.send(message)
 
     def _connect(self, address: str, hello: messages.Hello) -> None:
-        self._links[address] = peers.PeerLink(
+        self._links[address] = links.PeerLink(
             address, hello, _Back, lambda _: None, self._connected
         )
         self._links[address].start()
 
-    def _connected(self, link: peers.PeerLink) -> None:
+    def _connected(self, link: links.PeerLink) -> None:
         self._on_connected(link.address)
--- a/catkinpin/adapters/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -11,21 +11,21 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import clock
-from catkinpin.adapters import beats, mesh, replicas
-from catkinpin.adapters.founding import Founding, Joining
-from catkinpin.adapters.groups import Group
-from catkinpin.adapters.identity import Identity
-from catkinpin.adapters.storage import SEGMENT_BYTES, Storage
+from catkinpin.adapters.disk.storage import SEGMENT_BYTES, Storage
+from catkinpin.adapters.replica import heartbeats, mesh, transport
+from catkinpin.adapters.replica.founding import Founding, Joining
+from catkinpin.adapters.replica.groups import Group
+from catkinpin.adapters.replica.identity import Identity
 from catkinpin.core.consensus.messages import Members
 from catkinpin.core.consensus.state import Timing
-from catkinpin.core.disks import SyncTimes
+from catkinpin.core.control.disks import SyncTimes
 from catkinpin.exceptions import DiskFullError, SettingsError
 
 if TYPE_CHECKING:
     import pathlib
     from collections.abc import Callable
 
-    from catkinpin.adapters.groups import StateMachine
+    from catkinpin.adapters.replica.groups import StateMachine
     from catkinpin.core import messages
     from catkinpin.core.consensus import commands
 
@@ -114,7 +114,7 @@
         self.rng = random.Random()
         self.address = ""
         self.groups: dict[str, Group] = {}
-        self.beats = beats.Outbox()
+        self.beats = heartbeats.Outbox()
         self._cfg = cfg
         self._on_leader = on_leader
         self._on_failure = on_failure
@@ -274,21 +274,21 @@
             self._on_failure(exc)
 
     def _take(self, message: Any) -> None:
-        if self.is_full and not isinstance(message, replicas.NodeInfo):
+        if self.is_full and not isinstance(message, transport.NodeInfo):
             return
         match message:
-            case replicas.NodeInfo():
+            case transport.NodeInfo():
                 self._mesh.learn(message.node, message.address)
                 for address in message.known:
                     self._mesh.add(address)
                 self._founding.heard(message)
-            case replicas.Found():
+            case transport.Found():
                 self._founding.founded(message.members)
-            case replicas.Join():
+            case transport.Join():
                 self._mesh.learn(message.node, message.address)
                 for group in self.groups.values():
                     group.add_learner(message)
-            case replicas.Beats() | replicas.BeatReplies():
+            case transport.Beats() | transport.BeatReplies():
                 if message.to == self.identity:
                     self._take_beats(message)
             case _:
@@ -297,13 +297,13 @@
                     group_of.take(message)
 
     def _take_beats(
-        self, message: replicas.Beats | replicas.BeatReplies
+        self, message: transport.Beats | transport.BeatReplies
     ) -> None:
         now_ms = self.now_ms()
-        if isinstance(message, replicas.BeatReplies):
-            beats.take_replies(message, self.groups, now_ms)
+        if isinstance(message, transport.BeatReplies):
+            heartbeats.take_replies(message, self.groups, now_ms)
             return
-        reply = beats.take(message, self.groups, now_ms)
+        reply = heartbeats.take(message, self.groups, now_ms)
         if reply.groups:
             self.send(message.sender, reply)
 
@@ -380,7 +380,7 @@
         if self._cfg.joining is not None:
             self._join_alone()
         elif self._file.joining and not all(self.settled().values()):
-            join = replicas.Join(node=self.identity, address=self.address)
+            join = transport.Join(node=self.identity, address=self.address)
             self._mesh.broadcast(join)
 
     def _join_alone(self) -> None:
@@ -395,7 +395,7 @@
             if not group.leader or group.members.find(self.identity) is None
         ]
         if self._started and outside:
-            join = replicas.Join(node=self.identity, address=self.address)
+            join = transport.Join(node=self.identity, address=self.address)
             self._mesh.broadcast(join)
 
     def _flush(self) -> None:
--- a/catkinpin/replica.py
+++ b/catkinpin/adapters/replica/process.py
@@ -8,24 +8,24 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import clock, exits
-from catkinpin.adapters import (
-    admin,
-    configured,
+from catkinpin.adapters.entry import admin, configured, shards, web
+from catkinpin.adapters.peers import links, wire
+from catkinpin.adapters.replica import (
     controlhost,
     mesh,
     node,
-    peers,
     repairs,
     shardhost,
-    shards,
-    web,
-    wire,
 )
-from catkinpin.core import changes, messages, routing, servers
+from catkinpin.core import messages
+from catkinpin.core.operations import changes
+from catkinpin.core.placement import servers
+from catkinpin.core.programs import sharding
 
 if TYPE_CHECKING:
-    from catkinpin.adapters import groups
-    from catkinpin.core import deployments, leader
+    from catkinpin.adapters.replica import groups
+    from catkinpin.core.operations import deployments
+    from catkinpin.core.programs import leader
     from catkinpin.settings import ReplicaSettings
 
 log = logging.getLogger(__name__)
@@ -44,21 +44,21 @@
         self.view = servers.ServerView()
         self.incarnation = uuid.uuid4().hex
         self.address = ""
-        self._streams: dict[str, peers.Stream] = {}
+        self._streams: dict[str, links.Stream] = {}
         self.node = node.Node(
             node.NodeConfig(
                 cfg.data_folder, tuple(cfg.replicas), cfg.snapshot_entries
             ),
             self._leader_changed,
             exits.stop_at_once,
-            first=routing.CONTROL_GROUP,
+            first=sharding.CONTROL_GROUP,
         )
         self.shards = {
             name: shardhost.ShardHost(self, name)
-            for name in map(routing.shard_group, range(cfg.shards))
+            for name in map(sharding.shard_group, range(cfg.shards))
         }
         self.control = controlhost.ControlHost(self)
-        self._peers = peers.PeerServer(
+        self._peers = links.PeerServer(
             wire.ToReplica, self._on_message, self._on_closed
         )
         self._admin: web.WebServer | None = None
@@ -127,7 +127,7 @@
         if stream is not None:
             stream.send(message)
 
-    def entry_streams(self) -> list[peers.Stream]:
+    def entry_streams(self) -> list[links.Stream]:
         """Returns the streams of all entries that are connected."""
         return [
             stream for stream in self._streams.values() if _is_entry(stream)
@@ -176,7 +176,7 @@
         for stream in self._streams.values():
             stream.send(_leader_of(group))
 
-    def _on_message(self, stream: peers.Stream, message: Any) -> None:
+    def _on_message(self, stream: links.Stream, message: Any) -> None:
         if stream.hello is None:
             return
         if stream.hello.role == mesh.ROLE:
@@ -197,7 +197,7 @@
                 key = message.key
                 if isinstance(key, messages.CallKey):
                     key = key.program_key
-                group = routing.group_of(key, self.cfg.shards)
+                group = sharding.group_of(key, self.cfg.shards)
                 self.shards[group].handle(stream, message)
 
     def _on_replica_message(self, message: Any) -> None:
@@ -206,7 +206,7 @@
         else:
             self.node.take(message)
 
-    def _welcome(self, stream: peers.Stream) -> None:
+    def _welcome(self, stream: links.Stream) -> None:
         assert stream.hello is not None
         self._streams[stream.hello.incarnation] = stream
         if _is_entry(stream):
@@ -216,7 +216,7 @@
             if group.leader:
                 stream.send(_leader_of(group))
 
-    def _on_closed(self, stream: peers.Stream) -> None:
+    def _on_closed(self, stream: links.Stream) -> None:
         assert stream.hello is not None
         if self._streams.get(stream.hello.incarnation) is stream:
             del self._streams[stream.hello.incarnation]
@@ -241,7 +241,7 @@
                 host.tick()
 
 
-def _is_entry(stream: peers.Stream) -> bool:
+def _is_entry(stream: links.Stream) -> bool:
     return stream.hello is not None and stream.hello.role == "entry"
 
 
--- a/catkinpin/adapters/repairs.py
+++ b/catkinpin/adapters/replica/repairs.py
@@ -11,7 +11,7 @@
 from catkinpin import configuration
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.node import Node
+    from catkinpin.adapters.replica.node import Node
 
 PATH = "/v1/operator/repair"
 
--- a/catkinpin/adapters/shardhost.py
+++ b/catkinpin/adapters/replica/shardhost.py
@@ -7,16 +7,10 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import codec, configuration, tracing
-from catkinpin.core import (
-    decisions,
-    leader,
-    messages,
-    placement,
-    records,
-    scheduler,
-    shard,
-)
-from catkinpin.core.commands import (
+from catkinpin.core import messages
+from catkinpin.core.placement import candidates, scheduler
+from catkinpin.core.programs import explanations, leader, records, shard
+from catkinpin.core.programs.commands import (
     Command,
     Propose,
     Send,
@@ -28,8 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from catkinpin.adapters import peers
-    from catkinpin.replica import Replica
+    from catkinpin.adapters.peers import links
+    from catkinpin.adapters.replica.process import Replica
 _decoder = codec.decoder(records.ShardRecord)
 
 
@@ -64,26 +58,26 @@
         """Takes a server's report, made at a monotonic time."""
         self.leader.reported(report, made_ms)
 
-    def entry_connected(self, stream: peers.Stream) -> None:
+    def entry_connected(self, stream: links.Stream) -> None:
         """Notes an entry's new stream."""
         commands = self.leader.entry_connected(entry_ref(stream))
         if self._leading:
             self._run(commands)
 
-    def entry_lost(self, stream: peers.Stream) -> None:
+    def entry_lost(self, stream: links.Stream) -> None:
         """Notes that an entry's stream broke."""
         now = self._replica.clock.now_ms()
         self.leader.entry_lost(entry_ref(stream), now)
 
     def _new_leader(self) -> leader.ShardLeader:
-        self.decisions = decisions.Decisions()
-        prices = placement.Prices()
+        self.decisions = explanations.Decisions()
+        prices = candidates.Prices()
         share = self._replica.led_share
         self.scheduler = scheduler.Scheduler(
             self._replica.view,
-            placement.by_cost(prices, share, self.decisions.note),
+            candidates.by_cost(prices, share, self.decisions.note),
             scheduler.WaitPlan(),
-            placement.keeps_home(prices, share),
+            candidates.keeps_home(prices, share),
         )
         rng = random.Random()
         return leader.ShardLeader(
@@ -107,7 +101,7 @@
         """Whether this replica leads the shard."""
         return self._leading
 
-    def handle(self, stream: peers.Stream, message: Any) -> None:
+    def handle(self, stream: links.Stream, message: Any) -> None:
         """Takes an entry's message for this shard."""
         if isinstance(message, messages.ReleaseDone):
             self._release_done(message)
@@ -138,7 +132,7 @@
                 commands = self.leader.finish(entry, message, now, wall)
             case messages.GetProgram():
                 commands = self.leader.get_program(entry, message)
-            case decisions.Explain():
+            case explanations.Explain():
                 stream.send(self.decisions.explain(message, now))
             case messages.EndProgram():
                 commands = self.leader.end_program(entry, message, wall)
@@ -217,7 +211,7 @@
         return command.grant
 
 
-def entry_ref(stream: peers.Stream) -> leader.EntryRef:
+def entry_ref(stream: links.Stream) -> leader.EntryRef:
     """Returns the entry at the other end of a stream."""
     hello = stream.hello
     assert hello is not None
--- a/catkinpin/adapters/fetching.py
+++ b/catkinpin/adapters/replica/transfers.py
@@ -9,14 +9,15 @@
 import logging
 from typing import TYPE_CHECKING
 
-from catkinpin.adapters import replicas, snapshots
+from catkinpin.adapters.disk import snapshots
+from catkinpin.adapters.replica import transport
 from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from typing import Any
 
-    from catkinpin.adapters.grouplog import GroupLog
+    from catkinpin.adapters.disk.grouplog import GroupLog
     from catkinpin.core.consensus.messages import Entry, SnapshotOffer
 
 log = logging.getLogger(__name__)
@@ -68,7 +69,7 @@
         """Asks for the next part."""
         self._asked_ms = now_ms
         if self.snapshot is None:
-            pull: Any = replicas.SnapshotPull(
+            pull: Any = transport.SnapshotPull(
                 group=self._log.name,
                 sender=self._node,
                 to=self.sender,
@@ -79,7 +80,7 @@
             if not self._asked:
                 self._asked = set(self._missing[-_PART_RECORDS:])
                 del self._missing[-_PART_RECORDS:]
-            pull = replicas.RecordsPull(
+            pull = transport.RecordsPull(
                 group=self._log.name,
                 sender=self._node,
                 to=self.sender,
@@ -87,7 +88,7 @@
             )
         self._send(self.sender, pull)
 
-    def part(self, part: replicas.SnapshotPart) -> bool:
+    def part(self, part: transport.SnapshotPart) -> bool:
         """Takes a part; returns False where the snapshot is gone."""
         if part.index != self.offer.index or self.snapshot is not None:
             return True
@@ -132,13 +133,13 @@
 
 
 def part(
-    group_log: GroupLog, node: str, pull: replicas.SnapshotPull
-) -> replicas.SnapshotPart:
+    group_log: GroupLog, node: str, pull: transport.SnapshotPull
+) -> transport.SnapshotPart:
     """Returns the part of the newest snapshot that was asked for."""
     data, size = b"", 0
     if pull.index == group_log.snapshot:
         data, size = group_log.read_snapshot_part(pull.offset, _PART_BYTES)
-    return replicas.SnapshotPart(
+    return transport.SnapshotPart(
         group=group_log.name,
         sender=node,
         to=pull.sender,
@@ -150,8 +151,8 @@
 
 
 def records(
-    group_log: GroupLog, node: str, pull: replicas.RecordsPull
-) -> replicas.Records:
+    group_log: GroupLog, node: str, pull: transport.RecordsPull
+) -> transport.Records:
     """Returns records that were asked for, as many as fit."""
     entries: list[Entry] = []
     size = 0
@@ -160,6 +161,6 @@
             break
         entries.append(group_log.read(index))
         size += len(entries[-1].payload)
-    return replicas.Records(
+    return transport.Records(
         group=group_log.name, sender=node, to=pull.sender, entries=entries
     )
--- a/catkinpin/processes.py
+++ b/catkinpin/adapters/running.py
@@ -20,9 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from catkinpin.adapters.gateway.ports import HeaderCodec
+    from catkinpin.adapters.gateway.headers import HeaderCodec
     from catkinpin.adapters.http.server import Request, Responder
-    from catkinpin.keeper import Keeper
+    from catkinpin.adapters.keeper.process import Keeper
     from catkinpin.roles import (
         GatewaySettings,
         KeeperSettings,
@@ -68,7 +68,7 @@
         codec: translates headers.
         read_seeds: returns the keepers that the settings name now.
     """
-    from catkinpin.gateway import Gateway
+    from catkinpin.adapters.gateway.process import Gateway
 
     _run(cfg, lambda: Gateway(cfg, regions, codec), read_seeds)
 
@@ -85,7 +85,7 @@
         control: returns the handler of servers' and operators' calls.
         read_seeds: returns the keepers that the settings name now.
     """
-    from catkinpin.keeper import Keeper
+    from catkinpin.adapters.keeper.process import Keeper
 
     _run(cfg, lambda: Keeper(cfg, control), read_seeds)
 
@@ -97,7 +97,7 @@
         cfg: the settings.
         read_seeds: returns the keepers that the settings name now.
     """
-    from catkinpin.store import Store
+    from catkinpin.adapters.store.process import Store
 
     _run(cfg, lambda: Store(cfg), read_seeds)
 
--- /dev/null
+++ b/catkinpin/adapters/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store process: bytes of turns."""
--- a/catkinpin/store.py
+++ b/catkinpin/adapters/store/process.py
@@ -8,15 +8,16 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import decisions, exits
-from catkinpin.adapters import keepers, peers
-from catkinpin.adapters.files import FileOps
-from catkinpin.adapters.identity import Identity
+from catkinpin.adapters.disk.files import FileOps
+from catkinpin.adapters.disk.turnbytes import TurnBytes
+from catkinpin.adapters.keeper.publisher import STORE_ROLE
+from catkinpin.adapters.peers import keepers, links
+from catkinpin.adapters.replica.identity import Identity
+from catkinpin.adapters.store.turnserver import TurnHost
 from catkinpin.adapters.tasks import Tasks
-from catkinpin.adapters.telling import STORE_ROLE
-from catkinpin.adapters.turnbytes import TurnBytes
-from catkinpin.adapters.turnhost import TurnHost
-from catkinpin.core import keeping, messages
-from catkinpin.core.stores import Store as StoreInfo
+from catkinpin.core import messages
+from catkinpin.core.control import protocol
+from catkinpin.core.control.stores import Store as StoreInfo
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
@@ -61,8 +62,8 @@
             self.keepers,
             exits.stop_at_once,
         )
-        self._peers = peers.PeerServer(
-            keeping.ToKeeper, self._on_message, lambda _: None, link="store"
+        self._peers = links.PeerServer(
+            protocol.ToKeeper, self._on_message, lambda _: None, link="store"
         )
         self._tasks = Tasks()
 
@@ -93,11 +94,11 @@
         decisions.note("reload", "", seeds=seeds)
         self.keepers.add(seeds)
 
-    def _on_message(self, stream: peers.Stream, message: Any) -> None:
+    def _on_message(self, stream: links.Stream, message: Any) -> None:
         match message:
             case messages.Hello():
                 stream.send(
-                    keeping.HostInfo(
+                    protocol.HostInfo(
                         node=self.identity,
                         address=self.cfg.peer_listen,
                         domain=self.cfg.failure_domain,
@@ -107,22 +108,22 @@
                         term=0,
                     )
                 )
-            case keeping.Put():
+            case protocol.Put():
                 self._turns.put(stream, message)
-            case keeping.Get():
+            case protocol.Get():
                 self._turns.get(stream, message)
-            case keeping.Adopt():
+            case protocol.Adopt():
                 self._tasks.spawn(self._turns.adopt(stream, message))
 
     def _told(self, host: keepers.Host, message: Any) -> None:
-        if isinstance(message, keeping.Expired):
+        if isinstance(message, protocol.Expired):
             self._turns.data.drop(message.attempts)
 
     async def _register(self) -> None:
         while True:
             try:
                 await self.keepers.ask_leader(
-                    lambda ask: keeping.AskRegister(ask=ask, store=self._info),
+                    lambda ask: protocol.AskRegister(ask=ask, store=self._info),
                     _REGISTER_S,
                 )
                 await asyncio.sleep(_REGISTER_S)
--- a/catkinpin/adapters/turnhost.py
+++ b/catkinpin/adapters/store/turnserver.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Any, Protocol
 
-from catkinpin.core import keeping
+from catkinpin.core.control import protocol
 from catkinpin.exceptions import (
     DiskFullError,
     PeerLostError,
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.adapters.keepers import Keepers
-    from catkinpin.adapters.turnbytes import TurnBytes
+    from catkinpin.adapters.disk.turnbytes import TurnBytes
+    from catkinpin.adapters.peers.keepers import Keepers
 
 log = logging.getLogger(__name__)
 
@@ -53,14 +53,14 @@
         self._syncing = False
         self._unsynced: list[tuple[Reply, int]] = []
 
-    def put(self, reply: Reply, message: keeping.Put) -> None:
+    def put(self, reply: Reply, message: protocol.Put) -> None:
         """Stores a turn's bytes; answers once they last."""
         try:
             self.data.add(message.attempt, message.data)
         except DiskFullError as exc:
             # Another host has room; what lies here can still be read.
             log.warning("turn not taken: %s", exc)
-            reply.send(keeping.Refused(ask=message.ask, reason="disk full"))
+            reply.send(protocol.Refused(ask=message.ask, reason="disk full"))
             return
         except StorageError as exc:
             self._fail(exc)
@@ -70,19 +70,19 @@
             self._syncing = True
             asyncio.get_running_loop().call_soon(self._sync)
 
-    def get(self, reply: Reply, message: keeping.Get) -> None:
+    def get(self, reply: Reply, message: protocol.Get) -> None:
         """Answers with turns' bytes."""
         parts = [self.data.read(attempt) for attempt in message.attempts]
-        reply.send(keeping.Got(ask=message.ask, parts=parts))
+        reply.send(protocol.Got(ask=message.ask, parts=parts))
 
-    async def adopt(self, reply: Reply, message: keeping.Adopt) -> None:
+    async def adopt(self, reply: Reply, message: protocol.Adopt) -> None:
         """Copies turns' bytes from another holder; answers once they last."""
         missing = [a for a in message.attempts if a not in self.data]
         why = await self._pull(missing, message.source) if missing else ""
         if why:
-            reply.send(keeping.Refused(ask=message.ask, reason=why))
+            reply.send(protocol.Refused(ask=message.ask, reason=why))
         else:
-            reply.send(keeping.Done(ask=message.ask))
+            reply.send(protocol.Done(ask=message.ask))
 
     async def _pull(self, attempts: list[str], source: str) -> str:
         host = self._others.by_address(source)
@@ -91,7 +91,7 @@
         try:
             got = await self._others.ask(
                 host,
-                lambda ask: keeping.Get(ask=ask, attempts=attempts),
+                lambda ask: protocol.Get(ask=ask, attempts=attempts),
                 COPY_S,
             )
             for attempt, part in zip(attempts, got.parts, strict=True):
@@ -116,4 +116,4 @@
             self._fail(exc)
             return
         for reply, ask in waiting:
-            reply.send(keeping.Done(ask=ask))
+            reply.send(protocol.Done(ask=ask))
--- a/catkinpin/chat.py
+++ b/catkinpin/chat.py
@@ -9,8 +9,8 @@
 import pydantic
 
 from catkinpin import configuration, digest
-from catkinpin.core import budgets
 from catkinpin.core.messages import Usage
+from catkinpin.core.programs import budgets
 from catkinpin.exceptions import BadRequestError
 
 _DEFAULT_MAX_TOKENS = 1024
--- a/catkinpin/commands/entry.py
+++ b/catkinpin/commands/entry.py
@@ -7,7 +7,7 @@
 from cyclopts import Parameter
 
 from catkinpin import process, settings
-from catkinpin.entry import Entry
+from catkinpin.adapters.entry.process import Entry
 from catkinpin.settings import EntrySettings
 
 
--- a/catkinpin/commands/replica.py
+++ b/catkinpin/commands/replica.py
@@ -7,7 +7,7 @@
 from cyclopts import Parameter
 
 from catkinpin import process, settings
-from catkinpin.replica import Replica
+from catkinpin.adapters.replica.process import Replica
 from catkinpin.settings import ReplicaSettings
 
 
--- a/catkinpin/configuration.py
+++ b/catkinpin/configuration.py
@@ -9,8 +9,8 @@
 
 import pydantic
 
-from catkinpin.core import deployments
-from catkinpin.core.deployments import Configuration as Configuration
+from catkinpin.core.operations import deployments
+from catkinpin.core.operations.deployments import Configuration as Configuration
 from catkinpin.exceptions import BadRequestError
 
 _DAY_S = 86_400
--- a/catkinpin/core/copies.py
+++ b/catkinpin/core/control/copies.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
-    from catkinpin.core.keeping import HostInfo
-    from catkinpin.core.ledger import Turn
+    from catkinpin.core.control.ledger import Turn
+    from catkinpin.core.control.protocol import HostInfo
 
 # Bytes of one copy: some 0.3 s of the link between regions.
 _BATCH_BYTES = 512 * 1024
--- a/catkinpin/core/ledger.py
+++ b/catkinpin/core/control/ledger.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from catkinpin.codec import Message
-from catkinpin.core.urgency import Standing
+from catkinpin.core.placement.urgency import Standing
 
 # A program's budget outlives its last turn by this much more than its turns:
 # one that was stopped comes back at the last moment, from a slower host.
--- a/catkinpin/core/keeping.py
+++ b/catkinpin/core/control/protocol.py
@@ -10,8 +10,7 @@
 
 from catkinpin import codec
 from catkinpin.codec import Message
-from catkinpin.core.fleet import Fleet, Instance
-from catkinpin.core.ledger import (
+from catkinpin.core.control.ledger import (
     Begin,
     Finish,
     Ledger,
@@ -20,10 +19,11 @@
     Moved,
     Outcome,
 )
+from catkinpin.core.control.routes import PackedRouting
+from catkinpin.core.control.servers import Fleet, Instance
+from catkinpin.core.control.stores import Register, Retire, Store, Stores
 from catkinpin.core.messages import Hello, Ping
-from catkinpin.core.routes import PackedRouting
-from catkinpin.core.stores import Register, Retire, Store, Stores
-from catkinpin.core.urgency import Standing
+from catkinpin.core.placement.urgency import Standing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/catkinpin/core/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration, plans, leases and orders of the operators."""
--- a/catkinpin/core/changes.py
+++ b/catkinpin/core/operations/changes.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from catkinpin.codec import Message
-from catkinpin.core.deployments import Item, ItemKey
-from catkinpin.core.plans import Forecast, Intent, Plan, PlanProgress
+from catkinpin.core.operations.deployments import Item, ItemKey
+from catkinpin.core.operations.plans import Forecast, Intent, Plan, PlanProgress
 
 
 class ProcessInfo(Message, frozen=True):
--- a/catkinpin/core/control.py
+++ b/catkinpin/core/operations/control.py
@@ -11,14 +11,14 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from catkinpin.core import changes, plans
-from catkinpin.core.deployments import (
+from catkinpin.core.operations import changes, plans
+from catkinpin.core.operations.deployments import (
     Configuration,
     Item,
     ItemKey,
     key_of,
 )
-from catkinpin.core.plans import PlanState
+from catkinpin.core.operations.plans import PlanState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/catkinpin/core/drafts.py
+++ b/catkinpin/core/operations/drafts.py
@@ -7,16 +7,16 @@
 
 import msgspec
 
-from catkinpin.core import forecasts
-from catkinpin.core.deployments import (
+from catkinpin.core.operations import forecasts
+from catkinpin.core.operations.deployments import (
     SCOPE_SERVER,
     SCOPES,
     Deployment,
     Drain,
     key_of,
 )
-from catkinpin.core.forecasts import Draft
-from catkinpin.core.plans import (
+from catkinpin.core.operations.forecasts import Draft
+from catkinpin.core.operations.plans import (
     BaseItem,
     ChangeStep,
     DrainPlace,
--- a/catkinpin/core/forecasts.py
+++ b/catkinpin/core/operations/forecasts.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core.plans import (
+from catkinpin.core.operations.plans import (
     BYTES_PER_TOKEN,
     Facts,
     Forecast,
@@ -15,13 +15,13 @@
 )
 
 if TYPE_CHECKING:
-    from catkinpin.core.deployments import (
+    from catkinpin.core.messages import ServerReport
+    from catkinpin.core.operations.deployments import (
         Configuration,
         Deployment,
         Item,
         ItemKey,
     )
-    from catkinpin.core.messages import ServerReport
 
 
 @dataclasses.dataclass
--- a/catkinpin/core/controlleader.py
+++ b/catkinpin/core/operations/leader.py
@@ -6,14 +6,16 @@
 import dataclasses
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.core import changes, drafts, messages, plans, routing
-from catkinpin.core.leases import LEASE_MS, Leases
-from catkinpin.core.orders import Orders
+from catkinpin.core import messages
+from catkinpin.core.operations import changes, drafts, plans
+from catkinpin.core.operations.leases import LEASE_MS, Leases
+from catkinpin.core.operations.orders import Orders
+from catkinpin.core.programs import sharding
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.control import Control, PlanRun
+    from catkinpin.core.operations.control import Control, PlanRun
 
 # How long a plan's servers must have been without calls: attempts that another
 # process has just granted reach this one's log by then.
@@ -112,7 +114,9 @@
         return [
             Send(
                 waiter.incarnation,
-                messages.NotLeader(ask=waiter.ask, group=routing.CONTROL_GROUP),
+                messages.NotLeader(
+                    ask=waiter.ask, group=sharding.CONTROL_GROUP
+                ),
             )
             for waiter in waiters
         ]
--- a/catkinpin/core/leases.py
+++ b/catkinpin/core/operations/leases.py
@@ -5,12 +5,12 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core import changes
+from catkinpin.core.operations import changes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from catkinpin.core.changes import ProcessInfo
+    from catkinpin.core.operations.changes import ProcessInfo
 
 # Counted by its holder from when it sent its request, and by the leader from
 # when it answered, which is later; so the leader never calls a lease lapsed
--- a/catkinpin/core/orders.py
+++ b/catkinpin/core/operations/orders.py
@@ -11,10 +11,10 @@
 
 from typing import TYPE_CHECKING
 
-from catkinpin.core import changes, plans
+from catkinpin.core.operations import changes, plans
 
 if TYPE_CHECKING:
-    from catkinpin.core.control import Control
+    from catkinpin.core.operations.control import Control
 
 CLAIM_MS = 5_000
 _DRIFT_MS = 50
--- a/catkinpin/core/plans.py
+++ b/catkinpin/core/operations/plans.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.codec import Message
-from catkinpin.core.deployments import (
+from catkinpin.core.operations.deployments import (
     Configuration,
     Deployment,
     Item,
--- a/catkinpin/core/controlsnapshot.py
+++ b/catkinpin/core/operations/snapshot.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from catkinpin import codec
-from catkinpin.core import changes, control, plans
-from catkinpin.core.deployments import Item, ItemKey
+from catkinpin.core.operations import changes, control, plans
+from catkinpin.core.operations.deployments import Item, ItemKey
 from catkinpin.exceptions import StorageError
 
 FORMAT = 1
--- a/catkinpin/core/usage.py
+++ b/catkinpin/core/operations/usage.py
@@ -6,13 +6,13 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core.plans import Usage
+from catkinpin.core.operations.plans import Usage
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from catkinpin.core.deployments import Configuration
-    from catkinpin.core.program import Program
+    from catkinpin.core.operations.deployments import Configuration
+    from catkinpin.core.programs.program import Program
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/catkinpin/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a server: load, speed, urgency, ejection, scheduling."""
--- a/catkinpin/core/placing.py
+++ b/catkinpin/core/placement/assignment.py
@@ -7,28 +7,29 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import digest
-from catkinpin.core import limits, routing, scheduler
 from catkinpin.core.messages import ProgramKey
-from catkinpin.core.quarantine import CRASHES_ALLOWED
-from catkinpin.core.records import Choice, ProgramLimits
+from catkinpin.core.placement import limits, scheduler
+from catkinpin.core.programs import sharding
+from catkinpin.core.programs.quarantine import CRASHES_ALLOWED
+from catkinpin.core.programs.records import Choice, ProgramLimits
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.commands import EntryRef
-    from catkinpin.core.deployments import Configuration, Deployment
     from catkinpin.core.messages import (
         Begin,
         CallKey,
         ServerReport,
         Usage,
     )
-    from catkinpin.core.outliers import Outliers
-    from catkinpin.core.program import Attempt, Call, Program
-    from catkinpin.core.scheduler import Decision, Job, Scheduler
-    from catkinpin.core.servers import Server
-    from catkinpin.core.shard import Shard
+    from catkinpin.core.operations.deployments import Configuration, Deployment
+    from catkinpin.core.placement.ejection import Outliers
+    from catkinpin.core.placement.scheduler import Decision, Job, Scheduler
+    from catkinpin.core.placement.servers import Server
+    from catkinpin.core.programs.commands import EntryRef
+    from catkinpin.core.programs.program import Attempt, Call, Program
+    from catkinpin.core.programs.shard import Shard
 
 # A call that must run apart from others tries again after this time.
 _APART_WAIT_MS = 100
@@ -368,7 +369,7 @@
 def scopes_of(cfg: Configuration, begin: Begin) -> list[limits.Scope]:
     """Returns what a call counts for, with the limits of each."""
     key = begin.key
-    tree = f"{key.account}/{routing.root_of(key.program)}"
+    tree = f"{key.account}/{sharding.root_of(key.program)}"
     scopes = [limits.Scope(limits.PROGRAM, tree, limits.PROGRAM_LIMITS)]
     account = cfg.accounts.get(key.account)
     if account is not None:
@@ -412,7 +413,7 @@
     with the one that holds its history, and when an entry goes only its own
     programs move.
     """
-    root = f"{key.account}/{routing.root_of(key.program)}"
+    root = f"{key.account}/{sharding.root_of(key.program)}"
 
     def weight(address: str) -> bytes:
         return digest.of_bytes(f"{root}\0{address}".encode())
--- a/catkinpin/core/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -24,16 +24,16 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core import speeds
-from catkinpin.core.fleet import ServerState
+from catkinpin.core.control.servers import ServerState
+from catkinpin.core.placement import speeds
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Collection, Iterable
 
-    from catkinpin.core.calls import Load, PromptPart, RouteCall
-    from catkinpin.core.fleet import Instance
-    from catkinpin.core.speeds import EngineSpeed, Speeds
+    from catkinpin.core.control.servers import Instance
+    from catkinpin.core.placement.speeds import EngineSpeed, Speeds
+    from catkinpin.core.requests.calls import Load, PromptPart, RouteCall
 
 # Answers come to about half of the most that they may generate.
 _PART_OF_MOST = 0.5
--- a/catkinpin/core/placement.py
+++ b/catkinpin/core/placement/candidates.py
@@ -10,8 +10,8 @@
 from catkinpin.core.messages import ProgramKey
 
 if TYPE_CHECKING:
-    from catkinpin.core.scheduler import Job
-    from catkinpin.core.servers import Server
+    from catkinpin.core.placement.scheduler import Job
+    from catkinpin.core.placement.servers import Server
 
 # Costs are worked out for so many servers at most.
 # The full time is held once one in so many slots is taken.
--- a/catkinpin/core/limits.py
+++ b/catkinpin/core/placement/limits.py
@@ -9,7 +9,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core.deployments import Limits
+from catkinpin.core.operations.deployments import Limits
 
 if TYPE_CHECKING:
     import random
--- a/catkinpin/core/scheduler.py
+++ b/catkinpin/core/placement/scheduler.py
@@ -12,7 +12,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from catkinpin.core import placement, waiting
+from catkinpin.core.placement import candidates, waiting
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
@@ -24,7 +24,7 @@
         ServerReport,
         Usage,
     )
-    from catkinpin.core.servers import Server, ServerView
+    from catkinpin.core.placement.servers import Server, ServerView
 
 _RETRY_AFTER_MS = 1_000
 # Weight of the newest answer in what is learned of prompts.
@@ -251,7 +251,7 @@
                 step = _LEARNING * (counted / job.bound_tokens - before)
                 self._scale[job.target] = before + step
             tokens = usage.prompt_tokens + usage.completion_tokens
-            tokens -= job.prompt_tokens - placement.own_tokens(job, server)
+            tokens -= job.prompt_tokens - candidates.own_tokens(job, server)
         server.residents.ended(job.key.program_key, max(0, tokens), now_ms)
 
     def program_ended(self, key: ProgramKey) -> None:
@@ -387,7 +387,7 @@
         server.granted += 1
         if job.kind == "model":
             self._move(program, name)
-            tokens = placement.own_tokens(job, server)
+            tokens = candidates.own_tokens(job, server)
             server.residents.started(program, tokens, now_ms)
         return Place(job.key, server)
 
--- a/catkinpin/core/servers.py
+++ b/catkinpin/core/placement/servers.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.core.messages import ProgramKey, ServerRef
-from catkinpin.core.residents import Residents
+from catkinpin.core.placement.residents import Residents
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/catkinpin/core/speeds.py
+++ b/catkinpin/core/placement/speeds.py
@@ -19,10 +19,10 @@
 import math
 from typing import TYPE_CHECKING
 
-from catkinpin.core.lines import Bounds, Line, Prior
+from catkinpin.core.placement.regression import Bounds, Line, Prior
 
 if TYPE_CHECKING:
-    from catkinpin.core.calls import RouteCall
+    from catkinpin.core.requests.calls import RouteCall
 
 # Before any answer, in ms: a token of a prompt, and a generated token.
 _READ_MS = 0.0125
--- a/catkinpin/core/urgency.py
+++ b/catkinpin/core/placement/urgency.py
@@ -20,8 +20,8 @@
 from catkinpin.codec import Message
 
 if TYPE_CHECKING:
-    from catkinpin.core.calls import RouteCall
-    from catkinpin.core.speeds import EngineSpeed
+    from catkinpin.core.placement.speeds import EngineSpeed
+    from catkinpin.core.requests.calls import RouteCall
 
 # The scale of the engines: 0 is first, 9 last, 5 where nothing is said.
 UNDER_WAY = 3
--- /dev/null
+++ b/catkinpin/core/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Programs and their calls: the state machine of a shard, and its leader."""
--- a/catkinpin/core/attempts.py
+++ b/catkinpin/core/programs/attempts.py
@@ -5,13 +5,13 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core import records
-from catkinpin.core.replies import GRANT_EXPIRES_MS
+from catkinpin.core.programs import records
+from catkinpin.core.programs.replies import GRANT_EXPIRES_MS
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
     from catkinpin.core.messages import CallKey
-    from catkinpin.core.program import Attempt
+    from catkinpin.core.programs.program import Attempt
 
 # An entry whose stream broke has this long to come back. By then a grant that
 # was on its way has expired, with a bound for the trip of its request: the
--- a/catkinpin/core/budgets.py
+++ b/catkinpin/core/programs/budgets.py
@@ -9,7 +9,7 @@
 
 if TYPE_CHECKING:
     from catkinpin.core.messages import Begin, Usage
-    from catkinpin.core.program import Program
+    from catkinpin.core.programs.program import Program
 
 # Role markers and separators of a message in a chat template.
 MESSAGE_TOKENS = 16
--- a/catkinpin/core/commands.py
+++ b/catkinpin/core/programs/commands.py
@@ -6,9 +6,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from catkinpin.core import messages, records
-    from catkinpin.core.history import HistoryItem
+    from catkinpin.core import messages
     from catkinpin.core.messages import CallKey
+    from catkinpin.core.programs import records
+    from catkinpin.core.programs.history import HistoryItem
 
 
 @dataclasses.dataclass(frozen=True)
--- a/catkinpin/core/gate.py
+++ b/catkinpin/core/programs/crashes.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from catkinpin.core import records
-from catkinpin.core.commands import Command, Propose, ShareQuarantine
+from catkinpin.core.programs import records
+from catkinpin.core.programs.commands import Command, Propose, ShareQuarantine
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from catkinpin.core.messages import CallKey
-    from catkinpin.core.program import Call
-    from catkinpin.core.shard import Shard
+    from catkinpin.core.programs.program import Call
+    from catkinpin.core.programs.shard import Shard
 
 _SHARE_AGAIN_MS = 5_000
 
--- a/catkinpin/core/deadlines.py
+++ b/catkinpin/core/programs/deadlines.py
@@ -5,17 +5,18 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core import attempts, messages, records, replies
-from catkinpin.core.commands import Command, EntryRef, Propose, Send
-from catkinpin.core.timers import Timers
+from catkinpin.core import messages
+from catkinpin.core.programs import attempts, records, replies
+from catkinpin.core.programs.commands import Command, EntryRef, Propose, Send
+from catkinpin.core.programs.timers import Timers
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
-    from catkinpin.core.attempts import Watch
     from catkinpin.core.messages import CallKey, ProgramKey
-    from catkinpin.core.program import Call, Program
-    from catkinpin.core.shard import Shard
-    from catkinpin.core.waiters import Waiter, Waiters
+    from catkinpin.core.programs.attempts import Watch
+    from catkinpin.core.programs.program import Call, Program
+    from catkinpin.core.programs.shard import Shard
+    from catkinpin.core.programs.waiters import Waiter, Waiters
 
 # An entry reports the deadline itself; after this bound the leader does.
 _DEADLINE_GRACE_MS = 500
--- a/catkinpin/core/effects.py
+++ b/catkinpin/core/programs/effects.py
@@ -7,8 +7,8 @@
 
 if TYPE_CHECKING:
     from catkinpin.core.messages import Begin, CallKey
-    from catkinpin.core.program import Call, ClosedCall, Program
-    from catkinpin.core.records import CallRefused
+    from catkinpin.core.programs.program import Call, ClosedCall, Program
+    from catkinpin.core.programs.records import CallRefused
     from catkinpin.verdicts import Reason
 
 
--- a/catkinpin/core/decisions.py
+++ b/catkinpin/core/programs/explanations.py
@@ -11,9 +11,9 @@
 from catkinpin.core.messages import CallKey
 
 if TYPE_CHECKING:
-    from catkinpin.core.placement import Cost
-    from catkinpin.core.scheduler import Job
-    from catkinpin.core.servers import Server
+    from catkinpin.core.placement.candidates import Cost
+    from catkinpin.core.placement.scheduler import Job
+    from catkinpin.core.placement.servers import Server
 
 _MOST_CALLS = 250
 _MOST_SHOWN = 12
--- a/catkinpin/core/fates.py
+++ b/catkinpin/core/programs/incarnations.py
@@ -5,15 +5,16 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core import messages, records, routing
-from catkinpin.core.commands import Command, EntryRef, Propose, Send
-from catkinpin.core.servers import SILENT_AFTER_MS
+from catkinpin.core import messages
+from catkinpin.core.placement.servers import SILENT_AFTER_MS
+from catkinpin.core.programs import records, sharding
+from catkinpin.core.programs.commands import Command, EntryRef, Propose, Send
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from catkinpin.core.messages import ServerReport
-    from catkinpin.core.shard import Shard
+    from catkinpin.core.programs.shard import Shard
 
 # Reports made this long after a break prove that the server outlived it; the
 # bound covers the rounding of the reports' ages.
@@ -151,7 +152,7 @@
         key = self._key_of(name)
         if key is None:
             return False
-        if routing.group_of(key, self._shard.shards) != self._shard.name:
+        if sharding.group_of(key, self._shard.shards) != self._shard.name:
             return False
         known = self._shard.programs.get(key)
         return known is None or (known.ended and not known.open)
--- a/catkinpin/core/index.py
+++ b/catkinpin/core/programs/index.py
@@ -5,16 +5,16 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import digest
-from catkinpin.core import history, routing, rules
-from catkinpin.core.effects import BeginRejected
 from catkinpin.core.messages import ProgramKey
-from catkinpin.core.program import Program
+from catkinpin.core.programs import history, rules, sharding
+from catkinpin.core.programs.effects import BeginRejected
+from catkinpin.core.programs.program import Program
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
-    from catkinpin.core import records
     from catkinpin.core.messages import Begin, CallKey, Finish
-    from catkinpin.core.program import Call, ClosedCall
+    from catkinpin.core.programs import records
+    from catkinpin.core.programs.program import Call, ClosedCall
 
 
 class ProgramIndex:
@@ -135,7 +135,7 @@
         """Returns what `top` started, and what that started in turn."""
         root = self.root_of(top)
         below: dict[str, Program] = {top.key.program: top}
-        prefix = top.key.program + routing.SUB_AGENT_SEPARATOR
+        prefix = top.key.program + sharding.SUB_AGENT_SEPARATOR
         for name in root.members:
             key = ProgramKey(account=top.key.account, program=name)
             program = self.programs[key]
--- a/catkinpin/core/leader.py
+++ b/catkinpin/core/programs/leader.py
@@ -6,37 +6,30 @@
 import random
 from typing import TYPE_CHECKING, TypeGuard
 
-from catkinpin.core import (
-    attempts,
-    effects,
-    gate,
-    limits,
-    messages,
-    placing,
-    records,
-    replies,
-)
-from catkinpin.core.attempts import Watch
-from catkinpin.core.commands import (
+from catkinpin.core import messages
+from catkinpin.core.placement import assignment, limits
+from catkinpin.core.placement.ejection import Outliers
+from catkinpin.core.programs import attempts, crashes, effects, records, replies
+from catkinpin.core.programs.attempts import Watch
+from catkinpin.core.programs.commands import (
     Command,
     Propose,
     Send,
 )
-from catkinpin.core.commands import EntryRef as EntryRef
-from catkinpin.core.deadlines import Deadlines
-from catkinpin.core.fates import Fates
-from catkinpin.core.outliers import Outliers
-from catkinpin.core.program import Call, ClosedCall, same_request
-from catkinpin.core.waiters import Waiter, Waiters
+from catkinpin.core.programs.commands import EntryRef as EntryRef
+from catkinpin.core.programs.deadlines import Deadlines
+from catkinpin.core.programs.incarnations import Fates
+from catkinpin.core.programs.program import Call, ClosedCall, same_request
+from catkinpin.core.programs.waiters import Waiter, Waiters
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.deployments import Configuration, Deployment
     from catkinpin.core.messages import Begin, CallKey, ProgramKey
-    from catkinpin.core.scheduler import Decision, Scheduler
-    from catkinpin.core.shard import Shard
+    from catkinpin.core.operations.deployments import Configuration, Deployment
+    from catkinpin.core.placement.scheduler import Decision, Scheduler
+    from catkinpin.core.programs.shard import Shard
 
 
 # A call that is kept back by a limit on running calls tries again.
@@ -83,10 +76,10 @@
         self.retries = limits.RetryBudget()
         self.outliers = Outliers(rng)
         self._rng = rng
-        self._placing = placing.Placing(
+        self._placing = assignment.Placing(
             state, jobs, self.outliers, lambda: self.cfg
         )
-        self._gate = gate.Gate(state, quarantined)
+        self._gate = crashes.Gate(state, quarantined)
 
     def start(self, now_ms: int, wall_ms: int) -> list[Command]:
         """Takes over: watches what the log says is under way.
@@ -219,12 +212,12 @@
         commands: list[Command] = []
         for outcome in self._placing.outcomes(decisions, now_ms):
             match outcome:
-                case placing.Placed():
+                case assignment.Placed():
                     commands += self._start_attempt(outcome, now_ms, wall_ms)
-                case placing.Later():
+                case assignment.Later():
                     wait = outcome.wait_ms
                     self._deadlines.place_later(outcome.key, now_ms, wait)
-                case placing.Rejected():
+                case assignment.Rejected():
                     record = records.CallRefused(
                         at_ms=wall_ms,
                         key=outcome.key,
@@ -343,7 +336,7 @@
         if self._gate.is_closed(content):
             text = "this request crashed servers and is quarantined"
             return effects.BeginRejected(begin, Reason.QUARANTINED, text)
-        scopes = placing.scopes_of(self.cfg, begin)
+        scopes = assignment.scopes_of(self.cfg, begin)
         down = self.admission.check(scopes, begin.deadline_ms, now_ms)
         if down is None:
             return None
@@ -366,12 +359,12 @@
         commands: list[Command] = []
         content = self._shard.content_of(begin)
         waits = self._shard.quarantine.must_wait(content)
-        scopes = placing.scopes_of(self.cfg, begin)
+        scopes = assignment.scopes_of(self.cfg, begin)
         waits = waits or not self.admission.may_start(scopes)
         if self._is_next(begin) and not waits:
             outcomes = self._placing.submit_new(begin, now_ms)
             for outcome in outcomes.own:
-                if isinstance(outcome, placing.Rejected):
+                if isinstance(outcome, assignment.Rejected):
                     rejected = effects.BeginRejected(
                         begin,
                         outcome.reason,
@@ -380,7 +373,7 @@
                     )
                     verdict = self._shard.verdict_of(begin.key)
                     return [replies.refuse_rejected(waiter, rejected, verdict)]
-                if isinstance(outcome, placing.Placed):
+                if isinstance(outcome, assignment.Placed):
                     choice = self._choice(outcome, waiter.entry, begin)
             commands += self.decided(outcomes.others, now_ms, wall_ms)
         # The call's own deadline is this waiter's too.
@@ -392,7 +385,7 @@
         record = records.CallBegun(
             at_ms=wall_ms,
             begin=begin,
-            limits=placing.limits_of(deployment),
+            limits=assignment.limits_of(deployment),
             choice=choice,
         )
         return [Propose(record), *commands]
@@ -448,11 +441,11 @@
             return []
         content = self._shard.content_of(call.begin)
         if self._gate.is_closed(content):
-            return [Propose(gate.refusal(call, wall_ms))]
+            return [Propose(crashes.refusal(call, wall_ms))]
         if self._shard.quarantine.must_wait(content):
             self._gate.hold(key)
             return []
-        scopes = placing.scopes_of(self.cfg, call.begin)
+        scopes = assignment.scopes_of(self.cfg, call.begin)
         if not self.admission.may_start(scopes):
             self._deadlines.place_later(key, now_ms, _ROOM_WAIT_MS)
             return []
@@ -486,7 +479,7 @@
         return self._place(call.key, now_ms, wall_ms)
 
     def _start_attempt(
-        self, placed: placing.Placed, now_ms: int, wall_ms: int
+        self, placed: assignment.Placed, now_ms: int, wall_ms: int
     ) -> list[Command]:
         waiter = self._waiters.for_grant(placed.key)
         begin = self._begin_of(placed.key)
@@ -506,12 +499,12 @@
         return found[1].begin if found is not None else self._pending.get(key)
 
     def _choice(
-        self, placed: placing.Placed, entry: EntryRef, begin: Begin
+        self, placed: assignment.Placed, entry: EntryRef, begin: Begin
     ) -> records.Choice:
         deployment = self._deployment(begin)
         priority = deployment.priority if deployment is not None else 0
         entries = list(self._entries.values())
-        return placing.choice_of(placed, entry, entries, priority)
+        return assignment.choice_of(placed, entry, entries, priority)
 
     def _granted(
         self, effect: effects.CallGranted, now_ms: int, wall_ms: int
@@ -607,7 +600,7 @@
 
     def _opened(self, call: Call, now_ms: int, wall_ms: int) -> None:
         """Notes an open call of the log."""
-        scopes = placing.scopes_of(self.cfg, call.begin)
+        scopes = assignment.scopes_of(self.cfg, call.begin)
         self.admission.opened(call.key, scopes, now_ms)
         self._deadlines.call_open(call, now_ms, wall_ms)
 
--- a/catkinpin/core/program.py
+++ b/catkinpin/core/programs/program.py
@@ -9,10 +9,10 @@
 import dataclasses
 import enum
 
-from catkinpin.core import routing
-from catkinpin.core.history import History
 from catkinpin.core.messages import Begin, CallKey, ProgramKey
-from catkinpin.core.records import CallRefused, Choice, ProgramLimits
+from catkinpin.core.programs import sharding
+from catkinpin.core.programs.history import History
+from catkinpin.core.programs.records import CallRefused, Choice, ProgramLimits
 from catkinpin.verdicts import Verdict
 
 # Answers of idempotent calls that a live program keeps for resends. A program
@@ -145,7 +145,7 @@
     @property
     def root_key(self) -> ProgramKey:
         """Names the root of this program's tree."""
-        root = routing.root_of(self.key.program)
+        root = sharding.root_of(self.key.program)
         return ProgramKey(account=self.key.account, program=root)
 
     def running(self) -> Call | None:
--- a/catkinpin/core/replies.py
+++ b/catkinpin/core/programs/replies.py
@@ -5,16 +5,26 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.core import messages
-from catkinpin.core.commands import Command, Send, SendAnswer, SendGrant
+from catkinpin.core.programs.commands import (
+    Command,
+    Send,
+    SendAnswer,
+    SendGrant,
+)
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from catkinpin.core import records
-    from catkinpin.core.commands import EntryRef
-    from catkinpin.core.effects import BeginRejected
     from catkinpin.core.messages import CallKey
-    from catkinpin.core.program import Attempt, Call, ClosedCall, Program
-    from catkinpin.core.waiters import Waiter
+    from catkinpin.core.programs import records
+    from catkinpin.core.programs.commands import EntryRef
+    from catkinpin.core.programs.effects import BeginRejected
+    from catkinpin.core.programs.program import (
+        Attempt,
+        Call,
+        ClosedCall,
+        Program,
+    )
+    from catkinpin.core.programs.waiters import Waiter
     from catkinpin.verdicts import Reason
 
 # A grant must be used within this time of its receipt.
--- a/catkinpin/core/rules.py
+++ b/catkinpin/core/programs/rules.py
@@ -5,23 +5,23 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import digest
-from catkinpin.core import records, routing
+from catkinpin.core.programs import records, sharding
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from catkinpin.core.messages import Begin
-    from catkinpin.core.program import Call, Program
+    from catkinpin.core.programs.program import Call, Program
 
 _RETRY_AFTER_MS = 1_000
 
 
 def ancestors(program: str) -> Iterator[str]:
     """Yields the ids that a sub-agent's id begins with, its root's first."""
-    parts = program.split(routing.SUB_AGENT_SEPARATOR)
+    parts = program.split(sharding.SUB_AGENT_SEPARATOR)
     for length in range(1, len(parts)):
-        yield routing.SUB_AGENT_SEPARATOR.join(parts[:length])
+        yield sharding.SUB_AGENT_SEPARATOR.join(parts[:length])
 
 
 def limit_reached(root: Program, at_ms: int) -> str:
--- a/catkinpin/core/shard.py
+++ b/catkinpin/core/programs/shard.py
@@ -11,8 +11,8 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import codec
-from catkinpin.core import budgets, history, records, rules
-from catkinpin.core.effects import (
+from catkinpin.core.programs import budgets, history, records, rules
+from catkinpin.core.programs.effects import (
     CallAnswered,
     CallGranted,
     CallReady,
@@ -21,17 +21,17 @@
     Effect,
     ProgramOver,
 )
-from catkinpin.core.index import ProgramIndex
-from catkinpin.core.outbox import Order, Outbox
-from catkinpin.core.program import (
+from catkinpin.core.programs.index import ProgramIndex
+from catkinpin.core.programs.outbox import Order, Outbox
+from catkinpin.core.programs.program import (
     Attempt,
     Call,
     CallState,
     ClosedCall,
     Program,
 )
-from catkinpin.core.quarantine import Quarantine
-from catkinpin.core.snapshots import ShardSnapshot
+from catkinpin.core.programs.quarantine import Quarantine
+from catkinpin.core.programs.snapshots import ShardSnapshot
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
--- a/catkinpin/core/snapshots.py
+++ b/catkinpin/core/programs/snapshots.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from catkinpin.codec import Message
-from catkinpin.core.outbox import Outbox
-from catkinpin.core.program import Program
-from catkinpin.core.quarantine import Quarantine
+from catkinpin.core.programs.outbox import Outbox
+from catkinpin.core.programs.program import Program
+from catkinpin.core.programs.quarantine import Quarantine
 from catkinpin.exceptions import SnapshotVersionError
 
 VERSION = 1
--- a/catkinpin/core/waiters.py
+++ b/catkinpin/core/programs/waiters.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from catkinpin.core.commands import EntryRef
     from catkinpin.core.messages import CallKey
+    from catkinpin.core.programs.commands import EntryRef
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/catkinpin/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, answers and event streams as the core sees them."""
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -8,18 +8,16 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from catkinpin import clock
-from catkinpin.adapters.gateway.parts import Parts
-from catkinpin.adapters.gateway.ports import HeaderCodec, Sending
+from catkinpin.adapters.gateway.context import Parts
+from catkinpin.adapters.gateway.headers import HeaderCodec, Sending
 from catkinpin.adapters.gateway.serving import Serving
 from catkinpin.adapters.gateway.turns import Ran, Started, Unknown
 from catkinpin.adapters.gateway.view import View
 from catkinpin.adapters.http.client import Pool
 from catkinpin.adapters.http.headers import Headers
 from catkinpin.adapters.http.server import HttpServer
-from catkinpin.core import keeping
-from catkinpin.core.balance import Balancer
-from catkinpin.core.calls import AnswerFacts, RouteCall
-from catkinpin.core.routes import (
+from catkinpin.core.control import protocol
+from catkinpin.core.control.routes import (
     CallerLimits,
     Engine,
     Route,
@@ -28,15 +26,17 @@
     Service,
     Share,
 )
-from catkinpin.core.speeds import Speeds
-from catkinpin.core.urgency import Standing
+from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.speeds import Speeds
+from catkinpin.core.placement.urgency import Standing
+from catkinpin.core.requests.calls import AnswerFacts, RouteCall
 from tests.fakes.instances import instance
 from tests.fakes.rawserver import RawServer, Seen, sealed
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from catkinpin.core.ledger import Denial
+    from catkinpin.core.control.ledger import Denial
 
     Answer = Callable[[Seen, asyncio.StreamWriter], Awaitable[None]]
 
@@ -201,7 +201,7 @@
     def learn_routes(self) -> None:
         """Tells the gateway its routes, as the newest."""
         self.view.replace(self._routing)
-        self.view.take(keeping.RoutingNow(version=1, is_current=True))
+        self.view.take(protocol.RoutingNow(version=1, is_current=True))
 
     async def start(self, *answers: Answer) -> None:
         self.address = await self.http.start("127.0.0.1:0")
--- a/tests/fakes/instances.py
+++ b/tests/fakes/instances.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from catkinpin.core.fleet import Instance, ServerState
+from catkinpin.core.control.servers import Instance, ServerState
 
 
 def instance(name: str = "s1", **changes: Any) -> Instance:
--- a/tests/fakes/lognode.py
+++ b/tests/fakes/lognode.py
@@ -7,7 +7,8 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters import mesh, node, peers, wire
+from catkinpin.adapters.peers import links, wire
+from catkinpin.adapters.replica import mesh, node
 from catkinpin.core import messages
 from catkinpin.settings import ReplicaSettings
 
@@ -15,7 +16,7 @@
     import pathlib
     from collections.abc import Callable
 
-    from catkinpin.adapters.groups import Group
+    from catkinpin.adapters.replica.groups import Group
 
 
 class ListMachine:
@@ -82,7 +83,7 @@
             self.node.add_group(f"g{number}", machine)
             for number, machine in enumerate(self.machines)
         ]
-        self._server = peers.PeerServer(
+        self._server = links.PeerServer(
             wire.ToReplica, self._take, lambda _: None
         )
 
@@ -114,7 +115,7 @@
         await fut
         return time.perf_counter() - begun
 
-    def _take(self, stream: peers.Stream, message: Any) -> None:
+    def _take(self, stream: links.Stream, message: Any) -> None:
         if isinstance(message, messages.Hello):
             self.node.hello(message)
         else:
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -12,16 +12,9 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import codec, configuration
-from catkinpin.core import (
-    commands,
-    leader,
-    messages,
-    placement,
-    records,
-    scheduler,
-    servers,
-    shard,
-)
+from catkinpin.core import messages
+from catkinpin.core.placement import candidates, scheduler, servers
+from catkinpin.core.programs import commands, leader, records, shard
 from tests.fakes.worldentry import Entry
 from tests.fakes.worldfacts import BUDGET
 from tests.fakes.worldserver import Server
@@ -138,8 +131,8 @@
     def make_scheduler(self, view: servers.ServerView) -> scheduler.Scheduler:
         """Returns a new leader's scheduler: calls may wait, or never do."""
         if self.rng.random() < 0.5:
-            return scheduler.Scheduler(view, placement.sticky)
-        policy = placement.by_cost(placement.Prices())
+            return scheduler.Scheduler(view, candidates.sticky)
+        policy = candidates.by_cost(candidates.Prices())
         return scheduler.Scheduler(view, policy, scheduler.WaitPlan())
 
     def reconfigure(self) -> None:
--- a/tests/fakes/worldentry.py
+++ b/tests/fakes/worldentry.py
@@ -6,8 +6,9 @@
 
 import msgspec
 
-from catkinpin.adapters import grants
-from catkinpin.core import commands, messages
+from catkinpin.adapters.entry import grants
+from catkinpin.core import messages
+from catkinpin.core.programs import commands
 from catkinpin.verdicts import Reason, Verdict
 from tests.fakes.worldfacts import Call
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -6,10 +6,10 @@
 
 import testtools
 
-from catkinpin.core.balance import Balancer
-from catkinpin.core.calls import Load, PromptPart, RouteCall
-from catkinpin.core.fleet import Instance, ServerState
-from catkinpin.core.speeds import Speeds, Streamed
+from catkinpin.core.control.servers import Instance, ServerState
+from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.speeds import Speeds, Streamed
+from catkinpin.core.requests.calls import Load, PromptPart, RouteCall
 from tests.fakes.instances import instance
 
 _SHARED = PromptPart("shared", 12_600)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from catkinpin import configuration
-from catkinpin.adapters import configured
-from catkinpin.core import changes, control, controlleader, controlsnapshot
-from catkinpin.core import deployments as items
-from catkinpin.core.leases import DRIFT_MS, LEASE_MS
+from catkinpin.adapters.entry import configured
+from catkinpin.core.operations import changes, control, leader, snapshot
+from catkinpin.core.operations import deployments as items
+from catkinpin.core.operations.leases import DRIFT_MS, LEASE_MS
 from catkinpin.exceptions import BadRequestError, StorageError
 from tests import base
 
@@ -123,7 +123,7 @@
             state.apply(step, record)
             replayed.apply(step, record)
             if rng.random() < 0.1:
-                state = controlsnapshot.load(controlsnapshot.save(state))
+                state = snapshot.load(snapshot.save(state))
             for receiver in receivers:
                 late.append(state.update_since(receiver.revision))
                 update = rng.choice(late[-40:])
@@ -146,9 +146,9 @@
 
         The replica says so and does not start on a state it can't read.
         """
-        data = controlsnapshot.save(control.Control())
-        self.assertRaises(StorageError, controlsnapshot.load, b"\x09" + data)
-        self.assertRaises(StorageError, controlsnapshot.load, data[:-3])
+        data = snapshot.save(control.Control())
+        self.assertRaises(StorageError, snapshot.load, b"\x09" + data)
+        self.assertRaises(StorageError, snapshot.load, data[:-3])
 
 
 class LeasesTest(base.TestCase):
@@ -163,9 +163,9 @@
             process="entry-1", incarnation="i1", role="entry"
         )
 
-    def elected(self, now_ms: int) -> controlleader.ControlLeader:
+    def elected(self, now_ms: int) -> leader.ControlLeader:
         """Returns a new leader."""
-        return controlleader.ControlLeader(self.state, now_ms, self.fail)
+        return leader.ControlLeader(self.state, now_ms, self.fail)
 
     def renew(self, revision: int, now_ms: int) -> changes.Lease:
         """Asks for a lease, and registers the entry where that is needed."""
@@ -174,7 +174,7 @@
             commands = self.leader.handle(self.entry, message, now_ms, 0)
             commands = commands or self.run_tick(now_ms)
             sent = commands[-1]
-            assert isinstance(sent, controlleader.Send)
+            assert isinstance(sent, leader.Send)
             lease = sent.message
             if lease.lease_ms or lease.update is not None:
                 break
@@ -185,7 +185,7 @@
         """Commits what the leader proposes."""
         answers = []
         for command in self.leader.tick(now_ms, 0):
-            assert isinstance(command, controlleader.Propose)
+            assert isinstance(command, leader.Propose)
             outcome = self.state.apply(0, command.record)
             answers += self.leader.applied(command.record, outcome, now_ms)
         return answers
@@ -248,7 +248,7 @@
             message = changes.Apply(ask=ask, request_id="b", base_revision=1)
             commands = self.leader.handle(self.entry, message, 0, 0)
         [lost] = commands
-        assert isinstance(lost, controlleader.Propose)
+        assert isinstance(lost, leader.Propose)
         outcome = self.state.apply(2, lost.record)
         answers = self.leader.applied(lost.record, outcome, 0)
         asks = [one.message.ask for one in answers if hasattr(one, "message")]
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -4,9 +4,9 @@
 
 import testtools
 
-from catkinpin.core import copies
-from catkinpin.core.copies import Holder
-from catkinpin.core.ledger import Turn
+from catkinpin.core.control import copies
+from catkinpin.core.control.copies import Holder
+from catkinpin.core.control.ledger import Turn
 
 
 def _turn(number: int, holders: list[str], size: int = 1_000) -> Turn:
--- a/tests/test_deciding.py
+++ b/tests/test_deciding.py
@@ -19,7 +19,7 @@
     ServiceShape,
 )
 from bench.deciding.service import Service
-from catkinpin.core.calls import PromptPart
+from catkinpin.core.requests.calls import PromptPart
 
 _SHAPE = EngineShape(
     slots=4,
--- a/tests/test_disks.py
+++ b/tests/test_disks.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from catkinpin.core.disks import SyncTimes
+from catkinpin.core.control.disks import SyncTimes
 
 
 class SyncTimesTest(testtools.TestCase):
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from catkinpin.core.events import EventReader
+from catkinpin.core.requests.events import EventReader
 
 
 class EventReaderTest(testtools.TestCase):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from catkinpin.core.fleet import Fleet, Instance, ServerState
+from catkinpin.core.control.servers import Fleet, Instance, ServerState
 from tests.fakes.instances import instance
 
 
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -4,7 +4,8 @@
 
 from typing import Any, cast
 
-from catkinpin.adapters import files, founding, identity, mesh, replicas
+from catkinpin.adapters.disk import files
+from catkinpin.adapters.replica import founding, identity, mesh, transport
 from tests import base
 
 _US = "127.0.0.1:1"
@@ -40,7 +41,7 @@
         self.begun += 1
 
     def _hear(self, *, founded: bool) -> None:
-        info = replicas.NodeInfo(
+        info = transport.NodeInfo(
             node="other", address=_OTHER, founded=founded, known=[]
         )
         self.founding.heard(info)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from catkinpin.core import keeping
-from catkinpin.core.routes import (
+from catkinpin.core.control import protocol
+from catkinpin.core.control.routes import (
     RouteKind,
 )
 from tests.fakes.rawserver import Seen, sealed
@@ -290,7 +290,7 @@
             while not rig.turns.crashes:
                 await asyncio.sleep(0.01)
             content, _ = rig.turns.crashes[0]
-            rig.view.take(keeping.QuarantineNow(contents=[content]))
+            rig.view.take(protocol.QuarantineNow(contents=[content]))
             got = await rig.ask("q2", body=b"poison")
             self.assertEqual(503, got.status)
             self.assertEqual(1, rig.runs())
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
-from catkinpin.adapters import node
+from catkinpin.adapters.replica import node
 from catkinpin.core.consensus.state import Role
 from catkinpin.exceptions import DiskFullError
 from tests import base, ports
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -5,8 +5,9 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters import keepers, peers
-from catkinpin.core import keeping, messages
+from catkinpin.adapters.peers import keepers, links
+from catkinpin.core import messages
+from catkinpin.core.control import protocol
 from tests import base
 from tests.hellos import GATEWAY_HELLO
 
@@ -27,8 +28,8 @@
         self.term = 1
         self.on_asked: Callable[[], None] = lambda: None
         self._answers = answers
-        self._server = peers.PeerServer(
-            keeping.ToKeeper, self._take, lambda _: None
+        self._server = links.PeerServer(
+            protocol.ToKeeper, self._take, lambda _: None
         )
 
     async def start(self) -> None:
@@ -38,7 +39,7 @@
         await self._server.stop()
 
     def tell(self) -> None:
-        info = keeping.HostInfo(
+        info = protocol.HostInfo(
             node=self.address,
             address=self.address,
             domain="a",
@@ -50,14 +51,14 @@
         for stream in self._server.streams:
             stream.send(info)
 
-    def _take(self, stream: peers.Stream, message: Any) -> None:
+    def _take(self, stream: links.Stream, message: Any) -> None:
         if isinstance(message, messages.Hello):
             self.tell()
             return
         self.asked += 1
         self.on_asked()
         if self._answers:
-            stream.send(keeping.Done(ask=message.ask))
+            stream.send(protocol.Done(ask=message.ask))
 
 
 class LeaderTest(base.TestCase):
@@ -91,10 +92,10 @@
             await base.until(known, "both keepers are connected")
             begun = time.monotonic()
             reply = await asker.ask_leader(
-                lambda ask: keeping.AskCurrent(ask=ask), 3.0
+                lambda ask: protocol.AskCurrent(ask=ask), 3.0
             )
             took_s = time.monotonic() - begun
-            self.assertIsInstance(reply, keeping.Done)
+            self.assertIsInstance(reply, protocol.Done)
             self.assertEqual((1, 1), (frozen.asked, fresh.asked))
             self.assertLess(took_s, _AT_ONCE_S)
             await asker.stop()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -6,7 +6,7 @@
 import testtools
 
 from catkinpin import codec
-from catkinpin.core.ledger import (
+from catkinpin.core.control.ledger import (
     Begin,
     Denial,
     Finish,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,9 +4,9 @@
 
 import random
 
-from catkinpin.core import limits, outliers
-from catkinpin.core.deployments import Limits
 from catkinpin.core.messages import CallKey
+from catkinpin.core.operations.deployments import Limits
+from catkinpin.core.placement import ejection, limits
 from tests import base
 
 
@@ -93,10 +93,10 @@
         Callers notice a few retries and no more; once it works again it gets
         one call at a time first.
         """
-        found = outliers.Outliers(random.Random(1))
+        found = ejection.Outliers(random.Random(1))
         for number in range(10):
             found.seen(f"s{number}", "i")
-        for _ in range(outliers.FAILURES_IN_A_ROW):
+        for _ in range(ejection.FAILURES_IN_A_ROW):
             self.assertTrue(found.admits("s0", 0, 0))
             found.failed("s0", 0)
         self.assertFalse(found.admits("s0", 0, 1_000))
@@ -111,7 +111,7 @@
 
         Ejecting all of them would turn failures into a standstill.
         """
-        found = outliers.Outliers(random.Random(1))
+        found = ejection.Outliers(random.Random(1))
         for number in range(10):
             found.seen(f"s{number}", "i")
         for number in range(100):
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from catkinpin.core.lines import Bounds, Line, Prior
+from catkinpin.core.placement.regression import Bounds, Line, Prior
 
 _ANY = Bounds(-1e9, 1e9)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,8 +6,8 @@
 import socket
 from typing import Any
 
-from catkinpin.adapters import peers
-from catkinpin.core import keeping
+from catkinpin.adapters.peers import links
+from catkinpin.core.control import protocol
 from tests import base, ports
 from tests.hellos import GATEWAY_HELLO
 
@@ -32,8 +32,8 @@
         """
 
         async def main() -> None:
-            server = peers.PeerServer(
-                keeping.ToKeeper, lambda *_: None, lambda _: None
+            server = links.PeerServer(
+                protocol.ToKeeper, lambda *_: None, lambda _: None
             )
             address = await server.start("127.0.0.1:0")
             for turns in range(_TURNS):
@@ -43,7 +43,7 @@
         self.run_async(main())
 
     async def _stop_after(self, turns: int, address: str) -> None:
-        link = peers.PeerLink(address, GATEWAY_HELLO, Any, lambda _: None)
+        link = links.PeerLink(address, GATEWAY_HELLO, Any, lambda _: None)
         link.start()
         for _ in range(turns):
             await asyncio.sleep(0)
@@ -71,13 +71,13 @@
             for sock in filling:
                 sock.setblocking(False)
                 sock.connect_ex(("127.0.0.1", port))
-            link = peers.PeerLink(address, GATEWAY_HELLO, Any, lambda _: None)
+            link = links.PeerLink(address, GATEWAY_HELLO, Any, lambda _: None)
             link.start()
             await asyncio.sleep(0.2)
             for sock in [dark, *filling]:
                 sock.close()
-            server = peers.PeerServer(
-                keeping.ToKeeper, lambda *_: None, lambda _: None
+            server = links.PeerServer(
+                protocol.ToKeeper, lambda *_: None, lambda _: None
             )
             await server.start(address)
             async with asyncio.timeout(_UP_AGAIN_S):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -4,9 +4,10 @@
 
 import collections
 
-from catkinpin.core import messages, placing, servers
-from catkinpin.core.commands import EntryRef
+from catkinpin.core import messages
 from catkinpin.core.messages import CallKey
+from catkinpin.core.placement import assignment, servers
+from catkinpin.core.programs.commands import EntryRef
 from tests import base
 
 _PROGRAMS = 300
@@ -36,9 +37,9 @@
     for number in range(_PROGRAMS):
         program = f"p{number}"
         key = CallKey(account="a", program=program, request_id="1")
-        placed = placing.Placed(key, servers.Server(report, seen_ms=0))
+        placed = assignment.Placed(key, servers.Server(report, seen_ms=0))
         caller = _entry(99, "ch-nord")
-        choice = placing.choice_of(placed, caller, entries, priority=0)
+        choice = assignment.choice_of(placed, caller, entries, priority=0)
         found[program] = choice.dispatcher
     return found
 
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -4,10 +4,10 @@
 
 from typing import Any
 
-from catkinpin.core import changes, control, controlsnapshot, drafts, plans
-from catkinpin.core import deployments as items
 from catkinpin.core.messages import ServerReport
-from catkinpin.core.orders import CLAIM_MS, Orders
+from catkinpin.core.operations import changes, control, drafts, plans, snapshot
+from catkinpin.core.operations import deployments as items
+from catkinpin.core.operations.orders import CLAIM_MS, Orders
 from tests import base
 
 
@@ -119,7 +119,7 @@
         """
         self.made(plans.Move(deployment="advice", off=["s1"]))
         self.change(items.Account(name="other", key_sha256="1"))
-        kept = controlsnapshot.load(controlsnapshot.save(self.state))
+        kept = snapshot.load(snapshot.save(self.state))
         raised = items.Deployment(name="advice", targets=["berater"])
         self.change(raised)
         [problem] = self.act(changes.PlanConfirmed)
@@ -149,9 +149,9 @@
             self.act(changes.PlanConfirmed)
             for _ in range(steps):
                 self.advance()
-            saved = controlsnapshot.save(self.state)
-            self.state = controlsnapshot.load(saved)
-            self.assertEqual(saved, controlsnapshot.save(self.state))
+            saved = snapshot.save(self.state)
+            self.state = snapshot.load(saved)
+            self.assertEqual(saved, snapshot.save(self.state))
             run = self.state.plans["p"]
             ordered = len(run.ordered)
             if run.state is not plans.PlanState.DONE:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -96,7 +96,7 @@
         """A caller sends headers that only the system may set."""
         out = _inside(
             "import names\n"
-            "from catkinpin.adapters.gateway.ports import Sending\n"
+            "from catkinpin.adapters.gateway.headers import Sending\n"
             "from catkinpin.adapters.http.headers import Headers\n"
             "told = Headers([(b'X-Hold', b'1'), (b'X-Pin-Ms', b'9'),"
             " (b'Kv-From', b'x'), (b'X-Kv-Backup', b'y'),"
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -6,8 +6,8 @@
 
 import testtools
 
-from catkinpin.core import routes
-from catkinpin.core.routes import (
+from catkinpin.core.control import routes
+from catkinpin.core.control.routes import (
     CallerLimits,
     Route,
     RouteKind,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from bench import variants, workloads, world
-from catkinpin.core import messages, placement, scheduler, servers
+from catkinpin.core import messages
+from catkinpin.core.placement import candidates, scheduler, servers
 from catkinpin.verdicts import Reason
 from tests import base
 from tests.test_operators import command
@@ -59,12 +60,12 @@
         self.jobs = self.scheduler()
 
     def scheduler(self, **plan: Any) -> scheduler.Scheduler:
-        prices = placement.Prices()
+        prices = candidates.Prices()
         return scheduler.Scheduler(
             self.view,
-            placement.by_cost(prices),
+            candidates.by_cost(prices),
             scheduler.WaitPlan(**plan),
-            placement.keeps_home(prices),
+            candidates.keeps_home(prices),
         )
 
     def report(self, name: str, at_ms: int = 0, **fields: object) -> None:
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -7,9 +7,10 @@
 import msgspec
 
 from catkinpin import codec, configuration, digest
-from catkinpin.core import budgets, messages, records, shard
+from catkinpin.core import messages
 from catkinpin.core.messages import CallKey, ProgramKey
-from catkinpin.core.program import CallState
+from catkinpin.core.programs import budgets, records, shard
+from catkinpin.core.programs.program import CallState
 from catkinpin.exceptions import SnapshotVersionError
 from catkinpin.verdicts import Reason, Verdict
 from tests import base
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -5,7 +5,8 @@
 import asyncio
 from typing import Any
 
-from catkinpin.adapters import peers, shards, wire
+from catkinpin.adapters.entry import shards
+from catkinpin.adapters.peers import links, wire
 from catkinpin.core import messages
 from tests import base
 
@@ -20,7 +21,7 @@
     def __init__(self, *, answers: bool) -> None:
         self._answers = answers
         self.asked = asyncio.Event()
-        self.server = peers.PeerServer(
+        self.server = links.PeerServer(
             wire.ToReplica, self._take, lambda _: None
         )
         self.address = ""
@@ -35,7 +36,7 @@
         for stream in self.server.streams:
             stream.send(news)
 
-    def _take(self, stream: peers.Stream, message: Any) -> None:
+    def _take(self, stream: links.Stream, message: Any) -> None:
         if not isinstance(message, messages.GetProgram):
             return
         self.asked.set()
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from catkinpin.core.speeds import Speeds, Streamed
+from catkinpin.core.placement.speeds import Speeds, Streamed
 
 _TRUE = [
     # Tokens read in a ms, ms a generated token, ms more for each beside.
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -7,7 +7,7 @@
 import os
 from typing import TYPE_CHECKING
 
-from catkinpin.adapters import files, segments, snapshots, storage
+from catkinpin.adapters.disk import files, segments, snapshots, storage
 from catkinpin.core.consensus.messages import Entry, Kind, Members
 from catkinpin.exceptions import (
     DamagedLogError,
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     import pathlib
 
-    from catkinpin.adapters.grouplog import GroupLog
+    from catkinpin.adapters.disk.grouplog import GroupLog
 
 
 def entries(first: int, last: int, term: int = 1) -> list[Entry]:
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.adapters.gateway.turns import Started, Unknown
-from catkinpin.core.ledger import Denial
-from catkinpin.core.routes import (
+from catkinpin.core.control.ledger import Denial
+from catkinpin.core.control.routes import (
     RouteKind,
 )
-from catkinpin.core.urgency import Standing
+from catkinpin.core.placement.urgency import Standing
 from tests.fakes.rawserver import Seen, sealed
 
 if TYPE_CHECKING:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -7,8 +7,9 @@
 
 import prometheus_client
 
-from catkinpin.adapters import calls
-from catkinpin.core import gaps, histories, splice
+from catkinpin.adapters.entry import calls
+from catkinpin.core.programs import texts
+from catkinpin.core.requests import pauses, splice
 from catkinpin.exceptions import DivergedError
 from tests import base
 
@@ -107,7 +108,7 @@
     """Patience with a silent stream follows the server's own pace."""
 
     def test_patience_lies_within_its_bounds(self) -> None:
-        known = gaps.Gaps(200, 5_000)
+        known = pauses.Gaps(200, 5_000)
         self.assertEqual(5_000, known.patience_ms("unknown"))
         for gap, low, high in (
             (1, 200, 200),
@@ -124,7 +125,7 @@
     """What is held of histories stays within its bound."""
 
     def test_bound_and_replacement(self) -> None:
-        held = histories.Histories(most_bytes=100)
+        held = texts.Histories(most_bytes=100)
         held.put(b"a", [b"x" * 40], b"")
         held.put(b"b", [b"x" * 40, b"y" * 20], b"a")
         self.assertIsNone(held.get(b"a"))
--- a/tests/test_turnbytes.py
+++ b/tests/test_turnbytes.py
@@ -9,9 +9,9 @@
 
 import testtools
 
-from catkinpin.adapters import turnbytes
-from catkinpin.adapters.files import FileOps
-from catkinpin.adapters.turnbytes import TurnBytes
+from catkinpin.adapters.disk import turnbytes
+from catkinpin.adapters.disk.files import FileOps
+from catkinpin.adapters.disk.turnbytes import TurnBytes
 from catkinpin.exceptions import DiskFullError, StorageError
 
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -7,14 +7,14 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from catkinpin.adapters.gateway.turns import Ran, Turns
-from catkinpin.core import keeping
-from catkinpin.core.calls import RouteCall
+from catkinpin.core.control import protocol
+from catkinpin.core.requests.calls import RouteCall
 from tests import base
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.adapters.keepers import Keepers
+    from catkinpin.adapters.peers.keepers import Keepers
 
 # Well below what a turn waits for a slow holder before it asks another.
 _AT_ONCE_S = 0.1
@@ -34,7 +34,7 @@
         return [self._host(name) for name in ("a", "b", "c")]
 
     def _host(self, name: str) -> Any:
-        info = keeping.HostInfo(
+        info = protocol.HostInfo(
             node=name,
             address=f"{name}:1",
             domain=name,
@@ -51,12 +51,12 @@
         self.asked.append(host.info.node)
         if host.info.node == self._slow:
             await asyncio.sleep(wait_s)
-        return keeping.Done(ask=1)
+        return protocol.Done(ask=1)
 
     async def ask_leader(
         self, make: Callable[[int], Any], wait_s: float
     ) -> Any:
-        return keeping.Done(ask=1)
+        return protocol.Done(ask=1)
 
 
 class SlowHolderTest(base.TestCase):
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -8,10 +8,10 @@
 
 import testtools
 
-from catkinpin.core import urgency
-from catkinpin.core.calls import PromptPart, RouteCall
-from catkinpin.core.speeds import EngineSpeed
-from catkinpin.core.urgency import Standing
+from catkinpin.core.placement import urgency
+from catkinpin.core.placement.speeds import EngineSpeed
+from catkinpin.core.placement.urgency import Standing
+from catkinpin.core.requests.calls import PromptPart, RouteCall
 
 if TYPE_CHECKING:
     from collections.abc import Callable
