--- a/bench/controlbench.py
+++ b/bench/controlbench.py
@@ -104,7 +104,7 @@
         )
         self.configured = configured.Configured()
         self.replicas = shards.Replicas(
-            list(replicas.values()), hello, self._take, lambda _: None
+            list(replicas.values()), hello, self._handle, lambda _: None
         )
         # Leaders are named by their own addresses, not by the relays'.
         for address, through in replicas.items():
@@ -113,14 +113,14 @@
             self.replicas,
             clock.system_clock(),
             lambda: self.configured.revision,
-            self.configured.take,
+            self.configured.apply_update,
         )
         self.replicas.start()
         self._task = asyncio.create_task(self.lease.run())
 
-    def _take(self, message: Any) -> None:
+    def _handle(self, message: Any) -> None:
         if isinstance(message, changes.ConfigUpdate):
-            self.configured.take(message)
+            self.configured.apply_update(message)
             self.lease.changed()
 
     async def knows_leader(self) -> bool:
--- a/bench/deciding/caller.py
+++ b/bench/deciding/caller.py
@@ -23,7 +23,7 @@
 # Tries of one request, and how often a failed turn is sent once more.
 _TRIES = 2
 _TURN_SENDS = 3
-_AGAIN_MS = (100, 400)
+_RETRY_MS = (100, 400)
 _REFUSED_MS = 150
 # A gateway that is gone is noticed after so long.
 _NO_GATEWAY_MS = 1_000
@@ -123,7 +123,7 @@
                 draw = self._rng.random()
                 if end is End.REFUSED:
                     yield self._env.timeout(_REFUSED_MS)
-            yield self._env.timeout(self._rng.uniform(*_AGAIN_MS))
+            yield self._env.timeout(self._rng.uniform(*_RETRY_MS))
         return False
 
     def _call(self, call: ToolCall) -> Whether:
@@ -143,8 +143,8 @@
 
     def _ask(self, gateway: Gateway, steps: Steps, deadline_ms: float) -> Steps:
         """Has a gateway serve a request, for as long as its caller waits."""
-        way_ms = self._world.scenario.links.caller_ms
-        yield self._env.timeout(way_ms)
+        delay_ms = self._world.scenario.links.caller_ms
+        yield self._env.timeout(delay_ms)
         if not gateway.is_up:
             steps.close()
             yield self._env.timeout(_NO_GATEWAY_MS)
@@ -156,7 +156,7 @@
         if serving.is_alive:
             serving.interrupt()
             return End.BROKEN
-        yield self._env.timeout(way_ms)
+        yield self._env.timeout(delay_ms)
         return cast("End", serving.value)
 
 
--- a/bench/deciding/draws.py
+++ b/bench/deciding/draws.py
@@ -21,7 +21,7 @@
 
 _SECOND_MS = 1_000.0
 # The largest draw of a size, in times of its mean.
-_MOST_TIMES = 5.0
+_MAX_TIMES = 5.0
 _HELPER_TURNS = 2
 # What the aims allow a turn for the ways and its records, in ms.
 _WAY_MS = 68.0
@@ -225,7 +225,7 @@
 def _draw(rng: np.random.Generator, mean: float, sigma: float) -> float:
     """Returns a lognormal draw with this mean."""
     mu = math.log(mean) - sigma * sigma / 2
-    return min(float(rng.lognormal(mu, sigma)), _MOST_TIMES * mean)
+    return min(float(rng.lognormal(mu, sigma)), _MAX_TIMES * mean)
 
 
 def _idle_ms(engine: EngineShape, line: LineScript) -> float:
--- a/bench/deciding/gateway.py
+++ b/bench/deciding/gateway.py
@@ -27,7 +27,7 @@
     Steps = Generator[simpy.Event, Any, "End"]
 
 # Servers that may refuse a request one after the other before a gateway does.
-_MOST_REFUSALS = 3
+_MAX_REFUSALS = 3
 # A server that can't be reached is given up after so long.
 _CONNECT_MS = 300
 _RETAIN_MS = 60_000
@@ -84,7 +84,7 @@
                 program=turn.program,
                 previous="",
                 budget=_BUDGET,
-                most=2 * turn.tokens,
+                max_tokens=2 * turn.tokens,
                 retain_ms=_RETAIN_MS,
                 at_ms=self._now_ms,
                 left_ms=round(turn.left_ms),
@@ -95,9 +95,9 @@
             program=turn.program,
             session=turn.session,
             prompt=turn.prompt,
-            most_tokens=2 * turn.tokens,
+            max_tokens=2 * turn.tokens,
         )
-        rank = self.policy.rank(began.standing)
+        rank = self.policy.rank(began.program_status)
         known = self._world.fleet.get(began.server)
         if known is not None:
             self.policy.balancer.read(known, turn.prompt[:-1])
@@ -127,7 +127,7 @@
         """Serves a call of a plain service."""
         route = call.tool.name
         sent_to: list[str] = []
-        while len(sent_to) <= _MOST_REFUSALS:
+        while len(sent_to) <= _MAX_REFUSALS:
             choice = self._pick("plain", RouteCall("x"), sent_to, route)
             if choice is None:
                 return End.REFUSED
@@ -140,7 +140,7 @@
             running = service.submit(call.work_ms)
             if running is None:
                 self.policy.balancer.ended(instance)
-                self._told(instance, service)
+                self._report_load(instance, service)
                 continue
             end = yield from self._await_call(service, instance, running)
             if end is End.SERVED:
@@ -153,7 +153,7 @@
         self, call: RouteCall, turn: Turn, rank: int
     ) -> Generator[simpy.Event, Any, tuple[End, str]]:
         sent_to: list[str] = []
-        while len(sent_to) <= _MOST_REFUSALS:
+        while len(sent_to) <= _MAX_REFUSALS:
             choice = self._pick("models", call, sent_to)
             if choice is None:
                 break
@@ -197,7 +197,7 @@
             if job.first.triggered:
                 yield self._way(instance)
                 load = engine.load()
-                self.policy.balancer.told(instance, load, self._now_ms)
+                self.policy.balancer.report_load(instance, load, self._now_ms)
                 first_ms = self._env.now - sent_ms
                 yield job.done
                 yield self._way(instance)
@@ -223,7 +223,7 @@
         wanted = sum(part.tokens for part in call.prompt)
         new = call.prompt[-1].tokens
         instance = choice.instance
-        told = Streamed(
+        sample = Streamed(
             read_tokens=new if choice.cached_tokens == wanted - new else None,
             first_ms=first_ms,
             gaps_ms=job.gaps_ms,
@@ -231,7 +231,7 @@
             waiting=waiting,
         )
         self.policy.speeds.streamed(
-            "models", instance.id, instance.born_ms, told, self._now_ms
+            "models", instance.id, instance.started_ms, sample, self._now_ms
         )
 
     def _await_call(
@@ -240,15 +240,15 @@
         try:
             yield running.done
             yield self._way(instance)
-            self._told(instance, service)
+            self._report_load(instance, service)
             self.policy.balancer.succeeded(instance)
             return End.SERVED if running.done.value else End.BROKEN
         finally:
             service.cancel(running)
             self.policy.balancer.ended(instance)
 
-    def _told(self, instance: Instance, service: Service) -> None:
-        self.policy.balancer.told(instance, service.load(), self._now_ms)
+    def _report_load(self, instance: Instance, service: Service) -> None:
+        self.policy.balancer.report_load(instance, service.load(), self._now_ms)
 
     def _pick(
         self,
--- a/bench/deciding/policies.py
+++ b/bench/deciding/policies.py
@@ -17,7 +17,7 @@
     from bench.deciding.engine import Engine
     from bench.deciding.service import Service
     from catkinpin.core.control.servers import Instance
-    from catkinpin.core.placement.urgency import Standing
+    from catkinpin.core.placement.urgency import ProgramStatus
     from catkinpin.core.requests.calls import Load, PromptPart, RouteCall
 
 
@@ -60,13 +60,13 @@
 
     balancer: Balancer
     speeds: Speeds
-    rank: Callable[[Standing], int] = urgency.of_turn
+    rank: Callable[[ProgramStatus], int] = urgency.of_turn
 
 
 def _plain(
     kind: type[Balancer] = Balancer,
     make_speeds: Callable[[], Speeds] = Speeds,
-    rank: Callable[[Standing], int] = urgency.of_turn,
+    rank: Callable[[ProgramStatus], int] = urgency.of_turn,
 ) -> Callable[[Place], Policy]:
     """Returns a variant that needs no more than a gateway knows."""
 
@@ -102,8 +102,8 @@
         self,
         service: str,
         server: str,
-        born_ms: int,
-        told: Streamed,
+        started_ms: int,
+        report_load: Streamed,
         now_ms: int,
     ) -> None:
         """Learns nothing."""
@@ -126,7 +126,7 @@
 class _NoLoads(Balancer):
     """What servers tell of their load is not listened to."""
 
-    def told(self, instance: Instance, load: Load, now_ms: int) -> bool:
+    def report_load(self, instance: Instance, load: Load, now_ms: int) -> bool:
         return True
 
 
@@ -287,7 +287,7 @@
     return fit or ready
 
 
-def _all_alike(standing: Standing) -> int:
+def _all_alike(program_status: ProgramStatus) -> int:
     return urgency.USUAL
 
 
--- a/bench/deciding/sweep.py
+++ b/bench/deciding/sweep.py
@@ -24,9 +24,9 @@
     from typing import Any
 
 # Programs in one play at most, so that a play takes some seconds.
-_MOST_PROGRAMS = 500
+_MAX_PROGRAMS = 500
 _DOMAINS = 3
-_WORST_PART = 0.1
+_WORST_SHARE = 0.1
 
 
 def draw(seed: int) -> Scenario:
@@ -91,7 +91,7 @@
         )
         lines.append(
             f"  {variant:20} median {np.median(parts):.3f}"
-            f"  worst tenth {np.quantile(parts, _WORST_PART):.3f}"
+            f"  worst tenth {np.quantile(parts, _WORST_SHARE):.3f}"
             f"  mean {parts.mean():.3f}  least {parts.min():.3f}"
         )
     return "\n".join(lines)
@@ -100,7 +100,7 @@
 def _fitted(scenario: Scenario) -> Scenario:
     """Shortens a play that would have too many programs."""
     per_s = scenario.load * draws.capacity(scenario) * 1_000
-    seconds = min(scenario.seconds, _MOST_PROGRAMS / per_s)
+    seconds = min(scenario.seconds, _MAX_PROGRAMS / per_s)
     return msgspec.structs.replace(scenario, seconds=max(seconds, 3.0))
 
 
--- a/bench/deciding/world.py
+++ b/bench/deciding/world.py
@@ -83,7 +83,7 @@
         self._scripts = draws.programs(scenario, seed)
         self._regions = {one.name: one.region for one in scenario.domains}
         self._truth = Truth(self.engines, self.services)
-        self._born = 0
+        self._start = 0
         self._passed: collections.Counter[str] = collections.Counter()
         for domain in scenario.domains:
             for _ in range(domain.engines):
@@ -166,14 +166,14 @@
     def _announce(
         self, name: str, service: str, domain: str, slots: int
     ) -> None:
-        self._born += 1
+        self._start += 1
         self.fleet[name] = Instance(
             id=name,
             service=service,
             address=name,
             domain=domain,
             state=ServerState.READY,
-            born_ms=self._born,
+            started_ms=self._start,
             sequence=1,
             slots=slots,
         )
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -67,7 +67,7 @@
     def _done(self, entry: Entry, call: Call, grant: messages.Granted) -> None:
         self._busy -= 1
         self.ran += 1
-        self._token(self.life, entry, call, grant, "last token")
+        self._token(self.starts, entry, call, grant, "last token")
         self._fill()
 
 
--- a/bench/world.py
+++ b/bench/world.py
@@ -42,7 +42,7 @@
     Attributes:
         load: arrivals as a share of capacity.
         arrivals_ms: how long programs arrive.
-        patience_ms: how long the run lasts after that at most.
+        election_timeout_ms: how long the run lasts after that at most.
         lost: `server` or `domain` fails midway, or with `drain` a server gets
             no new work from then on; empty for no failure.
         lying: whether one server's reports always say that it is idle.
@@ -53,7 +53,7 @@
     load: float
     seed: int
     arrivals_ms: int = 240_000
-    patience_ms: int = 600_000
+    election_timeout_ms: int = 600_000
     lost: str = ""
     lying: bool = False
 
@@ -117,7 +117,7 @@
         self.events.after(_REPORT_EVERY_MS, self._arrive)
         if self.plan.lost:
             self.events.after(self.plan.arrivals_ms / 2, self._lose)
-        end = self.plan.arrivals_ms + self.plan.patience_ms
+        end = self.plan.arrivals_ms + self.plan.election_timeout_ms
         self.events.run(end, lambda: not self._arriving and not self._alive)
         for run in self._alive:
             if run.parent is None:
--- a/catkinpin/adapters/disk/grouplog.py
+++ b/catkinpin/adapters/disk/grouplog.py
@@ -282,7 +282,7 @@
         self._before_base: dict[int, int] = {}
         self._gap = False
 
-    def take(self, record: Record) -> None:
+    def replay(self, record: Record) -> None:
         """Takes the next record."""
         match record.type:
             case RecordType.STATE:
--- a/catkinpin/adapters/disk/storage.py
+++ b/catkinpin/adapters/disk/storage.py
@@ -30,7 +30,7 @@
 
 SEGMENT_BYTES = 64 * 1024 * 1024
 # A sealed segment is rewritten once less than this part of it is needed.
-_LIVE_PART = 0.5
+_LIVE_SHARE = 0.5
 
 
 class Storage:
@@ -210,7 +210,7 @@
         for number in sorted(self._segments):
             if number >= self._first_in_use():
                 return
-            if self._needed[number] <= _LIVE_PART * self._written[number]:
+            if self._needed[number] <= _LIVE_SHARE * self._written[number]:
                 self._rewrite(number)
 
     def pinning(self) -> list[str]:
@@ -311,7 +311,7 @@
         self, record: Record, by_number: dict[int, Recovery]
     ) -> None:
         if record.type is not RecordType.NAME:
-            by_number[record.group].take(record)
+            by_number[record.group].replay(record)
             if record.type in (RecordType.ENTRY, RecordType.COPY):
                 self._written[logrecords.segment_of(record.position)] += 1
         elif record.group not in by_number:
--- a/catkinpin/adapters/entry/backends.py
+++ b/catkinpin/adapters/entry/backends.py
@@ -33,7 +33,7 @@
 _CANCEL_TIMEOUT_S = 2.0
 
 
-class AttemptFate(enum.Enum):
+class AttemptState(enum.Enum):
     """What a server says of an attempt."""
 
     RUNNING = "running"
@@ -44,10 +44,10 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Told:
+class AttemptStatus:
     """A server's word on an attempt, with the answer where it is done."""
 
-    fate: AttemptFate
+    attempt_state: AttemptState
     answer: Answer | None = None
 
 
@@ -94,18 +94,18 @@
         await self.pooled.close()
         await self.fresh.close()
 
-    async def ask(self, grant: Granted, timeout_s: float) -> Told:
+    async def ask(self, grant: Granted, timeout_s: float) -> AttemptStatus:
         """Asks a server, on a new connection, what became of an attempt."""
         timeout = aiohttp.ClientTimeout(total=timeout_s)
         try:
             async with self.fresh.get(
                 attempt_url(grant), timeout=timeout
             ) as resp:
-                return await _told(grant, resp)
+                return await _attempt_status(grant, resp)
         except UNCONNECTED:
-            return Told(AttemptFate.GONE)
+            return AttemptStatus(AttemptState.GONE)
         except (*BROKEN, TimeoutError):
-            return Told(AttemptFate.UNKNOWN)
+            return AttemptStatus(AttemptState.UNKNOWN)
 
     async def cancel(self, grant: Granted) -> None:
         """Tells an engine that nobody wants an attempt's answer any more."""
@@ -141,7 +141,7 @@
     return True
 
 
-def other_life(grant: Granted, resp: ClientResponse) -> bool:
+def other_incarnation(grant: Granted, resp: ClientResponse) -> bool:
     """Returns whether the server says it is not the life that was granted.
 
     A server that came back under its address knows nothing of what its
@@ -154,24 +154,26 @@
 def says_not_run(grant: Granted, resp: ClientResponse) -> bool:
     """Returns whether the granted life of a server says it did not run."""
     verdict = resp.headers.get(VERDICT_HEADER)
-    return verdict == Verdict.NOT_RUN and not other_life(grant, resp)
+    return verdict == Verdict.NOT_RUN and not other_incarnation(grant, resp)
 
 
-async def _told(grant: Granted, resp: ClientResponse) -> Told:
-    if other_life(grant, resp):
-        return Told(AttemptFate.GONE)
+async def _attempt_status(
+    grant: Granted, resp: ClientResponse
+) -> AttemptStatus:
+    if other_incarnation(grant, resp):
+        return AttemptStatus(AttemptState.GONE)
     # A plain service may answer any path; only one that names the attempt
     # has understood the question.
     if resp.headers.get(ATTEMPT_HEADER) != grant.attempt:
-        return Told(AttemptFate.UNKNOWN)
+        return AttemptStatus(AttemptState.UNKNOWN)
     if resp.status == _STATUS_NOT_FOUND and says_not_run(grant, resp):
-        return Told(AttemptFate.NOT_RUN)
+        return AttemptStatus(AttemptState.NOT_RUN)
     state = resp.headers.get(STATE_HEADER, "")
     if state in (STATE_WAITING, STATE_RUNNING):
-        return Told(AttemptFate.RUNNING)
+        return AttemptStatus(AttemptState.RUNNING)
     if state != STATE_DONE:
-        return Told(AttemptFate.UNKNOWN)
-    return Told(AttemptFate.DONE, await read_answer(resp))
+        return AttemptStatus(AttemptState.UNKNOWN)
+    return AttemptStatus(AttemptState.DONE, await read_answer(resp))
 
 
 async def read_answer(resp: ClientResponse) -> Answer:
--- a/catkinpin/adapters/entry/callers.py
+++ b/catkinpin/adapters/entry/callers.py
@@ -264,8 +264,8 @@
         whole=req.headers.get("Catkinpin-History", "whole") != "new",
         digests=[digest.of_bytes(message) for message in canonical],
         fingerprint=digest.of_json([parsed.model, *map(bytes.hex, canonical)]),
-        prompt_tokens=chat.most_prompt_tokens(canonical, parsed),
-        max_tokens=parsed.most_tokens,
+        prompt_tokens=chat.max_prompt_tokens(canonical, parsed),
+        max_tokens=parsed.token_limit,
     )
     call = entry.calls.start(
         CallRequest(
--- a/catkinpin/adapters/entry/calls.py
+++ b/catkinpin/adapters/entry/calls.py
@@ -26,7 +26,7 @@
 _FINISH_TIMEOUT_S = 30.0
 _RETRY_AFTER_MS = 1_000
 _REPORTS = 3
-_REPORT_AGAIN_S = 1.0
+_REPORT_RETRY_S = 1.0
 _MS_PER_S = 1000
 # At the deadline the leader's own answer is given this time to come first.
 _DEADLINE_GRACE_S = 0.25
@@ -77,12 +77,12 @@
         """Notes that another attempt answers from the start."""
         self._splice.restart()
 
-    def take(self, data: bytes) -> None:
+    def feed(self, data: bytes) -> None:
         """Passes on what is new of an event of the answer's stream."""
         if self.final is not None or self._diverged:
             return
         try:
-            fresh = self._splice.take(data)
+            fresh = self._splice.feed(data)
         except DivergedError:
             self._diverged = True
             return
@@ -214,7 +214,7 @@
         """
         for _ in range(_REPORTS):
             self._replicas.broadcast(finish)
-            await asyncio.sleep(_REPORT_AGAIN_S)
+            await asyncio.sleep(_REPORT_RETRY_S)
 
     def _done(self, task: asyncio.Task[None]) -> None:
         self.running.pop(task, None)
@@ -363,7 +363,7 @@
             traceparent=traceparent,
         )
         history = relays.History(digests, known)
-        finish = await self._dispatch(grant, outgoing, history, call.take)
+        finish = await self._dispatch(grant, outgoing, history, call.feed)
         metrics.ATTEMPTS.labels(finish.verdict).inc()
         if not finish.messages:
             return finish
--- a/catkinpin/adapters/entry/configured.py
+++ b/catkinpin/adapters/entry/configured.py
@@ -39,7 +39,7 @@
         self.revision = 0
         self.accounts: dict[str, str] = {}
 
-    def take(self, update: changes.ConfigUpdate) -> bool:
+    def apply_update(self, update: changes.ConfigUpdate) -> bool:
         """Serves under `update`; returns False where it does not fit.
 
         An update that is late may carry an older revision than one before;
@@ -71,7 +71,7 @@
         replicas: streams to the replicas.
         clock: source of time.
         revision: returns the revision that this process serves under.
-        take: called with updates; None where they come another way.
+        apply_update: called with updates; None where they come another way.
     """
 
     def __init__(
@@ -79,12 +79,12 @@
         replicas: Replicas,
         clock: Clock,
         revision: Callable[[], int],
-        take: Callable[[changes.ConfigUpdate], bool] | None,
+        apply_update: Callable[[changes.ConfigUpdate], bool] | None,
     ) -> None:
         self._replicas = replicas
         self._clock = clock
         self._revision = revision
-        self._take = take
+        self._apply_update = apply_update
         self._lapses_ms = 0
         self._wake = asyncio.Event()
 
@@ -123,14 +123,14 @@
             return changes.RenewLease(
                 ask=ask,
                 revision=revision,
-                wants_update=self._take is not None,
+                wants_update=self._apply_update is not None,
             )
 
         lease = await self._replicas.ask(
             sharding.CONTROL_GROUP, make, _ASK_TIMEOUT_S
         )
-        if lease.update is not None and self._take is not None:
-            self._take(lease.update)
+        if lease.update is not None and self._apply_update is not None:
+            self._apply_update(lease.update)
             return 0.0
         if lease.lease_ms and lease.revision >= revision:
             lapses_ms = sent_ms + lease.lease_ms
--- a/catkinpin/adapters/entry/intents.py
+++ b/catkinpin/adapters/entry/intents.py
@@ -11,10 +11,10 @@
 from catkinpin.exceptions import BadRequestError
 
 Name = configuration.Name
-_MOST_TOKENS = 1_000_000_000
-_MOST_TURNS = 1_000_000
-_MOST_SECONDS = 800 * 86_400
-_MOST_SERVERS = 100_000
+_MAX_TOKENS = 1_000_000_000
+_MAX_TURNS = 1_000_000
+_MAX_SECONDS = 800 * 86_400
+_MAX_SERVERS = 100_000
 
 
 class _Intent(pydantic.BaseModel):
@@ -36,15 +36,15 @@
 class _Budget(_Intent):
     kind: Literal["budget"]
     deployment: Name
-    tokens: int = pydantic.Field(default=0, ge=0, le=_MOST_TOKENS)
-    turns: int = pydantic.Field(default=0, ge=0, le=_MOST_TURNS)
-    seconds: int = pydantic.Field(default=0, ge=0, le=_MOST_SECONDS)
+    tokens: int = pydantic.Field(default=0, ge=0, le=_MAX_TOKENS)
+    turns: int = pydantic.Field(default=0, ge=0, le=_MAX_TURNS)
+    seconds: int = pydantic.Field(default=0, ge=0, le=_MAX_SECONDS)
 
 
 class _Scale(_Intent):
     kind: Literal["scale"]
     deployment: Name
-    servers: int = pydantic.Field(ge=1, le=_MOST_SERVERS)
+    servers: int = pydantic.Field(ge=1, le=_MAX_SERVERS)
 
 
 class _Version(_Intent):
--- a/catkinpin/adapters/entry/modelcalls.py
+++ b/catkinpin/adapters/entry/modelcalls.py
@@ -26,7 +26,7 @@
 _DATA = b"data:"
 # A server that takes new connections but sends nothing more on so many of
 # them hangs; the call goes elsewhere.
-_MOST_BARREN = 3
+_MAX_BARREN = 3
 _MS_PER_S = 1000
 # Answers of an engine that no other server would answer differently.
 _FINAL_STATUS = frozenset({400, 404, 413, 422})
@@ -104,7 +104,7 @@
                 return self._lost(str(broken), crashed=True)
             barren = 0 if self._offset > before else barren + 1
             waits = self._offset == 0 and _now() - began < self._first_s
-            if barren >= _MOST_BARREN and not (waits and broken.silent):
+            if barren >= _MAX_BARREN and not (waits and broken.silent):
                 return self._lost(str(broken), crashed=False)
 
     def _lost(self, text: str, *, crashed: bool) -> Finish:
@@ -150,7 +150,7 @@
             BrokenStreamError: the stream ended early.
         """
         try:
-            async with asyncio.timeout(self._patience_s()) as timer:
+            async with asyncio.timeout(self._retry_delay_s()) as timer:
                 async with opening as resp:
                     refused = await self._refused(resp, first=first)
                     if refused is not None:
@@ -160,8 +160,8 @@
                             return outcomes.answered(
                                 self._grant, self._assembler
                             )
-                        self._take(data)
-                        timer.reschedule(_now() + self._patience_s())
+                        self._feed(data)
+                        timer.reschedule(_now() + self._retry_delay_s())
                 raise BrokenStreamError("the stream ended early")
         except TimeoutError as exc:
             raise BrokenStreamError(
@@ -174,8 +174,11 @@
                 f"the stream broke ({type(exc).__name__})"
             ) from exc
 
-    def _patience_s(self) -> float:
-        return self._gaps.patience_ms(self._grant.server.server) / _MS_PER_S
+    def _retry_delay_s(self) -> float:
+        return (
+            self._gaps.election_timeout_ms(self._grant.server.server)
+            / _MS_PER_S
+        )
 
     async def _refused(
         self, resp: aiohttp.ClientResponse, *, first: bool
@@ -186,7 +189,7 @@
         if backends.says_not_run(self._grant, resp):
             text = backends.error_text(await resp.read())
             return outcomes.not_run(self._grant, Reason.SERVER_REFUSED, text)
-        if backends.other_life(self._grant, resp) and not first:
+        if backends.other_incarnation(self._grant, resp) and not first:
             raise BrokenStreamError("the server was restarted", gone=True)
         if resp.status == outcomes.STATUS_OK:
             return None
@@ -200,7 +203,7 @@
             f"the server answered {resp.status}: {text}",
         )
 
-    def _take(self, data: bytes) -> None:
+    def _feed(self, data: bytes) -> None:
         chunk = msgspec.json.decode(data)
         if _has_text(chunk):
             self._offset += 1
--- a/catkinpin/adapters/entry/orders.py
+++ b/catkinpin/adapters/entry/orders.py
@@ -23,7 +23,7 @@
 _CLAIM_TIMEOUT_S = 2.0
 _RESULT_TIMEOUT_S = 10.0
 _MS_PER_S = 1000
-_MOST_TEXT = 300
+_MAX_TEXT = 300
 
 
 class OrderCarrier:
@@ -88,7 +88,7 @@
             aiohttp.ClientSession(timeout=timeout) as http,
             http.post(lease.address + _PATH, json=body) as resp,
         ):
-            text = (await resp.text())[:_MOST_TEXT]
+            text = (await resp.text())[:_MAX_TEXT]
             return resp.ok, f"{resp.status}: {text}"
     except (aiohttp.ClientError, TimeoutError) as exc:
         return False, f"no answer: {exc!r}"
--- a/catkinpin/adapters/entry/process.py
+++ b/catkinpin/adapters/entry/process.py
@@ -33,7 +33,7 @@
 
 _REPORT_EVERY_S = 0.1
 _KEEP_REPORT_MS = 10_000
-_MOST_LOGGED = 10
+_MAX_LOGGED = 10
 
 
 class Entry:
@@ -95,7 +95,7 @@
             self.replicas,
             self.clock,
             lambda: self.configured.revision,
-            self.configured.take,
+            self.configured.apply_update,
         )
         self._orders = orders.OrderCarrier(self.replicas, self.clock)
         self.calls = calls.Calls(
@@ -137,7 +137,7 @@
                 "waiting for calls in flight",
                 extra={
                     "in_flight": len(self._in_flight()),
-                    "calls": self.calls.waits_for()[:_MOST_LOGGED],
+                    "calls": self.calls.waits_for()[:_MAX_LOGGED],
                 },
             )
             await asyncio.wait(
@@ -205,7 +205,7 @@
     def _on_message(self, message: Any) -> None:
         match message:
             case changes.ConfigUpdate():
-                self.configured.take(message)
+                self.configured.apply_update(message)
                 self.lease.changed()
             case changes.OrderOffer():
                 self._orders.offered(message)
--- a/catkinpin/adapters/entry/relays.py
+++ b/catkinpin/adapters/entry/relays.py
@@ -157,7 +157,7 @@
 
     Args:
         report: takes an outcome to the shard's leader.
-        most_bytes: how much of programs' histories is held.
+        max_bytes: how much of programs' histories is held.
 
     Attributes:
         running: calls under way.
@@ -167,11 +167,11 @@
         self,
         dispatcher: Dispatcher,
         report: Callable[[Finish], Awaitable[None]],
-        most_bytes: int,
+        max_bytes: int,
     ) -> None:
         self._dispatcher = dispatcher
         self._report = report
-        self._histories = texts.Histories(most_bytes)
+        self._histories = texts.Histories(max_bytes)
         self.running: set[asyncio.Task[None]] = set()
 
     def take(self, stream: links.Stream, message: messages.Dispatch) -> None:
--- a/catkinpin/adapters/entry/servicecalls.py
+++ b/catkinpin/adapters/entry/servicecalls.py
@@ -8,7 +8,7 @@
 
 from catkinpin import metrics
 from catkinpin.adapters.entry import backends, outcomes
-from catkinpin.adapters.entry.backends import AttemptFate
+from catkinpin.adapters.entry.backends import AttemptState
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
@@ -16,7 +16,7 @@
     from catkinpin.core.messages import Finish, Granted
 
 # Between two questions about an attempt whose connection has broken.
-_ASK_AGAIN_S = 0.1
+_ASK_RETRY_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,11 +51,11 @@
     async def recover(self) -> Finish:
         """Finds out what became of a request whose connection broke."""
         while True:
-            told = await self.servers.ask(self.grant, self.check_s)
-            finish = self._decided(told)
+            status = await self.servers.ask(self.grant, self.check_s)
+            finish = self._decided(status)
             if finish is not None:
                 return finish
-            if told.fate is not AttemptFate.RUNNING:
+            if status.attempt_state is not AttemptState.RUNNING:
                 # Whoever waited on would find out nothing more, and the
                 # caller must hear at once that the outcome is unknown.
                 return outcomes.failed(
@@ -63,9 +63,9 @@
                     Reason.OUTCOME_UNKNOWN,
                     f"{self.grant.server.server}: the connection broke, and"
                     " the server can't tell whether the request ran",
-                    crashed=told.fate is AttemptFate.GONE,
+                    crashed=status.attempt_state is AttemptState.GONE,
                 )
-            await asyncio.sleep(_ASK_AGAIN_S)
+            await asyncio.sleep(_ASK_RETRY_S)
 
     async def _request(self) -> Finish | None:
         """Returns the outcome, or None where the connection broke."""
@@ -95,16 +95,19 @@
 
     async def _check(self) -> Finish | None:
         """Asks about a request that is not answered; None: wait on."""
-        told = await self.servers.ask(self.grant, self.check_s)
-        finish = self._decided(told)
+        status = await self.servers.ask(self.grant, self.check_s)
+        finish = self._decided(status)
         if finish is not None:
             metrics.RETIRED_CONNECTIONS.labels("service").inc()
         return finish
 
-    def _decided(self, told: backends.Told) -> Finish | None:
-        if told.fate is AttemptFate.DONE and told.answer is not None:
-            return outcomes.whole(self.grant, told.answer)
-        if told.fate is AttemptFate.NOT_RUN:
+    def _decided(self, status: backends.AttemptStatus) -> Finish | None:
+        if (
+            status.attempt_state is AttemptState.DONE
+            and status.answer is not None
+        ):
+            return outcomes.whole(self.grant, status.answer)
+        if status.attempt_state is AttemptState.NOT_RUN:
             text = "the server says that the request did not run"
             return outcomes.not_run(self.grant, Reason.SERVER_FAILED, text)
         return None
--- a/catkinpin/adapters/entry/shards.py
+++ b/catkinpin/adapters/entry/shards.py
@@ -41,7 +41,7 @@
         self.links: dict[str, links.PeerLink] = {}
         for address in addresses:
             self.links[address] = links.PeerLink(
-                address, hello, wire.ToEntry, self._take, on_connected
+                address, hello, wire.ToEntry, self._handle, on_connected
             )
 
     def start(self) -> None:
@@ -124,7 +124,7 @@
             if asked == group:
                 link.give_up(ask)
 
-    def _take(self, message: Any) -> None:
+    def _handle(self, message: Any) -> None:
         if isinstance(message, messages.GroupLeader):
             known = self._leaders.get(message.group)
             if known is None or message.term >= known.term:
--- a/catkinpin/adapters/gateway/answers.py
+++ b/catkinpin/adapters/gateway/answers.py
@@ -118,7 +118,7 @@
             "prompt": work.call.prompt_tokens,
             "program_left_ms": work.call.program_left_ms,
             "urgency": work.urgency,
-            "program_lost_ms": work.standing.lost_ms,
+            "program_lost_ms": work.program_status.lost_ms,
         }
         if choice is not None:
             facts["cost_ms"] = round(choice.cost_ms, 1)
--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -58,6 +58,6 @@
         if await self._is_alive(work, choice):
             return
         instance = choice.instance
-        life = f"{instance.id}/{instance.born_ms}"
+        incarnation = f"{instance.id}/{instance.started_ms}"
         content = digest_of(work.request, work.call)
-        await self._turns.report_crash(content, life)
+        await self._turns.report_crash(content, incarnation)
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -28,7 +28,7 @@
 
 _MS = 1_000
 # Servers that may refuse a request one after the other before we do.
-_MOST_REFUSALS = 3
+_MAX_REFUSALS = 3
 # A server that can't be reached in this time is left out; a connection takes
 # some ms even between regions.
 _CONNECT_S = 0.3
@@ -38,13 +38,13 @@
 # Where another server can go on, one that says nothing for so many of the
 # route's target latencies, at least so long, is left.
 _SILENT_TARGETS = 4
-_SILENT_LEAST_S = 1.5
+_MIN_SILENCE_S = 1.5
 # Answers from this status on are a server's failures.
 _SERVER_FAILED = 500
 # Gateways that may come before all know of it, and connections that a server
 # has not seen closed yet, take this much more of its limit.
 _GATEWAYS_MARGIN = 1.2
-_FEWEST_CONNECTIONS = 2
+_MIN_CONNECTIONS = 2
 
 
 class Exchange:
@@ -62,7 +62,7 @@
 
     def pick(self, work: Work) -> Choice | None:
         """Picks the next server; None where none is left to ask."""
-        if len(work.sent_to) > _MOST_REFUSALS:
+        if len(work.sent_to) > _MAX_REFUSALS:
             return None
         servers = self._view.fleet.of(work.service.name)
         now_ms = self._clock.now_ms()
@@ -85,9 +85,9 @@
         """Sends a request to a server and waits for the head of its answer."""
         instance = choice.instance
         work.sent_to.append(instance.id)
-        conn = await self._pool.take(
+        conn = await self._pool.acquire(
             instance.address,
-            self._most(work),
+            self._max_connections(work),
             _CONNECT_S,
             ANY_IDLE_S if work.is_repeatable else _ONCE_IDLE_S,
         )
@@ -115,7 +115,7 @@
             self.broke(work, choice, head)
             self.end(choice, conn)
             return head
-        self._take_head(work, choice, head)
+        self._record_head(work, choice, head)
         return conn, head
 
     def not_run(self, head: Head) -> bool:
@@ -140,11 +140,15 @@
         if work.service.engine is None:
             self._speeds.answered(work.route.name, work.times.head_ms)
             return
-        told = work.times.streamed(work.call, choice)
-        if told is not None:
+        sample = work.times.streamed(work.call, choice)
+        if sample is not None:
             now_ms = self._clock.now_ms()
             self._speeds.streamed(
-                instance.service, instance.id, instance.born_ms, told, now_ms
+                instance.service,
+                instance.id,
+                instance.started_ms,
+                sample,
+                now_ms,
             )
 
     def answered(self, work: Work, choice: Choice, status: int) -> None:
@@ -182,15 +186,17 @@
     async def is_alive(self, work: Work, choice: Choice) -> bool:
         """Returns whether a server can still be reached."""
         address = choice.instance.address
-        probe = await self._pool.take(address, self._most(work), _CONNECT_S)
+        probe = await self._pool.acquire(
+            address, self._max_connections(work), _CONNECT_S
+        )
         if isinstance(probe, Failure):
             return False
         self._pool.give_back(address, probe)
         return True
 
-    def _take_head(self, work: Work, choice: Choice, head: Head) -> None:
+    def _record_head(self, work: Work, choice: Choice, head: Head) -> None:
         facts = self._codec.answer(head.headers)
-        load = self._told(work, choice, facts.load)
+        load = self._record_load(work, choice, facts.load)
         work.times.head(asyncio.get_running_loop().time(), load)
         if facts.not_run:
             work.runs -= 1
@@ -198,16 +204,18 @@
                 Verdict.NOT_RUN if work.runs == 0 else Verdict.MAY_HAVE_RUN
             )
 
-    def _told(
+    def _record_load(
         self, work: Work, choice: Choice, load: Load | None
     ) -> Load | None:
         """Takes a server's word of its load, where it can be true."""
         if load is None:
             return None
-        if self._balancer.told(choice.instance, load, self._clock.now_ms()):
+        if self._balancer.report_load(
+            choice.instance, load, self._clock.now_ms()
+        ):
             return load
         decisions.note(
-            "absurd-load",
+            "implausible-load",
             work.call.attempt,
             server=choice.instance.id,
             running=load.running,
@@ -220,7 +228,7 @@
         if not work.may_leave:
             return await conn.head()
         gap_s = max(
-            _SILENT_LEAST_S, _SILENT_TARGETS * work.route.target_ms / _MS
+            _MIN_SILENCE_S, _SILENT_TARGETS * work.route.target_ms / _MS
         )
         try:
             async with asyncio.timeout(gap_s):
@@ -255,8 +263,8 @@
             headers.add(b"Content-Length", b"%d" % len(body))
         return head + headers.encode() + b"\r\n" + body
 
-    def _most(self, work: Work) -> int:
+    def _max_connections(self, work: Work) -> int:
         """Returns how many connections this gateway may have to a server."""
         gateways = max(self._gateways(), 1) * _GATEWAYS_MARGIN
         limit = work.service.max_connections
-        return max(_FEWEST_CONNECTIONS, int(limit / gateways))
+        return max(_MIN_CONNECTIONS, int(limit / gateways))
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -16,7 +16,7 @@
     from catkinpin.core.placement.balance import Choice
 
 # The part of an idempotent request's time that its first server gets.
-_FIRST_PART = 0.4
+_FIRST_ATTEMPT_SHARE = 0.4
 # Bytes of a plain answer held back until it is whole, so that another server
 # can still be asked. Answers are some 800 bytes.
 _HELD_BYTES = 262_144
@@ -42,7 +42,7 @@
             if choice is None:
                 break
             last = not idempotent or work.runs + 1 >= work.route.max_attempts
-            limit_s = work.left_s * (1.0 if last else _FIRST_PART)
+            limit_s = work.left_s * (1.0 if last else _FIRST_ATTEMPT_SHARE)
             try:
                 async with asyncio.timeout(limit_s):
                     done = await self._try(work, choice, idempotent, last)
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -35,7 +35,7 @@
 _MS = 1_000
 # Without any keeper for so long this gateway can begin no turn; callers do
 # better elsewhere. Longer than an election or a keeper's restart.
-_ALONE_MS = 2_000
+_DISCONNECTED_MS = 2_000
 # Left of a stop's time for closing once nothing is in flight.
 _CLOSE_MS = 200
 
@@ -73,7 +73,7 @@
                 domain=cfg.failure_domain,
                 region=cfg.region,
             ),
-            self._told,
+            self._on_keeper_message,
         )
         self._turns = Turns(
             self.keepers,
@@ -96,7 +96,7 @@
         self.server = HttpServer(self._serving.handle, self._limits)
         self._ready = HttpServer(self._answer_ready)
         self._stopping = False
-        self._met_ms = self.clock.now_ms()
+        self._last_connected_ms = self.clock.now_ms()
         self._was_ready = False
         self._routes = RouteFetch(self.keepers, self.view, cfg.region)
         self._tasks: list[asyncio.Task[None]] = []
@@ -149,13 +149,13 @@
             return "stopping"
         if not self.view.serves:
             return "no routes known yet"
-        if self.clock.now_ms() - self._met_ms > _ALONE_MS:
+        if self.clock.now_ms() - self._last_connected_ms > _DISCONNECTED_MS:
             return "no keeper can be reached"
         return ""
 
-    def _told(self, host: keepers.Host, message: Any) -> None:
-        self.view.take(message)
-        if isinstance(message, protocol.RoutingNow):
+    def _on_keeper_message(self, host: keepers.Host, message: Any) -> None:
+        self.view.handle(message)
+        if isinstance(message, protocol.RoutingUpdate):
             self._routes.announced(host, message)
 
     async def _answer_ready(
@@ -170,12 +170,12 @@
         table = self.view.table
         if table is None:
             return ServerLimits()
-        told = table.routing.limits
+        manifest_limits = table.routing.limits
         return ServerLimits(
-            header_bytes=told.max_header_bytes,
-            body_bytes=told.max_body_bytes,
-            header_timeout_s=told.header_timeout_ms / _MS,
-            idle_timeout_s=told.idle_timeout_ms / _MS,
+            header_bytes=manifest_limits.max_header_bytes,
+            body_bytes=manifest_limits.max_body_bytes,
+            header_timeout_s=manifest_limits.header_timeout_ms / _MS,
+            idle_timeout_s=manifest_limits.idle_timeout_ms / _MS,
         )
 
     def _server_gone(self, instance: Instance) -> None:
@@ -188,7 +188,7 @@
             await asyncio.sleep(_TICK_S)
             self.keepers.tick()
             if self.keepers.connected():
-                self._met_ms = self.clock.now_ms()
+                self._last_connected_ms = self.clock.now_ms()
             why = self.not_ready()
             if (not why) != self._was_ready:
                 self._was_ready = not why
--- a/catkinpin/adapters/gateway/routefetch.py
+++ b/catkinpin/adapters/gateway/routefetch.py
@@ -38,7 +38,7 @@
         self._versions: dict[str, int] = {}
         self._news = asyncio.Event()
 
-    def announced(self, host: Host, message: protocol.RoutingNow) -> None:
+    def announced(self, host: Host, message: protocol.RoutingUpdate) -> None:
         """Takes what a keeper says of its version."""
         self._versions[host.link.address] = message.version
         if message.version > self._view.version:
--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -29,11 +29,11 @@
 _RETRY_QUARANTINE_S = 10.0
 # While a gateway ends, a request must have so many times what it likely takes,
 # and at least so long: callers whose requests would end in time are served.
-_ENDING_TIMES = 6.0
+_STOPPING_FACTOR = 6.0
 _ENDING_S = 2.5
 # Of its time, what a request may wait for a gateway that has just started;
 # the rest must do for the request itself, at this gateway or another.
-_STARTING_PART = 0.4
+_STARTING_SHARE = 0.4
 # Time of a request that names none.
 _WAIT_MS = 1_000
 
@@ -78,7 +78,7 @@
         self, request: Request, responder: Responder, call: RouteCall
     ) -> None:
         refuse = self._answers.refuse
-        wait_s = (call.deadline_ms or _WAIT_MS) / _MS * _STARTING_PART
+        wait_s = (call.deadline_ms or _WAIT_MS) / _MS * _STARTING_SHARE
         if not await self._view.wait_serves(wait_s) or not self._view.table:
             reason = "no routes known yet"
             refuse(responder, call, 503, reason, _RETRY_STARTING_S)
@@ -118,7 +118,7 @@
         if self.ends_s is None:
             return False
         likely_ms = self._speeds.likely_ms(service.name, route.name, call)
-        need_s = max(_ENDING_S, _ENDING_TIMES * likely_ms / _MS)
+        need_s = max(_ENDING_S, _STOPPING_FACTOR * likely_ms / _MS)
         return asyncio.get_running_loop().time() + need_s > self.ends_s
 
     def _is_quarantined(self, request: Request, call: RouteCall) -> bool:
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -7,7 +7,7 @@
 import enum
 from typing import TYPE_CHECKING
 
-from catkinpin.adapters.gateway.turns import Ran, Started, Unknown
+from catkinpin.adapters.gateway.turns import Started, TurnResult, Unknown
 from catkinpin.adapters.http.client import Failure
 from catkinpin.core.control.ledger import Denial
 from catkinpin.core.placement import urgency
@@ -27,10 +27,10 @@
 # A resumable stream that is silent for so many of the route's target
 # latencies, at least so long, goes on at another server.
 _SILENT_TARGETS = 3
-_SILENT_LEAST_S = 1.5
+_MIN_SILENCE_S = 1.5
 # Longest wait for a leader: an election takes about a second.
 _LEADER_S = 1.3
-_LEADER_PART = 0.4
+_LEADER_SHARE = 0.4
 # When to come back, in s, after an election.
 _RETRY_LEADER_S = 0.3
 
@@ -92,20 +92,20 @@
             await self._stream(work, b"")
 
     async def _turn(self, work: Work) -> None:
-        wait_s = min(_LEADER_S, work.left_s * _LEADER_PART)
+        wait_s = min(_LEADER_S, work.left_s * _LEADER_SHARE)
         began = await self._turns.begin(work.call, work.route, wait_s)
         if not isinstance(began, Started):
             self._deny(work, began)
             return
-        work.urgency = urgency.of_turn(began.standing)
-        work.standing = began.standing
+        work.urgency = urgency.of_turn(began.program_status)
+        work.program_status = began.program_status
         self._remember_cache(work, began.server)
         is_settled = False
         try:
             is_settled = await self._stream(work, began.history)
         finally:
             if not is_settled:
-                self._turns.settle(work.call, self._ran(work))
+                self._turns.settle(work.call, self._turn_result(work))
 
     def _deny(self, work: Work, why: Unknown | Denial) -> None:
         """Refuses a turn that may not begin, or not now."""
@@ -228,7 +228,7 @@
             work.responder.finish()
             return False
         data = work.body + bytes(passed.output)
-        why = await self._turns.finish(work.call, data, self._ran(work))
+        why = await self._turns.finish(work.call, data, self._turn_result(work))
         if why:
             # The caller would build on a turn that may be lost.
             work.reason = why
@@ -237,11 +237,11 @@
         work.responder.finish()
         return True
 
-    def _ran(self, work: Work) -> Ran:
+    def _turn_result(self, work: Work) -> TurnResult:
         """Returns what a turn came to."""
         speed = self._speeds.engine(work.service.name)
         lost_ms = urgency.lost_ms(work.call, work.tokens, work.took_ms, speed)
-        return Ran(work.tokens, work.ran_on, lost_ms)
+        return TurnResult(work.tokens, work.ran_on, lost_ms)
 
     async def _may_resume(self, work: Work, choice: Choice) -> bool:
         if not work.route.resumable or work.responder.is_gone:
@@ -259,7 +259,7 @@
 ) -> bytes | Failure | None:
     if not work.may_leave:
         return await conn.chunk()
-    gap_s = max(_SILENT_LEAST_S, _SILENT_TARGETS * work.route.target_ms / _MS)
+    gap_s = max(_MIN_SILENCE_S, _SILENT_TARGETS * work.route.target_ms / _MS)
     try:
         async with asyncio.timeout(gap_s):
             return await conn.chunk()
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -20,7 +20,7 @@
     from catkinpin.adapters.peers.keepers import Host, Keepers
     from catkinpin.core.control.ledger import Link
     from catkinpin.core.control.routes import Route
-    from catkinpin.core.placement.urgency import Standing
+    from catkinpin.core.placement.urgency import ProgramStatus
     from catkinpin.core.requests.calls import RouteCall
 
 log = logging.getLogger(__name__)
@@ -55,17 +55,17 @@
 
     Attributes:
         history: bytes of the chain before it.
-        standing: how its program is doing.
+        program_status: how its program is doing.
         server: that ran its program's latest turn.
     """
 
     history: bytes
-    standing: Standing
+    program_status: ProgramStatus
     server: str
 
 
 @dataclasses.dataclass(frozen=True)
-class Ran:
+class TurnResult:
     """What a turn came to.
 
     Attributes:
@@ -85,8 +85,8 @@
     It saves most reads over the link between regions.
     """
 
-    def __init__(self, most: int) -> None:
-        self._most = most
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
         self._size = 0
         self._parts: collections.OrderedDict[str, bytes] = (
             collections.OrderedDict()
@@ -101,11 +101,11 @@
 
     def put(self, attempt: str, data: bytes) -> None:
         """Takes a turn's bytes; the oldest go."""
-        if attempt in self._parts or len(data) > self._most:
+        if attempt in self._parts or len(data) > self._max_bytes:
             return
         self._parts[attempt] = data
         self._size += len(data)
-        while self._size > self._most:
+        while self._size > self._max_bytes:
             _, old = self._parts.popitem(last=False)
             self._size -= len(old)
 
@@ -150,7 +150,7 @@
             program=call.program,
             previous=call.previous if route.keeps_history else "",
             budget=call.budget,
-            most=call.most_tokens,
+            max_bytes=call.max_tokens,
             retain_ms=route.retain_ms,
             at_ms=0,
             left_ms=call.program_left_ms,
@@ -161,17 +161,19 @@
             )
         except PeerLostError as exc:
             # It may have reserved; what is never settled counts for ever.
-            self.settle(call, Ran())
+            self.settle(call, TurnResult())
             return Unknown(str(exc))
         if began.denial:
             return Denial(began.denial)
         history = await self._history(began.chain)
         if history is None:
-            self.settle(call, Ran())
+            self.settle(call, TurnResult())
             return Unknown("the history can't be read now")
-        return Started(history, began.standing, began.server)
+        return Started(history, began.program_status, began.server)
 
-    async def finish(self, call: RouteCall, data: bytes, ran: Ran) -> str:
+    async def finish(
+        self, call: RouteCall, data: bytes, ran: TurnResult
+    ) -> str:
         """Makes a whole turn last; returns why not, or an empty string."""
         holders = await self._store(call.attempt, data)
         if not holders:
@@ -197,7 +199,7 @@
         self._cache.put(call.attempt, data)
         return ""
 
-    def settle(self, call: RouteCall, ran: Ran) -> None:
+    def settle(self, call: RouteCall, ran: TurnResult) -> None:
         """Settles a turn that can't be continued; nobody waits for it."""
         finish = Finish(
             attempt=call.attempt,
@@ -216,7 +218,7 @@
         """Tells the leader that a server crashed while it ran a request."""
         try:
             await self._keepers.ask_leader(
-                lambda ask: protocol.AskStruck(
+                lambda ask: protocol.ReportCrash(
                     ask=ask, content=content, server=server
                 ),
                 _STORE_S,
--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -91,17 +91,17 @@
         """Version of the routes, -1 for none."""
         return self.table.routing.version if self.table is not None else -1
 
-    def take(self, message: Any) -> None:
+    def handle(self, message: Any) -> None:
         """Takes what a keeper says."""
         match message:
-            case protocol.RoutingNow():
-                self._take_routing(message)
-            case protocol.FleetNow():
-                self._take_fleet(message)
-            case protocol.QuarantineNow():
+            case protocol.RoutingUpdate():
+                self._handle_routing(message)
+            case protocol.ServersUpdate():
+                self._handle_servers(message)
+            case protocol.QuarantineUpdate():
                 self.quarantined.update(message.contents)
 
-    def _take_routing(self, message: protocol.RoutingNow) -> None:
+    def _handle_routing(self, message: protocol.RoutingUpdate) -> None:
         if message.is_current:
             self._current = max(self._current, message.version)
             self._settle()
@@ -130,9 +130,9 @@
         if 0 <= self._current <= self.version:
             self._known.set()
 
-    def _take_fleet(self, message: protocol.FleetNow) -> None:
-        for told in message.instances:
-            for changed in self.fleet.apply(told):
+    def _handle_servers(self, message: protocol.ServersUpdate) -> None:
+        for announced in message.instances:
+            for changed in self.fleet.apply(announced):
                 self._note(changed)
         if not message.whole:
             self._index = max(self._index, message.index)
@@ -140,7 +140,7 @@
         if message.index < self._index:
             return
         self._index = message.index
-        listed = {told.id for told in message.instances}
+        listed = {announced.id for announced in message.instances}
         for instance in list(self.fleet.servers.values()):
             if instance.id not in listed:
                 del self.fleet.servers[instance.id]
--- a/catkinpin/adapters/gateway/work.py
+++ b/catkinpin/adapters/gateway/work.py
@@ -8,7 +8,7 @@
 
 from catkinpin.adapters.gateway.timings import Times
 from catkinpin.core.control.routes import RouteKind
-from catkinpin.core.placement.urgency import USUAL, Standing
+from catkinpin.core.placement.urgency import USUAL, ProgramStatus
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -32,7 +32,7 @@
         tokens: handed to the caller.
         reason: why the last try failed.
         urgency: to a model server.
-        standing: of its program, where it is a turn.
+        program_status: of its program, where it is a turn.
         choice: the server picked last.
         times: of its answer.
     """
@@ -50,7 +50,9 @@
     tokens: int = 0
     reason: str = ""
     urgency: int = USUAL
-    standing: Standing = dataclasses.field(default_factory=Standing)
+    program_status: ProgramStatus = dataclasses.field(
+        default_factory=ProgramStatus
+    )
     choice: Choice | None = None
     times: Times = dataclasses.field(default_factory=Times)
 
--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -223,8 +223,8 @@
         length = self._headers.get(b"content-length")
         chunked = "chunked" in self._headers.get(b"transfer-encoding").lower()
         self._by_close = not chunked and not length.isdigit()
-        told = int(length) if length.isdigit() and not chunked else None
-        self._head = Head(status, self._status, self._headers, told)
+        body_length = int(length) if length.isdigit() and not chunked else None
+        self._head = Head(status, self._status, self._headers, body_length)
         self._in_body = True
         self._note_idle()
 
@@ -268,20 +268,20 @@
         self._idle: dict[str, list[ServerConnection]] = {}
         self._open: dict[str, int] = {}
 
-    async def take(
+    async def acquire(
         self,
         address: str,
-        most: int,
+        limit: int,
         timeout_s: float,
-        most_idle_s: float = ANY_IDLE_S,
+        max_idle_s: float = ANY_IDLE_S,
     ) -> ServerConnection | Failure:
         """Returns a connection that nothing is under way on.
 
         Args:
             address: of the server.
-            most: connections that this process may have open to it.
+            limit: connections that this process may have open to it.
             timeout_s: longest wait for a new one.
-            most_idle_s: one that was idle for longer is not taken. A server
+            max_idle_s: one that was idle for longer is not taken. A server
                 may have dropped it without a word; what is sent on it then is
                 reset, and may have run for all one knows.
         """
@@ -293,12 +293,12 @@
             if not conn.is_usable(now):
                 idle.pop()
                 conn.abort("idle for too long")
-            elif now - conn.idle_since_s <= most_idle_s:
+            elif now - conn.idle_since_s <= max_idle_s:
                 return idle.pop()
             else:
-                self._make_room(address, most)
+                self._make_room(address, limit)
                 break
-        if self._open.get(address, 0) >= most:
+        if self._open.get(address, 0) >= limit:
             return Failure(Verdict.NOT_RUN, "no connection is free")
         self._open[address] = self._open.get(address, 0) + 1
         host, _, port = address.rpartition(":")
@@ -318,9 +318,9 @@
             self._closed(address)
         return conn
 
-    def _make_room(self, address: str, most: int) -> None:
+    def _make_room(self, address: str, limit: int) -> None:
         """Closes the connection that is idle longest, where all are open."""
-        if self._open.get(address, 0) < most:
+        if self._open.get(address, 0) < limit:
             return
         conn = self._idle[address].pop(0)
         conn.on_closed = lambda: None
--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -24,7 +24,7 @@
 # Bytes that wait for a slow caller before the sender waits, too.
 _WRITE_BUFFER_BYTES = 64 * 1024
 # Pipelined requests read ahead; a caller that sends more is not read.
-_MOST_AHEAD = 4
+_MAX_AHEAD = 4
 
 
 @dataclasses.dataclass
@@ -321,7 +321,7 @@
         if not self._parser.should_keep_alive():
             self.close_after = True
         self._waiting.append(request)
-        if len(self._waiting) > _MOST_AHEAD:
+        if len(self._waiting) > _MAX_AHEAD:
             self._transport.pause_reading()
         self._next()
 
@@ -364,7 +364,7 @@
             return
         self._cancel_timer()
         self._current = self._waiting.pop(0)
-        if len(self._waiting) == _MOST_AHEAD:
+        if len(self._waiting) == _MAX_AHEAD:
             self._transport.resume_reading()
         self._task = self._loop.create_task(self._handle(self._current))
 
--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -48,7 +48,7 @@
 
 
 class KeeperHost:
-    """Drives `Keeping` by the control group's log.
+    """Drives `ControlState` by the control group's log.
 
     Args:
         clock: time.
@@ -66,10 +66,10 @@
         on_routing: Callable[[], None],
         on_fleet: Callable[[list[Instance]], None],
         on_expired: Callable[[list[str]], None],
-        on_condemned: Callable[[list[str]], None],
+        on_quarantined: Callable[[list[str]], None],
     ) -> None:
-        self.state = protocol.Keeping(
-            on_routing, on_fleet, on_expired, on_condemned
+        self.state = protocol.ControlState(
+            on_routing, on_fleet, on_expired, on_quarantined
         )
         self._quarantine = Quarantine()
         self.group: Group
@@ -78,8 +78,8 @@
         self._silent_server_ms = silent_server_ms
         self._tags = (f"{incarnation}.{n}" for n in itertools.count())
         self._waiting: dict[str, _Waiting] = {}
-        self._heard_ms: dict[str, int] = {}
-        self._heard_sequence: dict[str, int] = {}
+        self._last_seen_ms: dict[str, int] = {}
+        self._last_sequence: dict[str, int] = {}
         self._log_base_ms = 0
         self._led_since_ms = 0
 
@@ -100,7 +100,7 @@
         self._led_since_ms = now
         self._log_base_ms = self.state.ledger.now_ms
         # Nobody has been heard by this leader yet: all get the whole time.
-        self._heard_ms = dict.fromkeys(self.state.fleet.servers, now)
+        self._last_seen_ms = dict.fromkeys(self.state.fleet.servers, now)
         decisions.note(
             "leadership",
             "",
@@ -177,12 +177,12 @@
         """Takes a server's word; returns once that lasts."""
         if not self.may_decide():
             return NotLeading("not the leader")
-        self._heard_ms[instance.id] = self._clock.now_ms()
+        self._last_seen_ms[instance.id] = self._clock.now_ms()
         if instance.state is ServerState.GONE:
-            heard = self._heard_sequence.get(instance.id, 0)
-            instance = self.state.fleet.leaving(instance, heard)
+            last_seen = self._last_sequence.get(instance.id, 0)
+            instance = self.state.fleet.leaving(instance, last_seen)
         else:
-            self._heard_sequence[instance.id] = instance.sequence
+            self._last_sequence[instance.id] = instance.sequence
         if not self.state.fleet.is_news(instance):
             return None
         out = await self.propose(protocol.Announce(instance=instance), wait_s)
@@ -199,7 +199,7 @@
         )
         return None
 
-    async def struck(
+    async def report_crash(
         self, content: str, server: str, wait_s: float
     ) -> NotLeading | None:
         """Notes that a server crashed while it ran a request.
@@ -212,13 +212,19 @@
         digest = bytes.fromhex(content)
         self._quarantine.strike(digest, server, server, self._clock.now_ms())
         self._quarantine.resolve(server, server, crashed=True)
-        condemned = [found.hex() for found in self._quarantine.condemn()]
+        quarantined = [found.hex() for found in self._quarantine.condemn()]
         decisions.note(
-            "struck", "", content=content, server=server, condemned=condemned
+            "crash-report",
+            "",
+            content=content,
+            server=server,
+            quarantined=quarantined,
         )
-        if not condemned:
+        if not quarantined:
             return None
-        out = await self.propose(protocol.Condemn(contents=condemned), wait_s)
+        out = await self.propose(
+            protocol.Quarantine(contents=quarantined), wait_s
+        )
         return out if isinstance(out, NotLeading) else None
 
     def silent_servers(self) -> list[Instance]:
@@ -230,8 +236,8 @@
         now = self._clock.now_ms()
         gone = []
         for instance in self.state.fleet.servers.values():
-            heard = self._heard_ms.setdefault(instance.id, now)
-            if now - heard > self._silent_server_ms:
+            last_seen = self._last_seen_ms.setdefault(instance.id, now)
+            if now - last_seen > self._silent_server_ms:
                 gone.append(
                     Instance(
                         id=instance.id,
@@ -239,7 +245,7 @@
                         address=instance.address,
                         domain=instance.domain,
                         state=ServerState.LOST,
-                        born_ms=instance.born_ms,
+                        started_ms=instance.started_ms,
                         sequence=instance.sequence + 1,
                         slots=instance.slots,
                     )
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -17,7 +17,7 @@
 from catkinpin.adapters.peers import keepers, links
 from catkinpin.adapters.replica import mesh, node, transport
 from catkinpin.adapters.replica.founding import Joining
-from catkinpin.adapters.store.turnserver import TurnHost
+from catkinpin.adapters.store.turnserver import TurnServer
 from catkinpin.adapters.tasks import Tasks
 from catkinpin.core import messages
 from catkinpin.core.consensus.state import Timing
@@ -88,7 +88,7 @@
             self._routing_changed,
             self._fleet_changed,
             self._expired,
-            self._condemned,
+            self._quarantine_changed,
         )
         self.host.group = self.node.add_group(_GROUP, self.host)
         self.others = keepers.Keepers(self._hello(ROLE))
@@ -100,11 +100,11 @@
         )
         self._http = HttpServer(control(self))
         self._tasks = Tasks()
-        self._turns = TurnHost(self.bytes, self.others, exits.stop_at_once)
-        self._telling = publisher.Telling(
+        self._turns = TurnServer(self.bytes, self.others, exits.stop_at_once)
+        self._publisher = publisher.Publisher(
             cfg, self.node, self.host, self._peers
         )
-        self._holding = repair.Holding(
+        self._copy_repair = repair.CopyRepair(
             cfg,
             self.node.identity,
             self.clock,
@@ -158,7 +158,7 @@
         decisions.note("reload", "", seeds=seeds)
         self.others.add(seeds)
         for address in seeds:
-            self.node.meet(address)
+            self.node.connect_to(address)
 
     # What servers and operators ask, through whichever keeper.
 
@@ -176,9 +176,9 @@
             return str(exc)
         return ""
 
-    async def set_routing(self, told: Routing) -> str:
+    async def set_routing(self, document: Routing) -> str:
         """Puts routes in force; returns why not, or an empty string."""
-        routing = routes.pack(told)
+        routing = routes.pack(document)
         out = await self.host.set_routing(routing, _COMMIT_S)
         why = ""
         if out is not None:
@@ -225,10 +225,10 @@
             if isinstance(message, messages.Hello):
                 self.node.hello(message)
             else:
-                self.node.take(message)
+                self.node.handle(message)
             return
         if isinstance(message, messages.Hello):
-            self._telling.welcome(stream)
+            self._publisher.send_state(stream)
             return
         self._tasks.spawn(self._answer(stream, message))
 
@@ -248,11 +248,11 @@
                     done = await self.host.announce(instance, _COMMIT_S)
                     self._reply(stream, message.ask, done)
                 case protocol.AskCurrent():
-                    self._tell_current(stream, message)
+                    self._send_current(stream, message)
                 case protocol.AskRegister():
                     await self._register(stream, message)
-                case protocol.AskStruck():
-                    done = await self.host.struck(
+                case protocol.ReportCrash():
+                    done = await self.host.report_crash(
                         message.content, message.server, _COMMIT_S
                     )
                     self._reply(stream, message.ask, done)
@@ -262,8 +262,8 @@
                     self._turns.put(stream, message)
                 case protocol.Get():
                     self._turns.get(stream, message)
-                case protocol.Adopt():
-                    await self._turns.adopt(stream, message)
+                case protocol.CopyTurns():
+                    await self._turns.copy_turns(stream, message)
         except StorageError as exc:
             exits.stop_at_once(exc)
 
@@ -281,7 +281,7 @@
                 ask=message.ask,
                 denial=out.denial,
                 chain=out.chain,
-                standing=out.standing,
+                program_status=out.program_status,
                 server=out.server,
             )
         )
@@ -289,9 +289,9 @@
     async def _register(
         self, stream: links.Stream, message: protocol.AskRegister
     ) -> None:
-        out = await self._holding.register(message.store)
+        out = await self._copy_repair.register(message.store)
         if out is True:
-            self._telling.info()
+            self._publisher.info()
         failed = out if isinstance(out, NotLeading) else None
         self._reply(stream, message.ask, failed)
 
@@ -316,7 +316,7 @@
         failed = out if isinstance(out, NotLeading) else None
         self._reply(stream, message.ask, failed)
 
-    def _tell_current(
+    def _send_current(
         self, stream: links.Stream, message: protocol.AskCurrent
     ) -> None:
         if message.from_leader and not self.host.may_decide():
@@ -357,53 +357,53 @@
     async def _retire(
         self, name: str, *, begin: bool
     ) -> protocol.Retirement | NotLeading:
-        out = await self._holding.retire(name, begin=begin)
+        out = await self._copy_repair.retire(name, begin=begin)
         if begin:
-            self._telling.info()
+            self._publisher.info()
         return out
 
     # Changes that others must hear of.
 
     def _leader_changed(self, group: Group) -> None:
         decisions.note("leader", "", address=group.leader, term=group.term)
-        self._telling.info()
+        self._publisher.info()
 
     def _routing_changed(self) -> None:
-        self._telling.routing()
+        self._publisher.routing()
 
     def _fleet_changed(self, instances: list[Instance]) -> None:
-        self._telling.fleet(instances)
+        self._publisher.fleet(instances)
 
-    def _condemned(self, contents: list[str]) -> None:
-        self._telling.condemned(contents)
+    def _quarantine_changed(self, contents: list[str]) -> None:
+        self._publisher.quarantined(contents)
 
     def _expired(self, attempts: list[str]) -> None:
         self.bytes.drop(attempts)
         if self.host.leading:
-            self._telling.expired(attempts)
+            self._publisher.expired(attempts)
 
     async def _tick(self) -> None:
         ticks = 0
-        told_gateways = 0
+        published_gateways = 0
         while True:
             await asyncio.sleep(_TICK_S)
             self.others.tick()
             ticks += 1
-            gateways = self._telling.gateways()
-            if ticks % _COUNT_TICKS == 0 and gateways != told_gateways:
-                told_gateways = gateways
-                self._telling.gateways_info()
+            gateways = self._publisher.gateways()
+            if ticks % _COUNT_TICKS == 0 and gateways != published_gateways:
+                published_gateways = gateways
+                self._publisher.gateways_info()
             current = self.host.group.is_current()
             if current != self._was_current:
                 self._was_current = current
-                self._telling.info()
-                self._telling.routing()
+                self._publisher.info()
+                self._publisher.routing()
             if not self.host.may_decide():
                 continue
             for gone in self.host.silent_servers():
                 self._tasks.spawn(self.host.announce(gone, _COMMIT_S))
             if ticks % _REPAIR_TICKS == 0:
-                self._tasks.spawn(self._holding.repair())
+                self._tasks.spawn(self._copy_repair.repair())
 
     async def _forget_bytes(self) -> None:
         """Drops turns' bytes that no program can ask for any more.
--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -18,7 +18,7 @@
 STORE_ROLE = "store"
 
 
-class Telling:
+class Publisher:
     """Tells gateways, stores and other keepers what changed.
 
     Args:
@@ -42,33 +42,35 @@
 
     def info(self) -> None:
         """Tells all who this keeper is and whom it knows."""
-        self._tell(self._info())
+        self._broadcast(self._info())
 
     def gateways_info(self) -> None:
         """Tells gateways the same, as they share the servers' limits."""
-        self._tell(self._info(), GATEWAY_ROLE)
+        self._broadcast(self._info(), GATEWAY_ROLE)
 
     def routing(self) -> None:
         """Tells gateways which routes are the newest known here."""
-        self._tell(self._routing_now(), GATEWAY_ROLE)
+        self._broadcast(self._routing_now(), GATEWAY_ROLE)
 
     def fleet(self, instances: list[Instance]) -> None:
         """Tells gateways of servers that changed."""
         index = self._host.state.index
-        changed = protocol.FleetNow(
+        changed = protocol.ServersUpdate(
             index=index, instances=instances, whole=False
         )
-        self._tell(changed, GATEWAY_ROLE)
+        self._broadcast(changed, GATEWAY_ROLE)
 
-    def condemned(self, contents: list[str]) -> None:
+    def quarantined(self, contents: list[str]) -> None:
         """Tells gateways of contents that no server may get."""
-        self._tell(protocol.QuarantineNow(contents=contents), GATEWAY_ROLE)
+        self._broadcast(
+            protocol.QuarantineUpdate(contents=contents), GATEWAY_ROLE
+        )
 
     def expired(self, attempts: list[str]) -> None:
         """Tells stores of turns whose bytes are needed no more."""
-        self._tell(protocol.Expired(attempts=attempts), STORE_ROLE)
+        self._broadcast(protocol.Expired(attempts=attempts), STORE_ROLE)
 
-    def welcome(self, stream: links.Stream) -> None:
+    def send_state(self, stream: links.Stream) -> None:
         """Tells one that has just connected all that it needs."""
         stream.send(self._info())
         if stream.hello is None or stream.hello.role != GATEWAY_ROLE:
@@ -76,12 +78,12 @@
         stream.send(self._routing_now())
         servers = list(self._host.state.fleet.servers.values())
         stream.send(
-            protocol.FleetNow(
+            protocol.ServersUpdate(
                 index=self._host.state.index, instances=servers, whole=True
             )
         )
-        contents = list(self._host.state.condemned)
-        stream.send(protocol.QuarantineNow(contents=contents))
+        contents = list(self._host.state.quarantined)
+        stream.send(protocol.QuarantineUpdate(contents=contents))
 
     def gateways(self) -> int:
         """Returns how many gateways are connected."""
@@ -106,13 +108,13 @@
             gateways=self.gateways(),
         )
 
-    def _routing_now(self) -> protocol.RoutingNow:
-        return protocol.RoutingNow(
+    def _routing_now(self) -> protocol.RoutingUpdate:
+        return protocol.RoutingUpdate(
             version=self._host.state.version,
             is_current=self._host.group.is_current(),
         )
 
-    def _tell(self, message: Any, role: str = "") -> None:
+    def _broadcast(self, message: Any, role: str = "") -> None:
         for stream in self._server.streams:
             hello = stream.hello
             if hello is None or hello.role == mesh.ROLE:
--- a/catkinpin/adapters/keeper/repair.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from catkinpin.adapters.keeper.host import KeeperHost
     from catkinpin.adapters.peers.keepers import Keepers
-    from catkinpin.adapters.store.turnserver import TurnHost
+    from catkinpin.adapters.store.turnserver import TurnServer
     from catkinpin.clock import Clock
     from catkinpin.core.control.stores import Store
     from catkinpin.roles import KeeperSettings
@@ -47,7 +47,7 @@
         self.done = isinstance(reply, protocol.Done)
 
 
-class Holding:
+class CopyRepair:
     """Keeps enough copies of all turns' bytes.
 
     Args:
@@ -67,7 +67,7 @@
         clock: Clock,
         host: KeeperHost,
         others: Keepers,
-        turns: TurnHost,
+        turns: TurnServer,
         commit_s: float,
     ) -> None:
         self._cfg = cfg
@@ -77,7 +77,7 @@
         self._others = others
         self._turns = turns
         self._commit_s = commit_s
-        self._heard_ms: dict[str, int] = {}
+        self._last_seen_ms: dict[str, int] = {}
         self._retiring_ms: dict[str, int] = {}
         self._repairing = False
 
@@ -87,7 +87,7 @@
         """Counts a store from now on; returns whether that is news."""
         if not self._host.may_decide():
             return NotLeading("not the leader")
-        self._heard_ms[store.node] = self._clock.now_ms()
+        self._last_seen_ms[store.node] = self._clock.now_ms()
         if not self._host.state.stores.is_news(store):
             return False
         out = await self._host.propose(Register(store=store), self._commit_s)
@@ -171,24 +171,24 @@
         now_ms = self._clock.now_ms()
         for host in self._others.connected():
             if host.info is not None:
-                self._heard_ms[host.info.node] = now_ms
+                self._last_seen_ms[host.info.node] = now_ms
         counted = {m.node for m in self._host.group.members.members}
         for store in self._host.state.stores.by_node.values():
-            heard_ms = self._heard_ms.setdefault(store.node, now_ms)
-            if not store.retiring and now_ms - heard_ms < _SILENT_STORE_MS:
+            last_seen_ms = self._last_seen_ms.setdefault(store.node, now_ms)
+            if not store.retiring and now_ms - last_seen_ms < _SILENT_STORE_MS:
                 counted.add(store.node)
         return counted
 
     async def _copy(self, copy: copies.Copy) -> None:
-        adopt = protocol.Adopt(
+        copy_turns = protocol.CopyTurns(
             ask=0, attempts=copy.attempts, source=copy.source.address
         )
         if copy.target.node == self._node:
             collector = _Collector()
-            await self._turns.adopt(collector, adopt)
+            await self._turns.copy_turns(collector, copy_turns)
             done = collector.done
         else:
-            done = await self._have_copied(copy, adopt)
+            done = await self._have_copied(copy, copy_turns)
         if not done:
             return
         holders = [*copy.kept, copy.target.node]
@@ -203,14 +203,14 @@
         )
 
     async def _have_copied(
-        self, copy: copies.Copy, adopt: protocol.Adopt
+        self, copy: copies.Copy, copy_turns: protocol.CopyTurns
     ) -> bool:
         target = self._others.by_node(copy.target.node)
         if target is None:
             return False
         try:
             reply = await self._others.ask(
-                target, lambda ask: structs.replace(adopt, ask=ask), COPY_S
+                target, lambda ask: structs.replace(copy_turns, ask=ask), COPY_S
             )
         except PeerLostError as exc:
             log.info("copy failed: %s", exc)
--- a/catkinpin/adapters/peers/keepers.py
+++ b/catkinpin/adapters/peers/keepers.py
@@ -21,7 +21,7 @@
 log = logging.getLogger(__name__)
 
 # Between two tries to find a leader; an election takes some hundred ms.
-_AGAIN_S = 0.04
+_RETRY_S = 0.04
 # A keeper that was not reached for so long and that no other one names is
 # gone for good.
 _FORGET_S = 30.0
@@ -80,7 +80,7 @@
                 address,
                 self._hello,
                 protocol.FromKeeper,
-                functools.partial(self._take, address),
+                functools.partial(self._handle, address),
                 link="to-keeper",
             )
             host = Host(link, seen_s=time.monotonic())
@@ -176,7 +176,7 @@
                     if not isinstance(reply, protocol.Refused):
                         return reply
                     why = reply.reason
-            await asyncio.sleep(_AGAIN_S)
+            await asyncio.sleep(_RETRY_S)
         raise PeerLostError(why)
 
     async def _ask_once(
@@ -202,7 +202,7 @@
                 for number in host.asks:
                     host.link.give_up(number)
 
-    def _take(self, address: str, message: Any) -> None:
+    def _handle(self, address: str, message: Any) -> None:
         host = self._hosts.get(address)
         if host is None:
             return
--- a/catkinpin/adapters/peers/links.py
+++ b/catkinpin/adapters/peers/links.py
@@ -42,7 +42,7 @@
 _END_S = 1.0
 _LENGTH = struct.Struct(">I")
 # A larger length can only come from a stranger on the port.
-_MOST_BYTES = 64 * 1024 * 1024
+_MAX_BYTES = 64 * 1024 * 1024
 # Bytes that wait for a slow reader before the writer waits, too.
 _WRITE_BUFFER_BYTES = 256 * 1024
 
@@ -141,7 +141,7 @@
             while True:
                 data = stream.unpack(await _read_frame(reader))
                 for message in self._decoder.decode(data):
-                    self._take(stream, message)
+                    self._handle(stream, message)
         except (OSError, EOFError) as exc:
             log.debug("stream ended: %s", exc)
         except Exception:
@@ -149,7 +149,7 @@
         finally:
             stream.close()
 
-    def _take(self, stream: Stream, message: Any) -> None:
+    def _handle(self, stream: Stream, message: Any) -> None:
         if isinstance(message, messages.Ping):
             stream.pinged(message)
             return
@@ -288,9 +288,9 @@
                 self.connected.set()
                 self._on_connected(self)
             for message in self._decoder.decode(data):
-                self._take(stream, message)
+                self._handle(stream, message)
 
-    def _take(self, stream: Stream, message: Any) -> None:
+    def _handle(self, stream: Stream, message: Any) -> None:
         if isinstance(message, messages.Ping):
             stream.pinged(message)
             return
@@ -320,7 +320,7 @@
 
 async def _read_frame(reader: asyncio.StreamReader) -> bytes:
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if length > _MOST_BYTES:
+    if length > _MAX_BYTES:
         raise EOFError(f"a frame of {length} bytes")
     return await reader.readexactly(length)
 
--- a/catkinpin/adapters/peers/streams.py
+++ b/catkinpin/adapters/peers/streams.py
@@ -70,7 +70,7 @@
         self._deflate = _Deflate() if compressed else None
         self._outbox: list[msgspec.Raw] = []
         self._wake = asyncio.Event()
-        self._heard = time.monotonic()
+        self._last_received_s = time.monotonic()
         self._nonces = itertools.count(1)
         self._nonce_at = 0.0
         self._sent_ms: dict[int, int] = {}
@@ -92,7 +92,7 @@
 
     def unpack(self, data: bytes) -> bytes:
         """Takes in a batch as it came, and notes that the other end lives."""
-        self._heard = time.monotonic()
+        self._last_received_s = time.monotonic()
         return self._deflate.unpack(data) if self._deflate else data
 
     def pinged(self, ping: messages.Ping) -> None:
@@ -105,7 +105,7 @@
 
     def silent_s(self) -> float:
         """Returns how long nothing has arrived."""
-        return time.monotonic() - self._heard
+        return time.monotonic() - self._last_received_s
 
     def close(self) -> None:
         """Ends the stream; its writer and reader stop."""
--- a/catkinpin/adapters/replica/founding.py
+++ b/catkinpin/adapters/replica/founding.py
@@ -102,7 +102,7 @@
             known=list(self._mesh.addresses),
         )
 
-    def heard(self, info: transport.NodeInfo) -> None:
+    def handle_info(self, info: transport.NodeInfo) -> None:
         """Takes what another replica says of itself."""
         self._infos[info.address] = info
         founders = self._identity.founders
--- a/catkinpin/adapters/replica/groups.py
+++ b/catkinpin/adapters/replica/groups.py
@@ -153,11 +153,11 @@
         if self._core.has_output():
             self._node.wake(self)
         if self._elected and not self._leading:
-            self._take_office()
+            self._update_leadership()
         if self._fetch is not None:
             self._fetch.tick(now_ms)
 
-    def take(self, message: Any) -> None:
+    def handle(self, message: Any) -> None:
         """Takes a message of another replica."""
         if self._core is None:
             return
@@ -180,17 +180,19 @@
                 self._fetched(self._fetch, held, now_ms)
         self._node.wake(self)
 
-    def beat(self, sender: str, beat: messages.Heartbeat, now_ms: int) -> bool:
+    def heartbeat(
+        self, sender: str, heartbeat: messages.Heartbeat, now_ms: int
+    ) -> bool:
         """Takes a heartbeat; returns whether a plain answer will do."""
         if self._core is None:
             return False
-        if self._core.renews(sender, beat.term, beat.commit, now_ms):
+        if self._core.renews(sender, heartbeat.term, heartbeat.commit, now_ms):
             return True
-        self._core.step(sender, beat, now_ms)
+        self._core.step(sender, heartbeat, now_ms)
         self._node.wake(self)
         return False
 
-    def beat_reply(
+    def handle_heartbeat_reply(
         self, sender: str, reply: messages.HeartbeatReply, now_ms: int
     ) -> None:
         """Takes the answer to a heartbeat."""
@@ -203,7 +205,7 @@
     def begin_flush(self, now_ms: int) -> list[commands.Command]:
         """Writes and sends what may go before the sync; returns the rest."""
         assert self._core is not None
-        out = self._core.take(now_ms)
+        out = self._core.take_output(now_ms)
         self._wrote = any(isinstance(c, commands.SaveEntries) for c in out)
         return [c for c in out if not self._before_sync(c)]
 
@@ -294,8 +296,8 @@
             case commands.Restore(_, keeps_tail):
                 self._install(keeps_tail)
                 return False
-            case commands.Send(to, messages.Heartbeat() as beat, False):
-                self._node.beats.add(self.name, to, beat)
+            case commands.Send(to, messages.Heartbeat() as heartbeat, False):
+                self._node.heartbeats.add(self.name, to, heartbeat)
             case commands.Send(to, message, False):
                 self._send(to, message)
             case commands.SendEntries(to, message, first, last):
@@ -315,13 +317,13 @@
                 self._apply(first, last)
             case commands.Lead(leading):
                 self._elected = leading
-                self._take_office()
+                self._update_leadership()
             case commands.Fetch(sender, offer):
                 self._begin_fetch(sender, offer)
             case commands.Restore():
                 self._restore()
 
-    def _take_office(self) -> None:
+    def _update_leadership(self) -> None:
         """Tells the machine whether it leads.
 
         A new leader of a shard may lag in the control group: it would refuse
--- a/catkinpin/adapters/replica/heartbeats.py
+++ b/catkinpin/adapters/replica/heartbeats.py
@@ -22,29 +22,29 @@
     def __init__(self) -> None:
         self._waiting: dict[tuple[str, int], list[tuple[str, Heartbeat]]] = {}
 
-    def add(self, group: str, to: str, beat: Heartbeat) -> None:
+    def add(self, group: str, to: str, heartbeat: Heartbeat) -> None:
         """Adds a heartbeat of a group to a replica."""
-        key = (to, beat.sent_ms)
-        self._waiting.setdefault(key, []).append((group, beat))
+        key = (to, heartbeat.sent_ms)
+        self._waiting.setdefault(key, []).append((group, heartbeat))
 
     def send(self, sender: str, send: Callable[[str, Any], None]) -> None:
         """Sends one message to each replica."""
         for (to, sent_ms), listed in self._waiting.items():
-            message = transport.Beats(
+            message = transport.Heartbeats(
                 sender=sender,
                 to=to,
                 sent_ms=sent_ms,
                 groups=[name for name, _ in listed],
-                terms=[beat.term for _, beat in listed],
-                commits=[beat.commit for _, beat in listed],
+                terms=[heartbeat.term for _, heartbeat in listed],
+                commits=[heartbeat.commit for _, heartbeat in listed],
             )
             send(to, message)
         self._waiting.clear()
 
 
-def take(
-    message: transport.Beats, groups: Mapping[str, Group], now_ms: int
-) -> transport.BeatReplies:
+def handle(
+    message: transport.Heartbeats, groups: Mapping[str, Group], now_ms: int
+) -> transport.HeartbeatReplies:
     """Takes heartbeats; returns the answer for those with nothing new."""
     names, terms = [], []
     sent_ms = message.sent_ms
@@ -54,11 +54,11 @@
         group = groups.get(name)
         if group is None:
             continue
-        beat = Heartbeat(term=term, commit=commit, sent_ms=sent_ms)
-        if group.beat(message.sender, beat, now_ms):
+        heartbeat = Heartbeat(term=term, commit=commit, sent_ms=sent_ms)
+        if group.heartbeat(message.sender, heartbeat, now_ms):
             names.append(name)
             terms.append(term)
-    return transport.BeatReplies(
+    return transport.HeartbeatReplies(
         sender=message.to,
         to=message.sender,
         sent_ms=sent_ms,
@@ -67,12 +67,14 @@
     )
 
 
-def take_replies(
-    message: transport.BeatReplies, groups: Mapping[str, Group], now_ms: int
+def handle_replies(
+    message: transport.HeartbeatReplies,
+    groups: Mapping[str, Group],
+    now_ms: int,
 ) -> None:
     """Takes answers to heartbeats."""
     for name, term in zip(message.groups, message.terms, strict=True):
         group = groups.get(name)
         if group is not None:
             reply = HeartbeatReply(term=term, sent_ms=message.sent_ms)
-            group.beat_reply(message.sender, reply, now_ms)
+            group.handle_heartbeat_reply(message.sender, reply, now_ms)
--- a/catkinpin/adapters/replica/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -35,15 +35,15 @@
 _INTRODUCE_TICKS = 4
 _SPREAD_TICKS = 200
 # Groups that one replica may lead more than another; moves cost a moment.
-_SPREAD_MOST = 2
+_MAX_LEAD_DIFFERENCE = 2
 _TRANSFER_S = 1.5
 _MS_PER_S = 1_000
 # A leader with a slow disk stays in office so long; a handover costs 0.1 s, a
 # disk stays slow for some seconds.
-_OFFICE_MS = 1_500
+_MIN_LEADING_MS = 1_500
 # Segments that idle groups may keep from being removed.
 _PINNED_SEGMENTS = 4
-_TAIL_PART = 4
+_TAIL_SHARE = 4
 # After a snapshot that found no room, until the next one is tried.
 _NO_SNAPSHOT_MS = 1_000
 
@@ -114,7 +114,7 @@
         self.rng = random.Random()
         self.address = ""
         self.groups: dict[str, Group] = {}
-        self.beats = heartbeats.Outbox()
+        self.heartbeats = heartbeats.Outbox()
         self._cfg = cfg
         self._on_leader = on_leader
         self._on_failure = on_failure
@@ -125,7 +125,7 @@
         # What waits for a sync that a full disk has kept from being made.
         self._unsynced: list[_Unsynced] = []
         self._snapshot_ms = 0
-        self._told: dict[str, tuple[int, str]] = {}
+        self._announced: dict[str, tuple[int, str]] = {}
         self._sync_times = SyncTimes()
         # When this host was last seen to lead nothing.
         self._idle_ms = 0
@@ -214,7 +214,7 @@
         await self._mesh.stop()
         self.storage.close()
 
-    def meet(self, address: str) -> None:
+    def connect_to(self, address: str) -> None:
         """Connects to a replica that the settings name by now."""
         self._mesh.add(address)
 
@@ -255,12 +255,12 @@
         """Notes who another replica is."""
         self._mesh.learn(hello.process, hello.address)
 
-    def take(self, message: Any) -> None:
+    def handle(self, message: Any) -> None:
         """Takes a message of another replica."""
         if self._stopped:
             return
         try:
-            self._take(message)
+            self._handle(message)
         except Exception as exc:
             self.fail(exc)
 
@@ -273,7 +273,7 @@
             self._stopped = True
             self._on_failure(exc)
 
-    def _take(self, message: Any) -> None:
+    def _handle(self, message: Any) -> None:
         if self.is_full and not isinstance(message, transport.NodeInfo):
             return
         match message:
@@ -281,29 +281,29 @@
                 self._mesh.learn(message.node, message.address)
                 for address in message.known:
                     self._mesh.add(address)
-                self._founding.heard(message)
+                self._founding.handle_info(message)
             case transport.Found():
                 self._founding.founded(message.members)
             case transport.Join():
                 self._mesh.learn(message.node, message.address)
                 for group in self.groups.values():
                     group.add_learner(message)
-            case transport.Beats() | transport.BeatReplies():
+            case transport.Heartbeats() | transport.HeartbeatReplies():
                 if message.to == self.identity:
-                    self._take_beats(message)
+                    self._handle_heartbeats(message)
             case _:
                 group_of = self.groups.get(message.group)
                 if group_of is not None and message.to == self.identity:
-                    group_of.take(message)
+                    group_of.handle(message)
 
-    def _take_beats(
-        self, message: transport.Beats | transport.BeatReplies
+    def _handle_heartbeats(
+        self, message: transport.Heartbeats | transport.HeartbeatReplies
     ) -> None:
         now_ms = self.now_ms()
-        if isinstance(message, transport.BeatReplies):
-            heartbeats.take_replies(message, self.groups, now_ms)
+        if isinstance(message, transport.HeartbeatReplies):
+            heartbeats.handle_replies(message, self.groups, now_ms)
             return
-        reply = heartbeats.take(message, self.groups, now_ms)
+        reply = heartbeats.handle(message, self.groups, now_ms)
         if reply.groups:
             self.send(message.sender, reply)
 
@@ -343,11 +343,11 @@
         now_ms = self.now_ms()
         for group in self.groups.values():
             group.tick(now_ms)
-        self._leave_office(now_ms)
+        self._yield_leadership(now_ms)
         self._ticks += 1
         if self._ticks % _INTRODUCE_TICKS == 0:
             self._founding.tick()
-            self._meet_members()
+            self._connect_members()
             self._join()
         if self._ticks % _SPREAD_TICKS == 0:
             self._spread()
@@ -362,14 +362,19 @@
         if not self._started or "" in leaders:
             return
         led = collections.Counter(leaders)
-        least = min(self._mesh.addresses, key=led.__getitem__, default="")
-        if least and led[self.address] - led[least] > _SPREAD_MOST:
+        least_loaded = min(
+            self._mesh.addresses, key=led.__getitem__, default=""
+        )
+        if (
+            least_loaded
+            and led[self.address] - led[least_loaded] > _MAX_LEAD_DIFFERENCE
+        ):
             for group in self.groups.values():
-                if group.is_leader() and group.transfer(least):
+                if group.is_leader() and group.transfer(least_loaded):
                     log.info("handing over", extra={"group": group.name})
                     return
 
-    def _meet_members(self) -> None:
+    def _connect_members(self) -> None:
         """Connects to members that no seed and no replica has named yet."""
         for group in self.groups.values():
             for member in group.members.members:
@@ -439,14 +444,14 @@
         for group in woken.values():
             rest = group.begin_flush(now_ms)
             self._unsynced.append(_Unsynced(group, rest))
-        self.beats.send(self.identity, self.send)
+        self.heartbeats.send(self.identity, self.send)
 
     def _sync(self) -> None:
         began_s = time.monotonic()
         if self.storage.sync():
             self._sync_times.took((time.monotonic() - began_s) * _MS_PER_S)
 
-    def _leave_office(self, now_ms: int) -> None:
+    def _yield_leadership(self, now_ms: int) -> None:
         """Hands all groups over while this host's disk is slow.
 
         All that commit wait for the leader's disk; the others need only some.
@@ -456,8 +461,8 @@
         led = [group for group in self.groups.values() if group.is_leader()]
         if not led:
             self._idle_ms = now_ms
-        in_office_ms = now_ms - self._idle_ms
-        if in_office_ms < _OFFICE_MS or not self._sync_times.is_slow():
+        leading_ms = now_ms - self._idle_ms
+        if leading_ms < _MIN_LEADING_MS or not self._sync_times.is_slow():
             return
         self._sync_times.forget()
         for group in led:
@@ -476,7 +481,7 @@
             self._snapshot_ms = now_ms + _NO_SNAPSHOT_MS
 
     def _snapshot(self, group: Group) -> None:
-        group.take_snapshot(self._cfg.snapshot_entries // _TAIL_PART)
+        group.take_snapshot(self._cfg.snapshot_entries // _TAIL_SHARE)
         if self.storage.count() > _PINNED_SEGMENTS:
             for name in self.storage.pinning():
                 if name in self.groups:
@@ -485,6 +490,6 @@
 
     def _tell_leader(self, group: Group) -> None:
         known = (group.term, group.leader)
-        if group.leader and self._told.get(group.name) != known:
-            self._told[group.name] = known
+        if group.leader and self._announced.get(group.name) != known:
+            self._announced[group.name] = known
             self._on_leader(group)
--- a/catkinpin/adapters/replica/process.py
+++ b/catkinpin/adapters/replica/process.py
@@ -204,7 +204,7 @@
         if isinstance(message, messages.Hello):
             self.node.hello(message)
         else:
-            self.node.take(message)
+            self.node.handle(message)
 
     def _welcome(self, stream: links.Stream) -> None:
         assert stream.hello is not None
--- a/catkinpin/adapters/replica/transfers.py
+++ b/catkinpin/adapters/replica/transfers.py
@@ -24,7 +24,7 @@
 
 _PART_BYTES = 512 * 1024
 _PART_RECORDS = 512
-_AGAIN_MS = 1_000
+_RETRY_MS = 1_000
 
 
 class Fetch:
@@ -62,7 +62,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Asks for the next part, or again where none came."""
-        if now_ms - self._asked_ms >= _AGAIN_MS:
+        if now_ms - self._asked_ms >= _RETRY_MS:
             self.ask(now_ms)
 
     def ask(self, now_ms: int) -> None:
--- a/catkinpin/adapters/replica/transport.py
+++ b/catkinpin/adapters/replica/transport.py
@@ -20,7 +20,7 @@
     body: GroupMessage
 
 
-class Beats(Message, frozen=True):
+class Heartbeats(Message, frozen=True):
     """Heartbeats of all groups that the sender leads, in one message.
 
     Attributes:
@@ -36,8 +36,8 @@
     commits: list[int]
 
 
-class BeatReplies(Message, frozen=True):
-    """Answers `Beats` for the groups in which nothing was new."""
+class HeartbeatReplies(Message, frozen=True):
+    """Answers `Heartbeats` for the groups in which nothing was new."""
 
     sender: str
     to: str
@@ -115,8 +115,8 @@
 
 GroupReplicaMessage = (
     Routed
-    | Beats
-    | BeatReplies
+    | Heartbeats
+    | HeartbeatReplies
     | SnapshotPull
     | SnapshotPart
     | RecordsPull
--- a/catkinpin/adapters/store/process.py
+++ b/catkinpin/adapters/store/process.py
@@ -13,7 +13,7 @@
 from catkinpin.adapters.keeper.publisher import STORE_ROLE
 from catkinpin.adapters.peers import keepers, links
 from catkinpin.adapters.replica.identity import Identity
-from catkinpin.adapters.store.turnserver import TurnHost
+from catkinpin.adapters.store.turnserver import TurnServer
 from catkinpin.adapters.tasks import Tasks
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
@@ -55,9 +55,9 @@
                 domain=cfg.failure_domain,
                 region=cfg.region,
             ),
-            self._told,
+            self._on_keeper_message,
         )
-        self._turns = TurnHost(
+        self._turns = TurnServer(
             TurnBytes(cfg.data_folder / "turns", ops),
             self.keepers,
             exits.stop_at_once,
@@ -112,10 +112,10 @@
                 self._turns.put(stream, message)
             case protocol.Get():
                 self._turns.get(stream, message)
-            case protocol.Adopt():
-                self._tasks.spawn(self._turns.adopt(stream, message))
+            case protocol.CopyTurns():
+                self._tasks.spawn(self._turns.copy_turns(stream, message))
 
-    def _told(self, host: keepers.Host, message: Any) -> None:
+    def _on_keeper_message(self, host: keepers.Host, message: Any) -> None:
         if isinstance(message, protocol.Expired):
             self._turns.data.drop(message.attempts)
 
--- a/catkinpin/adapters/store/turnserver.py
+++ b/catkinpin/adapters/store/turnserver.py
@@ -32,7 +32,7 @@
         """Sends an answer."""
 
 
-class TurnHost:
+class TurnServer:
     """Turns' bytes of this process, served to others.
 
     Args:
@@ -75,7 +75,9 @@
         parts = [self.data.read(attempt) for attempt in message.attempts]
         reply.send(protocol.Got(ask=message.ask, parts=parts))
 
-    async def adopt(self, reply: Reply, message: protocol.Adopt) -> None:
+    async def copy_turns(
+        self, reply: Reply, message: protocol.CopyTurns
+    ) -> None:
         """Copies turns' bytes from another holder; answers once they last."""
         missing = [a for a in message.attempts if a not in self.data]
         why = await self._pull(missing, message.source) if missing else ""
--- a/catkinpin/chat.py
+++ b/catkinpin/chat.py
@@ -14,7 +14,7 @@
 from catkinpin.exceptions import BadRequestError
 
 _DEFAULT_MAX_TOKENS = 1024
-_MOST_TOKENS = 100_000_000
+_MAX_TOKENS = 100_000_000
 _KEPT_FIELDS = (
     "role",
     "content",
@@ -25,7 +25,7 @@
 )
 
 
-_TokenCount = Annotated[int, pydantic.Field(gt=0, le=_MOST_TOKENS)]
+_TokenCount = Annotated[int, pydantic.Field(gt=0, le=_MAX_TOKENS)]
 
 
 class _Messages(msgspec.Struct):
@@ -58,8 +58,8 @@
     n: int = pydantic.Field(default=1, ge=1, le=1)
 
     @property
-    def most_tokens(self) -> int:
-        """Most tokens that may be generated."""
+    def token_limit(self) -> int:
+        """Maximum number of tokens that may be generated."""
         return (
             self.max_completion_tokens or self.max_tokens or _DEFAULT_MAX_TOKENS
         )
@@ -128,7 +128,7 @@
     return msgspec.json.encode(kept)
 
 
-def most_prompt_tokens(canonical: list[bytes], request: ChatRequest) -> int:
+def max_prompt_tokens(canonical: list[bytes], request: ChatRequest) -> int:
     """Returns an upper bound of the prompt's tokens.
 
     A token of a byte-level vocabulary covers at least one byte.
--- a/catkinpin/commands/apply.py
+++ b/catkinpin/commands/apply.py
@@ -57,7 +57,7 @@
             headers={"Catkinpin-Base-Revision": str(base)},
         )
         client.show(reply, json, _applied)
-        client.tell_resend(reply, request_id)
+        client.announce_resend(reply, request_id)
         if reply.exit_code or not wait:
             return reply.exit_code
         return await _in_force(http, reply.body["revision"], wait_ms, json)
@@ -112,14 +112,14 @@
             client.show(reply, as_json, lambda _: "in force everywhere")
             return client.EXIT_OK
         if time.monotonic() > end:
-            client.show(reply, as_json, _lacking)
+            client.show(reply, as_json, _under_replicated)
             return client.EXIT_NOT_IN_FORCE
         if not as_json:
-            print(_lacking(reply.body), file=sys.stderr)
+            print(_under_replicated(reply.body), file=sys.stderr)
         await asyncio.sleep(_POLL_S)
 
 
-def _lacking(body: Any) -> str:
+def _under_replicated(body: Any) -> str:
     names = [
         f"{one['process']} (at revision {one['revision']}, may serve"
         f" {one['lease_left_ms']} ms more)"
--- a/catkinpin/commands/client.py
+++ b/catkinpin/commands/client.py
@@ -129,7 +129,7 @@
         print(table(reply.body))
 
 
-def tell_resend(reply: Reply, request_id: str) -> None:
+def announce_resend(reply: Reply, request_id: str) -> None:
     """Tells how to send a change again whose answer was lost."""
     if reply.exit_code == EXIT_UNKNOWN:
         print(
--- a/catkinpin/commands/plan.py
+++ b/catkinpin/commands/plan.py
@@ -173,7 +173,7 @@
             request_id=request_id,
         )
         client.show(reply, opts.json_, _shown)
-        client.tell_resend(reply, request_id)
+        client.announce_resend(reply, request_id)
         return reply.exit_code
 
     client.run(opts, work)
--- a/catkinpin/commands/why.py
+++ b/catkinpin/commands/why.py
@@ -19,9 +19,9 @@
     ("system", "processes, leaders and routes around it"),
 )
 # Of each part but the request's own; the nearest in time are shown.
-_MOST_LINES = 40
+_MAX_LINES = 40
 # Lines that say the same within the same second are shown as one.
-_ALIKE_MS = 1_000
+_SIMILAR_MS = 1_000
 
 
 def why(request: str, *logs: str) -> None:
@@ -53,14 +53,14 @@
     """
     groups: dict[str, list[Line]] = {}
     for line in lines:
-        said = f"{line.decision} {line.at_ms // _ALIKE_MS} {_facts(line)}"
+        said = f"{line.decision} {line.at_ms // _SIMILAR_MS} {_facts(line)}"
         groups.setdefault(said, []).append(line)
     return list(groups.values())
 
 
 def _nearest(groups: list[list[Line]], end_ms: int) -> list[list[Line]]:
     by_distance = sorted(groups, key=lambda same: abs(same[0].at_ms - end_ms))
-    return sorted(by_distance[:_MOST_LINES], key=lambda same: same[0].at_ms)
+    return sorted(by_distance[:_MAX_LINES], key=lambda same: same[0].at_ms)
 
 
 def _facts(line: Line) -> str:
--- a/catkinpin/configuration.py
+++ b/catkinpin/configuration.py
@@ -14,7 +14,7 @@
 from catkinpin.exceptions import BadRequestError
 
 _DAY_S = 86_400
-_MOST_SHOWN = 80
+_MAX_SHOWN = 80
 
 Name = Annotated[
     str, pydantic.Field(pattern=r"^[0-9A-Za-z_.@-][0-9A-Za-z_.@/: -]{0,199}$")
@@ -187,7 +187,7 @@
     for problem in exc.errors():
         place = ".".join(str(part) for part in problem["loc"]) or "(whole)"
         shown = repr(problem.get("input"))
-        if len(shown) > _MOST_SHOWN:
-            shown = shown[:_MOST_SHOWN] + "..."
+        if len(shown) > _MAX_SHOWN:
+            shown = shown[:_MAX_SHOWN] + "..."
         lines.append(f"{place}: {problem['msg']}, got {shown}")
     return "\n".join(lines)
--- a/catkinpin/core/consensus/core.py
+++ b/catkinpin/core/consensus/core.py
@@ -21,7 +21,7 @@
 
 
 class Core:
-    """A consensus core; its driver calls `take` after events.
+    """A consensus core; its driver calls `take_output` after events.
 
     Args:
         node: identity of this replica.
@@ -89,7 +89,7 @@
             return False
         if state.role is Role.LEADER:
             return self.serves(now_ms)
-        return bool(state.leader) and state.hears_leader(now_ms)
+        return bool(state.leader) and state.has_recent_heartbeat(now_ms)
 
     def tick(self, now_ms: int) -> None:
         """Acts on time that has passed."""
@@ -195,7 +195,7 @@
         """Returns whether commands wait to be taken."""
         return bool(self.state.out)
 
-    def take(self, now_ms: int) -> list[commands.Command]:
+    def take_output(self, now_ms: int) -> list[commands.Command]:
         """Returns the commands since the last call.
 
         Records proposed since then travel together, in few batches.
--- a/catkinpin/core/consensus/following.py
+++ b/catkinpin/core/consensus/following.py
@@ -31,7 +31,7 @@
     elif log.term_at(prev) != msg.prev_term:
         _refuse(state, sender, msg)
         return
-    _take(state, entries)
+    _append_entries(state, entries)
     reply = messages.AppendReply(
         term=state.term, ok=True, index=end, sent_ms=msg.sent_ms
     )
@@ -121,7 +121,7 @@
     state.send(sender, reply, synced=True)
 
 
-def _take(state: State, entries: list[messages.Entry]) -> None:
+def _append_entries(state: State, entries: list[messages.Entry]) -> None:
     """Appends what we lack; cuts our log where it parts from the leader's."""
     log = state.log
     for position, entry in enumerate(entries):
--- a/catkinpin/core/consensus/membership.py
+++ b/catkinpin/core/consensus/membership.py
@@ -48,7 +48,7 @@
         return
     members = state.log.members.members
     lost = _voter_at(state, learner.address) or _silent_voter(state, now_ms)
-    if lost is None and len(state.log.voters) >= state.timing.most_voters:
+    if lost is None and len(state.log.voters) >= state.timing.max_voters:
         return
     if lost is not None:
         kept = [m for m in members if m is not lost]
@@ -72,10 +72,10 @@
     for node in state.log.voters:
         if node == state.node:
             continue
-        heard_ms = max(state.progress[node].acked_ms, state.elected_ms)
-        if now_ms - heard_ms < timing.election_ms:
+        last_seen_ms = max(state.progress[node].acked_ms, state.elected_ms)
+        if now_ms - last_seen_ms < timing.election_ms:
             alive += 1
-        elif now_ms - heard_ms > timing.silent_voter_ms:
+        elif now_ms - last_seen_ms > timing.silent_voter_ms:
             silent = state.log.members.find(node)
     return silent if alive > kept // 2 else None
 
@@ -115,8 +115,8 @@
         return False
     if member.node == state.node:
         return True
-    heard_ms = state.progress[member.node].acked_ms
-    return now_ms - heard_ms < state.timing.election_ms
+    last_seen_ms = state.progress[member.node].acked_ms
+    return now_ms - last_seen_ms < state.timing.election_ms
 
 
 def _may_change(state: State) -> bool:
--- a/catkinpin/core/consensus/state.py
+++ b/catkinpin/core/consensus/state.py
@@ -21,10 +21,10 @@
 # A refusal mostly means that the others' promise to the last leader has some
 # ms to run. A whole election's time until the next question cost a group that
 # had just lost its leader up to 2.1 s (seeded simulation).
-_ASK_AGAIN_PARTS = (0.15, 0.3)
+_ASK_RETRY_SHARES = (0.15, 0.3)
 # The same for votes that don't come: a round trip between regions and the sync
 # of a slow disk take some 170 ms. Two candidates split the votes now and then.
-_VOTE_AGAIN_PARTS = (0.5, 1.0)
+_VOTE_RETRY_SHARES = (0.5, 1.0)
 # A fresh group that no one has ever led need not wait for a lease to run out,
 # nor a leader for its own that ended with the process before.
 _FIRST_ELECTION_MS = (20, 250)
@@ -58,7 +58,7 @@
     # that restart or thaw are back before; shorter would move voters in vain.
     silent_voter_ms: int = 5_000
     # Five voters bear the loss of two; more would only slow each commit.
-    most_voters: int = 5
+    max_voters: int = 5
 
     def __post_init__(self) -> None:
         longest = self.lease_ms * (1 + CLOCK_DRIFT) / (1 - CLOCK_DRIFT)
@@ -95,9 +95,9 @@
         leader: identity of the leader of `term`, empty where not known.
         commit: last index known to be committed.
         applied: last index handed out to be applied.
-        heard_ms: when a leader was last heard; no other may be elected
+        last_seen_ms: when a leader was last heard; no other may be elected
             within `election_ms` of it.
-        heard_term: the newest term of which that may have been.
+        last_leader_term: the newest term of which that may have been.
         deadline_ms: when to stand for election.
         reached_ms: when a quorum last followed this leader, as it asked.
         lease_until_ms: end of this leader's lease.
@@ -137,8 +137,8 @@
         # could vote at once and break the lease of a leader that counts on
         # its silence, so it waits as if it had heard one just before this
         # process began: what an earlier process promised is older than that.
-        self.heard_ms = begun_ms if self.term else _NEVER
-        self.heard_term = self.term
+        self.last_seen_ms = begun_ms if self.term else _NEVER
+        self.last_leader_term = self.term
         self.deadline_ms = 0
         self.granted: set[str] = set()
         self.progress: dict[str, Progress] = {}
@@ -189,21 +189,21 @@
 
     def ask_again(self, now_ms: int) -> None:
         """Sets when to ask again whether we could win."""
-        self._stand_after(now_ms, _ASK_AGAIN_PARTS)
+        self._stand_after(now_ms, _ASK_RETRY_SHARES)
 
     def vote_again(self, now_ms: int) -> None:
         """Sets when to stand again if we don't win."""
-        self._stand_after(now_ms, _VOTE_AGAIN_PARTS)
+        self._stand_after(now_ms, _VOTE_RETRY_SHARES)
 
     def _stand_after(self, now_ms: int, parts: tuple[float, float]) -> None:
         wait_ms = self.timing.election_ms * self.rng.uniform(*parts)
         self.deadline_ms = now_ms + int(wait_ms)
 
-    def hears_leader(self, now_ms: int) -> bool:
+    def has_recent_heartbeat(self, now_ms: int) -> bool:
         """Returns whether a leader may still hold a lease through us."""
         if self.role is Role.LEADER:
             return now_ms < self.lease_until_ms
-        return now_ms - self.heard_ms < self.timing.election_ms
+        return now_ms - self.last_seen_ms < self.timing.election_ms
 
     def is_promised(self, void_term: int, now_ms: int) -> bool:
         """Returns whether a leader's lease may count on our not voting.
@@ -218,9 +218,12 @@
             void_term: the term that the asking replica led.
             now_ms: the time.
         """
-        if self.role is not Role.LEADER and void_term >= self.heard_term > 0:
+        if (
+            self.role is not Role.LEADER
+            and void_term >= self.last_leader_term > 0
+        ):
             return False
-        return self.hears_leader(now_ms)
+        return self.has_recent_heartbeat(now_ms)
 
     def is_current(self, last_index: int, last_term: int) -> bool:
         """Returns whether another's log holds all that ours may commit."""
@@ -250,8 +253,8 @@
 
     def hear(self, now_ms: int) -> None:
         """Notes that the leader of this term was heard."""
-        self.heard_ms = now_ms
-        self.heard_term = self.term
+        self.last_seen_ms = now_ms
+        self.last_leader_term = self.term
         self.reset_deadline(now_ms)
 
     def commit_to(self, index: int) -> None:
--- a/catkinpin/core/control/copies.py
+++ b/catkinpin/core/control/copies.py
@@ -19,7 +19,7 @@
 # Bytes of one copy: some 0.3 s of the link between regions.
 _BATCH_BYTES = 512 * 1024
 # Copies planned at once; the next round sees what has changed meanwhile.
-_MOST_BATCHES = 8
+_MAX_BATCHES = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -91,7 +91,7 @@
             continue
         key = (source.node, target.node, *kept)
         if key not in batches:
-            if len(batches) >= _MOST_BATCHES:
+            if len(batches) >= _MAX_BATCHES:
                 continue
             batches[key] = Copy([], source, target, kept)
         batch = batches[key]
--- a/catkinpin/core/control/disks.py
+++ b/catkinpin/core/control/disks.py
@@ -17,8 +17,8 @@
 _SLOW_OF_RECENT = 4
 # Slow is what takes so many times the usual, and at least so many ms: less
 # costs a turn less than a change of leaders does.
-_TIMES = 5.0
-_LEAST_MS = 15.0
+_SLOW_RATIO = 5.0
+_MIN_MS = 15.0
 # Part of the way that the usual time moves towards each new one.
 _WEIGHT = 0.02
 
@@ -50,4 +50,4 @@
         self._recent.clear()
 
     def _is_long(self, ms: float) -> bool:
-        return ms >= max(_LEAST_MS, _TIMES * self._usual_ms)
+        return ms >= max(_MIN_MS, _SLOW_RATIO * self._usual_ms)
--- a/catkinpin/core/control/ledger.py
+++ b/catkinpin/core/control/ledger.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from catkinpin.codec import Message
-from catkinpin.core.placement.urgency import Standing
+from catkinpin.core.placement.urgency import ProgramStatus
 
 # A program's budget outlives its last turn by this much more than its turns:
 # one that was stopped comes back at the last moment, from a slower host.
@@ -29,7 +29,7 @@
         attempt: identity of this turn, never used twice.
         previous: the turn that it continues, empty for a new chain.
         budget: tokens that the whole program may generate; -1 for no limit.
-        most: tokens that this turn may generate.
+        max_tokens: tokens that this turn may generate.
         retain_ms: how long the program is remembered after it.
         at_ms: the log's time.
         left_ms: until the whole program should be finished.
@@ -39,7 +39,7 @@
     program: str
     previous: str
     budget: int
-    most: int
+    max_tokens: int
     retain_ms: int
     at_ms: int
     left_ms: int = 0
@@ -113,7 +113,7 @@
     attempt: str
     program: str
     previous: str
-    most: int
+    max_tokens: int
     retain_ms: int
     at_ms: int
 
@@ -161,14 +161,16 @@
         denial: why a turn may not begin.
         chain: the turns before it, the oldest first.
         expired: turns whose bytes are needed no more.
-        standing: how the program is doing.
+        program_status: how the program is doing.
         server: that ran its latest turn.
     """
 
     denial: Denial = Denial.NONE
     chain: list[Link] = dataclasses.field(default_factory=list)
     expired: list[str] = dataclasses.field(default_factory=list)
-    standing: Standing = dataclasses.field(default_factory=Standing)
+    program_status: ProgramStatus = dataclasses.field(
+        default_factory=ProgramStatus
+    )
     server: str = ""
 
 
@@ -199,7 +201,7 @@
         if account is None:
             account = Account(program=record.program, begun_ms=self.now_ms)
         account.allowed_ms = max(account.allowed_ms, record.left_ms)
-        out.standing = Standing(
+        out.program_status = ProgramStatus(
             allowed_ms=account.allowed_ms,
             elapsed_ms=self.now_ms - account.begun_ms,
             lost_ms=account.lost_ms,
@@ -212,13 +214,13 @@
             out.denial = Denial.BUDGET_SPENT
             return out
         self._accounts[record.program] = account
-        account.reserved += record.most
+        account.reserved += record.max_tokens
         self._keep(account, record.retain_ms)
         self._open[record.attempt] = Open(
             attempt=record.attempt,
             program=record.program,
             previous=record.previous,
-            most=record.most,
+            max_tokens=record.max_tokens,
             retain_ms=record.retain_ms,
             at_ms=self.now_ms,
         )
@@ -232,7 +234,7 @@
             return out
         account = self._accounts.get(begun.program)
         if account is not None:
-            account.reserved -= begun.most
+            account.reserved -= begun.max_tokens
             account.spent += record.tokens
             account.lost_ms += record.lost_ms
             account.turns += record.tokens > 0
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -23,14 +23,14 @@
 from catkinpin.core.control.servers import Fleet, Instance
 from catkinpin.core.control.stores import Register, Retire, Store, Stores
 from catkinpin.core.messages import Hello, Ping
-from catkinpin.core.placement.urgency import Standing
+from catkinpin.core.placement.urgency import ProgramStatus
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 
 # Contents that stay quarantined, 32 bytes each; a day has a handful.
-_MOST_CONDEMNED = 4_096
+_MAX_QUARANTINED = 4_096
 
 
 class SetRouting(Message, frozen=True):
@@ -45,7 +45,7 @@
     instance: Instance
 
 
-class Condemn(Message, frozen=True):
+class Quarantine(Message, frozen=True):
     """Quarantines requests' contents, by digest in hex."""
 
     contents: list[str]
@@ -67,18 +67,18 @@
         | Moved
         | Register
         | Retire
-        | Condemn
+        | Quarantine
     )
 
 
-class KeeperState(Message, frozen=True):
+class ControlSnapshot(Message, frozen=True):
     """Content of a snapshot."""
 
     routing: PackedRouting | None
     instances: list[Instance]
     ledger: LedgerState
     stores: list[Store]
-    condemned: list[str]
+    quarantined: list[str]
 
 
 class HostInfo(Message, frozen=True):
@@ -111,7 +111,7 @@
     attempts: list[str]
 
 
-class RoutingNow(Message, frozen=True):
+class RoutingUpdate(Message, frozen=True):
     """Says which routing document is in force, to all gateways.
 
     Attributes:
@@ -124,7 +124,7 @@
     is_current: bool
 
 
-class FleetNow(Message, frozen=True):
+class ServersUpdate(Message, frozen=True):
     """All servers, or those that changed.
 
     Attributes:
@@ -176,7 +176,7 @@
     instance: Instance
 
 
-class AskStruck(Message, frozen=True):
+class ReportCrash(Message, frozen=True):
     """Tells the leader that a server crashed while it ran a request.
 
     Attributes:
@@ -189,7 +189,7 @@
     server: str
 
 
-class QuarantineNow(Message, frozen=True):
+class QuarantineUpdate(Message, frozen=True):
     """Names contents that no server may get any more."""
 
     contents: list[str]
@@ -244,7 +244,7 @@
     attempts: list[str]
 
 
-class Adopt(Message, frozen=True):
+class CopyTurns(Message, frozen=True):
     """Asks a keeper to copy turns' bytes from another one.
 
     Attributes:
@@ -261,14 +261,14 @@
 
     Attributes:
         denial: as in `ledger.Denial`; empty where the turn may begin.
-        standing: how the program is doing.
+        program_status: how the program is doing.
         server: that ran its latest turn.
     """
 
     ask: int
     denial: str
     chain: list[Link]
-    standing: Standing = Standing()
+    program_status: ProgramStatus = ProgramStatus()
     server: str = ""
 
 
@@ -318,36 +318,36 @@
     | AskCurrent
     | AskAnnounce
     | AskRegister
-    | AskStruck
+    | ReportCrash
     | AskRetire
     | Put
     | Get
-    | Adopt
+    | CopyTurns
 )
 FromKeeper = (
     Ping
     | HostInfo
-    | RoutingNow
-    | FleetNow
+    | RoutingUpdate
+    | ServersUpdate
     | Began
     | Done
     | Refused
     | Current
     | Retirement
     | Expired
-    | QuarantineNow
+    | QuarantineUpdate
     | Got
 )
 
 
-class Keeping:
+class ControlState:
     """The state machine of the control group.
 
     Args:
         on_routing: called when another routing document is in force.
         on_fleet: called with the servers that changed.
         on_expired: called with turns whose bytes are needed no more.
-        on_condemned: called with contents that are quarantined from now on.
+        on_quarantined: called with contents that are quarantined from now on.
     """
 
     def __init__(
@@ -355,10 +355,10 @@
         on_routing: Callable[[], None] = lambda: None,
         on_fleet: Callable[[list[Instance]], None] = lambda _: None,
         on_expired: Callable[[list[str]], None] = lambda _: None,
-        on_condemned: Callable[[list[str]], None] = lambda _: None,
+        on_quarantined: Callable[[list[str]], None] = lambda _: None,
     ) -> None:
-        self.condemned: dict[str, None] = {}
-        self._on_condemned = on_condemned
+        self.quarantined: dict[str, None] = {}
+        self._on_quarantined = on_quarantined
         self.routing: PackedRouting | None = None
         self.fleet = Fleet()
         self.ledger = Ledger()
@@ -397,20 +397,20 @@
                 self.stores.register(body.store)
             case Retire():
                 self.stores.retire(body.name)
-            case Condemn():
-                self._condemn(body.contents)
+            case Quarantine():
+                self._quarantine(body.contents)
         if out.expired:
             self._on_expired(out.expired)
         return out
 
     def snapshot(self) -> bytes:
         """Returns the whole state."""
-        state = KeeperState(
+        state = ControlSnapshot(
             routing=self.routing,
             instances=self.fleet.state(),
             ledger=self.ledger.state(),
             stores=list(self.stores.by_node.values()),
-            condemned=list(self.condemned),
+            quarantined=list(self.quarantined),
         )
         return codec.encode(state)
 
@@ -422,16 +422,16 @@
         self.fleet.restore(state.instances)
         self.ledger.restore(state.ledger)
         self.stores.by_node = {store.node: store for store in state.stores}
-        self.condemned = dict.fromkeys(state.condemned)
+        self.quarantined = dict.fromkeys(state.quarantined)
         self._on_routing()
         self._on_fleet(list(self.fleet.servers.values()))
 
-    def _condemn(self, contents: list[str]) -> None:
-        self.condemned.update(dict.fromkeys(contents))
-        while len(self.condemned) > _MOST_CONDEMNED:
-            del self.condemned[next(iter(self.condemned))]
-        self._on_condemned(contents)
+    def _quarantine(self, contents: list[str]) -> None:
+        self.quarantined.update(dict.fromkeys(contents))
+        while len(self.quarantined) > _MAX_QUARANTINED:
+            del self.quarantined[next(iter(self.quarantined))]
+        self._on_quarantined(contents)
 
 
-_state_decoder = codec.decoder(KeeperState)
+_state_decoder = codec.decoder(ControlSnapshot)
 record_decoder = codec.decoder(Record)
--- a/catkinpin/core/control/servers.py
+++ b/catkinpin/core/control/servers.py
@@ -16,7 +16,7 @@
 
 # Servers that are gone and could still be named by a late announcement. A day
 # of ordinary replacements is some hundreds.
-_MOST_GONE = 4_096
+_MAX_GONE = 4_096
 
 
 class ServerState(enum.StrEnum):
@@ -41,7 +41,8 @@
     """One life of a backend server.
 
     Attributes:
-        born_ms: Unix time of its start; tells two lives of one id apart.
+        started_ms: Unix time of its start; tells two incarnations of an id
+            apart.
         sequence: rises with each announcement of one life.
         slots: requests that it runs at once.
     """
@@ -51,7 +52,7 @@
     address: str
     domain: str
     state: ServerState
-    born_ms: int
+    started_ms: int
     sequence: int
     slots: int
 
@@ -63,52 +64,52 @@
         self.servers: dict[str, Instance] = {}
         self._gone: dict[str, Instance] = {}
 
-    def is_news(self, told: Instance) -> bool:
+    def is_news(self, announced: Instance) -> bool:
         """Returns whether an announcement changes what must be kept."""
-        known = self.servers.get(told.id) or self._gone.get(told.id)
-        if known is not None and _age(told) <= _age(known):
+        known = self.servers.get(announced.id) or self._gone.get(announced.id)
+        if known is not None and _age(announced) <= _age(known):
             return False
-        if told.state.is_over:
-            return told.id in self.servers
+        if announced.state.is_over:
+            return announced.id in self.servers
         if known is not None and known.state is ServerState.GONE:
-            return told.born_ms > known.born_ms
-        return known is None or _facts(told) != _facts(known)
+            return announced.started_ms > known.started_ms
+        return known is None or _facts(announced) != _facts(known)
 
-    def leaving(self, told: Instance, heard_sequence: int) -> Instance:
+    def leaving(self, announced: Instance, last_sequence: int) -> Instance:
         """Returns the word of a server that goes, as one of its known life.
 
         Such a word may come without birth and sequence number. Taken as it
         is, it would look older than all that is known, and change nothing.
 
         Args:
-            told: what it said.
-            heard_sequence: the newest number heard of it.
+            announced: what it said.
+            last_sequence: the newest number heard of it.
         """
-        known = self.servers.get(told.id)
-        if known is None or told.born_ms:
-            return told
-        newest = max(known.sequence, heard_sequence)
-        return _with_state(known, told.state, known.born_ms, newest + 1)
+        known = self.servers.get(announced.id)
+        if known is None or announced.started_ms:
+            return announced
+        newest = max(known.sequence, last_sequence)
+        return _with_state(known, announced.state, known.started_ms, newest + 1)
 
-    def apply(self, told: Instance) -> list[Instance]:
+    def apply(self, announced: Instance) -> list[Instance]:
         """Takes an announcement; returns what changed, in order."""
-        if not self.is_news(told):
+        if not self.is_news(announced):
             return []
-        if told.state.is_over:
-            return [self._remove(told)]
+        if announced.state.is_over:
+            return [self._remove(announced)]
         changed = []
         for other in list(self.servers.values()):
-            if other.address == told.address and other.id != told.id:
+            if other.address == announced.address and other.id != announced.id:
                 # One address serves one process: the younger life has it. A
                 # late announcement of the older one would send it requests
                 # of another service.
-                if other.born_ms > told.born_ms:
+                if other.started_ms > announced.started_ms:
                     return []
                 gone = _with_state(other, ServerState.GONE)
                 changed.append(self._remove(gone))
-        self._gone.pop(told.id, None)
-        self.servers[told.id] = told
-        return [*changed, told]
+        self._gone.pop(announced.id, None)
+        self.servers[announced.id] = announced
+        return [*changed, announced]
 
     def state(self) -> list[Instance]:
         """Returns all that a snapshot needs."""
@@ -130,22 +131,22 @@
             if instance.service == service:
                 yield instance
 
-    def _remove(self, told: Instance) -> Instance:
-        known = self.servers.pop(told.id, told)
+    def _remove(self, announced: Instance) -> Instance:
+        known = self.servers.pop(announced.id, announced)
         gone = _with_state(
             known,
-            told.state,
-            max(known.born_ms, told.born_ms),
-            max(known.sequence, told.sequence),
+            announced.state,
+            max(known.started_ms, announced.started_ms),
+            max(known.sequence, announced.sequence),
         )
-        self._gone[told.id] = gone
-        while len(self._gone) > _MOST_GONE:
+        self._gone[announced.id] = gone
+        while len(self._gone) > _MAX_GONE:
             del self._gone[next(iter(self._gone))]
         return gone
 
 
 def _age(instance: Instance) -> tuple[int, int]:
-    return instance.born_ms, instance.sequence
+    return instance.started_ms, instance.sequence
 
 
 def _facts(instance: Instance) -> tuple[str, str, str, str, int]:
@@ -154,14 +155,14 @@
         instance.address,
         instance.domain,
         instance.state,
-        instance.born_ms,
+        instance.started_ms,
     )
 
 
 def _with_state(
     instance: Instance,
     state: ServerState,
-    born_ms: int | None = None,
+    started_ms: int | None = None,
     sequence: int | None = None,
 ) -> Instance:
     return Instance(
@@ -170,7 +171,7 @@
         address=instance.address,
         domain=instance.domain,
         state=state,
-        born_ms=instance.born_ms if born_ms is None else born_ms,
+        started_ms=instance.started_ms if started_ms is None else started_ms,
         sequence=instance.sequence if sequence is None else sequence,
         slots=instance.slots,
     )
--- a/catkinpin/core/operations/changes.py
+++ b/catkinpin/core/operations/changes.py
@@ -226,7 +226,7 @@
     revision: int
 
 
-class Lacking(Message, frozen=True):
+class UnderReplicated(Message, frozen=True):
     """A live process that has not confirmed a revision."""
 
     process: str
@@ -240,7 +240,7 @@
 
     ask: int
     revision: int
-    lacking: list[Lacking] = []
+    lacking: list[UnderReplicated] = []
 
 
 class MakePlan(Message, frozen=True):
--- a/catkinpin/core/operations/leader.py
+++ b/catkinpin/core/operations/leader.py
@@ -20,7 +20,7 @@
 # How long a plan's servers must have been without calls: attempts that another
 # process has just granted reach this one's log by then.
 _SETTLE_MS = 1_000
-_LOOK_EVERY_MS = 500
+_CHECK_EVERY_MS = 500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,12 +46,12 @@
     """Who waits for a record's outcome.
 
     Attributes:
-        what: tells apart what was asked for under one id.
+        content: tells apart what was asked for under one id.
     """
 
     incarnation: str
     ask: int
-    what: bytes = b""
+    content: bytes = b""
 
 
 class ControlLeader:
@@ -134,7 +134,7 @@
                 key = record.fingerprint.hex()
                 commands = [
                     Send(waiter.incarnation, changes.Done(ask=waiter.ask))
-                    for waiter in self._take_waiters(key, _what(record))
+                    for waiter in self._take_waiters(key, _content(record))
                 ]
             case (
                 changes.PlanMade()
@@ -175,7 +175,7 @@
             entry = self._entry_near(offer)
             if entry is not None:
                 commands.append(Send(entry, offer))
-        if now_ms - self._looked_ms >= _LOOK_EVERY_MS:
+        if now_ms - self._looked_ms >= _CHECK_EVERY_MS:
             self._looked_ms = now_ms
             commands += self._advance(now_ms, wall_ms)
         return commands
@@ -295,7 +295,7 @@
                 )
             ]
         record = changes.PlanMade(at_ms=wall_ms, plan=made)
-        self._wait(info, make.ask, make.plan_id, _what(record))
+        self._wait(info, make.ask, make.plan_id, _content(record))
         return [Propose(record)]
 
     def _confirm(
@@ -313,7 +313,7 @@
         record = changes.PlanConfirmed(
             at_ms=wall_ms, plan_id=msg.plan_id, operator=msg.operator
         )
-        self._wait(info, msg.ask, msg.plan_id, _what(record))
+        self._wait(info, msg.ask, msg.plan_id, _content(record))
         return [Propose(record)]
 
     def _rest_has_changed(self, run: PlanRun) -> list[str]:
@@ -334,15 +334,15 @@
         stop = isinstance(msg, changes.StopPlan)
         kind = changes.PlanStopped if stop else changes.PlanUndone
         record = kind(at_ms=wall_ms, plan_id=msg.plan_id, operator=msg.operator)
-        self._wait(info, msg.ask, msg.plan_id, _what(record))
+        self._wait(info, msg.ask, msg.plan_id, _content(record))
         return [Propose(record)]
 
     def _wait(
-        self, info: changes.ProcessInfo, ask: int, key: str, what: bytes
+        self, info: changes.ProcessInfo, ask: int, key: str, content: bytes
     ) -> None:
-        self._waiters[key].append(_Waiter(info.incarnation, ask, what))
+        self._waiters[key].append(_Waiter(info.incarnation, ask, content))
 
-    def _take_waiters(self, key: str, what: bytes) -> list[_Waiter]:
+    def _take_waiters(self, key: str, content: bytes) -> list[_Waiter]:
         """Returns all who wait for this; a resend's answer is the same.
 
         One whose proposal was lost may wait here no more. Were each record to
@@ -350,17 +350,17 @@
         one before, and every resend would seem lost too.
         """
         waiters = self._waiters.pop(key, [])
-        others = [one for one in waiters if one.what != what]
+        others = [one for one in waiters if one.content != content]
         if others:
             self._waiters[key] = others
-        return [one for one in waiters if one.what == what]
+        return [one for one in waiters if one.content == content]
 
     def _answer_plan(self, record: Any, outcome: Any) -> list[Command]:
         made = isinstance(record, changes.PlanMade)
         plan_id = record.plan.plan_id if made else record.plan_id
         return [
             self._shown(waiter.incarnation, waiter.ask, plan_id, outcome or [])
-            for waiter in self._take_waiters(plan_id, _what(record))
+            for waiter in self._take_waiters(plan_id, _content(record))
         ]
 
     def _shown(
@@ -390,7 +390,7 @@
             record = changes.Quarantined(
                 fingerprint=msg.fingerprint, reason=msg.reason, at_ms=wall_ms
             )
-        self._wait(info, msg.ask, msg.fingerprint.hex(), _what(record))
+        self._wait(info, msg.ask, msg.fingerprint.hex(), _content(record))
         return [Propose(record)]
 
     def _order_result(
@@ -502,7 +502,7 @@
         return Send(info.incarnation, status)
 
 
-def _what(record: changes.ControlRecord) -> bytes:
+def _content(record: changes.ControlRecord) -> bytes:
     return type(record).__name__.encode()
 
 
--- a/catkinpin/core/operations/leases.py
+++ b/catkinpin/core/operations/leases.py
@@ -68,10 +68,12 @@
         if holder is not None:
             holder.revision = max(holder.revision, revision)
 
-    def lacking(self, revision: int, now_ms: int) -> list[changes.Lacking]:
+    def lacking(
+        self, revision: int, now_ms: int
+    ) -> list[changes.UnderReplicated]:
         """Returns live processes that may serve under an older revision."""
         return [
-            changes.Lacking(
+            changes.UnderReplicated(
                 process=holder.info.process,
                 incarnation=holder.info.incarnation,
                 revision=holder.revision,
--- a/catkinpin/core/placement/assignment.py
+++ b/catkinpin/core/placement/assignment.py
@@ -81,7 +81,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Aboard:
+class _Assigned:
     """Where a call runs."""
 
     server: str
@@ -113,8 +113,8 @@
         self._answers: dict[tuple[str, str], tuple[str, bool]] = {}
         self._answers_for: Configuration | None = None
         self._jobs: dict[CallKey, Job] = {}
-        self._aboard: dict[CallKey, _Aboard] = {}
-        self._suspects: dict[CallKey, _Aboard] = {}
+        self._assigned: dict[CallKey, _Assigned] = {}
+        self._suspects: dict[CallKey, _Assigned] = {}
         self._contents: collections.Counter[bytes] = collections.Counter()
         self._held_by: collections.Counter[str] = collections.Counter()
         self._known_good: dict[bytes, None] = {}
@@ -156,8 +156,8 @@
                     found.append(Later(decision.key, _APART_WAIT_MS))
                     continue
                 if job is not None:
-                    aboard = _Aboard(server, job.content, job.suspect)
-                    self._add(decision.key, aboard)
+                    assigned = _Assigned(server, job.content, job.suspect)
+                    self._add(decision.key, assigned)
                 found.append(Placed(decision.key, decision.server))
             elif (
                 job is not None
@@ -182,12 +182,12 @@
         self._begins.pop(key, None)
         self._forgiven.discard(key)
         self._suspects.pop(key, None)
-        aboard = self._aboard.pop(key, None)
-        if aboard is not None:
-            self._held_by[aboard.server] -= 1
-            self._contents[aboard.content] -= 1
-            if not self._contents[aboard.content]:
-                del self._contents[aboard.content]
+        assigned = self._assigned.pop(key, None)
+        if assigned is not None:
+            self._held_by[assigned.server] -= 1
+            self._contents[assigned.content] -= 1
+            if not self._contents[assigned.content]:
+                del self._contents[assigned.content]
         return self._scheduler.ended(key, now_ms, usage)
 
     def program_over(self, key: ProgramKey) -> None:
@@ -196,11 +196,11 @@
 
     def answered(self, key: CallKey) -> None:
         """Notes that a server survived the call's content."""
-        aboard = self._aboard.get(key)
-        if aboard is None or not aboard.content:
+        assigned = self._assigned.get(key)
+        if assigned is None or not assigned.content:
             return
-        self._known_good.pop(aboard.content, None)
-        self._known_good[aboard.content] = None
+        self._known_good.pop(assigned.content, None)
+        self._known_good[assigned.content] = None
         if len(self._known_good) > _KNOWN_GOOD:
             del self._known_good[next(iter(self._known_good))]
 
@@ -208,15 +208,15 @@
         """Notes an attempt that an earlier leader granted."""
         server = attempt.choice.server.server
         suspect = self._shard.quarantine.is_suspect(call.content)
-        self._add(call.key, _Aboard(server, call.content, suspect))
+        self._add(call.key, _Assigned(server, call.content, suspect))
         self._scheduler.resume(call.key, server)
 
-    def _add(self, key: CallKey, aboard: _Aboard) -> None:
-        self._aboard[key] = aboard
-        self._contents[aboard.content] += 1
-        self._held_by[aboard.server] += 1
-        if aboard.suspect:
-            self._suspects[key] = aboard
+    def _add(self, key: CallKey, assigned: _Assigned) -> None:
+        self._assigned[key] = assigned
+        self._contents[assigned.content] += 1
+        self._held_by[assigned.server] += 1
+        if assigned.suspect:
+            self._suspects[key] = assigned
 
     def _submit_forgiving(self, job: Job, now_ms: int) -> list[Decision]:
         """Submits a job again that found no server but those it avoids.
@@ -282,7 +282,7 @@
         return found.name if found is not None else ""
 
     def _suspect_servers(self) -> list[str]:
-        return [aboard.server for aboard in self._suspects.values()]
+        return [assigned.server for assigned in self._suspects.values()]
 
     def _shared_tokens(self, begin: Begin, parent: str) -> int:
         """Returns the tokens that a sub-agent's request shares with a parent.
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -36,12 +36,12 @@
     from catkinpin.core.requests.calls import Load, PromptPart, RouteCall
 
 # Answers come to about half of the most that they may generate.
-_PART_OF_MOST = 0.5
+_EXPECTED_TOKENS_SHARE = 0.5
 # Of a plain call's time, what a server that had the same session saves.
-_AFFINE_PART = 0.5
+_AFFINITY_SHARE = 0.5
 # What a ms of reading costs each request beside it, in ms: that one, and more
 # for the requests that come until the engine has made up for it.
-_READING_TIMES = 3.0
+_READING_WEIGHT = 3.0
 # Way to a server in another failure domain of the region, and in another
 # region, there and back, in ms. Bytes between regions cost besides.
 _DOMAIN_MS = 3.0
@@ -50,19 +50,19 @@
 _LOAD_OLD_MS = 1_500
 # Of a server's slots. Beyond it, a turn that gains nobody anything any more
 # would slow many that can still be in time.
-_BUSY_PART = 0.5
+_BUSY_SHARE = 0.5
 # Of the others' load, what a server that was never heard of is taken to have:
 # it may have just come, or this gateway has.
-_NEW_PART = 0.5
+_UNKNOWN_SHARE = 0.5
 # No server runs, or has waiting, as many requests as this.
-_MOST_TOLD = 100_000
+_MAX_REPORTED = 100_000
 # Costs this near are drawn by lot.
 _TIE_MS = 2.0
 # Prompt parts remembered per server; some 40 bytes each.
-_MOST_PARTS = 2_000
+_MAX_PARTS = 2_000
 # A server that failed gets nothing for this long, doubled each time in a row.
 _EJECT_MS = 400
-_EJECT_MOST_MS = 6_000
+_MAX_EJECT_MS = 6_000
 # Failures by silence or reset within the window that eject a server.
 _FAILURES = 2
 _FAILURE_WINDOW_MS = 3_000
@@ -74,14 +74,14 @@
 
     Attributes:
         id: the same for all of its lives.
-        born_ms: start of this life.
+        started_ms: start of this life.
         sent: requests under way there from here.
         since: requests sent from here since it told its load.
         parts: prompt parts that it has read, oldest use first.
     """
 
     id: str
-    born_ms: int
+    started_ms: int
     sent: int = 0
     since: int = 0
     load: Load | None = None
@@ -202,7 +202,7 @@
         if call.affinity:
             self._affinity[call.affinity] = instance.id
             self._affinity.move_to_end(call.affinity)
-            while len(self._affinity) > _MOST_PARTS:
+            while len(self._affinity) > _MAX_PARTS:
                 self._affinity.popitem(last=False)
 
     def read(self, instance: Instance, prompt: Iterable[PromptPart]) -> None:
@@ -211,7 +211,7 @@
         for part in prompt:
             parts[part.id] = None
             parts.move_to_end(part.id)
-        while len(parts) > _MOST_PARTS:
+        while len(parts) > _MAX_PARTS:
             parts.popitem(last=False)
 
     def ended(self, instance: Instance) -> None:
@@ -219,7 +219,7 @@
         server = self._of(instance)
         server.sent = max(0, server.sent - 1)
 
-    def told(self, instance: Instance, load: Load, now_ms: int) -> bool:
+    def report_load(self, instance: Instance, load: Load, now_ms: int) -> bool:
         """Takes the load that a server told with an answer.
 
         Returns:
@@ -254,7 +254,7 @@
         server.failures += 1
         if not sure and server.failures < _FAILURES:
             return False
-        wait = min(_EJECT_MOST_MS, _EJECT_MS << min(server.ejections, 5))
+        wait = min(_MAX_EJECT_MS, _EJECT_MS << min(server.ejections, 5))
         server.ejections += 1
         server.ejected_until_ms = now_ms + wait
         server.parts.clear()
@@ -273,15 +273,15 @@
 
     def is_busy(self, instance: Instance, now_ms: int) -> bool:
         """Returns whether one more request would make others late."""
-        return self.taken(instance, now_ms) >= _BUSY_PART
+        return self.taken(instance, now_ms) >= _BUSY_SHARE
 
     def _is_ejected(self, instance: Instance, now_ms: int) -> bool:
         return self._of(instance).ejected_until_ms > now_ms
 
     def _of(self, instance: Instance) -> Server:
         server = self._servers.get(instance.id)
-        if server is None or server.born_ms != instance.born_ms:
-            server = Server(instance.id, instance.born_ms)
+        if server is None or server.started_ms != instance.started_ms:
+            server = Server(instance.id, instance.started_ms)
             self._servers[instance.id] = server
         return server
 
@@ -300,15 +300,15 @@
         slots = self._slots(instance, server)
         running = self._running(server, now_ms)
         if not self._is_fresh(server, now_ms):
-            part = usual if server.load is not None else usual * _NEW_PART
+            part = usual if server.load is not None else usual * _UNKNOWN_SHARE
             running = max(running, round(part * slots))
         beside = min(running, slots - 1)
         queued = max(0, running + 1 - slots)
         wait = queued * work.among(slots) / slots
-        own = wait + work.read + work.among(beside) + self._way_ms(instance)
+        own = wait + work.read + work.among(beside) + self._delay_ms(instance)
         cost = own + self._others_ms(work, beside, queued, slots)
         if call.affinity and self._affinity.get(call.affinity) == instance.id:
-            cost -= self._speeds.plain_ms(route) * _AFFINE_PART
+            cost -= self._speeds.plain_ms(route) * _AFFINITY_SHARE
         age = now_ms - server.load_at_ms if server.load is not None else -1
         return Choice(instance, cost, cached, age, running, speed)
 
@@ -317,14 +317,14 @@
     ) -> float:
         """Returns what a request costs those that run and wait there."""
         waiting = queued * (work.read + work.among(beside)) / slots
-        reading = work.read * _READING_TIMES
+        reading = work.read * _READING_WEIGHT
         return beside * (reading + work.beside) + waiting
 
     def _speed(
         self, instance: Instance, call: RouteCall, now_ms: int
     ) -> EngineSpeed | None:
         """Returns how fast a model server is, None for a plain service."""
-        if not call.most_tokens:
+        if not call.max_tokens:
             return None
         usual = self._speeds.engine(instance.service)
         return usual.times(self._speeds.factor(instance.id, now_ms))
@@ -341,7 +341,7 @@
             plain_ms = self._speeds.plain_ms(route)
             return Work(0.0, plain_ms, speeds.plain_beside_ms(plain_ms))
         wanted = sum(part.tokens for part in call.prompt)
-        tokens = call.most_tokens * _PART_OF_MOST
+        tokens = call.max_tokens * _EXPECTED_TOKENS_SHARE
         return Work(
             (wanted - cached) * speed.read_ms,
             tokens * speed.token_ms,
@@ -361,8 +361,8 @@
         load = server.load
         if load is None or not self._is_fresh(server, now_ms):
             return server.sent
-        told = load.running + load.waiting + server.since
-        return max(server.sent, told)
+        report_load = load.running + load.waiting + server.since
+        return max(server.sent, report_load)
 
     def _is_fresh(self, server: Server, now_ms: int) -> bool:
         """Returns whether what a server told of its load says anything."""
@@ -383,7 +383,7 @@
         slots = server.load.slots if server.load else instance.slots
         return max(slots, 1)
 
-    def _way_ms(self, instance: Instance) -> float:
+    def _delay_ms(self, instance: Instance) -> float:
         if instance.domain == self._domain:
             return 0.0
         ours = self._regions.get(self._domain, "")
@@ -394,4 +394,4 @@
 
 def _is_plausible(load: Load) -> bool:
     counts = (load.running, load.waiting, load.slots)
-    return all(0 <= n <= _MOST_TOLD for n in counts) and load.slots > 0
+    return all(0 <= n <= _MAX_REPORTED for n in counts) and load.slots > 0
--- a/catkinpin/core/placement/candidates.py
+++ b/catkinpin/core/placement/candidates.py
@@ -16,7 +16,7 @@
 # Costs are worked out for so many servers at most.
 # The full time is held once one in so many slots is taken.
 _FULL_HOLD = 4
-_MOST_CANDIDATES = 32
+_MAX_CANDIDATES = 32
 
 Policy = Callable[["Job", list["Server"], int], "Server | None"]
 
@@ -38,7 +38,7 @@
         memory_ms: price of a place in a cache that is full already.
         hold_ms: a program that has paused for longer is not active; on a
             server with few calls aboard a part of this is enough.
-        least_hold_ms: no shorter pause costs a program its room.
+        min_hold_ms: no shorter pause costs a program its room.
     """
 
     prefill_per_ms: float = 10.0
@@ -51,7 +51,7 @@
     fill: float = 0.9
     memory_ms: float = 1_000.0
     hold_ms: int = 30_000
-    least_hold_ms: int = 2_000
+    min_hold_ms: int = 2_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -151,12 +151,12 @@
 
     Among many, the best of a few dozen is nearly as good as the best of all.
     """
-    if len(servers) <= _MOST_CANDIDATES:
+    if len(servers) <= _MAX_CANDIDATES:
         return servers
     seed = zlib.crc32(f"{job.key.program}/{now_ms}".encode())
     start = seed % len(servers)
-    chosen = servers[start : start + _MOST_CANDIDATES]
-    return chosen + servers[: _MOST_CANDIDATES - len(chosen)]
+    chosen = servers[start : start + _MAX_CANDIDATES]
+    return chosen + servers[: _MAX_CANDIDATES - len(chosen)]
 
 
 def missing_tokens(job: Job, server: Server) -> int:
@@ -197,7 +197,7 @@
     # engine idle while others wait for it: the idler it is, the sooner a
     # paused program loses its room.
     busy = min(1.0, _FULL_HOLD * server.load / slots)
-    hold_ms = round(max(prices.least_hold_ms, prices.hold_ms * busy))
+    hold_ms = round(max(prices.min_hold_ms, prices.hold_ms * busy))
     server.residents.rest(now_ms, hold_ms, round(cache))
     wait = server.load * prices.gap_per_call_ms * prices.output_tokens
     missing = missing_tokens(job, server)
--- a/catkinpin/core/placement/ejection.py
+++ b/catkinpin/core/placement/ejection.py
@@ -17,7 +17,7 @@
 FAILURES_IN_A_ROW = 4
 EJECTED_SHARE = 0.3
 # Of this many servers one may be ejected, whatever the share.
-_FEWEST = 3
+_MIN_COUNT = 3
 _EJECT_BASE_MS = 2_000
 _EJECT_CAP_MS = 60_000
 # Successes after the return until the server counts as healthy.
@@ -102,10 +102,10 @@
         ]
 
     def _room(self, now_ms: int) -> bool:
-        most = int(EJECTED_SHARE * len(self._servers))
-        if len(self._servers) >= _FEWEST:
-            most = max(1, most)
-        return len(self.ejected(now_ms)) < most
+        limit = int(EJECTED_SHARE * len(self._servers))
+        if len(self._servers) >= _MIN_COUNT:
+            limit = max(1, limit)
+        return len(self.ejected(now_ms)) < limit
 
     def _eject(self, server: str, health: _Health, now_ms: int) -> None:
         self._sick[server] = health
--- a/catkinpin/core/placement/limits.py
+++ b/catkinpin/core/placement/limits.py
@@ -243,7 +243,7 @@
         left = self._left.get(deployment, _RETRIES_AT_FIRST)
         self._left[deployment] = min(_RETRIES_KEPT, left + self._share)
 
-    def take(self, deployment: str) -> bool:
+    def spend(self, deployment: str) -> bool:
         """Takes a retry; returns False where none is left."""
         left = self._left.get(deployment, _RETRIES_AT_FIRST)
         if left < 1:
--- a/catkinpin/core/placement/regression.py
+++ b/catkinpin/core/placement/regression.py
@@ -21,10 +21,10 @@
     from collections.abc import Callable
 
 # Points kept in each part of the range, and the least that say anything.
-_MOST_POINTS = 64
-_LEAST_POINTS = 3
+_MAX_POINTS = 64
+_MIN_POINTS = 3
 # Of the points in a part, this one counts, from the lowest.
-_LOW_PART = 0.25
+_LOW_SHARE = 0.25
 # The line is drawn anew once so many points have come, and moves so far there
 # at least. Decisions rest on the proportion of two lines: where both jump
 # about, work does.
@@ -38,12 +38,12 @@
 class Bounds:
     """Least and most that a value may be learned to be."""
 
-    least: float
-    most: float
+    lower: float
+    upper: float
 
     def clip(self, value: float) -> float:
         """Returns the nearest value within."""
-        return min(max(value, self.least), self.most)
+        return min(max(value, self.lower), self.upper)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,7 +98,7 @@
         place = int(math.log2(max(x, 0.0) + 1))
         points = self._points.get(place)
         if points is None:
-            points = collections.deque(maxlen=_MOST_POINTS)
+            points = collections.deque(maxlen=_MAX_POINTS)
             self._points[place] = points
         points.append((x, y))
         self._new += 1
@@ -110,14 +110,14 @@
         parts = [
             _low(points)
             for points in self._points.values()
-            if len(points) >= _LEAST_POINTS
+            if len(points) >= _MIN_POINTS
         ]
         if not parts:
             return
         total = sum(part.weight for part in parts)
         x = sum(part.x * part.weight for part in parts) / total
         y = sum(part.y * part.weight for part in parts) / total
-        prior = _LEAST_POINTS * self._prior.spread**2
+        prior = _MIN_POINTS * self._prior.spread**2
         sum_xx = sum(p.weight * (p.x - x) ** 2 for p in parts)
         sum_xy = sum(p.weight * (p.x - x) * (p.y - y) for p in parts)
         slope = (sum_xy + prior * self._prior.slope(x, y)) / (sum_xx + prior)
@@ -132,4 +132,4 @@
 def _low(points: collections.deque[tuple[float, float]]) -> _Part:
     x = sum(point[0] for point in points) / len(points)
     heights = sorted(point[1] for point in points)
-    return _Part(x, heights[int(len(heights) * _LOW_PART)], len(points))
+    return _Part(x, heights[int(len(heights) * _LOW_SHARE)], len(points))
--- a/catkinpin/core/placement/residents.py
+++ b/catkinpin/core/placement/residents.py
@@ -70,7 +70,7 @@
 
     def started(self, key: ProgramKey, tokens: int, now_ms: int) -> None:
         """Notes a call that was granted with a context of `tokens`."""
-        resident = self._take(key) or Resident(tokens, now_ms)
+        resident = self._pop(key) or Resident(tokens, now_ms)
         resident.tokens = max(tokens, resident.tokens)
         resident.running += 1
         resident.cached = True
@@ -78,7 +78,7 @@
 
     def ended(self, key: ProgramKey, tokens: int, now_ms: int) -> None:
         """Notes that a call has ended, with a context of `tokens` if known."""
-        resident = self._take(key)
+        resident = self._pop(key)
         if resident is None:
             return
         resident.tokens = tokens or resident.tokens
@@ -87,14 +87,14 @@
 
     def pause(self, key: ProgramKey) -> None:
         """Keeps no room for a program any more; its prefix may stay."""
-        resident = self._take(key)
+        resident = self._pop(key)
         if resident is not None:
             self._idle[key] = resident
             self._idle_tokens += resident.tokens
 
     def drop(self, key: ProgramKey) -> None:
         """Forgets a program that has ended."""
-        self._take(key)
+        self._pop(key)
 
     def rest(self, now_ms: int, hold_ms: int, cache_tokens: int) -> None:
         """Stops keeping room for programs that have paused for long.
@@ -117,7 +117,7 @@
         while self._idle and (
             self.active_tokens + self._idle_tokens > cache_tokens
         ):
-            self._take(next(iter(self._idle)))
+            self._pop(next(iter(self._idle)))
 
     def _shed(self, cache_tokens: int) -> None:
         """Keeps no room for what the engine must evict to serve the others.
@@ -164,7 +164,7 @@
         """Returns the active programs, the longest unused first."""
         return list(self._active.items())
 
-    def _take(self, key: ProgramKey) -> Resident | None:
+    def _pop(self, key: ProgramKey) -> Resident | None:
         resident = self._active.pop(key, None)
         if resident is not None:
             self.active_tokens -= resident.tokens
--- a/catkinpin/core/placement/scheduler.py
+++ b/catkinpin/core/placement/scheduler.py
@@ -111,14 +111,14 @@
 
     Attributes:
         order: gives each call its place among those that wait.
-        most: calls that may wait for one target.
+        max_waiting: calls that may wait for one target.
         starved_after_ms: a call that has waited this long goes first, and no
             program without room overtakes it.
         tries: calls that get no server in a row before a round ends.
     """
 
     order: waiting.Order = waiting.least_attained
-    most: int = 1_000
+    max_waiting: int = 1_000
     starved_after_ms: int = 60_000
     tries: int = 32
 
@@ -175,7 +175,7 @@
             server = self._policy(job, usable, now_ms)
             if server is not None:
                 return [self._place(job, server, now_ms)]
-        if self._plan is None or len(calls) >= self._plan.most:
+        if self._plan is None or len(calls) >= self._plan.max_waiting:
             text = f"every server for {job.target!r} is busy"
             return [Reject(job.key, Reason.OVERLOADED, text, _RETRY_AFTER_MS)]
         calls.add(job, now_ms)
@@ -324,13 +324,13 @@
         starved = calls.starved()
         # A program that needs as much memory as one that found none, or
         # more, finds none either: it need not be tried.
-        least_missed: dict[str, float] = collections.defaultdict(
+        min_missed_tokens: dict[str, float] = collections.defaultdict(
             lambda: math.inf
         )
         for position, job in enumerate(list(calls)):
             wants_room = self._wants_room(job)
             group = job.deployment
-            if wants_room and job.prompt_tokens >= least_missed[group]:
+            if wants_room and job.prompt_tokens >= min_missed_tokens[group]:
                 continue
             usable = self._usable(job, now_ms)
             server = self._policy(job, usable, now_ms)
@@ -343,12 +343,12 @@
                 placed.append(self._place(job, server, now_ms))
                 continue
             if wants_room and not job.without:
-                least = min(least_missed[group], job.prompt_tokens)
-                least_missed[group] = least
+                least = min(min_missed_tokens[group], job.prompt_tokens)
+                min_missed_tokens[group] = least
             # What runs out would go to a starved call; a younger one that
             # needs less must not keep it from ever getting enough.
             if position < starved and wants_room:
-                least_missed[group] = 0
+                min_missed_tokens[group] = 0
             misses += 1
             if misses >= plan.tries:
                 break
--- a/catkinpin/core/placement/speeds.py
+++ b/catkinpin/core/placement/speeds.py
@@ -28,13 +28,13 @@
 _READ_MS = 0.0125
 _TOKEN_MS = 2.0
 # Of a generated token's time, what a request beside adds.
-_BESIDE_PART = 0.01
+_BESIDE_SHARE = 0.01
 # From sending a request to its first token, where nothing must be read.
 _FIRST_MS = 20.0
 # What a plain call takes before any has, in ms.
 _PLAIN_MS = 50.0
 # Of a plain call's time, what one more beside it adds.
-_PLAIN_BESIDE_PART = 0.04
+_PLAIN_BESIDE_SHARE = 0.04
 
 _READ_BOUNDS = Bounds(0.001, 1.0)
 _TOKEN_BOUNDS = Bounds(0.05, 100.0)
@@ -50,17 +50,17 @@
 # what it must come to before it counts: servers that differ little are alike,
 # or sessions would move between them by chance and be read again.
 _FACTOR_WEIGHT = 0.15
-_ALIKE = 1.6
+_SIMILAR_RATIO = 1.6
 # A server that was not heard of forgets its factor: it may have recovered,
 # and gets too little work to show it.
 _FACTOR_HALF_LIFE_MS = 4_000
 # Part of the way that a plain call's usual time moves towards each new one,
 # and how many times the usual one call may count at most.
 _PLAIN_WEIGHT = 0.05
-_PLAIN_MOST_TIMES = 4.0
+_PLAIN_MAX_RATIO = 4.0
 # Gaps between events that tell the time of a token at least, and which of
 # them does, from the shortest: the others held prompts of other requests.
-_LEAST_GAPS = 3
+_MIN_GAPS = 3
 _LOW_GAP = 0.25
 
 
@@ -76,7 +76,7 @@
 
     read_ms: float = _READ_MS
     token_ms: float = _TOKEN_MS
-    beside_ms: float = _TOKEN_MS * _BESIDE_PART
+    beside_ms: float = _TOKEN_MS * _BESIDE_SHARE
 
     def times(self, factor: float) -> EngineSpeed:
         """Returns the speed of a server that takes `factor` times as long."""
@@ -111,7 +111,7 @@
 class _Factor:
     """How much longer one server takes than its service, as a logarithm."""
 
-    born_ms: int
+    started_ms: int
     log: float = 0.0
     at_ms: int = 0
 
@@ -137,20 +137,20 @@
             self._first.slope, self._token.base, self._token.slope
         )
 
-    def streamed(self, told: Streamed) -> float:
+    def streamed(self, sample: Streamed) -> float:
         """Learns from an answer.
 
         Returns:
             How many times the usual it took a token, 0 where it told none.
         """
-        if told.read_tokens is not None and not told.waiting:
-            self._first.add(told.read_tokens, told.first_ms)
-        if len(told.gaps_ms) < _LEAST_GAPS:
+        if sample.read_tokens is not None and not sample.waiting:
+            self._first.add(sample.read_tokens, sample.first_ms)
+        if len(sample.gaps_ms) < _MIN_GAPS:
             return 0.0
-        low = sorted(told.gaps_ms)[int(len(told.gaps_ms) * _LOW_GAP)]
+        low = sorted(sample.gaps_ms)[int(len(sample.gaps_ms) * _LOW_GAP)]
         gap_ms = _TOKEN_BOUNDS.clip(low)
-        self._token.add(told.beside, gap_ms)
-        return gap_ms / self._token.at(told.beside)
+        self._token.add(sample.beside, gap_ms)
+        return gap_ms / self._token.at(sample.beside)
 
 
 class Speeds:
@@ -172,7 +172,7 @@
         if factor is None:
             return 1.0
         times = math.exp(factor.at(now_ms))
-        return 1.0 if 1 / _ALIKE < times < _ALIKE else times
+        return 1.0 if 1 / _SIMILAR_RATIO < times < _SIMILAR_RATIO else times
 
     def plain_ms(self, route: str) -> float:
         """Returns what a plain call of a route usually takes."""
@@ -182,17 +182,17 @@
         self,
         service: str,
         server: str,
-        born_ms: int,
-        told: Streamed,
+        started_ms: int,
+        sample: Streamed,
         now_ms: int,
     ) -> None:
         """Learns from a whole answer of a model server."""
         engines = self._engines.setdefault(service, _Engines())
         factor = self._factors.get(server)
-        if factor is None or factor.born_ms != born_ms:
-            factor = self._factors[server] = _Factor(born_ms)
+        if factor is None or factor.started_ms != started_ms:
+            factor = self._factors[server] = _Factor(started_ms)
         known = factor.at(now_ms)
-        times = engines.streamed(told)
+        times = engines.streamed(sample)
         if times:
             aim = math.log(_FACTOR_BOUNDS.clip(times))
             factor.log = known + (aim - known) * _FACTOR_WEIGHT
@@ -201,17 +201,17 @@
     def answered(self, route: str, took_ms: float) -> None:
         """Learns from the answer to a plain call."""
         usual_ms = self.plain_ms(route)
-        took_ms = min(took_ms, _PLAIN_MOST_TIMES * usual_ms)
+        took_ms = min(took_ms, _PLAIN_MAX_RATIO * usual_ms)
         moved_ms = usual_ms + (took_ms - usual_ms) * _PLAIN_WEIGHT
         self._plain_ms[route] = _PLAIN_BOUNDS.clip(moved_ms)
 
     def likely_ms(self, service: str, route: str, call: RouteCall) -> float:
         """Returns what a request likely takes on a server that isn't busy."""
-        if not call.most_tokens:
+        if not call.max_tokens:
             return self.plain_ms(route)
         speed = self.engine(service)
         wanted = sum(part.tokens for part in call.prompt)
-        made_ms = call.most_tokens * speed.token_ms
+        made_ms = call.max_tokens * speed.token_ms
         return _FIRST_MS + wanted * speed.read_ms + made_ms
 
     def forget(self, server: str) -> None:
@@ -221,9 +221,9 @@
 
 def _usual_beside_ms(beside: float, token_ms: float) -> float:
     """Returns what a request beside adds, by what a token takes there."""
-    return token_ms / (1 + _BESIDE_PART * beside) * _BESIDE_PART
+    return token_ms / (1 + _BESIDE_SHARE * beside) * _BESIDE_SHARE
 
 
 def plain_beside_ms(plain_ms: float) -> float:
     """Returns what one more plain call adds to each beside it."""
-    return plain_ms * _PLAIN_BESIDE_PART
+    return plain_ms * _PLAIN_BESIDE_SHARE
--- a/catkinpin/core/placement/urgency.py
+++ b/catkinpin/core/placement/urgency.py
@@ -36,7 +36,7 @@
 _TURN_MS = 20.0
 
 
-class Standing(Message, frozen=True):
+class ProgramStatus(Message, frozen=True):
     """How a program is doing when one of its turns begins.
 
     Attributes:
@@ -52,19 +52,19 @@
     turns: int = 0
 
 
-def of_turn(standing: Standing) -> int:
+def of_turn(program_status: ProgramStatus) -> int:
     """Returns how urgent a program's next turn is."""
-    allowed_ms = standing.allowed_ms
-    elapsed_ms = standing.elapsed_ms
+    allowed_ms = program_status.allowed_ms
+    elapsed_ms = program_status.elapsed_ms
     if not allowed_ms:
         return USUAL
     if elapsed_ms > 2 * allowed_ms:
         return HOPELESS
     slack_ms = _SLACK * allowed_ms
-    if not standing.turns:
+    if not program_status.turns:
         return FRESH if elapsed_ms <= slack_ms else BEHIND
     late = elapsed_ms > allowed_ms
-    return BEHIND if late or standing.lost_ms > slack_ms else UNDER_WAY
+    return BEHIND if late or program_status.lost_ms > slack_ms else UNDER_WAY
 
 
 def lost_ms(
--- a/catkinpin/core/programs/attempts.py
+++ b/catkinpin/core/programs/attempts.py
@@ -26,7 +26,7 @@
     Attributes:
         incarnation: the life of the entry that holds the grant.
         server: name of the backend server.
-        life: incarnation of the server.
+        server_incarnation: incarnation of the server.
         recovering: whether another entry asks the server about the attempt.
     """
 
@@ -34,7 +34,7 @@
     attempt: str
     incarnation: str
     server: str
-    life: str
+    server_incarnation: str
     recovering: bool = False
 
 
@@ -54,7 +54,7 @@
             attempt=attempt.attempt,
             incarnation=choice.entry_incarnation,
             server=choice.server.server,
-            life=choice.server.incarnation,
+            server_incarnation=choice.server.incarnation,
         )
         held = self._by_entry.setdefault(choice.entry_incarnation, set())
         held.add(attempt.attempt)
@@ -96,7 +96,7 @@
         if incarnation in self._by_entry:
             self._gone.setdefault(incarnation, now_ms)
 
-    def entry_back(self, incarnation: str) -> None:
+    def entry_returned(self, incarnation: str) -> None:
         """Notes that the same life of the entry is connected."""
         self._gone.pop(incarnation, None)
 
--- a/catkinpin/core/programs/crashes.py
+++ b/catkinpin/core/programs/crashes.py
@@ -15,7 +15,7 @@
     from catkinpin.core.programs.program import Call
     from catkinpin.core.programs.shard import Shard
 
-_SHARE_AGAIN_MS = 5_000
+_SHARE_RETRY_MS = 5_000
 
 
 class Gate:
@@ -57,7 +57,7 @@
             record = records.QuarantineShared(at_ms=wall_ms, contents=taken)
             commands.append(Propose(record))
         if now_ms >= self._share_at_ms:
-            self._share_at_ms = now_ms + _SHARE_AGAIN_MS
+            self._share_at_ms = now_ms + _SHARE_RETRY_MS
             rest = [one for one in waiting if one not in taken]
             commands += map(ShareQuarantine, rest)
         return commands
--- a/catkinpin/core/programs/deadlines.py
+++ b/catkinpin/core/programs/deadlines.py
@@ -23,8 +23,8 @@
 # A grant or an outcome may be lost with a stream, or with a leader. Attempts
 # older than this are asked about, again and again.
 _RECALL_AFTER_MS = 2 * replies.GRANT_EXPIRES_MS
-_RECALL_AGAIN_MS = 10_000
-_PROGRAM_AGAIN_MS = 1_000
+_RECALL_RETRY_MS = 10_000
+_PROGRAM_RETRY_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -232,7 +232,7 @@
         return [Propose(attempts.too_late(due.key, attempt, wall_ms))]
 
     def _waiter(self, due: WaiterDue) -> list[Command]:
-        if not self._waiters.take(due.key, due.waiter):
+        if not self._waiters.remove(due.key, due.waiter):
             return []
         # The call is still open and may run for another waiter.
         return [
@@ -249,7 +249,7 @@
         watched = self._watch.get(due.attempt)
         if watched is None:
             return []
-        self._timers.add(now_ms + _RECALL_AGAIN_MS, due)
+        self._timers.add(now_ms + _RECALL_RETRY_MS, due)
         entry = self._entries.get(watched.incarnation)
         return [] if entry is None else self._recall_from(entry, watched)
 
@@ -273,7 +273,7 @@
             self._programs.discard(key)
             return False
         left = _next_step(program) - wall_ms
-        wait = max(left, _PROGRAM_AGAIN_MS)
+        wait = max(left, _PROGRAM_RETRY_MS)
         self._timers.add(now_ms + wait, ProgramDue(key))
         if left > 0:
             return False
--- a/catkinpin/core/programs/explanations.py
+++ b/catkinpin/core/programs/explanations.py
@@ -15,8 +15,8 @@
     from catkinpin.core.placement.scheduler import Job
     from catkinpin.core.placement.servers import Server
 
-_MOST_CALLS = 250
-_MOST_SHOWN = 12
+_MAX_CALLS = 250
+_MAX_SHOWN = 12
 
 
 class Candidate(Message, frozen=True):
@@ -87,10 +87,10 @@
             attained_tokens=job.attained_tokens,
             turns=job.turns,
             interactive=job.interactive,
-            candidates=[_candidate(cost) for cost in costs[:_MOST_SHOWN]],
+            candidates=[_candidate(cost) for cost in costs[:_MAX_SHOWN]],
         )
         self._found[job.key] = (explained, now_ms)
-        if len(self._found) > _MOST_CALLS:
+        if len(self._found) > _MAX_CALLS:
             self._found.popitem(last=False)
 
     def explain(self, ask: Explain, now_ms: int) -> Explained:
--- a/catkinpin/core/programs/incarnations.py
+++ b/catkinpin/core/programs/incarnations.py
@@ -40,7 +40,7 @@
     compared_ms: int = -_COMPARE_EVERY_MS
 
 
-class Fates:
+class Incarnations:
     """Decides which lives of servers are over, and empties their memory.
 
     Args:
@@ -69,12 +69,12 @@
         found: dict[tuple[str, str], int] = {}
         commands: list[Command] = []
         for strike in self._shard.quarantine.open_strikes():
-            life = (strike.server, strike.incarnation)
-            broke_ms = self._breaks.get(life, now_ms)
-            found[life] = broke_ms
-            crashed = self._crashed(life, broke_ms, now_ms)
+            server_incarnation = (strike.server, strike.incarnation)
+            broke_ms = self._breaks.get(server_incarnation, now_ms)
+            found[server_incarnation] = broke_ms
+            crashed = self._crashed(server_incarnation, broke_ms, now_ms)
             if crashed is not None:
-                record = records.ServerFate(
+                record = records.IncarnationEnded(
                     at_ms=wall_ms,
                     server=strike.server,
                     incarnation=strike.incarnation,
@@ -85,13 +85,13 @@
         return commands
 
     def _crashed(
-        self, life: tuple[str, str], broke_ms: int, now_ms: int
+        self, server_incarnation: tuple[str, str], broke_ms: int, now_ms: int
     ) -> bool | None:
         """Returns whether a life is over, or None while that is not clear."""
-        seen = self._servers.get(life[0])
+        seen = self._servers.get(server_incarnation[0])
         if seen is None:
             silent_since = broke_ms
-        elif seen.report.incarnation != life[1]:
+        elif seen.report.incarnation != server_incarnation[1]:
             return True
         elif seen.made_ms > broke_ms + _MARGIN_MS:
             return False
@@ -114,14 +114,14 @@
             seen = self._servers.get(server)
             if seen is None:
                 continue
-            life = seen.report.incarnation
+            server_incarnation = seen.report.incarnation
             orders = self._shard.outbox.pending(server)
-            if any(order.incarnation != life for order in orders):
+            if any(order.incarnation != server_incarnation for order in orders):
                 # A new incarnation starts with empty memory.
                 record = records.MemoryReleased(
                     at_ms=wall_ms,
                     server=server,
-                    incarnation=life,
+                    incarnation=server_incarnation,
                     empty=True,
                 )
                 commands.append(Propose(record))
--- a/catkinpin/core/programs/leader.py
+++ b/catkinpin/core/programs/leader.py
@@ -18,7 +18,7 @@
 )
 from catkinpin.core.programs.commands import EntryRef as EntryRef
 from catkinpin.core.programs.deadlines import Deadlines
-from catkinpin.core.programs.incarnations import Fates
+from catkinpin.core.programs.incarnations import Incarnations
 from catkinpin.core.programs.program import Call, ClosedCall, same_request
 from catkinpin.core.programs.waiters import Waiter, Waiters
 from catkinpin.verdicts import Reason, Verdict
@@ -68,7 +68,9 @@
         )
         self._entries: dict[str, EntryRef] = {}
         self._watch = Watch()
-        self._fates = Fates(state, lambda name: name in self.cfg.accounts)
+        self._incarnations = Incarnations(
+            state, lambda name: name in self.cfg.accounts
+        )
         self._deadlines = Deadlines(
             state, self._waiters, self._watch, self._entries
         )
@@ -190,13 +192,13 @@
 
     def reported(self, report: messages.ServerReport, made_ms: int) -> None:
         """Takes a server's report, made at a monotonic time."""
-        self._fates.reported(report, made_ms)
+        self._incarnations.reported(report, made_ms)
         self.outliers.seen(report.server, report.incarnation)
 
     def entry_connected(self, entry: EntryRef) -> list[Command]:
         """Notes an entry that can dispatch in its region."""
         self._entries[entry.incarnation] = entry
-        self._watch.entry_back(entry.incarnation)
+        self._watch.entry_returned(entry.incarnation)
         return self._deadlines.recall_all(entry)
 
     def entry_lost(self, entry: EntryRef, now_ms: int) -> None:
@@ -237,10 +239,10 @@
             commands += self._place(key, now_ms, wall_ms)
         for watched in self._watch.overdue(now_ms):
             commands.append(self._deadlines.gone(watched, wall_ms))
-        commands += self._fates.decide(now_ms, wall_ms)
+        commands += self._incarnations.decide(now_ms, wall_ms)
         commands += self._gate.share(now_ms, wall_ms)
         entries = list(self._entries.values())
-        commands += self._fates.releases(entries, now_ms, wall_ms)
+        commands += self._incarnations.releases(entries, now_ms, wall_ms)
         return commands
 
     def applied(
@@ -259,7 +261,7 @@
                 commands += self._free_server(record.key, now_ms, wall_ms)
             case records.AttemptFinished():
                 commands += self._finished(record, now_ms, wall_ms)
-            case records.ServerFate():
+            case records.IncarnationEnded():
                 for key in self._gate.released():
                     commands += self._place(key, now_ms, wall_ms)
         for effect in found:
@@ -282,7 +284,7 @@
                 self.admission.closed(effect.key, now_ms, answered=True)
                 return [
                     replies.final(waiter, effect.key, effect.call)
-                    for waiter in self._waiters.take_all(effect.key)
+                    for waiter in self._waiters.remove_all(effect.key)
                 ]
             case effects.CallTurnedDown():
                 self.admission.closed(effect.key, now_ms, answered=False)
@@ -299,7 +301,7 @@
                 verdict = self._shard.verdict_of(effect.begin.key)
                 return [
                     replies.refuse_rejected(waiter, effect, verdict)
-                    for waiter in self._waiters.take_all(effect.begin.key)
+                    for waiter in self._waiters.remove_all(effect.begin.key)
                 ]
             case effects.ProgramOver():
                 self._deadlines.program_over(effect.program, now_ms)
@@ -462,7 +464,7 @@
         """Tries a call again, within its deployment's retry budget."""
         call = effect.call
         loaded = record.reason is not Reason.NOT_READY
-        if loaded and not self.retries.take(self._deployment_name(call.begin)):
+        if loaded and not self.retries.spend(self._deployment_name(call.begin)):
             refusal = records.CallRefused(
                 at_ms=wall_ms,
                 key=call.key,
@@ -519,7 +521,7 @@
             # The grant never left this process, so the request did not run.
             record = attempts.never_sent(call.key, attempt.attempt, wall_ms)
             return [Propose(record)]
-        self._waiters.take(call.key, waiter)
+        self._waiters.remove(call.key, waiter)
         self._watch.add(call.key, attempt)
         self._deadlines.started(attempt.attempt, now_ms)
         return [replies.grant(waiter, effect.program, call, attempt, now_ms)]
@@ -575,7 +577,7 @@
     ) -> list[Command]:
         return [
             replies.refuse_recorded(waiter, refusal)
-            for waiter in self._waiters.take_all(key)
+            for waiter in self._waiters.remove_all(key)
         ]
 
     def _answer_stale(self, key: CallKey, verdict: Verdict) -> list[Command]:
@@ -583,7 +585,7 @@
         if self._shard.find_open(key) is not None or key in self._pending:
             return []
         closed = self._shard.find_closed(key)
-        waiters = self._waiters.take_all(key)
+        waiters = self._waiters.remove_all(key)
         if closed is not None:
             return [replies.final(waiter, key, closed) for waiter in waiters]
         text = "the call was given up on before this outcome came"
--- a/catkinpin/core/programs/quarantine.py
+++ b/catkinpin/core/programs/quarantine.py
@@ -14,7 +14,7 @@
 import dataclasses
 
 CRASHES_ALLOWED = 2
-_MOST_SUSPECTS = 10_000
+_MAX_SUSPECTS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,7 +51,7 @@
         """Notes that the request was aboard when its connection broke."""
         suspect = self.suspects.setdefault(content.hex(), Suspect())
         suspect.strikes.append(Strike(server, incarnation, at_ms))
-        if len(self.suspects) > _MOST_SUSPECTS:
+        if len(self.suspects) > _MAX_SUSPECTS:
             self.suspects.pop(next(iter(self.suspects)))
 
     def resolve(self, server: str, incarnation: str, crashed: bool) -> None:
--- a/catkinpin/core/programs/records.py
+++ b/catkinpin/core/programs/records.py
@@ -124,7 +124,7 @@
     empty: bool = False
 
 
-class ServerFate(Message, frozen=True):
+class IncarnationEnded(Message, frozen=True):
     """Whether the life of a server whose connections broke is over."""
 
     at_ms: int
@@ -148,6 +148,6 @@
     | ProgramEnded
     | ProgramsForgotten
     | MemoryReleased
-    | ServerFate
+    | IncarnationEnded
     | QuarantineShared
 )
--- a/catkinpin/core/programs/rules.py
+++ b/catkinpin/core/programs/rules.py
@@ -34,7 +34,7 @@
     return ""
 
 
-def left_no_trace(program: Program) -> bool:
+def is_traceless(program: Program) -> bool:
     """Returns whether nothing of the program ever ran."""
     return not (
         program.closed
--- a/catkinpin/core/programs/shard.py
+++ b/catkinpin/core/programs/shard.py
@@ -86,8 +86,8 @@
                 return self._forget(record)
             case records.MemoryReleased():
                 return self._memory_released(record)
-            case records.ServerFate():
-                return self._server_fate(record)
+            case records.IncarnationEnded():
+                return self._incarnation_ended(record)
             case records.QuarantineShared():
                 self.quarantine.shared(record.contents)
                 return []
@@ -250,7 +250,7 @@
         """Goes on once a call has its final answer."""
         if program.ended:
             return self._memory_free(program)
-        if not program.open and rules.left_no_trace(program):
+        if not program.open and rules.is_traceless(program):
             self.drop(program)
             return []
         return self._advance(program)
@@ -508,7 +508,9 @@
         )
         return []
 
-    def _server_fate(self, record: records.ServerFate) -> list[Effect]:
+    def _incarnation_ended(
+        self, record: records.IncarnationEnded
+    ) -> list[Effect]:
         self.quarantine.resolve(
             record.server, record.incarnation, record.crashed
         )
--- a/catkinpin/core/programs/texts.py
+++ b/catkinpin/core/programs/texts.py
@@ -14,11 +14,11 @@
     """The least recently used histories go first.
 
     Args:
-        most_bytes: how much is held.
+        max_bytes: how much is held.
     """
 
-    def __init__(self, most_bytes: int) -> None:
-        self._most_bytes = most_bytes
+    def __init__(self, max_bytes: int) -> None:
+        self._most_bytes = max_bytes
         self._held: collections.OrderedDict[bytes, list[bytes]] = (
             collections.OrderedDict()
         )
--- a/catkinpin/core/programs/waiters.py
+++ b/catkinpin/core/programs/waiters.py
@@ -44,11 +44,11 @@
         ):
             found.append(waiter)
 
-    def take_all(self, key: CallKey) -> list[Waiter]:
+    def remove_all(self, key: CallKey) -> list[Waiter]:
         """Removes and returns all waiters of a call."""
         return self._by_key.pop(key, [])
 
-    def take(self, key: CallKey, waiter: Waiter) -> bool:
+    def remove(self, key: CallKey, waiter: Waiter) -> bool:
         """Removes one waiter; returns False where it waits no more."""
         found = self._by_key.get(key, [])
         if waiter not in found:
--- a/catkinpin/core/requests/calls.py
+++ b/catkinpin/core/requests/calls.py
@@ -31,7 +31,7 @@
             said.
         budget: tokens that the whole program may generate; -1: no limit.
         prompt_tokens: length of the prompt.
-        most_tokens: tokens that this request may generate.
+        max_tokens: tokens that this request may generate.
         prompt: its parts, in order.
         previous: the turn that it continues, empty for a new chain.
         affinity: requests with the same value do better on the same server.
@@ -45,7 +45,7 @@
     program_left_ms: int = 0
     budget: int = -1
     prompt_tokens: int = 0
-    most_tokens: int = 0
+    max_tokens: int = 0
     prompt: tuple[PromptPart, ...] = ()
     previous: str = ""
     affinity: str = ""
--- a/catkinpin/core/requests/pauses.py
+++ b/catkinpin/core/requests/pauses.py
@@ -11,7 +11,7 @@
 _DEVIATIONS = 4
 # Batches and schedulers pause a stream for several gaps at a time.
 _FACTOR = 8
-_MOST_SERVERS = 4096
+_MAX_SERVERS = 4096
 
 
 @dataclasses.dataclass
@@ -37,7 +37,7 @@
         """Takes in the time between two events of a stream."""
         known = self._known.get(server)
         if known is None:
-            if len(self._known) >= _MOST_SERVERS:
+            if len(self._known) >= _MAX_SERVERS:
                 self._known.pop(next(iter(self._known)))
             self._known[server] = _Estimate(gap_ms, gap_ms / 2)
             return
@@ -47,7 +47,7 @@
             abs(error) - known.deviation_ms
         )
 
-    def patience_ms(self, server: str) -> float:
+    def election_timeout_ms(self, server: str) -> float:
         """Returns how long the next event may take before it is late."""
         known = self._known.get(server)
         if known is None:
--- a/catkinpin/core/requests/splice.py
+++ b/catkinpin/core/requests/splice.py
@@ -37,7 +37,7 @@
         self._again = self.started
         self._left = dict(self._sent)
 
-    def take(self, data: bytes) -> bytes | None:
+    def feed(self, data: bytes) -> bytes | None:
         """Takes an event's data; returns what is new to the caller, or None.
 
         Raises:
--- a/catkinpin/decisions.py
+++ b/catkinpin/decisions.py
@@ -22,7 +22,7 @@
 # Lines of requests that went well, a second; about 10 KB/s.
 _ROUTINE_PER_S = 40
 # Lines that wait for a reader of the pipe; some 200 KB.
-_MOST_QUEUED = 1_000
+_MAX_QUEUED = 1_000
 _STDOUT = 1
 
 _encoder = msgspec.json.Encoder(enc_hook=str)
@@ -54,7 +54,7 @@
 
     def add(self, line: dict[str, Any]) -> None:
         """Queues a line and writes what the pipe takes."""
-        if len(self._queue) >= _MOST_QUEUED:
+        if len(self._queue) >= _MAX_QUEUED:
             self._dropped += 1
             return
         if self._dropped:
--- a/tests/base.py
+++ b/tests/base.py
@@ -293,7 +293,7 @@
         ) as resp:
             got.status = resp.status
             async for line in resp.content:
-                got.take(line.strip())
+                got.feed(line.strip())
                 if on_token is not None and got.fresh:
                     await on_token(len(got.words))
         return got
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -88,7 +88,7 @@
                 self.hosts[name] = Host(name, role, f"{net}.{last}", data)
         self.model = RawServer(self._stream)
         self.version = 0
-        self._beat = 0
+        self._sequence = 0
         self._session: aiohttp.ClientSession
         self._beating: asyncio.Task[None]
         self.gap_s = 0.0
@@ -106,7 +106,7 @@
         if not self.model.address:
             await self.model.start()
         await self.until(self.configure)
-        await self.until(self.beat)
+        await self.until(self.send_heartbeat)
         await self.until(self._knows_stores)
         self._beating = asyncio.create_task(self._keep_beating())
         return self
@@ -218,7 +218,7 @@
     async def configure(self, **route: Any) -> bool:
         """Sends a manifest to any keeper; returns whether one took it."""
         self.version += 1
-        told = {
+        fields = {
             "name": "r",
             "host": "h.example",
             "path_prefix": "/t/",
@@ -235,7 +235,7 @@
             **route,
         }
         plain = {
-            **told,
+            **fields,
             "name": "u",
             "path_prefix": "/u/",
             "kind": "unsafe",
@@ -245,25 +245,25 @@
         service = {"name": "models", "max_conns": 50, "engine": engine}
         manifest = {
             "version": self.version,
-            "routes": [told, plain],
+            "routes": [fields, plain],
             "services": [service],
         }
         body = json.dumps(manifest).encode()
         return (await self.control("PUT", "/-/config", body))[0] == 200
 
-    async def beat(self) -> bool:
+    async def send_heartbeat(self) -> bool:
         """Announces the model server."""
-        self._beat += 1
-        told = {
+        self._sequence += 1
+        fields = {
             "service": "models",
             "address": self.server_address or self.model.address,
             "zone": "a",
             "slots": 8,
             "state": "ready",
-            "seq": self._beat,
+            "seq": self._sequence,
             "born": 1,
         }
-        body = json.dumps(told).encode()
+        body = json.dumps(fields).encode()
         status, _ = await self.control("PUT", "/-/instances/m1", body)
         return status == 200
 
@@ -272,7 +272,7 @@
         while True:
             await asyncio.sleep(_BEAT_S)
             with contextlib.suppress(OSError, aiohttp.ClientError):
-                await self.beat()
+                await self.send_heartbeat()
 
     async def control(
         self, method: str, path: str, body: bytes = b""
@@ -313,7 +313,7 @@
         **headers: str,
     ) -> int:
         """Sends a turn; returns its status, 0 where the answer broke off."""
-        told = {
+        fields = {
             "Host": "h.example",
             "X-Attempt-Id": name,
             "X-Program-Id": "p",
@@ -323,11 +323,11 @@
             **{k.replace("_", "-"): v for k, v in headers.items()},
         }
         if previous:
-            told["X-Previous-Turn"] = previous
+            fields["X-Previous-Turn"] = previous
         url = self.url(gateway, "/t/x")
         try:
             async with self._session.post(
-                url, data=f"<{name}>".encode(), headers=told
+                url, data=f"<{name}>".encode(), headers=fields
             ) as answer:
                 await answer.read()
                 return answer.status
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -11,7 +11,7 @@
 from catkinpin.adapters.gateway.context import Parts
 from catkinpin.adapters.gateway.headers import HeaderCodec, Sending
 from catkinpin.adapters.gateway.serving import Serving
-from catkinpin.adapters.gateway.turns import Ran, Started, Unknown
+from catkinpin.adapters.gateway.turns import Started, TurnResult, Unknown
 from catkinpin.adapters.gateway.view import View
 from catkinpin.adapters.http.client import Pool
 from catkinpin.adapters.http.headers import Headers
@@ -28,7 +28,7 @@
 )
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.speeds import Speeds
-from catkinpin.core.placement.urgency import Standing
+from catkinpin.core.placement.urgency import ProgramStatus
 from catkinpin.core.requests.calls import AnswerFacts, RouteCall
 from tests.fakes.instances import instance
 from tests.fakes.rawserver import RawServer, Seen, sealed
@@ -49,7 +49,7 @@
         deadline_ms=int(headers.get(b"Deadline") or 0),
         program=headers.get(b"Program"),
         budget=int(headers.get(b"Budget") or -1),
-        most_tokens=10,
+        max_tokens=10,
         previous=headers.get(b"Previous"),
     )
 
@@ -98,7 +98,7 @@
 
     def __init__(self) -> None:
         self.begin_with: Started | Denial | Unknown = Started(
-            b"", Standing(), ""
+            b"", ProgramStatus(), ""
         )
         self.finish_with = ""
         self.finished: list[bytes] = []
@@ -110,12 +110,14 @@
     async def begin(self, *_: object) -> Started | Denial | Unknown:
         return self.begin_with
 
-    async def finish(self, call: RouteCall, data: bytes, ran: Ran) -> str:
+    async def finish(
+        self, call: RouteCall, data: bytes, ran: TurnResult
+    ) -> str:
         self.finished.append(data)
         await self.finishing.wait()
         return self.finish_with
 
-    def settle(self, call: RouteCall, ran: Ran) -> None:
+    def settle(self, call: RouteCall, ran: TurnResult) -> None:
         self.settled.append(ran.tokens)
 
     async def report_crash(self, content: str, server: str) -> None:
@@ -201,7 +203,7 @@
     def learn_routes(self) -> None:
         """Tells the gateway its routes, as the newest."""
         self.view.replace(self._routing)
-        self.view.take(protocol.RoutingNow(version=1, is_current=True))
+        self.view.handle(protocol.RoutingUpdate(version=1, is_current=True))
 
     async def start(self, *answers: Answer) -> None:
         self.address = await self.http.start("127.0.0.1:0")
--- a/tests/fakes/instances.py
+++ b/tests/fakes/instances.py
@@ -17,7 +17,7 @@
         address=f"{name}:80",
         domain="a",
         state=ServerState.READY,
-        born_ms=1,
+        started_ms=1,
         sequence=1,
         slots=12,
     )
--- a/tests/fakes/lognode.py
+++ b/tests/fakes/lognode.py
@@ -84,7 +84,7 @@
             for number, machine in enumerate(self.machines)
         ]
         self._server = links.PeerServer(
-            wire.ToReplica, self._take, lambda _: None
+            wire.ToReplica, self._handle, lambda _: None
         )
 
     snapshot_entries = 100
@@ -115,11 +115,11 @@
         await fut
         return time.perf_counter() - begun
 
-    def _take(self, stream: links.Stream, message: Any) -> None:
+    def _handle(self, stream: links.Stream, message: Any) -> None:
         if isinstance(message, messages.Hello):
             self.node.hello(message)
         else:
-            self.node.take(message)
+            self.node.handle(message)
 
     def _fail(self, exc: Exception) -> None:
         self.failed = exc
--- a/tests/fakes/worldentry.py
+++ b/tests/fakes/worldentry.py
@@ -27,7 +27,7 @@
     def __init__(self, world: World, name: str) -> None:
         self.world = world
         self.name = name
-        self.life = 0
+        self.starts = 0
         self.epoch = 0
         self.delay = 0
         self.deaf = False
@@ -47,7 +47,7 @@
     @property
     def incarnation(self) -> str:
         """This life of the entry."""
-        return f"{self.name}.{self.life}"
+        return f"{self.name}.{self.starts}"
 
     @property
     def ref(self) -> commands.EntryRef:
@@ -63,9 +63,9 @@
 
     def after(self, delay: int, act: Callable[[], None]) -> None:
         """Acts later, in this life."""
-        life = self.life
+        starts = self.starts
         self.world.after(
-            delay, lambda: self.do(act) if self.life == life else None
+            delay, lambda: self.do(act) if self.starts == starts else None
         )
 
     def cut(self) -> None:
@@ -106,7 +106,7 @@
         for call in self._open:
             call.sent.broken = True
             call.sent.done_at = self.world.now
-        self.life += 1
+        self.starts += 1
         self.deaf = self.mute = False
         self._reset()
         self.world.after(500, self._restart)
--- a/tests/fakes/worldprogram.py
+++ b/tests/fakes/worldprogram.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from tests.fakes.world import World
 
-_PATIENCE_MS = 3_000  # A caller without an answer asks another entry.
+_RETRY_DELAY_MS = 3_000  # A caller without an answer asks another entry.
 
 
 class Program:
@@ -101,7 +101,7 @@
         if self.stopped and newest.done_at:
             self._end()
             return
-        if newest.done_at or waited > _PATIENCE_MS:
+        if newest.done_at or waited > _RETRY_DELAY_MS:
             self.send()
             self.world.after(100, self._poll)
             return
--- a/tests/fakes/worldserver.py
+++ b/tests/fakes/worldserver.py
@@ -25,7 +25,7 @@
         self.world = world
         self.name = name
         self.kind = kind
-        self.life = 0
+        self.starts = 0
         self.alive = True
         self.silent = False
         self.leaving_since = 0
@@ -39,7 +39,7 @@
     @property
     def incarnation(self) -> str:
         """This life of the server."""
-        return f"{self.name}.{self.life}"
+        return f"{self.name}.{self.starts}"
 
     def _announce(self) -> None:
         self.world.after(_REPORT_MS, self._announce)
@@ -81,7 +81,7 @@
             self.world.after(1_000, self._restart)
 
     def _restart(self) -> None:
-        self.life += 1
+        self.starts += 1
         self.alive = True
 
     def request(
@@ -122,22 +122,22 @@
             self.kill()
             return
         self.world.on_step("sent", grant.key)
-        life = self.life
+        starts = self.starts
         for number, step in enumerate(("first token", "mid", "last token"), 1):
             token = functools.partial(
-                self._token, life, entry, call, grant, step
+                self._token, starts, entry, call, grant, step
             )
             self.world.after(number * _TOKEN_MS, token)
 
     def _token(
         self,
-        life: int,
+        starts: int,
         entry: Entry,
         call: Call,
         grant: messages.Granted,
         step: str,
     ) -> None:
-        if not self.alive or self.life != life:
+        if not self.alive or self.starts != starts:
             return
         if step != "last token":
             self._to_entry(entry, call, grant, None)
--- a/tests/replies.py
+++ b/tests/replies.py
@@ -25,7 +25,7 @@
         self.done = False
         self.fresh = False
 
-    def take(self, line: bytes) -> None:
+    def feed(self, line: bytes) -> None:
         """Takes a line of the stream."""
         self.fresh = False
         if line == b"data: [DONE]":
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -99,7 +99,7 @@
                 self.sim.at(self.sim.now + delay, self.restart)
 
     def flush(self) -> None:
-        while out := self.core.take(self.now()):
+        while out := self.core.take_output(self.now()):
             later = [c for c in out if not self.before_sync(c)]
             self.may_crash()
             self.disk.sync()
