--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -45,13 +45,13 @@
 # A keeper's lost disk and another one that is killed leave no quorum until the
 # copies are made again, on a busy machine some 20 s; then turns are served.
 _SERVED_WITHIN_S = 40.0
-_AGAIN_S = 0.15
+_RETRY_S = 0.15
 _DEADLINE_MS = 3_000
 # An answer that comes so long after its deadline came too late: a frozen
 # gateway thaws after 3 s at most.
 _LATE_S = _DEADLINE_MS / 1_000 + 4.0
 _BUDGET = 60
-_MOST = 6
+_MAX = 6
 # Statuses that promise that the request has not run and never will.
 _PROMISES = frozenset({402, 408, 421, 429, 503})
 
@@ -109,7 +109,7 @@
         # Lines that say "start", of each process's earlier lives.
         self._starts = dict.fromkeys(deployment.hosts, 0)
         self.found = Findings()
-        deployment.on_request = self._ran
+        deployment.on_request = self._turn_result
 
     async def run(self) -> Findings:
         """Runs callers and faults until the time is over, then checks."""
@@ -137,7 +137,7 @@
     def _problem(self, text: str) -> None:
         self.found.problems.append(text)
 
-    def _ran(self, seen: Seen) -> None:
+    def _turn_result(self, seen: Seen) -> None:
         attempt = seen.headers["x-attempt-id"]
         self.found.runs[attempt] += 1
         expected = self._bodies.get(attempt)
@@ -166,7 +166,7 @@
                 return
             previous, output = done
             history += said + output
-            if (turn + 1) * _MOST > _BUDGET + _MOST:
+            if (turn + 1) * _MAX > _BUDGET + _MAX:
                 self._problem(f"{name} got more than its {_BUDGET} tokens")
             await self._call(f"{name}.{turn}.pay")
             await asyncio.sleep(rng.uniform(0, 0.05))
@@ -199,7 +199,7 @@
                 self._open[program] += 1
             if time.monotonic() > give_up:
                 break
-            await asyncio.sleep(_AGAIN_S)
+            await asyncio.sleep(_RETRY_S)
         self._problem(f"{name}: not served within {_SERVED_WITHIN_S} s")
         return None
 
@@ -209,7 +209,7 @@
         A try whose gateway died keeps its reserve: what it may have handed
         out is not known to anyone.
         """
-        held = (turns + self._open[program]) * _MOST
+        held = (turns + self._open[program]) * _MAX
         return held < _BUDGET
 
     async def _call(self, attempt: str) -> None:
@@ -225,7 +225,7 @@
         gateways = self._named("gateway")
         headers = {
             "X-Program-Id": program,
-            "X-Token-Usage": f"10,{_MOST}",
+            "X-Token-Usage": f"10,{_MAX}",
             "X-Token-Budget": str(_BUDGET),
             "X-Deadline-Ms": str(_DEADLINE_MS),
         }
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -23,7 +23,7 @@
     return RouteCall(
         attempt="x",
         prompt=(_SHARED, PromptPart(session, tokens)),
-        most_tokens=500,
+        max_tokens=500,
     )
 
 
@@ -44,9 +44,9 @@
         balancer = _balancer()
         servers = [_server(n) for n in range(3)]
         balancer.sent(servers[1], _turn("mine"))
-        balancer.told(servers[1], Load(6, 0, 12), 0)
-        balancer.told(servers[0], Load(5, 0, 12), 0)
-        balancer.told(servers[2], Load(5, 0, 12), 0)
+        balancer.report_load(servers[1], Load(6, 0, 12), 0)
+        balancer.report_load(servers[0], Load(5, 0, 12), 0)
+        balancer.report_load(servers[2], Load(5, 0, 12), 0)
         choice = balancer.pick(servers, _turn("mine"), 100)
         assert choice is not None
         self.assertEqual("s1", choice.instance.id)
@@ -61,11 +61,11 @@
         """
         balancer = _balancer()
         servers = [_server(n) for n in range(3)]
-        balancer.told(servers[2], Load(5, 0, 12), 0)
+        balancer.report_load(servers[2], Load(5, 0, 12), 0)
         balancer.sent(servers[0], _turn("mine"))
         balancer.ended(servers[0])
         for server in servers[:2]:
-            balancer.told(server, Load(6, 0, 12), 3_000)
+            balancer.report_load(server, Load(6, 0, 12), 3_000)
         choice = balancer.pick(servers, _turn("mine"), 3_100)
         assert choice is not None
         self.assertEqual("s0", choice.instance.id)
@@ -79,8 +79,8 @@
         balancer = _balancer()
         servers = [_server(n) for n in range(2)]
         balancer.sent(servers[0], _turn("mine"))
-        balancer.told(servers[0], Load(12, 20, 12), 0)
-        balancer.told(servers[1], Load(0, 0, 12), 0)
+        balancer.report_load(servers[0], Load(12, 20, 12), 0)
+        balancer.report_load(servers[1], Load(0, 0, 12), 0)
         choice = balancer.pick(servers, _turn("mine"), 100)
         assert choice is not None
         self.assertEqual("s1", choice.instance.id)
@@ -97,9 +97,9 @@
                 "a", {"a": "near"}, random.Random(seed), Speeds()
             )
             for server in servers:
-                balancer.told(server, Load(2, 0, 12), 0)
+                balancer.report_load(server, Load(2, 0, 12), 0)
             for number in range(8):
-                call = RouteCall(attempt=str(number), most_tokens=500)
+                call = RouteCall(attempt=str(number), max_tokens=500)
                 choice = balancer.pick(servers, call, 100)
                 assert choice is not None
                 balancer.sent(choice.instance, call)
@@ -110,11 +110,11 @@
         """The other region costs the way; a queue here costs more."""
         balancer = _balancer()
         near, far = _server(1), _server(2, "far")
-        call = RouteCall(attempt="x", most_tokens=500)
+        call = RouteCall(attempt="x", max_tokens=500)
         choice = balancer.pick([near, far], call, 0)
         assert choice is not None
         self.assertEqual("s1", choice.instance.id)
-        balancer.told(near, Load(12, 6, 12), 0)
+        balancer.report_load(near, Load(12, 6, 12), 0)
         choice = balancer.pick([near, far], call, 10)
         assert choice is not None
         self.assertEqual("s2", choice.instance.id)
@@ -162,8 +162,8 @@
         servers = [_server(n) for n in range(2)]
         absurd = (Load(10**9, 0, 12), Load(-5, 0, 12), Load(0, 0, 0))
         for load in absurd:
-            self.assertFalse(balancer.told(servers[0], load, 0))
-        balancer.told(servers[1], Load(6, 0, 12), 0)
+            self.assertFalse(balancer.report_load(servers[0], load, 0))
+        balancer.report_load(servers[1], Load(6, 0, 12), 0)
         self.assertEqual(0.0, balancer.taken(servers[0], 10))
 
     def test_prompts_stay_where_they_lie_if_reading_is_slow(self) -> None:
@@ -177,11 +177,11 @@
             balancer = _balancer(_learned(per_ms))
             servers = [_server(n) for n in range(2)]
             call = RouteCall(
-                "x", prompt=(PromptPart("mine", 3_000),), most_tokens=200
+                "x", prompt=(PromptPart("mine", 3_000),), max_tokens=200
             )
             balancer.sent(servers[0], call)
-            balancer.told(servers[0], Load(8, 0, 12), 0)
-            balancer.told(servers[1], Load(0, 0, 12), 0)
+            balancer.report_load(servers[0], Load(8, 0, 12), 0)
+            balancer.report_load(servers[1], Load(0, 0, 12), 0)
             choice = balancer.pick(servers, call, 10)
             assert choice is not None
             self.assertEqual(wanted, choice.instance.id)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -146,10 +146,14 @@
             stored = state.Stored(members=members, term=4)
             one = core.Core("n0", stored, random.Random(1), 0)
             one.step("n1", messages.Heartbeat(5, 0, 10_000), 10_000)
-            one.take(10_000)
+            one.take_output(10_000)
             ask = messages.PreVote(6, 9, 5, void_term)
             one.step("n1", ask, 10_001)
-            sent = [c for c in one.take(10_001) if isinstance(c, commands.Send)]
+            sent = [
+                c
+                for c in one.take_output(10_001)
+                if isinstance(c, commands.Send)
+            ]
             replies = [c.message for c in sent]
             told = [m.granted for m in replies]  # type: ignore[union-attr]
             self.assertEqual([granted], told, void_term)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -128,13 +128,13 @@
                 late.append(state.update_since(receiver.revision))
                 update = rng.choice(late[-40:])
                 before = receiver.revision
-                receiver.take(update)
+                receiver.apply_update(update)
                 self.assertGreaterEqual(receiver.revision, before)
                 if rng.random() < 0.02:
                     receiver.__init__()  # type: ignore[misc]
         self.assertEqual(replayed.cfg.accounts, state.cfg.accounts)
         for receiver in receivers:
-            receiver.take(state.update_since(receiver.revision))
+            receiver.apply_update(state.update_since(receiver.revision))
             assert receiver.configuration is not None
             self.assertEqual(state.revision, receiver.revision)
             self.assertEqual(
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -113,7 +113,7 @@
                 system.kill(name)
             for name in system.hosts:
                 system.start(name)
-            await system.until(system.beat)
+            await system.until(system.send_heartbeat)
             self.assertTrue(await system.served("b", "a"))
             _, body = await system.control("GET", "/-/config")
             self.assertEqual(system.version, json.loads(body)["version"])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,7 +11,7 @@
 
 
 def _server(**changes: Any) -> Instance:
-    own = {"service": "tools", "born_ms": 1_000, "sequence": 4, "slots": 6}
+    own = {"service": "tools", "started_ms": 1_000, "sequence": 4, "slots": 6}
     return instance(**{**own, "address": "10.0.0.1:80", **changes})
 
 
@@ -33,11 +33,11 @@
             address="",
             domain="",
             state=ServerState.GONE,
-            born_ms=0,
+            started_ms=0,
             sequence=0,
             slots=0,
         )
-        changed = fleet.apply(fleet.leaving(goodbye, heard_sequence=9))
+        changed = fleet.apply(fleet.leaving(goodbye, last_sequence=9))
         self.assertEqual([ServerState.GONE], [c.state for c in changed])
         self.assertEqual([], list(fleet.of("tools")))
         # A gateway that only hears of the change takes it as well.
@@ -65,7 +65,7 @@
         """
         fleet = Fleet()
         fleet.apply(_server(sequence=90))
-        reborn = _server(born_ms=2_000, sequence=1)
+        reborn = _server(started_ms=2_000, sequence=1)
         self.assertEqual([reborn], fleet.apply(reborn))
         self.assertEqual([], fleet.apply(_server(sequence=91)))
 
@@ -89,7 +89,9 @@
         """
         fleet = Fleet()
         fleet.apply(_server())
-        younger = _server(id="s2", service="other", born_ms=9_000, sequence=1)
+        younger = _server(
+            id="s2", service="other", started_ms=9_000, sequence=1
+        )
         fleet.apply(younger)
         self.assertEqual([younger], list(fleet.servers.values()))
         self.assertEqual([], fleet.apply(_server(sequence=50)))
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -44,7 +44,7 @@
         info = transport.NodeInfo(
             node="other", address=_OTHER, founded=founded, known=[]
         )
-        self.founding.heard(info)
+        self.founding.handle_info(info)
 
     def test_order_comes_before_the_others_are_heard(self) -> None:
         """A disk is lost, and the operator repairs as soon as HTTP answers.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -290,7 +290,7 @@
             while not rig.turns.crashes:
                 await asyncio.sleep(0.01)
             content, _ = rig.turns.crashes[0]
-            rig.view.take(protocol.QuarantineNow(contents=[content]))
+            rig.view.handle(protocol.QuarantineUpdate(contents=[content]))
             got = await rig.ask("q2", body=b"poison")
             self.assertEqual(503, got.status)
             self.assertEqual(1, rig.runs())
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -41,7 +41,7 @@
     pool: Pool, address: str, name: str
 ) -> tuple[Head | Failure, bytes, Failure | None]:
     """Sends one request; returns head, body and how the body failed."""
-    conn = await pool.take(address, 9, 1.0)
+    conn = await pool.acquire(address, 9, 1.0)
     assert not isinstance(conn, Failure)
     conn.send(
         _request(name), lambda headers: headers.get(b"request-id") == name
@@ -103,7 +103,7 @@
             await server.start()
             for turns in range(40):
                 taking = asyncio.ensure_future(
-                    Pool().take(server.address, 9, 1)
+                    Pool().acquire(server.address, 9, 1)
                 )
                 for _ in range(turns):
                     await asyncio.sleep(0)
@@ -132,12 +132,12 @@
             pool = Pool()
             await _exchange(pool, server.address, "a")
             await asyncio.sleep(0.1)
-            used = await pool.take(server.address, 1, 1.0)
+            used = await pool.acquire(server.address, 1, 1.0)
             assert not isinstance(used, Failure)
             self.assertFalse(used.is_fresh)
             pool.give_back(server.address, used)
             # Where all that may be open are, the one idle longest makes room.
-            conn = await pool.take(server.address, 1, 1.0, most_idle_s=0.05)
+            conn = await pool.acquire(server.address, 1, 1.0, max_idle_s=0.05)
             assert not isinstance(conn, Failure)
             self.assertTrue(conn.is_fresh)
             self.assertEqual(2, server.connections)
@@ -239,7 +239,7 @@
             server = RawServer(never)
             await server.start()
             pool = Pool()
-            taken = [await pool.take(server.address, 2, 1.0) for _ in "abc"]
+            taken = [await pool.acquire(server.address, 2, 1.0) for _ in "abc"]
             refused = [t for t in taken if isinstance(t, Failure)]
             self.assertEqual(1, len(refused))
             self.assertIs(Verdict.NOT_RUN, refused[0].verdict)
@@ -247,7 +247,7 @@
                 if not isinstance(conn, Failure):
                     conn.abort("done")
             await asyncio.sleep(0.01)
-            again = await pool.take(server.address, 2, 1.0)
+            again = await pool.acquire(server.address, 2, 1.0)
             self.assertNotIsInstance(again, Failure)
             await server.stop()
 
--- a/tests/test_joined.py
+++ b/tests/test_joined.py
@@ -26,7 +26,7 @@
         reason="connection lost: closed",
     ),
     _line(100_060, "gateway-1", "ejected", server="s1", reason="closed"),
-    _line(100_300, "keeper-2", "struck", server="s1", content="c"),
+    _line(100_300, "keeper-2", "crash-report", server="s1", content="c"),
     _line(100_400, "gateway-1", "served", request="r2", servers=["s1"]),
     _line(100_500, "keeper-2", "server", server="s2", state="gone"),
     _line(400_000, "keeper-2", "server", server="s1", state="gone"),
@@ -49,7 +49,7 @@
         self.assertEqual([100_050], [ln.at_ms for ln in story.request])
         self.assertEqual(["r0"], [ln.facts["request"] for ln in story.program])
         self.assertEqual(
-            ["ejected", "struck"], [ln.decision for ln in story.servers]
+            ["ejected", "crash-report"], [ln.decision for ln in story.servers]
         )
         self.assertEqual(
             ["leader", "leadership"], [ln.decision for ln in story.system]
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -29,7 +29,7 @@
         self.on_asked: Callable[[], None] = lambda: None
         self._answers = answers
         self._server = links.PeerServer(
-            protocol.ToKeeper, self._take, lambda _: None
+            protocol.ToKeeper, self._handle, lambda _: None
         )
 
     async def start(self) -> None:
@@ -51,7 +51,7 @@
         for stream in self._server.streams:
             stream.send(info)
 
-    def _take(self, stream: links.Stream, message: Any) -> None:
+    def _handle(self, stream: links.Stream, message: Any) -> None:
         if isinstance(message, messages.Hello):
             self.tell()
             return
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -23,7 +23,7 @@
         program="p",
         previous="",
         budget=1_000,
-        most=300,
+        max_tokens=300,
         retain_ms=_RETAIN_MS,
         at_ms=0,
     )
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -80,7 +80,7 @@
         retried = 0
         for _ in range(10_000):
             budget.first_attempt("d")
-            retried += budget.take("d") + budget.take("d")
+            retried += budget.spend("d") + budget.spend("d")
         self.assertLessEqual(retried, 1_100)
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,7 +14,7 @@
 _STOP_S = 2.0
 # Less than what is left of the second after which a lost first packet is sent
 # again; more than a link's own wait and a busy machine's delays.
-_UP_AGAIN_S = 0.65
+_RESTART_S = 0.65
 # Turns of the loop after which a link is up on any machine seen so far: some
 # ten; each turn before is one at which a stop may come.
 _TURNS = 60
@@ -80,7 +80,7 @@
                 protocol.ToKeeper, lambda *_: None, lambda _: None
             )
             await server.start(address)
-            async with asyncio.timeout(_UP_AGAIN_S):
+            async with asyncio.timeout(_RESTART_S):
                 await link.connected.wait()
             await link.stop()
             await server.stop()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -21,7 +21,7 @@
 )
 # What only decides, waits or repeats needs.
 _FORBIDDEN = {"asyncio", "random", "time", "threading", "sched"}
-_MOST_LINES = 1_500
+_MAX_LINES = 1_500
 
 
 def _inside(code: str) -> str:
@@ -86,7 +86,7 @@
                     if name.partition(".")[0] in _FORBIDDEN
                 ]
         self.assertEqual([], found)
-        self.assertLess(lines, _MOST_LINES)
+        self.assertLess(lines, _MAX_LINES)
 
 
 class TranslationTest(testtools.TestCase):
@@ -125,7 +125,7 @@
             "call = names.codec().call(Headers([(b'X-Token-Usage', b'a,'),"
             " (b'X-Deadline-Ms', b'1e999'), (b'X-Prompt-Prefix', b',:,x:1'),"
             " (b'Cookie', b'a=b; X-Affinity-Key=17')]))\n"
-            "print((call.deadline_ms, call.most_tokens, call.budget,"
+            "print((call.deadline_ms, call.max_tokens, call.budget,"
             " [p.id for p in call.prompt], call.affinity))\n"
         )
         self.assertEqual((0, 0, -1, ["x"], "17"), ast.literal_eval(out))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -76,7 +76,7 @@
 
         Those beyond the bound hear at once that their call did not run.
         """
-        jobs = self.scheduler(most=2)
+        jobs = self.scheduler(max_waiting=2)
         placed = [jobs.submit(_job(f"p{n}"), 0) for n in range(4)]
         self.assertEqual(4, sum(len(_places(one)) for one in placed))
         self.assertEqual([], jobs.submit(_job("p4"), 0))
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -22,7 +22,7 @@
         self._answers = answers
         self.asked = asyncio.Event()
         self.server = links.PeerServer(
-            wire.ToReplica, self._take, lambda _: None
+            wire.ToReplica, self._handle, lambda _: None
         )
         self.address = ""
 
@@ -36,7 +36,7 @@
         for stream in self.server.streams:
             stream.send(news)
 
-    def _take(self, stream: links.Stream, message: Any) -> None:
+    def _handle(self, stream: links.Stream, message: Any) -> None:
         if not isinstance(message, messages.GetProgram):
             return
         self.asked.set()
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -10,7 +10,7 @@
 from catkinpin.core.control.routes import (
     RouteKind,
 )
-from catkinpin.core.placement.urgency import Standing
+from catkinpin.core.placement.urgency import ProgramStatus
 from tests.fakes.rawserver import Seen, sealed
 
 if TYPE_CHECKING:
@@ -40,7 +40,7 @@
         async def work() -> None:
             rig = Rig(RouteKind.STREAM, keeps_history=True)
             await rig.start(streams)
-            rig.turns.begin_with = Started(b"before ", Standing(), "")
+            rig.turns.begin_with = Started(b"before ", ProgramStatus(), "")
             rig.turns.finishing.clear()
             asking = asyncio.ensure_future(rig.ask(Program="p"))
             while not rig.turns.finished:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -36,9 +36,9 @@
         for size in (1, 3, 5, 40):
             for cut in range(len(text)):
                 joined = splice.Splice()
-                got = [joined.take(e) for e in _words(text, 4)[:cut]]
+                got = [joined.feed(e) for e in _words(text, 4)[:cut]]
                 joined.restart()
-                got += [joined.take(e) for e in _words(text, size)]
+                got += [joined.feed(e) for e in _words(text, size)]
                 texts = [
                     json.loads(data)["choices"][0]["delta"]["content"]
                     for data in got
@@ -53,11 +53,11 @@
         ):
             joined = splice.Splice()
             for event in _words("text", 2):
-                joined.take(event)
+                joined.feed(event)
             joined.restart()
             with self.assertRaises(DivergedError):
                 for event in events:
-                    joined.take(event)
+                    joined.feed(event)
 
     def test_tool_calls_are_joined_too(self) -> None:
         """A server is lost in the middle of a tool call's arguments."""
@@ -67,9 +67,9 @@
             for p in parts
         ]
         joined = splice.Splice()
-        got = [joined.take(event) for event in events[:2]]
+        got = [joined.feed(event) for event in events[:2]]
         joined.restart()
-        got += [joined.take(event) for event in events]
+        got += [joined.feed(event) for event in events]
         arguments = [
             json.loads(data)["choices"][0]["delta"]["tool_calls"][0]["function"]
             for data in got
@@ -92,10 +92,10 @@
         before = [self._value(f"{name}_{part}") for part in ("count", "sum")]
         call = calls.RunningCall(lambda: next(times))
         for word in _words("some text", 4):
-            call.take(word)
+            call.feed(word)
         call.restart()
         for word in _words("some text and more", 4):
-            call.take(word)
+            call.feed(word)
         after = [self._value(f"{name}_{part}") for part in ("count", "sum")]
         self.assertEqual(before[0] + 1, after[0])
         self.assertAlmostEqual(before[1] + 0.5, after[1])
@@ -109,7 +109,7 @@
 
     def test_patience_lies_within_its_bounds(self) -> None:
         known = pauses.Gaps(200, 5_000)
-        self.assertEqual(5_000, known.patience_ms("unknown"))
+        self.assertEqual(5_000, known.election_timeout_ms("unknown"))
         for gap, low, high in (
             (1, 200, 200),
             (26, 200, 400),
@@ -117,7 +117,7 @@
         ):
             for _ in range(60):
                 known.note(f"s{gap}", gap)
-            patience = known.patience_ms(f"s{gap}")
+            patience = known.election_timeout_ms(f"s{gap}")
             self.assertTrue(low <= patience <= high, (gap, patience))
 
 
@@ -125,7 +125,7 @@
     """What is held of histories stays within its bound."""
 
     def test_bound_and_replacement(self) -> None:
-        held = texts.Histories(most_bytes=100)
+        held = texts.Histories(max_bytes=100)
         held.put(b"a", [b"x" * 40], b"")
         held.put(b"b", [b"x" * 40, b"y" * 20], b"a")
         self.assertIsNone(held.get(b"a"))
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -6,7 +6,7 @@
 import types
 from typing import TYPE_CHECKING, Any, cast
 
-from catkinpin.adapters.gateway.turns import Ran, Turns
+from catkinpin.adapters.gateway.turns import TurnResult, Turns
 from catkinpin.core.control import protocol
 from catkinpin.core.requests.calls import RouteCall
 from tests import base
@@ -77,7 +77,7 @@
             for number in range(9):
                 call = RouteCall(attempt=f"t{number}", program="p")
                 began_s = loop.time()
-                why = await turns.finish(call, b"bytes", Ran(1, "s"))
+                why = await turns.finish(call, b"bytes", TurnResult(1, "s"))
                 self.assertEqual("", why)
                 slow += loop.time() - began_s > _AT_ONCE_S
             self.assertEqual(1, slow)
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -10,17 +10,17 @@
 
 from catkinpin.core.placement import urgency
 from catkinpin.core.placement.speeds import EngineSpeed
-from catkinpin.core.placement.urgency import Standing
+from catkinpin.core.placement.urgency import ProgramStatus
 from catkinpin.core.requests.calls import PromptPart, RouteCall
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    _Policy = Callable[[Standing], int]
+    _Policy = Callable[[ProgramStatus], int]
 
 _TURN_MS = 400
 _PAUSE_MS = 50
-_MOST_TURNS = 7
+_MAX_TURNS = 7
 _SLOTS = 10
 _BURST_MS = 6_000
 _END_MS = 30_000
@@ -31,7 +31,7 @@
 
 def _arrivals(over: float, rng: random.Random) -> list[int]:
     """Returns when programs come: a burst, then a calm load."""
-    mean_ms = _TURN_MS * (1 + _MOST_TURNS) / 2 / _SLOTS
+    mean_ms = _TURN_MS * (1 + _MAX_TURNS) / 2 / _SLOTS
     found = []
     at = 0.0
     while at < _END_MS:
@@ -52,8 +52,8 @@
         self.done = 0
         self.ended_ms = 0
 
-    def standing(self, now_ms: int) -> Standing:
-        return Standing(
+    def program_status(self, now_ms: int) -> ProgramStatus:
+        return ProgramStatus(
             allowed_ms=self.allowed_ms,
             elapsed_ms=now_ms - self.began_ms,
             lost_ms=self.lost_ms,
@@ -79,7 +79,7 @@
     """
     rng = random.Random(seed)
     programs = [
-        _Program(at, rng.randint(1, _MOST_TURNS), allowed_x)
+        _Program(at, rng.randint(1, _MAX_TURNS), allowed_x)
         for at in _arrivals(over, rng)
     ]
     free = [0] * _SLOTS
@@ -90,7 +90,7 @@
         now = max(free[0], events[0][0] if events and not waiting else 0)
         while events and events[0][0] <= now:
             at, number = heapq.heappop(events)
-            rank = policy(programs[number].standing(at))
+            rank = policy(programs[number].program_status(at))
             heapq.heappush(waiting, (rank, at, number))
         if not waiting:
             continue
@@ -108,10 +108,10 @@
     return served / sum(p.turns for p in programs)
 
 
-def _all_alike(standing: Standing) -> int:
+def _all_alike(program_status: ProgramStatus) -> int:
     """Ranks programs by nothing but whether they are in time."""
-    late = standing.elapsed_ms > standing.allowed_ms
-    hopeless = standing.elapsed_ms > 2 * standing.allowed_ms
+    late = program_status.elapsed_ms > program_status.allowed_ms
+    hopeless = program_status.elapsed_ms > 2 * program_status.allowed_ms
     return int(late) + int(hopeless)
 
 
@@ -122,27 +122,33 @@
         """Four programs wait: under way, fresh, behind, and past any use."""
         ranks = [
             urgency.of_turn(
-                Standing(allowed_ms=1_000, elapsed_ms=700, lost_ms=9, turns=2)
+                ProgramStatus(
+                    allowed_ms=1_000, elapsed_ms=700, lost_ms=9, turns=2
+                )
             ),
-            urgency.of_turn(Standing(allowed_ms=1_000, elapsed_ms=10)),
+            urgency.of_turn(ProgramStatus(allowed_ms=1_000, elapsed_ms=10)),
             urgency.of_turn(
-                Standing(allowed_ms=1_000, elapsed_ms=700, lost_ms=500, turns=2)
+                ProgramStatus(
+                    allowed_ms=1_000, elapsed_ms=700, lost_ms=500, turns=2
+                )
             ),
-            urgency.of_turn(Standing(allowed_ms=1_000, elapsed_ms=2_100)),
+            urgency.of_turn(ProgramStatus(allowed_ms=1_000, elapsed_ms=2_100)),
         ]
         self.assertEqual(sorted(ranks), ranks)
         self.assertEqual(4, len(set(ranks)))
-        self.assertEqual(urgency.USUAL, urgency.of_turn(Standing()))
+        self.assertEqual(urgency.USUAL, urgency.of_turn(ProgramStatus()))
 
     def test_late_program_is_behind_whatever_it_lost(self) -> None:
         """Its tools took long; its turns lost nothing."""
-        standing = Standing(allowed_ms=1_000, elapsed_ms=1_100, turns=3)
-        self.assertEqual(urgency.BEHIND, urgency.of_turn(standing))
+        program_status = ProgramStatus(
+            allowed_ms=1_000, elapsed_ms=1_100, turns=3
+        )
+        self.assertEqual(urgency.BEHIND, urgency.of_turn(program_status))
 
     def test_fresh_program_that_was_refused_for_long_is_behind(self) -> None:
         """Its first turn was sent again and again until its slack was gone."""
-        standing = Standing(allowed_ms=1_000, elapsed_ms=500)
-        self.assertEqual(urgency.BEHIND, urgency.of_turn(standing))
+        program_status = ProgramStatus(allowed_ms=1_000, elapsed_ms=500)
+        self.assertEqual(urgency.BEHIND, urgency.of_turn(program_status))
 
     def test_burst_leaves_more_programs_in_time(self) -> None:
         """For 6 s programs come at 1.4 to 1.8 times what the slots can serve.
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -30,10 +30,10 @@
         By its word the gateway would refuse with 404 what is allowed by now,
         or serve a route that was removed long ago.
         """
-        self.view.take(protocol.RoutingNow(version=3, is_current=False))
+        self.view.handle(protocol.RoutingUpdate(version=3, is_current=False))
         self.view.replace(_routing(3))
         self.assertFalse(self.view.serves)
-        self.view.take(protocol.RoutingNow(version=5, is_current=True))
+        self.view.handle(protocol.RoutingUpdate(version=5, is_current=True))
         self.assertFalse(self.view.serves)
         self.view.replace(_routing(5))
         self.assertTrue(self.view.serves)
@@ -47,8 +47,8 @@
     def test_newer_version_that_is_on_its_way_stops_nothing(self) -> None:
         """Routes change; the document takes a while over the narrow link."""
         self.view.replace(_routing(5))
-        self.view.take(protocol.RoutingNow(version=5, is_current=True))
-        self.view.take(protocol.RoutingNow(version=6, is_current=True))
+        self.view.handle(protocol.RoutingUpdate(version=5, is_current=True))
+        self.view.handle(protocol.RoutingUpdate(version=6, is_current=True))
         self.assertTrue(self.view.serves)
 
 
@@ -60,8 +60,8 @@
         gone: list[str] = []
         view = View(clock.system_clock(), lambda one: gone.append(one.id))
         new, old = [instance("a"), instance("b")], [instance("a")]
-        view.take(protocol.FleetNow(index=9, instances=new, whole=True))
-        view.take(protocol.FleetNow(index=7, instances=old, whole=True))
+        view.handle(protocol.ServersUpdate(index=9, instances=new, whole=True))
+        view.handle(protocol.ServersUpdate(index=7, instances=old, whole=True))
         self.assertEqual({"a", "b"}, set(view.fleet.servers))
-        view.take(protocol.FleetNow(index=11, instances=old, whole=True))
+        view.handle(protocol.ServersUpdate(index=11, instances=old, whole=True))
         self.assertEqual(["b"], gone)
