Break import circles with small protocols

Cause: seven circles among the product's modules. The lower module of each now declares what it needs (RecordStore, GroupNode, HeartbeatHandler, EntryContext, ReplicaContext), or the shared types move below both (placement/jobs.py, entry/outgoing.py).

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -12,7 +12,7 @@
 
 from catkinpin import codec
 from catkinpin.core import messages
-from catkinpin.core.placement import candidates, scheduler, servers
+from catkinpin.core.placement import candidates, jobs, scheduler, servers
 from catkinpin.core.programs import explanations
 
 _DECISIONS = 2_000
@@ -57,9 +57,9 @@
     )
 
 
-def _job(number: int, turn: int) -> scheduler.Job:
+def _job(number: int, turn: int) -> jobs.Job:
     history = _CONTEXT if turn else 0
-    return scheduler.Job(
+    return jobs.Job(
         key=messages.CallKey(
             account=f"account-{number % 39_000}",
             program=f"program-{number}",
--- a/bench/world.py
+++ b/bench/world.py
@@ -13,7 +13,7 @@
 from bench.events import Events
 from bench.link import Link
 from catkinpin.core import messages
-from catkinpin.core.placement import scheduler, servers
+from catkinpin.core.placement import jobs, scheduler, servers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -103,7 +103,7 @@
             name: self._machine(entry) for name, entry in self._plans.items()
         }
         self._placed: dict[
-            messages.CallKey, Callable[[scheduler.Decision], None]
+            messages.CallKey, Callable[[jobs.Decision], None]
         ] = {}
         self._drained: set[str] = set()
         self._alive: set[ProgramRun] = set()
@@ -143,7 +143,7 @@
             self._count(run)
 
     def submit(
-        self, job: scheduler.Job, then: Callable[[scheduler.Decision], None]
+        self, job: jobs.Job, then: Callable[[jobs.Decision], None]
     ) -> None:
         """Hands a call to the leader's scheduler."""
         self._placed[job.key] = then
@@ -173,7 +173,7 @@
             return Engine(self.events, plan.engine, self.outcome.waste)
         return Service(self.events, plan.slots)
 
-    def _decided(self, decisions: list[scheduler.Decision]) -> None:
+    def _decided(self, decisions: list[jobs.Decision]) -> None:
         for decision in decisions:
             self._placed.pop(decision.key)(decision)
 
@@ -337,13 +337,13 @@
         if self._waits == 0:
             self._call()
 
-    def job(self, call: _CallRun, failed: tuple[str, ...]) -> scheduler.Job:
+    def job(self, call: _CallRun, failed: tuple[str, ...]) -> jobs.Job:
         """Returns what the leader knows of a call."""
         step = call.step
         model = step.target == self._world.plan.workload.model
         history = sum(segment.tokens for segment in self._context)
         shared = history - sum(segment.tokens for segment in self.own)
-        return scheduler.Job(
+        return jobs.Job(
             key=call.key,
             kind="model" if model else "service",
             target=step.target,
@@ -399,8 +399,8 @@
         """Arrives at the leader."""
         self._world.submit(self._run.job(self, self._failed), self._decided)
 
-    def _decided(self, decision: scheduler.Decision) -> None:
-        if isinstance(decision, scheduler.Reject):
+    def _decided(self, decision: jobs.Decision) -> None:
+        if isinstance(decision, jobs.Reject):
             self._world.outcome.refused += 1
             self._failed = ()
             wait = max(100, decision.retry_after_ms)
--- a/catkinpin/adapters/disk/grouplog.py
+++ b/catkinpin/adapters/disk/grouplog.py
@@ -4,7 +4,7 @@
 
 import array
 import bisect
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from catkinpin import codec
 from catkinpin.adapters.disk import logrecords
@@ -17,7 +17,30 @@
     from collections.abc import Iterator
 
     from catkinpin.adapters.disk.snapshots import Snapshot
-    from catkinpin.adapters.disk.storage import Storage
+
+
+class RecordStore(Protocol):
+    """The disk as the log of one group sees it."""
+
+    def add(self, record: Record) -> int:
+        """Buffers a record and returns its position."""
+
+    def read(self, position: int) -> Entry:
+        """Returns the entry at a position."""
+
+    def forget(self, position: int) -> None:
+        """Notes that a record is needed no more."""
+
+    def write_snapshot(self, snapshot: Snapshot) -> None:
+        """Writes a snapshot file that lasts."""
+
+    def read_snapshot(self, group: str, index: int) -> Snapshot | None:
+        """Returns a group's snapshot, None for index 0."""
+
+    def read_snapshot_part(
+        self, group: str, index: int, offset: int, size: int
+    ) -> tuple[bytes, int]:
+        """Returns a part of a snapshot's file, and its whole size."""
 
 
 class GroupLog:
@@ -33,7 +56,7 @@
         members: the members as of `base`.
     """
 
-    def __init__(self, storage: Storage, name: str, number: int) -> None:
+    def __init__(self, storage: RecordStore, name: str, number: int) -> None:
         self.name = name
         self.number = number
         self.term = 0
--- a/catkinpin/adapters/entry/admin.py
+++ b/catkinpin/adapters/entry/admin.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.adapters.entry.process import Entry
+    from catkinpin.adapters.entry.context import EntryContext
 
 _MAX_BODY = 4 * 1024 * 1024
 _ANNOUNCE_EVERY_MS = 500
@@ -117,7 +117,7 @@
     return app
 
 
-def add_server_routes(app: sanic.Sanic[Any, Any], entry: Entry) -> None:
+def add_server_routes(app: sanic.Sanic[Any, Any], entry: EntryContext) -> None:
     """Adds what backend servers call."""
 
     @app.post("/v1/servers/announce")
--- a/catkinpin/adapters/entry/callers.py
+++ b/catkinpin/adapters/entry/callers.py
@@ -22,7 +22,7 @@
 from catkinpin.verdicts import Reason, Verdict, http_status
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.entry.process import Entry
+    from catkinpin.adapters.entry.context import EntryContext
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +42,7 @@
 _GET_TIMEOUT_S = 5.0
 
 
-def make_app(entry: Entry) -> sanic.Sanic[Any, Any]:
+def make_app(entry: EntryContext) -> sanic.Sanic[Any, Any]:
     """Returns the application that answers callers."""
     app = web.new_app("callers", entry.cfg.max_body_bytes)
 
@@ -150,7 +150,7 @@
         self.refused = refused
 
 
-def _account(entry: Entry, req: sanic.Request) -> str:
+def _account(entry: EntryContext, req: sanic.Request) -> str:
     """Returns the account whose key the request carries."""
     if problem := entry.lease.problem():
         text = f"this host does not serve now: {problem}"
@@ -166,7 +166,7 @@
     raise _RefusedError(_not_run(Reason.UNAUTHORIZED, text, "Authorization"))
 
 
-def _check_ready(entry: Entry) -> None:
+def _check_ready(entry: EntryContext) -> None:
     if entry.stopping:
         text = "this host is stopping; another will answer"
         raise _RefusedError(_not_run(Reason.STOPPING, text))
@@ -204,7 +204,7 @@
 
 
 def _begin(
-    entry: Entry, req: sanic.Request, kind: str, target: str
+    entry: EntryContext, req: sanic.Request, kind: str, target: str
 ) -> messages.Begin:
     """Returns what the headers say of a call."""
     account = _account(entry, req)
@@ -254,7 +254,7 @@
     return msgspec.structs.replace(begin, **changes)
 
 
-async def _chat(entry: Entry, req: sanic.Request) -> Any:
+async def _chat(entry: EntryContext, req: sanic.Request) -> Any:
     begin = _begin(entry, req, "model", "")
     parsed = chat.parse_request(req.body)
     canonical = chat.canonical_messages(parsed)
@@ -284,7 +284,7 @@
 
 
 async def _service(
-    entry: Entry, req: sanic.Request, name: str, path: str
+    entry: EntryContext, req: sanic.Request, name: str, path: str
 ) -> Any:
     begin = _begin(entry, req, "service", name)
     query = f"?{req.query_string}" if req.query_string else ""
@@ -396,7 +396,7 @@
 
 
 def _program_key(
-    entry: Entry, req: sanic.Request, program: str
+    entry: EntryContext, req: sanic.Request, program: str
 ) -> messages.ProgramKey:
     account = _account(entry, req)
     if not _NAME.fullmatch(program):
@@ -404,14 +404,18 @@
     return messages.ProgramKey(account=account, program=program)
 
 
-async def _get_program(entry: Entry, req: sanic.Request, program: str) -> Any:
+async def _get_program(
+    entry: EntryContext, req: sanic.Request, program: str
+) -> Any:
     key = _program_key(entry, req, program)
     return await _program_reply(
         entry, key, lambda ask: messages.GetProgram(ask=ask, key=key)
     )
 
 
-async def _end_program(entry: Entry, req: sanic.Request, program: str) -> Any:
+async def _end_program(
+    entry: EntryContext, req: sanic.Request, program: str
+) -> Any:
     key = _program_key(entry, req, program)
     return await _program_reply(
         entry, key, lambda ask: messages.EndProgram(ask=ask, key=key)
@@ -419,7 +423,7 @@
 
 
 async def _program_reply(
-    entry: Entry, key: messages.ProgramKey, make: Any
+    entry: EntryContext, key: messages.ProgramKey, make: Any
 ) -> Any:
     group = sharding.group_of(key, entry.cfg.shards)
     try:
--- a/catkinpin/adapters/entry/calls.py
+++ b/catkinpin/adapters/entry/calls.py
@@ -10,7 +10,14 @@
 import msgspec
 
 from catkinpin import chat, digest, metrics, tracing
-from catkinpin.adapters.entry import dispatch, grants, outcomes, relays, shards
+from catkinpin.adapters.entry import (
+    dispatch,
+    grants,
+    outcomes,
+    outgoing,
+    relays,
+    shards,
+)
 from catkinpin.core import messages
 from catkinpin.core.programs import sharding
 from catkinpin.core.requests import splice
@@ -193,7 +200,7 @@
         grant = messages.Granted(
             ask=0, key=order.key, attempt=order.attempt, server=order.server
         )
-        req = dispatch.Outgoing(
+        req = outgoing.Outgoing(
             kind="service",
             method="GET",
             path="",
@@ -353,7 +360,7 @@
             )
             digests = [*map(digest.of_bytes, grant.history), *digests]
             known = len(grant.history)
-        outgoing = dispatch.Outgoing(
+        request = outgoing.Outgoing(
             kind=req.begin.kind,
             method=req.method,
             path=req.path,
@@ -363,7 +370,7 @@
             traceparent=traceparent,
         )
         history = relays.History(digests, known)
-        finish = await self._dispatch(grant, outgoing, history, call.feed)
+        finish = await self._dispatch(grant, request, history, call.feed)
         metrics.ATTEMPTS.labels(finish.verdict).inc()
         if not finish.messages:
             return finish
@@ -375,7 +382,7 @@
     async def _dispatch(
         self,
         grant: messages.Granted,
-        req: dispatch.Outgoing,
+        req: outgoing.Outgoing,
         history: relays.History,
         on_data: Callable[[bytes], None],
     ) -> messages.Finish:
--- a/catkinpin/adapters/entry/dispatch.py
+++ b/catkinpin/adapters/entry/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import logging
 from typing import TYPE_CHECKING
 
@@ -24,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from catkinpin.adapters.entry.outgoing import Outgoing, Timeouts
     from catkinpin.clock import Clock
     from catkinpin.core.messages import Finish, Granted
 
@@ -33,41 +33,6 @@
 _RELEASE_S = 5.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Outgoing:
-    """A request as it goes to a backend server.
-
-    Attributes:
-        kind: `model` or `service`.
-        deadline_ms: milliseconds left of the caller's deadline.
-    """
-
-    kind: str
-    method: str
-    path: str
-    headers: list[tuple[str, str]]
-    body: bytes
-    deadline_ms: int
-    traceparent: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Timeouts:
-    """How long to wait for a backend server, in milliseconds.
-
-    Attributes:
-        connect_ms: for a connection.
-        progress_low_ms: shortest silence of a stream that is looked into.
-        progress_high_ms: longest silence that is not looked into.
-        first_token_ms: for an engine's first event.
-    """
-
-    connect_ms: int
-    progress_low_ms: int
-    progress_high_ms: int
-    first_token_ms: int
-
-
 class Dispatcher:
     """Dispatches calls to the servers of this entry's region.
 
--- a/catkinpin/adapters/entry/modelcalls.py
+++ b/catkinpin/adapters/entry/modelcalls.py
@@ -18,7 +18,7 @@
 
     import aiohttp
 
-    from catkinpin.adapters.entry.dispatch import Outgoing
+    from catkinpin.adapters.entry.outgoing import Outgoing
     from catkinpin.core.messages import Finish, Granted
     from catkinpin.core.requests.pauses import Gaps
 
--- a/catkinpin/adapters/entry/operators.py
+++ b/catkinpin/adapters/entry/operators.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.adapters.entry.process import Entry
+    from catkinpin.adapters.entry.context import EntryContext
 
 _ANSWER_TIMEOUT_S = 8.0
 _CATCH_UP_S = 2.0
@@ -38,7 +38,7 @@
 _FINGERPRINT = re.compile(r"([0-9a-f]{2}){1,64}")
 
 
-def add_routes(app: sanic.Sanic[Any, Any], entry: Entry) -> None:
+def add_routes(app: sanic.Sanic[Any, Any], entry: EntryContext) -> None:
     """Adds what operators call; all need the operators' key."""
 
     @app.get("/v1/operator/configuration")
@@ -90,7 +90,7 @@
         return await _lift(entry, req, fingerprint)
 
 
-def _shown(entry: Entry) -> dict[str, Any]:
+def _shown(entry: EntryContext) -> dict[str, Any]:
     cfg = entry.configured.configuration or configuration.Configuration()
     items = {
         "accounts": list(cfg.accounts.values()),
@@ -103,7 +103,7 @@
     }
 
 
-async def _apply(entry: Entry, req: sanic.Request) -> Any:
+async def _apply(entry: EntryContext, req: sanic.Request) -> Any:
     wanted = configuration.parse(req.body)
     base = _number(
         "Catkinpin-Base-Revision",
@@ -129,7 +129,7 @@
 
 
 async def _difference(
-    entry: Entry, base: int, wanted: configuration.Configuration
+    entry: EntryContext, base: int, wanted: configuration.Configuration
 ) -> tuple[list[deployments.Item], list[deployments.ItemKey]]:
     """Returns what leads from the base to what is wanted.
 
@@ -153,7 +153,7 @@
     return upserts, removes
 
 
-async def _plan(entry: Entry, req: sanic.Request) -> Any:
+async def _plan(entry: EntryContext, req: sanic.Request) -> Any:
     intent = intents.parse(req.body)
     request_id = _request_id(req)
     digest = hashlib.sha256(request_id.encode()).hexdigest()
@@ -169,7 +169,7 @@
 
 
 async def _act(
-    entry: Entry, req: sanic.Request, plan_id: str, verb: str
+    entry: EntryContext, req: sanic.Request, plan_id: str, verb: str
 ) -> Any:
     kinds: dict[str, Any] = {
         "confirm": changes.ConfirmPlan,
@@ -183,7 +183,9 @@
     )
 
 
-async def _lift(entry: Entry, req: sanic.Request, fingerprint: str) -> Any:
+async def _lift(
+    entry: EntryContext, req: sanic.Request, fingerprint: str
+) -> Any:
     if not _FINGERPRINT.fullmatch(fingerprint):
         raise BadRequestError("fingerprint", "a number in hex is allowed")
     operator = req.headers.get("catkinpin-operator", "")
@@ -199,7 +201,7 @@
 
 
 async def _ask(
-    entry: Entry,
+    entry: EntryContext,
     make: Callable[[int], Any],
     request_id: str = "",
     group: str = sharding.CONTROL_GROUP,
@@ -260,7 +262,7 @@
     return int(text)
 
 
-def _check_operator(entry: Entry, req: sanic.Request) -> None:
+def _check_operator(entry: EntryContext, req: sanic.Request) -> None:
     scheme, _, key = req.headers.get("authorization", "").partition(" ")
     given = configuration.key_digest(key.strip())
     wanted = entry.cfg.operator_key_sha256
--- a/catkinpin/adapters/entry/process.py
+++ b/catkinpin/adapters/entry/process.py
@@ -16,6 +16,7 @@
     dispatch,
     operators,
     orders,
+    outgoing,
     relays,
     shards,
     web,
@@ -79,7 +80,7 @@
             region=self.cfg.region,
         )
         self._dispatcher = dispatch.Dispatcher(
-            dispatch.Timeouts(
+            outgoing.Timeouts(
                 connect_ms=self.cfg.connect_timeout_ms,
                 progress_low_ms=self.cfg.progress_timeout_low_ms,
                 progress_high_ms=self.cfg.progress_timeout_ms,
@@ -289,4 +290,4 @@
 
     def _on_peer_message(self, stream: links.Stream, message: Any) -> None:
         if isinstance(message, messages.Dispatch):
-            self.relayed.take(stream, message)
+            self.relayed.handle(stream, message)
--- a/catkinpin/adapters/entry/relays.py
+++ b/catkinpin/adapters/entry/relays.py
@@ -17,7 +17,7 @@
 
 from catkinpin import chat, digest, metrics
 from catkinpin.adapters.entry import outcomes
-from catkinpin.adapters.entry.dispatch import Outgoing
+from catkinpin.adapters.entry.outgoing import Outgoing
 from catkinpin.adapters.peers import links, streams
 from catkinpin.core import messages
 from catkinpin.core.programs import texts
@@ -95,7 +95,7 @@
             return await self._dispatcher.dispatch(grant, req, on_data)
         passed = 0
 
-        def take(data: bytes) -> None:
+        def feed(data: bytes) -> None:
             nonlocal passed
             passed += 1
             on_data(data)
@@ -103,10 +103,10 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + req.deadline_ms / _MS_PER_S
         try:
-            reply = await self._ask(link, grant, req, history, take)
+            reply = await self._ask(link, grant, req, history, feed)
             if isinstance(reply, messages.NeedWhole):
                 whole = dataclasses.replace(history, known=0)
-                reply = await self._ask(link, grant, req, whole, take)
+                reply = await self._ask(link, grant, req, whole, feed)
             finish: Finish = reply.finish
             return finish
         except PeerLostError as exc:
@@ -174,7 +174,7 @@
         self._histories = texts.Histories(max_bytes)
         self.running: set[asyncio.Task[None]] = set()
 
-    def take(self, stream: links.Stream, message: messages.Dispatch) -> None:
+    def handle(self, stream: links.Stream, message: messages.Dispatch) -> None:
         """Begins to dispatch a call for another entry."""
         body = message.body
         prompt: list[bytes] = []
--- a/catkinpin/adapters/entry/servicecalls.py
+++ b/catkinpin/adapters/entry/servicecalls.py
@@ -12,7 +12,7 @@
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
-    from catkinpin.adapters.entry.dispatch import Outgoing
+    from catkinpin.adapters.entry.outgoing import Outgoing
     from catkinpin.core.messages import Finish, Granted
 
 # Between two questions about an attempt whose connection has broken.
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -170,12 +170,12 @@
         table = self.view.table
         if table is None:
             return ServerLimits()
-        manifest_limits = table.routing.limits
+        limits = table.routing.limits
         return ServerLimits(
-            header_bytes=manifest_limits.max_header_bytes,
-            body_bytes=manifest_limits.max_body_bytes,
-            header_timeout_s=manifest_limits.header_timeout_ms / _MS,
-            idle_timeout_s=manifest_limits.idle_timeout_ms / _MS,
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / _MS,
+            idle_timeout_s=limits.idle_timeout_ms / _MS,
         )
 
     def _server_gone(self, instance: Instance) -> None:
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -150,7 +150,7 @@
             program=call.program,
             previous=call.previous if route.keeps_history else "",
             budget=call.budget,
-            max_bytes=call.max_tokens,
+            max_tokens=call.max_tokens,
             retain_ms=route.retain_ms,
             at_ms=0,
             left_ms=call.program_left_ms,
--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import codec, decisions
-from catkinpin.core.control import protocol
+from catkinpin.core.control import state
 from catkinpin.core.control.ledger import Outcome
 from catkinpin.core.control.servers import Instance, ServerState
 from catkinpin.core.programs.quarantine import Quarantine
@@ -68,7 +68,7 @@
         on_expired: Callable[[list[str]], None],
         on_quarantined: Callable[[list[str]], None],
     ) -> None:
-        self.state = protocol.ControlState(
+        self.state = state.ControlState(
             on_routing, on_fleet, on_expired, on_quarantined
         )
         self._quarantine = Quarantine()
@@ -87,7 +87,7 @@
 
     def apply(self, index: int, payload: bytes) -> None:
         """Applies a committed record and answers whoever proposed it."""
-        record = protocol.record_decoder.decode(payload)
+        record = state.record_decoder.decode(payload)
         out = self.state.apply(index, record)
         waiting = self._waiting.pop(record.tag, None)
         if waiting is not None and not waiting.fut.done():
@@ -145,7 +145,7 @@
         fut: asyncio.Future[Outcome | NotLeading]
         fut = asyncio.get_running_loop().create_future()
         self._waiting[tag] = _Waiting(fut)
-        record = protocol.Record(tag=tag, body=body)
+        record = state.Record(tag=tag, body=body)
         self.group.propose(codec.encode(record))
         try:
             async with asyncio.timeout(wait_s):
@@ -168,7 +168,7 @@
             return NotLeading("not the leader")
         if routing.version <= self.state.version:
             return None
-        out = await self.propose(protocol.SetRouting(routing=routing), wait_s)
+        out = await self.propose(state.SetRouting(routing=routing), wait_s)
         return out if isinstance(out, NotLeading) else None
 
     async def announce(
@@ -185,7 +185,7 @@
             self._last_sequence[instance.id] = instance.sequence
         if not self.state.fleet.is_news(instance):
             return None
-        out = await self.propose(protocol.Announce(instance=instance), wait_s)
+        out = await self.propose(state.Announce(instance=instance), wait_s)
         if isinstance(out, NotLeading):
             return out
         decisions.note(
@@ -222,9 +222,7 @@
         )
         if not quarantined:
             return None
-        out = await self.propose(
-            protocol.Quarantine(contents=quarantined), wait_s
-        )
+        out = await self.propose(state.Quarantine(contents=quarantined), wait_s)
         return out if isinstance(out, NotLeading) else None
 
     def silent_servers(self) -> list[Instance]:
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -25,12 +25,18 @@
 from catkinpin.exceptions import PeerLostError, StorageError
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from catkinpin.adapters.http.server import Request, Responder
     from catkinpin.adapters.replica.groups import Group
-    from catkinpin.adapters.running import ControlHandler
     from catkinpin.core.control.routes import Routing
     from catkinpin.core.control.servers import Instance
     from catkinpin.roles import KeeperSettings
 
+    ControlHandler = Callable[
+        ["Keeper"], Callable[[Request, Responder], Awaitable[None]]
+    ]
+
 log = logging.getLogger(__name__)
 
 ROLE = "keeper"
--- a/catkinpin/adapters/replica/controlhost.py
+++ b/catkinpin/adapters/replica/controlhost.py
@@ -23,7 +23,7 @@
     from collections.abc import Iterable
 
     from catkinpin.adapters.peers import links
-    from catkinpin.adapters.replica.process import Replica
+    from catkinpin.adapters.replica.context import ReplicaContext
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +34,7 @@
 class ControlHost:
     """The control group's state, and what its leader answers."""
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(self, replica: ReplicaContext) -> None:
         self._replica = replica
         self._reported: dict[str, changes.ServerFacts] = {}
         self.state = control.Control()
--- a/catkinpin/adapters/replica/groups.py
+++ b/catkinpin/adapters/replica/groups.py
@@ -16,11 +16,13 @@
 from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Iterable
 
     from catkinpin.adapters.disk.grouplog import GroupLog
-    from catkinpin.adapters.replica.node import Node
+    from catkinpin.adapters.replica.heartbeats import Outbox
     from catkinpin.core.consensus.messages import Entry
+    from catkinpin.core.consensus.state import Timing
 
 log = logging.getLogger(__name__)
 
@@ -51,6 +53,50 @@
         """
 
 
+class GroupNode(Protocol):
+    """The replica process as one of its groups sees it.
+
+    Attributes:
+        identity: who this replica is.
+        rng: draws election timeouts.
+        heartbeats: those that leave at the end of this turn of the loop.
+    """
+
+    identity: str
+    rng: random.Random
+    heartbeats: Outbox
+
+    @property
+    def timing(self) -> Timing:
+        """Times of heartbeats and elections."""
+
+    @property
+    def begun_ms(self) -> int | None:
+        """When this process began, None where that is not known."""
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the disk is full."""
+
+    def now_ms(self) -> int:
+        """Returns monotonic time."""
+
+    def sync(self) -> None:
+        """Syncs what all groups have written."""
+
+    def may_lead(self, group: Group) -> bool:
+        """Returns whether the state that a leader depends on is current."""
+
+    def send(self, node: str, message: Any) -> None:
+        """Sends to a replica; dropped where it can't be reached."""
+
+    def wake(self, group: Group) -> None:
+        """Has a group's commands carried out at the end of this turn."""
+
+    def fail(self, exc: Exception) -> None:
+        """Gives up after an error that can't be undone."""
+
+
 class Group:
     """This replica's part in a log group.
 
@@ -61,7 +107,7 @@
     """
 
     def __init__(
-        self, node: Node, group_log: GroupLog, machine: StateMachine
+        self, node: GroupNode, group_log: GroupLog, machine: StateMachine
     ) -> None:
         self.name = group_log.name
         self.log = group_log
@@ -284,7 +330,7 @@
         self.log.save_snapshot(
             snapshot, base, index.term_at(base), index.members_at(base)
         )
-        self._node.storage.sync()
+        self._node.sync()
         self._core.compact(applied, base)
 
     def _before_sync(self, command: commands.Command) -> bool:
--- a/catkinpin/adapters/replica/heartbeats.py
+++ b/catkinpin/adapters/replica/heartbeats.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from catkinpin.adapters.replica import transport
 from catkinpin.core.consensus.messages import Heartbeat, HeartbeatReply
@@ -13,7 +13,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from catkinpin.adapters.replica.groups import Group
+
+class HeartbeatHandler(Protocol):
+    """A group that takes part in heartbeats."""
+
+    def heartbeat(self, sender: str, heartbeat: Heartbeat, now_ms: int) -> bool:
+        """Handles a heartbeat; returns whether a plain answer will do."""
+
+    def handle_heartbeat_reply(
+        self, sender: str, reply: HeartbeatReply, now_ms: int
+    ) -> None:
+        """Handles the answer to a heartbeat."""
 
 
 class Outbox:
@@ -43,7 +53,9 @@
 
 
 def handle(
-    message: transport.Heartbeats, groups: Mapping[str, Group], now_ms: int
+    message: transport.Heartbeats,
+    groups: Mapping[str, HeartbeatHandler],
+    now_ms: int,
 ) -> transport.HeartbeatReplies:
     """Takes heartbeats; returns the answer for those with nothing new."""
     names, terms = [], []
@@ -69,7 +81,7 @@
 
 def handle_replies(
     message: transport.HeartbeatReplies,
-    groups: Mapping[str, Group],
+    groups: Mapping[str, HeartbeatHandler],
     now_ms: int,
 ) -> None:
     """Takes answers to heartbeats."""
--- a/catkinpin/adapters/replica/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -164,6 +164,10 @@
         """
         return bool(self._unsynced)
 
+    def sync(self) -> None:
+        """Syncs what all groups have written."""
+        self.storage.sync()
+
     def add_group(self, name: str, machine: StateMachine) -> Group:
         """Adds a group before the start."""
         group = Group(self, self.storage.group(name), machine)
--- a/catkinpin/adapters/replica/shardhost.py
+++ b/catkinpin/adapters/replica/shardhost.py
@@ -23,14 +23,14 @@
     from collections.abc import Iterable
 
     from catkinpin.adapters.peers import links
-    from catkinpin.adapters.replica.process import Replica
+    from catkinpin.adapters.replica.context import ReplicaContext
 _decoder = codec.decoder(records.ShardRecord)
 
 
 class ShardHost:
     """A program shard: its log group, its state and its leader's part."""
 
-    def __init__(self, replica: Replica, name: str) -> None:
+    def __init__(self, replica: ReplicaContext, name: str) -> None:
         self._replica = replica
         self._leading = False
         self._tasks: set[asyncio.Task[bool]] = set()
--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -18,11 +18,11 @@
 from catkinpin.exceptions import CatkinpinError
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
     from catkinpin.adapters.gateway.headers import HeaderCodec
     from catkinpin.adapters.http.server import Request, Responder
-    from catkinpin.adapters.keeper.process import Keeper
+    from catkinpin.adapters.keeper.process import ControlHandler
     from catkinpin.roles import (
         GatewaySettings,
         KeeperSettings,
@@ -30,10 +30,6 @@
         StoreSettings,
     )
 
-    ControlHandler = Callable[
-        [Keeper], Callable[[Request, Responder], Awaitable[None]]
-    ]
-
 log = logging.getLogger(__name__)
 
 # Settings may change without a signal; a read of a small file costs little.
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -1,85 +1,20 @@
-"""The control group's state, and what gateways and keepers say to each other.
+"""Messages between gateways, keepers and stores.
 
-A keeper is a replica of the control group: it holds the routes, the servers
-and the programs' ledger. A gateway serves callers and asks the leader.
+A gateway serves callers and asks the keeper that leads the control group;
+keepers publish what has changed. `ask` is the number that correlates a
+request and its reply.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from catkinpin import codec
 from catkinpin.codec import Message
-from catkinpin.core.control.ledger import (
-    Begin,
-    Finish,
-    Ledger,
-    LedgerState,
-    Link,
-    Moved,
-    Outcome,
-)
+from catkinpin.core.control.ledger import Begin, Finish, Link
 from catkinpin.core.control.routes import PackedRouting
-from catkinpin.core.control.servers import Fleet, Instance
-from catkinpin.core.control.stores import Register, Retire, Store, Stores
+from catkinpin.core.control.servers import Instance
+from catkinpin.core.control.stores import Store
 from catkinpin.core.messages import Hello, Ping
 from catkinpin.core.placement.urgency import ProgramStatus
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-
-# Contents that stay quarantined, 32 bytes each; a day has a handful.
-_MAX_QUARANTINED = 4_096
-
-
-class SetRouting(Message, frozen=True):
-    """Puts a routing document in force where its version is higher."""
-
-    routing: PackedRouting
-
-
-class Announce(Message, frozen=True):
-    """Takes what a server says of itself."""
-
-    instance: Instance
-
-
-class Quarantine(Message, frozen=True):
-    """Quarantines requests' contents, by digest in hex."""
-
-    contents: list[str]
-
-
-class Record(Message, frozen=True):
-    """One record of the control group's log.
-
-    Attributes:
-        tag: lets the proposer find whom to answer.
-    """
-
-    tag: str
-    body: (
-        SetRouting
-        | Announce
-        | Begin
-        | Finish
-        | Moved
-        | Register
-        | Retire
-        | Quarantine
-    )
-
-
-class ControlSnapshot(Message, frozen=True):
-    """Content of a snapshot."""
-
-    routing: PackedRouting | None
-    instances: list[Instance]
-    ledger: LedgerState
-    stores: list[Store]
-    quarantined: list[str]
-
 
 class HostInfo(Message, frozen=True):
     """A keeper or a store introduces itself.
@@ -338,100 +273,3 @@
     | QuarantineUpdate
     | Got
 )
-
-
-class ControlState:
-    """The state machine of the control group.
-
-    Args:
-        on_routing: called when another routing document is in force.
-        on_fleet: called with the servers that changed.
-        on_expired: called with turns whose bytes are needed no more.
-        on_quarantined: called with contents that are quarantined from now on.
-    """
-
-    def __init__(
-        self,
-        on_routing: Callable[[], None] = lambda: None,
-        on_fleet: Callable[[list[Instance]], None] = lambda _: None,
-        on_expired: Callable[[list[str]], None] = lambda _: None,
-        on_quarantined: Callable[[list[str]], None] = lambda _: None,
-    ) -> None:
-        self.quarantined: dict[str, None] = {}
-        self._on_quarantined = on_quarantined
-        self.routing: PackedRouting | None = None
-        self.fleet = Fleet()
-        self.ledger = Ledger()
-        self.stores = Stores()
-        self.index = 0
-        self._on_routing = on_routing
-        self._on_fleet = on_fleet
-        self._on_expired = on_expired
-
-    @property
-    def version(self) -> int:
-        """Version of the routing document in force, -1 for none."""
-        return self.routing.version if self.routing is not None else -1
-
-    def apply(self, index: int, record: Record) -> Outcome:
-        """Applies a committed record."""
-        self.index = index
-        body = record.body
-        out = Outcome()
-        match body:
-            case SetRouting():
-                if body.routing.version > self.version:
-                    self.routing = body.routing
-                    self._on_routing()
-            case Announce():
-                changed = self.fleet.apply(body.instance)
-                if changed:
-                    self._on_fleet(changed)
-            case Begin():
-                out = self.ledger.begin(body)
-            case Finish():
-                out = self.ledger.finish(body)
-            case Moved():
-                self.ledger.moved(body)
-            case Register():
-                self.stores.register(body.store)
-            case Retire():
-                self.stores.retire(body.name)
-            case Quarantine():
-                self._quarantine(body.contents)
-        if out.expired:
-            self._on_expired(out.expired)
-        return out
-
-    def snapshot(self) -> bytes:
-        """Returns the whole state."""
-        state = ControlSnapshot(
-            routing=self.routing,
-            instances=self.fleet.state(),
-            ledger=self.ledger.state(),
-            stores=list(self.stores.by_node.values()),
-            quarantined=list(self.quarantined),
-        )
-        return codec.encode(state)
-
-    def restore(self, index: int, data: bytes) -> None:
-        """Replaces the whole state."""
-        state = _state_decoder.decode(data)
-        self.index = index
-        self.routing = state.routing
-        self.fleet.restore(state.instances)
-        self.ledger.restore(state.ledger)
-        self.stores.by_node = {store.node: store for store in state.stores}
-        self.quarantined = dict.fromkeys(state.quarantined)
-        self._on_routing()
-        self._on_fleet(list(self.fleet.servers.values()))
-
-    def _quarantine(self, contents: list[str]) -> None:
-        self.quarantined.update(dict.fromkeys(contents))
-        while len(self.quarantined) > _MAX_QUARANTINED:
-            del self.quarantined[next(iter(self.quarantined))]
-        self._on_quarantined(contents)
-
-
-_state_decoder = codec.decoder(ControlSnapshot)
-record_decoder = codec.decoder(Record)
--- a/catkinpin/core/operations/leader.py
+++ b/catkinpin/core/operations/leader.py
@@ -46,7 +46,7 @@
     """Who waits for a record's outcome.
 
     Attributes:
-        content: tells apart what was asked for under one id.
+        content: tells apart requests of different content under one id.
     """
 
     incarnation: str
@@ -134,7 +134,7 @@
                 key = record.fingerprint.hex()
                 commands = [
                     Send(waiter.incarnation, changes.Done(ask=waiter.ask))
-                    for waiter in self._take_waiters(key, _content(record))
+                    for waiter in self._take_waiters(key, _kind_of(record))
                 ]
             case (
                 changes.PlanMade()
@@ -295,7 +295,7 @@
                 )
             ]
         record = changes.PlanMade(at_ms=wall_ms, plan=made)
-        self._wait(info, make.ask, make.plan_id, _content(record))
+        self._wait(info, make.ask, make.plan_id, _kind_of(record))
         return [Propose(record)]
 
     def _confirm(
@@ -313,7 +313,7 @@
         record = changes.PlanConfirmed(
             at_ms=wall_ms, plan_id=msg.plan_id, operator=msg.operator
         )
-        self._wait(info, msg.ask, msg.plan_id, _content(record))
+        self._wait(info, msg.ask, msg.plan_id, _kind_of(record))
         return [Propose(record)]
 
     def _rest_has_changed(self, run: PlanRun) -> list[str]:
@@ -334,7 +334,7 @@
         stop = isinstance(msg, changes.StopPlan)
         kind = changes.PlanStopped if stop else changes.PlanUndone
         record = kind(at_ms=wall_ms, plan_id=msg.plan_id, operator=msg.operator)
-        self._wait(info, msg.ask, msg.plan_id, _content(record))
+        self._wait(info, msg.ask, msg.plan_id, _kind_of(record))
         return [Propose(record)]
 
     def _wait(
@@ -360,7 +360,7 @@
         plan_id = record.plan.plan_id if made else record.plan_id
         return [
             self._shown(waiter.incarnation, waiter.ask, plan_id, outcome or [])
-            for waiter in self._take_waiters(plan_id, _content(record))
+            for waiter in self._take_waiters(plan_id, _kind_of(record))
         ]
 
     def _shown(
@@ -390,7 +390,7 @@
             record = changes.Quarantined(
                 fingerprint=msg.fingerprint, reason=msg.reason, at_ms=wall_ms
             )
-        self._wait(info, msg.ask, msg.fingerprint.hex(), _content(record))
+        self._wait(info, msg.ask, msg.fingerprint.hex(), _kind_of(record))
         return [Propose(record)]
 
     def _order_result(
@@ -502,7 +502,7 @@
         return Send(info.incarnation, status)
 
 
-def _content(record: changes.ControlRecord) -> bytes:
+def _kind_of(record: changes.ControlRecord) -> bytes:
     return type(record).__name__.encode()
 
 
--- a/catkinpin/core/placement/assignment.py
+++ b/catkinpin/core/placement/assignment.py
@@ -8,7 +8,7 @@
 
 from catkinpin import digest
 from catkinpin.core.messages import ProgramKey
-from catkinpin.core.placement import limits, scheduler
+from catkinpin.core.placement import jobs, limits
 from catkinpin.core.programs import sharding
 from catkinpin.core.programs.quarantine import CRASHES_ALLOWED
 from catkinpin.core.programs.records import Choice, ProgramLimits
@@ -25,7 +25,8 @@
     )
     from catkinpin.core.operations.deployments import Configuration, Deployment
     from catkinpin.core.placement.ejection import Outliers
-    from catkinpin.core.placement.scheduler import Decision, Job, Scheduler
+    from catkinpin.core.placement.jobs import Decision, Job
+    from catkinpin.core.placement.scheduler import Scheduler
     from catkinpin.core.placement.servers import Server
     from catkinpin.core.programs.commands import EntryRef
     from catkinpin.core.programs.program import Attempt, Call, Program
@@ -149,7 +150,7 @@
         while waiting:
             decision = waiting.pop(0)
             job = self._jobs.get(decision.key)
-            if isinstance(decision, scheduler.Place):
+            if isinstance(decision, jobs.Place):
                 server = decision.server.report.server
                 if job is not None and self._must_wait(job, server):
                     waiting += self.ended(decision.key, now_ms)
@@ -319,7 +320,7 @@
         without.update(self._suspect_servers() if suspect else ())
         history = program.history_tokens if program is not None else 0
         parent = program.parent if program is not None else begin.parent
-        job = scheduler.Job(
+        job = jobs.Job(
             key=begin.key,
             kind=begin.kind,
             target=begin.target,
@@ -347,7 +348,7 @@
         return job
 
 
-def _rejected(decision: scheduler.Reject) -> Rejected:
+def _rejected(decision: jobs.Reject) -> Rejected:
     return Rejected(
         decision.key, decision.reason, decision.text, decision.retry_after_ms
     )
--- a/catkinpin/core/placement/candidates.py
+++ b/catkinpin/core/placement/candidates.py
@@ -10,7 +10,7 @@
 from catkinpin.core.messages import ProgramKey
 
 if TYPE_CHECKING:
-    from catkinpin.core.placement.scheduler import Job
+    from catkinpin.core.placement.jobs import Job
     from catkinpin.core.placement.servers import Server
 
 # Costs are worked out for so many servers at most.
--- a/catkinpin/core/placement/scheduler.py
+++ b/catkinpin/core/placement/scheduler.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.core.placement import candidates, waiting
+from catkinpin.core.placement.jobs import Decision, Job, Place, Reject
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
@@ -21,7 +22,6 @@
     from catkinpin.core.messages import (
         CallKey,
         ProgramKey,
-        ServerReport,
         Usage,
     )
     from catkinpin.core.placement.servers import Server, ServerView
@@ -31,80 +31,6 @@
 _LEARNING = 0.05
 
 
-@dataclasses.dataclass(frozen=True)
-class Job:
-    """A call that waits for a server, and what is known of its program.
-
-    Attributes:
-        prompt_tokens: upper bound of the request's tokens; the scheduler
-            puts its estimate of the whole prompt in its place.
-        stored_tokens: history that goes before the request, which leaves it
-            out.
-        history_tokens: tokens of the program's history so far.
-        turns: calls of the program that have been answered.
-        attained_tokens: tokens the program has been served so far.
-        region: region of the caller's entry.
-        last_server: the server that last answered the program, or empty.
-        priority: of the deployment; higher goes first.
-        deadline_ms: monotonic time after which nobody waits for the answer.
-        without: servers that failed this call, or that failed many.
-        suspect: whether the call was aboard a server that crashed.
-        content: digest of all that a server would get.
-        allowed: whether the configuration lets the call go to a server; asked
-            at each placement, since it may change while the call waits.
-        bound_tokens: the upper bound as it came; the scheduler's own note.
-        deployment: name of the deployment that lets the call run.
-        interactive: whether someone waits at a screen.
-        parent: id of the program that started this one, or empty.
-        shared_tokens: leading tokens that the parent's history holds too; of
-            a program without a parent, those that others begin with as well.
-    """
-
-    key: CallKey
-    kind: str
-    target: str
-    prompt_tokens: int = 0
-    stored_tokens: int = 0
-    history_tokens: int = 0
-    max_tokens: int = 0
-    turns: int = 0
-    attained_tokens: int = 0
-    region: str = ""
-    last_server: str = ""
-    priority: int = 0
-    deadline_ms: int = 0
-    without: tuple[str, ...] = ()
-    suspect: bool = False
-    content: bytes = b""
-    allowed: Callable[[ServerReport], bool] = lambda _: True
-    bound_tokens: int = 0
-    deployment: str = ""
-    interactive: bool = False
-    parent: str = ""
-    shared_tokens: int = 0
-
-
-@dataclasses.dataclass(frozen=True)
-class Place:
-    """Decision: the call goes to this server now."""
-
-    key: CallKey
-    server: Server
-
-
-@dataclasses.dataclass(frozen=True)
-class Reject:
-    """Decision: the call gets no server; its caller hears so at once."""
-
-    key: CallKey
-    reason: Reason
-    text: str
-    retry_after_ms: int = 0
-
-
-Decision = Place | Reject
-
-
 @dataclasses.dataclass(frozen=True)
 class WaitPlan:
     """How calls may wait for a better server.
--- a/catkinpin/core/placement/waiting.py
+++ b/catkinpin/core/placement/waiting.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from catkinpin.core.messages import CallKey
-    from catkinpin.core.placement.scheduler import Job
+    from catkinpin.core.placement.jobs import Job
 
 OrderKey = tuple[int, ...]
 Order = Callable[["Job", int], OrderKey]
--- a/catkinpin/core/programs/explanations.py
+++ b/catkinpin/core/programs/explanations.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from catkinpin.core.placement.candidates import Cost
-    from catkinpin.core.placement.scheduler import Job
+    from catkinpin.core.placement.jobs import Job
     from catkinpin.core.placement.servers import Server
 
 _MAX_CALLS = 250
--- a/catkinpin/core/programs/leader.py
+++ b/catkinpin/core/programs/leader.py
@@ -28,7 +28,8 @@
 
     from catkinpin.core.messages import Begin, CallKey, ProgramKey
     from catkinpin.core.operations.deployments import Configuration, Deployment
-    from catkinpin.core.placement.scheduler import Decision, Scheduler
+    from catkinpin.core.placement.jobs import Decision
+    from catkinpin.core.placement.scheduler import Scheduler
     from catkinpin.core.programs.shard import Shard
 
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -93,7 +93,7 @@
 
     def test_with_votes_against_a_leader_that_is_heard(self) -> None:
         with mock.patch.object(
-            state.State, "hears_leader", lambda state, now_ms: False
+            state.State, "has_recent_heartbeat", lambda state, now_ms: False
         ):
             self.assert_fails(149, 3, simulation.Simulation, "two leases")
 
--- a/tests/test_joined.py
+++ b/tests/test_joined.py
@@ -78,7 +78,7 @@
         done = self._run("r1")
         self.assertEqual(0, done.returncode, done.stderr)
         self.assertIn("+0 ms gateway-1 failed request", done.stdout)
-        self.assertIn("+250 ms keeper-2 struck", done.stdout)
+        self.assertIn("+250 ms keeper-2 crash-report", done.stdout)
         self.assertNotIn('"r2"', done.stdout)
 
     def test_command_says_so_where_no_line_names_the_request(self) -> None:
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -14,7 +14,10 @@
 import sys
 sys.path.insert(0, "platform")
 import control, names, settings
-from catkinpin import gateway, keeper, processes, store
+from catkinpin.adapters import running
+from catkinpin.adapters.gateway import process as gateway
+from catkinpin.adapters.keeper import process as keeper
+from catkinpin.adapters.store import process as store
 print([n for n in ("pydantic", "sanic", "aiohttp", "grpc") if n in sys.modules])
 """
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,7 +9,7 @@
 
 from bench import variants, workloads, world
 from catkinpin.core import messages
-from catkinpin.core.placement import candidates, scheduler, servers
+from catkinpin.core.placement import candidates, jobs, scheduler, servers
 from catkinpin.verdicts import Reason
 from tests import base
 from tests.test_operators import command
@@ -33,20 +33,20 @@
     return msgspec.structs.replace(report, **fields)
 
 
-def _job(program: str, tokens: int = 100, **fields: object) -> scheduler.Job:
+def _job(program: str, tokens: int = 100, **fields: object) -> jobs.Job:
     turn = fields.get("turns", 0)
     key = messages.CallKey(
         account="ruegg", program=program, request_id=f"{program}-{turn}"
     )
-    job = scheduler.Job(key, "model", "berater", prompt_tokens=tokens)
+    job = jobs.Job(key, "model", "berater", prompt_tokens=tokens)
     return dataclasses.replace(job, **fields)  # type: ignore[arg-type]
 
 
-def _places(decisions: list[scheduler.Decision]) -> dict[str, str]:
+def _places(decisions: list[jobs.Decision]) -> dict[str, str]:
     return {
         one.key.program: one.server.report.server
         for one in decisions
-        if isinstance(one, scheduler.Place)
+        if isinstance(one, jobs.Place)
     }
 
 
@@ -76,13 +76,13 @@
 
         Those beyond the bound hear at once that their call did not run.
         """
-        jobs = self.scheduler(max_waiting=2)
-        placed = [jobs.submit(_job(f"p{n}"), 0) for n in range(4)]
+        calls = self.scheduler(max_waiting=2)
+        placed = [calls.submit(_job(f"p{n}"), 0) for n in range(4)]
         self.assertEqual(4, sum(len(_places(one)) for one in placed))
-        self.assertEqual([], jobs.submit(_job("p4"), 0))
-        self.assertEqual([], jobs.submit(_job("p5"), 0))
-        (refused,) = jobs.submit(_job("p6"), 0)
-        assert isinstance(refused, scheduler.Reject)
+        self.assertEqual([], calls.submit(_job("p4"), 0))
+        self.assertEqual([], calls.submit(_job("p5"), 0))
+        (refused,) = calls.submit(_job("p6"), 0)
+        assert isinstance(refused, jobs.Reject)
         self.assertEqual(Reason.OVERLOADED, refused.reason)
         self.assertGreater(refused.retry_after_ms, 0)
 
@@ -96,7 +96,7 @@
         self.assertEqual([], self.jobs.submit(_job("q", deadline_ms=900), 0))
         self.assertEqual([], self.jobs.tick(800))
         (refused,) = self.jobs.tick(900)
-        assert isinstance(refused, scheduler.Reject)
+        assert isinstance(refused, jobs.Reject)
         self.assertEqual(Reason.DEADLINE, refused.reason)
 
     def test_contexts_of_active_programs_fit_in_the_cache(self) -> None:
@@ -138,18 +138,18 @@
         A large one would wait for ever; once it has waited for the bound, no
         other gets room before it.
         """
-        jobs = self.scheduler(starved_after_ms=1_000)
+        calls = self.scheduler(starved_after_ms=1_000)
         for number in range(3):
-            jobs.submit(_job(f"p{number}", 2_900), 0)
-        self.assertEqual([], jobs.submit(_job("large", 5_000), 0))
-        jobs.tick(1_000)
-        self.assertEqual([], jobs.submit(_job("small", 100), 1_001))
+            calls.submit(_job(f"p{number}", 2_900), 0)
+        self.assertEqual([], calls.submit(_job("large", 5_000), 0))
+        calls.tick(1_000)
+        self.assertEqual([], calls.submit(_job("small", 100), 1_001))
         placed = {}
         for number in range(3):
             job = _job(f"p{number}")
-            placed.update(_places(jobs.ended(job.key, 1_100)))
-            jobs.program_ended(job.key.program_key)
-            placed.update(_places(jobs.tick(1_100 + number)))
+            placed.update(_places(calls.ended(job.key, 1_100)))
+            calls.program_ended(job.key.program_key)
+            placed.update(_places(calls.tick(1_100 + number)))
         self.assertEqual(["large", "small"], list(placed))
 
     def test_call_of_one_deployment_does_not_hold_up_others(self) -> None:
