--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -16,6 +16,7 @@
 from catkinpin.adapters.keeper.host import NotLeading
 from catkinpin.adapters.peers import keepers, links
 from catkinpin.adapters.replica import mesh, node, transport
+from catkinpin.adapters.replica.config import NodeConfig
 from catkinpin.adapters.replica.founding import Joining
 from catkinpin.adapters.store.turnserver import TurnServer
 from catkinpin.adapters.tasks import Tasks
@@ -72,7 +73,7 @@
         self.incarnation = uuid.uuid4().hex[:12]
         self.address = cfg.peer_listen
         self.node = node.Node(
-            node.NodeConfig(
+            NodeConfig(
                 cfg.data_folder,
                 tuple(cfg.seeds),
                 cfg.snapshot_entries,
--- a/catkinpin/adapters/replica/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -11,23 +11,24 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import clock
-from catkinpin.adapters.disk.storage import SEGMENT_BYTES, Storage
+from catkinpin.adapters.disk.storage import Storage
 from catkinpin.adapters.replica import heartbeats, mesh, transport
-from catkinpin.adapters.replica.founding import Founding, Joining
+from catkinpin.adapters.replica.founding import Founding
 from catkinpin.adapters.replica.groups import Group
 from catkinpin.adapters.replica.identity import Identity
+from catkinpin.adapters.replica.slowdisk import SlowDisk
+from catkinpin.adapters.replica.snapshotting import Snapshots
 from catkinpin.core.consensus.messages import Members
-from catkinpin.core.consensus.state import Timing
-from catkinpin.core.control.disks import SyncTimes
 from catkinpin.exceptions import DiskFullError, SettingsError
 
 if TYPE_CHECKING:
-    import pathlib
     from collections.abc import Callable
 
+    from catkinpin.adapters.replica.config import NodeConfig
     from catkinpin.adapters.replica.groups import StateMachine
     from catkinpin.core import messages
     from catkinpin.core.consensus import commands
+    from catkinpin.core.consensus.state import Timing
 
 log = logging.getLogger(__name__)
 
@@ -38,38 +39,6 @@
 _MAX_LEAD_DIFFERENCE = 2
 _TRANSFER_S = 1.5
 _MS_PER_S = 1_000
-# A leader with a slow disk stays in office so long; a handover costs 0.1 s, a
-# disk stays slow for some seconds.
-_MIN_LEADING_MS = 1_500
-# Segments that idle groups may keep from being removed.
-_PINNED_SEGMENTS = 4
-_TAIL_SHARE = 4
-# After a snapshot that found no room, until the next one is tried.
-_NO_SNAPSHOT_MS = 1_000
-
-
-@dataclasses.dataclass(frozen=True)
-class NodeConfig:
-    """What a replica's part in its groups depends on.
-
-    Attributes:
-        data_folder: where its log lies.
-        replicas: peer addresses to begin with, its own included.
-        snapshot_entries: records of a group between two of its snapshots.
-        joining: how it takes part without an operator's repair; None: never.
-        segment_bytes: size of the log's files; two or three lie on the disk.
-        timing: of heartbeats and elections.
-        begun_ms: when this process began, by the node's clock, where one node
-            is all that it ever runs; None: that is not known.
-    """
-
-    data_folder: pathlib.Path
-    replicas: tuple[str, ...]
-    snapshot_entries: int
-    joining: Joining | None = None
-    segment_bytes: int = SEGMENT_BYTES
-    timing: Timing = dataclasses.field(default_factory=Timing)
-    begun_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,17 +87,14 @@
         self._cfg = cfg
         self._on_leader = on_leader
         self._on_failure = on_failure
-        self._on_slow_disk = on_slow_disk
         self._on_full_disk = on_full_disk
         self._first = first
         self._woken: dict[str, Group] = {}
         # What waits for a sync that a full disk has kept from being made.
         self._unsynced: list[_Unsynced] = []
-        self._snapshot_ms = 0
         self._announced: dict[str, tuple[int, str]] = {}
-        self._sync_times = SyncTimes()
-        # When this host was last seen to lead nothing.
-        self._idle_ms = 0
+        self._slow_disk = SlowDisk(on_slow_disk)
+        self._snapshots = Snapshots(self.storage, cfg.snapshot_entries)
         self._ticks = 0
         self._started = False
         self._stopped = False
@@ -347,7 +313,7 @@
         now_ms = self.now_ms()
         for group in self.groups.values():
             group.tick(now_ms)
-        self._yield_leadership(now_ms)
+        self._slow_disk.tick(self.groups.values(), now_ms)
         self._ticks += 1
         if self._ticks % _INTRODUCE_TICKS == 0:
             self._founding.tick()
@@ -435,9 +401,9 @@
             one.group.synced(now_ms)
         for one in later:
             one.group.finish_flush(one.rest)
-            self._tell_leader(one.group)
+            self._announce_leader(one.group)
             if one.group.needs_snapshot(self._cfg.snapshot_entries):
-                self._take_snapshot(one.group)
+                self._snapshots.take(one.group, self.groups, now_ms)
         if was_full and self._woken:
             asyncio.get_running_loop().call_soon(self._flush)
 
@@ -453,46 +419,9 @@
     def _sync(self) -> None:
         began_s = time.monotonic()
         if self.storage.sync():
-            self._sync_times.took((time.monotonic() - began_s) * _MS_PER_S)
-
-    def _yield_leadership(self, now_ms: int) -> None:
-        """Hands all groups over while this host's disk is slow.
+            self._slow_disk.synced((time.monotonic() - began_s) * _MS_PER_S)
 
-        All that commit wait for the leader's disk; the others need only some.
-        Where all disks are slow, leaders that change all the time would cost
-        more, so each stays for a while.
-        """
-        led = [group for group in self.groups.values() if group.is_leader()]
-        if not led:
-            self._idle_ms = now_ms
-        leading_ms = now_ms - self._idle_ms
-        if leading_ms < _MIN_LEADING_MS or not self._sync_times.is_slow():
-            return
-        self._sync_times.forget()
-        for group in led:
-            if group.transfer():
-                log.warning("slow disk", extra={"group": group.name})
-                self._on_slow_disk(group)
-
-    def _take_snapshot(self, group: Group) -> None:
-        now_ms = self.now_ms()
-        if now_ms < self._snapshot_ms:
-            return
-        try:
-            self._snapshot(group)
-        except DiskFullError as exc:
-            log.warning("no snapshot: %s", exc, extra={"group": group.name})
-            self._snapshot_ms = now_ms + _NO_SNAPSHOT_MS
-
-    def _snapshot(self, group: Group) -> None:
-        group.take_snapshot(self._cfg.snapshot_entries // _TAIL_SHARE)
-        if self.storage.count() > _PINNED_SEGMENTS:
-            for name in self.storage.pinning():
-                if name in self.groups:
-                    self.groups[name].take_snapshot(0)
-        self.storage.collect()
-
-    def _tell_leader(self, group: Group) -> None:
+    def _announce_leader(self, group: Group) -> None:
         known = (group.term, group.leader)
         if group.leader and self._announced.get(group.name) != known:
             self._announced[group.name] = known
--- a/catkinpin/adapters/replica/process.py
+++ b/catkinpin/adapters/replica/process.py
@@ -17,6 +17,7 @@
     repairs,
     shardhost,
 )
+from catkinpin.adapters.replica.config import NodeConfig
 from catkinpin.core import messages
 from catkinpin.core.operations import changes
 from catkinpin.core.placement import servers
@@ -46,7 +47,7 @@
         self.address = ""
         self._streams: dict[str, links.Stream] = {}
         self.node = node.Node(
-            node.NodeConfig(
+            NodeConfig(
                 cfg.data_folder, tuple(cfg.replicas), cfg.snapshot_entries
             ),
             self._leader_changed,
--- a/catkinpin/core/operations/leader.py
+++ b/catkinpin/core/operations/leader.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 from typing import TYPE_CHECKING, Any
 
 from catkinpin.core import messages
-from catkinpin.core.operations import changes, drafts, plans
+from catkinpin.core.operations import changes, drafts, plans, reports
 from catkinpin.core.operations.leases import LEASE_MS, Leases
 from catkinpin.core.operations.orders import Orders
+from catkinpin.core.operations.waiters import RecordWaiters, Waiter
 from catkinpin.core.programs import sharding
 
 if TYPE_CHECKING:
@@ -41,19 +41,6 @@
 Command = Propose | Send
 
 
-@dataclasses.dataclass(frozen=True)
-class _Waiter:
-    """Who waits for a record's outcome.
-
-    Attributes:
-        content: tells apart requests of different content under one id.
-    """
-
-    incarnation: str
-    ask: int
-    content: bytes = b""
-
-
 class ControlLeader:
     """Leads the control group; its state is lost with the leadership.
 
@@ -74,8 +61,8 @@
         self.leases = Leases(state.processes.values(), now_ms)
         self.connected: dict[str, changes.ProcessInfo] = {}
         self._orders = Orders(state, now_ms)
-        self._waiters: dict[str, list[_Waiter]] = collections.defaultdict(list)
-        self._arriving: dict[str, _Waiter] = {}
+        self._waiters = RecordWaiters()
+        self._arriving: dict[str, Waiter] = {}
         self._empty_since: dict[str, int] = {}
         self._looked_ms = now_ms
 
@@ -109,8 +96,7 @@
 
     def abandon(self) -> list[Command]:
         """Sends those who wait to whoever leads next."""
-        waiters = [w for found in self._waiters.values() for w in found]
-        waiters += self._arriving.values()
+        waiters = [*self._waiters.all(), *self._arriving.values()]
         return [
             Send(
                 waiter.incarnation,
@@ -134,7 +120,7 @@
                 key = record.fingerprint.hex()
                 commands = [
                     Send(waiter.incarnation, changes.Done(ask=waiter.ask))
-                    for waiter in self._take_waiters(key, _kind_of(record))
+                    for waiter in self._waiters.remove(key, _kind_of(record))
                 ]
             case (
                 changes.PlanMade()
@@ -207,7 +193,7 @@
             # A lease that the log knows nothing of would be forgotten with
             # this leader, and the next one would call a change in force while
             # its holder still serves under the old configuration.
-            self._arriving[info.incarnation] = _Waiter(
+            self._arriving[info.incarnation] = Waiter(
                 info.incarnation, renew.ask
             )
             return []
@@ -237,7 +223,9 @@
     def _apply(
         self, info: changes.ProcessInfo, change: changes.Apply, wall_ms: int
     ) -> list[Command]:
-        self._wait(info, change.ask, change.request_id, change.content_digest)
+        self._waiters.add(
+            info, change.ask, change.request_id, change.content_digest
+        )
         record = changes.ConfigChanged(
             at_ms=wall_ms,
             request_id=change.request_id,
@@ -252,7 +240,7 @@
     def _answer_change(
         self, record: changes.ConfigChanged, outcome: Any
     ) -> list[Command]:
-        waiters = self._take_waiters(record.request_id, record.content_digest)
+        waiters = self._waiters.remove(record.request_id, record.content_digest)
         return [
             Send(
                 waiter.incarnation,
@@ -295,7 +283,7 @@
                 )
             ]
         record = changes.PlanMade(at_ms=wall_ms, plan=made)
-        self._wait(info, make.ask, make.plan_id, _kind_of(record))
+        self._waiters.add(info, make.ask, make.plan_id, _kind_of(record))
         return [Propose(record)]
 
     def _confirm(
@@ -313,7 +301,7 @@
         record = changes.PlanConfirmed(
             at_ms=wall_ms, plan_id=msg.plan_id, operator=msg.operator
         )
-        self._wait(info, msg.ask, msg.plan_id, _kind_of(record))
+        self._waiters.add(info, msg.ask, msg.plan_id, _kind_of(record))
         return [Propose(record)]
 
     def _rest_has_changed(self, run: PlanRun) -> list[str]:
@@ -334,33 +322,15 @@
         stop = isinstance(msg, changes.StopPlan)
         kind = changes.PlanStopped if stop else changes.PlanUndone
         record = kind(at_ms=wall_ms, plan_id=msg.plan_id, operator=msg.operator)
-        self._wait(info, msg.ask, msg.plan_id, _kind_of(record))
+        self._waiters.add(info, msg.ask, msg.plan_id, _kind_of(record))
         return [Propose(record)]
 
-    def _wait(
-        self, info: changes.ProcessInfo, ask: int, key: str, content: bytes
-    ) -> None:
-        self._waiters[key].append(_Waiter(info.incarnation, ask, content))
-
-    def _take_waiters(self, key: str, content: bytes) -> list[_Waiter]:
-        """Returns all who wait for this; a resend's answer is the same.
-
-        One whose proposal was lost may wait here no more. Were each record to
-        answer only the oldest, the answers of all later ones would go to the
-        one before, and every resend would seem lost too.
-        """
-        waiters = self._waiters.pop(key, [])
-        others = [one for one in waiters if one.content != content]
-        if others:
-            self._waiters[key] = others
-        return [one for one in waiters if one.content == content]
-
     def _answer_plan(self, record: Any, outcome: Any) -> list[Command]:
         made = isinstance(record, changes.PlanMade)
         plan_id = record.plan.plan_id if made else record.plan_id
         return [
             self._shown(waiter.incarnation, waiter.ask, plan_id, outcome or [])
-            for waiter in self._take_waiters(plan_id, _kind_of(record))
+            for waiter in self._waiters.remove(plan_id, _kind_of(record))
         ]
 
     def _shown(
@@ -370,7 +340,9 @@
         answer = changes.PlanShown(
             ask=ask,
             plan=run.plan if run is not None else None,
-            progress=self._progress(run, None) if run is not None else None,
+            progress=reports.plan_progress(run, [], self._orders.note(plan_id))
+            if run is not None
+            else None,
             forecast=run.plan.forecast if run is not None else None,
             problems=problems,
         )
@@ -390,7 +362,9 @@
             record = changes.Quarantined(
                 fingerprint=msg.fingerprint, reason=msg.reason, at_ms=wall_ms
             )
-        self._wait(info, msg.ask, msg.fingerprint.hex(), _kind_of(record))
+        self._waiters.add(
+            info, msg.ask, msg.fingerprint.hex(), _kind_of(record)
+        )
         return [Propose(record)]
 
     def _order_result(
@@ -434,7 +408,7 @@
         for plan_id, run, step in waiting:
             newest = max(run.wrote.values(), default=0)
             busy = self.leases.lacking(newest, now_ms) or any(
-                one.calls for one in usage if _counts(step, one)
+                one.calls for one in usage if reports.counts(step, one)
             )
             if busy:
                 self._empty_since.pop(plan_id, None)
@@ -448,83 +422,19 @@
                 commands.append(Propose(record))
         return commands
 
-    def _progress(
-        self, run: PlanRun, usage: list[plans.Usage] | None
-    ) -> plans.PlanProgress:
-        waits = [s for s in run.steps if isinstance(s, plans.WaitStep)]
-        found = [
-            one
-            for one in usage or []
-            if any(_counts(step, one) for step in waits)
-        ]
-        return plans.PlanProgress(
-            plan_id=run.plan.plan_id,
-            state=run.state,
-            operator=run.operator or run.plan.operator,
-            step=run.step,
-            steps=[step.text for step in run.steps],
-            calls_left=sum(one.calls for one in found),
-            programs_left=sum(one.programs for one in found),
-            note=self._orders.note(run.plan.plan_id),
-        )
-
     def _status(
         self, info: changes.ProcessInfo, get: changes.GetStatus, now_ms: int
     ) -> Send:
-        facts = self._look()
-        processes = [
-            changes.ProcessStatus(
-                process=holder.info.process,
-                incarnation=holder.info.incarnation,
-                role=holder.info.role,
-                domain=holder.info.domain,
-                region=holder.info.region,
-                revision=holder.revision,
-                lease_left_ms=max(0, holder.lapses_ms - now_ms),
-            )
-            for holder in self.leases.holders.values()
-        ]
-        status = changes.Status(
-            ask=get.ask,
-            revision=self._state.revision,
-            operator=self._state.last.operator,
-            processes=sorted(processes, key=lambda one: one.process),
-            servers=[_server_status(facts, r) for r in facts.servers],
-            plans=[
-                self._progress(run, facts.usage)
-                for run in self._state.plans.values()
-            ],
-            quarantined={
-                fingerprint.hex(): reason
-                for fingerprint, reason in self._state.quarantine.items()
-            },
+        status = reports.status(
+            get.ask,
+            self._state,
+            self._look(),
+            self.leases.holders.values(),
+            self._orders.note,
+            now_ms,
         )
         return Send(info.incarnation, status)
 
 
 def _kind_of(record: changes.ControlRecord) -> bytes:
     return type(record).__name__.encode()
-
-
-def _counts(step: plans.WaitStep, usage: plans.Usage) -> bool:
-    whose = step.deployment in ("", usage.deployment)
-    return whose and usage.server in step.servers
-
-
-def _server_status(facts: plans.Facts, report: Any) -> changes.ServerStatus:
-    state = "in use"
-    if facts.cfg.drained(report):
-        state = "drained"
-    if report.leaving:
-        state = "leaving"
-    return changes.ServerStatus(
-        server=report.server,
-        kind=report.kind,
-        serves=report.serves,
-        domain=report.domain,
-        region=report.region,
-        capacity=report.capacity,
-        running=report.running,
-        waiting=report.waiting,
-        state=state,
-    )
--- /dev/null
+++ b/catkinpin/core/operations/reports.py
@@ -0,0 +1,109 @@
+"""What operators are shown of plans, processes and servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from catkinpin.core.operations import changes, plans
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from catkinpin.core.operations.control import Control, PlanRun
+    from catkinpin.core.operations.leases import Holder
+
+
+def plan_progress(
+    run: PlanRun, usage: list[plans.Usage], note: str
+) -> plans.PlanProgress:
+    """Returns how far a plan is.
+
+    Args:
+        run: the plan.
+        usage: what programs have on each server.
+        note: on the orders to engines that it waits for.
+    """
+    waits = [s for s in run.steps if isinstance(s, plans.WaitStep)]
+    found = [one for one in usage if any(counts(step, one) for step in waits)]
+    return plans.PlanProgress(
+        plan_id=run.plan.plan_id,
+        state=run.state,
+        operator=run.operator or run.plan.operator,
+        step=run.step,
+        steps=[step.text for step in run.steps],
+        calls_left=sum(one.calls for one in found),
+        programs_left=sum(one.programs for one in found),
+        note=note,
+    )
+
+
+def status(
+    ask: int,
+    state: Control,
+    facts: plans.Facts,
+    holders: Iterable[Holder],
+    note: Callable[[str], str],
+    now_ms: int,
+) -> changes.Status:
+    """Returns the status of processes, servers and plans.
+
+    Args:
+        ask: number of the request that is answered.
+        state: of the control group.
+        facts: what is known of servers and programs now.
+        holders: of leases.
+        note: returns a note on a plan's orders to engines.
+        now_ms: monotonic time.
+    """
+    processes = [
+        changes.ProcessStatus(
+            process=holder.info.process,
+            incarnation=holder.info.incarnation,
+            role=holder.info.role,
+            domain=holder.info.domain,
+            region=holder.info.region,
+            revision=holder.revision,
+            lease_left_ms=max(0, holder.lapses_ms - now_ms),
+        )
+        for holder in holders
+    ]
+    return changes.Status(
+        ask=ask,
+        revision=state.revision,
+        operator=state.last.operator,
+        processes=sorted(processes, key=lambda one: one.process),
+        servers=[_server_status(facts, r) for r in facts.servers],
+        plans=[
+            plan_progress(run, facts.usage, note(run.plan.plan_id))
+            for run in state.plans.values()
+        ],
+        quarantined={
+            fingerprint.hex(): reason
+            for fingerprint, reason in state.quarantine.items()
+        },
+    )
+
+
+def counts(step: plans.WaitStep, usage: plans.Usage) -> bool:
+    """Returns whether a step waits for these calls to end."""
+    whose = step.deployment in ("", usage.deployment)
+    return whose and usage.server in step.servers
+
+
+def _server_status(facts: plans.Facts, report: Any) -> changes.ServerStatus:
+    state = "in use"
+    if facts.cfg.drained(report):
+        state = "drained"
+    if report.leaving:
+        state = "leaving"
+    return changes.ServerStatus(
+        server=report.server,
+        kind=report.kind,
+        serves=report.serves,
+        domain=report.domain,
+        region=report.region,
+        capacity=report.capacity,
+        running=report.running,
+        waiting=report.waiting,
+        state=state,
+    )
--- a/catkinpin/core/programs/leader.py
+++ b/catkinpin/core/programs/leader.py
@@ -2,31 +2,33 @@
 
 from __future__ import annotations
 
-import collections
 import random
 from typing import TYPE_CHECKING, TypeGuard
 
-from catkinpin.core import messages
 from catkinpin.core.placement import assignment, limits
 from catkinpin.core.placement.ejection import Outliers
-from catkinpin.core.programs import attempts, crashes, effects, records, replies
+from catkinpin.core.programs import crashes, effects, records, replies
+from catkinpin.core.programs.admissions import Admissions
 from catkinpin.core.programs.attempts import Watch
 from catkinpin.core.programs.commands import (
     Command,
     Propose,
-    Send,
 )
 from catkinpin.core.programs.commands import EntryRef as EntryRef
 from catkinpin.core.programs.deadlines import Deadlines
+from catkinpin.core.programs.grants import Grants
 from catkinpin.core.programs.incarnations import Incarnations
-from catkinpin.core.programs.program import Call, ClosedCall, same_request
+from catkinpin.core.programs.outcomes import Outcomes
+from catkinpin.core.programs.program import Call, same_request
+from catkinpin.core.programs.queries import ProgramQueries
 from catkinpin.core.programs.waiters import Waiter, Waiters
-from catkinpin.verdicts import Reason, Verdict
+from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from catkinpin.core.messages import Begin, CallKey, ProgramKey
+    from catkinpin.core import messages
+    from catkinpin.core.messages import Begin, CallKey
     from catkinpin.core.operations.deployments import Configuration, Deployment
     from catkinpin.core.placement.jobs import Decision
     from catkinpin.core.placement.scheduler import Scheduler
@@ -63,10 +65,6 @@
         self._shard = state
         self.cfg = cfg
         self._waiters = Waiters()
-        self._pending: dict[CallKey, Begin] = {}
-        self._pending_programs: collections.Counter[ProgramKey] = (
-            collections.Counter()
-        )
         self._entries: dict[str, EntryRef] = {}
         self._watch = Watch()
         self._incarnations = Incarnations(
@@ -83,6 +81,20 @@
             state, jobs, self.outliers, lambda: self.cfg
         )
         self._gate = crashes.Gate(state, quarantined)
+        self._admissions = Admissions(state, self._gate, self.admission)
+        self._outcomes = Outcomes(
+            state, self._waiters, self._admissions, self.outliers
+        )
+        self._queries = ProgramQueries(state)
+        self._grants = Grants(
+            self._waiters,
+            self._watch,
+            self._deadlines,
+            self._placing,
+            self.admission,
+            self._entries,
+            lambda: self.cfg,
+        )
 
     def start(self, now_ms: int, wall_ms: int) -> list[Command]:
         """Takes over: watches what the log says is under way.
@@ -92,8 +104,8 @@
         for program in self._shard.programs.values():
             self._deadlines.program_seen(program, now_ms, wall_ms)
             for call in program.open.values():
-                self._opened(call, now_ms, wall_ms)
-                self._adopt(call, now_ms)
+                self._grants.opened(call, now_ms, wall_ms)
+                self._grants.resume(call, now_ms)
         commands: list[Command] = []
         for incarnation in self._watch.entries():
             entry = self._entries.get(incarnation)
@@ -108,7 +120,7 @@
     ) -> list[Command]:
         """Admits a call, or attaches to it where it is known already."""
         waiter = Waiter(entry, begin.ask, now_ms, now_ms + begin.deadline_ms)
-        known = self._known(begin.key)
+        known = self._admissions.known(begin.key)
         if known is not None:
             if not same_request(known, begin):
                 text = "this request id was used for another request"
@@ -117,8 +129,8 @@
             return self._attach(begin.key, waiter, now_ms, wall_ms)
         deployment = self.cfg.deployment_for(begin.key.account, begin.target)
         if deployment is None:
-            return [self._refuse_target(waiter, begin)]
-        rejected = self._check(begin, deployment, now_ms)
+            return [self._admissions.refuse_target(waiter, begin)]
+        rejected = self._admissions.check(self.cfg, begin, now_ms)
         if rejected is not None:
             verdict = self._shard.verdict_of(begin.key)
             return [replies.refuse_rejected(waiter, rejected, verdict)]
@@ -137,45 +149,21 @@
             waiter = Waiter(entry, finish.ask, now_ms, now_ms)
             self._waiters.add(finish.key, waiter)
         if not self._shard.is_settled(finish):
-            record = records.AttemptFinished(
-                at_ms=wall,
-                key=finish.key,
-                attempt=finish.attempt,
-                verdict=finish.verdict,
-                reason=finish.reason,
-                text=finish.text,
-                answer=finish.answer,
-                usage=finish.usage,
-                messages=finish.messages,
-                crashed=finish.crashed,
-            )
+            record = self._outcomes.record(finish, wall)
             return [Propose(record)]
-        return self._answer_stale(finish.key, finish.verdict)
+        return self._outcomes.answer_stale(finish.key, finish.verdict)
 
     def get_program(
         self, entry: EntryRef, get: messages.GetProgram
     ) -> list[Command]:
         """Answers with a program's state."""
-        program = self._shard.programs.get(get.key)
-        if program is None:
-            text = f"program {get.key.program!r} is not known"
-            reason = Reason.UNKNOWN_PROGRAM
-            return [replies.refuse(entry, get.ask, reason, text)]
-        root = self._shard.root_of(program)
-        return [Send(entry, replies.program_state(get.ask, program, root))]
+        return self._queries.get_program(entry, get)
 
     def end_program(
         self, entry: EntryRef, end: messages.EndProgram, wall_ms: int
     ) -> list[Command]:
         """Ends a program."""
-        get = messages.GetProgram(ask=end.ask, key=end.key)
-        commands = self.get_program(entry, get)
-        if end.key not in self._shard.programs:
-            return commands
-        record = records.ProgramEnded(
-            at_ms=wall_ms, key=end.key, reason="ended by the caller"
-        )
-        return [Propose(record), *commands]
+        return self._queries.end_program(entry, end, wall_ms)
 
     def release_done(
         self, done: messages.ReleaseDone, wall_ms: int
@@ -268,7 +256,7 @@
         for effect in found:
             commands += self._act(effect, record, now_ms, wall_ms)
         if isinstance(record, records.AttemptFinished):
-            commands += self._answer_stale(record.key, record.verdict)
+            commands += self._outcomes.answer_stale(record.key, record.verdict)
         return commands
 
     def _act(
@@ -280,18 +268,15 @@
     ) -> list[Command]:
         match effect:
             case effects.CallGranted():
-                return self._granted(effect, now_ms, wall_ms)
+                return self._grants.granted(effect, now_ms, wall_ms)
             case effects.CallAnswered():
                 self.admission.closed(effect.key, now_ms, answered=True)
-                return [
-                    replies.final(waiter, effect.key, effect.call)
-                    for waiter in self._waiters.remove_all(effect.key)
-                ]
+                return self._outcomes.answer(effect)
             case effects.CallTurnedDown():
                 self.admission.closed(effect.key, now_ms, answered=False)
                 decisions = self._placing.ended(effect.key, now_ms)
                 return [
-                    *self._refuse_waiters(effect.key, effect.refusal),
+                    *self._outcomes.refuse(effect.key, effect.refusal),
                     *self.decided(decisions, now_ms, wall_ms),
                 ]
             case effects.CallReady():
@@ -299,11 +284,7 @@
                     return self._retry(effect, record, now_ms, wall_ms)
                 return self._place(effect.call.key, now_ms, wall_ms)
             case effects.BeginRejected():
-                verdict = self._shard.verdict_of(effect.begin.key)
-                return [
-                    replies.refuse_rejected(waiter, effect, verdict)
-                    for waiter in self._waiters.remove_all(effect.begin.key)
-                ]
+                return self._outcomes.reject(effect)
             case effects.ProgramOver():
                 self._deadlines.program_over(effect.program, now_ms)
                 self._placing.program_over(effect.program.key)
@@ -313,43 +294,6 @@
 
     # Admission.
 
-    def _known(self, key: CallKey) -> Call | ClosedCall | Begin | None:
-        """Returns the call of this id, also one whose begin is proposed."""
-        found = self._shard.find_open(key)
-        if found is not None:
-            return found[1]
-        return self._shard.find_closed(key) or self._pending.get(key)
-
-    def _refuse_target(self, waiter: Waiter, begin: Begin) -> Send:
-        model = begin.kind == "model"
-        reason = Reason.UNKNOWN_MODEL if model else Reason.UNKNOWN_SERVICE
-        text = f"no deployment lets this account use {begin.target!r}"
-        verdict = self._shard.verdict_of(begin.key)
-        return replies.refuse(
-            waiter.entry, waiter.ask, reason, text, verdict=verdict
-        )
-
-    def _check(
-        self, begin: Begin, deployment: Deployment, now_ms: int
-    ) -> effects.BeginRejected | None:
-        rejected = self._shard.check_begin(begin)
-        if rejected is not None:
-            return rejected
-        content = self._shard.content_of(begin)
-        if self._gate.is_closed(content):
-            text = "this request crashed servers and is quarantined"
-            return effects.BeginRejected(begin, Reason.QUARANTINED, text)
-        scopes = assignment.scopes_of(self.cfg, begin)
-        down = self.admission.check(scopes, begin.deadline_ms, now_ms)
-        if down is None:
-            return None
-        return effects.BeginRejected(
-            begin,
-            Reason.OVERLOADED,
-            down.text,
-            retry_after_ms=down.retry_after_ms,
-        )
-
     def _admit(
         self,
         waiter: Waiter,
@@ -364,7 +308,7 @@
         waits = self._shard.quarantine.must_wait(content)
         scopes = assignment.scopes_of(self.cfg, begin)
         waits = waits or not self.admission.may_start(scopes)
-        if self._is_next(begin) and not waits:
+        if self._admissions.is_next(begin) and not waits:
             outcomes = self._placing.submit_new(begin, now_ms)
             for outcome in outcomes.own:
                 if isinstance(outcome, assignment.Rejected):
@@ -377,12 +321,11 @@
                     verdict = self._shard.verdict_of(begin.key)
                     return [replies.refuse_rejected(waiter, rejected, verdict)]
                 if isinstance(outcome, assignment.Placed):
-                    choice = self._choice(outcome, waiter.entry, begin)
+                    choice = self._grants.choice(outcome, waiter.entry, begin)
             commands += self.decided(outcomes.others, now_ms, wall_ms)
         # The call's own deadline is this waiter's too.
         self._waiters.add(begin.key, waiter)
-        self._pending[begin.key] = begin
-        self._pending_programs[begin.key.program_key] += 1
+        self._admissions.propose(begin)
         self.admission.opened(begin.key, scopes, now_ms)
         self.retries.first_attempt(deployment.name)
         record = records.CallBegun(
@@ -393,17 +336,6 @@
         )
         return [Propose(record), *commands]
 
-    def _is_next(self, begin: Begin) -> bool:
-        key = begin.key.program_key
-        if key in self._pending_programs:
-            return False
-        program = self._shard.programs.get(key)
-        if program is None:
-            return True
-        if program.running() is not None or program.next_call() is not None:
-            return False
-        return begin.seq in (0, program.next_seq)
-
     def _attach(
         self, key: CallKey, waiter: Waiter, now_ms: int, wall_ms: int
     ) -> list[Command]:
@@ -418,17 +350,14 @@
         self._deadlines.waiting(key, waiter)
 
     def _begun(self, key: CallKey, now_ms: int, wall_ms: int) -> list[Command]:
-        if self._pending.pop(key, None) is not None:
-            self._pending_programs[key.program_key] -= 1
-            if not self._pending_programs[key.program_key]:
-                del self._pending_programs[key.program_key]
+        self._admissions.begun(key)
         commands = self._free_server(key, now_ms, wall_ms)
         found = self._shard.find_open(key)
         if found is None:
             self.admission.closed(key, now_ms, answered=False)
             return commands
         program, call = found
-        self._opened(call, now_ms, wall_ms)
+        self._grants.opened(call, now_ms, wall_ms)
         self._deadlines.program_seen(program, now_ms, wall_ms)
         return commands
 
@@ -465,14 +394,11 @@
         """Tries a call again, within its deployment's retry budget."""
         call = effect.call
         loaded = record.reason is not Reason.NOT_READY
-        if loaded and not self.retries.spend(self._deployment_name(call.begin)):
-            refusal = records.CallRefused(
-                at_ms=wall_ms,
-                key=call.key,
-                reason=Reason.OVERLOADED,
-                text=f"servers fail and retries are used up: {record.text}",
-                verdict=call.verdict,
-                retry_after_ms=limits.backoff_ms(call.attempts + 4, self._rng),
+        if loaded and not self.retries.spend(
+            self._grants.deployment_name(call.begin)
+        ):
+            refusal = self._outcomes.refuse_retry(
+                call, record, self._rng, wall_ms
             )
             return [Propose(refusal)]
         wait = limits.backoff_ms(call.attempts, self._rng)
@@ -485,7 +411,7 @@
         self, placed: assignment.Placed, now_ms: int, wall_ms: int
     ) -> list[Command]:
         waiter = self._waiters.for_grant(placed.key)
-        begin = self._begin_of(placed.key)
+        begin = self._admissions.begin_of(placed.key)
         if waiter is None or begin is None:
             # Nobody could use the grant; the server's room goes to others.
             decisions = self._placing.ended(placed.key, now_ms)
@@ -493,47 +419,10 @@
         record = records.AttemptStarted(
             at_ms=wall_ms,
             key=placed.key,
-            choice=self._choice(placed, waiter.entry, begin),
+            choice=self._grants.choice(placed, waiter.entry, begin),
         )
         return [Propose(record)]
 
-    def _begin_of(self, key: CallKey) -> Begin | None:
-        found = self._shard.find_open(key)
-        return found[1].begin if found is not None else self._pending.get(key)
-
-    def _choice(
-        self, placed: assignment.Placed, entry: EntryRef, begin: Begin
-    ) -> records.Choice:
-        deployment = self._deployment(begin)
-        priority = deployment.priority if deployment is not None else 0
-        entries = list(self._entries.values())
-        return assignment.choice_of(placed, entry, entries, priority)
-
-    def _granted(
-        self, effect: effects.CallGranted, now_ms: int, wall_ms: int
-    ) -> list[Command]:
-        call = effect.call
-        attempt = call.attempt
-        assert attempt is not None
-        self.admission.started(call.key, now_ms)
-        incarnation = attempt.choice.entry_incarnation
-        waiter = self._waiters.for_grant(call.key, incarnation)
-        if waiter is None:
-            # The grant never left this process, so the request did not run.
-            record = attempts.never_sent(call.key, attempt.attempt, wall_ms)
-            return [Propose(record)]
-        self._waiters.remove(call.key, waiter)
-        self._watch.add(call.key, attempt)
-        self._deadlines.started(attempt.attempt, now_ms)
-        return [replies.grant(waiter, effect.program, call, attempt, now_ms)]
-
-    def _deployment(self, begin: Begin) -> Deployment | None:
-        return self.cfg.deployment_for(begin.key.account, begin.target)
-
-    def _deployment_name(self, begin: Begin) -> str:
-        found = self._deployment(begin)
-        return found.name if found is not None else ""
-
     # Outcomes.
 
     def _finished(
@@ -543,20 +432,9 @@
             self._placing.answered(record.key)
         watched = self._watch.remove(record.attempt)
         if watched is not None:
-            self._judge_server(watched, record, now_ms)
+            self._outcomes.judge_server(watched, record, now_ms)
         return self._free_server(record.key, now_ms, wall_ms, record.usage)
 
-    def _judge_server(
-        self,
-        watched: attempts.Watched,
-        record: records.AttemptFinished,
-        now_ms: int,
-    ) -> None:
-        if record.answer is not None:
-            self.outliers.succeeded(watched.server)
-        elif record.reason in (Reason.SERVER_FAILED, Reason.SERVER_REFUSED):
-            self.outliers.failed(watched.server, now_ms)
-
     def _free_server(
         self,
         key: CallKey,
@@ -573,49 +451,6 @@
         decisions = self._placing.ended(key, now_ms, usage)
         return self.decided(decisions, now_ms, wall_ms)
 
-    def _refuse_waiters(
-        self, key: CallKey, refusal: records.CallRefused
-    ) -> list[Command]:
-        return [
-            replies.refuse_recorded(waiter, refusal)
-            for waiter in self._waiters.remove_all(key)
-        ]
-
-    def _answer_stale(self, key: CallKey, verdict: Verdict) -> list[Command]:
-        """Answers who reported an outcome for a call that is not open."""
-        if self._shard.find_open(key) is not None or key in self._pending:
-            return []
-        closed = self._shard.find_closed(key)
-        waiters = self._waiters.remove_all(key)
-        if closed is not None:
-            return [replies.final(waiter, key, closed) for waiter in waiters]
-        text = "the call was given up on before this outcome came"
-        return [
-            replies.refuse(
-                waiter.entry,
-                waiter.ask,
-                Reason.OUTCOME_UNKNOWN,
-                text,
-                verdict=max(verdict, self._shard.verdict_of(key), key=_worse),
-            )
-            for waiter in waiters
-        ]
-
-    def _opened(self, call: Call, now_ms: int, wall_ms: int) -> None:
-        """Notes an open call of the log."""
-        scopes = assignment.scopes_of(self.cfg, call.begin)
-        self.admission.opened(call.key, scopes, now_ms)
-        self._deadlines.call_open(call, now_ms, wall_ms)
-
-    def _adopt(self, call: Call, now_ms: int) -> None:
-        """Watches the attempt that an earlier leader granted."""
-        if call.attempt is None:
-            return
-        self.admission.started(call.key, now_ms)
-        self._watch.add(call.key, call.attempt)
-        self._placing.resume(call, call.attempt)
-        self._deadlines.started(call.attempt.attempt, now_ms)
-
 
 def _ends_attempt_of(
     record: records.ShardRecord, call: Call
@@ -623,9 +458,3 @@
     return (
         isinstance(record, records.AttemptFinished) and record.key == call.key
     )
-
-
-def _worse(verdict: Verdict) -> int:
-    """Orders verdicts by how much may have happened."""
-    order = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
-    return order.index(verdict)
--- a/catkinpin/core/programs/shard.py
+++ b/catkinpin/core/programs/shard.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import codec
-from catkinpin.core.programs import budgets, history, records, rules
+from catkinpin.core.programs import budgets, records, rules
 from catkinpin.core.programs.effects import (
     CallAnswered,
     CallGranted,
@@ -19,10 +19,8 @@
     CallTurnedDown,
     ContentQuarantined,
     Effect,
-    ProgramOver,
 )
-from catkinpin.core.programs.index import ProgramIndex
-from catkinpin.core.programs.outbox import Order, Outbox
+from catkinpin.core.programs.endings import ProgramEndings
 from catkinpin.core.programs.program import (
     Attempt,
     Call,
@@ -45,12 +43,11 @@
 _decoder = codec.decoder(ShardSnapshot)
 
 
-class Shard(ProgramIndex):
+class Shard(ProgramEndings):
     """The programs of one shard.
 
     Attributes:
         shards: number of program shards in the system.
-        outbox: orders to release engine memory.
         quarantine: requests that crash servers.
     """
 
@@ -58,7 +55,6 @@
         super().__init__()
         self.name = name
         self.shards = shards
-        self.outbox = Outbox()
         self.quarantine = Quarantine()
 
     def apply(self, index: int, record: records.ShardRecord) -> list[Effect]:
@@ -81,11 +77,11 @@
             case records.CallRefused():
                 return self._call_refused(record)
             case records.ProgramEnded():
-                return self._program_ended(record)
+                return self.program_ended(record)
             case records.ProgramsForgotten():
-                return self._forget(record)
+                return self.forget(record)
             case records.MemoryReleased():
-                return self._memory_released(record)
+                return self.memory_released(record)
             case records.IncarnationEnded():
                 return self._incarnation_ended(record)
             case records.QuarantineShared():
@@ -243,13 +239,13 @@
         effects: list[Effect] = [CallTurnedDown(call.key, refusal)]
         if refusal.reason is Reason.LIMIT_REACHED:
             root = self.root_of(program)
-            effects += self._end_tree(root, refusal.text, refusal.at_ms)
+            effects += self.end_tree(root, refusal.text, refusal.at_ms)
         return effects + self._after_call(program)
 
     def _after_call(self, program: Program) -> list[Effect]:
         """Goes on once a call has its final answer."""
         if program.ended:
-            return self._memory_free(program)
+            return self.memory_free(program)
         if not program.open and rules.is_traceless(program):
             self.drop(program)
             return []
@@ -387,7 +383,7 @@
         effects: list[Effect] = [CallAnswered(call.key, closed)]
         if program.once and not program.ended:
             reason = "a program without a name has one call"
-            effects += self._end_tree(program, reason, record.at_ms)
+            effects += self.end_tree(program, reason, record.at_ms)
         return effects + self._after_call(program)
 
     def _late_outcome(
@@ -443,71 +439,6 @@
         )
         return self._turn_down(program, call, refusal)
 
-    def _program_ended(self, record: records.ProgramEnded) -> list[Effect]:
-        program = self.programs.get(record.key)
-        if program is None or program.ended:
-            return []
-        if record.if_idle and program.open:
-            return []
-        return self._end_tree(program, record.reason, record.at_ms)
-
-    def _end_tree(self, top: Program, reason: str, at_ms: int) -> list[Effect]:
-        """Ends a program and all that it started."""
-        effects: list[Effect] = []
-        for program in [top, *self.below(top)]:
-            if not program.ended:
-                effects += self._end(program, reason, at_ms)
-        return effects
-
-    def _end(self, program: Program, reason: str, at_ms: int) -> list[Effect]:
-        program.ended = True
-        program.end_reason = reason
-        program.ended_ms = at_ms
-        effects: list[Effect] = []
-        for call in list(program.open.values()):
-            if call.state is CallState.RUNNING:
-                continue
-            text = f"the program has ended: {reason}"
-            refusal = rules.refusal(at_ms, call, Reason.PROGRAM_ENDED, text)
-            program.close(call, None)
-            effects.append(CallTurnedDown(call.key, refusal))
-        effects.append(ProgramOver(program))
-        return effects + self._memory_free(program)
-
-    def _memory_free(self, program: Program) -> list[Effect]:
-        """Orders the release of engine memory, once nothing runs any more.
-
-        An order that went out earlier would be undone by the attempt that
-        still runs: the engine keeps the prefix when it is done.
-        """
-        if program.open:
-            return []
-        name = f"{program.key.account}/{program.key.program}"
-        for server, incarnation in program.servers.items():
-            order = Order(server, incarnation, name, program.ended_ms)
-            self.outbox.add(order)
-        program.servers.clear()
-        program.history = history.History()
-        return []
-
-    def _forget(self, record: records.ProgramsForgotten) -> list[Effect]:
-        for key in record.keys:
-            program = self.programs.get(key)
-            if program is None or not program.ended or program.open:
-                continue
-            if any(self.member(program, name) for name in program.members):
-                continue
-            self.drop(program)
-        return []
-
-    def _memory_released(self, record: records.MemoryReleased) -> list[Effect]:
-        if record.empty:
-            self.outbox.restarted(record.server, record.incarnation)
-        self.outbox.confirmed(
-            record.server, record.incarnation, record.programs
-        )
-        return []
-
     def _incarnation_ended(
         self, record: records.IncarnationEnded
     ) -> list[Effect]:
--- a/tests/fakes/lognode.py
+++ b/tests/fakes/lognode.py
@@ -9,6 +9,7 @@
 
 from catkinpin.adapters.peers import links, wire
 from catkinpin.adapters.replica import mesh, node
+from catkinpin.adapters.replica.config import NodeConfig
 from catkinpin.core import messages
 from catkinpin.settings import ReplicaSettings
 
@@ -70,7 +71,7 @@
         self.address = addresses[place]
         self.failed: Exception | None = None
         self.node = node.Node(
-            node.NodeConfig(
+            NodeConfig(
                 self.cfg.data_folder,
                 tuple(self.cfg.replicas),
                 self.cfg.snapshot_entries,
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -172,7 +172,7 @@
 
     def _slow_disk(self, one: LogNode) -> Any:
         """Has a node's syncs seem slow; all nodes share a loop that sleeps."""
-        times = one.node._sync_times
+        times = one.node._slow_disk._times
         took = times.took
         return mock.patch.object(
             times, "took", lambda ms: took(ms + _SLOWER_MS)
