--- a/bench/deciding/caller.py
+++ b/bench/deciding/caller.py
@@ -4,11 +4,12 @@
 
 import dataclasses
 import random
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
 import simpy
 
 from bench.deciding.gateway import End, Turn
+from bench.deciding.site import Site
 from catkinpin.core.requests.calls import PromptPart
 
 if TYPE_CHECKING:
@@ -16,7 +17,6 @@
 
     from bench.deciding.draws import LineScript, ProgramScript, ToolCall
     from bench.deciding.gateway import Gateway, Steps
-    from bench.deciding.world import World
 
     Whether = Generator[simpy.Event, Any, bool]
 
@@ -52,10 +52,23 @@
         return self.script.payoff * shape.late_payoff / shape.payoff
 
 
+class CallerSite(Site, Protocol):
+    """A site as its callers see it.
+
+    Attributes:
+        ended: programs that have ended.
+    """
+
+    ended: list[Ended]
+
+    def gateway(self, draw: float) -> Gateway:
+        """Returns the gateway for a draw in [0, 1)."""
+
+
 class Caller:
     """Runs one program."""
 
-    def __init__(self, world: World, script: ProgramScript) -> None:
+    def __init__(self, world: CallerSite, script: ProgramScript) -> None:
         self._world = world
         self._env = world.env
         self._script = script
--- a/bench/deciding/gateway.py
+++ b/bench/deciding/gateway.py
@@ -20,7 +20,7 @@
     from bench.deciding.engine import Engine, Job
     from bench.deciding.policies import Policy
     from bench.deciding.service import Call, Service
-    from bench.deciding.world import World
+    from bench.deciding.site import Site
     from catkinpin.core.control.servers import Instance
     from catkinpin.core.placement.balance import Choice
 
@@ -66,7 +66,7 @@
         under_way: its requests, which end with it.
     """
 
-    def __init__(self, world: World, domain: str, policy: Policy) -> None:
+    def __init__(self, world: Site, domain: str, policy: Policy) -> None:
         self.domain = domain
         self.policy = policy
         self.is_up = True
--- a/catkinpin/adapters/entry/backends.py
+++ b/catkinpin/adapters/entry/backends.py
@@ -45,7 +45,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptStatus:
-    """A server's word on an attempt, with the answer where it is done."""
+    """A server's status of an attempt, with the answer once it is done."""
 
     attempt_state: AttemptState
     answer: Answer | None = None
@@ -127,7 +127,7 @@
 
 
 def attempt_url(grant: Granted) -> str:
-    """Returns where a server tells of an attempt."""
+    """Returns the URL of an attempt's status."""
     return f"{grant.server.address}/v1/attempts/{grant.attempt}"
 
 
@@ -142,17 +142,17 @@
 
 
 def other_incarnation(grant: Granted, resp: ClientResponse) -> bool:
-    """Returns whether the server says it is not the life that was granted.
+    """Returns whether the server is another incarnation than was granted.
 
     A server that came back under its address knows nothing of what its
-    earlier life did; its "never heard of it" proves nothing.
+    earlier incarnation did; its "never heard of it" proves nothing.
     """
     named = resp.headers.get(INCARNATION_HEADER)
     return named is not None and named != grant.server.incarnation
 
 
 def says_not_run(grant: Granted, resp: ClientResponse) -> bool:
-    """Returns whether the granted life of a server says it did not run."""
+    """Returns whether the granted incarnation of a server did not run it."""
     verdict = resp.headers.get(VERDICT_HEADER)
     return verdict == Verdict.NOT_RUN and not other_incarnation(grant, resp)
 
--- a/catkinpin/adapters/entry/calls.py
+++ b/catkinpin/adapters/entry/calls.py
@@ -1,4 +1,4 @@
-"""The life of a call at the caller's entry: begin, dispatch, finish."""
+"""A call at the caller's entry: begin, dispatch, finish."""
 
 from __future__ import annotations
 
--- a/catkinpin/adapters/entry/dispatch.py
+++ b/catkinpin/adapters/entry/dispatch.py
@@ -169,7 +169,7 @@
                 ) as resp:
                     resp.raise_for_status()
                     answer = await resp.json()
-                # Orders to another life of the server prove nothing here.
+                # Orders to another incarnation prove nothing here.
                 if answer["incarnation"] != order.server.incarnation:
                     break
                 incarnation = order.server.incarnation
@@ -226,7 +226,7 @@
     headers["Catkinpin-Priority"] = str(grant.priority)
     headers["Catkinpin-Deadline-Ms"] = str(req.deadline_ms)
     headers["Idempotency-Key"] = grant.key.request_id
-    # A server that checks it refuses a request meant for an earlier life.
+    # A server refuses a request that is meant for an earlier incarnation.
     headers[backends.INCARNATION_HEADER] = grant.server.incarnation
     if traceparent:
         headers["traceparent"] = traceparent
--- a/catkinpin/adapters/entry/process.py
+++ b/catkinpin/adapters/entry/process.py
@@ -80,12 +80,7 @@
             region=self.cfg.region,
         )
         self._dispatcher = dispatch.Dispatcher(
-            outgoing.Timeouts(
-                connect_ms=self.cfg.connect_timeout_ms,
-                progress_low_ms=self.cfg.progress_timeout_low_ms,
-                progress_high_ms=self.cfg.progress_timeout_ms,
-                first_token_ms=self.cfg.first_token_timeout_ms,
-            ),
+            _timeouts(self.cfg),
             self.clock,
         )
         self.replicas = shards.Replicas(
@@ -291,3 +286,13 @@
     def _on_peer_message(self, stream: links.Stream, message: Any) -> None:
         if isinstance(message, messages.Dispatch):
             self.relayed.handle(stream, message)
+
+
+def _timeouts(cfg: EntrySettings) -> outgoing.Timeouts:
+    """Returns how long this entry waits for backend servers."""
+    return outgoing.Timeouts(
+        connect_ms=cfg.connect_timeout_ms,
+        progress_low_ms=cfg.progress_timeout_low_ms,
+        progress_high_ms=cfg.progress_timeout_ms,
+        first_token_ms=cfg.first_token_timeout_ms,
+    )
--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Requests that crash servers: what they are known by, and who hears of it."""
+"""Requests that crash servers: their digest, and crash reports."""
 
 from __future__ import annotations
 
@@ -34,10 +34,10 @@
 
 
 class Crashes:
-    """Tells the keepers of servers that ended with a request aboard.
+    """Reports servers that crashed while they ran a request.
 
     Args:
-        turns: how the keepers are told.
+        turns: sends the reports.
         is_alive: asks whether the server of a choice can still be reached.
     """
 
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -134,7 +134,7 @@
             pass
 
     def succeeded(self, work: Work, choice: Choice) -> None:
-        """Notes a whole answer, and what it tells of its server's speed."""
+        """Notes a whole answer, and learns its server's speed from it."""
         instance = choice.instance
         self._balancer.succeeded(instance)
         if work.service.engine is None:
@@ -207,7 +207,7 @@
     def _record_load(
         self, work: Work, choice: Choice, load: Load | None
     ) -> Load | None:
-        """Takes a server's word of its load, where it can be true."""
+        """Records the load that a server reports, if it is plausible."""
         if load is None:
             return None
         if self._balancer.report_load(
--- a/catkinpin/adapters/gateway/headers.py
+++ b/catkinpin/adapters/gateway/headers.py
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Sending:
-    """What a gateway tells a server besides the caller's own words.
+    """What a gateway sends to a server besides the caller's headers.
 
     Attributes:
         server: id of the server that is meant; another must refuse.
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -63,16 +63,8 @@
             cfg.failure_domain, regions, random.Random(), speeds
         )
         self.view = View(self.clock, self._server_gone)
-        incarnation = uuid.uuid4().hex[:12]
         self.keepers = keepers.Keepers(
-            messages.Hello(
-                process=cfg.name,
-                incarnation=incarnation,
-                role=GATEWAY_ROLE,
-                address="",
-                domain=cfg.failure_domain,
-                region=cfg.region,
-            ),
+            _hello(cfg),
             self._on_keeper_message,
         )
         self._turns = Turns(
@@ -193,3 +185,15 @@
             if (not why) != self._was_ready:
                 self._was_ready = not why
                 decisions.note("ready", "", ready=not why, reason=why)
+
+
+def _hello(cfg: GatewaySettings) -> messages.Hello:
+    """Returns how this gateway introduces itself to keepers and stores."""
+    return messages.Hello(
+        process=cfg.name,
+        incarnation=uuid.uuid4().hex[:12],
+        role=GATEWAY_ROLE,
+        address="",
+        domain=cfg.failure_domain,
+        region=cfg.region,
+    )
--- a/catkinpin/adapters/gateway/timings.py
+++ b/catkinpin/adapters/gateway/timings.py
@@ -24,7 +24,7 @@
         first_s: when its first events came; 0: not yet.
         last_s: when its latest events came.
         gaps_ms: between events, for each token of the later one.
-        load: that the server told with the head.
+        load: that the server reported with the head.
     """
 
     sent_s: float = 0.0
@@ -53,7 +53,7 @@
         return (self.head_s - self.sent_s) * _MS
 
     def streamed(self, call: RouteCall, choice: Choice) -> Streamed | None:
-        """Returns what a whole stream tells of its server's speed, if any.
+        """Returns a sample of the server's speed from a whole stream, if any.
 
         What a server had to read is known well only where all but the newest
         part of the prompt lay there: other gateways may have sent it the
--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -28,7 +28,7 @@
     """Routes and servers.
 
     Several keepers tell the same, some later than others. Versions, births
-    and sequence numbers decide, so that an old word changes nothing.
+    and sequence numbers decide, so that late messages change nothing.
 
     Args:
         clock: time.
@@ -61,7 +61,7 @@
         """Whether the routes known are fit to decide by.
 
         A process that has just started may hear first of a keeper that lags;
-        by its word a route that was removed long ago would be served again.
+        it would then serve a route that was removed long ago.
         So it waits for one that knows the newest.
         """
         return self._known.is_set()
--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -38,7 +38,7 @@
     """Head of a response.
 
     Attributes:
-        length: bytes of the body; None where it isn't told ahead.
+        length: bytes of the body; None where it isn't known ahead.
     """
 
     status: int
@@ -282,7 +282,7 @@
             limit: connections that this process may have open to it.
             timeout_s: longest wait for a new one.
             max_idle_s: one that was idle for longer is not taken. A server
-                may have dropped it without a word; what is sent on it then is
+                may have dropped it silently; what is sent on it then is
                 reset, and may have run for all one knows.
         """
         loop = asyncio.get_running_loop()
--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -1,7 +1,7 @@
 """A keeper's side of the control group: decides where it leads, else says who.
 
 Only the leader answers what others rely on: whether a turn may begin, that a
-routing document is in force, that a server's word was taken. It answers once
+routing document is in force, or that an announcement lasts. It answers once
 a quorum has the record, and only while it holds its lease.
 """
 
@@ -53,8 +53,8 @@
     Args:
         clock: time.
         identity: who this keeper is, new for each new data folder.
-        incarnation: this life of the process; makes tags unique.
-        silent_server_ms: a server not heard for so long is gone.
+        incarnation: of this process; makes tags unique.
+        silent_server_ms: a server silent for so long is gone.
         changed: called after each change that gateways must learn of.
     """
 
@@ -99,7 +99,7 @@
         now = self._clock.now_ms()
         self._led_since_ms = now
         self._log_base_ms = self.state.ledger.now_ms
-        # Nobody has been heard by this leader yet: all get the whole time.
+        # This leader has no announcements yet: all servers get the whole time.
         self._last_seen_ms = dict.fromkeys(self.state.fleet.servers, now)
         decisions.note(
             "leadership",
@@ -174,7 +174,7 @@
     async def announce(
         self, instance: Instance, wait_s: float
     ) -> NotLeading | None:
-        """Takes a server's word; returns once that lasts."""
+        """Handles a server's announcement; returns once it is committed."""
         if not self.may_decide():
             return NotLeading("not the leader")
         self._last_seen_ms[instance.id] = self._clock.now_ms()
@@ -212,7 +212,9 @@
         digest = bytes.fromhex(content)
         self._quarantine.strike(digest, server, server, self._clock.now_ms())
         self._quarantine.resolve(server, server, crashed=True)
-        quarantined = [found.hex() for found in self._quarantine.condemn()]
+        quarantined = [
+            found.hex() for found in self._quarantine.quarantine_repeated()
+        ]
         decisions.note(
             "crash-report",
             "",
@@ -226,7 +228,7 @@
         return out if isinstance(out, NotLeading) else None
 
     def silent_servers(self) -> list[Instance]:
-        """Returns servers that were not heard for too long, as gone.
+        """Returns servers that were silent for too long, as lost.
 
         A server that crashed says nothing, and its address may be given to
         another one.
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -73,15 +73,7 @@
         self.incarnation = uuid.uuid4().hex[:12]
         self.address = cfg.peer_listen
         self.node = node.Node(
-            NodeConfig(
-                cfg.data_folder,
-                tuple(cfg.seeds),
-                cfg.snapshot_entries,
-                Joining(tuple(cfg.seeds), cfg.first_start),
-                segment_bytes=_SEGMENT_BYTES,
-                timing=_TIMING,
-                begun_ms=clock.process_begun_ms(),
-            ),
+            _node_config(cfg),
             self._leader_changed,
             exits.stop_at_once,
             on_slow_disk=_note_slow_disk,
@@ -170,7 +162,7 @@
     # What servers and operators ask, through whichever keeper.
 
     async def announce(self, instance: Instance) -> str:
-        """Takes a server's word; returns why not, or an empty string."""
+        """Handles a server's announcement; returns an error text or ""."""
         out = await self.host.announce(instance, _COMMIT_S)
         if out is None:
             return ""
@@ -349,7 +341,7 @@
     async def retire(
         self, name: str, *, begin: bool
     ) -> protocol.Retirement | NotLeading:
-        """Has a store emptied, or tells how far that is."""
+        """Has a store emptied, or returns how far that is."""
         if self.host.may_decide():
             return await self._retire(name, begin=begin)
         try:
@@ -415,7 +407,7 @@
     async def _forget_bytes(self) -> None:
         """Drops turns' bytes that no program can ask for any more.
 
-        A host that was away when turns expired never hears of them again, and
+        A host that was away when turns expired never learns of it, and
         a gateway that died after storing never settles its turn.
         """
         before: set[str] = set()
@@ -436,3 +428,16 @@
 
 def _note_slow_disk(group: Group) -> None:
     decisions.note("handover", "", reason="slow disk", term=group.term)
+
+
+def _node_config(cfg: KeeperSettings) -> NodeConfig:
+    """Returns how this keeper takes part in the control group."""
+    return NodeConfig(
+        cfg.data_folder,
+        tuple(cfg.seeds),
+        cfg.snapshot_entries,
+        Joining(tuple(cfg.seeds), cfg.first_start),
+        segment_bytes=_SEGMENT_BYTES,
+        timing=_TIMING,
+        begun_ms=clock.process_begun_ms(),
+    )
--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -1,4 +1,4 @@
-"""What a keeper tells all who are connected to it."""
+"""Publishes a keeper's state to all processes connected to it."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
 
 class Publisher:
-    """Tells gateways, stores and other keepers what changed.
+    """Publishes changes to gateways, stores and other keepers.
 
     Args:
         cfg: the keeper's settings.
--- a/catkinpin/adapters/keeper/repair.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -28,11 +28,11 @@
 
 log = logging.getLogger(__name__)
 
-# A store silent for so long counts as lost until it is heard again. Hosts that
+# A store silent for so long counts as lost until it is seen again. Hosts that
 # restart or thaw are back before.
 _SILENT_STORE_MS = 5_000
-# From the word that a store is to be emptied to the last turn settled by a
-# gateway that had not heard it: a store's answer and a leader's.
+# From the order to empty a store to the last turn settled by a
+# gateway that had not received it yet.
 _SETTLE_MS = 2_000
 
 
@@ -99,7 +99,7 @@
     async def retire(
         self, name: str, *, begin: bool
     ) -> protocol.Retirement | NotLeading:
-        """Has a store emptied, or tells how far that is; only the leader."""
+        """Has a store emptied, or returns how far that is; only the leader."""
         stores = self._host.state.stores
         store = stores.find(name)
         if store is None:
@@ -116,7 +116,7 @@
     def _is_empty(self, store: Store) -> bool:
         """Returns whether a retiring store can go, with its disk.
 
-        Gateways that stored there before they heard of it settle their turns
+        Gateways that stored there before they got the order settle their turns
         a little later; these count on its copy until another one is made.
         """
         now_ms = self._clock.now_ms()
--- a/catkinpin/adapters/peers/keepers.py
+++ b/catkinpin/adapters/peers/keepers.py
@@ -35,7 +35,7 @@
     """A keeper and the stream to it.
 
     Attributes:
-        info: what it said of itself, None before its first word.
+        info: its newest introduction, None before the first.
         seen_s: monotonic time at which it was last connected.
         asks: numbers of asks under way that only a leader answers.
     """
@@ -184,8 +184,8 @@
     ) -> Any:
         """Asks a leader until it answers or another one leads.
 
-        A leader whose host is frozen keeps its stream: only the word of the
-        next one tells. Waiting on would cost each turn that was under way the
+        A leader whose host is frozen keeps its stream: only a message from the
+        next one reveals it. Waiting on would cost each turn under way the
         rest of one ask's time on top of the election.
         """
         number = links.next_ask()
--- a/catkinpin/adapters/peers/streams.py
+++ b/catkinpin/adapters/peers/streams.py
@@ -38,7 +38,7 @@
 class _Deflate:
     """Compresses batches, each with all earlier ones as its dictionary.
 
-    Events of a token stream are alike but for a word; alone each would hardly
+    Events of a token stream differ in one token; alone each would hardly
     shrink.
     """
 
@@ -91,7 +91,7 @@
         self._wake.set()
 
     def unpack(self, data: bytes) -> bytes:
-        """Takes in a batch as it came, and notes that the other end lives."""
+        """Reads a batch, and notes that the other end is alive."""
         self._last_received_s = time.monotonic()
         return self._deflate.unpack(data) if self._deflate else data
 
--- a/catkinpin/adapters/replica/founding.py
+++ b/catkinpin/adapters/replica/founding.py
@@ -124,7 +124,7 @@
     def repair(self) -> None:
         """Lets this replica replace the one that was lost at its address.
 
-        An operator's order can come before this replica has heard that the
+        An operator's order can come before this replica knows that the
         others have state. Forgotten, it would leave the replica waiting for
         an order that was given, and the operator's command in vain for the
         replica; so it is kept until then. Where the system turns out to be
--- a/catkinpin/adapters/replica/mesh.py
+++ b/catkinpin/adapters/replica/mesh.py
@@ -22,7 +22,7 @@
     Args:
         addresses: peer addresses of the other replicas.
         on_connected: called with the address of each stream that comes up.
-        grows: whether replicas that are heard of later are connected, too.
+        grows: whether replicas that become known later are connected, too.
     """
 
     def __init__(
@@ -46,7 +46,7 @@
             self._connect(address, hello)
 
     def add(self, address: str) -> None:
-        """Connects to a replica that was heard of, where the mesh grows."""
+        """Connects to a replica that became known, if the mesh grows."""
         if not self._grows or self._hello is None or not address:
             return
         if address not in self._links and address != self._hello.address:
--- a/catkinpin/adapters/replica/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -362,7 +362,7 @@
         """Asks to become a member, first or again.
 
         A replica that was away for long has lost its place to another. It
-        hears of that from nobody: no leader speaks to it any more.
+        learns of that from nobody: no leader speaks to it any more.
         """
         outside = [
             group
--- a/catkinpin/adapters/replica/process.py
+++ b/catkinpin/adapters/replica/process.py
@@ -119,11 +119,11 @@
         return "stopping" if self._stopping else self.node.not_ready()
 
     def send(self, to: leader.EntryRef, message: Any) -> None:
-        """Sends to an entry; dropped where that life of it has gone."""
+        """Sends to an entry; dropped if that incarnation has gone."""
         self.send_to(to.incarnation, message)
 
     def send_to(self, incarnation: str, message: Any) -> None:
-        """Sends to a process in a life of it; dropped where that has gone."""
+        """Sends to an incarnation of a process; dropped if it has gone."""
         stream = self._streams.get(incarnation)
         if stream is not None:
             stream.send(message)
@@ -185,7 +185,7 @@
             return
         match message:
             case messages.Hello():
-                self._welcome(stream)
+                self._on_hello(stream)
             case messages.Reports():
                 self._take_reports(message)
             case messages.CacheEvents():
@@ -207,7 +207,7 @@
         else:
             self.node.handle(message)
 
-    def _welcome(self, stream: links.Stream) -> None:
+    def _on_hello(self, stream: links.Stream) -> None:
         assert stream.hello is not None
         self._streams[stream.hello.incarnation] = stream
         if _is_entry(stream):
--- a/catkinpin/adapters/replica/shardhost.py
+++ b/catkinpin/adapters/replica/shardhost.py
@@ -89,7 +89,7 @@
 
     def _share(self, content: bytes) -> None:
         """Has the control group quarantine a content; the leader repeats it."""
-        reason = f"{self.group.name}: it was aboard two servers that crashed"
+        reason = f"{self.group.name}: it ran on two servers that crashed"
         task = asyncio.create_task(
             self._replica.control.quarantine(content, reason)
         )
--- a/catkinpin/adapters/replica/transport.py
+++ b/catkinpin/adapters/replica/transport.py
@@ -11,7 +11,7 @@
 
     Attributes:
         to: identity that it is for; a replica whose disk was lost has the
-            address of its former life, and must not answer in its name.
+            address of an earlier incarnation, and must not answer for it.
     """
 
     group: str
--- a/catkinpin/commands/timeline.py
+++ b/catkinpin/commands/timeline.py
@@ -13,7 +13,7 @@
 
 
 def show(*logs: str) -> None:
-    """Shows for each restart what happened when, from the last word before.
+    """Shows for each restart what happened when, from the last line before.
 
     Reads files that hold what gateways, keepers and stores wrote to standard
     output, in any order; without a file, standard input. Processes that start
@@ -24,7 +24,7 @@
     """
     found = timeline.restarts(list(logfiles.read(logs)))
     if not found:
-        print("no line tells of a start", file=sys.stderr)
+        print("no line records a start", file=sys.stderr)
         sys.exit(exits.FAILED)
     for restart in found:
         _print(restart)
--- a/catkinpin/core/consensus/core.py
+++ b/catkinpin/core/consensus/core.py
@@ -82,7 +82,7 @@
         """Returns whether the state at `applied` is not an old one.
 
         It then holds all that was committed before the present leader, and
-        what that one has committed until it was last heard.
+        what that one has committed until its last heartbeat.
         """
         state = self.state
         if state.log.term_at(applied) != state.term:
--- a/catkinpin/core/consensus/following.py
+++ b/catkinpin/core/consensus/following.py
@@ -53,7 +53,7 @@
 def renews(
     state: State, sender: str, term: int, commit: int, now_ms: int
 ) -> bool:
-    """Takes a heartbeat that tells nothing new; False where it tells more."""
+    """Handles a heartbeat without news; returns False if it has news."""
     known = (
         state.role is Role.FOLLOWER
         and state.leader == sender
--- a/catkinpin/core/consensus/messages.py
+++ b/catkinpin/core/consensus/messages.py
@@ -130,7 +130,7 @@
 
 
 class Heartbeat(Message, frozen=True):
-    """Renews the leader's lease and tells what is committed."""
+    """Renews the leader's lease and carries the commit index."""
 
     term: int
     commit: int
--- a/catkinpin/core/consensus/state.py
+++ b/catkinpin/core/consensus/state.py
@@ -44,7 +44,7 @@
 class Timing:
     """Times in ms.
 
-    A follower that hears from a leader lets no other be elected for
+    A follower with a recent heartbeat lets no other be elected for
     `election_ms` on its clock. The leader counts on that for `lease_ms` on
     its own, so the lease must be shorter even where the clocks drift apart.
     """
@@ -95,7 +95,7 @@
         leader: identity of the leader of `term`, empty where not known.
         commit: last index known to be committed.
         applied: last index handed out to be applied.
-        last_seen_ms: when a leader was last heard; no other may be elected
+        last_seen_ms: the last heartbeat of a leader; no other may be elected
             within `election_ms` of it.
         last_leader_term: the newest term of which that may have been.
         deadline_ms: when to stand for election.
@@ -133,9 +133,9 @@
         self.synced = self.log.last
         self.role = Role.FOLLOWER
         self.leader = ""
-        # A replica that starts again has forgotten whom it heard last: it
+        # A replica that starts again has forgotten the last heartbeat: it
         # could vote at once and break the lease of a leader that counts on
-        # its silence, so it waits as if it had heard one just before this
+        # its silence, so it waits as if one had come just before this
         # process began: what an earlier process promised is older than that.
         self.last_seen_ms = begun_ms if self.term else _NEVER
         self.last_leader_term = self.term
@@ -208,7 +208,7 @@
     def is_promised(self, void_term: int, now_ms: int) -> bool:
         """Returns whether a leader's lease may count on our not voting.
 
-        Not where whoever asks led the term of the leader that we heard last,
+        Not where whoever asks led the term of the leader of the last heartbeat,
         or a later one, in a process that has ended: such a lease ended with
         it, and one of an earlier term was over before that one was elected.
         So a leader that is killed and back at once, as after a loss of power,
@@ -252,7 +252,7 @@
         self.leader = leader
 
     def hear(self, now_ms: int) -> None:
-        """Notes that the leader of this term was heard."""
+        """Notes a message from the leader of this term."""
         self.last_seen_ms = now_ms
         self.last_leader_term = self.term
         self.reset_deadline(now_ms)
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -116,7 +116,7 @@
 
     Attributes:
         content: the request's digest, in hex.
-        server: identity of the server's life.
+        server: identity of the server's incarnation.
     """
 
     ask: int
--- a/catkinpin/core/control/servers.py
+++ b/catkinpin/core/control/servers.py
@@ -1,7 +1,7 @@
 """Which backend servers there are, from what they announce of themselves.
 
 Facts that must outlive a leader (a server leaves, is gone, or stands at an
-address) go through the log; that a server was heard again does not.
+address) go through the log; a repeated announcement does not.
 """
 
 from __future__ import annotations
@@ -22,8 +22,8 @@
 class ServerState(enum.StrEnum):
     """What a server says of itself, or what became of it.
 
-    LOST is one that was not heard for long; it may only have been cut off, so
-    unlike one that said it goes it counts again once it is heard.
+    LOST is one that was silent for long; it may only have been cut off, so
+    unlike one that announced its end it counts again with its next message.
     """
 
     READY = "ready"
@@ -38,12 +38,12 @@
 
 
 class Instance(Message, frozen=True):
-    """One life of a backend server.
+    """One incarnation of a backend server.
 
     Attributes:
         started_ms: Unix time of its start; tells two incarnations of an id
             apart.
-        sequence: rises with each announcement of one life.
+        sequence: rises with each announcement of an incarnation.
         slots: requests that it runs at once.
     """
 
@@ -76,14 +76,14 @@
         return known is None or _facts(announced) != _facts(known)
 
     def leaving(self, announced: Instance, last_sequence: int) -> Instance:
-        """Returns the word of a server that goes, as one of its known life.
+        """Returns a server's farewell as one of its known incarnation.
 
-        Such a word may come without birth and sequence number. Taken as it
+        A farewell may come without start time and sequence number. Taken as it
         is, it would look older than all that is known, and change nothing.
 
         Args:
             announced: what it said.
-            last_sequence: the newest number heard of it.
+            last_sequence: the newest number received from it.
         """
         known = self.servers.get(announced.id)
         if known is None or announced.started_ms:
@@ -100,7 +100,7 @@
         changed = []
         for other in list(self.servers.values()):
             if other.address == announced.address and other.id != announced.id:
-                # One address serves one process: the younger life has it. A
+                # One address serves one process: the younger one has it. A
                 # late announcement of the older one would send it requests
                 # of another service.
                 if other.started_ms > announced.started_ms:
--- a/catkinpin/core/messages.py
+++ b/catkinpin/core/messages.py
@@ -123,7 +123,7 @@
 
 
 class ServerRef(Message, frozen=True):
-    """A backend server in one of its lives."""
+    """One incarnation of a backend server."""
 
     server: str
     incarnation: str
@@ -238,7 +238,7 @@
     """The server confirmed the release.
 
     Attributes:
-        incarnation: the life of the server that confirmed.
+        incarnation: of the server that confirmed.
     """
 
     group: str
@@ -360,7 +360,7 @@
     """A change of an engine's prefix cache.
 
     Attributes:
-        seq: counted by the engine from 1 in each life; a gap means that
+        seq: counted by the engine from 1 in each incarnation; a gap means that
             events were lost.
         kind: `held` or `evicted`.
         program: `ACCOUNT/PROGRAM` whose prefix changed.
--- a/catkinpin/core/operations/changes.py
+++ b/catkinpin/core/operations/changes.py
@@ -8,7 +8,7 @@
 
 
 class ProcessInfo(Message, frozen=True):
-    """A process of the system in one of its lives."""
+    """One incarnation of a process of the system."""
 
     process: str
     incarnation: str
--- a/catkinpin/core/operations/control.py
+++ b/catkinpin/core/operations/control.py
@@ -104,8 +104,8 @@
 
     Attributes:
         items: every item by key, in the order of their last change; removed
-            ones stay as tombstones, so that differences can be told.
-        oldest_base: the oldest revision from which a difference can be told.
+            ones stay as tombstones, so that differences can be computed.
+        oldest_base: the oldest revision that differences can start from.
         processes: by incarnation.
         servers: hard facts by server name.
         quarantine: reason by fingerprint.
@@ -224,7 +224,7 @@
 
     def _decide(self, record: changes.ConfigChanged) -> ChangeResult:
         # Two operators who both start from the same revision would overwrite
-        # each other unseen; the second one is told who was first instead.
+        # each other unseen; the second one learns who was first instead.
         if record.base_revision != self.revision:
             return dataclasses.replace(
                 self.last,
--- a/catkinpin/core/operations/forecasts.py
+++ b/catkinpin/core/operations/forecasts.py
@@ -61,9 +61,8 @@
             programs += usage.programs
             tokens += usage.tokens
             continue
-        if after.allows(usage.deployment, left):
-            continue
-        if not facts.cfg.allows(usage.deployment, left):
+        stays = after.allows(usage.deployment, left)
+        if stays or not facts.cfg.allows(usage.deployment, left):
             continue
         rest = _rest(facts, after, usage.deployment, usage.target)
         programs += usage.programs
@@ -74,18 +73,15 @@
         _spread(usage.calls, rest, added)
     for deployment in after.deployments:
         refused += _refusals(facts, after, deployment)
-    staying = {
-        report.server
-        for name, target in _touched(facts, after, draft)
-        for report in _rest(facts, after, name, target)
-    }
-    loads = [
-        _load(reports[name], added[name], gone[name])
-        for name in sorted(staying)
+    touched = _touched(facts, after, draft)
+    rests = (_rest(facts, after, name, target) for name, target in touched)
+    staying = {report.server for rest in rests for report in rest}
+    loads = [_load(reports[n], added[n], gone[n]) for n in sorted(staying)]
+    refused += [
+        f"{load.server}: calls would wait, load over 1"
+        for load in loads
+        if load.after > 1 and load.after > load.before
     ]
-    for load in loads:
-        if load.after > 1 and load.after > load.before:
-            refused.append(f"{load.server}: calls would wait, load over 1")
     return Forecast(
         loads=loads,
         refused=refused,
--- a/catkinpin/core/operations/leader.py
+++ b/catkinpin/core/operations/leader.py
@@ -32,7 +32,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Send:
-    """Command: send this message to a process, in this life of it."""
+    """Command: send this message to this incarnation of a process."""
 
     to: str
     message: Any
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -11,10 +11,10 @@
 them again for all. Weighed by its own latency alone, work spreads under load,
 more is read, and every answer gets slower.
 
-Many gateways that decide at once: the load that an answer tells is old when it
+Many gateways that decide at once: a load report is old when it
 is used. Picking the least loaded would send all gateways to the same server.
 So what we sent since counts on top, and near ties are drawn by lot. A server
-of which nothing was heard for long is taken to be as busy as the others are:
+without a recent load report is taken to be as busy as the others are:
 taken for idle, it would draw sessions away from where their prompts lie.
 """
 
@@ -46,12 +46,12 @@
 # region, there and back, in ms. Bytes between regions cost besides.
 _DOMAIN_MS = 3.0
 _REGION_MS = 24.0
-# Load that was told longer ago says nothing any more.
+# Load reports older than this are ignored.
 _LOAD_OLD_MS = 1_500
 # Of a server's slots. Beyond it, a turn that gains nobody anything any more
 # would slow many that can still be in time.
 _BUSY_SHARE = 0.5
-# Of the others' load, what a server that was never heard of is taken to have:
+# Of the others' load, what a server that never reported is taken to have:
 # it may have just come, or this gateway has.
 _UNKNOWN_SHARE = 0.5
 # No server runs, or has waiting, as many requests as this.
@@ -70,13 +70,13 @@
 
 @dataclasses.dataclass
 class Server:
-    """What is known of one life of a server.
+    """What is known of one incarnation of a server.
 
     Attributes:
-        id: the same for all of its lives.
-        started_ms: start of this life.
+        id: the same for all of its incarnations.
+        started_ms: start of this incarnation.
         sent: requests under way there from here.
-        since: requests sent from here since it told its load.
+        since: requests sent from here since its last load report.
         parts: prompt parts that it has read, oldest use first.
     """
 
@@ -220,7 +220,7 @@
         server.sent = max(0, server.sent - 1)
 
     def report_load(self, instance: Instance, load: Load, now_ms: int) -> bool:
-        """Takes the load that a server told with an answer.
+        """Records the load that a server reported with an answer.
 
         Returns:
             Whether it can be true; an absurd one changes nothing.
@@ -365,7 +365,7 @@
         return max(server.sent, report_load)
 
     def _is_fresh(self, server: Server, now_ms: int) -> bool:
-        """Returns whether what a server told of its load says anything."""
+        """Returns whether a server's load report is recent enough."""
         return server.load is not None and (
             now_ms - server.load_at_ms <= _LOAD_OLD_MS
         )
--- a/catkinpin/core/placement/candidates.py
+++ b/catkinpin/core/placement/candidates.py
@@ -37,7 +37,7 @@
         fill: share of an engine's cache that active programs may fill.
         memory_ms: price of a place in a cache that is full already.
         hold_ms: a program that has paused for longer is not active; on a
-            server with few calls aboard a part of this is enough.
+            server with few running calls a part of this is enough.
         min_hold_ms: no shorter pause costs a program its room.
     """
 
@@ -59,7 +59,7 @@
     """What a server would cost a call, in milliseconds.
 
     Attributes:
-        wait: slower tokens and waiting beside the calls aboard.
+        wait: slower tokens and waiting beside the running calls.
         prefill: computing what the server does not hold.
         transfer: delay and bytes between regions.
         fits: whether a slot and memory are free for it.
@@ -113,7 +113,7 @@
     Args:
         prices: what to assume of engines and links.
         share: see `costs`.
-        note: told of each decision.
+        note: called with each decision.
     """
 
     def choose(job: Job, servers: list[Server], now_ms: int) -> Server | None:
--- a/catkinpin/core/placement/ejection.py
+++ b/catkinpin/core/placement/ejection.py
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass
 class _Health:
-    """What is known of one life of a server."""
+    """What is known of one incarnation of a server."""
 
     incarnation: str
     failures: int = 0
--- a/catkinpin/core/placement/jobs.py
+++ b/catkinpin/core/placement/jobs.py
@@ -30,7 +30,7 @@
         priority: of the deployment; higher goes first.
         deadline_ms: monotonic time after which nobody waits for the answer.
         without: servers that failed this call, or that failed many.
-        suspect: whether the call was aboard a server that crashed.
+        suspect: whether the call ran on a server that crashed.
         content: digest of all that a server would get.
         allowed: whether the configuration lets the call go to a server; asked
             at each placement, since it may change while the call waits.
@@ -76,7 +76,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reject:
-    """Decision: the call gets no server; its caller hears so at once."""
+    """Decision: the call gets no server; its caller is refused at once."""
 
     key: CallKey
     reason: Reason
--- a/catkinpin/core/placement/limits.py
+++ b/catkinpin/core/placement/limits.py
@@ -26,7 +26,7 @@
 # Retries may be this share of first attempts.
 RETRY_SHARE = 0.1
 # Retries that a deployment begins with, and the most that it can save up: a
-# server that crashes may have had a hundred calls aboard.
+# server that crashes may have had a hundred running calls.
 _RETRIES_AT_FIRST = 100.0
 _RETRIES_KEPT = 1_000.0
 
@@ -206,7 +206,7 @@
             text = f"the {scope.kind} makes more than {rate:g} calls a second"
             return Turndown(text, _bounded(int(_MS_PER_S / rate)))
         # Admitted, the call would be given up on at its deadline after it has
-        # held a place in the queue: its caller hears now, and others move up.
+        # held a place in the queue: its caller is refused, others move up.
         late = int(wait * _MARGIN + flow.run_ms) - deadline_ms
         if self._early and scope.kind == DEPLOYMENT and wait and late > 0:
             text = f"about {wait} ms until its turn, too late for its deadline"
--- a/catkinpin/core/placement/scheduler.py
+++ b/catkinpin/core/placement/scheduler.py
@@ -51,7 +51,7 @@
 
 @dataclasses.dataclass
 class _Running:
-    """A call aboard a server, in the life of it that is known here."""
+    """A running call, on the incarnation of a server that is known here."""
 
     server: Server | None
     job: Job | None = None
@@ -161,7 +161,7 @@
         usage: Usage | None,
         now_ms: int,
     ) -> None:
-        """Takes what an ended call tells about its context."""
+        """Learns from an ended call about its context."""
         job = running.job
         if job is None or job.kind != "model":
             return
--- a/catkinpin/core/placement/servers.py
+++ b/catkinpin/core/placement/servers.py
@@ -25,7 +25,7 @@
     Attributes:
         seen_ms: when the last report was made, on our monotonic clock.
         granted: attempts that we granted and that have not finished.
-        others: calls aboard that we did not grant, as the reports suggest.
+        others: running calls that we did not grant, as the reports suggest.
         residents: the programs whose prefixes it is thought to hold.
     """
 
@@ -37,7 +37,7 @@
 
     @property
     def ref(self) -> ServerRef:
-        """Names this life of the server."""
+        """Names this incarnation of the server."""
         return ServerRef(
             server=self.report.server,
             incarnation=self.report.incarnation,
@@ -47,11 +47,11 @@
 
     @property
     def load(self) -> int:
-        """Calls aboard now: what we granted, and what others did."""
+        """Running calls: what we granted, and what others did."""
         return self.granted + self.others
 
     def correct(self, report: ServerReport, made_ms: int) -> None:
-        """Takes in a newer report of the same life of the server.
+        """Takes in a newer report of the same incarnation.
 
         A report that claims to run more calls than fit is a lie: one broken
         counter would keep a server idle for ever, beside callers that wait. It
--- a/catkinpin/core/placement/speeds.py
+++ b/catkinpin/core/placement/speeds.py
@@ -4,7 +4,7 @@
 prompt and making a token take. Engines differ tenfold in both. With figures of
 other engines, a fast service's prompts are read again and again where a queue
 would have cost less, and on a slow one all programs count as late, so that
-urgency tells none of them from the others.
+urgency can't rank them.
 
 So each gateway learns, per service, from the answers that pass through it:
 what a prompt token takes, what a generated one takes and how that grows with
@@ -51,7 +51,7 @@
 # or sessions would move between them by chance and be read again.
 _FACTOR_WEIGHT = 0.15
 _SIMILAR_RATIO = 1.6
-# A server that was not heard of forgets its factor: it may have recovered,
+# A server without recent answers loses its factor: it may have recovered,
 # and gets too little work to show it.
 _FACTOR_HALF_LIFE_MS = 4_000
 # Part of the way that a plain call's usual time moves towards each new one,
@@ -141,7 +141,7 @@
         """Learns from an answer.
 
         Returns:
-            How many times the usual it took a token, 0 where it told none.
+            How many times the usual it took a token, 0 where it has no sample.
         """
         if sample.read_tokens is not None and not sample.waiting:
             self._first.add(sample.read_tokens, sample.first_ms)
--- a/catkinpin/core/programs/attempts.py
+++ b/catkinpin/core/programs/attempts.py
@@ -24,7 +24,7 @@
     """An attempt under way.
 
     Attributes:
-        incarnation: the life of the entry that holds the grant.
+        incarnation: of the entry that holds the grant.
         server: name of the backend server.
         server_incarnation: incarnation of the server.
         recovering: whether another entry asks the server about the attempt.
@@ -83,12 +83,12 @@
         return self._attempts.get(attempt)
 
     def held_by(self, incarnation: str) -> list[Watched]:
-        """Returns the attempts of an entry's life, in a fixed order."""
+        """Returns the attempts of an entry's incarnation, in a fixed order."""
         held = sorted(self._by_entry.get(incarnation, ()))
         return [self._attempts[attempt] for attempt in held]
 
     def entries(self) -> list[str]:
-        """Returns the lives of entries that hold attempts."""
+        """Returns the incarnations of entries that hold attempts."""
         return sorted(self._by_entry)
 
     def entry_gone(self, incarnation: str, now_ms: int) -> None:
@@ -97,7 +97,7 @@
             self._gone.setdefault(incarnation, now_ms)
 
     def entry_returned(self, incarnation: str) -> None:
-        """Notes that the same life of the entry is connected."""
+        """Notes that the same incarnation of the entry is connected again."""
         self._gone.pop(incarnation, None)
 
     def overdue(self, now_ms: int) -> list[Watched]:
--- a/catkinpin/core/programs/commands.py
+++ b/catkinpin/core/programs/commands.py
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class EntryRef:
-    """An entry that asks, in its present life."""
+    """An entry that asks, in its present incarnation."""
 
     process: str
     incarnation: str
--- a/catkinpin/core/programs/incarnations.py
+++ b/catkinpin/core/programs/incarnations.py
@@ -1,4 +1,4 @@
-"""Server lives as seen in reports: what crashed, what memory to release."""
+"""Server incarnations: which have crashed, and what memory to release."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 
 
 class Incarnations:
-    """Decides which lives of servers are over, and empties their memory.
+    """Decides which incarnations of servers are over, and empties their memory.
 
     Args:
         state: the shard's state, only read here.
@@ -65,7 +65,7 @@
             known.made_ms = made_ms
 
     def decide(self, now_ms: int, wall_ms: int) -> list[Command]:
-        """Returns records about lives of servers that are now decided."""
+        """Returns records about incarnations that are now decided."""
         found: dict[tuple[str, str], int] = {}
         commands: list[Command] = []
         for strike in self._shard.quarantine.open_strikes():
@@ -87,7 +87,7 @@
     def _crashed(
         self, server_incarnation: tuple[str, str], broke_ms: int, now_ms: int
     ) -> bool | None:
-        """Returns whether a life is over, or None while that is not clear."""
+        """Returns whether an incarnation is over, None while that is open."""
         seen = self._servers.get(server_incarnation[0])
         if seen is None:
             silent_since = broke_ms
--- a/catkinpin/core/programs/leader.py
+++ b/catkinpin/core/programs/leader.py
@@ -169,15 +169,7 @@
         self, done: messages.ReleaseDone, wall_ms: int
     ) -> list[Command]:
         """Notes that a server released programs."""
-        if not self._shard.outbox.pending(done.server):
-            return []
-        record = records.MemoryReleased(
-            at_ms=wall_ms,
-            server=done.server,
-            incarnation=done.incarnation,
-            programs=done.programs,
-        )
-        return [Propose(record)]
+        return self._queries.release_done(done, wall_ms)
 
     def reported(self, report: messages.ServerReport, made_ms: int) -> None:
         """Takes a server's report, made at a monotonic time."""
@@ -292,8 +284,6 @@
             case effects.ContentQuarantined():
                 return []
 
-    # Admission.
-
     def _admit(
         self,
         waiter: Waiter,
@@ -361,8 +351,6 @@
         self._deadlines.program_seen(program, now_ms, wall_ms)
         return commands
 
-    # Placement and grants.
-
     def _place(self, key: CallKey, now_ms: int, wall_ms: int) -> list[Command]:
         """Looks for a server for a call whose turn it is."""
         found = self._shard.find_open(key)
@@ -423,8 +411,6 @@
         )
         return [Propose(record)]
 
-    # Outcomes.
-
     def _finished(
         self, record: records.AttemptFinished, now_ms: int, wall_ms: int
     ) -> list[Command]:
--- a/catkinpin/core/programs/outbox.py
+++ b/catkinpin/core/programs/outbox.py
@@ -38,7 +38,7 @@
     )
 
     def add(self, order: Order) -> None:
-        """Adds an order; it takes the place of one to an earlier life."""
+        """Adds an order; it replaces one to an earlier incarnation."""
         known = self.orders.setdefault(order.server, {})
         known[order.program] = order
         oldest = order.made_ms - _KEPT_MS
--- a/catkinpin/core/programs/quarantine.py
+++ b/catkinpin/core/programs/quarantine.py
@@ -1,6 +1,6 @@
 """Requests that crash servers: suspects, strikes and quarantine.
 
-A request aboard a server that crashed gets a strike, whether it is at fault
+A request on a server that crashed gets a strike, whether it is at fault
 or not. Suspects run apart from one another, so that the next crash tells them
 apart; an answer clears a suspect. With two strikes the content is quarantined,
 under whatever request id, program or account it comes again.
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Suspect:
-    """Content that was aboard when connections broke."""
+    """Content that was running when connections broke."""
 
     strikes: list[Strike] = dataclasses.field(default_factory=list)
 
@@ -48,14 +48,14 @@
     def strike(
         self, content: bytes, server: str, incarnation: str, at_ms: int
     ) -> None:
-        """Notes that the request was aboard when its connection broke."""
+        """Notes that the request was running when its connection broke."""
         suspect = self.suspects.setdefault(content.hex(), Suspect())
         suspect.strikes.append(Strike(server, incarnation, at_ms))
         if len(self.suspects) > _MAX_SUSPECTS:
             self.suspects.pop(next(iter(self.suspects)))
 
     def resolve(self, server: str, incarnation: str, crashed: bool) -> None:
-        """Decides the open strikes of one life of a server."""
+        """Decides the open strikes of one incarnation of a server."""
         for content, suspect in list(self.suspects.items()):
             kept = []
             for strike in suspect.strikes:
@@ -72,8 +72,8 @@
             if not kept:
                 del self.suspects[content]
 
-    def condemn(self) -> list[bytes]:
-        """Quarantines what was aboard too many crashes; returns what is new."""
+    def quarantine_repeated(self) -> list[bytes]:
+        """Quarantines content with too many crashes; returns what is new."""
         found = [
             content
             for content, suspect in self.suspects.items()
--- a/catkinpin/core/programs/queries.py
+++ b/catkinpin/core/programs/queries.py
@@ -48,3 +48,17 @@
             at_ms=wall_ms, key=end.key, reason="ended by the caller"
         )
         return [Propose(record), *commands]
+
+    def release_done(
+        self, done: messages.ReleaseDone, wall_ms: int
+    ) -> list[Command]:
+        """Notes that a server released programs."""
+        if not self._shard.outbox.pending(done.server):
+            return []
+        record = records.MemoryReleased(
+            at_ms=wall_ms,
+            server=done.server,
+            incarnation=done.incarnation,
+            programs=done.programs,
+        )
+        return [Propose(record)]
--- a/catkinpin/core/programs/records.py
+++ b/catkinpin/core/programs/records.py
@@ -19,7 +19,7 @@
 
     Attributes:
         entry: process id of the entry that the grant is for.
-        entry_incarnation: the life of that entry; another can't use the grant.
+        entry_incarnation: of that entry; another can't use the grant.
     """
 
     server: ServerRef
@@ -125,7 +125,7 @@
 
 
 class IncarnationEnded(Message, frozen=True):
-    """Whether the life of a server whose connections broke is over."""
+    """Whether a server incarnation whose connections broke is over."""
 
     at_ms: int
     server: str
--- a/catkinpin/core/programs/shard.py
+++ b/catkinpin/core/programs/shard.py
@@ -445,6 +445,5 @@
         self.quarantine.resolve(
             record.server, record.incarnation, record.crashed
         )
-        return [
-            ContentQuarantined(content) for content in self.quarantine.condemn()
-        ]
+        found = self.quarantine.quarantine_repeated()
+        return [ContentQuarantined(content) for content in found]
--- a/catkinpin/core/programs/texts.py
+++ b/catkinpin/core/programs/texts.py
@@ -18,7 +18,7 @@
     """
 
     def __init__(self, max_bytes: int) -> None:
-        self._most_bytes = max_bytes
+        self._max_bytes = max_bytes
         self._held: collections.OrderedDict[bytes, list[bytes]] = (
             collections.OrderedDict()
         )
@@ -37,7 +37,7 @@
         self._drop(head)
         self._held[head] = messages
         self._bytes += _size(messages)
-        while self._bytes > self._most_bytes:
+        while self._bytes > self._max_bytes:
             self._drop(next(iter(self._held)))
 
     def _drop(self, head: bytes) -> None:
--- a/catkinpin/core/programs/waiters.py
+++ b/catkinpin/core/programs/waiters.py
@@ -63,7 +63,7 @@
 
         Args:
             key: the call.
-            incarnation: only waiters of this life of an entry.
+            incarnation: only waiters of this incarnation of an entry.
         """
         for waiter in self._by_key.get(key, []):
             fits = not incarnation or waiter.entry.incarnation == incarnation
--- a/catkinpin/core/requests/pauses.py
+++ b/catkinpin/core/requests/pauses.py
@@ -24,8 +24,8 @@
     """Expected gap between the events of each server's streams.
 
     Args:
-        low_ms: shortest patience, however fast a server is.
-        high_ms: longest patience, and that with a server not yet measured.
+        low_ms: shortest timeout, however fast a server is.
+        high_ms: longest timeout, also of a server not yet measured.
     """
 
     def __init__(self, low_ms: int, high_ms: int) -> None:
--- a/catkinpin/exceptions.py
+++ b/catkinpin/exceptions.py
@@ -76,7 +76,7 @@
 
     Attributes:
         silent: nothing came for too long on a connection that stands.
-        gone: the life of the server that ran the attempt is gone.
+        gone: the incarnation that ran the attempt is gone.
     """
 
     def __init__(
--- a/catkinpin/exits.py
+++ b/catkinpin/exits.py
@@ -16,7 +16,7 @@
 
 
 def stop_at_once(exc: Exception) -> None:
-    """Ends the process without another word to anyone.
+    """Ends the process at once, without any further message.
 
     After a failed write or sync the disk may hold less than memory says. A
     graceful stop would still acknowledge from memory.
--- a/catkinpin/joined.py
+++ b/catkinpin/joined.py
@@ -18,7 +18,7 @@
 # Lines about servers, leaders and processes count so long around a request.
 # An ejection lasts up to 6 s, a server is missed after 15 s.
 NEAR_MS = 15_000
-# What tells of the whole system rather than of one request.
+# Decisions about the whole system rather than one request.
 _SYSTEM = frozenset(
     {
         "start",
@@ -80,7 +80,7 @@
 def parse(text: str) -> Line | None:
     """Returns a decision line; None for whatever else a process wrote.
 
-    A collector may have put its own words before the JSON object.
+    A collector may have put a prefix before the JSON object.
     """
     start = text.find("{")
     if start < 0:
--- a/catkinpin/timeline.py
+++ b/catkinpin/timeline.py
@@ -1,6 +1,6 @@
 """What happened when, around processes that started anew.
 
-Programs under way lose the time from the last word before to the first turn
+Programs under way lose the time from the last line before to the first turn
 after. Each step between the two is another thing to look into: a host that was
 dark, a start that took long, an election, routes that came late.
 """
