Open the callers' port before the rest of a gateway is loaded

Cause: after everything is killed, a gateway's port stays closed for its whole start (0.15 s of processor time, 0.3 s on half a core).

Ruled out: opening the readiness port as early; the balancer would wait for an answer that it can't get yet.

--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from catkinpin import listening
 from catkinpin.adapters.http.headers import Headers
 
 if TYPE_CHECKING:
@@ -169,11 +170,20 @@
 
     async def start(self, address: str) -> str:
         """Listens and returns the address with its real port."""
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: Connection(self), host, int(port), backlog=1024
-        )
+        host, _, port = address.rpartition(":")
+        sock = listening.claim(address)
+        if sock is not None:
+            self._server = await loop.create_server(
+                lambda: Connection(self), sock=sock, backlog=listening.BACKLOG
+            )
+        else:
+            self._server = await loop.create_server(
+                lambda: Connection(self),
+                host,
+                int(port),
+                backlog=listening.BACKLOG,
+            )
         return f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     def busy(self) -> int:
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -13,7 +13,7 @@
 _LOADED = """
 import sys
 sys.path.insert(0, "platform")
-import control, names, settings
+import control, names, nodefile, settings
 from catkinpin.adapters import running
 from catkinpin.adapters.gateway import process as gateway
 from catkinpin.adapters.keeper import process as keeper
