Let the control group's leader name the model server of each turn

Cause: with 171 gateways each sees 1 to 2 turns a second; 46 % of its choices rest on no recent load report.

Every turn passes the leader twice. It now counts what runs where and which parts were sent where, by the same cost model (balance.py), and names a server with the begin's reply; a gateway follows unless the server is not ready, ejected or was asked already. All is soft state; nothing is in the log.

--- a/bench/deciding/policies.py
+++ b/bench/deciding/policies.py
@@ -8,6 +8,7 @@
 
 from catkinpin.core.placement import balance, urgency
 from catkinpin.core.placement.balance import Balancer, Choice
+from catkinpin.core.placement.placer import Placer, PlaceTurn, TurnReport
 from catkinpin.core.placement.speeds import EngineSpeed, Speeds, Streamed
 
 if TYPE_CHECKING:
@@ -21,6 +22,10 @@
     from catkinpin.core.requests.calls import Load, PromptPart, RouteCall
 
 
+# Longest that a turn counts at the server that was named for it.
+_TURN_MS = 6_000
+
+
 @dataclasses.dataclass(frozen=True)
 class Truth:
     """What really is, for variants that may know it.
@@ -103,7 +108,7 @@
         service: str,
         server: str,
         started_ms: int,
-        report_load: Streamed,
+        sample: Streamed,
         now_ms: int,
     ) -> None:
         """Learns nothing."""
@@ -215,6 +220,7 @@
         now_ms: int,
         avoid: Collection[str] = (),
         route: str = "",
+        domain: str = "",
     ) -> Choice | None:
         fit = _fit(self, servers, avoid, now_ms)
         if not fit:
@@ -233,6 +239,7 @@
         now_ms: int,
         avoid: Collection[str] = (),
         route: str = "",
+        domain: str = "",
     ) -> Choice | None:
         fit = _fit(self, servers, avoid, now_ms)
         if not fit:
@@ -264,6 +271,7 @@
         now_ms: int,
         avoid: Collection[str] = (),
         route: str = "",
+        domain: str = "",
     ) -> Choice | None:
         listed = list(servers)
         home = self._homes.get(call.session) if call.session else None
@@ -276,6 +284,73 @@
         return choice
 
 
+class _Placed(Balancer):
+    """The leader names the server of each turn."""
+
+    placer: Placer
+
+    def __init__(
+        self,
+        domain: str,
+        regions: dict[str, str],
+        rng: random.Random,
+        speeds: Speeds,
+    ) -> None:
+        super().__init__(domain, regions, rng, speeds)
+        self._attempts: dict[str, list[str]] = collections.defaultdict(list)
+
+    def pick(
+        self,
+        servers: Iterable[Instance],
+        call: RouteCall,
+        now_ms: int,
+        avoid: Collection[str] = (),
+        route: str = "",
+        domain: str = "",
+    ) -> Choice | None:
+        listed = list(servers)
+        if call.prompt and not avoid:
+            turn = PlaceTurn(
+                service=listed[0].service if listed else "",
+                domain=self._domain,
+                prompt=list(call.prompt),
+                max_tokens=call.max_tokens,
+                left_ms=_TURN_MS,
+            )
+            name = self.placer.place(call.attempt, turn, listed, None, now_ms)
+            for one in listed:
+                if one.id == name:
+                    return self.weigh(one, call, now_ms)
+        return super().pick(listed, call, now_ms, avoid, route)
+
+    def sent(self, instance: Instance, call: RouteCall) -> None:
+        super().sent(instance, call)
+        self._attempts[instance.id].append(call.attempt)
+
+    def ended(self, instance: Instance) -> None:
+        super().ended(instance)
+        if self._attempts[instance.id]:
+            attempt = self._attempts[instance.id].pop(0)
+            self.placer.settle(attempt, TurnReport(), 0)
+
+
+def _leader_placement() -> Callable[[Place], Policy]:
+    """Returns a variant in which one placer serves all gateways of a play."""
+    placers: dict[int, Placer] = {}
+
+    def make(place: Place) -> Policy:
+        key = id(place.truth)
+        if key not in placers:
+            placers.clear()
+            placers[key] = Placer(place.regions, place.rng)
+        speeds = Speeds()
+        balancer = _Placed(place.domain, place.regions, place.rng, speeds)
+        balancer.placer = placers[key]
+        return Policy(balancer, speeds)
+
+    return make
+
+
 def _fit(
     balancer: Balancer,
     servers: Iterable[Instance],
@@ -311,5 +386,6 @@
     "round robin": _plain(_RoundRobin),
     "least outstanding": _plain(_LeastOutstanding),
     "sticky": _plain(_Sticky),
+    "leader placement": _leader_placement(),
     ORACLE: _oracle,
 }
--- a/catkinpin/adapters/gateway/answers.py
+++ b/catkinpin/adapters/gateway/answers.py
@@ -119,6 +119,7 @@
             "program_left_ms": work.call.program_left_ms,
             "urgency": work.urgency,
             "program_lost_ms": work.program_status.lost_ms,
+            "placed": work.placed,
         }
         if choice is not None:
             facts["cost_ms"] = round(choice.cost_ms, 1)
--- a/catkinpin/adapters/gateway/context.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -30,6 +30,7 @@
         codec: translates headers.
         clock: time.
         gateways: returns how many gateways share the servers' limits.
+        domain: failure domain of this gateway.
     """
 
     view: View
@@ -40,3 +41,4 @@
     codec: HeaderCodec
     clock: Clock
     gateways: Callable[[], int]
+    domain: str = ""
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -15,6 +15,7 @@
 from catkinpin.adapters.gateway.headers import Sending
 from catkinpin.adapters.gateway.timings import Times
 from catkinpin.adapters.http.client import ANY_IDLE_S, Failure
+from catkinpin.core.control.servers import ServerState
 from catkinpin.core.placement import urgency
 from catkinpin.verdicts import Verdict
 
@@ -66,7 +67,7 @@
             return None
         servers = self._view.fleet.of(work.service.name)
         now_ms = self._clock.now_ms()
-        choice = self._balancer.pick(
+        choice = self._placed(work, now_ms) or self._balancer.pick(
             servers, work.call, now_ms, work.sent_to, work.route.name
         )
         if choice is None:
@@ -79,6 +80,15 @@
         work.choice = choice
         return choice
 
+    def _placed(self, work: Work, now_ms: int) -> Choice | None:
+        """Returns the server that the leader names, if it can be used."""
+        instance = self._view.fleet.servers.get(work.placed)
+        if instance is None or instance.id in work.sent_to:
+            return None
+        if instance.state is not ServerState.READY:
+            return None
+        return self._balancer.weigh(instance, work.call, now_ms)
+
     async def send(
         self, work: Work, choice: Choice, body: bytes, resume_at: str = ""
     ) -> tuple[ServerConnection, Head] | Failure:
@@ -94,6 +104,7 @@
         if isinstance(conn, Failure):
             work.reason = conn.reason
             if conn.reason.startswith("no connection:"):
+                work.failed.append(instance.id)
                 self.failed(choice, conn.reason, sure=True)
             return conn
         self._balancer.sent(instance, work.call)
@@ -163,11 +174,13 @@
         if status < _SERVER_FAILED:
             self.succeeded(work, choice)
             return
+        work.failed.append(choice.instance.id)
         is_engine = work.service.engine is not None
         self.failed(choice, f"status {status}", sure=is_engine)
 
     def broke(self, work: Work, choice: Choice, failure: Failure) -> None:
         """Notes that a server broke off what it may have begun to run."""
+        work.failed.append(choice.instance.id)
         self.failed(choice, failure.reason)
         if failure.is_lost:
             self._crashes.suspect(work, choice)
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -83,6 +83,7 @@
                 codec=codec,
                 clock=self.clock,
                 gateways=self._count_gateways,
+                domain=cfg.failure_domain,
             )
         )
         self.server = HttpServer(self._serving.handle, self._limits)
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -11,6 +11,7 @@
 from catkinpin.adapters.http.client import Failure
 from catkinpin.core.control.ledger import Denial
 from catkinpin.core.placement import urgency
+from catkinpin.core.placement.placer import PlaceTurn, TurnReport
 from catkinpin.core.requests.events import EventReader
 from catkinpin.verdicts import Verdict
 
@@ -76,6 +77,7 @@
         plain: Plain,
     ) -> None:
         self._view = parts.view
+        self._domain = parts.domain
         self._balancer = parts.balancer
         self._speeds = parts.speeds
         self._turns = parts.turns
@@ -93,12 +95,15 @@
 
     async def _turn(self, work: Work) -> None:
         wait_s = min(_LEADER_S, work.left_s * _LEADER_SHARE)
-        began = await self._turns.begin(work.call, work.route, wait_s)
+        began = await self._turns.begin(
+            work.call, work.route, wait_s, self._place_turn(work)
+        )
         if not isinstance(began, Started):
             self._deny(work, began)
             return
         work.urgency = urgency.of_turn(began.program_status)
         work.program_status = began.program_status
+        work.placed = began.placed
         self._remember_cache(work, began.server)
         is_settled = False
         try:
@@ -107,6 +112,18 @@
             if not is_settled:
                 self._turns.settle(work.call, self._turn_result(work))
 
+    def _place_turn(self, work: Work) -> PlaceTurn | None:
+        """Returns what the leader needs to name a model server."""
+        if work.service.engine is None:
+            return None
+        return PlaceTurn(
+            service=work.service.name,
+            domain=self._domain,
+            prompt=list(work.call.prompt),
+            max_tokens=work.call.max_tokens,
+            left_ms=max(0, int(work.left_s * _MS)),
+        )
+
     def _deny(self, work: Work, why: Unknown | Denial) -> None:
         """Refuses a turn that may not begin, or not now."""
         responder, call = work.responder, work.call
@@ -241,7 +258,8 @@
         """Returns what a turn came to."""
         speed = self._speeds.engine(work.service.name)
         lost_ms = urgency.lost_ms(work.call, work.tokens, work.took_ms, speed)
-        return TurnResult(work.tokens, work.ran_on, lost_ms)
+        report = TurnReport(failed=work.failed, speed=speed)
+        return TurnResult(work.tokens, work.ran_on, lost_ms, report)
 
     async def _may_resume(self, work: Work, choice: Choice) -> bool:
         if not work.route.resumable or work.responder.is_gone:
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -12,6 +12,7 @@
 from catkinpin.adapters.tasks import Tasks
 from catkinpin.core.control import copies, protocol
 from catkinpin.core.control.ledger import Begin, Denial, Finish
+from catkinpin.core.placement.placer import PlaceTurn, TurnReport
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
@@ -57,11 +58,13 @@
         history: bytes of the chain before it.
         program_status: how its program is doing.
         server: that ran its program's latest turn.
+        placed: the server that the leader names, empty for none.
     """
 
     history: bytes
     program_status: ProgramStatus
     server: str
+    placed: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,11 +75,13 @@
         tokens: handed to the caller.
         server: that has its prompt; empty if none ran it.
         lost_ms: what it took longer than on an idle server.
+        report: about the servers, for the leader.
     """
 
     tokens: int = 0
     server: str = ""
     lost_ms: int = 0
+    report: TurnReport = dataclasses.field(default_factory=TurnReport)
 
 
 class _Cache:
@@ -142,9 +147,13 @@
         return len(self._tasks)
 
     async def begin(
-        self, call: RouteCall, route: Route, wait_s: float
+        self,
+        call: RouteCall,
+        route: Route,
+        wait_s: float,
+        place: PlaceTurn | None = None,
     ) -> Started | Denial | Unknown:
-        """Reserves for a turn and fetches what came before it."""
+        """Reserves for a turn, has it placed, fetches what came before it."""
         begin = Begin(
             attempt=call.attempt,
             program=call.program,
@@ -157,7 +166,10 @@
         )
         try:
             began = await self._keepers.ask_leader(
-                lambda ask: protocol.AskBegin(ask=ask, begin=begin), wait_s
+                lambda ask: protocol.AskBegin(
+                    ask=ask, begin=begin, place=place
+                ),
+                wait_s,
             )
         except PeerLostError as exc:
             # It may have reserved; what is never settled counts for ever.
@@ -169,7 +181,9 @@
         if history is None:
             self.settle(call, TurnResult())
             return Unknown("the history can't be read now")
-        return Started(history, began.program_status, began.server)
+        return Started(
+            history, began.program_status, began.server, began.placed
+        )
 
     async def finish(
         self, call: RouteCall, data: bytes, ran: TurnResult
@@ -192,7 +206,10 @@
         )
         try:
             await self._keepers.ask_leader(
-                lambda ask: protocol.AskFinish(ask=ask, finish=finish), _STORE_S
+                lambda ask: protocol.AskFinish(
+                    ask=ask, finish=finish, report=ran.report
+                ),
+                _STORE_S,
             )
         except PeerLostError as exc:
             return str(exc)
@@ -212,7 +229,7 @@
             server=ran.server,
             lost_ms=ran.lost_ms,
         )
-        self._tasks.spawn(self._settle(finish))
+        self._tasks.spawn(self._settle(finish, ran.report))
 
     async def report_crash(self, content: str, server: str) -> None:
         """Tells the leader that a server crashed while it ran a request."""
@@ -226,10 +243,12 @@
         except PeerLostError as exc:
             decisions.note("unreported", "", server=server, reason=str(exc))
 
-    async def _settle(self, finish: Finish) -> None:
+    async def _settle(self, finish: Finish, report: TurnReport) -> None:
         try:
             await self._keepers.ask_leader(
-                lambda ask: protocol.AskFinish(ask=ask, finish=finish),
+                lambda ask: protocol.AskFinish(
+                    ask=ask, finish=finish, report=report
+                ),
                 _SETTLE_S,
             )
         except PeerLostError as exc:
--- a/catkinpin/adapters/gateway/work.py
+++ b/catkinpin/adapters/gateway/work.py
@@ -33,6 +33,8 @@
         reason: why the last try failed.
         urgency: to a model server.
         program_status: of its program, where it is a turn.
+        placed: the server that the leader names, empty for none.
+        failed: servers that failed it.
         choice: the server picked last.
         times: of its answer.
     """
@@ -53,6 +55,8 @@
     program_status: ProgramStatus = dataclasses.field(
         default_factory=ProgramStatus
     )
+    placed: str = ""
+    failed: list[str] = dataclasses.field(default_factory=list)
     choice: Choice | None = None
     times: Times = dataclasses.field(default_factory=Times)
 
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -14,6 +14,7 @@
 from catkinpin.adapters.http.server import HttpServer
 from catkinpin.adapters.keeper import host, publisher, repair
 from catkinpin.adapters.keeper.host import NotLeading
+from catkinpin.adapters.keeper.turns import TurnRequests
 from catkinpin.adapters.peers import keepers, links
 from catkinpin.adapters.replica import mesh, node, transport
 from catkinpin.adapters.replica.config import NodeConfig
@@ -64,10 +65,16 @@
 
     Args:
         cfg: the settings.
+        regions: region of each failure domain.
         control: returns the handler of servers' and operators' calls.
     """
 
-    def __init__(self, cfg: KeeperSettings, control: ControlHandler) -> None:
+    def __init__(
+        self,
+        cfg: KeeperSettings,
+        regions: dict[str, str],
+        control: ControlHandler,
+    ) -> None:
         self.cfg = cfg
         self.clock = clock.system_clock()
         self.incarnation = uuid.uuid4().hex[:12]
@@ -80,15 +87,7 @@
             on_full_disk=_note_full_disk,
         )
         self.bytes = TurnBytes(cfg.data_folder / "turns")
-        self.host = host.KeeperHost(
-            self.clock,
-            self.incarnation,
-            cfg.silent_server_ms,
-            self._routing_changed,
-            self._fleet_changed,
-            self._expired,
-            self._quarantine_changed,
-        )
+        self.host = self._new_host()
         self.host.group = self.node.add_group(_GROUP, self.host)
         self.others = keepers.Keepers(self._hello(ROLE))
         self._peers = links.PeerServer(
@@ -112,8 +111,22 @@
             self._turns,
             _COMMIT_S,
         )
+        self._turn_requests = TurnRequests(
+            self.host, regions, self.clock, _COMMIT_S
+        )
         self._was_current = False
 
+    def _new_host(self) -> host.KeeperHost:
+        return host.KeeperHost(
+            self.clock,
+            self.incarnation,
+            self.cfg.silent_server_ms,
+            self._routing_changed,
+            self._fleet_changed,
+            self._expired,
+            self._quarantine_changed,
+        )
+
     def _hello(self, role: str) -> messages.Hello:
         return messages.Hello(
             process=self.node.identity,
@@ -235,9 +248,14 @@
         try:
             match message:
                 case protocol.AskBegin():
-                    await self._begin(stream, message)
+                    began = await self._turn_requests.begin(message)
+                    if isinstance(began, NotLeading):
+                        self._reply(stream, message.ask, began)
+                    else:
+                        stream.send(began)
                 case protocol.AskFinish():
-                    await self._finish(stream, message)
+                    done = await self._turn_requests.finish(message)
+                    self._reply(stream, message.ask, done)
                 case protocol.AskRouting():
                     routing = message.routing
                     done = await self.host.set_routing(routing, _COMMIT_S)
@@ -266,25 +284,6 @@
         except StorageError as exc:
             exits.stop_at_once(exc)
 
-    async def _begin(
-        self, stream: links.Stream, message: protocol.AskBegin
-    ) -> None:
-        out = await self.host.propose(
-            structs.replace(message.begin, at_ms=self.host.log_ms()), _COMMIT_S
-        )
-        if isinstance(out, NotLeading):
-            self._reply(stream, message.ask, out)
-            return
-        stream.send(
-            protocol.Began(
-                ask=message.ask,
-                denial=out.denial,
-                chain=out.chain,
-                program_status=out.program_status,
-                server=out.server,
-            )
-        )
-
     async def _register(
         self, stream: links.Stream, message: protocol.AskRegister
     ) -> None:
@@ -306,15 +305,6 @@
         else:
             stream.send(structs.replace(out, ask=message.ask))
 
-    async def _finish(
-        self, stream: links.Stream, message: protocol.AskFinish
-    ) -> None:
-        out = await self.host.propose(
-            structs.replace(message.finish, at_ms=self.host.log_ms()), _COMMIT_S
-        )
-        failed = out if isinstance(out, NotLeading) else None
-        self._reply(stream, message.ask, failed)
-
     def _send_current(
         self, stream: links.Stream, message: protocol.AskCurrent
     ) -> None:
@@ -365,12 +355,14 @@
 
     def _leader_changed(self, group: Group) -> None:
         decisions.note("leader", "", address=group.leader, term=group.term)
+        self._turn_requests.reset()
         self._publisher.info()
 
     def _routing_changed(self) -> None:
         self._publisher.routing()
 
     def _fleet_changed(self, instances: list[Instance]) -> None:
+        self._turn_requests.servers_changed(instances)
         self._publisher.fleet(instances)
 
     def _quarantine_changed(self, contents: list[str]) -> None:
--- /dev/null
+++ b/catkinpin/adapters/keeper/turns.py
@@ -0,0 +1,90 @@
+"""What gateways ask a keeper about turns: begin, with a server, and finish."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from msgspec import structs
+
+from catkinpin.adapters.keeper.host import NotLeading
+from catkinpin.core.control import protocol
+from catkinpin.core.placement.placer import Placer
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from catkinpin.adapters.keeper.host import KeeperHost
+    from catkinpin.clock import Clock
+    from catkinpin.core.control.servers import Instance
+
+
+class TurnRequests:
+    """Begins, places and settles turns where this keeper leads.
+
+    Args:
+        host: the control group's state, and how this keeper decides.
+        regions: region of each failure domain.
+        clock: time.
+        commit_s: longest wait for a quorum.
+    """
+
+    def __init__(
+        self,
+        host: KeeperHost,
+        regions: dict[str, str],
+        clock: Clock,
+        commit_s: float,
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._commit_s = commit_s
+        self._placer = Placer(regions, random.Random())
+
+    async def begin(
+        self, message: protocol.AskBegin
+    ) -> protocol.Began | NotLeading:
+        """Begins a turn and names a server for it."""
+        begin = structs.replace(message.begin, at_ms=self._host.log_ms())
+        out = await self._host.propose(begin, self._commit_s)
+        if isinstance(out, NotLeading):
+            return out
+        placed = "" if out.denial else self._place(message, out.server)
+        return protocol.Began(
+            ask=message.ask,
+            denial=out.denial,
+            chain=out.chain,
+            program_status=out.program_status,
+            server=out.server,
+            placed=placed,
+        )
+
+    async def finish(self, message: protocol.AskFinish) -> NotLeading | None:
+        """Settles a turn."""
+        finish = structs.replace(message.finish, at_ms=self._host.log_ms())
+        now_ms = self._clock.now_ms()
+        self._placer.settle(finish.attempt, message.report, now_ms)
+        out = await self._host.propose(finish, self._commit_s)
+        return out if isinstance(out, NotLeading) else None
+
+    def reset(self) -> None:
+        """Forgets placements: the leader has changed."""
+        self._placer.reset()
+
+    def servers_changed(self, instances: Iterable[Instance]) -> None:
+        """Forgets servers that are gone."""
+        for instance in instances:
+            if instance.state.is_over:
+                self._placer.forget(instance.id)
+
+    def _place(self, message: protocol.AskBegin, last_server: str) -> str:
+        if message.place is None:
+            return ""
+        fleet = self._host.state.fleet
+        return self._placer.place(
+            message.begin.attempt,
+            message.place,
+            fleet.of(message.place.service),
+            fleet.servers.get(last_server),
+            self._clock.now_ms(),
+        )
--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -71,6 +71,7 @@
 
 def run_keeper(
     cfg: KeeperSettings,
+    regions: dict[str, str],
     control: ControlHandler,
     read_seeds: Callable[[], list[str]],
 ) -> None:
@@ -78,12 +79,13 @@
 
     Args:
         cfg: the settings.
+        regions: region of each failure domain.
         control: returns the handler of servers' and operators' calls.
         read_seeds: returns the keepers that the settings name now.
     """
     from catkinpin.adapters.keeper.process import Keeper
 
-    _run(cfg, lambda: Keeper(cfg, control), read_seeds)
+    _run(cfg, lambda: Keeper(cfg, regions, control), read_seeds)
 
 
 def run_store(cfg: StoreSettings, read_seeds: Callable[[], list[str]]) -> None:
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -13,6 +13,7 @@
 from catkinpin.core.control.servers import Instance
 from catkinpin.core.control.stores import Store
 from catkinpin.core.messages import Hello, Ping
+from catkinpin.core.placement.placer import PlaceTurn, TurnReport
 from catkinpin.core.placement.urgency import ProgramStatus
 
 
@@ -72,10 +73,15 @@
 
 
 class AskBegin(Message, frozen=True):
-    """Asks the leader whether a turn may begin."""
+    """Asks the leader whether a turn may begin.
+
+    Attributes:
+        place: asks for a server besides; None: the gateway needs none.
+    """
 
     ask: int
     begin: Begin
+    place: PlaceTurn | None = None
 
 
 class AskFinish(Message, frozen=True):
@@ -83,6 +89,7 @@
 
     ask: int
     finish: Finish
+    report: TurnReport = TurnReport()
 
 
 class AskRouting(Message, frozen=True):
@@ -198,6 +205,7 @@
         denial: as in `ledger.Denial`; empty where the turn may begin.
         program_status: how the program is doing.
         server: that ran its latest turn.
+        placed: the server that the leader names for this turn, empty for none.
     """
 
     ask: int
@@ -205,6 +213,7 @@
     chain: list[Link]
     program_status: ProgramStatus = ProgramStatus()
     server: str = ""
+    placed: str = ""
 
 
 class Done(Message, frozen=True):
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -142,6 +142,7 @@
         regions: region of each failure domain.
         rng: draws near ties.
         speeds: of the servers, as far as known here.
+        region_ms: weight of a server in another region.
     """
 
     def __init__(
@@ -150,11 +151,13 @@
         regions: dict[str, str],
         rng: random.Random,
         speeds: Speeds,
+        region_ms: float = _REGION_MS,
     ) -> None:
         self._domain = domain
         self._regions = regions
         self._rng = rng
         self._speeds = speeds
+        self._region_ms = region_ms
         self._servers: dict[str, Server] = {}
         self._affinity: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
@@ -167,6 +170,7 @@
         now_ms: int,
         avoid: Collection[str] = (),
         route: str = "",
+        domain: str = "",
     ) -> Choice | None:
         """Returns the server for a request, None where there is none.
 
@@ -176,6 +180,7 @@
             now_ms: monotonic time.
             avoid: servers that this request was sent to already.
             route: its name; plain calls of one take about the same time.
+            domain: failure domain that the request comes from; empty: ours.
         """
         ready = [
             one
@@ -186,13 +191,25 @@
         # If all failed, the fault may be ours or on the way: try them anyway.
         fit = fit or ready
         usual = self._usual_load(fit, now_ms)
-        found = [self._weigh(one, call, route, now_ms, usual) for one in fit]
+        origin = domain or self._domain
+        found = [
+            self._weigh(one, call, route, now_ms, usual, origin) for one in fit
+        ]
         if not found:
             return None
         least = min(choice.cost_ms for choice in found)
         near = [c for c in found if c.cost_ms <= least + _TIE_MS]
         return self._rng.choice(near)
 
+    def weigh(
+        self, instance: Instance, call: RouteCall, now_ms: int
+    ) -> Choice | None:
+        """Returns a choice that was made elsewhere; None if it is ejected."""
+        if self._is_ejected(instance, now_ms):
+            return None
+        usual = self._usual_load([instance], now_ms)
+        return self._weigh(instance, call, "", now_ms, usual, self._domain)
+
     def sent(self, instance: Instance, call: RouteCall) -> None:
         """Notes that a request goes to a server."""
         server = self._of(instance)
@@ -292,6 +309,7 @@
         route: str,
         now_ms: int,
         usual: float,
+        origin: str,
     ) -> Choice:
         server = self._of(instance)
         cached = self._cached(server, call.prompt)
@@ -305,7 +323,12 @@
         beside = min(running, slots - 1)
         queued = max(0, running + 1 - slots)
         wait = queued * work.among(slots) / slots
-        own = wait + work.read + work.among(beside) + self._delay_ms(instance)
+        own = (
+            wait
+            + work.read
+            + work.among(beside)
+            + self._delay_ms(instance, origin)
+        )
         cost = own + self._others_ms(work, beside, queued, slots)
         if call.affinity and self._affinity.get(call.affinity) == instance.id:
             cost -= self._speeds.plain_ms(route) * _AFFINITY_SHARE
@@ -383,13 +406,13 @@
         slots = server.load.slots if server.load else instance.slots
         return max(slots, 1)
 
-    def _delay_ms(self, instance: Instance) -> float:
-        if instance.domain == self._domain:
+    def _delay_ms(self, instance: Instance, origin: str) -> float:
+        if instance.domain == origin:
             return 0.0
-        ours = self._regions.get(self._domain, "")
+        ours = self._regions.get(origin, "")
         if self._regions.get(instance.domain, "") == ours:
             return _DOMAIN_MS
-        return _REGION_MS
+        return self._region_ms
 
 
 def _is_plausible(load: Load) -> bool:
--- a/catkinpin/core/placement/speeds.py
+++ b/catkinpin/core/placement/speeds.py
@@ -78,6 +78,15 @@
     token_ms: float = _TOKEN_MS
     beside_ms: float = _TOKEN_MS * _BESIDE_SHARE
 
+    @property
+    def is_plausible(self) -> bool:
+        """Whether an engine can be as fast as this."""
+        return (
+            _READ_BOUNDS.clip(self.read_ms) == self.read_ms
+            and _TOKEN_BOUNDS.clip(self.token_ms) == self.token_ms
+            and _BESIDE_BOUNDS.clip(self.beside_ms) == self.beside_ms
+        )
+
     def times(self, factor: float) -> EngineSpeed:
         """Returns the speed of a server that takes `factor` times as long."""
         return EngineSpeed(
--- /dev/null
+++ b/tests/test_placer.py
@@ -0,0 +1,164 @@
+"""Which servers the leader names for turns, under the loads it is made for."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import testtools
+
+from catkinpin.core.control.servers import Instance
+from catkinpin.core.placement.placer import Placer, PlaceTurn, TurnReport
+from catkinpin.core.placement.speeds import EngineSpeed
+from catkinpin.core.requests.calls import PromptPart
+from tests.fakes.instances import instance
+
+_REGIONS = {"a": "near", "b": "near", "c": "far", "d": "far"}
+_LEFT_MS = 3_000
+_SHARED_TOKENS = 12_600
+
+
+def _servers(count: int = 30) -> list[Instance]:
+    return [
+        instance(f"s{n}", domain="abcd"[n % 4], slots=6) for n in range(count)
+    ]
+
+
+def _turn(session: str, shared: str = "shared", domain: str = "a") -> PlaceTurn:
+    return PlaceTurn(
+        service="models",
+        domain=domain,
+        prompt=[PromptPart(shared, _SHARED_TOKENS), PromptPart(session, 1_680)],
+        max_tokens=300,
+        left_ms=_LEFT_MS,
+    )
+
+
+def _placer() -> Placer:
+    return Placer(_REGIONS, random.Random(1))
+
+
+class PlacerTest(testtools.TestCase):
+    """Bursts through many gateways, shared prompts, and broken ones."""
+
+    def test_burst_through_many_gateways_spreads_over_all_engines(self) -> None:
+        """Guards against some engines with long queues while others idle."""
+        placer, servers = _placer(), _servers()
+        counts: collections.Counter[str] = collections.Counter()
+        for n in range(300):
+            turn = _turn(f"session-{n}", f"shared-{n % 16}", "abcd"[n % 4])
+            counts[placer.place(f"t{n}", turn, servers, None, n)] += 1
+        self.assertEqual(30, len(counts))
+        mean = 300 / 30
+        self.assertLessEqual(max(counts.values()), 2 * mean)
+        self.assertGreaterEqual(min(counts.values()), mean / 2)
+
+    def test_shared_prompts_are_read_by_few_engines_under_light_load(
+        self,
+    ) -> None:
+        """Guards against every engine reading every shared prompt."""
+        placer, servers = _placer(), _servers()
+        read: set[tuple[str, str]] = set()
+        for n in range(400):
+            shared = f"shared-{n % 16}"
+            attempt = f"t{n}"
+            turn = _turn(f"session-{n}", shared)
+            server = placer.place(attempt, turn, servers, None, 50 * n)
+            read.add((shared, server))
+            placer.settle(attempt, TurnReport(), 50 * n + 45)
+        self.assertLessEqual(len(read), 40)
+
+    def test_session_stays_at_the_server_that_holds_its_prompt(self) -> None:
+        """Guards against sessions whose prompts are read again at each turn."""
+        placer, servers = _placer(), _servers()
+        turn = _turn("mine")
+        last = servers[7]
+        longer = PlaceTurn(
+            service="models",
+            domain="a",
+            prompt=[*turn.prompt, PromptPart("more", 100)],
+            max_tokens=300,
+            left_ms=_LEFT_MS,
+        )
+        self.assertEqual("s7", placer.place("t", longer, servers, last, 0))
+
+    def test_near_servers_come_first_while_they_are_idle(self) -> None:
+        """Guards against prompts that cross the link between regions."""
+        placer, servers = _placer(), _servers()
+        near = {one.id for one in servers if one.domain in "ab"}
+        for n in range(12):
+            turn = _turn(f"session-{n}", f"shared-{n}")
+            self.assertIn(placer.place(f"t{n}", turn, servers, None, n), near)
+
+    def test_resent_begin_gets_the_same_server_and_counts_once(self) -> None:
+        """Guards against turns that count twice after a lost reply."""
+        placer, servers = _placer(), _servers()
+        first = placer.place("t", _turn("s"), servers, None, 0)
+        again = placer.place("t", _turn("s"), servers, None, 700)
+        self.assertEqual(first, again)
+        self.assertEqual(1, placer.running)
+
+    def test_turns_of_a_dead_gateway_expire(self) -> None:
+        """Guards against servers that seem full of turns nobody runs."""
+        placer, servers = _placer(), _servers()
+        for n in range(50):
+            placer.place(f"t{n}", _turn(f"s{n}"), servers, None, 0)
+        self.assertEqual(50, placer.running)
+        placer.place("late", _turn("late"), servers, None, 2 * _LEFT_MS)
+        self.assertEqual(1, placer.running)
+
+    def test_finish_of_an_unknown_turn_changes_nothing(self) -> None:
+        """Guards against finishes of turns that another leader placed."""
+        placer, servers = _placer(), _servers()
+        placer.place("t", _turn("s"), servers, None, 0)
+        placer.settle("other", TurnReport(failed=["s1"]), 10)
+        self.assertEqual(1, placer.running)
+
+    def test_server_that_fails_turns_gets_none_for_a_while(self) -> None:
+        """Guards against a failing engine that always seems idle."""
+        placer, servers = _placer(), _servers(4)
+        failing = placer.place("t0", _turn("s"), servers, None, 0)
+        placer.settle("t0", TurnReport(failed=[failing]), 1)
+        again = placer.place("t1", _turn("s"), servers, None, 2)
+        self.assertEqual(failing, again)
+        placer.settle("t1", TurnReport(failed=[failing]), 3)
+        chosen = {
+            placer.place(f"t{n}", _turn(f"s{n}"), servers, None, 10)
+            for n in range(2, 20)
+        }
+        self.assertNotIn(failing, chosen)
+
+    def test_report_about_another_server_ejects_nothing(self) -> None:
+        """Guards against one broken gateway that blames every server."""
+        placer, servers = _placer(), _servers(4)
+        everyone = [one.id for one in servers]
+        named = placer.place("t0", _turn("s"), servers, None, 0)
+        others = [name for name in everyone if name != named]
+        placer.settle("t0", TurnReport(failed=others), 1)
+        placer.settle("t0", TurnReport(failed=others), 2)
+        chosen = {
+            placer.place(f"t{n}", _turn(f"s{n}"), servers, None, 10)
+            for n in range(1, 40)
+        }
+        self.assertEqual(set(everyone), chosen)
+
+    def test_implausible_speed_is_ignored(self) -> None:
+        """Guards against one gateway's figures that change all choices."""
+        placer, servers = _placer(), _servers()
+        for n in range(100):
+            placer.place(f"t{n}", _turn("s"), servers, None, n)
+            speed = EngineSpeed(1e9, -5.0, 1e9)
+            placer.settle(f"t{n}", TurnReport(speed=speed), n)
+        self.assertEqual(EngineSpeed(), placer.speed("models"))
+
+    def test_new_leader_starts_without_placements(self) -> None:
+        """Guards against counts of turns that ended under another leader."""
+        placer, servers = _placer(), _servers()
+        placer.place("t", _turn("s"), servers, None, 0)
+        placer.reset()
+        self.assertEqual(0, placer.running)
+        self.assertTrue(placer.place("u", _turn("u"), servers, None, 1))
+
+    def test_no_server_is_named_where_there_is_none(self) -> None:
+        """Guards against a name that no gateway knows."""
+        self.assertEqual("", _placer().place("t", _turn("s"), [], None, 0))
