--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -4,15 +4,18 @@
 
 import collections
 import random
+from typing import TYPE_CHECKING
 
 import testtools
 
-from catkinpin.core.control.servers import Instance
 from catkinpin.core.placement.placer import Placer, PlaceTurn, TurnReport
 from catkinpin.core.placement.speeds import EngineSpeed
 from catkinpin.core.requests.calls import PromptPart
 from tests.fakes.instances import instance
 
+if TYPE_CHECKING:
+    from catkinpin.core.control.servers import Instance
+
 _REGIONS = {"a": "near", "b": "near", "c": "far", "d": "far"}
 _LEFT_MS = 3_000
 _SHARED_TOKENS = 12_600
