Follow the leader's choice only on the turn's own service

Cause: read again as a newcomer, the gateway checked that the named server is ready, but not that it belongs to the service that the route allows. Between a leader's and a gateway's view, an id that comes back under another service would get a turn that its route forbids. Not seen in any play.

Before: the new test fails (8 of 8 turns reach the other service); after: it passes.

--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -85,7 +85,8 @@
         instance = self._view.fleet.servers.get(work.placed)
         if instance is None or instance.id in work.sent_to:
             return None
-        if instance.state is not ServerState.READY:
+        is_ready = instance.state is ServerState.READY
+        if not is_ready or instance.service != work.service.name:
             return None
         return self._balancer.weigh(instance, work.call, now_ms)
 
--- a/tests/test_placed.py
+++ b/tests/test_placed.py
@@ -68,6 +68,22 @@
 
         self.play(work())
 
+    def test_named_server_of_another_service_gets_no_turn(self) -> None:
+        """Guards against turns on a service that their route doesn't allow."""
+
+        async def work() -> None:
+            rig = await _rig(streams, streams, placed="s0")
+            known = rig.view.fleet.servers["s0"]
+            other = msgspec.structs.replace(
+                known, service="other", started_ms=known.started_ms + 1
+            )
+            rig.view.fleet.apply(other)
+            self.assertEqual([200] * _TURNS, await _ask_turns(rig))
+            self.assertEqual(0, len(rig.servers[0].seen))
+            await rig.stop()
+
+        self.play(work())
+
     def test_named_server_that_fails_here_is_left_after_some_turns(
         self,
     ) -> None:
