Note a failed server of a request in one place

Cause: read again, three callers of Exchange.failed each noted the server in the request beside the call; the next one would forget it. Exchange.failed now takes the request and notes it itself. Plain calls note it too, which nothing reads.

No change of behaviour; the tests around it pass unchanged.

--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -105,8 +105,7 @@
         if isinstance(conn, Failure):
             work.reason = conn.reason
             if conn.reason.startswith("no connection:"):
-                work.failed.append(instance.id)
-                self.failed(choice, conn.reason, sure=True)
+                self.failed(work, choice, conn.reason, sure=True)
             return conn
         self._balancer.sent(instance, work.call)
         work.runs += 1
@@ -175,21 +174,20 @@
         if status < _SERVER_FAILED:
             self.succeeded(work, choice)
             return
-        work.failed.append(choice.instance.id)
         is_engine = work.service.engine is not None
-        self.failed(choice, f"status {status}", sure=is_engine)
+        self.failed(work, choice, f"status {status}", sure=is_engine)
 
     def broke(self, work: Work, choice: Choice, failure: Failure) -> None:
         """Notes that a server broke off what it may have begun to run."""
-        work.failed.append(choice.instance.id)
-        self.failed(choice, failure.reason)
+        self.failed(work, choice, failure.reason)
         if failure.is_lost:
             self._crashes.suspect(work, choice)
 
     def failed(
-        self, choice: Choice, reason: str, *, sure: bool = False
+        self, work: Work, choice: Choice, reason: str, *, sure: bool = False
     ) -> None:
         """Notes that a server failed; one that fails often gets nothing."""
+        work.failed.append(choice.instance.id)
         now = self._clock.now_ms()
         if self._balancer.failed(choice.instance, now, sure=sure):
             self._pool.retire(choice.instance.address)
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -50,7 +50,9 @@
                 if last:
                     raise
                 done = False
-                self._exchange.failed(choice, "no answer in its part of time")
+                self._exchange.failed(
+                    work, choice, "no answer in its part of time"
+                )
             if done:
                 return
             if work.verdict is not Verdict.NOT_RUN and (
@@ -75,7 +77,7 @@
             work.verdict = Verdict.RAN
             if idempotent and not last and head.status >= 500:
                 work.reason = f"status {head.status}"
-                self._exchange.failed(choice, work.reason)
+                self._exchange.failed(work, choice, work.reason)
                 return False
             return await self.pass_on(work, choice, conn, head)
         finally:
