Let a founder that ended before the founding take its place as a voter

The group of three bore no loss: with keeper-3 frozen and keeper-1 wiped nobody led for 40 s.

Ruled out: load (the kept logs show no leader in keeper-2's whole second life, from 1.3 s on); a lost message (the founder sends the members only to one that says it is not founded, and a joining one says that it is).

Now a replica notes on disk that it is about to introduce itself; a later start without the founding waits to be sent the founders, and one that was left out of them joins. Founders answer everyone who is not founded.

--- a/catkinpin/adapters/replica/founding.py
+++ b/catkinpin/adapters/replica/founding.py
@@ -47,6 +47,11 @@
     folder joins by itself instead, under its new identity. Its settings say
     whether the system starts for the first time; that is never guessed.
 
+    A founder that ends between its introduction and the founding may be
+    counted as a voter by the others. It waits to be sent the founders: as
+    a joining replica it would get the log without the members, and neither
+    vote nor lead while its place counts in each quorum.
+
     Args:
         identity: who this replica is.
         address: its peer address, as the others know it.
@@ -77,12 +82,12 @@
 
     def start(self) -> None:
         """Takes part at once where that was settled in an earlier run."""
-        joins = self._joining is not None and not self._joining.is_founder(
-            self._address
-        )
-        if not self._identity.belongs and joins:
-            log.info("joins with an empty data folder")
-            self._identity.join()
+        if self._joining is not None and not self._identity.belongs:
+            if self._joining.is_founder(self._address):
+                self._identity.introduce()
+            elif not self._identity.introduced:
+                log.info("joins with an empty data folder")
+                self._identity.join()
         if not self._identity.belongs and not self._founders:
             self._identity.found(self._members([]))
         if self._identity.belongs:
@@ -106,7 +111,7 @@
         """Takes what another replica says of itself."""
         self._infos[info.address] = info
         founders = self._identity.founders
-        if founders is not None and founders.find(info.node) is not None:
+        if founders is not None:
             if not info.founded:
                 found = transport.Found(members=founders)
                 self._mesh.send(info.node, found)
@@ -117,9 +122,14 @@
 
     def founded(self, members: Members) -> None:
         """Takes the founding by another replica."""
-        ours = members.find(self._identity.node) is not None
-        if ours and not self._identity.belongs:
+        if self._identity.belongs:
+            return
+        if members.find(self._identity.node) is not None:
             self._take_part(members)
+        elif self._joining is not None:
+            log.info("founded without this replica, joins")
+            self._identity.join()
+            self._begin()
 
     def repair(self) -> None:
         """Lets this replica replace the one that was lost at its address.
--- a/catkinpin/adapters/replica/identity.py
+++ b/catkinpin/adapters/replica/identity.py
@@ -23,12 +23,14 @@
     Attributes:
         founders: the first members of all groups; None before the founding.
         joining: whether an operator let this replica replace a lost one.
+        introduced: whether others may know this replica as a founder.
     """
 
     version: int
     node: str
     founders: Members | None = None
     joining: bool = False
+    introduced: bool = False
 
 
 class Identity:
@@ -62,6 +64,11 @@
         """Whether this replica replaces a lost one."""
         return self._file.joining
 
+    @property
+    def introduced(self) -> bool:
+        """Whether others may know this replica as a founder."""
+        return self._file.introduced
+
     @property
     def belongs(self) -> bool:
         """Whether this replica takes part in the groups."""
@@ -72,6 +79,11 @@
         self._file.founders = founders
         self._write()
 
+    def introduce(self) -> None:
+        """Notes that others are about to learn of this replica."""
+        self._file.introduced = True
+        self._write()
+
     def join(self) -> None:
         """Notes that this replica replaces a lost one."""
         self._file.joining = True
