--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -129,7 +129,7 @@
     if cfg.metrics_listen:
         await HttpServer(_answer_metrics).start(cfg.metrics_listen)
     await process.start()
-    reload = _Reload(process, read_seeds)
+    reload = Reload(process, cfg.seeds, read_seeds)
     loop.add_signal_handler(signal.SIGHUP, reload.now)
     while not stop.is_set():
         try:
@@ -153,15 +153,24 @@
     responder.answer(200, headers, metrics.exposition())
 
 
-class _Reload:
-    """Takes seeds that have changed; a file that can't be read changes none."""
+class Reload:
+    """Takes seeds that have changed; a file that can't be read changes none.
+
+    Args:
+        process: that takes them.
+        seeds: that it was started with.
+        read_seeds: returns the keepers that the settings name now.
+    """
 
     def __init__(
-        self, process: Reloading, read_seeds: Callable[[], list[str]]
+        self,
+        process: Reloading,
+        seeds: list[str],
+        read_seeds: Callable[[], list[str]],
     ) -> None:
         self._process = process
         self._read_seeds = read_seeds
-        self._seeds = read_seeds()
+        self._seeds = seeds
 
     def now(self) -> None:
         """Reads the settings again."""
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -107,9 +107,7 @@
         self.begun += 1
 
     def _members(self, *nodes: str) -> messages.Members:
-        members = [
-            messages.Member(node=node, address=_OTHER) for node in nodes
-        ]
+        members = [messages.Member(node=node, address=_OTHER) for node in nodes]
         return messages.Members(members=members)
 
     def test_founder_killed_before_the_founding_takes_its_place(self) -> None:
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
+import signal
 import subprocess
 import sys
 
 from catkinpin import roles
+from catkinpin.adapters import running
 from catkinpin.exceptions import SettingsError
 from tests import base, processes
 
+_WAIT_S = 10.0
+_NEW_SEEDS = ["127.0.0.1:2"]
 _LOADED = """
 import sys
 sys.path.insert(0, "platform")
@@ -67,3 +72,57 @@
             check=True,
         )
         self.assertEqual("[]", done.stdout.strip())
+
+
+class ReloadSignalTest(base.TestCase):
+    """A reload signal that comes before a process can handle it."""
+
+    def test_signal_during_a_start_does_not_end_the_process(self) -> None:
+        """Guards against SIGHUP's default action while settings are read."""
+        settings = self.folder / "node.toml"
+        os.mkfifo(settings)
+        process = subprocess.Popen(
+            [sys.executable, "platform", "store"],
+            cwd=processes.ROOT,
+            env={
+                "PYTHONPATH": str(processes.ROOT),
+                "CATKINPIN_NODE_FILE": str(settings),
+            },
+            stderr=subprocess.PIPE,
+        )
+        self.addCleanup(process.kill)
+        # Opens once the process waits for the content.
+        with settings.open("w") as out:
+            process.send_signal(signal.SIGHUP)
+            out.write("no settings")
+        _, errors = process.communicate(timeout=_WAIT_S)
+        self.assertEqual(1, process.returncode)
+        self.assertIn(b"TOMLDecodeError", errors)
+
+
+class _Process:
+    """A process that only notes the seeds it is given."""
+
+    def __init__(self) -> None:
+        self.seeds: list[str] = []
+
+    async def start(self) -> None:
+        """Begins to serve."""
+
+    async def stop(self) -> None:
+        """Closes."""
+
+    def reconfigured(self, seeds: list[str]) -> None:
+        """Takes other seeds."""
+        self.seeds = seeds
+
+
+class ReloadTest(base.TestCase):
+    """Settings that change while a process starts."""
+
+    def test_seeds_that_changed_during_the_start_are_taken(self) -> None:
+        """Guards against seeds that are read anew but never handed over."""
+        process = _Process()
+        reload = running.Reload(process, ["127.0.0.1:1"], lambda: _NEW_SEEDS)
+        reload.now()
+        self.assertEqual(_NEW_SEEDS, process.seeds)
