Use part of a quota's tolerance, and have endless programs wait

Change: windows may hold 0.4 of the tolerance; a program with three times the usual turns pays for each further one and waits like a new one; the log line says used, expected, allowed and left.

--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -161,8 +161,8 @@
         """Counts a turn against its account's quota; a resend counts once."""
         ledger = self.state.ledger
         if begin.account and not ledger.knows_turn(begin.attempt):
-            is_new = not ledger.knows_program(begin.program)
-            self.quotas.began(begin.account, begin.at_ms, is_new=is_new)
+            turns = ledger.turns_of(begin.program)
+            self.quotas.began(begin.account, begin.at_ms, turns=turns)
 
     def count_use(self, use: AccountUse) -> None:
         """Counts plain requests, to be logged with others."""
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from typing import TYPE_CHECKING
 
@@ -51,7 +52,7 @@
         begin = structs.replace(message.begin, at_ms=self._host.log_ms())
         retry_ms = self._admit(begin)
         if retry_ms:
-            return _over_quota(message.ask, begin, retry_ms)
+            return self._over_quota(message.ask, begin, retry_ms)
         out = await self._host.propose(begin, self._commit_s)
         if isinstance(out, NotLeading):
             return out
@@ -106,14 +107,30 @@
         ledger = self._host.state.ledger
         if ledger.knows_turn(begin.attempt):
             return 0
-        is_new = not ledger.knows_program(begin.program)
+        turns = ledger.turns_of(begin.program)
         retry_ms = self._host.quotas.admit(
-            begin.account, begin.at_ms, is_new=is_new
+            begin.account, begin.at_ms, turns=turns
         )
         if not retry_ms:
             self._host.count_turn(begin)
         return retry_ms
 
+    def _over_quota(
+        self, ask: int, begin: Begin, retry_ms: int
+    ) -> protocol.Began:
+        use = self._host.quotas.use_of(begin.account)
+        decisions.note(
+            "over-quota",
+            begin.attempt,
+            program=begin.program,
+            turns=self._host.state.ledger.turns_of(begin.program),
+            retry_ms=retry_ms,
+            **(dataclasses.asdict(use) if use is not None else {}),
+        )
+        return protocol.Began(
+            ask=ask, denial=Denial.QUOTA_USED_UP, chain=[], retry_ms=retry_ms
+        )
+
     def _place(self, message: protocol.AskBegin, last_server: str) -> str:
         if message.place is None:
             return ""
@@ -125,16 +142,3 @@
             fleet.servers.get(last_server),
             self._clock.now_ms(),
         )
-
-
-def _over_quota(ask: int, begin: Begin, retry_ms: int) -> protocol.Began:
-    decisions.note(
-        "over-quota",
-        begin.attempt,
-        account=begin.account,
-        program=begin.program,
-        retry_ms=retry_ms,
-    )
-    return protocol.Began(
-        ask=ask, denial=Denial.QUOTA_USED_UP, chain=[], retry_ms=retry_ms
-    )
--- a/catkinpin/core/control/ledger.py
+++ b/catkinpin/core/control/ledger.py
@@ -258,9 +258,10 @@
             if turn is not None:
                 turn.holders = list(record.holders)
 
-    def knows_program(self, program: str) -> bool:
-        """Returns whether a turn of a program has begun here before."""
-        return program in self._budgets
+    def turns_of(self, program: str) -> int:
+        """Returns how many turns a program has had; 0 for a new one."""
+        budget = self._budgets.get(program)
+        return 0 if budget is None else max(1, budget.turns)
 
     def knows_turn(self, attempt: str) -> bool:
         """Returns whether a turn has begun."""
--- a/catkinpin/core/control/quotas.py
+++ b/catkinpin/core/control/quotas.py
@@ -6,8 +6,9 @@
 
 So a program is charged once, at its first turn, with what programs take on
 average; when the account has nothing left, new programs are refused and those
-under way go on. What really runs within a window is counted besides, and stops
-everything short of the tolerance.
+under way go on. One that takes many times the average, as a loop without end
+does, pays for each turn and waits like a new one. What really runs within a
+window is counted besides, and stops everything short of the tolerance.
 
 Each replica counts the turns that it applies. Plain requests are reported to
 the leader, which logs what they add up to now and then; the next leader guesses
@@ -24,27 +25,29 @@
 from catkinpin.codec import Message
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable
 
     from catkinpin.core.control.accounts import ClientAccount, Quota
 
 _MS = 1_000
 # Length of the spans that requests are counted by.
 _SPAN_MS = 250
-# Part of the tolerance that plain requests may use; the rest covers those that
-# the leader can't know yet.
-_USED_TOLERANCE = 0.5
+# Part of the tolerance that requests may use; the rest covers those that the
+# leader can't know yet.
+_USED_TOLERANCE = 0.4
 # Turns of a program, and as many plain requests, until some have been seen; and
 # what that counts for.
 _PROGRAM_TURNS = 4.0
 _PROGRAM_WEIGHT = 4.0
 # Of a window, what new programs leave to those under way.
 _RESERVED_SHARE = 0.15
+# Turns, in usual programs' turns, after which one pays for each.
+_LONG_PROGRAM = 3.0
 # A program spends over so long what it is charged at once.
 _PROGRAM_S = 2.0
 # Half of the plain requests that are expected and don't come are forgotten in
-# this time; tools are called within a second of a turn.
-_EXPECTED_HALF_MS = 1_000
+# this time; most tools are called within a second of a turn.
+_EXPECTED_HALF_MS = 3_000
 # Programs by which the average is learned.
 _LEARNED_PROGRAMS = 200.0
 
@@ -95,6 +98,24 @@
         )
 
 
+@dataclasses.dataclass(frozen=True)
+class QuotaUse:
+    """What an account has used of its quota.
+
+    Attributes:
+        used: requests in the last window.
+        expected: plain requests of turns that have begun, not counted yet.
+        allowed: requests in a window.
+        left: what new programs may still be charged.
+    """
+
+    account: str
+    used: int
+    expected: float
+    allowed: float
+    left: float
+
+
 class _Account:
     """What an account has used."""
 
@@ -165,35 +186,40 @@
             known.quota = account.quota
             self._accounts[account.name] = known
 
-    def admit(self, name: str, now_ms: int, *, is_new: bool) -> int:
+    def admit(self, name: str, now_ms: int, *, turns: int) -> int:
         """Returns in how many ms a turn may begin, 0 for now.
 
         Args:
             name: of the account.
             now_ms: the log's time.
-            is_new: whether its program has had no turn before.
+            turns: that its program has had before.
         """
         account = self._accounts.get(name)
         if account is None:
             return 0
         self._advance(account, now_ms)
-        reserve = self._reserve(account.quota) if is_new else 0.0
-        over_ms = self._over_ms(account, now_ms, -reserve)
-        if over_ms or not is_new or account.level > 0:
+        yields = turns == 0 or self._is_long(turns)
+        reserve = self._reserve(account.quota) if yields else 0.0
+        over_ms = self._over_ms(account, now_ms, reserve)
+        if over_ms or not yields or account.level > 0:
             return over_ms
         return self._promise(account, now_ms)
 
-    def began(self, name: str, now_ms: int, *, is_new: bool) -> None:
-        """Counts a turn that begins, and charges a new program."""
+    def began(self, name: str, now_ms: int, *, turns: int) -> None:
+        """Counts a turn that begins, and charges for it if that is due."""
         account = self._accounts.get(name)
-        self._learn(account, programs=int(is_new), turns=1, plain=0)
+        is_long = self._is_long(turns)
+        if not is_long:
+            self._learn(account, programs=int(turns == 0), turns=1, plain=0)
         if account is None:
             return
         self._advance(account, now_ms)
         account.count(1, now_ms)
         account.expected += self._plain / self._turns
-        if is_new:
+        if turns == 0:
             account.level -= self.program_requests
+        elif is_long:
+            account.level -= 1 + self._plain / self._turns
 
     def passed_on(self, use: AccountUse, now_ms: int) -> None:
         """Counts plain requests."""
@@ -217,9 +243,7 @@
         found = {}
         for name, account in self._accounts.items():
             self._advance(account, now_ms)
-            tolerance = self._tolerance.requests(account.quota)
-            margin = _USED_TOLERANCE * tolerance
-            if over_ms := self._over_ms(account, now_ms, margin):
+            if over_ms := self._over_ms(account, now_ms, 0.0):
                 found[name] = over_ms
         return found
 
@@ -235,10 +259,22 @@
                 found[name] = self._room_ms(account)
         return found
 
-    def uses(self) -> Iterator[tuple[str, int, float]]:
-        """Yields name, requests in the window and allowed ones."""
-        for name, account in self._accounts.items():
-            yield name, account.total, self._tolerance.allowed(account.quota)
+    def uses(self) -> list[QuotaUse]:
+        """Returns what each account has used, for operators."""
+        return [
+            QuotaUse(
+                account=name,
+                used=account.total,
+                expected=round(account.expected, 1),
+                allowed=round(self._tolerance.allowed(account.quota), 1),
+                left=round(account.level, 1),
+            )
+            for name, account in self._accounts.items()
+        ]
+
+    def use_of(self, name: str) -> QuotaUse | None:
+        """Returns what an account has used, None where it has no quota."""
+        return next((u for u in self.uses() if u.account == name), None)
 
     def _capacity(self, quota: Quota) -> float:
         tolerance = self._tolerance.requests(quota)
@@ -259,9 +295,15 @@
             account.level + account.quota.rate_per_s * passed_ms / _MS,
         )
 
-    def _over_ms(self, account: _Account, now_ms: int, margin: float) -> int:
-        """Returns how long the account is at its limit, 0 if it isn't."""
-        limit = self._tolerance.allowed(account.quota) + margin
+    def _is_long(self, turns: int) -> bool:
+        """Returns whether a program takes many times the usual turns."""
+        return turns > _LONG_PROGRAM * self._turns / self._programs
+
+    def _over_ms(self, account: _Account, now_ms: int, reserve: float) -> int:
+        """Returns how long a window is full, but for a reserve; 0: not."""
+        quota = account.quota
+        limit = self._tolerance.allowed(quota) - reserve
+        limit += _USED_TOLERANCE * self._tolerance.requests(quota)
         excess = account.total + account.expected + 1 - limit
         if excess <= 0:
             return 0
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -101,8 +101,7 @@
 
     def _turn(self, turn: _Turn, now_ms: int) -> None:
         account = turn.account
-        is_new = turn.number == 0
-        retry_ms = self.leader.admit(account, now_ms, is_new=is_new)
+        retry_ms = self.leader.admit(account, now_ms, turns=turn.number)
         if retry_ms:
             if turn.program not in self._refused:
                 self._refused.add(turn.program)
@@ -110,9 +109,9 @@
             turn.at_ms = now_ms + max(_TRY_AGAIN_MS, retry_ms)
             self._waiting.append(turn)
             return
-        self.begun[account] += is_new
-        self.leader.began(account, now_ms, is_new=is_new)
-        self.replica.began(account, now_ms, is_new=is_new)
+        self.begun[account] += turn.number == 0
+        self.leader.began(account, now_ms, turns=turn.number)
+        self.replica.began(account, now_ms, turns=turn.number)
         self.ran.append((now_ms, account))
         # Its plain request, reported a little later.
         if self._over_until.get(account, 0) <= now_ms:
@@ -206,8 +205,8 @@
         quotas = Quotas(_TOLERANCE)
         quotas.configure([_account("a", Quota())], 0)
         for _ in range(1_000):
-            quotas.began("a", 0, is_new=True)
-        self.assertEqual(0, quotas.admit("a", 0, is_new=True))
+            quotas.began("a", 0, turns=0)
+        self.assertEqual(0, quotas.admit("a", 0, turns=0))
         self.assertEqual({}, quotas.over(0))
 
     def test_single_requests_use_up_the_quota(self) -> None:
@@ -222,32 +221,46 @@
         """Guards against callers told to come back too early."""
         quotas = _quotas("a")
         quotas.passed_on(AccountUse(account="a", in_programs=200), 1_000)
-        wait_ms = quotas.admit("a", 1_000, is_new=False)
+        wait_ms = quotas.admit("a", 1_000, turns=1)
         self.assertGreater(wait_ms, 0)
-        self.assertEqual(0, quotas.admit("a", 1_000 + wait_ms, is_new=False))
+        self.assertEqual(0, quotas.admit("a", 1_000 + wait_ms, turns=1))
 
     def test_refused_programs_are_told_different_times(self) -> None:
         """Guards against callers that all come back together."""
         quotas = _quotas("a")
         for _ in range(12):
-            quotas.began("a", 0, is_new=True)
+            quotas.began("a", 0, turns=0)
             quotas.passed_on(AccountUse(account="a", in_programs=7), 0)
-        waits = [quotas.admit("a", 0, is_new=True) for _ in range(4)]
+        waits = [quotas.admit("a", 0, turns=0) for _ in range(4)]
         self.assertEqual(4, len(set(waits)))
         self.assertEqual(sorted(waits), waits)
 
+    def test_endless_program_leaves_its_account_to_others(self) -> None:
+        """Guards against one loop that uses up its account's whole quota."""
+        quotas = _quotas("a")
+        now_ms, loops, refused = 0, 1, 0
+        quotas.began("a", 0, turns=0)
+        for now_ms in range(0, 20_000, 40):
+            if not quotas.admit("a", now_ms, turns=loops):
+                quotas.began("a", now_ms, turns=loops)
+                loops += 1
+            if now_ms % 2_000 == 0:
+                refused += quotas.admit("a", now_ms, turns=1) > 0
+        self.assertEqual(0, refused)
+        self.assertLess(loops, 20 * _QUOTA.rate_per_s)
+
     def test_lower_quota_holds_at_once(self) -> None:
         """Guards against a level left over from a higher quota."""
         quotas = _quotas("a")
         low = Quota(rate_per_s=1.0, burst=1.0)
         quotas.configure([_account("a", low)], 0)
         admitted = 0
-        while not quotas.admit("a", 0, is_new=True):
-            quotas.began("a", 0, is_new=True)
+        while not quotas.admit("a", 0, turns=0):
+            quotas.began("a", 0, turns=0)
             admitted += 1
         self.assertLessEqual(admitted, 3)
 
     def test_account_that_is_gone_has_no_quota(self) -> None:
         quotas = _quotas("a")
         quotas.configure([], 0)
-        self.assertEqual([], list(quotas.uses()))
+        self.assertEqual([], quotas.uses())
--- a/tests/test_turnrequests.py
+++ b/tests/test_turnrequests.py
@@ -48,7 +48,7 @@
 
     def count_turn(self, begin: Begin) -> None:
         self.counted.append(begin.attempt)
-        self.quotas.began(begin.account, 1, is_new=True)
+        self.quotas.began(begin.account, 1, turns=0)
 
     def count_use(self, use: AccountUse) -> None:
         self.quotas.passed_on(use, 1)
