--- a/catkinpin/adapters/gateway/context.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -15,6 +15,7 @@
     from catkinpin.adapters.http.client import Pool
     from catkinpin.clock import Clock
     from catkinpin.core.placement.balance import Balancer
+    from catkinpin.core.placement.silent import WaitingCalls
     from catkinpin.core.placement.speeds import Speeds
 
 
@@ -30,6 +31,7 @@
         turns: begins and settles programs' turns.
         codec: translates headers.
         clock: time.
+        waiting: plain calls that wait for their answers.
         usage: counts plain requests of client accounts.
         gateways: returns how many gateways share the servers' limits.
         domain: failure domain of this gateway.
@@ -43,5 +45,6 @@
     codec: HeaderCodec
     clock: Clock
     usage: Usage
+    waiting: WaitingCalls
     gateways: Callable[[], int]
     domain: str = ""
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -40,6 +40,8 @@
 # route's target latencies, at least so long, is left.
 _SILENT_TARGETS = 4
 _MIN_SILENCE_S = 1.5
+# A plain server with an overdue call gets no other for so long.
+_SILENT_MS = 500
 # Answers from this status on are a server's failures.
 _SERVER_FAILED = 500
 # Gateways that may come before all know of it, and connections that a server
@@ -59,6 +61,7 @@
         self._codec = parts.codec
         self._clock = parts.clock
         self._gateways = parts.gateways
+        self._waiting = parts.waiting
         self._crashes = Crashes(parts.turns, self.is_alive)
 
     def pick(self, work: Work) -> Choice | None:
@@ -67,6 +70,8 @@
             return None
         servers = self._view.fleet.of(work.service.name)
         now_ms = self._clock.now_ms()
+        for server in self._waiting.silent(now_ms):
+            self._balancer.avoid(server, now_ms + _SILENT_MS)
         choice = self._placed(work, now_ms) or self._balancer.pick(
             servers, work.call, now_ms, work.sent_to, work.route.name
         )
@@ -108,6 +113,13 @@
                 self.failed(work, choice, conn.reason, sure=True)
             return conn
         self._balancer.sent(instance, work.call)
+        if work.service.engine is None:
+            self._waiting.sent(
+                work.call.attempt,
+                instance.id,
+                self._speeds.plain_ms(work.route.name),
+                self._clock.now_ms(),
+            )
         work.runs += 1
         work.verdict = Verdict.MAY_HAVE_RUN
         metrics.ATTEMPTS.labels("sent").inc()
@@ -117,7 +129,10 @@
                 lambda headers: self._is_ours(work, conn, headers),
             )
             work.times = Times(asyncio.get_running_loop().time())
-            head = await self._head(work, conn)
+            try:
+                head = await self._head(work, conn)
+            finally:
+                self._waiting.ended(work.call.attempt)
         except BaseException:
             self.end(choice, conn)
             raise
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -22,6 +22,7 @@
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
 from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.silent import WaitingCalls
 from catkinpin.core.placement.speeds import Speeds
 
 if TYPE_CHECKING:
@@ -37,6 +38,9 @@
 # Without any keeper for so long this gateway can begin no turn; callers do
 # better elsewhere. Longer than an election or a keeper's restart.
 _DISCONNECTED_MS = 2_000
+# A server that others have seen silent is left out for so long; the leader says
+# so again while it is.
+_SILENT_MS = 1_500
 # Left of a stop's time for closing once nothing is in flight.
 _CLOSE_MS = 200
 
@@ -74,7 +78,8 @@
             cfg.cache_bytes,
             cfg.copies,
         )
-        self._usage = Usage(self.keepers, self.clock, self._count_gateways)
+        self._waiting = WaitingCalls()
+        self._usage = self._new_usage()
         self._serving = Serving(
             Parts(
                 view=self.view,
@@ -85,6 +90,7 @@
                 codec=codec,
                 clock=self.clock,
                 usage=self._usage,
+                waiting=self._waiting,
                 gateways=self._count_gateways,
                 domain=cfg.failure_domain,
             )
@@ -97,6 +103,14 @@
         self._routes = RouteFetch(self.keepers, self.view, cfg.region)
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _new_usage(self) -> Usage:
+        return Usage(
+            self.keepers,
+            self.clock,
+            self._count_gateways,
+            lambda: self._waiting.silent(self.clock.now_ms()),
+        )
+
     async def start(self) -> None:
         """Listens and connects to the keepers."""
         await self._ready.start(self.cfg.ready_listen)
@@ -154,6 +168,15 @@
         self.view.handle(message)
         if isinstance(message, protocol.RoutingUpdate):
             self._routes.announced(host, message)
+        if isinstance(message, protocol.SilentUpdate):
+            self._avoid(message.servers)
+
+    def _avoid(self, servers: list[str]) -> None:
+        """Leaves servers out that other gateways have seen silent."""
+        decisions.note("silent-servers", "", servers=servers)
+        until_ms = self.clock.now_ms() + _SILENT_MS
+        for server in servers:
+            self._balancer.avoid(server, until_ms)
 
     async def _answer_ready(
         self, request: Request, responder: Responder
--- a/catkinpin/adapters/gateway/usage.py
+++ b/catkinpin/adapters/gateway/usage.py
@@ -16,7 +16,7 @@
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from catkinpin.adapters.peers.keepers import Keepers
     from catkinpin.clock import Clock
@@ -37,16 +37,22 @@
         keepers: links to the leader.
         clock: time.
         gateways: returns how many gateways share a quota.
+        silent: returns servers that have an overdue call.
     """
 
     def __init__(
-        self, keepers: Keepers, clock: Clock, gateways: Callable[[], int]
+        self,
+        keepers: Keepers,
+        clock: Clock,
+        gateways: Callable[[], int],
+        silent: Callable[[], Collection[str]],
     ) -> None:
         self._keepers = keepers
         self._clock = clock
         self._gateways = gateways
         self._pending: dict[str, AccountUse] = {}
         self._reported_ms = clock.now_ms()
+        self._silent = silent
         self._over: dict[str, int] = {}
         self._spent: dict[str, int] = {}
 
@@ -77,14 +83,18 @@
         """Reports for as long as the gateway runs."""
         while True:
             await asyncio.sleep(REPORT_S)
-            if self._pending or self._over or self._spent:
-                await self._report()
+            silent = sorted(self._silent())
+            if self._pending or self._over or self._spent or silent:
+                await self._report(silent)
 
-    async def _report(self) -> None:
+    async def _report(self, silent: list[str]) -> None:
         uses, self._pending = list(self._pending.values()), {}
         try:
             reply = await self._keepers.ask_leader(
-                lambda ask: protocol.ReportUse(ask=ask, uses=uses), _ASK_S
+                lambda ask: protocol.ReportUse(
+                    ask=ask, uses=uses, silent=silent
+                ),
+                _ASK_S,
             )
         except PeerLostError as exc:
             decisions.note("use-unreported", "", reason=str(exc))
--- a/catkinpin/adapters/keeper/asks.py
+++ b/catkinpin/adapters/keeper/asks.py
@@ -18,6 +18,11 @@
     from catkinpin.adapters.keeper.turns import TurnRequests
     from catkinpin.adapters.peers import links
     from catkinpin.adapters.store.turnserver import TurnServer
+    from catkinpin.clock import Clock
+
+
+# Gateways are told again of servers that are still silent.
+_SILENT_EVERY_MS = 500
 
 
 class Asks:
@@ -29,6 +34,7 @@
         turn_requests: begins and settles turns, and counts quotas.
         copy_repair: registers and empties stores.
         turns: turns' bytes held here.
+        clock: time.
         commit_s: longest wait for a quorum.
     """
 
@@ -39,6 +45,7 @@
         turn_requests: TurnRequests,
         copy_repair: CopyRepair,
         turns: TurnServer,
+        clock: Clock,
         commit_s: float,
     ) -> None:
         self._host = host
@@ -46,7 +53,10 @@
         self._turn_requests = turn_requests
         self._copy_repair = copy_repair
         self._turns = turns
+        self._clock = clock
         self._commit_s = commit_s
+        self._silent: list[str] = []
+        self._silent_ms = 0
 
     async def answer(self, stream: links.Stream, message: Any) -> None:
         """Answers what a gateway, a store or another keeper asks."""
@@ -79,7 +89,9 @@
                     )
                     self._reply(stream, message.ask, done)
                 case protocol.ReportUse():
-                    update = self._turn_requests.report_use(message)
+                    name = stream.hello.process if stream.hello else ""
+                    update = self._turn_requests.report_use(message, name)
+                    self._publish_silent()
                     if isinstance(update, NotLeading):
                         self._reply(stream, message.ask, update)
                     else:
@@ -95,6 +107,18 @@
         except StorageError as exc:
             exits.stop_at_once(exc)
 
+    def _publish_silent(self) -> None:
+        """Tells all gateways of silent servers, again while they are."""
+        servers = self._turn_requests.silent(self._publisher.gateways())
+        now_ms = self._clock.now_ms()
+        if servers and (
+            servers != self._silent
+            or now_ms - self._silent_ms > _SILENT_EVERY_MS
+        ):
+            self._silent_ms = now_ms
+            self._publisher.silent(servers)
+        self._silent = servers
+
     async def _register(
         self, stream: links.Stream, message: protocol.AskRegister
     ) -> None:
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -143,6 +143,7 @@
             self._turn_requests,
             self._copy_repair,
             self._turns,
+            self.clock,
             _COMMIT_S,
         )
 
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -94,10 +94,16 @@
 
 
 class ReportUse(Message, frozen=True):
-    """Tells the leader which plain requests a gateway has passed on."""
+    """Tells the leader about the plain requests of a gateway.
+
+    Attributes:
+        uses: what was passed on since the last report.
+        silent: servers that have an overdue call.
+    """
 
     ask: int
     uses: list[AccountUse]
+    silent: list[str] = []
 
 
 class QuotaUpdate(Message, frozen=True):
@@ -114,6 +120,12 @@
     spent: dict[str, int] = {}
 
 
+class SilentUpdate(Message, frozen=True):
+    """Names plain servers that several gateways have seen silent."""
+
+    servers: list[str]
+
+
 class AskRouting(Message, frozen=True):
     """Asks the leader to put a routing document in force."""
 
@@ -304,6 +316,7 @@
     | Current
     | Retirement
     | QuotaUpdate
+    | SilentUpdate
     | Expired
     | QuarantineUpdate
     | Got
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -277,6 +277,12 @@
         server.parts.clear()
         return True
 
+    def avoid(self, server: str, until_ms: int) -> None:
+        """Leaves a server out for a while, without a failure of ours."""
+        known = self._servers.get(server)
+        if known is not None:
+            known.ejected_until_ms = max(known.ejected_until_ms, until_ms)
+
     def forget(self, server: str) -> None:
         """Forgets a server that is gone."""
         self._servers.pop(server, None)
--- /dev/null
+++ b/catkinpin/core/placement/silent.py
@@ -0,0 +1,92 @@
+"""Plain servers that are silent: seen by one gateway, avoided by all.
+
+The pattern: a server takes requests and answers none, and its health is good.
+Each of many gateways sends it a call of its own before it knows, and where
+such a call may not be repeated each costs a program. So a gateway counts a
+server as silent once a call takes many times the usual, long before its
+deadline, and the leader tells all gateways once two of them have said so.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+# A call is overdue after so many times what its route usually takes, and not
+# before so long: a queue at a busy server takes some hundred ms.
+_OVERDUE_TIMES = 6.0
+_MIN_OVERDUE_MS = 350
+# Gateways that must have seen it, where there are as many.
+_MIN_GATEWAYS = 2
+# What one gateway saw counts for so long.
+_SEEN_MS = 2_000
+
+
+@dataclasses.dataclass
+class _Call:
+    """A call that waits for its answer."""
+
+    server: str
+    overdue_ms: float
+
+
+class WaitingCalls:
+    """Plain calls of one gateway that wait for their answers."""
+
+    def __init__(self) -> None:
+        self._calls: dict[str, _Call] = {}
+
+    def sent(
+        self, attempt: str, server: str, usual_ms: float, now_ms: int
+    ) -> None:
+        """Notes that a call was sent."""
+        limit_ms = max(_MIN_OVERDUE_MS, _OVERDUE_TIMES * usual_ms)
+        self._calls[attempt] = _Call(server, now_ms + limit_ms)
+
+    def ended(self, attempt: str) -> None:
+        """Notes that a call waits no more."""
+        self._calls.pop(attempt, None)
+
+    def silent(self, now_ms: int) -> set[str]:
+        """Returns servers that have an overdue call."""
+        return {
+            call.server
+            for call in self._calls.values()
+            if call.overdue_ms <= now_ms
+        }
+
+
+class SilentServers:
+    """What the leader has been told of silent servers."""
+
+    def __init__(self) -> None:
+        self._seen: dict[str, dict[str, int]] = collections.defaultdict(dict)
+
+    def reset(self) -> None:
+        """Forgets everything."""
+        self._seen.clear()
+
+    def report(
+        self, gateway: str, servers: Collection[str], now_ms: int
+    ) -> None:
+        """Takes what one gateway sees."""
+        for server in servers:
+            self._seen[server][gateway] = now_ms
+
+    def known(self, gateways: int, now_ms: int) -> list[str]:
+        """Returns servers that enough gateways have seen silent."""
+        since_ms = now_ms - _SEEN_MS
+        found = []
+        for server, seen in list(self._seen.items()):
+            recent = {g: at for g, at in seen.items() if at >= since_ms}
+            if not recent:
+                del self._seen[server]
+                continue
+            self._seen[server] = recent
+            if len(recent) >= min(_MIN_GATEWAYS, max(1, gateways)):
+                found.append(server)
+        return sorted(found)
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -35,6 +35,7 @@
     Share,
 )
 from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.silent import WaitingCalls
 from catkinpin.core.placement.speeds import Speeds
 from catkinpin.core.placement.urgency import ProgramStatus
 from catkinpin.core.requests.calls import AnswerFacts, RouteCall
@@ -202,7 +203,9 @@
         codec = HeaderCodec(_call, _to_server, _answer, _refusal)
         self.speeds = Speeds()
         self.balancer = Balancer("a", {"a": "r"}, random.Random(1), self.speeds)
-        self.usage = Usage(cast("Any", None), self.clock.clock(), lambda: 1)
+        self.usage = Usage(
+            cast("Any", None), self.clock.clock(), lambda: 1, set
+        )
         self.serving = Serving(
             Parts(
                 view=self.view,
@@ -213,6 +216,7 @@
                 codec=codec,
                 clock=self.clock.clock(),
                 usage=self.usage,
+                waiting=WaitingCalls(),
                 gateways=lambda: 1,
             )
         )
--- /dev/null
+++ b/tests/test_silent.py
@@ -0,0 +1,99 @@
+"""Plain servers that answer nobody.
+
+The pattern: many gateways, each with few calls, before a server that hangs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from catkinpin.core.control.routes import RouteKind
+from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.silent import SilentServers, WaitingCalls
+from catkinpin.core.placement.speeds import Speeds
+from catkinpin.core.requests.calls import RouteCall
+from tests import base
+from tests.fakes.gatewaycase import GatewayCase
+from tests.fakes.gatewayrig import Answered, Rig, good, mute
+from tests.fakes.instances import instance
+
+
+class WaitingCallsTest(base.TestCase):
+    """Calls of one gateway."""
+
+    def test_server_is_silent_while_a_call_is_overdue(self) -> None:
+        """Guards against calls to a server that has one hanging already."""
+        waiting = WaitingCalls()
+        waiting.sent("c1", "s1", 50.0, 0)
+        self.assertEqual(set(), waiting.silent(300))
+        self.assertEqual({"s1"}, waiting.silent(400))
+        waiting.ended("c1")
+        self.assertEqual(set(), waiting.silent(400))
+
+    def test_slow_route_is_given_its_time(self) -> None:
+        """Guards against servers left out for calls that always take long."""
+        waiting = WaitingCalls()
+        waiting.sent("c1", "s1", 400.0, 0)
+        self.assertEqual(set(), waiting.silent(1_000))
+
+
+class SilentServersTest(base.TestCase):
+    """What the leader makes of it."""
+
+    def test_one_gateway_alone_condemns_no_server(self) -> None:
+        """Guards against a gateway whose own connections are broken."""
+        silent = SilentServers()
+        silent.report("g1", ["s1"], 0)
+        self.assertEqual([], silent.known(50, 0))
+        silent.report("g2", ["s1"], 100)
+        self.assertEqual(["s1"], silent.known(50, 100))
+
+    def test_single_gateway_is_believed(self) -> None:
+        silent = SilentServers()
+        silent.report("g1", ["s1"], 0)
+        self.assertEqual(["s1"], silent.known(1, 0))
+
+    def test_old_reports_count_no_more(self) -> None:
+        """Guards against servers left out long after they are well."""
+        silent = SilentServers()
+        silent.report("g1", ["s1"], 0)
+        silent.report("g2", ["s1"], 0)
+        self.assertEqual([], silent.known(50, 3_000))
+
+
+class AvoidTest(GatewayCase):
+    """Where calls go while a server hangs."""
+
+    def test_second_call_goes_elsewhere_while_the_first_hangs(self) -> None:
+        """Guards against call after call lost at one server."""
+
+        async def work() -> None:
+            rig = Rig(RouteKind.NON_IDEMPOTENT, has_engine=False)
+            await rig.start(mute, good)
+            hanging: list[asyncio.Future[Answered]] = []
+            while not rig.servers[0].seen:
+                name = f"h{len(hanging)}"
+                hanging.append(asyncio.ensure_future(rig.ask(name)))
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.5)
+            before = len(rig.servers[0].seen)
+            for number in range(12):
+                got = await rig.ask(f"q{number}")
+                self.assertEqual(200, got.status)
+            self.assertEqual(before, len(rig.servers[0].seen))
+            for one in hanging:
+                one.cancel()
+            await rig.stop()
+
+        self.play(work())
+
+    def test_all_servers_avoided_are_tried_all_the_same(self) -> None:
+        """Guards against refusals where the fault may be ours."""
+        balancer = Balancer("a", {"a": "r"}, random.Random(1), Speeds())
+        servers = [instance("s1"), instance("s2")]
+        call = RouteCall(attempt="c")
+        for server in servers:
+            balancer.sent(server, call)
+            balancer.avoid(server.id, 1_000)
+        self.assertIsNotNone(balancer.pick(servers, call, 0))
--- a/tests/test_turnrequests.py
+++ b/tests/test_turnrequests.py
@@ -167,6 +167,8 @@
         """Guards against gateways that go on passing requests on."""
         self._limit()
         use = AccountUse(account="a", in_programs=100)
-        reply = self.requests.report_use(protocol.ReportUse(ask=3, uses=[use]))
+        reply = self.requests.report_use(
+            protocol.ReportUse(ask=3, uses=[use]), "g"
+        )
         assert isinstance(reply, protocol.QuotaUpdate)
         self.assertGreater(reply.over["a"], 0)
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -46,7 +46,7 @@
         self.leader = _Leader()
         time = Clock(now_ms=lambda: self.now, wall_ms=lambda: 0)
         self.usage = usage.Usage(
-            cast("Any", self.leader), time, lambda: _GATEWAYS
+            cast("Any", self.leader), time, lambda: _GATEWAYS, set
         )
 
     def _play_report(self) -> None:
