--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -12,6 +12,7 @@
 from catkinpin.adapters.gateway.exchange import Exchange
 from catkinpin.adapters.gateway.plain import Plain
 from catkinpin.adapters.gateway.streaming import Streaming
+from catkinpin.adapters.gateway.usage import wait_for_room
 from catkinpin.adapters.gateway.work import Work
 from catkinpin.core.control import routes
 from catkinpin.core.control.routes import RouteKind
@@ -121,7 +122,7 @@
         work = Work(
             call, route, service, request, responder, deadline_s, request.body
         )
-        if account is None or self._admits(work, account):
+        if account is None or await self._admits(work, account):
             await self._run(work)
 
     def _account(
@@ -145,15 +146,16 @@
             return
         refuse(responder, call, 401, "no account holds the key")
 
-    def _admits(self, work: Work, account: ClientAccount) -> bool:
+    async def _admits(self, work: Work, account: ClientAccount) -> bool:
         """Counts a plain request against its quota, or refuses it."""
         if work.is_turn:
             return True
         in_program = bool(work.call.program)
-        retry_ms = self._usage.retry_ms(account, in_program=in_program)
-        if retry_ms:
-            self._answers.over_quota(work.responder, work.call, retry_ms)
-            return False
+        until_s = work.quota_until_s
+        while retry_ms := self._usage.retry_ms(account, in_program=in_program):
+            if not await wait_for_room(retry_ms, until_s):
+                self._answers.over_quota(work.responder, work.call, retry_ms)
+                return False
         self._usage.note(account, in_program=in_program)
         return True
 
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -13,6 +13,7 @@
     TurnResult,
     Unknown,
 )
+from catkinpin.adapters.gateway.usage import wait_for_room
 from catkinpin.adapters.http.client import Failure
 from catkinpin.core.control.ledger import Denial
 from catkinpin.core.placement import urgency
@@ -98,10 +99,7 @@
             await self._stream(work, b"")
 
     async def _turn(self, work: Work) -> None:
-        wait_s = min(_LEADER_S, work.left_s * _LEADER_SHARE)
-        began = await self._turns.begin(
-            work.call, work.route, wait_s, self._place_turn(work)
-        )
+        began = await self._begin(work)
         if not isinstance(began, Started):
             self._deny(work, began)
             return
@@ -116,6 +114,21 @@
             if not is_settled:
                 self._turns.settle(work.call, self._turn_result(work))
 
+    async def _begin(
+        self, work: Work
+    ) -> Started | Denial | OverQuota | Unknown:
+        """Begins a turn, and waits for its quota where that is soon."""
+        until_s = work.quota_until_s
+        while True:
+            wait_s = min(_LEADER_S, work.left_s * _LEADER_SHARE)
+            began = await self._turns.begin(
+                work.call, work.route, wait_s, self._place_turn(work)
+            )
+            if not isinstance(began, OverQuota):
+                return began
+            if not await wait_for_room(began.retry_ms, until_s):
+                return began
+
     def _place_turn(self, work: Work) -> PlaceTurn | None:
         """Returns what the leader needs to name a model server."""
         if work.service.engine is None:
--- a/catkinpin/adapters/gateway/usage.py
+++ b/catkinpin/adapters/gateway/usage.py
@@ -30,6 +30,15 @@
 _RETRY_OUTAGE_MS = 500
 
 
+async def wait_for_room(retry_ms: int, until_s: float) -> bool:
+    """Waits until a quota has room; returns whether it has by `until_s`."""
+    now_s = asyncio.get_running_loop().time()
+    if now_s + retry_ms / _MS > until_s:
+        return False
+    await asyncio.sleep(retry_ms / _MS)
+    return True
+
+
 class Usage:
     """Counts plain requests, and knows which accounts get none served.
 
--- a/catkinpin/adapters/gateway/work.py
+++ b/catkinpin/adapters/gateway/work.py
@@ -18,6 +18,9 @@
     from catkinpin.core.requests.calls import RouteCall
 
 _MS = 1_000
+# Part of its time that a request may wait for its account's quota. Refused, it
+# would come back as late, and a program ends with its third refusal.
+_QUOTA_SHARE = 0.3
 
 
 @dataclasses.dataclass
@@ -71,6 +74,12 @@
         """Time until its deadline."""
         return self.deadline_s - asyncio.get_running_loop().time()
 
+    @property
+    def quota_until_s(self) -> float:
+        """The loop's time until which it may wait for its account's quota."""
+        now_s = asyncio.get_running_loop().time()
+        return now_s + _QUOTA_SHARE * self.left_s
+
     @property
     def is_repeatable(self) -> bool:
         """Whether a second run does no harm."""
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from catkinpin.adapters.gateway.turns import OverQuota
+import asyncio
+
+from catkinpin.adapters.gateway.turns import OverQuota, Started
 from catkinpin.core.control import accounts, protocol, routes
 from catkinpin.core.control.accounts import (
     AccountTable,
@@ -10,6 +12,7 @@
     Quota,
 )
 from catkinpin.core.control.routes import CallerLimits, RouteKind, Routing
+from catkinpin.core.placement.urgency import ProgramStatus
 from tests import base
 from tests.fakes.gatewaycase import GatewayCase
 from tests.fakes.gatewayrig import Rig, good, streams
@@ -193,3 +196,42 @@
             await rig.stop()
 
         self.play(work())
+
+    def test_turn_waits_for_room_that_comes_soon(self) -> None:
+        """Guards against programs ended by refusals a moment before room."""
+
+        async def work() -> None:
+            rig = Rig(
+                RouteKind.STREAM,
+                accounts=[_account("a", _KEY)],
+                keeps_history=True,
+            )
+            rig.turns.begin_with = OverQuota(retry_ms=100)
+            await rig.start(streams)
+            asking = asyncio.ensure_future(rig.ask(Key=_KEY, Program="p"))
+            await asyncio.sleep(0.05)
+            rig.turns.begin_with = Started(b"", ProgramStatus(), "")
+            got = await asking
+            self.assertEqual(200, got.status)
+            self.assertLess(got.took_s, 0.3)
+            await rig.stop()
+
+        self.play(work())
+
+    def test_turn_is_not_kept_beyond_its_part_of_time(self) -> None:
+        """Guards against callers kept waiting for a quota with no room."""
+
+        async def work() -> None:
+            rig = Rig(
+                RouteKind.STREAM,
+                accounts=[_account("a", _KEY)],
+                keeps_history=True,
+            )
+            rig.turns.begin_with = OverQuota(retry_ms=100)
+            await rig.start(streams)
+            got = await rig.ask(Key=_KEY, Program="p", Deadline="1000")
+            self.assertEqual(429, got.status)
+            self.assertLess(got.took_s, 0.4)
+            await rig.stop()
+
+        self.play(work())
