Keep only accounts in use in the leader's quotas

Change: accounts are kept while they have used anything, and who is held back is found out at most every 100 ms.

--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -89,12 +89,9 @@
         self._silent.report(gateway, message.silent, self._clock.now_ms())
         for use in message.uses:
             self._host.count_use(use)
-        now_ms = self._host.log_ms()
-        quotas = self._host.quotas
+        held_back = self._host.quotas.held_back(self._host.log_ms())
         return protocol.QuotaUpdate(
-            ask=message.ask,
-            over=quotas.over(now_ms),
-            spent=quotas.spent(now_ms),
+            ask=message.ask, over=held_back.over, spent=held_back.spent
         )
 
     def reset(self) -> None:
--- a/catkinpin/core/control/quotas.py
+++ b/catkinpin/core/control/quotas.py
@@ -48,6 +48,8 @@
 # Half of the plain requests that are expected and don't come are forgotten in
 # this time; most tools are called within a second of a turn.
 _EXPECTED_HALF_MS = 3_000
+# Which accounts are held back is found out at most so often.
+_HELD_BACK_MS = 100
 # Programs by which the average is learned.
 _LEARNED_PROGRAMS = 200.0
 
@@ -116,6 +118,19 @@
     left: float
 
 
+@dataclasses.dataclass
+class HeldBack:
+    """Accounts that get no plain requests served, and ms until they do.
+
+    Attributes:
+        over: those at the limit of their window.
+        spent: those with nothing left for requests of no program.
+    """
+
+    over: dict[str, int] = dataclasses.field(default_factory=dict)
+    spent: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
 class _Account:
     """What an account has used."""
 
@@ -163,7 +178,11 @@
 
     def __init__(self, tolerance: Tolerance) -> None:
         self._tolerance = tolerance
+        self._quotas: dict[str, Quota] = {}
+        # Those in use; of tens of thousands, few are at one time.
         self._accounts: dict[str, _Account] = {}
+        self._held_back = HeldBack()
+        self._held_back_ms = -_HELD_BACK_MS
         self._programs = _PROGRAM_WEIGHT
         self._turns = _PROGRAM_WEIGHT * _PROGRAM_TURNS
         self._plain = _PROGRAM_WEIGHT * _PROGRAM_TURNS
@@ -175,16 +194,18 @@
 
     def configure(self, accounts: Iterable[ClientAccount], now_ms: int) -> None:
         """Takes the quotas in force; what was used stays counted."""
-        before, self._accounts = self._accounts, {}
-        for account in accounts:
-            if not account.quota.is_limited:
-                continue
-            known = before.get(account.name)
-            if known is None:
-                level = self._capacity(account.quota)
-                known = _Account(account.quota, now_ms, level)
-            known.quota = account.quota
-            self._accounts[account.name] = known
+        self._quotas = {
+            account.name: account.quota
+            for account in accounts
+            if account.quota.is_limited
+        }
+        for name, known in list(self._accounts.items()):
+            quota = self._quotas.get(name)
+            if quota is None:
+                del self._accounts[name]
+            else:
+                known.quota = quota
+        self._held_back_ms = now_ms - _HELD_BACK_MS
 
     def admit(self, name: str, now_ms: int, *, turns: int) -> int:
         """Returns in how many ms a turn may begin, 0 for now.
@@ -194,7 +215,7 @@
             now_ms: the log's time.
             turns: that its program has had before.
         """
-        account = self._accounts.get(name)
+        account = self._account(name, now_ms)
         if account is None:
             return 0
         self._advance(account, now_ms)
@@ -207,7 +228,7 @@
 
     def began(self, name: str, now_ms: int, *, turns: int) -> None:
         """Counts a turn that begins, and charges for it if that is due."""
-        account = self._accounts.get(name)
+        account = self._account(name, now_ms)
         is_long = self._is_long(turns)
         if not is_long:
             self._learn(account, programs=int(turns == 0), turns=1, plain=0)
@@ -223,7 +244,7 @@
 
     def passed_on(self, use: AccountUse, now_ms: int) -> None:
         """Counts plain requests."""
-        account = self._accounts.get(use.account)
+        account = self._account(use.account, now_ms)
         self._learn(account, programs=0, turns=0, plain=use.in_programs)
         if account is None:
             return
@@ -238,43 +259,51 @@
             account.count(math.ceil(account.expected), now_ms)
             account.expected = 0.0
 
-    def over(self, now_ms: int) -> dict[str, int]:
-        """Returns accounts at the limit of their window, and ms until room."""
-        found = {}
-        for name, account in self._accounts.items():
-            self._advance(account, now_ms)
-            if over_ms := self._over_ms(account, now_ms, 0.0):
-                found[name] = over_ms
-        return found
+    def held_back(self, now_ms: int) -> HeldBack:
+        """Returns the accounts that get no plain requests served now."""
+        if now_ms - self._held_back_ms >= _HELD_BACK_MS:
+            self._held_back_ms = now_ms
+            self._held_back = self._find_held_back(now_ms)
+        return self._held_back
 
-    def spent(self, now_ms: int) -> dict[str, int]:
-        """Returns accounts with nothing left for requests of no program.
+    def use_of(self, name: str) -> QuotaUse | None:
+        """Returns what an account has used, None where it used nothing."""
+        account = self._accounts.get(name)
+        if account is None:
+            return None
+        return QuotaUse(
+            account=name,
+            used=account.total,
+            expected=round(account.expected, 1),
+            allowed=round(self._tolerance.allowed(account.quota), 1),
+            left=round(account.level, 1),
+        )
 
-        Each with the ms until there is something.
-        """
-        found = {}
-        for name, account in self._accounts.items():
+    def _find_held_back(self, now_ms: int) -> HeldBack:
+        found = HeldBack()
+        for name, account in list(self._accounts.items()):
             self._advance(account, now_ms)
+            if self._is_idle(account):
+                del self._accounts[name]
+                continue
+            if over_ms := self._over_ms(account, now_ms, 0.0):
+                found.over[name] = over_ms
             if account.level <= 0:
-                found[name] = self._room_ms(account)
+                found.spent[name] = self._room_ms(account)
         return found
 
-    def uses(self) -> list[QuotaUse]:
-        """Returns what each account has used, for operators."""
-        return [
-            QuotaUse(
-                account=name,
-                used=account.total,
-                expected=round(account.expected, 1),
-                allowed=round(self._tolerance.allowed(account.quota), 1),
-                left=round(account.level, 1),
-            )
-            for name, account in self._accounts.items()
-        ]
-
-    def use_of(self, name: str) -> QuotaUse | None:
-        """Returns what an account has used, None where it has no quota."""
-        return next((u for u in self.uses() if u.account == name), None)
+    def _account(self, name: str, now_ms: int) -> _Account | None:
+        """Returns an account that has a quota, None for another one."""
+        account = self._accounts.get(name)
+        if account is None and (quota := self._quotas.get(name)) is not None:
+            account = _Account(quota, now_ms, self._capacity(quota))
+            self._accounts[name] = account
+        return account
+
+    def _is_idle(self, account: _Account) -> bool:
+        """Returns whether an account is as if it had never been used."""
+        is_full = account.level >= self._capacity(account.quota)
+        return is_full and not account.total and account.expected < 1
 
     def _capacity(self, quota: Quota) -> float:
         tolerance = self._tolerance.requests(quota)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -127,7 +127,7 @@
     def _report(self, now_ms: int) -> None:
         for account in self._uses:
             self.leader.passed_on(_use(account), now_ms)
-        over = self.leader.over(now_ms)
+        over = self.leader.held_back(now_ms).over
         self._over_until = {a: now_ms + ms for a, ms in over.items()}
         self._unlogged += self._uses
         self._uses = []
@@ -207,15 +207,15 @@
         for _ in range(1_000):
             quotas.began("a", 0, turns=0)
         self.assertEqual(0, quotas.admit("a", 0, turns=0))
-        self.assertEqual({}, quotas.over(0))
+        self.assertEqual({}, quotas.held_back(0).over)
 
     def test_single_requests_use_up_the_quota(self) -> None:
         """Guards against plain requests that no quota stops."""
         quotas = _quotas("a")
         quotas.passed_on(AccountUse(account="a", single=80), 0)
-        self.assertIn("a", quotas.spent(0))
-        wait_ms = quotas.spent(0)["a"]
-        self.assertEqual({}, quotas.spent(wait_ms))
+        wait_ms = quotas.held_back(0).spent["a"]
+        self.assertGreater(wait_ms, 0)
+        self.assertEqual({}, quotas.held_back(wait_ms).spent)
 
     def test_full_window_names_the_time_at_which_it_has_room(self) -> None:
         """Guards against callers told to come back too early."""
@@ -263,4 +263,15 @@
     def test_account_that_is_gone_has_no_quota(self) -> None:
         quotas = _quotas("a")
         quotas.configure([], 0)
-        self.assertEqual([], quotas.uses())
+        self.assertEqual(0, quotas.admit("a", 0, turns=0))
+        self.assertIsNone(quotas.use_of("a"))
+
+    def test_idle_accounts_cost_nothing(self) -> None:
+        """Guards against reports that go through accounts in no use."""
+        quotas = Quotas(_TOLERANCE)
+        quotas.configure([_account(f"a{n}") for n in range(40_000)], 0)
+        quotas.began("a7", 0, turns=0)
+        self.assertIsNotNone(quotas.use_of("a7"))
+        self.assertIsNone(quotas.use_of("a8"))
+        quotas.held_back(60_000)
+        self.assertIsNone(quotas.use_of("a7"))
