--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -41,7 +41,7 @@
 _SILENT_TARGETS = 4
 _MIN_SILENCE_S = 1.5
 # A plain server with an overdue call gets no other for so long.
-_SILENT_MS = 500
+_AVOID_MS = 500
 # Answers from this status on are a server's failures.
 _SERVER_FAILED = 500
 # Gateways that may come before all know of it, and connections that a server
@@ -70,8 +70,8 @@
             return None
         servers = self._view.fleet.of(work.service.name)
         now_ms = self._clock.now_ms()
-        for server in self._waiting.silent(now_ms):
-            self._balancer.avoid(server, now_ms + _SILENT_MS)
+        for server in self._waiting.unresponsive(now_ms):
+            self._balancer.avoid(server, now_ms + _AVOID_MS)
         choice = self._placed(work, now_ms) or self._balancer.pick(
             servers, work.call, now_ms, work.sent_to, work.route.name
         )
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -22,8 +22,8 @@
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
 from catkinpin.core.placement.balance import Balancer
-from catkinpin.core.placement.silent import WaitingCalls
 from catkinpin.core.placement.speeds import Speeds
+from catkinpin.core.placement.unresponsive import WaitingCalls
 
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.headers import HeaderCodec
@@ -38,9 +38,9 @@
 # Without any keeper for so long this gateway can begin no turn; callers do
 # better elsewhere. Longer than an election or a keeper's restart.
 _DISCONNECTED_MS = 2_000
-# A server that others have seen silent is left out for so long; the leader says
-# so again while it is.
-_SILENT_MS = 1_500
+# A server that others find unresponsive is left out for so long; the leader
+# repeats it while it is.
+_AVOID_MS = 1_500
 # Left of a stop's time for closing once nothing is in flight.
 _CLOSE_MS = 200
 
@@ -108,7 +108,7 @@
             self.keepers,
             self.clock,
             self._count_gateways,
-            lambda: self._waiting.silent(self.clock.now_ms()),
+            lambda: self._waiting.unresponsive(self.clock.now_ms()),
         )
 
     async def start(self) -> None:
@@ -168,13 +168,13 @@
         self.view.handle(message)
         if isinstance(message, protocol.RoutingUpdate):
             self._routes.announced(host, message)
-        if isinstance(message, protocol.SilentUpdate):
+        if isinstance(message, protocol.UnresponsiveUpdate):
             self._avoid(message.servers)
 
     def _avoid(self, servers: list[str]) -> None:
-        """Leaves servers out that other gateways have seen silent."""
-        decisions.note("silent-servers", "", servers=servers)
-        until_ms = self.clock.now_ms() + _SILENT_MS
+        """Leaves servers out that other gateways find unresponsive."""
+        decisions.note("unresponsive-servers", "", servers=servers)
+        until_ms = self.clock.now_ms() + _AVOID_MS
         for server in servers:
             self._balancer.avoid(server, until_ms)
 
--- a/catkinpin/adapters/gateway/usage.py
+++ b/catkinpin/adapters/gateway/usage.py
@@ -46,7 +46,7 @@
         keepers: links to the leader.
         clock: time.
         gateways: returns how many gateways share a quota.
-        silent: returns servers that have an overdue call.
+        unresponsive: returns servers that have an overdue call.
     """
 
     def __init__(
@@ -54,14 +54,14 @@
         keepers: Keepers,
         clock: Clock,
         gateways: Callable[[], int],
-        silent: Callable[[], Collection[str]],
+        unresponsive: Callable[[], Collection[str]],
     ) -> None:
         self._keepers = keepers
         self._clock = clock
         self._gateways = gateways
         self._pending: dict[str, AccountUse] = {}
         self._reported_ms = clock.now_ms()
-        self._silent = silent
+        self._unresponsive = unresponsive
         self._over: dict[str, int] = {}
         self._spent: dict[str, int] = {}
 
@@ -92,16 +92,16 @@
         """Reports for as long as the gateway runs."""
         while True:
             await asyncio.sleep(REPORT_S)
-            silent = sorted(self._silent())
-            if self._pending or self._over or self._spent or silent:
-                await self._report(silent)
+            unresponsive = sorted(self._unresponsive())
+            if self._pending or self._over or self._spent or unresponsive:
+                await self._report(unresponsive)
 
-    async def _report(self, silent: list[str]) -> None:
+    async def _report(self, unresponsive: list[str]) -> None:
         uses, self._pending = list(self._pending.values()), {}
         try:
             reply = await self._keepers.ask_leader(
                 lambda ask: protocol.ReportUse(
-                    ask=ask, uses=uses, silent=silent
+                    ask=ask, uses=uses, unresponsive=unresponsive
                 ),
                 _ASK_S,
             )
--- a/catkinpin/adapters/keeper/asks.py
+++ b/catkinpin/adapters/keeper/asks.py
@@ -21,8 +21,8 @@
     from catkinpin.clock import Clock
 
 
-# Gateways are told again of servers that are still silent.
-_SILENT_EVERY_MS = 500
+# Gateways are told again of servers that are still unresponsive.
+_REPEAT_MS = 500
 
 
 class Asks:
@@ -55,8 +55,8 @@
         self._turns = turns
         self._clock = clock
         self._commit_s = commit_s
-        self._silent: list[str] = []
-        self._silent_ms = 0
+        self._unresponsive: list[str] = []
+        self._published_ms = 0
 
     async def answer(self, stream: links.Stream, message: Any) -> None:
         """Answers what a gateway, a store or another keeper asks."""
@@ -91,7 +91,7 @@
                 case protocol.ReportUse():
                     name = stream.hello.process if stream.hello else ""
                     update = self._turn_requests.report_use(message, name)
-                    self._publish_silent()
+                    self._publish_unresponsive()
                     if isinstance(update, NotLeading):
                         self._reply(stream, message.ask, update)
                     else:
@@ -107,17 +107,17 @@
         except StorageError as exc:
             exits.stop_at_once(exc)
 
-    def _publish_silent(self) -> None:
-        """Tells all gateways of silent servers, again while they are."""
-        servers = self._turn_requests.silent(self._publisher.gateways())
+    def _publish_unresponsive(self) -> None:
+        """Tells all gateways of unresponsive servers, again while they are."""
+        servers = self._turn_requests.unresponsive(self._publisher.gateways())
         now_ms = self._clock.now_ms()
         if servers and (
-            servers != self._silent
-            or now_ms - self._silent_ms > _SILENT_EVERY_MS
+            servers != self._unresponsive
+            or now_ms - self._published_ms > _REPEAT_MS
         ):
-            self._silent_ms = now_ms
-            self._publisher.silent(servers)
-        self._silent = servers
+            self._published_ms = now_ms
+            self._publisher.unresponsive(servers)
+        self._unresponsive = servers
 
     async def _register(
         self, stream: links.Stream, message: protocol.AskRegister
--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -13,7 +13,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from catkinpin import codec, decisions
+from catkinpin import codec, decisions, metrics
 from catkinpin.core.control import routes, state
 from catkinpin.core.control.ledger import Begin, Outcome
 from catkinpin.core.control.quotas import Quotas
@@ -31,6 +31,10 @@
 log = logging.getLogger(__name__)
 
 
+# Accounts among the metrics, which hold a line for each.
+_MAX_EXPOSED = 20
+
+
 class NotLeading:
     """Sentinel: this keeper can't decide; the record may or may not last.
 
@@ -171,6 +175,7 @@
 
     async def log_use(self, wait_s: float) -> None:
         """Has what was counted last logged; what isn't is lost."""
+        self._expose_use()
         uses, self._unlogged = list(self._unlogged.values()), {}
         if not uses:
             return
@@ -179,6 +184,13 @@
         if isinstance(out, NotLeading):
             decisions.note("use-unlogged", "", reason=out.reason)
 
+    def _expose_use(self) -> None:
+        uses = self.quotas.uses()
+        metrics.QUOTA_ACCOUNTS.set(len(uses))
+        metrics.QUOTA_USED.clear()
+        for use in uses[:_MAX_EXPOSED]:
+            metrics.QUOTA_USED.labels(use.account).set(use.share)
+
     def log_ms(self) -> int:
         """Returns the log's time, which only rises, over all leaders."""
         return self._log_base_ms + self._clock.now_ms() - self._led_since_ms
--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -66,9 +66,11 @@
             protocol.QuarantineUpdate(contents=contents), GATEWAY_ROLE
         )
 
-    def silent(self, servers: list[str]) -> None:
+    def unresponsive(self, servers: list[str]) -> None:
         """Tells gateways of plain servers that answer nobody."""
-        self._broadcast(protocol.SilentUpdate(servers=servers), GATEWAY_ROLE)
+        self._broadcast(
+            protocol.UnresponsiveUpdate(servers=servers), GATEWAY_ROLE
+        )
 
     def expired(self, attempts: list[str]) -> None:
         """Tells stores of turns whose bytes are needed no more."""
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -13,7 +13,7 @@
 from catkinpin.core.control import protocol
 from catkinpin.core.control.ledger import Denial
 from catkinpin.core.placement.placer import Placer
-from catkinpin.core.placement.silent import SilentServers
+from catkinpin.core.placement.unresponsive import UnresponsiveServers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,7 +45,7 @@
         self._clock = clock
         self._commit_s = commit_s
         self._placer = Placer(regions, random.Random())
-        self._silent = SilentServers()
+        self._unresponsive = UnresponsiveServers()
 
     async def begin(
         self, message: protocol.AskBegin
@@ -76,9 +76,9 @@
         out = await self._host.propose(finish, self._commit_s)
         return out if isinstance(out, NotLeading) else None
 
-    def silent(self, gateways: int) -> list[str]:
-        """Returns plain servers that several gateways have seen silent."""
-        return self._silent.known(gateways, self._clock.now_ms())
+    def unresponsive(self, gateways: int) -> list[str]:
+        """Returns plain servers that several gateways find unresponsive."""
+        return self._unresponsive.known(gateways, self._clock.now_ms())
 
     def report_use(
         self, message: protocol.ReportUse, gateway: str
@@ -86,7 +86,9 @@
         """Counts plain requests; returns which accounts get none served."""
         if not self._host.may_decide():
             return NotLeading("not the leader")
-        self._silent.report(gateway, message.silent, self._clock.now_ms())
+        self._unresponsive.report(
+            gateway, message.unresponsive, self._clock.now_ms()
+        )
         for use in message.uses:
             self._host.count_use(use)
         held_back = self._host.quotas.held_back(self._host.log_ms())
@@ -97,7 +99,7 @@
     def reset(self) -> None:
         """Forgets placements: the leader has changed."""
         self._placer.reset()
-        self._silent.reset()
+        self._unresponsive.reset()
 
     def servers_changed(self, instances: Iterable[Instance]) -> None:
         """Forgets servers that are gone."""
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -98,12 +98,12 @@
 
     Attributes:
         uses: what was passed on since the last report.
-        silent: servers that have an overdue call.
+        unresponsive: servers that have an overdue call.
     """
 
     ask: int
     uses: list[AccountUse]
-    silent: list[str] = []
+    unresponsive: list[str] = []
 
 
 class QuotaUpdate(Message, frozen=True):
@@ -120,8 +120,8 @@
     spent: dict[str, int] = {}
 
 
-class SilentUpdate(Message, frozen=True):
-    """Names plain servers that several gateways have seen silent."""
+class UnresponsiveUpdate(Message, frozen=True):
+    """Names plain servers that several gateways have seen unresponsive."""
 
     servers: list[str]
 
@@ -316,7 +316,7 @@
     | Current
     | Retirement
     | QuotaUpdate
-    | SilentUpdate
+    | UnresponsiveUpdate
     | Expired
     | QuarantineUpdate
     | Got
--- a/catkinpin/core/control/quotas.py
+++ b/catkinpin/core/control/quotas.py
@@ -117,6 +117,11 @@
     allowed: float
     left: float
 
+    @property
+    def share(self) -> float:
+        """Part of the quota that is used."""
+        return self.used / self.allowed
+
 
 @dataclasses.dataclass
 class HeldBack:
@@ -266,6 +271,11 @@
             self._held_back = self._find_held_back(now_ms)
         return self._held_back
 
+    def uses(self) -> list[QuotaUse]:
+        """Returns what accounts have used, those that used most first."""
+        uses = [use for n in self._accounts if (use := self.use_of(n))]
+        return sorted(uses, key=lambda use: -use.share)
+
     def use_of(self, name: str) -> QuotaUse | None:
         """Returns what an account has used, None where it used nothing."""
         account = self._accounts.get(name)
--- a/catkinpin/core/placement/silent.py
+++ b/catkinpin/core/placement/unresponsive.py
@@ -1,9 +1,9 @@
-"""Plain servers that are silent: seen by one gateway, avoided by all.
+"""Plain servers that are unresponsive: noticed by one gateway, avoided by all.
 
 The pattern: a server takes requests and answers none, and its health is good.
 Each of many gateways sends it a call of its own before it knows, and where
 such a call may not be repeated each costs a program. So a gateway counts a
-server as silent once a call takes many times the usual, long before its
+server as unresponsive once a call takes many times the usual, long before its
 deadline, and the leader tells all gateways once two of them have said so.
 """
 
@@ -51,7 +51,7 @@
         """Notes that a call waits no more."""
         self._calls.pop(attempt, None)
 
-    def silent(self, now_ms: int) -> set[str]:
+    def unresponsive(self, now_ms: int) -> set[str]:
         """Returns servers that have an overdue call."""
         return {
             call.server
@@ -60,8 +60,8 @@
         }
 
 
-class SilentServers:
-    """What the leader has been told of silent servers."""
+class UnresponsiveServers:
+    """What the leader has been told of unresponsive servers."""
 
     def __init__(self) -> None:
         self._seen: dict[str, dict[str, int]] = collections.defaultdict(dict)
@@ -78,7 +78,7 @@
             self._seen[server][gateway] = now_ms
 
     def known(self, gateways: int, now_ms: int) -> list[str]:
-        """Returns servers that enough gateways have seen silent."""
+        """Returns servers that enough gateways have seen unresponsive."""
         since_ms = now_ms - _SEEN_MS
         found = []
         for server, seen in list(self._seen.items()):
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -59,6 +59,15 @@
 LEADS = Gauge(
     "catkinpin_group_leads", "Whether this replica leads a group.", ["group"]
 )
+QUOTA_USED = Gauge(
+    "catkinpin_quota_used_share",
+    "Part of its quota that an account used in the last window, by the leader;"
+    " the accounts that used most.",
+    ["account"],
+)
+QUOTA_ACCOUNTS = Gauge(
+    "catkinpin_quota_accounts", "Accounts in use that have a quota."
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -35,8 +35,8 @@
     Share,
 )
 from catkinpin.core.placement.balance import Balancer
-from catkinpin.core.placement.silent import WaitingCalls
 from catkinpin.core.placement.speeds import Speeds
+from catkinpin.core.placement.unresponsive import WaitingCalls
 from catkinpin.core.placement.urgency import ProgramStatus
 from catkinpin.core.requests.calls import AnswerFacts, RouteCall
 from tests.fakes.instances import instance
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -266,6 +266,16 @@
         self.assertEqual(0, quotas.admit("a", 0, turns=0))
         self.assertIsNone(quotas.use_of("a"))
 
+    def test_operators_see_those_that_used_most_first(self) -> None:
+        """Guards against metrics that leave out who is at its limit."""
+        quotas = _quotas("a", "b")
+        for name, requests in (("a", 10), ("b", 60)):
+            use = AccountUse(account=name, in_programs=requests)
+            quotas.passed_on(use, 0)
+        uses = quotas.uses()
+        self.assertEqual(["b", "a"], [use.account for use in uses])
+        self.assertEqual(0.5, uses[0].share)
+
     def test_idle_accounts_cost_nothing(self) -> None:
         """Guards against reports that go through accounts in no use."""
         quotas = Quotas(_TOLERANCE)
--- a/tests/test_silent.py
+++ b/tests/test_unresponsive.py
@@ -10,8 +10,11 @@
 
 from catkinpin.core.control.routes import RouteKind
 from catkinpin.core.placement.balance import Balancer
-from catkinpin.core.placement.silent import SilentServers, WaitingCalls
 from catkinpin.core.placement.speeds import Speeds
+from catkinpin.core.placement.unresponsive import (
+    UnresponsiveServers,
+    WaitingCalls,
+)
 from catkinpin.core.requests.calls import RouteCall
 from tests import base
 from tests.fakes.gatewaycase import GatewayCase
@@ -22,44 +25,44 @@
 class WaitingCallsTest(base.TestCase):
     """Calls of one gateway."""
 
-    def test_server_is_silent_while_a_call_is_overdue(self) -> None:
+    def test_server_is_unresponsive_while_a_call_is_overdue(self) -> None:
         """Guards against calls to a server that has one hanging already."""
         waiting = WaitingCalls()
         waiting.sent("c1", "s1", 50.0, 0)
-        self.assertEqual(set(), waiting.silent(300))
-        self.assertEqual({"s1"}, waiting.silent(400))
+        self.assertEqual(set(), waiting.unresponsive(300))
+        self.assertEqual({"s1"}, waiting.unresponsive(400))
         waiting.ended("c1")
-        self.assertEqual(set(), waiting.silent(400))
+        self.assertEqual(set(), waiting.unresponsive(400))
 
     def test_slow_route_is_given_its_time(self) -> None:
         """Guards against servers left out for calls that always take long."""
         waiting = WaitingCalls()
         waiting.sent("c1", "s1", 400.0, 0)
-        self.assertEqual(set(), waiting.silent(1_000))
+        self.assertEqual(set(), waiting.unresponsive(1_000))
 
 
-class SilentServersTest(base.TestCase):
+class UnresponsiveServersTest(base.TestCase):
     """What the leader makes of it."""
 
     def test_one_gateway_alone_condemns_no_server(self) -> None:
         """Guards against a gateway whose own connections are broken."""
-        silent = SilentServers()
-        silent.report("g1", ["s1"], 0)
-        self.assertEqual([], silent.known(50, 0))
-        silent.report("g2", ["s1"], 100)
-        self.assertEqual(["s1"], silent.known(50, 100))
+        unresponsive = UnresponsiveServers()
+        unresponsive.report("g1", ["s1"], 0)
+        self.assertEqual([], unresponsive.known(50, 0))
+        unresponsive.report("g2", ["s1"], 100)
+        self.assertEqual(["s1"], unresponsive.known(50, 100))
 
     def test_single_gateway_is_believed(self) -> None:
-        silent = SilentServers()
-        silent.report("g1", ["s1"], 0)
-        self.assertEqual(["s1"], silent.known(1, 0))
+        unresponsive = UnresponsiveServers()
+        unresponsive.report("g1", ["s1"], 0)
+        self.assertEqual(["s1"], unresponsive.known(1, 0))
 
     def test_old_reports_count_no_more(self) -> None:
         """Guards against servers left out long after they are well."""
-        silent = SilentServers()
-        silent.report("g1", ["s1"], 0)
-        silent.report("g2", ["s1"], 0)
-        self.assertEqual([], silent.known(50, 3_000))
+        unresponsive = UnresponsiveServers()
+        unresponsive.report("g1", ["s1"], 0)
+        unresponsive.report("g2", ["s1"], 0)
+        self.assertEqual([], unresponsive.known(50, 3_000))
 
 
 class AvoidTest(GatewayCase):
