--- a/catkinpin/adapters/gateway/context.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -15,8 +15,8 @@
     from catkinpin.adapters.http.client import Pool
     from catkinpin.clock import Clock
     from catkinpin.core.placement.balance import Balancer
-    from catkinpin.core.placement.silent import WaitingCalls
     from catkinpin.core.placement.speeds import Speeds
+    from catkinpin.core.placement.unresponsive import WaitingCalls
 
 
 @dataclasses.dataclass(frozen=True)
