--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -175,6 +175,15 @@
         self.play(work())
 
 
+async def _rig_over_quota(retry_ms: int) -> Rig:
+    """Returns a gateway whose turns are refused for their quota."""
+    some = [_account("a", _KEY)]
+    rig = Rig(RouteKind.STREAM, accounts=some, keeps_history=True)
+    rig.turns.begin_with = OverQuota(retry_ms=retry_ms)
+    await rig.start(streams)
+    return rig
+
+
 class OverQuotaTest(GatewayCase):
     """Requests of an account that has used up its quota."""
 
@@ -182,13 +191,7 @@
         """Guards against 503 or silence where 429 and a time are due."""
 
         async def work() -> None:
-            rig = Rig(
-                RouteKind.STREAM,
-                accounts=[_account("a", _KEY)],
-                keeps_history=True,
-            )
-            rig.turns.begin_with = OverQuota(retry_ms=700)
-            await rig.start(streams)
+            rig = await _rig_over_quota(700)
             got = await rig.ask(Key=_KEY, Program="p")
             self.assertEqual(429, got.status)
             self.assertEqual("0.70", got.headers["retry-after"])
@@ -201,13 +204,7 @@
         """Guards against programs ended by refusals a moment before room."""
 
         async def work() -> None:
-            rig = Rig(
-                RouteKind.STREAM,
-                accounts=[_account("a", _KEY)],
-                keeps_history=True,
-            )
-            rig.turns.begin_with = OverQuota(retry_ms=100)
-            await rig.start(streams)
+            rig = await _rig_over_quota(100)
             asking = asyncio.ensure_future(rig.ask(Key=_KEY, Program="p"))
             await asyncio.sleep(0.05)
             rig.turns.begin_with = Started(b"", ProgramStatus(), "")
@@ -222,13 +219,7 @@
         """Guards against callers kept waiting for a quota with no room."""
 
         async def work() -> None:
-            rig = Rig(
-                RouteKind.STREAM,
-                accounts=[_account("a", _KEY)],
-                keeps_history=True,
-            )
-            rig.turns.begin_with = OverQuota(retry_ms=100)
-            await rig.start(streams)
+            rig = await _rig_over_quota(100)
             got = await rig.ask(Key=_KEY, Program="p", Deadline="1000")
             self.assertEqual(429, got.status)
             self.assertLess(got.took_s, 0.4)
