Serve tiny quotas, bound how soon a caller asks again, learn without bias

Found by reading: a quota below one request a window never served anything (the window held no room for one); a window full of requests that are only expected named 1 ms as the time to come back, so that a waiting gateway would have asked the leader each ms; and programs were learned from accounts with something left only, the first turn before its charge, the rest after it, so that a program seemed to take fewer requests than it does.

Change: one request is let in where a window is empty; 50 ms at least between two tries; turns of a program are learned from accounts that are not nearly full, plain requests of a turn from all.

--- a/catkinpin/core/control/quotas.py
+++ b/catkinpin/core/control/quotas.py
@@ -50,8 +50,12 @@
 _EXPECTED_HALF_MS = 3_000
 # Which accounts are held back is found out at most so often.
 _HELD_BACK_MS = 100
-# Programs by which the average is learned.
-_LEARNED_PROGRAMS = 200.0
+# Asked again sooner, the leader would mostly say the same.
+_MIN_WAIT_MS = 50
+# Requests in a window up to which any account is learned from.
+_MIN_LEARNED = 20
+# Programs, or turns, by which an average is learned.
+_LEARNED_ITEMS = 400.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -165,13 +169,41 @@
         while self._spans and self._spans[0][0] + _SPAN_MS <= before_ms:
             self.total -= self._spans.popleft()[1]
 
-    def free_ms(self, excess: float, window_ms: int) -> int:
-        """Returns when so many requests will have left the window."""
+    def free_ms(self, excess: float, window_ms: int, now_ms: int) -> int:
+        """Returns in how many ms so many requests will have left a window."""
         for span_ms, requests in self._spans:
             excess -= requests
             if excess <= 0:
-                return span_ms + _SPAN_MS + window_ms
-        return window_ms
+                left_ms = span_ms + _SPAN_MS + window_ms - now_ms
+                return max(_MIN_WAIT_MS, left_ms)
+        # The rest is expected only, and may never come.
+        return _SPAN_MS
+
+
+class Average:
+    """A mean over the last items, from what is known of it before.
+
+    Args:
+        items: that the first mean counts for.
+        mean: the first one.
+    """
+
+    def __init__(self, items: float, mean: float) -> None:
+        self._items = items
+        self._total = items * mean
+
+    @property
+    def mean(self) -> float:
+        """Total an item."""
+        return self._total / self._items
+
+    def add(self, *, items: int = 0, total: int = 0) -> None:
+        """Takes items, and what belongs to any."""
+        self._items += items
+        self._total += total
+        if self._items > _LEARNED_ITEMS:
+            self._items /= 2
+            self._total /= 2
 
 
 class Quotas:
@@ -188,14 +220,18 @@
         self._accounts: dict[str, _Account] = {}
         self._held_back = HeldBack()
         self._held_back_ms = -_HELD_BACK_MS
-        self._programs = _PROGRAM_WEIGHT
-        self._turns = _PROGRAM_WEIGHT * _PROGRAM_TURNS
-        self._plain = _PROGRAM_WEIGHT * _PROGRAM_TURNS
+        self._programs = Average(_PROGRAM_WEIGHT, _PROGRAM_TURNS)
+        self._plain = Average(_PROGRAM_WEIGHT * _PROGRAM_TURNS, 1.0)
 
     @property
     def program_requests(self) -> float:
         """Requests that a program takes on average."""
-        return (self._turns + self._plain) / self._programs
+        return self._programs.mean * self._turn_requests
+
+    @property
+    def _turn_requests(self) -> float:
+        """Requests of a turn: itself, and those that it brings."""
+        return 1 + self._plain.mean
 
     def configure(self, accounts: Iterable[ClientAccount], now_ms: int) -> None:
         """Takes the quotas in force; what was used stays counted."""
@@ -235,22 +271,23 @@
         """Counts a turn that begins, and charges for it if that is due."""
         account = self._account(name, now_ms)
         is_long = self._is_long(turns)
-        if not is_long:
-            self._learn(account, programs=int(turns == 0), turns=1, plain=0)
+        self._plain.add(items=1)
+        if not is_long and not self._is_nearly_full(account):
+            self._programs.add(items=int(turns == 0), total=1)
         if account is None:
             return
         self._advance(account, now_ms)
         account.count(1, now_ms)
-        account.expected += self._plain / self._turns
+        account.expected += self._plain.mean
         if turns == 0:
             account.level -= self.program_requests
         elif is_long:
-            account.level -= 1 + self._plain / self._turns
+            account.level -= self._turn_requests
 
     def passed_on(self, use: AccountUse, now_ms: int) -> None:
         """Counts plain requests."""
         account = self._account(use.account, now_ms)
-        self._learn(account, programs=0, turns=0, plain=use.in_programs)
+        self._plain.add(total=use.in_programs)
         if account is None:
             return
         self._advance(account, now_ms)
@@ -336,7 +373,7 @@
 
     def _is_long(self, turns: int) -> bool:
         """Returns whether a program takes many times the usual turns."""
-        return turns > _LONG_PROGRAM * self._turns / self._programs
+        return turns > _LONG_PROGRAM * self._programs.mean
 
     def _over_ms(self, account: _Account, now_ms: int, reserve: float) -> int:
         """Returns how long a window is full, but for a reserve; 0: not."""
@@ -344,10 +381,17 @@
         limit = self._tolerance.allowed(quota) - reserve
         limit += _USED_TOLERANCE * self._tolerance.requests(quota)
         excess = account.total + account.expected + 1 - limit
-        if excess <= 0:
+        if excess <= 0 or account.total + account.expected < 1:
             return 0
-        free_ms = account.free_ms(excess, self._tolerance.window_ms)
-        return max(1, free_ms - now_ms)
+        return account.free_ms(excess, self._tolerance.window_ms, now_ms)
+
+    def _is_nearly_full(self, account: _Account | None) -> bool:
+        """Returns whether turns of the account's programs may be refused."""
+        if account is None:
+            return False
+        quota = account.quota
+        limit = self._tolerance.allowed(quota) - self._reserve(quota)
+        return account.total + account.expected > max(limit, _MIN_LEARNED)
 
     def _room_ms(self, account: _Account) -> int:
         """Returns how long until an account has something left."""
@@ -366,17 +410,3 @@
             promised_ms = room_ms
         account.promised_ms = promised_ms
         return promised_ms - now_ms
-
-    def _learn(
-        self, account: _Account | None, *, programs: int, turns: int, plain: int
-    ) -> None:
-        """Learns what programs take, from accounts that are not held back."""
-        if account is not None and account.level <= 0:
-            return
-        self._programs += programs
-        self._turns += turns
-        self._plain += plain
-        if self._programs > _LEARNED_PROGRAMS:
-            self._programs /= 2
-            self._turns /= 2
-            self._plain /= 2
