Test accounts with real processes: a killed leader, a blackout

A turn of one account is 404 for another, before and after the leader is killed, the server gets the account's name and no key; a key that was taken away is never served again, through a kill of all processes. Both pass on the code as it is.

--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -88,6 +88,8 @@
                 self.hosts[name] = Host(name, role, f"{net}.{last}", data)
         self.model = RawServer(self._stream)
         self.version = 0
+        # Client accounts of the manifest; None: no request needs a key.
+        self.tenants: list[dict[str, Any]] | None = None
         self._sequence = 0
         self._session: aiohttp.ClientSession
         self._beating: asyncio.Task[None]
@@ -243,11 +245,13 @@
         }
         engine = {"slots": 8, "kv_capacity": 10_000, "event_tokens": 2}
         service = {"name": "models", "max_conns": 50, "engine": engine}
-        manifest = {
+        manifest: dict[str, Any] = {
             "version": self.version,
             "routes": [fields, plain],
             "services": [service],
         }
+        if self.tenants is not None:
+            manifest["tenants"] = self.tenants
         body = json.dumps(manifest).encode()
         return (await self.control("PUT", "/-/config", body))[0] == 200
 
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -14,8 +14,8 @@
     from collections.abc import Awaitable, Callable
 
 
-class DeploymentTest(base.TestCase):
-    """Keepers, stores and gateways together."""
+class DeploymentCase(base.TestCase):
+    """Plays against a new deployment."""
 
     def play(
         self, work: Callable[[Deployment], Awaitable[None]], stores: int = 2
@@ -29,6 +29,10 @@
 
         self.run_async(main())
 
+
+class DeploymentTest(DeploymentCase):
+    """Keepers, stores and gateways together."""
+
     def test_turns_build_on_each_other_through_any_gateway(self) -> None:
         """A program's turns come in at different gateways."""
 
@@ -190,3 +194,89 @@
             self.assertEqual(404, status)
 
         self.play(work)
+
+
+class AccountsTest(DeploymentCase):
+    """Client accounts over all processes."""
+
+    async def _status(
+        self, system: Deployment, key: str, gateway: str = "gateway-1"
+    ) -> int:
+        self.number += 1
+        name = f"probe-{self.number}"
+        return await system.turn(
+            name, gateway=gateway, X_Program_Id=name, **_bearer(key)
+        )
+
+    async def _put_keys(self, system: Deployment, *keys: str) -> None:
+        """Puts keys of an account in force, beside another account."""
+        system.tenants = [
+            {"name": "acme", "api_keys": list(keys)},
+            {"name": "other", "api_keys": ["k-other"]},
+        ]
+        await system.until(system.configure)
+
+    async def _until_refused(self, system: Deployment, key: str) -> None:
+        for gateway in ("gateway-1", "gateway-2"):
+
+            async def refused(gateway: str = gateway) -> bool:
+                return await self._status(system, key, gateway) == 401
+
+            await system.until(refused)
+
+    def test_turn_belongs_to_its_account_also_after_a_leader_dies(
+        self,
+    ) -> None:
+        """Guards against histories and keys that reach the wrong side."""
+        self.number = 0
+
+        async def work(system: Deployment) -> None:
+            await self._put_keys(system, "k-acme")
+            await self._until_refused(system, "")
+            acme, other = _bearer("k-acme"), _bearer("k-other")
+            self.assertEqual(200, await system.turn("a", **acme))
+            seen = system.model.seen[-1].headers
+            self.assertEqual("acme", seen["x-tenant"])
+            self.assertNotIn("authorization", seen)
+            stolen = await system.turn("b", "a", "gateway-2", **other)
+            self.assertEqual(404, stolen)
+            system.kill(system.leader())
+
+            async def continued() -> bool:
+                self.number += 1
+                name = f"c-{self.number}"
+                return await system.turn(name, "a", **acme) == 200
+
+            await system.until(continued)
+            self.assertEqual(404, await system.turn("d", "a", **other))
+
+        self.play(work)
+
+    def test_key_that_was_taken_away_never_works_again(self) -> None:
+        """Guards against a blackout that brings a revoked key back."""
+        self.number = 0
+
+        async def work(system: Deployment) -> None:
+            await self._put_keys(system, "k-old", "k-new")
+            await self._until_refused(system, "")
+            self.assertEqual(200, await self._status(system, "k-old"))
+            await self._put_keys(system, "k-new")
+            await self._until_refused(system, "k-old")
+            for name in system.hosts:
+                system.kill(name)
+            for name in system.hosts:
+                system.start(name)
+
+            async def served() -> bool:
+                status = await self._status(system, "k-old")
+                self.assertNotEqual(200, status)
+                return await self._status(system, "k-new") == 200
+
+            await system.until(served)
+            await self._until_refused(system, "k-old")
+
+        self.play(work)
+
+
+def _bearer(key: str) -> dict[str, str]:
+    return {"Authorization": f"Bearer {key}"}
