--- a/catkinpin/adapters/gateway/usage.py
+++ b/catkinpin/adapters/gateway/usage.py
@@ -3,6 +3,7 @@
 Turns pass the leader, plain requests don't: asked before each, it would add
 the way to it, between regions 16 ms, to every tool call. They are passed on
 and reported a moment later; the reply names the accounts that get no more.
+The same report names servers that have an overdue call.
 """
 
 from __future__ import annotations
@@ -40,7 +41,7 @@
 
 
 class Usage:
-    """Counts plain requests, and knows which accounts get none served.
+    """Reports plain requests, and knows which accounts get none served.
 
     Args:
         keepers: links to the leader.
--- a/catkinpin/core/control/state.py
+++ b/catkinpin/core/control/state.py
@@ -51,6 +51,8 @@
 class CountUse(Message, frozen=True):
     """Adds plain requests to what client accounts have used.
 
+    It changes no state here: whoever applies the log counts it against quotas.
+
     Attributes:
         at_ms: the log's time.
     """
