--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters.peers import streams
 from catkinpin.adapters.replica import mesh
-from catkinpin.core.control import protocol, servers
+from catkinpin.core.control import protocol
 
 if TYPE_CHECKING:
     from catkinpin.adapters.keeper.host import KeeperHost
@@ -16,10 +14,6 @@
     from catkinpin.core.control.servers import Instance
     from catkinpin.roles import KeeperSettings
 
-# Changes of servers wait so long for others: where thousands of servers come
-# at once, a message for each to each gateway takes more memory than a host has.
-_FLEET_S = 0.05
-
 GATEWAY_ROLE = "gateway"
 STORE_ROLE = "store"
 
@@ -45,8 +39,6 @@
         self._node = replica
         self._host = host
         self._server = server
-        self._changed: dict[str, Instance] = {}
-        self._packed_servers = b""
 
     def info(self) -> None:
         """Tells all who this keeper is and whom it knows."""
@@ -61,21 +53,12 @@
         self._broadcast(self._routing_now(), GATEWAY_ROLE)
 
     def fleet(self, instances: list[Instance]) -> None:
-        """Tells gateways of servers that changed, of several at once."""
-        self._packed_servers = b""
-        if not self._changed:
-            loop = asyncio.get_running_loop()
-            loop.call_later(_FLEET_S, self._publish_fleet)
-        self._changed.update({one.id: one for one in instances})
-
-    def _publish_fleet(self) -> None:
-        changed, self._changed = self._changed, {}
-        update = protocol.ServersUpdate(
-            index=self._host.state.index,
-            instances=list(changed.values()),
-            whole=False,
+        """Tells gateways of servers that changed."""
+        index = self._host.state.index
+        changed = protocol.ServersUpdate(
+            index=index, instances=instances, whole=False
         )
-        self._broadcast(update, GATEWAY_ROLE)
+        self._broadcast(changed, GATEWAY_ROLE)
 
     def quarantined(self, contents: list[str]) -> None:
         """Tells gateways of contents that no server may get."""
@@ -99,19 +82,15 @@
         if stream.hello is None or stream.hello.role != GATEWAY_ROLE:
             return
         stream.send(self._routing_now())
-        stream.send(self.all_servers())
+        servers = list(self._host.state.fleet.servers.values())
+        stream.send(
+            protocol.ServersUpdate(
+                index=self._host.state.index, instances=servers, whole=True
+            )
+        )
         contents = list(self._host.state.quarantined)
         stream.send(protocol.QuarantineUpdate(contents=contents))
 
-    def all_servers(self) -> protocol.ServersSnapshot:
-        """Returns all servers, packed once for all gateways."""
-        fleet = self._host.state.fleet
-        if not self._packed_servers:
-            self._packed_servers = servers.pack(fleet.servers.values())
-        return protocol.ServersSnapshot(
-            index=self._host.state.index, data=self._packed_servers
-        )
-
     def gateways(self) -> int:
         """Returns how many gateways are connected."""
         hellos = [stream.hello for stream in self._server.streams]
@@ -142,10 +121,9 @@
         )
 
     def _broadcast(self, message: Any, role: str = "") -> None:
-        encoded = streams.encode(message)
         for stream in self._server.streams:
             hello = stream.hello
             if hello is None or hello.role == mesh.ROLE:
                 continue
             if not role or hello.role == role:
-                stream.send_encoded(encoded)
+                stream.send(message)
--- a/catkinpin/adapters/peers/streams.py
+++ b/catkinpin/adapters/peers/streams.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import itertools
 import logging
 import time
@@ -54,24 +53,6 @@
         return self._in.decompress(data)
 
 
-@dataclasses.dataclass(frozen=True)
-class Encoded:
-    """A message as it travels; many streams may queue the same."""
-
-    kind: str
-    data: msgspec.Raw
-
-
-def encode(message: AnyMessage) -> Encoded:
-    """Returns a message as it travels.
-
-    Raises:
-        OverflowError, TypeError: it can't be encoded.
-    """
-    data = msgspec.Raw(codec.encode(message))
-    return Encoded(type(message).__name__, data)
-
-
 class Stream:
     """One end of a stream: an outbox and what is known of the other end.
 
@@ -106,14 +87,7 @@
         # Encoded here, a message that can't be fails whoever sends it. In the
         # writer it would end the stream, and that again at each resend: one
         # caller's odd number would cut this process off from the others.
-        self.send_encoded(encode(message))
-
-    def send_encoded(self, message: Encoded) -> None:
-        """Queues a message that was encoded for many streams."""
-        if self.closed:
-            return
-        self._count(message)
-        self._outbox.append(message.data)
+        self._outbox.append(self._encode(message))
         self._wake.set()
 
     def unpack(self, data: bytes) -> bytes:
@@ -152,9 +126,11 @@
             self._wake.clear()
             yield self._pack([*self._pings(), *batch])
 
-    def _count(self, message: Encoded) -> None:
-        size = len(message.data)
-        metrics.PEER_BYTES.labels(self._link, message.kind).inc(size)
+    def _encode(self, message: AnyMessage) -> msgspec.Raw:
+        data = codec.encode(message)
+        kind = type(message).__name__
+        metrics.PEER_BYTES.labels(self._link, kind).inc(len(data))
+        return msgspec.Raw(data)
 
     def _pings(self) -> list[msgspec.Raw]:
         """Returns the ping that goes before the next batch, if any is due."""
@@ -167,9 +143,7 @@
         if not nonce and not self._echo:
             return []
         echo, self._echo = self._echo, 0
-        ping = encode(messages.Ping(nonce=nonce, echo=echo))
-        self._count(ping)
-        return [ping.data]
+        return [self._encode(messages.Ping(nonce=nonce, echo=echo))]
 
     def _pack(self, batch: list[msgspec.Raw]) -> bytes:
         packed = codec.encode(batch)
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -61,18 +61,6 @@
     is_current: bool
 
 
-class ServersSnapshot(Message, frozen=True):
-    """All servers.
-
-    Attributes:
-        index: the log index that this is as of.
-        data: the servers, packed.
-    """
-
-    index: int
-    data: bytes
-
-
 class ServersUpdate(Message, frozen=True):
     """All servers, or those that changed.
 
@@ -322,7 +310,6 @@
     | HostInfo
     | RoutingUpdate
     | ServersUpdate
-    | ServersSnapshot
     | Began
     | Done
     | Refused
--- a/catkinpin/core/control/servers.py
+++ b/catkinpin/core/control/servers.py
@@ -7,17 +7,12 @@
 from __future__ import annotations
 
 import enum
-import zlib
 from typing import TYPE_CHECKING
 
-from catkinpin import codec
 from catkinpin.codec import Message
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
-
-# Fast; addresses and names repeat so often that more effort gains little.
-_COMPRESSION = 1
+    from collections.abc import Iterator
 
 # Servers that are gone and could still be named by a late announcement. A day
 # of ordinary replacements is some hundreds.
@@ -62,20 +57,6 @@
     slots: int
 
 
-def pack(instances: Iterable[Instance]) -> bytes:
-    """Returns instances as they are sent to many gateways."""
-    return zlib.compress(codec.encode(list(instances)), _COMPRESSION)
-
-
-def unpack(data: bytes) -> list[Instance]:
-    """Returns packed instances."""
-    found: list[Instance] = _instances_decoder.decode(zlib.decompress(data))
-    return found
-
-
-_instances_decoder = codec.decoder(list[Instance])
-
-
 class Fleet:
     """All servers that are known, and those that are gone."""
 
