--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -16,7 +16,7 @@
 from catkinpin.adapters.gateway.timings import Times
 from catkinpin.adapters.http.client import ANY_IDLE_S, Failure
 from catkinpin.core.control.servers import ServerState
-from catkinpin.core.placement import unresponsive, urgency
+from catkinpin.core.placement import urgency
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -68,10 +68,9 @@
         """Picks the next server; None where none is left to ask."""
         if len(work.sent_to) > _MAX_REFUSALS:
             return None
-        servers = list(self._view.fleet.of(work.service.name))
+        servers = self._view.fleet.of(work.service.name)
         now_ms = self._clock.now_ms()
-        overdue = self._waiting.unresponsive(now_ms)
-        for server in unresponsive.minority(overdue, servers):
+        for server in self._waiting.unresponsive(now_ms):
             self._balancer.avoid(server, now_ms + _AVOID_MS)
         choice = self._placed(work, now_ms) or self._balancer.pick(
             servers, work.call, now_ms, work.sent_to, work.route.name
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -12,7 +12,6 @@
 from catkinpin.adapters.keeper.host import NotLeading
 from catkinpin.core.control import protocol
 from catkinpin.core.control.ledger import Denial
-from catkinpin.core.placement import unresponsive
 from catkinpin.core.placement.placer import Placer
 from catkinpin.core.placement.unresponsive import UnresponsiveServers
 
@@ -79,16 +78,7 @@
 
     def unresponsive(self, gateways: int) -> list[str]:
         """Returns plain servers that several gateways find unresponsive."""
-        known = self._unresponsive.known(gateways, self._clock.now_ms())
-        if not known:
-            return []
-        fleet = self._host.state.fleet
-        services = {s.service for s in fleet.servers.values() if s.id in known}
-        return [
-            server
-            for service in sorted(services)
-            for server in unresponsive.minority(known, fleet.of(service))
-        ]
+        return self._unresponsive.known(gateways, self._clock.now_ms())
 
     def report_use(
         self, message: protocol.ReportUse, gateway: str
--- a/catkinpin/core/placement/unresponsive.py
+++ b/catkinpin/core/placement/unresponsive.py
@@ -13,12 +13,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core.control.servers import ServerState
-
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
-
-    from catkinpin.core.control.servers import Instance
+    from collections.abc import Collection
 
 # A call is overdue after so many times what its route usually takes, and not
 # before so long: a queue at a busy server takes some hundred ms.
@@ -64,19 +60,6 @@
         }
 
 
-def minority(
-    unresponsive: Collection[str], servers: Iterable[Instance]
-) -> list[str]:
-    """Returns those of a service that may be left out together.
-
-    Where more than half of the servers take many times the usual, they are
-    overloaded: left out, they would overload the others.
-    """
-    ready = [s.id for s in servers if s.state is ServerState.READY]
-    found = [server for server in ready if server in unresponsive]
-    return found if 2 * len(found) <= len(ready) else []
-
-
 class UnresponsiveServers:
     """What the leader has been told of unresponsive servers."""
 
