Found a system by agreement of its seeds, whatever ends meanwhile

What callers saw: a keeper that ended within its first 0.45 s left the whole system without a leader, until an operator took all disks away.

Cause: a seed that had written nothing took itself for one that lost its disk, joined at once and said that it belonged to a system. The others then saw a founded system, which forbids them to found one; it saw nobody to join. Besides, all seeds had to answer before anyone founded.

Ruled out: telling a process that was killed early from one that lost its disk: nothing is written in the first 0.4 s, so nothing can tell.

Now seeds agree as single-decree Paxos does, with promises and proposals on disk before they are sent. A majority of seeds that kept their disks decides; empty ones count only where all seeds answer and nobody has known a system for 3 s. Gateways, stores and keepers that have known a leader say so to a keeper that knows none. What a seed waits for is a decision line and a metric.

Elsewhere: replicas of the other interface founded by the lowest address with nothing accepted by others; they use the same agreement now, with all replicas.

--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -262,6 +262,9 @@
         if isinstance(message, messages.Hello):
             self._publisher.send_state(stream)
             return
+        if isinstance(message, protocol.GroupSeen):
+            self.node.group_known(stream.hello.process)
+            return
         self._tasks.spawn(self._asks.answer(stream, message))
 
     # Stores.
--- a/catkinpin/adapters/peers/keepers.py
+++ b/catkinpin/adapters/peers/keepers.py
@@ -214,4 +214,7 @@
                 self._leader = message.leader
                 self._give_up_asks()
                 self.retiring = frozenset(message.retiring)
+            elif not message.term and self._term:
+                # Its disk may be lost: it must not found the system anew.
+                host.link.send(protocol.GroupSeen(term=self._term))
         self._on_message(host, message)
--- a/catkinpin/adapters/replica/identity.py
+++ b/catkinpin/adapters/replica/identity.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from catkinpin.adapters.disk import files
-from catkinpin.core.consensus.messages import Members  # noqa: TC001
+from catkinpin.core.consensus.foundingtypes import Record
+from catkinpin.core.consensus.messages import Ballot, Members, Proposal
 from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
@@ -23,7 +24,11 @@
     Attributes:
         founders: the first members of all groups; None before the founding.
         joining: whether an operator let this replica replace a lost one.
-        introduced: whether others may know this replica as a founder.
+        introduced: whether the system started for the first time with this
+            disk, and so whether it holds all that its replica ever promised.
+        seeds: addresses that may found the system, as of that start.
+        promised: newest attempt to found the system that was answered.
+        accepted: newest proposal of first members that was accepted.
     """
 
     version: int
@@ -31,6 +36,9 @@
     founders: Members | None = None
     joining: bool = False
     introduced: bool = False
+    seeds: list[str] = []
+    promised: Ballot = Ballot()
+    accepted: Proposal | None = None
 
 
 class Identity:
@@ -65,9 +73,15 @@
         return self._file.joining
 
     @property
-    def introduced(self) -> bool:
-        """Whether others may know this replica as a founder."""
-        return self._file.introduced
+    def seeds(self) -> tuple[str, ...]:
+        """Addresses that may found the system, as of its first start."""
+        return tuple(self._file.seeds)
+
+    @property
+    def record(self) -> Record:
+        """This replica's part in the founding."""
+        file = self._file
+        return Record(not file.introduced, file.promised, file.accepted)
 
     @property
     def belongs(self) -> bool:
@@ -79,9 +93,16 @@
         self._file.founders = founders
         self._write()
 
-    def introduce(self) -> None:
-        """Notes that others are about to learn of this replica."""
+    def introduce(self, seeds: tuple[str, ...]) -> None:
+        """Notes that the system starts for the first time."""
         self._file.introduced = True
+        self._file.seeds = list(seeds)
+        self._write()
+
+    def save(self, record: Record) -> None:
+        """Notes this replica's part in the founding."""
+        self._file.promised = record.promised
+        self._file.accepted = record.accepted
         self._write()
 
     def join(self) -> None:
--- a/catkinpin/adapters/replica/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -18,7 +18,13 @@
 from catkinpin.adapters.replica.identity import Identity
 from catkinpin.adapters.replica.slowdisk import SlowDisk
 from catkinpin.adapters.replica.snapshotting import Snapshots
-from catkinpin.core.consensus.messages import Members
+from catkinpin.core.consensus.messages import (
+    Accepted,
+    Members,
+    Prepare,
+    Promise,
+    Propose,
+)
 from catkinpin.exceptions import DiskFullError, SettingsError
 
 if TYPE_CHECKING:
@@ -165,6 +171,7 @@
             self._mesh,
             self._begin,
             self._cfg.joining,
+            self._known_members,
         )
         self._mesh.start(hello)
         self._founding.start()
@@ -210,6 +217,10 @@
         """Returns whether this replica waits for an operator's repair."""
         return self._founding.needs_repair()
 
+    def group_known(self, by: str) -> None:
+        """Notes that the process `by` knows of a founded system."""
+        self._founding.group_known(by)
+
     def repair(self) -> None:
         """Lets this replica replace the one that was lost at its address."""
         self._founding.repair()
@@ -254,6 +265,8 @@
                 self._founding.handle_info(message)
             case transport.Found():
                 self._founding.founded(message.members)
+            case Prepare() | Promise() | Propose() | Accepted():
+                self._founding.handle(message)
             case transport.Join():
                 self._mesh.learn(message.node, message.address)
                 for group in self.groups.values():
@@ -295,6 +308,11 @@
         for group in self.groups.values():
             group.start(founders)
 
+    def _known_members(self) -> Members:
+        """Returns the newest members of a group that has any."""
+        known = [g.members for g in self.groups.values() if g.members.members]
+        return known[0] if known else Members()
+
     def _introduce(self, address: str) -> None:
         self._mesh.broadcast(self._founding.info())
 
--- a/catkinpin/adapters/replica/transport.py
+++ b/catkinpin/adapters/replica/transport.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from catkinpin.codec import Message
-from catkinpin.core.consensus.messages import Entry, GroupMessage, Members
+from catkinpin.core.consensus.messages import (
+    Entry,
+    FoundingMessage,
+    GroupMessage,
+    Members,
+)
 
 
 class Routed(Message, frozen=True):
@@ -50,14 +55,18 @@
     """Who a replica is.
 
     Attributes:
-        founded: whether it belongs to a system already.
+        founded: whether it knows the members of a founded system.
         known: peer addresses of the replicas that it knows.
+        empty: whether an earlier disk of it may have been lost.
+        knows_group: whether anyone told it of a founded system.
     """
 
     node: str
     address: str
     founded: bool
     known: list[str] = []
+    empty: bool = False
+    knows_group: bool = False
 
 
 class Found(Message, frozen=True):
@@ -122,4 +131,4 @@
     | RecordsPull
     | Records
 )
-ReplicaMessage = GroupReplicaMessage | NodeInfo | Found | Join
+ReplicaMessage = GroupReplicaMessage | NodeInfo | Found | Join | FoundingMessage
--- a/catkinpin/core/consensus/messages.py
+++ b/catkinpin/core/consensus/messages.py
@@ -177,3 +177,77 @@
     | SnapshotOffer
     | TimeoutNow
 )
+
+
+class Ballot(Message, frozen=True, order=True):
+    """Number of an attempt to found a system, unique to who makes it.
+
+    Attributes:
+        count: the higher one wins; 0 for none.
+        node: identity of the seed that makes the attempt.
+    """
+
+    count: int = 0
+    node: str = ""
+
+
+class Proposal(Message, frozen=True):
+    """First members that a seed has accepted."""
+
+    ballot: Ballot
+    members: Members
+
+
+class Prepare(Message, frozen=True):
+    """Asks a seed to accept no proposal of an earlier attempt any more.
+
+    Attributes:
+        sender: identity of the seed that asks.
+        to: identity of the seed that is asked.
+        seeds: addresses that may found the system, as the sender knows them.
+        counts_empty: whether seeds that may have lost their disks count.
+    """
+
+    sender: str
+    to: str
+    ballot: Ballot
+    seeds: list[str]
+    counts_empty: bool = False
+
+
+class Promise(Message, frozen=True):
+    """Answers a `Prepare`.
+
+    Attributes:
+        address: of the seed that answers.
+        ballot: what it has promised: a higher one where it refuses.
+        empty: whether it may have lost what it promised before.
+        accepted: the newest proposal that it has accepted.
+    """
+
+    sender: str
+    to: str
+    address: str
+    ballot: Ballot
+    empty: bool
+    accepted: Proposal | None = None
+
+
+class Propose(Message, frozen=True):
+    """Asks a seed that has promised to accept the first members."""
+
+    sender: str
+    to: str
+    proposal: Proposal
+
+
+class Accepted(Message, frozen=True):
+    """Says that a proposal is on the sender's disk."""
+
+    sender: str
+    to: str
+    address: str
+    ballot: Ballot
+
+
+FoundingMessage = Prepare | Promise | Propose | Accepted
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -42,6 +42,16 @@
     gateways: int = 0
 
 
+class GroupSeen(Message, frozen=True):
+    """Tells a keeper without a leader that there was one.
+
+    Attributes:
+        term: the newest term that the sender knows a leader of.
+    """
+
+    term: int
+
+
 class Expired(Message, frozen=True):
     """Names turns whose bytes are needed no more."""
 
@@ -292,6 +302,7 @@
 ToKeeper = (
     Hello
     | Ping
+    | GroupSeen
     | AskBegin
     | AskFinish
     | AskRouting
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -59,6 +59,11 @@
 LEADS = Gauge(
     "catkinpin_group_leads", "Whether this replica leads a group.", ["group"]
 )
+FOUNDING_WAITS = Gauge(
+    "catkinpin_founding_waits",
+    "Seeds for which the founding of the system waits here.",
+    ["seed"],
+)
 QUOTA_USED = Gauge(
     "catkinpin_quota_used_share",
     "Part of its quota that an account used in the last window, by the leader;"
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     import pathlib
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
 _WAIT_S = 15.0
 _POLL_S = 0.03
@@ -98,6 +98,8 @@
         self.server_address = ""
         # Called with each request that reaches the server.
         self.on_request: Callable[[Seen], None] = lambda _: None
+        # Called once all processes were started for the first time.
+        self.on_first_start: Callable[[], Awaitable[None]] | None = None
         # Times that the store which lost its disk last had registered before.
         self._seen = 0
 
@@ -105,6 +107,8 @@
         self._session = aiohttp.ClientSession()
         for host in self.hosts.values():
             self.start(host.name)
+        if self.on_first_start is not None:
+            await self.on_first_start()
         if not self.model.address:
             await self.model.start()
         await self.until(self.configure)
--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -5,7 +5,8 @@
 signals, disks are taken away one at a time, routes change, and the proxy
 before the backend server resets its connections or falls silent. What the
 server saw and what callers got decides. Two series of faults overlap. Seeds
-from 100 on also kill everything at once.
+from 100 on also kill everything at once, those from 1000 on also strike while
+the system starts for the first time.
 """
 
 from __future__ import annotations
@@ -39,6 +40,7 @@
 # Seeds from here on also kill everything at once; those before stay what they
 # were when they were played.
 _FIRST_BLACKOUT_SEED = 100
+_FIRST_START_SEED = 1_000
 _CALLERS = 8
 _STRIKERS = 2
 _TURNS = 5
@@ -396,6 +398,28 @@
             await answer.read()
 
 
+async def strike_first_start(deployment: Deployment, seed: int) -> list[str]:
+    """Ends keepers, one or all at once, while the system is being founded."""
+    rng = random.Random(seed)
+    keepers = [h.name for h in deployment.hosts.values() if h.role == "keeper"]
+    wiped = ""
+    faults = []
+    for _ in range(rng.randint(1, 4)):
+        await asyncio.sleep(rng.uniform(0.0, 0.4))
+        ended = rng.choice([[rng.choice(keepers)], keepers])
+        if not wiped and rng.random() < 0.3:
+            wiped = rng.choice(ended)
+        for name in ended:
+            deployment.kill(name)
+        if wiped in ended:
+            deployment.wipe(wiped)
+        await asyncio.sleep(rng.uniform(0.0, 0.3))
+        for name in ended:
+            deployment.start(name)
+        faults.append(f"first start: end {','.join(ended)}, wiped {wiped}")
+    return faults
+
+
 async def play(seed: int, seconds: float) -> Findings:
     """Plays one seed."""
     with tempfile.TemporaryDirectory(
@@ -413,6 +437,13 @@
             pathlib.Path(folder) / "proxy.log",
         )
         deployment.server_address = f"127.0.0.1:{port}"
+        early: list[str] = []
+
+        async def strike() -> None:
+            early.extend(await strike_first_start(deployment, seed))
+
+        if seed >= _FIRST_START_SEED:
+            deployment.on_first_start = strike
         try:
             async with deployment:
                 soak = Soak(
@@ -420,6 +451,7 @@
                 )
                 await base.until(soak.is_proxied, "the proxy listens")
                 found = await soak.run()
+                found.faults[:0] = early
                 if found.problems:
                     _keep_logs(pathlib.Path(folder), seed)
                 return found
--- /dev/null
+++ b/tests/test_founders.py
@@ -0,0 +1,299 @@
+"""Seeds agree on the first members once, whatever befalls them meanwhile.
+
+A model: the product's own `Founder` on simulated disks, links and processes.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import itertools
+import random
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from catkinpin.core.consensus import foundingtypes as types
+from catkinpin.core.consensus import messages
+from catkinpin.core.consensus.founding import Founder
+from tests import base
+from tests.fakes import foundingsim
+from tests.fakes.foundingsim import CheckError, Seed, Simulation
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# The pages give a system 12 s to recover; the bound of a founding is the same.
+_RECOVER_MS = 12_000
+_SETTLE_MS = 4_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A fault that falls on a seed at a step of the founding."""
+
+    step: int
+    kind: str
+    seed: int
+
+
+class _Plan:
+    """Injects faults at their steps."""
+
+    def __init__(self, faults: tuple[Fault, ...]) -> None:
+        self.faults = faults
+        self.sim: Simulation
+
+    def on_step(self, number: int, _seed: Seed) -> None:
+        for fault in self.faults:
+            if fault.step == number:
+                seed = self.sim.seeds[f"s{fault.seed}"]
+                self.sim.inject(fault.kind, seed)
+
+
+def play(
+    faults: tuple[Fault, ...],
+    count: int = 3,
+    seed: int = 1,
+    make: Callable[..., Founder] = Founder,
+) -> Simulation:
+    """Plays a first start; raises `CheckError` where something is wrong."""
+    plan = _Plan(faults)
+    sim = Simulation(count, random.Random(seed), make, plan.on_step)
+    plan.sim = sim
+    for number, host in enumerate(sim.seeds.values()):
+        sim.at(number * 30, functools.partial(host.start, first=True))
+    sim.run(_RECOVER_MS + _SETTLE_MS)
+    return sim
+
+
+def _lose_a_disk_beside_a_late_seed(
+    make: Callable[..., Founder] = Founder,
+) -> Simulation:
+    """Founds with two of three; one loses its disk, the other is cut off."""
+    sim = Simulation(3, random.Random(1), make)
+    sim.seeds["s0"].start(first=True)
+    sim.seeds["s1"].start(first=True)
+    sim.run(_SETTLE_MS)
+    sim.inject("cut", sim.seeds["s0"], 2 * _RECOVER_MS)
+    sim.inject("wipe", sim.seeds["s1"])
+    sim.seeds["s2"].start(first=True)
+    sim.run(_SETTLE_MS + _RECOVER_MS)
+    return sim
+
+
+def _steps(count: int = 3) -> int:
+    return play((), count).steps
+
+
+class FoundingModelTest(base.TestCase):
+    """Faults at each step of a first start."""
+
+    def test_calm_first_start_is_founded_by_all_seeds_at_once(self) -> None:
+        """Guards against a founding that leaves out a seed that is there."""
+        sim = play(())
+        sim.check_progress()
+        self.assertEqual(3, len(sim.values[0].members))
+
+    def test_one_fault_at_each_step_stops_no_founding(self) -> None:
+        """Guards against a fault in a first start that leaves no leader."""
+        steps = range(1, _steps() + 2)
+        for step, kind, seed in itertools.product(
+            steps, foundingsim.FAULTS, range(3)
+        ):
+            sim = play((Fault(step, kind, seed),))
+            sim.check_progress()
+
+    def test_two_ends_at_each_pair_of_steps_stop_no_founding(self) -> None:
+        """Guards against seeds that end again and again in a first start."""
+        steps = _steps() + 2
+        pairs = itertools.combinations(range(1, steps), 2)
+        for (first, second), one, other in itertools.product(
+            pairs, range(3), range(3)
+        ):
+            faults = (Fault(first, "kill", one), Fault(second, "kill", other))
+            play(faults).check_progress()
+
+    def test_drawn_faults_found_no_second_system(self) -> None:
+        """Guards against two foundings, with three seeds and with five."""
+        for number in range(400):
+            rng = random.Random(number)
+            count = rng.choice((3, 3, 5))
+            faults = tuple(
+                Fault(
+                    rng.randint(1, 80),
+                    rng.choice(foundingsim.FAULTS),
+                    rng.randrange(count),
+                )
+                for _ in range(rng.randint(2, 6))
+            )
+            sim = play(faults, count, seed=number)
+            # A seed that the founding had to do without is a loss, too.
+            if sim.wiped + sim.absent() <= (count - 1) // 2:
+                sim.check_progress()
+
+    def test_all_seeds_killed_before_they_wrote_anything(self) -> None:
+        """Guards against a system that waits for ever for a first start."""
+        sim = Simulation(3, random.Random(1))
+        for host in sim.seeds.values():
+            host.start(first=False)
+        sim.run(_RECOVER_MS)
+        sim.check_progress()
+
+    def test_two_of_three_killed_before_they_wrote_anything(self) -> None:
+        """Guards against a seed alone in knowing of the first start."""
+        sim = Simulation(3, random.Random(1))
+        for number, host in enumerate(sim.seeds.values()):
+            host.start(first=number == 0)
+        sim.run(_RECOVER_MS)
+        sim.check_progress()
+
+    def test_third_seed_that_never_starts_is_not_waited_for(self) -> None:
+        """Guards against a dark host that keeps a whole system down."""
+        sim = Simulation(3, random.Random(1))
+        sim.seeds["s0"].start(first=True)
+        sim.seeds["s2"].start(first=True)
+        sim.run(_RECOVER_MS)
+        self.assertEqual(2, len(sim.values[0].members))
+        sim.seeds["s1"].start(first=True)
+        sim.run(_RECOVER_MS + _SETTLE_MS)
+        sim.check_progress()
+
+    def test_seed_that_lost_its_disk_is_no_majority_with_another(self) -> None:
+        """Guards against a second system beside one that was founded."""
+        self.assertEqual(1, len(_lose_a_disk_beside_a_late_seed().values))
+
+    def test_empty_seeds_found_nothing_where_a_system_is_known(self) -> None:
+        """Guards against founding over a system whose seeds lost all disks."""
+        sim = Simulation(3, random.Random(1))
+        for host in sim.seeds.values():
+            host.start(first=False)
+        sim.run(1_000)
+        founder = sim.seeds["s2"].founder
+        assert founder is not None
+        founder.group_known()
+        sim.run(_RECOVER_MS)
+        self.assertEqual([], sim.values)
+
+    def test_halves_found_one_system(self) -> None:
+        """Guards against a system in each half of a cut network."""
+        for alone in range(3):
+            sim = Simulation(3, random.Random(alone))
+            for host in sim.seeds.values():
+                host.start(first=True)
+            sim.inject("cut", sim.seeds[f"s{alone}"], 8_000)
+            sim.run(7_500)
+            self.assertEqual(2, len(sim.values[0].members))
+            sim.run(_RECOVER_MS)
+            sim.check_progress()
+
+
+class FoundingRulesTest(base.TestCase):
+    """What a seed answers to others."""
+
+    def _founder(self, *, empty: bool = False) -> Founder:
+        record = types.Record(empty)
+        return Founder("n1", "a1", ("a1", "a2", "a3"), record, 0)
+
+    def _prepare(self, **fields: object) -> messages.Prepare:
+        asked = {
+            "sender": "n2",
+            "to": "n1",
+            "ballot": messages.Ballot(count=1, node="n2"),
+            "seeds": ["a1", "a2", "a3"],
+            **fields,
+        }
+        return messages.Prepare(**asked)  # type: ignore[arg-type]
+
+    def test_message_for_another_identity_is_not_answered(self) -> None:
+        """Guards against two keepers at one address that count as one."""
+        founder = self._founder()
+        founder.step(self._prepare(to="n0"), 10)
+        self.assertEqual([], founder.take_output())
+
+    def test_seeds_that_differ_are_not_answered(self) -> None:
+        """Guards against majorities of different sets of seeds."""
+        founder = self._founder()
+        founder.step(self._prepare(seeds=["a1", "a2", "a4"]), 10)
+        self.assertEqual([], founder.take_output())
+        waiting = founder.waiting(10)
+        self.assertEqual({"a3", "a4"}, set(waiting.seeds))
+
+    def test_promise_is_saved_before_it_is_sent(self) -> None:
+        """Guards against a promise that a power loss takes back."""
+        founder = self._founder()
+        founder.step(self._prepare(), 10)
+        kinds = [type(command) for command in founder.take_output()]
+        self.assertEqual([types.Save, types.Send], kinds)
+
+    def test_earlier_attempt_is_refused_with_the_newer_one(self) -> None:
+        """Guards against a late message that undoes a promise."""
+        founder = self._founder()
+        newer = messages.Ballot(count=5, node="n3")
+        founder.step(self._prepare(sender="n3", ballot=newer), 10)
+        founder.take_output()
+        founder.step(self._prepare(), 20)
+        (sent,) = founder.take_output()
+        assert isinstance(sent, types.Send)
+        assert isinstance(sent.message, messages.Promise)
+        self.assertEqual(newer, sent.message.ballot)
+
+
+def _forgetful(
+    node: str,
+    address: str,
+    seeds: tuple[str, ...],
+    record: types.Record,
+    now_ms: int,
+) -> Founder:
+    """Returns a seed that does not know that it may have lost its disk."""
+    kept = dataclasses.replace(record, empty=False)
+    return Founder(node, address, seeds, kept, now_ms)
+
+
+class _Stubborn(Founder):
+    """Proposes its own members, whatever was accepted before."""
+
+    def _promise(self, to: str) -> messages.Promise:
+        promise = super()._promise(to)
+        return msgspec.structs.replace(promise, accepted=None)
+
+
+class _Hasty(Founder):
+    """Founds where a majority of the seeds has promised, accepted or not."""
+
+    def _propose(self, attempt: Any, now_ms: int) -> None:
+        super()._propose(attempt, now_ms)
+        if attempt.members is not None:
+            self._out.append(types.Decided(attempt.members))
+
+
+class MutationTest(base.TestCase):
+    """The model finds what would be wrong."""
+
+    def _finds(self, make: Callable[..., Founder]) -> bool:
+        for number in range(3_000):
+            rng = random.Random(number)
+            faults = tuple(
+                Fault(
+                    rng.randint(1, 60),
+                    rng.choice(foundingsim.FAULTS),
+                    rng.randrange(3),
+                )
+                for _ in range(4)
+            )
+            try:
+                play(faults, seed=number, make=make)
+            except CheckError:
+                return True
+        return False
+
+    def test_model_finds_a_lost_disk_that_counts(self) -> None:
+        with self.assertRaises(CheckError):
+            _lose_a_disk_beside_a_late_seed(_forgetful)
+
+    def test_model_finds_a_proposal_that_is_forgotten(self) -> None:
+        self.assertTrue(self._finds(_Stubborn))
+
+    def test_model_finds_members_that_nobody_has_accepted(self) -> None:
+        self.assertTrue(self._finds(_Hasty))
--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -26,6 +26,10 @@
         """
         self._play(104)
 
+    def test_ends_during_the_first_start_break_no_promise(self) -> None:
+        """Guards against keepers that end while the system is founded."""
+        self._play(1000)
+
     def _play(self, seed: int) -> None:
         async def main() -> None:
             found = await soakplatform.play(seed, _SECONDS)
