Let reload signals end no entry and no replica

What callers saw: a closed terminal, or a tool that reloads all services, ended catkinpin-entry and catkinpin-replica at once, with every call in flight (ServerDisconnected in the test on the code before).

Cause: neither handled SIGHUP, whose default ends a process.

--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -69,7 +69,12 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signalled)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
     process = make()
     await process.start()
     await stop.wait()
     await process.stop()
+
+
+def _note_reload() -> None:
+    log.info("SIGHUP changes nothing: settings are read at the start")
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 import time
@@ -121,6 +122,22 @@
 
         self.cell(body, engines={"engine-1": {"token_ms": 40}})
 
+    def test_reload_signal_ends_no_process(self) -> None:
+        """Guards against SIGHUP's default action: calls in flight cut off."""
+
+        async def body(cluster: base.Cluster) -> None:
+            await cluster.steer("service-1", delay_ms=500)
+            call = asyncio.create_task(self.pay(cluster))
+            await self.effect(cluster, "pay-1")
+            for name in ("entry-1", "replica-1"):
+                process = cluster.processes[name]
+                process.signal(signal.SIGHUP)
+                logged = functools.partial(self._logged, process, "SIGHUP")
+                await base.until(logged, "the process says what it does")
+            self.assertEqual(200, (await call).status)
+
+        self.cell(body)
+
     def test_second_signal_ends_at_once(self) -> None:
         """An operator does not want to wait for a hanging tool any more."""
 
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -15,6 +15,17 @@
 
 _WAIT_S = 10.0
 _NEW_SEEDS = ["127.0.0.1:2"]
+_EARLY = """
+import signal, sys
+from catkinpin import __main__ as programs
+loaded = [name for name in ("pydantic", "cyclopts") if name in sys.modules]
+sys.argv = ["catkinpin-{program}", "--version"]
+try:
+    programs.{program}()
+except SystemExit:
+    pass
+print(loaded, signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+"""
 _LOADED = """
 import sys
 sys.path.insert(0, "platform")
@@ -99,6 +110,18 @@
         self.assertEqual(1, process.returncode)
         self.assertIn(b"TOMLDecodeError", errors)
 
+    def test_entries_and_replicas_ignore_it_before_they_load(self) -> None:
+        """Guards against SIGHUP's default action while libraries load."""
+        for program in ("entry", "replica"):
+            done = subprocess.run(
+                [sys.executable, "-c", _EARLY.format(program=program)],
+                cwd=processes.ROOT,
+                capture_output=True,
+                text=True,
+                check=True,
+            )
+            self.assertEqual("[] True", done.stdout.splitlines()[-1])
+
 
 class _Process:
     """A process that only notes the seeds it is given."""
