Look servers up by address and by service

Test: the one that counts how often all servers are gone through failed before (3,000 times). tests/test_fleet.py, test_view, test_gateway, test_control: pass.

--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -155,7 +155,7 @@
         listed = {announced.id for announced in message.instances}
         for instance in list(self.fleet.servers.values()):
             if instance.id not in listed:
-                del self.fleet.servers[instance.id]
+                self.fleet.drop(instance.id)
                 self._on_gone(instance)
 
     def _note(self, changed: Instance) -> None:
--- a/catkinpin/core/control/servers.py
+++ b/catkinpin/core/control/servers.py
@@ -12,7 +12,7 @@
 from catkinpin.codec import Message
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Collection
 
 # Servers that are gone and could still be named by a late announcement. A day
 # of ordinary replacements is some hundreds.
@@ -63,6 +63,10 @@
     def __init__(self) -> None:
         self.servers: dict[str, Instance] = {}
         self._gone: dict[str, Instance] = {}
+        # What else a server is looked up by: thousands announce themselves
+        # at once, and each request asks for those of its service.
+        self._by_service: dict[str, dict[str, Instance]] = {}
+        self._by_address: dict[str, str] = {}
 
     def is_news(self, announced: Instance) -> bool:
         """Returns whether an announcement changes what must be kept."""
@@ -98,17 +102,17 @@
         if announced.state.is_over:
             return [self._remove(announced)]
         changed = []
-        for other in list(self.servers.values()):
-            if other.address == announced.address and other.id != announced.id:
-                # One address serves one process: the younger one has it. A
-                # late announcement of the older one would send it requests
-                # of another service.
-                if other.started_ms > announced.started_ms:
-                    return []
-                gone = _with_state(other, ServerState.GONE)
-                changed.append(self._remove(gone))
+        other = self.servers.get(self._by_address.get(announced.address, ""))
+        if other is not None and other.id != announced.id:
+            # One address serves one process: the younger one has it. A late
+            # announcement of the older one would send it requests of another
+            # service.
+            if other.started_ms > announced.started_ms:
+                return []
+            gone = _with_state(other, ServerState.GONE)
+            changed.append(self._remove(gone))
         self._gone.pop(announced.id, None)
-        self.servers[announced.id] = announced
+        self._put(announced)
         return [*changed, announced]
 
     def state(self) -> list[Instance]:
@@ -119,20 +123,36 @@
         """Replaces everything by the content of a snapshot."""
         self.servers = {}
         self._gone = {}
+        self._by_service = {}
+        self._by_address = {}
         for instance in instances:
             if instance.state.is_over:
                 self._gone[instance.id] = instance
             else:
-                self.servers[instance.id] = instance
-
-    def of(self, service: str) -> Iterator[Instance]:
-        """Yields the servers of a service."""
-        for instance in self.servers.values():
-            if instance.service == service:
-                yield instance
+                self._put(instance)
+
+    def of(self, service: str) -> Collection[Instance]:
+        """Returns the servers of a service."""
+        return self._by_service.get(service, {}).values()
+
+    def drop(self, server: str) -> Instance | None:
+        """Takes a server off without a trace; returns what was known."""
+        known = self.servers.pop(server, None)
+        if known is not None:
+            del self._by_service[known.service][server]
+            if self._by_address.get(known.address) == server:
+                del self._by_address[known.address]
+        return known
+
+    def _put(self, instance: Instance) -> None:
+        self.drop(instance.id)
+        self.servers[instance.id] = instance
+        of_service = self._by_service.setdefault(instance.service, {})
+        of_service[instance.id] = instance
+        self._by_address[instance.address] = instance.id
 
     def _remove(self, announced: Instance) -> Instance:
-        known = self.servers.pop(announced.id, announced)
+        known = self.drop(announced.id) or announced
         gone = _with_state(
             known,
             announced.state,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -96,3 +96,57 @@
         self.assertEqual([younger], list(fleet.servers.values()))
         self.assertEqual([], fleet.apply(_server(sequence=50)))
         self.assertEqual([younger], list(fleet.servers.values()))
+
+
+class ManyServersTest(testtools.TestCase):
+    """Thousands of servers that announce themselves at once."""
+
+    def test_announcement_costs_the_same_among_thousands(self) -> None:
+        """Guards against a start that compares each server with all others."""
+        fleet = _CountingFleet()
+        for number in range(3_000):
+            fleet.apply(_server(id=f"s{number}", address=f"10.0.0.1:{number}"))
+        self.assertEqual(0, fleet.scans)
+        self.assertEqual(3_000, len(fleet.of("tools")))
+
+    def test_indexes_follow_what_servers_become(self) -> None:
+        """Guards against a server that is offered after it went or moved."""
+        fleet = Fleet()
+        fleet.apply(_server())
+        moved = _server(
+            address="10.0.0.2:80", service="other", started_ms=2_000
+        )
+        fleet.apply(moved)
+        self.assertEqual([], list(fleet.of("tools")))
+        self.assertEqual([moved], list(fleet.of("other")))
+        newcomer = _server(id="s2", address="10.0.0.1:80", started_ms=3_000)
+        self.assertEqual([newcomer], fleet.apply(newcomer))
+        follower = _server(id="s3", address="10.0.0.2:80", started_ms=4_000)
+        self.assertEqual(2, len(fleet.apply(follower)))
+        self.assertEqual([], list(fleet.of("other")))
+        fleet.restore([moved])
+        self.assertEqual([moved], list(fleet.of("other")))
+        self.assertEqual([], list(fleet.of("tools")))
+
+
+class _Scanned(dict[str, Instance]):
+    """Servers by id, of which goings through all are counted."""
+
+    scans = 0
+
+    def values(self) -> Any:
+        self.scans += 1
+        return super().values()
+
+
+class _CountingFleet(Fleet):
+    """A fleet that counts how often it goes through all its servers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.servers = _Scanned()
+
+    @property
+    def scans(self) -> int:
+        assert isinstance(self.servers, _Scanned)
+        return self.servers.scans
