Compare few of many servers for a request

Cause: the leader places every turn, and weighed every server of the service for it: 0.28 ms a turn at 24 servers, 3.2 at 240, 11.9 at 800, 38.9 at 2,400, on this machine, in the leader's one thread, besides all else that it must do in time: leases, commits, heartbeats, configuration. Gateways did the same for requests whose server the leader had not named.

Tests: at most 50 of 2,400 servers weighed a turn failed before (and the module took 107 s in place of 6); sessions stay where their prompts are, and a burst of 2,400 turns puts at most 6 on an engine, as before. test_placer, test_placed, test_balance, test_lines, test_speeds: pass.

--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -26,10 +26,11 @@
 
 from catkinpin.core.control.servers import ServerState
 from catkinpin.core.placement import speeds
+from catkinpin.core.placement.shortlist import cached_tokens, shortlist
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Container, Iterable
 
     from catkinpin.core.control.servers import Instance
     from catkinpin.core.placement.speeds import EngineSpeed, Speeds
@@ -165,7 +166,7 @@
 
     def pick(
         self,
-        servers: Iterable[Instance],
+        servers: Collection[Instance],
         call: RouteCall,
         now_ms: int,
         avoid: Collection[str] = (),
@@ -182,9 +183,10 @@
             route: its name; plain calls of one take about the same time.
             domain: failure domain that the request comes from; empty: ours.
         """
+        listed = shortlist(servers, call.prompt, self._held, self._rng)
         ready = [
             one
-            for one in servers
+            for one in listed
             if one.state is ServerState.READY and one.id not in avoid
         ]
         fit = [one for one in ready if not self._is_ejected(one, now_ms)]
@@ -318,7 +320,7 @@
         origin: str,
     ) -> Choice:
         server = self._of(instance)
-        cached = self._cached(server, call.prompt)
+        cached = cached_tokens(server.parts, call.prompt)
         speed = self._speed(instance, call, now_ms)
         work = self._work(call, route, cached, speed)
         slots = self._slots(instance, server)
@@ -399,14 +401,10 @@
             now_ms - server.load_at_ms <= _LOAD_OLD_MS
         )
 
-    def _cached(self, server: Server, prompt: tuple[PromptPart, ...]) -> int:
-        """Returns the tokens of a prompt that a server seems to hold."""
-        tokens = 0
-        for part in prompt:
-            if part.id not in server.parts:
-                break
-            tokens += part.tokens
-        return tokens
+    def _held(self, server: str) -> Container[str]:
+        """Returns the prompt parts that a server seems to hold."""
+        known = self._servers.get(server)
+        return known.parts if known is not None else ()
 
     def _slots(self, instance: Instance, server: Server) -> int:
         slots = server.load.slots if server.load else instance.slots
--- a/catkinpin/core/placement/placer.py
+++ b/catkinpin/core/placement/placer.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
+    from collections.abc import Collection
 
     from catkinpin.core.control.servers import Instance
 
@@ -130,7 +130,7 @@
         self,
         attempt: str,
         turn: PlaceTurn,
-        servers: Iterable[Instance],
+        servers: Collection[Instance],
         last_server: Instance | None,
         now_ms: int,
     ) -> str:
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -4,7 +4,7 @@
 
 import collections
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import testtools
 
@@ -165,3 +165,47 @@
     def test_no_server_is_named_where_there_is_none(self) -> None:
         """Guards against a name that no gateway knows."""
         self.assertEqual("", _placer().place("t", _turn("s"), [], None, 0))
+
+
+class ManyServersTest(testtools.TestCase):
+    """A service of thousands of engines, as hundreds of gateways need."""
+
+    def test_placement_compares_few_of_thousands(self) -> None:
+        """Guards against a leader that spends its time weighing servers."""
+        placer, servers = _placer(), _servers(2_400)
+        weighed = _count_weighed(placer)
+        for n in range(50):
+            placer.place(f"t{n}", _turn(f"s{n}"), servers, None, n)
+        self.assertLess(len(weighed), 50 * 50)
+
+    def test_turn_stays_with_its_prompt_among_thousands(self) -> None:
+        """Guards against sessions whose prompts are read again each turn."""
+        placer, servers = _placer(), _servers(2_400)
+        for n in range(50):
+            first = placer.place(f"a{n}", _turn(f"s{n}"), servers, None, n)
+            placer.settle(f"a{n}", TurnReport(), n)
+            again = placer.place(f"b{n}", _turn(f"s{n}"), servers, None, n)
+            self.assertEqual(first, again)
+
+    def test_burst_spreads_among_thousands(self) -> None:
+        """Guards against queues at a few engines that hold shared prompts."""
+        placer, servers = _placer(), _servers(2_400)
+        counts: collections.Counter[str] = collections.Counter()
+        for n in range(2_400):
+            turn = _turn(f"s{n}", f"shared-{n % 16}", "abcd"[n % 4])
+            counts[placer.place(f"t{n}", turn, servers, None, n)] += 1
+        self.assertLessEqual(max(counts.values()), 6)
+
+
+def _count_weighed(placer: Placer) -> list[str]:
+    """Returns a list that grows by each server that is weighed."""
+    weighed: list[str] = []
+    balancer = placer._balancer
+    weigh = balancer._weigh
+
+    def counted(instance: Instance, *args: Any) -> Any:
+        weighed.append(instance.id)
+        return weigh(instance, *args)
+
+    setattr(balancer, "_weigh", counted)  # noqa: B010
+    return weighed
