Leave out at most half of a service's servers as unresponsive

What callers saw: under a burst of plain calls all servers of a service take many times the usual. Each that was left out overloaded the others, until one server had the load of all, or all had been out in turn.

Cause: a server was left out for an overdue call whatever became of the others. Now at most half of a service's ready servers are left out at once, those that fail counted, and none where more than half are overdue: then they are overloaded. One rule for what a gateway sees itself and what the leader tells.

Tests: LeaveOutTest, without network; three of its four failed with the servers left out as before. test_unresponsive, test_balance, test_gateway: 41 passed with test_architecture.

--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -16,7 +16,7 @@
 from catkinpin.adapters.gateway.timings import Times
 from catkinpin.adapters.http.client import ANY_IDLE_S, Failure
 from catkinpin.core.control.servers import ServerState
-from catkinpin.core.placement import urgency
+from catkinpin.core.placement import unresponsive, urgency
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -70,8 +70,11 @@
             return None
         servers = self._view.fleet.of(work.service.name)
         now_ms = self._clock.now_ms()
-        for server in self._waiting.unresponsive(now_ms):
-            self._balancer.avoid(server, now_ms + _AVOID_MS)
+        overdue = self._waiting.unresponsive(now_ms)
+        if overdue:
+            unresponsive.leave_out(
+                self._balancer, overdue, servers, now_ms, now_ms + _AVOID_MS
+            )
         choice = self._placed(work, now_ms) or self._balancer.pick(
             servers, work.call, now_ms, work.sent_to, work.route.name
         )
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -23,7 +23,7 @@
 from catkinpin.core.control import protocol
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.speeds import Speeds
-from catkinpin.core.placement.unresponsive import WaitingCalls
+from catkinpin.core.placement.unresponsive import WaitingCalls, leave_out
 
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.headers import HeaderCodec
@@ -174,9 +174,17 @@
     def _avoid(self, servers: list[str]) -> None:
         """Leaves servers out that other gateways find unresponsive."""
         decisions.note("unresponsive-servers", "", servers=servers)
-        until_ms = self.clock.now_ms() + _AVOID_MS
-        for server in servers:
-            self._balancer.avoid(server, until_ms)
+        now_ms = self.clock.now_ms()
+        fleet = self.view.fleet
+        known = [fleet.servers[s] for s in servers if s in fleet.servers]
+        for service in {instance.service for instance in known}:
+            leave_out(
+                self._balancer,
+                servers,
+                fleet.of(service),
+                now_ms,
+                now_ms + _AVOID_MS,
+            )
 
     async def _answer_ready(
         self, request: Request, responder: Responder
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -285,6 +285,13 @@
         if known is not None:
             known.ejected_until_ms = max(known.ejected_until_ms, until_ms)
 
+    def left_out(
+        self, servers: Iterable[Instance], now_ms: int
+    ) -> frozenset[str]:
+        """Returns which servers get nothing now."""
+        out = (one.id for one in servers if self._is_ejected(one, now_ms))
+        return frozenset(out)
+
     def forget(self, server: str) -> None:
         """Forgets a server that is gone."""
         self._servers.pop(server, None)
--- a/catkinpin/core/placement/unresponsive.py
+++ b/catkinpin/core/placement/unresponsive.py
@@ -13,9 +13,14 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from catkinpin.core.control.servers import ServerState
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from catkinpin.core.control.servers import Instance
+    from catkinpin.core.placement.balance import Balancer
+
 # A call is overdue after so many times what its route usually takes, and not
 # before so long: a queue at a busy server takes some hundred ms.
 _OVERDUE_TIMES = 6.0
@@ -60,6 +65,37 @@
         }
 
 
+def leave_out(
+    balancer: Balancer,
+    unresponsive: Collection[str],
+    servers: Collection[Instance],
+    now_ms: int,
+    until_ms: int,
+) -> None:
+    """Has a balancer leave out unresponsive servers of a service.
+
+    At most half of the ready servers are left out at once, and none where more
+    than half take many times the usual: then they are overloaded, and each
+    that is left out overloads the others, until all have been out in turn.
+
+    Args:
+        balancer: of the gateway.
+        unresponsive: servers, maybe of other services as well.
+        servers: of the service.
+        now_ms: monotonic time.
+        until_ms: until when they are left out.
+    """
+    ready = [s for s in servers if s.state is ServerState.READY]
+    found = [s.id for s in ready if s.id in unresponsive]
+    if 2 * len(found) > len(ready):
+        return
+    out = balancer.left_out(ready, now_ms)
+    room = len(ready) // 2 - len(out.difference(found))
+    found.sort(key=lambda server: server not in out)
+    for server in found[: max(0, room)]:
+        balancer.avoid(server, until_ms)
+
+
 class UnresponsiveServers:
     """What the leader has been told of unresponsive servers."""
 
--- a/tests/test_unresponsive.py
+++ b/tests/test_unresponsive.py
@@ -9,11 +9,13 @@
 import random
 
 from catkinpin.core.control.routes import RouteKind
+from catkinpin.core.control.servers import ServerState
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.speeds import Speeds
 from catkinpin.core.placement.unresponsive import (
     UnresponsiveServers,
     WaitingCalls,
+    leave_out,
 )
 from catkinpin.core.requests.calls import RouteCall
 from tests import base
@@ -65,6 +67,46 @@
         self.assertEqual([], unresponsive.known(50, 3_000))
 
 
+class LeaveOutTest(base.TestCase):
+    """A burst of plain calls: all servers of a service are slow in turn."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.servers = [instance(f"s{number}") for number in range(4)]
+        rng = random.Random(1)
+        self.balancer = Balancer("a", {"a": "r"}, rng, Speeds())
+        for server in self.servers:
+            self.balancer.sent(server, RouteCall(attempt="c"))
+
+    def _leave_out(self, *found: str, now_ms: int = 0) -> set[str]:
+        leave_out(self.balancer, found, self.servers, now_ms, now_ms + 500)
+        return set(self.balancer.left_out(self.servers, now_ms))
+
+    def test_half_of_a_service_may_hang(self) -> None:
+        """Guards against calls lost at servers that are known to hang."""
+        self.assertEqual({"s0", "s1"}, self._leave_out("s0", "s1"))
+
+    def test_overloaded_service_keeps_all_its_servers(self) -> None:
+        """Guards against a burst that leaves the load to one server."""
+        self.assertEqual(set(), self._leave_out("s0", "s1", "s2"))
+
+    def test_servers_slow_in_turn_are_not_all_left_out(self) -> None:
+        """Guards against a burst that ejects one server after the other."""
+        self._leave_out("s0", "s1")
+        out = self._leave_out("s2", "s3", now_ms=100)
+        self.assertEqual({"s0", "s1"}, out)
+
+    def test_servers_that_leave_are_no_reason_to_keep_one(self) -> None:
+        """Guards against a count that takes servers in that get nothing."""
+        leaving = [
+            instance(f"s{number}", state=ServerState.DRAINING)
+            for number in (2, 3)
+        ]
+        self.servers[2:] = leaving
+        self.assertEqual({"s0"}, self._leave_out("s0"))
+        self.assertEqual({"s0"}, self._leave_out("s1", now_ms=100))
+
+
 class AvoidTest(GatewayCase):
     """Where calls go while a server hangs."""
 
