Clear the gauges of quotas where a keeper leads no more

Cause: a keeper that led before went on showing the use that it counted then, beside the figures of the new leader, so that an operator's sum was twice the truth.

--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -129,6 +129,7 @@
         if leading:
             self.quotas.lead(self.log_ms())
         else:
+            metrics.QUOTA_USED.clear()
             self._give_up("another leads")
 
     def snapshot(self) -> bytes:
