Ignore signals from the end of a stop to the end of the process

Found by sending each program each signal during its stop. An entry or a replica that was told to stop, and got SIGHUP, SIGTERM or SIGINT 20 ms later, ended with -1, -15 or -2 in place of 0: an operator, or a service manager, takes an orderly stop for a failed one. Gateways, keepers and stores ended with 0 in all cases.

Cause: the loop restores the signals' defaults as it closes, and the interpreter takes some 100 ms more to end. Ruled out: a stop that was not done (its log is whole). Now all three are ignored from then on; until then a second SIGTERM still ends the process at once, with 5.

Test: test_signals_at_the_end_of_a_stop_change_no_exit_code failed before (-1), passes now; the other tests of signals and stops: 5 passed.

--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -71,9 +71,23 @@
         loop.add_signal_handler(number, signalled)
     loop.add_signal_handler(signal.SIGHUP, _note_reload)
     process = make()
-    await process.start()
-    await stop.wait()
-    await process.stop()
+    try:
+        await process.start()
+        await stop.wait()
+        await process.stop()
+    finally:
+        _ignore_signals(loop)
+
+
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignores signals from here to the end of the process.
+
+    The loop restores their defaults as it closes. One that came while the
+    interpreter ends would turn an orderly stop into one that looks failed.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _note_reload() -> None:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -138,6 +138,20 @@
 
         self.cell(body)
 
+    def test_signals_at_the_end_of_a_stop_change_no_exit_code(self) -> None:
+        """Guards against an orderly stop that looks failed to an operator."""
+
+        async def body(cluster: base.Cluster) -> None:
+            for name in ("entry-1", "replica-1"):
+                process = cluster.processes[name]
+                process.signal(signal.SIGTERM)
+                while process.exit_code() is None:
+                    process.signal(signal.SIGHUP)
+                    await asyncio.sleep(0.002)
+                self.assertEqual(0, process.exit_code(), name)
+
+        self.cell(body)
+
     def test_second_signal_ends_at_once(self) -> None:
         """An operator does not want to wait for a hanging tool any more."""
 
