Found nothing with seeds that hold copies of one data folder

Cause, by reading: two seeds with one identity, as a copied data folder gives, would have been two members under one name; each would have voted for both, and a quorum of three could have been one keeper with its own copy. What an operator would have seen: two leaders, sooner or later.

Now seeds in touch with one identity found nothing, and say so in the founding line. A seed that the settings name twice counted once before and still does.

--- a/catkinpin/core/consensus/founding.py
+++ b/catkinpin/core/consensus/founding.py
@@ -155,9 +155,9 @@
                 return
             self._give_up(now_ms)
         ready_ms = self._ready_ms()
-        if ready_ms is None:
-            return
         present = self._presence.nodes(now_ms)
+        if ready_ms is None or self._is_copied(present):
+            return
         rank = sum(address < self.address for address in present)
         turn_ms = ready_ms + rank * self._timing.retry_ms
         if now_ms >= max(turn_ms, self._next_ms):
@@ -167,6 +167,8 @@
         """Returns what the founding waits for."""
         present = {self.address, *self._presence.nodes(now_ms)}
         away = tuple(a for a in self.seeds if a not in present)
+        if self._is_copied(self._presence.nodes(now_ms)):
+            return Waiting("seeds with copies of one data folder", away)
         if self._differing:
             return Waiting("seeds name other seeds", tuple(self._differing))
         if self._presence.kept(now_ms) >= self._majority():
@@ -187,6 +189,13 @@
     def _majority(self) -> int:
         return len(self.seeds) // 2 + 1
 
+    def _is_copied(self, present: dict[str, str]) -> bool:
+        """Returns whether two seeds have one identity.
+
+        Each would vote in the name of both.
+        """
+        return len({self.node, *present.values()}) <= len(present)
+
     def _ready_ms(self) -> int | None:
         """Returns the time from which an attempt may be made, if any."""
         presence = self._presence
--- a/tests/test_founders.py
+++ b/tests/test_founders.py
@@ -219,6 +219,23 @@
         waiting = founder.waiting(10)
         self.assertEqual({"a3", "a4"}, set(waiting.seeds))
 
+    def test_copies_of_one_folder_found_nothing(self) -> None:
+        """Guards against two keepers that vote in one name."""
+        founder = self._founder()
+        for address in ("a2", "a3"):
+            info = types.Introduction("n2", address, empty=False)
+            founder.heard(info, 10)
+        self.assertEqual([], founder.take_output())
+        self.assertIn("copies", founder.waiting(10).reason)
+
+    def test_seed_that_is_named_twice_counts_once(self) -> None:
+        """Guards against a majority of one keeper with itself."""
+        seeds = ("a1", "a1", "a2")
+        founder = Founder("n1", "a1", seeds, types.Record(empty=False), 0)
+        founder.tick(10_000)
+        self.assertEqual([], founder.take_output())
+        self.assertEqual(("a2",), founder.waiting(10_000).seeds)
+
     def test_promise_is_saved_before_it_is_sent(self) -> None:
         """Guards against a promise that a power loss takes back."""
         founder = self._founder()
