Say in one line that a data folder can't be used

Found by trying bad folders: a data folder that can't be made ended a keeper or a store with a traceback and exit code 1, in place of the line and the code 3 that operators are promised for data folders. An identity cut short, of a newer format, or that can't be read did end with one line and 3.

--- a/catkinpin/adapters/disk/files.py
+++ b/catkinpin/adapters/disk/files.py
@@ -41,6 +41,18 @@
     return kind(f"{what}: write failed: {exc}")
 
 
+def make_folder(folder: pathlib.Path) -> None:
+    """Makes a folder, where there is none yet.
+
+    Raises:
+        StorageError: it can't be made or isn't one.
+    """
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+    except OSError as exc:
+        raise StorageError(f"{folder}: {exc.strerror}") from exc
+
+
 def sync_folder(ops: FileOps, folder: pathlib.Path) -> None:
     """Makes the names in a folder last; a new file is lost without it."""
     fd = os.open(folder, os.O_RDONLY)
--- a/catkinpin/adapters/disk/storage.py
+++ b/catkinpin/adapters/disk/storage.py
@@ -72,7 +72,7 @@
         self._log_folder = folder / "log"
         self._snapshot_folder = folder / "snapshots"
         for path in (self._log_folder, self._snapshot_folder):
-            path.mkdir(parents=True, exist_ok=True)
+            files.make_folder(path)
         files.sync_folder(self.ops, folder)
         self._lock = _lock(folder)
         self._groups: dict[str, GroupLog] = {}
--- a/catkinpin/adapters/disk/turnbytes.py
+++ b/catkinpin/adapters/disk/turnbytes.py
@@ -54,7 +54,7 @@
         self._active = 0
         self._size = 0
         self._dirty = False
-        folder.mkdir(parents=True, exist_ok=True)
+        files.make_folder(folder)
         for path in sorted(folder.glob("*.turns")):
             self._recover(path)
         self._next_file()
--- a/catkinpin/adapters/store/process.py
+++ b/catkinpin/adapters/store/process.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import decisions, exits
-from catkinpin.adapters.disk.files import FileOps
+from catkinpin.adapters.disk import files
 from catkinpin.adapters.disk.turnbytes import TurnBytes
 from catkinpin.adapters.keeper.publisher import STORE_ROLE
 from catkinpin.adapters.peers import keepers, links
@@ -36,8 +36,8 @@
 
     def __init__(self, cfg: StoreSettings) -> None:
         self.cfg = cfg
-        ops = FileOps()
-        cfg.data_folder.mkdir(parents=True, exist_ok=True)
+        ops = files.FileOps()
+        files.make_folder(cfg.data_folder)
         self.identity = Identity(cfg.data_folder, ops).node
         self._info = StoreInfo(
             node=self.identity,
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -26,6 +26,28 @@
     pass
 print(loaded, signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
 """
+_NODE_FILE = """
+node_name = "n"
+ip = "127.0.0.1"
+zone = "a"
+region = "r"
+port_range = [1, 1]
+seeds = ["127.0.0.1:1"]
+data_dir = "{folder}"
+bootstrap = true
+[zones]
+a = "r"
+[listen]
+control = "127.0.0.1:1"
+[limits]
+memory_mb = 200
+[tolerate]
+machines = 1
+zones = 0
+regions = 0
+[bounds]
+grace_s = 8
+"""
 _LOADED = """
 import sys
 sys.path.insert(0, "platform")
@@ -85,6 +107,32 @@
         self.assertEqual("[]", done.stdout.strip())
 
 
+class DataFolderTest(base.TestCase):
+    """A data folder that can't be used."""
+
+    def test_data_folder_that_is_none_ends_with_one_line(self) -> None:
+        """Guards against a traceback in place of what is wrong, and where."""
+        file = self.folder / "file"
+        file.touch()
+        for role in ("keeper", "store"):
+            settings = self.folder / f"{role}.toml"
+            settings.write_text(_NODE_FILE.format(folder=file / "data"))
+            done = subprocess.run(
+                [sys.executable, "platform", role],
+                cwd=processes.ROOT,
+                env={
+                    "PYTHONPATH": str(processes.ROOT),
+                    "CATKINPIN_NODE_FILE": str(settings),
+                },
+                capture_output=True,
+                text=True,
+                timeout=_WAIT_S,
+            )
+            self.assertEqual(3, done.returncode, done.stderr)
+            (line,) = done.stderr.splitlines()
+            self.assertIn(f"{file}/data", line)
+
+
 class ReloadSignalTest(base.TestCase):
     """A reload signal that comes before a process can handle it."""
 
