Give each account's programs budgets of their own

Listed as open in docs/design/accounts.md: a program was known by its id alone. What callers saw: two accounts that choose the same id, by chance or on purpose, spent one budget, so that one could have the other's turns refused with 402.

Cause: budgets were kept by program id from before there were accounts; turns already belonged to an account. Now they are kept by account and program. A program that began before there were accounts keeps its budget. Finished and open turns need no change: they name the turn that began.

Elsewhere: turns and chains check the account since they know of it; placements go by attempt; the other interface keys programs by account and program.

Tests: AccountBudgetTest; two of three failed before. test_ledger, test_quotas, test_turnrequests, test_control, test_accounts, test_architecture: 68 passed.

--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -166,7 +166,7 @@
         """Counts a turn against its account's quota; a resend counts once."""
         ledger = self.state.ledger
         if begin.account and not ledger.knows_turn(begin.attempt):
-            turns = ledger.turns_of(begin.program)
+            turns = ledger.turns_of(begin.account, begin.program)
             self.quotas.began(begin.account, begin.at_ms, turns=turns)
 
     def count_use(self, use: AccountUse) -> None:
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -114,7 +114,7 @@
         ledger = self._host.state.ledger
         if ledger.knows_turn(begin.attempt):
             return 0
-        turns = ledger.turns_of(begin.program)
+        turns = ledger.turns_of(begin.account, begin.program)
         retry_ms = self._host.quotas.admit(
             begin.account, begin.at_ms, turns=turns
         )
@@ -130,7 +130,9 @@
             "over-quota",
             begin.attempt,
             program=begin.program,
-            turns=self._host.state.ledger.turns_of(begin.program),
+            turns=self._host.state.ledger.turns_of(
+                begin.account, begin.program
+            ),
             retry_ms=retry_ms,
             **(dataclasses.asdict(use) if use is not None else {}),
         )
--- a/catkinpin/core/control/ledger.py
+++ b/catkinpin/core/control/ledger.py
@@ -136,9 +136,11 @@
         server: that ran its latest turn.
         lost_ms: what its turns took longer than on idle servers.
         turns: settled so far that generated anything.
+        account: client account that the program belongs to.
     """
 
     program: str
+    account: str = ""
     allowed_ms: int = 0
     begun_ms: int = 0
     lost_ms: int = 0
@@ -192,7 +194,8 @@
         self.turns: dict[str, Turn] = {}
         self.now_ms = 0
         self._open: dict[str, Open] = {}
-        self._budgets: dict[str, ProgramBudget] = {}
+        # By account and program: accounts choose ids of their own.
+        self._budgets: dict[tuple[str, str], ProgramBudget] = {}
         self._swept_ms = 0
 
     def begin(self, record: Begin) -> Outcome:
@@ -203,9 +206,13 @@
             out.denial = Denial.NO_SUCH_TURN
             return out
         out.chain = chain
-        budget = self._budgets.get(record.program)
+        budget = self._budget_of(record.account, record.program)
         if budget is None:
-            budget = ProgramBudget(program=record.program, begun_ms=self.now_ms)
+            budget = ProgramBudget(
+                program=record.program,
+                account=record.account,
+                begun_ms=self.now_ms,
+            )
         budget.allowed_ms = max(budget.allowed_ms, record.left_ms)
         out.program_status = ProgramStatus(
             allowed_ms=budget.allowed_ms,
@@ -219,7 +226,7 @@
         if not _affords(budget, record):
             out.denial = Denial.BUDGET_SPENT
             return out
-        self._budgets[record.program] = budget
+        self._budgets[(budget.account, budget.program)] = budget
         budget.reserved += record.max_tokens
         self._keep(budget, record.retain_ms)
         self._open[record.attempt] = Open(
@@ -239,7 +246,7 @@
         begun = self._open.pop(record.attempt, None)
         if begun is None:
             return out
-        budget = self._budgets.get(begun.program)
+        budget = self._budget_of(begun.account, begun.program)
         if budget is not None:
             budget.reserved -= begun.max_tokens
             budget.spent += record.tokens
@@ -258,9 +265,9 @@
             if turn is not None:
                 turn.holders = list(record.holders)
 
-    def turns_of(self, program: str) -> int:
+    def turns_of(self, account: str, program: str) -> int:
         """Returns how many turns a program has had; 0 for a new one."""
-        budget = self._budgets.get(program)
+        budget = self._budget_of(account, program)
         return 0 if budget is None else max(1, budget.turns)
 
     def knows_turn(self, attempt: str) -> bool:
@@ -299,10 +306,18 @@
         """Replaces everything by the content of a snapshot."""
         self.turns = {turn.attempt: turn for turn in state.turns}
         self._open = {begun.attempt: begun for begun in state.open}
-        self._budgets = {b.program: b for b in state.budgets}
+        self._budgets = {(b.account, b.program): b for b in state.budgets}
         self.now_ms = state.now_ms
         self._swept_ms = state.swept_ms
 
+    def _budget_of(self, account: str, program: str) -> ProgramBudget | None:
+        """Returns what a program has spent; None for a new one.
+
+        A program that began before there were accounts belongs to none.
+        """
+        own = self._budgets.get((account, program))
+        return own or self._budgets.get(("", program))
+
     def _store(self, begun: Open, record: Finish) -> None:
         until_ms = self.now_ms + begun.retain_ms
         self.turns[begun.attempt] = Turn(
@@ -346,14 +361,16 @@
         # A front that died never settles: its turn holds its reserve until
         # the program itself is forgotten.
         gone = [
-            b.program for b in self._budgets.values() if b.until_ms < now_ms
+            key
+            for key, budget in self._budgets.items()
+            if budget.until_ms < now_ms
         ]
-        for program in gone:
-            del self._budgets[program]
+        for key in gone:
+            del self._budgets[key]
         lost = [
             begun.attempt
             for begun in self._open.values()
-            if begun.program not in self._budgets
+            if self._budget_of(begun.account, begun.program) is None
         ]
         for attempt in lost:
             del self._open[attempt]
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -200,3 +200,45 @@
         self.ledger.finish(_finish("t0"))
         turn = _begin("t2", account="a", previous="t0")
         self.assertEqual(Denial.NONE, self.ledger.begin(turn).denial)
+
+
+class AccountBudgetTest(testtools.TestCase):
+    """Programs of several accounts that chose one id."""
+
+    def test_program_of_another_account_spends_a_budget_of_its_own(
+        self,
+    ) -> None:
+        """Guards against an account that uses up what another may generate."""
+        ledger = Ledger()
+        for number in range(4):
+            ledger.begin(_begin(f"x{number}", account="x"))
+        denied = ledger.begin(_begin("x4", account="x"))
+        self.assertEqual(Denial.BUDGET_SPENT, denied.denial)
+        other = ledger.begin(_begin("y0", account="y"))
+        self.assertEqual(Denial.NONE, other.denial)
+        self.assertEqual(1, ledger.turns_of("y", "p"))
+        ledger.finish(_finish("y0"))
+        again = ledger.begin(_begin("y1", account="y", budget=350))
+        self.assertEqual(Denial.NONE, again.denial)
+
+    def test_budgets_of_accounts_survive_a_snapshot(self) -> None:
+        """Guards against a restart that mixes what accounts have spent."""
+        ledger = Ledger()
+        ledger.begin(_begin("x0", account="x", max_tokens=1_000))
+        ledger.begin(_begin("y0", account="y"))
+        restored = Ledger()
+        restored.restore(ledger.state())
+        denied = restored.begin(_begin("x1", account="x"))
+        self.assertEqual(Denial.BUDGET_SPENT, denied.denial)
+        kept = restored.begin(_begin("y1", account="y"))
+        self.assertEqual(Denial.NONE, kept.denial)
+
+    def test_program_from_before_the_accounts_keeps_its_budget(self) -> None:
+        """Guards against a budget that is given anew once accounts come."""
+        ledger = Ledger()
+        ledger.begin(_begin("t0", max_tokens=1_000))
+        denied = ledger.begin(_begin("t1", account="x"))
+        self.assertEqual(Denial.BUDGET_SPENT, denied.denial)
+        ledger.finish(_finish("t0", tokens=0))
+        kept = ledger.begin(_begin("t2", account="x"))
+        self.assertEqual(Denial.NONE, kept.denial)
