--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -124,6 +124,31 @@
 
         self.play(work)
 
+    def test_system_is_not_founded_over_where_a_gateway_knows_it(self) -> None:
+        """Guards against a second system where all seeds lost their disks."""
+
+        async def work(system: Deployment) -> None:
+            keepers = [f"keeper-{number}" for number in (1, 2, 3)]
+            before = {name: len(system.log(name)) for name in keepers}
+            for name in keepers:
+                system.wipe(name)
+            for name in keepers:
+                system.start(name)
+            # Longer than empty seeds wait for a word of a system.
+            await asyncio.sleep(6.0)
+            found = [
+                line
+                for name in keepers
+                for line in system.log(name)[before[name] :]
+            ]
+            kinds = {line["decision"] for line in found}
+            self.assertNotIn("founded", kinds)
+            self.assertNotIn("leadership", kinds)
+            known_by = {line.get("system_known_by", "") for line in found}
+            self.assertLess(1, len(known_by))
+
+        self.play(work)
+
     def test_planned_stop_of_a_gateway_cuts_nothing(self) -> None:
         """A gateway is asked to stop while a turn streams through it.
 
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -23,6 +23,8 @@
 
     def __init__(self, *, answers: bool) -> None:
         self.asked = 0
+        # How often it heard that there was a leader.
+        self.seen = 0
         self.address = ""
         self.leader = ""
         self.term = 1
@@ -55,12 +57,47 @@
         if isinstance(message, messages.Hello):
             self.tell()
             return
+        if isinstance(message, protocol.GroupSeen):
+            self.seen += 1
+            return
         self.asked += 1
         self.on_asked()
         if self._answers:
             stream.send(protocol.Done(ask=message.ask))
 
 
+class GroupKnownTest(base.TestCase):
+    """A keeper that lost its disk, and processes that knew its group."""
+
+    def test_keeper_without_a_leader_hears_that_there_was_one(self) -> None:
+        """Guards against a system that is founded over one that exists."""
+
+        async def main() -> None:
+            old, empty = _Keeper(answers=True), _Keeper(answers=True)
+            empty.term = 0
+            for keeper in (old, empty):
+                await keeper.start()
+            old.leader = old.address
+            known = keepers.Keepers(GATEWAY_HELLO)
+            known.add([old.address])
+
+            async def knows() -> bool:
+                return bool(known.leader)
+
+            async def told() -> bool:
+                return empty.seen == 1
+
+            await base.until(knows, "a leader is known")
+            self.assertEqual(0, old.seen)
+            known.add([empty.address])
+            await base.until(told, "the keeper is told")
+            await known.stop()
+            for keeper in (old, empty):
+                await keeper.stop()
+
+        self.run_async(main())
+
+
 class LeaderTest(base.TestCase):
     """Leaders that change under an ask."""
 
