Let hundreds of processes connect to one at once

Cause: the port for peers had the library's queue of 100 connections. 302 processes that connect at once overflow it; the system drops the first packet of the others and sends it again after a second, a link gives up after 0.3 s and tries again, and what is accepted at last has been given up: each new try gets all servers and fails. HTTP ports had a queue of 1,024 from the start.

Ruled out: memory (61 of 296 MB), the leader's time (21% of its host).

Test: 400 connections before any is accepted: 101 got through before, 400 now.

--- a/catkinpin/adapters/peers/links.py
+++ b/catkinpin/adapters/peers/links.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from catkinpin import codec
+from catkinpin import codec, listening
 from catkinpin.adapters.peers import streams
 from catkinpin.adapters.peers.streams import Stream as Stream
 from catkinpin.core import messages
@@ -88,7 +88,9 @@
     async def start(self, address: str) -> str:
         """Listens and returns the address with its real port."""
         host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(self._accept, host, int(port))
+        self._server = await asyncio.start_server(
+            self._accept, host, int(port), backlog=listening.BACKLOG
+        )
         real = self._server.sockets[0].getsockname()[1]
         return f"{host}:{real}"
 
--- a/catkinpin/listening.py
+++ b/catkinpin/listening.py
@@ -9,6 +9,9 @@
 
 import socket
 
+# Connections that may wait to be accepted. After a restart of everything all
+# processes and servers connect at once; the system drops what the queue can't
+# hold, and the first packet is sent again only seconds later.
 BACKLOG = 1_024
 
 _opened: dict[str, socket.socket] = {}
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from typing import Any
 
@@ -18,6 +19,7 @@
 # Turns of the loop after which a link is up on any machine seen so far: some
 # ten; each turn before is one at which a stop may come.
 _TURNS = 60
+_PROCESSES = 400
 
 
 class StopTest(base.TestCase):
@@ -86,3 +88,28 @@
             await server.stop()
 
         self.run_async(main())
+
+
+class MassRestartTest(base.TestCase):
+    """Hundreds of processes that connect at once, before any is accepted."""
+
+    def test_process_that_is_busy_drops_no_connection(self) -> None:
+        """Guards against processes that can't reach a keeper for seconds."""
+
+        async def main() -> None:
+            server = links.PeerServer(
+                protocol.ToKeeper, lambda *_: None, lambda _: None
+            )
+            host, _, port = (await server.start("127.0.0.1:0")).rpartition(":")
+            conns = [socket.socket() for _ in range(_PROCESSES)]
+            for conn in conns:
+                conn.setblocking(False)
+                conn.connect_ex((host, int(port)))
+            # The loop accepts nothing meanwhile.
+            _, up, _ = select.select([], conns, [], 0)
+            for conn in conns:
+                conn.close()
+            await server.stop()
+            self.assertEqual(_PROCESSES, len(up))
+
+        self.run_async(main())
