--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -455,6 +455,9 @@
                 if found.problems:
                     _keep_logs(pathlib.Path(folder), seed)
                 return found
+        except BaseException:
+            _keep_logs(pathlib.Path(folder), seed)
+            raise
         finally:
             proxy.end()
 
