Take a second disk in the soak only once the first host is back

A wiped keeper that was stopped by SIGSTOP counted as back after 4.0 s. A second disk taken then leaves one of three: turns got 503, and the next wait ended with the same TimeoutError.

Ruled out: the wait's bound (belonging took 0 to 3 s in 11 cases at load 12).

The check is stricter now: the host's new start must be in its log. Test: test_what_a_host_wrote_before_does_not_count failed before.

--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -100,8 +100,10 @@
         self.on_request: Callable[[Seen], None] = lambda _: None
         # Called once all processes were started for the first time.
         self.on_first_start: Callable[[], Awaitable[None]] | None = None
-        # Times that the store which lost its disk last had registered before.
+        # Of the host that lost its disk last: times that it had registered as
+        # a store, and had started, before.
         self._seen = 0
+        self._starts = 0
 
     async def __aenter__(self) -> Deployment:
         self._session = aiohttp.ClientSession()
@@ -155,6 +157,7 @@
         """Takes a process's disk."""
         self.kill(name)
         self._seen = self._count("store", name)
+        self._starts = self._count_starts(name)
         shutil.rmtree(self.hosts[name].folder)
 
     def log(self, name: str) -> list[dict[str, Any]]:
@@ -190,6 +193,9 @@
         kind = "leader" if host.role == "keeper" else "store"
 
         async def belongs() -> bool:
+            if self._count_starts(name) == self._starts:
+                # What it wrote before it lost its disk says nothing.
+                return False
             if kind == "leader":
                 lines = self.log(name)
                 starts = [ln["decision"] == "start" for ln in lines]
@@ -203,6 +209,9 @@
             before = self._count("copied")
             await asyncio.sleep(_SETTLED_S)
 
+    def _count_starts(self, name: str) -> int:
+        return sum(line["decision"] == "start" for line in self.log(name))
+
     def _count(self, decision: str, store: str = "") -> int:
         """Returns how many such lines the keepers have written."""
         return sum(
--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import json
+
 from tests import base, soakplatform
+from tests.fakes import deployment
 
 _SECONDS = 8.0
 
@@ -38,3 +41,31 @@
             self.assertTrue(found.faults)
 
         self.run_async(main())
+
+
+class RepairedTest(base.TestCase):
+    """How the harness knows that a host that lost its disk is back."""
+
+    def test_what_a_host_wrote_before_does_not_count(self) -> None:
+        """Guards against a second disk taken before the first one is back."""
+        system = deployment.Deployment(self.folder)
+        for name in system.hosts:
+            (self.folder / f"{name}.log").touch()
+        system.hosts["keeper-1"].folder.mkdir()
+        before = [{"decision": "start"}, {"decision": "leader"}]
+        self._write(before)
+        system.wipe("keeper-1")
+        self.patch(deployment, "_WAIT_S", 0.2)
+        self.patch(deployment, "_SETTLED_S", 0.0)
+
+        async def wait() -> None:
+            await system.repaired("keeper-1")
+
+        with self.assertRaises(TimeoutError):
+            self.run_async(wait())
+        self._write(before * 2)
+        self.run_async(wait())
+
+    def _write(self, lines: list[dict[str, str]]) -> None:
+        text = "\n".join(json.dumps(line) for line in lines)
+        (self.folder / "keeper-1.log").write_text(text)
