Say introduction of what a waiting seed says of itself

heard() was no term of the field; the message is an introduction everywhere else. No change of behaviour: test_founders, test_founding, test_architecture: 36 passed.

--- a/catkinpin/adapters/replica/founding.py
+++ b/catkinpin/adapters/replica/founding.py
@@ -147,7 +147,7 @@
             if self._repair_asked:
                 self.repair()
             return
-        self._founder.heard(
+        self._founder.handle_introduction(
             types.Introduction(
                 info.node, info.address, info.empty, info.knows_group
             ),
--- a/catkinpin/core/consensus/founding.py
+++ b/catkinpin/core/consensus/founding.py
@@ -105,11 +105,11 @@
             self.node, self.address, self.record.empty, self.knows_group
         )
 
-    def heard(self, info: Introduction, now_ms: int) -> None:
+    def handle_introduction(self, info: Introduction, now_ms: int) -> None:
         """Takes what another seed that waits says of itself."""
         if info.address not in self.seeds or info.address == self.address:
             return
-        self._presence.heard(info, now_ms)
+        self._presence.note_introduction(info, now_ms)
         if info.knows_group:
             self.group_known()
         self.tick(now_ms)
--- a/catkinpin/core/consensus/presence.py
+++ b/catkinpin/core/consensus/presence.py
@@ -28,17 +28,17 @@
         self._empty = empty
         self._touch_ms = touch_ms
         self._others: dict[str, Introduction] = {}
-        self._heard_ms: dict[str, int] = {}
+        self._introduced_ms: dict[str, int] = {}
         self.majority_since_ms: int | None = None
         self.complete_since_ms: int | None = None
 
-    def heard(self, info: Introduction, now_ms: int) -> None:
+    def note_introduction(self, info: Introduction, now_ms: int) -> None:
         """Takes the introduction of another seed."""
         before = self._others.get(info.address)
         if before is not None and before.node != info.node:
             self.complete_since_ms = None
         self._others[info.address] = info
-        self._heard_ms[info.address] = now_ms
+        self._introduced_ms[info.address] = now_ms
 
     def update(self, now_ms: int) -> None:
         """Takes the time that has passed into account."""
@@ -57,7 +57,7 @@
         return {
             address: info.node
             for address, info in self._others.items()
-            if self._heard_ms[address] > since_ms
+            if self._introduced_ms[address] > since_ms
         }
 
     def kept(self, now_ms: int) -> int:
--- a/tests/fakes/foundingsim.py
+++ b/tests/fakes/foundingsim.py
@@ -139,7 +139,7 @@
                 self.disk.joined = True
             return
         if isinstance(message, types.Introduction):
-            self.founder.heard(message, self.sim.now)
+            self.founder.handle_introduction(message, self.sim.now)
         else:
             self.founder.step(message, self.sim.now)
         self.carry_out()
--- a/tests/test_founders.py
+++ b/tests/test_founders.py
@@ -224,7 +224,7 @@
         founder = self._founder()
         for address in ("a2", "a3"):
             info = types.Introduction("n2", address, empty=False)
-            founder.heard(info, 10)
+            founder.handle_introduction(info, 10)
         self.assertEqual([], founder.take_output())
         self.assertIn("copies", founder.waiting(10).reason)
 
