Read load reports of four figures, and weigh the machine's slowdown

Cause: servers of the new deployments add a fourth figure to their load. The parser took exactly three, so such a report counted as none: every choice of a plain server and every choice without a leader was made without a load.

Change: three figures or more are read, further ones ignored, malformed ones refused. The fourth becomes Load.slowdown. It multiplies the expected work at that server and its influence halves every 250 ms, as it changes several times per second.

Measured: the tests of a longer header and of a slowed server fail before. Deployments without the fourth figure are served as before.

--- a/bench/deciding/policies.py
+++ b/bench/deciding/policies.py
@@ -10,6 +10,7 @@
 from catkinpin.core.placement.balance import Balancer, Choice
 from catkinpin.core.placement.placer import Placer, PlaceTurn, TurnReport
 from catkinpin.core.placement.speeds import EngineSpeed, Speeds, StreamTimings
+from catkinpin.core.placement.tracked import TrackedServer
 
 if TYPE_CHECKING:
     import random
@@ -166,22 +167,31 @@
         return 0.0
 
 
-class _OracleBalancer(Balancer):
-    """Balancer that always knows each server's true load, cache and speed."""
+class _OracleServer(TrackedServer):
+    """Server whose true load is always known."""
 
-    truth: GroundTruth
+    def __init__(self, name: str, started_ms: int, truth: GroundTruth) -> None:
+        super().__init__(name, started_ms)
+        self._truth = truth
 
-    def _running_estimate(
-        self, server: balance.TrackedServer, now_ms: int
-    ) -> int:
-        load = self.truth.load(server.id)
+    def running_estimate(self, now_ms: int) -> int:
+        load = self._truth.load(self.id)
         return load.running + load.waiting
 
-    def _is_fresh(self, server: balance.TrackedServer, now_ms: int) -> bool:
+    def has_fresh_load(self, now_ms: int) -> bool:
         return True
 
+
+class _OracleBalancer(Balancer):
+    """Balancer that always knows each server's true load, cache and speed."""
+
+    truth: GroundTruth
+
+    def _new_server(self, instance: Instance) -> TrackedServer:
+        return _OracleServer(instance.id, instance.started_ms, self.truth)
+
     def _cached(
-        self, server: balance.TrackedServer, prompt: tuple[PromptPart, ...]
+        self, server: TrackedServer, prompt: tuple[PromptPart, ...]
     ) -> int:
         engine = self.truth.engines.get(server.id)
         return engine.cache.cached_tokens(prompt) if engine is not None else 0
--- a/catkinpin/adapters/gateway/answers.py
+++ b/catkinpin/adapters/gateway/answers.py
@@ -145,6 +145,7 @@
             facts["cached"] = choice.cached_tokens
             facts["load_age_ms"] = choice.load_age_ms
             facts["running"] = choice.running
+            facts["slowdown"] = round(choice.slowdown, 2)
         if choice is not None and choice.speed is not None:
             facts["read_ms"] = round(choice.speed.read_ms, 4)
             facts["token_ms"] = round(choice.speed.token_ms, 2)
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -28,6 +28,7 @@
 from catkinpin.core.control.servers import ServerState
 from catkinpin.core.placement import speeds
 from catkinpin.core.placement.shortlist import cached_tokens, shortlist
+from catkinpin.core.placement.tracked import TrackedServer
 
 if TYPE_CHECKING:
     import random
@@ -48,16 +49,12 @@
 # another region. Bytes between regions are costly as well.
 _CROSS_DOMAIN_MS = 3.0
 _CROSS_REGION_MS = 24.0
-# Load reports older than this are ignored.
-_MAX_LOAD_AGE_MS = 1_500
 # Share of used slots from which a server is busy. On a busy server, a turn
 # whose program has expired would slow down turns that can still be in time.
 _BUSY_SLOT_SHARE = 0.5
 # Load assumed for a server that never reported, as a share of the mean load of
 # the others: the server or this gateway may have just started.
 _UNREPORTED_SHARE = 0.5
-# Reports of more running or waiting requests than this are rejected.
-_MAX_REQUESTS = 100_000
 # Among costs within this margin of the lowest, one is chosen at random.
 _TIE_MARGIN_MS = 2.0
 # Prompt parts remembered per server, about 40 bytes each.
@@ -71,33 +68,6 @@
 _FAILURE_WINDOW_MS = 3_000
 
 
-@dataclasses.dataclass
-class TrackedServer:
-    """State that a gateway keeps for one incarnation of a server.
-
-    Attributes:
-        id: Identity, the same for all incarnations of the server.
-        started_ms: Start of this incarnation.
-        in_flight: Requests of this gateway that the server has not finished.
-        sent_since_report: Requests of this gateway since the last load report.
-        prompt_parts: IDs of processed prompt parts, least recently used first.
-    """
-
-    id: str
-    started_ms: int
-    in_flight: int = 0
-    sent_since_report: int = 0
-    load: Load | None = None
-    load_reported_ms: int = 0
-    prompt_parts: collections.OrderedDict[str, None] = dataclasses.field(
-        default_factory=collections.OrderedDict
-    )
-    failures: int = 0
-    failed_at_ms: int = 0
-    ejections: int = 0
-    ejected_until_ms: int = 0
-
-
 @dataclasses.dataclass(frozen=True)
 class Choice:
     """A selected server, with the estimates behind the choice for the log.
@@ -108,6 +78,7 @@
         load_age_ms: Age of the load report that was used, -1 for none.
         running: Estimated number of running and waiting requests.
         speed: Learned speed of a model server; None for others.
+        slowdown: Expected slowdown of the server's machine, 1 for none.
     """
 
     instance: Instance
@@ -116,6 +87,7 @@
     load_age_ms: int
     running: int = 0
     speed: EngineSpeed | None = None
+    slowdown: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,6 +109,14 @@
         """Returns the time after prefill beside `running` other requests."""
         return self.idle_ms + self.per_concurrent_ms * running
 
+    def scaled(self, factor: float) -> WorkEstimate:
+        """Returns the estimate for a server that is `factor` times as slow."""
+        return WorkEstimate(
+            self.prefill_ms * factor,
+            self.idle_ms * factor,
+            self.per_concurrent_ms * factor,
+        )
+
 
 class Balancer:
     """Selects servers for the requests of one gateway.
@@ -252,13 +232,7 @@
         Returns:
             Whether the load is plausible; an implausible one is ignored.
         """
-        if not _is_plausible(load):
-            return False
-        server = self._tracked(instance)
-        server.load = load
-        server.load_reported_ms = now_ms
-        server.sent_since_report = 0
-        return True
+        return self._tracked(instance).report_load(load, now_ms)
 
     def record_success(self, instance: Instance) -> None:
         """Records a successful answer, which resets the failure counts."""
@@ -311,8 +285,8 @@
     def used_slot_share(self, instance: Instance, now_ms: int) -> float:
         """Returns the estimated share of a server's slots in use."""
         server = self._tracked(instance)
-        slots = self._slots(instance, server)
-        return self._running_estimate(server, now_ms) / slots
+        slots = server.slots(instance)
+        return server.running_estimate(now_ms) / slots
 
     def is_busy(self, instance: Instance, now_ms: int) -> bool:
         """Returns whether one more request would delay the others."""
@@ -324,10 +298,13 @@
     def _tracked(self, instance: Instance) -> TrackedServer:
         server = self._servers.get(instance.id)
         if server is None or server.started_ms != instance.started_ms:
-            server = TrackedServer(instance.id, instance.started_ms)
+            server = self._new_server(instance)
             self._servers[instance.id] = server
         return server
 
+    def _new_server(self, instance: Instance) -> TrackedServer:
+        return TrackedServer(instance.id, instance.started_ms)
+
     def _estimate(
         self,
         instance: Instance,
@@ -340,10 +317,11 @@
         server = self._tracked(instance)
         cached = cached_tokens(server.prompt_parts, call.prompt)
         speed = self._speed(instance, call, now_ms)
-        work = self._work(call, route, cached, speed)
-        slots = self._slots(instance, server)
-        running = self._running_estimate(server, now_ms)
-        if not self._is_fresh(server, now_ms):
+        slowdown = server.expected_slowdown(now_ms)
+        work = self._work(call, route, cached, speed).scaled(slowdown)
+        slots = server.slots(instance)
+        running = server.running_estimate(now_ms)
+        if not server.has_fresh_load(now_ms):
             share = (
                 mean_load
                 if server.load is not None
@@ -367,7 +345,7 @@
         age = (
             now_ms - server.load_reported_ms if server.load is not None else -1
         )
-        return Choice(instance, cost_ms, cached, age, running, speed)
+        return Choice(instance, cost_ms, cached, age, running, speed, slowdown)
 
     def _cost_to_others_ms(
         self, work: WorkEstimate, concurrent: int, queued: int, slots: int
@@ -410,32 +388,15 @@
         known = [
             self.used_slot_share(instance, now_ms)
             for instance in servers
-            if self._is_fresh(self._tracked(instance), now_ms)
+            if self._tracked(instance).has_fresh_load(now_ms)
         ]
         return sum(known) / len(known) if known else 0.0
 
-    def _running_estimate(self, server: TrackedServer, now_ms: int) -> int:
-        load = server.load
-        if load is None or not self._is_fresh(server, now_ms):
-            return server.in_flight
-        reported = load.running + load.waiting + server.sent_since_report
-        return max(server.in_flight, reported)
-
-    def _is_fresh(self, server: TrackedServer, now_ms: int) -> bool:
-        """Returns whether a server's load report is recent enough."""
-        return server.load is not None and (
-            now_ms - server.load_reported_ms <= _MAX_LOAD_AGE_MS
-        )
-
     def _cached_parts(self, server: str) -> Container[str]:
         """Returns the prompt parts that a server is assumed to have cached."""
         known = self._servers.get(server)
         return known.prompt_parts if known is not None else ()
 
-    def _slots(self, instance: Instance, server: TrackedServer) -> int:
-        slots = server.load.slots if server.load else instance.slots
-        return max(slots, 1)
-
     def _delay_ms(self, instance: Instance, origin: str) -> float:
         if instance.domain == origin:
             return 0.0
@@ -443,8 +404,3 @@
         if self._regions.get(instance.domain, "") == from_region:
             return _CROSS_DOMAIN_MS
         return self._region_cost_ms
-
-
-def _is_plausible(load: Load) -> bool:
-    counts = (load.running, load.waiting, load.slots)
-    return all(0 <= n <= _MAX_REQUESTS for n in counts) and load.slots > 0
--- /dev/null
+++ b/catkinpin/core/placement/tracked.py
@@ -0,0 +1,95 @@
+"""State that a balancer keeps for each server, and its estimate of the load.
+
+Servers report their load with each answer. Between two reports the estimate
+consists of the last report and the requests sent since.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+from catkinpin.core.placement.regression import Bounds
+
+if TYPE_CHECKING:
+    from catkinpin.core.control.servers import Instance
+    from catkinpin.core.requests.calls import Load
+
+# Load reports older than this are ignored.
+_MAX_LOAD_AGE_MS = 1_500
+# Reports of more running or waiting requests than this are rejected.
+_MAX_REQUESTS = 100_000
+# Reported slowdowns are limited to this range.
+_REPORTED_SLOWDOWN_BOUNDS = Bounds(0.25, 16.0)
+# A reported slowdown changes several times per second, so its influence halves
+# with each of these periods since the report.
+_SLOWDOWN_HALF_LIFE_MS = 250.0
+
+
+@dataclasses.dataclass
+class TrackedServer:
+    """State that a gateway keeps for one incarnation of a server.
+
+    Attributes:
+        id: Identity, the same for all incarnations of the server.
+        started_ms: Start of this incarnation.
+        in_flight: Requests of this gateway that the server has not finished.
+        sent_since_report: Requests of this gateway since the last load report.
+        prompt_parts: IDs of processed prompt parts, least recently used first.
+    """
+
+    id: str
+    started_ms: int
+    in_flight: int = 0
+    sent_since_report: int = 0
+    load: Load | None = None
+    load_reported_ms: int = 0
+    prompt_parts: collections.OrderedDict[str, None] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+    failures: int = 0
+    failed_at_ms: int = 0
+    ejections: int = 0
+    ejected_until_ms: int = 0
+
+    def report_load(self, load: Load, now_ms: int) -> bool:
+        """Records a reported load; returns whether it is plausible.
+
+        An implausible load is ignored.
+        """
+        counts = (load.running, load.waiting, load.slots)
+        if not all(0 <= n <= _MAX_REQUESTS for n in counts) or not load.slots:
+            return False
+        self.load = load
+        self.load_reported_ms = now_ms
+        self.sent_since_report = 0
+        return True
+
+    def has_fresh_load(self, now_ms: int) -> bool:
+        """Returns whether the load report is recent enough."""
+        return self.load is not None and (
+            now_ms - self.load_reported_ms <= _MAX_LOAD_AGE_MS
+        )
+
+    def running_estimate(self, now_ms: int) -> int:
+        """Returns the estimated number of running and waiting requests."""
+        load = self.load
+        if load is None or not self.has_fresh_load(now_ms):
+            return self.in_flight
+        reported = load.running + load.waiting + self.sent_since_report
+        return max(self.in_flight, reported)
+
+    def expected_slowdown(self, now_ms: int) -> float:
+        """Returns how many times its usual duration work takes now."""
+        if self.load is None:
+            return 1.0
+        reported = _REPORTED_SLOWDOWN_BOUNDS.clip(self.load.slowdown)
+        age_ms = now_ms - self.load_reported_ms
+        weight = math.pow(0.5, age_ms / _SLOWDOWN_HALF_LIFE_MS)
+        return 1.0 + (reported - 1.0) * weight
+
+    def slots(self, instance: Instance) -> int:
+        """Returns the number of requests that the server runs concurrently."""
+        return max(1, self.load.slots if self.load else instance.slots)
--- a/catkinpin/core/requests/calls.py
+++ b/catkinpin/core/requests/calls.py
@@ -67,11 +67,14 @@
         running: Number of running requests.
         waiting: Number of waiting requests.
         slots: Number of requests that it can run concurrently.
+        slowdown: How many times its usual duration work takes at this moment,
+            because the server shares its machine with others.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -124,6 +124,24 @@
         assert choice is not None
         self.assertEqual("s2", choice.instance.id)
 
+    def test_slowed_server_is_left_while_its_report_is_recent(self) -> None:
+        """Guards against calls to a server whose machine is slow just now.
+
+        The report says 2.5 times the usual duration. It changes several times
+        per second, so an old one must not keep calls away.
+        """
+        balancer = _balancer()
+        slowed, usual = _server(1), _server(2)
+        call = RouteCall(attempt="x")
+        balancer.report_load(slowed, Load(0, 0, 6, slowdown=2.5), 0)
+        balancer.report_load(usual, Load(3, 0, 6), 0)
+        choice = balancer.pick([slowed, usual], call, 20)
+        assert choice is not None
+        self.assertEqual("s2", choice.instance.id)
+        choice = balancer.pick([slowed, usual], call, 1_200)
+        assert choice is not None
+        self.assertEqual("s1", choice.instance.id)
+
     def test_server_that_cannot_be_reached_gets_nothing_for_a_while(
         self,
     ) -> None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -175,6 +175,33 @@
         )
         self.assertEqual((0, 0, -1, ["x"], "17"), ast.literal_eval(out))
 
+    def test_load_with_further_figures_is_not_thrown_away(self) -> None:
+        """A server adds figures to its load; without it choices are blind."""
+        out = _run_in_folder(
+            "import names\n"
+            "from catkinpin.adapters.http.headers import Headers\n"
+            "def load(value):\n"
+            "    headers = Headers([(b'X-Server-Load', value)])\n"
+            "    found = names.header_codec().decode_answer(headers).load\n"
+            "    return found and (found.running, found.waiting, found.slots,"
+            " found.slowdown)\n"
+            "print([load(b'3,0,8'), load(b'3,1,8,250'),"
+            " load(b'3,1,8,100,7,x'), load(b'3,1'), load(b'3,x,8'),"
+            " load(b'3,1,8,-5'), load(b'')])\n"
+        )
+        self.assertEqual(
+            [
+                (3, 0, 8, 1.0),
+                (3, 1, 8, 2.5),
+                (3, 1, 8, 1.0),
+                None,
+                None,
+                None,
+                None,
+            ],
+            ast.literal_eval(out),
+        )
+
     def _is_refused(self, code: str, body: object) -> bool:
         text = body if isinstance(body, bytes) else json.dumps(body).encode()
         out = _run_in_folder(
