--- a/bench/deciding/policies.py
+++ b/bench/deciding/policies.py
@@ -8,6 +8,7 @@
 
 from catkinpin.core.placement import balance, urgency
 from catkinpin.core.placement.balance import Balancer, Choice
+from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.placer import Placer, PlaceTurn, TurnReport
 from catkinpin.core.placement.speeds import EngineSpeed, Speeds, StreamTimings
 from catkinpin.core.placement.tracked import TrackedServer
@@ -381,7 +382,11 @@
         key = id(context.truth)
         if key not in placers:
             placers.clear()
-            placers[key] = Placer(context.regions, context.rng)
+            placers[key] = Placer(
+                context.regions,
+                context.rng,
+                ContendedServices(configured=False),
+            )
         speeds = Speeds()
         balancer = _PlacerBalancer(
             context.domain, context.regions, context.rng, speeds
--- a/catkinpin/adapters/gateway/context.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -15,6 +15,7 @@
     from catkinpin.adapters.http.client import Pool
     from catkinpin.clock import Clock
     from catkinpin.core.placement.balance import Balancer
+    from catkinpin.core.placement.contention import ContendedServices
     from catkinpin.core.placement.speeds import Speeds
     from catkinpin.core.placement.unresponsive import PendingCalls
 
@@ -33,6 +34,7 @@
         clock: source of the current time.
         usage: counts plain requests of client accounts.
         waiting: plain calls that are waiting for their answers.
+        contention: for which services capacity is contended.
         gateways: returns how many gateways share the servers' limits.
         domain: failure domain of this gateway.
     """
@@ -46,5 +48,6 @@
     clock: Clock
     usage: UsageReporter
     waiting: PendingCalls
+    contention: ContendedServices
     gateways: Callable[[], int]
     domain: str = ""
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -67,6 +67,7 @@
         self._clock = context.clock
         self._count_gateways = context.gateways
         self._waiting = context.waiting
+        self._contention = context.contention
         self._crashes = CrashReporter(context.turns, self.is_reachable)
 
     def pick_server(self, state: OpenCall) -> Choice | None:
@@ -280,9 +281,9 @@
         """Records and returns a reported load; ignores an implausible one."""
         if load is None:
             return None
-        if self._balancer.report_load(
-            choice.instance, load, self._clock.now_ms()
-        ):
+        now_ms = self._clock.now_ms()
+        if self._balancer.report_load(choice.instance, load, now_ms):
+            self._contention.record_load(state.service.name, load)
             return load
         decisions.note(
             "implausible-load",
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -22,6 +22,7 @@
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
 from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.speeds import Speeds
 from catkinpin.core.placement.unresponsive import (
     PendingCalls,
@@ -92,6 +93,7 @@
                 clock=self.clock,
                 usage=self._usage,
                 waiting=self._pending_calls,
+                contention=ContendedServices(configured=cfg.contended_capacity),
                 gateways=self._count_gateways,
                 domain=cfg.failure_domain,
             )
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -17,7 +17,11 @@
 from catkinpin.adapters.http.client import Failure
 from catkinpin.core.control.ledger import Denial
 from catkinpin.core.placement import urgency
-from catkinpin.core.placement.placer import PlaceTurn, TurnReport
+from catkinpin.core.placement.placer import (
+    PlaceTurn,
+    ServerSlowdown,
+    TurnReport,
+)
 from catkinpin.core.requests.events import EventReader
 from catkinpin.verdicts import Verdict
 
@@ -143,6 +147,7 @@
             prompt=list(state.call.prompt),
             max_tokens=state.call.max_tokens,
             left_ms=max(0, int(state.remaining_s * _MS_PER_S)),
+            route=state.route.name,
         )
 
     def _refuse_turn(
@@ -306,7 +311,11 @@
         lost_ms = urgency.lost_ms(
             state.call, state.tokens, state.elapsed_ms, speed
         )
-        report = TurnReport(failed=state.failed_servers, speed=speed)
+        report = TurnReport(
+            failed=state.failed_servers,
+            speed=speed,
+            slowdowns=_reported_slowdowns(state),
+        )
         return TurnResult(state.tokens, state.executed_on, lost_ms, report)
 
     async def _may_try_another(self, state: OpenCall, choice: Choice) -> bool:
@@ -321,6 +330,19 @@
         return state.run_count <= state.route.max_attempts
 
 
+def _reported_slowdowns(state: OpenCall) -> list[ServerSlowdown]:
+    """Returns the slowdown that the turn's last server reported, if any."""
+    load = state.answer_times.load
+    if load is None or load.slowdown is None or state.choice is None:
+        return []
+    now_s = asyncio.get_running_loop().time()
+    age_ms = int((now_s - state.answer_times.head_s) * _MS_PER_S)
+    server = state.choice.instance.id
+    return [
+        ServerSlowdown(server=server, slowdown=load.slowdown, age_ms=age_ms)
+    ]
+
+
 async def _next_chunk(
     state: OpenCall, conn: ServerConnection
 ) -> bytes | Failure | None:
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -28,6 +28,7 @@
 from catkinpin.core.consensus.state import Timing
 from catkinpin.core.control import protocol, routes
 from catkinpin.core.control.quotas import QuotaTolerance
+from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
@@ -125,9 +126,7 @@
             self._turn_server,
             _COMMIT_TIMEOUT_S,
         )
-        self._turn_requests = TurnRequests(
-            self.host, regions, self.clock, _COMMIT_TIMEOUT_S
-        )
+        self._turn_requests = self._new_turn_requests(regions)
         self._ask_handler = self._new_ask_handler()
         self._was_current = False
 
@@ -147,6 +146,15 @@
             self._handle_quarantine_change,
         )
 
+    def _new_turn_requests(self, regions: dict[str, str]) -> TurnRequests:
+        return TurnRequests(
+            self.host,
+            regions,
+            self.clock,
+            _COMMIT_TIMEOUT_S,
+            ContendedServices(configured=self.cfg.contended_capacity),
+        )
+
     def _new_ask_handler(self) -> AskHandler:
         return AskHandler(
             self.host,
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -22,6 +22,7 @@
     from catkinpin.clock import Clock
     from catkinpin.core.control.ledger import Begin
     from catkinpin.core.control.servers import Instance
+    from catkinpin.core.placement.contention import ContendedServices
 
 
 class TurnRequests:
@@ -32,6 +33,7 @@
         regions: region of each failure domain.
         clock: the time source.
         commit_timeout_s: longest wait for a quorum.
+        contention: for which services capacity is contended.
     """
 
     def __init__(
@@ -40,11 +42,13 @@
         regions: dict[str, str],
         clock: Clock,
         commit_timeout_s: float,
+        contention: ContendedServices,
     ) -> None:
         self._host = host
         self._clock = clock
         self._commit_timeout_s = commit_timeout_s
-        self._placer = Placer(regions, random.Random())
+        self._contention = contention
+        self._placer = Placer(regions, random.Random(), contention)
         self._unresponsive = UnresponsiveServers()
 
     async def begin(
--- a/catkinpin/core/placement/placer.py
+++ b/catkinpin/core/placement/placer.py
@@ -27,6 +27,7 @@
     from collections.abc import Collection
 
     from catkinpin.core.control.servers import Instance
+    from catkinpin.core.placement.contention import ContendedServices
 
 # A turn expires this long after its deadline, as its gateway must have died.
 _EXPIRY_GRACE_MS = 500
@@ -48,6 +49,7 @@
         domain: Failure domain of the gateway.
         max_tokens: Limit of the tokens that the turn generates.
         left_ms: Time left until its deadline.
+        route: Name of its route; empty from a gateway of an earlier release.
     """
 
     service: str
@@ -55,6 +57,20 @@
     prompt: list[PromptPart]
     max_tokens: int
     left_ms: int
+    route: str = ""
+
+
+class ServerSlowdown(Message, frozen=True):
+    """A slowdown that a server reported.
+
+    Attributes:
+        slowdown: How many times its usual duration work takes there.
+        age_ms: Time since the gateway received it.
+    """
+
+    server: str
+    slowdown: float
+    age_ms: int
 
 
 class TurnReport(Message, frozen=True):
@@ -63,10 +79,12 @@
     Attributes:
         failed: IDs of the servers that failed the turn.
         speed: Speed of the service as learned by the gateway.
+        slowdowns: Slowdowns that servers reported with their answers.
     """
 
     failed: list[str] = []
     speed: EngineSpeed | None = None
+    slowdowns: list[ServerSlowdown] = []
 
 
 @dataclasses.dataclass
@@ -104,11 +122,18 @@
     Args:
         regions: Region of each failure domain.
         rng: Random generator that breaks ties.
+        contention: For which services capacity is contended.
     """
 
-    def __init__(self, regions: dict[str, str], rng: random.Random) -> None:
+    def __init__(
+        self,
+        regions: dict[str, str],
+        rng: random.Random,
+        contention: ContendedServices,
+    ) -> None:
         self._regions = regions
         self._rng = rng
+        self._contention = contention
         self.reset()
 
     def reset(self) -> None:
@@ -183,6 +208,8 @@
         if placed is None:
             return
         instance = placed.instance
+        if report.slowdowns:
+            self._contention.record_report(instance.service)
         self._balancer.record_ended(instance)
         if instance.id in report.failed:
             self._balancer.record_failure(instance, now_ms, immediate=False)
--- a/catkinpin/core/placement/tracked.py
+++ b/catkinpin/core/placement/tracked.py
@@ -83,7 +83,7 @@
 
     def expected_slowdown(self, now_ms: int) -> float:
         """Returns how many times its usual duration work takes now."""
-        if self.load is None:
+        if self.load is None or self.load.slowdown is None:
             return 1.0
         reported = _REPORTED_SLOWDOWN_BOUNDS.clip(self.load.slowdown)
         age_ms = now_ms - self.load_reported_ms
--- a/catkinpin/core/requests/calls.py
+++ b/catkinpin/core/requests/calls.py
@@ -68,13 +68,14 @@
         waiting: Number of waiting requests.
         slots: Number of requests that it can run concurrently.
         slowdown: How many times its usual duration work takes at this moment,
-            because the server shares its machine with others.
+            because the server shares its machine with others; None if the
+            server does not report it.
     """
 
     running: int
     waiting: int
     slots: int
-    slowdown: float = 1.0
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/catkinpin/roles.py
+++ b/catkinpin/roles.py
@@ -82,6 +82,8 @@
         quota_window_ms: time window in which an account's quota must hold.
         quota_overage: share of a quota that may be used beyond it in a window.
         quota_slack: requests that may be made beyond that in a window.
+        contended_capacity: whether callers compete for the servers' capacity,
+            so that the leader admits programs by what the servers can finish.
     """
 
     listen: Address = "127.0.0.1:8082"
@@ -93,6 +95,7 @@
     quota_window_ms: Milliseconds = 5_000
     quota_overage: Fraction = 0.0
     quota_slack: NonNegativeInt = 0
+    contended_capacity: bool = False
 
 
 class StoreSettings(RoleSettings, frozen=True, kw_only=True):
@@ -119,6 +122,7 @@
             continue them.
         gateways_expected: number of gateways assumed to share each server's
             connections until the keepers report the number.
+        contended_capacity: whether callers compete for the servers' capacity.
     """
 
     listen: Address = "127.0.0.1:8080"
@@ -127,6 +131,7 @@
     copies: PositiveInt = 2
     cache_bytes: NonNegativeInt = 8 * 1024 * 1024
     gateways_expected: PositiveInt = 9
+    contended_capacity: bool = False
 
 
 def _find_problem(value: Any, field: msgspec.structs.FieldInfo) -> str:
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -35,6 +35,7 @@
     Share,
 )
 from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.speeds import Speeds
 from catkinpin.core.placement.unresponsive import PendingCalls
 from catkinpin.core.placement.urgency import ProgramStatus
@@ -217,6 +218,7 @@
         self.usage = UsageReporter(
             cast("Any", None), self.clock.clock(), lambda: 1, set
         )
+        self.contention = ContendedServices(configured=False)
         self.handler = RequestHandler(
             GatewayContext(
                 view=self.view,
@@ -227,6 +229,7 @@
                 codec=codec,
                 clock=self.clock.clock(),
                 usage=self.usage,
+                contention=self.contention,
                 waiting=PendingCalls(),
                 gateways=lambda: 1,
             )
