Log how long a process takes until its modules and its state are loaded

Cause: after a loss of power callers wait until processes have started, an election is over and routes are known; logs showed only the end of each start.

Change: a line "loaded" gives the age of the process when its modules are loaded and when its stored state has been read.

--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -12,7 +12,7 @@
 
 import uvloop
 
-from catkinpin import decisions, exits, metrics
+from catkinpin import clock, decisions, exits, metrics
 from catkinpin.adapters.http.headers import Headers
 from catkinpin.adapters.http.server import HttpServer
 from catkinpin.exceptions import CatkinpinError
@@ -125,7 +125,9 @@
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
+    loaded_ms = _age_ms()
     process = make_process()
+    decisions.note("loaded", "", loaded_ms=loaded_ms, made_ms=_age_ms())
     if cfg.metrics_listen:
         await HttpServer(_answer_metrics).start(cfg.metrics_listen)
     await process.start()
@@ -148,6 +150,11 @@
     os._exit(exits.OK)
 
 
+def _age_ms() -> int:
+    """Returns the time since this process started."""
+    return clock.since_boot_ms() - clock.process_start_ms()
+
+
 async def _answer_metrics(request: Request, responder: Responder) -> None:
     headers = Headers([(b"Content-Type", b"text/plain; version=0.0.4")])
     responder.answer(200, headers, metrics.exposition())
