Load prometheus_client only when metrics are asked for

Importing prometheus_client adds 64 modules, among them an HTTP server and e-mail parsers.

Change: counters, gauges and histograms of our own keep the values, the library writes them at the first exposition. Names, labels and the exposition are unchanged, also the _created series. test_streams read the library's registry; it now reads the exposition itself, which is as strict.

Times of whole starts were too noisy beside other work to tell the difference.

--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import prometheus_client
-from prometheus_client import Counter, Gauge, Histogram
+from catkinpin import collectors
+from catkinpin.collectors import Counter, Gauge, Histogram
 
 _LATENCY_BUCKETS = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120,
@@ -79,4 +79,4 @@
 
 def exposition() -> bytes:
     """Returns all metrics in the Prometheus text format."""
-    return prometheus_client.generate_latest()
+    return collectors.exposition()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,8 +5,9 @@
 import json
 from typing import Any
 
-import prometheus_client
+from prometheus_client.parser import text_string_to_metric_families
 
+from catkinpin import metrics
 from catkinpin.adapters.entry import calls
 from catkinpin.core.programs import texts
 from catkinpin.core.requests import pauses, splice
@@ -105,7 +106,13 @@
         self.assertAlmostEqual(before[1] + 0.5, after[1])
 
     def _sample_value(self, name: str) -> float:
-        return prometheus_client.REGISTRY.get_sample_value(name) or 0.0
+        text = metrics.exposition().decode()
+        return sum(
+            sample.value
+            for family in text_string_to_metric_families(text)
+            for sample in family.samples
+            if sample.name == name
+        )
 
 
 class GapsTest(base.TestCase):
