Collect no garbage while modules load

Cause: nearly all objects that a start creates live as long as the process. Each full collection goes through all of them.

Change: collection is off from the first line until the modules are loaded.

Not measured alone.

--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -109,6 +109,7 @@
     decisions.set_up(cfg.name)
     # The loaded modules are never freed, so garbage collections skip them.
     gc.freeze()
+    gc.enable()
     try:
         uvloop.run(_serve(cfg, make_process, read_seeds))
     except CatkinpinError as exc:
