Open the port for other hosts before a keeper or a store is loaded

Cause: links to a process that is still loading are refused and retried after 0.1 s. After a loss of power each host waits for others in this way, and the keepers' election waits for their links.

Change: keepers and stores open the port first, as gateways do for callers. The connections wait in the accept queue.

Measured: the test of an early link fails before (retried after 0.1 s).

--- a/catkinpin/adapters/peers/links.py
+++ b/catkinpin/adapters/peers/links.py
@@ -89,9 +89,15 @@
     async def start(self, address: str) -> str:
         """Listens; returns the address with the port that was bound."""
         host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(
-            self._accept, host, int(port), backlog=listening.BACKLOG
-        )
+        sock = listening.claim_socket(address)
+        if sock is None:
+            self._server = await asyncio.start_server(
+                self._accept, host, int(port), backlog=listening.BACKLOG
+            )
+        else:
+            self._server = await asyncio.start_server(
+                self._accept, sock=sock, backlog=listening.BACKLOG
+            )
         bound_port = self._server.sockets[0].getsockname()[1]
         return f"{host}:{bound_port}"
 
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -10,12 +10,17 @@
 
 from catkinpin import listening
 from catkinpin.adapters.http.server import HttpServer
-from tests import base, ports, processes
+from catkinpin.adapters.peers import links
+from catkinpin.core import messages
+from tests import base, hellos, ports, processes
 
 if TYPE_CHECKING:
     from catkinpin.adapters.http.server import Request, Responder
 
 _TIMEOUT_S = 5.0
+_LOADING_S = 0.05
+# A refused link is retried after 0.1 s.
+_RECONNECT_S = 0.04
 _SLOW_IMPORTS = ("asyncio", "msgspec", "uvloop", "logging", "prometheus_client")
 _PRINT_IMPORTS_BEFORE_OPENING = f"""
 import sys
@@ -54,6 +59,32 @@
 
         self.assertIn(b" 200 ", asyncio.run(serve_request()))
 
+    def test_host_that_connects_before_a_peer_is_loaded_is_accepted(
+        self,
+    ) -> None:
+        """Guards against links that are refused and retried at each start."""
+        (port,) = ports.free_ports(1)
+        address = f"127.0.0.1:{port}"
+        listening.open_early(address)
+
+        async def accept_early_link() -> None:
+            link = links.PeerLink(
+                address, hellos.GATEWAY_HELLO, messages.Ping, lambda _: None
+            )
+            link.start()
+            await asyncio.sleep(_LOADING_S)
+            server = links.PeerServer(
+                messages.Hello | messages.Ping, lambda *_: None, lambda _: None
+            )
+            await server.start(address)
+            async with asyncio.timeout(_RECONNECT_S):
+                while not server.streams:
+                    await asyncio.sleep(0.001)
+            await link.stop()
+            await server.stop()
+
+        asyncio.run(accept_early_link())
+
     def test_opened_socket_is_claimed_once(self) -> None:
         """Guards against two servers that use the same socket."""
         (port,) = ports.free_ports(1)
