Publish at once that a keeper's state is current

Cause: gateways that have just started serve nobody until a keeper says that its state is current. Keepers checked that every 0.1 s.

Change: a keeper that is not current checks every 10 ms.

--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -49,6 +49,8 @@
 ROLE = "keeper"
 _CONTROL_GROUP = "control"
 _TICK_INTERVAL_S = 0.1
+# Between checks whether the state is current, while it is not.
+_CURRENCY_INTERVAL_S = 0.01
 # Holds some minutes of records. Most of a keeper's disk is for turns' bytes.
 _SEGMENT_BYTES = 8 * 1024 * 1024
 # All turns wait during an election, and a short program has a slack of some
@@ -128,7 +130,6 @@
         )
         self._turn_requests = self._new_turn_requests(regions)
         self._ask_handler = self._new_ask_handler()
-        self._was_current = False
 
     def _new_host(self) -> host.KeeperHost:
         return host.KeeperHost(
@@ -183,6 +184,7 @@
         self.other_hosts.add(self.cfg.seeds)
         await self._http.start(self.cfg.listen)
         self._tasks.spawn(self._run_periodic_work())
+        self._tasks.spawn(self._publish_currency())
         self._tasks.spawn(self._drop_orphaned_bytes())
         decisions.note(
             "start",
@@ -354,11 +356,6 @@
             ):
                 published_gateways = gateways
                 self._publisher.publish_info_to_gateways()
-            is_current = self.host.group.is_current()
-            if is_current != self._was_current:
-                self._was_current = is_current
-                self._publisher.publish_info()
-                self._publisher.publish_routing()
             if not self.host.holds_lease():
                 continue
             for lost in self.host.lost_servers():
@@ -368,6 +365,23 @@
             if ticks % _TICKS_PER_REPAIR == 0:
                 self._tasks.spawn(self._copy_repair.repair())
 
+    async def _publish_currency(self) -> None:
+        """Publishes whether this keeper's state is known to be current.
+
+        Gateways that have just started serve nobody before a keeper's state is,
+        so a keeper that waits for that checks it more often.
+        """
+        was_current = False
+        while True:
+            await asyncio.sleep(
+                _TICK_INTERVAL_S if was_current else _CURRENCY_INTERVAL_S
+            )
+            is_current = self.host.group.is_current()
+            if is_current != was_current:
+                was_current = is_current
+                self._publisher.publish_info()
+                self._publisher.publish_routing()
+
     async def _drop_orphaned_bytes(self) -> None:
         """Drops turns' bytes that no program can ask for any more.
 
