Keep servers in use that answer calls sent after an overdue one

A request that by itself takes longer than its route's timeout made its gateway report the server as unresponsive; two of them within 2 s ejected a healthy server for all gateways. A gateway now ignores an overdue call if the server answered a call that was sent later, and reports the ages of its answered calls with ReportUse, so that the leader drops reports that answers to other gateways contradict. Refusals don't count as answers: a server that hangs still refuses once its queue is full. Where nothing else is reported, answers are, at most 500 times per second by all gateways.

UsageReporter takes the pending calls instead of a callback; the fakes of two tests follow.

--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -130,13 +130,7 @@
                 self.record_failure(state, choice, conn.reason, immediate=True)
             return conn
         self._balancer.record_sent(instance, state.call)
-        if state.service.engine is None:
-            self._waiting.add(
-                state.call.attempt,
-                instance.id,
-                self._speeds.plain_ms(state.route.name),
-                self._clock.now_ms(),
-            )
+        self._add_pending(state, choice)
         state.run_count += 1
         state.verdict = Verdict.MAY_HAVE_RUN
         metrics.ATTEMPTS.labels("sent").inc()
@@ -148,8 +142,9 @@
             state.answer_times = AnswerTimes(asyncio.get_running_loop().time())
             try:
                 head = await self._read_head(state, conn)
+                self._record_responsive(state, choice, head)
             finally:
-                self._waiting.remove(state.call.attempt)
+                self._waiting.remove(_pending_key(state, choice))
         except BaseException:
             self.close(choice, conn)
             raise
@@ -275,6 +270,23 @@
                 else Verdict.MAY_HAVE_RUN
             )
 
+    def _add_pending(self, state: OpenCall, choice: Choice) -> None:
+        """Adds a plain call to those that wait for their answers."""
+        if state.service.engine is None:
+            self._waiting.add(
+                _pending_key(state, choice),
+                choice.instance.id,
+                self._speeds.plain_ms(state.route.name),
+                self._clock.now_ms(),
+            )
+
+    def _record_responsive(
+        self, state: OpenCall, choice: Choice, head: ResponseHead | Failure
+    ) -> None:
+        """Records an answer that shows that the server runs its requests."""
+        if not isinstance(head, Failure) and not self.is_refusal(head):
+            self._waiting.record_answer(_pending_key(state, choice))
+
     def _record_load(
         self, state: OpenCall, choice: Choice, load: Load | None
     ) -> Load | None:
@@ -343,3 +355,8 @@
         gateway_count = max(self._count_gateways(), 1) * _GATEWAY_COUNT_MARGIN
         limit = state.service.max_connections
         return max(_MIN_CONNECTIONS, int(limit / gateway_count))
+
+
+def _pending_key(state: OpenCall, choice: Choice) -> str:
+    """Returns the key of an attempt among the pending calls."""
+    return f"{state.call.attempt}@{choice.instance.id}"
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -111,7 +111,7 @@
             self.keepers,
             self.clock,
             self._count_gateways,
-            lambda: self._pending_calls.overdue_servers(self.clock.now_ms()),
+            self._pending_calls,
         )
 
     async def start(self) -> None:
@@ -220,6 +220,7 @@
         self._pool.retire(instance.address)
         if instance.state.is_offline:
             self._balancer.forget(instance.id)
+            self._pending_calls.forget(instance.id)
 
     async def _tick(self) -> None:
         while True:
--- a/catkinpin/adapters/gateway/usage.py
+++ b/catkinpin/adapters/gateway/usage.py
@@ -4,7 +4,7 @@
 add a round trip, 16 ms between regions, to every tool call. The gateway
 forwards them at once and reports them shortly after; the reply lists the
 accounts whose requests must be refused. The same report lists the servers
-that have an overdue call.
+that have an overdue call, and those that answered.
 """
 
 from __future__ import annotations
@@ -12,17 +12,18 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from catkinpin import decisions
+from catkinpin import decisions, metrics
 from catkinpin.core.control import protocol
 from catkinpin.core.control.quotas import AccountUse
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable
 
     from catkinpin.adapters.peers.keepers import Keepers
     from catkinpin.clock import Clock
     from catkinpin.core.control.accounts import ClientAccount
+    from catkinpin.core.placement.unresponsive import PendingCalls
 
 _MS_PER_S = 1_000
 REPORT_INTERVAL_S = 0.2
@@ -31,6 +32,10 @@
 # are limited to this gateway's share of the quota.
 _MIN_OUTAGE_MS = 1_000
 _OUTAGE_RETRY_AFTER_MS = 500
+# Reports that only list answers are sent so often by all gateways together: the
+# leader handles each of them on its one thread. Up to 100 gateways send one at
+# each interval.
+_MAX_ANSWER_REPORTS_PER_S = 500
 
 
 async def wait_for_quota(retry_ms: int, until_s: float) -> bool:
@@ -53,7 +58,7 @@
         keepers: links to the keepers, the leader among them.
         clock: source of the current time.
         gateways: returns how many gateways share a quota.
-        unresponsive: returns the servers that have an overdue call.
+        pending_calls: plain calls that are waiting for their answers.
     """
 
     def __init__(
@@ -61,14 +66,15 @@
         keepers: Keepers,
         clock: Clock,
         gateways: Callable[[], int],
-        unresponsive: Callable[[], Collection[str]],
+        pending_calls: PendingCalls,
     ) -> None:
         self._keepers = keepers
         self._clock = clock
         self._count_gateways = gateways
         self._pending: dict[str, AccountUse] = {}
         self._last_report_ms = clock.now_ms()
-        self._overdue_servers = unresponsive
+        self._last_sent_ms = clock.now_ms()
+        self._pending_calls = pending_calls
         self._over_until_ms: dict[str, int] = {}
         self._spent_until_ms: dict[str, int] = {}
 
@@ -99,23 +105,58 @@
         """Sends reports for as long as the gateway runs."""
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
-            unresponsive = sorted(self._overdue_servers())
+            self._note_prevented_ejections()
+            now_ms = self._clock.now_ms()
             if (
                 self._pending
                 or self._over_until_ms
                 or self._spent_until_ms
-                or unresponsive
+                or self._pending_calls.overdue_servers(now_ms)
+                or self._are_answers_due(now_ms)
             ):
-                await self._report(unresponsive)
+                await self._report()
 
-    async def _report(self, unresponsive: list[str]) -> None:
+    def _are_answers_due(self, now_ms: int) -> bool:
+        """Returns whether to send a report that only lists answers."""
+        if not self._pending_calls.answered_ages_ms(now_ms):
+            return False
+        interval_ms = (
+            _MS_PER_S * self._count_gateways() / _MAX_ANSWER_REPORTS_PER_S
+        )
+        return now_ms - self._last_sent_ms >= interval_ms
+
+    def _note_prevented_ejections(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._pending_calls.overdue_servers(now_ms)
+        for prevented in self._pending_calls.take_prevented():
+            metrics.PREVENTED_EJECTIONS.labels("gateway").inc()
+            decisions.note(
+                "ejection-prevented",
+                prevented.call.partition("@")[0],
+                server=prevented.server,
+                call_age_ms=prevented.call_age_ms,
+                answered_age_ms=prevented.answered_age_ms,
+            )
+
+    def _make_report(
+        self, ask: int, uses: list[AccountUse]
+    ) -> protocol.ReportUse:
+        now_ms = self._clock.now_ms()
+        overdue_ms = self._pending_calls.overdue_ages_ms(now_ms)
+        return protocol.ReportUse(
+            ask=ask,
+            uses=uses,
+            unresponsive=sorted(overdue_ms),
+            overdue_ms=overdue_ms,
+            answered_ms=self._pending_calls.answered_ages_ms(now_ms),
+        )
+
+    async def _report(self) -> None:
         uses, self._pending = list(self._pending.values()), {}
+        self._last_sent_ms = self._clock.now_ms()
         try:
             reply = await self._keepers.ask_leader(
-                lambda ask: protocol.ReportUse(
-                    ask=ask, uses=uses, unresponsive=unresponsive
-                ),
-                _REPORT_TIMEOUT_S,
+                lambda ask: self._make_report(ask, uses), _REPORT_TIMEOUT_S
             )
         except PeerLostError as exc:
             decisions.note("use-unreported", "", reason=str(exc))
@@ -124,6 +165,7 @@
             return
         now_ms = self._clock.now_ms()
         self._last_report_ms = now_ms
+        self._pending_calls.clear_answers()
         self._over_until_ms = {
             account: now_ms + ms for account, ms in reply.over.items()
         }
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -8,7 +8,7 @@
 
 from msgspec import structs
 
-from catkinpin import decisions
+from catkinpin import decisions, metrics
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.core.control import protocol
 from catkinpin.core.control.ledger import Denial
@@ -90,7 +90,19 @@
         Args:
             gateways: how many gateways are connected.
         """
-        return self._unresponsive.confirmed(gateways, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        servers = self._unresponsive.confirmed(gateways, now_ms)
+        for prevented in self._unresponsive.take_prevented():
+            metrics.PREVENTED_EJECTIONS.labels("leader").inc()
+            decisions.note(
+                "ejection-prevented",
+                "",
+                server=prevented.server,
+                gateways=prevented.gateways,
+                call_age_ms=prevented.call_age_ms,
+                answered_age_ms=prevented.answered_age_ms,
+            )
+        return servers
 
     def report_use(
         self, message: protocol.ReportUse, gateway: str
@@ -106,8 +118,14 @@
         """
         if not self._host.holds_lease():
             return Undecided("not the leader")
+        now_ms = self._clock.now_ms()
+        known = self._host.state.fleet.servers
         self._unresponsive.report(
-            gateway, message.unresponsive, self._clock.now_ms()
+            gateway, message.unresponsive, now_ms, message.overdue_ms
+        )
+        self._unresponsive.record_answers(
+            {s: age for s, age in message.answered_ms.items() if s in known},
+            now_ms,
         )
         for use in message.uses:
             self._host.count_use(use)
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -127,11 +127,17 @@
     Attributes:
         uses: requests forwarded since the last report, by account.
         unresponsive: servers with an overdue call.
+        overdue_ms: for each of them, time since the latest overdue call was
+            sent.
+        answered_ms: for each server that answered since the last report, time
+            since the latest answered call was sent.
     """
 
     ask: int
     uses: list[AccountUse]
     unresponsive: list[str] = []
+    overdue_ms: dict[str, int] = {}
+    answered_ms: dict[str, int] = {}
 
 
 class QuotaUpdate(Message, frozen=True):
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -73,6 +73,12 @@
 QUOTA_ACCOUNTS = Gauge(
     "catkinpin_quota_accounts", "Accounts in use that have a quota."
 )
+PREVENTED_EJECTIONS = Counter(
+    "catkinpin_prevented_ejections_total",
+    "Servers with overdue calls that were not ejected, as they answered later"
+    " ones; by who decided, a gateway or the leader.",
+    ["by"],
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -215,8 +215,9 @@
         )
         self.speeds = Speeds()
         self.balancer = Balancer("a", {"a": "r"}, random.Random(1), self.speeds)
+        self.pending = PendingCalls()
         self.usage = UsageReporter(
-            cast("Any", None), self.clock.clock(), lambda: 1, set
+            cast("Any", None), self.clock.clock(), lambda: 1, self.pending
         )
         self.contention = ContendedServices(configured=False)
         self.handler = RequestHandler(
@@ -230,7 +231,7 @@
                 clock=self.clock.clock(),
                 usage=self.usage,
                 contention=self.contention,
-                waiting=PendingCalls(),
+                waiting=self.pending,
                 gateways=lambda: 1,
             )
         )
--- a/tests/test_turnrequests.py
+++ b/tests/test_turnrequests.py
@@ -175,6 +175,21 @@
             len(replies) - len(denied), len(self.host.counted_attempts)
         )
 
+    def test_answer_to_one_gateway_contradicts_reports_of_others(self) -> None:
+        """Guards against reported answers that the leader doesn't read."""
+        for server in ("s0", "s1"):
+            for gateway in ("g1", "g2"):
+                report = protocol.ReportUse(
+                    ask=3,
+                    uses=[],
+                    unresponsive=[server],
+                    overdue_ms={server: 400},
+                )
+                self.requests.report_use(report, gateway)
+        answers = protocol.ReportUse(ask=4, uses=[], answered_ms={"s0": 200})
+        self.requests.report_use(answers, "g3")
+        self.assertEqual(["s1"], self.requests.unresponsive_servers(50))
+
     def test_report_names_accounts_over_their_quota(self) -> None:
         """Guards against gateways that keep admitting requests over quota."""
         self._set_quota()
--- a/tests/test_unresponsive.py
+++ b/tests/test_unresponsive.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from typing import TYPE_CHECKING
 
 from catkinpin.core.control.routes import RouteKind
 from catkinpin.core.control.servers import ServerState
@@ -20,9 +21,19 @@
 from catkinpin.core.requests.calls import RouteCall
 from tests import base
 from tests.fakes.gatewaycase import GatewayCase
-from tests.fakes.gatewayrig import CallerResponse, Rig, answer_ok, never_answer
+from tests.fakes.gatewayrig import (
+    CallerResponse,
+    Rig,
+    answer_ok,
+    never_answer,
+    refuse_full,
+)
 from tests.fakes.instances import instance
 
+if TYPE_CHECKING:
+    from tests.fakes.gatewayrig import Answer
+    from tests.fakes.rawserver import ReceivedRequest
+
 
 class WaitingCallsTest(base.TestCase):
     """Pending calls of one gateway."""
@@ -67,6 +78,96 @@
         self.assertEqual([], unresponsive.confirmed(50, 3_000))
 
 
+class SlowRequestTest(base.TestCase):
+    """Requests that by themselves take longer than their route's timeout."""
+
+    def test_server_that_answered_a_later_call_is_responsive(self) -> None:
+        """Guards against ejecting a healthy server for one slow request."""
+        waiting = PendingCalls()
+        waiting.add("slow", "s1", 50.0, 0)
+        waiting.add("quick", "s1", 50.0, 10)
+        waiting.record_answer("quick")
+        self.assertEqual(set(), waiting.overdue_servers(400))
+        self.assertEqual(["slow"], [p.call for p in waiting.take_prevented()])
+        self.assertEqual({"s1": 390}, waiting.answered_ages_ms(400))
+        self.assertEqual(set(), waiting.overdue_servers(500))
+        self.assertEqual([], waiting.take_prevented())
+
+    def test_server_that_hangs_right_after_an_answer_is_found(self) -> None:
+        """Guards against an answer that hides all calls sent after it."""
+        waiting = PendingCalls()
+        waiting.add("answered", "s1", 50.0, 0)
+        waiting.add("next", "s1", 50.0, 1)
+        waiting.record_answer("answered")
+        self.assertEqual(set(), waiting.overdue_servers(350))
+        self.assertEqual({"s1": 350}, waiting.overdue_ages_ms(351))
+
+    def test_leader_heeds_answers_of_other_gateways(self) -> None:
+        """Guards against two slow requests that eject a server for all."""
+        leader = UnresponsiveServers()
+        leader.record_answers({"s1": 300}, 1_000)
+        leader.report("g1", ["s1"], 1_000, {"s1": 400})
+        leader.report("g2", ["s1"], 1_000, {"s1": 500})
+        self.assertEqual([], leader.confirmed(50, 1_000))
+        (prevented,) = leader.take_prevented()
+        self.assertEqual(400, prevented.call_age_ms)
+        self.assertEqual([], leader.confirmed(50, 1_100))
+        self.assertEqual([], leader.take_prevented())
+
+    def test_late_answer_ends_what_was_reported(self) -> None:
+        """Guards against an ejection repeated after the server answered."""
+        leader = UnresponsiveServers()
+        leader.report("g1", ["s1"], 0, {"s1": 400})
+        leader.report("g2", ["s1"], 0, {"s1": 400})
+        self.assertEqual(["s1"], leader.confirmed(50, 0))
+        leader.record_answers({"s1": 50}, 100)
+        self.assertEqual([], leader.confirmed(50, 100))
+
+    def test_calls_sent_after_the_last_answer_count_at_once(self) -> None:
+        """Guards against detecting a server that just answered too late."""
+        leader = UnresponsiveServers()
+        leader.record_answers({"s1": 360}, 1_000)
+        leader.report("g1", ["s1"], 1_000, {"s1": 355})
+        leader.report("g2", ["s1"], 1_000, {"s1": 350})
+        self.assertEqual(["s1"], leader.confirmed(50, 1_000))
+
+    def test_gateway_of_an_earlier_release_sends_no_ages(self) -> None:
+        """Guards against reports without ages that count for nothing."""
+        leader = UnresponsiveServers()
+        leader.record_answers({"s1": 400, "s2": 100}, 1_000)
+        for gateway in ("g1", "g2"):
+            leader.report(gateway, ["s1", "s2"], 1_000)
+        self.assertEqual(["s1"], leader.confirmed(50, 1_000))
+
+    def test_answers_of_a_broken_gateway_are_bounded(self) -> None:
+        """Guards against answers from the future, which would hide a server."""
+        leader = UnresponsiveServers()
+        leader.record_answers({"s1": -60_000}, 1_000)
+        for gateway in ("g1", "g2"):
+            leader.report(gateway, ["s1"], 1_400, {"s1": 399})
+        self.assertEqual(["s1"], leader.confirmed(50, 1_400))
+
+    def test_only_calls_without_a_later_answer_are_overdue(self) -> None:
+        """Compares random histories with the rule itself."""
+        rng = random.Random(7)
+        for _ in range(200):
+            waiting, last_answered = PendingCalls(), -1
+            sent = sorted(rng.randrange(1_000) for _ in range(6))
+            for at_ms in sent:
+                waiting.add(str(at_ms), "s1", 50.0, at_ms)
+            answered = set(rng.sample(sent, rng.randrange(3)))
+            for at_ms in answered:
+                waiting.record_answer(str(at_ms))
+                last_answered = max(last_answered, at_ms)
+            overdue = [
+                at_ms
+                for at_ms in set(sent) - answered
+                if last_answered <= at_ms <= 650
+            ]
+            expected = {"s1": 1_000 - max(overdue)} if overdue else {}
+            self.assertEqual(expected, waiting.overdue_ages_ms(1_000))
+
+
 class LeaveOutTest(base.TestCase):
     """Ejections while all servers of a service are slow in turn."""
 
@@ -112,6 +213,19 @@
         self.assertEqual({"s0"}, self._eject("s1", now_ms=100))
 
 
+def _hang_then(others: Answer) -> Answer:
+    """Returns a server that hangs at its first request only."""
+    seen: list[str] = []
+
+    async def answer(
+        request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        seen.append(request.headers["request-id"])
+        await (never_answer if len(seen) == 1 else others)(request, writer)
+
+    return answer
+
+
 class AvoidTest(GatewayCase):
     """The choice of servers while one hangs."""
 
@@ -138,6 +252,38 @@
 
         self.run_within_limit(work())
 
+    def test_slow_request_does_not_eject_a_server_that_answers(self) -> None:
+        """Guards against an answer of the server that is not recorded."""
+
+        async def work() -> None:
+            rig = Rig(RouteKind.NON_IDEMPOTENT, has_engine=False)
+            await rig.start(_hang_then(answer_ok))
+            hanging = asyncio.ensure_future(rig.ask("h"))
+            await asyncio.sleep(0.1)
+            self.assertEqual(200, (await rig.ask("q")).status)
+            now_ms = rig.clock.clock().now_ms()
+            self.assertEqual(set(), rig.pending.overdue_servers(now_ms + 400))
+            hanging.cancel()
+            await rig.stop()
+
+        self.run_within_limit(work())
+
+    def test_refusals_do_not_hide_a_server_that_hangs(self) -> None:
+        """Guards against a full queue that refuses while its work hangs."""
+
+        async def work() -> None:
+            rig = Rig(RouteKind.NON_IDEMPOTENT, has_engine=False)
+            await rig.start(_hang_then(refuse_full))
+            hanging = asyncio.ensure_future(rig.ask("h"))
+            await asyncio.sleep(0.1)
+            self.assertEqual(503, (await rig.ask("q")).status)
+            now_ms = rig.clock.clock().now_ms()
+            self.assertEqual({"s0"}, rig.pending.overdue_servers(now_ms + 400))
+            hanging.cancel()
+            await rig.stop()
+
+        self.run_within_limit(work())
+
     def test_servers_are_tried_if_all_are_ejected(self) -> None:
         """Guards against refusals when the gateway itself may be at fault."""
         balancer = Balancer("a", {"a": "r"}, random.Random(1), Speeds())
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -9,6 +9,7 @@
 from catkinpin.clock import Clock
 from catkinpin.core.control import protocol
 from catkinpin.core.control.accounts import ClientAccount, Quota
+from catkinpin.core.placement.unresponsive import PendingCalls
 from catkinpin.exceptions import PeerLostError
 from tests import base
 
@@ -44,9 +45,10 @@
         super().setUp()
         self.now = 0
         self.leader = _Leader()
+        self.pending = PendingCalls()
         time = Clock(now_ms=lambda: self.now, wall_ms=lambda: 0)
         self.usage = usage.UsageReporter(
-            cast("Any", self.leader), time, lambda: _GATEWAYS, set
+            cast("Any", self.leader), time, lambda: _GATEWAYS, self.pending
         )
 
     def _run_one_report(self) -> None:
@@ -57,6 +59,29 @@
 
         asyncio.run(once())
 
+    def test_answers_are_reported_without_accounts(self) -> None:
+        """Guards against a leader that can't contradict false reports."""
+        self.pending.add("c", "s1", 50.0, 0)
+        self.pending.record_answer("c")
+        self.now = 300
+        self._run_one_report()
+        (report,) = self.leader.reports
+        self.assertEqual({"s1": 300}, report.answered_ms)
+
+    def test_many_gateways_report_answers_less_often(self) -> None:
+        """Guards against answers that overload the leader of many gateways."""
+        self.usage = usage.UsageReporter(
+            cast("Any", self.leader),
+            Clock(now_ms=lambda: self.now, wall_ms=lambda: 0),
+            lambda: 1_000,
+            self.pending,
+        )
+        self.pending.add("c", "s1", 50.0, 0)
+        self.pending.record_answer("c")
+        self.now = 300
+        self._run_one_report()
+        self.assertEqual([], self.leader.reports)
+
     def test_unreported_requests_are_reported_later(self) -> None:
         """Guards against requests that are never reported to a leader."""
         self.usage.record(_LIMITED, in_program=True)
