Weigh the reported slowdown of a model server at the leader

Gateways reported the slowdowns of servers with each ended turn, but the leader only marked the service as contended. It now multiplies the expected work at a server by the reported slowdown, whose influence halves every 250 ms. Counts of turns stay the leader's own. Reports older than 2 s, older than the known one, not finite or of an unknown server are ignored and counted; without reports the choice is as before.

test_slowed_server_gets_no_turns_until_it_recovers and test_late_and_false_reports_are_ignored fail if the reports are not passed to the balancer. test_placer, test_placed, test_balance, test_turnrequests, test_turns, test_speeds and test_architecture pass.

--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -23,6 +23,7 @@
     from catkinpin.core.control.ledger import Begin
     from catkinpin.core.control.servers import Instance
     from catkinpin.core.placement.contention import ContendedServices
+    from catkinpin.core.placement.placer import ServerSlowdown, TurnReport
 
 
 class TurnRequests:
@@ -80,7 +81,8 @@
         """Settles a turn and releases its place on its server."""
         finish = structs.replace(message.finish, at_ms=self._host.log_time_ms())
         now_ms = self._clock.now_ms()
-        self._placer.finish(finish.attempt, message.report, now_ms)
+        ignored = self._placer.finish(finish.attempt, message.report, now_ms)
+        self._note_slowdowns(finish.attempt, message.report, ignored)
         outcome = await self._host.propose(finish, self._commit_timeout_s)
         return outcome if isinstance(outcome, Undecided) else None
 
@@ -188,10 +190,41 @@
         if message.place is None:
             return ""
         fleet = self._host.state.fleet
-        return self._placer.place(
-            message.begin.attempt,
+        attempt = message.begin.attempt
+        server = self._placer.place(
+            attempt,
             message.place,
             fleet.servers_of(message.place.service),
             fleet.servers.get(last_server),
             self._clock.now_ms(),
         )
+        choice = self._placer.choice_of(attempt)
+        if choice is not None and choice.slowdown_age_ms >= 0:
+            decisions.routine(
+                "placed",
+                attempt,
+                server=server,
+                slowdown=round(choice.slowdown, 2),
+                slowdown_age_ms=choice.slowdown_age_ms,
+                cost_ms=round(choice.cost_ms, 1),
+                running=choice.running,
+            )
+        return server
+
+    def _note_slowdowns(
+        self,
+        attempt: str,
+        report: TurnReport,
+        ignored: list[ServerSlowdown],
+    ) -> None:
+        used = len(report.slowdowns) - len(ignored)
+        metrics.SLOWDOWN_REPORTS.labels("used").inc(used)
+        metrics.SLOWDOWN_REPORTS.labels("ignored").inc(len(ignored))
+        for slowdown in ignored:
+            decisions.routine(
+                "slowdown-ignored",
+                attempt,
+                server=slowdown.server,
+                slowdown=slowdown.slowdown,
+                age_ms=slowdown.age_ms,
+            )
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -79,6 +79,7 @@
         running: Estimated number of running and waiting requests.
         speed: Learned speed of a model server; None for others.
         slowdown: Expected slowdown of the server's machine, 1 for none.
+        slowdown_age_ms: Age of the report of the slowdown, -1 for none.
     """
 
     instance: Instance
@@ -88,6 +89,7 @@
     running: int = 0
     speed: EngineSpeed | None = None
     slowdown: float = 1.0
+    slowdown_age_ms: int = -1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -234,6 +236,15 @@
         """
         return self._tracked(instance).report_load(load, now_ms)
 
+    def report_slowdown(
+        self, server: str, slowdown: float, reported_ms: int, now_ms: int
+    ) -> bool:
+        """Records a slowdown without a load; returns whether it is used."""
+        known = self._servers.get(server)
+        return known is not None and known.report_slowdown(
+            slowdown, reported_ms, now_ms
+        )
+
     def record_success(self, instance: Instance) -> None:
         """Records a successful answer, which resets the failure counts."""
         server = self._tracked(instance)
@@ -345,7 +356,16 @@
         age = (
             now_ms - server.load_reported_ms if server.load is not None else -1
         )
-        return Choice(instance, cost_ms, cached, age, running, speed, slowdown)
+        return Choice(
+            instance,
+            cost_ms,
+            cached,
+            age,
+            running,
+            speed,
+            slowdown,
+            server.slowdown_age_ms(now_ms),
+        )
 
     def _cost_to_others_ms(
         self, work: WorkEstimate, concurrent: int, queued: int, slots: int
--- a/catkinpin/core/placement/placer.py
+++ b/catkinpin/core/placement/placer.py
@@ -7,6 +7,10 @@
 afterwards. It therefore tracks the turns on each server, and the reply to a
 begin names the server.
 
+Where servers report how much slower their machines are at the moment, gateways
+pass that on when a turn ends. Only the slowdown is taken from these reports;
+the turns on each server are counted here.
+
 All of this is soft state. A new leader starts with none and rebuilds it from
 the turns that begin and finish; a gateway that gets no server name chooses
 one itself.
@@ -27,6 +31,7 @@
     from collections.abc import Collection
 
     from catkinpin.core.control.servers import Instance
+    from catkinpin.core.placement.balance import Choice
     from catkinpin.core.placement.contention import ContendedServices
 
 # A turn expires this long after its deadline, as its gateway must have died.
@@ -91,9 +96,14 @@
 class _PlacedTurn:
     """A turn that counts as load of its server until it finishes or expires."""
 
-    instance: Instance
+    choice: Choice
     until_ms: int
 
+    @property
+    def instance(self) -> Instance:
+        """The server of the turn."""
+        return self.choice.instance
+
 
 class ReportedSpeeds(Speeds):
     """Engine speeds, as a moving average of the gateways' reports."""
@@ -194,19 +204,30 @@
             return ""
         self._balancer.record_sent(choice.instance, call)
         until_ms = now_ms + turn.left_ms + _EXPIRY_GRACE_MS
-        self._turns[attempt] = _PlacedTurn(choice.instance, until_ms)
+        self._turns[attempt] = _PlacedTurn(choice, until_ms)
         return choice.instance.id
 
-    def finish(self, attempt: str, report: TurnReport, now_ms: int) -> None:
+    def choice_of(self, attempt: str) -> Choice | None:
+        """Returns the choice for a placed turn, None for other turns."""
+        placed = self._turns.get(attempt)
+        return placed.choice if placed is not None else None
+
+    def finish(
+        self, attempt: str, report: TurnReport, now_ms: int
+    ) -> list[ServerSlowdown]:
         """Ends a turn; does nothing for a turn that was not placed here.
 
         Only the server that was selected for the turn can be reported as
         failed. Otherwise a gateway whose own connections are broken would
-        eject healthy servers for all gateways.
+        eject healthy servers for all gateways. Slowdowns are taken for any
+        known server, as they are bounded and decay within a second.
+
+        Returns:
+            The reported slowdowns that are ignored.
         """
         placed = self._turns.pop(attempt, None)
         if placed is None:
-            return
+            return report.slowdowns
         instance = placed.instance
         if report.slowdowns:
             self._contention.record_report(instance.service)
@@ -217,6 +238,16 @@
             self._balancer.record_success(instance)
         if report.speed is not None and report.speed.is_plausible:
             self._speeds.add_report(instance.service, report.speed)
+        return [
+            reported
+            for reported in report.slowdowns
+            if not self._balancer.report_slowdown(
+                reported.server,
+                reported.slowdown,
+                now_ms - max(0, reported.age_ms),
+                now_ms,
+            )
+        ]
 
     def forget(self, server: str) -> None:
         """Removes the state of a server that is gone."""
--- a/catkinpin/core/placement/tracked.py
+++ b/catkinpin/core/placement/tracked.py
@@ -26,6 +26,9 @@
 # A reported slowdown changes several times per second, so its influence halves
 # with each of these periods since the report.
 _SLOWDOWN_HALF_LIFE_MS = 250.0
+# Slowdowns that were reported longer ago are ignored on arrival: less than a
+# hundredth of their influence is left.
+_MAX_SLOWDOWN_AGE_MS = 2_000
 
 
 @dataclasses.dataclass
@@ -37,6 +40,7 @@
         started_ms: Start of this incarnation.
         in_flight: Requests of this gateway that the server has not finished.
         sent_since_report: Requests of this gateway since the last load report.
+        slowdown: Slowdown that the server reported; None if it reported none.
         prompt_parts: IDs of processed prompt parts, least recently used first.
     """
 
@@ -46,6 +50,8 @@
     sent_since_report: int = 0
     load: Load | None = None
     load_reported_ms: int = 0
+    slowdown: float | None = None
+    slowdown_reported_ms: int = 0
     prompt_parts: collections.OrderedDict[str, None] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
@@ -65,6 +71,34 @@
         self.load = load
         self.load_reported_ms = now_ms
         self.sent_since_report = 0
+        self.slowdown = None
+        if load.slowdown is not None:
+            self.report_slowdown(load.slowdown, now_ms, now_ms)
+        return True
+
+    def report_slowdown(
+        self, slowdown: float, reported_ms: int, now_ms: int
+    ) -> bool:
+        """Records a reported slowdown; returns whether it is used.
+
+        One that is not a number, too old, or older than the known one is
+        ignored.
+
+        Args:
+            slowdown: How many times its usual duration work takes.
+            reported_ms: Time of the report.
+            now_ms: Monotonic time.
+        """
+        if not math.isfinite(slowdown):
+            return False
+        if now_ms - reported_ms > _MAX_SLOWDOWN_AGE_MS:
+            return False
+        if self.slowdown is not None and (
+            reported_ms < self.slowdown_reported_ms
+        ):
+            return False
+        self.slowdown = _REPORTED_SLOWDOWN_BOUNDS.clip(slowdown)
+        self.slowdown_reported_ms = min(reported_ms, now_ms)
         return True
 
     def has_fresh_load(self, now_ms: int) -> bool:
@@ -83,12 +117,17 @@
 
     def expected_slowdown(self, now_ms: int) -> float:
         """Returns how many times its usual duration work takes now."""
-        if self.load is None or self.load.slowdown is None:
+        if self.slowdown is None:
             return 1.0
-        reported = _REPORTED_SLOWDOWN_BOUNDS.clip(self.load.slowdown)
-        age_ms = now_ms - self.load_reported_ms
+        age_ms = now_ms - self.slowdown_reported_ms
         weight = math.pow(0.5, age_ms / _SLOWDOWN_HALF_LIFE_MS)
-        return 1.0 + (reported - 1.0) * weight
+        return 1.0 + (self.slowdown - 1.0) * weight
+
+    def slowdown_age_ms(self, now_ms: int) -> int:
+        """Returns the age of the reported slowdown, -1 for none."""
+        if self.slowdown is None:
+            return -1
+        return now_ms - self.slowdown_reported_ms
 
     def slots(self, instance: Instance) -> int:
         """Returns the number of requests that the server runs concurrently."""
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -79,6 +79,12 @@
     " ones; by who decided, a gateway or the leader.",
     ["by"],
 )
+SLOWDOWN_REPORTS = Counter(
+    "catkinpin_slowdown_reports_total",
+    "Slowdowns of model servers that reached the leader, by whether they were"
+    " used.",
+    ["result"],
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -9,8 +9,14 @@
 import testtools
 
 from catkinpin.core.placement.contention import ContendedServices
-from catkinpin.core.placement.placer import Placer, PlaceTurn, TurnReport
+from catkinpin.core.placement.placer import (
+    Placer,
+    PlaceTurn,
+    ServerSlowdown,
+    TurnReport,
+)
 from catkinpin.core.placement.speeds import EngineSpeed
+from catkinpin.core.placement.tracked import TrackedServer
 from catkinpin.core.requests.calls import PromptPart
 from tests.fakes.instances import instance
 
@@ -214,3 +220,98 @@
 
     setattr(balancer, "_estimate", recording)  # noqa: B010
     return estimated
+
+
+class ReportedSlowdownTest(testtools.TestCase):
+    """Slowdowns of model servers that gateways report with ended turns."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.placer = _placer()
+        self.servers = [instance(f"s{n}", domain="a") for n in range(3)]
+        self.turn_count = 0
+
+    def _place(self, now_ms: int) -> str:
+        """Places a turn of a new session, which no server has cached."""
+        self.turn_count += 1
+        name = f"t{self.turn_count}"
+        turn = _turn(name, f"shared-{name}")
+        server = self.placer.place(name, turn, self.servers, None, now_ms)
+        self.placer.finish(name, TurnReport(), now_ms)
+        return server
+
+    def _report(self, now_ms: int, *slowdowns: ServerSlowdown) -> int:
+        """Reports slowdowns; returns how many are ignored."""
+        turn = _turn("r", "shared-r")
+        self.placer.place("r", turn, self.servers, None, now_ms)
+        report = TurnReport(slowdowns=list(slowdowns))
+        return len(self.placer.finish("r", report, now_ms))
+
+    def test_slowed_server_gets_no_turns_until_it_recovers(self) -> None:
+        """Guards against turns placed on a machine that is busy elsewhere."""
+        slowed = ServerSlowdown(server="s0", slowdown=2.5, age_ms=50)
+        self.assertEqual(0, self._report(0, slowed))
+        early = {self._place(10) for _ in range(60)}
+        self.assertEqual({"s1", "s2"}, early)
+        late = {self._place(4_000) for _ in range(60)}
+        self.assertEqual({"s0", "s1", "s2"}, late)
+
+    def test_servers_without_reports_are_chosen_as_before(self) -> None:
+        """Guards against a cost where no server reports a slowdown."""
+        other = _placer()
+        for number in range(50):
+            name = f"t{number}"
+            turn = _turn(name, f"shared-{number % 5}")
+            picks = []
+            for placer, slowdowns in (
+                (self.placer, []),
+                (other, [ServerSlowdown(server="s1", slowdown=1.0, age_ms=0)]),
+            ):
+                picks.append(
+                    placer.place(name, turn, self.servers, None, number)
+                )
+                placer.finish(name, TurnReport(slowdowns=slowdowns), number)
+            self.assertEqual(picks[0], picks[1])
+
+    def test_late_and_false_reports_are_ignored(self) -> None:
+        """Guards against old or invalid reports that displace newer ones."""
+        self.assertEqual(
+            0,
+            self._report(
+                5_000, ServerSlowdown(server="s0", slowdown=2.0, age_ms=100)
+            ),
+        )
+        ignored = self._report(
+            5_010,
+            ServerSlowdown(server="s0", slowdown=9.0, age_ms=300),
+            ServerSlowdown(server="s1", slowdown=9.0, age_ms=2_001),
+            ServerSlowdown(server="s1", slowdown=float("nan"), age_ms=0),
+            ServerSlowdown(server="unknown", slowdown=2.0, age_ms=0),
+        )
+        self.assertEqual(4, ignored)
+
+    def test_influence_is_bounded_and_halves(self) -> None:
+        """Guards against reports that exclude a server for long."""
+        rng = random.Random(3)
+        for _ in range(200):
+            server = TrackedServer("s0", 0)
+            slowdown = rng.choice([0.0, -5.0, 0.5, 3.0, 1e9])
+            now_ms = rng.randrange(3_000)
+            server.report_slowdown(slowdown, 0, 0)
+            first = server.expected_slowdown(now_ms)
+            self.assertTrue(0.25 <= first <= 16.0)
+            self.assertAlmostEqual(
+                (first - 1) / 2, server.expected_slowdown(now_ms + 250) - 1
+            )
+
+    def test_reports_change_no_count_of_turns(self) -> None:
+        """Guards against counts from gateways, which are old at the leader."""
+        self.placer.place("own", _turn("own"), self.servers, None, 0)
+        self._report(0, ServerSlowdown(server="s0", slowdown=2.5, age_ms=0))
+        self.assertEqual(1, self.placer.running_turns)
+
+    def test_new_leader_knows_no_slowdown(self) -> None:
+        """Guards against a slowdown that a former leader learned."""
+        self._report(0, ServerSlowdown(server="s0", slowdown=16.0, age_ms=0))
+        self.placer.reset()
+        self.assertIn("s0", {self._place(10) for _ in range(60)})
