Report each answer once, and cancelled calls that lost against another

Answers that arrived while a report was under way were marked as reported without having been sent. They are now taken when the report is made; a lost list is replaced by newer answers. An outage of the leader is logged only if requests or overdue calls were lost with the report.

A call that is cancelled because another server answered first may have hung. It is reported to the leader for 1 s once overdue, but doesn't eject the server at this gateway: the leader has the answers of the other gateways, a single gateway with few calls may have none. test_unresponsive and test_usage pass.

--- a/catkinpin/adapters/gateway/usage.py
+++ b/catkinpin/adapters/gateway/usage.py
@@ -111,14 +111,14 @@
                 self._pending
                 or self._over_until_ms
                 or self._spent_until_ms
-                or self._pending_calls.overdue_servers(now_ms)
+                or self._pending_calls.overdue_ages_ms(now_ms)
                 or self._are_answers_due(now_ms)
             ):
                 await self._report()
 
     def _are_answers_due(self, now_ms: int) -> bool:
         """Returns whether to send a report that only lists answers."""
-        if not self._pending_calls.answered_ages_ms(now_ms):
+        if not self._pending_calls.has_answers:
             return False
         interval_ms = (
             _MS_PER_S * self._count_gateways() / _MAX_ANSWER_REPORTS_PER_S
@@ -130,7 +130,7 @@
         self._pending_calls.overdue_servers(now_ms)
         for prevented in self._pending_calls.take_prevented():
             metrics.PREVENTED_EJECTIONS.labels("gateway").inc()
-            decisions.note(
+            decisions.routine(
                 "ejection-prevented",
                 prevented.call.partition("@")[0],
                 server=prevented.server,
@@ -139,7 +139,7 @@
             )
 
     def _make_report(
-        self, ask: int, uses: list[AccountUse]
+        self, ask: int, uses: list[AccountUse], answered_sent_ms: dict[str, int]
     ) -> protocol.ReportUse:
         now_ms = self._clock.now_ms()
         overdue_ms = self._pending_calls.overdue_ages_ms(now_ms)
@@ -148,24 +148,30 @@
             uses=uses,
             unresponsive=sorted(overdue_ms),
             overdue_ms=overdue_ms,
-            answered_ms=self._pending_calls.answered_ages_ms(now_ms),
+            answered_ms={
+                server: now_ms - sent_ms
+                for server, sent_ms in answered_sent_ms.items()
+            },
         )
 
     async def _report(self) -> None:
         uses, self._pending = list(self._pending.values()), {}
+        # A lost list of answers is not sent again: newer ones replace it.
+        answered_sent_ms = self._pending_calls.take_answers()
         self._last_sent_ms = self._clock.now_ms()
         try:
             reply = await self._keepers.ask_leader(
-                lambda ask: self._make_report(ask, uses), _REPORT_TIMEOUT_S
+                lambda ask: self._make_report(ask, uses, answered_sent_ms),
+                _REPORT_TIMEOUT_S,
             )
         except PeerLostError as exc:
-            decisions.note("use-unreported", "", reason=str(exc))
+            if uses or self._pending_calls.overdue_ages_ms(self._last_sent_ms):
+                decisions.note("use-unreported", "", reason=str(exc))
             for use in uses:
                 self._add_pending(use)
             return
         now_ms = self._clock.now_ms()
         self._last_report_ms = now_ms
-        self._pending_calls.clear_answers()
         self._over_until_ms = {
             account: now_ms + ms for account, ms in reply.over.items()
         }
--- a/catkinpin/core/placement/unresponsive.py
+++ b/catkinpin/core/placement/unresponsive.py
@@ -40,6 +40,9 @@
 # call is reported until its deadline, which is some seconds later.
 _ANSWER_LIFETIME_MS = 30_000
 _ANSWER_PRUNE_INTERVAL_MS = 1_000
+# A cancelled call that lost against a second attempt is reported for this long
+# once it is overdue, as its server may hang.
+_ABANDONED_REPORT_MS = 1_000
 # Answers that one report lists at most.
 _MAX_REPORTED_ANSWERS = 64
 
@@ -52,12 +55,15 @@
         overdue_ms: Time from which the call is overdue.
         is_contradicted: Whether an answer to a later call was found to
             contradict that the server is unresponsive.
+        is_abandoned: Whether the gateway cancelled it, as another server
+            answered first. Whether the server would have answered is unknown.
     """
 
     server: str
     sent_ms: int
     overdue_ms: float
     is_contradicted: bool = False
+    is_abandoned: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,6 +103,17 @@
         """Removes a call that was answered or given up."""
         self._calls.pop(key, None)
 
+    def abandon(self, key: str) -> None:
+        """Marks a call as cancelled because another server answered first.
+
+        It is reported to the leader if it becomes overdue, so that hedged
+        calls don't hide a server that answers none. This gateway alone doesn't
+        eject the server for it.
+        """
+        call = self._calls.get(key)
+        if call is not None:
+            call.is_abandoned = True
+
     def record_answer(self, key: str) -> None:
         """Removes a call that the server ran and answered."""
         call = self._calls.pop(key, None)
@@ -112,52 +129,75 @@
         self._unreported_answers.discard(server)
 
     def overdue_servers(self, now_ms: int) -> set[str]:
-        """Returns the servers that have an overdue call and no later answer."""
-        return set(self.overdue_ages_ms(now_ms))
+        """Returns the servers that have an overdue call and no later answer.
+
+        Abandoned calls don't count.
+        """
+        overdue = self._find_overdue(now_ms)
+        return {call.server for call in overdue if not call.is_abandoned}
 
     def overdue_ages_ms(self, now_ms: int) -> dict[str, int]:
-        """Returns the servers that have an overdue call and no later answer.
+        """Returns the servers to report, also those with abandoned calls.
 
         Returns:
             For each server, the time since its latest overdue call was sent.
         """
         ages_ms: dict[str, int] = {}
+        for call in self._find_overdue(now_ms):
+            age_ms = now_ms - call.sent_ms
+            ages_ms[call.server] = min(ages_ms.get(call.server, age_ms), age_ms)
+        return ages_ms
+
+    def _find_overdue(self, now_ms: int) -> list[_PendingCall]:
+        """Returns overdue calls to servers that answered no later call."""
+        overdue, expired = [], []
         for key, call in self._calls.items():
             if call.overdue_ms > now_ms:
                 continue
-            age_ms = now_ms - call.sent_ms
+            if call.is_abandoned and (
+                call.overdue_ms + _ABANDONED_REPORT_MS <= now_ms
+            ):
+                expired.append(key)
+                continue
             answered_ms = self._answered_sent_ms.get(call.server)
             if answered_ms is None or answered_ms <= call.sent_ms:
-                known_ms = ages_ms.get(call.server, age_ms)
-                ages_ms[call.server] = min(known_ms, age_ms)
+                overdue.append(call)
             elif not call.is_contradicted:
                 call.is_contradicted = True
-                self._prevented.append(
-                    PreventedEjection(
-                        call.server, key, age_ms, now_ms - answered_ms
-                    )
-                )
-        return ages_ms
+                self._record_prevented(key, call, answered_ms, now_ms)
+        for key in expired:
+            del self._calls[key]
+        return overdue
 
-    def answered_ages_ms(self, now_ms: int) -> dict[str, int]:
-        """Returns the servers that answered since `clear_answers`.
+    def _record_prevented(
+        self, key: str, call: _PendingCall, answered_ms: int, now_ms: int
+    ) -> None:
+        if call.is_abandoned:
+            return
+        self._prevented.append(
+            PreventedEjection(
+                call.server, key, now_ms - call.sent_ms, now_ms - answered_ms
+            )
+        )
+
+    @property
+    def has_answers(self) -> bool:
+        """Whether servers have answered since `take_answers`."""
+        return bool(self._unreported_answers)
+
+    def take_answers(self) -> dict[str, int]:
+        """Returns the servers that answered since the last time.
 
         Returns:
-            For each server, the time since the latest answered call was sent;
-            for the servers with the latest ones if there are too many.
+            For each server, the time at which the latest answered call was
+            sent. Of too many, the rest is left for the next time.
         """
-        ages_ms = {
-            server: now_ms - self._answered_sent_ms[server]
-            for server in self._unreported_answers
-        }
-        if len(ages_ms) <= _MAX_REPORTED_ANSWERS:
-            return ages_ms
-        latest = sorted(ages_ms, key=lambda server: ages_ms[server])
-        return {s: ages_ms[s] for s in latest[:_MAX_REPORTED_ANSWERS]}
-
-    def clear_answers(self) -> None:
-        """Marks all answers as reported."""
-        self._unreported_answers.clear()
+        latest = sorted(
+            self._unreported_answers,
+            key=lambda server: -self._answered_sent_ms[server],
+        )[:_MAX_REPORTED_ANSWERS]
+        self._unreported_answers.difference_update(latest)
+        return {server: self._answered_sent_ms[server] for server in latest}
 
     def take_prevented(self) -> list[PreventedEjection]:
         """Returns the ejections prevented since the last time."""
--- a/tests/test_unresponsive.py
+++ b/tests/test_unresponsive.py
@@ -89,7 +89,8 @@
         waiting.record_answer("quick")
         self.assertEqual(set(), waiting.overdue_servers(400))
         self.assertEqual(["slow"], [p.call for p in waiting.take_prevented()])
-        self.assertEqual({"s1": 390}, waiting.answered_ages_ms(400))
+        self.assertEqual({"s1": 10}, waiting.take_answers())
+        self.assertEqual({}, waiting.take_answers())
         self.assertEqual(set(), waiting.overdue_servers(500))
         self.assertEqual([], waiting.take_prevented())
 
@@ -102,6 +103,28 @@
         self.assertEqual(set(), waiting.overdue_servers(350))
         self.assertEqual({"s1": 350}, waiting.overdue_ages_ms(351))
 
+    def test_hedged_calls_do_not_hide_a_server_that_hangs(self) -> None:
+        """Guards against cancelled calls that no gateway ever reports."""
+        waiting = PendingCalls()
+        waiting.add("hedged", "s1", 50.0, 0)
+        waiting.abandon("hedged")
+        self.assertEqual({"s1": 350}, waiting.overdue_ages_ms(350))
+        self.assertEqual(set(), waiting.overdue_servers(350))
+        self.assertEqual({}, waiting.overdue_ages_ms(1_350))
+
+    def test_answers_beyond_the_limit_are_reported_later(self) -> None:
+        """Guards against reports that grow with the number of servers."""
+        waiting = PendingCalls()
+        for number in range(100):
+            waiting.add(f"c{number}", f"s{number}", 50.0, number)
+            waiting.record_answer(f"c{number}")
+        self.assertEqual(
+            list(range(99, 35, -1)),
+            [sent_ms for sent_ms in waiting.take_answers().values()],
+        )
+        self.assertEqual(36, len(waiting.take_answers()))
+        self.assertFalse(waiting.has_answers)
+
     def test_leader_heeds_answers_of_other_gateways(self) -> None:
         """Guards against two slow requests that eject a server for all."""
         leader = UnresponsiveServers()
