Hedge slow idempotent plain calls of contended services

On shared machines a server is slow for some 600 ms at a time, and the calls that wait there lose their programs. An idempotent call that has waited longer than the 95th percentile of its route gets a second attempt at another server; the first answer wins and the other connection is closed. Retries of plain calls of contended services are limited too. Other services are served as before.

--- a/catkinpin/adapters/gateway/context.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -16,6 +16,7 @@
     from catkinpin.clock import Clock
     from catkinpin.core.placement.balance import Balancer
     from catkinpin.core.placement.contention import ContendedServices
+    from catkinpin.core.placement.hedging import Hedging
     from catkinpin.core.placement.speeds import Speeds
     from catkinpin.core.placement.unresponsive import PendingCalls
 
@@ -35,6 +36,7 @@
         usage: counts plain requests of client accounts.
         waiting: plain calls that are waiting for their answers.
         contention: for which services capacity is contended.
+        hedging: decides on second attempts of plain calls.
         gateways: returns how many gateways share the servers' limits.
         domain: failure domain of this gateway.
     """
@@ -49,5 +51,6 @@
     usage: UsageReporter
     waiting: PendingCalls
     contention: ContendedServices
+    hedging: Hedging
     gateways: Callable[[], int]
     domain: str = ""
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -144,7 +144,7 @@
                 head = await self._read_head(state, conn)
                 self._record_responsive(state, choice, head)
             finally:
-                self._waiting.remove(_pending_key(state, choice))
+                self._end_pending(state, choice)
         except BaseException:
             self.close(choice, conn)
             raise
@@ -280,6 +280,13 @@
                 self._clock.now_ms(),
             )
 
+    def _end_pending(self, state: OpenCall, choice: Choice) -> None:
+        key = _pending_key(state, choice)
+        if state.is_superseded:
+            self._waiting.abandon(key)
+        else:
+            self._waiting.remove(key)
+
     def _record_responsive(
         self, state: OpenCall, choice: Choice, head: ResponseHead | Failure
     ) -> None:
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -1,22 +1,31 @@
-"""Forwards plain requests, which get one complete answer."""
+"""Forwards plain requests, which get one complete answer.
+
+An idempotent request to a service whose capacity is contended may get a second
+attempt while the first one still waits, see `Hedging`.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING
 
+from catkinpin import decisions, metrics
+from catkinpin.adapters.gateway.races import Race
 from catkinpin.adapters.http.client import Failure
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.answers import AnswerWriter
+    from catkinpin.adapters.gateway.context import GatewayContext
     from catkinpin.adapters.gateway.exchange import Exchange
     from catkinpin.adapters.gateway.work import OpenCall
     from catkinpin.adapters.http.client import ResponseHead, ServerConnection
     from catkinpin.core.placement.balance import Choice
 
+_MS_PER_S = 1_000
 # Share of the remaining time for an attempt after which another may follow.
 _RETRYABLE_ATTEMPT_SHARE = 0.4
+_MIN_SERVER_ERROR_STATUS = 500
 # An answer up to this size is buffered until it is complete, so that another
 # server can still be tried. Answers have some 800 bytes.
 _MAX_BUFFERED_BYTES = 262_144
@@ -26,54 +35,174 @@
     """Forwards plain requests to servers.
 
     Args:
+        context: objects that all requests of the gateway share.
         exchange: sends requests to servers.
         answers: answers the callers.
     """
 
-    def __init__(self, exchange: Exchange, answers: AnswerWriter) -> None:
+    def __init__(
+        self, context: GatewayContext, exchange: Exchange, answers: AnswerWriter
+    ) -> None:
+        self._clock = context.clock
+        self._contention = context.contention
+        self._hedging = context.hedging
         self._exchange = exchange
         self._answers = answers
 
     async def serve(self, state: OpenCall) -> None:
         """Serves one request, trying as many servers as its route allows."""
-        is_repeatable = state.is_repeatable
+        is_contended = self._contention.is_contended(state.service.name)
+        if is_contended:
+            self._hedging.record_call(self._clock.now_ms())
+        is_retry = False
         while True:
+            if is_retry and is_contended and not self._may_retry(state):
+                break
             choice = self._exchange.pick_server(state)
             if choice is None:
                 break
-            is_last = (
-                not is_repeatable
-                or state.run_count + 1 >= state.route.max_attempts
+            if is_retry and is_contended:
+                self._hedging.retries.spend(self._clock.now_ms())
+            is_retry = True
+            may_hedge = is_contended and (
+                state.is_repeatable
+                and state.run_count + 2 <= state.route.max_attempts
             )
-            limit_s = state.remaining_s * (
-                1.0 if is_last else _RETRYABLE_ATTEMPT_SHARE
-            )
-            try:
-                async with asyncio.timeout(limit_s):
-                    is_answered = await self._try_server(
-                        state, choice, is_repeatable, is_last
-                    )
-            except TimeoutError:
-                if is_last:
-                    raise
-                is_answered = False
-                self._exchange.record_failure(
-                    state, choice, "no answer within its share of the time"
-                )
-            if is_answered:
+            if await (
+                self._try_hedged(state, choice)
+                if may_hedge
+                else self._try_in_time(state, choice)
+            ):
                 return
             if state.verdict is not Verdict.NOT_RUN and (
-                not is_repeatable or state.run_count >= state.route.max_attempts
+                not state.is_repeatable
+                or state.run_count >= state.route.max_attempts
             ):
                 break
         self._answers.answer_failure(state)
 
+    def _may_retry(self, state: OpenCall) -> bool:
+        """Returns whether the retry budget allows another server."""
+        now_ms = self._clock.now_ms()
+        if self._hedging.retries.has_room(now_ms):
+            return True
+        metrics.DENIED_RETRIES.inc()
+        decisions.note(
+            "retry-denied",
+            state.call.attempt,
+            service=state.service.name,
+            reason=state.reason,
+            **self._hedging.counts(now_ms),
+        )
+        state.reason = f"{state.reason}; the retry budget is used up"
+        return False
+
+    async def _try_hedged(self, state: OpenCall, choice: Choice) -> bool:
+        """Tries a server, and another one as well if it takes long.
+
+        Returns:
+            Whether the caller was answered.
+        """
+        route = state.route.name
+        delay_ms = self._hedging.latencies.quantile_ms(route)
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        race = Race(state)
+        race.start(state, self._try_in_time(state, choice, race))
+        try:
+            if delay_ms is not None and not await race.wait_first(
+                delay_ms / _MS_PER_S
+            ):
+                self._hedge(state, race, delay_ms)
+            return await race.result()
+        finally:
+            await race.end()
+            if race.winner is not None and (
+                state.responder.status < _MIN_SERVER_ERROR_STATUS
+            ):
+                # If the first attempt lost, this is less than its latency,
+                # but still more than the quantile.
+                self._hedging.latencies.record(
+                    route, (loop.time() - sent_s) * _MS_PER_S
+                )
+            self._note_hedge_result(state, race)
+
+    def _hedge(self, state: OpenCall, race: Race, delay_ms: float) -> None:
+        """Starts a second attempt if the budget and the servers allow it."""
+        now_ms = self._clock.now_ms()
+        facts = {
+            "first": state.tried_servers[-1] if state.tried_servers else "",
+            "route": state.route.name,
+            "waited_ms": round(delay_ms, 1),
+            **self._hedging.counts(now_ms),
+        }
+        if not self._hedging.may_hedge(now_ms):
+            metrics.HEDGES.labels("denied").inc()
+            decisions.routine("hedge-denied", state.call.attempt, **facts)
+            return
+        hedge = race.new_hedge()
+        choice = self._exchange.pick_server(hedge)
+        if choice is None:
+            return
+        self._hedging.record_hedge(now_ms)
+        decisions.note(
+            "hedge",
+            state.call.attempt,
+            second=choice.instance.id,
+            load_age_ms=choice.load_age_ms,
+            **facts,
+        )
+        race.start(hedge, self._try_in_time(hedge, choice, race))
+
+    def _note_hedge_result(self, state: OpenCall, race: Race) -> None:
+        if race.hedge is None:
+            return
+        if race.winner is None:
+            result = "failed"
+        else:
+            result = "won" if race.winner is race.hedge else "lost"
+        metrics.HEDGES.labels(result).inc()
+        decisions.note(
+            "hedge-ended",
+            state.call.attempt,
+            result=result,
+            took_ms=state.elapsed_ms,
+            reason=race.hedge.reason,
+        )
+
+    async def _try_in_time(
+        self, state: OpenCall, choice: Choice, race: Race | None = None
+    ) -> bool:
+        """Tries one server within the time that one attempt may take.
+
+        Returns:
+            Whether the caller was answered.
+        """
+        is_last = (
+            not state.is_repeatable
+            or state.run_count + 1 >= state.route.max_attempts
+            or (race is not None and race.hedge is state)
+        )
+        limit_s = state.remaining_s * (
+            1.0 if is_last else _RETRYABLE_ATTEMPT_SHARE
+        )
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self._try_server(state, choice, is_last, race)
+        except TimeoutError:
+            if is_last:
+                raise
+            self._exchange.record_failure(
+                state, choice, "no answer within its share of the time"
+            )
+            return False
+
     async def _try_server(
         self,
         state: OpenCall,
         choice: Choice,
-        is_repeatable: bool,
         is_last: bool,
+        race: Race | None,
     ) -> bool:
         """Tries one server; returns whether the caller was answered."""
         sent = await self._exchange.send(state, choice, state.body)
@@ -86,11 +215,17 @@
                 await self._exchange.discard_rest(conn)
                 return False
             state.verdict = Verdict.RAN
-            if is_repeatable and not is_last and head.status >= 500:
+            if race is not None:
+                is_last = race.is_last_attempt()
+            if (
+                state.is_repeatable
+                and not is_last
+                and (head.status >= _MIN_SERVER_ERROR_STATUS)
+            ):
                 state.reason = f"status {head.status}"
                 self._exchange.record_failure(state, choice, state.reason)
                 return False
-            return await self.forward_answer(state, choice, conn, head)
+            return await self.forward_answer(state, choice, conn, head, race)
         finally:
             self._exchange.close(choice, conn)
 
@@ -100,6 +235,7 @@
         choice: Choice,
         conn: ServerConnection,
         head: ResponseHead,
+        race: Race | None = None,
     ) -> bool:
         """Forwards an answer; returns whether the caller was answered."""
         buffered: list[bytes] = []
@@ -117,15 +253,31 @@
             size += len(data)
             if size > _MAX_BUFFERED_BYTES:
                 if not started:
-                    started = self._answers.start(state, head, head.length)
+                    started = self._start(state, head, head.length, race)
                     if not started:
                         return False
                 state.responder.write(b"".join(buffered))
                 buffered.clear()
                 await state.responder.drain()
-        if not started and not self._answers.start(state, head, size):
+        if not started and not self._start(state, head, size, race):
             return False
         state.responder.write(b"".join(buffered))
         state.responder.finish()
         self._exchange.record_answer(state, choice, head.status)
         return True
+
+    def _start(
+        self,
+        state: OpenCall,
+        head: ResponseHead,
+        length: int | None,
+        race: Race | None,
+    ) -> bool:
+        """Starts the answer, unless another attempt answers the caller."""
+        if race is not None and not race.may_answer(state):
+            return False
+        if not self._answers.start(state, head, length):
+            return False
+        if race is not None:
+            race.claim(state)
+        return True
--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -67,7 +67,7 @@
         self._answers = AnswerWriter(context.view, context.codec, context.clock)
         exchange = Exchange(context)
         self._usage = context.usage
-        self._plain = PlainForwarder(exchange, self._answers)
+        self._plain = PlainForwarder(context, exchange, self._answers)
         self._streaming = StreamForwarder(
             context, exchange, self._answers, self._plain
         )
--- a/catkinpin/adapters/gateway/work.py
+++ b/catkinpin/adapters/gateway/work.py
@@ -41,6 +41,7 @@
         failed_servers: servers that failed while they served the request.
         choice: the server picked last.
         answer_times: timings of the answer.
+        is_superseded: whether another attempt of the same call has won.
     """
 
     call: RouteCall
@@ -63,6 +64,7 @@
     failed_servers: list[str] = dataclasses.field(default_factory=list)
     choice: Choice | None = None
     answer_times: AnswerTimes = dataclasses.field(default_factory=AnswerTimes)
+    is_superseded: bool = False
 
     @property
     def elapsed_ms(self) -> int:
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -85,6 +85,17 @@
     " used.",
     ["result"],
 )
+HEDGES = Counter(
+    "catkinpin_hedges_total",
+    "Second attempts of plain calls: won, lost, failed, or denied by the"
+    " budget.",
+    ["result"],
+)
+DENIED_RETRIES = Counter(
+    "catkinpin_denied_retries_total",
+    "Retries of plain calls that the retry budget denied.",
+    [],
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -36,6 +36,7 @@
 )
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.contention import ContendedServices
+from catkinpin.core.placement.hedging import Hedging
 from catkinpin.core.placement.speeds import Speeds
 from catkinpin.core.placement.unresponsive import PendingCalls
 from catkinpin.core.placement.urgency import ProgramStatus
@@ -219,6 +220,7 @@
         self.usage = UsageReporter(
             cast("Any", None), self.clock.clock(), lambda: 1, self.pending
         )
+        self.hedging = Hedging()
         self.contention = ContendedServices(configured=False)
         self.handler = RequestHandler(
             GatewayContext(
@@ -232,6 +234,7 @@
                 usage=self.usage,
                 contention=self.contention,
                 waiting=self.pending,
+                hedging=self.hedging,
                 gateways=lambda: 1,
             )
         )
