--- a/catkinpin/core/placement/unresponsive.py
+++ b/catkinpin/core/placement/unresponsive.py
@@ -258,14 +258,14 @@
         )
         self._answered_sent_ms: dict[str, int] = {}
         self._answers_pruned_ms = 0
-        self._kept: set[str] = set()
+        self._contradicted: set[str] = set()
         self._prevented: list[PreventedEjection] = []
 
     def reset(self) -> None:
         """Clears all reports."""
         self._reports.clear()
         self._answered_sent_ms.clear()
-        self._kept.clear()
+        self._contradicted.clear()
 
     def report(
         self,
@@ -310,7 +310,7 @@
         """
         self._remove_expired(now_ms)
         required = min(_MIN_GATEWAYS, max(1, gateways))
-        confirmed, kept = [], set()
+        confirmed, contradicted = [], set()
         for server, reports in self._reports.items():
             answered_ms = self._answered_sent_ms.get(server)
             valid = [
@@ -321,10 +321,10 @@
             if len(valid) >= required:
                 confirmed.append(server)
             elif answered_ms is not None and len(reports) >= required:
-                kept.add(server)
-                if server not in self._kept:
+                contradicted.add(server)
+                if server not in self._contradicted:
                     self._record_prevented(server, answered_ms, now_ms)
-        self._kept = kept
+        self._contradicted = contradicted
         return sorted(confirmed)
 
     def take_prevented(self) -> list[PreventedEjection]:
