--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -8,7 +8,7 @@
 
 from msgspec import structs
 
-from catkinpin import decisions
+from catkinpin import decisions, metrics
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.core.control import protocol
 from catkinpin.core.control.ledger import Denial
@@ -23,6 +23,7 @@
     from catkinpin.core.control.ledger import Begin
     from catkinpin.core.control.servers import Instance
     from catkinpin.core.placement.contention import ContendedServices
+    from catkinpin.core.placement.placer import ServerSlowdown, TurnReport
 
 
 class TurnRequests:
@@ -80,7 +81,8 @@
         """Settles a turn and releases its place on its server."""
         finish = structs.replace(message.finish, at_ms=self._host.log_time_ms())
         now_ms = self._clock.now_ms()
-        self._placer.finish(finish.attempt, message.report, now_ms)
+        ignored = self._placer.finish(finish.attempt, message.report, now_ms)
+        self._note_slowdowns(finish.attempt, message.report, ignored)
         outcome = await self._host.propose(finish, self._commit_timeout_s)
         return outcome if isinstance(outcome, Undecided) else None
 
@@ -90,7 +92,19 @@
         Args:
             gateways: how many gateways are connected.
         """
-        return self._unresponsive.confirmed(gateways, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        servers = self._unresponsive.confirmed(gateways, now_ms)
+        for prevented in self._unresponsive.take_prevented():
+            metrics.PREVENTED_EJECTIONS.labels("leader").inc()
+            decisions.note(
+                "ejection-prevented",
+                "",
+                server=prevented.server,
+                gateways=prevented.gateways,
+                call_age_ms=prevented.call_age_ms,
+                answered_age_ms=prevented.answered_age_ms,
+            )
+        return servers
 
     def report_use(
         self, message: protocol.ReportUse, gateway: str
@@ -106,8 +120,14 @@
         """
         if not self._host.holds_lease():
             return Undecided("not the leader")
+        now_ms = self._clock.now_ms()
+        known = self._host.state.fleet.servers
         self._unresponsive.report(
-            gateway, message.unresponsive, self._clock.now_ms()
+            gateway, message.unresponsive, now_ms, message.overdue_ms
+        )
+        self._unresponsive.record_answers(
+            {s: age for s, age in message.answered_ms.items() if s in known},
+            now_ms,
         )
         for use in message.uses:
             self._host.count_use(use)
@@ -170,10 +190,41 @@
         if message.place is None:
             return ""
         fleet = self._host.state.fleet
-        return self._placer.place(
-            message.begin.attempt,
+        attempt = message.begin.attempt
+        server = self._placer.place(
+            attempt,
             message.place,
             fleet.servers_of(message.place.service),
             fleet.servers.get(last_server),
             self._clock.now_ms(),
         )
+        choice = self._placer.choice_of(attempt)
+        if choice is not None and choice.slowdown_age_ms >= 0:
+            decisions.routine(
+                "placed",
+                attempt,
+                server=server,
+                slowdown=round(choice.slowdown, 2),
+                slowdown_age_ms=choice.slowdown_age_ms,
+                cost_ms=round(choice.cost_ms, 1),
+                running=choice.running,
+            )
+        return server
+
+    def _note_slowdowns(
+        self,
+        attempt: str,
+        report: TurnReport,
+        ignored: list[ServerSlowdown],
+    ) -> None:
+        used = len(report.slowdowns) - len(ignored)
+        metrics.SLOWDOWN_REPORTS.labels("used").inc(used)
+        metrics.SLOWDOWN_REPORTS.labels("ignored").inc(len(ignored))
+        for slowdown in ignored:
+            decisions.routine(
+                "slowdown-ignored",
+                attempt,
+                server=slowdown.server,
+                slowdown=slowdown.slowdown,
+                age_ms=slowdown.age_ms,
+            )
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -73,6 +73,29 @@
 QUOTA_ACCOUNTS = Gauge(
     "catkinpin_quota_accounts", "Accounts in use that have a quota."
 )
+PREVENTED_EJECTIONS = Counter(
+    "catkinpin_prevented_ejections_total",
+    "Servers with overdue calls that were not ejected, as they answered later"
+    " ones; by who decided, a gateway or the leader.",
+    ["by"],
+)
+SLOWDOWN_REPORTS = Counter(
+    "catkinpin_slowdown_reports_total",
+    "Slowdowns of model servers that reached the leader, by whether they were"
+    " used.",
+    ["result"],
+)
+HEDGES = Counter(
+    "catkinpin_hedges_total",
+    "Second attempts of plain calls: won, lost, failed, or denied by the"
+    " budget.",
+    ["result"],
+)
+DENIED_RETRIES = Counter(
+    "catkinpin_denied_retries_total",
+    "Retries of plain calls that the retry budget denied.",
+    [],
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
