Keep and prove idle connections to contended services

Cause: a request that must not run twice may not use a connection that was idle for more than 1 s, and idle connections are closed 1 s before the server's timeout.

Change: for contended services the kernel probes connections (after 1 s, each second, closed after 2 unanswered). A request that must not run twice may use one if the system says that the other end was heard less than 2.5 s ago, and that neither end has closed it; without that information the limit stays 1 s. They are kept until 0.3 s before the server's timeout, counted from the end of the response. Surplus ones are closed as they expire. New connections are counted and logged by reason, reused ones counted.

Measured: tests only. With is_proved() always false, three tests fail: that of a proved connection, of answered probes, and of a gateway's request after 1.1 s, which opens a new connection.

--- a/catkinpin/adapters/gateway/context.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -12,7 +12,7 @@
     from catkinpin.adapters.gateway.turns import TurnClient
     from catkinpin.adapters.gateway.usage import UsageReporter
     from catkinpin.adapters.gateway.view import GatewayView
-    from catkinpin.adapters.http.client import Pool
+    from catkinpin.adapters.http.pool import Pool
     from catkinpin.clock import Clock
     from catkinpin.core.placement.balance import Balancer
     from catkinpin.core.placement.contention import ContendedServices
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TYPE_CHECKING
 
 from catkinpin import decisions, metrics
@@ -116,14 +117,7 @@
         """Sends a request to a server and reads the head of its answer."""
         instance = choice.instance
         state.tried_servers.append(instance.id)
-        conn = await self._pool.acquire(
-            instance.address,
-            self._max_connections(state),
-            _CONNECT_TIMEOUT_S,
-            DEFAULT_MAX_IDLE_S
-            if state.is_repeatable
-            else _NON_REPEATABLE_MAX_IDLE_S,
-        )
+        conn = await self._connect(state, choice)
         if isinstance(conn, Failure):
             state.reason = conn.reason
             if conn.reason.startswith("no connection:"):
@@ -161,6 +155,32 @@
         self._record_head(state, choice, head)
         return conn, head
 
+    async def _connect(
+        self, state: OpenCall, choice: Choice
+    ) -> ServerConnection | Failure:
+        """Returns an idle connection to a server, or opens one."""
+        is_contended = self._contention.is_contended(state.service.name)
+        conn = await self._pool.acquire(
+            choice.instance.address,
+            self._max_connections(state),
+            _CONNECT_TIMEOUT_S,
+            DEFAULT_MAX_IDLE_S
+            if state.is_repeatable
+            else _NON_REPEATABLE_MAX_IDLE_S,
+            is_contended=is_contended,
+        )
+        if isinstance(conn, Failure) or not is_contended:
+            return conn
+        if conn.is_first_exchange and conn.opening is not None:
+            decisions.routine(
+                "connection",
+                state.call.attempt,
+                server=choice.instance.id,
+                is_probed=conn.is_probed,
+                **dataclasses.asdict(conn.opening),
+            )
+        return conn
+
     def is_refusal(self, head: ResponseHead) -> bool:
         """Returns whether a server states that it did not run the request."""
         return self._codec.decode_answer(head.headers).not_run
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -15,7 +15,7 @@
 from catkinpin.adapters.gateway.turns import TurnClient
 from catkinpin.adapters.gateway.usage import UsageReporter
 from catkinpin.adapters.gateway.view import GatewayView
-from catkinpin.adapters.http.client import Pool
+from catkinpin.adapters.http.pool import Pool
 from catkinpin.adapters.http.server import HttpServer, ServerLimits
 from catkinpin.adapters.keeper.publisher import GATEWAY_ROLE
 from catkinpin.adapters.peers import keepers
--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -1,4 +1,4 @@
-"""A connection pool and HTTP/1.1 client for backend servers.
+"""HTTP/1.1 client connections to backend servers.
 
 A connection carries one request at a time and passes bytes on unchanged. It
 accepts a response only if its headers match the request: a server may send a
@@ -10,11 +10,13 @@
 
 import asyncio
 import dataclasses
+import enum
 import logging
 from typing import TYPE_CHECKING, cast
 
 import httptools
 
+from catkinpin.adapters.http import probes
 from catkinpin.adapters.http.headers import Headers
 from catkinpin.verdicts import Verdict
 
@@ -28,12 +30,47 @@
 # An idle connection is closed this long before the server would close it: if
 # a request and the server's close cross, the request may or may not have run.
 _IDLE_MARGIN_S = 1.0
+# The same for a probed connection. It covers the way between two regions, some
+# 24 ms, and a gateway that is late to read the server's close.
+_PROBED_IDLE_MARGIN_S = 0.3
+# A probed connection is proved alive if the other end was heard within this
+# time: two probes, and half of the interval for the answer to the second one.
+_MAX_SILENT_MS = 2_500
 # Longest idle time of a connection that may carry a repeatable request.
 DEFAULT_MAX_IDLE_S = 60.0
 # Idle timeout of a server that sends no Keep-Alive timeout.
 _DEFAULT_KEEP_ALIVE_S = 4.0
 
 
+class OpenReason(enum.StrEnum):
+    """Why a connection was opened instead of using an idle one.
+
+    FIRST: there was none to the server before. BUSY: requests use all of them.
+    EXPIRED: the idle ones were closed or idle for too long. UNPROVED: the
+    server was not heard on the idle one lately, and the request must not run
+    twice.
+    """
+
+    FIRST = "first"
+    BUSY = "busy"
+    EXPIRED = "expired"
+    UNPROVED = "unproved"
+
+
+@dataclasses.dataclass(frozen=True)
+class Opening:
+    """Why a connection was opened, for the log.
+
+    Attributes:
+        open_count: connections to the server that were open before.
+        idle_ms: idle time of the connection that was not used; -1 for none.
+    """
+
+    reason: OpenReason
+    open_count: int
+    idle_ms: int
+
+
 @dataclasses.dataclass
 class ResponseHead:
     """The head of a response.
@@ -71,6 +108,8 @@
             be used; 0 until a response was received.
         idle_since_s: the loop's time at which the last exchange ended.
         closed: whether the connection was lost or closed.
+        is_probed: whether TCP keep-alive probes check the idle connection.
+        opening: why it was opened; None if its pool doesn't know.
         on_closed: called once the connection is closed.
     """
 
@@ -95,6 +134,9 @@
         self.idle_until_s = 0.0
         self.idle_since_s = 0.0
         self.closed = False
+        self.is_probed = False
+        self.opening: Opening | None = None
+        self._was_paused = False
         self.on_closed: Callable[[], None] = lambda: None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -136,6 +178,18 @@
             and now_s < self.idle_until_s
         )
 
+    def enable_probes(self) -> None:
+        """Has the kernel probe the connection while it is idle."""
+        if not self.is_probed and not self.closed:
+            self.is_probed = probes.enable(self._transport)
+
+    def is_proved(self) -> bool:
+        """Returns whether probes show that the other end is alive."""
+        if not self.is_probed or self.closed:
+            return False
+        silent_ms = probes.silent_ms(self._transport)
+        return silent_ms is not None and silent_ms < _MAX_SILENT_MS
+
     @property
     def is_first_exchange(self) -> bool:
         """Whether no response was received on this connection yet."""
@@ -157,6 +211,7 @@
         self._head = None
         self._chunks = []
         self._queued_bytes = 0
+        self._was_paused = False
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead | Failure:
@@ -256,6 +311,7 @@
         self._queued_bytes += len(data)
         if self._queued_bytes > _READ_BUFFER_BYTES and not self._reading_paused:
             self._reading_paused = True
+            self._was_paused = True
             self._transport.pause_reading()
 
     def on_message_complete(self) -> None:
@@ -263,6 +319,10 @@
         if self._in_body and not self._complete:
             self._complete = True
             self._response_count += 1
+            if self.is_probed and not self._was_paused:
+                # The server's timeout runs from the end of the response. While
+                # reading was paused, that end may be long past.
+                self._update_idle_limit()
             if not self._parser.should_keep_alive():
                 self._keep_alive = False
         self._in_body = False
@@ -273,96 +333,7 @@
         for part in self._headers.get(b"keep-alive").split(","):
             name, _, value = part.strip().partition("=")
             if name.lower() == "timeout" and value.isdigit():
-                wait_s = int(value) - _IDLE_MARGIN_S
-        self.idle_until_s = asyncio.get_running_loop().time() + max(wait_s, 0.0)
-
-
-class Pool:
-    """A pool of connections to all backend servers.
-
-    A server accepts a limited number of connections in total and resets those
-    beyond it, so each gateway keeps to its share of the limit.
-    """
-
-    def __init__(self) -> None:
-        self._idle: dict[str, list[ServerConnection]] = {}
-        self._open_counts: dict[str, int] = {}
-
-    async def acquire(
-        self,
-        address: str,
-        limit: int,
-        timeout_s: float,
-        max_idle_s: float = DEFAULT_MAX_IDLE_S,
-    ) -> ServerConnection | Failure:
-        """Returns an idle connection to a server, or opens one.
-
-        Args:
-            address: the server's address.
-            limit: most connections that this process may open to the server.
-            timeout_s: connect timeout.
-            max_idle_s: connections that were idle for longer are not used. The
-                server may have dropped one silently; a request sent on it is
-                reset, and whether it ran is then unknown.
-        """
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        idle = self._idle.get(address, [])
-        while idle:
-            conn = idle[-1]
-            if not conn.is_usable(now):
-                idle.pop()
-                conn.abort("idle for too long")
-            elif now - conn.idle_since_s <= max_idle_s:
-                return idle.pop()
-            else:
-                self._close_longest_idle(address, limit)
-                break
-        if self._open_counts.get(address, 0) >= limit:
-            return Failure(Verdict.NOT_RUN, "no connection is free")
-        self._open_counts[address] = self._open_counts.get(address, 0) + 1
-        host, _, port = address.rpartition(":")
-        try:
-            async with asyncio.timeout(timeout_s):
-                _, conn = await loop.create_connection(
-                    ServerConnection, host, int(port)
+                wait_s = int(value) - (
+                    _PROBED_IDLE_MARGIN_S if self.is_probed else _IDLE_MARGIN_S
                 )
-        except (OSError, TimeoutError) as exc:
-            self._count_closed(address)
-            return Failure(Verdict.NOT_RUN, f"no connection: {exc!r}")
-        except asyncio.CancelledError:
-            self._count_closed(address)
-            raise
-        conn.on_closed = lambda: self._count_closed(address)
-        if conn.closed:
-            self._count_closed(address)
-        return conn
-
-    def _close_longest_idle(self, address: str, limit: int) -> None:
-        """Closes the longest idle connection if the limit is reached."""
-        if self._open_counts.get(address, 0) < limit:
-            return
-        conn = self._idle[address].pop(0)
-        conn.on_closed = lambda: None
-        conn.abort("replaced by a new connection")
-        self._count_closed(address)
-
-    def release(self, address: str, conn: ServerConnection) -> None:
-        """Returns a connection to the pool once its exchange has ended."""
-        now = asyncio.get_running_loop().time()
-        if conn.is_usable(now):
-            self._idle.setdefault(address, []).append(conn)
-        else:
-            conn.abort("not usable again")
-
-    def retire(self, address: str) -> None:
-        """Closes the idle connections to a server that is gone or failing."""
-        for conn in self._idle.pop(address, []):
-            conn.abort("the server is gone or failing")
-
-    def _count_closed(self, address: str) -> None:
-        remaining = self._open_counts.get(address, 0) - 1
-        if remaining > 0:
-            self._open_counts[address] = remaining
-        else:
-            self._open_counts.pop(address, None)
+        self.idle_until_s = asyncio.get_running_loop().time() + max(wait_s, 0.0)
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -28,6 +28,15 @@
     "From a call's arrival to its last byte.",
     buckets=_LATENCY_BUCKETS,
 )
+CONNECTIONS_OPENED = Counter(
+    "catkinpin_connections_opened_total",
+    "Connections opened to servers, by why no idle one was used.",
+    ["reason"],
+)
+CONNECTIONS_REUSED = Counter(
+    "catkinpin_connections_reused_total",
+    "Requests for which an idle connection was used.",
+)
 CALLS_IN_FLIGHT = Gauge("catkinpin_calls_in_flight", "Calls not yet answered.")
 CONFIGURATION_REVISION = Gauge(
     "catkinpin_configuration_revision", "Revision this process serves under."
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -21,8 +21,8 @@
 )
 from catkinpin.adapters.gateway.usage import UsageReporter
 from catkinpin.adapters.gateway.view import GatewayView
-from catkinpin.adapters.http.client import Pool
 from catkinpin.adapters.http.headers import Headers
+from catkinpin.adapters.http.pool import Pool
 from catkinpin.adapters.http.server import HttpServer
 from catkinpin.core.control import accounts, protocol
 from catkinpin.core.control.routes import (
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,8 +7,9 @@
 
 import testtools
 
-from catkinpin.adapters.http.client import Failure, Pool, ResponseHead
+from catkinpin.adapters.http.client import Failure, ResponseHead
 from catkinpin.adapters.http.headers import Headers
+from catkinpin.adapters.http.pool import Pool
 from catkinpin.adapters.http.server import (
     HttpServer,
     Request,
