Weigh a new connection in the choice of a plain server

Cause: gateways choose among servers of nearly equal cost at random, so each request tends to reach a server without an idle connection.

Change: for contended services, Balancer.pick takes a function that tells whether an idle connection to a server exists, and adds 8 ms (24 ms to another region) for a new one. The log line of a request names that part of its cost.

--- a/bench/deciding/policies.py
+++ b/bench/deciding/policies.py
@@ -251,6 +251,7 @@
         avoid: Collection[str] = (),
         route: str = "",
         domain: str = "",
+        is_connected: Callable[[Instance], bool] | None = None,
     ) -> Choice | None:
         usable = _usable_servers(self, servers, avoid, now_ms)
         if not usable:
@@ -273,6 +274,7 @@
         avoid: Collection[str] = (),
         route: str = "",
         domain: str = "",
+        is_connected: Callable[[Instance], bool] | None = None,
     ) -> Choice | None:
         usable = _usable_servers(self, servers, avoid, now_ms)
         if not usable:
@@ -310,6 +312,7 @@
         avoid: Collection[str] = (),
         route: str = "",
         domain: str = "",
+        is_connected: Callable[[Instance], bool] | None = None,
     ) -> Choice | None:
         listed = list(servers)
         session_server = (
@@ -347,6 +350,7 @@
         avoid: Collection[str] = (),
         route: str = "",
         domain: str = "",
+        is_connected: Callable[[Instance], bool] | None = None,
     ) -> Choice | None:
         listed = list(servers)
         if call.prompt and not avoid:
--- a/catkinpin/adapters/gateway/answers.py
+++ b/catkinpin/adapters/gateway/answers.py
@@ -142,6 +142,7 @@
         }
         if choice is not None:
             facts["cost_ms"] = round(choice.cost_ms, 1)
+            facts["connection_ms"] = choice.connection_ms
             facts["cached"] = choice.cached_tokens
             facts["load_age_ms"] = choice.load_age_ms
             facts["running"] = choice.running
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -21,10 +21,13 @@
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from catkinpin.adapters.gateway.context import GatewayContext
     from catkinpin.adapters.gateway.work import OpenCall
     from catkinpin.adapters.http.client import ResponseHead, ServerConnection
     from catkinpin.adapters.http.headers import Headers
+    from catkinpin.core.control.servers import Instance
     from catkinpin.core.placement.balance import Choice
     from catkinpin.core.requests.calls import Load
 
@@ -87,7 +90,12 @@
                 now_ms + _OVERDUE_EJECTION_MS,
             )
         choice = self._leader_choice(state, now_ms) or self._balancer.pick(
-            servers, state.call, now_ms, state.tried_servers, state.route.name
+            servers,
+            state.call,
+            now_ms,
+            state.tried_servers,
+            state.route.name,
+            is_connected=self._connected_servers(state),
         )
         if choice is None:
             state.reason = state.reason or "no server is left"
@@ -101,6 +109,14 @@
         state.choice = choice
         return choice
 
+    def _connected_servers(
+        self, state: OpenCall
+    ) -> Callable[[Instance], bool] | None:
+        """Returns a test for idle connections if they count for the choice."""
+        if not self._contention.is_contended(state.service.name):
+            return None
+        return lambda instance: self._pool.has_idle(instance.address)
+
     def _leader_choice(self, state: OpenCall, now_ms: int) -> Choice | None:
         """Returns the server that the leader selected, if it can be used."""
         instance = self._view.fleet.servers.get(state.assigned_server)
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -32,7 +32,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Container, Iterable
+    from collections.abc import Callable, Collection, Container, Iterable
 
     from catkinpin.core.control.servers import Instance
     from catkinpin.core.placement.speeds import EngineSpeed, Speeds
@@ -49,6 +49,10 @@
 # another region. Bytes between regions are costly as well.
 _CROSS_DOMAIN_MS = 3.0
 _CROSS_REGION_MS = 24.0
+# Cost of opening a connection to a server in the region or in another one: a
+# round trip, and a slot at the server for about a ms.
+_CONNECTION_MS = 8.0
+_REGION_CONNECTION_MS = 24.0
 # Share of used slots from which a server is busy. On a busy server, a turn
 # whose program has expired would slow down turns that can still be in time.
 _BUSY_SLOT_SHARE = 0.5
@@ -79,6 +83,7 @@
         running: Estimated number of running and waiting requests.
         speed: Learned speed of a model server; None for others.
         slowdown: Expected slowdown of the server's machine, 1 for none.
+        connection_ms: Part of the cost that is for a new connection.
     """
 
     instance: Instance
@@ -88,6 +93,7 @@
     running: int = 0
     speed: EngineSpeed | None = None
     slowdown: float = 1.0
+    connection_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -155,6 +161,7 @@
         avoid: Collection[str] = (),
         route: str = "",
         domain: str = "",
+        is_connected: Callable[[Instance], bool] | None = None,
     ) -> Choice | None:
         """Returns the server for a request, or None if no server is ready.
 
@@ -165,6 +172,8 @@
             avoid: IDs of the servers to which the request was already sent.
             route: Name of the route; its plain calls take similar times.
             domain: Failure domain of the request; empty for the gateway's.
+            is_connected: Returns whether the request needs no new connection
+                to a server; None if connections don't count.
         """
         subset = shortlist(servers, call.prompt, self._cached_parts, self._rng)
         ready = [
@@ -183,6 +192,13 @@
         ]
         if not choices:
             return None
+        if is_connected is not None:
+            choices = [
+                choice
+                if is_connected(choice.instance)
+                else self._add_connection(choice, origin)
+                for choice in choices
+            ]
         lowest_ms = min(choice.cost_ms for choice in choices)
         tied = [c for c in choices if c.cost_ms <= lowest_ms + _TIE_MARGIN_MS]
         return self._rng.choice(tied)
@@ -347,6 +363,15 @@
         )
         return Choice(instance, cost_ms, cached, age, running, speed, slowdown)
 
+    def _add_connection(self, choice: Choice, origin: str) -> Choice:
+        """Returns a choice with the cost of a new connection added."""
+        domain = choice.instance.domain
+        is_near = self._regions.get(domain, "") == self._regions.get(origin, "")
+        cost_ms = _CONNECTION_MS if is_near else _REGION_CONNECTION_MS
+        return dataclasses.replace(
+            choice, cost_ms=choice.cost_ms + cost_ms, connection_ms=cost_ms
+        )
+
     def _cost_to_others_ms(
         self, work: WorkEstimate, concurrent: int, queued: int, slots: int
     ) -> float:
