Weigh the asking gateway's connections in the choice for a turn

Cause: the leader names the server of each turn without regard to the servers to which the asking gateway has connections.

Change: Placer.place gets the gateway's name and, for contended services, adds 8 ms (24 ms to another region) for servers that the gateway was not sent to within 8 s. Pairs of gateway and server are kept for 8 s, at most 50,000, per incarnation of the server, and dropped as the server fails a turn.

The price is small against what one more concurrent turn costs, so it decides between equally loaded servers only.

--- a/catkinpin/adapters/keeper/asks.py
+++ b/catkinpin/adapters/keeper/asks.py
@@ -63,11 +63,7 @@
         try:
             match message:
                 case protocol.AskBegin():
-                    began = await self._turn_requests.begin(message)
-                    if isinstance(began, Undecided):
-                        self._reply(stream, message.ask, began)
-                    else:
-                        stream.send(began)
+                    await self._begin(stream, message)
                 case protocol.AskFinish():
                     error = await self._turn_requests.finish(message)
                     self._reply(stream, message.ask, error)
@@ -91,8 +87,9 @@
                     )
                     self._reply(stream, message.ask, error)
                 case protocol.ReportUse():
-                    name = stream.hello.process if stream.hello else ""
-                    update = self._turn_requests.report_use(message, name)
+                    update = self._turn_requests.report_use(
+                        message, _sender(stream)
+                    )
                     self._publish_unresponsive()
                     if isinstance(update, Undecided):
                         self._reply(stream, message.ask, update)
@@ -109,6 +106,15 @@
         except StorageError as exc:
             exits.exit_immediately(exc)
 
+    async def _begin(
+        self, stream: links.Stream, message: protocol.AskBegin
+    ) -> None:
+        began = await self._turn_requests.begin(message, _sender(stream))
+        if isinstance(began, Undecided):
+            self._reply(stream, message.ask, began)
+        else:
+            stream.send(began)
+
     def _publish_unresponsive(self) -> None:
         """Publishes the unresponsive servers when they change.
 
@@ -181,3 +187,8 @@
         if begin:
             self._publisher.publish_info()
         return outcome
+
+
+def _sender(stream: links.Stream) -> str:
+    """Returns the name of the process at the other end; empty if unknown."""
+    return stream.hello.process if stream.hello else ""
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -8,7 +8,7 @@
 
 from msgspec import structs
 
-from catkinpin import decisions
+from catkinpin import decisions, metrics
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.core.control import protocol
 from catkinpin.core.control.ledger import Denial
@@ -52,9 +52,14 @@
         self._unresponsive = UnresponsiveServers()
 
     async def begin(
-        self, message: protocol.AskBegin
+        self, message: protocol.AskBegin, gateway: str = ""
     ) -> protocol.Began | Undecided:
-        """Begins a turn and chooses a server for it, unless it is denied."""
+        """Begins a turn and chooses a server for it, unless it is denied.
+
+        Args:
+            message: the request.
+            gateway: name of the asking gateway; empty if it is unknown.
+        """
         begin = structs.replace(message.begin, at_ms=self._host.log_time_ms())
         retry_ms = self._admit(begin)
         if retry_ms:
@@ -65,7 +70,7 @@
         placed = (
             ""
             if outcome.denial
-            else self._choose_server(message, outcome.server)
+            else self._choose_server(message, outcome.server, gateway)
         )
         return protocol.Began(
             ask=message.ask,
@@ -165,15 +170,29 @@
         )
 
     def _choose_server(
-        self, message: protocol.AskBegin, last_server: str
+        self, message: protocol.AskBegin, last_server: str, gateway: str
     ) -> str:
         if message.place is None:
             return ""
         fleet = self._host.state.fleet
-        return self._placer.place(
-            message.begin.attempt,
+        attempt = message.begin.attempt
+        server = self._placer.place(
+            attempt,
             message.place,
             fleet.servers_of(message.place.service),
             fleet.servers.get(last_server),
             self._clock.now_ms(),
+            gateway,
         )
+        connection_ms = self._placer.connection_ms(attempt)
+        if connection_ms is not None:
+            kind = "new" if connection_ms else "used"
+            metrics.PLACED_TURNS.labels(kind).inc()
+            decisions.routine(
+                "placed",
+                attempt,
+                server=server,
+                gateway=gateway,
+                connection_ms=connection_ms,
+            )
+        return server
--- a/catkinpin/core/placement/placer.py
+++ b/catkinpin/core/placement/placer.py
@@ -20,6 +20,7 @@
 from catkinpin.codec import Message
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.speeds import EngineSpeed, Speeds
+from catkinpin.core.placement.usedservers import UsedServers
 from catkinpin.core.requests.calls import PromptPart, RouteCall
 
 if TYPE_CHECKING:
@@ -27,6 +28,7 @@
     from collections.abc import Collection
 
     from catkinpin.core.control.servers import Instance
+    from catkinpin.core.placement.balance import Choice
     from catkinpin.core.placement.contention import ContendedServices
 
 # A turn expires this long after its deadline, as its gateway must have died.
@@ -89,10 +91,18 @@
 
 @dataclasses.dataclass
 class _PlacedTurn:
-    """A turn that counts as load of its server until it finishes or expires."""
+    """A turn that counts as load of its server until it finishes or expires.
+
+    Attributes:
+        gateway: Name of the gateway that asked; empty if it is unknown or
+            connections don't count.
+        connection_ms: Part of the cost that was for a new connection.
+    """
 
     instance: Instance
     until_ms: int
+    gateway: str
+    connection_ms: float
 
 
 class ReportedSpeeds(Speeds):
@@ -146,6 +156,7 @@
             self._speeds,
             region_cost_ms=_CROSS_REGION_MS,
         )
+        self._used_servers = UsedServers()
         self._turns: dict[str, _PlacedTurn] = {}
         self._last_expiry_ms = 0
 
@@ -165,6 +176,7 @@
         servers: Collection[Instance],
         last_server: Instance | None,
         now_ms: int,
+        gateway: str = "",
     ) -> str:
         """Returns the ID of the server for a turn, empty if there is none.
 
@@ -175,6 +187,7 @@
             last_server: Server of the program's previous turn, which has
                 cached all but the last part of the prompt; None if unknown.
             now_ms: Monotonic time.
+            gateway: Name of the asking gateway; empty if it is unknown.
         """
         self._remove_expired(now_ms)
         placed = self._turns.get(attempt)
@@ -189,14 +202,47 @@
             prompt=tuple(turn.prompt),
             max_tokens=turn.max_tokens,
         )
-        choice = self._balancer.pick(servers, call, now_ms, domain=turn.domain)
+        if not self._contention.is_contended(turn.service):
+            gateway = ""
+        choice = self._balancer.pick(
+            servers,
+            call,
+            now_ms,
+            domain=turn.domain,
+            is_connected=self._used_servers.used_by(gateway, now_ms)
+            if gateway
+            else None,
+        )
         if choice is None:
             return ""
         self._balancer.record_sent(choice.instance, call)
         until_ms = now_ms + turn.left_ms + _EXPIRY_GRACE_MS
-        self._turns[attempt] = _PlacedTurn(choice.instance, until_ms)
+        self._add(attempt, choice, gateway, until_ms, now_ms)
         return choice.instance.id
 
+    def _add(
+        self,
+        attempt: str,
+        choice: Choice,
+        gateway: str,
+        until_ms: int,
+        now_ms: int,
+    ) -> None:
+        self._turns[attempt] = _PlacedTurn(
+            choice.instance, until_ms, gateway, choice.connection_ms
+        )
+        if gateway:
+            self._used_servers.record_use(gateway, choice.instance, now_ms)
+
+    def connection_ms(self, attempt: str) -> float | None:
+        """Returns the part of a turn's cost that was for a new connection.
+
+        Returns None for a turn that is not placed here, or if connections
+        didn't count.
+        """
+        placed = self._turns.get(attempt)
+        return placed.connection_ms if placed and placed.gateway else None
+
     def finish(self, attempt: str, report: TurnReport, now_ms: int) -> None:
         """Ends a turn; does nothing for a turn that was not placed here.
 
@@ -213,8 +259,11 @@
         self._balancer.record_ended(instance)
         if instance.id in report.failed:
             self._balancer.record_failure(instance, now_ms, immediate=False)
+            self._used_servers.record_failure(placed.gateway, instance)
         else:
             self._balancer.record_success(instance)
+            if placed.gateway:
+                self._used_servers.record_use(placed.gateway, instance, now_ms)
         if report.speed is not None and report.speed.is_plausible:
             self._speeds.add_report(instance.service, report.speed)
 
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -37,6 +37,12 @@
     "catkinpin_connections_reused_total",
     "Requests for which an idle connection was used.",
 )
+PLACED_TURNS = Counter(
+    "catkinpin_placed_turns_total",
+    "Turns of contended services that the leader placed, by whether the asking"
+    " gateway used the server lately.",
+    ["connection"],
+)
 CALLS_IN_FLIGHT = Gauge("catkinpin_calls_in_flight", "Calls not yet answered.")
 CONFIGURATION_REVISION = Gauge(
     "catkinpin_configuration_revision", "Revision this process serves under."
--- a/tests/test_connection_choice.py
+++ b/tests/test_connection_choice.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import itertools
 import random
 from typing import TYPE_CHECKING
 from unittest import mock
 
 import testtools
+from msgspec import structs
 
 from catkinpin.core.control.routes import RouteKind
 from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.contention import ContendedServices
+from catkinpin.core.placement.placer import Placer, PlaceTurn, TurnReport
 from catkinpin.core.placement.speeds import Speeds
-from catkinpin.core.requests.calls import Load, RouteCall
+from catkinpin.core.placement.usedservers import UsedServers
+from catkinpin.core.requests.calls import Load, PromptPart, RouteCall
 from tests.fakes.connectionload import LoadResult, run_load
 from tests.fakes.gatewayrig import Rig, answer_ok
 from tests.fakes.instances import instance
@@ -68,6 +74,44 @@
     return run_load(70, 8_000, 3.3, 60, max_idle_ms, choose, end)
 
 
+def _placer(*, configured: bool) -> Placer:
+    contention = ContendedServices(configured=configured)
+    return Placer(_REGIONS, random.Random(1), contention)
+
+
+def _turn(name: str, domain: str) -> PlaceTurn:
+    return PlaceTurn(
+        service="models",
+        domain=domain,
+        prompt=[PromptPart(name, 500)],
+        max_tokens=300,
+        left_ms=3_000,
+    )
+
+
+def _run_turns(max_idle_ms: int, *, configured: bool) -> LoadResult:
+    """Runs 50 gateways and 22 model servers at half of their slots."""
+    placer = _placer(configured=configured)
+    servers = _servers(22, 8)
+    numbers = itertools.count()
+    running: dict[tuple[int, str], list[str]] = collections.defaultdict(list)
+
+    def choose(
+        gateway: int, now_ms: int, has_idle: Callable[[Instance], bool]
+    ) -> Instance:
+        attempt = f"t{next(numbers)}"
+        turn = _turn(attempt, "abcdef"[gateway % 6])
+        name = placer.place(attempt, turn, servers, None, now_ms, f"g{gateway}")
+        running[gateway, name].append(attempt)
+        return servers[int(name[1:])]
+
+    def end(gateway: int, server: Instance, load: Load, now_ms: int) -> None:
+        attempt = running[gateway, server.id].pop(0)
+        placer.finish(attempt, TurnReport(), now_ms)
+
+    return run_load(50, 4_000, 11.4, 1_000, max_idle_ms, choose, end)
+
+
 class PlainChoiceTest(testtools.TestCase):
     """Connections in a gateway's choice of an application server."""
 
@@ -122,3 +166,84 @@
 
         asyncio.run(scenario())
         self.assertEqual([False, True], choices)
+
+
+class TurnChoiceTest(testtools.TestCase):
+    """Connections in the leader's choice of a model server."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.placer = _placer(configured=True)
+        self.servers = _servers(3, 8)
+
+    def _place(self, attempt: str, now_ms: int, gateway: str = "g") -> str:
+        return self.placer.place(
+            attempt, _turn(attempt, "a"), self.servers, None, now_ms, gateway
+        )
+
+    def _end(self, attempt: str, now_ms: int, *failed: str) -> None:
+        self.placer.finish(attempt, TurnReport(failed=list(failed)), now_ms)
+
+    def test_many_gateways_open_fewer_connections_and_stay_even(self) -> None:
+        """Guards against a choice that ignores the gateways' connections."""
+        before = _run_turns(_SHORT_IDLE_MS, configured=False)
+        after = _run_turns(_LONG_IDLE_MS, configured=False)
+        priced = _run_turns(_LONG_IDLE_MS, configured=True)
+        self.assertLess(after.opened, before.opened / 2)
+        self.assertLess(priced.opened, after.opened)
+        self.assertLess(priced.busiest_share(22), 1.1)
+
+    def test_gateway_returns_to_its_server_for_8_s(self) -> None:
+        """Guards against a price for servers with an idle connection."""
+        first = self._place("t0", 0)
+        self.assertEqual(8.0, self.placer.connection_ms("t0"))
+        self._end("t0", 1_000)
+        for n in range(1, 9):
+            self.assertEqual(first, self._place(f"t{n}", 9_000 * n))
+            self.assertEqual(0.0, self.placer.connection_ms(f"t{n}"))
+            self._end(f"t{n}", 9_000 * n + 1_000)
+        self._place("late", 82_001)
+        self.assertEqual(8.0, self.placer.connection_ms("late"))
+
+    def test_failed_and_restarted_servers_have_no_connection(self) -> None:
+        """Guards against assuming connections that have broken."""
+        first = self._place("t0", 0)
+        self._end("t0", 10, first)
+        self.servers = [s for s in self.servers if s.id == first]
+        self._place("t1", 5_000)
+        self.assertEqual(8.0, self.placer.connection_ms("t1"))
+        self._end("t1", 5_100)
+        self.servers = [structs.replace(self.servers[0], started_ms=9)]
+        self._place("t2", 5_200)
+        self.assertEqual(8.0, self.placer.connection_ms("t2"))
+
+    def test_unknown_gateway_and_new_leader_pay_no_false_price(self) -> None:
+        """Guards against choices by connections that nobody knows."""
+        self._place("t0", 0, gateway="")
+        self.assertIsNone(self.placer.connection_ms("t0"))
+        self._place("t1", 0)
+        self.placer.reset()
+        self._place("t2", 10)
+        self.assertEqual(8.0, self.placer.connection_ms("t2"))
+        placer = _placer(configured=False)
+        placer.place("t", _turn("t", "a"), self.servers, None, 0, "g")
+        self.assertIsNone(placer.connection_ms("t"))
+
+    def test_pairs_are_bounded_and_only_recent_ones_kept(self) -> None:
+        """Guards against 984,000 pairs of gateways and servers in memory."""
+        used = UsedServers()
+        server = self.servers[0]
+        for n in range(60_000):
+            used.record_use(f"g{n}", server, 0)
+        self.assertEqual(50_000, len(used))
+        rng = random.Random(1)
+        last: dict[int, int] = {}
+        for now_ms in range(9_000, 60_000, 100):
+            gateway = rng.randrange(100)
+            used.record_use(f"g{gateway}", server, now_ms)
+            last[gateway] = now_ms
+            recent = [n for n, at in last.items() if at >= now_ms - 8_000]
+            self.assertEqual(len(recent), len(used))
+            for n in range(100):
+                is_used = used.used_by(f"g{n}", now_ms)(server)
+                self.assertEqual(n in recent, is_used)
--- a/tests/test_turnrequests.py
+++ b/tests/test_turnrequests.py
@@ -5,8 +5,9 @@
 import asyncio
 import types
 from typing import TYPE_CHECKING, Any, cast
+from unittest import mock
 
-from catkinpin import clock
+from catkinpin import clock, decisions
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.adapters.keeper.turns import TurnRequests
 from catkinpin.core.control import protocol
@@ -58,13 +59,13 @@
         return self.outcome
 
 
-def _requests(host: _Host) -> TurnRequests:
+def _requests(host: _Host, *, contended: bool = False) -> TurnRequests:
     return TurnRequests(
         cast("KeeperHost", host),
         {"a": "r"},
         clock.system_clock(),
         1.0,
-        ContendedServices(configured=False),
+        ContendedServices(configured=contended),
     )
 
 
@@ -124,6 +125,17 @@
             self.host.state.fleet.apply(draining)
         self.assertEqual("s0", self._begin(_ask_begin("t")).placed)
 
+    def test_server_that_the_asking_gateway_used_costs_nothing(self) -> None:
+        """Guards against a leader that ignores which gateway asks."""
+        self.requests = _requests(self.host, contended=True)
+        with mock.patch.object(decisions, "routine") as routine:
+            for number, gateway in enumerate(["g1", "g2", "g2", "g1"]):
+                message = _ask_begin(f"t{number}")
+                asyncio.run(self.requests.begin(message, gateway))
+                asyncio.run(self.requests.finish(_ask_finish(f"t{number}")))
+        costs = [line.kwargs["connection_ms"] for line in routine.mock_calls]
+        self.assertEqual([8.0, 8.0, 0.0, 0.0], costs)
+
     def test_gateway_that_asks_for_no_server_gets_no_name(self) -> None:
         """Guards against counting plain streams as load of model servers."""
         self.assertEqual("", self._begin(_ask_begin("t", place=False)).placed)
