Limit gateways to a subset of contended application servers

Cause: a gateway that spreads few requests over all application servers finds no idle connection to most of them.

Change: for contended services, a gateway first compares half of the servers, at least 3, chosen by rendezvous hashing. Servers of its region come first, as a call to another region costs 24 ms, more than a new connection saves; within a region the failure domains are mixed. All servers are compared once half of the subset's slots are in use; slots of servers that are ejected, failing or already tried count as used. Changes and excesses are logged, and choices counted.

--- a/catkinpin/adapters/gateway/context.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -17,6 +17,7 @@
     from catkinpin.core.placement.balance import Balancer
     from catkinpin.core.placement.contention import ContendedServices
     from catkinpin.core.placement.speeds import Speeds
+    from catkinpin.core.placement.subsets import Subsets
     from catkinpin.core.placement.unresponsive import PendingCalls
 
 
@@ -35,6 +36,7 @@
         usage: counts plain requests of client accounts.
         waiting: plain calls that are waiting for their answers.
         contention: for which services capacity is contended.
+        subsets: the application servers that this gateway uses first.
         gateways: returns how many gateways share the servers' limits.
         domain: failure domain of this gateway.
     """
@@ -49,5 +51,6 @@
     usage: UsageReporter
     waiting: PendingCalls
     contention: ContendedServices
+    subsets: Subsets
     gateways: Callable[[], int]
     domain: str = ""
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -21,7 +21,7 @@
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from catkinpin.adapters.gateway.context import GatewayContext
     from catkinpin.adapters.gateway.work import OpenCall
@@ -72,6 +72,7 @@
         self._count_gateways = context.gateways
         self._waiting = context.waiting
         self._contention = context.contention
+        self._subsets = context.subsets
         self._crashes = CrashReporter(context.turns, self.is_reachable)
 
     def pick_server(self, state: OpenCall) -> Choice | None:
@@ -90,7 +91,7 @@
                 now_ms + _OVERDUE_EJECTION_MS,
             )
         choice = self._leader_choice(state, now_ms) or self._balancer.pick(
-            servers,
+            self._candidates(state, servers, now_ms),
             state.call,
             now_ms,
             state.tried_servers,
@@ -109,6 +110,34 @@
         state.choice = choice
         return choice
 
+    def _candidates(
+        self, state: OpenCall, servers: Collection[Instance], now_ms: int
+    ) -> Collection[Instance]:
+        """Returns the servers among which one is picked for a request."""
+        service = state.service
+        is_engine = service.engine is not None
+        if is_engine or not self._contention.is_contended(service.name):
+            return servers
+        selection = self._subsets.select(
+            service.name, servers, self._balancer, state.tried_servers, now_ms
+        )
+        if not selection.subset:
+            return servers
+        result = "all" if selection.is_exceeded else "subset"
+        metrics.SUBSET_CHOICES.labels(result).inc()
+        if selection.is_new:
+            subset = selection.subset
+            decisions.note("subset", "", service=service.name, servers=subset)
+        if selection.is_exceeded:
+            decisions.routine(
+                "subset-exceeded",
+                state.call.attempt,
+                used_share=round(selection.used_share, 2),
+                failing=selection.failing,
+                load_age_ms=selection.load_age_ms,
+            )
+        return selection.servers
+
     def _connected_servers(
         self, state: OpenCall
     ) -> Callable[[Instance], bool] | None:
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -24,6 +24,7 @@
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.speeds import Speeds
+from catkinpin.core.placement.subsets import Subsets
 from catkinpin.core.placement.unresponsive import (
     PendingCalls,
     eject_unresponsive,
@@ -94,6 +95,7 @@
                 usage=self._usage,
                 waiting=self._pending_calls,
                 contention=ContendedServices(configured=cfg.contended_capacity),
+                subsets=Subsets(cfg.name, cfg.failure_domain, regions),
                 gateways=self._count_gateways,
                 domain=cfg.failure_domain,
             )
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -28,7 +28,7 @@
 from catkinpin.core.control.servers import ServerState
 from catkinpin.core.placement import speeds
 from catkinpin.core.placement.shortlist import cached_tokens, shortlist
-from catkinpin.core.placement.tracked import TrackedServer
+from catkinpin.core.placement.tracked import ServerStatus, TrackedServer
 
 if TYPE_CHECKING:
     import random
@@ -308,6 +308,17 @@
         """Returns whether one more request would delay the others."""
         return self.used_slot_share(instance, now_ms) >= _BUSY_SLOT_SHARE
 
+    def status(self, instance: Instance, now_ms: int) -> ServerStatus:
+        """Returns what is known of a server's load and failures."""
+        server = self._tracked(instance)
+        recent = now_ms - server.failed_at_ms <= _FAILURE_WINDOW_MS
+        return ServerStatus(
+            self.used_slot_share(instance, now_ms),
+            self._is_ejected(instance, now_ms)
+            or (server.failures > 0 and recent),
+            now_ms - server.load_reported_ms if server.load else -1,
+        )
+
     def _is_ejected(self, instance: Instance, now_ms: int) -> bool:
         return self._tracked(instance).ejected_until_ms > now_ms
 
--- a/catkinpin/core/placement/tracked.py
+++ b/catkinpin/core/placement/tracked.py
@@ -28,6 +28,21 @@
 _SLOWDOWN_HALF_LIFE_MS = 250.0
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerStatus:
+    """What a balancer knows of a server's load and failures.
+
+    Attributes:
+        used_share: Estimated share of its slots in use.
+        is_failing: Whether it is ejected or failed lately without a success.
+        load_age_ms: Age of the last load report; -1 if there is none.
+    """
+
+    used_share: float
+    is_failing: bool
+    load_age_ms: int
+
+
 @dataclasses.dataclass
 class TrackedServer:
     """State that a gateway keeps for one incarnation of a server.
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -43,6 +43,12 @@
     " gateway used the server lately.",
     ["connection"],
 )
+SUBSET_CHOICES = Counter(
+    "catkinpin_subset_choices_total",
+    "Choices of a contended application server, by whether all servers or only"
+    " the gateway's subset were compared.",
+    ["servers"],
+)
 CALLS_IN_FLIGHT = Gauge("catkinpin_calls_in_flight", "Calls not yet answered.")
 CONFIGURATION_REVISION = Gauge(
     "catkinpin_configuration_revision", "Revision this process serves under."
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -37,6 +37,7 @@
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.speeds import Speeds
+from catkinpin.core.placement.subsets import Subsets
 from catkinpin.core.placement.unresponsive import PendingCalls
 from catkinpin.core.placement.urgency import ProgramStatus
 from catkinpin.core.requests.calls import AnswerFacts, RouteCall
@@ -230,6 +231,7 @@
                 clock=self.clock.clock(),
                 usage=self.usage,
                 contention=self.contention,
+                subsets=Subsets("g", "a", {"a": "r"}),
                 waiting=PendingCalls(),
                 gateways=lambda: 1,
             )
--- a/tests/test_connection_choice.py
+++ b/tests/test_connection_choice.py
@@ -17,6 +17,7 @@
 from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.placer import Placer, PlaceTurn, TurnReport
 from catkinpin.core.placement.speeds import Speeds
+from catkinpin.core.placement.subsets import Subsets
 from catkinpin.core.placement.usedservers import UsedServers
 from catkinpin.core.requests.calls import Load, PromptPart, RouteCall
 from tests.fakes.connectionload import LoadResult, run_load
@@ -50,15 +51,21 @@
     ]
 
 
-def _run_plain(max_idle_ms: int, *, is_priced: bool) -> LoadResult:
+def _run_plain(
+    max_idle_ms: int, *, is_priced: bool, has_subsets: bool = False
+) -> LoadResult:
     """Runs 70 gateways and 6 application servers at half of their slots."""
     balancers, servers = _balancers(70), _servers(6, 6)
+    subsets = [Subsets(f"g{n}", "abcdef"[n % 6], _REGIONS) for n in range(70)]
 
     def choose(
         gateway: int, now_ms: int, has_idle: Callable[[Instance], bool]
     ) -> Instance:
+        selection = subsets[gateway].select(
+            "tools", servers, balancers[gateway], (), now_ms
+        )
         choice = balancers[gateway].pick(
-            servers,
+            selection.servers if has_subsets else servers,
             _CALL,
             now_ms,
             is_connected=has_idle if is_priced else None,
@@ -118,9 +125,11 @@
     def test_many_gateways_open_few_connections_and_stay_even(self) -> None:
         """Guards against a new connection for every fourth request."""
         before = _run_plain(_SHORT_IDLE_MS, is_priced=False)
-        after = _run_plain(_LONG_IDLE_MS, is_priced=True)
+        priced = _run_plain(_LONG_IDLE_MS, is_priced=True)
+        after = _run_plain(_LONG_IDLE_MS, is_priced=True, has_subsets=True)
         self.assertGreater(before.opened, before.requests.total() / 5)
-        self.assertLess(after.opened, after.requests.total() / 15)
+        self.assertLess(priced.opened, priced.requests.total() / 15)
+        self.assertLess(after.opened, priced.opened)
         self.assertLess(after.busiest_share(6), 1.1)
 
     def test_connection_decides_between_similar_servers_only(self) -> None:
