Report no crash for a connection that its probes ended

Cause: the probes also end connections on which a request is running, as a link is down for 3 s. The gateway then finds the server unreachable and reports a crash; two such reports quarantine a healthy request.

Change: a probed connection that timed out doesn't count as lost by a crash. Also, a connection that is opened while the first one to its server is being opened counts as busy and not as first.

Measured: the new test fails before with one crash report instead of none.

--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -11,6 +11,7 @@
 import asyncio
 import dataclasses
 import enum
+import errno
 import logging
 from typing import TYPE_CHECKING, cast
 
@@ -36,6 +37,9 @@
 # A probed connection is proved alive if the other end was heard within this
 # time: two probes, and half of the interval for the answer to the second one.
 _MAX_SILENT_MS = 2_500
+# Errors with which the kernel ends a connection whose probes nobody answers. A
+# link that is down does that as well, so they don't show that a server crashed.
+_TIMEOUT_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 # Longest idle time of a connection that may carry a repeatable request.
 DEFAULT_MAX_IDLE_S = 60.0
 # Idle timeout of a server that sends no Keep-Alive timeout.
@@ -92,7 +96,8 @@
     Attributes:
         verdict: whether the request may have run.
         reason: what happened, for the log.
-        is_lost: whether the connection was lost during the request.
+        is_lost: whether the connection was closed or reset during the request.
+            False for a probed one that timed out.
     """
 
     verdict: Verdict
@@ -137,6 +142,7 @@
         self.is_probed = False
         self.opening: Opening | None = None
         self._was_paused = False
+        self._timed_out = False
         self.on_closed: Callable[[], None] = lambda: None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -153,6 +159,11 @@
             self._failure_reason = (
                 self._failure_reason or f"connection lost: {exc or 'closed'}"
             )
+            self._timed_out = (
+                self.is_probed
+                and isinstance(exc, OSError)
+                and exc.errno in _TIMEOUT_ERRORS
+            )
         self._state_changed.set()
         self.on_closed()
 
@@ -241,7 +252,11 @@
         return data
 
     def _connection_failure(self) -> Failure:
-        return Failure(Verdict.MAY_HAVE_RUN, self._failure_reason, is_lost=True)
+        return Failure(
+            Verdict.MAY_HAVE_RUN,
+            self._failure_reason,
+            is_lost=not self._timed_out,
+        )
 
     def finish(self, now_s: float) -> None:
         """Ends the exchange, so that the connection can be used again.
--- a/catkinpin/adapters/http/pool.py
+++ b/catkinpin/adapters/http/pool.py
@@ -85,10 +85,10 @@
         idle = self._idle.get(address, [])
         open_count = self._open_counts.get(address, 0)
         reason, idle_ms = OpenReason.EXPIRED, -1
-        if address not in self._known_addresses:
-            reason = OpenReason.FIRST
-        elif open_count and not idle:
+        if open_count and not idle:
             reason = OpenReason.BUSY
+        elif address not in self._known_addresses:
+            reason = OpenReason.FIRST
         while idle:
             conn = idle[-1]
             idle_s = now - conn.idle_since_s
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
@@ -268,6 +269,42 @@
 
         self.run_within_limit(scenario())
 
+    def _count_crashes(self, code: int) -> int:
+        """Returns the crash reports after a connection ended by an error."""
+        rig = Rig(RouteKind.NON_IDEMPOTENT, has_engine=False)
+        rig.contention.record_load("s", Load(0, 0, 4, slowdown=1.0))
+        original = ServerConnection.connection_lost
+
+        def lose(conn: ServerConnection, _: object) -> None:
+            original(conn, OSError(code, "lost"))
+
+        async def lose_connection(
+            seen: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await rig.servers[0].stop()
+            writer.transport.abort()
+
+        async def scenario() -> None:
+            await rig.start(lose_connection)
+            with mock.patch.object(ServerConnection, "connection_lost", lose):
+                response = await rig.ask(Deadline="1000")
+                await asyncio.sleep(0.05)
+            self.assertEqual(502, response.status)
+            await rig.stop()
+
+        self.run_within_limit(scenario())
+        return len(rig.turns.crashes)
+
+    def test_timeout_of_a_link_is_no_crash_of_the_server(self) -> None:
+        """Guards against quarantining requests that a link was cut under.
+
+        The probes end connections with a running request as well, and while
+        the link is down the server can't be reached.
+        """
+        self.assertEqual(0, self._count_crashes(errno.ETIMEDOUT))
+        self.assertEqual(0, self._count_crashes(errno.EHOSTUNREACH))
+        self.assertEqual(1, self._count_crashes(errno.ECONNRESET))
+
     def test_no_connection_means_the_request_has_not_run(self) -> None:
         """Guards against a verdict that forbids trying another server."""
 
