Compare the servers that a gateway used in large deployments

Cause: above 32 servers the balancer compares a random sample, which holds few of the servers that the asking gateway used. The price of a connection then decides nothing.

Change: the leader also compares the servers that the gateway used within 8 s, if they aren't ejected, and takes the cheaper choice.

--- a/catkinpin/core/placement/placer.py
+++ b/catkinpin/core/placement/placer.py
@@ -15,10 +15,12 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from typing import TYPE_CHECKING
 
 from catkinpin.codec import Message
 from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.shortlist import MAX_COMPARED
 from catkinpin.core.placement.speeds import EngineSpeed, Speeds
 from catkinpin.core.placement.usedservers import UsedServers
 from catkinpin.core.requests.calls import PromptPart, RouteCall
@@ -204,15 +206,7 @@
         )
         if not self._contention.is_contended(turn.service):
             gateway = ""
-        choice = self._balancer.pick(
-            servers,
-            call,
-            now_ms,
-            domain=turn.domain,
-            is_connected=self._used_servers.used_by(gateway, now_ms)
-            if gateway
-            else None,
-        )
+        choice = self._pick(servers, call, turn.domain, gateway, now_ms)
         if choice is None:
             return ""
         self._balancer.record_sent(choice.instance, call)
@@ -220,6 +214,35 @@
         self._add(attempt, choice, gateway, until_ms, now_ms)
         return choice.instance.id
 
+    def _pick(
+        self,
+        servers: Collection[Instance],
+        call: RouteCall,
+        domain: str,
+        gateway: str,
+        now_ms: int,
+    ) -> Choice | None:
+        """Returns the server for a turn, or None if no server is ready."""
+        if not gateway:
+            return self._balancer.pick(servers, call, now_ms, domain=domain)
+        pick = functools.partial(
+            self._balancer.pick,
+            call=call,
+            now_ms=now_ms,
+            domain=domain,
+            is_connected=self._used_servers.used_by(gateway, now_ms),
+        )
+        choice = pick(servers)
+        if len(servers) <= MAX_COMPARED:
+            return choice
+        # Only a sample was compared, which holds few of the used servers.
+        ids = self._used_servers.ids_used_by(gateway, now_ms)
+        used = [server for server in servers if server.id in ids]
+        ejected = self._balancer.ejected_servers(used, now_ms)
+        used_choice = pick([s for s in used if s.id not in ejected])
+        choices = [c for c in (used_choice, choice) if c is not None]
+        return min(choices, key=lambda c: c.cost_ms, default=None)
+
     def _add(
         self,
         attempt: str,
--- a/catkinpin/core/placement/shortlist.py
+++ b/catkinpin/core/placement/shortlist.py
@@ -19,7 +19,7 @@
 
 # For a service with more servers, the number of random servers compared, and
 # of servers that have cached the beginning of the prompt.
-_MAX_COMPARED = 32
+MAX_COMPARED = 32
 _MAX_HOLDERS = 8
 
 
@@ -41,10 +41,10 @@
             cached.
         rng: Random generator for the sample.
     """
-    if len(servers) <= _MAX_COMPARED:
+    if len(servers) <= MAX_COMPARED:
         return servers
     all_servers = list(servers)
-    chosen = rng.sample(all_servers, _MAX_COMPARED)
+    chosen = rng.sample(all_servers, MAX_COMPARED)
     if not prompt:
         return chosen
     first = prompt[0].id
--- a/catkinpin/core/placement/usedservers.py
+++ b/catkinpin/core/placement/usedservers.py
@@ -32,6 +32,7 @@
         self._used_ms: collections.OrderedDict[tuple[str, str, int], int] = (
             collections.OrderedDict()
         )
+        self._by_gateway: dict[str, set[tuple[str, int]]] = {}
 
     def __len__(self) -> int:
         """Returns the number of tracked pairs of gateway and server."""
@@ -42,6 +43,7 @@
         pair = (gateway, server.id, server.started_ms)
         self._used_ms[pair] = now_ms
         self._used_ms.move_to_end(pair)
+        self._by_gateway.setdefault(gateway, set()).add(pair[1:])
         self._remove_old(now_ms)
 
     def record_failure(self, gateway: str, server: Instance) -> None:
@@ -49,7 +51,12 @@
 
         The gateway then closes its connections to the server.
         """
-        self._used_ms.pop((gateway, server.id, server.started_ms), None)
+        self._remove((gateway, server.id, server.started_ms))
+
+    def ids_used_by(self, gateway: str, now_ms: int) -> set[str]:
+        """Returns the IDs of the servers that a gateway used."""
+        self._remove_old(now_ms)
+        return {server for server, _ in self._by_gateway.get(gateway, ())}
 
     def used_by(self, gateway: str, now_ms: int) -> Callable[[Instance], bool]:
         """Returns a function that tells whether the gateway used a server."""
@@ -69,4 +76,12 @@
             is_old = used_ms < now_ms - _MAX_AGE_MS
             if not is_old and len(self._used_ms) <= _MAX_PAIRS:
                 return
-            del self._used_ms[pair]
+            self._remove(pair)
+
+    def _remove(self, pair: tuple[str, str, int]) -> None:
+        if self._used_ms.pop(pair, None) is None:
+            return
+        pairs = self._by_gateway[pair[0]]
+        pairs.remove(pair[1:])
+        if not pairs:
+            del self._by_gateway[pair[0]]
--- a/tests/test_connection_choice.py
+++ b/tests/test_connection_choice.py
@@ -214,6 +214,18 @@
         self._place("late", 82_001)
         self.assertEqual(8.0, self.placer.connection_ms("late"))
 
+    def test_used_server_is_found_among_thousands(self) -> None:
+        """Guards against a sample of servers that leaves out the used ones."""
+        self.servers = _servers(2_400, 8)
+        first = self._place("t0", 0)
+        self._end("t0", 10)
+        for n in range(1, 10):
+            self.assertEqual(first, self._place(f"t{n}", 100 * n))
+            self._end(f"t{n}", 100 * n + 50)
+        server = self.servers[int(first[1:])]
+        self.placer._balancer.record_failure(server, 2_000, immediate=True)
+        self.assertNotEqual(first, self._place("late", 2_001))
+
     def test_failed_and_restarted_servers_have_no_connection(self) -> None:
         """Guards against assuming connections that have broken."""
         first = self._place("t0", 0)
@@ -256,3 +268,5 @@
             for n in range(100):
                 is_used = used.used_by(f"g{n}", now_ms)(server)
                 self.assertEqual(n in recent, is_used)
+                ids = used.ids_used_by(f"g{n}", now_ms)
+                self.assertEqual({server.id} if is_used else set(), ids)
