--- a/bench/deciding/policies.py
+++ b/bench/deciding/policies.py
@@ -6,11 +6,16 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core.placement import balance, urgency
+from catkinpin.core.placement import urgency
 from catkinpin.core.placement.balance import Balancer, Choice
 from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.placer import Placer, PlaceTurn, TurnReport
-from catkinpin.core.placement.speeds import EngineSpeed, Speeds, StreamTimings
+from catkinpin.core.placement.speeds import (
+    EngineSpeed,
+    Speeds,
+    StreamTimings,
+    WorkEstimate,
+)
 from catkinpin.core.placement.tracked import TrackedServer
 
 if TYPE_CHECKING:
@@ -163,7 +168,7 @@
     """Balancer that ignores the delay a request causes to others."""
 
     def _cost_to_others_ms(
-        self, work: balance.WorkEstimate, beside: int, queued: int, slots: int
+        self, work: WorkEstimate, beside: int, queued: int, slots: int
     ) -> float:
         return 0.0
 
--- a/catkinpin/adapters/gateway/context.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -16,6 +16,7 @@
     from catkinpin.clock import Clock
     from catkinpin.core.placement.balance import Balancer
     from catkinpin.core.placement.contention import ContendedServices
+    from catkinpin.core.placement.hedging import Hedging
     from catkinpin.core.placement.speeds import Speeds
     from catkinpin.core.placement.subsets import Subsets
     from catkinpin.core.placement.unresponsive import PendingCalls
@@ -37,6 +38,7 @@
         waiting: plain calls that are waiting for their answers.
         contention: for which services capacity is contended.
         subsets: the application servers that this gateway uses first.
+        hedging: decides on second attempts of plain calls.
         gateways: returns how many gateways share the servers' limits.
         domain: failure domain of this gateway.
     """
@@ -52,5 +54,6 @@
     waiting: PendingCalls
     contention: ContendedServices
     subsets: Subsets
+    hedging: Hedging
     gateways: Callable[[], int]
     domain: str = ""
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -23,6 +23,7 @@
 from catkinpin.core.control import protocol
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.contention import ContendedServices
+from catkinpin.core.placement.hedging import Hedging
 from catkinpin.core.placement.speeds import Speeds
 from catkinpin.core.placement.subsets import Subsets
 from catkinpin.core.placement.unresponsive import (
@@ -96,6 +97,7 @@
                 waiting=self._pending_calls,
                 contention=ContendedServices(configured=cfg.contended_capacity),
                 subsets=Subsets(cfg.name, cfg.failure_domain, regions),
+                hedging=Hedging(),
                 gateways=self._count_gateways,
                 domain=cfg.failure_domain,
             )
@@ -113,7 +115,7 @@
             self.keepers,
             self.clock,
             self._count_gateways,
-            lambda: self._pending_calls.overdue_servers(self.clock.now_ms()),
+            self._pending_calls,
         )
 
     async def start(self) -> None:
@@ -222,6 +224,7 @@
         self._pool.retire(instance.address)
         if instance.state.is_offline:
             self._balancer.forget(instance.id)
+            self._pending_calls.forget(instance.id)
 
     async def _tick(self) -> None:
         while True:
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -28,6 +28,7 @@
 from catkinpin.core.control.servers import ServerState
 from catkinpin.core.placement import speeds
 from catkinpin.core.placement.shortlist import cached_tokens, shortlist
+from catkinpin.core.placement.speeds import WorkEstimate
 from catkinpin.core.placement.tracked import ServerStatus, TrackedServer
 
 if TYPE_CHECKING:
@@ -83,6 +84,7 @@
         running: Estimated number of running and waiting requests.
         speed: Learned speed of a model server; None for others.
         slowdown: Expected slowdown of the server's machine, 1 for none.
+        slowdown_age_ms: Age of the report of the slowdown, -1 for none.
         connection_ms: Part of the cost that is for a new connection.
     """
 
@@ -93,37 +95,10 @@
     running: int = 0
     speed: EngineSpeed | None = None
     slowdown: float = 1.0
+    slowdown_age_ms: int = -1
     connection_ms: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True)
-class WorkEstimate:
-    """Estimated processing time of a request at one server.
-
-    Attributes:
-        prefill_ms: Prefill of its prompt, during which other requests wait.
-        idle_ms: The remaining time on an otherwise idle server.
-        per_concurrent_ms: Time that each concurrent request adds to the
-            remaining time, and that this request adds to theirs.
-    """
-
-    prefill_ms: float
-    idle_ms: float
-    per_concurrent_ms: float
-
-    def run_ms(self, running: int) -> float:
-        """Returns the time after prefill beside `running` other requests."""
-        return self.idle_ms + self.per_concurrent_ms * running
-
-    def scaled(self, factor: float) -> WorkEstimate:
-        """Returns the estimate for a server that is `factor` times as slow."""
-        return WorkEstimate(
-            self.prefill_ms * factor,
-            self.idle_ms * factor,
-            self.per_concurrent_ms * factor,
-        )
-
-
 class Balancer:
     """Selects servers for the requests of one gateway.
 
@@ -250,6 +225,15 @@
         """
         return self._tracked(instance).report_load(load, now_ms)
 
+    def report_slowdown(
+        self, server: str, slowdown: float, reported_ms: int, now_ms: int
+    ) -> bool:
+        """Records a slowdown without a load; returns whether it is used."""
+        known = self._servers.get(server)
+        return known is not None and known.report_slowdown(
+            slowdown, reported_ms, now_ms
+        )
+
     def record_success(self, instance: Instance) -> None:
         """Records a successful answer, which resets the failure counts."""
         server = self._tracked(instance)
@@ -372,7 +356,16 @@
         age = (
             now_ms - server.load_reported_ms if server.load is not None else -1
         )
-        return Choice(instance, cost_ms, cached, age, running, speed, slowdown)
+        return Choice(
+            instance,
+            cost_ms,
+            cached,
+            age,
+            running,
+            speed,
+            slowdown,
+            server.slowdown_age_ms(now_ms),
+        )
 
     def _add_connection(self, choice: Choice, origin: str) -> Choice:
         """Returns a choice with the cost of a new connection added."""
--- a/catkinpin/core/placement/placer.py
+++ b/catkinpin/core/placement/placer.py
@@ -7,6 +7,10 @@
 afterwards. It therefore tracks the turns on each server, and the reply to a
 begin names the server.
 
+Where servers report how much slower their machines are at the moment, gateways
+pass that on when a turn ends. Only the slowdown is taken from these reports;
+the turns on each server are counted here.
+
 All of this is soft state. A new leader starts with none and rebuilds it from
 the turns that begin and finish; a gateway that gets no server name chooses
 one itself.
@@ -98,13 +102,16 @@
     Attributes:
         gateway: Name of the gateway that asked; empty if it is unknown or
             connections don't count.
-        connection_ms: Part of the cost that was for a new connection.
     """
 
-    instance: Instance
+    choice: Choice
     until_ms: int
     gateway: str
-    connection_ms: float
+
+    @property
+    def instance(self) -> Instance:
+        """The server of the turn."""
+        return self.choice.instance
 
 
 class ReportedSpeeds(Speeds):
@@ -251,9 +258,7 @@
         until_ms: int,
         now_ms: int,
     ) -> None:
-        self._turns[attempt] = _PlacedTurn(
-            choice.instance, until_ms, gateway, choice.connection_ms
-        )
+        self._turns[attempt] = _PlacedTurn(choice, until_ms, gateway)
         if gateway:
             self._used_servers.record_use(gateway, choice.instance, now_ms)
 
@@ -264,18 +269,31 @@
         didn't count.
         """
         placed = self._turns.get(attempt)
-        return placed.connection_ms if placed and placed.gateway else None
+        if placed is None or not placed.gateway:
+            return None
+        return placed.choice.connection_ms
 
-    def finish(self, attempt: str, report: TurnReport, now_ms: int) -> None:
+    def choice_of(self, attempt: str) -> Choice | None:
+        """Returns the choice for a placed turn, None for other turns."""
+        placed = self._turns.get(attempt)
+        return placed.choice if placed is not None else None
+
+    def finish(
+        self, attempt: str, report: TurnReport, now_ms: int
+    ) -> list[ServerSlowdown]:
         """Ends a turn; does nothing for a turn that was not placed here.
 
         Only the server that was selected for the turn can be reported as
         failed. Otherwise a gateway whose own connections are broken would
-        eject healthy servers for all gateways.
+        eject healthy servers for all gateways. Slowdowns are taken for any
+        known server, as they are bounded and decay within a second.
+
+        Returns:
+            The reported slowdowns that are ignored.
         """
         placed = self._turns.pop(attempt, None)
         if placed is None:
-            return
+            return report.slowdowns
         instance = placed.instance
         if report.slowdowns:
             self._contention.record_report(instance.service)
@@ -289,6 +307,16 @@
                 self._used_servers.record_use(placed.gateway, instance, now_ms)
         if report.speed is not None and report.speed.is_plausible:
             self._speeds.add_report(instance.service, report.speed)
+        return [
+            reported
+            for reported in report.slowdowns
+            if not self._balancer.report_slowdown(
+                reported.server,
+                reported.slowdown,
+                now_ms - max(0, reported.age_ms),
+                now_ms,
+            )
+        ]
 
     def forget(self, server: str) -> None:
         """Removes the state of a server that is gone."""
--- a/catkinpin/core/placement/speeds.py
+++ b/catkinpin/core/placement/speeds.py
@@ -173,6 +173,34 @@
         return gap_ms / self._token.value_at(sample.concurrent)
 
 
+@dataclasses.dataclass(frozen=True)
+class WorkEstimate:
+    """Estimated processing time of a request at one server.
+
+    Attributes:
+        prefill_ms: Prefill of its prompt, during which other requests wait.
+        idle_ms: The remaining time on an otherwise idle server.
+        per_concurrent_ms: Time that each concurrent request adds to the
+            remaining time, and that this request adds to theirs.
+    """
+
+    prefill_ms: float
+    idle_ms: float
+    per_concurrent_ms: float
+
+    def run_ms(self, running: int) -> float:
+        """Returns the time after prefill beside `running` other requests."""
+        return self.idle_ms + self.per_concurrent_ms * running
+
+    def scaled(self, factor: float) -> WorkEstimate:
+        """Returns the estimate for a server that is `factor` times as slow."""
+        return WorkEstimate(
+            self.prefill_ms * factor,
+            self.idle_ms * factor,
+            self.per_concurrent_ms * factor,
+        )
+
+
 class Speeds:
     """Speeds of all servers, as learned by one gateway."""
 
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import prometheus_client
-from prometheus_client import Counter, Gauge, Histogram
+from catkinpin import collectors
+from catkinpin.collectors import Counter, Gauge, Histogram
 
 _LATENCY_BUCKETS = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120,
@@ -94,10 +94,33 @@
 QUOTA_ACCOUNTS = Gauge(
     "catkinpin_quota_accounts", "Accounts in use that have a quota."
 )
+PREVENTED_EJECTIONS = Counter(
+    "catkinpin_prevented_ejections_total",
+    "Servers with overdue calls that were not ejected, as they answered later"
+    " ones; by who decided, a gateway or the leader.",
+    ["by"],
+)
+SLOWDOWN_REPORTS = Counter(
+    "catkinpin_slowdown_reports_total",
+    "Slowdowns of model servers that reached the leader, by whether they were"
+    " used.",
+    ["result"],
+)
+HEDGES = Counter(
+    "catkinpin_hedges_total",
+    "Second attempts of plain calls: won, lost, failed, or denied by the"
+    " budget.",
+    ["result"],
+)
+DENIED_RETRIES = Counter(
+    "catkinpin_denied_retries_total",
+    "Retries of plain calls that the retry budget denied.",
+    [],
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
 
 def exposition() -> bytes:
     """Returns all metrics in the Prometheus text format."""
-    return prometheus_client.generate_latest()
+    return collectors.exposition()
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -36,6 +36,7 @@
 )
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.contention import ContendedServices
+from catkinpin.core.placement.hedging import Hedging
 from catkinpin.core.placement.speeds import Speeds
 from catkinpin.core.placement.subsets import Subsets
 from catkinpin.core.placement.unresponsive import PendingCalls
@@ -216,9 +217,11 @@
         )
         self.speeds = Speeds()
         self.balancer = Balancer("a", {"a": "r"}, random.Random(1), self.speeds)
+        self.pending = PendingCalls()
         self.usage = UsageReporter(
-            cast("Any", None), self.clock.clock(), lambda: 1, set
+            cast("Any", None), self.clock.clock(), lambda: 1, self.pending
         )
+        self.hedging = Hedging()
         self.contention = ContendedServices(configured=False)
         self.handler = RequestHandler(
             GatewayContext(
@@ -232,7 +235,8 @@
                 usage=self.usage,
                 contention=self.contention,
                 subsets=Subsets("g", "a", {"a": "r"}),
-                waiting=PendingCalls(),
+                waiting=self.pending,
+                hedging=self.hedging,
                 gateways=lambda: 1,
             )
         )
