--- a/bench/deciding/policies.py
+++ b/bench/deciding/policies.py
@@ -6,11 +6,16 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin.core.placement import balance, urgency
+from catkinpin.core.placement import urgency
 from catkinpin.core.placement.balance import Balancer, Choice
 from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.placer import Placer, PlaceTurn, TurnReport
-from catkinpin.core.placement.speeds import EngineSpeed, Speeds, StreamTimings
+from catkinpin.core.placement.speeds import (
+    EngineSpeed,
+    Speeds,
+    StreamTimings,
+    WorkEstimate,
+)
 from catkinpin.core.placement.tracked import TrackedServer
 
 if TYPE_CHECKING:
@@ -163,7 +168,7 @@
     """Balancer that ignores the delay a request causes to others."""
 
     def _cost_to_others_ms(
-        self, work: balance.WorkEstimate, beside: int, queued: int, slots: int
+        self, work: WorkEstimate, beside: int, queued: int, slots: int
     ) -> float:
         return 0.0
 
@@ -251,6 +256,7 @@
         avoid: Collection[str] = (),
         route: str = "",
         domain: str = "",
+        is_connected: Callable[[Instance], bool] | None = None,
     ) -> Choice | None:
         usable = _usable_servers(self, servers, avoid, now_ms)
         if not usable:
@@ -273,6 +279,7 @@
         avoid: Collection[str] = (),
         route: str = "",
         domain: str = "",
+        is_connected: Callable[[Instance], bool] | None = None,
     ) -> Choice | None:
         usable = _usable_servers(self, servers, avoid, now_ms)
         if not usable:
@@ -310,6 +317,7 @@
         avoid: Collection[str] = (),
         route: str = "",
         domain: str = "",
+        is_connected: Callable[[Instance], bool] | None = None,
     ) -> Choice | None:
         listed = list(servers)
         session_server = (
@@ -347,6 +355,7 @@
         avoid: Collection[str] = (),
         route: str = "",
         domain: str = "",
+        is_connected: Callable[[Instance], bool] | None = None,
     ) -> Choice | None:
         listed = list(servers)
         if call.prompt and not avoid:
--- a/catkinpin/adapters/gateway/context.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -12,12 +12,13 @@
     from catkinpin.adapters.gateway.turns import TurnClient
     from catkinpin.adapters.gateway.usage import UsageReporter
     from catkinpin.adapters.gateway.view import GatewayView
-    from catkinpin.adapters.http.client import Pool
+    from catkinpin.adapters.http.pool import Pool
     from catkinpin.clock import Clock
     from catkinpin.core.placement.balance import Balancer
     from catkinpin.core.placement.contention import ContendedServices
     from catkinpin.core.placement.hedging import Hedging
     from catkinpin.core.placement.speeds import Speeds
+    from catkinpin.core.placement.subsets import Subsets
     from catkinpin.core.placement.unresponsive import PendingCalls
 
 
@@ -36,6 +37,7 @@
         usage: counts plain requests of client accounts.
         waiting: plain calls that are waiting for their answers.
         contention: for which services capacity is contended.
+        subsets: the application servers that this gateway uses first.
         hedging: decides on second attempts of plain calls.
         gateways: returns how many gateways share the servers' limits.
         domain: failure domain of this gateway.
@@ -51,6 +53,7 @@
     usage: UsageReporter
     waiting: PendingCalls
     contention: ContendedServices
+    subsets: Subsets
     hedging: Hedging
     gateways: Callable[[], int]
     domain: str = ""
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import TYPE_CHECKING
 
 from catkinpin import decisions, metrics
@@ -20,10 +21,13 @@
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Collection
+
     from catkinpin.adapters.gateway.context import GatewayContext
     from catkinpin.adapters.gateway.work import OpenCall
     from catkinpin.adapters.http.client import ResponseHead, ServerConnection
     from catkinpin.adapters.http.headers import Headers
+    from catkinpin.core.control.servers import Instance
     from catkinpin.core.placement.balance import Choice
     from catkinpin.core.requests.calls import Load
 
@@ -68,6 +72,7 @@
         self._count_gateways = context.gateways
         self._waiting = context.waiting
         self._contention = context.contention
+        self._subsets = context.subsets
         self._crashes = CrashReporter(context.turns, self.is_reachable)
 
     def pick_server(self, state: OpenCall) -> Choice | None:
@@ -86,7 +91,12 @@
                 now_ms + _OVERDUE_EJECTION_MS,
             )
         choice = self._leader_choice(state, now_ms) or self._balancer.pick(
-            servers, state.call, now_ms, state.tried_servers, state.route.name
+            self._candidates(state, servers, now_ms),
+            state.call,
+            now_ms,
+            state.tried_servers,
+            state.route.name,
+            is_connected=self._connected_servers(state),
         )
         if choice is None:
             state.reason = state.reason or "no server is left"
@@ -100,6 +110,42 @@
         state.choice = choice
         return choice
 
+    def _candidates(
+        self, state: OpenCall, servers: Collection[Instance], now_ms: int
+    ) -> Collection[Instance]:
+        """Returns the servers among which one is picked for a request."""
+        service = state.service
+        is_engine = service.engine is not None
+        if is_engine or not self._contention.is_contended(service.name):
+            return servers
+        selection = self._subsets.select(
+            service.name, servers, self._balancer, state.tried_servers, now_ms
+        )
+        if not selection.subset:
+            return servers
+        result = "all" if selection.is_exceeded else "subset"
+        metrics.SUBSET_CHOICES.labels(result).inc()
+        if selection.is_new:
+            subset = selection.subset
+            decisions.note("subset", "", service=service.name, servers=subset)
+        if selection.is_exceeded:
+            decisions.routine(
+                "subset-exceeded",
+                state.call.attempt,
+                used_share=round(selection.used_share, 2),
+                failing=selection.failing,
+                load_age_ms=selection.load_age_ms,
+            )
+        return selection.servers
+
+    def _connected_servers(
+        self, state: OpenCall
+    ) -> Callable[[Instance], bool] | None:
+        """Returns a test for idle connections if they count for the choice."""
+        if not self._contention.is_contended(state.service.name):
+            return None
+        return lambda instance: self._pool.has_idle(instance.address)
+
     def _leader_choice(self, state: OpenCall, now_ms: int) -> Choice | None:
         """Returns the server that the leader selected, if it can be used."""
         instance = self._view.fleet.servers.get(state.assigned_server)
@@ -116,14 +162,7 @@
         """Sends a request to a server and reads the head of its answer."""
         instance = choice.instance
         state.tried_servers.append(instance.id)
-        conn = await self._pool.acquire(
-            instance.address,
-            self._max_connections(state),
-            _CONNECT_TIMEOUT_S,
-            DEFAULT_MAX_IDLE_S
-            if state.is_repeatable
-            else _NON_REPEATABLE_MAX_IDLE_S,
-        )
+        conn = await self._connect(state, choice)
         if isinstance(conn, Failure):
             state.reason = conn.reason
             if conn.reason.startswith("no connection:"):
@@ -156,6 +195,32 @@
         self._record_head(state, choice, head)
         return conn, head
 
+    async def _connect(
+        self, state: OpenCall, choice: Choice
+    ) -> ServerConnection | Failure:
+        """Returns an idle connection to a server, or opens one."""
+        is_contended = self._contention.is_contended(state.service.name)
+        conn = await self._pool.acquire(
+            choice.instance.address,
+            self._max_connections(state),
+            _CONNECT_TIMEOUT_S,
+            DEFAULT_MAX_IDLE_S
+            if state.is_repeatable
+            else _NON_REPEATABLE_MAX_IDLE_S,
+            is_contended=is_contended,
+        )
+        if isinstance(conn, Failure) or not is_contended:
+            return conn
+        if conn.is_first_exchange and conn.opening is not None:
+            decisions.routine(
+                "connection",
+                state.call.attempt,
+                server=choice.instance.id,
+                is_probed=conn.is_probed,
+                **dataclasses.asdict(conn.opening),
+            )
+        return conn
+
     def is_refusal(self, head: ResponseHead) -> bool:
         """Returns whether a server states that it did not run the request."""
         return self._codec.decode_answer(head.headers).not_run
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -15,7 +15,7 @@
 from catkinpin.adapters.gateway.turns import TurnClient
 from catkinpin.adapters.gateway.usage import UsageReporter
 from catkinpin.adapters.gateway.view import GatewayView
-from catkinpin.adapters.http.client import Pool
+from catkinpin.adapters.http.pool import Pool
 from catkinpin.adapters.http.server import HttpServer, ServerLimits
 from catkinpin.adapters.keeper.publisher import GATEWAY_ROLE
 from catkinpin.adapters.peers import keepers
@@ -25,6 +25,7 @@
 from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.hedging import Hedging
 from catkinpin.core.placement.speeds import Speeds
+from catkinpin.core.placement.subsets import Subsets
 from catkinpin.core.placement.unresponsive import (
     PendingCalls,
     eject_unresponsive,
@@ -95,6 +96,7 @@
                 usage=self._usage,
                 waiting=self._pending_calls,
                 contention=ContendedServices(configured=cfg.contended_capacity),
+                subsets=Subsets(cfg.name, cfg.failure_domain, regions),
                 hedging=Hedging(),
                 gateways=self._count_gateways,
                 domain=cfg.failure_domain,
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -53,9 +53,14 @@
         self._unresponsive = UnresponsiveServers()
 
     async def begin(
-        self, message: protocol.AskBegin
+        self, message: protocol.AskBegin, gateway: str = ""
     ) -> protocol.Began | Undecided:
-        """Begins a turn and chooses a server for it, unless it is denied."""
+        """Begins a turn and chooses a server for it, unless it is denied.
+
+        Args:
+            message: the request.
+            gateway: name of the asking gateway; empty if it is unknown.
+        """
         begin = structs.replace(message.begin, at_ms=self._host.log_time_ms())
         retry_ms = self._admit(begin)
         if retry_ms:
@@ -66,7 +71,7 @@
         placed = (
             ""
             if outcome.denial
-            else self._choose_server(message, outcome.server)
+            else self._choose_server(message, outcome.server, gateway)
         )
         return protocol.Began(
             ask=message.ask,
@@ -185,7 +190,7 @@
         )
 
     def _choose_server(
-        self, message: protocol.AskBegin, last_server: str
+        self, message: protocol.AskBegin, last_server: str, gateway: str
     ) -> str:
         if message.place is None:
             return ""
@@ -197,13 +202,22 @@
             fleet.servers_of(message.place.service),
             fleet.servers.get(last_server),
             self._clock.now_ms(),
+            gateway,
         )
         choice = self._placer.choice_of(attempt)
-        if choice is not None and choice.slowdown_age_ms >= 0:
+        if choice is None:
+            return server
+        connection_ms = self._placer.connection_ms(attempt)
+        if connection_ms is not None:
+            kind = "new" if connection_ms else "used"
+            metrics.PLACED_TURNS.labels(kind).inc()
+        if connection_ms is not None or choice.slowdown_age_ms >= 0:
             decisions.routine(
                 "placed",
                 attempt,
                 server=server,
+                gateway=gateway,
+                connection_ms=choice.connection_ms,
                 slowdown=round(choice.slowdown, 2),
                 slowdown_age_ms=choice.slowdown_age_ms,
                 cost_ms=round(choice.cost_ms, 1),
--- a/catkinpin/core/placement/balance.py
+++ b/catkinpin/core/placement/balance.py
@@ -28,11 +28,12 @@
 from catkinpin.core.control.servers import ServerState
 from catkinpin.core.placement import speeds
 from catkinpin.core.placement.shortlist import cached_tokens, shortlist
-from catkinpin.core.placement.tracked import TrackedServer
+from catkinpin.core.placement.speeds import WorkEstimate
+from catkinpin.core.placement.tracked import ServerStatus, TrackedServer
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Container, Iterable
+    from collections.abc import Callable, Collection, Container, Iterable
 
     from catkinpin.core.control.servers import Instance
     from catkinpin.core.placement.speeds import EngineSpeed, Speeds
@@ -49,6 +50,10 @@
 # another region. Bytes between regions are costly as well.
 _CROSS_DOMAIN_MS = 3.0
 _CROSS_REGION_MS = 24.0
+# Cost of opening a connection to a server in the region or in another one: a
+# round trip, and a slot at the server for about a ms.
+_CONNECTION_MS = 8.0
+_REGION_CONNECTION_MS = 24.0
 # Share of used slots from which a server is busy. On a busy server, a turn
 # whose program has expired would slow down turns that can still be in time.
 _BUSY_SLOT_SHARE = 0.5
@@ -80,6 +85,7 @@
         speed: Learned speed of a model server; None for others.
         slowdown: Expected slowdown of the server's machine, 1 for none.
         slowdown_age_ms: Age of the report of the slowdown, -1 for none.
+        connection_ms: Part of the cost that is for a new connection.
     """
 
     instance: Instance
@@ -90,34 +96,7 @@
     speed: EngineSpeed | None = None
     slowdown: float = 1.0
     slowdown_age_ms: int = -1
-
-
-@dataclasses.dataclass(frozen=True)
-class WorkEstimate:
-    """Estimated processing time of a request at one server.
-
-    Attributes:
-        prefill_ms: Prefill of its prompt, during which other requests wait.
-        idle_ms: The remaining time on an otherwise idle server.
-        per_concurrent_ms: Time that each concurrent request adds to the
-            remaining time, and that this request adds to theirs.
-    """
-
-    prefill_ms: float
-    idle_ms: float
-    per_concurrent_ms: float
-
-    def run_ms(self, running: int) -> float:
-        """Returns the time after prefill beside `running` other requests."""
-        return self.idle_ms + self.per_concurrent_ms * running
-
-    def scaled(self, factor: float) -> WorkEstimate:
-        """Returns the estimate for a server that is `factor` times as slow."""
-        return WorkEstimate(
-            self.prefill_ms * factor,
-            self.idle_ms * factor,
-            self.per_concurrent_ms * factor,
-        )
+    connection_ms: float = 0.0
 
 
 class Balancer:
@@ -157,6 +136,7 @@
         avoid: Collection[str] = (),
         route: str = "",
         domain: str = "",
+        is_connected: Callable[[Instance], bool] | None = None,
     ) -> Choice | None:
         """Returns the server for a request, or None if no server is ready.
 
@@ -167,6 +147,8 @@
             avoid: IDs of the servers to which the request was already sent.
             route: Name of the route; its plain calls take similar times.
             domain: Failure domain of the request; empty for the gateway's.
+            is_connected: Returns whether the request needs no new connection
+                to a server; None if connections don't count.
         """
         subset = shortlist(servers, call.prompt, self._cached_parts, self._rng)
         ready = [
@@ -185,6 +167,13 @@
         ]
         if not choices:
             return None
+        if is_connected is not None:
+            choices = [
+                choice
+                if is_connected(choice.instance)
+                else self._add_connection(choice, origin)
+                for choice in choices
+            ]
         lowest_ms = min(choice.cost_ms for choice in choices)
         tied = [c for c in choices if c.cost_ms <= lowest_ms + _TIE_MARGIN_MS]
         return self._rng.choice(tied)
@@ -303,6 +292,17 @@
         """Returns whether one more request would delay the others."""
         return self.used_slot_share(instance, now_ms) >= _BUSY_SLOT_SHARE
 
+    def status(self, instance: Instance, now_ms: int) -> ServerStatus:
+        """Returns what is known of a server's load and failures."""
+        server = self._tracked(instance)
+        recent = now_ms - server.failed_at_ms <= _FAILURE_WINDOW_MS
+        return ServerStatus(
+            self.used_slot_share(instance, now_ms),
+            self._is_ejected(instance, now_ms)
+            or (server.failures > 0 and recent),
+            now_ms - server.load_reported_ms if server.load else -1,
+        )
+
     def _is_ejected(self, instance: Instance, now_ms: int) -> bool:
         return self._tracked(instance).ejected_until_ms > now_ms
 
@@ -367,6 +367,15 @@
             server.slowdown_age_ms(now_ms),
         )
 
+    def _add_connection(self, choice: Choice, origin: str) -> Choice:
+        """Returns a choice with the cost of a new connection added."""
+        domain = choice.instance.domain
+        is_near = self._regions.get(domain, "") == self._regions.get(origin, "")
+        cost_ms = _CONNECTION_MS if is_near else _REGION_CONNECTION_MS
+        return dataclasses.replace(
+            choice, cost_ms=choice.cost_ms + cost_ms, connection_ms=cost_ms
+        )
+
     def _cost_to_others_ms(
         self, work: WorkEstimate, concurrent: int, queued: int, slots: int
     ) -> float:
--- a/catkinpin/core/placement/placer.py
+++ b/catkinpin/core/placement/placer.py
@@ -19,11 +19,14 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from typing import TYPE_CHECKING
 
 from catkinpin.codec import Message
 from catkinpin.core.placement.balance import Balancer
+from catkinpin.core.placement.shortlist import MAX_COMPARED
 from catkinpin.core.placement.speeds import EngineSpeed, Speeds
+from catkinpin.core.placement.usedservers import UsedServers
 from catkinpin.core.requests.calls import PromptPart, RouteCall
 
 if TYPE_CHECKING:
@@ -94,10 +97,16 @@
 
 @dataclasses.dataclass
 class _PlacedTurn:
-    """A turn that counts as load of its server until it finishes or expires."""
+    """A turn that counts as load of its server until it finishes or expires.
+
+    Attributes:
+        gateway: Name of the gateway that asked; empty if it is unknown or
+            connections don't count.
+    """
 
     choice: Choice
     until_ms: int
+    gateway: str
 
     @property
     def instance(self) -> Instance:
@@ -156,6 +165,7 @@
             self._speeds,
             region_cost_ms=_CROSS_REGION_MS,
         )
+        self._used_servers = UsedServers()
         self._turns: dict[str, _PlacedTurn] = {}
         self._last_expiry_ms = 0
 
@@ -175,6 +185,7 @@
         servers: Collection[Instance],
         last_server: Instance | None,
         now_ms: int,
+        gateway: str = "",
     ) -> str:
         """Returns the ID of the server for a turn, empty if there is none.
 
@@ -185,6 +196,7 @@
             last_server: Server of the program's previous turn, which has
                 cached all but the last part of the prompt; None if unknown.
             now_ms: Monotonic time.
+            gateway: Name of the asking gateway; empty if it is unknown.
         """
         self._remove_expired(now_ms)
         placed = self._turns.get(attempt)
@@ -199,14 +211,68 @@
             prompt=tuple(turn.prompt),
             max_tokens=turn.max_tokens,
         )
-        choice = self._balancer.pick(servers, call, now_ms, domain=turn.domain)
+        if not self._contention.is_contended(turn.service):
+            gateway = ""
+        choice = self._pick(servers, call, turn.domain, gateway, now_ms)
         if choice is None:
             return ""
         self._balancer.record_sent(choice.instance, call)
         until_ms = now_ms + turn.left_ms + _EXPIRY_GRACE_MS
-        self._turns[attempt] = _PlacedTurn(choice, until_ms)
+        self._add(attempt, choice, gateway, until_ms, now_ms)
         return choice.instance.id
 
+    def _pick(
+        self,
+        servers: Collection[Instance],
+        call: RouteCall,
+        domain: str,
+        gateway: str,
+        now_ms: int,
+    ) -> Choice | None:
+        """Returns the server for a turn, or None if no server is ready."""
+        if not gateway:
+            return self._balancer.pick(servers, call, now_ms, domain=domain)
+        pick = functools.partial(
+            self._balancer.pick,
+            call=call,
+            now_ms=now_ms,
+            domain=domain,
+            is_connected=self._used_servers.used_by(gateway, now_ms),
+        )
+        choice = pick(servers)
+        if len(servers) <= MAX_COMPARED:
+            return choice
+        # Only a sample was compared, which holds few of the used servers.
+        ids = self._used_servers.ids_used_by(gateway, now_ms)
+        used = [server for server in servers if server.id in ids]
+        ejected = self._balancer.ejected_servers(used, now_ms)
+        used_choice = pick([s for s in used if s.id not in ejected])
+        choices = [c for c in (used_choice, choice) if c is not None]
+        return min(choices, key=lambda c: c.cost_ms, default=None)
+
+    def _add(
+        self,
+        attempt: str,
+        choice: Choice,
+        gateway: str,
+        until_ms: int,
+        now_ms: int,
+    ) -> None:
+        self._turns[attempt] = _PlacedTurn(choice, until_ms, gateway)
+        if gateway:
+            self._used_servers.record_use(gateway, choice.instance, now_ms)
+
+    def connection_ms(self, attempt: str) -> float | None:
+        """Returns the part of a turn's cost that was for a new connection.
+
+        Returns None for a turn that is not placed here, or if connections
+        didn't count.
+        """
+        placed = self._turns.get(attempt)
+        if placed is None or not placed.gateway:
+            return None
+        return placed.choice.connection_ms
+
     def choice_of(self, attempt: str) -> Choice | None:
         """Returns the choice for a placed turn, None for other turns."""
         placed = self._turns.get(attempt)
@@ -234,8 +300,11 @@
         self._balancer.record_ended(instance)
         if instance.id in report.failed:
             self._balancer.record_failure(instance, now_ms, immediate=False)
+            self._used_servers.record_failure(placed.gateway, instance)
         else:
             self._balancer.record_success(instance)
+            if placed.gateway:
+                self._used_servers.record_use(placed.gateway, instance, now_ms)
         if report.speed is not None and report.speed.is_plausible:
             self._speeds.add_report(instance.service, report.speed)
         return [
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -21,8 +21,8 @@
 )
 from catkinpin.adapters.gateway.usage import UsageReporter
 from catkinpin.adapters.gateway.view import GatewayView
-from catkinpin.adapters.http.client import Pool
 from catkinpin.adapters.http.headers import Headers
+from catkinpin.adapters.http.pool import Pool
 from catkinpin.adapters.http.server import HttpServer
 from catkinpin.core.control import accounts, protocol
 from catkinpin.core.control.routes import (
@@ -38,6 +38,7 @@
 from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.hedging import Hedging
 from catkinpin.core.placement.speeds import Speeds
+from catkinpin.core.placement.subsets import Subsets
 from catkinpin.core.placement.unresponsive import PendingCalls
 from catkinpin.core.placement.urgency import ProgramStatus
 from catkinpin.core.requests.calls import AnswerFacts, RouteCall
@@ -233,6 +234,7 @@
                 clock=self.clock.clock(),
                 usage=self.usage,
                 contention=self.contention,
+                subsets=Subsets("g", "a", {"a": "r"}),
                 waiting=self.pending,
                 hedging=self.hedging,
                 gateways=lambda: 1,
