--- a/catkinpin/adapters/gateway/answers.py
+++ b/catkinpin/adapters/gateway/answers.py
@@ -115,6 +115,16 @@
         reason = f"the quota of {call.account} is used up"
         self.refuse(responder, call, 429, reason, retry_ms / _MS_PER_S)
 
+    def refuse_over_capacity(
+        self, responder: Responder, call: RouteCall, retry_ms: int
+    ) -> None:
+        """Refuses the first request of a program that the servers can't take.
+
+        It has not begun, so the status states that it has not run.
+        """
+        reason = "the servers have no room for a new program"
+        self.refuse(responder, call, 503, reason, retry_ms / _MS_PER_S)
+
     def log_caller_left(self, call: RouteCall) -> None:
         """Logs that a caller disconnected before its answer was complete."""
         decisions.routine("left", call.attempt)
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -9,6 +9,7 @@
 
 from catkinpin.adapters.gateway.turns import (
     BeginFailed,
+    OverCapacity,
     OverQuota,
     StartedTurn,
     TurnResult,
@@ -122,7 +123,7 @@
 
     async def _begin_turn(
         self, state: OpenCall
-    ) -> StartedTurn | Denial | OverQuota | BeginFailed:
+    ) -> StartedTurn | Denial | OverQuota | OverCapacity | BeginFailed:
         """Begins a turn; waits for its quota if that takes little time."""
         quota_deadline_s = state.quota_deadline_s
         while True:
@@ -151,7 +152,9 @@
         )
 
     def _refuse_turn(
-        self, state: OpenCall, why: BeginFailed | OverQuota | Denial
+        self,
+        state: OpenCall,
+        why: BeginFailed | OverQuota | OverCapacity | Denial,
     ) -> None:
         """Refuses a turn that could not be begun."""
         responder, call = state.responder, state.call
@@ -162,6 +165,8 @@
             )
         elif isinstance(why, OverQuota):
             self._answers.refuse_over_quota(responder, call, why.retry_ms)
+        elif isinstance(why, OverCapacity):
+            self._answers.refuse_over_capacity(responder, call, why.retry_ms)
         elif why is Denial.NO_SUCH_TURN:
             self._answers.refuse(responder, call, 404, "no such turn")
         else:
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -62,6 +62,17 @@
     retry_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class OverCapacity:
+    """Result of a begin that was refused as the servers have no room.
+
+    Attributes:
+        retry_ms: time until the leader expects room for the program.
+    """
+
+    retry_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class StartedTurn:
     """A turn that the leader has begun.
@@ -129,7 +140,7 @@
         route: Route,
         wait_s: float,
         place: PlaceTurn | None = None,
-    ) -> StartedTurn | Denial | OverQuota | BeginFailed:
+    ) -> StartedTurn | Denial | OverQuota | OverCapacity | BeginFailed:
         """Begins a turn at the leader, which reserves tokens; loads its chain.
 
         Args:
@@ -161,10 +172,8 @@
             # stay reserved forever.
             self.settle(call, TurnResult())
             return BeginFailed(str(exc))
-        if began.denial == Denial.QUOTA_USED_UP:
-            return OverQuota(began.retry_ms)
         if began.denial:
-            return Denial(began.denial)
+            return _denial_result(began)
         history = await self._load_chain(began.chain)
         if history is None:
             self.settle(call, TurnResult())
@@ -404,3 +413,12 @@
     def _region_rank(self, host: Host) -> int:
         region = host.info.region if host.info is not None else ""
         return int(region != self._region)
+
+
+def _denial_result(began: protocol.Began) -> Denial | OverQuota | OverCapacity:
+    """Returns the result of a begin that the leader denied."""
+    if began.denial == Denial.QUOTA_USED_UP:
+        return OverQuota(began.retry_ms)
+    if began.denial == Denial.NO_CAPACITY:
+        return OverCapacity(began.retry_ms)
+    return Denial(began.denial)
--- a/catkinpin/core/control/ledger.py
+++ b/catkinpin/core/control/ledger.py
@@ -90,6 +90,7 @@
     NO_SUCH_TURN = "no-such-turn"
     BUDGET_SPENT = "budget-spent"
     QUOTA_USED_UP = "quota-used-up"
+    NO_CAPACITY = "no-capacity"
 
 
 class Link(Message, frozen=True):
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -274,7 +274,8 @@
     Attributes:
         denial: value of `ledger.Denial`; empty where the turn may begin.
         chain: the turns that this one continues, oldest first.
-        retry_ms: in how many ms to retry, where the account's quota is used up.
+        retry_ms: in how many ms to retry, where the account's quota is used up
+            or the servers have no room for the program.
         program_status: elapsed and lost time of the program.
         server: the server that ran the program's latest turn.
         placed: the server that the leader selected for this turn, empty for
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -15,6 +15,7 @@
 from catkinpin.adapters.gateway.serving import RequestHandler
 from catkinpin.adapters.gateway.turns import (
     BeginFailed,
+    OverCapacity,
     OverQuota,
     StartedTurn,
     TurnResult,
@@ -117,9 +118,9 @@
     """Fakes the requests to keepers: records them, returns set results."""
 
     def __init__(self) -> None:
-        self.begin_result: StartedTurn | Denial | OverQuota | BeginFailed = (
-            StartedTurn(b"", ProgramStatus(), "")
-        )
+        self.begin_result: (
+            StartedTurn | Denial | OverQuota | OverCapacity | BeginFailed
+        ) = StartedTurn(b"", ProgramStatus(), "")
         self.finish_result = ""
         self.finished: list[bytes] = []
         self.settled: list[int] = []
@@ -129,7 +130,7 @@
 
     async def begin(
         self, *_: object
-    ) -> StartedTurn | Denial | OverQuota | BeginFailed:
+    ) -> StartedTurn | Denial | OverQuota | OverCapacity | BeginFailed:
         return self.begin_result
 
     async def finish(
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -4,7 +4,11 @@
 
 import asyncio
 
-from catkinpin.adapters.gateway.turns import OverQuota, StartedTurn
+from catkinpin.adapters.gateway.turns import (
+    OverCapacity,
+    OverQuota,
+    StartedTurn,
+)
 from catkinpin.core.control import accounts, protocol, routes
 from catkinpin.core.control.accounts import (
     AccountTable,
@@ -226,3 +230,24 @@
             await rig.stop()
 
         self.run_within_limit(work())
+
+
+class OverCapacityTest(GatewayCase):
+    """Programs that the leader refuses as the servers have no room."""
+
+    def test_caller_gets_503_and_a_retry_time(self) -> None:
+        """Guards against callers that don't learn when there is room."""
+
+        async def work() -> None:
+            rig = Rig(RouteKind.STREAM, keeps_history=True)
+            rig.turns.begin_result = OverCapacity(retry_ms=430)
+            await rig.start(stream_events)
+            got = await rig.ask(Program="p")
+            self.assertEqual(503, got.status)
+            self.assertEqual("0.43", got.headers["retry-after"])
+            self.assertEqual(0, rig.count_server_requests())
+            self.assertEqual([], rig.turns.settled)
+            self.assertLess(got.took_s, 0.2)
+            await rig.stop()
+
+        self.run_within_limit(work())
