Let the leader admit new programs to contended services

The decision is made at the first turn, after the quota and before the begin is proposed. A refused program is not charged to its account's quota.

--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -327,7 +327,7 @@
         self._publisher.publish_routing()
 
     def _handle_server_changes(self, instances: list[Instance]) -> None:
-        self._turn_requests.drop_offline_servers(instances)
+        self._turn_requests.handle_server_changes(instances)
         self._publisher.publish_servers(instances)
 
     def _handle_quarantine_change(self, contents: list[str]) -> None:
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -9,6 +9,7 @@
 from msgspec import structs
 
 from catkinpin import decisions
+from catkinpin.adapters.keeper.admitting import ProgramAdmission
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.core.control import protocol
 from catkinpin.core.control.ledger import Denial
@@ -16,8 +17,6 @@
 from catkinpin.core.placement.unresponsive import UnresponsiveServers
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from catkinpin.adapters.keeper.host import KeeperHost
     from catkinpin.clock import Clock
     from catkinpin.core.control.ledger import Begin
@@ -47,7 +46,7 @@
         self._host = host
         self._clock = clock
         self._commit_timeout_s = commit_timeout_s
-        self._contention = contention
+        self._admission = ProgramAdmission(host, clock, contention)
         self._placer = Placer(regions, random.Random(), contention)
         self._unresponsive = UnresponsiveServers()
 
@@ -56,12 +55,25 @@
     ) -> protocol.Began | Undecided:
         """Begins a turn and chooses a server for it, unless it is denied."""
         begin = structs.replace(message.begin, at_ms=self._host.log_time_ms())
-        retry_ms = self._admit(begin)
+        is_limited = self._is_limited(begin)
+        quota_wait_ms = self._quota_wait_ms(begin) if is_limited else 0
+        if quota_wait_ms:
+            return self._deny_over_quota(message.ask, begin, quota_wait_ms)
+        retry_ms = self._admission.admit(message, begin)
         if retry_ms:
-            return self._deny_over_quota(message.ask, begin, retry_ms)
+            return protocol.Began(
+                ask=message.ask,
+                denial=Denial.NO_CAPACITY,
+                chain=[],
+                retry_ms=retry_ms,
+            )
+        if is_limited:
+            self._host.count_turn(begin)
         outcome = await self._host.propose(begin, self._commit_timeout_s)
         if isinstance(outcome, Undecided):
             return outcome
+        if outcome.denial:
+            self._admission.cancel(begin.attempt)
         placed = (
             ""
             if outcome.denial
@@ -81,6 +93,7 @@
         finish = structs.replace(message.finish, at_ms=self._host.log_time_ms())
         now_ms = self._clock.now_ms()
         self._placer.finish(finish.attempt, message.report, now_ms)
+        self._admission.finish(message)
         outcome = await self._host.propose(finish, self._commit_timeout_s)
         return outcome if isinstance(outcome, Undecided) else None
 
@@ -119,32 +132,30 @@
     def reset(self) -> None:
         """Drops placements and reports after a change of the leader."""
         self._placer.reset()
+        self._admission.reset()
         self._unresponsive.reset()
 
-    def drop_offline_servers(self, instances: Iterable[Instance]) -> None:
+    def handle_server_changes(self, instances: list[Instance]) -> None:
         """Drops the placements on servers that are offline."""
+        self._admission.handle_server_changes(instances)
         for instance in instances:
             if instance.state.is_offline:
                 self._placer.forget(instance.id)
 
-    def _admit(self, begin: Begin) -> int:
-        """Counts a new turn against its account's quota if it fits.
+    def _is_limited(self, begin: Begin) -> bool:
+        """Returns whether a turn counts against its account's quota now."""
+        return (
+            bool(begin.account)
+            and self._host.holds_lease()
+            and not self._host.state.ledger.knows_turn(begin.attempt)
+        )
 
-        Returns:
-            How many ms the turn must wait, 0 if it fits or is not limited.
-        """
-        if not begin.account or not self._host.holds_lease():
-            return 0
-        ledger = self._host.state.ledger
-        if ledger.knows_turn(begin.attempt):
-            return 0
-        turns = ledger.turn_count(begin.account, begin.program)
-        retry_ms = self._host.quotas.admission_wait_ms(
+    def _quota_wait_ms(self, begin: Begin) -> int:
+        """Returns how many ms a turn waits for its account's quota."""
+        turns = self._host.state.ledger.turn_count(begin.account, begin.program)
+        return self._host.quotas.admission_wait_ms(
             begin.account, begin.at_ms, turns=turns
         )
-        if not retry_ms:
-            self._host.count_turn(begin)
-        return retry_ms
 
     def _deny_over_quota(
         self, ask: int, begin: Begin, retry_ms: int
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -73,6 +73,11 @@
 QUOTA_ACCOUNTS = Gauge(
     "catkinpin_quota_accounts", "Accounts in use that have a quota."
 )
+ADMISSIONS = Counter(
+    "catkinpin_admissions_total",
+    "New programs that the leader admitted or refused, by reason.",
+    ["reason"],
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
--- a/tests/test_turnrequests.py
+++ b/tests/test_turnrequests.py
@@ -38,6 +38,8 @@
         self.quotas = Quotas(QuotaTolerance())
         self.counted_attempts: list[str] = []
         self.outcome: Outcome | Undecided = Outcome()
+        self.has_lease = True
+        self.proposed: list[Any] = []
         for number in range(4):
             self.state.fleet.apply(instance(f"s{number}"))
 
@@ -45,7 +47,7 @@
         return 1
 
     def holds_lease(self) -> bool:
-        return True
+        return self.has_lease
 
     def count_turn(self, begin: Begin) -> None:
         self.counted_attempts.append(begin.attempt)
@@ -55,26 +57,38 @@
         self.quotas.count_use(use, 1)
 
     async def propose(self, body: Any, wait_s: float) -> Outcome | Undecided:
+        self.proposed.append(body)
         return self.outcome
 
 
-def _requests(host: _Host) -> TurnRequests:
+def _requests(
+    host: _Host,
+    time_source: clock.Clock | None = None,
+    *,
+    contended: bool = False,
+) -> TurnRequests:
     return TurnRequests(
         cast("KeeperHost", host),
         {"a": "r"},
-        clock.system_clock(),
+        time_source or clock.system_clock(),
         1.0,
-        ContendedServices(configured=False),
+        ContendedServices(configured=contended),
     )
 
 
 def _ask_begin(
-    attempt: str, *, place: bool = True, account: str = ""
+    attempt: str,
+    *,
+    place: bool = True,
+    account: str = "",
+    program: str = "p",
+    previous: str = "",
+    route: str = "",
 ) -> protocol.AskBegin:
     begin = Begin(
         attempt=attempt,
-        program="p",
-        previous="",
+        program=program,
+        previous=previous,
         budget=-1,
         max_tokens=300,
         retain_ms=60_000,
@@ -87,6 +101,7 @@
         prompt=[PromptPart("shared", 12_600), PromptPart(attempt, 100)],
         max_tokens=300,
         left_ms=3_000,
+        route=route,
     )
     return protocol.AskBegin(ask=1, begin=begin, place=turn if place else None)
 
@@ -184,3 +199,109 @@
         )
         assert isinstance(reply, protocol.QuotaUpdate)
         self.assertGreater(reply.over["a"], 0)
+
+
+class AdmissionTest(base.TestCase):
+    """When the leader denies a new program because of the servers' load."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.host = _Host()
+        self.now_ms = 0
+        self.requests = self._new_requests(contended=True)
+
+    def _new_requests(self, *, contended: bool) -> TurnRequests:
+        time_source = clock.Clock(lambda: self.now_ms, lambda: 0)
+        return _requests(self.host, time_source, contended=contended)
+
+    def _begin(self, attempt: str, **fields: Any) -> Any:
+        fields = {"program": attempt, "route": "r", **fields}
+        return asyncio.run(self.requests.begin(_ask_begin(attempt, **fields)))
+
+    def _crowd(self) -> None:
+        """Lets the leader learn the programs, then fills all servers."""
+        for number in range(20):
+            self._begin(f"a{number}")
+            self.now_ms += 200
+            asyncio.run(self.requests.finish(_ask_finish(f"a{number}")))
+        self.now_ms += 3_000
+        for number in range(800):
+            self._begin(f"b{number}", previous="x")
+        self.host.proposed.clear()
+
+    def test_new_program_is_denied_if_it_would_be_late(self) -> None:
+        """Guards against programs that are all admitted and all late."""
+        self._crowd()
+        reply = self._begin("new")
+        self.assertEqual(Denial.NO_CAPACITY, reply.denial)
+        self.assertGreater(reply.retry_ms, 0)
+        self.assertEqual([], self.host.proposed)
+
+    def test_denial_is_not_charged_to_the_quota(self) -> None:
+        """Guards against quotas that are used up by refused programs."""
+        self._set_quota(1_000)
+        self._crowd()
+        self.assertTrue(self._begin("new", account="a").denial)
+        self.assertNotIn("new", self.host.counted_attempts)
+
+    def test_quota_is_checked_first(self) -> None:
+        """Guards against 503 for an account that is over its quota."""
+        self._set_quota(1)
+        self._crowd()
+        replies = [self._begin(f"q{n}", account="a") for n in range(9)]
+        self.assertEqual(Denial.NO_CAPACITY, replies[0].denial)
+        self.host.quotas.count_use(AccountUse(account="a", single=99), 1)
+        reply = self._begin("q", account="a")
+        self.assertEqual(Denial.QUOTA_USED_UP, reply.denial)
+
+    def _set_quota(self, rate_per_s: float) -> None:
+        quota = Quota(rate_per_s=rate_per_s, burst=rate_per_s)
+        account = ClientAccount(name="a", quota=quota)
+        self.host.quotas.configure([account], 0)
+
+    def test_program_in_progress_is_not_denied(self) -> None:
+        """Guards against programs that are cut off after their first turn."""
+        self._crowd()
+        self.assertEqual("", self._begin("t", previous="x").denial)
+        self.host.state.ledger.begin(_ask_begin("t1", program="p2").begin)
+        self.assertEqual("", self._begin("t2", program="p2").denial)
+
+    def test_gateway_of_the_previous_release_gets_no_such_denial(self) -> None:
+        """Guards against denials that a gateway can't decode."""
+        self._crowd()
+        self.assertEqual("", self._begin("new", route="").denial)
+
+    def test_service_that_is_not_contended_denies_nobody(self) -> None:
+        """Guards against refusals in deployments that ask for none."""
+        self.requests = self._new_requests(contended=False)
+        self._crowd()
+        self.assertEqual("", self._begin("new").denial)
+
+    def test_keeper_without_a_lease_decides_nothing(self) -> None:
+        """Guards against two leaders that both refuse."""
+        self._crowd()
+        self.host.has_lease = False
+        self.host.outcome = Undecided("not the leader")
+        self.assertIsInstance(self._begin("new"), Undecided)
+
+    def test_new_leader_denies_nobody(self) -> None:
+        """Guards against refusals by stale counts of an earlier leadership."""
+        self._crowd()
+        self.requests.reset()
+        self.assertEqual("", self._begin("new").denial)
+
+    def test_draining_servers_are_no_capacity(self) -> None:
+        """Guards against programs admitted to servers that leave."""
+        self._crowd()
+        first = self._begin("new").retry_ms
+        draining = instance("s1", state=ServerState.DRAINING, sequence=2)
+        self.host.state.fleet.apply(draining)
+        self.requests.handle_server_changes([draining])
+        self.assertGreater(self._begin("new").retry_ms, first)
+
+    def test_turns_denied_for_another_reason_need_no_slots(self) -> None:
+        """Guards against refusals because of turns that never ran."""
+        self.host.outcome = Outcome(denial=Denial.BUDGET_SPENT)
+        self._crowd()
+        self.host.outcome = Outcome()
+        self.assertEqual("", self._begin("new").denial)
