Divide contended capacity fairly among client accounts

Below its quota one account could take all the capacity. While programs are refused, accounts below their max-min share are admitted at a longer queue than others, and no room is kept for those above theirs.

--- a/catkinpin/core/placement/admission.py
+++ b/catkinpin/core/placement/admission.py
@@ -17,9 +17,10 @@
 
 from catkinpin.core.placement.demand import ServiceDemand
 from catkinpin.core.placement.promises import Promise, Promises
+from catkinpin.core.placement.shares import Shares, Standing
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
     from catkinpin.core.placement.demand import OpenTurn, RouteAverages
     from catkinpin.core.placement.placer import ServerSlowdown
@@ -31,6 +32,7 @@
 # part covers errors of the estimate: programs differ from their route's mean.
 _ADMITTED_TIME_SHARE = 0.7
 _PROMISED_TIME_SHARE = 0.85
+_SHARE_TIME_SHARE = 0.95
 # Bound against a division by zero.
 _MIN_CAPACITY = 0.01
 # Callers honour a return time up to this share of their request's time left.
@@ -49,7 +51,9 @@
     NEW_LEADER = "new-leader"
     KNOWN_PROGRAM = "known-program"
     RETURNED = "returned"
+    BELOW_SHARE = "below-share"
     REFUSED = "refused"
+    ABOVE_SHARE = "above-share"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +86,9 @@
         expected_ms: time that the program is expected to take.
         left_ms: time left that it is compared with.
         learned_age_ms: age of the route's averages.
+        used_slots: slots that its account used lately; only where a share
+            counts.
+        share_slots: slots that its account may use.
     """
 
     reason: AdmissionReason
@@ -93,6 +100,8 @@
     expected_ms: int = 0
     left_ms: int = 0
     learned_age_ms: int = 0
+    used_slots: float = 0.0
+    share_slots: float = 0.0
 
 
 class Admission:
@@ -100,15 +109,20 @@
 
     Args:
         now_ms: monotonic time.
+        weights: weight of an account's share; 1 where there is none.
     """
 
-    def __init__(self, now_ms: int) -> None:
+    def __init__(
+        self, now_ms: int, weights: Mapping[str, float] | None = None
+    ) -> None:
+        self._weights = weights or {}
         self.reset(now_ms)
 
     def reset(self, now_ms: int) -> None:
         """Clears all state, as another leader may have decided since."""
         self._reset_ms = now_ms
         self._services: dict[str, ServiceDemand] = {}
+        self._shares: dict[str, Shares] = {}
         self._promises = Promises()
 
     def set_slots(self, service: str, slots: int, now_ms: int) -> None:
@@ -117,6 +131,19 @@
         demand.advance(now_ms)
         demand.slots = slots
 
+    def update_shares(self, now_ms: int) -> None:
+        """Computes the accounts' shares again; called several times a second.
+
+        It sorts the accounts, so it is not part of a decision.
+        """
+        for service, shares in self._shares.items():
+            shares.update(self._services[service].capacity(now_ms), now_ms)
+
+    def retain_accounts(self, accounts: Collection[str]) -> None:
+        """Drops the usage of accounts that no longer exist."""
+        for shares in self._shares.values():
+            shares.retain(accounts)
+
     def decide(self, program: NewProgram, now_ms: int) -> AdmissionDecision:
         """Decides whether a new program may begin; a refusal is recorded."""
         demand = self._service(program.service, now_ms)
@@ -139,7 +166,10 @@
         elif decision.expected_ms <= _ADMITTED_TIME_SHARE * decision.left_ms:
             reason = AdmissionReason.IN_TIME
         else:
-            return self._refuse(program, route, decision, now_ms)
+            decision = self._weigh_shares(program, route, decision, now_ms)
+            if decision.reason is not AdmissionReason.BELOW_SHARE:
+                return self._refuse(program, route, decision, now_ms)
+            reason = decision.reason
         self._promises.remove(key)
         if promise is None and program.left_ms:
             route.left_ms.add(program.left_ms)
@@ -151,7 +181,7 @@
         program: NewProgram,
         earlier_turns: int,
         now_ms: int,
-    ) -> OpenTurn | None:
+    ) -> None:
         """Begins a turn of an admitted program.
 
         Args:
@@ -161,7 +191,7 @@
             now_ms: monotonic time.
         """
         demand = self._service(program.service, now_ms)
-        return demand.begin(
+        turn = demand.begin(
             attempt,
             (program.account, program.program or attempt),
             program.route,
@@ -169,6 +199,11 @@
             program.request_left_ms,
             now_ms,
         )
+        if turn is not None:
+            shares = self._shares.get(program.service)
+            if shares is None:
+                shares = self._shares[program.service] = Shares(self._weights)
+            shares.charge(program.account, turn.expected_ms, now_ms)
 
     def finish(
         self,
@@ -177,8 +212,8 @@
         now_ms: int,
         *,
         ran: bool,
-    ) -> float:
-        """Ends a turn; returns the slot time that it took.
+    ) -> None:
+        """Ends a turn.
 
         Args:
             attempt: ID of the turn; an unknown one changes nothing.
@@ -186,24 +221,33 @@
             now_ms: monotonic time.
             ran: whether a server ran it to its end.
         """
-        demand = self._service_of_turn(attempt)
-        if demand is None:
-            return 0.0
+        service, turn = self._find_turn(attempt)
+        if turn is None:
+            return
+        demand = self._services[service]
         demand.record_slowdowns(slowdowns, now_ms)
-        return demand.finish(attempt, now_ms, ran=ran)
+        slot_ms = demand.finish(attempt, now_ms, ran=ran)
+        account, _ = turn.program
+        self._shares[service].charge(
+            account, slot_ms - turn.expected_ms, now_ms
+        )
 
     def cancel(self, attempt: str, now_ms: int) -> None:
         """Removes a turn whose begin was denied."""
-        demand = self._service_of_turn(attempt)
-        if demand is not None:
-            demand.cancel(attempt, now_ms)
-
-    def _service_of_turn(self, attempt: str) -> ServiceDemand | None:
-        """Returns the service of an open turn; there are few services."""
-        for demand in self._services.values():
-            if demand.knows_turn(attempt):
-                return demand
-        return None
+        service, turn = self._find_turn(attempt)
+        if turn is None:
+            return
+        self._services[service].cancel(attempt, now_ms)
+        account, _ = turn.program
+        self._shares[service].charge(account, -turn.expected_ms, now_ms)
+
+    def _find_turn(self, attempt: str) -> tuple[str, OpenTurn | None]:
+        """Returns an open turn and its service; there are few services."""
+        for service, demand in self._services.items():
+            turn = demand.find_turn(attempt)
+            if turn is not None:
+                return service, turn
+        return "", None
 
     def _service(self, name: str, now_ms: int) -> ServiceDemand:
         demand = self._services.get(name)
@@ -253,6 +297,39 @@
             learned_age_ms=now_ms - route.updated_ms,
         )
 
+    def _weigh_shares(
+        self,
+        program: NewProgram,
+        route: RouteAverages,
+        decision: AdmissionDecision,
+        now_ms: int,
+    ) -> AdmissionDecision:
+        """Sets the reason by the account's share; called if capacity is short.
+
+        Programs of accounts above their share are refused at a shorter queue
+        than those of accounts below. The difference is the room that these
+        find while one account asks for more than there is.
+        """
+        shares = self._shares.get(program.service)
+        if shares is None:
+            return decision
+        reason = decision.reason
+        standing = shares.standing(program.account, now_ms)
+        if standing is Standing.ABOVE:
+            reason = AdmissionReason.ABOVE_SHARE
+        elif standing is Standing.BELOW and (
+            decision.expected_ms <= _SHARE_TIME_SHARE * decision.left_ms
+        ):
+            reason = AdmissionReason.BELOW_SHARE
+        if reason is not AdmissionReason.BELOW_SHARE:
+            shares.record_refusal(program.account, route.slot_ms, now_ms)
+        return dataclasses.replace(
+            decision,
+            reason=reason,
+            used_slots=shares.used_slots(program.account, now_ms),
+            share_slots=shares.share(program.account),
+        )
+
     def _refuse(
         self,
         program: NewProgram,
@@ -266,7 +343,8 @@
         program fits. Where it would then be late, or the caller would not wait
         so long, no room is kept, and the time is that until all others ahead
         have ended. A caller honours no such time, so it does not return to be
-        refused again.
+        refused again. No room is kept for an account above its share either:
+        it would be taken from the others.
         """
         key = (program.service, program.account, program.program)
         honoured_ms = _HONOURED_SHARE * program.request_left_ms
@@ -282,7 +360,8 @@
         useful_ms = (
             _PROMISED_TIME_SHARE - _ADMITTED_TIME_SHARE
         ) * decision.left_ms
-        if wait_ms > min(useful_ms, honoured_ms):
+        is_above = decision.reason is AdmissionReason.ABOVE_SHARE
+        if is_above or wait_ms > min(useful_ms, honoured_ms):
             wait_ms = max(wait_ms, decision.expected_ms)
         retry_ms = math.ceil(wait_ms)
         is_promised = bool(program.program) and retry_ms <= honoured_ms
--- a/catkinpin/core/placement/demand.py
+++ b/catkinpin/core/placement/demand.py
@@ -204,6 +204,10 @@
             name = _OTHER_ROUTES
         return self._routes.setdefault(name, RouteAverages())
 
+    def find_turn(self, attempt: str) -> OpenTurn | None:
+        """Returns an open turn, None if it is not known."""
+        return self._turns.get(attempt)
+
     def knows_turn(self, attempt: str) -> bool:
         """Returns whether a turn is open."""
         return attempt in self._turns
--- a/tests/fakes/programs.py
+++ b/tests/fakes/programs.py
@@ -54,6 +54,7 @@
         self._free_ms = [0] * SLOTS
         self._events: list[tuple[int, int, bool, Caller]] = []
         self._order = itertools.count()
+        self._updated_ms = 0
         if admission is not None:
             admission.set_slots("models", SLOTS, 0)
 
@@ -64,7 +65,7 @@
         count = int(load * SLOTS * (to_ms - from_ms) / (TURNS * TURN_MS))
         for number in range(count):
             at_ms = from_ms + (to_ms - from_ms) * number // count
-            name = f"{account}-{from_ms}-{number}"
+            name = f"{account}-{len(self.callers)}"
             caller = Caller(name, account, at_ms)
             self.callers.append(caller)
             self._push(at_ms, False, caller)
@@ -77,6 +78,9 @@
         """Runs until a time."""
         while self._events and self._events[0][0] <= end_ms:
             now_ms, _, is_end, caller = heapq.heappop(self._events)
+            if self.admission is not None and now_ms >= self._updated_ms + 100:
+                self._updated_ms = now_ms
+                self.admission.update_shares(now_ms)
             if is_end:
                 self._end_turn(caller, now_ms)
             elif caller.turns or self._admit(caller, now_ms):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -54,6 +54,7 @@
         back = [c for c in model.callers if c.is_back]
         self.assertGreater(len(back), 20)
         self.assertGreater(sum(c.is_admitted for c in back) / len(back), 0.95)
+        self.assertEqual(1, max(c.refusals for c in model.callers))
         in_time = sum(0 < c.took_ms <= LEFT_MS for c in back)
         self.assertGreater(in_time / len(back), 0.95)
 
