--- a/catkinpin/adapters/keeper/admitting.py
+++ b/catkinpin/adapters/keeper/admitting.py
@@ -10,7 +10,7 @@
 from catkinpin.core.placement.admission import Admission, NewProgram
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
     from catkinpin.adapters.keeper.host import KeeperHost
     from catkinpin.clock import Clock
@@ -32,15 +32,20 @@
         host: the control group's state, and whether this keeper leads.
         clock: the time source.
         contention: for which services capacity is contended.
+        weights: weight of an account's share; 1 where there is none.
     """
 
     def __init__(
-        self, host: KeeperHost, clock: Clock, contention: ContendedServices
+        self,
+        host: KeeperHost,
+        clock: Clock,
+        contention: ContendedServices,
+        weights: Mapping[str, float],
     ) -> None:
         self._host = host
         self._clock = clock
         self._contention = contention
-        self._admission = Admission(clock.now_ms())
+        self._admission = Admission(clock.now_ms(), weights)
         self._slots_until_ms: dict[str, int] = {}
 
     def reset(self) -> None:
@@ -48,6 +53,14 @@
         self._admission.reset(self._clock.now_ms())
         self._slots_until_ms = {}
 
+    def update_shares(self) -> None:
+        """Computes the accounts' shares again."""
+        self._admission.update_shares(self._clock.now_ms())
+
+    def retain_accounts(self, accounts: Collection[str]) -> None:
+        """Drops the usage of accounts that no longer exist."""
+        self._admission.retain_accounts(accounts)
+
     def handle_server_changes(self, instances: Iterable[Instance]) -> None:
         """Makes the next decision count the slots of changed services."""
         for instance in instances:
--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -75,6 +75,7 @@
         group: this keeper's replica of the control group; set by the caller
             before the first record is applied.
         leading: whether this keeper leads the group.
+        account_names: client accounts of the routing document.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         )
         self.quotas = Quotas(tolerance)
         self._on_routing_changed = on_routing_changed
+        self.account_names: frozenset[str] = frozenset()
         self._packed_accounts = b""
         self._uncommitted_use: dict[str, AccountUse] = {}
         self._quarantine = Quarantine()
@@ -172,6 +174,7 @@
         if packed is not None and packed.accounts != self._packed_accounts:
             self._packed_accounts = packed.accounts
             accounts = routes.unpack_accounts(packed) or []
+            self.account_names = frozenset(a.name for a in accounts)
             self.quotas.configure(accounts, self.state.ledger.now_ms)
         self._on_routing_changed()
 
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -153,6 +153,7 @@
             self.clock,
             _COMMIT_TIMEOUT_S,
             ContendedServices(configured=self.cfg.contended_capacity),
+            self.cfg.account_weights,
         )
 
     def _new_ask_handler(self) -> AskHandler:
@@ -324,6 +325,7 @@
         self._publisher.publish_info()
 
     def _handle_routing_change(self) -> None:
+        self._turn_requests.admission.retain_accounts(self.host.account_names)
         self._publisher.publish_routing()
 
     def _handle_server_changes(self, instances: list[Instance]) -> None:
@@ -361,6 +363,7 @@
                 self._publisher.publish_routing()
             if not self.host.holds_lease():
                 continue
+            self._turn_requests.admission.update_shares()
             for lost in self.host.lost_servers():
                 self._tasks.spawn(self.host.announce(lost, _COMMIT_TIMEOUT_S))
             if ticks % _TICKS_PER_USE_COMMIT == 0:
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -17,6 +17,8 @@
 from catkinpin.core.placement.unresponsive import UnresponsiveServers
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from catkinpin.adapters.keeper.host import KeeperHost
     from catkinpin.clock import Clock
     from catkinpin.core.control.ledger import Begin
@@ -33,6 +35,11 @@
         clock: the time source.
         commit_timeout_s: longest wait for a quorum.
         contention: for which services capacity is contended.
+        account_weights: weight of an account's share of contended capacity; 1
+            where there is none.
+
+    Attributes:
+        admission: admits programs to contended services.
     """
 
     def __init__(
@@ -42,11 +49,14 @@
         clock: Clock,
         commit_timeout_s: float,
         contention: ContendedServices,
+        account_weights: Mapping[str, float] | None = None,
     ) -> None:
         self._host = host
         self._clock = clock
         self._commit_timeout_s = commit_timeout_s
-        self._admission = ProgramAdmission(host, clock, contention)
+        self.admission = ProgramAdmission(
+            host, clock, contention, account_weights or {}
+        )
         self._placer = Placer(regions, random.Random(), contention)
         self._unresponsive = UnresponsiveServers()
 
@@ -59,7 +69,7 @@
         quota_wait_ms = self._quota_wait_ms(begin) if is_limited else 0
         if quota_wait_ms:
             return self._deny_over_quota(message.ask, begin, quota_wait_ms)
-        retry_ms = self._admission.admit(message, begin)
+        retry_ms = self.admission.admit(message, begin)
         if retry_ms:
             return protocol.Began(
                 ask=message.ask,
@@ -73,7 +83,7 @@
         if isinstance(outcome, Undecided):
             return outcome
         if outcome.denial:
-            self._admission.cancel(begin.attempt)
+            self.admission.cancel(begin.attempt)
         placed = (
             ""
             if outcome.denial
@@ -93,7 +103,7 @@
         finish = structs.replace(message.finish, at_ms=self._host.log_time_ms())
         now_ms = self._clock.now_ms()
         self._placer.finish(finish.attempt, message.report, now_ms)
-        self._admission.finish(message)
+        self.admission.finish(message)
         outcome = await self._host.propose(finish, self._commit_timeout_s)
         return outcome if isinstance(outcome, Undecided) else None
 
@@ -132,12 +142,12 @@
     def reset(self) -> None:
         """Drops placements and reports after a change of the leader."""
         self._placer.reset()
-        self._admission.reset()
+        self.admission.reset()
         self._unresponsive.reset()
 
     def handle_server_changes(self, instances: list[Instance]) -> None:
         """Drops the placements on servers that are offline."""
-        self._admission.handle_server_changes(instances)
+        self.admission.handle_server_changes(instances)
         for instance in instances:
             if instance.state.is_offline:
                 self._placer.forget(instance.id)
--- a/catkinpin/roles.py
+++ b/catkinpin/roles.py
@@ -24,6 +24,7 @@
 PositiveInt = Annotated[int, Meta(gt=0)]
 NonNegativeInt = Annotated[int, Meta(ge=0)]
 Fraction = Annotated[float, Meta(ge=0, le=1)]
+PositiveFloat = Annotated[float, Meta(gt=0)]
 Seeds = Annotated[list[Address], Meta(min_length=1)]
 
 
@@ -84,6 +85,8 @@
         quota_slack: requests that may be made beyond that in a window.
         contended_capacity: whether callers compete for the servers' capacity,
             so that the leader admits programs by what the servers can finish.
+        account_weights: weight of a client account's share of contended
+            capacity; 1 for accounts that are not listed.
     """
 
     listen: Address = "127.0.0.1:8082"
@@ -96,6 +99,7 @@
     quota_overage: Fraction = 0.0
     quota_slack: NonNegativeInt = 0
     contended_capacity: bool = False
+    account_weights: dict[str, PositiveFloat] = {}
 
 
 class StoreSettings(RoleSettings, frozen=True, kw_only=True):
