--- a/catkinpin/adapters/keeper/admitting.py
+++ b/catkinpin/adapters/keeper/admitting.py
@@ -136,6 +136,10 @@
     begin: Begin, route: str, decision: AdmissionDecision
 ) -> None:
     metrics.ADMISSIONS.labels(decision.reason).inc()
+    inputs = {
+        name: round(value, 1) if isinstance(value, float) else value
+        for name, value in dataclasses.asdict(decision).items()
+    }
     write = decisions.note if decision.retry_ms else decisions.routine
     write(
         "no-capacity" if decision.retry_ms else "admitted",
@@ -143,5 +147,5 @@
         program=begin.program,
         account=begin.account,
         route=route,
-        **dataclasses.asdict(decision),
+        **inputs,
     )
--- a/catkinpin/core/placement/admission.py
+++ b/catkinpin/core/placement/admission.py
@@ -88,7 +88,8 @@
         learned_age_ms: age of the route's averages.
         used_slots: slots that its account used lately; only where a share
             counts.
-        share_slots: slots that its account may use.
+        share_slots: slots that its account may use; infinite if there is
+            enough for all accounts.
     """
 
     reason: AdmissionReason
