Test that ended programs stop counting, and bound a test's wait

Without the limit of the counted pause, no test failed: the count of open turns hid it. Without admission, a test looped instead of failing.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -78,12 +78,13 @@
     model = ProgramModel(Admission(0))
     model.add_load(0, 4_000, 0.5)
     model.add_load(4_000, 6_000, 2.5)
-    now_ms = 4_000
-    while not any(caller.refusals for caller in model.callers):
-        now_ms += 10
-        model.run_until(now_ms)
     assert model.admission is not None
-    return model.admission, now_ms
+    for now_ms in range(4_000, 6_000, 10):
+        model.run_until(now_ms)
+        if any(caller.refusals for caller in model.callers):
+            return model.admission, now_ms
+    message = "nobody was refused"
+    raise AssertionError(message)
 
 
 def _refuse_some(
@@ -202,6 +203,20 @@
         self.assertEqual(0, demand.running_programs)
         self.assertAlmostEqual(0, demand.needed)
 
+    def test_ended_program_stops_counting_soon(self) -> None:
+        """Guards against ended programs that outnumber the running ones."""
+        demand = ServiceDemand(0)
+        demand.slots = 4
+        for turn in range(3):
+            begin_ms = 300 * turn
+            demand.begin(f"t{turn}", ("", "p"), "r", 0, 1_000, begin_ms)
+            demand.finish(f"t{turn}", begin_ms + 200, ran=True)
+        demand.advance(800 + 249)
+        self.assertGreater(demand.needed, 0.5)
+        demand.advance(800 + 251)
+        self.assertAlmostEqual(0, demand.needed)
+        self.assertEqual(1, demand.running_programs)
+
     def test_queue_does_not_lengthen_the_learned_turn(self) -> None:
         """Guards against estimates that grow with the queue they cause."""
         demand = ServiceDemand(0)
