--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import dataclasses
 import logging
 from typing import TYPE_CHECKING
 
 from catkinpin import decisions
+from catkinpin.adapters.gateway.turncache import TurnCache
 from catkinpin.adapters.tasks import BackgroundTasks
 from catkinpin.core.control import copies, protocol
 from catkinpin.core.control.ledger import Begin, Denial, Finish
@@ -62,6 +62,17 @@
     retry_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class OverCapacity:
+    """Result of a begin that was refused as the servers have no room.
+
+    Attributes:
+        retry_ms: time until the leader expects room for the program.
+    """
+
+    retry_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class StartedTurn:
     """A turn that the leader has begun.
@@ -96,38 +107,6 @@
     report: TurnReport = dataclasses.field(default_factory=TurnReport)
 
 
-class _Cache:
-    """Caches the bytes of recent turns, least recently used evicted first.
-
-    A program's next turn usually arrives at the same gateway, so the cache
-    saves most reads over the link between regions.
-    """
-
-    def __init__(self, max_bytes: int) -> None:
-        self._max_bytes = max_bytes
-        self._size = 0
-        self._parts: collections.OrderedDict[str, bytes] = (
-            collections.OrderedDict()
-        )
-
-    def get(self, attempt: str) -> bytes | None:
-        """Returns the bytes of a turn, or None if they are not cached."""
-        data = self._parts.get(attempt)
-        if data is not None:
-            self._parts.move_to_end(attempt)
-        return data
-
-    def put(self, attempt: str, data: bytes) -> None:
-        """Adds the bytes of a turn and evicts the least recently used."""
-        if attempt in self._parts or len(data) > self._max_bytes:
-            return
-        self._parts[attempt] = data
-        self._size += len(data)
-        while self._size > self._max_bytes:
-            _, evicted = self._parts.popitem(last=False)
-            self._size -= len(evicted)
-
-
 class TurnClient:
     """Sends requests about turns to the leader and to the storing hosts.
 
@@ -144,7 +123,7 @@
         self._copies = copies
         self._keepers = keepers
         self._region = region
-        self._cache = _Cache(cache_bytes)
+        self._cache = TurnCache(cache_bytes)
         self._tasks = BackgroundTasks()
         self._rotation = 0
         # For each slow host the loop time until which it is ranked last.
@@ -161,7 +140,7 @@
         route: Route,
         wait_s: float,
         place: PlaceTurn | None = None,
-    ) -> StartedTurn | Denial | OverQuota | BeginFailed:
+    ) -> StartedTurn | Denial | OverQuota | OverCapacity | BeginFailed:
         """Begins a turn at the leader, which reserves tokens; loads its chain.
 
         Args:
@@ -193,10 +172,8 @@
             # stay reserved forever.
             self.settle(call, TurnResult())
             return BeginFailed(str(exc))
-        if began.denial == Denial.QUOTA_USED_UP:
-            return OverQuota(began.retry_ms)
         if began.denial:
-            return Denial(began.denial)
+            return _denial_result(began)
         history = await self._load_chain(began.chain)
         if history is None:
             self.settle(call, TurnResult())
@@ -436,3 +413,12 @@
     def _region_rank(self, host: Host) -> int:
         region = host.info.region if host.info is not None else ""
         return int(region != self._region)
+
+
+def _denial_result(began: protocol.Began) -> Denial | OverQuota | OverCapacity:
+    """Returns the result of a begin that the leader denied."""
+    if began.denial == Denial.QUOTA_USED_UP:
+        return OverQuota(began.retry_ms)
+    if began.denial == Denial.NO_CAPACITY:
+        return OverCapacity(began.retry_ms)
+    return Denial(began.denial)
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -154,6 +154,7 @@
             self.clock,
             _COMMIT_TIMEOUT_S,
             ContendedServices(configured=self.cfg.contended_capacity),
+            self.cfg.account_weights,
         )
 
     def _new_ask_handler(self) -> AskHandler:
@@ -326,10 +327,11 @@
         self._publisher.publish_info()
 
     def _handle_routing_change(self) -> None:
+        self._turn_requests.admission.retain_accounts(self.host.account_names)
         self._publisher.publish_routing()
 
     def _handle_server_changes(self, instances: list[Instance]) -> None:
-        self._turn_requests.drop_offline_servers(instances)
+        self._turn_requests.handle_server_changes(instances)
         self._publisher.publish_servers(instances)
 
     def _handle_quarantine_change(self, contents: list[str]) -> None:
@@ -358,6 +360,7 @@
                 self._publisher.publish_info_to_gateways()
             if not self.host.holds_lease():
                 continue
+            self._turn_requests.admission.update_shares()
             for lost in self.host.lost_servers():
                 self._tasks.spawn(self.host.announce(lost, _COMMIT_TIMEOUT_S))
             if ticks % _TICKS_PER_USE_COMMIT == 0:
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -117,6 +117,11 @@
     "Retries of plain calls that the retry budget denied.",
     [],
 )
+ADMISSIONS = Counter(
+    "catkinpin_admissions_total",
+    "New programs that the leader admitted or refused, by reason.",
+    ["reason"],
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
