Ignore lists of servers that are older than the gateway's state

Cause: the index of a list was compared only for removals. A list or change of a keeper that lags, or replays its log after it lost its disk, could add a server that had left while the gateway was not connected.

Change: GatewayView ignores a list or change with a lower log index than its own state; counted by catkinpin_feed_outdated_total, and logged.

Measured: the new test in tests/test_view.py adds such a server by both kinds of message.

--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -6,7 +6,7 @@
 import contextlib
 from typing import TYPE_CHECKING, Any
 
-from catkinpin import decisions
+from catkinpin import decisions, metrics
 from catkinpin.core.control import protocol, servers
 from catkinpin.core.control.routes import RouteTable
 from catkinpin.core.control.servers import Fleet, ServerState
@@ -56,7 +56,8 @@
         # Newest version that a keeper confirmed to be the current one.
         self._confirmed_version = -1
         self._announced_version = -1
-        self._servers_index = 0
+        # All changes of servers up to this log index are applied.
+        self._servers_index = -1
 
     @property
     def has_current_routes(self) -> bool:
@@ -154,15 +155,31 @@
             self._may_serve.set()
 
     def _handle_servers(self, message: protocol.ServersUpdate) -> None:
+        """Applies changes, unless they are older than the state held here.
+
+        Each stream begins with all servers and continues with all changes, so
+        the state includes everything up to the highest index received. A
+        keeper that lags, or replays its log after it lost its disk, names
+        servers that have left since. A server that left while this gateway
+        was not connected is not remembered, and would be added again.
+        """
+        if message.index < self._servers_index:
+            metrics.FEED_OUTDATED.inc()
+            decisions.routine(
+                "outdated-servers",
+                "",
+                index=message.index,
+                held=self._servers_index,
+                servers=len(message.instances),
+                whole=message.whole,
+            )
+            return
+        self._servers_index = message.index
         for update in message.instances:
             for changed in self.fleet.apply(update):
                 self._handle_change(changed)
         if not message.whole:
-            self._servers_index = max(self._servers_index, message.index)
-            return
-        if message.index < self._servers_index:
             return
-        self._servers_index = message.index
         listed = {update.id for update in message.instances}
         for instance in list(self.fleet.servers.values()):
             if instance.id not in listed:
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -73,6 +73,10 @@
 QUOTA_ACCOUNTS = Gauge(
     "catkinpin_quota_accounts", "Accounts in use that have a quota."
 )
+FEED_OUTDATED = Counter(
+    "catkinpin_feed_outdated_total",
+    "Lists of servers that a gateway ignored since it held a newer state.",
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -68,3 +68,23 @@
         self.assertEqual({"a", "b"}, set(view.fleet.servers))
         view.handle(protocol.ServersUpdate(index=11, instances=old, whole=True))
         self.assertEqual(["b"], gone)
+
+    def test_log_that_is_replayed_adds_no_server_that_has_left(self) -> None:
+        """Guards against requests to a server that left long ago.
+
+        A keeper that lost its disk replays the log from its beginning. The
+        gateway does not remember a server that left while it was cut off.
+        """
+        view = GatewayView(clock.system_clock(), lambda _: None)
+        left = instance("left")
+        for index, listed in ((5, [left]), (90, [instance("a")])):
+            view.handle(
+                protocol.ServersUpdate(
+                    index=index, instances=listed, whole=True
+                )
+            )
+        for whole in (True, False):
+            view.handle(
+                protocol.ServersUpdate(index=5, instances=[left], whole=whole)
+            )
+        self.assertEqual({"a"}, set(view.fleet.servers))
