--- a/catkinpin/adapters/keeper/serverupdates.py
+++ b/catkinpin/adapters/keeper/serverupdates.py
@@ -2,8 +2,8 @@
 
 Hundreds of gateways need thousands of servers, and all at once when the system
 starts. To bound memory and work, a message is encoded once for all gateways,
-all changes of one iteration of the event loop are one message, and the queue of
-a slow gateway is limited: after the gateway has read it, it gets all servers.
+changes of some ms are one message, and the queue of a slow gateway is limited:
+after the gateway has read it, it gets all servers.
 """
 
 from __future__ import annotations
@@ -20,6 +20,9 @@
     from catkinpin.core.control.servers import Instance
     from catkinpin.core.control.state import ControlState
 
+# Changes within this time are one message. When all servers start, the log
+# commits changes every few ms, and each message costs each gateway a read.
+_BATCH_S = 0.02
 # A gateway for which so many messages are queued counts as slow.
 _MAX_QUEUED_MESSAGES = 64
 
@@ -29,7 +32,7 @@
 
     Args:
         state: the control group's state.
-        gateways: returns the streams of all gateways.
+        gateways: returns the streams of the gateways that get changes.
     """
 
     def __init__(
@@ -40,14 +43,16 @@
         self._state = state
         self._gateways = gateways
         self._changed: list[Instance] = []
+        self._batch_timer: asyncio.TimerHandle | None = None
         self._encoded_all: streams.EncodedMessage | None = None
         self._slow_gateways: set[streams.Stream] = set()
 
     def add_changed(self, instances: list[Instance]) -> None:
-        """Queues changed servers for the next iteration of the event loop."""
+        """Queues changed servers for the next batch."""
         self._encoded_all = None
-        if instances and not self._changed:
-            asyncio.get_running_loop().call_soon(self._publish)
+        if instances and self._batch_timer is None:
+            loop = asyncio.get_running_loop()
+            self._batch_timer = loop.call_later(_BATCH_S, self.flush)
         self._changed.extend(instances)
 
     def send_all(self, stream: streams.Stream) -> None:
@@ -61,6 +66,24 @@
             )
         stream.send_encoded(self._encoded_all)
 
+    def replace_all(self) -> None:
+        """Sends all servers to all gateways, instead of queued changes.
+
+        A snapshot that replaces the state does not tell which servers have left
+        since.
+        """
+        self._encoded_all = None
+        self._clear_batch()
+        for stream in self._gateways():
+            if not self.is_slow(stream):
+                self.send_all(stream)
+
+    def is_slow(self, stream: streams.Stream) -> bool:
+        """Returns whether a gateway gets no changes until it has caught up."""
+        if stream.queue_length >= _MAX_QUEUED_MESSAGES:
+            self._slow_gateways.add(stream)
+        return stream in self._slow_gateways
+
     def send_to_slow_gateways(self) -> None:
         """Sends all servers to slow gateways that have emptied their queue."""
         self._slow_gateways &= set(self._gateways())
@@ -68,15 +91,23 @@
             self._slow_gateways.discard(stream)
             self.send_all(stream)
 
-    def _publish(self) -> None:
-        changed, self._changed = self._changed, []
+    def flush(self) -> None:
+        """Sends the queued changes now."""
+        changed = self._clear_batch()
+        if not changed:
+            return
         update = streams.encode(
             protocol.ServersUpdate(
                 index=self._state.index, instances=changed, whole=False
             )
         )
         for stream in self._gateways():
-            if stream.queue_length >= _MAX_QUEUED_MESSAGES:
-                self._slow_gateways.add(stream)
-            if stream not in self._slow_gateways:
+            if not self.is_slow(stream):
                 stream.send_encoded(update)
+
+    def _clear_batch(self) -> list[Instance]:
+        if self._batch_timer is not None:
+            self._batch_timer.cancel()
+            self._batch_timer = None
+        changed, self._changed = self._changed, []
+        return changed
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -27,6 +27,10 @@
 # A keeper's host has 296 MB of memory for everything that runs on it.
 _MAX_BYTES = 32 * 1024 * 1024
 
+# Far above the 20 ms of a batch, for a busy machine; a drained server must be
+# known within 2.5 s.
+_MAX_BATCH_WAIT_S = 1.0
+
 _decoder = codec.decoder(protocol.FromKeeper)
 
 
@@ -58,11 +62,9 @@
                 one = instance(f"s{number}", address=f"10.0.0.1:{number}")
                 self.updates.add_changed(self.state.fleet.apply(one))
                 if number % _RECORDS_PER_SYNC == _RECORDS_PER_SYNC - 1:
-                    await asyncio.sleep(0)
-                    await asyncio.sleep(0)
+                    self.updates.flush()
                     read()
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
+            self.updates.flush()
 
         asyncio.run(main())
 
@@ -84,7 +86,26 @@
             tracemalloc.stop()
         self.assertLess(peak, _MAX_BYTES)
 
-    def test_changes_of_one_turn_are_one_message_for_all(self) -> None:
+    def test_changes_within_some_ms_are_one_message_sent_in_time(self) -> None:
+        """Guards against a message for each record, and against none at all."""
+
+        async def main() -> list[Any]:
+            for number in range(_RECORDS_PER_SYNC):
+                one = instance(f"s{number}", address=f"10.0.0.1:{number}")
+                self.updates.add_changed(self.state.fleet.apply(one))
+                await asyncio.sleep(0)
+            async with asyncio.timeout(_MAX_BATCH_WAIT_S):
+                while not self.streams[0].queue_length:
+                    await asyncio.sleep(0.001)
+            return self.streams[0].read()
+
+        messages = asyncio.run(main())
+        self.assertEqual(1, len(messages))
+        self.assertEqual(
+            _RECORDS_PER_SYNC, len(self._view(messages).fleet.servers)
+        )
+
+    def test_changes_of_one_batch_are_one_message_for_all(self) -> None:
         """Guards against encoding each change for each gateway."""
         self._announce(_RECORDS_PER_SYNC)
         first = self.streams[0].read()
