Send the feed of changes to subscribers only

Change: a gateway whose Hello says that it subscribes gets HostInfo and RoutingUpdate only, until it sends Subscribe; it then gets the feed, with a FeedState every 500 ms. HostInfo names stores to processes that get the feed; registrations and retirements of stores go to all, as before. The leader sends unresponsive servers to the other keepers as well, which relay them. Keepers of the previous release ignore that message, which they can decode.

Gateways don't subscribe yet.

--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -68,6 +68,7 @@
         on_servers_changed: called with the servers that changed.
         on_turns_expired: called with the attempts that expired.
         on_quarantined: called with digests of quarantined request contents.
+        on_restored: called after a snapshot has replaced the state.
 
     Attributes:
         state: the replicated state.
@@ -87,6 +88,7 @@
         on_servers_changed: Callable[[list[Instance]], None],
         on_turns_expired: Callable[[list[str]], None],
         on_quarantined: Callable[[list[str]], None],
+        on_restored: Callable[[], None] = lambda: None,
     ) -> None:
         self.state = state.ControlState(
             self._handle_routing_change,
@@ -96,6 +98,7 @@
         )
         self.quotas = Quotas(tolerance)
         self._on_routing_changed = on_routing_changed
+        self._on_restored = on_restored
         self._packed_accounts = b""
         self._uncommitted_use: dict[str, AccountUse] = {}
         self._quarantine = Quarantine()
@@ -154,6 +157,7 @@
     def restore(self, data: bytes) -> None:
         """Replaces the state with a snapshot."""
         self.state.restore(self.group.log.snapshot_index, data)
+        self._on_restored()
 
     def referenced(self) -> list[int]:
         """Returns an empty list: the state refers to no log entry by index."""
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -46,7 +46,7 @@
 
 log = logging.getLogger(__name__)
 
-ROLE = "keeper"
+ROLE = publisher.KEEPER_ROLE
 _CONTROL_GROUP = "control"
 _TICK_INTERVAL_S = 0.1
 # Holds some minutes of records. Most of a keeper's disk is for turns' bytes.
@@ -66,6 +66,9 @@
 # Ticks between updates of the number of gateways; gateways divide the servers'
 # limits by it.
 _TICKS_PER_GATEWAY_COUNT = 10
+# Ticks between states of the feed. A gateway replaces a keeper from which none
+# came for 1.2 s.
+_TICKS_PER_FEED_STATE = 5
 # Between scans for bytes without a turn. Bytes are dropped once two scans in a
 # row find them, which takes longer than any turn lasts.
 _ORPHAN_SCAN_INTERVAL_S = 20.0
@@ -102,11 +105,13 @@
         self.turn_bytes = TurnBytes(cfg.data_folder / "turns")
         self.host = self._new_host()
         self.host.group = self.node.add_group(_CONTROL_GROUP, self.host)
-        self.other_hosts = keepers.Keepers(self._hello(ROLE))
+        self.other_hosts = keepers.Keepers(
+            self._hello(ROLE), self._on_keeper_message
+        )
         self._peer_server = links.PeerServer(
             protocol.ToKeeper | transport.ReplicaMessage,
             self._on_message,
-            lambda _: None,
+            lambda stream: self._publisher.drop_stream(stream),
             link="from-keeper",
         )
         self._http = HttpServer(control(self))
@@ -144,6 +149,7 @@
             self._handle_server_changes,
             self._handle_expired_turns,
             self._handle_quarantine_change,
+            self._handle_restored_state,
         )
 
     def _new_turn_requests(self, regions: dict[str, str]) -> TurnRequests:
@@ -289,11 +295,18 @@
         if isinstance(message, messages.Hello):
             self._publisher.send_state(stream)
             return
+        if isinstance(message, protocol.Subscribe):
+            self._publisher.subscribe(stream, active=message.active)
+            return
         if isinstance(message, protocol.GroupSeen):
             self.node.record_system_known(stream.hello.process)
             return
         self._tasks.spawn(self._ask_handler.answer(stream, message))
 
+    def _on_keeper_message(self, _host: keepers.Host, message: Any) -> None:
+        if isinstance(message, protocol.UnresponsiveUpdate):
+            self._publisher.relay_unresponsive(message)
+
     # Stores.
 
     async def retire(
@@ -321,7 +334,7 @@
     def _handle_leader_change(self, group: Group) -> None:
         decisions.note("leader", "", address=group.leader, term=group.term)
         self._turn_requests.reset()
-        self._publisher.publish_info()
+        self._publisher.publish_status()
 
     def _handle_routing_change(self) -> None:
         self._publisher.publish_routing()
@@ -333,6 +346,9 @@
     def _handle_quarantine_change(self, contents: list[str]) -> None:
         self._publisher.publish_quarantine(contents)
 
+    def _handle_restored_state(self) -> None:
+        self._publisher.replace_feed()
+
     def _handle_expired_turns(self, attempts: list[str]) -> None:
         self.turn_bytes.drop(attempts)
         if self.host.leading:
@@ -357,8 +373,11 @@
             is_current = self.host.group.is_current()
             if is_current != self._was_current:
                 self._was_current = is_current
-                self._publisher.publish_info()
+                self._publisher.publish_status()
                 self._publisher.publish_routing()
+                self._publisher.publish_feed_state()
+            if ticks % _TICKS_PER_FEED_STATE == 0:
+                self._publisher.publish_feed_state()
             if not self.host.holds_lease():
                 continue
             for lost in self.host.lost_servers():
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -24,11 +24,13 @@
     Attributes:
         node: its identity, new for each new data folder.
         address: peer address.
-        known: peer addresses of all keepers and stores that it knows.
+        known: peer addresses of all keepers and stores that it knows; of
+            keepers only, if it goes to a gateway without a feed from here.
         retiring: identities of stores that are being emptied.
         gateways: number of gateways connected to it.
         leader: peer address of the group's leader, empty if not known.
         term: the term of that leader.
+        offers_feed: whether the sender understands `Subscribe`.
     """
 
     node: str
@@ -40,6 +42,29 @@
     term: int
     retiring: list[str] = []
     gateways: int = 0
+    offers_feed: bool = False
+
+
+class Subscribe(Message, frozen=True):
+    """Asks a keeper that offers a feed to start or to stop sending it.
+
+    The feed consists of `AllServers`, `ServersUpdate`, `QuarantineUpdate`,
+    `UnresponsiveUpdate` and `FeedState`. It begins with all servers.
+    """
+
+    active: bool
+
+
+class FeedState(Message, frozen=True):
+    """Tells subscribers at an interval that the feed is alive.
+
+    Attributes:
+        index: log index up to which the feed contains all changes.
+        is_current: whether the keeper's state is current.
+    """
+
+    index: int
+    is_current: bool
 
 
 class GroupSeen(Message, frozen=True):
@@ -331,6 +356,7 @@
     Hello
     | Ping
     | GroupSeen
+    | Subscribe
     | AskBegin
     | AskFinish
     | AskRouting
@@ -348,6 +374,7 @@
     Ping
     | HostInfo
     | RoutingUpdate
+    | FeedState
     | ServersUpdate
     | AllServers
     | Began
--- a/catkinpin/core/messages.py
+++ b/catkinpin/core/messages.py
@@ -49,7 +49,12 @@
 
 
 class Hello(Message, frozen=True):
-    """First message on a stream; identifies the connecting process."""
+    """First message on a stream; identifies the connecting process.
+
+    Attributes:
+        subscribes: whether a gateway subscribes to the keeper whose feed of
+            changes it wants. Keepers send no feed to it until it does.
+    """
 
     process: str
     incarnation: str
@@ -57,6 +62,7 @@
     address: str
     domain: str
     region: str
+    subscribes: bool = False
 
 
 class Ping(Message, frozen=True):
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -73,6 +73,19 @@
 QUOTA_ACCOUNTS = Gauge(
     "catkinpin_quota_accounts", "Accounts in use that have a quota."
 )
+FEED_CHANGES = Counter(
+    "catkinpin_feed_changes_total",
+    "Changes of the keeper whose feed a gateway subscribes to.",
+    ["reason"],
+)
+FEED_SUBSCRIPTIONS = Counter(
+    "catkinpin_feed_subscriptions_total",
+    "Subscriptions that began or ended at a keeper.",
+    ["active"],
+)
+FEED_SUBSCRIBERS = Gauge(
+    "catkinpin_feed_subscribers", "Gateways subscribed to a keeper's feed."
+)
 FEED_OUTDATED = Counter(
     "catkinpin_feed_outdated_total",
     "Lists of servers that a gateway ignored since it held a newer state.",
