Subscribe each gateway to one keeper's feed

Cause: at 302 processes keepers sent 4.7 MB/s each, mostly the same changes five times.

Change: FeedSubscription sends Subscribe to the keeper that FeedSelector selects: 20 ms after the first one that offers a feed, at once when the link to the feed is lost, at the gateway's tick otherwise.

--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -10,6 +10,7 @@
 
 from catkinpin import clock, decisions
 from catkinpin.adapters.gateway.context import GatewayContext
+from catkinpin.adapters.gateway.feed import FeedSubscription
 from catkinpin.adapters.gateway.routefetch import RouteFetcher
 from catkinpin.adapters.gateway.serving import RequestHandler
 from catkinpin.adapters.gateway.turns import TurnClient
@@ -21,6 +22,7 @@
 from catkinpin.adapters.peers import keepers
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
+from catkinpin.core.control.feeds import FeedSelector
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.speeds import Speeds
@@ -73,7 +75,9 @@
         self.keepers = keepers.Keepers(
             _make_hello(cfg),
             self._on_keeper_message,
+            lambda host: self._feed.handle_disconnect(host),
         )
+        self._feed = self._new_feed()
         self._turns = TurnClient(
             self.keepers,
             cfg.region,
@@ -106,6 +110,10 @@
         self._route_fetcher = RouteFetcher(self.keepers, self.view, cfg.region)
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _new_feed(self) -> FeedSubscription:
+        selector = FeedSelector(self.cfg.name, self.cfg.region)
+        return FeedSubscription(self.keepers, selector, self.clock)
+
     def _new_usage(self) -> UsageReporter:
         return UsageReporter(
             self.keepers,
@@ -149,6 +157,7 @@
             await asyncio.sleep(_TICK_INTERVAL_S)
         self.server.close_idle()
         decisions.note("stopped", "", cut=self.server.count_busy())
+        self._feed.stop()
         await self.server.stop()
         await self._readiness_server.stop()
         for task in self._tasks:
@@ -172,6 +181,7 @@
 
     def _on_keeper_message(self, host: keepers.Host, message: Any) -> None:
         self.view.handle(message)
+        self._feed.handle(host, message)
         if isinstance(message, protocol.RoutingUpdate):
             self._route_fetcher.record_announcement(host, message)
         if isinstance(message, protocol.UnresponsiveUpdate):
@@ -225,6 +235,7 @@
         while True:
             await asyncio.sleep(_TICK_INTERVAL_S)
             self.keepers.tick()
+            self._feed.update()
             if self.keepers.connected():
                 self._last_connected_ms = self.clock.now_ms()
             reason = self.not_ready_reason()
@@ -242,4 +253,5 @@
         address="",
         domain=cfg.failure_domain,
         region=cfg.region,
+        subscribes=True,
     )
--- a/catkinpin/adapters/peers/keepers.py
+++ b/catkinpin/adapters/peers/keepers.py
@@ -58,6 +58,7 @@
     Args:
         hello: first message on each link; it says which process this is.
         on_message: called with each message that is not a reply.
+        on_disconnected: called with a host after the stream to it has ended.
 
     Attributes:
         retiring: identities of the stores that are being emptied.
@@ -67,9 +68,11 @@
         self,
         hello: Hello,
         on_message: Callable[[Host, Any], None] = lambda _host, _message: None,
+        on_disconnected: Callable[[Host], None] = lambda _host: None,
     ) -> None:
         self._hello = hello
         self._on_message = on_message
+        self._on_disconnected = on_disconnected
         self._hosts: dict[str, Host] = {}
         self._leader = ""
         self._term = 0
@@ -85,6 +88,9 @@
                 self._hello,
                 protocol.FromKeeper,
                 functools.partial(self._handle, address),
+                on_disconnected=functools.partial(
+                    self._handle_disconnect, address
+                ),
                 link="to-keeper",
             )
             host = Host(link, last_connected_s=time.monotonic())
@@ -227,3 +233,8 @@
                 # that it does not found a new one.
                 host.link.send(protocol.GroupSeen(term=self._term))
         self._on_message(host, message)
+
+    def _handle_disconnect(self, address: str) -> None:
+        host = self._hosts.get(address)
+        if host is not None:
+            self._on_disconnected(host)
--- a/catkinpin/adapters/peers/links.py
+++ b/catkinpin/adapters/peers/links.py
@@ -171,6 +171,7 @@
         message_types: union of the messages that may arrive.
         on_message: called with each message that answers no pending request.
         on_connected: called after the first frame on a new stream.
+        on_disconnected: called after a stream has ended.
         compressed: whether to compress batches, for links of low bandwidth.
         link: label of the sent bytes in the metrics.
 
@@ -186,6 +187,7 @@
         on_message: Callable[[Any], None],
         on_connected: Callable[[PeerLink], None] = lambda _: None,
         *,
+        on_disconnected: Callable[[], None] = lambda: None,
         compressed: bool = False,
         link: str = "entry-replica",
     ) -> None:
@@ -196,6 +198,7 @@
         self._decoder = codec.decoder(list[message_types])
         self._on_message = on_message
         self._on_connected = on_connected
+        self._on_disconnected = on_disconnected
         self._stream: Stream | None = None
         self._pending_asks: dict[int, asyncio.Future[Any]] = {}
         self._asked_at_ms: dict[int, int] = {}
@@ -220,6 +223,19 @@
         self._stream.send(message)
         return True
 
+    def silence_ms(self) -> int:
+        """Returns the time since the last batch; 0 if there is no stream."""
+        if self._stream is None:
+            return 0
+        return int(self._stream.silence_s() * streams.MS_PER_S)
+
+    def earliest_sent_ms(self) -> int:
+        """Returns the earliest time at which the last message was sent.
+
+        It is on the clock of `streams.now_ms`; 0 if there is no stream.
+        """
+        return self._stream.earliest_sent_ms if self._stream else 0
+
     async def ask(self, message: Any, timeout_s: float) -> Any:
         """Sends a message that has an `ask` field and waits for the reply.
 
@@ -315,6 +331,7 @@
 
     def _handle_disconnect(self) -> None:
         """Fails all pending requests."""
+        was_connected = self._stream is not None
         self._stream = None
         self.connected.clear()
         for fut in self._pending_asks.values():
@@ -322,6 +339,8 @@
                 fut.set_exception(
                     PeerLostError(f"stream to {self.address} broke")
                 )
+        if was_connected:
+            self._on_disconnected()
 
 
 def _write_frame(writer: asyncio.StreamWriter, data: bytes) -> None:
--- a/catkinpin/adapters/peers/streams.py
+++ b/catkinpin/adapters/peers/streams.py
@@ -31,7 +31,7 @@
 SILENCE_TIMEOUT_S = 1.5
 # A batch carries a new nonce if the last nonce is at least this old.
 _NONCE_INTERVAL_S = 0.05
-_MS_PER_S = 1000
+MS_PER_S = 1000
 
 AnyMessage = Any
 
@@ -197,7 +197,7 @@
 
 def now_ms() -> int:
     """Returns the local monotonic time in milliseconds."""
-    return int(time.monotonic() * _MS_PER_S)
+    return int(time.monotonic() * MS_PER_S)
 
 
 def with_local_expiry(
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -145,3 +146,36 @@
             await next_leader.stop()
 
         self.run_async(main())
+
+
+class DisconnectTest(base.TestCase):
+    """Keepers that are killed."""
+
+    def test_loss_of_a_keeper_is_reported_at_once_and_once(self) -> None:
+        """Guards against a feed that waits for a keeper which is gone."""
+
+        async def main() -> None:
+            keeper = _Keeper(answers=True)
+            await keeper.start()
+            lost: list[str] = []
+            links_to_keepers = keepers.Keepers(
+                GATEWAY_HELLO,
+                on_disconnected=lambda host: lost.append(host.link.address),
+            )
+            links_to_keepers.add([keeper.address])
+
+            async def is_connected() -> bool:
+                return bool(links_to_keepers.connected())
+
+            async def is_lost() -> bool:
+                return bool(lost)
+
+            await base.until(is_connected, "the keeper is connected")
+            await keeper.stop()
+            await base.until(is_lost, "the loss is known", _MAX_FAILOVER_S)
+            # Attempts to connect again fail, but there is nothing to lose.
+            await asyncio.sleep(_MAX_FAILOVER_S)
+            self.assertEqual([keeper.address], lost)
+            await links_to_keepers.stop()
+
+        self.run_async(main())
