Publish new stores with the feed, and avoid congestion by failovers

Cause: a gateway that subscribes just before its keeper applies a store's registration would not learn of the store, as only the leader publishes it. When a region loses its keepers, its gateways ask for all servers over the link between regions at once; a failover after 1.2 s would ask again.

Change: a keeper publishes its description to gateways at most once a second if anything in it has changed, not only the number of gateways. The timeout of a feed's state is doubled for a keeper of another region and by each failover because of it, up to 4.8 s, until a prompt state arrives.

--- a/catkinpin/adapters/gateway/feed.py
+++ b/catkinpin/adapters/gateway/feed.py
@@ -99,7 +99,7 @@
         """
         address = host.link.address
         sent_ms = host.link.earliest_sent_ms() + _PING_INTERVAL_MS
-        self._selector.record_state(address, min(now_ms, sent_ms))
+        self._selector.record_state(address, min(now_ms, sent_ms), now_ms)
         self._selector.record_currency(
             address, now_ms, is_current=message.is_current
         )
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -63,9 +63,9 @@
 # Ticks between commits of the use of plain requests. Use that a leader has not
 # committed is lost with it.
 _TICKS_PER_USE_COMMIT = 5
-# Ticks between updates of the number of gateways; gateways divide the servers'
-# limits by it.
-_TICKS_PER_GATEWAY_COUNT = 10
+# Ticks between updates of what gateways know of this keeper: the number of
+# gateways, by which they divide the servers' limits, and the stores.
+_TICKS_PER_INFO = 10
 # Ticks between states of the feed. A gateway replaces a keeper from which none
 # came for 1.2 s.
 _TICKS_PER_FEED_STATE = 5
@@ -357,19 +357,13 @@
     async def _run_periodic_work(self) -> None:
         """Publishes changes; while leading, also detects losses and repairs."""
         ticks = 0
-        published_gateways = 0
         while True:
             await asyncio.sleep(_TICK_INTERVAL_S)
             self.other_hosts.tick()
             self._publisher.send_to_slow_gateways()
             ticks += 1
-            gateways = self._publisher.gateway_count()
-            if (
-                ticks % _TICKS_PER_GATEWAY_COUNT == 0
-                and gateways != published_gateways
-            ):
-                published_gateways = gateways
-                self._publisher.publish_info_to_gateways()
+            if ticks % _TICKS_PER_INFO == 0:
+                self._publisher.publish_changed_info()
             is_current = self.host.group.is_current()
             if is_current != self._was_current:
                 self._was_current = is_current
--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -51,6 +51,7 @@
         self._host = host
         self._server = server
         self._subscribers: set[links.Stream] = set()
+        self._published_info: protocol.HostInfo | None = None
         self._server_updates = ServerUpdates(host.state, self._feed_streams)
 
     def subscribe(self, stream: links.Stream, *, active: bool) -> None:
@@ -87,7 +88,8 @@
 
     def publish_info(self) -> None:
         """Sends this keeper's identity and known hosts to all processes."""
-        self._broadcast(self._host_info())
+        self._published_info = self._host_info()
+        self._broadcast(self._published_info)
 
     def publish_status(self) -> None:
         """Sends this keeper's identity and the leader to all processes.
@@ -96,12 +98,13 @@
         """
         self._publish_info_to("")
 
-    def publish_info_to_gateways(self) -> None:
-        """Sends the same to gateways only.
+    def publish_changed_info(self) -> None:
+        """Sends the same to gateways only, if it has changed.
 
         Gateways divide the servers' limits by the number of gateways.
         """
-        self._publish_info_to(GATEWAY_ROLE)
+        if self._host_info() != self._published_info:
+            self._publish_info_to(GATEWAY_ROLE)
 
     def publish_routing(self) -> None:
         """Sends the version of the newest routes known here to gateways."""
@@ -187,7 +190,8 @@
         )
 
     def _publish_info_to(self, role: str) -> None:
-        full = streams.encode(self._host_info())
+        self._published_info = self._host_info()
+        full = streams.encode(self._published_info)
         brief = streams.encode(self._host_info(with_stores=False))
         with_feed = set(self._feed_streams())
         for stream in self._streams(role):
--- a/catkinpin/core/control/feeds.py
+++ b/catkinpin/core/control/feeds.py
@@ -22,6 +22,12 @@
 SETTLE_MS = 20
 # Keepers send their feed's state every 500 ms.
 _STATE_TIMEOUT_MS = 1_200
+# The timeout is doubled for a keeper of another region, and by each failover
+# because of it, until a state arrives that is no older than `_PROMPT_MS`. When
+# a region has lost its keepers, all its gateways ask for all servers over the
+# link between regions at once, and more lists would only delay the others.
+_MAX_STATE_TIMEOUT_MS = 4_800
+_PROMPT_MS = 600
 # A keeper from which nothing came for this long is chosen only if there is no
 # other: pings come every 500 ms. Keepers that froze together have been silent
 # for at least this long once the feed's state is overdue.
@@ -107,6 +113,7 @@
         self._keepers: dict[str, _Keeper] = {}
         self._first_seen_ms = 0
         self._state_ms = 0
+        self._state_timeout_ms = _STATE_TIMEOUT_MS
         self._last_choice_ms = 0
         self._grace_until_ms = 0
 
@@ -133,10 +140,19 @@
             keeper.is_current = is_current
             keeper.since_ms = now_ms
 
-    def record_state(self, address: str, sent_ms: int) -> None:
-        """Records when a state of the feed was sent, at the earliest."""
-        if address == self.feed:
-            self._state_ms = max(self._state_ms, sent_ms)
+    def record_state(self, address: str, sent_ms: int, now_ms: int) -> None:
+        """Records a state of the feed.
+
+        Args:
+            address: of the keeper that sent it.
+            sent_ms: when it was sent, as far as that is known.
+            now_ms: monotonic time.
+        """
+        if address != self.feed:
+            return
+        self._state_ms = max(self._state_ms, sent_ms)
+        if now_ms - sent_ms <= _PROMPT_MS:
+            self._state_timeout_ms = _STATE_TIMEOUT_MS
 
     def choose(
         self, now_ms: int, silence_ms: Mapping[str, int]
@@ -207,11 +223,16 @@
         self.feed = change.feed
         # The new feed has the full time to send its first state.
         self._state_ms = now_ms
+        is_remote = keeper is not None and keeper.rank[0]
+        if reason is FeedReason.SILENT or is_remote:
+            self._state_timeout_ms = min(
+                2 * self._state_timeout_ms, _MAX_STATE_TIMEOUT_MS
+            )
         self._grace_until_ms = 0
         return change
 
     def _is_silent(self, now_ms: int) -> bool:
-        deadline_ms = self._state_ms + _STATE_TIMEOUT_MS
+        deadline_ms = self._state_ms + self._state_timeout_ms
         return now_ms > max(deadline_ms, self._grace_until_ms)
 
     def _note_stall(self, now_ms: int) -> None:
--- a/tests/fakes/feedsystem.py
+++ b/tests/fakes/feedsystem.py
@@ -29,6 +29,7 @@
 
 TICK_S = 0.1
 _TICKS_PER_STATE = 5
+_TICKS_PER_INFO = 10
 _SILENCE_TICKS = 15
 _decoder = codec.decoder(protocol.FromKeeper)
 
@@ -186,6 +187,8 @@
             self._was_current = self.is_current()
             self.publisher.publish_status()
             self.publisher.publish_routing()
+        if number % _TICKS_PER_INFO == 0:
+            self.publisher.publish_changed_info()
         if number % _TICKS_PER_STATE == 0:
             self.publisher.publish_feed_state()
 
--- a/tests/test_feedsystem.py
+++ b/tests/test_feedsystem.py
@@ -279,6 +279,29 @@
         stream.read()
         self.assertLess(stream.byte_count, 700)
 
+    @feedsystem.in_virtual_time
+    async def test_new_store_is_known_from_the_feed(self) -> None:
+        """Guards against a store of which only the leader's gateways hear.
+
+        A gateway may subscribe before its keeper has applied a registration.
+        """
+        system = await self._start(4, 1)
+        keeper = system.keepers["k2"]
+        subscriber = QueueStream(system.gateways[0].hello)
+        other = QueueStream(system.gateways[0].hello)
+        for stream in (subscriber, other):
+            keeper.connect(stream)
+        keeper.publisher.subscribe(subscriber, active=True)
+        keeper.publisher.publish_changed_info()
+        for stream in (subscriber, other):
+            stream.read()
+        self._add_stores(keeper)
+        keeper.publisher.publish_changed_info()
+        known = [stream.read()[0].known for stream in (subscriber, other)]
+        self.assertEqual([65, 5], [len(addresses) for addresses in known])
+        keeper.publisher.publish_changed_info()
+        self.assertEqual([], subscriber.read())
+
     def _add_stores(self, keeper: Keeper) -> None:
         for number in range(60):
             store = Store(
