Show the feed of a request's gateway with the request

Cause: a request to a server that had left may be due to an outdated feed, and catkinpin why did not show it. The line outdated-servers had a number in a field whose values that command reads as names of servers, and would have ended it.

Change: feed and outdated-servers lines of the request's gateway are listed; the number is in the field listed.

Measured: tests/test_joined.py.

--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -170,7 +170,7 @@
                 "",
                 index=message.index,
                 held=self._servers_index,
-                servers=len(message.instances),
+                listed=len(message.instances),
                 whole=message.whole,
             )
             return
--- a/catkinpin/joined.py
+++ b/catkinpin/joined.py
@@ -36,6 +36,8 @@
         "retire",
     }
 )
+# Decisions by which a process's own view of the system may be outdated.
+_VIEW_DECISIONS = frozenset({"feed", "outdated-servers"})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,8 +72,8 @@
         program: lines of other requests of its program.
         servers: lines about the servers that the request was sent to, within
             RELATED_WINDOW_MS of it.
-        system: lines about processes, leaders and routes, within
-            RELATED_WINDOW_MS of the request.
+        system: lines about processes, leaders and routes, and about the feeds
+            of the request's gateway, within RELATED_WINDOW_MS of the request.
     """
 
     request: list[DecisionLine] = dataclasses.field(default_factory=list)
@@ -109,6 +111,7 @@
         return report
     programs = {ln.fields["program"] for ln in own if ln.fields.get("program")}
     servers = {name for ln in own for name in ln.servers}
+    processes = {ln.process for ln in own}
     duration_ms = max(int(ln.fields.get("took_ms", 0)) for ln in own)
     first_ms = own[0].at_ms - duration_ms - RELATED_WINDOW_MS
     last_ms = own[-1].at_ms + RELATED_WINDOW_MS
@@ -121,6 +124,8 @@
             continue
         elif "request" not in line.fields and servers & set(line.servers):
             report.servers.append(line)
-        elif line.decision in _SYSTEM_DECISIONS:
+        elif line.decision in _SYSTEM_DECISIONS or (
+            line.decision in _VIEW_DECISIONS and line.process in processes
+        ):
             report.system.append(line)
     return report
--- a/tests/test_joined.py
+++ b/tests/test_joined.py
@@ -25,6 +25,8 @@
         servers=["s1"], took_ms=40, status=502,
         reason="connection lost: closed",
     ),
+    _line(99_950, "gateway-1", "feed", reason="silent", state_age_ms=1_250),
+    _line(99_960, "gateway-2", "feed", reason="silent", state_age_ms=1_250),
     _line(100_060, "gateway-1", "ejected", server="s1", reason="closed"),
     _line(100_300, "keeper-2", "crash-report", server="s1", content="c"),
     _line(100_400, "gateway-1", "served", request="r2", servers=["s1"]),
@@ -54,8 +56,10 @@
         self.assertEqual(
             ["ejected", "crash-report"], [ln.decision for ln in report.servers]
         )
+        # Only the feed of the request's own gateway is related to it.
         self.assertEqual(
-            ["leader", "leadership"], [ln.decision for ln in report.system]
+            ["leader", "leadership", "feed"],
+            [ln.decision for ln in report.system],
         )
 
     def test_other_output_in_a_log_is_ignored(self) -> None:
