--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -10,6 +10,7 @@
 
 from catkinpin import clock, decisions
 from catkinpin.adapters.gateway.context import GatewayContext
+from catkinpin.adapters.gateway.feed import FeedSubscription
 from catkinpin.adapters.gateway.routefetch import RouteFetcher
 from catkinpin.adapters.gateway.serving import RequestHandler
 from catkinpin.adapters.gateway.turns import TurnClient
@@ -21,6 +22,7 @@
 from catkinpin.adapters.peers import keepers
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
+from catkinpin.core.control.feeds import FeedSelector
 from catkinpin.core.placement.balance import Balancer
 from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.hedging import Hedging
@@ -75,7 +77,9 @@
         self.keepers = keepers.Keepers(
             _make_hello(cfg),
             self._on_keeper_message,
+            lambda host: self._feed.handle_disconnect(host),
         )
+        self._feed = self._new_feed()
         self._turns = TurnClient(
             self.keepers,
             cfg.region,
@@ -110,6 +114,10 @@
         self._route_fetcher = RouteFetcher(self.keepers, self.view, cfg.region)
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _new_feed(self) -> FeedSubscription:
+        selector = FeedSelector(self.cfg.name, self.cfg.region)
+        return FeedSubscription(self.keepers, selector, self.clock)
+
     def _new_usage(self) -> UsageReporter:
         return UsageReporter(
             self.keepers,
@@ -153,6 +161,7 @@
             await asyncio.sleep(_TICK_INTERVAL_S)
         self.server.close_idle()
         decisions.note("stopped", "", cut=self.server.count_busy())
+        self._feed.stop()
         await self.server.stop()
         await self._readiness_server.stop()
         for task in self._tasks:
@@ -176,6 +185,7 @@
 
     def _on_keeper_message(self, host: keepers.Host, message: Any) -> None:
         self.view.handle(message)
+        self._feed.handle(host, message)
         if isinstance(message, protocol.RoutingUpdate):
             self._route_fetcher.record_announcement(host, message)
         if isinstance(message, protocol.UnresponsiveUpdate):
@@ -230,6 +240,7 @@
         while True:
             await asyncio.sleep(_TICK_INTERVAL_S)
             self.keepers.tick()
+            self._feed.update()
             if self.keepers.connected():
                 self._last_connected_ms = self.clock.now_ms()
             reason = self.not_ready_reason()
@@ -247,4 +258,5 @@
         address="",
         domain=cfg.failure_domain,
         region=cfg.region,
+        subscribes=True,
     )
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -46,7 +46,7 @@
 
 log = logging.getLogger(__name__)
 
-ROLE = "keeper"
+ROLE = publisher.KEEPER_ROLE
 _CONTROL_GROUP = "control"
 _TICK_INTERVAL_S = 0.1
 # Between checks whether the state is current, while it is not.
@@ -65,9 +65,12 @@
 # Ticks between commits of the use of plain requests. Use that a leader has not
 # committed is lost with it.
 _TICKS_PER_USE_COMMIT = 5
-# Ticks between updates of the number of gateways; gateways divide the servers'
-# limits by it.
-_TICKS_PER_GATEWAY_COUNT = 10
+# Ticks between updates of what gateways know of this keeper: the number of
+# gateways, by which they divide the servers' limits, and the stores.
+_TICKS_PER_INFO = 10
+# Ticks between states of the feed. A gateway replaces a keeper from which none
+# came for 1.2 s.
+_TICKS_PER_FEED_STATE = 5
 # Between scans for bytes without a turn. Bytes are dropped once two scans in a
 # row find them, which takes longer than any turn lasts.
 _ORPHAN_SCAN_INTERVAL_S = 20.0
@@ -104,11 +107,13 @@
         self.turn_bytes = TurnBytes(cfg.data_folder / "turns")
         self.host = self._new_host()
         self.host.group = self.node.add_group(_CONTROL_GROUP, self.host)
-        self.other_hosts = keepers.Keepers(self._hello(ROLE))
+        self.other_hosts = keepers.Keepers(
+            self._hello(ROLE), self._on_keeper_message
+        )
         self._peer_server = links.PeerServer(
             protocol.ToKeeper | transport.ReplicaMessage,
             self._on_message,
-            lambda _: None,
+            lambda stream: self._publisher.drop_stream(stream),
             link="from-keeper",
         )
         self._http = HttpServer(control(self))
@@ -145,6 +150,7 @@
             self._handle_server_changes,
             self._handle_expired_turns,
             self._handle_quarantine_change,
+            self._handle_restored_state,
         )
 
     def _new_turn_requests(self, regions: dict[str, str]) -> TurnRequests:
@@ -292,11 +298,18 @@
         if isinstance(message, messages.Hello):
             self._publisher.send_state(stream)
             return
+        if isinstance(message, protocol.Subscribe):
+            self._publisher.subscribe(stream, active=message.active)
+            return
         if isinstance(message, protocol.GroupSeen):
             self.node.record_system_known(stream.hello.process)
             return
         self._tasks.spawn(self._ask_handler.answer(stream, message))
 
+    def _on_keeper_message(self, _host: keepers.Host, message: Any) -> None:
+        if isinstance(message, protocol.UnresponsiveUpdate):
+            self._publisher.relay_unresponsive(message)
+
     # Stores.
 
     async def retire(
@@ -324,7 +337,7 @@
     def _handle_leader_change(self, group: Group) -> None:
         decisions.note("leader", "", address=group.leader, term=group.term)
         self._turn_requests.reset()
-        self._publisher.publish_info()
+        self._publisher.publish_status()
 
     def _handle_routing_change(self) -> None:
         self._turn_requests.admission.retain_accounts(self.host.account_names)
@@ -337,6 +350,9 @@
     def _handle_quarantine_change(self, contents: list[str]) -> None:
         self._publisher.publish_quarantine(contents)
 
+    def _handle_restored_state(self) -> None:
+        self._publisher.replace_feed()
+
     def _handle_expired_turns(self, attempts: list[str]) -> None:
         self.turn_bytes.drop(attempts)
         if self.host.leading:
@@ -345,19 +361,15 @@
     async def _run_periodic_work(self) -> None:
         """Publishes changes; while leading, also detects losses and repairs."""
         ticks = 0
-        published_gateways = 0
         while True:
             await asyncio.sleep(_TICK_INTERVAL_S)
             self.other_hosts.tick()
             self._publisher.send_to_slow_gateways()
             ticks += 1
-            gateways = self._publisher.gateway_count()
-            if (
-                ticks % _TICKS_PER_GATEWAY_COUNT == 0
-                and gateways != published_gateways
-            ):
-                published_gateways = gateways
-                self._publisher.publish_info_to_gateways()
+            if ticks % _TICKS_PER_INFO == 0:
+                self._publisher.publish_changed_info()
+            if ticks % _TICKS_PER_FEED_STATE == 0:
+                self._publisher.publish_feed_state()
             if not self.host.holds_lease():
                 continue
             self._turn_requests.admission.update_shares()
@@ -382,8 +394,9 @@
             is_current = self.host.group.is_current()
             if is_current != was_current:
                 was_current = is_current
-                self._publisher.publish_info()
+                self._publisher.publish_status()
                 self._publisher.publish_routing()
+                self._publisher.publish_feed_state()
 
     async def _drop_orphaned_bytes(self) -> None:
         """Drops turns' bytes that no program can ask for any more.
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -122,6 +122,23 @@
     "New programs that the leader admitted or refused, by reason.",
     ["reason"],
 )
+FEED_CHANGES = Counter(
+    "catkinpin_feed_changes_total",
+    "Changes of the keeper whose feed a gateway subscribes to.",
+    ["reason"],
+)
+FEED_SUBSCRIPTIONS = Counter(
+    "catkinpin_feed_subscriptions_total",
+    "Subscriptions that began or ended at a keeper.",
+    ["active"],
+)
+FEED_SUBSCRIBERS = Gauge(
+    "catkinpin_feed_subscribers", "Gateways subscribed to a keeper's feed."
+)
+FEED_OUTDATED = Counter(
+    "catkinpin_feed_outdated_total",
+    "Lists of servers that a gateway ignored since it held a newer state.",
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
