Connect the leader to each store that registers

Cause: a leader learned the addresses of stores only from what other keepers said of themselves. If they did so for the last time before they had applied the registrations, it was connected to no store: turns whose copies it could not reach were never copied, and a store to be emptied stayed 'retiring' for ever. With a line of trace in a scratch copy, a failed run showed the leader connected to keepers only, and turns t0, t6 and t12 on two stores.

Change: the leader connects to a store when it registers, which stores repeat every 2 s.

--- a/catkinpin/adapters/keeper/repair.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -92,6 +92,9 @@
         if not self._host.holds_lease():
             return Undecided("not the leader")
         self._last_seen_ms[store.node] = self._clock.now_ms()
+        # Other keepers name a store only when they next describe themselves.
+        # Until the leader is connected to a store, it can't copy its turns.
+        self._other_hosts.add([store.address])
         if not self._host.state.stores.would_change(store):
             return False
         outcome = await self._host.propose(
