Let the soak run with contended capacity

Cause: admission, hedging and probed connections are off without the setting, so no seed covered them.

Change: seeds from 2,000 on have the policy that sets contended_capacity; lower seeds stay as they were.

--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -101,6 +101,8 @@
         self.version = 0
         # Client accounts in the manifest; None: no request needs an API key.
         self.tenants: list[dict[str, Any]] | None = None
+        # Policies in the settings of all processes.
+        self.policies: list[str] = []
         self._sequence = 0
         self._session: aiohttp.ClientSession
         self._heartbeat_task: asyncio.Task[None]
@@ -419,6 +421,8 @@
             f'region = "r"\nport_range = [{peer},{peer}]\n'
             f'seeds = [{quoted_seeds}]\ndata_dir = "{host.folder}"'
         )
+        policies = ",".join(f'"{policy}"' for policy in self.policies)
+        head += f"\npolicies = [{policies}]"
         first = "true" if host.is_first_start else "false"
         return head + _COMMON_SETTINGS.format(
             ip=host.ip, front=front, ready=ready, control=control, first=first
--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -41,6 +41,9 @@
 # each still draws the same faults as before this fault existed.
 _FIRST_BLACKOUT_SEED = 100
 _FIRST_START_SEED = 1_000
+# Seeds from here on run with contended capacity: programs are admitted, plain
+# calls hedged, and connections to servers probed and kept.
+_CONTENDED_SEED = 2_000
 _CALLER_TASKS = 8
 _FAULT_TASKS = 2
 _TURNS_PER_PROGRAM = 5
@@ -480,6 +483,8 @@
 
         if seed >= _FIRST_START_SEED:
             deployment.on_first_start = inject
+        if seed >= _CONTENDED_SEED:
+            deployment.policies = ["pressure"]
         try:
             async with deployment:
                 soak = Soak(
--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -33,6 +33,10 @@
         """Keepers are killed while the system is founded."""
         self._run_seed(1000)
 
+    def test_faults_where_capacity_is_contended_break_no_promise(self) -> None:
+        """Guards against lost or doubled requests by admission and hedging."""
+        self._run_seed(2000)
+
     def _run_seed(self, seed: int) -> None:
         async def main() -> None:
             found = await soakplatform.run_seed(seed, _SECONDS)
