Reserve no slots for refused programs that would be late

Cause: a return time counted as a promise if it was below a third of the request's time left. Where a request may wait for much longer than its program, programs that would be late were promised room as well, and so were programs of accounts above their share. With 2,351 ms for programs and 30 s for requests, 1,416 of 1,478 promises were too late to end in time; after all running programs had ended, 176 idle slots refused new programs for more than 8 s.

Change: room is kept only where the program fits in time; otherwise the return time is longer than callers honour, as the doc comment says.

The new test fails without it (a promised return after 2,003 ms, where 1,051 ms are the latest); tests/test_admission.py, test_shares.py and test_turnrequests.py pass.

--- a/catkinpin/core/placement/admission.py
+++ b/catkinpin/core/placement/admission.py
@@ -362,10 +362,14 @@
             _PROMISED_TIME_SHARE - _ADMITTED_TIME_SHARE
         ) * decision.left_ms
         is_above = decision.reason is AdmissionReason.ABOVE_SHARE
-        if is_above or wait_ms > min(useful_ms, honoured_ms):
-            wait_ms = max(wait_ms, decision.expected_ms)
+        fits = not is_above and wait_ms <= min(useful_ms, honoured_ms)
+        if not fits:
+            # The request may have much longer than the program. Room for a
+            # program that is late would stay reserved for all that time.
+            unhonoured_ms = honoured_ms + _MIN_RETRY_MS
+            wait_ms = max(wait_ms, decision.expected_ms, unhonoured_ms)
         retry_ms = math.ceil(wait_ms)
-        is_promised = bool(program.program) and retry_ms <= honoured_ms
+        is_promised = bool(program.program) and fits
         self._promises.remove(key)
         if is_promised:
             self._promises.add(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import time
 
@@ -16,6 +17,7 @@
 from catkinpin.core.placement.demand import ServiceDemand
 from catkinpin.core.placement.placer import ServerSlowdown
 from tests.fakes.programs import (
+    IDLE_MS,
     LEFT_MS,
     SLOTS,
     TURN_MS,
@@ -144,6 +146,25 @@
             self.fail("all were promised room")
         self.assertGreater(decision.retry_ms, LEFT_MS / 3)
 
+    def test_no_room_is_kept_for_a_program_that_would_be_late(self) -> None:
+        """Guards against idle slots reserved for programs that are late.
+
+        Their requests may wait for much longer than the programs.
+        """
+        self.admission, now_ms = _crowded()
+        for number in range(1_000):
+            program = dataclasses.replace(
+                new_program(f"q{number}"), request_left_ms=30_000
+            )
+            decision = self.admission.decide(program, now_ms)
+            if not decision.retry_ms:
+                continue
+            if decision.is_promised:
+                self.assertLess(decision.retry_ms, LEFT_MS - IDLE_MS)
+            else:
+                self.assertGreater(decision.retry_ms, 30_000 / 3)
+        self.assertLess(self._reserved(now_ms), SLOTS)
+
     def test_callers_that_never_return_lose_their_room(self) -> None:
         """Guards against slots that stay reserved for nobody."""
         last_ms = max(at_ms for _, at_ms in self.promised)
