Limit no account's share because of rounding

Cause: without refusals the demands of all accounts add up to the slots that are divided, but sums of the same numbers in different orders differ in their last digits.

Change: demands that exceed what is left by less than a billionth of the capacity count as satisfied.

Measured: the new test fails without the change; tests/test_shares.py and tests/test_admission.py pass.

--- a/catkinpin/core/placement/shares.py
+++ b/catkinpin/core/placement/shares.py
@@ -27,6 +27,9 @@
 # An account without activity for this long is dropped; its usage has fallen to
 # a thousandth by then.
 _MAX_IDLE_MS = 20_000
+# Demands that differ from the capacity by less than this count as satisfied, as
+# sums of the same numbers in different orders differ in the last digits.
+_ROUNDING_RATIO = 1e-9
 # Limit of tracked accounts; above it, the least recently used is dropped.
 _MAX_ACCOUNTS = 2_000
 
@@ -65,10 +68,11 @@
         for name, demand in demands.items()
     )
     left = max(0.0, capacity)
+    tolerance = _ROUNDING_RATIO * left
     weight_left = sum(weight for _, _, weight in by_ratio)
     for ratio, demand, weight in by_ratio:
-        if ratio * weight_left > left:
-            return left / weight_left
+        if ratio * weight_left > left + tolerance:
+            return max(0.0, left) / weight_left
         left -= demand
         weight_left -= weight
     return math.inf
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 
@@ -77,6 +78,17 @@
         self.assertIs(Standing.ABOVE, shares.standing("a", 0))
         self.assertIs(Standing.BELOW, shares.standing("b", 0))
 
+    def test_rounding_limits_no_account(self) -> None:
+        """Guards against shares from sums that differ in their last digits."""
+        rng = random.Random(1)
+        for _ in range(200):
+            shares = Shares({})
+            for number in range(5):
+                at_ms = rng.randrange(1_000)
+                shares.charge(str(number), rng.uniform(10, 5_000), at_ms)
+            shares.update(1_000, 1_000)
+            self.assertEqual(math.inf, shares.share("0"))
+
     def test_tracked_accounts_are_bounded(self) -> None:
         """Guards against memory that grows with the number of accounts."""
         shares = Shares({})
