Test the limits of promises, estimates and tracked state

Without these tests, the following could be removed or changed and all tests still passed: the time for which a promise gives priority, its tolerance for early returns and for a tenth of the capacity, the slowdowns that reach the capacity, the count of open turns, the limits of tracked turns, programs and routes, the correction of an account's usage at a turn's end, and the removal of accounts.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,9 +5,11 @@
 import dataclasses
 import random
 import time
+from unittest import mock
 
 import testtools
 
+from catkinpin.core.placement import demand as demand_module
 from catkinpin.core.placement import promises
 from catkinpin.core.placement.admission import (
     Admission,
@@ -186,6 +188,29 @@
         decision = self._decide(name, at_ms)
         self.assertIs(AdmissionReason.REFUSED, decision.reason)
 
+    def test_promise_holds_if_capacity_falls_by_less_than_a_tenth(self) -> None:
+        """Guards against second refusals whenever the servers' speed varies."""
+        name, at_ms = self.promised[0]
+        self.admission.set_slots("models", int(SLOTS * 0.91), self.now_ms)
+        decision = self._decide(name, at_ms)
+        self.assertIs(AdmissionReason.RETURNED, decision.reason)
+
+    def test_promise_gives_priority_for_a_second(self) -> None:
+        """Guards against promises that end at once, and against lasting ones.
+
+        A caller's timer may fire some ms early, as `Retry-After` is rounded.
+        """
+        for late_ms, has_priority in (
+            (-21, False),
+            (-20, True),
+            (1_000, True),
+            (1_001, False),
+        ):
+            name, at_ms = self.promised.pop()
+            reason = self._decide(name, at_ms + late_ms).reason
+            is_returned = reason is AdmissionReason.RETURNED
+            self.assertEqual(has_priority, is_returned, late_ms)
+
     def test_new_leader_refuses_nothing_at_first(self) -> None:
         """Guards against refusals by a leader that knows no programs."""
         name, at_ms = self.promised[0]
@@ -208,6 +233,39 @@
         self.assertAlmostEqual(0, store.reserved_slots("s"))
 
 
+class EstimateTest(testtools.TestCase):
+    """What a decision is based on."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.admission = Admission(0)
+        self.admission.set_slots("models", 2, 0)
+
+    def _turn(self, attempt: str, program: str, begin_ms: int) -> None:
+        self.admission.begin(attempt, new_program(program), 0, begin_ms)
+        end_ms = begin_ms + 100
+        self.admission.finish(attempt, [], end_ms, ran=True)
+
+    def test_reported_slowdowns_lower_the_capacity(self) -> None:
+        """Guards against full admission to servers that became slow."""
+        self.admission.begin("t", new_program("p"), 0, 0)
+        report = ServerSlowdown(server="s", slowdown=2.5, age_ms=0)
+        self.admission.finish("t", [report] * 9, 100, ran=True)
+        decision = self.admission.decide(new_program("q"), 100)
+        self.assertLess(decision.capacity, 1.0)
+
+    def test_idle_slots_are_used_while_programs_pause(self) -> None:
+        """Guards against refusals because of programs that need no slot now."""
+        for number in range(8):
+            self._turn(f"a{number}", f"a{number}", 400 * number)
+            self._turn(f"b{number}", f"a{number}", 400 * number + 200)
+        for number in range(8):
+            self._turn(f"c{number}", f"c{number}", 6_000)
+        late = new_program("new", left_ms=400)
+        decision = self.admission.decide(late, 6_100)
+        self.assertIs(AdmissionReason.ROOM, decision.reason)
+
+
 class ServiceDemandTest(testtools.TestCase):
     """Running programs, and the bounds of what is learned from them."""
 
@@ -291,6 +349,19 @@
         self.assertEqual(0, demand.running_programs)
         self.assertAlmostEqual(0, demand.needed, places=6)
 
+    def test_tracked_state_is_bounded(self) -> None:
+        """Guards against memory that grows with turns, programs or routes."""
+        limits = {"_MAX_TURNS": 40, "_MAX_PROGRAMS": 20, "_MAX_ROUTES": 10}
+        with mock.patch.multiple(demand_module, **limits):
+            demand = ServiceDemand(0)
+            for number in range(100):
+                key = ("", f"{number % 50}")
+                demand.begin(f"t{number}", key, f"r{number}", 0, 1_000, 0)
+            self.assertEqual(40, demand.open_turns)
+            self.assertEqual(20, demand.running_programs)
+            # The routes above the limit share their averages.
+            self.assertIs(demand.route("x"), demand.route("y"))
+
     def test_decision_takes_less_than_100_us(self) -> None:
         """Guards against loops over all programs in the leader's thread."""
         admission, now_ms = _crowded()
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -10,7 +10,7 @@
 
 from catkinpin.core.placement.admission import Admission
 from catkinpin.core.placement.shares import Shares, Standing, max_min_shares
-from tests.fakes.programs import LEFT_MS, ProgramModel
+from tests.fakes.programs import LEFT_MS, ProgramModel, new_program
 
 
 class MaxMinTest(testtools.TestCase):
@@ -140,6 +140,19 @@
         self.assertGreater(_served_in_time(model, "a"), 0.3)
         self.assertLess(model.late(), 0.03)
 
+    def test_ended_turn_is_charged_by_the_time_that_it_took(self) -> None:
+        """Guards against usage that consists of expectations only."""
+        admission = Admission(0)
+        admission.set_slots("models", 4, 0)
+        for account in ("a", "b"):
+            admission.begin(account, new_program("p", account), 0, 0)
+        admission.finish("a", [], 1_000, ran=True)
+        shares = admission._shares["models"]
+        self.assertGreater(shares.used_slots("a", 1_000), 0.3)
+        self.assertEqual(0, shares.used_slots("b", 1_000))
+        admission.retain_accounts({"b"})
+        self.assertEqual(0, shares.used_slots("a", 1_000))
+
     def test_equal_accounts_keep_their_promises(self) -> None:
         """Guards against shares that refuse all where all ask too much."""
         model = ProgramModel(Admission(0))
