Test ended and incomplete feeds, weights and the limit of turns

Four changes passed all tests: a gateway that doesn't end its former feed, so that it gets changes twice; a feed's state sent to a slow gateway that lacks changes; weights that don't count in an account's share; and no limit of the tracked turns.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -351,13 +351,13 @@
 
     def test_tracked_state_is_bounded(self) -> None:
         """Guards against memory that grows with turns, programs or routes."""
-        limits = {"_MAX_TURNS": 40, "_MAX_PROGRAMS": 20, "_MAX_ROUTES": 10}
+        limits = {"_MAX_TURNS": 30, "_MAX_PROGRAMS": 20, "_MAX_ROUTES": 10}
         with mock.patch.multiple(demand_module, **limits):
             demand = ServiceDemand(0)
             for number in range(100):
                 key = ("", f"{number % 50}")
                 demand.begin(f"t{number}", key, f"r{number}", 0, 1_000, 0)
-            self.assertEqual(40, demand.open_turns)
+            self.assertEqual(30, demand.open_turns)
             self.assertEqual(20, demand.running_programs)
             # The routes above the limit share their averages.
             self.assertIs(demand.route("x"), demand.route("y"))
--- a/tests/test_feedsystem.py
+++ b/tests/test_feedsystem.py
@@ -255,6 +255,21 @@
         for gateway in system.gateways:
             self.assertEqual(500, len(gateway.view.fleet.servers))
 
+    @feedsystem.in_virtual_time
+    async def test_former_feed_ends_after_a_failover(self) -> None:
+        """Guards against gateways that collect feeds with each failover."""
+        system = await self._start(20, 5)
+        system.keepers["k1"].is_cut_off = True
+        await system.run(3.0)
+        system.keepers["k1"].is_cut_off = False
+        await system.run(7.0)
+        subscribers = [
+            len(keeper.publisher._subscribers)
+            for keeper in system.keepers.values()
+        ]
+        self.assertGreater(subscribers[0], 0)
+        self.assertEqual(20, sum(subscribers))
+
     @feedsystem.in_virtual_time
     async def test_quiet_system_sends_next_to_nothing(self) -> None:
         """Guards against traffic when nothing changes."""
@@ -281,6 +296,27 @@
         stream.read()
         self.assertLess(stream.byte_count, 700)
 
+    @feedsystem.in_virtual_time
+    async def test_slow_gateway_gets_no_state_while_it_lacks_changes(
+        self,
+    ) -> None:
+        """Guards against a feed that seems complete and lacks changes."""
+        system = await self._start(4, 1)
+        publisher = system.keepers["k2"].publisher
+        stream = QueueStream(system.gateways[0].hello)
+        system.keepers["k2"].connect(stream)
+        publisher.subscribe(stream, active=True)
+        stream.read()
+        for _ in range(64):
+            publisher.publish_quarantine([])
+        publisher.publish_feed_state()
+        types = {type(message) for message in stream.read()}
+        self.assertNotIn(protocol.FeedState, types)
+        publisher.send_to_slow_gateways()
+        publisher.publish_feed_state()
+        types = {type(message) for message in stream.read()}
+        self.assertEqual({protocol.AllServers, protocol.FeedState}, types)
+
     @feedsystem.in_virtual_time
     async def test_new_store_is_known_from_the_feed(self) -> None:
         """Guards against a store of which only the leader's gateways hear.
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -60,6 +60,17 @@
             shares.charge("a", 700, now_ms)
         self.assertAlmostEqual(7, shares.used_slots("a", 30_000), delta=0.3)
 
+    def test_weight_raises_the_share_of_an_account(self) -> None:
+        """Guards against configured weights without effect on admission."""
+        shares = Shares({"a": 3.0})
+        for account in ("a", "b"):
+            shares.charge(account, 10_000, 0)
+            shares.record_refusal(account, 100_000, 0)
+        shares.update(100, 0)
+        self.assertAlmostEqual(3, shares.share("a") / shares.share("b"))
+        self.assertIs(Standing.BELOW, shares.standing("a", 0))
+        self.assertIs(Standing.ABOVE, shares.standing("b", 0))
+
     def test_account_alone_is_neither_above_nor_below(self) -> None:
         """Guards against limits where there is nobody to share with."""
         shares = Shares({})
