--- a/tests/test_feedsystem.py
+++ b/tests/test_feedsystem.py
@@ -116,7 +116,7 @@
         self._check_drain(fail)
 
     def test_keeper_cut_off_from_its_group(self) -> None:
-        """Guards against a feed that lives on without news."""
+        """Guards against a live feed without new changes."""
 
         def fail(system: System, _: float) -> None:
             system.keepers["k1"].is_cut_off = True
@@ -199,7 +199,7 @@
         self._check_drain(fail)
 
     def test_all_keepers_of_a_region_gone(self) -> None:
-        """Guards against gateways that insist on their own region."""
+        """Guards against gateways that use no keeper of another region."""
 
         def kill(system: System, _: float) -> None:
             for name in ("k4", "k5"):
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -185,7 +185,7 @@
         self.assertEqual(0, sum(c.refusals for c in model.callers))
 
     def test_new_leader_learns_the_usage_within_a_second(self) -> None:
-        """Guards against a burst that is fair game after an election."""
+        """Guards against a burst that nothing limits after an election."""
         shares = Shares({})
         for now_ms in range(0, 1_000, 10):
             shares.charge("a", 500, now_ms)
