--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -351,8 +351,9 @@
 
     def test_tracked_state_is_bounded(self) -> None:
         """Guards against memory that grows with turns, programs or routes."""
-        limits = {"_MAX_TURNS": 30, "_MAX_PROGRAMS": 20, "_MAX_ROUTES": 10}
-        with mock.patch.multiple(demand_module, **limits):
+        with mock.patch.multiple(
+            demand_module, _MAX_TURNS=30, _MAX_PROGRAMS=20, _MAX_ROUTES=10
+        ):
             demand = ServiceDemand(0)
             for number in range(100):
                 key = ("", f"{number % 50}")
