Update a service's slots by each change of a server

Cause: after each change of a server the leader's next decision added up the slots of all servers of the service, 0.4 ms for 2,400. Servers that start together change every few ms.

Change: changes update the sum; all servers are added up once per second.

Measured: the new test fails without the change; tests/test_turnrequests.py, test_keepers.py, test_architecture.py and test_rules.py pass.

--- a/catkinpin/adapters/keeper/admitting.py
+++ b/catkinpin/adapters/keeper/admitting.py
@@ -20,8 +20,9 @@
     from catkinpin.core.placement.admission import AdmissionDecision
     from catkinpin.core.placement.contention import ContendedServices
 
-# The slots of a service are added up again after a change of its servers, and
-# at this interval.
+# The slots of a service are added up again at this interval, and only updated
+# when servers change: adding up 2,400 servers took 0.4 ms, and servers that
+# start together change every few ms.
 _SLOTS_INTERVAL_MS = 1_000
 
 
@@ -47,11 +48,16 @@
         self._contention = contention
         self._admission = Admission(clock.now_ms(), weights)
         self._slots_until_ms: dict[str, int] = {}
+        # Slots of the ready servers, by service and server, and their sums.
+        self._ready_slots: dict[str, dict[str, int]] = {}
+        self._slots: dict[str, int] = {}
 
     def reset(self) -> None:
         """Drops all state after a change of the leader."""
         self._admission.reset(self._clock.now_ms())
         self._slots_until_ms = {}
+        self._ready_slots = {}
+        self._slots = {}
 
     def update_shares(self) -> None:
         """Computes the accounts' shares again."""
@@ -64,7 +70,13 @@
     def handle_server_changes(self, instances: Iterable[Instance]) -> None:
         """Makes the next decision count the slots of changed services."""
         for instance in instances:
-            self._slots_until_ms.pop(instance.service, None)
+            ready = self._ready_slots.get(instance.service)
+            if ready is None:
+                continue
+            self._slots[instance.service] -= ready.pop(instance.id, 0)
+            if instance.state is ServerState.READY:
+                ready[instance.id] = instance.slots
+                self._slots[instance.service] += instance.slots
 
     def admit(self, message: protocol.AskBegin, begin: Begin) -> int:
         """Decides whether a turn may begin; counts it if so.
@@ -120,16 +132,16 @@
         )
 
     def _update_slots(self, service: str, now_ms: int) -> None:
-        if now_ms < self._slots_until_ms.get(service, 0):
-            return
-        self._slots_until_ms[service] = now_ms + _SLOTS_INTERVAL_MS
-        servers = self._host.state.fleet.servers_of(service)
-        slots = sum(
-            server.slots
-            for server in servers
-            if server.state is ServerState.READY
-        )
-        self._admission.set_slots(service, slots, now_ms)
+        if now_ms >= self._slots_until_ms.get(service, 0):
+            self._slots_until_ms[service] = now_ms + _SLOTS_INTERVAL_MS
+            servers = self._host.state.fleet.servers_of(service)
+            self._ready_slots[service] = {
+                server.id: server.slots
+                for server in servers
+                if server.state is ServerState.READY
+            }
+            self._slots[service] = sum(self._ready_slots[service].values())
+        self._admission.set_slots(service, self._slots[service], now_ms)
 
 
 def _report_decision(
--- a/tests/test_turnrequests.py
+++ b/tests/test_turnrequests.py
@@ -326,6 +326,24 @@
         self.requests.handle_server_changes([draining])
         self.assertGreater(self._begin("new").retry_ms, first)
 
+    def test_changed_servers_are_counted_without_a_sum_of_all(self) -> None:
+        """Guards against a loop over all servers after each change of one."""
+        self._begin("t")
+        admission = self.requests.admission
+        fleet = self.host.state.fleet
+        with mock.patch.object(fleet, "servers_of") as servers_of:
+            for sequence, state, slots in (
+                (2, ServerState.DRAINING, 36),
+                (3, ServerState.READY, 48),
+                (4, ServerState.GONE, 36),
+            ):
+                changed = instance("s1", state=state, sequence=sequence)
+                self.requests.handle_server_changes([changed])
+                admission._update_slots(changed.service, self.now_ms)
+                demand = admission._admission._services[changed.service]
+                self.assertEqual(slots, demand.slots)
+            servers_of.assert_not_called()
+
     def test_turns_denied_for_another_reason_need_no_slots(self) -> None:
         """Guards against refusals because of turns that never ran."""
         self.host.outcome = Outcome(denial=Denial.BUDGET_SPENT)
