--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 
@@ -9,7 +10,7 @@
 
 from catkinpin.core.placement.admission import Admission
 from catkinpin.core.placement.shares import Shares, Standing, max_min_shares
-from tests.fakes.programs import LEFT_MS, ProgramModel
+from tests.fakes.programs import LEFT_MS, ProgramModel, new_program
 
 
 class MaxMinTest(testtools.TestCase):
@@ -59,6 +60,17 @@
             shares.charge("a", 700, now_ms)
         self.assertAlmostEqual(7, shares.used_slots("a", 30_000), delta=0.3)
 
+    def test_weight_raises_the_share_of_an_account(self) -> None:
+        """Guards against configured weights without effect on admission."""
+        shares = Shares({"a": 3.0})
+        for account in ("a", "b"):
+            shares.charge(account, 10_000, 0)
+            shares.record_refusal(account, 100_000, 0)
+        shares.update(100, 0)
+        self.assertAlmostEqual(3, shares.share("a") / shares.share("b"))
+        self.assertIs(Standing.BELOW, shares.standing("a", 0))
+        self.assertIs(Standing.ABOVE, shares.standing("b", 0))
+
     def test_account_alone_is_neither_above_nor_below(self) -> None:
         """Guards against limits where there is nobody to share with."""
         shares = Shares({})
@@ -77,6 +89,17 @@
         self.assertIs(Standing.ABOVE, shares.standing("a", 0))
         self.assertIs(Standing.BELOW, shares.standing("b", 0))
 
+    def test_rounding_limits_no_account(self) -> None:
+        """Guards against shares from sums that differ in their last digits."""
+        rng = random.Random(1)
+        for _ in range(200):
+            shares = Shares({})
+            for number in range(5):
+                at_ms = rng.randrange(1_000)
+                shares.charge(str(number), rng.uniform(10, 5_000), at_ms)
+            shares.update(1_000, 1_000)
+            self.assertEqual(math.inf, shares.share("0"))
+
     def test_tracked_accounts_are_bounded(self) -> None:
         """Guards against memory that grows with the number of accounts."""
         shares = Shares({})
@@ -128,6 +151,19 @@
         self.assertGreater(_served_in_time(model, "a"), 0.3)
         self.assertLess(model.late(), 0.03)
 
+    def test_ended_turn_is_charged_by_the_time_that_it_took(self) -> None:
+        """Guards against usage that consists of expectations only."""
+        admission = Admission(0)
+        admission.set_slots("models", 4, 0)
+        for account in ("a", "b"):
+            admission.begin(account, new_program("p", account), 0, 0)
+        admission.finish("a", [], 1_000, ran=True)
+        shares = admission._shares["models"]
+        self.assertGreater(shares.used_slots("a", 1_000), 0.3)
+        self.assertEqual(0, shares.used_slots("b", 1_000))
+        admission.retain_accounts({"b"})
+        self.assertEqual(0, shares.used_slots("a", 1_000))
+
     def test_equal_accounts_keep_their_promises(self) -> None:
         """Guards against shares that refuse all where all ask too much."""
         model = ProgramModel(Admission(0))
@@ -149,7 +185,7 @@
         self.assertEqual(0, sum(c.refusals for c in model.callers))
 
     def test_new_leader_learns_the_usage_within_a_second(self) -> None:
-        """Guards against a burst that is fair game after an election."""
+        """Guards against a burst that nothing limits after an election."""
         shares = Shares({})
         for now_ms in range(0, 1_000, 10):
             shares.charge("a", 500, now_ms)
