Start no hedge once an answer has started

A large answer that was still being forwarded when the 95th percentile had passed got a second attempt. Its answer could not be used, but it ran until the first one was complete and used up the budget of hedges. The new test counted two server requests before, one now.

--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -110,8 +110,11 @@
         race = Race(state)
         race.start(state, self._try_in_time(state, choice, race))
         try:
-            if delay_ms is not None and not await race.wait_first(
-                delay_ms / _MS_PER_S
+            # A large answer may still be on its way to the caller.
+            if (
+                delay_ms is not None
+                and not await race.wait_first(delay_ms / _MS_PER_S)
+                and race.winner is None
             ):
                 self._hedge(state, race, delay_ms)
             return await race.result()
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -261,6 +261,29 @@
 
         self.run_within_limit(work())
 
+    def test_answer_that_has_started_is_not_hedged(self) -> None:
+        """Guards against a second run while a large answer is forwarded."""
+
+        async def work() -> None:
+            async def answer_slowly(
+                seen: ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> None:
+                writer.write(sealed_answer(seen, b"x" * 600_000)[:-1])
+                await asyncio.sleep(0.8)
+                writer.write(b"x")
+
+            rig = await self._start(
+                answer_slowly, answer_slowly, timeout_ms=6_000
+            )
+            for _ in range(200):
+                rig.hedging.latencies.record("r", 400.0)
+            got = await rig.ask()
+            self.assertEqual(600_000, len(got.body))
+            self.assertEqual(1, rig.count_server_requests())
+            await rig.stop()
+
+        self.run_within_limit(work())
+
     def test_failure_of_both_attempts_is_answered(self) -> None:
         """Guards against callers without an answer, and further attempts."""
 
