Don't reuse a connection whose reading is paused

A response of more than 256 KB that had arrived completely but was left unread, as by a cancelled attempt of a hedged call, returned its connection to the pool with reading paused. The next request on it could run and never be answered. The new test found the connection in the pool before, and doesn't now.

--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -261,11 +261,12 @@
     def finish(self, now_s: float) -> None:
         """Ends the exchange, so that the connection can be used again.
 
-        Aborts the connection if the response was not received completely.
+        Aborts the connection if the response was not received completely, or
+        if reading is still paused: the next response would never be read.
         """
         self._in_exchange = False
         self.idle_since_s = now_s
-        if not self._complete:
+        if not self._complete or self._reading_paused:
             self.abort("not read to its end")
         if self.idle_until_s == 0.0:
             self.idle_until_s = now_s + _DEFAULT_KEEP_ALIVE_S
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -217,6 +217,27 @@
 
         self._with_server(scenario)
 
+    def test_connection_whose_reading_is_paused_is_not_reused(self) -> None:
+        """Guards against a request whose response is never read.
+
+        A cancelled attempt may leave a large response unread that has arrived
+        completely.
+        """
+
+        async def stay_silent(*_: object) -> None:
+            """Leaves the response to the test."""
+
+        async def scenario(pool: Pool, server: RawServer) -> None:
+            conn = await _acquire(pool, server.address)
+            conn.send(b"GET / HTTP/1.1\r\n\r\n", lambda _: True)
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n"
+            conn.data_received(head + b"x" * 300_000)
+            conn.finish(asyncio.get_running_loop().time())
+            pool.release(server.address, conn)
+            self.assertFalse(pool.has_idle(server.address))
+
+        self._with_server(scenario, stay_silent)
+
     def test_server_that_closes_early_costs_a_connection_only(self) -> None:
         """Guards against sending on connections that the server closed."""
 
