--- a/catkinpin/core/placement/subsets.py
+++ b/catkinpin/core/placement/subsets.py
@@ -92,7 +92,8 @@
         names, is_new = self._subset_names(service, ready)
         if len(names) == len(ready):
             return Selection(servers)
-        subset = [s for s in ready if s.id in names]
+        members = frozenset(names)
+        subset = [s for s in ready if s.id in members]
         used = 0.0
         failing, ages = [], []
         for server in subset:
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -6,6 +6,7 @@
 import random
 from typing import TYPE_CHECKING
 
+import msgspec
 import testtools
 
 from catkinpin.core.control.routes import RouteKind
@@ -80,6 +81,18 @@
         self.assertGreater(min(counts.values()), 200 / 1.2)
 
 
+class _CountedId(str):
+    """A server's ID that counts its comparisons with others."""
+
+    __slots__ = ()
+    comparisons = 0
+    __hash__ = str.__hash__
+
+    def __eq__(self, other: object) -> bool:
+        _CountedId.comparisons += 1
+        return str.__eq__(self, other)
+
+
 class SubsetsTest(testtools.TestCase):
     """When the servers outside the subset are used."""
 
@@ -135,6 +148,17 @@
         self.servers = _servers(3)
         self.assertEqual(Selection(self.servers), self._select())
 
+    def test_work_grows_linearly_with_the_servers(self) -> None:
+        """Guards against requests that compare each server with each other."""
+        self.servers = [
+            msgspec.structs.replace(server, id=_CountedId(server.id))
+            for server in _servers(200)
+        ]
+        self._select()
+        _CountedId.comparisons = 0
+        self.assertEqual(100, len(self._select().servers))
+        self.assertLess(_CountedId.comparisons, 10 * 200)
+
     def test_a_choice_is_made_whatever_fails(self) -> None:
         """Guards against requests that find no server in the subset."""
         rng = random.Random(1)
