Let a slow attempt go on if the retry budget is used up

An idempotent call to a contended service ended its attempt after 0.4 of its time to try another server. With the retry budget used up, as while all servers are slow, it tried none and was answered 502 with time left. The attempt now ends early only if the budget allows a retry. The new test got 502 before and the server's answer now.

--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -25,6 +25,7 @@
 _MS_PER_S = 1_000
 # Share of the remaining time for an attempt after which another may follow.
 _RETRYABLE_ATTEMPT_SHARE = 0.4
+_SLOW_REASON = "no answer within its share of the time"
 _MIN_SERVER_ERROR_STATUS = 500
 # An answer up to this size is buffered until it is complete, so that another
 # server can still be tried. Answers have some 800 bytes.
@@ -56,7 +57,12 @@
             self._hedging.record_call(self._clock.now_ms())
         is_retry = False
         while True:
-            if is_retry and is_contended and not self._may_retry(state):
+            if (
+                is_retry
+                and is_contended
+                and not self._may_retry(state, state.reason)
+            ):
+                state.reason += "; the retry budget is used up"
                 break
             choice = self._exchange.pick_server(state)
             if choice is None:
@@ -81,7 +87,7 @@
                 break
         self._answers.answer_failure(state)
 
-    def _may_retry(self, state: OpenCall) -> bool:
+    def _may_retry(self, state: OpenCall, reason: str) -> bool:
         """Returns whether the retry budget allows another server."""
         now_ms = self._clock.now_ms()
         if self._hedging.retries.has_room(now_ms):
@@ -91,10 +97,9 @@
             "retry-denied",
             state.call.attempt,
             service=state.service.name,
-            reason=state.reason,
+            reason=reason,
             **self._hedging.counts(now_ms),
         )
-        state.reason = f"{state.reason}; the retry budget is used up"
         return False
 
     async def _try_hedged(self, state: OpenCall, choice: Choice) -> bool:
@@ -178,6 +183,9 @@
     ) -> bool:
         """Tries one server within the time that one attempt may take.
 
+        If the retry budget is used up by then, the attempt goes on: breaking
+        it off would fail the call although time is left.
+
         Returns:
             Whether the caller was answered.
         """
@@ -189,16 +197,31 @@
         limit_s = state.remaining_s * (
             1.0 if is_last else _RETRYABLE_ATTEMPT_SHARE
         )
+        loop = asyncio.get_running_loop()
+        ending = None
         try:
-            async with asyncio.timeout(limit_s):
+            async with asyncio.timeout(limit_s) as limit:
+                if not is_last and self._contention.is_contended(
+                    state.service.name
+                ):
+                    limit.reschedule(None)
+                    ending = loop.call_later(
+                        limit_s, self._end_attempt, state, limit
+                    )
                 return await self._try_server(state, choice, is_last, race)
         except TimeoutError:
             if is_last:
                 raise
-            self._exchange.record_failure(
-                state, choice, "no answer within its share of the time"
-            )
+            self._exchange.record_failure(state, choice, _SLOW_REASON)
             return False
+        finally:
+            if ending is not None:
+                ending.cancel()
+
+    def _end_attempt(self, state: OpenCall, limit: asyncio.Timeout) -> None:
+        """Ends an attempt that took its share of the time, if it may."""
+        if self._may_retry(state, _SLOW_REASON):
+            limit.reschedule(asyncio.get_running_loop().time())
 
     async def _try_server(
         self,
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -351,6 +351,39 @@
 
         self.run_within_limit(work())
 
+    def test_slow_attempt_goes_on_if_no_retry_is_left(self) -> None:
+        """Guards against calls that all fail early while servers are slow."""
+
+        async def work() -> None:
+            slow = _after(1.2, answer_ok)
+            rig = await self._start(slow, slow, timeout_ms=2_000)
+            now_ms = rig.clock.clock().now_ms()
+            rig.hedging.record_hedge(now_ms)
+            for _ in range(4):
+                rig.hedging.retries.spend(now_ms)
+            got = await rig.ask()
+            self.assertEqual((200, b"fine"), (got.status, got.body))
+            self.assertEqual(1, rig.count_server_requests())
+            await rig.stop()
+
+        self.run_within_limit(work())
+
+    def test_slow_attempt_ends_for_a_retry_within_the_budget(self) -> None:
+        """Guards against waiting for a server that hangs until the deadline."""
+
+        async def work() -> None:
+            servers = _HangingServers(1)
+            rig = await self._start(
+                servers.answer, servers.answer, timeout_ms=2_000
+            )
+            rig.hedging.record_hedge(rig.clock.clock().now_ms())
+            got = await rig.ask()
+            self.assertEqual((200, b"fine"), (got.status, got.body))
+            self.assertEqual(2, rig.count_server_requests())
+            await rig.stop()
+
+        self.run_within_limit(work())
+
     def test_retries_are_denied_once_the_budget_is_used(self) -> None:
         """Guards against calls that go from one full server to the next."""
 
