--- a/catkinpin/core/placement/hedging.py
+++ b/catkinpin/core/placement/hedging.py
@@ -61,7 +61,7 @@
         )
 
     def record(self, route: str, latency_ms: float) -> None:
-        """Records the latency of a call, or how long it waited in vain."""
+        """Records the latency of an answered call."""
         known = self._routes.setdefault(route, _RouteLatencies())
         self._routes.move_to_end(route)
         while len(self._routes) > _MAX_ROUTES:
