Test when the idle time of a connection begins, and closed connections

Without the rule that the time runs from the end of a response, or the check of the connection's state, the tests passed. The new ones fail then.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -195,6 +195,53 @@
 
         self._with_server(scenario)
 
+    def test_idle_time_begins_at_the_end_of_a_response(self) -> None:
+        """Guards against reusing a connection that the server has closed.
+
+        The time runs from the head where nothing is probed, and where reading
+        was paused, as the end may have been sent long before it was read.
+        """
+
+        async def stay_silent(*_: object) -> None:
+            """Leaves the response to the test."""
+
+        async def scenario(pool: Pool, server: RawServer) -> None:
+            loop = asyncio.get_running_loop()
+            for is_contended, size, kept_s, is_extended in (
+                (True, 10, 9.7, True),
+                (False, 10, 9.0, False),
+                (True, 300_000, 9.7, False),
+            ):
+                conn = await _acquire(
+                    pool, server.address, is_contended=is_contended
+                )
+                conn.send(b"GET / HTTP/1.1\r\n\r\n", lambda _: True)
+                conn.data_received(
+                    b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\n"
+                    b"Content-Length: %d\r\n\r\n" % size + b"x" * (size - 1)
+                )
+                await asyncio.sleep(0.02)
+                ended_s = loop.time()
+                conn.data_received(b"x")
+                self.assertEqual(
+                    is_extended, conn.idle_until_s >= ended_s + kept_s
+                )
+                conn.abort("unused")
+
+        self._with_server(scenario, stay_silent)
+
+    def test_connection_that_the_server_closed_is_not_proved(self) -> None:
+        """Guards against a close that the event loop has not seen yet."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            client = socket.create_connection(listener.getsockname())
+            accepted, _ = listener.accept()
+            transport = mock.Mock(get_extra_info=lambda _: client)
+            self.assertIsNotNone(probes.silent_ms(transport))
+            accepted.close()
+            self.assertEqual(b"", client.recv(1))
+            self.assertIsNone(probes.silent_ms(transport))
+            client.close()
+
     def test_last_used_is_taken_first_and_surplus_expires(self) -> None:
         """Guards against keeping every connection of a burst in use."""
 
