Count no retry where the gateway's own connections are used up

The limit of connections to a server is the gateway's own: nothing was sent and no server refused. Such attempts used up the retry budget, so that with two connections per server two of nine calls at once got 503 while other servers were idle. The new test shows this; all nine are answered now.

--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -12,6 +12,7 @@
 from catkinpin import decisions, metrics
 from catkinpin.adapters.gateway.races import Race
 from catkinpin.adapters.http.client import Failure
+from catkinpin.adapters.http.pool import NO_FREE_CONNECTION
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
@@ -69,7 +70,6 @@
                 break
             if is_retry and is_contended:
                 self._hedging.retries.spend(self._clock.now_ms())
-            is_retry = True
             may_hedge = is_contended and (
                 state.is_repeatable
                 and state.run_count + 2 <= state.route.max_attempts
@@ -85,6 +85,9 @@
                 or state.run_count >= state.route.max_attempts
             ):
                 break
+            # Another server may have a free connection, and no server has
+            # had to refuse or fail the request.
+            is_retry = state.reason != NO_FREE_CONNECTION
         self._answers.answer_failure(state)
 
     def _may_retry(self, state: OpenCall, reason: str) -> bool:
--- a/catkinpin/adapters/http/pool.py
+++ b/catkinpin/adapters/http/pool.py
@@ -15,6 +15,8 @@
 from catkinpin.verdicts import Verdict
 
 _MS_PER_S = 1_000
+# Reason of a failure by this process's own limit, which no server caused.
+NO_FREE_CONNECTION = "no connection is free"
 # Addresses remembered as connected before, to tell why a connection is opened.
 _MAX_KNOWN_ADDRESSES = 4_096
 
@@ -110,7 +112,7 @@
     ) -> ServerConnection | Failure:
         loop = asyncio.get_running_loop()
         if self._open_counts.get(address, 0) >= limit:
-            return Failure(Verdict.NOT_RUN, "no connection is free")
+            return Failure(Verdict.NOT_RUN, NO_FREE_CONNECTION)
         self._open_counts[address] = self._open_counts.get(address, 0) + 1
         host, _, port = address.rpartition(":")
         try:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -5,7 +5,9 @@
 import asyncio
 import random
 from typing import TYPE_CHECKING, Any, cast
+from unittest import mock
 
+from catkinpin.adapters.gateway.exchange import Exchange
 from catkinpin.adapters.gateway.races import Race
 from catkinpin.adapters.gateway.work import OpenCall
 from catkinpin.core.control.routes import RouteKind
@@ -351,6 +353,24 @@
 
         self.run_within_limit(work())
 
+    def test_limit_of_connections_uses_no_retries(self) -> None:
+        """Guards against refusing a burst while other servers are idle."""
+
+        async def work() -> None:
+            rig = await self._start(
+                *[_after(0.2, answer_ok)] * 6, kind=RouteKind.NON_IDEMPOTENT
+            )
+            with mock.patch.object(
+                Exchange, "_max_connections", return_value=2
+            ):
+                got = await asyncio.gather(
+                    *(rig.ask(f"q{number}") for number in range(9))
+                )
+            self.assertEqual([200] * 9, [one.status for one in got])
+            await rig.stop()
+
+        self.run_within_limit(work())
+
     def test_slow_attempt_goes_on_if_no_retry_is_left(self) -> None:
         """Guards against calls that all fail early while servers are slow."""
 
