--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -5,7 +5,9 @@
 import asyncio
 import random
 from typing import TYPE_CHECKING, Any, cast
+from unittest import mock
 
+from catkinpin.adapters.gateway.exchange import Exchange
 from catkinpin.adapters.gateway.races import Race
 from catkinpin.adapters.gateway.work import OpenCall
 from catkinpin.core.control.routes import RouteKind
@@ -261,6 +263,29 @@
 
         self.run_within_limit(work())
 
+    def test_answer_that_has_started_is_not_hedged(self) -> None:
+        """Guards against a second run while a large answer is forwarded."""
+
+        async def work() -> None:
+            async def answer_slowly(
+                seen: ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> None:
+                writer.write(sealed_answer(seen, b"x" * 600_000)[:-1])
+                await asyncio.sleep(0.8)
+                writer.write(b"x")
+
+            rig = await self._start(
+                answer_slowly, answer_slowly, timeout_ms=6_000
+            )
+            for _ in range(200):
+                rig.hedging.latencies.record("r", 400.0)
+            got = await rig.ask()
+            self.assertEqual(600_000, len(got.body))
+            self.assertEqual(1, rig.count_server_requests())
+            await rig.stop()
+
+        self.run_within_limit(work())
+
     def test_failure_of_both_attempts_is_answered(self) -> None:
         """Guards against callers without an answer, and further attempts."""
 
@@ -328,6 +353,57 @@
 
         self.run_within_limit(work())
 
+    def test_limit_of_connections_uses_no_retries(self) -> None:
+        """Guards against refusing a burst while other servers are idle."""
+
+        async def work() -> None:
+            rig = await self._start(
+                *[_after(0.2, answer_ok)] * 6, kind=RouteKind.NON_IDEMPOTENT
+            )
+            with mock.patch.object(
+                Exchange, "_max_connections", return_value=2
+            ):
+                got = await asyncio.gather(
+                    *(rig.ask(f"q{number}") for number in range(9))
+                )
+            self.assertEqual([200] * 9, [one.status for one in got])
+            await rig.stop()
+
+        self.run_within_limit(work())
+
+    def test_slow_attempt_goes_on_if_no_retry_is_left(self) -> None:
+        """Guards against calls that all fail early while servers are slow."""
+
+        async def work() -> None:
+            slow = _after(1.2, answer_ok)
+            rig = await self._start(slow, slow, timeout_ms=2_000)
+            now_ms = rig.clock.clock().now_ms()
+            rig.hedging.record_hedge(now_ms)
+            for _ in range(4):
+                rig.hedging.retries.spend(now_ms)
+            got = await rig.ask()
+            self.assertEqual((200, b"fine"), (got.status, got.body))
+            self.assertEqual(1, rig.count_server_requests())
+            await rig.stop()
+
+        self.run_within_limit(work())
+
+    def test_slow_attempt_ends_for_a_retry_within_the_budget(self) -> None:
+        """Guards against waiting for a server that hangs until the deadline."""
+
+        async def work() -> None:
+            servers = _HangingServers(1)
+            rig = await self._start(
+                servers.answer, servers.answer, timeout_ms=2_000
+            )
+            rig.hedging.record_hedge(rig.clock.clock().now_ms())
+            got = await rig.ask()
+            self.assertEqual((200, b"fine"), (got.status, got.body))
+            self.assertEqual(2, rig.count_server_requests())
+            await rig.stop()
+
+        self.run_within_limit(work())
+
     def test_retries_are_denied_once_the_budget_is_used(self) -> None:
         """Guards against calls that go from one full server to the next."""
 
