Forward a server's error if the retry budget allows no other server

Cause: an idempotent call to a contended service discarded a status of 500 or more before the budget was asked. Without a retry its caller got the gateway's 502 in place of the server's own answer.

Change: the error is discarded only if a retry is allowed or another attempt is still running.

Measured: the new test gets 502 before.

--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -246,18 +246,24 @@
             state.verdict = Verdict.RAN
             if race is not None:
                 is_last = race.is_last_attempt()
-            if (
-                state.is_repeatable
-                and not is_last
-                and (head.status >= _MIN_SERVER_ERROR_STATUS)
-            ):
+            is_error = head.status >= _MIN_SERVER_ERROR_STATUS
+            if is_error and state.is_repeatable and not is_last:
                 state.reason = f"status {head.status}"
-                self._exchange.record_failure(state, choice, state.reason)
-                return False
+                if self._may_discard_error(state, race):
+                    self._exchange.record_failure(state, choice, state.reason)
+                    return False
             return await self.forward_answer(state, choice, conn, head, race)
         finally:
             self._exchange.close(choice, conn)
 
+    def _may_discard_error(self, state: OpenCall, race: Race | None) -> bool:
+        """Returns whether another attempt may answer in place of an error."""
+        if race is not None and not race.is_single_attempt:
+            return True
+        return not self._contention.is_contended(
+            state.service.name
+        ) or self._may_retry(state, state.reason)
+
     async def forward_answer(
         self,
         state: OpenCall,
--- a/catkinpin/adapters/gateway/races.py
+++ b/catkinpin/adapters/gateway/races.py
@@ -78,11 +78,15 @@
 
     def is_last_attempt(self) -> bool:
         """Returns whether no attempt beside the running one can answer."""
-        running = sum(not task.done() for task in self._tasks)
         runs = self._call.run_count
         if self._hedge is not None:
             runs += self._hedge.run_count
-        return running == 1 and runs >= self._call.route.max_attempts
+        return self.is_single_attempt and runs >= self._call.route.max_attempts
+
+    @property
+    def is_single_attempt(self) -> bool:
+        """Whether only one attempt is running."""
+        return sum(not task.done() for task in self._tasks) == 1
 
     async def wait_first(self, timeout_s: float) -> bool:
         """Waits for the first attempt; returns whether it has ended."""
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -404,6 +404,20 @@
 
         self.run_within_limit(work())
 
+    def test_error_is_forwarded_if_no_retry_is_left(self) -> None:
+        """Guards against 502 in place of an answer that a server gave."""
+
+        async def work() -> None:
+            rig = await self._start(_answer_500, _answer_500)
+            for _ in range(3):
+                rig.hedging.retries.spend(rig.clock.clock().now_ms())
+            got = await rig.ask()
+            self.assertEqual(500, got.status)
+            self.assertEqual(1, rig.count_server_requests())
+            await rig.stop()
+
+        self.run_within_limit(work())
+
     def test_retries_are_denied_once_the_budget_is_used(self) -> None:
         """Guards against calls that go from one full server to the next."""
 
