--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -99,7 +99,7 @@
         self._publish_info_to("")
 
     def publish_changed_info(self) -> None:
-        """Sends the same to gateways only, if it has changed.
+        """Sends gateways this keeper's identity and known hosts if changed.
 
         Gateways divide the servers' limits by the number of gateways.
         """
--- a/catkinpin/core/placement/admission.py
+++ b/catkinpin/core/placement/admission.py
@@ -274,8 +274,8 @@
         if promise is not None and promise.is_reserved:
             promised -= promise.occupancy
         capacity = demand.capacity(now_ms)
-        # The averages overestimate while programs count that have ended, and
-        # the open turns while many programs are new; both do so only at times.
+        # The averages overestimate while ended programs still count, and the
+        # open turns while many programs are new. The lower one is more exact.
         estimated = demand.needed + route.occupancy
         observed = (demand.open_turns + 1) * capacity / max(1, demand.slots)
         needed = min(estimated, observed) + promised
--- a/catkinpin/core/placement/contention.py
+++ b/catkinpin/core/placement/contention.py
@@ -34,5 +34,8 @@
             self.record_report(service)
 
     def record_report(self, service: str) -> None:
-        """Records that a server of the service reported a slowdown."""
+        """Records that a server of the service reported a slowdown.
+
+        A service stays contended from then on: its servers share machines.
+        """
         self._reported.add(service)
--- a/catkinpin/core/placement/demand.py
+++ b/catkinpin/core/placement/demand.py
@@ -173,8 +173,8 @@
         self._routes: dict[str, RouteAverages] = {}
         self._programs: dict[tuple[str, str], _Program] = {}
         self._turns: dict[str, OpenTurn] = {}
-        # Events that end what no message ends, ordered by time. An event is
-        # ignored where its subject was active since.
+        # Timers of expiries, which no message announces, ordered by time. One
+        # is ignored if its turn or program was active since it was set.
         self._timers: list[tuple[float, int, _TimerKind, object]] = []
         self._timer_ids = itertools.count()
         # Slot time that a turn received which has been open all the time.
