--- a/catkinpin/adapters/keeper/admitting.py
+++ b/catkinpin/adapters/keeper/admitting.py
@@ -68,7 +68,7 @@
         self._admission.retain_accounts(accounts)
 
     def handle_server_changes(self, instances: Iterable[Instance]) -> None:
-        """Makes the next decision count the slots of changed services."""
+        """Updates the sums of slots of the services that changed."""
         for instance in instances:
             ready = self._ready_slots.get(instance.service)
             if ready is None:
--- a/catkinpin/core/placement/shares.py
+++ b/catkinpin/core/placement/shares.py
@@ -101,7 +101,7 @@
     refused_ms: float = 0.0
 
     def advance(self, now_ms: int) -> None:
-        """Lets the usage decay until a time."""
+        """Applies the decay up to a time."""
         if now_ms > self.at_ms:
             factor = math.pow(0.5, (now_ms - self.at_ms) / _HALF_LIFE_MS)
             self.slot_ms *= factor
