Block signals while an entry or a replica stops handling them

Removing a handler of the loop restores the default action; the signal was ignored only after that. The test sends SIGHUP every 2 ms, so on a busy machine one fell in between. Callers see a stop that reports a failure.

Change: the signals are blocked meanwhile; pending ones are dropped once they are ignored.

Measured: a test that sends a signal between the two steps ends with the signal before, and with 0 after.

--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -84,10 +84,14 @@
 
     The event loop restores their default actions when it closes. A signal
     during interpreter shutdown would make a clean stop look like a failure.
+    They are blocked meanwhile, as removing a handler also restores the default.
     """
-    for signum in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+    signums = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    signal.pthread_sigmask(signal.SIG_BLOCK, signums)
+    for signum in signums:
         loop.remove_signal_handler(signum)
         signal.signal(signum, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, signums)
 
 
 def _log_ignored_reload() -> None:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -10,6 +10,8 @@
 import functools
 import random
 import signal
+import subprocess
+import sys
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -162,6 +164,25 @@
 
         self.run_on_cluster(body)
 
+    def test_signal_while_handlers_are_removed_ends_no_process(self) -> None:
+        """Guards against the default action between handler and ignoring."""
+        code = (
+            "import os, signal\n"
+            "from catkinpin import process\n"
+            "class Loop:\n"
+            "    def remove_signal_handler(self, signum):\n"
+            "        signal.signal(signum, signal.SIG_DFL)\n"
+            "        os.kill(os.getpid(), signum)\n"
+            "process._ignore_signals(Loop())\n"
+        )
+        completed = subprocess.run(
+            [sys.executable, "-c", code],
+            cwd=processes.ROOT,
+            timeout=60,
+            check=False,
+        )
+        self.assertEqual(0, completed.returncode)
+
     def test_second_signal_ends_at_once(self) -> None:
         """Guards against a stop that an operator can't shorten.
 
