Log what identifies a request that a server broke off

A crash report named a digest only. After an incident it could not be told whether a call came again under another path or under another program, nor whether a gateway that lost a call found the server alive and reported nothing.

Each break now has a server-break line with the digest, short digests of the target, the body and the affinity key, the program, the account, the route, and whether the server still accepted connections; a refusal names its digest. Two metrics count breaks and quarantined contents. No decision changes.

--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -5,6 +5,7 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from catkinpin import decisions, metrics
 from catkinpin.adapters.tasks import BackgroundTasks
 
 if TYPE_CHECKING:
@@ -17,6 +18,8 @@
     from catkinpin.core.requests.calls import RouteCall
 
 _DIGEST_BYTES = 16
+# Tells targets and bodies apart in the log, which must not contain them.
+_LOG_DIGEST_BYTES = 4
 
 
 def content_digest(request: Request, call: RouteCall) -> str:
@@ -56,9 +59,31 @@
         self._tasks.spawn(self._report_if_down(state, choice))
 
     async def _report_if_down(self, state: OpenCall, choice: Choice) -> None:
-        if await self._is_reachable(state, choice):
-            return
+        is_reachable = await self._is_reachable(state, choice)
         instance = choice.instance
         incarnation = f"{instance.id}/{instance.started_ms}"
         content = content_digest(state.request, state.call)
-        await self._turns.report_crash(content, incarnation)
+        result = "reachable" if is_reachable else "crashed"
+        metrics.SERVER_BREAKS.labels(result).inc()
+        decisions.note(
+            "server-break",
+            state.call.attempt,
+            server=incarnation,
+            result=result,
+            content=content,
+            target=_short_digest(state.request.target),
+            body=_short_digest(state.request.body),
+            affinity=_short_digest(state.call.affinity.encode()),
+            program=state.call.program,
+            account=state.call.account,
+            route=state.route.name,
+        )
+        if not is_reachable:
+            await self._turns.report_crash(content, incarnation)
+
+
+def _short_digest(data: bytes) -> str:
+    """Returns a digest for the log; empty for no data."""
+    if not data:
+        return ""
+    return hashlib.blake2b(data, digest_size=_LOG_DIGEST_BYTES).hexdigest()
--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -119,8 +119,9 @@
             return
         if account is not None:
             call = dataclasses.replace(call, account=account.name)
-        if self._is_quarantined(request, call):
-            reason = "it crashed servers before"
+        content = content_digest(request, call)
+        if content in self._view.quarantined:
+            reason = f"its content {content} crashed servers before"
             refuse(responder, call, 503, reason, _QUARANTINE_RETRY_AFTER_S)
             return
         name = routes.pick_service(route, self._rng)
@@ -201,12 +202,6 @@
             > self.stop_deadline_s
         )
 
-    def _is_quarantined(self, request: Request, call: RouteCall) -> bool:
-        quarantined = self._view.quarantined
-        return (
-            bool(quarantined) and content_digest(request, call) in quarantined
-        )
-
     async def _forward(self, state: OpenCall) -> None:
         is_plain = state.route.kind is not RouteKind.STREAM
         serve = self._plain.serve if is_plain else self._streaming.serve
--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -121,6 +121,7 @@
                 self._handle_servers(update)
             case protocol.QuarantineUpdate():
                 self.quarantined.update(message.contents)
+                metrics.QUARANTINED_CONTENTS.set(len(self.quarantined))
 
     def _handle_routing(self, message: protocol.RoutingUpdate) -> None:
         self._announced_version = max(self._announced_version, message.version)
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -139,6 +139,16 @@
     "catkinpin_feed_outdated_total",
     "Lists of servers that a gateway ignored since it held a newer state.",
 )
+SERVER_BREAKS = Counter(
+    "catkinpin_server_breaks_total",
+    "Requests that a server broke off, by whether it still accepted connections"
+    " afterwards.",
+    ["result"],
+)
+QUARANTINED_CONTENTS = Gauge(
+    "catkinpin_quarantined_contents",
+    "Contents of requests that no server may get, as known to this process.",
+)
 LOG_SYNCS = Counter("catkinpin_log_syncs_total", "Syncs of the log.", [])
 LOG_RECORDS = Counter("catkinpin_log_records_total", "Records logged.", [])
 
