--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -101,6 +101,9 @@
         self.version = 0
         # Client accounts in the manifest; None: no request needs an API key.
         self.tenants: list[dict[str, Any]] | None = None
+        # Routes and services that the manifest has besides its own two.
+        self.more_routes: list[dict[str, Any]] = []
+        self.more_services: list[dict[str, Any]] = []
         # Policies in the settings of all processes.
         self.policies: list[str] = []
         self._sequence = 0
@@ -281,8 +284,8 @@
         service = {"name": "models", "max_conns": 50, "engine": engine}
         manifest: dict[str, Any] = {
             "version": self.version,
-            "routes": [fields, unsafe_route],
-            "services": [service],
+            "routes": [fields, unsafe_route, *self.more_routes],
+            "services": [service, *self.more_services],
         }
         if self.tenants is not None:
             manifest["tenants"] = self.tenants
@@ -376,6 +379,21 @@
         except aiohttp.ClientPayloadError:
             return 0
 
+    async def call(
+        self, path: str, attempt: str, gateway: str, **headers: str
+    ) -> int:
+        """Sends a GET request without a body; returns its status."""
+        fields = {
+            "Host": "h.example",
+            "X-Attempt-Id": attempt,
+            "X-Deadline-Ms": "2000",
+            **{k.replace("_", "-"): v for k, v in headers.items()},
+        }
+        url = self.url(gateway, path)
+        async with self._session.get(url, headers=fields) as answer:
+            await answer.read()
+            return answer.status
+
     async def retry_turn_until_served(
         self, name: str, previous: str = ""
     ) -> bool:
