Open a new connection to see whether a server has crashed

What callers saw: a call crashed one more server than it had to.

Cause: the gateway asked its pool for a connection to the server. An idle one whose close had not arrived yet counted as proof that the server was alive.

--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -312,14 +312,11 @@
 
     async def is_reachable(self, state: OpenCall, choice: Choice) -> bool:
         """Returns whether a server can still be reached."""
-        address = choice.instance.address
-        conn = await self._pool.acquire(
-            address, self._max_connections(state), _CONNECT_TIMEOUT_S
+        return await self._pool.is_accepting(
+            choice.instance.address,
+            self._max_connections(state),
+            _CONNECT_TIMEOUT_S,
         )
-        if isinstance(conn, Failure):
-            return False
-        self._pool.release(address, conn)
-        return True
 
     def _record_head(
         self, state: OpenCall, choice: Choice, head: ResponseHead
--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -52,13 +52,14 @@
     FIRST: there was none to the server before. BUSY: requests use all of them.
     EXPIRED: the idle ones were closed or idle for too long. UNPROVED: the
     server was not heard on the idle one lately, and the request must not run
-    twice.
+    twice. CHECK: to see whether a server that broke off a request has crashed.
     """
 
     FIRST = "first"
     BUSY = "busy"
     EXPIRED = "expired"
     UNPROVED = "unproved"
+    CHECK = "check"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/catkinpin/adapters/http/pool.py
+++ b/catkinpin/adapters/http/pool.py
@@ -71,6 +71,23 @@
             conn.enable_probes()
         return conn
 
+    async def is_accepting(
+        self, address: str, limit: int, timeout_s: float
+    ) -> bool:
+        """Returns whether a server accepts a new connection.
+
+        An idle connection proves nothing: when a server crashes, some of its
+        connections are seen closed later than others.
+        """
+        if self._idle.get(address):
+            self._close_longest_idle(address, limit)
+        opened = await self._open(address, limit, timeout_s)
+        if isinstance(opened, Failure):
+            return False
+        metrics.CONNECTIONS_OPENED.labels(OpenReason.CHECK).inc()
+        opened.abort("opened as a check")
+        return True
+
     def has_idle(self, address: str) -> bool:
         """Returns whether there is a usable idle connection to a server."""
         idle = self._idle.get(address)
