Report no crash when the gateway's own connections are used up

A gateway that had as many connections to a server as it may open could not open one to see whether the server lives, and reported a crash: a strike against a request that only had its connection reset. Nothing is known then, so nothing is reported.

The new test in tests/test_crash_reports.py fails without the change (one crash reported) and passes with it.

--- a/catkinpin/adapters/http/pool.py
+++ b/catkinpin/adapters/http/pool.py
@@ -77,13 +77,14 @@
         """Returns whether a server accepts a new connection.
 
         An idle connection proves nothing: when a server crashes, some of its
-        connections are seen closed later than others.
+        connections are seen closed later than others. If the limit is reached
+        by connections in use, nothing is known, and the result is true.
         """
         if self._idle.get(address):
             self._close_longest_idle(address, limit)
         opened = await self._open(address, limit, timeout_s)
         if isinstance(opened, Failure):
-            return False
+            return opened.reason == NO_FREE_CONNECTION
         metrics.CONNECTIONS_OPENED.labels(OpenReason.CHECK).inc()
         opened.abort("opened as a check")
         return True
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -224,12 +224,13 @@
         )
         self.hedging = Hedging()
         self.contention = ContendedServices(configured=False)
+        self.pool = Pool()
         self.handler = RequestHandler(
             GatewayContext(
                 view=self.view,
                 balancer=self.balancer,
                 speeds=self.speeds,
-                pool=Pool(),
+                pool=self.pool,
                 turns=cast("Any", self.turns),
                 codec=codec,
                 clock=self.clock.clock(),
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -50,3 +50,23 @@
             await rig.stop()
 
         self.run_async(scenario())
+
+    def test_break_is_no_crash_while_all_connections_are_in_use(self) -> None:
+        """Guards against reporting a crash since no connection was free."""
+
+        async def scenario() -> None:
+            rig = Rig(RouteKind.NON_IDEMPOTENT)
+
+            async def take_all_and_abort(
+                seen: ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> None:
+                rig.pool._open_counts[rig.servers[0].address] = 1_000
+                writer.transport.abort()
+
+            await rig.start(take_all_and_abort)
+            await rig.ask()
+            await asyncio.sleep(0.1)
+            self.assertEqual([], rig.turns.crashes)
+            await rig.stop()
+
+        self.run_async(scenario())
