Move the choice of a server out of the exchange with it

What picks a server and what talks to it are two jobs; the second is about to get more to do. No behaviour changes.

--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -14,26 +14,20 @@
 from catkinpin import decisions, metrics
 from catkinpin.adapters.gateway.crashes import CrashReporter
 from catkinpin.adapters.gateway.headers import ForwardingFields
+from catkinpin.adapters.gateway.picking import ServerPicker
 from catkinpin.adapters.gateway.timings import AnswerTimes
 from catkinpin.adapters.http.client import DEFAULT_MAX_IDLE_S, Failure
-from catkinpin.core.control.servers import ServerState
-from catkinpin.core.placement import unresponsive, urgency
 from catkinpin.verdicts import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
-
     from catkinpin.adapters.gateway.context import GatewayContext
     from catkinpin.adapters.gateway.work import OpenCall
     from catkinpin.adapters.http.client import ResponseHead, ServerConnection
     from catkinpin.adapters.http.headers import Headers
-    from catkinpin.core.control.servers import Instance
     from catkinpin.core.placement.balance import Choice
     from catkinpin.core.requests.calls import Load
 
 _MS_PER_S = 1_000
-# Once more servers than this have been tried, no further one is picked.
-_MAX_REFUSALS = 3
 # A server that can't be reached within this time is ejected. Connecting takes
 # some ms even between regions.
 _CONNECT_TIMEOUT_S = 0.3
@@ -44,8 +38,6 @@
 # multiple of the route's target latency, but at least for the minimum.
 _HEAD_TIMEOUT_FACTOR = 4
 _MIN_HEAD_TIMEOUT_S = 1.5
-# A plain server with an overdue call gets no further calls for this long.
-_OVERDUE_EJECTION_MS = 500
 # Statuses from this one on count as failures of the server.
 _MIN_SERVER_ERROR_STATUS = 500
 # Multiplies the number of gateways that share a server's connection limit, to
@@ -72,89 +64,12 @@
         self._count_gateways = context.gateways
         self._waiting = context.waiting
         self._contention = context.contention
-        self._subsets = context.subsets
+        self._picker = ServerPicker(context)
         self._crashes = CrashReporter(context.turns, self.is_reachable)
 
     def pick_server(self, state: OpenCall) -> Choice | None:
         """Picks the next server; returns None if none is left to try."""
-        if len(state.tried_servers) > _MAX_REFUSALS:
-            return None
-        servers = self._view.fleet.servers_of(state.service.name)
-        now_ms = self._clock.now_ms()
-        overdue = self._waiting.overdue_servers(now_ms)
-        if overdue:
-            unresponsive.eject_unresponsive(
-                self._balancer,
-                overdue,
-                servers,
-                now_ms,
-                now_ms + _OVERDUE_EJECTION_MS,
-            )
-        choice = self._leader_choice(state, now_ms) or self._balancer.pick(
-            self._candidates(state, servers, now_ms),
-            state.call,
-            now_ms,
-            state.tried_servers,
-            state.route.name,
-            is_connected=self._connected_servers(state),
-        )
-        if choice is None:
-            state.reason = state.reason or "no server is left"
-            return None
-        is_expired = state.urgency >= urgency.URGENCY_EXPIRED
-        if is_expired and self._balancer.is_busy(choice.instance, now_ms):
-            state.reason = (
-                "the program is past twice its time and the server is busy"
-            )
-            return None
-        state.choice = choice
-        return choice
-
-    def _candidates(
-        self, state: OpenCall, servers: Collection[Instance], now_ms: int
-    ) -> Collection[Instance]:
-        """Returns the servers among which one is picked for a request."""
-        service = state.service
-        is_engine = service.engine is not None
-        if is_engine or not self._contention.is_contended(service.name):
-            return servers
-        selection = self._subsets.select(
-            service.name, servers, self._balancer, state.tried_servers, now_ms
-        )
-        if not selection.subset:
-            return servers
-        result = "all" if selection.is_exceeded else "subset"
-        metrics.SUBSET_CHOICES.labels(result).inc()
-        if selection.is_new:
-            subset = selection.subset
-            decisions.note("subset", "", service=service.name, servers=subset)
-        if selection.is_exceeded:
-            decisions.routine(
-                "subset-exceeded",
-                state.call.attempt,
-                used_share=round(selection.used_share, 2),
-                failing=selection.failing,
-                load_age_ms=selection.load_age_ms,
-            )
-        return selection.servers
-
-    def _connected_servers(
-        self, state: OpenCall
-    ) -> Callable[[Instance], bool] | None:
-        """Returns a test for idle connections if they count for the choice."""
-        if not self._contention.is_contended(state.service.name):
-            return None
-        return lambda instance: self._pool.has_idle(instance.address)
-
-    def _leader_choice(self, state: OpenCall, now_ms: int) -> Choice | None:
-        """Returns the server that the leader selected, if it can be used."""
-        instance = self._view.fleet.servers.get(state.assigned_server)
-        if instance is None or instance.id in state.tried_servers:
-            return None
-        is_ready = instance.state is ServerState.READY
-        if not is_ready or instance.service != state.service.name:
-            return None
-        return self._balancer.estimate(instance, state.call, now_ms)
+        return self._picker.pick_server(state)
 
     async def send(
         self, state: OpenCall, choice: Choice, body: bytes, resume_at: str = ""
