Keep strikes in the log, and count crashes instead of reports

What callers saw: a request that had crashed a server before a change of the leader was allowed two more under the next one.

Cause: the leader kept strikes in its memory. It counted reports, so that one crash that two gateways reported, or one report that was sent twice, made two strikes. And every request that was running during two crashes was quarantined, whether another one explained both or not.

The leader waits 0.35 s for the reports of all gateways, then quarantines a request with two crashes only if no other one was running during the same crashes; with three, even in company. Reports of a crash whose cause is known are no strikes against others. A keeper of the previous release applies the decisions as before.

--- a/catkinpin/adapters/keeper/asks.py
+++ b/catkinpin/adapters/keeper/asks.py
@@ -9,6 +9,7 @@
 from catkinpin import exits
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.core.control import protocol, routes
+from catkinpin.core.control.suspects import Strike
 from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
@@ -82,19 +83,13 @@
                 case protocol.AskRegister():
                     await self._register(stream, message)
                 case protocol.ReportCrash():
+                    strike = _strike_of(message)
                     error = await self._host.report_crash(
-                        message.content, message.server, self._timeout_s
+                        strike, self._timeout_s
                     )
                     self._reply(stream, message.ask, error)
                 case protocol.ReportUse():
-                    update = self._turn_requests.report_use(
-                        message, _sender(stream)
-                    )
-                    self._publish_unresponsive()
-                    if isinstance(update, Undecided):
-                        self._reply(stream, message.ask, update)
-                    else:
-                        stream.send(update)
+                    await self._report_use(stream, message)
                 case protocol.AskRetire():
                     await self._answer_retire(stream, message)
                 case protocol.Put():
@@ -115,6 +110,20 @@
         else:
             stream.send(began)
 
+    async def _report_use(
+        self, stream: links.Stream, message: protocol.ReportUse
+    ) -> None:
+        update = self._turn_requests.report_use(message, _sender(stream))
+        self._publish_unresponsive()
+        if isinstance(update, Undecided):
+            self._reply(stream, message.ask, update)
+            return
+        stream.send(update)
+        if message.answered_suspects:
+            await self._host.clear_suspects(
+                message.answered_suspects, self._timeout_s
+            )
+
     def _publish_unresponsive(self) -> None:
         """Publishes the unresponsive servers when they change.
 
@@ -189,6 +198,15 @@
         return outcome
 
 
+def _strike_of(message: protocol.ReportCrash) -> Strike:
+    """Returns the strike that a gateway of this or the last release reports."""
+    return Strike(
+        shared=message.shared or message.content,
+        content=message.content,
+        server=message.server,
+    )
+
+
 def _sender(stream: links.Stream) -> str:
     """Returns the name of the process at the other end; empty if unknown."""
     return stream.hello.process if stream.hello else ""
--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -18,7 +18,7 @@
 from catkinpin.core.control.ledger import Begin, Outcome
 from catkinpin.core.control.quotas import Quotas
 from catkinpin.core.control.servers import Instance, ServerState
-from catkinpin.core.programs.quarantine import Quarantine
+from catkinpin.core.control.suspects import MAX_CRASHES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,12 +27,16 @@
     from catkinpin.clock import Clock
     from catkinpin.core.control.quotas import AccountUse, QuotaTolerance
     from catkinpin.core.control.routes import PackedRouting
+    from catkinpin.core.control.suspects import AnsweredRequest, Strike
 
 log = logging.getLogger(__name__)
 
 
 # The metrics have one line per account, for at most so many accounts.
 _MAX_EXPOSED_ACCOUNTS = 20
+# Time within which all gateways report a crash: up to 0.3 s until they see that
+# the server accepts no connection, and the way to the leader.
+_CRASH_REPORTS_MS = 350
 
 
 class Undecided:
@@ -67,7 +71,8 @@
         on_routing_changed: called after each change of the routes.
         on_servers_changed: called with the servers that changed.
         on_turns_expired: called with the attempts that expired.
-        on_quarantined: called with digests of quarantined request contents.
+        on_suspects_changed: called with each change of the requests that are
+            quarantined or suspected to crash servers.
         on_restored: called after a snapshot has replaced the state.
 
     Attributes:
@@ -88,14 +93,14 @@
         on_routing_changed: Callable[[], None],
         on_servers_changed: Callable[[list[Instance]], None],
         on_turns_expired: Callable[[list[str]], None],
-        on_quarantined: Callable[[list[str]], None],
+        on_suspects_changed: Callable[[state.SuspectChange], None],
         on_restored: Callable[[], None] = lambda: None,
     ) -> None:
         self.state = state.ControlState(
             self._handle_routing_change,
             on_servers_changed,
             on_turns_expired,
-            on_quarantined,
+            on_suspects_changed,
         )
         self.quotas = Quotas(tolerance)
         self._on_routing_changed = on_routing_changed
@@ -103,7 +108,10 @@
         self._on_restored = on_restored
         self._packed_accounts = b""
         self._uncommitted_use: dict[str, AccountUse] = {}
-        self._quarantine = Quarantine()
+        # For each suspect with several crashes, their number and the time at
+        # which this process first saw it.
+        self._held_since_ms: dict[str, tuple[int, int]] = {}
+        self._is_quarantining = False
         self.group: Group
         self.leading = False
         self._clock = clock
@@ -306,38 +314,78 @@
         return None
 
     async def report_crash(
-        self, content: str, server: str, wait_s: float
+        self, strike: Strike, wait_s: float
     ) -> Undecided | None:
-        """Records that a server crashed while it ran a request.
-
-        One crash may be a coincidence. The second one quarantines the content:
-        its caller resends it, and each resend would crash another server.
-        """
+        """Records that a server crashed while it ran a request."""
         if not self.holds_lease():
             return Undecided("not the leader")
-        digest = bytes.fromhex(content)
-        self._quarantine.add_strike(
-            digest, server, server, self._clock.now_ms()
-        )
-        self._quarantine.resolve(server, server, crashed=True)
-        quarantined = [
-            repeated.hex()
-            for repeated in self._quarantine.quarantine_repeated()
-        ]
         decisions.note(
             "crash-report",
             "",
-            content=content,
-            server=server,
-            quarantined=quarantined,
-        )
-        if not quarantined:
-            return None
-        outcome = await self.propose(
-            state.Quarantine(contents=quarantined), wait_s
+            content=strike.content,
+            shared=strike.shared,
+            server=strike.server,
+            quarantined=strike.shared in self.state.quarantined
+            or strike.content in self.state.quarantined,
         )
+        body = state.Quarantine(contents=[], strikes=[strike])
+        outcome = await self.propose(body, wait_s)
         return outcome if isinstance(outcome, Undecided) else None
 
+    async def clear_suspects(
+        self, answered: list[AnsweredRequest], wait_s: float
+    ) -> None:
+        """Records that servers answered suspected requests."""
+        decisions.note(
+            "suspects-answered", "", contents=[r.content for r in answered]
+        )
+        body = state.Quarantine(contents=[], answered=answered)
+        outcome = await self.propose(body, wait_s)
+        if isinstance(outcome, Undecided):
+            # The next answer to such a request is reported again.
+            decisions.note("suspects-uncleared", "", reason=outcome.reason)
+
+    async def quarantine_causes(self, wait_s: float) -> None:
+        """Quarantines the requests that must have crashed several servers.
+
+        One crash may be a coincidence. After the second one the request's
+        callers send it again, and each time it would crash another server.
+        Gateways report a crash at different times, so the leader waits until
+        it knows which other requests were running on the server.
+        """
+        if self._is_quarantining:
+            return
+        now_ms = self._clock.now_ms()
+        counts = self.state.suspects.crash_counts()
+        held_before, self._held_since_ms = self._held_since_ms, {}
+        for suspect, count in counts.items():
+            if count >= MAX_CRASHES:
+                since = held_before.get(suspect, (0, 0))
+                self._held_since_ms[suspect] = (
+                    since if since[0] == count else (count, now_ms)
+                )
+        if not self._held_since_ms:
+            return
+        causes = [
+            cause
+            for cause in self.state.suspects.find_causes()
+            if now_ms - self._held_since_ms[cause][1] >= _CRASH_REPORTS_MS
+        ]
+        if not causes:
+            return
+        decisions.note(
+            "quarantine",
+            "",
+            contents=causes,
+            crashes=[counts[cause] for cause in causes],
+            suspects=len(counts),
+        )
+        self._is_quarantining = True
+        try:
+            await self.propose(state.Quarantine(contents=causes), wait_s)
+        finally:
+            self._is_quarantining = False
+
     def lost_servers(self) -> list[Instance]:
         """Returns the servers that were silent for too long, in state LOST.
 
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -38,6 +38,7 @@
     from catkinpin.adapters.replica.groups import Group
     from catkinpin.core.control.routes import Routing
     from catkinpin.core.control.servers import Instance
+    from catkinpin.core.control.state import SuspectChange
     from catkinpin.roles import KeeperSettings
 
     ControlHandler = Callable[
@@ -149,7 +150,7 @@
             self._handle_routing_change,
             self._handle_server_changes,
             self._handle_expired_turns,
-            self._handle_quarantine_change,
+            self._handle_suspect_change,
             self._handle_restored_state,
         )
 
@@ -347,8 +348,8 @@
         self._turn_requests.handle_server_changes(instances)
         self._publisher.publish_servers(instances)
 
-    def _handle_quarantine_change(self, contents: list[str]) -> None:
-        self._publisher.publish_quarantine(contents)
+    def _handle_suspect_change(self, change: SuspectChange) -> None:
+        self._publisher.publish_suspects(change)
 
     def _handle_restored_state(self) -> None:
         self._publisher.replace_feed()
@@ -373,6 +374,7 @@
             if not self.host.holds_lease():
                 continue
             self._turn_requests.admission.update_shares()
+            self._tasks.spawn(self.host.quarantine_causes(_COMMIT_TIMEOUT_S))
             for lost in self.host.lost_servers():
                 self._tasks.spawn(self.host.announce(lost, _COMMIT_TIMEOUT_S))
             if ticks % _TICKS_PER_USE_COMMIT == 0:
--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -22,6 +22,7 @@
     from catkinpin.adapters.peers import links
     from catkinpin.adapters.replica import node
     from catkinpin.core.control.servers import Instance
+    from catkinpin.core.control.state import SuspectChange
     from catkinpin.roles import KeeperSettings
 
 GATEWAY_ROLE = "gateway"
@@ -118,9 +119,14 @@
         """Sends all servers to slow gateways that have emptied their queue."""
         self._server_updates.send_to_slow_gateways()
 
-    def publish_quarantine(self, contents: list[str]) -> None:
-        """Sends gateways the digests of contents that no server may get."""
-        message = protocol.QuarantineUpdate(contents=contents)
+    def publish_suspects(self, change: SuspectChange) -> None:
+        """Sends gateways a change of quarantined and suspected requests."""
+        message = protocol.QuarantineUpdate(
+            contents=change.quarantined,
+            suspects=change.suspects,
+            cleared=change.cleared,
+            held=change.held,
+        )
         _send_to(self._feed_streams(), message)
 
     def publish_unresponsive(self, servers: list[str]) -> None:
@@ -139,7 +145,7 @@
     def replace_feed(self) -> None:
         """Sends the whole feed after a snapshot has replaced the state."""
         self._server_updates.replace_all()
-        self.publish_quarantine(list(self._host.state.quarantined))
+        _send_to(self._feed_streams(), self._all_suspects())
 
     def publish_expired(self, attempts: list[str]) -> None:
         """Sends to stores the turns whose bytes are no longer needed."""
@@ -167,8 +173,14 @@
     def _send_feed(self, stream: links.Stream) -> None:
         """Sends the state with which the feed of a gateway begins."""
         self._server_updates.send_all(stream)
-        contents = list(self._host.state.quarantined)
-        stream.send(protocol.QuarantineUpdate(contents=contents))
+        stream.send(self._all_suspects())
+
+    def _all_suspects(self) -> protocol.QuarantineUpdate:
+        return protocol.QuarantineUpdate(
+            contents=list(self._host.state.quarantined),
+            suspects=list(self._host.state.suspects.crash_counts()),
+            whole=True,
+        )
 
     def _feed_state(self) -> protocol.FeedState:
         return protocol.FeedState(
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -13,6 +13,7 @@
 from catkinpin.core.control.routes import PackedRouting
 from catkinpin.core.control.servers import Instance
 from catkinpin.core.control.stores import Store
+from catkinpin.core.control.suspects import AnsweredRequest
 from catkinpin.core.messages import Hello, Ping
 from catkinpin.core.placement.placer import PlaceTurn, TurnReport
 from catkinpin.core.placement.urgency import ProgramStatus
@@ -156,6 +157,7 @@
             sent.
         answered_ms: for each server that answered since the last report, time
             since the latest answered call was sent.
+        answered_suspects: suspected requests that servers have answered.
     """
 
     ask: int
@@ -163,6 +165,7 @@
     unresponsive: list[str] = []
     overdue_ms: dict[str, int] = {}
     answered_ms: dict[str, int] = {}
+    answered_suspects: list[AnsweredRequest] = []
 
 
 class QuotaUpdate(Message, frozen=True):
@@ -216,23 +219,38 @@
     """Tells the leader that a server crashed while it ran a request.
 
     Attributes:
-        content: digest of the request's content, in hex.
+        content: digest of the request and its program, in hex. A leader of the
+            previous release knows only this one.
         server: identity of the server's incarnation.
+        shared: digest that does not depend on the program; empty if the gateway
+            is of the previous release.
     """
 
     ask: int
     content: str
     server: str
+    shared: str = ""
 
 
 class QuarantineUpdate(Message, frozen=True):
-    """Lists contents that are quarantined: no server may get them.
+    """Lists requests that are quarantined or suspected to crash servers.
+
+    All are digests in hex; a request has two, see `Strike`.
 
     Attributes:
-        contents: digests of the contents, in hex.
+        contents: newly quarantined requests: no server may get them.
+        suspects: new suspects: gateways report that a server answered one.
+        cleared: requests that are no longer suspects.
+        held: suspects with a further crash, of which the leader decides soon
+            whether they are quarantined.
+        whole: whether `suspects` lists all suspects.
     """
 
     contents: list[str]
+    suspects: list[str] = []
+    cleared: list[str] = []
+    held: list[str] = []
+    whole: bool = False
 
 
 class AskRegister(Message, frozen=True):
--- a/catkinpin/core/control/state.py
+++ b/catkinpin/core/control/state.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from catkinpin import codec
@@ -22,12 +23,18 @@
 from catkinpin.core.control.routes import PackedRouting
 from catkinpin.core.control.servers import Fleet, Instance
 from catkinpin.core.control.stores import Register, Retire, Store, Stores
+from catkinpin.core.control.suspects import (
+    MAX_CRASHES,
+    AnsweredRequest,
+    Strike,
+    Suspects,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 # Number of digests that stay quarantined, 32 bytes each.
-_MAX_QUARANTINED = 4_096
+MAX_QUARANTINED = 4_096
 
 
 class SetRouting(Message, frozen=True):
@@ -43,13 +50,36 @@
 
 
 class Quarantine(Message, frozen=True):
-    """Quarantines contents of requests.
+    """Changes which requests are quarantined or suspected to crash servers.
+
+    A keeper of the previous release applies `contents` only.
 
     Attributes:
-        contents: digests of the contents, in hex.
+        contents: digests of requests to quarantine, in hex.
+        strikes: requests that were running on servers that crashed.
+        answered: suspected requests that servers have answered.
     """
 
     contents: list[str]
+    strikes: list[Strike] = []
+    answered: list[AnsweredRequest] = []
+
+
+@dataclasses.dataclass(frozen=True)
+class SuspectChange:
+    """What a `Quarantine` record has changed, as digests in hex.
+
+    Attributes:
+        quarantined: newly quarantined requests.
+        suspects: new suspects.
+        cleared: requests that are no longer suspects.
+        held: suspects that have had a further crash, after the first one.
+    """
+
+    quarantined: list[str]
+    suspects: list[str]
+    cleared: list[str]
+    held: list[str]
 
 
 class CountUse(Message, frozen=True):
@@ -96,6 +126,8 @@
     ledger: LedgerState
     stores: list[Store]
     quarantined: list[str]
+    strikes: list[Strike] = []
+    explained: list[str] = []
 
 
 class ControlState:
@@ -105,10 +137,12 @@
         on_routing_changed: called when another routing document is in force.
         on_servers_changed: called with the servers that changed.
         on_expired: called with turns that expired.
-        on_quarantined: called with digests that are newly quarantined.
+        on_suspects_changed: called with each change of the requests that are
+            quarantined or suspected.
 
     Attributes:
-        quarantined: digests of the quarantined contents, oldest first.
+        quarantined: digests of the quarantined requests, oldest first.
+        suspects: requests that were running on servers that crashed.
         routing: the routing document in force.
         fleet: the backend servers.
         ledger: budgets and turns of programs.
@@ -121,10 +155,11 @@
         on_routing_changed: Callable[[], None] = lambda: None,
         on_servers_changed: Callable[[list[Instance]], None] = lambda _: None,
         on_expired: Callable[[list[str]], None] = lambda _: None,
-        on_quarantined: Callable[[list[str]], None] = lambda _: None,
+        on_suspects_changed: Callable[[SuspectChange], None] = lambda _: None,
     ) -> None:
         self.quarantined: dict[str, None] = {}
-        self._on_quarantined = on_quarantined
+        self.suspects = Suspects()
+        self._on_suspects_changed = on_suspects_changed
         self.routing: PackedRouting | None = None
         self.fleet = Fleet()
         self.ledger = Ledger()
@@ -164,7 +199,7 @@
             case Retire():
                 self.stores.retire(body.name)
             case Quarantine():
-                self._quarantine(body.contents)
+                self._quarantine(body)
         if out.expired:
             self._on_expired(out.expired)
         return out
@@ -177,6 +212,8 @@
             ledger=self.ledger.state(),
             stores=list(self.stores.by_node.values()),
             quarantined=list(self.quarantined),
+            strikes=self.suspects.strikes,
+            explained=self.suspects.explained,
         )
         return codec.encode(state)
 
@@ -194,14 +231,33 @@
         self.ledger.restore(state.ledger)
         self.stores.by_node = {store.node: store for store in state.stores}
         self.quarantined = dict.fromkeys(state.quarantined)
+        self.suspects.restore(state.strikes, state.explained)
         self._on_routing_changed()
         self._on_servers_changed(list(self.fleet.servers.values()))
 
-    def _quarantine(self, contents: list[str]) -> None:
-        self.quarantined.update(dict.fromkeys(contents))
-        while len(self.quarantined) > _MAX_QUARANTINED:
+    def _quarantine(self, body: Quarantine) -> None:
+        before = self.suspects.crash_counts()
+        for strike in body.strikes:
+            self.suspects.add(strike, self.quarantined)
+        for answered in body.answered:
+            self.suspects.clear(answered)
+        self.suspects.explain(body.contents)
+        self.quarantined.update(dict.fromkeys(body.contents))
+        while len(self.quarantined) > MAX_QUARANTINED:
             del self.quarantined[next(iter(self.quarantined))]
-        self._on_quarantined(contents)
+        counts = self.suspects.crash_counts()
+        self._on_suspects_changed(
+            SuspectChange(
+                quarantined=body.contents,
+                suspects=[d for d in counts if d not in before],
+                cleared=[d for d in before if d not in counts],
+                held=[
+                    digest
+                    for digest, count in counts.items()
+                    if count >= MAX_CRASHES and count > before.get(digest, 0)
+                ],
+            )
+        )
 
 
 _state_decoder = codec.decoder(ControlSnapshot)
--- a/tests/test_feedsystem.py
+++ b/tests/test_feedsystem.py
@@ -15,6 +15,7 @@
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
 from catkinpin.core.control.servers import ServerState
+from catkinpin.core.control.state import SuspectChange
 from catkinpin.core.control.stores import Store
 from tests.fakes import feedsystem
 from tests.fakes.feedsystem import QueueStream, System
@@ -308,7 +309,7 @@
         publisher.subscribe(stream, active=True)
         stream.read()
         for _ in range(64):
-            publisher.publish_quarantine([])
+            publisher.publish_suspects(SuspectChange([], [], [], []))
         publisher.publish_feed_state()
         types = {type(message) for message in stream.read()}
         self.assertNotIn(protocol.FeedState, types)
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,159 @@
+"""Which requests are quarantined after servers crashed under them."""
+
+from __future__ import annotations
+
+import testtools
+
+from catkinpin import codec
+from catkinpin.core.control import state
+from catkinpin.core.control.suspects import (
+    AnsweredRequest,
+    Strike,
+    Suspects,
+)
+
+
+def _strikes(server: str, *requests: str) -> list[Strike]:
+    """Returns strikes against requests, each "shared" or "shared/program"."""
+    return [
+        Strike(shared=request.split("/")[0], content=request, server=server)
+        for request in requests
+    ]
+
+
+class SuspectsTest(testtools.TestCase):
+    """Strikes, and what they prove."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.suspects = Suspects()
+
+    def _crash(self, server: str, *requests: str) -> None:
+        for strike in _strikes(server, *requests):
+            self.suspects.add(strike, ())
+
+    def _answer(self, request: str) -> None:
+        self.suspects.clear(
+            AnsweredRequest(shared=request.split("/")[0], content=request)
+        )
+
+    def test_request_is_recognized_under_another_program(self) -> None:
+        """Guards against a request that each time has a new program."""
+        self._crash("s1", "bad/p1")
+        self.assertEqual([], self.suspects.find_causes())
+        self._crash("s2", "bad/p2")
+        self.assertEqual(["bad"], self.suspects.find_causes())
+
+    def test_one_crash_counts_once(self) -> None:
+        """Guards against a quarantine after one crash that is reported twice.
+
+        Two gateways had the same request aboard, or a report was sent again.
+        """
+        self._crash("s1", "a/p1", "a/p2", "a/p1")
+        self.assertEqual([], self.suspects.find_causes())
+
+    def test_request_beside_both_crashes_is_not_quarantined(self) -> None:
+        """Guards against quarantining a request that was there by chance."""
+        self._crash("s1", "bad/p1", "good/p")
+        self._crash("s2", "bad/p2", "good/p")
+        self.assertEqual([], self.suspects.find_causes())
+        self._answer("good/p")
+        self.assertEqual(["bad"], self.suspects.find_causes())
+
+    def test_third_crash_tells_which_request_was_beside(self) -> None:
+        """Guards against waiting for an answer that never comes."""
+        self._crash("s1", "bad/p1", "good/p")
+        self._crash("s2", "bad/p2", "good/p")
+        self._crash("s3", "bad/p3")
+        self.assertEqual(["bad"], self.suspects.find_causes())
+        self.suspects.explain(["bad"])
+        self.assertEqual({}, self.suspects.crash_counts())
+
+    def test_three_shared_crashes_are_enough(self) -> None:
+        """Guards against a request that crashes servers for ever in company."""
+        for server in ("s1", "s2", "s3"):
+            self._crash(server, "bad/p", "other/p")
+        self.assertEqual(["bad", "other"], sorted(self.suspects.find_causes()))
+
+    def test_answered_request_starts_again(self) -> None:
+        """Guards against strikes of crashes that lie days apart."""
+        self._crash("s1", "good/p")
+        self._answer("good/p")
+        self._crash("s2", "good/p")
+        self.assertEqual([], self.suspects.find_causes())
+
+    def test_other_programs_answers_leave_the_harmful_one(self) -> None:
+        """Guards against refusing all programs that request one path.
+
+        One of them sends it with fields that crash servers.
+        """
+        self._crash("s1", "common/bad")
+        self._answer("common/p1")
+        self._crash("s2", "common/bad")
+        self._answer("common/p2")
+        self.assertEqual(["common/bad"], self.suspects.find_causes())
+
+    def test_late_reports_of_an_explained_crash_are_no_strikes(self) -> None:
+        """Guards against a second cause of a crash that has one."""
+        self._crash("s1", "bad/p1")
+        self._crash("s2", "bad/p2")
+        self.suspects.explain(["bad"])
+        self._crash("s1", "late/p")
+        self._crash("s2", "late/p")
+        self.assertEqual({}, self.suspects.crash_counts())
+
+    def test_crash_of_a_quarantined_request_has_its_cause(self) -> None:
+        """Guards against strikes beside a quarantined request's last run."""
+        self._crash("s3", "good/p")
+        for strike in _strikes("s3", "bad/p3"):
+            self.suspects.add(strike, {"bad"})
+        self.assertEqual({}, self.suspects.crash_counts())
+
+
+class ControlStateTest(testtools.TestCase):
+    """Suspects in the state of the control group."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.changes: list[state.SuspectChange] = []
+        self.control = state.ControlState(
+            on_suspects_changed=self.changes.append
+        )
+        self.index = 0
+
+    def _apply(self, body: state.Quarantine) -> state.SuspectChange:
+        self.index += 1
+        self.control.apply(self.index, state.Record(tag="t", body=body))
+        return self.changes[-1]
+
+    def _crash(self, server: str, *requests: str) -> state.SuspectChange:
+        strikes = _strikes(server, *requests)
+        return self._apply(state.Quarantine(contents=[], strikes=strikes))
+
+    def test_gateways_are_told_what_changes(self) -> None:
+        """Guards against gateways that report no answers, or all."""
+        change = self._crash("s1", "bad/p1", "good/p")
+        self.assertEqual(["bad", "good"], change.suspects)
+        self.assertEqual([], change.held)
+        change = self._crash("s2", "bad/p2")
+        self.assertEqual((["bad"], []), (change.held, change.suspects))
+        change = self._apply(state.Quarantine(contents=["bad"]))
+        self.assertEqual(["bad"], change.quarantined)
+        self.assertEqual(["bad", "good"], sorted(change.cleared))
+
+    def test_strikes_outlast_leaders_and_restarts(self) -> None:
+        """Guards against a request that gets two more servers a leader."""
+        self._crash("s1", "bad/p1")
+        restored = state.ControlState()
+        restored.restore(1, self.control.snapshot())
+        body = state.Quarantine(contents=[], strikes=_strikes("s2", "bad/p2"))
+        restored.apply(2, state.Record(tag="t", body=body))
+        self.assertEqual(["bad"], restored.suspects.find_causes())
+
+    def test_snapshot_of_the_previous_release_has_no_strikes(self) -> None:
+        """Guards against an upgrade that can't read its data."""
+        data = codec.decoder(dict).decode(self.control.snapshot())
+        data.pop("strikes", None)
+        data.pop("explained", None)
+        self.control.restore(1, codec.encode(data))
+        self.assertEqual({}, self.control.suspects.crash_counts())
