Try no third server once one call has crashed two

A route may allow three attempts or more. A call that crashes servers then ended as many in one attempt of its caller, before the keepers could know of it.

Two breaks of one call are checked before a third server is picked: if both servers have crashed, the caller gets 502. Servers that only lost an answer leave all attempts.

The test in tests/test_crash_reports.py sees three servers reached without the change (2 != 3) and passes with it.

--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 from typing import TYPE_CHECKING
 
 from catkinpin import decisions, metrics
 from catkinpin.adapters.tasks import BackgroundTasks
-from catkinpin.core.control.suspects import AnsweredRequest
+from catkinpin.core.control.suspects import MAX_CRASHES, AnsweredRequest
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -47,7 +48,16 @@
 
     def check_server(self, state: OpenCall, choice: Choice) -> None:
         """Reports a server that broke off, if it can't be reached any more."""
-        self._tasks.spawn(self._report_if_down(state, choice))
+        check = self._tasks.spawn(self._has_crashed(state, choice))
+        state.break_checks.append(check)
+        self._tasks.spawn(self._report_crash(state, choice, check))
+
+    async def has_crashed_servers(self, state: OpenCall) -> bool:
+        """Returns whether as many servers crashed as one request may crash."""
+        if len(state.break_checks) < MAX_CRASHES:
+            return False
+        done, _ = await asyncio.wait(state.break_checks)
+        return sum(check.result() for check in done) >= MAX_CRASHES
 
     def record_answer(self, state: OpenCall) -> None:
         """Reports that a server answered a request, if that is suspected."""
@@ -57,8 +67,13 @@
                 AnsweredRequest(shared=digests.shared, content=digests.content)
             )
 
-    async def _report_if_down(self, state: OpenCall, choice: Choice) -> None:
-        has_crashed = not await self._is_reachable(state, choice)
+    async def _has_crashed(self, state: OpenCall, choice: Choice) -> bool:
+        return not await self._is_reachable(state, choice)
+
+    async def _report_crash(
+        self, state: OpenCall, choice: Choice, check: asyncio.Task[bool]
+    ) -> None:
+        has_crashed = await check
         instance = choice.instance
         incarnation = f"{instance.id}/{instance.started_ms}"
         result = "crashed" if has_crashed else "reachable"
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -72,6 +72,13 @@
             self.is_reachable,
         )
 
+    async def next_server(self, state: OpenCall) -> Choice | None:
+        """Picks the next server; returns None if none may be tried."""
+        if await self._crashes.has_crashed_servers(state):
+            state.reason = "it crashed servers"
+            return None
+        return self.pick_server(state)
+
     def pick_server(self, state: OpenCall) -> Choice | None:
         """Picks the next server; returns None if none is left to try."""
         return self._picker.pick_server(state)
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -65,7 +65,7 @@
             ):
                 state.reason += "; the retry budget is used up"
                 break
-            choice = self._exchange.pick_server(state)
+            choice = await self._exchange.next_server(state)
             if choice is None:
                 break
             if is_retry and is_contended:
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -188,7 +188,7 @@
         body = history + state.body
         forwarded = _Forwarded(state.call.resume_at)
         while True:
-            choice = self._exchange.pick_server(state)
+            choice = await self._exchange.next_server(state)
             if choice is None:
                 break
             attempt_end = await self._stream_from(
--- a/catkinpin/adapters/gateway/work.py
+++ b/catkinpin/adapters/gateway/work.py
@@ -44,6 +44,7 @@
         answer_times: timings of the answer.
         is_superseded: whether another attempt of the same call has won.
         digests: identify the request when it is sent again.
+        break_checks: for each server that broke off, whether it has crashed.
     """
 
     call: RouteCall
@@ -68,6 +69,9 @@
     answer_times: AnswerTimes = dataclasses.field(default_factory=AnswerTimes)
     is_superseded: bool = False
     digests: RequestDigests = dataclasses.field(default_factory=RequestDigests)
+    break_checks: list[asyncio.Task[bool]] = dataclasses.field(
+        default_factory=list
+    )
 
     @property
     def elapsed_ms(self) -> int:
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -12,11 +12,13 @@
 from tests import base
 from tests.fakes.gatewayrig import (
     Rig,
+    abort_connection,
     answer_ok,
     encode_stream,
 )
 
 if TYPE_CHECKING:
+    from tests.fakes.gatewayrig import Answer
     from tests.fakes.rawserver import ReceivedRequest
 
 _REPORT_WAIT_S = 1.0
@@ -78,6 +80,48 @@
 
         self.run_async(scenario())
 
+    def test_one_call_crashes_two_servers_at_most(self) -> None:
+        """Guards against a call that crashes as many servers as may be tried.
+
+        Its route allows three attempts.
+        """
+
+        async def scenario() -> None:
+            rig = Rig(RouteKind.IDEMPOTENT, has_engine=False, max_attempts=3)
+
+            def crash(number: int) -> Answer:
+                async def answer(
+                    seen: ReceivedRequest, writer: asyncio.StreamWriter
+                ) -> None:
+                    await rig.servers[number].stop()
+                    writer.transport.abort()
+
+                return answer
+
+            await rig.start(*(crash(number) for number in range(3)))
+            got = await rig.ask()
+            self.assertEqual(502, got.status)
+            self.assertEqual(2, rig.count_server_requests())
+            await rig.stop()
+
+        self.run_async(scenario())
+
+    def test_lost_answers_leave_all_attempts(self) -> None:
+        """Guards against giving up early when servers lose answers.
+
+        They reset the connection, and live on.
+        """
+
+        async def scenario() -> None:
+            rig = Rig(RouteKind.IDEMPOTENT, has_engine=False, max_attempts=3)
+            await rig.start(abort_connection, abort_connection, answer_ok)
+            for number in range(4):
+                got = await rig.ask(f"q{number}")
+                self.assertEqual(200, got.status)
+            await rig.stop()
+
+        self.run_async(scenario())
+
     def test_stream_is_recognized_under_another_program(self) -> None:
         """Guards against a stream that crashes servers for many programs."""
 
