Send a request on a new connection after a server broke it off

Two servers that end at the same moment gave a request that was aboard one of them two strikes: its second attempt went over an idle connection to the other, which was dead as well, and a request that never ran there counted as aboard. A harmless request could so be quarantined after one loss of power.

After a break, and while a request is suspected, it goes on a new connection, which only a live server accepts.

The test in tests/test_crash_reports.py counts two strikes without the change (1 != 2) and one with it.

--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -131,9 +131,7 @@
             choice.instance.address,
             self._max_connections(state),
             _CONNECT_TIMEOUT_S,
-            DEFAULT_MAX_IDLE_S
-            if state.is_repeatable
-            else _NON_REPEATABLE_MAX_IDLE_S,
+            self._max_idle_s(state),
             is_contended=is_contended,
         )
         if isinstance(conn, Failure) or not is_contended:
@@ -148,6 +146,19 @@
             )
         return conn
 
+    def _max_idle_s(self, state: OpenCall) -> float:
+        """Returns for how long a request's connection may have been idle.
+
+        A request that was running on a crashed server gets a new connection:
+        if an idle one belongs to a server that has crashed too, the request
+        would be taken for the cause of that crash.
+        """
+        if state.break_checks or self._view.suspects.is_suspect(state.digests):
+            return 0.0
+        if state.is_repeatable:
+            return DEFAULT_MAX_IDLE_S
+        return _NON_REPEATABLE_MAX_IDLE_S
+
     def is_refusal(self, head: ResponseHead) -> bool:
         """Returns whether a server states that it did not run the request."""
         return self._codec.decode_answer(head.headers).not_run
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -122,6 +122,37 @@
 
         self.run_async(scenario())
 
+    def test_two_servers_that_end_at_once_give_one_strike(self) -> None:
+        """Guards against strikes for runs that never were.
+
+        Two servers end at the same moment. A request that was running on one of
+        them is sent again, on an idle connection to the other.
+        """
+
+        async def scenario() -> None:
+            rig = Rig(RouteKind.IDEMPOTENT, has_engine=False)
+
+            async def answer(
+                seen: ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> None:
+                if seen.body != b"aboard":
+                    await asyncio.sleep(0.05)
+                    await answer_ok(seen, writer)
+                    return
+                for server in rig.servers:
+                    await server.stop()
+                writer.transport.abort()
+
+            await rig.start(answer, answer)
+            while min(server.connections for server in rig.servers) == 0:
+                await asyncio.gather(*(rig.ask(f"w{n}") for n in range(4)))
+            await rig.ask("q", body=b"aboard")
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, len(rig.turns.crashes))
+            await rig.stop()
+
+        self.run_async(scenario())
+
     def test_stream_is_recognized_under_another_program(self) -> None:
         """Guards against a stream that crashes servers for many programs."""
 
