--- a/catkinpin/core/programs/quarantine.py
+++ b/catkinpin/core/programs/quarantine.py
@@ -36,6 +36,16 @@
 
     strikes: list[Strike] = dataclasses.field(default_factory=list)
 
+    def count_crashes(self, *, only_confirmed: bool) -> int:
+        """Returns how many incarnations crashed, however many copies ran."""
+        return len(
+            {
+                (strike.server, strike.incarnation)
+                for strike in self.strikes
+                if strike.confirmed or not only_confirmed
+            }
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class Quarantine:
@@ -80,8 +90,7 @@
         repeated = [
             content
             for content, suspect in self.suspects.items()
-            if sum(strike.confirmed for strike in suspect.strikes)
-            >= MAX_CRASHES
+            if suspect.count_crashes(only_confirmed=True) >= MAX_CRASHES
         ]
         for content in repeated:
             del self.suspects[content]
@@ -116,7 +125,10 @@
         server.
         """
         suspect = self.suspects.get(content.hex())
-        return suspect is not None and len(suspect.strikes) >= MAX_CRASHES
+        return (
+            suspect is not None
+            and suspect.count_crashes(only_confirmed=False) >= MAX_CRASHES
+        )
 
     def open_strikes(self) -> list[Strike]:
         """Returns the strikes that are not resolved yet."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from catkinpin.core.programs.quarantine import Quarantine
 from tests import base
 
 if TYPE_CHECKING:
@@ -13,6 +14,27 @@
 _POISON = "cut blank 0xdead"
 
 
+class StrikeTest(base.TestCase):
+    """Crashes that count against a content."""
+
+    def test_one_crash_with_two_copies_counts_once(self) -> None:
+        """Guards against a quarantine after a single crash.
+
+        Two programs sent the same content, and both copies were running on the
+        server that crashed.
+        """
+        quarantine = Quarantine()
+        for at_ms in (1, 2):
+            quarantine.add_strike(b"content", "s1", "i1", at_ms)
+        self.assertFalse(quarantine.must_wait(b"content"))
+        quarantine.resolve("s1", "i1", crashed=True)
+        self.assertEqual([], quarantine.quarantine_repeated())
+        quarantine.add_strike(b"content", "s1", "i2", 3)
+        self.assertTrue(quarantine.must_wait(b"content"))
+        quarantine.resolve("s1", "i2", crashed=True)
+        self.assertEqual([b"content"], quarantine.quarantine_repeated())
+
+
 class QuarantineTest(base.TestCase):
     """One request crashes at most two servers."""
 
