Test that a service call is recognized under new programs

The OpenAI interface's digest of a service call covers method, service, path and body, and no program: the cause found on the raw interface does not exist there. The test keeps it so; it passes without a change of the code.

--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -392,7 +392,30 @@
         for program in other_programs:
             self.assertTrue(program.ended, program.answers)
 
-    def _send_poison(self, world: worlds.World, number: int) -> worldfacts.Sent:
+    def test_service_call_is_recognized_under_new_programs(self) -> None:
+        """Guards against a crashing call that each time has a new program.
+
+        It goes to a plain service and has no body.
+        """
+        for seed in range(4):
+            world = worlds.World(seed, server_count=5)
+            world.run(500)
+            for server in world.servers.values():
+                server.poison = {digest.of_bytes(b"poison")}
+            sent = []
+            for number in range(6):
+                sent.append(self._send_poison(world, number, kind="service"))
+                world.run(700)
+            world.run(30_000)
+            crashes = sum(server.crashes for server in world.servers.values())
+            self.assertLessEqual(crashes, 2, seed)
+            last = sent[-1].final
+            assert isinstance(last, messages.Refused)
+            self.assertEqual(Reason.QUARANTINED, last.reason)
+
+    def _send_poison(
+        self, world: worlds.World, number: int, kind: str = "model"
+    ) -> worldfacts.Sent:
         key = CallKey(
             account="a", program=f"x{number}", request_id=f"x{number}-1"
         )
@@ -400,8 +423,8 @@
         begin = messages.Begin(
             ask=0,
             key=key,
-            kind="model",
-            target="model",
+            kind=kind,
+            target=kind,
             idempotent=True,
             deadline_ms=worldfacts.DEADLINE_MS,
             fingerprint=digest.of_bytes(b"poison"),
