Name in a refusal the digest by which a request is quarantined

The line named the content digest, while the leader's line mostly names the shared one, so that the two could not be joined. tests/test_crash_reports.py and test_crashing_calls.py: passed.

--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -147,9 +147,8 @@
         await suspects.wait_for_decision(
             state.digests, state.remaining_s * _DECISION_WAIT_SHARE
         )
-        if suspects.is_quarantined(state.digests):
-            content = state.digests.content
-            reason = f"its content {content} crashed servers before"
+        if digest := suspects.quarantined_digest(state.digests):
+            reason = f"quarantined as {digest}, which crashed servers"
             refuse(responder, call, 503, reason, _QUARANTINE_RETRY_AFTER_S)
             return
         if self._may_stop_first(call, state.route, state.service):
--- a/catkinpin/adapters/gateway/suspects.py
+++ b/catkinpin/adapters/gateway/suspects.py
@@ -55,10 +55,14 @@
 
     def is_quarantined(self, digests: RequestDigests) -> bool:
         """Returns whether no server may get a request."""
-        return (
-            digests.shared in self._quarantined
-            or digests.content in self._quarantined
-        )
+        return bool(self.quarantined_digest(digests))
+
+    def quarantined_digest(self, digests: RequestDigests) -> str:
+        """Returns the digest by which a request is quarantined, or ""."""
+        for digest in (digests.shared, digests.content):
+            if digest in self._quarantined:
+                return digest
+        return ""
 
     def is_suspect(self, digests: RequestDigests) -> bool:
         """Returns whether a request was running on a server that crashed."""
