Judge suspects only when they have changed, and leave keys out of the shared digest

A leader compared all suspects with each other at each tick for as long as two of them could not be told apart. It now judges them once for each change.

The shared digest no longer covers an API key that belongs to no account: it may be renewed, and would hide a request as the program did.

--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -112,6 +112,8 @@
         # which this process first saw it.
         self._held_since_ms: dict[str, tuple[int, int]] = {}
         self._is_quarantining = False
+        # Revision of the suspects up to which all are judged.
+        self._judged_revision = -1
         self.group: Group
         self.leading = False
         self._clock = clock
@@ -353,24 +355,14 @@
         Gateways report a crash at different times, so the leader waits until
         it knows which other requests were running on the server.
         """
-        if self._is_quarantining:
+        suspects = self.state.suspects
+        if self._is_quarantining or suspects.revision == self._judged_revision:
             return
-        now_ms = self._clock.now_ms()
-        counts = self.state.suspects.crash_counts()
-        held_before, self._held_since_ms = self._held_since_ms, {}
-        for suspect, count in counts.items():
-            if count >= MAX_CRASHES:
-                since = held_before.get(suspect, (0, 0))
-                self._held_since_ms[suspect] = (
-                    since if since[0] == count else (count, now_ms)
-                )
-        if not self._held_since_ms:
-            return
-        causes = [
-            cause
-            for cause in self.state.suspects.find_causes()
-            if now_ms - self._held_since_ms[cause][1] >= _CRASH_REPORTS_MS
-        ]
+        counts = suspects.crash_counts()
+        due = self._due_suspects(counts)
+        if len(due) == len(self._held_since_ms):
+            self._judged_revision = suspects.revision
+        causes = [cause for cause in suspects.find_causes() if cause in due]
         if not causes:
             return
         decisions.note(
@@ -385,6 +377,27 @@
             await self.propose(state.Quarantine(contents=causes), wait_s)
         finally:
             self._is_quarantining = False
+            self._judged_revision = -1
+
+    def _due_suspects(self, counts: dict[str, int]) -> set[str]:
+        """Returns the suspects whose last crash all gateways have reported.
+
+        Args:
+            counts: number of crashes, by suspect.
+        """
+        now_ms = self._clock.now_ms()
+        held_before, self._held_since_ms = self._held_since_ms, {}
+        for suspect, count in counts.items():
+            if count >= MAX_CRASHES:
+                since = held_before.get(suspect, (0, 0))
+                self._held_since_ms[suspect] = (
+                    since if since[0] == count else (count, now_ms)
+                )
+        return {
+            suspect
+            for suspect, (_, since_ms) in self._held_since_ms.items()
+            if now_ms - since_ms >= _CRASH_REPORTS_MS
+        }
 
     def lost_servers(self) -> list[Instance]:
         """Returns the servers that were silent for too long, in state LOST.
--- a/catkinpin/core/control/suspects.py
+++ b/catkinpin/core/control/suspects.py
@@ -67,9 +67,14 @@
 
 
 class Suspects:
-    """Strikes of requests, and which of them must be quarantined."""
+    """Strikes of requests, and which of them must be quarantined.
+
+    Attributes:
+        revision: grows with each change of the strikes.
+    """
 
     def __init__(self) -> None:
+        self.revision = 0
         self._strikes: list[Strike] = []
         # Crashed incarnations whose cause is known, oldest first.
         self._explained: dict[str, None] = {}
@@ -88,6 +93,7 @@
         self, strikes: Iterable[Strike], explained: Iterable[str]
     ) -> None:
         """Replaces all strikes by those of a snapshot."""
+        self.revision += 1
         self._strikes = list(strikes)
         self._explained = dict.fromkeys(explained)
 
@@ -111,11 +117,13 @@
             return
         if any(_is_same(strike, known) for known in self._strikes):
             return
+        self.revision += 1
         self._strikes.append(strike)
         del self._strikes[:-_MAX_STRIKES]
 
     def clear(self, answered: AnsweredRequest) -> None:
         """Clears an answered request, but not that of other programs."""
+        self.revision += 1
         self._strikes = [
             structs.replace(strike, is_shared_cleared=True)
             if strike.shared == answered.shared
@@ -131,11 +139,13 @@
         chance. So no other suspect may have been running during the same
         crashes, unless there were three of them.
         """
-        servers = self._servers_by_suspect()
+        servers = {
+            suspect: crashed
+            for suspect, crashed in self._servers_by_suspect().items()
+            if len(crashed) >= MAX_CRASHES
+        }
         causes = []
         for suspect, crashed in servers.items():
-            if len(crashed) < MAX_CRASHES:
-                continue
             others = [s for d, s in servers.items() if d != suspect]
             if any(crashed < other for other in others):
                 continue
@@ -151,6 +161,7 @@
             self._explain(servers.get(cause, set()))
 
     def _explain(self, crashed: set[str]) -> None:
+        self.revision += 1
         self._explained.update(dict.fromkeys(sorted(crashed)))
         while len(self._explained) > _MAX_EXPLAINED:
             del self._explained[next(iter(self._explained))]
--- a/catkinpin/core/requests/digests.py
+++ b/catkinpin/core/requests/digests.py
@@ -24,9 +24,9 @@
         shared: covers the route's host, the method, target and body, and the
             client account. It does not depend on the program, which may be new
             each time as well.
-        content: covers also the program, the affinity key and the turn that the
-            request continues. It tells apart requests of many programs for one
-            path, and equal inputs to different histories.
+        content: covers also the API key, the program, the affinity key and the
+            turn that the request continues. It tells apart requests of many
+            programs for one path, and equal inputs to different histories.
     """
 
     shared: str = ""
@@ -45,12 +45,12 @@
         body: its body, empty for none.
         call: its decoded headers and its account.
     """
-    # Without accounts, the API key is all that tells its caller.
-    caller = call.account.encode() or call.key_digest
-    shared = _digest((host.lower().encode(), method, target, caller, body))
+    account = call.account.encode()
+    shared = _digest((host.lower().encode(), method, target, account, body))
     content = _digest(
         (
             shared,
+            call.key_digest,
             call.program.encode(),
             call.affinity.encode(),
             call.previous.encode(),
