Take a lack of own file descriptors for no fault of a server

A gateway that could open no file, or had no port left, counted the server as unreachable: it ejected the server at once, and reported a crash if a request had just been broken off, which is a strike against a harmless request. It now counts like the gateway's own limit of connections, which no server caused.

The new test in tests/test_crash_reports.py sees a crash report without the change and none with it.

--- a/catkinpin/adapters/http/pool.py
+++ b/catkinpin/adapters/http/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 
 from catkinpin import metrics
 from catkinpin.adapters.http.client import (
@@ -17,6 +18,13 @@
 _MS_PER_S = 1_000
 # Reason of a failure by this process's own limit, which no server caused.
 NO_FREE_CONNECTION = "no connection is free"
+# Errors by which the system denies this process one more connection.
+_OWN_LIMIT_ERRORS = (
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOBUFS,
+    errno.EADDRNOTAVAIL,
+)
 # Addresses remembered as connected before, to tell why a connection is opened.
 _MAX_KNOWN_ADDRESSES = 4_096
 
@@ -128,18 +136,17 @@
     async def _open(
         self, address: str, limit: int, timeout_s: float
     ) -> ServerConnection | Failure:
-        loop = asyncio.get_running_loop()
         if self._open_counts.get(address, 0) >= limit:
             return Failure(Verdict.NOT_RUN, NO_FREE_CONNECTION)
         self._open_counts[address] = self._open_counts.get(address, 0) + 1
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(timeout_s):
-                _, conn = await loop.create_connection(
-                    ServerConnection, host, int(port)
-                )
-        except (OSError, TimeoutError) as exc:
+                conn = await _connect(host, int(port))
+        except OSError as exc:
             self._count_closed(address)
+            if exc.errno in _OWN_LIMIT_ERRORS:
+                return Failure(Verdict.NOT_RUN, NO_FREE_CONNECTION)
             return Failure(Verdict.NOT_RUN, f"no connection: {exc!r}")
         except asyncio.CancelledError:
             self._count_closed(address)
@@ -185,3 +192,9 @@
             self._open_counts[address] = remaining
         else:
             self._open_counts.pop(address, None)
+
+
+async def _connect(host: str, port: int) -> ServerConnection:
+    loop = asyncio.get_running_loop()
+    _, conn = await loop.create_connection(ServerConnection, host, port)
+    return conn
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from typing import TYPE_CHECKING
+from unittest import mock
 
+from catkinpin.adapters.http import pool
 from catkinpin.core.control import protocol
 from catkinpin.core.control.routes import RouteKind
 from catkinpin.core.requests.calls import RouteCall
@@ -18,6 +21,7 @@
 )
 
 if TYPE_CHECKING:
+    from catkinpin.adapters.http.client import ServerConnection
     from tests.fakes.gatewayrig import Answer
     from tests.fakes.rawserver import ReceivedRequest
 
@@ -86,6 +90,34 @@
 
         self.run_async(scenario())
 
+    def test_break_is_no_crash_without_free_descriptors(self) -> None:
+        """Guards against reporting a crash, and ejecting, for want of files."""
+
+        async def scenario() -> None:
+            rig = Rig(RouteKind.NON_IDEMPOTENT)
+            await rig.start(abort_connection)
+            connect = pool._connect
+            opened = []
+
+            async def connect_once(host: str, port: int) -> ServerConnection:
+                opened.append(port)
+                if len(opened) > 1:
+                    raise OSError(errno.EMFILE, "too many open files")
+                return await connect(host, port)
+
+            with mock.patch.object(pool, "_connect", connect_once):
+                await rig.ask()
+                await asyncio.sleep(0.1)
+                got = await rig.ask("q2")
+            self.assertEqual(503, got.status)
+            self.assertEqual([], rig.turns.crashes)
+            server = rig.view.fleet.servers["s0"]
+            now_ms = rig.clock.clock().now_ms()
+            self.assertFalse(rig.balancer._is_ejected(server, now_ms))
+            await rig.stop()
+
+        self.run_async(scenario())
+
     def test_one_call_crashes_two_servers_at_most(self) -> None:
         """Guards against a call that crashes as many servers as may be tried.
 
