Soak calls that crash servers beside the other faults

The soak's servers never ended by a request, so it could not show the fault of the incident. From seed 3000 on, a service of three servers ends under one call that comes under new programs, beside killed, frozen and wiped processes. It checks the users' bound, three runs later than 3 s after the third crash, and that no harmless call is refused as quarantined.

--- a/tests/fakes/crashingservice.py
+++ b/tests/fakes/crashingservice.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import time
 from typing import TYPE_CHECKING, Any
 
 from tests.fakes.rawserver import RawServer, ReceivedRequest
@@ -26,7 +27,7 @@
         target: path that crashes a server.
 
     Attributes:
-        crashes: number of servers that have crashed.
+        crash_times_s: when servers crashed, on the monotonic clock.
     """
 
     def __init__(self, system: Deployment, target: str) -> None:
@@ -35,7 +36,12 @@
         self._ids = itertools.count(1)
         self._writers: dict[RawServer, set[asyncio.StreamWriter]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self.crashes = 0
+        self.crash_times_s: list[float] = []
+
+    @property
+    def crashes(self) -> int:
+        """Number of servers that have crashed."""
+        return len(self.crash_times_s)
 
     @staticmethod
     def add_to(system: Deployment, **route: Any) -> None:
@@ -100,7 +106,7 @@
         await asyncio.sleep(_RUN_S)
         if received.target == self._target:
             if server in self._writers:
-                self.crashes += 1
+                self.crash_times_s.append(time.monotonic())
                 await self._end(server)
                 task = asyncio.ensure_future(self._restart())
                 self._tasks.add(task)
--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -6,7 +6,8 @@
 and make the proxy in front of the backend server reset, delay or drop data.
 The soak then checks the requests that the server received and the answers that
 the callers got. Seeds from 100 on also kill all processes at once, seeds from
-1000 on also kill keepers while the system starts for the first time.
+1000 on also kill keepers while the system starts for the first time. Seeds from
+3000 on also have a call that crashes the servers that run it.
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
 
 from tests import base, ports, processes
 from tests.fakes.deployment import Deployment
+from tests.soakcrashes import CrashLoad
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -44,6 +46,9 @@
 # Seeds from here on run with contended capacity: programs are admitted, plain
 # calls hedged, and connections to servers probed and kept.
 _CONTENDED_SEED = 2_000
+# Seeds from here on, without contended capacity, also have a service whose
+# servers crash under one call.
+_CRASHING_SEED = 3_000
 _CALLER_TASKS = 8
 _FAULT_TASKS = 2
 _TURNS_PER_PROGRAM = 5
@@ -483,7 +488,10 @@
 
         if seed >= _FIRST_START_SEED:
             deployment.on_first_start = inject
-        if seed >= _CONTENDED_SEED:
+        crashes = None
+        if seed >= _CRASHING_SEED:
+            crashes = CrashLoad(deployment, seed)
+        elif seed >= _CONTENDED_SEED:
             deployment.policies = ["pressure"]
         try:
             async with deployment:
@@ -491,7 +499,13 @@
                     deployment, f"http://127.0.0.1:{control}", seed, seconds
                 )
                 await base.until(soak.is_proxy_ready, "the proxy listens")
-                found = await soak.run()
+                if crashes is None:
+                    found = await soak.run()
+                else:
+                    found, _ = await asyncio.gather(
+                        soak.run(), crashes.run(seconds)
+                    )
+                    found.problems += crashes.problems()
                 found.faults[:0] = first_start_faults
                 if found.problems:
                     _copy_logs(pathlib.Path(folder), seed)
--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -37,6 +37,13 @@
         """Guards against lost or doubled requests by admission and hedging."""
         self._run_seed(2000)
 
+    def test_faults_beside_crashing_calls_break_no_promise(self) -> None:
+        """Guards against crashes without end, and refusals of harmless calls.
+
+        A call that crashes servers comes under new programs meanwhile.
+        """
+        self._run_seed(3000)
+
     def _run_seed(self, seed: int) -> None:
         async def main() -> None:
             found = await soakplatform.run_seed(seed, _SECONDS)
