Do not begin an answer again on another server

What callers saw: two answers to one request on its connection, the second one after a whole first one's head and body, 1,200,089 bytes instead of 600,000.

Cause: an attempt of a repeatable call that took its share of the time (0.4 of it) was ended and another server tried, also when a large answer had already been started on the caller's connection.

An attempt whose answer has started now goes on until the deadline. The new test in tests/test_gateway.py fails without the change ((200, 600000) != (200, 1200089)) and needs no load; gateways without contended capacity are concerned as well.

--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -187,7 +187,8 @@
         """Tries one server within the time that one attempt may take.
 
         If the retry budget is used up by then, the attempt goes on: breaking
-        it off would fail the call although time is left.
+        it off would fail the call although time is left. It also goes on once
+        its answer has started, which no other server can continue.
 
         Returns:
             Whether the caller was answered.
@@ -203,11 +204,8 @@
         loop = asyncio.get_running_loop()
         ending = None
         try:
-            async with asyncio.timeout(limit_s) as limit:
-                if not is_last and self._contention.is_contended(
-                    state.service.name
-                ):
-                    limit.reschedule(None)
+            async with asyncio.timeout(limit_s if is_last else None) as limit:
+                if not is_last:
                     ending = loop.call_later(
                         limit_s, self._end_attempt, state, limit
                     )
@@ -223,7 +221,10 @@
 
     def _end_attempt(self, state: OpenCall, limit: asyncio.Timeout) -> None:
         """Ends an attempt that took its share of the time, if it may."""
-        if self._may_retry(state, _SLOW_REASON):
+        if state.responder.started:
+            return
+        is_contended = self._contention.is_contended(state.service.name)
+        if not is_contended or self._may_retry(state, _SLOW_REASON):
             limit.reschedule(asyncio.get_running_loop().time())
 
     async def _try_server(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -226,6 +226,30 @@
 
         self.run_within_limit(scenario())
 
+    def test_answer_that_has_started_is_not_begun_again(self) -> None:
+        """Guards against two answers to one request on its connection.
+
+        A large answer takes longer than the share of the time after which
+        another server may be tried.
+        """
+
+        async def answer_slowly(
+            seen: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(sealed_answer(seen, b"x" * 600_000)[:-1])
+            await asyncio.sleep(0.9)
+            writer.write(b"x")
+
+        async def scenario() -> None:
+            rig = Rig(RouteKind.IDEMPOTENT, has_engine=False)
+            await rig.start(answer_slowly, answer_slowly)
+            got = await rig.ask()
+            self.assertEqual((200, 600_000), (got.status, len(got.body)))
+            self.assertEqual(1, rig.count_server_requests())
+            await rig.stop()
+
+        self.run_within_limit(scenario())
+
     def test_stopping_gateway_refuses_what_comes_late(self) -> None:
         """Guards against accepting requests that the stop would abort.
 
