Review case 2: a replaced store and a lost disk lose turns

Broken: RULES, LOST: a turn that names a whole turn reaches no server in five tries or more, while first turns do. A store's copies count for 5 s after it was last connected, also when it is gone for good, and are then made again 4 MB at a time.

Shown by review/2/run.sh with real processes: a store is replaced; 5 s after its successor's start another store loses its disk.

It takes the place of the case of a stopping gateway, which stays in the history; the case of two crashed servers is now the third.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,202 +1,185 @@
-"""A stopping gateway cuts answers that slow clients are still reading."""
+"""Turns are refused for good after two servers crashed at the same time."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import dataclasses
 import pathlib
-import signal
-import socket
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import harness  # noqa: E402
 
-# What the settings of the site hold beside those of a smaller one.
-_POLICIES = ("health", "pool", "pressure")
-_CLIENTS = 6
-_GATEWAY = "gateway-1"
-_ANSWER_BYTES = 250_000
-# Time budget of the clients, which is also the route's timeout.
-_DEADLINE_MS = 4_000
-# Each client reads slowly for this long, and then as fast as it can.
-_SLOW_S = 3.3
-_SLOW_BYTES_PER_S = 10_000
-_READ_INTERVAL_S = 0.05
-# Segments of an Ethernet link in place of the 64 KB of the loopback interface,
-# and a window of a small client.
-_SEGMENT_BYTES = 1_460
-_WINDOW_BYTES = 4_096
-# After the last answer has begun, until the gateway gets SIGTERM.
-_BEFORE_SIGTERM_S = 0.3
-_GRACE_S = 8.0
-
-
-@dataclasses.dataclass
-class Download:
-    """An answer that a client reads slowly.
-
-    Attributes:
-        began: set once the first bytes of the answer were read.
-        reason: why the channel ended before the answer was complete.
-    """
-
-    attempt: str
-    status: int = 0
-    size: int = 0
-    read_bytes: int = 0
-    took_s: float = 0.0
-    began: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
-    reason: str = ""
-
-    @property
-    def is_cut(self) -> bool:
-        """Whether the client got a part of an answer, within its time."""
-        in_time = self.took_s < _DEADLINE_MS / 1_000
-        return bool(self.reason) and in_time
+# Two of 14 are a share of 0.143. `srv_crash` takes down a share of 0.15.
+_SERVERS = 14
+_CRASHED = 2
+_DOWN_S = 3.0
+_CONNECTIVITY_WINDOW_S = 3.0
+# Programs that are under way when the servers crash, and one that comes later.
+_PROGRAMS = 28
+_EVENTS = 10
+_GAP_S = 0.2
+_BEFORE_CRASH_S = 0.6
+# What the users of many programs say in their second turn.
+_COMMON_INPUT = "yes, go on"
+_GATEWAYS = ("gateway-1", "gateway-2")
+_TRIES = 5
+_TRY_PAUSE_S = 0.3
+_FIRST_TURNS = 10
 
 
 async def play(record: harness.Record, is_disrupted: bool) -> str:
-    """Downloads some answers slowly while the gateway is stopped."""
-    routes = [harness.route("calls", "/calls/", "unsafe", "app")]
-    async with harness.started(record, routes, _POLICIES) as deployment:
-        server = harness.Server(deployment, record, "app", _answer)
-        await server.start()
+    """Crashes two servers, and continues another program after that."""
+    routes = [harness.route("turns", "/turns/", "stream", "models")]
+    async with harness.started(record, routes) as deployment:
+        servers = [
+            harness.Server(deployment, record, "models", _answer, number=number)
+            for number in range(1, _SERVERS + 1)
+        ]
+        for server in servers:
+            await server.start()
         try:
-            return await _stop_during_downloads(
-                deployment, record, is_disrupted
-            )
+            return await _Case(deployment, record, servers).run(is_disrupted)
         finally:
-            await server.stop()
-
-
-async def _stop_during_downloads(
-    deployment: harness.Deployment, record: harness.Record, is_disrupted: bool
-) -> str:
-    # The gateway has heard of the server once a first request is served.
-    async def is_served() -> bool:
-        first = Download("first")
-        await _download(deployment, first, slow_s=0.0)
-        return first.status == 200 and not first.reason
-
-    await harness.wait_until(is_served, "the gateway serves a request")
-    downloads = [Download(f"d-{number}") for number in range(_CLIENTS)]
-    for download in downloads:
-        record.add("send", attempt=download.attempt, gateway=_GATEWAY)
-    tasks = [
-        asyncio.create_task(_download(deployment, download, _SLOW_S))
-        for download in downloads
-    ]
-    async with asyncio.timeout(_SLOW_S):
-        for download in downloads:
-            await download.began.wait()
-    await asyncio.sleep(_BEFORE_SIGTERM_S)
-    if is_disrupted:
-        deployment.send_signal(_GATEWAY, signal.SIGTERM)
-    sent_s = time.monotonic()
-    await asyncio.gather(*tasks)
-    while is_disrupted and not deployment.has_ended(_GATEWAY):
-        if time.monotonic() - sent_s > _GRACE_S:
-            return "the gateway did not end within its grace time"
-        await asyncio.sleep(0.05)
-    for download in downloads:
-        record.add(
-            "answer",
-            attempt=download.attempt,
-            status=download.status,
-            read_bytes=download.read_bytes,
-            of_bytes=download.size,
-            took_s=round(download.took_s, 2),
-            reason=download.reason,
+            for server in servers:
+                await server.stop()
+
+
+class _Case:
+    """The programs of the case.
+
+    Args:
+        deployment: serves them.
+        record: where the events are noted.
+        servers: the model servers.
+    """
+
+    def __init__(
+        self,
+        deployment: harness.Deployment,
+        record: harness.Record,
+        servers: list[harness.Server],
+    ) -> None:
+        self._deployment = deployment
+        self._record = record
+        self._servers = servers
+        self._attempts = 0
+
+    async def run(self, is_disrupted: bool) -> str:
+        """Runs the programs; returns how the rule was broken."""
+        await self._first_turn("warm-up")
+        names = [f"p{number}" for number in range(_PROGRAMS)]
+        firsts = await asyncio.gather(*(self._first_turn(n) for n in names))
+        seconds = [
+            asyncio.create_task(self._second_turn(name, first, index))
+            for index, (name, first) in enumerate(
+                zip(names, firsts, strict=True)
+            )
+        ]
+        await asyncio.sleep(_BEFORE_CRASH_S)
+        if is_disrupted:
+            await self._crash_servers()
+        await asyncio.gather(*seconds)
+        # All servers have been back for longer than the connectivity window.
+        await asyncio.sleep(_CONNECTIVITY_WINDOW_S + 1.0)
+        return await self._continue_later()
+
+    async def _crash_servers(self) -> None:
+        running = [server for server in self._servers if server.active]
+        if len(running) < _CRASHED:
+            raise harness.NotRunError("the turns ran on too few servers")
+        victims = running[:_CRASHED]
+        await asyncio.gather(*(server.crash() for server in victims))
+        await asyncio.sleep(_DOWN_S)
+        for server in victims:
+            await server.start()
+
+    async def _continue_later(self) -> str:
+        """Continues a program that had nothing to do with the crashes."""
+        first = await self._first_turn("later")
+        tries = []
+        for number in range(_TRIES):
+            ran_before = self._count_runs()
+            outcome = await self._send(
+                "later", first, _GATEWAYS[number % 2], _COMMON_INPUT
+            )
+            tries.append((outcome.status, self._count_runs() - ran_before))
+            if outcome.status == 200 and outcome.is_whole:
+                return ""
+            await asyncio.sleep(_TRY_PAUSE_S)
+        reached = 0
+        for number in range(_FIRST_TURNS):
+            ran_before = self._count_runs()
+            await self._send(f"new{number}", "", _GATEWAYS[number % 2])
+            reached += self._count_runs() > ran_before
+        self._record.add(
+            "judged",
+            tries=tries,
+            first_turns=_FIRST_TURNS,
+            reached=reached,
+            quarantines=[
+                line
+                for name in ("keeper-1", "keeper-2", "keeper-3")
+                for line in self._deployment.read_log(name)
+                if line.get("decision") == "quarantine"
+            ],
+        )
+        if any(runs for _, runs in tries):
+            raise harness.NotRunError(f"the turn ran and failed: {tries}")
+        if reached < 0.9 * _FIRST_TURNS:
+            raise harness.NotRunError(f"only {reached} first turns ran")
+        statuses = [status for status, _ in tries]
+        return (
+            f"LOST: a turn that names a whole turn reached no server in"
+            f" {_TRIES} tries, answered {statuses}, while {reached} of"
+            f" {_FIRST_TURNS} first turns reached one"
         )
-    if not is_disrupted and any(d.reason for d in downloads):
-        raise harness.NotRunError("an answer was cut without a SIGTERM")
-    cut = [d for d in downloads if d.is_cut]
-    if not cut:
-        return ""
-    return (
-        f"LOST: {len(cut)} of {_CLIENTS} answers were cut, the first after"
-        f" {cut[0].read_bytes} of {cut[0].size} bytes and"
-        f" {cut[0].took_s:.1f} of {_DEADLINE_MS / 1_000:.0f} s"
-    )
 
+    async def _first_turn(self, program: str) -> str:
+        """Runs the first turn of a program; returns its id."""
+        for number in range(_TRIES):
+            gateway = _GATEWAYS[number % 2]
+            outcome = await self._send(program, "", gateway)
+            if outcome.status == 200 and outcome.is_whole:
+                return outcome.headers["x-attempt-id"]
+            await asyncio.sleep(_TRY_PAUSE_S)
+        raise harness.NotRunError(f"{program}: no first turn")
+
+    async def _second_turn(self, program: str, first: str, index: int) -> None:
+        """Sends the second turn, and again if it failed, as programs do."""
+        for number in range(3):
+            gateway = _GATEWAYS[(index + number) % 2]
+            outcome = await self._send(program, first, gateway, _COMMON_INPUT)
+            if outcome.status == 200 and outcome.is_whole:
+                return
+            await asyncio.sleep(_TRY_PAUSE_S)
+
+    async def _send(
+        self, program: str, previous: str, gateway: str, new_input: str = ""
+    ) -> harness.Outcome:
+        self._attempts += 1
+        return await harness.send_turn(
+            self._deployment,
+            self._record,
+            f"a{self._attempts}",
+            previous,
+            gateway,
+            program,
+            new_input,
+        )
 
-async def _download(
-    deployment: harness.Deployment, download: Download, slow_s: float
-) -> None:
-    """Reads an answer, at first slowly; notes how the channel ended."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _WINDOW_BYTES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, _SEGMENT_BYTES)
-    sock.setblocking(False)
-    begin_s = time.monotonic()
-    loop = asyncio.get_running_loop()
-    try:
-        ip = deployment.nodes[_GATEWAY].ip
-        await loop.sock_connect(sock, (ip, deployment.front))
-        headers = {
-            "Host": "app.example",
-            "X-Attempt-Id": download.attempt,
-            "X-Deadline-Ms": str(_DEADLINE_MS),
-        }
-        target = f"/calls/{download.attempt}"
-        request = harness.encode_request("POST", target, headers, b"x")
-        await loop.sock_sendall(sock, request)
-        await _read_slowly(sock, download, slow_s)
-    except OSError as exc:
-        download.reason = repr(exc)
-    finally:
-        sock.close()
-        download.took_s = time.monotonic() - begin_s
-        download.began.set()
-
-
-async def _read_slowly(
-    sock: socket.socket, download: Download, slow_s: float
-) -> None:
-    loop = asyncio.get_running_loop()
-    data = b""
-    while b"\r\n\r\n" not in data:
-        part = await loop.sock_recv(sock, 1_024)
-        if not part:
-            download.reason = "closed before the head was complete"
-            return
-        data += part
-    head, _, body = data.partition(b"\r\n\r\n")
-    download.status = int(head.split(b" ")[1])
-    download.read_bytes = len(body)
-    download.began.set()
-    for line in head.split(b"\r\n")[1:]:
-        name, _, value = line.partition(b":")
-        if name.lower() == b"content-length":
-            download.size = int(value)
-    length = download.size
-    begin_s = time.monotonic()
-    while download.read_bytes < length:
-        elapsed_s = time.monotonic() - begin_s
-        due = int(elapsed_s * _SLOW_BYTES_PER_S)
-        if elapsed_s >= slow_s:
-            due = length
-        left = min(due, length) - download.read_bytes
-        if left <= 0:
-            await asyncio.sleep(_READ_INTERVAL_S)
-            continue
-        part = await loop.sock_recv(sock, left)
-        if not part:
-            download.reason = "closed before the body was complete"
-            return
-        download.read_bytes += len(part)
+    def _count_runs(self) -> int:
+        return sum(len(server.runs) for server in self._servers)
 
 
 async def _answer(
     received: harness.Received, writer: asyncio.StreamWriter
 ) -> None:
-    with contextlib.suppress(OSError):
-        await harness.answer_plain(received, writer, b"x" * _ANSWER_BYTES)
+    is_second = received.body.endswith(_COMMON_INPUT.encode())
+    await harness.answer_stream(
+        received, writer, _EVENTS, _GAP_S if is_second else 0.01
+    )
 
 
 if __name__ == "__main__":
--- a/review/harness.py
+++ b/review/harness.py
@@ -13,6 +13,8 @@
 import json
 import os
 import pathlib
+import shutil
+import signal
 import socket
 import struct
 import subprocess
@@ -23,7 +25,6 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    import signal
     from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -32,6 +33,10 @@
 _CHECK_IN_INTERVAL_S = 1.2
 _POLL_INTERVAL_S = 0.05
 _CALL_TIMEOUT_S = 2.0
+# The record has so much of a body.
+_EXCERPT_BYTES = 80
+# A case that takes longer could not be run.
+_CASE_TIMEOUT_S = 110.0
 _ZONES = ("zone-a", "zone-b", "zone-c")
 _REGION = "region-1"
 # Environment variables that the platform passes on to a process.
@@ -192,6 +197,23 @@
         node.is_first_start = False
         self._record.add("start", node=name)
 
+    def add_store(self, name: str, like: str) -> None:
+        """Adds a store at a new address, in the zone of another one."""
+        known = self.nodes[like]
+        ip = f"{known.ip.rpartition('.')[0]}.{len(self.nodes) + 2}"
+        self.nodes[name] = Node(
+            name, known.role, ip, known.zone, is_first_start=False
+        )
+
+    def wipe(self, name: str) -> None:
+        """Kills a process and deletes its data."""
+        self.send_signal(name, signal.SIGKILL)
+        process = self.nodes[name].process
+        assert process is not None
+        process.wait()
+        shutil.rmtree(self._folder / f"{name}.data")
+        self._record.add("disk-lost", node=name)
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process of this deployment."""
         process = self.nodes[name].process
@@ -723,8 +745,12 @@
     is_disrupted = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.add("case", case=folder.name, disrupted=is_disrupted)
+    # Ends the processes of the case, too, if the script is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
-        broken = asyncio.run(case(record, is_disrupted))
+        broken = asyncio.run(
+            asyncio.wait_for(case(record, is_disrupted), _CASE_TIMEOUT_S)
+        )
         code = BROKEN if broken else PASSED
         record.add("verdict", broken=broken)
         print(broken or "the rule held")
@@ -795,5 +821,7 @@
 
 
 def _excerpt(body: bytes) -> str:
-    text = body[:400].decode("latin-1")
-    return text if len(body) <= 400 else f"{text}... ({len(body)} bytes)"
+    text = body[:_EXCERPT_BYTES].decode("latin-1")
+    if len(body) <= _EXCERPT_BYTES:
+        return text
+    return f"{text}... ({len(body)} bytes)"
