--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -19,6 +19,7 @@
     from catkinpin.adapters.gateway.work import OpenCall
     from catkinpin.core.placement.balance import Choice
 
+_MS_PER_S = 1_000
 # Tells targets and bodies apart in the log, which must not contain them.
 _LOG_DIGEST_BYTES = 4
 
@@ -50,7 +51,9 @@
         """Reports a server that broke off, if it can't be reached any more."""
         check = self._tasks.spawn(self._has_crashed(state, choice))
         state.break_checks.append(check)
-        self._tasks.spawn(self._report_crash(state, choice, check))
+        ran_s = asyncio.get_running_loop().time() - state.answer_times.sent_s
+        ran_ms = int(ran_s * _MS_PER_S)
+        self._tasks.spawn(self._report_crash(state, choice, check, ran_ms))
 
     async def has_crashed_servers(self, state: OpenCall) -> bool:
         """Returns whether as many servers crashed as one request may crash.
@@ -76,7 +79,11 @@
         return not await self._is_reachable(state, choice)
 
     async def _report_crash(
-        self, state: OpenCall, choice: Choice, check: asyncio.Task[bool]
+        self,
+        state: OpenCall,
+        choice: Choice,
+        check: asyncio.Task[bool],
+        ran_ms: int,
     ) -> None:
         has_crashed = await check
         instance = choice.instance
@@ -96,6 +103,9 @@
             program=state.call.program,
             account=state.call.account,
             route=state.route.name,
+            ran_ms=ran_ms,
+            body_bytes=len(state.request.body),
+            prompt=[part.id for part in state.call.prompt],
         )
         if has_crashed:
             await self._turns.report_crash(state.digests, incarnation)
