--- /dev/null
+++ b/tests/test_crashing_turns.py
@@ -0,0 +1,152 @@
+"""Turns that crash servers, and harmless ones that look like them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from tests import base
+from tests.fakes.crashingservice import CrashingService
+from tests.fakes.deployment import Deployment
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+_CRASHING = "/c/crashing"
+# Once a request has crashed three servers, it must not reach further ones.
+_MAX_CRASHES = 3
+_GATEWAYS = ("gateway-1", "gateway-2")
+_SERVERS = 6
+_PROGRAMS = 12
+_INTERVAL_S = 0.35
+_CALL_INTERVAL_S = 0.02
+_LONG_RUN_S = 1.0
+
+
+class CrashingTurnsTest(base.TestCase):
+    """Turns whose callers send the whole history as the body."""
+
+    def _run(
+        self,
+        work: Callable[[Deployment, CrashingService], Awaitable[None]],
+        run_s: float = 0.03,
+    ) -> None:
+        async def main() -> None:
+            system = Deployment(self.folder)
+            CrashingService.add_to(system, kind="stream", max_attempts=1)
+            service = CrashingService(system, _CRASHING, run_s)
+            async with system:
+                await service.start(_SERVERS)
+                for gateway in _GATEWAYS:
+                    await system.wait_until(
+                        lambda gateway=gateway: self._is_ready(system, gateway)
+                    )
+                try:
+                    await work(system, service)
+                finally:
+                    await service.stop()
+
+        self.run_async(main())
+
+    async def _is_ready(self, system: Deployment, gateway: str) -> bool:
+        name = f"first-{gateway}"
+        return await system.call("/c/first", name, gateway, b"first") == 200
+
+    async def _send(
+        self, system: Deployment, path: str, number: int, body: bytes
+    ) -> list[int]:
+        """Sends a turn of a new program; once more if it fails.
+
+        Returns:
+            The status of each try.
+        """
+        statuses: list[int] = []
+        while len(statuses) < 2 and 200 not in statuses:
+            tries = len(statuses)
+            status = await system.call(
+                path,
+                f"{path[3:]}-{number}-{tries}",
+                _GATEWAYS[(number + tries) % 2],
+                body,
+                X_Program_Id=f"{path[3:]}-program-{number}",
+            )
+            statuses.append(status)
+        return statuses
+
+    def test_turn_is_recognized_under_new_bodies(self) -> None:
+        """Guards against a crashing turn that each time has another body."""
+
+        async def work(system: Deployment, service: CrashingService) -> None:
+            for number in range(_PROGRAMS):
+                body = b"history %d, and an input" % number
+                await self._send(system, _CRASHING, number, body)
+                await asyncio.sleep(_INTERVAL_S)
+            self.assertLessEqual(service.crashes, _MAX_CRASHES)
+
+        self._run(work)
+
+    def test_harmless_turns_beside_are_served(self) -> None:
+        """Guards against refusing turns that ran beside a crashing one."""
+
+        async def work(system: Deployment, service: CrashingService) -> None:
+            ended = asyncio.Event()
+
+            async def send_harmless(caller: int) -> None:
+                number = caller
+                while not ended.is_set():
+                    number += 10
+                    path = "/c/common" if number % 20 < 10 else f"/c/{number}"
+                    body = b"history %d" % number
+                    with contextlib.suppress(aiohttp.ClientError):
+                        await self._send(system, path, number, body)
+                    await asyncio.sleep(_CALL_INTERVAL_S)
+
+            callers = [
+                asyncio.ensure_future(send_harmless(n)) for n in range(4)
+            ]
+            for number in range(_PROGRAMS):
+                body = b"history %d, and an input" % number
+                await self._send(system, _CRASHING, number, body)
+                await asyncio.sleep(_INTERVAL_S)
+            ended.set()
+            await asyncio.gather(*callers)
+            refused = [
+                line["request"]
+                for gateway in _GATEWAYS
+                for line in system.read_log(gateway)
+                if line["decision"] == "refused"
+                and "quarantined" in line["reason"]
+                and not line["request"].startswith("crashing")
+            ]
+            self.assertEqual([], refused)
+            self.assertLessEqual(service.crashes, _MAX_CRASHES)
+
+        self._run(work)
+
+    def test_common_turn_is_served_after_two_servers_end_at_once(self) -> None:
+        """Guards against refusing a turn of all programs for good.
+
+        Two servers end at the same moment while they run turns with the same
+        input; on the other servers such turns go on.
+        """
+
+        async def work(system: Deployment, service: CrashingService) -> None:
+            running = [
+                asyncio.ensure_future(
+                    self._send(system, "/c/common", number, b"yes, go on")
+                )
+                for number in range(_PROGRAMS)
+            ]
+            await asyncio.sleep(_LONG_RUN_S * 0.4)
+            await service.crash_busy(2)
+            await asyncio.gather(*running)
+            for number in range(_PROGRAMS, _PROGRAMS + 3):
+                statuses = await self._send(
+                    system, "/c/common", number, b"yes, go on"
+                )
+                self.assertEqual([200], statuses)
+
+        self._run(work, run_s=_LONG_RUN_S)
