Recognize a request that crashes servers by its path as well

Each program's turn got two to six servers. Beside it harmless turns were quarantined, as no single body explained the crashes.

Class of fault: a request is recognized by one fixed identity, which is wrong in both directions. Now it is what the crashed servers' requests have in common: the body as before, and the path once requests with different bodies on it crashed three servers, if no single body explains that and no request on the path was answered since. What ran beside a path's crashes waits for the decision on the path. A suspect goes to the same server through all gateways, unless that is busy: copies cost one server, and suspects run apart. A failure waits 0.1 s at most for its crash to be reported, and the leader's changes reach the gateways of all keepers at once, so that a caller's next try does not outrun them.

--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import hashlib
 from typing import TYPE_CHECKING
 
@@ -20,10 +21,41 @@
     from catkinpin.core.placement.balance import Choice
 
 _MS_PER_S = 1_000
+# Longest wait for the report of a crash before its request fails. A commit
+# takes some ms, and the way to another region and back 20 ms.
+_REPORT_WAIT_S = 0.1
 # Tells targets and bodies apart in the log, which must not contain them.
 _LOG_DIGEST_BYTES = 4
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerRun:
+    """A request's run on a server, which broke off.
+
+    Attributes:
+        server: identity of the server's incarnation.
+        sent_s: loop time at which the request was sent.
+        ended_s: loop time at which the connection broke.
+        is_repeat: whether the request was suspected when it was sent.
+    """
+
+    server: str
+    sent_s: float
+    ended_s: float
+    is_repeat: bool
+
+    @property
+    def ran_ms(self) -> int:
+        """Time from sending the request to the break."""
+        return int((self.ended_s - self.sent_s) * _MS_PER_S)
+
+    @property
+    def age_ms(self) -> int:
+        """Time since the break."""
+        now_s = asyncio.get_running_loop().time()
+        return int((now_s - self.ended_s) * _MS_PER_S)
+
+
 class CrashReporter:
     """Reports servers that crashed while they ran a request.
 
@@ -51,9 +83,15 @@
         """Reports a server that broke off, if it can't be reached any more."""
         check = self._tasks.spawn(self._has_crashed(state, choice))
         state.break_checks.append(check)
-        ran_s = asyncio.get_running_loop().time() - state.answer_times.sent_s
-        ran_ms = int(ran_s * _MS_PER_S)
-        self._tasks.spawn(self._report_crash(state, choice, check, ran_ms))
+        run = ServerRun(
+            f"{choice.instance.id}/{choice.instance.started_ms}",
+            state.answer_times.sent_s,
+            asyncio.get_running_loop().time(),
+            state.is_suspected,
+        )
+        state.crash_reports.append(
+            self._tasks.spawn(self._report_crash(state, run, check))
+        )
 
     async def has_crashed_servers(self, state: OpenCall) -> bool:
         """Returns whether as many servers crashed as one request may crash.
@@ -67,12 +105,25 @@
         done, _ = await asyncio.wait(state.break_checks)
         return sum(check.result() for check in done) >= limit
 
+    async def wait_until_reported(self, state: OpenCall) -> None:
+        """Waits for a short while until a request's crashes are reported.
+
+        A caller that is told of the failure sends the request again at once,
+        and the next gateway would not know of the crash yet.
+        """
+        if state.crash_reports:
+            await asyncio.wait(state.crash_reports, timeout=_REPORT_WAIT_S)
+
     def record_answer(self, state: OpenCall) -> None:
         """Reports that a server answered a request, if that is suspected."""
         if self._suspects.is_suspect(state.digests):
             digests = state.digests
             self._usage.record_answered(
-                AnsweredRequest(shared=digests.shared, content=digests.content)
+                AnsweredRequest(
+                    shared=digests.shared,
+                    content=digests.content,
+                    path=digests.path,
+                )
             )
 
     async def _has_crashed(self, state: OpenCall, choice: Choice) -> bool:
@@ -81,34 +132,32 @@
     async def _report_crash(
         self,
         state: OpenCall,
-        choice: Choice,
+        run: ServerRun,
         check: asyncio.Task[bool],
-        ran_ms: int,
     ) -> None:
         has_crashed = await check
-        instance = choice.instance
-        incarnation = f"{instance.id}/{instance.started_ms}"
         result = "crashed" if has_crashed else "reachable"
         metrics.SERVER_BREAKS.labels(result).inc()
         decisions.note(
             "server-break",
             state.call.attempt,
-            server=incarnation,
+            server=run.server,
             result=result,
             content=state.digests.content,
             shared=state.digests.shared,
+            path=state.digests.path,
             target=_short_digest(state.request.target),
             body=_short_digest(state.request.body),
             affinity=_short_digest(state.call.affinity.encode()),
             program=state.call.program,
             account=state.call.account,
             route=state.route.name,
-            ran_ms=ran_ms,
+            ran_ms=run.ran_ms,
             body_bytes=len(state.request.body),
             prompt=[part.id for part in state.call.prompt],
         )
         if has_crashed:
-            await self._turns.report_crash(state.digests, incarnation)
+            await self._turns.report_crash(state.digests, run)
 
 
 def _short_digest(data: bytes) -> str:
--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -79,6 +79,10 @@
             return None
         return self.pick_server(state)
 
+    async def wait_until_reported(self, state: OpenCall) -> None:
+        """Waits for a short while until a request's crashes are reported."""
+        await self._crashes.wait_until_reported(state)
+
     def pick_server(self, state: OpenCall) -> Choice | None:
         """Picks the next server; returns None if none is left to try."""
         return self._picker.pick_server(state)
@@ -89,6 +93,7 @@
         """Sends a request to a server and reads the head of its answer."""
         instance = choice.instance
         state.tried_servers.append(instance.id)
+        state.is_suspected = self._is_suspected(state)
         conn = await self._connect(state, choice)
         if isinstance(conn, Failure):
             state.reason = conn.reason
@@ -153,12 +158,17 @@
         if an idle one belongs to a server that has crashed too, the request
         would be taken for the cause of that crash.
         """
-        if state.break_checks or self._view.suspects.is_suspect(state.digests):
+        if state.is_suspected:
             return 0.0
         if state.is_repeatable:
             return DEFAULT_MAX_IDLE_S
         return _NON_REPEATABLE_MAX_IDLE_S
 
+    def _is_suspected(self, state: OpenCall) -> bool:
+        return bool(state.break_checks) or self._view.suspects.is_suspect(
+            state.digests
+        )
+
     def is_refusal(self, head: ResponseHead) -> bool:
         """Returns whether a server states that it did not run the request."""
         return self._codec.decode_answer(head.headers).not_run
--- a/catkinpin/adapters/gateway/picking.py
+++ b/catkinpin/adapters/gateway/picking.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from catkinpin import decisions, metrics
+from catkinpin import decisions, digest, metrics
 from catkinpin.core.control.servers import ServerState
 from catkinpin.core.placement import unresponsive, urgency
 
@@ -56,13 +56,17 @@
                 now_ms,
                 now_ms + _OVERDUE_EJECTION_MS,
             )
-        choice = self._leader_choice(state, now_ms) or self._balancer.pick(
-            self._candidates(state, servers, now_ms),
-            state.call,
-            now_ms,
-            state.tried_servers,
-            state.route.name,
-            is_connected=self._connected_servers(state),
+        choice = (
+            self._suspect_choice(state, servers, now_ms)
+            or self._leader_choice(state, now_ms)
+            or self._balancer.pick(
+                self._candidates(state, servers, now_ms),
+                state.call,
+                now_ms,
+                state.tried_servers,
+                state.route.name,
+                is_connected=self._connected_servers(state),
+            )
         )
         if choice is None:
             state.reason = state.reason or "no server is left"
@@ -112,6 +116,35 @@
             return None
         return lambda instance: self._pool.has_idle(instance.address)
 
+    def _suspect_choice(
+        self, state: OpenCall, servers: Collection[Instance], now_ms: int
+    ) -> Choice | None:
+        """Returns the server on which all gateways run a suspected request.
+
+        Copies of a harmful request then crash one server, through however many
+        gateways they come, and suspects run apart from each other, so that the
+        next crash tells them apart. A busy server is not used for that: a
+        harmless request that all programs send would overload it.
+        """
+        suspect = self._view.suspects.suspected_digest(state.digests)
+        if not suspect:
+            return None
+        usable = [
+            server
+            for server in servers
+            if server.state is ServerState.READY
+            and server.id not in state.tried_servers
+            and not self._balancer.is_busy(server, now_ms)
+        ]
+        usable.sort(
+            key=lambda s: digest.of_bytes(f"{suspect}\0{s.id}".encode())
+        )
+        for server in usable:
+            choice = self._balancer.estimate(server, state.call, now_ms)
+            if choice is not None:
+                return choice
+        return None
+
     def _leader_choice(self, state: OpenCall, now_ms: int) -> Choice | None:
         """Returns the server that the leader selected, if it can be used."""
         instance = self._view.fleet.servers.get(state.assigned_server)
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -88,6 +88,7 @@
             # Another server may have a free connection, and no server has
             # had to refuse or fail the request.
             is_retry = state.reason != NO_FREE_CONNECTION
+        await self._exchange.wait_until_reported(state)
         self._answers.answer_failure(state)
 
     def _may_retry(self, state: OpenCall, reason: str) -> bool:
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -202,6 +202,7 @@
                 continue
             if not await self._may_try_another(state, choice):
                 break
+        await self._exchange.wait_until_reported(state)
         self._answers.answer_failure(state)
         return False
 
--- a/catkinpin/adapters/gateway/suspects.py
+++ b/catkinpin/adapters/gateway/suspects.py
@@ -59,17 +59,21 @@
 
     def quarantined_digest(self, digests: RequestDigests) -> str:
         """Returns the digest by which a request is quarantined, or ""."""
-        for digest in (digests.shared, digests.content):
+        for digest in _all_digests(digests):
             if digest in self._quarantined:
                 return digest
         return ""
 
     def is_suspect(self, digests: RequestDigests) -> bool:
         """Returns whether a request was running on a server that crashed."""
-        return (
-            digests.shared in self._suspects
-            or digests.content in self._suspects
-        )
+        return bool(self.suspected_digest(digests))
+
+    def suspected_digest(self, digests: RequestDigests) -> str:
+        """Returns the widest digest by which a request is suspected, or ""."""
+        for digest in _all_digests(digests):
+            if digest in self._suspects:
+                return digest
+        return ""
 
     async def wait_for_decision(
         self, digests: RequestDigests, wait_s: float
@@ -97,7 +101,12 @@
         if not self._held_until_ms or self.is_quarantined(digests):
             return 0
         until_ms = max(
-            self._held_until_ms.get(digests.shared, 0),
-            self._held_until_ms.get(digests.content, 0),
+            self._held_until_ms.get(digest, 0)
+            for digest in _all_digests(digests)
         )
         return max(0, until_ms - self._clock.now_ms())
+
+
+def _all_digests(digests: RequestDigests) -> tuple[str, str, str]:
+    """Returns the digests of a request, the widest first."""
+    return digests.path, digests.shared, digests.content
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from catkinpin.adapters.gateway.crashes import ServerRun
     from catkinpin.adapters.peers.keepers import Host, Keepers
     from catkinpin.core.control.ledger import Link
     from catkinpin.core.control.routes import Route
@@ -236,20 +237,26 @@
         )
         self._tasks.spawn(self._send_settle(finish, outcome.report))
 
-    async def report_crash(self, digests: RequestDigests, server: str) -> None:
-        """Reports that an incarnation of a server crashed under a request."""
+    async def report_crash(
+        self, digests: RequestDigests, run: ServerRun
+    ) -> None:
+        """Reports that a server crashed under a request."""
         try:
             await self._keepers.ask_leader(
                 lambda ask: protocol.ReportCrash(
                     ask=ask,
                     content=digests.content,
                     shared=digests.shared,
-                    server=server,
+                    path=digests.path,
+                    server=run.server,
+                    ran_ms=run.ran_ms,
+                    age_ms=run.age_ms,
+                    is_repeat=run.is_repeat,
                 ),
                 _CRASH_REPORT_TIMEOUT_S,
             )
         except PeerLostError as exc:
-            decisions.note("unreported", "", server=server, reason=str(exc))
+            decisions.note("unreported", "", server=run.server, reason=str(exc))
 
     async def _send_settle(self, finish: Finish, report: TurnReport) -> None:
         try:
--- a/catkinpin/adapters/gateway/work.py
+++ b/catkinpin/adapters/gateway/work.py
@@ -45,6 +45,9 @@
         is_superseded: whether another attempt of the same call has won.
         digests: identify the request when it is sent again.
         break_checks: for each server that broke off, whether it has crashed.
+        is_suspected: whether a server had crashed under it, or was thought to
+            have, when it was sent last.
+        crash_reports: for each of these, the report to the leader.
     """
 
     call: RouteCall
@@ -72,6 +75,10 @@
     break_checks: list[asyncio.Task[bool]] = dataclasses.field(
         default_factory=list
     )
+    is_suspected: bool = False
+    crash_reports: list[asyncio.Task[None]] = dataclasses.field(
+        default_factory=list
+    )
 
     @property
     def elapsed_ms(self) -> int:
--- a/catkinpin/adapters/keeper/asks.py
+++ b/catkinpin/adapters/keeper/asks.py
@@ -83,7 +83,7 @@
                 case protocol.AskRegister():
                     await self._register(stream, message)
                 case protocol.ReportCrash():
-                    strike = _strike_of(message)
+                    strike = _strike_of(message, self._clock.wall_ms())
                     error = await self._host.report_crash(
                         strike, self._timeout_s
                     )
@@ -198,12 +198,17 @@
         return outcome
 
 
-def _strike_of(message: protocol.ReportCrash) -> Strike:
+def _strike_of(message: protocol.ReportCrash, wall_ms: int) -> Strike:
     """Returns the strike that a gateway of this or the last release reports."""
+    ended_ms = wall_ms - message.age_ms
     return Strike(
         shared=message.shared or message.content,
         content=message.content,
         server=message.server,
+        path=message.path,
+        began_ms=ended_ms - message.ran_ms,
+        ended_ms=ended_ms,
+        is_repeat=message.is_repeat,
     )
 
 
--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -18,7 +18,6 @@
 from catkinpin.core.control.ledger import Begin, Outcome
 from catkinpin.core.control.quotas import Quotas
 from catkinpin.core.control.servers import Instance, ServerState
-from catkinpin.core.control.suspects import MAX_CRASHES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -326,9 +325,14 @@
             "",
             content=strike.content,
             shared=strike.shared,
+            path=strike.path,
             server=strike.server,
-            quarantined=strike.shared in self.state.quarantined
-            or strike.content in self.state.quarantined,
+            began_ms=strike.began_ms,
+            ended_ms=strike.ended_ms,
+            quarantined=any(
+                digest in self.state.quarantined
+                for digest in (strike.shared, strike.content, strike.path)
+            ),
         )
         body = state.Quarantine(contents=[], strikes=[strike])
         outcome = await self.propose(body, wait_s)
@@ -358,7 +362,7 @@
         suspects = self.state.suspects
         if self._is_quarantining or suspects.revision == self._judged_revision:
             return
-        counts = suspects.crash_counts()
+        counts = suspects.judged_counts()
         due = self._due_suspects(counts)
         if len(due) == len(self._held_since_ms):
             self._judged_revision = suspects.revision
@@ -370,7 +374,7 @@
             "",
             contents=causes,
             crashes=[counts[cause] for cause in causes],
-            suspects=len(counts),
+            suspects=len(suspects.crash_counts()),
         )
         self._is_quarantining = True
         try:
@@ -388,11 +392,10 @@
         now_ms = self._clock.now_ms()
         held_before, self._held_since_ms = self._held_since_ms, {}
         for suspect, count in counts.items():
-            if count >= MAX_CRASHES:
-                since = held_before.get(suspect, (0, 0))
-                self._held_since_ms[suspect] = (
-                    since if since[0] == count else (count, now_ms)
-                )
+            since = held_before.get(suspect, (0, 0))
+            self._held_since_ms[suspect] = (
+                since if since[0] == count else (count, now_ms)
+            )
         return {
             suspect
             for suspect, (_, since_ms) in self._held_since_ms.items()
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -308,8 +308,10 @@
         self._tasks.spawn(self._ask_handler.answer(stream, message))
 
     def _on_keeper_message(self, _host: keepers.Host, message: Any) -> None:
-        if isinstance(message, protocol.UnresponsiveUpdate):
-            self._publisher.relay_unresponsive(message)
+        if isinstance(
+            message, protocol.UnresponsiveUpdate | protocol.QuarantineUpdate
+        ):
+            self._publisher.relay(message)
 
     # Stores.
 
@@ -349,7 +351,9 @@
         self._publisher.publish_servers(instances)
 
     def _handle_suspect_change(self, change: SuspectChange) -> None:
-        self._publisher.publish_suspects(change)
+        self._publisher.publish_suspects(
+            change, is_leader=self.host.holds_lease()
+        )
 
     def _handle_restored_state(self) -> None:
         self._publisher.replace_feed()
--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -14,7 +14,6 @@
 from catkinpin.adapters.peers import streams
 from catkinpin.adapters.replica import mesh
 from catkinpin.core.control import protocol
-from catkinpin.core.control.suspects import MAX_CRASHES
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -120,8 +119,15 @@
         """Sends all servers to slow gateways that have emptied their queue."""
         self._server_updates.send_to_slow_gateways()
 
-    def publish_suspects(self, change: SuspectChange) -> None:
-        """Sends gateways a change of quarantined and suspected requests."""
+    def publish_suspects(
+        self, change: SuspectChange, *, is_leader: bool
+    ) -> None:
+        """Sends gateways a change of quarantined and suspected requests.
+
+        The leader sends it to the other keepers as well, which relay it. They
+        apply the record only after the leader's next message, some tens of ms
+        later, and until then a caller may send a harmful request again.
+        """
         message = protocol.QuarantineUpdate(
             contents=change.quarantined,
             suspects=change.suspects,
@@ -129,6 +135,8 @@
             held=change.held,
         )
         _send_to(self._feed_streams(), message)
+        if is_leader:
+            _send_to(self._streams(KEEPER_ROLE), message)
 
     def publish_unresponsive(self, servers: list[str]) -> None:
         """Publishes the unresponsive servers of plain services.
@@ -139,8 +147,11 @@
         targets = [*self._feed_streams(), *self._streams(KEEPER_ROLE)]
         _send_to(targets, protocol.UnresponsiveUpdate(servers=servers))
 
-    def relay_unresponsive(self, message: protocol.UnresponsiveUpdate) -> None:
-        """Relays the leader's unresponsive servers to subscribers."""
+    def relay(
+        self,
+        message: protocol.UnresponsiveUpdate | protocol.QuarantineUpdate,
+    ) -> None:
+        """Relays a message of the leader to subscribers."""
         _send_to(self._subscribers, message)
 
     def replace_feed(self) -> None:
@@ -177,11 +188,11 @@
         stream.send(self._all_suspects())
 
     def _all_suspects(self) -> protocol.QuarantineUpdate:
-        counts = self._host.state.suspects.crash_counts()
+        suspects = self._host.state.suspects
         return protocol.QuarantineUpdate(
             contents=list(self._host.state.quarantined),
-            suspects=list(counts),
-            held=[d for d, count in counts.items() if count >= MAX_CRASHES],
+            suspects=list(suspects.crash_counts()),
+            held=list(suspects.judged_counts()),
             whole=True,
         )
 
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -224,18 +224,27 @@
         server: identity of the server's incarnation.
         shared: digest that does not depend on the program; empty if the gateway
             is of the previous release.
+        path: digest that does not depend on the body either; empty if the
+            gateway is of the previous release.
+        ran_ms: time from sending the request to the crash.
+        age_ms: time since the crash.
+        is_repeat: whether the request was suspected when it was sent.
     """
 
     ask: int
     content: str
     server: str
     shared: str = ""
+    path: str = ""
+    ran_ms: int = 0
+    age_ms: int = 0
+    is_repeat: bool = False
 
 
 class QuarantineUpdate(Message, frozen=True):
     """Lists requests that are quarantined or suspected to crash servers.
 
-    All are digests in hex; a request has two, see `Strike`.
+    All are digests in hex; a request has three, see `Strike`.
 
     Attributes:
         contents: newly quarantined requests: no server may get them.
--- a/catkinpin/core/control/state.py
+++ b/catkinpin/core/control/state.py
@@ -24,7 +24,6 @@
 from catkinpin.core.control.servers import Fleet, Instance
 from catkinpin.core.control.stores import Register, Retire, Store, Stores
 from catkinpin.core.control.suspects import (
-    MAX_CRASHES,
     AnsweredRequest,
     Strike,
     Suspects,
@@ -73,7 +72,8 @@
         quarantined: newly quarantined requests.
         suspects: new suspects.
         cleared: requests that are no longer suspects.
-        held: suspects that have had a further crash, after the first one.
+        held: suspects that have had a further crash, so that the leader has to
+            decide on them.
     """
 
     quarantined: list[str]
@@ -128,6 +128,7 @@
     quarantined: list[str]
     strikes: list[Strike] = []
     explained: list[str] = []
+    proved: list[Strike] = []
 
 
 class ControlState:
@@ -214,6 +215,7 @@
             quarantined=list(self.quarantined),
             strikes=self.suspects.strikes,
             explained=self.suspects.explained,
+            proved=self.suspects.proved,
         )
         return codec.encode(state)
 
@@ -231,12 +233,13 @@
         self.ledger.restore(state.ledger)
         self.stores.by_node = {store.node: store for store in state.stores}
         self.quarantined = dict.fromkeys(state.quarantined)
-        self.suspects.restore(state.strikes, state.explained)
+        self.suspects.restore(state.strikes, state.explained, state.proved)
         self._on_routing_changed()
         self._on_servers_changed(list(self.fleet.servers.values()))
 
     def _quarantine(self, body: Quarantine) -> None:
         before = self.suspects.crash_counts()
+        judged_before = self.suspects.judged_counts()
         for strike in body.strikes:
             self.suspects.add(strike, self.quarantined)
         for answered in body.answered:
@@ -246,6 +249,7 @@
         while len(self.quarantined) > MAX_QUARANTINED:
             del self.quarantined[next(iter(self.quarantined))]
         counts = self.suspects.crash_counts()
+        judged = self.suspects.judged_counts()
         self._on_suspects_changed(
             SuspectChange(
                 quarantined=body.contents,
@@ -253,8 +257,8 @@
                 cleared=[d for d in before if d not in counts],
                 held=[
                     digest
-                    for digest, count in counts.items()
-                    if count >= MAX_CRASHES and count > before.get(digest, 0)
+                    for digest, count in judged.items()
+                    if count > judged_before.get(digest, 0)
                 ],
             )
         )
--- a/catkinpin/core/control/suspects.py
+++ b/catkinpin/core/control/suspects.py
@@ -5,15 +5,23 @@
 the next crash may come after a change of the leader. An answer of any server
 clears the request: from then on it has no strikes.
 
-A request is known by two digests. The shared digest covers what does not depend
-on the program, so that a request is recognized when another program sends it.
-The content digest covers the program as well. If other programs get answers to
-requests with the same shared digest, only the content digest stays suspect.
+A request is known by three digests, because what it has in common with the
+next one that crashes a server isn't known beforehand:
+
+- The content digest covers the program. It is suspected alone once other
+  programs got answers to requests with the same shared digest.
+- The shared digest covers the body. It is suspected first.
+- The path digest covers neither. It is suspected only if requests with
+  different bodies crashed servers and no request on the path was answered.
+
+What is quarantined is what the crashed servers' requests have in common, and
+nothing wider.
 """
 
 from __future__ import annotations
 
 import collections
+import dataclasses
 from typing import TYPE_CHECKING
 
 from msgspec import structs
@@ -21,13 +29,15 @@
 from catkinpin.codec import Message
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable
+    from collections.abc import Container, Iterable, Mapping
 
 # Crashes after which a request is quarantined if it alone explains them.
 MAX_CRASHES = 2
 # Crashes after which it is quarantined even if other requests ran beside it
 # each time.
 _MAX_SHARED_CRASHES = 3
+# Crashes after which a whole path is quarantined if it alone explains them.
+_MAX_PATH_CRASHES = 3
 # Limits of what is kept. A crash gives some tens of strikes.
 _MAX_STRIKES = 1_024
 _MAX_EXPLAINED = 1_024
@@ -41,12 +51,24 @@
         content: digest that covers the program as well, in hex.
         server: identity of the server's incarnation.
         is_shared_cleared: whether another program has got an answer since.
+        path: digest that does not depend on the body, in hex; empty from a
+            gateway of the previous release.
+        is_path_cleared: whether another request on the path has got an answer
+            since.
+        began_ms: wall time at which the request was sent to the server.
+        ended_ms: wall time of the crash.
+        is_repeat: whether the request was suspected when it was sent.
     """
 
     shared: str
     content: str
     server: str
     is_shared_cleared: bool = False
+    path: str = ""
+    is_path_cleared: bool = False
+    began_ms: int = 0
+    ended_ms: int = 0
+    is_repeat: bool = False
 
     @property
     def suspect(self) -> str:
@@ -60,10 +82,47 @@
     Attributes:
         shared: digest that does not depend on the program, in hex.
         content: digest that covers the program as well, in hex.
+        path: digest that does not depend on the body, in hex; empty from a
+            gateway of the previous release.
     """
 
     shared: str
     content: str
+    path: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """The last run of a suspect on a server that crashed, in wall time."""
+
+    began_ms: int
+    ended_ms: int
+    is_repeat: bool
+
+
+@dataclasses.dataclass
+class _Path:
+    """Crashes of the requests on one path, by the incarnations that crashed."""
+
+    runs: dict[str, _Run] = dataclasses.field(default_factory=dict)
+    servers_by_body: dict[str, set[str]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(set)
+    )
+    is_proved: bool = False
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether its next request may be harmful, whatever its body."""
+        has_bodies = len(self.servers_by_body) > 1 and len(self.runs) > 1
+        return self.is_proved or has_bodies
+
+    @property
+    def is_sole_cause(self) -> bool:
+        """Whether it explains more crashes than any of its bodies."""
+        return all(
+            len(servers) < len(self.runs)
+            for servers in self.servers_by_body.values()
+        )
 
 
 class Suspects:
@@ -76,31 +135,57 @@
     def __init__(self) -> None:
         self.revision = 0
         self._strikes: list[Strike] = []
+        # Strikes of quarantined requests. They tell which path is harmful.
+        self._proved: list[Strike] = []
         # Crashed incarnations whose cause is known, oldest first.
         self._explained: dict[str, None] = {}
 
     @property
     def strikes(self) -> list[Strike]:
-        """The strikes, oldest first."""
+        """The strikes whose cause is not known, oldest first."""
         return list(self._strikes)
 
+    @property
+    def proved(self) -> list[Strike]:
+        """The strikes of quarantined requests, oldest first."""
+        return list(self._proved)
+
     @property
     def explained(self) -> list[str]:
         """Crashed incarnations whose cause is known, oldest first."""
         return list(self._explained)
 
     def restore(
-        self, strikes: Iterable[Strike], explained: Iterable[str]
+        self,
+        strikes: Iterable[Strike],
+        explained: Iterable[str],
+        proved: Iterable[Strike] = (),
     ) -> None:
         """Replaces all strikes by those of a snapshot."""
         self.revision += 1
         self._strikes = list(strikes)
+        self._proved = list(proved)
         self._explained = dict.fromkeys(explained)
 
     def crash_counts(self) -> dict[str, int]:
         """Returns the number of crashes of each suspect, by digest."""
-        servers = self._servers_by_suspect()
-        return {suspect: len(crashed) for suspect, crashed in servers.items()}
+        runs = self._runs_by_suspect()
+        counts = {suspect: _count_in_turn(runs[suspect]) for suspect in runs}
+        for digest, path in self._paths().items():
+            if path.is_suspect:
+                counts[digest] = _count_in_turn(path.runs)
+        return counts
+
+    def judged_counts(self) -> dict[str, int]:
+        """Returns the number of crashes of the suspects with enough of them.
+
+        A suspect with so many crashes is quarantined unless other requests
+        explain these as well.
+        """
+        return {
+            digest: _count_in_turn(runs)
+            for digest, runs in self._candidates().items()
+        }
 
     def add(self, strike: Strike, quarantined: Container[str]) -> None:
         """Adds a strike, unless the cause of the crash is known.
@@ -111,7 +196,10 @@
             strike: the strike; a repeated report of it changes nothing.
             quarantined: digests of the quarantined requests.
         """
-        if strike.shared in quarantined or strike.content in quarantined:
+        if any(
+            digest in quarantined
+            for digest in (strike.shared, strike.content, strike.path)
+        ):
             self._explain({strike.server})
         if strike.server in self._explained:
             return
@@ -125,40 +213,65 @@
         """Clears an answered request, but not that of other programs."""
         self.revision += 1
         self._strikes = [
-            structs.replace(strike, is_shared_cleared=True)
-            if strike.shared == answered.shared
-            else strike
+            structs.replace(
+                strike,
+                is_shared_cleared=strike.is_shared_cleared
+                or strike.shared == answered.shared,
+                is_path_cleared=strike.is_path_cleared
+                or strike.path == answered.path,
+            )
             for strike in self._strikes
             if strike.content != answered.content
         ]
+        self._proved = [
+            strike for strike in self._proved if strike.path != answered.path
+        ]
 
     def find_causes(self) -> list[str]:
         """Returns the digests of the suspects that must be quarantined.
 
         A request that was running during two crashes may have been there by
         chance. So no other suspect may have been running during the same
-        crashes, unless there were three of them.
+        crashes, unless there were three of them, nor during these and more. A
+        path is quarantined only if nothing else explains its crashes.
         """
-        servers = {
-            suspect: crashed
-            for suspect, crashed in self._servers_by_suspect().items()
-            if len(crashed) >= MAX_CRASHES
+        candidates = self._candidates()
+        paths = self._paths()
+        suspected = candidates | {
+            digest: path.runs
+            for digest, path in paths.items()
+            if path.is_suspect and path.is_sole_cause
         }
         causes = []
-        for suspect, crashed in servers.items():
-            others = [s for d, s in servers.items() if d != suspect]
+        for suspect, runs in candidates.items():
+            crashed = runs.keys()
+            others = [r.keys() for d, r in suspected.items() if d != suspect]
             if any(crashed < other for other in others):
                 continue
-            is_sole = not any(crashed == other for other in others)
-            if is_sole or len(crashed) >= _MAX_SHARED_CRASHES:
+            tied = {
+                other
+                for other, other_runs in suspected.items()
+                if other_runs.keys() == crashed
+            }
+            is_proved = (
+                not any(digest in paths for digest in tied)
+                and _count_in_turn(runs) >= _MAX_SHARED_CRASHES
+            )
+            if tied == {suspect} or is_proved:
                 causes.append(suspect)
         return causes
 
     def explain(self, causes: Iterable[str]) -> None:
         """Drops the strikes of all crashes that the given requests caused."""
-        servers = self._servers_by_suspect()
+        paths = self._paths()
+        runs = self._runs_by_suspect()
         for cause in causes:
-            self._explain(servers.get(cause, set()))
+            crashed = paths[cause].runs if cause in paths else runs[cause]
+            self._proved += [s for s in self._strikes if s.suspect == cause]
+            # A quarantined path needs no further proof.
+            self._proved = [s for s in self._proved if s.path != cause]
+            self._explain(set(crashed))
+        del self._proved[:-_MAX_STRIKES]
 
     def _explain(self, crashed: set[str]) -> None:
         self.revision += 1
@@ -167,11 +280,53 @@
             del self._explained[next(iter(self._explained))]
         self._strikes = [s for s in self._strikes if s.server not in crashed]
 
-    def _servers_by_suspect(self) -> dict[str, set[str]]:
-        servers = collections.defaultdict(set)
+    def _candidates(self) -> dict[str, dict[str, _Run]]:
+        """Returns the runs of the suspects that may have to be quarantined."""
+        found = {
+            suspect: runs
+            for suspect, runs in self._runs_by_suspect().items()
+            if _count_in_turn(runs) >= MAX_CRASHES
+        }
+        for digest, path in self._paths().items():
+            is_due = _count_in_turn(path.runs) >= _MAX_PATH_CRASHES
+            if path.is_suspect and path.is_sole_cause and is_due:
+                found[digest] = path.runs
+        return found
+
+    def _runs_by_suspect(self) -> dict[str, dict[str, _Run]]:
+        """Returns the runs of each suspect, by crashed incarnation."""
+        found: dict[str, dict[str, _Run]] = collections.defaultdict(dict)
         for strike in self._strikes:
-            servers[strike.suspect].add(strike.server)
-        return servers
+            _add_run(found[strike.suspect], strike)
+        return found
+
+    def _paths(self) -> dict[str, _Path]:
+        """Returns the paths on which no request was answered since a crash."""
+        found: dict[str, _Path] = collections.defaultdict(_Path)
+        proved = {id(strike) for strike in self._proved}
+        for strike in (*self._proved, *self._strikes):
+            if not strike.path or strike.is_path_cleared:
+                continue
+            path = found[strike.path]
+            _add_run(path.runs, strike)
+            path.servers_by_body[strike.shared].add(strike.server)
+            path.is_proved = path.is_proved or id(strike) in proved
+        return found
+
+
+def _add_run(runs: dict[str, _Run], strike: Strike) -> None:
+    """Adds a run; of several copies on one server, the one sent last counts."""
+    run = runs.setdefault(
+        strike.server, _Run(strike.began_ms, strike.ended_ms, is_repeat=False)
+    )
+    run.began_ms = max(run.began_ms, strike.began_ms)
+    run.ended_ms = min(run.ended_ms, strike.ended_ms)
+    run.is_repeat = run.is_repeat or strike.is_repeat
+
+
+def _count_in_turn(runs: Mapping[str, _Run]) -> int:
+    """Returns the number of crashes."""
+    return len(runs)
 
 
 def _is_same(strike: Strike, other: Strike) -> bool:
--- a/catkinpin/core/requests/digests.py
+++ b/catkinpin/core/requests/digests.py
@@ -18,12 +18,14 @@
 class RequestDigests:
     """Digests of a request, in hex.
 
-    Neither covers the request's id and times, which are new each time.
+    None covers the request's id and times, which are new each time.
 
     Attributes:
-        shared: covers the route's host, the method, target and body, and the
-            client account. It does not depend on the program, which may be new
-            each time as well.
+        path: covers the route's host, the method, the target and the client
+            account. It recognizes a request whose body is new each time, such
+            as a history that its caller sends along.
+        shared: covers also the body. It does not depend on the program, which
+            may be new each time as well.
         content: covers also the API key, the program, the affinity key and the
             turn that the request continues. It tells apart requests of many
             programs for one path, and equal inputs to different histories.
@@ -31,6 +33,7 @@
 
     shared: str = ""
     content: str = ""
+    path: str = ""
 
 
 def digests_of(
@@ -45,8 +48,8 @@
         body: its body, empty for none.
         call: its decoded headers and its account.
     """
-    account = call.account.encode()
-    shared = _digest((host.lower().encode(), method, target, account, body))
+    path = (host.lower().encode(), method, target, call.account.encode())
+    shared = _digest((*path, body))
     content = _digest(
         (
             shared,
@@ -56,7 +59,7 @@
             call.previous.encode(),
         )
     )
-    return RequestDigests(shared.hex(), content.hex())
+    return RequestDigests(shared.hex(), content.hex(), _digest(path).hex())
 
 
 def _digest(parts: Iterable[bytes]) -> bytes:
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -49,6 +49,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from catkinpin.adapters.gateway.crashes import ServerRun
     from catkinpin.core.control.accounts import ClientAccount
     from catkinpin.core.control.ledger import Denial
     from catkinpin.core.requests.digests import RequestDigests
@@ -147,8 +148,10 @@
     def settle(self, call: RouteCall, outcome: TurnResult) -> None:
         self.settled.append(outcome.tokens)
 
-    async def report_crash(self, digests: RequestDigests, server: str) -> None:
-        self.crashes.append((digests.content, server))
+    async def report_crash(
+        self, digests: RequestDigests, run: ServerRun
+    ) -> None:
+        self.crashes.append((digests.content, run.server))
         self.shared_digests.append(digests.shared)
 
 
--- a/tests/test_crashing_turns.py
+++ b/tests/test_crashing_turns.py
@@ -40,10 +40,7 @@
             service = CrashingService(system, _CRASHING, run_s)
             async with system:
                 await service.start(_SERVERS)
-                for gateway in _GATEWAYS:
-                    await system.wait_until(
-                        lambda gateway=gateway: self._is_ready(system, gateway)
-                    )
+                await system.wait_until(lambda: self._is_ready(system))
                 try:
                     await work(system, service)
                 finally:
@@ -51,9 +48,12 @@
 
         self.run_async(main())
 
-    async def _is_ready(self, system: Deployment, gateway: str) -> bool:
-        name = f"first-{gateway}"
-        return await system.call("/c/first", name, gateway, b"first") == 200
+    async def _is_ready(self, system: Deployment) -> bool:
+        statuses = [
+            await system.call("/c/first", f"first-{name}", name, b"first")
+            for name in _GATEWAYS
+        ]
+        return statuses == [200, 200]
 
     async def _send(
         self, system: Deployment, path: str, number: int, body: bytes
--- a/tests/test_feedsystem.py
+++ b/tests/test_feedsystem.py
@@ -309,7 +309,9 @@
         publisher.subscribe(stream, active=True)
         stream.read()
         for _ in range(64):
-            publisher.publish_suspects(SuspectChange([], [], [], []))
+            publisher.publish_suspects(
+                SuspectChange([], [], [], []), is_leader=False
+            )
         publisher.publish_feed_state()
         types = {type(message) for message in stream.read()}
         self.assertNotIn(protocol.FeedState, types)
@@ -402,7 +404,7 @@
         other.connect(subscriber)
         other.publisher.subscribe(subscriber, active=True)
         subscriber.read()
-        other.publisher.relay_unresponsive(update)
+        other.publisher.relay(update)
         self.assertEqual([update], subscriber.read())
 
     @feedsystem.in_virtual_time
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -20,13 +20,28 @@
 
 
 def _strikes(server: str, *requests: str) -> list[Strike]:
-    """Returns strikes against requests, each "shared" or "shared/program"."""
+    """Returns strikes against requests.
+
+    Args:
+        server: the server that crashed.
+        *requests: each "body" or "body/program"; a body "path:body" has a path.
+    """
     return [
-        Strike(shared=request.split("/")[0], content=request, server=server)
+        Strike(
+            shared=request.split("/")[0],
+            content=request,
+            server=server,
+            path=_path_of(request),
+        )
         for request in requests
     ]
 
 
+def _path_of(request: str) -> str:
+    path, separator, _ = request.partition(":")
+    return path if separator else ""
+
+
 class SuspectsTest(testtools.TestCase):
     """Strikes, and what they prove."""
 
@@ -40,9 +55,18 @@
 
     def _answer(self, request: str) -> None:
         self.suspects.clear(
-            AnsweredRequest(shared=request.split("/")[0], content=request)
+            AnsweredRequest(
+                shared=request.split("/")[0],
+                content=request,
+                path=_path_of(request),
+            )
         )
 
+    def _quarantine(self) -> list[str]:
+        causes = self.suspects.find_causes()
+        self.suspects.explain(causes)
+        return causes
+
     def test_request_is_recognized_under_another_program(self) -> None:
         """Guards against a request that each time has a new program."""
         self._crash("s1", "bad/p1")
@@ -99,6 +123,48 @@
         self._answer("common/p2")
         self.assertEqual(["common/bad"], self.suspects.find_causes())
 
+    def test_path_is_recognized_under_other_bodies(self) -> None:
+        """Guards against a request whose body is new each time."""
+        self._crash("s1", "path:1/p1")
+        self._crash("s2", "path:1/p1")
+        self.assertEqual(["path:1"], self._quarantine())
+        self._crash("s3", "path:2/p2")
+        self.assertEqual(["path"], self._quarantine())
+        self.assertEqual({}, self.suspects.crash_counts())
+        self.assertEqual({}, self.suspects.judged_counts())
+
+    def test_path_is_recognized_while_each_body_has_one_crash(self) -> None:
+        """Guards against a path that never sends one body twice."""
+        for number in range(3):
+            self._crash(f"s{number}", f"path:{number}/p{number}", "good/p")
+        self.assertEqual([], self.suspects.find_causes())
+        self._answer("good/p")
+        self.assertEqual(["path"], self.suspects.find_causes())
+
+    def test_answered_path_is_not_quarantined(self) -> None:
+        """Guards against refusing a path that all use for one bad body."""
+        self._crash("s1", "path:bad/p1")
+        self._crash("s2", "path:bad/p1")
+        self.assertEqual(["path:bad"], self._quarantine())
+        self._answer("path:good/p2")
+        self._crash("s3", "path:other/p3")
+        self.assertEqual([], self.suspects.find_causes())
+
+    def test_one_body_does_not_make_its_path_harmful(self) -> None:
+        """Guards against refusing more than what crashed servers."""
+        for server in ("s1", "s2", "s3", "s4"):
+            self._crash(server, "path:bad/p")
+        self.assertEqual(["path:bad"], self._quarantine())
+        self.assertEqual(["path"], list(self.suspects.crash_counts()))
+
+    def test_request_beside_a_harmful_path_is_not_quarantined(self) -> None:
+        """Guards against quarantining what ran beside two bodies of a path."""
+        self._crash("s1", "path:1/p1", "good/p")
+        self._crash("s2", "path:2/p2", "good/p")
+        self._crash("s3", "path:3/p3")
+        self.assertEqual(["path"], self._quarantine())
+        self.assertEqual({}, self.suspects.crash_counts())
+
     def test_late_reports_of_an_explained_crash_are_no_strikes(self) -> None:
         """Guards against a second cause of a crash that has one."""
         self._crash("s1", "bad/p1")
@@ -156,11 +222,24 @@
         restored.apply(2, state.Record(tag="t", body=body))
         self.assertEqual(["bad"], restored.suspects.find_causes())
 
+    def test_harmful_paths_outlast_leaders_and_restarts(self) -> None:
+        """Guards against a path that gets two more servers a leader."""
+        self._crash("s1", "path:1/p1")
+        self._crash("s2", "path:1/p1")
+        self._apply(state.Quarantine(contents=["path:1"]))
+        restored = state.ControlState()
+        restored.restore(1, self.control.snapshot())
+        strikes = _strikes("s3", "path:2/p2")
+        body = state.Quarantine(contents=[], strikes=strikes)
+        restored.apply(2, state.Record(tag="t", body=body))
+        self.assertEqual(["path"], restored.suspects.find_causes())
+
     def test_snapshot_of_the_previous_release_has_no_strikes(self) -> None:
         """Guards against an upgrade that can't read its data."""
         data = codec.decoder(dict).decode(self.control.snapshot())
         data.pop("strikes", None)
         data.pop("explained", None)
+        data.pop("proved", None)
         self.control.restore(1, codec.encode(data))
         self.assertEqual({}, self.control.suspects.crash_counts())
 
