Count crashes that came at the same time once

Callers got 503 for good: two servers that ended at one moment, for a reason of their own, quarantined a turn that all programs send, because copies of it ran on both. Cause: each crash counted, whenever the copy had been sent. A request that crashes each server that runs it also crashes the next one, so a crash counts only if the run began after the crash before it, by the times that gateways report or because the gateway knew of that crash when it sent the request. Harmful requests come again and lose nothing by this.

--- a/catkinpin/core/control/suspects.py
+++ b/catkinpin/core/control/suspects.py
@@ -15,7 +15,9 @@
   different bodies crashed servers and no request on the path was answered.
 
 What is quarantined is what the crashed servers' requests have in common, and
-nothing wider.
+nothing wider. Crashes that came at the same time count as one: a request that
+crashes each server that runs it also crashes the next one, and servers that
+end together mostly do so for a reason of their own.
 """
 
 from __future__ import annotations
@@ -38,6 +40,9 @@
 _MAX_SHARED_CRASHES = 3
 # Crashes after which a whole path is quarantined if it alone explains them.
 _MAX_PATH_CRASHES = 3
+# Times of two crashes are known this exactly. Reports of gateways take some ms
+# to the leader.
+_TIME_ERROR_MS = 30
 # Limits of what is kept. A crash gives some tens of strikes.
 _MAX_STRIKES = 1_024
 _MAX_EXPLAINED = 1_024
@@ -325,8 +330,22 @@
 
 
 def _count_in_turn(runs: Mapping[str, _Run]) -> int:
-    """Returns the number of crashes."""
-    return len(runs)
+    """Returns how many runs, at most, followed each other.
+
+    A run follows another one if it began after that one's crash. A gateway that
+    knew of the crash says so, which is surer than the times.
+    """
+    count = 0
+    ended_ms = None
+    for run in sorted(runs.values(), key=lambda run: run.ended_ms):
+        if (
+            ended_ms is None
+            or run.is_repeat
+            or run.began_ms + _TIME_ERROR_MS >= ended_ms
+        ):
+            count += 1
+            ended_ms = run.ended_ms
+    return count
 
 
 def _is_same(strike: Strike, other: Strike) -> bool:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -123,6 +123,54 @@
         self._answer("common/p2")
         self.assertEqual(["common/bad"], self.suspects.find_causes())
 
+    def test_crashes_at_the_same_time_count_once(self) -> None:
+        """Guards against quarantining what all programs send.
+
+        Servers end together, while each runs such a request.
+        """
+        for server, ended_ms in (("s1", 1_000), ("s2", 1_005), ("s3", 1_400)):
+            strike = Strike(
+                shared="common",
+                content=f"common/{server}",
+                server=server,
+                began_ms=400,
+                ended_ms=ended_ms,
+            )
+            self.suspects.add(strike, ())
+        self.assertEqual({"common": 1}, self.suspects.crash_counts())
+        self.assertEqual([], self.suspects.find_causes())
+
+    def test_crash_of_a_copy_sent_later_counts(self) -> None:
+        """Guards against a request that comes again while copies of it run."""
+        for server, began_ms, ended_ms in (
+            ("s1", 900, 1_000),
+            ("s2", 950, 1_100),
+            ("s3", 1_050, 1_200),
+        ):
+            strike = Strike(
+                shared="bad",
+                content=f"bad/{server}",
+                server=server,
+                began_ms=began_ms,
+                ended_ms=ended_ms,
+            )
+            self.suspects.add(strike, ())
+        self.assertEqual(["bad"], self.suspects.find_causes())
+
+    def test_crash_of_a_known_suspect_counts(self) -> None:
+        """Guards against reports so late that runs seem to overlap."""
+        for server, is_repeat in (("s1", False), ("s2", True)):
+            strike = Strike(
+                shared="bad",
+                content="bad/p",
+                server=server,
+                began_ms=900,
+                ended_ms=1_000,
+                is_repeat=is_repeat,
+            )
+            self.suspects.add(strike, ())
+        self.assertEqual(["bad"], self.suspects.find_causes())
+
     def test_path_is_recognized_under_other_bodies(self) -> None:
         """Guards against a request whose body is new each time."""
         self._crash("s1", "path:1/p1")
