End an answer that brings bytes without end

Callers waited until their deadline, and a gateway's memory grew, when a server sent bytes that are no answer and never stopped: a field, a head, interim answers, answers to other requests, chunk extensions, trailers, an event, or a body of no stated size. Nothing bounded them. A connection now counts what an exchange brings besides the expected body and closes beyond 256 KB and eight bytes of framing for each byte of the body; an event may have 1 MB; a body of no stated size 16 MB. The caller gets 502, or a connection that ends early if the answer has started: the request may have run. On the OpenAI interface a body may have 16 MB, also in answers to status requests, releases and orders; its HTTP client bounds heads already.

--- a/catkinpin/adapters/entry/backends.py
+++ b/catkinpin/adapters/entry/backends.py
@@ -31,6 +31,8 @@
 STATE_DONE = "done"
 _STATUS_NOT_FOUND = 404
 _CANCEL_TIMEOUT_S = 2.0
+# A server may send bytes without end. Longer bodies are not read.
+_MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
 class AttemptState(enum.Enum):
@@ -199,10 +201,24 @@
     return Answer(
         status=resp.status,
         content_type=resp.headers.get("Content-Type", ""),
-        body=await resp.read(),
+        body=await read_body(resp),
     )
 
 
+async def read_body(resp: ClientResponse) -> bytes:
+    """Reads the whole body of an answer.
+
+    Raises:
+        aiohttp.ClientPayloadError: it is too long, or the connection broke.
+    """
+    body = bytearray()
+    async for data in resp.content.iter_any():
+        body += data
+        if len(body) > _MAX_BODY_BYTES:
+            raise aiohttp.ClientPayloadError("the body is too long")
+    return bytes(body)
+
+
 def error_text(body: bytes) -> str:
     """Returns the error message in a server's answer, if possible from JSON."""
     try:
--- a/catkinpin/adapters/entry/dispatch.py
+++ b/catkinpin/adapters/entry/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 from typing import TYPE_CHECKING
 
@@ -185,7 +186,7 @@
                     timeout=aiohttp.ClientTimeout(total=_RELEASE_TIMEOUT_S),
                 ) as resp:
                     resp.raise_for_status()
-                    answer = await resp.json()
+                    answer = json.loads(await backends.read_body(resp))
                 # Another incarnation can't confirm a release by this one.
                 if answer["incarnation"] != order.server.incarnation:
                     break
--- a/catkinpin/adapters/entry/orders.py
+++ b/catkinpin/adapters/entry/orders.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from catkinpin.adapters.entry import backends
 from catkinpin.core.operations import changes
 from catkinpin.core.programs import sharding
 from catkinpin.exceptions import PeerLostError
@@ -90,7 +91,8 @@
             aiohttp.ClientSession(timeout=timeout) as session,
             session.post(lease.address + _ORDERS_PATH, json=body) as resp,
         ):
-            text = (await resp.text())[:_MAX_TEXT_CHARS]
+            answer = await backends.read_body(resp)
+            text = answer.decode(errors="replace")[:_MAX_TEXT_CHARS]
             return resp.ok, f"{resp.status}: {text}"
     except (aiohttp.ClientError, TimeoutError) as exc:
         return False, f"no answer: {exc!r}"
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -31,6 +31,9 @@
 # An answer up to this size is buffered until it is complete, so that another
 # server can still be tried. Answers have some 800 bytes.
 _MAX_BUFFERED_BYTES = 262_144
+# An answer that does not state its size is cut off beyond this one: a server
+# may send bytes without end.
+_MAX_UNSIZED_BYTES = 16 * 1024 * 1024
 
 
 class PlainForwarder:
@@ -288,6 +291,12 @@
                 return started
             buffered.append(data)
             size += len(data)
+            if head.length is None and size > _MAX_UNSIZED_BYTES:
+                state.verdict = Verdict.MAY_HAVE_RUN
+                state.reason = "an answer without an end"
+                self._exchange.record_failure(state, choice, state.reason)
+                state.responder.abort()
+                return True
             if size > _MAX_BUFFERED_BYTES:
                 if not started:
                     started = self._start(state, head, head.length, race)
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -277,6 +277,11 @@
                 self._exchange.record_break(state, choice, data)
                 return _AttemptEnd.BROKEN
             events, raw = reader.feed(data)
+            if reader.is_endless:
+                state.reason = "an event without an end"
+                state.verdict = Verdict.MAY_HAVE_RUN
+                self._exchange.record_failure(state, choice, state.reason)
+                return _AttemptEnd.BROKEN
             if not events:
                 continue
             for event in events:
--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -28,6 +28,12 @@
 
 # Reading from the server pauses while more unread response bytes are queued.
 _READ_BUFFER_BYTES = 256 * 1024
+# A server may send bytes without end that belong to no answer. Besides the
+# body of the expected answer, an exchange may bring this many bytes (the head,
+# interim answers, late answers to earlier requests), and for each byte of the
+# body so many of framing: a chunk of one byte takes six.
+_MAX_OTHER_BYTES = 256 * 1024
+_MAX_FRAMING_FACTOR = 8
 # An idle connection is closed this long before the server would close it: if
 # a request and the server's close cross, the request may or may not have run.
 _IDLE_MARGIN_S = 1.0
@@ -126,6 +132,8 @@
         self._state_changed = asyncio.Event()
         self._chunks: list[bytes] = []
         self._queued_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._reading_paused = False
         self._status = b""
         self._headers = Headers()
@@ -174,10 +182,15 @@
             # No request is in progress, so these bytes answer none.
             self.abort("bytes without a request")
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             self.abort(f"not a response: {exc}")
+        other_bytes = self._received_bytes - self._body_bytes
+        limit = _MAX_OTHER_BYTES + _MAX_FRAMING_FACTOR * self._body_bytes
+        if other_bytes > limit and not self._complete:
+            self.abort(f"{other_bytes} bytes that are no answer")
         self._state_changed.set()
 
     def is_usable(self, now_s: float) -> bool:
@@ -223,6 +236,8 @@
         self._head = None
         self._chunks = []
         self._queued_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._was_paused = False
         self._transport.write(data)
 
@@ -325,6 +340,7 @@
         if not self._in_body:
             return
         self._chunks.append(data)
+        self._body_bytes += len(data)
         self._queued_bytes += len(data)
         if self._queued_bytes > _READ_BUFFER_BYTES and not self._reading_paused:
             self._reading_paused = True
--- a/catkinpin/core/requests/events.py
+++ b/catkinpin/core/requests/events.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+# A longer event is none: its bytes would be kept until memory is full.
+MAX_EVENT_BYTES = 1024 * 1024
 # An empty line ends an event; lines end with LF or CR LF.
 _EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
 
@@ -32,6 +34,11 @@
         """Whether no event is partially read."""
         return not self._buffer
 
+    @property
+    def is_endless(self) -> bool:
+        """Whether the partially read event is longer than any may be."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> tuple[list[Event], bytes]:
         """Returns the events that are complete now, and their bytes.
 
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -296,14 +296,14 @@
         lines += [f"{k}: {v}" for k, v in headers.items()]
         lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
         writer.write("\r\n".join(lines).encode() + body)
-        data, is_complete = b"", True
+        data, is_complete = bytearray(), True
         try:
             while part := await reader.read(65_536):
                 data += part
         except ConnectionError:
             is_complete = False
         writer.close()
-        return _parse_response(data, is_complete, loop.time() - sent_s)
+        return _parse_response(bytes(data), is_complete, loop.time() - sent_s)
 
 
 def _parse_response(
