Lift a quarantine when a server answers the request

Callers got 503 for good: two servers ended one after the other for reasons of their own, the second one ran copies of a turn that were sent after the first had ended, and the turn of all programs was quarantined. Copies went on and were answered by other servers, which cleared suspects only: nothing lifted a quarantine once it was decided. Now a gateway reports an answer to a quarantined request as well, the leader takes its digests off in the log, and gateways are told, also those that connect later. A request that crashes each server is never answered, so it stays refused.

A unit test each for the state and the gateway; the fields are new and were not run before.

--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -62,7 +62,7 @@
     Args:
         turns: sends the reports of crashes.
         usage: sends the reports of suspected requests that were answered.
-        suspects: the suspected requests.
+        suspects: the suspected and quarantined requests.
         is_reachable: returns whether the chosen server can still be reached.
     """
 
@@ -115,9 +115,11 @@
             await asyncio.wait(state.crash_reports, timeout=_REPORT_WAIT_S)
 
     def record_answer(self, state: OpenCall) -> None:
-        """Reports that a server answered a request, if that is suspected."""
-        if self._suspects.is_suspect(state.digests):
-            digests = state.digests
+        """Reports that a server answered a request that is thought harmful."""
+        digests = state.digests
+        if self._suspects.is_suspect(digests) or (
+            self._suspects.is_quarantined(digests)
+        ):
             self._usage.record_answered(
                 AnsweredRequest(
                     shared=digests.shared,
--- a/catkinpin/adapters/gateway/suspects.py
+++ b/catkinpin/adapters/gateway/suspects.py
@@ -47,6 +47,8 @@
         for digest in (*update.cleared, *update.contents):
             self._held_until_ms.pop(digest, None)
         self._quarantined.update(dict.fromkeys(update.contents))
+        for digest in update.lifted:
+            self._quarantined.pop(digest, None)
         while len(self._quarantined) > MAX_QUARANTINED:
             del self._quarantined[next(iter(self._quarantined))]
         metrics.QUARANTINED_CONTENTS.set(len(self._quarantined))
--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -133,6 +133,7 @@
             suspects=change.suspects,
             cleared=change.cleared,
             held=change.held,
+            lifted=change.lifted,
         )
         _send_to(self._feed_streams(), message)
         if is_leader:
@@ -193,6 +194,7 @@
             contents=list(self._host.state.quarantined),
             suspects=list(suspects.crash_counts()),
             held=list(suspects.judged_counts()),
+            lifted=list(self._host.state.lifted),
             whole=True,
         )
 
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -253,6 +253,8 @@
         held: suspects with a further crash, of which the leader decides soon
             whether they are quarantined.
         whole: whether `suspects` lists all suspects.
+        lifted: requests that are no longer quarantined, because a server has
+            answered one.
     """
 
     contents: list[str]
@@ -260,6 +262,7 @@
     cleared: list[str] = []
     held: list[str] = []
     whole: bool = False
+    lifted: list[str] = []
 
 
 class AskRegister(Message, frozen=True):
--- a/catkinpin/core/control/state.py
+++ b/catkinpin/core/control/state.py
@@ -34,6 +34,8 @@
 
 # Number of digests that stay quarantined, 32 bytes each.
 MAX_QUARANTINED = 4_096
+# Number of lifted quarantines that gateways are told of when they reconnect.
+_MAX_LIFTED = 1_024
 
 
 class SetRouting(Message, frozen=True):
@@ -72,6 +74,7 @@
         quarantined: newly quarantined requests.
         suspects: new suspects.
         cleared: requests that are no longer suspects.
+        lifted: requests that are no longer quarantined.
         held: suspects that have had a further crash, so that the leader has to
             decide on them.
     """
@@ -80,6 +83,7 @@
     suspects: list[str]
     cleared: list[str]
     held: list[str]
+    lifted: list[str] = dataclasses.field(default_factory=list)
 
 
 class CountUse(Message, frozen=True):
@@ -129,6 +133,7 @@
     strikes: list[Strike] = []
     explained: list[str] = []
     proved: list[Strike] = []
+    lifted: list[str] = []
 
 
 class ControlState:
@@ -143,6 +148,7 @@
 
     Attributes:
         quarantined: digests of the quarantined requests, oldest first.
+        lifted: digests whose quarantine was lifted, oldest first.
         suspects: requests that were running on servers that crashed.
         routing: the routing document in force.
         fleet: the backend servers.
@@ -159,6 +165,7 @@
         on_suspects_changed: Callable[[SuspectChange], None] = lambda _: None,
     ) -> None:
         self.quarantined: dict[str, None] = {}
+        self.lifted: dict[str, None] = {}
         self.suspects = Suspects()
         self._on_suspects_changed = on_suspects_changed
         self.routing: PackedRouting | None = None
@@ -216,6 +223,7 @@
             strikes=self.suspects.strikes,
             explained=self.suspects.explained,
             proved=self.suspects.proved,
+            lifted=list(self.lifted),
         )
         return codec.encode(state)
 
@@ -233,6 +241,7 @@
         self.ledger.restore(state.ledger)
         self.stores.by_node = {store.node: store for store in state.stores}
         self.quarantined = dict.fromkeys(state.quarantined)
+        self.lifted = dict.fromkeys(state.lifted)
         self.suspects.restore(state.strikes, state.explained, state.proved)
         self._on_routing_changed()
         self._on_servers_changed(list(self.fleet.servers.values()))
@@ -242,10 +251,14 @@
         judged_before = self.suspects.judged_counts()
         for strike in body.strikes:
             self.suspects.add(strike, self.quarantined)
+        lifted = []
         for answered in body.answered:
             self.suspects.clear(answered)
+            lifted += self._lift(answered)
         self.suspects.explain(body.contents)
         self.quarantined.update(dict.fromkeys(body.contents))
+        for digest in body.contents:
+            self.lifted.pop(digest, None)
         while len(self.quarantined) > MAX_QUARANTINED:
             del self.quarantined[next(iter(self.quarantined))]
         counts = self.suspects.crash_counts()
@@ -255,6 +268,7 @@
                 quarantined=body.contents,
                 suspects=[d for d in counts if d not in before],
                 cleared=[d for d in before if d not in counts],
+                lifted=lifted,
                 held=[
                     digest
                     for digest, count in judged.items()
@@ -263,6 +277,23 @@
             )
         )
 
+    def _lift(self, answered: AnsweredRequest) -> list[str]:
+        """Lifts the quarantine of a request that a server has answered.
+
+        A copy of it was under way when it was quarantined.
+        """
+        lifted = [
+            digest
+            for digest in (answered.path, answered.shared, answered.content)
+            if digest in self.quarantined
+        ]
+        for digest in lifted:
+            del self.quarantined[digest]
+            self.lifted[digest] = None
+        while len(self.lifted) > _MAX_LIFTED:
+            del self.lifted[next(iter(self.lifted))]
+        return lifted
+
 
 _state_decoder = codec.decoder(ControlSnapshot)
 record_decoder = codec.decoder(Record)
--- a/catkinpin/core/control/suspects.py
+++ b/catkinpin/core/control/suspects.py
@@ -229,7 +229,9 @@
             if strike.content != answered.content
         ]
         self._proved = [
-            strike for strike in self._proved if strike.path != answered.path
+            strike
+            for strike in self._proved
+            if strike.path != answered.path and strike.shared != answered.shared
         ]
 
     def find_causes(self) -> list[str]:
--- a/tests/fakes/crashingservice.py
+++ b/tests/fakes/crashingservice.py
@@ -42,6 +42,7 @@
         self._target = target
         self._run_s = run_s
         self.received: list[str] = []
+        self._newest: RawServer | None = None
         self._ids = itertools.count(1)
         self._writers: dict[RawServer, set[asyncio.StreamWriter]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -113,6 +114,7 @@
             return
         self._writers[server].add(writer)
         self.received.append(received.target)
+        self._newest = server
         await asyncio.sleep(self._run_s)
         if received.target == self._target:
             await self._crash(server)
@@ -127,6 +129,11 @@
         )
         writer.write(answer.encode())
 
+    async def crash_newest(self) -> None:
+        """Crashes the server that got a request last."""
+        if self._newest is not None:
+            await self._crash(self._newest)
+
     async def crash_busy(self, count: int) -> None:
         """Crashes servers that run requests, all at the same moment."""
         busy = [server for server, writers in self._writers.items() if writers]
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -279,6 +279,34 @@
 
         self.run_async(scenario())
 
+    def test_answer_to_a_quarantined_request_is_reported(self) -> None:
+        """Guards against a quarantine for good of what servers answer.
+
+        The request was under way when it was quarantined.
+        """
+
+        async def scenario() -> None:
+            rig = Rig(RouteKind.IDEMPOTENT, has_engine=False)
+
+            async def answer_late(
+                seen: ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> None:
+                rig.view.handle(protocol.QuarantineUpdate(contents=[_shared()]))
+                await answer_ok(seen, writer)
+
+            await rig.start(answer_late)
+            self.assertEqual(200, (await rig.ask()).status)
+            answered = list(rig.usage._answered.values())
+            self.assertEqual([_shared()], [a.shared for a in answered])
+            self.assertEqual(503, (await rig.ask("q2")).status)
+            rig.view.handle(
+                protocol.QuarantineUpdate(contents=[], lifted=[_shared()])
+            )
+            self.assertEqual(200, (await rig.ask("q3")).status)
+            await rig.stop()
+
+        self.run_async(scenario())
+
     def test_held_request_is_served_without_a_decision(self) -> None:
         """Guards against refusing a request that ran beside the harmful one."""
 
--- a/tests/test_crashing_turns.py
+++ b/tests/test_crashing_turns.py
@@ -24,6 +24,8 @@
 _INTERVAL_S = 0.35
 _CALL_INTERVAL_S = 0.02
 _LONG_RUN_S = 1.0
+# An answer is reported within 0.2 s, and known to all gateways in 0.2 s more.
+_REPORT_WAIT_S = 0.5
 
 
 class CrashingTurnsTest(base.TestCase):
@@ -150,3 +152,30 @@
                 self.assertEqual([200], statuses)
 
         self._run(work, run_s=_LONG_RUN_S)
+
+    def test_common_turn_is_served_after_two_servers_end_in_turn(self) -> None:
+        """Guards against refusing for good what other servers answer.
+
+        The second server runs copies that were sent after the first one ended.
+        """
+
+        async def work(system: Deployment, service: CrashingService) -> None:
+            running = [
+                asyncio.ensure_future(
+                    self._send(system, "/c/common", number, b"yes, go on")
+                )
+                for number in range(_PROGRAMS)
+            ]
+            await asyncio.sleep(_LONG_RUN_S * 0.4)
+            await service.crash_busy(1)
+            await asyncio.sleep(_LONG_RUN_S * 0.4)
+            await service.crash_newest()
+            await asyncio.gather(*running)
+            await asyncio.sleep(_REPORT_WAIT_S)
+            for number in range(_PROGRAMS, _PROGRAMS + 3):
+                statuses = await self._send(
+                    system, "/c/common", number, b"yes, go on"
+                )
+                self.assertEqual([200], statuses)
+
+        self._run(work, run_s=_LONG_RUN_S * 1.6)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -261,6 +261,22 @@
         self.assertEqual(["bad"], change.quarantined)
         self.assertEqual(["bad", "good"], sorted(change.cleared))
 
+    def test_answer_lifts_a_quarantine(self) -> None:
+        """Guards against refusing for good what servers answer.
+
+        Two servers ended one after the other for a reason of their own; copies
+        of the request that they ran go on elsewhere.
+        """
+        self._crash("s1", "path:common/p1")
+        self._crash("s2", "path:common/p2")
+        self._apply(state.Quarantine(contents=["path:common", "other"]))
+        answered = AnsweredRequest(
+            shared="path:common", content="path:common/p3", path="path"
+        )
+        change = self._apply(state.Quarantine([], answered=[answered]))
+        self.assertEqual(["path:common"], change.lifted)
+        self.assertEqual(["other"], list(self.control.quarantined))
+
     def test_strikes_outlast_leaders_and_restarts(self) -> None:
         """Guards against a request that gets two more servers a leader."""
         self._crash("s1", "bad/p1")
