Test the history of a turn with another path and prompt

A server of our own gets exactly the earlier inputs and outputs and the new input, under another path and another prompt, through either gateway.

--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -355,6 +355,7 @@
         name: str,
         previous: str = "",
         gateway: str = "gateway-1",
+        path: str = "/t/x",
         **headers: str,
     ) -> int:
         """Sends a turn; returns its status, 0 if the answer is incomplete."""
@@ -369,7 +370,7 @@
         }
         if previous:
             fields["X-Previous-Turn"] = previous
-        url = self.url(gateway, "/t/x")
+        url = self.url(gateway, path)
         try:
             async with self._session.post(
                 url, data=f"<{name}>".encode(), headers=fields
--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -50,6 +50,32 @@
 
         self.run_test(work)
 
+    def test_turn_with_another_path_and_prompt_gets_its_history(self) -> None:
+        """Guards against a history that is put together by path or prompt.
+
+        Both differ from those of the turns that it continues.
+        """
+
+        async def work(system: Deployment) -> None:
+            self.assertEqual(200, await system.send_turn("a"))
+            self.assertEqual(200, await system.send_turn("b", "a"))
+            for number, gateway in enumerate(("gateway-1", "gateway-2")):
+                status = await system.send_turn(
+                    f"c{number}",
+                    "b",
+                    gateway,
+                    path="/t/other",
+                    X_Prompt_Prefix="beef:3,cafe:7",
+                )
+                self.assertEqual(200, status)
+                received = system.model_server.requests[-1]
+                self.assertEqual("/t/other", received.target)
+                self.assertEqual(
+                    b"<a>a-1\na-2\n<b>b-1\nb-2\n<c%d>" % number, received.body
+                )
+
+        self.run_test(work)
+
     def test_manifest_is_read_back_and_only_rises(self) -> None:
         """An operator sends a manifest, an older one and an invalid one."""
 
