--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -351,9 +351,10 @@
         self._publisher.publish_servers(instances)
 
     def _handle_suspect_change(self, change: SuspectChange) -> None:
-        self._publisher.publish_suspects(
-            change, is_leader=self.host.holds_lease()
-        )
+        is_leader = self.host.holds_lease()
+        if is_leader and change.lifted:
+            decisions.note("quarantine-lifted", "", contents=change.lifted)
+        self._publisher.publish_suspects(change, is_leader=is_leader)
 
     def _handle_restored_state(self) -> None:
         self._publisher.replace_feed()
