--- a/tests/soakcrashes.py
+++ b/tests/soakcrashes.py
@@ -1,7 +1,8 @@
 """Calls that crash servers, for the soak of gateways, keepers and stores.
 
 One call crashes each server that runs it, and comes again under new programs.
-Other programs request paths of their own and one that they all share.
+Other programs request paths of their own and one that they all share. Seeds
+from 4000 on send turns, each with a body of its own, in place of calls.
 """
 
 from __future__ import annotations
@@ -21,6 +22,8 @@
     from tests.fakes.deployment import Deployment
 
 _CRASHING = "/c/crashing"
+_FIRST_TURNS_SEED = 4_000
+_TURNS_ROUTE = {"kind": "stream", "max_attempts": 1}
 # After the third crash under a request and this time, it may run on so many
 # servers more.
 _LATE_RUNS_AFTER_S = 3.0
@@ -44,7 +47,9 @@
         self._deployment = deployment
         self._rng = random.Random(seed)
         self._numbers = itertools.count()
-        CrashingService.add_to(deployment)
+        self._sends_turns = seed >= _FIRST_TURNS_SEED
+        route = _TURNS_ROUTE if self._sends_turns else {}
+        CrashingService.add_to(deployment, **route)
         self._service = CrashingService(deployment, _CRASHING)
 
     async def run(self, seconds: float) -> None:
@@ -97,8 +102,9 @@
     async def _send(self, path: str, attempt: str, program: str) -> None:
         names = [n for n in self._deployment.hosts if n.startswith("gateway")]
         gateway = self._rng.choice(names)
+        body = f"history of {attempt}".encode() if self._sends_turns else b""
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             async with asyncio.timeout(_DEADLINE_S):
                 await self._deployment.call(
-                    path, attempt, gateway, X_Program_Id=program
+                    path, attempt, gateway, body, X_Program_Id=program
                 )
--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -7,7 +7,8 @@
 The soak then checks the requests that the server received and the answers that
 the callers got. Seeds from 100 on also kill all processes at once, seeds from
 1000 on also kill keepers while the system starts for the first time. Seeds from
-3000 on also have a call that crashes the servers that run it.
+3000 on also have a call that crashes the servers that run it, seeds from 4000
+on a turn with another body each time.
 """
 
 from __future__ import annotations
