--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import hashlib
 from typing import TYPE_CHECKING
 
 from catkinpin import decisions, metrics
+from catkinpin.adapters.gateway.work import ServerRun
 from catkinpin.adapters.tasks import BackgroundTasks
 from catkinpin.core.control.suspects import MAX_CRASHES, AnsweredRequest
 
@@ -20,7 +20,6 @@
     from catkinpin.adapters.gateway.work import OpenCall
     from catkinpin.core.placement.balance import Choice
 
-_MS_PER_S = 1_000
 # Longest wait for the report of a crash before its request fails. A commit
 # takes some ms, and the way to another region and back 20 ms.
 _REPORT_WAIT_S = 0.1
@@ -28,34 +27,6 @@
 _LOG_DIGEST_BYTES = 4
 
 
-@dataclasses.dataclass(frozen=True)
-class ServerRun:
-    """A request's run on a server, which broke off.
-
-    Attributes:
-        server: identity of the server's incarnation.
-        sent_s: loop time at which the request was sent.
-        ended_s: loop time at which the connection broke.
-        is_repeat: whether the request was suspected when it was sent.
-    """
-
-    server: str
-    sent_s: float
-    ended_s: float
-    is_repeat: bool
-
-    @property
-    def ran_ms(self) -> int:
-        """Time from sending the request to the break."""
-        return int((self.ended_s - self.sent_s) * _MS_PER_S)
-
-    @property
-    def age_ms(self) -> int:
-        """Time since the break."""
-        now_s = asyncio.get_running_loop().time()
-        return int((now_s - self.ended_s) * _MS_PER_S)
-
-
 class CrashReporter:
     """Reports servers that crashed while they ran a request.
 
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from catkinpin.adapters.gateway.crashes import ServerRun
+    from catkinpin.adapters.gateway.work import ServerRun
     from catkinpin.adapters.peers.keepers import Host, Keepers
     from catkinpin.core.control.ledger import Link
     from catkinpin.core.control.routes import Route
--- a/catkinpin/adapters/gateway/work.py
+++ b/catkinpin/adapters/gateway/work.py
@@ -25,6 +25,34 @@
 _QUOTA_WAIT_SHARE = 0.3
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerRun:
+    """A request's run on a server, which broke off.
+
+    Attributes:
+        server: identity of the server's incarnation.
+        sent_s: loop time at which the request was sent.
+        ended_s: loop time at which the connection broke.
+        is_repeat: whether the request was suspected when it was sent.
+    """
+
+    server: str
+    sent_s: float
+    ended_s: float
+    is_repeat: bool
+
+    @property
+    def ran_ms(self) -> int:
+        """Time from sending the request to the break."""
+        return int((self.ended_s - self.sent_s) * _MS_PER_S)
+
+    @property
+    def age_ms(self) -> int:
+        """Time since the break."""
+        now_s = asyncio.get_running_loop().time()
+        return int((now_s - self.ended_s) * _MS_PER_S)
+
+
 @dataclasses.dataclass
 class OpenCall:
     """The state of one call while the gateway serves it.
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -49,7 +49,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from catkinpin.adapters.gateway.crashes import ServerRun
+    from catkinpin.adapters.gateway.work import ServerRun
     from catkinpin.core.control.accounts import ClientAccount
     from catkinpin.core.control.ledger import Denial
     from catkinpin.core.requests.digests import RequestDigests
