--- a/tests/test_crashing_turns.py
+++ b/tests/test_crashing_turns.py
@@ -18,6 +18,7 @@
 _CRASHING = "/c/crashing"
 # Once a request has crashed three servers, it must not reach further ones.
 _MAX_CRASHES = 3
+_COMMON_INPUT = b"yes, go on"
 _GATEWAYS = ("gateway-1", "gateway-2")
 _SERVERS = 6
 _PROGRAMS = 12
@@ -78,6 +79,23 @@
             statuses.append(status)
         return statuses
 
+    def _send_common(self, system: Deployment) -> list[asyncio.Task[list[int]]]:
+        """Sends the same turn for all programs at the same time."""
+        return [
+            asyncio.ensure_future(
+                self._send(system, "/c/common", number, _COMMON_INPUT)
+            )
+            for number in range(_PROGRAMS)
+        ]
+
+    async def _check_common(self, system: Deployment) -> None:
+        """Checks that the same turn is served for further programs."""
+        for number in range(_PROGRAMS, _PROGRAMS + 3):
+            statuses = await self._send(
+                system, "/c/common", number, _COMMON_INPUT
+            )
+            self.assertEqual([200], statuses)
+
     def test_turn_is_recognized_under_new_bodies(self) -> None:
         """Guards against a crashing turn that each time has another body."""
 
@@ -136,20 +154,11 @@
         """
 
         async def work(system: Deployment, service: CrashingService) -> None:
-            running = [
-                asyncio.ensure_future(
-                    self._send(system, "/c/common", number, b"yes, go on")
-                )
-                for number in range(_PROGRAMS)
-            ]
+            running = self._send_common(system)
             await asyncio.sleep(_LONG_RUN_S * 0.4)
             await service.crash_busy(2)
             await asyncio.gather(*running)
-            for number in range(_PROGRAMS, _PROGRAMS + 3):
-                statuses = await self._send(
-                    system, "/c/common", number, b"yes, go on"
-                )
-                self.assertEqual([200], statuses)
+            await self._check_common(system)
 
         self._run(work, run_s=_LONG_RUN_S)
 
@@ -160,22 +169,13 @@
         """
 
         async def work(system: Deployment, service: CrashingService) -> None:
-            running = [
-                asyncio.ensure_future(
-                    self._send(system, "/c/common", number, b"yes, go on")
-                )
-                for number in range(_PROGRAMS)
-            ]
+            running = self._send_common(system)
             await asyncio.sleep(_LONG_RUN_S * 0.4)
             await service.crash_busy(1)
             await asyncio.sleep(_LONG_RUN_S * 0.4)
             await service.crash_newest()
             await asyncio.gather(*running)
             await asyncio.sleep(_REPORT_WAIT_S)
-            for number in range(_PROGRAMS, _PROGRAMS + 3):
-                statuses = await self._send(
-                    system, "/c/common", number, b"yes, go on"
-                )
-                self.assertEqual([200], statuses)
+            await self._check_common(system)
 
         self._run(work, run_s=_LONG_RUN_S * 1.6)
