Log which turn of a chain is missing when a turn is refused with 404

A 404 was logged as "no such turn" by the gateway alone. Three cases looked the same: the caller names a turn that never existed, the turn that it names has expired, or one of that turn's ancestors has. The leader now logs the refused turn with the turn that it names and the newest one of its chain that is gone.

--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -90,6 +90,15 @@
             return outcome
         if outcome.denial:
             self.admission.cancel(begin.attempt)
+        if outcome.denial is Denial.NO_SUCH_TURN:
+            decisions.note(
+                "no-such-turn",
+                begin.attempt,
+                program=begin.program,
+                previous=begin.previous,
+                missing=outcome.missing,
+                log_ms=begin.at_ms,
+            )
         placed = (
             ""
             if outcome.denial
--- a/catkinpin/core/control/ledger.py
+++ b/catkinpin/core/control/ledger.py
@@ -174,6 +174,8 @@
 
     Attributes:
         denial: why the turn may not begin.
+        missing: the turn of its chain that is unknown or belongs to another
+            account; empty if there is none.
         chain: the turns before it, oldest first.
         expired: turns that expired, whose bytes may be deleted.
         program_status: elapsed and lost time of the program.
@@ -181,6 +183,7 @@
     """
 
     denial: Denial = Denial.NONE
+    missing: str = ""
     chain: list[Link] = dataclasses.field(default_factory=list)
     expired: list[str] = dataclasses.field(default_factory=list)
     program_status: ProgramStatus = dataclasses.field(
@@ -211,6 +214,7 @@
         chain = self.chain(record.previous, record.account)
         if chain is None:
             out.denial = Denial.NO_SUCH_TURN
+            out.missing = self._first_missing(record.previous, record.account)
             return out
         out.chain = chain
         budget = self._budget_of(record.account, record.program)
@@ -302,6 +306,15 @@
         links.reverse()
         return links
 
+    def _first_missing(self, attempt: str, account: str) -> str:
+        """Returns the newest turn of a chain that can't be continued."""
+        while attempt:
+            turn = self.turns.get(attempt)
+            if turn is None or turn.account not in ("", account):
+                return attempt
+            attempt = turn.previous
+        return ""
+
     def state(self) -> LedgerState:
         """Returns the whole state, for a snapshot."""
         return LedgerState(
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -131,6 +131,15 @@
         out = ledger.begin(_begin("f", previous="e", budget=-1))
         self.assertEqual(Denial.NO_SUCH_TURN, out.denial)
 
+    def test_denial_names_the_missing_turn(self) -> None:
+        """Guards against logs that can't tell a lost ancestor from no turn."""
+        ledger = self._chain()
+        del ledger.turns["a"]
+        out = ledger.begin(_begin("x", previous="c"))
+        self.assertEqual((Denial.NO_SUCH_TURN, "a"), (out.denial, out.missing))
+        out = ledger.begin(_begin("y", previous="never"))
+        self.assertEqual("never", out.missing)
+
     def test_old_turn_stays_as_long_as_its_chain(self) -> None:
         """A session continues beyond the retention of its first turn.
 
