Retain all ancestors of a turn that is open

The open turn ended with a chain without its beginning.

Open turns of crashed gateways end with their program's budget, as before.

--- a/catkinpin/core/control/ledger.py
+++ b/catkinpin/core/control/ledger.py
@@ -2,7 +2,8 @@
 
 A turn continues an earlier turn or none. A chain is a turn with all turns that
 it continues, back to the first. Several turns may continue the same one, so the
-turns of a program form trees.
+turns of a program form trees. A chain is retained as a whole: from the begin
+and from the end of each turn that continues it, and as long as one is open.
 
 Each record carries the log's time, which the leader sets and which never
 decreases. All replicas therefore expire the same turns at the same record.
@@ -237,6 +238,7 @@
         if not _has_budget_left(budget, record):
             out.denial = Denial.BUDGET_SPENT
             return out
+        self._retain_chain(record.previous, record.retain_ms)
         self._budgets[(budget.account, budget.program)] = budget
         budget.reserved += record.max_tokens
         self._extend_retention(budget, record.retain_ms)
@@ -345,21 +347,23 @@
 
     def _add_turn(self, open_turn: Open, record: Finish) -> None:
         """Adds a finished turn, and retains its whole chain as long."""
-        until_ms = self.now_ms + open_turn.retain_ms
         self.turns[open_turn.attempt] = Turn(
             attempt=open_turn.attempt,
             program=open_turn.program,
             previous=open_turn.previous,
             holders=list(record.holders),
             size=record.size,
-            until_ms=until_ms,
+            until_ms=0,
             account=open_turn.account,
         )
-        previous = open_turn.previous
-        while previous in self.turns:
-            turn = self.turns[previous]
+        self._retain_chain(open_turn.attempt, open_turn.retain_ms)
+
+    def _retain_chain(self, attempt: str, retain_ms: int) -> None:
+        """Retains the chain that ends with `attempt` for `retain_ms`."""
+        until_ms = self.now_ms + retain_ms
+        while (turn := self.turns.get(attempt)) is not None:
             turn.until_ms = max(turn.until_ms, until_ms)
-            previous = turn.previous
+            attempt = turn.previous
 
     def _extend_retention(self, budget: ProgramBudget, retain_ms: int) -> None:
         until_ms = self.now_ms + retain_ms + _BUDGET_EXTRA_RETAIN_MS
@@ -374,12 +378,20 @@
             out.expired = self._sweep()
         return out
 
+    def _continued_turns(self) -> set[str]:
+        """Returns the turns in the chains that open turns continue."""
+        found: set[str] = set()
+        for open_turn in self._open_turns.values():
+            attempt = open_turn.previous
+            while attempt in self.turns and attempt not in found:
+                found.add(attempt)
+                attempt = self.turns[attempt].previous
+        return found
+
     def _sweep(self) -> list[str]:
         """Removes what has expired; returns the turns among it."""
         now_ms = self.now_ms
-        continued = {
-            open_turn.previous for open_turn in self._open_turns.values()
-        }
+        continued = self._continued_turns()
         expired = [
             turn.attempt
             for turn in self.turns.values()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -156,6 +156,90 @@
         self.assertEqual(4, len(out.chain))
         self.assertNotIn("d", ledger.turns)
 
+    def _end_open_turn(self, ledger: Ledger, at_ms: int) -> Denial:
+        """Ends turn "x", and begins a turn that continues it."""
+        ledger.finish(_finish("x", at_ms=at_ms))
+        after = _begin("y", previous="x", budget=-1, at_ms=at_ms)
+        return ledger.begin(after).denial
+
+    def test_ancestors_outlast_a_turn_that_ends_after_their_retention(
+        self,
+    ) -> None:
+        """Guards against a whole turn that can't be continued.
+
+        It begins shortly before its ancestors expire, and ends after that.
+        """
+        ledger = self._chain()
+        at_ms = _RETAIN_MS - 1_500
+        ledger.begin(_begin("x", previous="c", budget=-1, at_ms=at_ms))
+        for late_ms in range(at_ms, _RETAIN_MS + 3_000, 500):
+            name = f"other-{late_ms}"
+            ledger.begin(_begin(name, program="q", at_ms=late_ms))
+        denial = self._end_open_turn(ledger, _RETAIN_MS + 3_000)
+        self.assertEqual(Denial.NONE, denial)
+        chain = ledger.chain("y") or ledger.chain("x")
+        assert chain is not None
+        self.assertEqual(["a", "b", "c", "x"], [k.attempt for k in chain])
+
+    def test_ancestors_outlast_an_open_turn_longer_than_the_retention(
+        self,
+    ) -> None:
+        """Guards against a whole turn without ancestors.
+
+        It runs for longer than its program is retained, and the snapshot from
+        which the replica starts is of an earlier release, which did not retain
+        its ancestors when it began.
+        """
+        ledger = self._chain()
+        ledger.begin(_begin("x", previous="c", budget=-1, at_ms=1_000))
+        state = ledger.state()
+        for turn in state.turns:
+            turn.until_ms = _RETAIN_MS
+        restored = Ledger()
+        restored.restore(codec.decoder(LedgerState).decode(codec.encode(state)))
+        at_ms = 1_000 + _RETAIN_MS + 20_000
+        restored.begin(_begin("other", program="q", at_ms=at_ms))
+        self.assertNotIn("d", restored.turns)
+        self.assertEqual(Denial.NONE, self._end_open_turn(restored, at_ms))
+
+    def test_failed_turn_can_be_sent_again_after_the_retention(self) -> None:
+        """Guards against 404 for a turn that is sent again after a failure.
+
+        The first try began in time, its retry begins after the retention.
+        """
+        ledger = self._chain()
+        at_ms = _RETAIN_MS - 500
+        ledger.begin(_begin("x", previous="c", budget=-1, at_ms=at_ms))
+        at_ms = _RETAIN_MS + 3_000
+        ledger.finish(_finish("x", is_whole=False, at_ms=at_ms))
+        retry = _begin("x2", previous="c", budget=-1, at_ms=at_ms + 1_500)
+        self.assertEqual(Denial.NONE, ledger.begin(retry).denial)
+
+    def test_branch_keeps_the_turn_that_others_continue(self) -> None:
+        """Guards against a program that loses its turn while its agents run.
+
+        A sub-agent continues the turn as well, beyond that one's retention.
+        """
+        ledger = self._chain()
+        for step in range(4):
+            at_ms = (step + 1) * (_RETAIN_MS - 1_000)
+            previous = f"agent-{step - 1}" if step else "c"
+            begin = _begin(f"agent-{step}", previous=previous, budget=-1)
+            ledger.begin(msgspec.structs.replace(begin, at_ms=at_ms))
+            ledger.finish(_finish(f"agent-{step}", at_ms=at_ms + 500))
+        at_ms += 1_000
+        main = _begin("main", previous="c", budget=-1, at_ms=at_ms)
+        self.assertEqual(Denial.NONE, ledger.begin(main).denial)
+
+    def test_turn_that_never_ends_keeps_its_ancestors_no_longer(self) -> None:
+        """Guards against turns that stay for good after a gateway's crash."""
+        ledger = self._chain()
+        ledger.begin(_begin("x", previous="c", budget=-1, at_ms=1_000))
+        for minute in range(1, 5):
+            begin = _begin("other", program="q", at_ms=minute * 60_000)
+            ledger.begin(begin)
+        self.assertEqual({}, ledger.turns)
+
     def test_restored_state_expires_at_the_same_record(self) -> None:
         """A replica starts from a snapshot taken between two sweeps.
 
