Count a turn's retention from when its caller has the answer

Callers got 404 for a turn named less than its retention after they had its answer. Cause: the leader counts from the commit of the end, which the gateway awaits before it sends the end, to the begin of the next turn. A caller that reads slowly has the end up to a timeout later, and a turn may wait that long until it is begun, for a new leader or behind a slow link. Gateways now ask for two timeouts of the route more, so a turn that is named in time is still there when it is begun.

--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -40,6 +40,10 @@
 # An unsettled turn keeps its tokens reserved, so the gateway keeps asking for
 # this long.
 _SETTLE_TIMEOUT_S = 6.0
+# The leader counts the retention from the commit of a turn's end to the begin
+# of the next one. A caller may read the end a request's timeout later, and its
+# next request may wait for as long until the leader begins it.
+_MARGIN_TIMEOUTS = 2
 # A crash that is not reported allows the request to crash one server more. All
 # keepers may just be restarting.
 _CRASH_REPORT_TIMEOUT_S = 10.0
@@ -160,7 +164,7 @@
             previous=call.previous if route.keeps_history else "",
             budget=call.budget,
             max_tokens=call.max_tokens,
-            retain_ms=route.retain_ms,
+            retain_ms=route.retain_ms + _MARGIN_TIMEOUTS * route.timeout_ms,
             at_ms=0,
             left_ms=call.program_left_ms,
             account=call.account,
