Do not end programs on the OpenAI interface while one that they started is active

Callers of sub-agents got "program ended" in the middle of their work, and their answers were lost with the program: a program that makes no call itself for the idle timeout was ended together with all that it started. Only its own open calls counted, and only a root was kept active by its sub-agents' calls, so a parent between root and sub-agent, or a call longer than the timeout, was enough.

A program is now as active as those that it started, by id or by parent, and the leader doesn't end it while a call of these is open.

--- a/catkinpin/core/programs/deadlines.py
+++ b/catkinpin/core/programs/deadlines.py
@@ -293,12 +293,13 @@
             return False
         if program.ended:
             return True
-        if not program.open:
+        if not self._shard.has_open_calls(program):
             record = records.ProgramEnded(
                 at_ms=wall_ms,
                 key=key,
                 reason="it was idle, or as old as is allowed",
                 if_idle=True,
+                if_tree_idle=True,
             )
             work.commands.append(Propose(record))
         return False
--- a/catkinpin/core/programs/endings.py
+++ b/catkinpin/core/programs/endings.py
@@ -38,6 +38,8 @@
             return []
         if record.if_idle and program.open:
             return []
+        if record.if_tree_idle and self.has_open_calls(program):
+            return []
         return self.end_tree(program, record.reason, record.at_ms)
 
     def end_tree(self, top: Program, reason: str, at_ms: int) -> list[Effect]:
--- a/catkinpin/core/programs/index.py
+++ b/catkinpin/core/programs/index.py
@@ -148,6 +148,28 @@
         del descendants[top.key.program]
         return list(descendants.values())
 
+    def has_open_calls(self, top: Program) -> bool:
+        """Returns whether a program or one that it started has an open call."""
+        return any(p.open for p in (top, *self.descendants(top)))
+
+    def mark_active(self, program: Program, at_ms: int) -> None:
+        """Records that a program is active, and all that started it.
+
+        They wait for it, and would end it together with themselves if they
+        counted as idle.
+        """
+        program.active_ms = max(program.active_ms, at_ms)
+        ancestors = dict.fromkeys(rules.ancestor_ids(program.key.program))
+        parent = program.parent
+        while parent and parent not in ancestors:
+            ancestors[parent] = None
+            found = self.find_member(program, parent)
+            parent = found.parent if found is not None else ""
+        for name in ancestors:
+            ancestor = self.find_member(program, name)
+            if ancestor is not None:
+                ancestor.active_ms = max(ancestor.active_ms, at_ms)
+
     def find_member(self, root: Program, name: str) -> Program | None:
         """Returns the sub-agent of a root with this id, or None."""
         key = ProgramKey(account=root.key.account, program=name)
--- a/catkinpin/core/programs/records.py
+++ b/catkinpin/core/programs/records.py
@@ -95,12 +95,15 @@
 
     Attributes:
         if_idle: whether the record has no effect if a call is open.
+        if_tree_idle: whether it also has none if a call is open of a program
+            that this one started.
     """
 
     at_ms: int
     key: ProgramKey
     reason: str
     if_idle: bool = False
+    if_tree_idle: bool = False
 
 
 class ProgramsForgotten(Message, frozen=True):
--- a/catkinpin/core/programs/shard.py
+++ b/catkinpin/core/programs/shard.py
@@ -141,8 +141,7 @@
         if begin.key.request_id in program.maybe_ran:
             call.verdict = Verdict.MAY_HAVE_RUN
         program.open[begin.key.request_id] = call
-        program.active_ms = record.at_ms
-        self.root_of(program).active_ms = record.at_ms
+        self.mark_active(program, record.at_ms)
         if program.next_call() is not call:
             return []
         return self._start(index, record.at_ms, program, call, record.choice)
@@ -293,7 +292,7 @@
         attempt: Attempt,
         record: records.AttemptFinished,
     ) -> list[Effect]:
-        program.active_ms = record.at_ms
+        self.mark_active(program, record.at_ms)
         call.attempt = None
         call.state = CallState.WAITING
         self._settle_budget(program, attempt, record)
@@ -361,7 +360,7 @@
         root.turns += 1
         if root is not program:
             program.turns += 1
-        root.active_ms = max(root.active_ms, record.at_ms)
+        self.mark_active(program, record.at_ms)
         if call.begin.kind == "model":
             if attempt is not None:
                 program.last_server = attempt.choice.server.server
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -9,7 +9,15 @@
 from catkinpin import codec, configuration, digest
 from catkinpin.core import messages
 from catkinpin.core.messages import CallKey, ProgramKey
-from catkinpin.core.programs import budgets, records, shard
+from catkinpin.core.programs import (
+    attempts,
+    budgets,
+    commands,
+    deadlines,
+    records,
+    shard,
+    waiters,
+)
 from catkinpin.core.programs.program import CallState
 from catkinpin.exceptions import SnapshotVersionError
 from catkinpin.verdicts import Reason, Verdict
@@ -20,7 +28,10 @@
 
 _SERVER = messages.ServerRef(server="s", incarnation="s.0", address="")
 _CHOICE = records.Choice(server=_SERVER, entry="e", entry_incarnation="e.0")
-_LIMITS = records.ProgramLimits(budget_tokens=100, max_turns=3, retain_ms=50)
+_IDLE_MS = 1_000
+_LIMITS = records.ProgramLimits(
+    budget_tokens=100, max_turns=3, retain_ms=50, idle_ms=_IDLE_MS
+)
 
 
 class ShardHarness:
@@ -353,6 +364,68 @@
         self.assertEqual({}, world.state.programs)
 
 
+class BusyTreeTest(base.TestCase):
+    """Programs that are idle themselves while programs they started are not."""
+
+    def _is_ended_as_idle(self, harness: ShardHarness, at_ms: int) -> bool:
+        """Runs the leader's timers at `at_ms`, and applies what it proposes."""
+        timers = deadlines.Deadlines(
+            harness.shard, waiters.Waiters(), attempts.AttemptTracker(), {}
+        )
+        for program in harness.shard.programs.values():
+            timers.track_program(program, 0, 0)
+        for command in timers.process_due(at_ms, at_ms).commands:
+            assert isinstance(command, commands.Propose)
+            harness.apply(command.record)
+        return bool(harness.program().ended)
+
+    def test_program_is_not_idle_while_its_sub_agent_runs(self) -> None:
+        """Guards against ending a call that outlasts the idle timeout."""
+        harness = ShardHarness()
+        harness.begin("1")
+        harness.finish("1")
+        harness.begin("1", program="p/a", parent="p")
+        self.assertFalse(self._is_ended_as_idle(harness, _IDLE_MS + 1))
+        harness.now = _IDLE_MS + 1
+        harness.finish("1", program="p/a")
+        self.assertFalse(self._is_ended_as_idle(harness, _IDLE_MS + 10))
+        self.assertTrue(self._is_ended_as_idle(harness, 2 * _IDLE_MS + 10))
+
+    def test_sub_agent_is_not_idle_while_one_that_it_started_calls(
+        self,
+    ) -> None:
+        """Guards against ending a live program together with its parent.
+
+        The parent waits for it, and makes no call of its own meanwhile.
+        """
+        harness = ShardHarness()
+        harness.begin("1")
+        harness.finish("1")
+        harness.begin("1", program="p/a", parent="p")
+        harness.finish("1", program="p/a")
+        harness.now = _IDLE_MS // 2
+        harness.begin("1", program="p/b", parent="p/a")
+        harness.finish("1", program="p/b")
+        self._is_ended_as_idle(harness, _IDLE_MS + 1)
+        self.assertFalse(harness.program("p/b").ended)
+
+    def test_call_of_a_sub_agent_voids_the_end_of_an_idle_program(self) -> None:
+        """Guards against a call that begins while the end is being logged."""
+        harness = ShardHarness()
+        harness.begin("1")
+        harness.finish("1")
+        harness.begin("1", program="p/a", parent="p")
+        ended = records.ProgramEnded(
+            at_ms=9,
+            key=ProgramKey(account="a", program="p"),
+            reason="idle",
+            if_idle=True,
+            if_tree_idle=True,
+        )
+        harness.apply(ended)
+        self.assertFalse(harness.program().ended)
+
+
 class QuarantineTest(base.TestCase):
     """One request crashes at most two servers."""
 
