Bound suspicion and quarantine on raw routes in time

Callers of a harmless request got 503 until 4,096 newer quarantines had replaced its own: two servers had ended under it in turn, for reasons of their own, and no copy was under way that an answer could clear. Cause: strikes had no age and a quarantine no end; only an answer took it back, and a refused request gets none.

A crash counts for five minutes now. A quarantine has a term, 30 s at first, then four times as long each time, an hour at most. After it the request is on trial: suspected, so that its copies go to one server, and quarantined by its next crash. An answer acquits it. So a harmful request costs one server a term, and a harmless one is refused for 30 s. The decisions of the leader move from KeeperHost to a module of their own.

The fake service of these tests announces its servers repeatedly, or they would count as lost after 15 s.

--- a/catkinpin/adapters/keeper/asks.py
+++ b/catkinpin/adapters/keeper/asks.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from catkinpin.adapters.keeper.host import KeeperHost
     from catkinpin.adapters.keeper.publisher import Publisher
+    from catkinpin.adapters.keeper.quarantines import QuarantineDecider
     from catkinpin.adapters.keeper.repair import CopyRepair
     from catkinpin.adapters.keeper.turns import TurnRequests
     from catkinpin.adapters.peers import links
@@ -31,6 +32,7 @@
 
     Args:
         host: proposes records to the control group.
+        quarantines: records crashes and answers of suspected requests.
         publisher: publishes changes to the connected processes.
         turn_requests: begins and settles turns, and counts quotas.
         copy_repair: registers and empties stores.
@@ -42,6 +44,7 @@
     def __init__(
         self,
         host: KeeperHost,
+        quarantines: QuarantineDecider,
         publisher: Publisher,
         turn_requests: TurnRequests,
         copy_repair: CopyRepair,
@@ -50,6 +53,7 @@
         commit_timeout_s: float,
     ) -> None:
         self._host = host
+        self._quarantines = quarantines
         self._publisher = publisher
         self._turn_requests = turn_requests
         self._copy_repair = copy_repair
@@ -84,7 +88,7 @@
                     await self._register(stream, message)
                 case protocol.ReportCrash():
                     strike = _strike_of(message, self._clock.wall_ms())
-                    error = await self._host.report_crash(
+                    error = await self._quarantines.report_crash(
                         strike, self._timeout_s
                     )
                     self._reply(stream, message.ask, error)
@@ -120,7 +124,7 @@
             return
         stream.send(update)
         if message.answered_suspects:
-            await self._host.clear_suspects(
+            await self._quarantines.clear_suspects(
                 message.answered_suspects, self._timeout_s
             )
 
--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -26,16 +26,12 @@
     from catkinpin.clock import Clock
     from catkinpin.core.control.quotas import AccountUse, QuotaTolerance
     from catkinpin.core.control.routes import PackedRouting
-    from catkinpin.core.control.suspects import AnsweredRequest, Strike
 
 log = logging.getLogger(__name__)
 
 
 # The metrics have one line per account, for at most so many accounts.
 _MAX_EXPOSED_ACCOUNTS = 20
-# Time within which the gateways report a crash: some ms until they see that the
-# server accepts no connection, and the way to the leader, also when busy.
-_CRASH_REPORTS_MS = 200
 
 
 class Undecided:
@@ -107,12 +103,6 @@
         self._on_restored = on_restored
         self._packed_accounts = b""
         self._uncommitted_use: dict[str, AccountUse] = {}
-        # For each suspect with several crashes, their number and the time at
-        # which this process first saw it.
-        self._held_since_ms: dict[str, tuple[int, int]] = {}
-        self._is_quarantining = False
-        # Revision of the suspects up to which all are judged.
-        self._judged_revision = -1
         self.group: Group
         self.leading = False
         self._clock = clock
@@ -314,94 +304,6 @@
         )
         return None
 
-    async def report_crash(
-        self, strike: Strike, wait_s: float
-    ) -> Undecided | None:
-        """Records that a server crashed while it ran a request."""
-        if not self.holds_lease():
-            return Undecided("not the leader")
-        decisions.note(
-            "crash-report",
-            "",
-            content=strike.content,
-            shared=strike.shared,
-            path=strike.path,
-            server=strike.server,
-            began_ms=strike.began_ms,
-            ended_ms=strike.ended_ms,
-            quarantined=any(
-                digest in self.state.quarantined
-                for digest in (strike.shared, strike.content, strike.path)
-            ),
-        )
-        body = state.Quarantine(contents=[], strikes=[strike])
-        outcome = await self.propose(body, wait_s)
-        return outcome if isinstance(outcome, Undecided) else None
-
-    async def clear_suspects(
-        self, answered: list[AnsweredRequest], wait_s: float
-    ) -> None:
-        """Records that servers answered suspected requests."""
-        decisions.note(
-            "suspects-answered", "", contents=[r.content for r in answered]
-        )
-        body = state.Quarantine(contents=[], answered=answered)
-        outcome = await self.propose(body, wait_s)
-        if isinstance(outcome, Undecided):
-            # The next answer to such a request is reported again.
-            decisions.note("suspects-uncleared", "", reason=outcome.reason)
-
-    async def quarantine_causes(self, wait_s: float) -> None:
-        """Quarantines the requests that must have crashed several servers.
-
-        One crash may be a coincidence. After the second one the request's
-        callers send it again, and each time it would crash another server.
-        Gateways report a crash at different times, so the leader waits until
-        it knows which other requests were running on the server.
-        """
-        suspects = self.state.suspects
-        if self._is_quarantining or suspects.revision == self._judged_revision:
-            return
-        counts = suspects.judged_counts()
-        due = self._due_suspects(counts)
-        if len(due) == len(self._held_since_ms):
-            self._judged_revision = suspects.revision
-        causes = [cause for cause in suspects.find_causes() if cause in due]
-        if not causes:
-            return
-        decisions.note(
-            "quarantine",
-            "",
-            contents=causes,
-            crashes=[counts[cause] for cause in causes],
-            suspects=len(suspects.crash_counts()),
-        )
-        self._is_quarantining = True
-        try:
-            await self.propose(state.Quarantine(contents=causes), wait_s)
-        finally:
-            self._is_quarantining = False
-            self._judged_revision = -1
-
-    def _due_suspects(self, counts: dict[str, int]) -> set[str]:
-        """Returns the suspects whose last crash all gateways have reported.
-
-        Args:
-            counts: number of crashes, by suspect.
-        """
-        now_ms = self._clock.now_ms()
-        held_before, self._held_since_ms = self._held_since_ms, {}
-        for suspect, count in counts.items():
-            since = held_before.get(suspect, (0, 0))
-            self._held_since_ms[suspect] = (
-                since if since[0] == count else (count, now_ms)
-            )
-        return {
-            suspect
-            for suspect, (_, since_ms) in self._held_since_ms.items()
-            if now_ms - since_ms >= _CRASH_REPORTS_MS
-        }
-
     def lost_servers(self) -> list[Instance]:
         """Returns the servers that were silent for too long, in state LOST.
 
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -17,6 +17,7 @@
 from catkinpin.adapters.keeper import host, publisher, repair
 from catkinpin.adapters.keeper.asks import AskHandler
 from catkinpin.adapters.keeper.host import Undecided
+from catkinpin.adapters.keeper.quarantines import QuarantineDecider
 from catkinpin.adapters.keeper.turns import TurnRequests
 from catkinpin.adapters.peers import keepers, links
 from catkinpin.adapters.replica import mesh, node, transport
@@ -135,6 +136,7 @@
             _COMMIT_TIMEOUT_S,
         )
         self._turn_requests = self._new_turn_requests(regions)
+        self._quarantines = QuarantineDecider(self.host, self.clock)
         self._ask_handler = self._new_ask_handler()
 
     def _new_host(self) -> host.KeeperHost:
@@ -167,6 +169,7 @@
     def _new_ask_handler(self) -> AskHandler:
         return AskHandler(
             self.host,
+            self._quarantines,
             self._publisher,
             self._turn_requests,
             self._copy_repair,
@@ -354,6 +357,8 @@
         is_leader = self.host.holds_lease()
         if is_leader and change.lifted:
             decisions.note("quarantine-lifted", "", contents=change.lifted)
+        if is_leader and change.lapsed:
+            decisions.note("quarantine-lapsed", "", contents=change.lapsed)
         self._publisher.publish_suspects(change, is_leader=is_leader)
 
     def _handle_restored_state(self) -> None:
@@ -379,7 +384,7 @@
             if not self.host.holds_lease():
                 continue
             self._turn_requests.admission.update_shares()
-            self._tasks.spawn(self.host.quarantine_causes(_COMMIT_TIMEOUT_S))
+            self._tasks.spawn(self._quarantines.update(_COMMIT_TIMEOUT_S))
             for lost in self.host.lost_servers():
                 self._tasks.spawn(self.host.announce(lost, _COMMIT_TIMEOUT_S))
             if ticks % _TICKS_PER_USE_COMMIT == 0:
--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -133,7 +133,7 @@
             suspects=change.suspects,
             cleared=change.cleared,
             held=change.held,
-            lifted=change.lifted,
+            lifted=[*change.lifted, *change.lapsed],
         )
         _send_to(self._feed_streams(), message)
         if is_leader:
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -254,7 +254,7 @@
             whether they are quarantined.
         whole: whether `suspects` lists all suspects.
         lifted: requests that are no longer quarantined, because a server has
-            answered one.
+            answered one or their quarantine is over.
     """
 
     contents: list[str]
--- a/catkinpin/core/control/state.py
+++ b/catkinpin/core/control/state.py
@@ -28,9 +28,10 @@
     Strike,
     Suspects,
 )
+from catkinpin.core.terms import Term
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
 # Number of digests that stay quarantined, 32 bytes each.
 MAX_QUARANTINED = 4_096
@@ -53,17 +54,22 @@
 class Quarantine(Message, frozen=True):
     """Changes which requests are quarantined or suspected to crash servers.
 
-    A keeper of the previous release applies `contents` only.
+    A keeper of the previous release skips `lapsed` and `wall_ms`.
 
     Attributes:
         contents: digests of requests to quarantine, in hex.
         strikes: requests that were running on servers that crashed.
         answered: suspected requests that servers have answered.
+        lapsed: digests of requests whose quarantine is over, in hex.
+        wall_ms: the leader's wall time, 0 if it is not known. Older evidence
+            is dropped.
     """
 
     contents: list[str]
     strikes: list[Strike] = []
     answered: list[AnsweredRequest] = []
+    lapsed: list[str] = []
+    wall_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,7 +80,9 @@
         quarantined: newly quarantined requests.
         suspects: new suspects.
         cleared: requests that are no longer suspects.
-        lifted: requests that are no longer quarantined.
+        lifted: requests that a server has answered, so that they are no longer
+            quarantined.
+        lapsed: requests whose quarantine is over.
         held: suspects that have had a further crash, so that the leader has to
             decide on them.
     """
@@ -84,6 +92,7 @@
     cleared: list[str]
     held: list[str]
     lifted: list[str] = dataclasses.field(default_factory=list)
+    lapsed: list[str] = dataclasses.field(default_factory=list)
 
 
 class CountUse(Message, frozen=True):
@@ -134,6 +143,8 @@
     explained: list[str] = []
     proved: list[Strike] = []
     lifted: list[str] = []
+    terms: list[Term] = []
+    trials: list[Term] = []
 
 
 class ControlState:
@@ -147,8 +158,7 @@
             quarantined or suspected.
 
     Attributes:
-        quarantined: digests of the quarantined requests, oldest first.
-        lifted: digests whose quarantine was lifted, oldest first.
+        lifted: digests whose quarantine was lifted or is over, oldest first.
         suspects: requests that were running on servers that crashed.
         routing: the routing document in force.
         fleet: the backend servers.
@@ -164,7 +174,6 @@
         on_expired: Callable[[list[str]], None] = lambda _: None,
         on_suspects_changed: Callable[[SuspectChange], None] = lambda _: None,
     ) -> None:
-        self.quarantined: dict[str, None] = {}
         self.lifted: dict[str, None] = {}
         self.suspects = Suspects()
         self._on_suspects_changed = on_suspects_changed
@@ -177,6 +186,11 @@
         self._on_servers_changed = on_servers_changed
         self._on_expired = on_expired
 
+    @property
+    def quarantined(self) -> Collection[str]:
+        """Digests of the quarantined requests, oldest first."""
+        return self.suspects.terms.running.keys()
+
     @property
     def version(self) -> int:
         """Version of the routing document in force, -1 for none."""
@@ -224,6 +238,8 @@
             explained=self.suspects.explained,
             proved=self.suspects.proved,
             lifted=list(self.lifted),
+            terms=list(self.suspects.terms.running.values()),
+            trials=list(self.suspects.terms.trials.values()),
         )
         return codec.encode(state)
 
@@ -240,27 +256,42 @@
         self.fleet.restore(state.instances)
         self.ledger.restore(state.ledger)
         self.stores.by_node = {store.node: store for store in state.stores}
-        self.quarantined = dict.fromkeys(state.quarantined)
         self.lifted = dict.fromkeys(state.lifted)
-        self.suspects.restore(state.strikes, state.explained, state.proved)
+        terms = {term.digest: term for term in state.terms}
+        self.suspects.restore(
+            state.strikes,
+            state.explained,
+            state.proved,
+            # The previous release wrote no terms.
+            [
+                terms.get(d, Term(digest=d, until_ms=0))
+                for d in state.quarantined
+            ],
+            state.trials,
+        )
         self._on_routing_changed()
         self._on_servers_changed(list(self.fleet.servers.values()))
 
     def _quarantine(self, body: Quarantine) -> None:
         before = self.suspects.crash_counts()
         judged_before = self.suspects.judged_counts()
+        if body.wall_ms:
+            self.suspects.drop_outdated(body.wall_ms)
         for strike in body.strikes:
-            self.suspects.add(strike, self.quarantined)
+            self.suspects.add(strike)
+        terms = self.suspects.terms
+        lapsed = terms.lapse(body.lapsed, body.wall_ms)
         lifted = []
         for answered in body.answered:
             self.suspects.clear(answered)
-            lifted += self._lift(answered)
+            lifted += self.suspects.acquit(answered)
+        self._remember_lifted([*lapsed, *lifted])
         self.suspects.explain(body.contents)
-        self.quarantined.update(dict.fromkeys(body.contents))
         for digest in body.contents:
+            terms.begin(digest, body.wall_ms)
             self.lifted.pop(digest, None)
-        while len(self.quarantined) > MAX_QUARANTINED:
-            del self.quarantined[next(iter(self.quarantined))]
+        while len(terms.running) > MAX_QUARANTINED:
+            del terms.running[next(iter(terms.running))]
         counts = self.suspects.crash_counts()
         judged = self.suspects.judged_counts()
         self._on_suspects_changed(
@@ -269,6 +300,7 @@
                 suspects=[d for d in counts if d not in before],
                 cleared=[d for d in before if d not in counts],
                 lifted=lifted,
+                lapsed=lapsed,
                 held=[
                     digest
                     for digest, count in judged.items()
@@ -277,22 +309,10 @@
             )
         )
 
-    def _lift(self, answered: AnsweredRequest) -> list[str]:
-        """Lifts the quarantine of a request that a server has answered.
-
-        A copy of it was under way when it was quarantined.
-        """
-        lifted = [
-            digest
-            for digest in (answered.path, answered.shared, answered.content)
-            if digest in self.quarantined
-        ]
-        for digest in lifted:
-            del self.quarantined[digest]
-            self.lifted[digest] = None
+    def _remember_lifted(self, digests: list[str]) -> None:
+        self.lifted.update(dict.fromkeys(digests))
         while len(self.lifted) > _MAX_LIFTED:
             del self.lifted[next(iter(self.lifted))]
-        return lifted
 
 
 _state_decoder = codec.decoder(ControlSnapshot)
--- a/catkinpin/core/control/suspects.py
+++ b/catkinpin/core/control/suspects.py
@@ -17,7 +17,9 @@
 What is quarantined is what the crashed servers' requests have in common, and
 nothing wider. Crashes that came at the same time count as one: a request that
 crashes each server that runs it also crashes the next one, and servers that
-end together mostly do so for a reason of their own.
+end together mostly do so for a reason of their own. All of it is bounded in
+time: a crash is evidence for some minutes, a quarantine has a term, and after
+it the next crash is enough to begin another one.
 """
 
 from __future__ import annotations
@@ -29,9 +31,10 @@
 from msgspec import structs
 
 from catkinpin.codec import Message
+from catkinpin.core.terms import EVIDENCE_MS, Term, Terms
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable, Mapping
+    from collections.abc import Iterable, Mapping
 
 # Crashes after which a request is quarantined if it alone explains them.
 MAX_CRASHES = 2
@@ -75,6 +78,11 @@
     ended_ms: int = 0
     is_repeat: bool = False
 
+    @property
+    def digests(self) -> tuple[str, str, str]:
+        """Digests of the request, the widest first."""
+        return self.path, self.shared, self.content
+
     @property
     def suspect(self) -> str:
         """Digest of the request that is suspected of this crash."""
@@ -135,10 +143,12 @@
 
     Attributes:
         revision: grows with each change of the strikes.
+        terms: the quarantined requests, and those on trial.
     """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.terms = Terms()
         self._strikes: list[Strike] = []
         # Strikes of quarantined requests. They tell which path is harmful.
         self._proved: list[Strike] = []
@@ -165,9 +175,12 @@
         strikes: Iterable[Strike],
         explained: Iterable[str],
         proved: Iterable[Strike] = (),
+        running: Iterable[Term] = (),
+        trials: Iterable[Term] = (),
     ) -> None:
-        """Replaces all strikes by those of a snapshot."""
+        """Replaces all strikes and terms by those of a snapshot."""
         self.revision += 1
+        self.terms = Terms(running, trials)
         self._strikes = list(strikes)
         self._proved = list(proved)
         self._explained = dict.fromkeys(explained)
@@ -179,6 +192,9 @@
         for digest, path in self._paths().items():
             if path.is_suspect:
                 counts[digest] = _count_in_turn(path.runs)
+        # A request on trial had a crash before its term.
+        for digest, trial_runs in self._runs_on_trial().items():
+            counts[digest] = 1 + _count_in_turn(trial_runs)
         return counts
 
     def judged_counts(self) -> dict[str, int]:
@@ -192,19 +208,13 @@
             for digest, runs in self._candidates().items()
         }
 
-    def add(self, strike: Strike, quarantined: Container[str]) -> None:
+    def add(self, strike: Strike) -> None:
         """Adds a strike, unless the cause of the crash is known.
 
-        A late report of a quarantined request tells the cause of its crash.
-
-        Args:
-            strike: the strike; a repeated report of it changes nothing.
-            quarantined: digests of the quarantined requests.
+        A late report of a quarantined request tells the cause of its crash. A
+        repeated report changes nothing.
         """
-        if any(
-            digest in quarantined
-            for digest in (strike.shared, strike.content, strike.path)
-        ):
+        if any(digest in self.terms.running for digest in strike.digests):
             self._explain({strike.server})
         if strike.server in self._explained:
             return
@@ -234,13 +244,45 @@
             if strike.path != answered.path and strike.shared != answered.shared
         ]
 
+    def acquit(self, answered: AnsweredRequest) -> list[str]:
+        """Ends the terms and trials of an answered request.
+
+        A copy of it was under way when it was quarantined, or it is on trial.
+
+        Returns:
+            The digests that were quarantined.
+        """
+        digests = (answered.path, answered.shared, answered.content)
+        return [digest for digest in digests if self.terms.acquit(digest)]
+
+    def is_outdated(self, now_ms: int) -> bool:
+        """Returns whether some of the evidence is too old to count."""
+        since_ms = now_ms - EVIDENCE_MS
+        strikes = (*self._strikes, *self._proved)
+        return any(strike.ended_ms < since_ms for strike in strikes) or bool(
+            self.terms.ended_trials(now_ms)
+        )
+
+    def drop_outdated(self, now_ms: int) -> None:
+        """Drops the evidence that is too old to count.
+
+        Args:
+            now_ms: wall time of the leader.
+        """
+        since_ms = now_ms - EVIDENCE_MS
+        self.revision += 1
+        self._strikes = [s for s in self._strikes if s.ended_ms >= since_ms]
+        self._proved = [s for s in self._proved if s.ended_ms >= since_ms]
+        self.terms.end_trials(now_ms)
+
     def find_causes(self) -> list[str]:
         """Returns the digests of the suspects that must be quarantined.
 
         A request that was running during two crashes may have been there by
         chance. So no other suspect may have been running during the same
         crashes, unless there were three of them, nor during these and more. A
-        path is quarantined only if nothing else explains its crashes.
+        path is quarantined only if nothing else explains its crashes. For a
+        request on trial one crash is enough.
         """
         candidates = self._candidates()
         paths = self._paths()
@@ -260,7 +302,7 @@
                 for other, other_runs in suspected.items()
                 if other_runs.keys() == crashed
             }
-            is_proved = (
+            is_proved = suspect in self.terms.trials or (
                 not any(digest in paths for digest in tied)
                 and _count_in_turn(runs) >= _MAX_SHARED_CRASHES
             )
@@ -271,9 +313,11 @@
     def explain(self, causes: Iterable[str]) -> None:
         """Drops the strikes of all crashes that the given requests caused."""
         paths = self._paths()
-        runs = self._runs_by_suspect()
+        runs = {**self._runs_by_suspect(), **self._runs_on_trial()}
         for cause in causes:
-            crashed = paths[cause].runs if cause in paths else runs[cause]
+            crashed = (
+                paths[cause].runs if cause in paths else runs.get(cause, {})
+            )
             self._proved += [s for s in self._strikes if s.suspect == cause]
             # A quarantined path needs no further proof.
             self._proved = [s for s in self._proved if s.path != cause]
@@ -298,6 +342,16 @@
             is_due = _count_in_turn(path.runs) >= _MAX_PATH_CRASHES
             if path.is_suspect and path.is_sole_cause and is_due:
                 found[digest] = path.runs
+        on_trial = self._runs_on_trial()
+        return found | {d: runs for d, runs in on_trial.items() if runs}
+
+    def _runs_on_trial(self) -> dict[str, dict[str, _Run]]:
+        """Returns the runs of the requests on trial, by crashed incarnation."""
+        found: dict[str, dict[str, _Run]] = {d: {} for d in self.terms.trials}
+        for strike in self._strikes:
+            for digest in strike.digests:
+                if digest in found:
+                    _add_run(found[digest], strike)
         return found
 
     def _runs_by_suspect(self) -> dict[str, dict[str, _Run]]:
--- a/tests/fakes/crashingservice.py
+++ b/tests/fakes/crashingservice.py
@@ -11,10 +11,14 @@
 from tests.fakes.rawserver import RawServer, ReceivedRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from tests.fakes.deployment import Deployment
 
 _RUN_S = 0.03
 _ANNOUNCE_INTERVAL_S = 0.03
+# A server that is silent for 15 s counts as lost.
+_REPEAT_INTERVAL_S = 5.0
 # Answer to any request: one event, for routes of streams.
 _EVENT = "id: 1\ndata: ok\n\n"
 # Time after which a crashed server is replaced by a new incarnation.
@@ -79,7 +83,7 @@
 
     async def stop(self) -> None:
         """Stops all servers."""
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
         for server in list(self._writers):
             await self._end(server)
@@ -88,6 +92,15 @@
         server = RawServer(lambda req, writer: self._run(server, req, writer))
         await server.start()
         self._writers[server] = set()
+        name = f"tool-{next(self._ids)}"
+        while not await self._announce(server, name, 1):
+            await asyncio.sleep(_ANNOUNCE_INTERVAL_S)
+        self._spawn(self._repeat_announcements(server, name))
+
+    async def _announce(
+        self, server: RawServer, name: str, number: int
+    ) -> bool:
+        """Announces a server; returns whether a keeper accepted that."""
         body = json.dumps(
             {
                 "service": "tools",
@@ -95,13 +108,25 @@
                 "zone": "a",
                 "slots": 8,
                 "state": "ready",
-                "seq": 1,
+                "seq": number,
                 "born": 1,
             }
         ).encode()
-        path = f"/-/instances/tool-{next(self._ids)}"
-        while (await self._system.call_keeper("PUT", path, body))[0] != 200:
-            await asyncio.sleep(_ANNOUNCE_INTERVAL_S)
+        path = f"/-/instances/{name}"
+        status, _ = await self._system.call_keeper("PUT", path, body)
+        return status == 200
+
+    async def _repeat_announcements(self, server: RawServer, name: str) -> None:
+        for number in itertools.count(2):
+            await asyncio.sleep(_REPEAT_INTERVAL_S)
+            if server not in self._writers:
+                return
+            await self._announce(server, name, number)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _run(
         self,
@@ -144,8 +169,7 @@
             return
         self.crash_times_s.append(time.monotonic())
         await self._end(server)
-        task = asyncio.ensure_future(self._restart())
-        self._tasks.add(task)
+        self._spawn(self._restart())
 
     async def _end(self, server: RawServer) -> None:
         """Ends a server: it closes all of its connections."""
--- a/tests/test_crashing_turns.py
+++ b/tests/test_crashing_turns.py
@@ -25,6 +25,8 @@
 _INTERVAL_S = 0.35
 _CALL_INTERVAL_S = 0.02
 _LONG_RUN_S = 1.0
+# A quarantine lasts 30 s at first. Two servers ended in the 2 s before.
+_TERM_S = 31.0
 # An answer is reported within 0.2 s, and known to all gateways in 0.2 s more.
 _REPORT_WAIT_S = 0.5
 
@@ -179,3 +181,44 @@
             await self._check_common(system)
 
         self._run(work, run_s=_LONG_RUN_S * 1.6)
+
+    def test_turn_that_two_servers_ended_under_is_served_again(self) -> None:
+        """Guards against refusing a harmless turn for good.
+
+        Two servers ended under it in turn, for reasons of their own, and no
+        copy of it was under way that a server could answer.
+        """
+
+        async def work(system: Deployment, service: CrashingService) -> None:
+            for number in range(2):
+                turn = asyncio.ensure_future(
+                    system.call("/c/rare", f"rare-{number}", _GATEWAYS[number])
+                )
+                await asyncio.sleep(_LONG_RUN_S * 0.5)
+                await service.crash_newest()
+                self.assertNotEqual(200, await turn)
+                await asyncio.sleep(_REPORT_WAIT_S)
+            for name in _GATEWAYS:
+                status = await system.call("/c/rare", f"refused-{name}", name)
+                self.assertEqual(503, status)
+            await asyncio.sleep(_TERM_S)
+            for name in _GATEWAYS:
+                status = await system.call("/c/rare", f"served-{name}", name)
+                self.assertEqual(200, status)
+
+        self._run(work, run_s=_LONG_RUN_S)
+
+    def test_harmful_turn_costs_one_server_after_its_term(self) -> None:
+        """Guards against a crashing turn that is free once its term is over."""
+
+        async def work(system: Deployment, service: CrashingService) -> None:
+            for number in range(_PROGRAMS):
+                await self._send(system, _CRASHING, number, b"body")
+            crashes = service.crashes
+            self.assertLessEqual(crashes, _MAX_CRASHES)
+            await asyncio.sleep(_TERM_S)
+            for number in range(_PROGRAMS, 2 * _PROGRAMS):
+                await self._send(system, _CRASHING, number, b"body")
+            self.assertEqual(crashes + 1, service.crashes)
+
+        self._run(work)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import testtools
+from msgspec import structs
 
 from catkinpin import codec
 from catkinpin.adapters.gateway.suspects import KnownSuspects
@@ -51,7 +52,7 @@
 
     def _crash(self, server: str, *requests: str) -> None:
         for strike in _strikes(server, *requests):
-            self.suspects.add(strike, ())
+            self.suspects.add(strike)
 
     def _answer(self, request: str) -> None:
         self.suspects.clear(
@@ -136,7 +137,7 @@
                 began_ms=400,
                 ended_ms=ended_ms,
             )
-            self.suspects.add(strike, ())
+            self.suspects.add(strike)
         self.assertEqual({"common": 1}, self.suspects.crash_counts())
         self.assertEqual([], self.suspects.find_causes())
 
@@ -154,7 +155,7 @@
                 began_ms=began_ms,
                 ended_ms=ended_ms,
             )
-            self.suspects.add(strike, ())
+            self.suspects.add(strike)
         self.assertEqual(["bad"], self.suspects.find_causes())
 
     def test_crash_of_a_known_suspect_counts(self) -> None:
@@ -168,7 +169,7 @@
                 ended_ms=1_000,
                 is_repeat=is_repeat,
             )
-            self.suspects.add(strike, ())
+            self.suspects.add(strike)
         self.assertEqual(["bad"], self.suspects.find_causes())
 
     def test_path_is_recognized_under_other_bodies(self) -> None:
@@ -225,11 +226,153 @@
     def test_crash_of_a_quarantined_request_has_its_cause(self) -> None:
         """Guards against strikes beside a quarantined request's last run."""
         self._crash("s3", "good/p")
-        for strike in _strikes("s3", "bad/p3"):
-            self.suspects.add(strike, {"bad"})
+        self.suspects.terms.begin("bad", 0)
+        self._crash("s3", "bad/p3")
         self.assertEqual({}, self.suspects.crash_counts())
 
 
+class BoundedInTimeTest(testtools.TestCase):
+    """Evidence and quarantines end after some time."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.control = state.ControlState()
+        self.now_ms = 1_000_000
+        self.index = 0
+
+    def _apply(self, **changes: Any) -> None:
+        self.index += 1
+        fields = {"contents": [], "wall_ms": self.now_ms, **changes}
+        record = state.Record(tag="t", body=state.Quarantine(**fields))
+        self.control.apply(self.index, record)
+
+    def _crash(self, server: str, request: str = "path:body/p") -> None:
+        """Crashes a server under a request, and quarantines the causes."""
+        self.now_ms += 1_000
+        self._apply(
+            strikes=[
+                structs.replace(
+                    strike, began_ms=self.now_ms - 10, ended_ms=self.now_ms
+                )
+                for strike in _strikes(server, request)
+            ]
+        )
+        self._apply(contents=self.control.suspects.find_causes())
+
+    def _wait(self, ms: int) -> None:
+        """Lets time pass, and ends the quarantines whose term is over."""
+        self.now_ms += ms
+        self._apply(lapsed=self.control.suspects.terms.due(self.now_ms))
+
+    def _answer(self, request: str) -> None:
+        answered = AnsweredRequest(
+            shared=request.split("/")[0],
+            content=request,
+            path=_path_of(request),
+        )
+        self._apply(answered=[answered])
+
+    def test_harmless_request_is_refused_for_a_term_only(self) -> None:
+        """Guards against refusing a harmless request for good.
+
+        Two servers ended under it, one after the other and for reasons of
+        their own, and no copy of it is under way that an answer could clear.
+        """
+        self._crash("s1")
+        self._crash("s2")
+        self.assertEqual(["path:body"], list(self.control.quarantined))
+        self._wait(29_000)
+        self.assertEqual(1, len(self.control.quarantined))
+        self._wait(2_000)
+        self.assertEqual([], list(self.control.quarantined))
+        self._answer("path:body/other")
+        self._crash("s3")
+        self.assertEqual([], list(self.control.quarantined))
+
+    def test_harmful_request_costs_one_server_a_term(self) -> None:
+        """Guards against a harmful request that is free after its term."""
+        self._crash("s1")
+        self._crash("s2")
+        for number, minutes in enumerate((0.5, 2, 8, 32, 60, 60)):
+            self.assertEqual(["path:body"], list(self.control.quarantined))
+            self._wait(int(minutes * 60_000) - 1_000)
+            self.assertEqual(["path:body"], list(self.control.quarantined))
+            self._wait(2_000)
+            self.assertEqual([], list(self.control.quarantined))
+            self._crash(f"s{number + 3}", "path:body/new")
+
+    def test_each_width_of_a_request_is_on_trial(self) -> None:
+        """Guards against two crashes more after each term.
+
+        A request may be quarantined by its path, its body or its program.
+        """
+        for digest in ("path", "path:body", "path:body/p"):
+            self.control = state.ControlState()
+            self._apply(contents=[digest])
+            self._wait(31_000)
+            self._crash("s1")
+            self.assertEqual([digest], list(self.control.quarantined))
+
+    def test_request_is_told_to_gateways_while_on_trial(self) -> None:
+        """Guards against copies on many servers, and unreported answers."""
+        changes: list[state.SuspectChange] = []
+        self.control = state.ControlState(on_suspects_changed=changes.append)
+        self._crash("s1")
+        self._crash("s2")
+        self._wait(31_000)
+        self.assertEqual(["path:body"], changes[-1].lapsed)
+        self.assertEqual(["path:body"], changes[-1].suspects)
+        self.now_ms += 1_000
+        self._apply(strikes=_strikes("s3", "path:body/p"), wall_ms=0)
+        self.assertEqual(["path:body"], changes[-1].held)
+
+    def test_trial_ends(self) -> None:
+        """Guards against suspicion without end."""
+        self._crash("s1")
+        self._crash("s2")
+        self._wait(31_000)
+        self._wait(300_001)
+        self._crash("s3")
+        self.assertEqual([], list(self.control.quarantined))
+
+    def test_old_crash_is_no_evidence(self) -> None:
+        """Guards against refusing a request for two crashes in a long time."""
+        self._crash("s1")
+        self._wait(300_001)
+        self._crash("s2")
+        self.assertEqual([], list(self.control.quarantined))
+
+    def test_terms_outlast_leaders_and_restarts(self) -> None:
+        """Guards against quarantines that begin anew or never end."""
+        self._crash("s1")
+        self._crash("s2")
+        self._apply(contents=["on-trial"], wall_ms=0)
+        self._wait(1_000)
+        restored = state.ControlState()
+        restored.restore(self.index, self.control.snapshot())
+        self.control = restored
+        self._wait(28_000)
+        self.assertEqual(["path:body"], list(self.control.quarantined))
+        self._wait(2_000)
+        self.assertEqual([], list(self.control.quarantined))
+        self._crash("s3", "on-trial")
+        self.assertEqual(["on-trial"], list(self.control.quarantined))
+
+    def test_quarantine_of_the_previous_release_ends(self) -> None:
+        """Guards against an upgrade that keeps a quarantine for good."""
+        self._crash("s1")
+        self._crash("s2")
+        data = codec.decoder(dict).decode(self.control.snapshot())
+        for name in ("terms", "trials"):
+            data.pop(name, None)
+        self.control.restore(self.index, codec.encode(data))
+        self.assertEqual(["path:body"], list(self.control.quarantined))
+        self._wait(1)
+        self.assertEqual([], list(self.control.quarantined))
+        self._crash("s3")
+        self.assertEqual(["path:body"], list(self.control.quarantined))
+
+
 class ControlStateTest(testtools.TestCase):
     """Suspects in the state of the control group."""
 
