Use the raw routes' evidence and terms on the OpenAI interface

Callers of what many programs send first were refused until an operator lifted it: two servers had ended at one moment while each ran a copy. Cause: there each crash counted, whenever its copy had been sent and however long ago, and a quarantine had no term.

Crashes count in turn now, by when an attempt started and whether its content was suspected then; a strike counts for five minutes; the control group ends a quarantine after its term, and a content on trial needs one crash more. The functions are those of raw routes (core/crashruns.py, core/terms.py). Copies of a content that no server has answered run on one server: on two, a harmful content would cost a third server before its crashes count twice. An operator's lift ends the trial as well.

--- a/catkinpin/adapters/gateway/crashes.py
+++ b/catkinpin/adapters/gateway/crashes.py
@@ -9,7 +9,8 @@
 from catkinpin import decisions, metrics
 from catkinpin.adapters.gateway.work import ServerRun
 from catkinpin.adapters.tasks import BackgroundTasks
-from catkinpin.core.control.suspects import MAX_CRASHES, AnsweredRequest
+from catkinpin.core.control.suspects import AnsweredRequest
+from catkinpin.core.crashruns import MAX_CRASHES
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -91,14 +91,7 @@
         if outcome.denial:
             self.admission.cancel(begin.attempt)
         if outcome.denial is Denial.NO_SUCH_TURN:
-            decisions.note(
-                "no-such-turn",
-                begin.attempt,
-                program=begin.program,
-                previous=begin.previous,
-                missing=outcome.missing,
-                log_ms=begin.at_ms,
-            )
+            _note_missing_turn(begin, outcome.missing)
         placed = (
             ""
             if outcome.denial
@@ -272,3 +265,14 @@
                 slowdown=slowdown.slowdown,
                 age_ms=slowdown.age_ms,
             )
+
+
+def _note_missing_turn(begin: Begin, missing: str) -> None:
+    decisions.note(
+        "no-such-turn",
+        begin.attempt,
+        program=begin.program,
+        previous=begin.previous,
+        missing=missing,
+        log_ms=begin.at_ms,
+    )
--- a/catkinpin/core/control/suspects.py
+++ b/catkinpin/core/control/suspects.py
@@ -31,21 +31,17 @@
 from msgspec import structs
 
 from catkinpin.codec import Message
+from catkinpin.core.crashruns import MAX_CRASHES, CrashedRun, count_in_turn
 from catkinpin.core.terms import EVIDENCE_MS, Term, Terms
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable
 
-# Crashes after which a request is quarantined if it alone explains them.
-MAX_CRASHES = 2
 # Crashes after which it is quarantined even if other requests ran beside it
 # each time.
 _MAX_SHARED_CRASHES = 3
 # Crashes after which a whole path is quarantined if it alone explains them.
 _MAX_PATH_CRASHES = 3
-# Times of two crashes are known this exactly. Reports of gateways take some ms
-# to the leader.
-_TIME_ERROR_MS = 30
 # Limits of what is kept. A crash gives some tens of strikes.
 _MAX_STRIKES = 1_024
 _MAX_EXPLAINED = 1_024
@@ -104,20 +100,11 @@
     path: str = ""
 
 
-@dataclasses.dataclass(slots=True)
-class _Run:
-    """The last run of a suspect on a server that crashed, in wall time."""
-
-    began_ms: int
-    ended_ms: int
-    is_repeat: bool
-
-
 @dataclasses.dataclass
 class _Path:
     """Crashes of the requests on one path, by the incarnations that crashed."""
 
-    runs: dict[str, _Run] = dataclasses.field(default_factory=dict)
+    runs: dict[str, CrashedRun] = dataclasses.field(default_factory=dict)
     servers_by_body: dict[str, set[str]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(set)
     )
@@ -188,13 +175,15 @@
     def crash_counts(self) -> dict[str, int]:
         """Returns the number of crashes of each suspect, by digest."""
         runs = self._runs_by_suspect()
-        counts = {suspect: _count_in_turn(runs[suspect]) for suspect in runs}
+        counts = {
+            suspect: count_in_turn(runs[suspect].values()) for suspect in runs
+        }
         for digest, path in self._paths().items():
             if path.is_suspect:
-                counts[digest] = _count_in_turn(path.runs)
+                counts[digest] = count_in_turn(path.runs.values())
         # A request on trial had a crash before its term.
         for digest, trial_runs in self._runs_on_trial().items():
-            counts[digest] = 1 + _count_in_turn(trial_runs)
+            counts[digest] = 1 + count_in_turn(trial_runs.values())
         return counts
 
     def judged_counts(self) -> dict[str, int]:
@@ -204,7 +193,7 @@
         explain these as well.
         """
         return {
-            digest: _count_in_turn(runs)
+            digest: count_in_turn(runs.values())
             for digest, runs in self._candidates().items()
         }
 
@@ -304,7 +293,7 @@
             }
             is_proved = suspect in self.terms.trials or (
                 not any(digest in paths for digest in tied)
-                and _count_in_turn(runs) >= _MAX_SHARED_CRASHES
+                and count_in_turn(runs.values()) >= _MAX_SHARED_CRASHES
             )
             if tied == {suspect} or is_proved:
                 causes.append(suspect)
@@ -331,32 +320,34 @@
             del self._explained[next(iter(self._explained))]
         self._strikes = [s for s in self._strikes if s.server not in crashed]
 
-    def _candidates(self) -> dict[str, dict[str, _Run]]:
+    def _candidates(self) -> dict[str, dict[str, CrashedRun]]:
         """Returns the runs of the suspects that may have to be quarantined."""
         found = {
             suspect: runs
             for suspect, runs in self._runs_by_suspect().items()
-            if _count_in_turn(runs) >= MAX_CRASHES
+            if count_in_turn(runs.values()) >= MAX_CRASHES
         }
         for digest, path in self._paths().items():
-            is_due = _count_in_turn(path.runs) >= _MAX_PATH_CRASHES
+            is_due = count_in_turn(path.runs.values()) >= _MAX_PATH_CRASHES
             if path.is_suspect and path.is_sole_cause and is_due:
                 found[digest] = path.runs
         on_trial = self._runs_on_trial()
         return found | {d: runs for d, runs in on_trial.items() if runs}
 
-    def _runs_on_trial(self) -> dict[str, dict[str, _Run]]:
+    def _runs_on_trial(self) -> dict[str, dict[str, CrashedRun]]:
         """Returns the runs of the requests on trial, by crashed incarnation."""
-        found: dict[str, dict[str, _Run]] = {d: {} for d in self.terms.trials}
+        found: dict[str, dict[str, CrashedRun]] = {
+            d: {} for d in self.terms.trials
+        }
         for strike in self._strikes:
             for digest in strike.digests:
                 if digest in found:
                     _add_run(found[digest], strike)
         return found
 
-    def _runs_by_suspect(self) -> dict[str, dict[str, _Run]]:
+    def _runs_by_suspect(self) -> dict[str, dict[str, CrashedRun]]:
         """Returns the runs of each suspect, by crashed incarnation."""
-        found: dict[str, dict[str, _Run]] = collections.defaultdict(dict)
+        found: dict[str, dict[str, CrashedRun]] = collections.defaultdict(dict)
         for strike in self._strikes:
             _add_run(found[strike.suspect], strike)
         return found
@@ -375,33 +366,10 @@
         return found
 
 
-def _add_run(runs: dict[str, _Run], strike: Strike) -> None:
-    """Adds a run; of several copies on one server, the one sent last counts."""
-    run = runs.setdefault(
-        strike.server, _Run(strike.began_ms, strike.ended_ms, is_repeat=False)
-    )
-    run.began_ms = max(run.began_ms, strike.began_ms)
-    run.ended_ms = min(run.ended_ms, strike.ended_ms)
-    run.is_repeat = run.is_repeat or strike.is_repeat
-
-
-def _count_in_turn(runs: Mapping[str, _Run]) -> int:
-    """Returns how many runs, at most, followed each other.
-
-    A run follows another one if it began after that one's crash. A gateway that
-    knew of the crash says so, which is surer than the times.
-    """
-    count = 0
-    ended_ms = None
-    for run in sorted(runs.values(), key=lambda run: run.ended_ms):
-        if (
-            ended_ms is None
-            or run.is_repeat
-            or run.began_ms + _TIME_ERROR_MS >= ended_ms
-        ):
-            count += 1
-            ended_ms = run.ended_ms
-    return count
+def _add_run(runs: dict[str, CrashedRun], strike: Strike) -> None:
+    """Adds the run of a strike to those of a suspect, by server."""
+    run = CrashedRun(strike.began_ms, strike.ended_ms, strike.is_repeat)
+    runs.setdefault(strike.server, run).add_copy(run)
 
 
 def _is_same(strike: Strike, other: Strike) -> bool:
--- a/catkinpin/core/operations/changes.py
+++ b/catkinpin/core/operations/changes.py
@@ -87,11 +87,12 @@
 
 
 class QuarantineLifted(Message, frozen=True):
-    """Record: an operator allows requests with this content again."""
+    """Record: an operator allows this content again, or its term has lapsed."""
 
     fingerprint: bytes
     at_ms: int = 0
     operator: str = ""
+    lapsed: bool = False
 
 
 class PlanMade(Message, frozen=True):
--- a/catkinpin/core/operations/control.py
+++ b/catkinpin/core/operations/control.py
@@ -20,6 +20,7 @@
     key_of,
 )
 from catkinpin.core.operations.plans import PlanState
+from catkinpin.core.operations.quarantine import ContentQuarantine
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -121,7 +122,7 @@
         change_results: results of recent changes by request id, oldest first.
         processes: registered processes by incarnation.
         servers: facts of backend servers by server name.
-        quarantine: reasons of quarantines by the content's fingerprint.
+        quarantine: contents of requests that no server may get.
         last_fencing_token: last fencing token that an order got.
     """
 
@@ -136,7 +137,7 @@
         self.change_results: dict[str, ChangeResult] = {}
         self.processes: dict[str, changes.ProcessInfo] = {}
         self.servers: dict[str, changes.ServerFacts] = {}
-        self.quarantine: dict[bytes, str] = {}
+        self.quarantine = ContentQuarantine()
         self.last_fencing_token = 0
         self.plans: dict[str, PlanRun] = {}
 
@@ -162,10 +163,8 @@
             case changes.ServersChanged():
                 for facts in record.servers:
                     self.servers[facts.server] = facts
-            case changes.Quarantined():
-                self.quarantine.setdefault(record.fingerprint, record.reason)
-            case changes.QuarantineLifted():
-                self.quarantine.pop(record.fingerprint, None)
+            case changes.Quarantined() | changes.QuarantineLifted():
+                self.quarantine.apply(record)
             case _:
                 return self._apply_plan_record(record)
         return None
--- a/catkinpin/core/operations/leader.py
+++ b/catkinpin/core/operations/leader.py
@@ -167,6 +167,8 @@
         if now_ms - self._last_check_ms >= _WAIT_CHECK_INTERVAL_MS:
             self._last_check_ms = now_ms
             commands += self._advance_idle_plans(now_ms, wall_ms)
+            lapsed = self._state.quarantine.lapsed_records(wall_ms)
+            commands += map(Propose, lapsed)
         return commands
 
     def propose_server_facts(
--- a/catkinpin/core/operations/reports.py
+++ b/catkinpin/core/operations/reports.py
@@ -83,7 +83,7 @@
         ],
         quarantined={
             fingerprint.hex(): reason
-            for fingerprint, reason in state.quarantine.items()
+            for fingerprint, reason in state.quarantine.reasons.items()
         },
     )
 
--- a/catkinpin/core/operations/snapshot.py
+++ b/catkinpin/core/operations/snapshot.py
@@ -10,6 +10,8 @@
 from catkinpin import codec
 from catkinpin.core.operations import changes, control, plans
 from catkinpin.core.operations.deployments import Item, ItemKey
+from catkinpin.core.operations.quarantine import ContentQuarantine
+from catkinpin.core.terms import Term
 from catkinpin.exceptions import StorageError
 
 FORMAT_VERSION = 1
@@ -59,6 +61,8 @@
     servers: list[changes.ServerFacts]
     quarantine: list[changes.Quarantined]
     plans: list[_Run]
+    terms: list[Term] = []
+    trials: list[Term] = []
 
 
 _decoder = codec.decoder(_State)
@@ -87,11 +91,10 @@
         ],
         processes=list(state.processes.values()),
         servers=list(state.servers.values()),
-        quarantine=[
-            changes.Quarantined(fingerprint=fingerprint, reason=reason)
-            for fingerprint, reason in state.quarantine.items()
-        ],
+        quarantine=state.quarantine.records(),
         plans=[_encode_run(run) for run in state.plans.values()],
+        terms=list(state.quarantine.terms.running.values()),
+        trials=list(state.quarantine.terms.trials.values()),
     )
     return bytes([FORMAT_VERSION]) + codec.encode(saved)
 
@@ -128,9 +131,9 @@
     }
     state.processes = {info.incarnation: info for info in saved.processes}
     state.servers = {facts.server: facts for facts in saved.servers}
-    state.quarantine = {
-        record.fingerprint: record.reason for record in saved.quarantine
-    }
+    state.quarantine = ContentQuarantine(
+        saved.quarantine, saved.terms, saved.trials
+    )
     state.plans = {run.plan.plan_id: _decode_run(run) for run in saved.plans}
     return state
 
--- a/catkinpin/core/placement/assignment.py
+++ b/catkinpin/core/placement/assignment.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING
 
 from catkinpin import digest
+from catkinpin.core.crashruns import MAX_CRASHES
 from catkinpin.core.messages import ProgramKey
 from catkinpin.core.placement import jobs, limits
 from catkinpin.core.programs import sharding
-from catkinpin.core.programs.quarantine import MAX_CRASHES
 from catkinpin.core.programs.records import Choice, ProgramLimits
 from catkinpin.verdicts import Reason
 
@@ -260,16 +260,16 @@
         If a server crashes with two suspects, the cause cannot be determined.
         A content that runs on many servers at once, sent by a caller that does
         not wait for answers, could crash all of them before the first crash is
-        detected. Only contents that were answered before run without limit.
+        detected. Only contents that were answered before run without limit;
+        copies of others run on one server, whose crash counts once.
         """
-        running = (
-            self._running_contents[job.content_digest]
-            if job.content_digest
-            else 0
-        )
+        content = job.content_digest
+        running = self._running_contents[content] if content else 0
         if not job.suspect:
-            is_limited = job.content_digest not in self._answered_contents
-            return is_limited and running >= MAX_CRASHES
+            if content in self._answered_contents:
+                return False
+            is_elsewhere = server not in self._servers_running(content)
+            return running >= MAX_CRASHES or (running > 0 and is_elsewhere)
         has_no_suspects = server not in self._suspect_servers()
         return running > 0 or not has_no_suspects
 
@@ -304,6 +304,12 @@
         deployment = self._cfg_of().deployment_for(account, begin.target)
         return deployment.name if deployment is not None else ""
 
+    def _servers_running(self, content: bytes) -> set[str]:
+        """Returns the servers on which copies of a content run."""
+        return {
+            a.server for a in self._assigned.values() if a.content == content
+        }
+
     def _suspect_servers(self) -> list[str]:
         return [assigned.server for assigned in self._suspects.values()]
 
--- a/catkinpin/core/programs/program.py
+++ b/catkinpin/core/programs/program.py
@@ -37,6 +37,8 @@
         attempt: id, which is never reused: shard name and log index.
         reserved: tokens reserved from the budget until the outcome is known.
         skip: number of the request's messages that the history already holds.
+        began_ms: wall time of its start.
+        is_repeat: whether its content was suspected to crash servers then.
     """
 
     attempt: str
@@ -44,6 +46,8 @@
     reserved: int
     max_tokens: int
     skip: int = 0
+    began_ms: int = 0
+    is_repeat: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/catkinpin/core/programs/shard.py
+++ b/catkinpin/core/programs/shard.py
@@ -27,7 +27,7 @@
     ClosedCall,
     Program,
 )
-from catkinpin.core.programs.quarantine import Quarantine
+from catkinpin.core.programs.quarantine import Quarantine, strike_of
 from catkinpin.core.programs.snapshots import ShardSnapshot
 from catkinpin.verdicts import Reason, Verdict
 
@@ -173,6 +173,8 @@
             reserved=reserved,
             max_tokens=reserved - prompt,
             skip=len(program.history) if begin.whole else 0,
+            began_ms=at_ms,
+            is_repeat=self.quarantine.is_suspect(call.content),
         )
         call.seq = program.next_seq
         call.attempts += 1
@@ -329,11 +331,9 @@
     def _update_suspects(
         self, call: Call, attempt: Attempt, record: records.AttemptFinished
     ) -> None:
-        server = attempt.choice.server
         if record.crashed and call.content:
-            self.quarantine.add_strike(
-                call.content, server.server, server.incarnation, record.at_ms
-            )
+            strike = strike_of(attempt, record.at_ms)
+            self.quarantine.add_strike(call.content, strike)
         elif record.answer is not None:
             self.quarantine.clear_suspect(call.content)
 
@@ -445,5 +445,5 @@
         self.quarantine.resolve(
             record.server, record.incarnation, record.crashed
         )
-        repeated = self.quarantine.quarantine_repeated()
+        repeated = self.quarantine.quarantine_repeated(record.at_ms)
         return [ContentQuarantined(content) for content in repeated]
--- a/catkinpin/core/terms.py
+++ b/catkinpin/core/terms.py
@@ -19,7 +19,7 @@
 EVIDENCE_MS = 300_000
 _FIRST_TERM_MS = 30_000
 _TERM_FACTOR = 4
-_MAX_TERM_MS = 3_600_000
+MAX_TERM_MS = 3_600_000
 
 
 class Term(Message, frozen=True):
@@ -39,7 +39,7 @@
     def duration_ms(self) -> int:
         """Its duration."""
         grown_ms = _FIRST_TERM_MS * int(_TERM_FACTOR ** (self.number - 1))
-        return min(grown_ms, _MAX_TERM_MS)
+        return min(grown_ms, MAX_TERM_MS)
 
     @property
     def trial_until_ms(self) -> int:
--- a/tests/test_shard.py
+++ b/tests/test_shard.py
@@ -465,6 +465,31 @@
         for program in other_programs:
             self.assertTrue(program.ended, program.answers)
 
+    def test_harmless_request_is_served_after_two_servers_end_at_once(
+        self,
+    ) -> None:
+        """Guards against refusing what all programs send, for good.
+
+        Two servers end at the same moment, while each of them runs the same
+        first message of another program.
+        """
+        for seed in range(6):
+            world = worlds.World(seed, server_count=5)
+            world.run(500)
+            # Answered before, so that copies of it run on several servers.
+            self._send_poison(world, 0)
+            world.run(2_000)
+            sent = [self._send_poison(world, number) for number in range(1, 9)]
+            world.run(50)
+            busy = [s for s in world.servers.values() if s._running]
+            self.assertGreater(len(busy), 1, seed)
+            for server in busy:
+                server.kill()
+            world.run(10_000)
+            self.assertEqual(set(), world.quarantined)
+            for request in sent:
+                self.assertIsInstance(request.final, messages.Finished)
+
     def test_service_call_is_recognized_under_new_programs(self) -> None:
         """Guards against a crashing call that each time has a new program.
 
