Confirm a crash report after the change has reached the gateways

A request under which three servers had crashed got a fourth one: its caller was told of the failure and tried again at once at another gateway, which did not know yet that the request was held. Evidence: logs of a failed run of test_turn_is_recognized_under_new_bodies. The third crash is in the leader's log at .500, the gateway answers at .504, and the next try reaches a server at .509; the change goes from the leader to another keeper and from there to that gateway. The order "reported first" held, but the confirmation overtook the relay.

The leader confirms a report 30 ms after its commit now, which covers both hops between regions.

--- a/catkinpin/adapters/keeper/quarantines.py
+++ b/catkinpin/adapters/keeper/quarantines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from catkinpin import decisions
@@ -16,6 +17,9 @@
 # Time within which the gateways report a crash: some ms until they see that the
 # server accepts no connection, and the way to the leader, also when busy.
 _CRASH_REPORTS_MS = 200
+# Time until all gateways know of a change: a message to the other keepers, and
+# theirs to their gateways, between regions.
+_RELAY_S = 0.03
 
 
 class QuarantineDecider:
@@ -62,7 +66,12 @@
             ),
             wait_s,
         )
-        return outcome if isinstance(outcome, Undecided) else None
+        if isinstance(outcome, Undecided):
+            return outcome
+        # The gateway answers its caller after this, which tries again at once
+        # and must not be ahead of the change at the next gateway.
+        await asyncio.sleep(_RELAY_S)
+        return None
 
     async def clear_suspects(
         self, answered: list[AnsweredRequest], wait_s: float
