Deliver whole answers to slow callers before a gateway stops

Cause: a connection counted as in progress only while its handler ran. The rest of the answer waited in the connection's buffer, and the stop reset it.

A connection with unsent bytes counts as in progress now, so the stop waits for it up to its timeout, and `cut` in the line `stopped` counts it.

--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -189,8 +189,13 @@
         return f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     def count_busy(self) -> int:
-        """Returns the number of connections that are not idle."""
-        return sum(conn.is_busy for conn in self.connections)
+        """Returns the number of connections with a request in progress.
+
+        A caller may still have to read a part of its answer.
+        """
+        return sum(
+            conn.is_busy or conn.has_unsent_bytes for conn in self.connections
+        )
 
     def close_when_answered(self) -> None:
         """Closes each connection after its next response."""
@@ -237,6 +242,11 @@
         """Whether a request is being read or answered."""
         return self._reading or bool(self._pipelined) or self._task is not None
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether written bytes wait until the caller reads."""
+        return self._transport.get_write_buffer_size() > 0
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport and starts the idle timer."""
         self._transport = cast("asyncio.Transport", transport)
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -113,6 +113,8 @@
         # Address that the model server announces, e.g. that of a proxy; empty
         # for its own.
         self.server_address = ""
+        # Body of answers to plain requests; their id if empty.
+        self.plain_answer = ""
         # Called with each request that reaches the model server.
         self.on_request: Callable[[ReceivedRequest], None] = lambda _: None
         # Called once after all processes have started for the first time.
@@ -427,10 +429,11 @@
         self.on_request(received)
         name = received.headers["x-attempt-id"]
         if received.target.startswith("/u/"):
+            answer = self.plain_answer or name
             body = (
                 f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {name}\r\n"
-                f"X-Response-Seal: s\r\nContent-Length: {len(name)}\r\n\r\n"
-                f"{name}"
+                f"X-Response-Seal: s\r\nContent-Length: {len(answer)}\r\n\r\n"
+                f"{answer}"
             )
             writer.write(body.encode())
             return
