--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -10,7 +10,7 @@
 import dataclasses
 import http
 import logging
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Any, cast
 
 import httptools
 
@@ -175,27 +175,15 @@
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         sock = listening.claim_socket(address)
-        if sock is not None:
-            self._server = await loop.create_server(
-                lambda: Connection(self), sock=sock, backlog=listening.BACKLOG
-            )
-        else:
-            self._server = await loop.create_server(
-                lambda: Connection(self),
-                host,
-                int(port),
-                backlog=listening.BACKLOG,
-            )
+        where: Any = {"sock": sock} if sock else {"host": host, "port": port}
+        self._server = await loop.create_server(
+            lambda: Connection(self), backlog=listening.BACKLOG, **where
+        )
         return f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     def count_busy(self) -> int:
-        """Returns the number of connections with a request in progress.
-
-        A caller may still have to read a part of its answer.
-        """
-        return sum(
-            conn.is_busy or conn.has_unsent_bytes for conn in self.connections
-        )
+        """Returns the number of connections with unread requests or answers."""
+        return sum(c.is_busy or c.has_unsent_bytes for c in self.connections)
 
     def close_when_answered(self) -> None:
         """Closes each connection after its next response."""
