Recognize a message that crashes servers in other conversations

On the OpenAI interface a harmful message crashed two servers in each conversation: 16 servers under eight conversations. Cause: a request was known by a digest of its whole conversation only, which is new in each.

An account's last message is now suspected as well, once servers crashed under several contents that end with it, or one of these was quarantined, and no request that ends with it was answered since. It is quarantined after three crashes in turn if no single content explains them: the rule that raw routes have for a path and its bodies. Suspected messages run apart, one copy at a time. What is quarantined explains its crashes, so they count against nothing that ran beside it. Terms, trials and the operator's lift are those of contents, by digest.

Tests of StrikeTest pass digests in their new form.

--- a/catkinpin/adapters/replica/shardhost.py
+++ b/catkinpin/adapters/replica/shardhost.py
@@ -104,7 +104,7 @@
 
         If that fails, the shard's leader asks again later.
         """
-        reason = f"{self.group.name}: it ran on two servers that crashed"
+        reason = f"{self.group.name}: it ran on servers that crashed"
         task = asyncio.create_task(
             self._replica.control.quarantine(content, reason)
         )
--- a/catkinpin/core/placement/assignment.py
+++ b/catkinpin/core/placement/assignment.py
@@ -6,12 +6,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from catkinpin import digest
 from catkinpin.core.crashruns import MAX_CRASHES
 from catkinpin.core.messages import ProgramKey
 from catkinpin.core.placement import jobs, limits
 from catkinpin.core.programs import sharding
-from catkinpin.core.programs.records import Choice, ProgramLimits
+from catkinpin.core.programs.records import ProgramLimits
 from catkinpin.verdicts import Reason
 
 if TYPE_CHECKING:
@@ -28,8 +27,12 @@
     from catkinpin.core.placement.jobs import Decision, Job
     from catkinpin.core.placement.scheduler import Scheduler
     from catkinpin.core.placement.servers import Server
-    from catkinpin.core.programs.commands import EntryRef
-    from catkinpin.core.programs.program import Attempt, Call, Program
+    from catkinpin.core.programs.program import (
+        Attempt,
+        Call,
+        CallDigests,
+        Program,
+    )
     from catkinpin.core.programs.shard import Shard
 
 # Delay until a call that must not run now is placed again; see `_must_wait`.
@@ -86,14 +89,14 @@
     """The server that a call runs on."""
 
     server: str
-    content: bytes
+    digests: CallDigests
     suspect: bool
 
 
 class CallAssigner:
     """Submits calls, isolates suspect calls and excludes ejected servers.
 
-    A call is suspect if a server crashed while running its content.
+    A call is suspect if servers crashed while running its content or message.
 
     Args:
         state: State of the shard, which is only read here.
@@ -167,9 +170,7 @@
                     outcomes.append(Deferred(decision.key, _RETRY_DELAY_MS))
                     continue
                 if job is not None:
-                    assigned = _Assigned(
-                        server, job.content_digest, job.suspect
-                    )
+                    assigned = _Assigned(server, job.digests, job.suspect)
                     self._add_assigned(decision.key, assigned)
                 outcomes.append(Placed(decision.key, decision.server))
             elif (
@@ -200,9 +201,10 @@
         assigned = self._assigned.pop(key, None)
         if assigned is not None:
             self._calls_by_server[assigned.server] -= 1
-            self._running_contents[assigned.content] -= 1
-            if not self._running_contents[assigned.content]:
-                del self._running_contents[assigned.content]
+            content = assigned.digests.content
+            self._running_contents[content] -= 1
+            if not self._running_contents[content]:
+                del self._running_contents[content]
         return self._scheduler.end_call(key, now_ms, usage)
 
     def end_program(self, key: ProgramKey) -> None:
@@ -212,23 +214,24 @@
     def record_answer(self, key: CallKey) -> None:
         """Records that a server answered the call's content without a crash."""
         assigned = self._assigned.get(key)
-        if assigned is None or not assigned.content:
+        if assigned is None or not assigned.digests.content:
             return
-        self._answered_contents.pop(assigned.content, None)
-        self._answered_contents[assigned.content] = None
+        content = assigned.digests.content
+        self._answered_contents.pop(content, None)
+        self._answered_contents[content] = None
         if len(self._answered_contents) > _MAX_ANSWERED_CONTENTS:
             del self._answered_contents[next(iter(self._answered_contents))]
 
     def restore_call(self, call: Call, attempt: Attempt) -> None:
         """Restores a running attempt that a previous leader granted."""
         server = attempt.choice.server.server
-        suspect = self._shard.quarantine.is_suspect(call.content)
-        self._add_assigned(call.key, _Assigned(server, call.content, suspect))
+        suspect = self._shard.quarantine.is_suspect(call.digests)
+        self._add_assigned(call.key, _Assigned(server, call.digests, suspect))
         self._scheduler.restore_call(call.key, server)
 
     def _add_assigned(self, key: CallKey, assigned: _Assigned) -> None:
         self._assigned[key] = assigned
-        self._running_contents[assigned.content] += 1
+        self._running_contents[assigned.digests.content] += 1
         self._calls_by_server[assigned.server] += 1
         if assigned.suspect:
             self._suspects[key] = assigned
@@ -263,7 +266,7 @@
         detected. Only contents that were answered before run without limit;
         copies of others run on one server, whose crash counts once.
         """
-        content = job.content_digest
+        content = job.digests.content
         running = self._running_contents[content] if content else 0
         if not job.suspect:
             if content in self._answered_contents:
@@ -271,7 +274,7 @@
             is_elsewhere = server not in self._servers_running(content)
             return running >= MAX_CRASHES or (running > 0 and is_elsewhere)
         has_no_suspects = server not in self._suspect_servers()
-        return running > 0 or not has_no_suspects
+        return self._runs_any(job.suspected) or not has_no_suspects
 
     def _allowed_by_cfg(self, deployment: str, report: ServerReport) -> bool:
         """Returns whether the configuration lets a deployment use the server.
@@ -307,9 +310,16 @@
     def _servers_running(self, content: bytes) -> set[str]:
         """Returns the servers on which copies of a content run."""
         return {
-            a.server for a in self._assigned.values() if a.content == content
+            a.server
+            for a in self._assigned.values()
+            if a.digests.content == content
         }
 
+    def _runs_any(self, suspected: frozenset[bytes]) -> bool:
+        """Returns whether a call with one of the digests runs."""
+        running = self._assigned.values()
+        return any(not suspected.isdisjoint(a.digests) for a in running)
+
     def _suspect_servers(self) -> list[str]:
         return [assigned.server for assigned in self._suspects.values()]
 
@@ -341,11 +351,11 @@
         account = begin.key.account
         deployment = self._cfg_of().deployment_for(account, begin.target)
         name = deployment.name if deployment is not None else ""
-        content = self._shard.content_digest(begin)
-        suspect = self._shard.quarantine.is_suspect(content)
+        digests = self._shard.digests_of(begin)
+        suspected = self._shard.quarantine.suspected(digests)
         excluded = set(self._outliers.ejected_servers(now_ms))
         excluded.update(call.failed_servers if call is not None else ())
-        excluded.update(self._suspect_servers() if suspect else ())
+        excluded.update(self._suspect_servers() if suspected else ())
         history = program.history_tokens if program is not None else 0
         parent = program.parent if program is not None else begin.parent
         job = jobs.Job(
@@ -367,8 +377,8 @@
             parent=parent,
             shared_tokens=self._shared_tokens(begin, parent),
             excluded_servers=tuple(sorted(excluded)),
-            suspect=suspect,
-            content_digest=content,
+            digests=digests,
+            suspected=suspected,
             is_allowed=lambda report: self._may_use(name, report),
         )
         self._jobs[begin.key] = job
@@ -409,42 +419,3 @@
             limits.Scope(limits.DEPLOYMENT, deployment.name, deployment.limits)
         )
     return scopes
-
-
-def logged_choice(
-    placed: Placed, entry: EntryRef, entries: list[EntryRef], priority: int
-) -> Choice:
-    """Returns the log record of a placement.
-
-    Args:
-        placed: The call and its server.
-        entry: The entry that gets the grant.
-        entries: The connected entries. If `entry` is in another region than
-            the server, one of those in the server's region dispatches the call.
-        priority: Priority of the deployment.
-    """
-    server = placed.server.ref
-    is_local = not server.region or server.region == entry.region
-    candidates = [e.address for e in entries if e.region == server.region]
-    return Choice(
-        server=server,
-        entry=entry.process,
-        entry_incarnation=entry.incarnation,
-        dispatcher="" if is_local else _relay_of(placed.key, candidates),
-        priority=priority,
-    )
-
-
-def _relay_of(key: CallKey, candidates: list[str]) -> str:
-    """Returns the entry that relays a program's calls to another region.
-
-    The entry is chosen by rendezvous hashing: programs spread over the
-    entries, each stays with the entry that has its history, and when an entry
-    leaves, only its own programs move.
-    """
-    root = f"{key.account}/{sharding.root_of(key.program)}"
-
-    def weight(address: str) -> bytes:
-        return digest.of_bytes(f"{root}\0{address}".encode())
-
-    return max(candidates, key=weight, default="")
--- a/catkinpin/core/placement/jobs.py
+++ b/catkinpin/core/placement/jobs.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from catkinpin.core.programs.program import CallDigests
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -12,6 +14,8 @@
     from catkinpin.core.placement.servers import Server
     from catkinpin.verdicts import Reason
 
+_NO_DIGESTS = CallDigests(b"")
+
 
 @dataclasses.dataclass(frozen=True)
 class Job:
@@ -30,8 +34,8 @@
         priority: Priority of the deployment; higher goes first.
         deadline_ms: Monotonic time after which the caller stops waiting.
         excluded_servers: Servers that failed this call or are ejected.
-        suspect: Whether the call ran on a server that crashed.
-        content_digest: Digest of everything that a server would receive.
+        digests: What the request is recognized by if it crashes servers.
+        suspected: Those of the digests that were running on such servers.
         is_allowed: Returns whether the call may run on a server; evaluated at
             each placement, as the configuration may change while it waits.
         prompt_bound_tokens: The original upper bound, kept by the scheduler.
@@ -56,8 +60,8 @@
     priority: int = 0
     deadline_ms: int = 0
     excluded_servers: tuple[str, ...] = ()
-    suspect: bool = False
-    content_digest: bytes = b""
+    digests: CallDigests = _NO_DIGESTS
+    suspected: frozenset[bytes] = frozenset()
     is_allowed: Callable[[ServerReport], bool] = lambda _: True
     prompt_bound_tokens: int = 0
     deployment: str = ""
@@ -65,6 +69,11 @@
     parent: str = ""
     shared_tokens: int = 0
 
+    @property
+    def suspect(self) -> bool:
+        """Whether the request may be one that crashes servers."""
+        return bool(self.suspected)
+
 
 @dataclasses.dataclass(frozen=True)
 class Place:
--- a/catkinpin/core/programs/admissions.py
+++ b/catkinpin/core/programs/admissions.py
@@ -79,8 +79,7 @@
         rejected = self._shard.check_begin(begin)
         if rejected is not None:
             return rejected
-        content = self._shard.content_digest(begin)
-        if self._gate.is_quarantined(content):
+        if self._gate.is_quarantined(self._shard.digests_of(begin)):
             text = "this request crashed servers and is quarantined"
             return effects.BeginRejected(begin, Reason.QUARANTINED, text)
         scopes = assignment.limit_scopes(cfg, begin)
--- a/catkinpin/core/programs/crashes.py
+++ b/catkinpin/core/programs/crashes.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
 
     from catkinpin.core.messages import CallKey
-    from catkinpin.core.programs.program import Call
+    from catkinpin.core.programs.program import Call, CallDigests
     from catkinpin.core.programs.shard import Shard
 
 _SHARE_RETRY_MS = 5_000
@@ -23,7 +23,7 @@
 
     Args:
         state: the shard's state, which is only read.
-        is_shared: whether the control group quarantined a content.
+        is_shared: whether the control group quarantined a digest.
     """
 
     def __init__(
@@ -34,10 +34,10 @@
         self._next_share_ms = 0
         self._held: dict[CallKey, None] = {}
 
-    def is_quarantined(self, content: bytes) -> bool:
+    def is_quarantined(self, digests: CallDigests) -> bool:
         """Returns whether this shard or the control group quarantined it."""
-        in_shard = self._shard.quarantine.is_refused(content)
-        return in_shard or self._is_shared(content)
+        in_shard = self._shard.quarantine.is_refused(digests)
+        return in_shard or any(map(self._is_shared, digests))
 
     def hold(self, key: CallKey) -> None:
         """Holds a call until it is known whether a server crashed."""
--- a/catkinpin/core/programs/grants.py
+++ b/catkinpin/core/programs/grants.py
@@ -4,14 +4,21 @@
 
 from typing import TYPE_CHECKING
 
+from catkinpin import digest
 from catkinpin.core.placement import assignment
-from catkinpin.core.programs import attempts, effects, records, replies
+from catkinpin.core.programs import (
+    attempts,
+    effects,
+    records,
+    replies,
+    sharding,
+)
 from catkinpin.core.programs.commands import Command, Propose
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from catkinpin.core.messages import Begin
+    from catkinpin.core.messages import Begin, CallKey
     from catkinpin.core.operations.deployments import (
         Configuration,
         Deployment,
@@ -61,7 +68,7 @@
         deployment = self.find_deployment(begin)
         priority = deployment.priority if deployment is not None else 0
         entries = list(self._entries.values())
-        return assignment.logged_choice(placed, entry, entries, priority)
+        return logged_choice(placed, entry, entries, priority)
 
     def send_grant(
         self, effect: effects.CallGranted, now_ms: int, wall_ms: int
@@ -105,3 +112,45 @@
         self._attempt_tracker.add(call.key, call.attempt)
         self._assigner.restore_call(call, call.attempt)
         self._deadlines.schedule_recall(call.attempt.attempt, now_ms)
+
+
+def logged_choice(
+    placed: assignment.Placed,
+    entry: EntryRef,
+    entries: list[EntryRef],
+    priority: int,
+) -> records.Choice:
+    """Returns the log record of a placement.
+
+    Args:
+        placed: The call and its server.
+        entry: The entry that gets the grant.
+        entries: The connected entries. If `entry` is in another region than
+            the server, one of those in the server's region dispatches the call.
+        priority: Priority of the deployment.
+    """
+    server = placed.server.ref
+    is_local = not server.region or server.region == entry.region
+    candidates = [e.address for e in entries if e.region == server.region]
+    return records.Choice(
+        server=server,
+        entry=entry.process,
+        entry_incarnation=entry.incarnation,
+        dispatcher="" if is_local else _relay_of(placed.key, candidates),
+        priority=priority,
+    )
+
+
+def _relay_of(key: CallKey, candidates: list[str]) -> str:
+    """Returns the entry that relays a program's calls to another region.
+
+    The entry is chosen by rendezvous hashing: programs spread over the
+    entries, each stays with the entry that has its history, and when an entry
+    leaves, only its own programs move.
+    """
+    root = f"{key.account}/{sharding.root_of(key.program)}"
+
+    def weight(address: str) -> bytes:
+        return digest.of_bytes(f"{root}\0{address}".encode())
+
+    return max(candidates, key=weight, default="")
--- a/catkinpin/core/programs/index.py
+++ b/catkinpin/core/programs/index.py
@@ -8,7 +8,7 @@
 from catkinpin.core.messages import ProgramKey
 from catkinpin.core.programs import history, rules, sharding
 from catkinpin.core.programs.effects import BeginRejected
-from catkinpin.core.programs.program import Program
+from catkinpin.core.programs.program import CallDigests, Program
 from catkinpin.verdicts import Reason, Verdict
 
 if TYPE_CHECKING:
@@ -72,21 +72,26 @@
             return BeginRejected(begin, Reason.SEQ_TAKEN, text)
         return None
 
-    def content_digest(self, begin: Begin) -> bytes:
-        """Returns a digest of everything that a server would receive.
+    def digests_of(self, begin: Begin) -> CallDigests:
+        """Returns what a request is recognized by if it crashes servers.
 
-        The digest of a model request does not depend on its program and
+        The content of a model request does not depend on its program and
         account, nor on whether its history was sent with it or stored here.
         """
         if begin.kind != "model":
-            return begin.fingerprint
+            return CallDigests(begin.fingerprint)
         program = self.programs.get(begin.key.program_key)
         head, new = b"", begin.digests
         if program is not None:
             head = program.history.head
             new = new[len(program.history) :] if begin.whole else new
         head = history.extend_chain(head, new)
-        return digest.chain(head, begin.target.encode())
+        target = begin.target.encode()
+        message = b""
+        if begin.digests:
+            account = digest.of_bytes(begin.key.account.encode())
+            message = digest.chain(account + begin.digests[-1], target)
+        return CallDigests(digest.chain(head, target), message)
 
     def _check_new_program(self, begin: Begin) -> BeginRejected | None:
         if begin.seq > 1:
--- a/catkinpin/core/programs/leader.py
+++ b/catkinpin/core/programs/leader.py
@@ -293,8 +293,8 @@
     ) -> list[Command]:
         choice = None
         commands: list[Command] = []
-        content = self._shard.content_digest(begin)
-        held_back = self._shard.quarantine.must_wait(content)
+        digests = self._shard.digests_of(begin)
+        held_back = self._shard.quarantine.must_wait(digests)
         scopes = assignment.limit_scopes(self.cfg, begin)
         held_back = held_back or not self.admission.may_start(scopes)
         if self._admissions.is_next(begin) and not held_back:
@@ -362,10 +362,10 @@
         program, call = found
         if program.next_call() is not call:
             return []
-        content = self._shard.content_digest(call.begin)
-        if self._gate.is_quarantined(content):
+        digests = self._shard.digests_of(call.begin)
+        if self._gate.is_quarantined(digests):
             return [Propose(crashes.refusal(call, wall_ms))]
-        if self._shard.quarantine.must_wait(content):
+        if self._shard.quarantine.must_wait(digests):
             self._gate.hold(key)
             return []
         scopes = assignment.limit_scopes(self.cfg, call.begin)
--- a/catkinpin/core/programs/program.py
+++ b/catkinpin/core/programs/program.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+from typing import NamedTuple
 
 from catkinpin.core.messages import Begin, CallKey, ProgramKey
 from catkinpin.core.programs import sharding
@@ -22,6 +23,19 @@
 _KEPT_CALLS = 32
 
 
+class CallDigests(NamedTuple):
+    """What a request is recognized by.
+
+    Attributes:
+        content: covers all that a server would receive.
+        message: covers the account, the target and the last message; empty for
+            a request without messages.
+    """
+
+    content: bytes
+    message: bytes = b""
+
+
 class CallState(enum.Enum):
     """State of an open call."""
 
@@ -38,7 +52,7 @@
         reserved: tokens reserved from the budget until the outcome is known.
         skip: number of the request's messages that the history already holds.
         began_ms: wall time of its start.
-        is_repeat: whether its content was suspected to crash servers then.
+        is_repeat: whether the call was suspected to crash servers then.
     """
 
     attempt: str
@@ -58,7 +72,9 @@
         begin: the request as admitted.
         seq: sequence number in the program; if the request has none, 0 until
             the first attempt starts.
-        content: digest of all that a server would receive, for quarantine.
+        content: digest of all that a server would receive, for quarantine;
+            empty before the first attempt.
+        message: digest of its last message, for quarantine.
         verdict: the worst verdict of the attempts so far.
         failed_servers: servers that failed this call, oldest first.
     """
@@ -67,6 +83,7 @@
     seq: int
     deadline_wall_ms: int
     content: bytes = b""
+    message: bytes = b""
     state: CallState = CallState.WAITING
     attempt: Attempt | None = None
     attempts: int = 0
@@ -78,6 +95,11 @@
         """Returns the key of the call."""
         return self.begin.key
 
+    @property
+    def digests(self) -> CallDigests:
+        """Returns what the call is recognized by if it crashes servers."""
+        return CallDigests(self.content, self.message)
+
 
 @dataclasses.dataclass(slots=True)
 class ClosedCall:
--- a/catkinpin/core/programs/shard.py
+++ b/catkinpin/core/programs/shard.py
@@ -155,11 +155,11 @@
         choice: records.Choice | None,
     ) -> list[Effect]:
         """Starts an attempt, or rejects the call if it may not have one."""
-        call.content = self.content_digest(call.begin)
+        call.content, call.message = self.digests_of(call.begin)
         refusal = self._check_attempt(at_ms, program, call)
         if refusal is not None:
             return self._reject_call(program, call, refusal)
-        if choice is None or self.quarantine.must_wait(call.content):
+        if choice is None or self.quarantine.must_wait(call.digests):
             return [CallReady(program, call)]
         root = self.root_of(program)
         begin = call.begin
@@ -174,7 +174,7 @@
             max_tokens=reserved - prompt,
             skip=len(program.history) if begin.whole else 0,
             began_ms=at_ms,
-            is_repeat=self.quarantine.is_suspect(call.content),
+            is_repeat=self.quarantine.is_suspect(call.digests),
         )
         call.seq = program.next_seq
         call.attempts += 1
@@ -197,7 +197,7 @@
             if index is not None:
                 text = f"messages[{index}] differs from the program's history"
                 return rules.refusal(at_ms, call, Reason.HISTORY_CONFLICT, text)
-        if self.quarantine.is_refused(call.content):
+        if self.quarantine.is_refused(call.digests):
             text = "this request crashed servers and is quarantined"
             return rules.refusal(at_ms, call, Reason.QUARANTINED, text)
         if begin.kind != "model":
@@ -333,9 +333,9 @@
     ) -> None:
         if record.crashed and call.content:
             strike = strike_of(attempt, record.at_ms)
-            self.quarantine.add_strike(call.content, strike)
+            self.quarantine.add_strike(call.digests, strike)
         elif record.answer is not None:
-            self.quarantine.clear_suspect(call.content)
+            self.quarantine.clear_suspect(call.digests)
 
     def _may_retry(
         self, program: Program, call: Call, record: records.AttemptFinished
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -7,6 +7,7 @@
 from catkinpin.core import messages
 from catkinpin.core.messages import CallKey
 from catkinpin.core.placement import assignment, servers
+from catkinpin.core.programs import grants
 from catkinpin.core.programs.commands import EntryRef
 from tests import base
 
@@ -39,7 +40,7 @@
         key = CallKey(account="a", program=program, request_id="1")
         placed = assignment.Placed(key, servers.Server(report, reported_ms=0))
         caller = _entry(99, "ch-nord")
-        choice = assignment.logged_choice(placed, caller, entries, priority=0)
+        choice = grants.logged_choice(placed, caller, entries, priority=0)
         relays[program] = choice.dispatcher
     return relays
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -5,8 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from catkinpin import codec
 from catkinpin.core.operations import changes, control, snapshot
 from catkinpin.core.operations.quarantine import ContentQuarantine
+from catkinpin.core.programs.program import CallDigests
 from catkinpin.core.programs.quarantine import Quarantine, Strike
 from tests import base
 
@@ -14,6 +16,7 @@
     from collections.abc import Awaitable, Callable
 
 _POISON = "cut blank 0xdead"
+_CONTENT = CallDigests(b"content")
 
 
 class StrikeTest(base.TestCase):
@@ -28,12 +31,12 @@
         quarantine = Quarantine()
         for at_ms in (1, 2):
             strike = Strike("s1", "i1", at_ms)
-            quarantine.add_strike(b"content", strike)
-        self.assertFalse(quarantine.must_wait(b"content"))
+            quarantine.add_strike(_CONTENT, strike)
+        self.assertFalse(quarantine.must_wait(_CONTENT))
         quarantine.resolve("s1", "i1", crashed=True)
         self.assertEqual([], quarantine.quarantine_repeated(2))
-        quarantine.add_strike(b"content", Strike("s1", "i2", 3))
-        self.assertTrue(quarantine.must_wait(b"content"))
+        quarantine.add_strike(_CONTENT, Strike("s1", "i2", 3))
+        self.assertTrue(quarantine.must_wait(_CONTENT))
         quarantine.resolve("s1", "i2", crashed=True)
         self.assertEqual([b"content"], quarantine.quarantine_repeated(3))
 
@@ -50,7 +53,7 @@
         strike = Strike(
             server, "i1", ended_ms, began_ms=began_ms, is_repeat=is_repeat
         )
-        quarantine.add_strike(b"content", strike)
+        quarantine.add_strike(_CONTENT, strike)
         quarantine.resolve(server, "i1", crashed=True)
         return quarantine.quarantine_repeated(ended_ms)
 
@@ -59,7 +62,7 @@
         quarantine = Quarantine()
         self.assertEqual([], self._crash(quarantine, "s1", 100, 1_000))
         self.assertEqual([], self._crash(quarantine, "s2", 120, 1_010))
-        self.assertFalse(quarantine.must_wait(b"content"))
+        self.assertFalse(quarantine.must_wait(_CONTENT))
         causes = self._crash(quarantine, "s3", 1_500, 1_600)
         self.assertEqual([b"content"], causes)
 
@@ -83,16 +86,83 @@
         self._crash(quarantine, "s1", 0, 10)
         self._crash(quarantine, "s2", 100, 110)
         quarantine.mark_shared([b"content"])
-        self.assertTrue(quarantine.is_suspect(b"content"))
-        self.assertFalse(quarantine.must_wait(b"content"))
+        self.assertTrue(quarantine.is_suspect(_CONTENT))
+        self.assertFalse(quarantine.must_wait(_CONTENT))
         causes = self._crash(quarantine, "s3", 30_200, 30_300)
         self.assertEqual([b"content"], causes)
         quarantine.mark_shared([b"content"])
-        quarantine.clear_suspect(b"content")
-        self.assertFalse(quarantine.is_suspect(b"content"))
+        quarantine.clear_suspect(_CONTENT)
+        self.assertFalse(quarantine.is_suspect(_CONTENT))
         self.assertEqual([], self._crash(quarantine, "s4", 60_000, 60_010))
 
 
+class MessageTest(base.TestCase):
+    """Crashes that count against a message in all conversations."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.quarantine = Quarantine()
+        self.now_ms = 0
+
+    def _crash(self, content: bytes, server: str) -> list[bytes]:
+        """Crashes a server under a message; returns what is quarantined."""
+        self.now_ms += 1_000
+        digests = CallDigests(content, b"message")
+        strike = Strike(server, "i", self.now_ms, began_ms=self.now_ms - 10)
+        self.quarantine.add_strike(digests, strike)
+        self.quarantine.resolve(server, "i", crashed=True)
+        return self.quarantine.quarantine_repeated(self.now_ms)
+
+    def test_message_of_several_conversations_is_quarantined(self) -> None:
+        """Guards against two crashes under each conversation."""
+        self.assertEqual([], self._crash(b"a", "s1"))
+        self.assertFalse(
+            self.quarantine.is_suspect(CallDigests(b"b", b"message"))
+        )
+        self.assertEqual([b"a"], self._crash(b"a", "s2"))
+        self.assertTrue(
+            self.quarantine.is_suspect(CallDigests(b"b", b"message"))
+        )
+        self.assertEqual([b"message"], self._crash(b"b", "s3"))
+        later = CallDigests(b"c", b"message")
+        self.assertTrue(self.quarantine.is_refused(later))
+
+    def test_crashes_of_one_conversation_leave_others_served(self) -> None:
+        """Guards against refusing a message for a history that crashes."""
+        self._crash(b"a", "s1")
+        self._crash(b"a", "s2")
+        self.assertEqual([b"a"], self._crash(b"a", "s3"))
+        other = CallDigests(b"b", b"message")
+        self.assertFalse(self.quarantine.is_refused(other))
+
+    def test_answer_clears_the_message_only(self) -> None:
+        """Guards against refusing a common message for one conversation."""
+        self._crash(b"a", "s1")
+        self._crash(b"a", "s2")
+        self.quarantine.clear_suspect(CallDigests(b"b", b"message"))
+        self.assertEqual([], self._crash(b"c", "s3"))
+        self.assertTrue(
+            self.quarantine.is_refused(CallDigests(b"a", b"message"))
+        )
+
+    def test_crash_of_a_known_cause_is_no_evidence(self) -> None:
+        """Guards against refusing what ran beside a harmful request."""
+        beside = CallDigests(b"beside", b"other message")
+        self.quarantine.add_strike(beside, Strike("s1", "i", 1))
+        self._crash(b"a", "s1")
+        self.assertTrue(self.quarantine.is_suspect(beside))
+        self._crash(b"a", "s2")
+        self.assertFalse(self.quarantine.is_suspect(beside))
+
+    def test_snapshot_keeps_the_evidence(self) -> None:
+        """Guards against more crashes after a restart."""
+        self._crash(b"a", "s1")
+        self._crash(b"a", "s2")
+        data = codec.encode(self.quarantine)
+        self.quarantine = codec.decoder(Quarantine).decode(data)
+        self.assertEqual([b"message"], self._crash(b"b", "s3"))
+
+
 class TermTest(base.TestCase):
     """Quarantines of the control group."""
 
