Log why a turn that is named is not there

The line `no-such-turn` could not tell whether such a turn was unknown, not finished, or another account's, nor whether the leader had ignored its end.

The line has the reason and the caller's account now, and the leader logs a whole turn's end that finds no open turn.

--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -91,7 +91,7 @@
         if outcome.denial:
             self.admission.cancel(begin.attempt)
         if outcome.denial is Denial.NO_SUCH_TURN:
-            _note_missing_turn(begin, outcome.missing)
+            self._note_missing_turn(begin, outcome.missing)
         placed = (
             ""
             if outcome.denial
@@ -114,7 +114,13 @@
         self._note_slowdowns(finish.attempt, message.report, ignored)
         self.admission.finish(message)
         outcome = await self._host.propose(finish, self._commit_timeout_s)
-        return outcome if isinstance(outcome, Undecided) else None
+        if isinstance(outcome, Undecided):
+            return outcome
+        if outcome.missing and finish.is_whole:
+            decisions.note(
+                "finish-ignored", finish.attempt, program=finish.program
+            )
+        return None
 
     def unresponsive_servers(self, gateways: int) -> list[str]:
         """Returns plain servers that several gateways report unresponsive.
@@ -248,6 +254,18 @@
             )
         return server
 
+    def _note_missing_turn(self, begin: Begin, missing: str) -> None:
+        decisions.note(
+            "no-such-turn",
+            begin.attempt,
+            program=begin.program,
+            previous=begin.previous,
+            missing=missing,
+            reason=self._host.state.ledger.why_missing(missing),
+            account=begin.account,
+            log_ms=begin.at_ms,
+        )
+
     def _note_slowdowns(
         self,
         attempt: str,
@@ -265,14 +283,3 @@
                 slowdown=slowdown.slowdown,
                 age_ms=slowdown.age_ms,
             )
-
-
-def _note_missing_turn(begin: Begin, missing: str) -> None:
-    decisions.note(
-        "no-such-turn",
-        begin.attempt,
-        program=begin.program,
-        previous=begin.previous,
-        missing=missing,
-        log_ms=begin.at_ms,
-    )
--- a/catkinpin/core/control/ledger.py
+++ b/catkinpin/core/control/ledger.py
@@ -176,7 +176,8 @@
     Attributes:
         denial: why the turn may not begin.
         missing: the turn of its chain that is unknown or belongs to another
-            account; empty if there is none.
+            account; or the turn that finishes and is not open. Empty if there
+            is none.
         chain: the turns before it, oldest first.
         expired: turns that expired, whose bytes may be deleted.
         program_status: elapsed and lost time of the program.
@@ -258,6 +259,8 @@
         out = self._advance(record.at_ms)
         open_turn = self._open_turns.pop(record.attempt, None)
         if open_turn is None:
+            if record.attempt not in self.turns:
+                out.missing = record.attempt
             return out
         budget = self._budget_of(open_turn.account, open_turn.program)
         if budget is not None:
@@ -308,6 +311,14 @@
         links.reverse()
         return links
 
+    def why_missing(self, attempt: str) -> str:
+        """Returns why a turn can't be continued, for the log."""
+        if attempt in self._open_turns:
+            return "it has not finished"
+        if attempt in self.turns:
+            return "it belongs to another account"
+        return "it is not known"
+
     def _first_missing(self, attempt: str, account: str) -> str:
         """Returns the newest turn of a chain that can't be continued."""
         while attempt:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -140,6 +140,20 @@
         out = ledger.begin(_begin("y", previous="never"))
         self.assertEqual("never", out.missing)
 
+    def test_log_tells_why_a_turn_is_missing(self) -> None:
+        """Guards against one log line for three faults."""
+        ledger = Ledger()
+        ledger.begin(_begin("open"))
+        ledger.begin(_begin("other", account="x"))
+        ledger.finish(_finish("other"))
+        self.assertEqual("it has not finished", ledger.why_missing("open"))
+        self.assertEqual(
+            "it belongs to another account", ledger.why_missing("other")
+        )
+        self.assertEqual("it is not known", ledger.why_missing("never"))
+        self.assertEqual("never", ledger.finish(_finish("never")).missing)
+        self.assertEqual("", ledger.finish(_finish("other")).missing)
+
     def test_old_turn_stays_as_long_as_its_chain(self) -> None:
         """A session continues beyond the retention of its first turn.
 
