Copy the turns of a lost host before the next one may be lost

Cause: copies of a store that is gone counted for 5 s more, whatever time the deployment allows until the next loss; only then did a round every 0.5 s copy eight batches one after the other. A keeper's copies counted until its vote was replaced, 5 s as well.

A keeper's settings have that time now, from the platform's `catch_up_s`. Copies of a host that was not connected for a third of it don't count until it is back, whether store or keeper. Rounds follow each other until all turns have enough copies or a batch fails, and the batches of a round run side by side. So two thirds of the time are left for copying.

--- a/catkinpin/adapters/keeper/repair.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import TYPE_CHECKING, Any
 
@@ -28,9 +29,9 @@
 
 log = logging.getLogger(__name__)
 
-# A store silent for this long counts as lost until it connects again. Hosts
-# that restart or thaw are back sooner.
-_SILENT_STORE_MS = 5_000
+# Share of the catch-up time after which the copies of a silent host don't count
+# until it connects again. The rest is for making other copies.
+_SILENT_SHARE = 1 / 3
 # From the order to empty a store until the last turn is settled by a gateway
 # that stored there before it received the order.
 _SETTLE_MS = 2_000
@@ -81,6 +82,7 @@
         self._other_hosts = other_hosts
         self._turn_server = turn_server
         self._commit_timeout_s = commit_timeout_s
+        self._silent_ms = cfg.catch_up_ms * _SILENT_SHARE
         self._last_seen_ms: dict[str, int] = {}
         self._retiring_since_ms: dict[str, int] = {}
         self._is_repairing = False
@@ -149,23 +151,28 @@
     async def repair(self) -> None:
         """Copies the turns that have too few copies on live hosts.
 
-        Does nothing while an earlier call is still running.
+        Goes on until all have enough or a batch fails, since the next loss may
+        follow soon. Does nothing while an earlier call is still running.
         """
         if self._is_repairing:
             return
         self._is_repairing = True
         try:
-            plan = copies.plan(
-                self._host.state.ledger.turns.values(),
-                self._counted_hosts(),
-                self._reachable_holders(),
-                self._cfg.copies,
-            )
-            for copy in plan:
-                await self._copy(copy)
+            while self._host.holds_lease() and (plan := self._plan_copies()):
+                are_done = await asyncio.gather(*map(self._copy, plan))
+                if not all(are_done):
+                    break
         finally:
             self._is_repairing = False
 
+    def _plan_copies(self) -> list[copies.CopyBatch]:
+        return copies.plan(
+            self._host.state.ledger.turns.values(),
+            self._counted_hosts(),
+            self._reachable_holders(),
+            self._cfg.copies,
+        )
+
     def _reachable_holders(self) -> list[copies.Holder]:
         """Returns the connected hosts and this one."""
         cfg = self._cfg
@@ -182,23 +189,34 @@
     def _counted_hosts(self) -> set[str]:
         """Returns the identities of the hosts whose copies count.
 
-        These are all keepers of the group, and the stores that were connected
-        recently and are not retiring. A silent store may have lost its disk
-        for good; a second loss could then take the last copy.
+        These are this one, and the group's keepers and the stores that were
+        connected recently and are not retiring. A silent host may have lost
+        its disk for good; a second loss could then take the last copy.
         """
         now_ms = self._clock.now_ms()
         for host in self._other_hosts.connected():
             if host.info is not None:
                 self._last_seen_ms[host.info.node] = now_ms
-        counted_hosts = {m.node for m in self._host.group.members.members}
-        for store in self._host.state.stores.by_node.values():
-            last_seen_ms = self._last_seen_ms.setdefault(store.node, now_ms)
-            if not store.retiring and now_ms - last_seen_ms < _SILENT_STORE_MS:
-                counted_hosts.add(store.node)
-        return counted_hosts
-
-    async def _copy(self, copy: copies.CopyBatch) -> None:
-        """Copies a batch of turns to a host, then commits that it has them."""
+        self._last_seen_ms[self._node] = now_ms
+        keepers = [m.node for m in self._host.group.members.members]
+        stores = [
+            store.node
+            for store in self._host.state.stores.by_node.values()
+            if not store.retiring
+        ]
+        return {
+            node
+            for node in (*keepers, *stores)
+            if now_ms - self._last_seen_ms.setdefault(node, now_ms)
+            < self._silent_ms
+        }
+
+    async def _copy(self, copy: copies.CopyBatch) -> bool:
+        """Copies a batch of turns to a host, then commits that it has them.
+
+        Returns:
+            Whether that succeeded.
+        """
         copy_turns = protocol.CopyTurns(
             ask=0, attempts=copy.attempts, source=copy.source.address
         )
@@ -209,10 +227,12 @@
         else:
             is_done = await self._request_copy(copy, copy_turns)
         if not is_done:
-            return
+            return False
         holders = [*copy.counted_holders, copy.target.node]
         moved = Moved(attempts=copy.attempts, holders=holders)
-        await self._host.propose(moved, self._commit_timeout_s)
+        outcome = await self._host.propose(moved, self._commit_timeout_s)
+        if isinstance(outcome, Undecided):
+            return False
         decisions.note(
             "copied",
             "",
@@ -220,6 +240,7 @@
             source=copy.source.address,
             target=copy.target.address,
         )
+        return True
 
     async def _request_copy(
         self, copy: copies.CopyBatch, copy_turns: protocol.CopyTurns
--- a/catkinpin/roles.py
+++ b/catkinpin/roles.py
@@ -80,6 +80,8 @@
             that may be lost at once.
         silent_server_ms: time without an announcement after which a server
             counts as gone.
+        catch_up_ms: time after which the next host may be lost once a lost one
+            is back or its successor has started.
         quota_window_ms: time window in which an account's quota must hold.
         quota_overage: share of a quota that may be used beyond it in a window.
         quota_slack: requests that may be made beyond that in a window.
@@ -95,6 +97,7 @@
     snapshot_entries: PositiveInt = 5_000
     copies: PositiveInt = 2
     silent_server_ms: Milliseconds = 15_000
+    catch_up_ms: Milliseconds = 15_000
     quota_window_ms: Milliseconds = 5_000
     quota_overage: Fraction = 0.0
     quota_slack: NonNegativeInt = 0
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -47,6 +47,7 @@
 regions = 0
 [bounds]
 grace_s = 8
+catch_up_s = {catch_up}
 """
 
 
@@ -106,6 +107,8 @@
         self.more_services: list[dict[str, Any]] = []
         # Policies in the settings of all processes.
         self.policies: list[str] = []
+        # How long a lost host counts as lost once it or its successor is back.
+        self.catch_up_s = 15.0
         self._sequence = 0
         self._session: aiohttp.ClientSession
         self._heartbeat_task: asyncio.Task[None]
@@ -145,6 +148,16 @@
         for host in self.hosts.values():
             self.kill(host.name)
 
+    def add_store(self, name: str) -> None:
+        """Adds a store with an empty disk, at an address that is not in use."""
+        network, _, octet = max(
+            (host.ip.rpartition(".") for host in self.hosts.values()),
+            key=lambda parts: int(parts[2]),
+        )
+        ip = f"{network}.{int(octet) + 1}"
+        data = self._folder / name
+        self.hosts[name] = Host(name, "store", ip, data, is_first_start=False)
+
     def start(self, name: str) -> None:
         """Starts a process, after writing its settings file."""
         host = self.hosts[name]
@@ -462,5 +475,10 @@
         head += f"\npolicies = [{policies}]"
         first = "true" if host.is_first_start else "false"
         return head + _COMMON_SETTINGS.format(
-            ip=host.ip, front=front, ready=ready, control=control, first=first
+            ip=host.ip,
+            front=front,
+            ready=ready,
+            control=control,
+            first=first,
+            catch_up=self.catch_up_s,
         )
