Start processes again that end by themselves during a soak

The soak sends reload signals to any host, also right after a start, when only the interpreter runs and its default action ends the process. A platform starts an ended process again; the soak never did, so that a keeper or store stayed away for good, and a second loss left no quorum or nothing to wait for.

The soak starts such a process again, and reports any other end by itself, which it looked at only in a planned stop before.

--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import signal
+import types
+from typing import Any, cast
 
 from tests import base, soakplatform
 from tests.fakes import deployment
@@ -54,6 +58,59 @@
         self.run_async(main())
 
 
+class SupervisionTest(base.TestCase):
+    """Processes that end by themselves during a soak."""
+
+    def test_process_that_a_reload_ends_at_its_start_is_started_again(
+        self,
+    ) -> None:
+        """Guards against a host that stays away and is waited for in vain."""
+        self.assertEqual([], self._problems(-signal.SIGHUP, has_started=False))
+
+    def test_other_ends_are_problems(self) -> None:
+        """Guards against a crash that nobody looks at."""
+        for code in (-signal.SIGHUP, -signal.SIGKILL, 0, 1):
+            self.assertEqual(
+                [f"store-1 ended by itself with {int(code)}"],
+                self._problems(code, has_started=True),
+            )
+        self.assertEqual(
+            ["store-1 ended by itself with 2"],
+            self._problems(2, has_started=False),
+        )
+
+    def _problems(self, code: int, *, has_started: bool) -> list[str]:
+        """Ends a process during a soak; returns the problems that it finds."""
+        system = deployment.Deployment(self.folder)
+        started: list[str] = []
+
+        def start(name: str) -> None:
+            started.append(name)
+            system.hosts[name].process = None
+
+        self.patch(system, "start", start)
+        process = types.SimpleNamespace(poll=lambda: code)
+        system.hosts["store-1"].process = cast("Any", process)
+        lines = [{"decision": "start"}] if has_started else []
+        text = "\n".join(json.dumps(line) for line in lines)
+        (self.folder / "store-1.log").write_text(text)
+        self.patch(soakplatform, "_RESTART_DELAY_S", 0.01)
+
+        problems: list[str] = []
+
+        async def main() -> None:
+            soak = soakplatform.Soak(system, "", seed=1, seconds=0.0)
+            supervisor = asyncio.ensure_future(soak.supervise())
+            await asyncio.sleep(0.1)
+            supervisor.cancel()
+            await soak.close()
+            problems.extend(soak.found.problems)
+
+        self.run_async(main())
+        self.assertEqual(["store-1"], started)
+        return problems
+
+
 class RepairedTest(base.TestCase):
     """Checks how the fake detects that a host is back with a new disk."""
 
