--- a/catkinpin/adapters/keeper/repair.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -189,7 +189,7 @@
     def _counted_hosts(self) -> set[str]:
         """Returns the identities of the hosts whose copies count.
 
-        These are this one, and the group's keepers and the stores that were
+        They are this keeper, and the group's keepers and the stores that were
         connected recently and are not retiring. A silent host may have lost
         its disk for good; a second loss could then take the last copy.
         """
