Move the rule of retries out of the shard's state machine

Whether a failed call may have another attempt depends on nothing but the call, its program and the record, so it belongs with the other rules.

--- a/catkinpin/core/programs/rules.py
+++ b/catkinpin/core/programs/rules.py
@@ -14,6 +14,8 @@
     from catkinpin.core.messages import Begin
     from catkinpin.core.programs.program import Call, Program
 
+# Dispatches of one call. Bounds the retries if every server fails it.
+_MAX_ATTEMPTS = 8
 _RETRY_AFTER_MS = 1_000
 
 
@@ -65,6 +67,19 @@
     )
 
 
+def may_retry(
+    program: Program, call: Call, record: records.AttemptFinished
+) -> bool:
+    """Returns whether a call whose last attempt failed may have another."""
+    if program.ended or call.attempts >= _MAX_ATTEMPTS:
+        return False
+    if record.at_ms >= call.deadline_wall_ms:
+        return False
+    # A non-idempotent request that may have run is never retried: a second
+    # dispatch could charge a customer twice.
+    return call.begin.idempotent or record.verdict is Verdict.NOT_RUN
+
+
 def failure_refusal(
     program: Program, call: Call, record: records.AttemptFinished
 ) -> records.CallRefused:
--- a/catkinpin/core/programs/shard.py
+++ b/catkinpin/core/programs/shard.py
@@ -34,9 +34,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-
-# Dispatches of one call. Bounds the retries if every server fails it.
-MAX_ATTEMPTS = 8
 _RETRY_AFTER_MS = 1_000
 
 _decoder = codec.decoder(ShardSnapshot)
@@ -310,7 +307,7 @@
         call.failed_servers.append(attempt.choice.server.server)
         if record.verdict is not Verdict.NOT_RUN:
             call.verdict = record.verdict
-        if self._may_retry(program, call, record):
+        if rules.may_retry(program, call, record):
             return [CallReady(program, call)]
         refusal = rules.failure_refusal(program, call, record)
         return self._reject_call(program, call, refusal, record.attempt)
@@ -337,17 +334,6 @@
         elif record.answer is not None:
             self.quarantine.clear_suspect(call.digests)
 
-    def _may_retry(
-        self, program: Program, call: Call, record: records.AttemptFinished
-    ) -> bool:
-        if program.ended or call.attempts >= MAX_ATTEMPTS:
-            return False
-        if record.at_ms >= call.deadline_wall_ms:
-            return False
-        # A non-idempotent request that may have run is never retried: a
-        # second dispatch could charge a customer twice.
-        return call.begin.idempotent or record.verdict is Verdict.NOT_RUN
-
     def _answer_call(
         self,
         index: int,
