Count only the acknowledged version of routes in the soak

The keepers' logs: version 23 acknowledged at 759.986, 24 at 760.074, by the leader that is asked first. The soak's two fault tasks changed routes at once, and the one that sent 23 took the newest version that had been sent, 24, for acknowledged. Each change now counts the version that it sent.

Before: test_routes_on_their_way_are_not_acknowledged finds the same problem.

--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -265,13 +265,17 @@
                         return found
                 await asyncio.sleep(_POLL_INTERVAL_S)
 
-    async def send_manifest(self, **route: Any) -> bool:
-        """Sends a new manifest; returns whether a keeper accepted it.
+    async def send_manifest(self, **route: Any) -> int:
+        """Sends a new manifest.
 
         Args:
             **route: changed fields of the manifest's first route.
+
+        Returns:
+            Its version if a keeper accepted it, else 0.
         """
         self.version += 1
+        version = self.version
         fields = {
             "name": "r",
             "host": "h.example",
@@ -298,14 +302,15 @@
         engine = {"slots": 8, "kv_capacity": 10_000, "event_tokens": 2}
         service = {"name": "models", "max_conns": 50, "engine": engine}
         manifest: dict[str, Any] = {
-            "version": self.version,
+            "version": version,
             "routes": [fields, unsafe_route, *self.more_routes],
             "services": [service, *self.more_services],
         }
         if self.tenants is not None:
             manifest["tenants"] = self.tenants
         body = json.dumps(manifest).encode()
-        return (await self.call_keeper("PUT", "/-/config", body))[0] == 200
+        status, _ = await self.call_keeper("PUT", "/-/config", body)
+        return version if status == 200 else 0
 
     async def send_heartbeat(self) -> bool:
         """Announces the model server; returns whether a keeper accepted it."""
--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -434,10 +434,10 @@
 
     async def _change_routes(self) -> str:
         """Sends new routes, then checks the routes that a keeper returns."""
-        if await self._deployment.send_manifest(
+        version = await self._deployment.send_manifest(
             priority=self._rng.randint(0, 2)
-        ):
-            self._acknowledged_version = self._deployment.version
+        )
+        self._acknowledged_version = max(self._acknowledged_version, version)
         await self._check_routes()
         return "reroute"
 
--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -111,6 +111,42 @@
         return problems
 
 
+class AcknowledgedRoutesTest(base.TestCase):
+    """What the soak expects of routes that are read back."""
+
+    def test_routes_on_their_way_are_not_acknowledged(self) -> None:
+        """Guards against a problem where two changes overlap.
+
+        The first is acknowledged and read back while the second waits.
+        """
+        system = deployment.Deployment(self.folder)
+        in_force = 0
+
+        async def call_keeper(
+            method: str, path: str, body: bytes = b""
+        ) -> tuple[int, bytes]:
+            nonlocal in_force
+            if method == "GET":
+                return 200, json.dumps({"version": in_force}).encode()
+            version = json.loads(body)["version"]
+            await asyncio.sleep(0.05 * version)
+            in_force = version
+            return 200, b""
+
+        self.patch(system, "call_keeper", call_keeper)
+        problems: list[str] = []
+
+        async def main() -> None:
+            soak = soakplatform.Soak(system, "", seed=1, seconds=0.0)
+            await asyncio.gather(soak._change_routes(), soak._change_routes())
+            await soak.close()
+            problems.extend(soak.found.problems)
+            self.assertEqual(2, soak._acknowledged_version)
+
+        self.run_async(main())
+        self.assertEqual([], problems)
+
+
 class RepairedTest(base.TestCase):
     """Checks how the fake detects that a host is back with a new disk."""
 
