--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -266,6 +266,41 @@
                 self.assertEqual(200, reply.status, reply.body)
             self.assertEqual(1, await self._count_alive(cluster, names))
 
+    def test_message_crashes_no_server_in_later_conversations(self) -> None:
+        """Guards against two servers lost in each conversation.
+
+        Callers send their histories along, and each has another one.
+        """
+        self.run_async(self._message_in_several_conversations())
+
+    async def _message_in_several_conversations(self) -> None:
+        cluster = await base.small(self.folder)
+        async with cluster:
+            names = [f"engine-{number}" for number in range(1, 6)]
+            for name in names[1:]:
+                cluster.add_fake("engine", name)
+            for name in names:
+                await cluster.steer(name, crash_on=_POISON)
+            codes = []
+            for number in range(4):
+                reply = await cluster.chat(
+                    "entry-1",
+                    "berater",
+                    [
+                        base.user(f"question {number}"),
+                        {"role": "assistant", "content": f"answer {number}"},
+                        base.user(_POISON),
+                    ],
+                    headers={"Catkinpin-Program": f"conversation-{number}"},
+                )
+                codes.append(reply.json["error"]["code"])
+            self.assertEqual("quarantined", codes[-1])
+            self.assertLessEqual(2, await self._count_alive(cluster, names))
+            harmless = await cluster.chat(
+                "entry-1", "berater", [base.user("question 0")]
+            )
+            self.assertEqual(200, harmless.status, harmless.body)
+
     def _all_engines_used(
         self, cluster: base.Cluster
     ) -> Callable[[], Awaitable[bool]]:
