--- a/catkinpin/core/requests/events.py
+++ b/catkinpin/core/requests/events.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
 # A longer event is none: its bytes would be kept until memory is full.
 MAX_EVENT_BYTES = 1024 * 1024
+# A longer id, or one with control characters, counts as absent.
+_MAX_ID_LENGTH = 256
+_CONTROL = re.compile(rb"[\x00-\x1f\x7f]")
 # An empty line ends an event; lines end with LF or CR LF.
 _EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
 
@@ -67,5 +71,7 @@
         if name == b"data":
             lines.append(value)
         elif name == b"id":
-            event_id = value.decode("latin-1")
+            # It is sent as a header when the stream is resumed elsewhere.
+            is_id = len(value) <= _MAX_ID_LENGTH and not _CONTROL.search(value)
+            event_id = value.decode("latin-1") if is_id else ""
     return Event(event_id, b"\n".join(lines))
--- a/catkinpin/core/requests/splice.py
+++ b/catkinpin/core/requests/splice.py
@@ -16,6 +16,16 @@
 
 _Channel = tuple[int, int, str]
 _NO_TOOL_CALL = -1
+# Raised by a chunk that isn't JSON, or whose fields have other types.
+_UNREADABLE = (
+    msgspec.MsgspecError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class StreamSplicer:
@@ -31,6 +41,7 @@
         self._unmatched: dict[_Channel, str] = {}
         self._first_ids: dict[str, Any] = {}
         self._is_regenerated = False
+        self._is_readable = True
 
     def restart(self) -> None:
         """Prepares for the first event of a regenerated answer."""
@@ -41,12 +52,25 @@
         """Returns the part of an event's data that the caller lacks, or None.
 
         Raises:
-            DivergedError: If the answer differs from what the caller has.
+            DivergedError: If the answer differs from what the caller has, or
+                can't be compared with it.
         """
-        chunk = msgspec.json.decode(data)
         if not self._is_regenerated:
-            self._record(chunk)
+            try:
+                self._record(msgspec.json.decode(data))
+            except _UNREADABLE:
+                # The caller gets it as it is; no other answer can continue it.
+                self.started = True
+                self._is_readable = False
             return data
+        if not self._is_readable:
+            raise DivergedError("the first answer can't be read")
+        try:
+            return self._feed_regenerated(msgspec.json.decode(data))
+        except _UNREADABLE as exc:
+            raise DivergedError("the new answer can't be read") from exc
+
+    def _feed_regenerated(self, chunk: dict[str, Any]) -> bytes | None:
         has_new = any(
             [self._remove_sent(choice) for choice in chunk.get("choices") or []]
         )
