Answer requests whose handling fails unexpectedly

An exception in a gateway's or a keeper's handler reset the connection without an answer, so that a caller could not know whether its request had run. The gateway now answers by the verdict: 503 if no server got the request, 502 or 504 if one may have run it; a reset remains for an answer that has begun. The exception is logged as one bounded line.

--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import random
 from typing import TYPE_CHECKING
 
@@ -13,8 +14,10 @@
 from catkinpin.adapters.gateway.streaming import StreamForwarder
 from catkinpin.adapters.gateway.usage import wait_for_quota
 from catkinpin.adapters.gateway.work import OpenCall
+from catkinpin.adapters.tasks import brief
 from catkinpin.core.control import routes
 from catkinpin.core.control.routes import RouteKind
+from catkinpin.core.requests.calls import RouteCall
 from catkinpin.core.requests.digests import digests_of
 
 if TYPE_CHECKING:
@@ -22,7 +25,8 @@
     from catkinpin.adapters.http.server import Request, Responder
     from catkinpin.core.control.accounts import ClientAccount
     from catkinpin.core.control.routes import Route, Service
-    from catkinpin.core.requests.calls import RouteCall
+
+log = logging.getLogger(__name__)
 
 _MS_PER_S = 1_000
 # Retry times for refused callers. A stopping gateway: retry at another one at
@@ -32,6 +36,9 @@
 _STARTING_RETRY_AFTER_S = 0.5
 _QUARANTINE_RETRY_AFTER_S = 10.0
 _LAGGING_RETRY_AFTER_S = 0.1
+_FAILED_RETRY_AFTER_S = 0.15
+_INTERNAL_ERROR = "an internal error"
+_MAX_ID_LENGTH = 64
 # A stopping gateway accepts a request only if this multiple of its expected
 # time, and at least the minimum, is left before the stop. Callers whose
 # requests would end in time are still served.
@@ -79,8 +86,16 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serves one request; cancels that if the caller disconnects."""
-        call = self._codec.decode_request(request.headers)
-        serving = asyncio.ensure_future(self._serve(request, responder, call))
+        try:
+            call = self._codec.decode_request(request.headers)
+        except Exception as exc:
+            log.error("a request's headers failed: %s", brief(exc))
+            call = RouteCall(attempt="")
+            self._answers.refuse(responder, call, 503, _INTERNAL_ERROR)
+            return
+        serving = asyncio.ensure_future(
+            self._serve_safely(request, responder, call)
+        )
         disconnected = asyncio.ensure_future(request.disconnected.wait())
         await asyncio.wait(
             {serving, disconnected}, return_when=asyncio.FIRST_COMPLETED
@@ -94,6 +109,25 @@
         except asyncio.CancelledError:
             self._answers.log_caller_left(call)
 
+    async def _serve_safely(
+        self, request: Request, responder: Responder, call: RouteCall
+    ) -> None:
+        """Serves one request; answers it also if that fails unexpectedly.
+
+        `_forward` handles failures of requests that servers may have run.
+        """
+        try:
+            await self._serve(request, responder, call)
+        except Exception as exc:
+            log.error("request %s failed: %s", _short(call), brief(exc))
+            if not responder.started:
+                retry_s = _FAILED_RETRY_AFTER_S
+                self._answers.refuse(
+                    responder, call, 503, _INTERNAL_ERROR, retry_s
+                )
+            elif not responder.finished:
+                responder.abort()
+
     async def _serve(
         self, request: Request, responder: Responder, call: RouteCall
     ) -> None:
@@ -232,9 +266,18 @@
         except TimeoutError:
             state.reason = state.reason or "the deadline has passed"
             self._answers.answer_failure(state)
+        except Exception as exc:
+            log.error("request %s failed: %s", _short(state.call), brief(exc))
+            state.reason = _INTERNAL_ERROR
+            if not state.responder.finished:
+                self._answers.answer_failure(state)
         self._answers.log_outcome(state)
 
 
+def _short(call: RouteCall) -> str:
+    return ascii(call.attempt[:_MAX_ID_LENGTH])
+
+
 def _timeout_s(call: RouteCall, route: Route) -> float:
     """Returns the shorter of the caller's deadline and the route's timeout."""
     return (
