Refuse announcements and manifests that can't be used

Callers saw most turns cut without an answer for as long as an announcement with the port "²" or of 5,000 digits stood: it was replicated, and `int` raised a ValueError in every gateway that picked the server. Manifests came into force with negative limits, which close all callers' connections, weights beyond 64 bits or a version that none can follow.

One odd entry is left out with one line, the good ones are used, and a good announcement or version follows it. The pool takes an address that is none for a failed connection.

--- a/catkinpin/adapters/gateway/routefetch.py
+++ b/catkinpin/adapters/gateway/routefetch.py
@@ -4,8 +4,12 @@
 
 import asyncio
 import logging
+import zlib
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from catkinpin.adapters.tasks import brief
 from catkinpin.core.control import protocol, routes
 from catkinpin.exceptions import PeerLostError
 
@@ -44,6 +48,9 @@
         self, host: Host, message: protocol.RoutingUpdate
     ) -> None:
         """Records which version a keeper holds."""
+        if not routes.is_version(message.version):
+            self._versions.pop(host.link.address, None)
+            return
         self._versions[host.link.address] = message.version
         if message.version > self._view.version:
             self._newer_announced.set()
@@ -70,8 +77,16 @@
             log.info("fetching routes failed: %s", exc)
             self._versions.pop(host.link.address, None)
             return
-        if reply.routing is not None:
-            self._view.replace_routes(routes.unpack(reply.routing))
+        if reply.routing is None:
+            return
+        try:
+            routing = routes.unpack(reply.routing)
+        except (msgspec.MsgspecError, zlib.error, ValueError) as exc:
+            # Another keeper may hold a document that can be read.
+            log.warning("routes can't be read: %s", brief(exc))
+            self._versions.pop(host.link.address, None)
+            return
+        self._view.replace_routes(routing)
 
     def _newer_source(self) -> Host | None:
         """Returns a keeper with a newer version, preferably in this region."""
--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -7,8 +7,9 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import decisions, metrics
+from catkinpin.adapters import unusable
 from catkinpin.adapters.gateway.suspects import KnownSuspects
-from catkinpin.core.control import protocol, servers
+from catkinpin.core.control import protocol, routes, servers
 from catkinpin.core.control.routes import RouteTable
 from catkinpin.core.control.servers import Fleet, ServerState
 
@@ -124,6 +125,8 @@
                 self.suspects.apply(message)
 
     def _handle_routing(self, message: protocol.RoutingUpdate) -> None:
+        if message.version >= 0 and not routes.is_version(message.version):
+            return
         self._announced_version = max(self._announced_version, message.version)
         if message.is_current:
             self._confirmed_version = max(
@@ -133,10 +136,13 @@
 
     def replace_routes(self, routing: Routing) -> None:
         """Replaces the routes, unless the given version is not newer."""
-        if routing.version <= self.version:
+        if routing.version <= self.version or not routes.is_version(
+            routing.version
+        ):
             return
         before = self.version
-        self.table = RouteTable(routing)
+        unusable.log_routing(routing)
+        self.table = RouteTable(routes.without_faults(routing))
         self.routes_changed_ms = self._clock.now_ms()
         decisions.note(
             "routes",
@@ -176,6 +182,7 @@
             )
             return
         self._servers_index = message.index
+        unusable.log_servers(message.instances)
         for update in message.instances:
             for changed in self.fleet.apply(update):
                 self._handle_change(changed)
--- a/catkinpin/adapters/http/pool.py
+++ b/catkinpin/adapters/http/pool.py
@@ -13,6 +13,7 @@
     OpenReason,
     ServerConnection,
 )
+from catkinpin.core.control.servers import split_address
 from catkinpin.verdicts import Verdict
 
 _MS_PER_S = 1_000
@@ -138,14 +139,17 @@
     ) -> ServerConnection | Failure:
         if self._open_counts.get(address, 0) >= limit:
             return Failure(Verdict.NOT_RUN, NO_FREE_CONNECTION)
+        target = split_address(address)
+        if target is None:
+            return Failure(Verdict.NOT_RUN, "no connection: not an address")
         self._open_counts[address] = self._open_counts.get(address, 0) + 1
-        host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(timeout_s):
-                conn = await _connect(host, int(port))
-        except OSError as exc:
+                conn = await _connect(*target)
+        except (OSError, UnicodeError) as exc:
             self._count_closed(address)
-            if exc.errno in _OWN_LIMIT_ERRORS:
+            # The resolver raises a UnicodeError for a host with a long label.
+            if isinstance(exc, OSError) and exc.errno in _OWN_LIMIT_ERRORS:
                 return Failure(Verdict.NOT_RUN, NO_FREE_CONNECTION)
             return Failure(Verdict.NOT_RUN, f"no connection: {exc!r}")
         except asyncio.CancelledError:
--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -11,10 +11,15 @@
 import dataclasses
 import itertools
 import logging
+import zlib
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from catkinpin import codec, decisions, metrics
-from catkinpin.core.control import routes, state
+from catkinpin.adapters import unusable
+from catkinpin.adapters.tasks import brief
+from catkinpin.core.control import accounts, routes, servers, state
 from catkinpin.core.control.ledger import Begin, Outcome
 from catkinpin.core.control.quotas import Quotas
 from catkinpin.core.control.servers import Instance, ServerState
@@ -30,6 +35,7 @@
 log = logging.getLogger(__name__)
 
 
+_MAX_FAULT_TEXT = 300
 # The metrics have one line per account, for at most so many accounts.
 _MAX_EXPOSED_ACCOUNTS = 20
 
@@ -122,6 +128,9 @@
         if not self.leading:
             # The leader counted the record before it proposed it.
             self._count_record(record.body)
+        body = record.body
+        if isinstance(body, state.Announce):
+            unusable.log_servers([body.instance])
         outcome = self.state.apply(index, record)
         pending = self._pending.pop(record.tag, None)
         if pending is not None and not pending.fut.done():
@@ -157,7 +166,8 @@
 
     def restore(self, data: bytes) -> None:
         """Replaces the state with a snapshot."""
-        self.state.restore(self.group.log.snapshot_index, data)
+        index = self.group.log.snapshot_index
+        unusable.log_servers(self.state.restore(index, data))
         self._on_restored()
 
     def referenced(self) -> list[int]:
@@ -176,9 +186,11 @@
         packed = self.state.routing
         if packed is not None and packed.accounts != self._packed_accounts:
             self._packed_accounts = packed.accounts
-            accounts = routes.unpack_accounts(packed) or []
-            self.account_names = frozenset(a.name for a in accounts)
-            self.quotas.configure(accounts, self.state.ledger.now_ms)
+            listed = accounts.without_faults(
+                routes.unpack_accounts(packed) or []
+            )
+            self.account_names = frozenset(a.name for a in listed)
+            self.quotas.configure(listed, self.state.ledger.now_ms)
         self._on_routing_changed()
 
     # Called by the rest of the process.
@@ -268,6 +280,10 @@
             return Undecided("not the leader")
         if routing.version <= self.state.version:
             return None
+        if why := _routing_fault(routing):
+            # A keeper of an earlier release passes on what this one refuses.
+            log.warning("routes refused: %s", why)
+            return Undecided("the routing document is invalid")
         outcome = await self.propose(state.SetRouting(routing=routing), wait_s)
         return outcome if isinstance(outcome, Undecided) else None
 
@@ -280,6 +296,10 @@
         """
         if not self.holds_lease():
             return Undecided("not the leader")
+        if servers.fault(instance):
+            # A keeper of an earlier release passes on whatever it gets.
+            unusable.log_servers([instance])
+            return None
         self._last_announced_ms[instance.id] = self._clock.now_ms()
         if instance.state is ServerState.GONE:
             last_sequence = self._last_sequence.get(instance.id, 0)
@@ -336,3 +356,14 @@
             if not pending.fut.done():
                 pending.fut.set_result(Undecided(reason))
         self._pending.clear()
+
+
+def _routing_fault(packed: PackedRouting) -> str:
+    """Returns why a document can't be put in force; empty if it can."""
+    try:
+        found = routes.problems(routes.unpack(packed))
+    except (msgspec.MsgspecError, zlib.error, ValueError) as exc:
+        return brief(exc)
+    if packed.version < 0 or not routes.is_version(packed.version):
+        return "the version is out of range"
+    return ascii("; ".join(found)[:_MAX_FAULT_TEXT]) if found else ""
--- a/catkinpin/core/control/accounts.py
+++ b/catkinpin/core/control/accounts.py
@@ -11,12 +11,17 @@
 import math
 from typing import TYPE_CHECKING
 
+from msgspec import structs
+
 from catkinpin.codec import Message
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 _MAX_QUOTA_REQUESTS = 1e9
+# Highest rank of an account or a route.
+MAX_RANK = 1_000_000
+_MAX_NAME_LENGTH = 256
 
 
 class Quota(Message, frozen=True):
@@ -82,17 +87,40 @@
                 found.append(f"accounts {holder}, {account.name}: one key")
         if not account.name.isprintable():
             found.append(f"account {account.name!r}: the name isn't printable")
+        if len(account.name) > _MAX_NAME_LENGTH:
+            found.append("an account's name is too long")
         if b"" in account.key_digests:
             found.append(f"account {account.name}: an empty key")
         quota = account.quota
         if not _is_plausible(quota.rate_per_s, quota.burst):
             found.append(f"account {account.name}: quota {quota}")
+        if not _is_rank(account.rank):
+            found.append(f"account {account.name}: the rank is out of range")
     if "" in names:
         found.append("an account without a name")
     found += [f"account {n}: named twice" for n, c in names.items() if c > 1]
     return found
 
 
+def without_faults(accounts: Iterable[ClientAccount]) -> list[ClientAccount]:
+    """Returns accounts without the quotas and ranks that can't be used.
+
+    An account without them still serves its callers.
+    """
+    found = []
+    for account in accounts:
+        quota = account.quota
+        if not _is_plausible(quota.rate_per_s, quota.burst):
+            quota = Quota()
+        rank = account.rank if _is_rank(account.rank) else None
+        found.append(structs.replace(account, quota=quota, rank=rank))
+    return found
+
+
+def _is_rank(rank: int | None) -> bool:
+    return rank is None or 0 <= rank <= MAX_RANK
+
+
 def _is_plausible(*numbers: float) -> bool:
     return all(
         math.isfinite(n) and 0 <= n <= _MAX_QUOTA_REQUESTS for n in numbers
--- a/catkinpin/core/control/routes.py
+++ b/catkinpin/core/control/routes.py
@@ -19,9 +19,41 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Collection
 
 # A fast level: names repeat so often that a higher one gains little.
 _COMPRESSION_LEVEL = 3
+_MAX_VERSION = 2**63 - 1
+_MAX_NAME_LENGTH = 256
+_MAX_WEIGHT = 10**9
+# Timers and messages take no times of any length; these are months.
+_MAX_TIME_MS = 10**10
+_MAX_RETENTION_MS = 10**12
+_MAX_BYTES = 2**31
+_MAX_COUNT = 10**9
+_MAX_TOKENS = 10**12
+# The least and the greatest value of numbers in a document.
+_ROUTE_RANGES: dict[str, tuple[float, float]] = {
+    "timeout_ms": (0, _MAX_TIME_MS),
+    "target_ms": (0, _MAX_TIME_MS),
+    "rank": (0, accounts.MAX_RANK),
+    "max_attempts": (1, _MAX_COUNT),
+    "retain_ms": (0, _MAX_RETENTION_MS),
+}
+_SERVICE_RANGES: dict[str, tuple[float, float]] = {
+    "max_connections": (0, _MAX_COUNT)
+}
+_ENGINE_RANGES: dict[str, tuple[float, float]] = {
+    "slots": (1, _MAX_COUNT),
+    "memory_tokens": (0, _MAX_TOKENS),
+    "event_tokens": (1, _MAX_COUNT),
+}
+_LIMIT_RANGES: dict[str, tuple[float, float]] = {
+    "max_header_bytes": (1, _MAX_BYTES),
+    "max_body_bytes": (1, _MAX_BYTES),
+    "header_timeout_ms": (1, _MAX_TIME_MS),
+    "idle_timeout_ms": (1, _MAX_TIME_MS),
+}
 
 
 class RouteKind(enum.StrEnum):
@@ -238,22 +270,99 @@
 _accounts_decoder = codec.decoder(list[ClientAccount])
 
 
+def is_version(version: int) -> bool:
+    """Returns whether a number can be the version of a document.
+
+    One beyond the range of messages could never be followed by another.
+    """
+    return 0 <= version <= _MAX_VERSION
+
+
 def problems(routing: Routing) -> list[str]:
     """Returns all errors in a document, empty for a valid one."""
     found = []
+    if not is_version(routing.version):
+        found.append("the version is out of range")
     services = {service.name for service in routing.services}
     host_prefixes: set[tuple[str, str]] = set()
     for route in routing.routes:
-        unknown = [s.service for s in route.shares if s.service not in services]
-        found += [f"route {route.name}: no service {name}" for name in unknown]
         host_prefix = (route.host, route.prefix)
         if host_prefix in host_prefixes:
             found.append(f"route {route.name}: {host_prefix} is taken")
         host_prefixes.add(host_prefix)
-        if sum(share.weight for share in route.shares) <= 0:
-            found.append(f"route {route.name}: the weights add up to 0")
-        if any(share.weight < 0 for share in route.shares):
-            found.append(f"route {route.name}: a weight is negative")
-        if route.timeout_ms <= 0:
-            found.append(f"route {route.name}: the timeout is 0")
+        found += _route_problems(route, services)
+    for service in routing.services:
+        found += _service_problems(service)
+    found += _range_problems("limits", routing.limits, _LIMIT_RANGES)
     return found + accounts.problems(routing.accounts or ())
+
+
+def without_faults(routing: Routing) -> Routing:
+    """Returns a document without the parts that can't be used.
+
+    Earlier releases put documents in force that this one refuses. One part that
+    can't be used must not keep the others from being used.
+    """
+    services = [s for s in routing.services if not _service_problems(s)]
+    names = {service.name for service in services}
+    usable: dict[tuple[str, str], Route] = {}
+    for route in routing.routes:
+        if not _route_problems(route, names):
+            usable.setdefault((route.host, route.prefix), route)
+    has_limits = not _range_problems("limits", routing.limits, _LIMIT_RANGES)
+    found = routing.accounts
+    return structs.replace(
+        routing,
+        routes=list(usable.values()),
+        services=services,
+        limits=routing.limits if has_limits else CallerLimits(),
+        accounts=None if found is None else accounts.without_faults(found),
+    )
+
+
+def _route_problems(route: Route, services: Collection[str]) -> list[str]:
+    subject = f"route {route.name}"
+    unknown = [s.service for s in route.shares if s.service not in services]
+    found = [f"{subject}: no service {name}" for name in unknown]
+    weights = [share.weight for share in route.shares]
+    if sum(weights) <= 0:
+        found.append(f"{subject}: the weights add up to 0")
+    if any(weight < 0 for weight in weights):
+        found.append(f"{subject}: a weight is negative")
+    if any(weight > _MAX_WEIGHT for weight in weights):
+        found.append(f"{subject}: a weight is out of range")
+    if route.timeout_ms <= 0:
+        found.append(f"{subject}: the timeout is 0")
+    if not _is_name(route.name):
+        found.append(f"{subject}: the name isn't a name")
+    if not _is_name(route.host):
+        found.append(f"{subject}: the host isn't a name")
+    prefix = route.prefix
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        found.append(f"{subject}: the prefix isn't between slashes")
+    return found + _range_problems(subject, route, _ROUTE_RANGES)
+
+
+def _service_problems(service: Service) -> list[str]:
+    subject = f"service {service.name}"
+    found = _range_problems(subject, service, _SERVICE_RANGES)
+    if not _is_name(service.name):
+        found.append(f"{subject}: the name isn't a name")
+    if service.engine is not None:
+        found += _range_problems(subject, service.engine, _ENGINE_RANGES)
+    return found
+
+
+def _range_problems(
+    subject: str, part: Message, ranges: dict[str, tuple[float, float]]
+) -> list[str]:
+    return [
+        f"{subject}: {name} is out of range"
+        for name, (low, high) in ranges.items()
+        # A number that is not finite is in no range either.
+        if not low <= getattr(part, name) <= high
+    ]
+
+
+def _is_name(text: str) -> bool:
+    return 0 < len(text) <= _MAX_NAME_LENGTH and text.isprintable()
--- a/catkinpin/core/control/servers.py
+++ b/catkinpin/core/control/servers.py
@@ -19,6 +19,16 @@
 # Removed servers that are remembered, in case a late announcement names one. On
 # an ordinary day, some hundreds are replaced.
 _MAX_REMOVED = 4_096
+# An identity is a header value of each request to the server.
+_MAX_ID_LENGTH = 128
+_MAX_NAME_LENGTH = 256
+_MAX_ADDRESS_LENGTH = 128
+_MAX_SLOTS = 100_000
+# Numbers beyond these are no time and no count, and would make each later
+# announcement of the same id look old. The time is in the year 2286.
+_MAX_STARTED_MS = 10**13
+_MAX_SEQUENCE = 2**62
+_MAX_PORT = 65_535
 # The fastest level: names and addresses repeat so often that a higher one gains
 # little.
 _COMPRESSION_LEVEL = 1
@@ -62,6 +72,48 @@
     slots: int
 
 
+def fault(instance: Instance) -> str:
+    """Returns why an announcement can't be used; empty if it can.
+
+    Earlier releases stored and sent whatever was announced, so this holds also
+    for what comes from other processes and from disk.
+    """
+    name = instance.id
+    if not (_is_name(name, _MAX_ID_LENGTH) and name.isascii()) or " " in name:
+        return "its id isn't a name"
+    if not 0 <= instance.started_ms <= _MAX_STARTED_MS:
+        return "its start is no time"
+    if not 0 <= instance.sequence <= _MAX_SEQUENCE:
+        return "its sequence number is out of range"
+    if instance.state.is_offline:
+        return ""
+    if not _is_name(instance.service, _MAX_NAME_LENGTH):
+        return "its service isn't a name"
+    if len(instance.domain) > _MAX_NAME_LENGTH:
+        return "its failure domain is too long"
+    if not 1 <= instance.slots <= _MAX_SLOTS:
+        return "its number of slots is out of range"
+    if split_address(instance.address) is None:
+        return "its address isn't a host and a port"
+    return ""
+
+
+def split_address(address: str) -> tuple[str, int] | None:
+    """Returns the host and the port of an address; None if it has none."""
+    host, _, port = address.rpartition(":")
+    if not _is_name(host, _MAX_ADDRESS_LENGTH) or not host.isascii():
+        return None
+    # `isdigit` alone accepts digits that `int` refuses.
+    if not (port.isascii() and port.isdigit() and len(port) <= 5):
+        return None
+    number = int(port)
+    return (host, number) if 1 <= number <= _MAX_PORT else None
+
+
+def _is_name(text: str, max_length: int) -> bool:
+    return 0 < len(text) <= max_length and text.isprintable()
+
+
 def pack(instances: Iterable[Instance]) -> bytes:
     """Compresses instances for sending them to many gateways."""
     return zlib.compress(codec.encode(list(instances)), _COMPRESSION_LEVEL)
@@ -92,7 +144,12 @@
         self._by_address: dict[str, str] = {}
 
     def would_change(self, announced: Instance) -> bool:
-        """Returns whether an announcement must go through the log."""
+        """Returns whether an announcement must go through the log.
+
+        One that can't be used changes nothing, so that it replaces no good one.
+        """
+        if fault(announced):
+            return False
         known = self.servers.get(announced.id) or self._removed.get(
             announced.id
         )
@@ -146,17 +203,25 @@
         """Returns the whole state, for a snapshot."""
         return [*self.servers.values(), *self._removed.values()]
 
-    def restore(self, instances: list[Instance]) -> None:
-        """Replaces the whole state by a snapshot's."""
+    def restore(self, instances: list[Instance]) -> list[Instance]:
+        """Replaces the whole state by a snapshot's.
+
+        Returns:
+            The servers that were left out because they can't be used.
+        """
         self.servers = {}
         self._removed = {}
         self._by_service = {}
         self._by_address = {}
+        unusable = []
         for instance in instances:
-            if instance.state.is_offline:
+            if fault(instance):
+                unusable.append(instance)
+            elif instance.state.is_offline:
                 self._removed[instance.id] = instance
             else:
                 self._put(instance)
+        return unusable
 
     def servers_of(self, service: str) -> Collection[Instance]:
         """Returns the servers of a service."""
--- a/catkinpin/core/control/state.py
+++ b/catkinpin/core/control/state.py
@@ -20,7 +20,7 @@
     Outcome,
 )
 from catkinpin.core.control.quotas import AccountUse
-from catkinpin.core.control.routes import PackedRouting
+from catkinpin.core.control.routes import PackedRouting, is_version
 from catkinpin.core.control.servers import Fleet, Instance
 from catkinpin.core.control.stores import Register, Retire, Store, Stores
 from catkinpin.core.control.suspects import (
@@ -203,7 +203,8 @@
         out = Outcome()
         match body:
             case SetRouting():
-                if body.routing.version > self.version:
+                version = body.routing.version
+                if version > self.version and is_version(version):
                     self.routing = body.routing
                     self._on_routing_changed()
             case Announce():
@@ -243,17 +244,22 @@
         )
         return codec.encode(state)
 
-    def restore(self, index: int, data: bytes) -> None:
+    def restore(self, index: int, data: bytes) -> list[Instance]:
         """Replaces the whole state by a snapshot's.
 
         Args:
             index: log index of the snapshot.
             data: the encoded state.
+
+        Returns:
+            The snapshot's servers that can't be used and were left out.
         """
         state = _state_decoder.decode(data)
         self.index = index
         self.routing = state.routing
-        self.fleet.restore(state.instances)
+        if self.version >= 0 and not is_version(self.version):
+            self.routing = None
+        unusable = self.fleet.restore(state.instances)
         self.ledger.restore(state.ledger)
         self.stores.by_node = {store.node: store for store in state.stores}
         self.lifted = dict.fromkeys(state.lifted)
@@ -271,6 +277,7 @@
         )
         self._on_routing_changed()
         self._on_servers_changed(list(self.fleet.servers.values()))
+        return unusable
 
     def _quarantine(self, body: Quarantine) -> None:
         before = self.suspects.crash_counts()
