--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = $(shell .ci/venv)/bin/python
 
-.PHONY: demo test fuzz lint format bench experiment soak soak-platform
+.PHONY: demo test fuzz fuzz-decoders fuzz-live lint format bench experiment soak soak-platform
 
 demo:
 	$(PYTHON) -m demo
@@ -8,12 +8,21 @@
 test:
 	$(PYTHON) -m pytest
 
-# Seeds FIRST to LAST-1 of the consensus simulation; about half a second each.
+# Seeds FIRST to LAST-1 of the decoders and of the consensus simulation; about
+# half a second each.
 FIRST ?= 0
 LAST ?= 2000
-fuzz:
+fuzz: fuzz-decoders
 	$(PYTHON) -m tests.simulation $(FIRST) $(LAST)
 
+# What other programs may write: each seed draws input for every decoder, or
+# plays it for SECONDS against a deployment that serves turns meanwhile.
+fuzz-decoders:
+	$(PYTHON) -m tests.drawndecoders $(FIRST) $(LAST)
+
+fuzz-live:
+	$(PYTHON) -m tests.drawnlive $(FIRST) $(LAST) $(SECONDS)
+
 # Random faults against real processes for SECONDS, by SEED.
 SEED ?= 1
 SECONDS ?= 60
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -360,6 +360,16 @@
                     return status_and_body
         return status_and_body
 
+    @property
+    def front_port(self) -> int:
+        """Port on which gateways serve callers."""
+        return self._ports[1]
+
+    @property
+    def control_port(self) -> int:
+        """Port on which keepers serve servers and operators."""
+        return self._ports[3]
+
     async def get_readiness(self, gateway: str) -> int:
         """Returns the status of a gateway's readiness check."""
         url = f"http://{self.hosts[gateway].ip}:{self._ports[2]}/-/ready"
--- a/tests/fakes/rawserver.py
+++ b/tests/fakes/rawserver.py
@@ -45,7 +45,7 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.decode().lower()] = value.decode()
+        self._headers[name.decode().lower()] = value.decode("latin-1")
 
     def on_body(self, data: bytes) -> None:
         self._body += data
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -44,7 +44,7 @@
 
 
 class DrawnTest(base.TestCase):
-    """Drawn input for every decoder; `make fuzz` plays more seeds."""
+    """Drawn input for every decoder; `make fuzz-decoders` plays more."""
 
     def test_drawn_input_is_refused_or_harmless(self) -> None:
         """Guards against input that raises, or can't be sent on or stored."""
