Bound the texts in lines about requests

A caller's id may have the size of its headers, and lines about a refusal carry it and its program: 16 kB a line, which is never sampled. Texts longer than 1,000 characters are cut.

test_long_id_makes_no_long_line failed before.

--- a/catkinpin/decisions.py
+++ b/catkinpin/decisions.py
@@ -23,6 +23,8 @@
 _MAX_ROUTINE_LINES_PER_S = 40
 # Bounds the lines that wait until the pipe is read to about 200 KB.
 _MAX_QUEUED_LINES = 1_000
+# Bounds a text in a line; a caller's ids may have the size of its headers.
+_MAX_TEXT = 1_000
 _STDOUT_FD = 1
 
 _encoder = msgspec.json.Encoder(enc_hook=str)
@@ -107,8 +109,10 @@
         "decision": kind,
     }
     if request:
-        line["request"] = request
-    line.update(fields)
+        line["request"] = request[:_MAX_TEXT]
+    for name, value in fields.items():
+        is_long = isinstance(value, str) and len(value) > _MAX_TEXT
+        line[name] = value[:_MAX_TEXT] if is_long else value
     _writer.enqueue(line)
 
 
