Forget announcements of servers that are not known

A leading keeper noted the time of each announcement by id, also of departures of unknown servers, and never dropped one: memory for each id that another program names. It forgets them once there are 1,000 more than servers.

test_departures_of_unknown_servers_take_no_memory failed before.

--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -36,6 +36,8 @@
 
 
 _MAX_FAULT_TEXT = 300
+# Servers that are not known, of which announcements are remembered.
+_MAX_REMEMBERED = 1_000
 # The metrics have one line per account, for at most so many accounts.
 _MAX_EXPOSED_ACCOUNTS = 20
 
@@ -331,6 +333,7 @@
         be given to another server.
         """
         now_ms = self._clock.now_ms()
+        self._forget_removed()
         lost = []
         for instance in self.state.fleet.servers.values():
             last_announced_ms = self._last_announced_ms.setdefault(
@@ -351,6 +354,15 @@
                 )
         return lost
 
+    def _forget_removed(self) -> None:
+        """Forgets when servers announced themselves that are not known."""
+        known = self.state.fleet.servers
+        if len(self._last_announced_ms) <= len(known) + _MAX_REMEMBERED:
+            return
+        for noted in (self._last_announced_ms, self._last_sequence):
+            for server in [s for s in noted if s not in known]:
+                del noted[server]
+
     def _fail_pending(self, reason: str) -> None:
         for pending in self._pending.values():
             if not pending.fut.done():
--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+import zlib
+from typing import Any, cast
 
 import msgspec
 
-from catkinpin import clock
+from catkinpin import clock, decisions
 from catkinpin.adapters.gateway.view import GatewayView
 from catkinpin.adapters.http.client import Failure
 from catkinpin.adapters.http.pool import Pool
+from catkinpin.adapters.keeper.host import KeeperHost, Undecided
 from catkinpin.core.control import protocol, servers, state
 from catkinpin.core.control.accounts import ClientAccount, Quota
+from catkinpin.core.control.quotas import QuotaTolerance
 from catkinpin.core.control.routes import (
     CallerLimits,
+    PackedRouting,
     Route,
     RouteKind,
     Routing,
@@ -221,6 +225,98 @@
         self.assertEqual(8, control.version)
 
 
+class _OwnGroup:
+    """A control group of one keeper, which applies what it proposes."""
+
+    term = 1
+
+    def __init__(self) -> None:
+        self.host: KeeperHost
+        self.proposed = 0
+
+    def is_leader(self) -> bool:
+        return True
+
+    def propose(self, payload: bytes) -> None:
+        self.proposed += 1
+        self.host.apply(self.proposed, payload)
+
+
+class LeaderTest(base.TestCase):
+    """A leading keeper, and what other keepers pass on to it."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.group = _OwnGroup()
+        self.host = KeeperHost(
+            clock.system_clock(),
+            "i",
+            15_000,
+            QuotaTolerance(1_000, 1.0, 0.0),
+            lambda: None,
+            lambda _: None,
+            lambda _: None,
+            lambda _: None,
+        )
+        self.host.group = cast("Any", self.group)
+        self.group.host = self.host
+        self.host.leadership_changed(leading=True)
+
+    def test_what_earlier_releases_pass_on_is_checked(self) -> None:
+        """Guards against replicating what this release refuses itself."""
+        self.run_async(self._pass_on())
+
+    async def _pass_on(self) -> None:
+        odd = instance("s1", address="127.0.0.1:\u00b2")
+        with self.assertLogs("catkinpin.adapters"):
+            self.assertIsNone(await self.host.announce(odd, 1.0))
+            for routing in (
+                pack(_routing(limits=CallerLimits(max_body_bytes=-1))),
+                pack(_routing(version=2**64 - 1)),
+                PackedRouting(version=2, data=b"no such thing"),
+                PackedRouting(version=2, data=zlib.compress(b"\xc1")),
+            ):
+                outcome = await self.host.set_routing(routing, 1.0)
+                self.assertIsInstance(outcome, Undecided)
+        self.assertEqual(0, self.group.proposed)
+        self.assertIsNone(await self.host.announce(instance("s1"), 1.0))
+        self.assertIsNone(await self.host.set_routing(pack(_routing()), 1.0))
+        self.assertEqual(2, self.group.proposed)
+
+    def test_departures_of_unknown_servers_take_no_memory(self) -> None:
+        """Guards against memory for each id that another program names."""
+        self.run_async(self._depart())
+
+    async def _depart(self) -> None:
+        await self.host.announce(instance("s1", sequence=7), 1.0)
+        for number in range(5_000):
+            gone = instance(f"u{number}", state=ServerState.GONE)
+            await self.host.announce(gone, 1.0)
+        self.host.lost_servers()
+        self.assertEqual(["s1"], list(self.host._last_announced_ms))
+        self.assertEqual(["s1"], list(self.host._last_sequence))
+
+
+class LineTest(base.TestCase):
+    """Lines about requests."""
+
+    def test_long_id_makes_no_long_line(self) -> None:
+        """Guards against lines of the size of a caller's headers."""
+        lines: list[dict[str, Any]] = []
+        writer = decisions._LineWriter()
+        writer.enabled = True
+        cast("Any", writer).enqueue = lines.append
+        usual, decisions._writer = decisions._writer, writer
+        try:
+            decisions.note(
+                "refused", "9" * 8_000, program="x" * 8_000, tokens=3
+            )
+        finally:
+            decisions._writer = usual
+        self.assertEqual(3, lines[0]["tokens"])
+        self.assertLess(len(json.dumps(lines[0])), 2_500)
+
+
 class GatewayViewTest(base.TestCase):
     """What a keeper of an earlier release sends to a gateway."""
 
