--- a/catkinpin/adapters/gateway/view.py
+++ b/catkinpin/adapters/gateway/view.py
@@ -141,8 +141,10 @@
         ):
             return
         before = self.version
-        unusable.log_routing(routing)
-        self.table = RouteTable(routes.without_faults(routing))
+        usable = routes.without_faults(routing)
+        if usable != routing:
+            unusable.log_routing(routing)
+        self.table = RouteTable(usable)
         self.routes_changed_ms = self._clock.now_ms()
         decisions.note(
             "routes",
--- a/catkinpin/core/control/routes.py
+++ b/catkinpin/core/control/routes.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import enum
+import operator
 import zlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from msgspec import structs
 
@@ -32,28 +33,44 @@
 _MAX_BYTES = 2**31
 _MAX_COUNT = 10**9
 _MAX_TOKENS = 10**12
-# The least and the greatest value of numbers in a document.
-_ROUTE_RANGES: dict[str, tuple[float, float]] = {
-    "timeout_ms": (0, _MAX_TIME_MS),
-    "target_ms": (0, _MAX_TIME_MS),
-    "rank": (0, accounts.MAX_RANK),
-    "max_attempts": (1, _MAX_COUNT),
-    "retain_ms": (0, _MAX_RETENTION_MS),
-}
-_SERVICE_RANGES: dict[str, tuple[float, float]] = {
-    "max_connections": (0, _MAX_COUNT)
-}
-_ENGINE_RANGES: dict[str, tuple[float, float]] = {
-    "slots": (1, _MAX_COUNT),
-    "memory_tokens": (0, _MAX_TOKENS),
-    "event_tokens": (1, _MAX_COUNT),
-}
-_LIMIT_RANGES: dict[str, tuple[float, float]] = {
-    "max_header_bytes": (1, _MAX_BYTES),
-    "max_body_bytes": (1, _MAX_BYTES),
-    "header_timeout_ms": (1, _MAX_TIME_MS),
-    "idle_timeout_ms": (1, _MAX_TIME_MS),
-}
+_MAX_PROBLEMS = 100
+
+
+class _Ranges:
+    """The least and the greatest values of a part's numbers.
+
+    Documents have thousands of parts, so that the numbers are read together.
+    """
+
+    def __init__(self, *ranges: tuple[str, float, float]) -> None:
+        self.ranges = ranges
+        self._read = operator.attrgetter(*(name for name, _, _ in ranges))
+
+    def values_of(self, part: Message) -> tuple[float, ...]:
+        """Returns the part's numbers in the order of the ranges."""
+        values: Any = self._read(part)
+        return values if len(self.ranges) > 1 else (values,)
+
+
+_ROUTE_RANGES = _Ranges(
+    ("timeout_ms", 0, _MAX_TIME_MS),
+    ("target_ms", 0, _MAX_TIME_MS),
+    ("rank", 0, accounts.MAX_RANK),
+    ("max_attempts", 1, _MAX_COUNT),
+    ("retain_ms", 0, _MAX_RETENTION_MS),
+)
+_SERVICE_RANGES = _Ranges(("max_connections", 0, _MAX_COUNT))
+_ENGINE_RANGES = _Ranges(
+    ("slots", 1, _MAX_COUNT),
+    ("memory_tokens", 0, _MAX_TOKENS),
+    ("event_tokens", 1, _MAX_COUNT),
+)
+_LIMIT_RANGES = _Ranges(
+    ("max_header_bytes", 1, _MAX_BYTES),
+    ("max_body_bytes", 1, _MAX_BYTES),
+    ("header_timeout_ms", 1, _MAX_TIME_MS),
+    ("idle_timeout_ms", 1, _MAX_TIME_MS),
+)
 
 
 class RouteKind(enum.StrEnum):
@@ -279,7 +296,10 @@
 
 
 def problems(routing: Routing) -> list[str]:
-    """Returns all errors in a document, empty for a valid one."""
+    """Returns the errors in a document, empty for a valid one.
+
+    They are all errors, unless there are very many.
+    """
     found = []
     if not is_version(routing.version):
         found.append("the version is out of range")
@@ -291,6 +311,9 @@
             found.append(f"route {route.name}: {host_prefix} is taken")
         host_prefixes.add(host_prefix)
         found += _route_problems(route, services)
+        if len(found) > _MAX_PROBLEMS:
+            # A document of megabytes must not keep the process busy.
+            return found
     for service in routing.services:
         found += _service_problems(service)
     found += _range_problems("limits", routing.limits, _LIMIT_RANGES)
@@ -322,15 +345,18 @@
 
 def _route_problems(route: Route, services: Collection[str]) -> list[str]:
     subject = f"route {route.name}"
-    unknown = [s.service for s in route.shares if s.service not in services]
-    found = [f"{subject}: no service {name}" for name in unknown]
-    weights = [share.weight for share in route.shares]
-    if sum(weights) <= 0:
+    found = []
+    total = 0
+    for share in route.shares:
+        total += share.weight
+        if share.service not in services:
+            found.append(f"{subject}: no service {share.service}")
+        if share.weight < 0:
+            found.append(f"{subject}: a weight is negative")
+        if share.weight > _MAX_WEIGHT:
+            found.append(f"{subject}: a weight is out of range")
+    if total <= 0:
         found.append(f"{subject}: the weights add up to 0")
-    if any(weight < 0 for weight in weights):
-        found.append(f"{subject}: a weight is negative")
-    if any(weight > _MAX_WEIGHT for weight in weights):
-        found.append(f"{subject}: a weight is out of range")
     if route.timeout_ms <= 0:
         found.append(f"{subject}: the timeout is 0")
     if not _is_name(route.name):
@@ -353,14 +379,14 @@
     return found
 
 
-def _range_problems(
-    subject: str, part: Message, ranges: dict[str, tuple[float, float]]
-) -> list[str]:
+def _range_problems(subject: str, part: Message, ranges: _Ranges) -> list[str]:
     return [
         f"{subject}: {name} is out of range"
-        for name, (low, high) in ranges.items()
+        for value, (name, low, high) in zip(
+            ranges.values_of(part), ranges.ranges, strict=True
+        )
         # A number that is not finite is in no range either.
-        if not low <= getattr(part, name) <= high
+        if not low <= value <= high
     ]
 
 
