Bound the header fields and trailers kept of a server's answer

A server that sends header lines without end made each gateway grow by tens of MB with 16 callers, and so did trailer lines. The limit of 256 KB for bytes that are no body was checked after each read, and within these bytes each short field became two byte strings and a tuple, several times its size. Trailers were even added to the fields of a head that had been accepted.

The fields of one message now share a limit that counts what a field takes besides its bytes, checked at each field; trailers count and are not kept.

Two gateways, 16 callers, a faulty server beside a sound one (real processes, tests/test_endless_memory.py): growth of the peak memory before 22,924 and 27,680 KB (header lines) and 22,596 and 31,364 KB (trailer lines), both tests failed; after 716 and 792 KB, and 588 and 680 KB, both pass. Calls to the sound server were answered with 200 in all runs.

--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -34,6 +34,10 @@
 # body so many of framing: a chunk of one byte takes six.
 _MAX_OTHER_BYTES = 256 * 1024
 _MAX_FRAMING_FACTOR = 8
+# Most bytes of the fields of one message, trailers included. Each field takes
+# some more in memory than its bytes, which short ones would multiply.
+_MAX_FIELDS_BYTES = 128 * 1024
+_FIELD_OVERHEAD_BYTES = 128
 # An idle connection is closed this long before the server would close it: if
 # a request and the server's close cross, the request may or may not have run.
 _IDLE_MARGIN_S = 1.0
@@ -137,6 +141,8 @@
         self._reading_paused = False
         self._status = b""
         self._headers = Headers()
+        self._fields_bytes = 0
+        self._in_trailers = False
         self._head: ResponseHead | None = None
         self._in_body = False
         self._complete = False
@@ -186,7 +192,8 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self.abort(f"not a response: {exc}")
+            # The parser wraps exceptions of its callbacks.
+            self.abort(f"not a response: {exc.__context__ or exc}")
         other_bytes = self._received_bytes - self._body_bytes
         limit = _MAX_OTHER_BYTES + _MAX_FRAMING_FACTOR * self._body_bytes
         if other_bytes > limit and not self._complete:
@@ -305,19 +312,26 @@
             self._keep_alive = False
         self._status = b""
         self._headers = Headers()
+        self._fields_bytes = 0
+        self._in_trailers = False
 
     def on_status(self, status: bytes) -> None:
         """Adds a part of the reason phrase."""
         self._status += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header field."""
-        self._headers.add(name, value)
+        """Adds a header field; drops a trailer, as its receiver may."""
+        self._fields_bytes += len(name) + len(value) + _FIELD_OVERHEAD_BYTES
+        if self._fields_bytes > _MAX_FIELDS_BYTES:
+            raise _TooManyFieldsError
+        if not self._in_trailers:
+            self._headers.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Accepts the head if the response answers the current request."""
         status = self._parser.get_status_code()
         self._in_body = False
+        self._in_trailers = True
         if status < 200 or self._complete or self._head is not None:
             return
         if not self._matches_request(self._headers):
@@ -370,3 +384,10 @@
                     _PROBED_IDLE_MARGIN_S if self.is_probed else _IDLE_MARGIN_S
                 )
         self.idle_until_s = asyncio.get_running_loop().time() + max(wait_s, 0.0)
+
+
+class _TooManyFieldsError(Exception):
+    """The fields of a message exceed their size limit."""
+
+    def __str__(self) -> str:
+        return "too many fields"
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -314,10 +314,15 @@
 
     async def send_heartbeat(self) -> bool:
         """Announces the model server; returns whether a keeper accepted it."""
+        address = self.server_address or self.model_server.address
+        return await self.send_heartbeat_of("m1", address)
+
+    async def send_heartbeat_of(self, server: str, address: str) -> bool:
+        """Announces a server; returns whether a keeper accepted it."""
         self._sequence += 1
         fields = {
             "service": "models",
-            "address": self.server_address or self.model_server.address,
+            "address": address,
             "zone": "a",
             "slots": 8,
             "state": "ready",
@@ -325,7 +330,8 @@
             "born": 1,
         }
         body = json.dumps(fields).encode()
-        status, _ = await self.call_keeper("PUT", "/-/instances/m1", body)
+        path = f"/-/instances/{server}"
+        status, _ = await self.call_keeper("PUT", path, body)
         return status == 200
 
     async def _repeat_heartbeats(self) -> None:
--- /dev/null
+++ b/tests/test_endless_memory.py
@@ -0,0 +1,112 @@
+"""Memory of gateway processes while a server sends bytes without end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from tests.fakes.rawserver import RawServer
+from tests.test_deployment import DeploymentCase
+
+if TYPE_CHECKING:
+    from tests.fakes.deployment import Deployment
+    from tests.fakes.rawserver import ReceivedRequest
+
+_CALLERS = 16
+_PLAY_S = 4.0
+_UNIT_BYTES = 16_384
+_MAX_GROWTH_KB = 24 * 1024
+
+
+class _FaultyServer:
+    """Answers each request with a beginning and then one unit for ever.
+
+    Attributes:
+        sent_bytes: bytes sent to all callers.
+    """
+
+    def __init__(self, begin: bytes, unit: bytes) -> None:
+        self._begin = begin
+        self._unit = unit * (_UNIT_BYTES // len(unit))
+        self.sent_bytes = 0
+        self.raw = RawServer(self._answer)
+
+    async def _answer(
+        self, seen: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        name = seen.headers.get("x-attempt-id", "").encode()
+        writer.write(self._begin.replace(b"{id}", name))
+        while not writer.transport.is_closing():
+            writer.write(self._unit)
+            await writer.drain()
+            self.sent_bytes += len(self._unit)
+
+
+def _memory_kb(system: Deployment, gateway: str, field: str) -> int:
+    """Returns a figure of a gateway process's memory."""
+    process = system.hosts[gateway].process
+    assert process is not None
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    lines = [ln for ln in status.splitlines() if ln.startswith(field + ":")]
+    return int(lines[0].split()[1])
+
+
+class EndlessMemoryTest(DeploymentCase):
+    """A faulty server beside a sound one, and many callers at once."""
+
+    def _play(
+        self, begin: bytes, unit: bytes, *, path: str = "/u/x"
+    ) -> _FaultyServer:
+        server = _FaultyServer(begin, unit)
+
+        async def work(system: Deployment) -> None:
+            await server.raw.start()
+            self.assertTrue(
+                await system.send_heartbeat_of("m2", server.raw.address)
+            )
+            gateways = ("gateway-1", "gateway-2")
+            before = {
+                name: _memory_kb(system, name, "VmHWM") for name in gateways
+            }
+            end_s = asyncio.get_running_loop().time() + _PLAY_S
+            statuses: list[int] = []
+
+            async def call(number: int) -> None:
+                sent = 0
+                while asyncio.get_running_loop().time() < end_s:
+                    sent += 1
+                    status = 0
+                    with contextlib.suppress(aiohttp.ClientError, OSError):
+                        status = await system.call(
+                            path, f"c{number}.{sent}", gateways[number % 2]
+                        )
+                    statuses.append(status)
+
+            await asyncio.gather(*(call(n) for n in range(_CALLERS)))
+            self.assertGreater(len(server.raw.requests), 0)
+            self.assertGreater(statuses.count(200), 0)
+            growth_kb = {
+                name: _memory_kb(system, name, "VmHWM") - before[name]
+                for name in gateways
+            }
+            self.assertLess(max(growth_kb.values()), _MAX_GROWTH_KB)
+            await server.raw.stop()
+
+        self.run_test(work)
+        return server
+
+    def test_header_lines_without_end(self) -> None:
+        """Guards against the fields of many heads that fill the memory."""
+        self._play(b"HTTP/1.1 200 OK\r\n", b"A: b\r\n")
+
+    def test_trailer_lines_without_end(self) -> None:
+        """Guards against the fields after many bodies that fill the memory."""
+        begin = (
+            b"HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+        )
+        self._play(begin, b"A: b\r\n")
