--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
 	MYPYPATH=platform $(PYTHON) -m mypy --strict platform/*.py
+	$(PYTHON) -m mypy deploy/build.py
 
 format:
 	$(PYTHON) -m ruff format .
