Leave the body of a refusal unread beyond a small part

A server that refused with a body of 99 GB had the gateways read it until the request's deadline, at the expense of other turns; one that announced a body and sent none of it kept the request waiting as long. Either way the request, which had not run and could have been served elsewhere, ended with 503.

Of an answer that is forwarded to nobody, a gateway now reads at most 64 KB and waits at most 0.1 s, to keep the connection; else it closes the connection. The refusal stands, and the request goes to the next server.

--- a/catkinpin/adapters/gateway/exchange.py
+++ b/catkinpin/adapters/gateway/exchange.py
@@ -45,6 +45,10 @@
 # seen closed yet.
 _GATEWAY_COUNT_MARGIN = 1.2
 _MIN_CONNECTIONS = 2
+# What is read of an answer that is forwarded to nobody. Opening a connection
+# costs less than reading more or waiting longer.
+_MAX_DISCARDED_BYTES = 65_536
+_DISCARD_TIMEOUT_S = 0.1
 
 
 class Exchange:
@@ -179,10 +183,24 @@
         self._pool.release(choice.instance.address, conn)
         self._balancer.record_ended(choice.instance)
 
-    async def discard_rest(self, conn: ServerConnection) -> None:
-        """Discards the rest of a short answer to keep the connection usable."""
-        while isinstance(await conn.read_chunk(), bytes):
-            pass
+    async def discard_rest(
+        self, conn: ServerConnection, head: ResponseHead
+    ) -> None:
+        """Discards the rest of a short answer to keep the connection usable.
+
+        A longer or late one is left unread, and its connection is closed.
+        """
+        size = head.length or 0
+        try:
+            async with asyncio.timeout(_DISCARD_TIMEOUT_S):
+                while size <= _MAX_DISCARDED_BYTES:
+                    data = await conn.read_chunk()
+                    if not isinstance(data, bytes):
+                        break
+                    if head.length is None:
+                        size += len(data)
+        except TimeoutError:
+            return
 
     def record_success(self, state: OpenCall, choice: Choice) -> None:
         """Records a complete answer and what it tells of the server's speed."""
--- a/catkinpin/adapters/gateway/plain.py
+++ b/catkinpin/adapters/gateway/plain.py
@@ -246,7 +246,7 @@
         try:
             if self._exchange.is_refusal(head):
                 state.reason = f"refused by {choice.instance.id}"
-                await self._exchange.discard_rest(conn)
+                await self._exchange.discard_rest(conn, head)
                 return False
             state.verdict = Verdict.RAN
             if race is not None:
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -222,7 +222,7 @@
         try:
             if self._exchange.is_refusal(head):
                 state.reason = f"refused by {choice.instance.id}"
-                await self._exchange.discard_rest(conn)
+                await self._exchange.discard_rest(conn, head)
                 return _AttemptEnd.REFUSED
             state.verdict = Verdict.RAN
             return await self._forward_answer(
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -13,8 +13,8 @@
 from catkinpin.core.control.routes import RouteKind
 from catkinpin.core.messages import CallKey, Granted, ServerRef
 from tests import base
-from tests.fakes.gatewayrig import Rig, encode_stream
-from tests.fakes.rawserver import RawServer
+from tests.fakes.gatewayrig import Rig, encode_stream, stream_events
+from tests.fakes.rawserver import RawServer, sealed_answer
 
 if TYPE_CHECKING:
     from tests.fakes.rawserver import ReceivedRequest
@@ -124,6 +124,53 @@
         )
         self._check(RouteKind.STREAM, begin, b"x")
 
+    def test_refusal_with_a_body_without_end_is_retried(self) -> None:
+        """Guards against reading a refusal to its end before another try."""
+        self._check_refusal(RouteKind.NON_IDEMPOTENT, b"x" * _UNIT_BYTES)
+        self._check_refusal(RouteKind.STREAM, b"x" * _UNIT_BYTES)
+
+    def test_refusal_whose_body_does_not_come_is_retried(self) -> None:
+        """Guards against waiting for a refusal's body before another try."""
+        self._check_refusal(RouteKind.NON_IDEMPOTENT, b"")
+        self._check_refusal(RouteKind.STREAM, b"")
+
+    def _check_refusal(self, kind: RouteKind, unit: bytes) -> None:
+        """Has the first server refuse with a body that has no end."""
+
+        async def scenario() -> None:
+            rig = Rig(kind, has_engine=False, max_attempts=2)
+            sent_bytes = 0
+
+            async def answer(
+                seen: ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> None:
+                nonlocal sent_bytes
+                if rig.count_server_requests() > 1:
+                    await stream_events(seen, writer)
+                    return
+                refusal = sealed_answer(
+                    seen,
+                    b"",
+                    "503 Service Unavailable",
+                    Not_Run="1",
+                    Content_Length="99000000000",
+                )
+                writer.write(refusal)
+                while not writer.transport.is_closing():
+                    writer.write(unit)
+                    await writer.drain()
+                    sent_bytes += len(unit)
+                    await asyncio.sleep(0)
+
+            await rig.start(answer, answer)
+            got = await rig.ask()
+            self.assertEqual((200, True), (got.status, got.is_complete))
+            self.assertLess(got.took_s, _EARLY_S)
+            self.assertLess(sent_bytes, _MAX_SENT_BYTES)
+            await rig.stop()
+
+        self.run_async(scenario())
+
     def test_body_without_end(self) -> None:
         """Guards against a body that is passed on until the deadline."""
         begin = _HEAD + b"Request-Id: {id}\r\nSealed: yes\r\n\r\n"
--- a/tests/test_endless_memory.py
+++ b/tests/test_endless_memory.py
@@ -20,6 +20,9 @@
 _PLAY_S = 4.0
 _UNIT_BYTES = 16_384
 _MAX_GROWTH_KB = 24 * 1024
+# What a server gets rid of for an answer that is forwarded to nobody: mostly
+# what the sockets hold.
+_MAX_UNREAD_BYTES = 16 * 1024 * 1024
 
 
 class _FaultyServer:
@@ -110,3 +113,13 @@
             b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
         )
         self._play(begin, b"A: b\r\n")
+
+    def test_refusal_with_a_body_of_many_gigabytes(self) -> None:
+        """Guards against reading what is forwarded to nobody."""
+        begin = (
+            b"HTTP/1.1 503 Full\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n"
+            b"X-Not-Executed: 1\r\nContent-Length: 99000000000\r\n\r\n"
+        )
+        server = self._play(begin, b"x")
+        each_bytes = server.sent_bytes / len(server.raw.requests)
+        self.assertLess(each_bytes, _MAX_UNREAD_BYTES)
