Bound what callers send and leave unread, in bytes and time

Any stranger could fill a process's memory at any of its HTTP ports: the parser collects the value of a field, or a method, until it is complete, and only complete fields were counted; only the head's time limit ended it. Empty lines, chunk extensions and slow bodies had no limit at all, thousands of pipelined requests were parsed from one read, their answers were produced while the caller read none, a connection whose caller left its answer unread was closing for ever, and the end of a pipelined request lifted the time limit of the next. Trailers were added to the fields of the head, as which gateways would have passed them on.

Received bytes are now counted besides the fields and the body that they contain, and parsed in parts; a body has a time limit; the next request is handled once the answers are below the write buffer's limit; a caller that reads nothing for the idle timeout loses its connection; trailers are dropped.

--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -17,7 +17,8 @@
 from catkinpin.adapters.gateway.usage import UsageReporter
 from catkinpin.adapters.gateway.view import GatewayView
 from catkinpin.adapters.http.pool import Pool
-from catkinpin.adapters.http.server import HttpServer, ServerLimits
+from catkinpin.adapters.http.requestparser import ServerLimits
+from catkinpin.adapters.http.server import HttpServer
 from catkinpin.adapters.keeper.publisher import GATEWAY_ROLE
 from catkinpin.adapters.peers import keepers
 from catkinpin.core import messages
--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -16,6 +16,12 @@
 
 from catkinpin import listening
 from catkinpin.adapters.http.headers import Headers
+from catkinpin.adapters.http.requestparser import (
+    RequestParser,
+    ServerLimits,
+    TooLargeError,
+)
+from catkinpin.adapters.http.timers import Timer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -26,23 +32,9 @@
 _WRITE_BUFFER_BYTES = 64 * 1024
 # Reading from a caller pauses while more pipelined requests wait.
 _MAX_PIPELINED = 4
-
-
-@dataclasses.dataclass
-class ServerLimits:
-    """Size and time limits for callers.
-
-    Attributes:
-        header_bytes: largest size of a request's head.
-        body_bytes: largest size of a request's body.
-        header_timeout_s: longest time from a head's first byte to its last.
-        idle_timeout_s: idle connections are closed after this time.
-    """
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+# Received bytes are parsed in parts of this size: a large one may contain
+# thousands of pipelined requests.
+_PARSED_BYTES = 16 * 1024
 
 
 @dataclasses.dataclass
@@ -212,18 +204,24 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(
+            server.limits, self._on_head, self._on_request
+        )
+        self._unparsed = b""
+        self._arrived_s = 0.0
         self._pipelined: list[Request] = []
         self._task: asyncio.Task[None] | None = None
         self._current: Request | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        # Runs while a request is read.
+        self._read_timer = Timer()
+        # Runs while none is read or answered, or the connection is closing.
+        self._idle_timer = Timer()
         self._drained = asyncio.Event()
         self._drained.set()
         self._refused = False
         self.closed = False
         self.close_after = server.closing
         self._reading = False
-        self._begin_request()
 
     @property
     def is_busy(self) -> bool:
@@ -247,7 +245,8 @@
         self.closed = True
         self._server.connections.discard(self)
         self._drained.set()
-        self._cancel_timer()
+        self._read_timer.cancel()
+        self._idle_timer.cancel()
         if self._current is not None:
             self._current.disconnected.set()
         for request in self._pipelined:
@@ -257,24 +256,10 @@
         """Parses received bytes."""
         if self._refused:
             return
-        if not self._reading:
-            self._reading = True
-            self._start_timer(
-                self._server.limits().header_timeout_s, self._on_header_timeout
-            )
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400, "an upgrade is not served")
-        except httptools.HttpParserError as exc:
-            # The parser wraps exceptions of its callbacks.
-            cause = exc.__context__
-            if isinstance(cause, _TooLargeError):
-                self._refuse(cause.status, "too large")
-            else:
-                self._refuse(400, str(exc))
-        if not self._refused and not self._in_message:
-            self._reading = False
+        if self._unparsed:
+            self._unparsed += data
+        else:
+            self._parse(data)
 
     def pause_writing(self) -> None:
         """Makes `drain` wait."""
@@ -284,53 +269,69 @@
         """Lets `drain` return."""
         self._drained.set()
 
-    # Callbacks of the parser.
-
-    def on_message_begin(self) -> None:
-        """Prepares for a new request."""
-        self._begin_request()
-        self._in_message = True
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes, until enough requests wait."""
+        for start in range(0, len(data), _PARSED_BYTES):
+            if self._refused:
+                return
+            if len(self._pipelined) > _MAX_PIPELINED:
+                self._unparsed = data[start:]
+                return
+            self._parse_part(data[start : start + _PARSED_BYTES])
+
+    def _parse_part(self, data: bytes) -> None:
+        if not self._reading:
+            self._reading = True
+            self._idle_timer.cancel()
+            self._start_head_timer()
+        try:
+            self._parser.feed(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "an upgrade is not served")
+        except httptools.HttpParserError as exc:
+            self._refuse(400, str(exc))
+        except TooLargeError as exc:
+            self._refuse(exc.status, "too large")
+        if not self._refused and not self._parser.in_message:
+            self._end_reading()
+
+    def _start_head_timer(self) -> None:
+        self._read_timer.start(
+            self._server.limits().header_timeout_s, self._on_read_timeout
+        )
 
-    def on_url(self, url: bytes) -> None:
-        """Adds a part of the target."""
-        self._target += url
-        self._count_head_bytes(len(url))
+    def _end_reading(self) -> None:
+        self._reading = False
+        self._read_timer.cancel()
+        if not self.is_busy and not self.closed:
+            self._start_idle_timer()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header field."""
-        self._headers.add(name, value)
-        self._count_head_bytes(len(name) + len(value) + 4)
+    # Callbacks of the parser.
 
-    def on_headers_complete(self) -> None:
-        """Checks the body's stated length once the head is complete."""
-        self._cancel_timer()
+    def _on_head(self, headers: Headers) -> None:
+        """Notes when the head arrived, and has the body sent."""
         self._arrived_s = self._loop.time()
-        limit = self._server.limits().body_bytes
-        length = self._headers.get(b"content-length")
-        if length.isdigit() and int(length) > limit:
-            raise _TooLargeError(413)
-        if self._headers.get(b"expect").lower() == "100-continue":
+        self._read_timer.start(
+            self._server.limits().body_timeout_s, self._on_read_timeout
+        )
+        if headers.get(b"expect").lower() == "100-continue":
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_body(self, data: bytes) -> None:
-        """Adds a part of the body."""
-        self._body += data
-        if len(self._body) > self._server.limits().body_bytes:
-            raise _TooLargeError(413)
-
-    def on_message_complete(self) -> None:
+    def _on_request(self) -> None:
         """Queues the complete request for the handler."""
-        self._in_message = False
+        # The next request may have begun in the bytes that ended this one.
+        self._start_head_timer()
+        parser = self._parser
         request = Request(
-            method=self._parser.get_method(),
-            target=self._target,
-            version=self._parser.get_http_version(),
-            headers=self._headers,
-            body=bytes(self._body),
+            method=parser.method,
+            target=parser.target,
+            version=parser.version,
+            headers=parser.headers,
+            body=bytes(parser.body),
             arrived_s=self._arrived_s,
             disconnected=asyncio.Event(),
         )
-        if not self._parser.should_keep_alive():
+        if not parser.keeps_alive:
             self.close_after = True
         self._pipelined.append(request)
         if len(self._pipelined) > _MAX_PIPELINED:
@@ -350,35 +351,26 @@
 
     def close(self) -> None:
         """Closes the connection once all buffered bytes are sent."""
-        if not self.closed:
+        if not self.closed and not self._transport.is_closing():
             self._transport.close()
+            self._start_close_timer(self._transport.get_write_buffer_size())
 
     def abort(self) -> None:
         """Resets the connection."""
         if not self.closed:
             self._transport.abort()
 
-    def _begin_request(self) -> None:
-        self._target = b""
-        self._headers = Headers()
-        self._body = bytearray()
-        self._head_bytes = 0
-        self._arrived_s = 0.0
-        self._in_message = False
-
-    def _count_head_bytes(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > self._server.limits().header_bytes:
-            raise _TooLargeError(431)
-
     def _start_next(self) -> None:
         if self._task is not None or not self._pipelined or self.closed:
             return
-        self._cancel_timer()
+        self._idle_timer.cancel()
         self._current = self._pipelined.pop(0)
-        if len(self._pipelined) == _MAX_PIPELINED:
-            self._transport.resume_reading()
         self._task = self._loop.create_task(self._handle(self._current))
+        if len(self._pipelined) == _MAX_PIPELINED:
+            unparsed, self._unparsed = self._unparsed, b""
+            self._parse(unparsed)
+            if len(self._pipelined) <= _MAX_PIPELINED:
+                self._transport.resume_reading()
 
     async def _handle(self, request: Request) -> None:
         responder = Responder(self, request.version)
@@ -386,58 +378,70 @@
             await self._server.handler(request, responder)
         except Exception:
             log.exception("a request failed")
-        finally:
-            self._current = None
-            self._task = None
+        self._current = None
+        if responder.finished:
+            # Otherwise answers that nobody reads would fill the memory.
+            await self._wait_until_read()
+        self._task = None
         if not responder.finished:
             self.abort()
         elif self.close_after and not self._pipelined:
             self.close()
         else:
             self._start_next()
-            if not self.is_busy:
+            if not self.is_busy and not self.closed:
                 self._start_idle_timer()
 
+    async def _wait_until_read(self) -> None:
+        """Waits while the write buffer is full and the caller reads from it."""
+        while not self._drained.is_set():
+            unsent_bytes = self._transport.get_write_buffer_size()
+            try:
+                async with asyncio.timeout(
+                    self._server.limits().idle_timeout_s
+                ):
+                    await self._drained.wait()
+            except TimeoutError:
+                if self._transport.get_write_buffer_size() >= unsent_bytes:
+                    self.abort()
+                    return
+
     def _refuse(self, status: int, reason: str) -> None:
         """Refuses a request; answers if no earlier one is in progress."""
         self._refused = True
-        self._reading = False
+        self._end_reading()
         log.info("request refused: %s", reason, extra={"status": status})
         self.close_after = True
         if self._task is None and not self.closed:
             Responder(self, "1.1").answer(status)
             self.close()
 
-    def _on_header_timeout(self) -> None:
-        self._refuse(408, "the head took too long")
+    def _on_read_timeout(self) -> None:
+        self._refuse(408, "the request took too long")
 
     def _start_idle_timer(self) -> None:
-        self._start_timer(self._server.limits().idle_timeout_s, self._on_idle)
+        self._idle_timer.start(
+            self._server.limits().idle_timeout_s, self._on_idle
+        )
 
     def _on_idle(self) -> None:
         if not self.is_busy:
             self.close()
 
-    def _start_timer(self, wait_s: float, callback: Callable[[], None]) -> None:
-        self._cancel_timer()
-        self._timer = self._loop.call_later(wait_s, callback)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-
-class _TooLargeError(Exception):
-    """A request exceeds a size limit.
-
-    Attributes:
-        status: the status code of the response.
-    """
+    def _start_close_timer(self, unsent_bytes: int) -> None:
+        """Resets the closing connection unless its caller reads."""
+        self._idle_timer.start(
+            self._server.limits().idle_timeout_s,
+            self._on_closing,
+            unsent_bytes,
+        )
 
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
+    def _on_closing(self, unsent_bytes: int) -> None:
+        left_bytes = self._transport.get_write_buffer_size()
+        if left_bytes >= unsent_bytes:
+            self.abort()
+        else:
+            self._start_close_timer(left_bytes)
 
 
 def _default_phrase(status: int) -> bytes:
--- a/tests/test_endless_memory.py
+++ b/tests/test_endless_memory.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
+import urllib.parse
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -123,3 +124,27 @@
         server = self._play(begin, b"x")
         each_bytes = server.sent_bytes / len(server.raw.requests)
         self.assertLess(each_bytes, _MAX_UNREAD_BYTES)
+
+    def test_callers_whose_fields_have_no_end(self) -> None:
+        """Guards against what any stranger can send to a gateway."""
+
+        async def send(netloc: str) -> None:
+            host, port = netloc.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET / HTTP/1.1\r\nX-Field: ")
+            with contextlib.suppress(ConnectionError, TimeoutError):
+                async with asyncio.timeout(_PLAY_S):
+                    while not writer.transport.is_closing():
+                        writer.write(b"x" * _UNIT_BYTES)
+                        await writer.drain()
+            writer.transport.abort()
+
+        async def work(system: Deployment) -> None:
+            before_kb = _memory_kb(system, "gateway-1", "VmHWM")
+            netloc = urllib.parse.urlsplit(system.url("gateway-1", "/")).netloc
+            await asyncio.gather(*(send(netloc) for _ in range(_CALLERS)))
+            growth_kb = _memory_kb(system, "gateway-1", "VmHWM") - before_kb
+            self.assertLess(growth_kb, _MAX_GROWTH_KB)
+            self.assertEqual(200, await system.send_turn("after"))
+
+        self.run_test(work)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,12 +10,8 @@
 from catkinpin.adapters.http.client import Failure, ResponseHead
 from catkinpin.adapters.http.headers import Headers
 from catkinpin.adapters.http.pool import Pool
-from catkinpin.adapters.http.server import (
-    HttpServer,
-    Request,
-    Responder,
-    ServerLimits,
-)
+from catkinpin.adapters.http.requestparser import ServerLimits
+from catkinpin.adapters.http.server import HttpServer, Request, Responder
 from catkinpin.verdicts import Verdict
 from tests.fakes.rawserver import RawServer, ReceivedRequest, sealed_answer
 
