Read a server's Keep-Alive timeout as ASCII digits of a bounded number

A sound answer with "Keep-Alive: timeout=" and a superscript digit, or 5,000 digits, ended as 502: int() raised in the parser's callback, so the answer was taken for none, after the request had run. Such a value is now ignored or cut.

tests/test_endless_answers.py::test_keep_alive_values_that_are_no_numbers got 502 in place of 200 before and passes now; negative, fractional and empty values were served before as well.

--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -52,6 +52,8 @@
 _TIMEOUT_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 # Longest idle time of a connection that may carry a repeatable request.
 DEFAULT_MAX_IDLE_S = 60.0
+# More digits of a Keep-Alive timeout change nothing: it is over 11 days.
+_MAX_TIMEOUT_DIGITS = 7
 # Idle timeout of a server that sends no Keep-Alive timeout.
 _DEFAULT_KEEP_ALIVE_S = 4.0
 
@@ -379,10 +381,13 @@
         wait_s = _DEFAULT_KEEP_ALIVE_S
         for part in self._headers.get(b"keep-alive").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                wait_s = int(value) - (
+            # A superscript is a digit too, and a number of 5,000 digits none.
+            is_number = value.isascii() and value.isdigit()
+            if name.lower() == "timeout" and is_number:
+                margin_s = (
                     _PROBED_IDLE_MARGIN_S if self.is_probed else _IDLE_MARGIN_S
                 )
+                wait_s = int(value[:_MAX_TIMEOUT_DIGITS]) - margin_s
         self.idle_until_s = asyncio.get_running_loop().time() + max(wait_s, 0.0)
 
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -230,6 +230,31 @@
 
         self.run_async(scenario())
 
+    def test_keep_alive_values_that_are_no_numbers(self) -> None:
+        """Guards against a sound answer that is lost by its Keep-Alive."""
+
+        async def scenario() -> None:
+            values = ["\xb2", "9" * 5_000, "-1", "1e9", "", "5"]
+            for value in values:
+                rig = Rig(RouteKind.NON_IDEMPOTENT, has_engine=False)
+
+                async def answer(
+                    seen: ReceivedRequest,
+                    writer: asyncio.StreamWriter,
+                    value: str = value,
+                ) -> None:
+                    ok = sealed_answer(seen, b"ok", Keep_Alive="{value}")
+                    field = f"timeout={value}".encode("latin-1")
+                    writer.write(ok.replace(b"{value}", field))
+
+                await rig.start(answer)
+                for _ in range(2):
+                    got = await rig.ask()
+                    self.assertEqual((200, b"ok"), (got.status, got.body))
+                await rig.stop()
+
+        self.run_async(scenario())
+
     def test_long_answer_with_small_chunks_is_whole(self) -> None:
         """Guards against taking the framing of a sound answer for garbage."""
 
