--- a/tests/test_endless_memory.py
+++ b/tests/test_endless_memory.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
+import urllib.parse
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -20,6 +21,9 @@
 _PLAY_S = 4.0
 _UNIT_BYTES = 16_384
 _MAX_GROWTH_KB = 24 * 1024
+# What a server gets rid of for an answer that is forwarded to nobody: mostly
+# what the sockets hold.
+_MAX_UNREAD_BYTES = 16 * 1024 * 1024
 
 
 class _FaultyServer:
@@ -110,3 +114,37 @@
             b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
         )
         self._play(begin, b"A: b\r\n")
+
+    def test_refusal_with_a_body_of_many_gigabytes(self) -> None:
+        """Guards against reading what is forwarded to nobody."""
+        begin = (
+            b"HTTP/1.1 503 Full\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n"
+            b"X-Not-Executed: 1\r\nContent-Length: 99000000000\r\n\r\n"
+        )
+        server = self._play(begin, b"x")
+        each_bytes = server.sent_bytes / len(server.raw.requests)
+        self.assertLess(each_bytes, _MAX_UNREAD_BYTES)
+
+    def test_callers_whose_fields_have_no_end(self) -> None:
+        """Guards against what any stranger can send to a gateway."""
+
+        async def send(netloc: str) -> None:
+            host, port = netloc.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET / HTTP/1.1\r\nX-Field: ")
+            with contextlib.suppress(ConnectionError, TimeoutError):
+                async with asyncio.timeout(_PLAY_S):
+                    while not writer.transport.is_closing():
+                        writer.write(b"x" * _UNIT_BYTES)
+                        await writer.drain()
+            writer.transport.abort()
+
+        async def work(system: Deployment) -> None:
+            before_kb = _memory_kb(system, "gateway-1", "VmHWM")
+            netloc = urllib.parse.urlsplit(system.url("gateway-1", "/")).netloc
+            await asyncio.gather(*(send(netloc) for _ in range(_CALLERS)))
+            growth_kb = _memory_kb(system, "gateway-1", "VmHWM") - before_kb
+            self.assertLess(growth_kb, _MAX_GROWTH_KB)
+            self.assertEqual(200, await system.send_turn("after"))
+
+        self.run_test(work)
