Refuse what is no message at the peers' port, at the cost of one link

A port scan, a foreign client or another build on the peers' port left a traceback per connection, a connection without a Hello stayed for ever, its first frame could buffer 64 MB, a compressed batch had no bound, and one message of an unknown type or with a wrong field ended the stream of a good process with all its pending requests. A link to an address such as "127.0.0.1:²" logged a traceback ten times a second, and a failing disconnect handler ended the link for good.

Frames up to the Hello are bounded by 64 KiB and come within 5 s; at most 1,024 connections may be without one. A Hello with odd fields, a second one or a message before it ends the link with one line. Within a batch, messages that can't be decoded, or that hold a number beyond 2^62 or a float that isn't finite, are dropped with one line and the others are handled; a handler that fails costs its message only. Addresses that are no host and port are not dialled.

--- a/catkinpin/adapters/peers/links.py
+++ b/catkinpin/adapters/peers/links.py
@@ -16,16 +16,15 @@
 import contextlib
 import itertools
 import logging
-import struct
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from catkinpin import codec, listening
-from catkinpin.adapters.peers import streams
+from catkinpin.adapters.peers import borders, streams
 from catkinpin.adapters.peers.streams import Stream as Stream
-from catkinpin.core import messages
-from catkinpin.exceptions import PeerLostError
+from catkinpin.core import addresses, messages
+from catkinpin.exceptions import BadHelloError, PeerLostError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,11 +40,11 @@
 _CONNECT_TIMEOUT_S = 0.3
 # Longest wait for sessions to end when a process stops.
 _SESSION_END_TIMEOUT_S = 1.0
-_FRAME_LENGTH = struct.Struct(">I")
-# A larger length can only come from a foreign client on the port.
-_MAX_FRAME_BYTES = 64 * 1024 * 1024
-# The writer waits while more bytes than this are buffered for a slow reader.
-_WRITE_BUFFER_BYTES = 256 * 1024
+# Longest time for which a connection may stay without a Hello. A process sends
+# it with its first bytes, but a busy machine may take long to read them.
+_HELLO_TIMEOUT_S = 5.0
+# Connections without a Hello; the oldest is closed for a new one.
+_MAX_UNIDENTIFIED = 1_024
 
 
 class _Opening(msgspec.Struct):
@@ -79,11 +78,13 @@
         link: str = "replica-entry",
     ) -> None:
         self._link_label = link
-        self._decoder = codec.decoder(list[message_types])
+        self._decoder = borders.BatchDecoder(message_types)
         self._on_message = on_message
         self._on_closed = on_closed
         self._server: asyncio.Server | None = None
         self._sessions: set[asyncio.Task[None]] = set()
+        # Sessions without a Hello, oldest first.
+        self._unidentified: dict[asyncio.Task[None], None] = {}
         self.streams: set[Stream] = set()
 
     async def start(self, address: str) -> str:
@@ -121,23 +122,40 @@
         task = asyncio.current_task()
         assert task is not None
         self._sessions.add(task)
+        self._unidentified[task] = None
+        if len(self._unidentified) > _MAX_UNIDENTIFIED:
+            oldest = next(iter(self._unidentified))
+            del self._unidentified[oldest]
+            oldest.cancel()
+        peer = str(writer.get_extra_info("peername"))
         try:
-            await self._run_session(reader, writer)
-        except (OSError, EOFError, msgspec.MsgspecError) as exc:
+            await self._run_session(task, reader, writer, peer)
+        except (OSError, EOFError) as exc:
             log.debug("stream ended: %s", exc)
+        except Exception as exc:
+            borders.note_failure("stream refused", exc, peer)
         finally:
             self._sessions.discard(task)
+            self._unidentified.pop(task, None)
             writer.transport.abort()
 
     async def _run_session(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        task: asyncio.Task[None],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        peer: str,
     ) -> None:
-        opening = _opening_decoder.decode(await _read_frame(reader))
+        async with asyncio.timeout(_HELLO_TIMEOUT_S):
+            frame = await borders.read_frame(
+                reader, borders.MAX_HELLO_FRAME_BYTES
+            )
+        opening = _opening_decoder.decode(frame)
         stream = Stream(self._link_label, compressed=opening.compressed)
         self.streams.add(stream)
-        reading = asyncio.ensure_future(self._read(stream, reader))
+        reading = asyncio.ensure_future(self._read(task, stream, reader, peer))
         try:
-            await _write_batches(stream, writer)
+            await streams.write_batches(stream, writer)
         finally:
             stream.close()
             reading.cancel()
@@ -145,27 +163,71 @@
             if stream.hello is not None:
                 self._on_closed(stream)
 
-    async def _read(self, stream: Stream, reader: asyncio.StreamReader) -> None:
+    async def _read(
+        self,
+        task: asyncio.Task[None],
+        stream: Stream,
+        reader: asyncio.StreamReader,
+        peer: str,
+    ) -> None:
         try:
+            async with asyncio.timeout(_HELLO_TIMEOUT_S):
+                while stream.hello is None:
+                    await self._read_batch(
+                        stream, reader, peer, borders.MAX_HELLO_FRAME_BYTES
+                    )
+            self._unidentified.pop(task, None)
             while True:
-                data = stream.receive_batch(await _read_frame(reader))
-                for message in self._decoder.decode(data):
-                    self._handle(stream, message)
+                await self._read_batch(
+                    stream, reader, peer, borders.MAX_FRAME_BYTES
+                )
         except (OSError, EOFError) as exc:
             log.debug("stream ended: %s", exc)
-        except Exception:
-            log.exception("stream failed")
+        except Exception as exc:
+            borders.note_failure("stream failed", exc, peer)
         finally:
             stream.close()
 
-    def _handle(self, stream: Stream, message: Any) -> None:
+    async def _read_batch(
+        self,
+        stream: Stream,
+        reader: asyncio.StreamReader,
+        peer: str,
+        max_bytes: int,
+    ) -> None:
+        data = stream.receive_batch(await borders.read_frame(reader, max_bytes))
+        for message in self._decoder.decode(data, peer):
+            self._handle(stream, message, peer)
+
+    def _handle(self, stream: Stream, message: Any, peer: str) -> None:
+        """Handles a message; one that can't be used affects no other."""
         if isinstance(message, messages.Ping):
             stream.handle_ping(message)
             return
         if isinstance(message, messages.Hello):
-            stream.hello = message
-            stream.send(messages.Ping())
-        self._on_message(stream, message)
+            self._handle_hello(stream, message)
+        elif stream.hello is None:
+            raise BadHelloError(f"{type(message).__name__} before the Hello")
+        if codec.has_odd_number(message):
+            log.warning(
+                "%s with a number out of range refused",
+                type(message).__name__,
+                extra={"peer": peer},
+            )
+            return
+        try:
+            self._on_message(stream, message)
+        except Exception as exc:
+            borders.note_failure(f"{type(message).__name__} failed", exc, peer)
+
+    def _handle_hello(self, stream: Stream, hello: messages.Hello) -> None:
+        problem = borders.hello_problem(hello)
+        if stream.hello is not None:
+            problem = "it is the second one of its stream"
+        if problem:
+            raise BadHelloError(f"Hello refused: {problem}")
+        stream.hello = hello
+        stream.send(messages.Ping())
 
 
 class PeerLink:
@@ -201,7 +263,7 @@
         self._compressed = compressed
         self._link_label = link
         self._hello = hello
-        self._decoder = codec.decoder(list[message_types])
+        self._decoder = borders.BatchDecoder(message_types)
         self._on_message = on_message
         self._on_connected = on_connected
         self._on_disconnected = on_disconnected
@@ -212,7 +274,16 @@
         self.connected = asyncio.Event()
 
     def start(self) -> None:
-        """Connects in the background, and reconnects until `stop`."""
+        """Connects in the background, and reconnects until `stop`.
+
+        An address that names no host and port is logged and never connected.
+        """
+        if not addresses.is_host_port(self.address):
+            log.warning(
+                "no connection to %s: no host and port",
+                borders.shown(self.address),
+            )
+            return
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
@@ -279,8 +350,8 @@
                 log.debug(
                     "connection failed: %r", exc, extra={"peer": self.address}
                 )
-            except Exception:
-                log.exception("stream failed", extra={"peer": self.address})
+            except Exception as exc:
+                borders.note_failure("stream failed", exc, self.address)
             finally:
                 self._handle_disconnect()
             await asyncio.sleep(_RECONNECT_DELAY_S)
@@ -292,8 +363,8 @@
             reader, writer = await asyncio.open_connection(host, int(port))
         stream = Stream(self._link_label, compressed=self._compressed)
         stream.send(self._hello)
-        _write_frame(writer, codec.encode(_Opening(self._compressed)))
-        writing = asyncio.ensure_future(_write_batches(stream, writer))
+        borders.write_frame(writer, codec.encode(_Opening(self._compressed)))
+        writing = asyncio.ensure_future(streams.write_batches(stream, writer))
         reading = asyncio.ensure_future(self._read(stream, reader))
         try:
             await asyncio.wait(
@@ -313,12 +384,14 @@
 
     async def _read(self, stream: Stream, reader: asyncio.StreamReader) -> None:
         while True:
-            data = stream.receive_batch(await _read_frame(reader))
+            data = stream.receive_batch(
+                await borders.read_frame(reader, borders.MAX_FRAME_BYTES)
+            )
             if self._stream is not stream:
                 self._stream = stream
                 self.connected.set()
                 self._on_connected(self)
-            for message in self._decoder.decode(data):
+            for message in self._decoder.decode(data, self.address):
                 self._handle(stream, message)
 
     def _handle(self, stream: Stream, message: Any) -> None:
@@ -332,8 +405,13 @@
         if fut is not None and not isinstance(message, messages.Chunk):
             if not fut.done():
                 fut.set_result(message)
-        else:
+            return
+        try:
             self._on_message(message)
+        except Exception as exc:
+            borders.note_failure(
+                f"{type(message).__name__} failed", exc, self.address
+            )
 
     def _handle_disconnect(self) -> None:
         """Fails all pending requests."""
@@ -345,42 +423,14 @@
                 fut.set_exception(
                     PeerLostError(f"stream to {self.address} broke")
                 )
-        if was_connected:
-            self._on_disconnected()
-
-
-def _write_frame(writer: asyncio.StreamWriter, data: bytes) -> None:
-    writer.write(_FRAME_LENGTH.pack(len(data)) + data)
-
-
-async def _read_frame(reader: asyncio.StreamReader) -> bytes:
-    (length,) = _FRAME_LENGTH.unpack(
-        await reader.readexactly(_FRAME_LENGTH.size)
-    )
-    if length > _MAX_FRAME_BYTES:
-        raise EOFError(f"frame of {length} bytes is too long")
-    return await reader.readexactly(length)
-
-
-async def _write_batches(stream: Stream, writer: asyncio.StreamWriter) -> None:
-    """Writes queued messages until the stream closes or its peer is silent.
-
-    A frozen peer reads nothing, which blocks the drain. It sends no pings
-    either, so the silence timeout ends the wait.
-    """
-    writer.transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
-    async for batch in stream.batches():
-        if writer.transport.is_closing():
+        if not was_connected:
             return
-        _write_frame(writer, batch)
-        while True:
-            try:
-                async with asyncio.timeout(streams.PING_INTERVAL_S):
-                    await writer.drain()
-                break
-            except TimeoutError:
-                if stream.silence_s() > streams.SILENCE_TIMEOUT_S:
-                    return
+        try:
+            self._on_disconnected()
+        except Exception as exc:
+            borders.note_failure(
+                "handling a lost stream failed", exc, self.address
+            )
 
 
 _ask_ids = itertools.count(1)
--- a/catkinpin/adapters/peers/streams.py
+++ b/catkinpin/adapters/peers/streams.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from catkinpin import codec, metrics
+from catkinpin.adapters.peers import borders
 from catkinpin.core import messages
 
 if TYPE_CHECKING:
@@ -32,6 +33,8 @@
 # A batch carries a new nonce if the last nonce is at least this old.
 _NONCE_INTERVAL_S = 0.05
 MS_PER_S = 1000
+# The writer waits while more bytes than this are buffered for a slow reader.
+_WRITE_BUFFER_BYTES = 256 * 1024
 
 AnyMessage = Any
 
@@ -43,7 +46,8 @@
     its own would shrink little.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
         self._out = zlib.compressobj(wbits=-zlib.MAX_WBITS)
         self._in = zlib.decompressobj(wbits=-zlib.MAX_WBITS)
 
@@ -51,7 +55,10 @@
         return self._out.compress(data) + self._out.flush(zlib.Z_SYNC_FLUSH)
 
     def unpack(self, data: bytes) -> bytes:
-        return self._in.decompress(data)
+        unpacked = self._in.decompress(data, self._max_bytes)
+        if self._in.unconsumed_tail:
+            raise EOFError("compressed batch is too long")
+        return unpacked
 
 
 @dataclasses.dataclass(frozen=True)
@@ -93,7 +100,9 @@
         self.closed = False
         self.earliest_sent_ms = now_ms()
         self._link_label = link
-        self._deflate = _Deflate() if compressed else None
+        self._deflate = (
+            _Deflate(borders.MAX_FRAME_BYTES) if compressed else None
+        )
         self._send_queue: list[msgspec.Raw] = []
         self._writer_wakeup = asyncio.Event()
         self._last_received_s = time.monotonic()
@@ -128,9 +137,16 @@
         return len(self._send_queue)
 
     def receive_batch(self, data: bytes) -> bytes:
-        """Decompresses a received batch and resets the silence timeout."""
+        """Decompresses a received batch and resets the silence timeout.
+
+        Raises:
+            EOFError: the batch can't be decompressed, or is too long.
+        """
         self._last_received_s = time.monotonic()
-        return self._deflate.unpack(data) if self._deflate else data
+        try:
+            return self._deflate.unpack(data) if self._deflate else data
+        except zlib.error as exc:
+            raise EOFError(str(exc)) from exc
 
     def handle_ping(self, ping: messages.Ping) -> None:
         """Keeps the ping's nonce to echo, and applies its echo of ours."""
@@ -195,6 +211,27 @@
         return packed
 
 
+async def write_batches(stream: Stream, writer: asyncio.StreamWriter) -> None:
+    """Writes queued messages until the stream closes or its peer is silent.
+
+    A frozen peer reads nothing, which blocks the drain. It sends no pings
+    either, so the silence timeout ends the wait.
+    """
+    writer.transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
+    async for batch in stream.batches():
+        if writer.transport.is_closing():
+            return
+        borders.write_frame(writer, batch)
+        while True:
+            try:
+                async with asyncio.timeout(PING_INTERVAL_S):
+                    await writer.drain()
+                break
+            except TimeoutError:
+                if stream.silence_s() > SILENCE_TIMEOUT_S:
+                    return
+
+
 def now_ms() -> int:
     """Returns the local monotonic time in milliseconds."""
     return int(time.monotonic() * MS_PER_S)
--- a/catkinpin/codec.py
+++ b/catkinpin/codec.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any, TypeVar
 
 import msgspec
 
 T = TypeVar("T")
+# Sums of numbers up to this bound still fit into 64 bits.
+MAX_NUMBER = 2**62
 
 
 class Message(
@@ -30,3 +33,26 @@
 def decoder(kind: Any) -> msgspec.msgpack.Decoder[Any]:
     """Returns a decoder that validates against the type `kind`."""
     return msgspec.msgpack.Decoder(kind)
+
+
+def has_odd_number(value: Any) -> bool:
+    """Returns whether a message has a number that can't be calculated with.
+
+    That is an integer beyond `MAX_NUMBER`, either way, or a float that is not
+    finite. Sums with the former can't be encoded.
+    """
+    match value:
+        case None | bool() | str() | bytes():
+            return False
+        case int():
+            return not -MAX_NUMBER <= value <= MAX_NUMBER
+        case float():
+            return not math.isfinite(value)
+        case msgspec.Struct():
+            names = value.__struct_fields__
+            return any(has_odd_number(getattr(value, name)) for name in names)
+        case list() | tuple():
+            return any(map(has_odd_number, value))
+        case dict():
+            return any(map(has_odd_number, value.values()))
+    return False
--- a/catkinpin/exceptions.py
+++ b/catkinpin/exceptions.py
@@ -27,6 +27,10 @@
     """A record in the middle of the log fails its checksum."""
 
 
+class BadHelloError(CatkinpinError):
+    """A process that connected can't be identified by its Hello."""
+
+
 class PeerLostError(CatkinpinError):
     """The stream to another catkinpin process broke before the reply arrived.
 
