Wait at a start for what may still come, and stop cleanly at any moment of it

Callers saw hosts that did not come back: a start took what it met for final. A port in use (metrics, peers, callers, readiness, control, admin), settings that were missing or half written, a folder that a predecessor still locked or a full disk ended the process with 1 or 3, mostly with a traceback. A stop signal before the event loop ran ended it with -15 or -2 without a line, and settings nested 20,000 deep ended a running process in a reload.

All five roles now open their ports, and create what uses the data folder, in a loop with a line at once and every 5 s (`waiting`, then `waited`). A store, keeper or replica takes its peers' port first: while a predecessor has it, the data may change. Metrics are opened in the background; so are a gateway's readiness port and a keeper's control port, as others need the rest of the process. `startup` is imported first, handles signals before libraries load and ends the process with 0 and one line; afterwards a stop signal cancels a start that waits. The process exits from inside the event loop, which restores the default actions when it closes.

A start retries for 30 s, then ends with 2; a reload keeps the old values and says so once per reason. Each end writes one line `ended` with its kind.

A folder's parent is synced when the folder is created: a power loss could have taken a new data folder with all that was acknowledged in it. A failed attempt to open the storage frees the folder's lock, and a new segment that a full disk refuses is tried again later.

identity.json: replace_file writes, syncs, renames and syncs the folder; a test that loses power at each step finds a whole identity, on the old code as well.

--- a/catkinpin/__init__.py
+++ b/catkinpin/__init__.py
@@ -1,6 +1,6 @@
 """A scheduler for agent programs on backend servers that may be withdrawn."""
 
 # Imported first because it records the start time of the process.
-from catkinpin import clock as clock
+from catkinpin import startup as startup
 
 __version__ = "0.1.0"
--- a/catkinpin/__main__.py
+++ b/catkinpin/__main__.py
@@ -2,24 +2,19 @@
 
 from __future__ import annotations
 
-import signal
 import sys
 
+from catkinpin import startup
+
 
 def entry() -> None:
     """Runs `catkinpin-entry`."""
-    _ignore_reloads()
-    from catkinpin import cli
-
-    cli.entry()
+    _run_process("entry")
 
 
 def replica() -> None:
     """Runs `catkinpin-replica`."""
-    _ignore_reloads()
-    from catkinpin import cli
-
-    cli.replica()
+    _run_process("replica")
 
 
 def operator() -> None:
@@ -29,13 +24,17 @@
     cli.operator()
 
 
-def _ignore_reloads() -> None:
-    """Ignores SIGHUP before slow imports.
+def _run_process(name: str) -> None:
+    """Runs a command that serves, with signals handled from its start on."""
+    startup.handle_signals(startup.STDERR_FD)
+    try:
+        from catkinpin import cli
+
+        getattr(cli, name)()
+    except Exception as exc:
+        from catkinpin import exits
 
-    The default action ends the process: closing a terminal, or a tool that
-    reloads all services, would abort every call in flight.
-    """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        startup.end_process(exits.FAILED, "fault", startup.describe_fault(exc))
 
 
 _EXECUTABLES = {"entry": entry, "replica": replica}
--- a/catkinpin/adapters/disk/files.py
+++ b/catkinpin/adapters/disk/files.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import errno
 import os
 from typing import TYPE_CHECKING
 
-from catkinpin.exceptions import DiskFullError, StorageError
+from catkinpin.exceptions import (
+    DiskFullError,
+    StorageError,
+    UnavailableStorageError,
+)
 
 if TYPE_CHECKING:
     import pathlib
@@ -15,6 +20,18 @@
 
 
 _DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
+# Errors that end without a change of the stored data: a folder that isn't
+# mounted or writable yet, or a lack of descriptors or memory.
+_UNAVAILABLE_ERRNOS = (
+    errno.EACCES,
+    errno.EPERM,
+    errno.EROFS,
+    errno.ENOENT,
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOMEM,
+    errno.EBUSY,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,21 +53,42 @@
 
 
 def write_error(what: object, exc: OSError) -> StorageError:
-    """Returns the error for a failed write; a full disk has its own type."""
-    kind = DiskFullError if exc.errno in _DISK_FULL_ERRNOS else StorageError
-    return kind(f"{what}: write failed: {exc}")
+    """Returns the error for a failed write, of a type for its cause."""
+    return _error_type(exc)(f"{what}: write failed: {exc}")
+
+
+def is_temporary(exc: Exception) -> bool:
+    """Returns whether storage that can't be opened now may be usable later."""
+    if isinstance(exc, OSError):
+        return _error_type(exc) is not StorageError
+    return isinstance(exc, DiskFullError | UnavailableStorageError)
+
+
+def _error_type(exc: OSError) -> type[StorageError]:
+    if exc.errno in _DISK_FULL_ERRNOS:
+        return DiskFullError
+    if exc.errno in _UNAVAILABLE_ERRNOS:
+        return UnavailableStorageError
+    return StorageError
 
 
 def make_folder(folder: pathlib.Path) -> None:
-    """Creates a folder if it does not exist.
+    """Creates a folder if it does not exist, so that a crash can't lose it.
 
     Raises:
         StorageError: the folder can't be created, or the path is a file.
     """
     try:
+        missing = [
+            path for path in (folder, *folder.parents) if not path.exists()
+        ]
         folder.mkdir(parents=True, exist_ok=True)
+        for path in missing:
+            # A parent that isn't readable can't be synced.
+            with contextlib.suppress(PermissionError):
+                sync_folder(FileOps(), path.parent)
     except OSError as exc:
-        raise StorageError(f"{folder}: {exc.strerror}") from exc
+        raise _error_type(exc)(f"{folder}: {exc.strerror}") from exc
 
 
 def sync_folder(ops: FileOps, folder: pathlib.Path) -> None:
--- a/catkinpin/adapters/disk/storage.py
+++ b/catkinpin/adapters/disk/storage.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import logging
 import os
@@ -20,10 +21,12 @@
     DamagedLogError,
     DiskFullError,
     StorageError,
+    UnavailableStorageError,
 )
 
 if TYPE_CHECKING:
     import pathlib
+    from collections.abc import Iterator
 
     from catkinpin.core.consensus.messages import Entry
 
@@ -80,7 +83,8 @@
         files.sync_folder(self.ops, folder)
         self._lock_fd = _lock_folder(folder)
         self._groups: dict[str, GroupLog] = {}
-        self._recover()
+        with self.closed_on_error():
+            self._recover()
 
     def group_log(self, name: str) -> GroupLog:
         """Returns the log of a group; creates it if there is none."""
@@ -242,6 +246,18 @@
             if _first_segment(log, self._active.number) == oldest
         ]
 
+    @contextlib.contextmanager
+    def closed_on_error(self) -> Iterator[None]:
+        """Closes all files if creating a process fails.
+
+        Otherwise another attempt could not lock the folder.
+        """
+        try:
+            yield
+        except BaseException:
+            self.close()
+            raise
+
     def close(self) -> None:
         """Closes all files."""
         for segment in self._segments.values():
@@ -285,8 +301,12 @@
         except DiskFullError:
             raise
         except (OSError, StorageError) as exc:
-            self._failure = StorageError(f"{path}: {exc}")
-            raise self._failure from exc
+            error = StorageError(f"{path}: {exc}")
+            if isinstance(exc, OSError):
+                error = files.write_error(path, exc)
+            if not isinstance(error, DiskFullError):
+                self._failure = error
+            raise error from exc
         self._segments[number] = self._active
         self._written_counts[number] = self._needed_counts[number] = 0
         for log in self._groups.values():
@@ -351,5 +371,5 @@
     except OSError as exc:
         os.close(fd)
         text = f"{folder}: another process uses this data folder"
-        raise StorageError(text) from exc
+        raise UnavailableStorageError(text) from exc
     return fd
--- a/catkinpin/adapters/disk/turnbytes.py
+++ b/catkinpin/adapters/disk/turnbytes.py
@@ -55,9 +55,13 @@
         self._active_size = 0
         self._has_unsynced_writes = False
         files.make_folder(folder)
-        for path in sorted(folder.glob("*.turns")):
-            self._recover(path)
-        self._start_file()
+        try:
+            for path in sorted(folder.glob("*.turns")):
+                self._recover(path)
+            self._start_file()
+        except BaseException:
+            self.close()
+            raise
 
     def __contains__(self, attempt: str) -> bool:
         return attempt in self._locations
--- a/catkinpin/adapters/entry/process.py
+++ b/catkinpin/adapters/entry/process.py
@@ -161,6 +161,8 @@
         """Returns why this host should get no calls, or an empty string."""
         if self.leaving:
             return "stopping"
+        if not self._web_servers:
+            return "starting"
         if problem := self.lease.problem():
             return problem
         if self._is_drained():
@@ -187,12 +189,12 @@
         admin_app = admin.make_app("entry", self.unready_reason)
         admin.add_server_routes(admin_app, self)
         operators.add_routes(admin_app, self)
-        self._web_servers = [
-            await web.serve(caller_app, self.cfg.listen),
-            await web.serve(admin_app, self.cfg.admin_listen),
-        ]
-        self.caller_address = self._web_servers[0].address
-        self.admin_address = self._web_servers[1].address
+        # Callers come last, so that a stop while a port is in use cuts no call.
+        admin_server = await web.serve(admin_app, self.cfg.admin_listen)
+        self.admin_address = admin_server.address
+        caller_server = await web.serve(caller_app, self.cfg.listen)
+        self.caller_address = caller_server.address
+        self._web_servers = [caller_server, admin_server]
 
     def _on_replica(self, link: links.PeerLink) -> None:
         if self._reports:
--- a/catkinpin/adapters/entry/web.py
+++ b/catkinpin/adapters/entry/web.py
@@ -12,6 +12,8 @@
 
 import sanic
 
+from catkinpin import waiting
+
 if TYPE_CHECKING:
     from sanic.server.async_server import AsyncioServer
 
@@ -76,11 +78,13 @@
 
 
 async def serve(app: sanic.Sanic[Any, Any], address: str) -> WebServer:
-    """Listens on `address` and returns once requests are accepted."""
-    host, _, port = address.rpartition(":")
+    """Listens on `address` and returns once requests are accepted.
+
+    Waits while the port can't be opened.
+    """
+    host, _, _ = address.rpartition(":")
     server = await app.create_server(
-        host=host.strip("[]"),
-        port=int(port),
+        sock=await waiting.open_port(address),
         return_asyncio_server=True,
         access_log=False,
         asyncio_server_kwargs={"start_serving": False},
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -20,6 +20,7 @@
 from catkinpin.adapters.http.server import HttpServer, ServerLimits
 from catkinpin.adapters.keeper.publisher import GATEWAY_ROLE
 from catkinpin.adapters.peers import keepers
+from catkinpin.adapters.tasks import BackgroundTasks
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
 from catkinpin.core.control.feeds import FeedSelector
@@ -112,7 +113,7 @@
         self._last_connected_ms = self.clock.now_ms()
         self._was_ready = False
         self._route_fetcher = RouteFetcher(self.keepers, self.view, cfg.region)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks()
 
     def _new_feed(self) -> FeedSubscription:
         selector = FeedSelector(self.cfg.name, self.cfg.region)
@@ -128,14 +129,17 @@
 
     async def start(self) -> None:
         """Listens and connects to the keepers."""
-        await self._readiness_server.start(self.cfg.ready_listen)
         await self.server.start(self.cfg.listen)
         self.keepers.add(self.cfg.seeds)
-        self._tasks = [
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._route_fetcher.run()),
-            asyncio.create_task(self._usage.run()),
-        ]
+        for coroutine in (
+            self._tick(),
+            self._route_fetcher.run(),
+            self._usage.run(),
+        ):
+            self._tasks.spawn(coroutine)
+        # Callers are served even if the port for readiness is in use.
+        self._tasks.spawn(self._readiness_server.start(self.cfg.ready_listen))
+        await asyncio.sleep(0)
         decisions.note(
             "start", "", listen=self.cfg.listen, seeds=list(self.cfg.seeds)
         )
@@ -164,8 +168,7 @@
         self._feed.stop()
         await self.server.stop()
         await self._readiness_server.stop()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         await self.keepers.stop()
 
     def set_seeds(self, seeds: list[str]) -> None:
--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -10,11 +10,11 @@
 import dataclasses
 import http
 import logging
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, cast
 
 import httptools
 
-from catkinpin import listening
+from catkinpin import listening, waiting
 from catkinpin.adapters.http.headers import Headers
 
 if TYPE_CHECKING:
@@ -171,13 +171,16 @@
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> str:
-        """Starts to listen; returns the address with the actual port."""
+        """Starts to listen; returns the address with the actual port.
+
+        Waits while the port can't be opened.
+        """
         loop = asyncio.get_running_loop()
-        host, _, port = address.rpartition(":")
-        sock = listening.claim_socket(address)
-        where: Any = {"sock": sock} if sock else {"host": host, "port": port}
+        host, _, _ = address.rpartition(":")
         self._server = await loop.create_server(
-            lambda: Connection(self), backlog=listening.BACKLOG, **where
+            lambda: Connection(self),
+            sock=await waiting.open_port(address),
+            backlog=listening.BACKLOG,
         )
         return f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -14,19 +14,16 @@
 from catkinpin import clock, decisions, exits
 from catkinpin.adapters.disk.turnbytes import TurnBytes
 from catkinpin.adapters.http.server import HttpServer
-from catkinpin.adapters.keeper import host, publisher, repair
+from catkinpin.adapters.keeper import host, nodeconfig, publisher, repair
 from catkinpin.adapters.keeper.asks import AskHandler
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.adapters.keeper.quarantines import QuarantineDecider
 from catkinpin.adapters.keeper.turns import TurnRequests
 from catkinpin.adapters.peers import keepers, links
 from catkinpin.adapters.replica import mesh, node, transport
-from catkinpin.adapters.replica.config import NodeConfig
-from catkinpin.adapters.replica.founding import AutoJoin
 from catkinpin.adapters.store.turnserver import TurnServer
 from catkinpin.adapters.tasks import BackgroundTasks
 from catkinpin.core import messages
-from catkinpin.core.consensus.state import Timing
 from catkinpin.core.control import protocol, routes
 from catkinpin.core.control.quotas import QuotaTolerance
 from catkinpin.core.placement.contention import ContendedServices
@@ -53,15 +50,6 @@
 _TICK_INTERVAL_S = 0.1
 # Between checks whether the state is current, while it is not.
 _CURRENCY_INTERVAL_S = 0.01
-# Holds some minutes of records. Most of a keeper's disk is for turns' bytes.
-_SEGMENT_BYTES = 8 * 1024 * 1024
-# All turns wait during an election, and a short program has a slack of some
-# 500 ms. The timeout must still exceed a heartbeat's round trip between regions
-# (16 ms) and the sync of a slow disk (150 ms): an election because of either
-# would cost more than it saves.
-_TIMING = Timing(
-    heartbeat_interval_ms=50, election_timeout_ms=400, lease_ms=330
-)
 # Ticks between searches for lost copies; a scan of 10,000 turns takes some ms.
 _TICKS_PER_REPAIR = 5
 # Ticks between commits of the use of plain requests. Use that a leader has not
@@ -100,15 +88,15 @@
         self.incarnation = uuid.uuid4().hex[:12]
         self.address = cfg.peer_listen
         self.node = node.Node(
-            _node_config(cfg),
+            nodeconfig.node_config(cfg),
             self._handle_leader_change,
             exits.exit_immediately,
             on_slow_disk=_note_slow_disk,
             on_disk_full_changed=_note_full_disk,
         )
-        self.turn_bytes = TurnBytes(cfg.data_folder / "turns")
         self.host = self._new_host()
         self.host.group = self.node.add_group(_CONTROL_GROUP, self.host)
+        self.turn_bytes = self._open_turn_bytes()
         self.other_hosts = keepers.Keepers(
             self._hello(ROLE), self._on_keeper_message
         )
@@ -139,6 +127,11 @@
         self._quarantines = QuarantineDecider(self.host, self.clock)
         self._ask_handler = self._new_ask_handler()
 
+    def _open_turn_bytes(self) -> TurnBytes:
+        with self.node.storage.closed_on_error():
+            self.node.sync()
+            return TurnBytes(self.cfg.data_folder / "turns")
+
     def _new_host(self) -> host.KeeperHost:
         return host.KeeperHost(
             self.clock,
@@ -193,7 +186,10 @@
         self.node.start(self._hello(mesh.ROLE))
         await self._peer_server.start(self.address)
         self.other_hosts.add(self.cfg.seeds)
-        await self._http.start(self.cfg.listen)
+        # The other hosts need this keeper, even if its port for servers and
+        # operators is in use.
+        self._tasks.spawn(self._http.start(self.cfg.listen))
+        await asyncio.sleep(0)
         self._tasks.spawn(self._run_periodic_work())
         self._tasks.spawn(self._publish_currency())
         self._tasks.spawn(self._drop_orphaned_bytes())
@@ -434,16 +430,3 @@
 
 def _note_slow_disk(group: Group) -> None:
     decisions.note("handover", "", reason="slow disk", term=group.term)
-
-
-def _node_config(cfg: KeeperSettings) -> NodeConfig:
-    """Returns the settings of the replica of the control group."""
-    return NodeConfig(
-        cfg.data_folder,
-        tuple(cfg.seeds),
-        cfg.snapshot_entries,
-        AutoJoin(tuple(cfg.seeds), cfg.first_start),
-        segment_bytes=_SEGMENT_BYTES,
-        timing=_TIMING,
-        process_begun_ms=clock.process_start_ms(),
-    )
--- a/catkinpin/adapters/peers/links.py
+++ b/catkinpin/adapters/peers/links.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from catkinpin import codec, listening
+from catkinpin import codec, listening, waiting
 from catkinpin.adapters.peers import streams
 from catkinpin.adapters.peers.streams import Stream as Stream
 from catkinpin.core import messages
@@ -87,17 +87,16 @@
         self.streams: set[Stream] = set()
 
     async def start(self, address: str) -> str:
-        """Listens; returns the address with the port that was bound."""
-        host, _, port = address.rpartition(":")
-        sock = listening.claim_socket(address)
-        if sock is None:
-            self._server = await asyncio.start_server(
-                self._accept, host, int(port), backlog=listening.BACKLOG
-            )
-        else:
-            self._server = await asyncio.start_server(
-                self._accept, sock=sock, backlog=listening.BACKLOG
-            )
+        """Listens; returns the address with the port that was bound.
+
+        Waits while the port can't be opened.
+        """
+        host, _, _ = address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._accept,
+            sock=await waiting.open_port(address),
+            backlog=listening.BACKLOG,
+        )
         bound_port = self._server.sockets[0].getsockname()[1]
         return f"{host}:{bound_port}"
 
--- a/catkinpin/adapters/replica/identity.py
+++ b/catkinpin/adapters/replica/identity.py
@@ -138,4 +138,4 @@
                 self._ops, self._path, msgspec.json.encode(self._content)
             )
         except OSError as exc:
-            raise StorageError(f"{self._path}: {exc}") from exc
+            raise files.write_error(self._path, exc) from exc
--- a/catkinpin/adapters/replica/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -12,11 +12,10 @@
 
 from catkinpin import clock
 from catkinpin.adapters.disk.storage import Storage
-from catkinpin.adapters.replica import heartbeats, mesh, transport
+from catkinpin.adapters.replica import heartbeats, mesh, slowdisk, transport
 from catkinpin.adapters.replica.founding import Founding
 from catkinpin.adapters.replica.groups import Group
 from catkinpin.adapters.replica.identity import Identity
-from catkinpin.adapters.replica.slowdisk import SlowDiskMonitor
 from catkinpin.adapters.replica.snapshotting import SnapshotWriter
 from catkinpin.core.consensus.messages import (
     Accepted,
@@ -85,7 +84,8 @@
         on_disk_full_changed: Callable[[bool], None] = lambda _: None,
     ) -> None:
         self.storage = Storage(cfg.data_folder, segment_bytes=cfg.segment_bytes)
-        self._identity_file = Identity(cfg.data_folder, self.storage.ops)
+        with self.storage.closed_on_error():
+            self._identity_file = Identity(cfg.data_folder, self.storage.ops)
         self.identity = self._identity_file.node
         self.rng = random.Random()
         self.address = ""
@@ -100,7 +100,7 @@
         # Not empty after a flush only if a full disk prevented the sync.
         self._pending_flushes: list[_PendingFlush] = []
         self._announced_leaders: dict[str, tuple[int, str]] = {}
-        self._disk_monitor = SlowDiskMonitor(on_slow_disk)
+        self._disk_monitor = slowdisk.SlowDiskMonitor(on_slow_disk)
         self._snapshots = SnapshotWriter(self.storage, cfg.snapshot_entries)
         self._ticks = 0
         self._started = False
--- a/catkinpin/adapters/replica/process.py
+++ b/catkinpin/adapters/replica/process.py
@@ -7,7 +7,7 @@
 import uuid
 from typing import TYPE_CHECKING, Any
 
-from catkinpin import clock, exits
+from catkinpin import clock, exits, waiting
 from catkinpin.adapters.entry import admin, configured, shards, web
 from catkinpin.adapters.peers import links, wire
 from catkinpin.adapters.replica import (
@@ -59,6 +59,8 @@
             for name in map(sharding.shard_group, range(cfg.shards))
         }
         self.control = controlhost.ControlHost(self)
+        with self.node.storage.closed_on_error():
+            self.node.sync()
         self._peers = links.PeerServer(
             wire.ToReplica, self._handle_message, self._handle_closed
         )
@@ -79,6 +81,7 @@
             # The node starts first, so that it is ready for what the others
             # send as soon as they can connect.
             self._create_lease()
+            await waiting.reserve_port(self.cfg.admin_listen)
             self.node.start(self._hello())
             await self._peers.start(self.cfg.peer_listen)
         self.replicas.start()
--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -8,11 +8,13 @@
 import os
 import signal
 import sys
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NoReturn, Protocol
 
 import uvloop
 
-from catkinpin import clock, decisions, exits, metrics
+from catkinpin import clock, decisions, exits, metrics, startup, waiting
+from catkinpin.adapters import startstop
+from catkinpin.adapters.disk import files
 from catkinpin.adapters.http.headers import Headers
 from catkinpin.adapters.http.server import HttpServer
 from catkinpin.exceptions import CatkinpinError
@@ -110,11 +112,36 @@
     # The loaded modules are never freed, so garbage collections skip them.
     gc.freeze()
     gc.enable()
+    uvloop.run(_run_to_end(cfg, make_process, read_seeds))
+
+
+async def _run_to_end(
+    cfg: RoleSettings,
+    make_process: Callable[[], ReloadableProcess],
+    read_seeds: Callable[[], list[str]],
+) -> NoReturn:
+    """Serves until a stop signal, and exits in each case.
+
+    The process exits here because the event loop restores the signals' default
+    actions when it closes, and a regular shutdown of the interpreter would only
+    use up the stop timeout.
+    """
     try:
-        uvloop.run(_serve(cfg, make_process, read_seeds))
+        await _serve(cfg, make_process, read_seeds)
     except CatkinpinError as exc:
-        log.critical("%s", exc)
-        sys.exit(exits.STORAGE_ERROR)
+        _exit(exits.STORAGE_ERROR, "storage", str(exc))
+    except Exception as exc:
+        _exit(exits.FAILED, "fault", startup.describe_fault(exc))
+    _exit(exits.OK, "stopped", "")
+
+
+def _exit(code: int, outcome: str, reason: str) -> NoReturn:
+    """Writes a line about the end of the process, and exits."""
+    reason = reason.encode(errors="backslashreplace").decode()
+    decisions.note("ended", "", outcome=outcome, code=code, reason=reason)
+    if reason:
+        log.critical("%s: %s", outcome, reason)
+    os._exit(code)
 
 
 async def _serve(
@@ -123,15 +150,17 @@
     read_seeds: Callable[[], list[str]],
 ) -> None:
     loop = asyncio.get_running_loop()
+    loaded_ms = _age_ms()
+    process = await _make_when_possible(cfg, make_process)
+    # Until here, `startup` ends the process at a stop signal.
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loaded_ms = _age_ms()
-    process = make_process()
     decisions.note("loaded", "", loaded_ms=loaded_ms, made_ms=_age_ms())
-    if cfg.metrics_listen:
-        await HttpServer(_answer_metrics).start(cfg.metrics_listen)
-    await process.start()
+    # Nothing depends on the metrics, so nothing waits for their port.
+    metrics_task = asyncio.create_task(_serve_metrics(cfg.metrics_listen))
+    if not await startstop.start_unless_stopped(process.start(), stop):
+        _exit(exits.OK, "stopped-in-start", "")
     reloader = SeedReloader(process, cfg.seeds, read_seeds)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     while not stop.is_set():
@@ -140,15 +169,33 @@
                 await stop.wait()
         except TimeoutError:
             reloader.reload()
+    metrics_task.cancel()
     try:
         async with asyncio.timeout(cfg.stop_timeout_ms / _MS_PER_S):
             await process.stop()
     except TimeoutError:
         decisions.note("stopped", "", outcome="cut", reason="took too long")
-        os._exit(exits.STOP_TIMEOUT)
-    # Nothing is left to write, and a regular shutdown of the interpreter would
-    # only use up the stop timeout.
-    os._exit(exits.OK)
+        _exit(exits.STOP_TIMEOUT, "cut", "the stop took too long")
+
+
+async def _make_when_possible(
+    cfg: RoleSettings, make_process: Callable[[], ReloadableProcess]
+) -> ReloadableProcess:
+    """Creates the process; waits while its port or its disk can't be used.
+
+    The port comes first: while a predecessor has it, the data may change.
+    """
+    if not hasattr(cfg, "data_folder"):
+        return make_process()
+    await waiting.reserve_port(cfg.peer_listen)
+    return await waiting.retry(
+        f"folder {cfg.data_folder}", make_process, files.is_temporary
+    )
+
+
+async def _serve_metrics(address: str) -> None:
+    if address:
+        await HttpServer(_answer_metrics).start(address)
 
 
 def _age_ms() -> int:
@@ -179,14 +226,24 @@
         self._process = process
         self._read_seeds = read_seeds
         self._seeds = seeds
+        self._kept_reason = ""
 
     def reload(self) -> None:
         """Reads the settings; keeps the seeds if they can't be read."""
         try:
             seeds = self._read_seeds()
-        except (OSError, ValueError, KeyError, TypeError) as exc:
-            decisions.note("reload", "", outcome="kept", reason=repr(exc))
+        except Exception as exc:
+            # Whatever is wrong with the file, the process can go on.
+            self._note_kept(str(exc))
             return
+        self._kept_reason = ""
         if seeds != self._seeds:
             self._seeds = seeds
             self._process.set_seeds(seeds)
+
+    def _note_kept(self, reason: str) -> None:
+        """Writes why the seeds are kept, once per reason."""
+        reason = reason.encode(errors="backslashreplace").decode()
+        if reason != self._kept_reason:
+            self._kept_reason = reason
+            decisions.note("reload", "", outcome="kept", reason=reason)
--- /dev/null
+++ b/catkinpin/adapters/startstop.py
@@ -0,0 +1,36 @@
+"""Starts that a stop signal can end."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+# A start that waits for nothing is over sooner, so it can be followed by a
+# graceful stop.
+_FINISH_S = 0.5
+
+
+async def start_unless_stopped(
+    start: Coroutine[Any, Any, None], stop: asyncio.Event
+) -> bool:
+    """Runs a start; cancels it if a stop signal arrives while it waits.
+
+    Returns:
+        Whether the start was completed.
+    """
+    start_task = asyncio.ensure_future(start)
+    stop_task = asyncio.ensure_future(stop.wait())
+    await asyncio.wait(
+        {start_task, stop_task}, return_when=asyncio.FIRST_COMPLETED
+    )
+    stop_task.cancel()
+    if not start_task.done():
+        await asyncio.wait({start_task}, timeout=_FINISH_S)
+    if not start_task.done():
+        start_task.cancel()
+        return False
+    await start_task
+    return True
--- a/catkinpin/clock.py
+++ b/catkinpin/clock.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from catkinpin import startup
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -17,13 +19,9 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
 
 
-# Read when this package is imported, before any slow import.
-_PROCESS_START_MS = since_boot_ms()
-
-
 def process_start_ms() -> int:
     """Returns when this process started, on the clock of `since_boot_ms`."""
-    return _PROCESS_START_MS
+    return startup.BEGAN_MS
 
 
 @dataclasses.dataclass(frozen=True)
--- a/catkinpin/decisions.py
+++ b/catkinpin/decisions.py
@@ -91,6 +91,11 @@
     os.set_blocking(_STDOUT_FD, False)
 
 
+def is_enabled() -> bool:
+    """Returns whether this process writes decision lines."""
+    return _writer.enabled
+
+
 def note(kind: str, request: str, **fields: Any) -> None:
     """Writes a line about a decision or a change in the process's view.
 
--- a/catkinpin/exceptions.py
+++ b/catkinpin/exceptions.py
@@ -23,6 +23,10 @@
     """
 
 
+class UnavailableStorageError(StorageError):
+    """The data folder can't be used now, but may be usable later."""
+
+
 class DamagedLogError(StorageError):
     """A record in the middle of the log fails its checksum."""
 
--- a/catkinpin/exits.py
+++ b/catkinpin/exits.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import logging
 import os
 
-log = logging.getLogger(__name__)
-
 OK = 0
 FAILED = 1
 USAGE_ERROR = 2
@@ -21,6 +18,17 @@
     After a failed write or sync, the disk may lack data that is in memory. A
     graceful stop would still acknowledge that data to others.
     """
-    log.critical("%s", exc, exc_info=exc)
+    import logging
+
+    from catkinpin import decisions
+
+    decisions.note(
+        "ended",
+        "",
+        outcome="storage",
+        code=STORAGE_ERROR,
+        reason=repr(exc),
+    )
+    logging.getLogger(__name__).critical("%s", exc, exc_info=exc)
     logging.shutdown()
     os._exit(STORAGE_ERROR)
--- a/catkinpin/listening.py
+++ b/catkinpin/listening.py
@@ -20,6 +20,20 @@
 def open_early(address: str) -> None:
     """Opens the listening socket of a server that starts later.
 
+    If that is not possible yet, the server opens it.
+
+    Args:
+        address: IP and port.
+    """
+    try:
+        _sockets[address] = open_socket(address)
+    except OSError:
+        return
+
+
+def open_socket(address: str) -> socket.socket:
+    """Returns a listening socket.
+
     Args:
         address: IP and port.
 
@@ -29,11 +43,16 @@
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    _sockets[address] = socket.create_server(
+    return socket.create_server(
         (host, int(port)), family=family, backlog=BACKLOG
     )
 
 
+def keep_socket(address: str, sock: socket.socket) -> None:
+    """Keeps a listening socket for a server that starts later."""
+    _sockets[address] = sock
+
+
 def claim_socket(address: str) -> socket.socket | None:
     """Removes and returns the socket opened for an address, if any."""
     return _sockets.pop(address, None)
--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -6,13 +6,18 @@
 import logging
 import os
 import signal
-import sys
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NoReturn, Protocol
 
 import uvloop
 
-from catkinpin import exits, logs, tracing
-from catkinpin.exceptions import CatkinpinError, StopTimeoutError
+from catkinpin import exits, logs, startup, tracing, waiting
+from catkinpin.adapters import startstop
+from catkinpin.adapters.disk import files
+from catkinpin.exceptions import (
+    CatkinpinError,
+    SettingsError,
+    StopTimeoutError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,19 +50,57 @@
 def run(cfg: ProcessSettings, create_process: Callable[[], Stoppable]) -> None:
     """Serves until SIGTERM or SIGINT, then stops gracefully and exits."""
     logs.set_up(cfg.log_level, cfg.name)
-    tracing.set_up(cfg.trace_file, cfg.name)
     try:
-        uvloop.run(_serve(create_process))
-    except StopTimeoutError as exc:
-        log.error("%s", exc)
-        sys.exit(EXIT_STOP_TIMEOUT)
-    except CatkinpinError as exc:
-        log.critical("%s", exc)
-        sys.exit(EXIT_STORAGE_ERROR)
+        tracing.set_up(cfg.trace_file, cfg.name)
+    except OSError as exc:
+        # The process serves without spans.
+        log.error("no spans are written: %s", exc)
+    uvloop.run(_run_to_end(cfg, create_process))
 
 
-async def _serve(create_process: Callable[[], Stoppable]) -> None:
+async def _run_to_end(
+    cfg: ProcessSettings, create_process: Callable[[], Stoppable]
+) -> NoReturn:
+    """Serves until a stop signal, and exits in each case.
+
+    The process exits here, as signals would have their default actions while
+    the interpreter shuts down.
+    """
+    try:
+        outcome = await _serve(cfg, create_process)
+    except StopTimeoutError as exc:
+        _exit(EXIT_STOP_TIMEOUT, "cut", str(exc))
+    except SettingsError as exc:
+        _exit(exits.USAGE_ERROR, "settings", str(exc))
+    except CatkinpinError as exc:
+        _exit(EXIT_STORAGE_ERROR, "storage", str(exc))
+    except Exception as exc:
+        _exit(EXIT_FAILED, "fault", startup.describe_fault(exc))
+    _exit(EXIT_OK, outcome, "")
+
+
+def _exit(code: int, outcome: str, reason: str) -> NoReturn:
+    """Writes a line about the end of the process, and exits."""
+    log.log(
+        logging.CRITICAL if code else logging.INFO,
+        "ended",
+        extra={"outcome": outcome, "code": code, "reason": reason},
+    )
+    logging.shutdown()
+    os._exit(code)
+
+
+async def _serve(
+    cfg: ProcessSettings, create_process: Callable[[], Stoppable]
+) -> str:
+    """Serves until a stop signal; returns the kind of end."""
     loop = asyncio.get_running_loop()
+    # The port comes first: while a predecessor has it, the data may change.
+    await waiting.reserve_port(cfg.peer_listen)
+    process = await waiting.retry(
+        "the data folder", create_process, files.is_temporary
+    )
+    # Until here, `startup` ends the process at a stop signal.
     stop = asyncio.Event()
 
     def handle_stop_signal() -> None:
@@ -70,11 +113,12 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, handle_stop_signal)
     loop.add_signal_handler(signal.SIGHUP, _log_ignored_reload)
-    process = create_process()
     try:
-        await process.start()
+        if not await startstop.start_unless_stopped(process.start(), stop):
+            return "stopped-in-start"
         await stop.wait()
         await process.stop()
+        return "stopped"
     finally:
         _ignore_signals(loop)
 
--- a/catkinpin/roles.py
+++ b/catkinpin/roles.py
@@ -15,7 +15,11 @@
 
 from catkinpin.exceptions import SettingsError
 
-_PORT_PATTERN = r"(6553[0-5]|655[0-2]\d|65[0-4]\d{2}|6[0-4]\d{3}|[1-5]?\d{1,4})"
+# `[0-9]`, as `\d` matches digits of all alphabets.
+_PORT_PATTERN = (
+    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}"
+    r"|[1-5]?[0-9]{1,4})"
+)
 _ADDRESS_PATTERN = rf"[0-9A-Za-z_.\-\[\]:]+:{_PORT_PATTERN}"
 
 Address = Annotated[str, Meta(pattern=f"^{_ADDRESS_PATTERN}$")]
