--- a/catkinpin/adapters/http/headers.py
+++ b/catkinpin/adapters/http/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -67,3 +68,11 @@
     def encode(self) -> bytes:
         """Returns the fields encoded as header lines."""
         return b"".join(k + b": " + v + b"\r\n" for k, v in self._fields)
+
+
+def default_phrase(status: int) -> bytes:
+    """Returns the usual reason phrase of a status code."""
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Unknown"
--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -8,14 +8,13 @@
 
 import asyncio
 import dataclasses
-import http
 import logging
 from typing import TYPE_CHECKING, cast
 
 import httptools
 
 from catkinpin import listening, waiting
-from catkinpin.adapters.http.headers import Headers
+from catkinpin.adapters.http.headers import Headers, default_phrase
 from catkinpin.adapters.http.requestparser import (
     RequestParser,
     ServerLimits,
@@ -94,7 +93,7 @@
         if length is None and not self._chunked:
             self._conn.close_after = True
         head = [
-            b"HTTP/1.1 %d %s\r\n" % (status, reason or _default_phrase(status))
+            b"HTTP/1.1 %d %s\r\n" % (status, reason or default_phrase(status))
         ]
         head.append(headers.encode())
         if self._chunked:
@@ -445,10 +444,3 @@
             self.abort()
         else:
             self._start_close_timer(left_bytes)
-
-
-def _default_phrase(status: int) -> bytes:
-    try:
-        return http.HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b"Unknown"
