Soak signals during starts, and first starts in any order

Seeds from 5000 on start the hosts in a drawn order, one of them late, and send series of reload and stop signals to processes that start. A process that a signal ends is allowed only while its interpreter starts, before it has written a line; before, until it had logged that it serves.

--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -122,6 +122,11 @@
         self.on_request: Callable[[ReceivedRequest], None] = lambda _: None
         # Called once after all processes have started for the first time.
         self.on_first_start: Callable[[], Awaitable[None]] | None = None
+        # Hosts in the order of their first starts, with the time in s before
+        # each; empty: all at once.
+        self.start_delays_s: dict[str, float] = {}
+        # Size of each host's log when its process was started.
+        self._log_sizes: dict[str, int] = {}
         # For the host that lost its disk last: how often it had registered as
         # a store and had started before that.
         self._registrations_before = 0
@@ -129,8 +134,9 @@
 
     async def __aenter__(self) -> Deployment:
         self._session = aiohttp.ClientSession()
-        for host in self.hosts.values():
-            self.start(host.name)
+        for name in self.start_delays_s or self.hosts:
+            await asyncio.sleep(self.start_delays_s.get(name, 0.0))
+            self.start(name)
         if self.on_first_start is not None:
             await self.on_first_start()
         if not self.model_server.address:
@@ -167,6 +173,7 @@
         env = dict(os.environ, PYTHONPATH=str(processes.ROOT))
         env["CATKINPIN_NODE_FILE"] = str(settings)
         with (self._folder / f"{name}.log").open("ab") as out:
+            self._log_sizes[name] = out.tell()
             host.process = subprocess.Popen(
                 [sys.executable, "platform", host.role],
                 cwd=processes.ROOT,
@@ -176,6 +183,11 @@
             )
         host.is_first_start = False
 
+    def has_written(self, name: str) -> bool:
+        """Returns whether a host's latest process has written any output."""
+        log = self._folder / f"{name}.log"
+        return log.stat().st_size > self._log_sizes.get(name, 0)
+
     def kill(self, name: str, number: int = signal.SIGKILL) -> None:
         """Sends a signal to a running process; waits for the end if SIGKILL."""
         process = self.hosts[name].process
--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -8,7 +8,8 @@
 the callers got. Seeds from 100 on also kill all processes at once, seeds from
 1000 on also kill keepers while the system starts for the first time. Seeds from
 3000 on also have a call that crashes the servers that run it, seeds from 4000
-on a turn with another body each time.
+on a turn with another body each time. Seeds from 5000 on start the hosts in any
+order, one of them late, and send series of signals to processes that start.
 """
 
 from __future__ import annotations
@@ -31,7 +32,7 @@
 import aiohttp
 import uvloop
 
-from tests import base, ports, processes
+from tests import base, ports, processes, soakstarts
 from tests.fakes.deployment import Deployment
 from tests.soakcrashes import CrashLoad
 
@@ -50,10 +51,13 @@
 # Seeds from here on, without contended capacity, also have a service whose
 # servers crash under one call.
 _CRASHING_SEED = 3_000
+# Seeds from here on start hosts in any order and signal them while they start.
+_SIGNAL_SEED = 5_000
 # Time from the end of a process until the platform starts it again.
 _RESTART_DELAY_S = 0.2
-# Exit codes of a process that a planned stop or a reload finds while it starts.
-_SIGNAL_EXITS = (-signal.SIGTERM, -signal.SIGHUP)
+# Exit codes of a process that a signal ends while its interpreter starts: no
+# handler is set yet.
+_SIGNAL_EXITS = (-signal.SIGTERM, -signal.SIGINT, -signal.SIGHUP)
 _CALLER_TASKS = 8
 _FAULT_TASKS = 2
 _TURNS_PER_PROGRAM = 5
@@ -124,8 +128,6 @@
         self._host_locks: dict[str, asyncio.Lock] = {
             name: asyncio.Lock() for name in deployment.hosts
         }
-        # For each process, "start" lines logged before its last restart.
-        self._starts_before = dict.fromkeys(deployment.hosts, 0)
         self.found = Findings()
         deployment.on_request = self._check_request
 
@@ -318,6 +320,8 @@
         ]
         if self._seed >= _FIRST_BLACKOUT_SEED:
             faults.append(self._blackout)
+        if self._seed >= _SIGNAL_SEED:
+            faults += [self._signal_start] * 3
         while time.monotonic() < self._end_s:
             fault = self._rng.choice(faults)
             text = await fault()
@@ -329,17 +333,12 @@
         hosts = self._deployment.hosts.values()
         return [host.name for host in hosts if host.role in roles]
 
-    def _restart(self, name: str) -> None:
-        self._starts_before[name] = self._count_starts(name)
-        self._deployment.start(name)
+    def _has_run(self, name: str) -> bool:
+        """Returns whether any line of ours has run in the latest process.
 
-    def _count_starts(self, name: str) -> int:
-        lines = self._deployment.read_log(name)
-        return sum(line["decision"] == "start" for line in lines)
-
-    def _has_started(self, name: str) -> bool:
-        """Returns whether the running process has logged its start."""
-        return self._count_starts(name) > self._starts_before[name]
+        A process writes a line before anything else that takes long.
+        """
+        return self._deployment.has_written(name)
 
     def _any_host(self) -> str:
         return self._rng.choice(list(self._deployment.hosts))
@@ -358,17 +357,17 @@
                 code = host.process.poll()
                 if code is None:
                     continue
-                if code != -signal.SIGHUP or self._has_started(name):
+                if code != -signal.SIGHUP or self._has_run(name):
                     self._add_problem(f"{name} ended by itself with {code}")
                 self.found.faults.append(f"restart {name}, ended with {code}")
-                self._restart(name)
+                self._deployment.start(name)
 
     async def _kill(self) -> str:
         name = self._any_host()
         async with self._host_locks[name]:
             self._deployment.kill(name)
             await asyncio.sleep(self._rng.uniform(0.0, 1.0))
-            self._restart(name)
+            self._deployment.start(name)
         return f"kill {name}"
 
     async def _blackout(self) -> str:
@@ -382,7 +381,7 @@
             self._rng.shuffle(names)
             for name in names:
                 await asyncio.sleep(self._rng.uniform(0.0, 0.1))
-                self._restart(name)
+                self._deployment.start(name)
         return "blackout"
 
     async def _freeze(self) -> str:
@@ -399,18 +398,31 @@
         async with self._host_locks[name]:
             process = self._deployment.hosts[name].process
             assert process is not None
-            had_started = self._has_started(name)
             self._deployment.kill(name, signal.SIGTERM)
             try:
                 code = await asyncio.to_thread(process.wait, 9.0)
-                # A process that has not logged its start may end by a signal:
-                # it serves nothing yet that it would have to finish.
-                if code and (had_started or code not in _SIGNAL_EXITS):
+                if code and (self._has_run(name) or code not in _SIGNAL_EXITS):
                     self._add_problem(f"{name} ended with {code} when stopped")
             finally:
-                self._restart(name)
+                self._deployment.start(name)
         return f"stop {name}"
 
+    async def _signal_start(self) -> str:
+        """Starts a process again and sends it signals while it starts."""
+        name = self._any_host()
+        async with self._host_locks[name]:
+            self._deployment.kill(name)
+            self._deployment.start(name)
+            process = self._deployment.hosts[name].process
+            assert process is not None
+            series = await soakstarts.send_series(process, self._rng)
+            code = await soakstarts.wait_for_end(process, series)
+            if code and (self._has_run(name) or code not in _SIGNAL_EXITS):
+                self._add_problem(f"{name} ended with {code} while it started")
+            if code is not None:
+                self._deployment.start(name)
+        return f"signal {name} {len(series)} times"
+
     async def _send_sighup(self) -> str:
         name = self._any_host()
         async with self._host_locks[name]:
@@ -428,7 +440,7 @@
         async with self._disk_lock:
             async with self._host_locks[name]:
                 self._deployment.wipe(name)
-                self._restart(name)
+                self._deployment.start(name)
             await self._deployment.wait_repaired(name)
         return f"wipe {name}"
 
@@ -468,30 +480,6 @@
             await answer.read()
 
 
-async def inject_first_start_faults(
-    deployment: Deployment, seed: int
-) -> list[str]:
-    """Kills one or all keepers at a time while the system is founded."""
-    rng = random.Random(seed)
-    keepers = [h.name for h in deployment.hosts.values() if h.role == "keeper"]
-    wiped = ""
-    faults = []
-    for _ in range(rng.randint(1, 4)):
-        await asyncio.sleep(rng.uniform(0.0, 0.4))
-        ended = rng.choice([[rng.choice(keepers)], keepers])
-        if not wiped and rng.random() < 0.3:
-            wiped = rng.choice(ended)
-        for name in ended:
-            deployment.kill(name)
-        if wiped in ended:
-            deployment.wipe(wiped)
-        await asyncio.sleep(rng.uniform(0.0, 0.3))
-        for name in ended:
-            deployment.start(name)
-        faults.append(f"first start: end {','.join(ended)}, wiped {wiped}")
-    return faults
-
-
 async def run_seed(seed: int, seconds: float) -> Findings:
     """Runs the soak of one seed on a new deployment."""
     with tempfile.TemporaryDirectory(
@@ -513,13 +501,17 @@
 
         async def inject() -> None:
             first_start_faults.extend(
-                await inject_first_start_faults(deployment, seed)
+                await soakstarts.inject_faults(deployment, seed)
             )
 
-        if seed >= _FIRST_START_SEED:
+        if seed >= _SIGNAL_SEED:
+            deployment.start_delays_s = soakstarts.draw_starts(
+                list(deployment.hosts), random.Random(seed)
+            )
+        elif seed >= _FIRST_START_SEED:
             deployment.on_first_start = inject
         crashes = None
-        if seed >= _CRASHING_SEED:
+        if _CRASHING_SEED <= seed < _SIGNAL_SEED:
             crashes = CrashLoad(deployment, seed)
         elif seed >= _CONTENDED_SEED:
             deployment.policies = ["pressure"]
--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -48,6 +48,13 @@
         """
         self._run_seed(3000)
 
+    def test_signals_during_starts_in_any_order_break_no_promise(self) -> None:
+        """Guards against processes that a signal ends while they start.
+
+        The hosts also start in any order at first, one of them late.
+        """
+        self._run_seed(5000)
+
     def _run_seed(self, seed: int) -> None:
         async def main() -> None:
             found = await soakplatform.run_seed(seed, _SECONDS)
