--- a/catkinpin/__main__.py
+++ b/catkinpin/__main__.py
@@ -33,8 +33,9 @@
         getattr(cli, name)()
     except Exception as exc:
         from catkinpin import exits
+        from catkinpin.adapters.tasks import brief
 
-        startup.end_process(exits.FAILED, "fault", startup.describe_fault(exc))
+        startup.end_process(exits.FAILED, "fault", brief(exc))
 
 
 _EXECUTABLES = {"entry": entry, "replica": replica}
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -17,10 +17,11 @@
 from catkinpin.adapters.gateway.usage import UsageReporter
 from catkinpin.adapters.gateway.view import GatewayView
 from catkinpin.adapters.http.pool import Pool
-from catkinpin.adapters.http.server import HttpServer, ServerLimits
+from catkinpin.adapters.http.requestparser import ServerLimits
+from catkinpin.adapters.http.server import HttpServer
 from catkinpin.adapters.keeper.publisher import GATEWAY_ROLE
 from catkinpin.adapters.peers import keepers
-from catkinpin.adapters.tasks import BackgroundTasks
+from catkinpin.adapters.tasks import BackgroundTasks, keep_running
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
 from catkinpin.core.control.feeds import FeedSelector
@@ -131,12 +132,12 @@
         """Listens and connects to the keepers."""
         await self.server.start(self.cfg.listen)
         self.keepers.add(self.cfg.seeds)
-        for coroutine in (
-            self._tick(),
-            self._route_fetcher.run(),
-            self._usage.run(),
+        for loop in (
+            self._tick,
+            self._route_fetcher.run,
+            self._usage.run,
         ):
-            self._tasks.spawn(coroutine)
+            self._tasks.spawn(keep_running(loop))
         # Callers are served even if the port for readiness is in use.
         self._tasks.spawn(self._readiness_server.start(self.cfg.ready_listen))
         await asyncio.sleep(0)
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -22,7 +22,7 @@
 from catkinpin.adapters.peers import keepers, links
 from catkinpin.adapters.replica import mesh, node, transport
 from catkinpin.adapters.store.turnserver import TurnServer
-from catkinpin.adapters.tasks import BackgroundTasks
+from catkinpin.adapters.tasks import BackgroundTasks, keep_running
 from catkinpin.core import messages
 from catkinpin.core.control import protocol, routes
 from catkinpin.core.control.quotas import QuotaTolerance
@@ -190,9 +190,9 @@
         # operators is in use.
         self._tasks.spawn(self._http.start(self.cfg.listen))
         await asyncio.sleep(0)
-        self._tasks.spawn(self._run_periodic_work())
-        self._tasks.spawn(self._publish_currency())
-        self._tasks.spawn(self._drop_orphaned_bytes())
+        self._tasks.spawn(keep_running(self._run_periodic_work))
+        self._tasks.spawn(keep_running(self._publish_currency))
+        self._tasks.spawn(keep_running(self._drop_orphaned_bytes))
         decisions.note(
             "start",
             "",
