--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -13,7 +13,9 @@
 import socket
 import subprocess
 import sys
+import sysconfig
 import time
+import tomllib
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import startup
@@ -424,6 +426,51 @@
         os.close(writer)
 
 
+class DeployedCommandTest(_StartCase):
+    """The commands of the deploy file."""
+
+    def test_roles_start_as_deployed(self) -> None:
+        """Guards against a module that only the commands of tests find."""
+        roles = tomllib.loads(
+            (processes.ROOT / "deploy/system.toml").read_text()
+        )
+        for role, entry in roles["roles"].items():
+            words = entry["run"].replace("target/", "").split()
+            listeners = self.new_ports()
+            path = self.settings(role, listeners)
+            # The build installs the libraries in a folder of their own.
+            libraries = sysconfig.get_paths()["purelib"]
+            env = {
+                "CATKINPIN_NODE_FILE": str(path),
+                "PYTHONPATH": f"{processes.ROOT}:{libraries}",
+            }
+            out = self.folder / f"{role}.out"
+            process = _Started(words[1:], env, out, listeners)
+            self.addCleanup(process.end)
+            process.wait_for("start")
+            process.popen.terminate()
+            self.assertEqual(0, process.popen.wait(_TIMEOUT_S), process.text)
+
+    def test_little_is_loaded_before_signals_are_handled(self) -> None:
+        """Guards against an import that leaves signals their default action."""
+        code = (
+            "import sys\n"
+            "from catkinpin import startup\n"
+            "startup.handle_signals()\n"
+            "heavy = ('enum', 're', 'typing', 'json', 'logging', 'asyncio')\n"
+            "print([name for name in heavy if name in sys.modules])\n"
+        )
+        done = subprocess.run(
+            [sys.executable, "-S", "-c", code],
+            cwd=processes.ROOT,
+            capture_output=True,
+            text=True,
+            timeout=_TIMEOUT_S,
+            check=True,
+        )
+        self.assertEqual("[]", done.stdout.strip())
+
+
 class UsageTest(_StartCase):
     """Starts that can't be mended by waiting."""
 
