--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -162,18 +162,14 @@
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> str:
-        """Starts to listen; returns the address with the actual port.
-
-        Waits while the port can't be opened.
-        """
-        loop = asyncio.get_running_loop()
-        host, _, _ = address.rpartition(":")
-        self._server = await loop.create_server(
+        """Listens once the port is free; returns the actual address."""
+        self._server = await asyncio.get_running_loop().create_server(
             lambda: Connection(self),
             sock=await waiting.open_port(address),
             backlog=listening.BACKLOG,
         )
-        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+        port = self._server.sockets[0].getsockname()[1]
+        return f"{address.rpartition(':')[0]}:{port}"
 
     def count_busy(self) -> int:
         """Returns the number of connections with unread requests or answers."""
--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -12,8 +12,8 @@
 
 import uvloop
 
-from catkinpin import clock, decisions, exits, metrics, startup, waiting
-from catkinpin.adapters import startstop
+from catkinpin import clock, decisions, exits, metrics, waiting
+from catkinpin.adapters import startstop, tasks
 from catkinpin.adapters.disk import files
 from catkinpin.adapters.http.headers import Headers
 from catkinpin.adapters.http.server import HttpServer
@@ -131,7 +131,7 @@
     except CatkinpinError as exc:
         _exit(exits.STORAGE_ERROR, "storage", str(exc))
     except Exception as exc:
-        _exit(exits.FAILED, "fault", startup.describe_fault(exc))
+        _exit(exits.FAILED, "fault", tasks.brief(exc))
     _exit(exits.OK, "stopped", "")
 
 
--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -10,8 +10,8 @@
 
 import uvloop
 
-from catkinpin import exits, logs, startup, tracing, waiting
-from catkinpin.adapters import startstop
+from catkinpin import exits, logs, tracing, waiting
+from catkinpin.adapters import startstop, tasks
 from catkinpin.adapters.disk import files
 from catkinpin.exceptions import (
     CatkinpinError,
@@ -75,7 +75,7 @@
     except CatkinpinError as exc:
         _exit(EXIT_STORAGE_ERROR, "storage", str(exc))
     except Exception as exc:
-        _exit(EXIT_FAILED, "fault", startup.describe_fault(exc))
+        _exit(EXIT_FAILED, "fault", tasks.brief(exc))
     _exit(EXIT_OK, outcome, "")
 
 
--- a/catkinpin/startup.py
+++ b/catkinpin/startup.py
@@ -19,7 +19,7 @@
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from types import FrameType, TracebackType
+    from types import FrameType
     from typing import Any, NoReturn, TypeVar
 
     _T = TypeVar("_T")
@@ -39,9 +39,6 @@
 RETRY_INTERVAL_S = 0.05
 WAIT_LINE_INTERVAL_S = 5.0
 
-# Steps of a traceback that a line shows; a deep recursion has thousands.
-_MAX_STEPS = 6
-
 _STOP_SIGNALS = {_signal.SIGTERM: "SIGTERM", _signal.SIGINT: "SIGINT"}
 
 
@@ -102,19 +99,6 @@
     os._exit(code)
 
 
-def describe_fault(exc: BaseException) -> str:
-    """Returns an unexpected exception and where it was raised, in one line."""
-    steps = []
-    trace: TracebackType | None = exc.__traceback__
-    while trace is not None:
-        code = trace.tb_frame.f_code
-        name = os.path.basename(code.co_filename)
-        steps.append(f"{name}:{trace.tb_lineno} {code.co_name}")
-        trace = trace.tb_next
-    place = " > ".join(steps[-_MAX_STEPS:])
-    return f"{type(exc).__name__}: {' '.join(str(exc).split())} (at {place})"
-
-
 def wait_for_settings(
     read: Callable[[], _T], wait_s: float = SETTINGS_WAIT_S
 ) -> _T:
