Refuse messages between replicas that break the protocol

An exception while a replica handles a message ends its process, since a change may be half done. Others were accepted and left a state that nothing corrects: a term or a ballot near the largest number leaves none for the next election or founding, an acknowledgement beyond the leader's log wedges its replication, a reply that echoes a future time extends the lease, and a Join with an odd address becomes a member that all replicas dial.

core/consensus/validation.py and adapters/replica/checks.py check each message before it has any effect; a refused one is logged in one line and counts as lost. A term or a ballot may be at most 2^32 ahead of the own one: elections can't raise it so far, and every replica that accepts one can still answer.

identities are bounded.

No message of six simulated runs with faults is refused; the consensus, groups, membership, founding, founders, replicas and repair tests pass.

--- a/catkinpin/adapters/disk/snapshots.py
+++ b/catkinpin/adapters/disk/snapshots.py
@@ -9,6 +9,8 @@
 import zlib
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from catkinpin import codec
 from catkinpin.adapters.disk import files
 from catkinpin.codec import Message
@@ -119,7 +121,11 @@
             " folder away, start the replica with an empty one and run"
             " `catkinpin repair`"
         )
-    description = _decoder.decode(body[:length])
+    try:
+        description = _decoder.decode(body[:length])
+        unpack_indexes(description.referenced)
+    except (msgspec.MsgspecError, RecursionError, ValueError) as exc:
+        raise StorageError(f"{origin}: invalid snapshot header") from exc
     return Snapshot(description, bytes(body[length:]))
 
 
--- a/catkinpin/adapters/replica/groups.py
+++ b/catkinpin/adapters/replica/groups.py
@@ -17,42 +17,16 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
 
     from catkinpin.adapters.disk.grouplog import GroupLog
     from catkinpin.adapters.replica.heartbeats import Outbox
+    from catkinpin.adapters.replica.machines import StateMachine
     from catkinpin.core.consensus.messages import Entry
     from catkinpin.core.consensus.state import Timing
 
 log = logging.getLogger(__name__)
 
 
-class StateMachine(Protocol):
-    """The state that a log group replicates; called on the event loop."""
-
-    def apply(self, index: int, payload: bytes) -> None:
-        """Applies a committed record; called in log order."""
-
-    def leadership_changed(self, leading: bool) -> None:
-        """Reports that this replica now leads the group, or no longer does.
-
-        A new leader has applied all records that were committed before, and
-        the lease of the previous leader has expired.
-        """
-
-    def snapshot(self) -> bytes:
-        """Returns the state as of the last record applied."""
-
-    def restore(self, data: bytes) -> None:
-        """Replaces the state by a snapshot of this or another replica."""
-
-    def referenced(self) -> Iterable[int]:
-        """Returns the indexes of records that `Group.read` must still return.
-
-        They survive a truncation of the log and are transferred with snapshots.
-        """
-
-
 class GroupNode(Protocol):
     """What a group needs of the node that runs it.
 
@@ -210,7 +184,7 @@
         now_ms = self._node.now_ms()
         match message:
             case transport.Routed():
-                self._core.step(message.sender, message.body, now_ms)
+                self._step(message.sender, message.body, now_ms)
             case transport.SnapshotPull():
                 reply = transfers.read_part(
                     self.log, self._node.identity, message
@@ -240,7 +214,7 @@
             sender, heartbeat.term, heartbeat.commit, now_ms
         ):
             return True
-        self._core.step(sender, heartbeat, now_ms)
+        self._step(sender, heartbeat, now_ms)
         self._node.schedule_flush(self)
         return False
 
@@ -250,10 +224,21 @@
         """Handles the reply to a heartbeat."""
         if self._core is None:
             return
-        self._core.step(sender, reply, now_ms)
+        self._step(sender, reply, now_ms)
         if self._core.has_output():
             self._node.schedule_flush(self)
 
+    def _step(
+        self, sender: str, msg: messages.GroupMessage, now_ms: int
+    ) -> None:
+        assert self._core is not None
+        problem = self._core.find_problem(msg, now_ms)
+        if problem:
+            extra = {"group": self.name, "peer": sender}
+            log.warning("message refused: %s", problem, extra=extra)
+        else:
+            self._core.step(sender, msg, now_ms)
+
     def begin_flush(self, now_ms: int) -> list[commands.Command]:
         """Runs the commands that may precede the sync; returns the others."""
         assert self._core is not None
--- a/catkinpin/adapters/replica/mesh.py
+++ b/catkinpin/adapters/replica/mesh.py
@@ -6,12 +6,16 @@
 
 from catkinpin.adapters.peers import links
 from catkinpin.adapters.replica import transport
-from catkinpin.core import messages
+from catkinpin.core import addresses, messages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 ROLE = "replica"
+# More replicas can only come from foreign messages. Members of the groups are
+# recorded again at an interval, so that the oldest ones are others.
+_MAX_REPLICAS = 4_096
+_MAX_LINKS = 1_024
 # Each replica sends on the streams that it opened itself; the other end sends
 # only pings back.
 _ReturnMessage = messages.Ping | transport.NodeInfo
@@ -50,6 +54,10 @@
         """Connects to a replica that became known, if the mesh can grow."""
         if not self._growable or self._hello is None or not address:
             return
+        if len(self._links) >= _MAX_LINKS or not addresses.is_host_port(
+            address
+        ):
+            return
         if address not in self._links and address != self._hello.address:
             self.addresses.append(address)
             self._connect(address, self._hello)
@@ -61,7 +69,10 @@
 
     def set_address(self, node: str, address: str) -> None:
         """Records a replica's current address, and connects to a new one."""
+        self._address_of.pop(node, None)
         self._address_of[node] = address
+        while len(self._address_of) > _MAX_REPLICAS:
+            del self._address_of[next(iter(self._address_of))]
         self.add(address)
 
     def send(self, node: str, message: Any) -> None:
--- a/catkinpin/adapters/replica/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -12,7 +12,7 @@
 
 from catkinpin import clock
 from catkinpin.adapters.disk.storage import Storage
-from catkinpin.adapters.replica import heartbeats, mesh, transport
+from catkinpin.adapters.replica import checks, heartbeats, mesh, transport
 from catkinpin.adapters.replica.founding import Founding
 from catkinpin.adapters.replica.groups import Group
 from catkinpin.adapters.replica.identity import Identity
@@ -31,7 +31,7 @@
     from collections.abc import Callable
 
     from catkinpin.adapters.replica.config import NodeConfig
-    from catkinpin.adapters.replica.groups import StateMachine
+    from catkinpin.adapters.replica.machines import StateMachine
     from catkinpin.core import messages
     from catkinpin.core.consensus import commands
     from catkinpin.core.consensus.state import Timing
@@ -239,7 +239,7 @@
 
     def handle(self, message: Any) -> None:
         """Handles a message of another replica; fails the node on an error."""
-        if self._stopped:
+        if self._stopped or checks.is_refused(message):
             return
         try:
             self._handle(message)
--- a/catkinpin/adapters/replica/transfers.py
+++ b/catkinpin/adapters/replica/transfers.py
@@ -93,13 +93,16 @@
 
     def handle_part(self, part: transport.SnapshotPart) -> bool:
         """Stores a part; returns False if the snapshot is gone or invalid."""
-        if part.index != self.offer.index or self.snapshot is not None:
+        is_wanted = (part.sender, part.index) == (self.sender, self.offer.index)
+        if not is_wanted or self.snapshot is not None:
             return True
         if part.size == 0:
             return False
         if part.offset != len(self._data):
             return True
         self._data += part.data
+        if len(self._data) > part.size:
+            return False
         if len(self._data) == part.size:
             return self._load_snapshot()
         return True
@@ -127,6 +130,13 @@
             log.exception("invalid snapshot", extra={"group": self._log.name})
             return False
         referenced = self.snapshot.referenced()
+        description = self.snapshot.description
+        if (description.group, description.index) != (
+            self._log.name,
+            self.offer.index,
+        ):
+            log.error("another snapshot", extra={"group": self._log.name})
+            return False
         self._missing = [
             i for i in referenced if not self._has_committed_record(i)
         ]
@@ -164,7 +174,7 @@
     """Returns as many of the requested records as fit into a message."""
     entries: list[Entry] = []
     size = 0
-    for index in reversed(pull.indexes):
+    for index in reversed(pull.indexes[-_MAX_REQUESTED_RECORDS:]):
         if size > _MAX_PART_BYTES or not group_log.has_record(index):
             break
         entries.append(group_log.read(index))
--- a/catkinpin/core/consensus/core.py
+++ b/catkinpin/core/consensus/core.py
@@ -10,6 +10,7 @@
     leading,
     membership,
     messages,
+    validation,
 )
 from catkinpin.core.consensus.messages import EntryKind
 from catkinpin.core.consensus.state import Role, State, StoredState, Timing
@@ -103,6 +104,10 @@
         elif now_ms >= state.election_deadline_ms and state.is_voter():
             election.start_pre_vote(state, now_ms)
 
+    def find_problem(self, msg: messages.GroupMessage, now_ms: int) -> str:
+        """Returns why `step` can't handle a message, or "" if it can."""
+        return validation.find_problem(self.state, msg, now_ms)
+
     def step(
         self, sender: str, msg: messages.GroupMessage, now_ms: int
     ) -> None:
--- a/catkinpin/core/consensus/founding.py
+++ b/catkinpin/core/consensus/founding.py
@@ -43,6 +43,10 @@
     from catkinpin.core.consensus.messages import FoundingMessage
 
 
+# A seed makes few attempts a second, so no other seed is so far ahead.
+_MAX_BALLOT_STEP = 2**32
+
+
 @dataclasses.dataclass
 class _Attempt:
     """An attempt of this seed to found the system.
@@ -138,7 +142,7 @@
 
     def step(self, msg: FoundingMessage, now_ms: int) -> None:
         """Handles a message from another seed."""
-        if msg.to != self.node:
+        if msg.to != self.node or self._is_out_of_range(msg):
             return
         match msg:
             case Prepare():
@@ -150,6 +154,20 @@
             case Accepted():
                 self._on_accepted(msg)
 
+    def _is_out_of_range(self, msg: FoundingMessage) -> bool:
+        """Returns whether a ballot's number can't come from another seed.
+
+        Numbers only grow, so one near the largest would leave none for later
+        attempts.
+        """
+        match msg:
+            case Propose():
+                ballot = msg.proposal.ballot
+            case _:
+                ballot = msg.ballot
+        known = max(self._highest_ballot.count, self.record.promised.count)
+        return not 0 <= ballot.count <= known + _MAX_BALLOT_STEP
+
     def tick(self, now_ms: int) -> None:
         """Starts, advances or ends an attempt to found the system.
 
--- a/catkinpin/core/consensus/log.py
+++ b/catkinpin/core/consensus/log.py
@@ -22,6 +22,16 @@
     return codec.encode(members)
 
 
+def decode_members(payload: bytes) -> Members:
+    """Returns the members that an entry sets.
+
+    Raises:
+        MsgspecError, RecursionError: the payload has none.
+    """
+    members: Members = _members_decoder.decode(payload)
+    return members
+
+
 @dataclasses.dataclass
 class MembersSince:
     """Members from a log index on.
@@ -109,7 +119,7 @@
         self._terms.append(entry.term)
         self._sizes.append(len(entry.payload))
         if entry.kind is EntryKind.MEMBERS:
-            members = _members_decoder.decode(entry.payload)
+            members = decode_members(entry.payload)
             self._members.append(MembersSince(entry.index, members))
 
     def truncate_after(self, last: int) -> None:
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -8,19 +8,43 @@
 import logging
 import struct
 import zlib
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from unittest import mock
 
 import msgspec
 
 from catkinpin import codec
 from catkinpin.adapters.peers import links
+from catkinpin.adapters.replica import transport
 from catkinpin.core import messages
+from catkinpin.core.consensus.core import Core
+from catkinpin.core.consensus.messages import (
+    Append,
+    AppendReply,
+    Ballot,
+    Entry,
+    EntryKind,
+    Heartbeat,
+    HeartbeatReply,
+    Member,
+    Members,
+    Prepare,
+    PreVote,
+    SnapshotOffer,
+    Vote,
+    VoteReply,
+)
 from catkinpin.core.control import protocol
 from catkinpin.core.control.ledger import Begin
-from tests import base
+from tests import base, ports, simulation
+from tests.fakes.lognode import LogNode
 from tests.hellos import GATEWAY_HELLO
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from catkinpin.core.consensus.messages import GroupMessage
+
 _TIMEOUT_S = 5.0
 _OPENING = codec.encode({"compressed": False})
 _COMPRESSED_OPENING = codec.encode({"compressed": True})
@@ -281,6 +305,173 @@
             self.run_async(main())
 
 
+class ConsensusMessageTest(base.TestCase):
+    """Messages of a replica that doesn't keep the protocol."""
+
+    def test_messages_of_replicas_are_not_refused(self) -> None:
+        """Guards against checks that a late or repeated message fails."""
+        problems = []
+
+        def step(
+            core: Core, sender: str, msg: GroupMessage, now_ms: int
+        ) -> None:
+            problems.append(core.find_problem(msg, now_ms))
+            original(core, sender, msg, now_ms)
+
+        original = Core.step
+        with mock.patch.object(Core, "step", step):
+            for seed in range(1_000, 1_006):
+                simulation.run(seed, 3 + 2 * (seed % 2))
+        self.assertEqual({""}, set(problems))
+
+    def test_odd_messages_end_no_replica(self) -> None:
+        """Guards against a stranger's message that ends a replica."""
+        folder = self.folder
+
+        async def main() -> None:
+            peer_ports = ports.free_ports(3)
+            nodes = [LogNode(folder / str(i), i, peer_ports) for i in range(3)]
+            for log_node in nodes:
+                await log_node.start()
+
+            async def leader() -> LogNode | None:
+                return next((n for n in nodes if n.machines[0].leading), None)
+
+            leading = await base.until(leader, "a leader")
+            for number in range(120):
+                await leading.commit(b"%d" % number)
+
+            async def has_snapshots() -> bool:
+                return all(n.groups[0].log.snapshot_index for n in nodes)
+
+            await base.until(has_snapshots, "snapshots")
+            for log_node in nodes:
+                for message in odd_replica_messages(log_node):
+                    log_node.node.handle(message)
+            await asyncio.sleep(0.5)
+            self.assertEqual([None] * 3, [n.failure for n in nodes])
+            leading = await base.until(leader, "a leader")
+            await asyncio.wait_for(leading.commit(b"last"), _TIMEOUT_S)
+            members = leading.groups[0].members.members
+            self.assertEqual(
+                {f"127.0.0.1:{port}" for port in peer_ports},
+                {member.address for member in members},
+            )
+            for log_node in nodes:
+                await log_node.stop()
+            self.assertEqual([None] * 3, [n.failure for n in nodes])
+
+        self.run_async(main())
+
+    def test_odd_messages_prevent_no_founding(self) -> None:
+        """Guards against a ballot after which no seed can make a higher one."""
+        folder = self.folder
+
+        async def main() -> None:
+            peer_ports = ports.free_ports(3)
+            addresses = [f"127.0.0.1:{port}" for port in peer_ports]
+            nodes = [LogNode(folder / str(i), i, peer_ports) for i in range(3)]
+            await nodes[0].start()
+            for count in (-1, 2**62, 2**64 - 1):
+                message = Prepare(
+                    sender="x",
+                    to=nodes[0].node.identity,
+                    ballot=Ballot(count=count, node="x"),
+                    seeds=addresses,
+                )
+                nodes[0].node.handle(message)
+            nodes[0].node.handle(transport.Found(members=Members()))
+            await nodes[1].start()
+            await nodes[2].start()
+
+            async def has_leader() -> bool:
+                return any(n.machines[0].leading for n in nodes)
+
+            await base.until(has_leader, "a leader", 10.0)
+            for log_node in nodes:
+                await log_node.stop()
+            self.assertEqual([None] * 3, [n.failure for n in nodes])
+
+        self.run_async(main())
+
+
+def odd_replica_messages(log_node: LogNode) -> Iterator[Any]:
+    """Yields messages to a replica whose values are out of range."""
+    group, to = "g0", log_node.node.identity
+    state = log_node.groups[0]._core.state  # type: ignore[union-attr]
+    term, last = state.term, state.log.last
+    snapshot = log_node.groups[0].log.snapshot_index
+
+    def entry(index: int, kind: int = 0, payload: bytes = b"") -> Entry:
+        return Entry(index, term, EntryKind(kind), payload)
+
+    appended = [
+        [entry(last + 2)],
+        [entry(last + 1), entry(last + 1)],
+        [entry(last + 1, 2, b"x")],
+        [entry(last + 1, 2, _DEEP)],
+        [Entry(1, max(1, term - 1) + 1, EntryKind.DATA, b"other")],
+        [Entry(last + 1, 2**64 - 1, EntryKind.DATA, b"")],
+        [Entry(last + 1, -1, EntryKind.DATA, b"")],
+    ]
+    bodies: list[Any] = [
+        Append(
+            term=term + 1,
+            prev_index=0 if entries[0].index == 1 else last,
+            prev_term=0 if entries[0].index == 1 else term,
+            commit=0,
+            sent_ms=0,
+            entries=entries,
+        )
+        for entries in appended
+    ]
+    for number in (-1, -(2**63), 2**63, 2**64 - 1):
+        bodies += [
+            PreVote(term=number, last_index=0, last_term=0),
+            Vote(term=number, last_index=0, last_term=0),
+            VoteReply(term=number, granted=True),
+            Heartbeat(term=number, commit=0, sent_ms=0),
+            HeartbeatReply(term=number, sent_ms=0),
+            HeartbeatReply(term=term, sent_ms=number),
+            AppendReply(term=term, ok=True, index=number, sent_ms=0),
+            AppendReply(term=term, ok=False, index=number, sent_ms=0),
+            Append(
+                term=term, prev_index=number, prev_term=0, commit=0, sent_ms=0
+            ),
+            SnapshotOffer(
+                term=term,
+                index=number,
+                last_term=0,
+                members=Members(),
+                sent_ms=0,
+            ),
+        ]
+        yield transport.SnapshotPull(
+            group=group, sender="x", to=to, index=snapshot, offset=number
+        )
+        yield transport.RecordsPull(
+            group=group, sender="x", to=to, indexes=[number, last, number]
+        )
+    for body in bodies:
+        for sender in ("x", *state.log.voters):
+            yield transport.Routed(group=group, sender=sender, to=to, body=body)
+    yield transport.Heartbeats(
+        sender="x", to=to, sent_ms=0, groups=[group] * 9, terms=[], commits=[1]
+    )
+    yield transport.HeartbeatReplies(
+        sender="x", to=to, sent_ms=0, groups=[group], terms=[]
+    )
+    for address in ("", "127.0.0.1:\u00b2", "a:99999", "x" * 100_000):
+        yield transport.NodeInfo(
+            node="x", address=address, founded=False, known=[address] * 3
+        )
+        yield transport.Join(node="x", address=address)
+        members = Members(members=[Member(node="x", address=address)])
+        yield transport.Found(members=members)
+    ballot = Ballot(count=2**64 - 1, node="x")
+    yield Prepare(sender="x", to=to, ballot=ballot, seeds=[])
+
+
 class LinkAddressTest(base.TestCase):
     """Links to addresses that another process has sent."""
 
