Bound the output kept of a stream, and the time to find its events

A gateway kept the output of each stream, also of those that nobody stores, so a server that sent events without end filled its memory until the deadline. And each piece of an event had all bytes of the event copied and searched: a long event in small pieces took up the gateway's processor.

Only the output of a turn that is to be stored is kept, up to 8 MB, beyond which the stream is cut; only new bytes are searched for an event's end.

--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -44,6 +44,9 @@
 # takes about a second.
 _LEADER_TIMEOUT_S = 1.3
 _LEADER_TIMEOUT_SHARE = 0.4
+# An output that is to be stored is cut off beyond this size: a server may send
+# events without end. One of 100,000 tokens has about 1 MB.
+_MAX_OUTPUT_BYTES = 8 * 1024 * 1024
 # Retry time for the caller when the leader could not begin a turn.
 _LEADER_RETRY_AFTER_S = 0.3
 
@@ -285,8 +288,14 @@
             if not events:
                 continue
             for event in events:
-                forwarded.output += event.data + b"\n"
+                if _is_kept(state):
+                    forwarded.output += event.data + b"\n"
                 forwarded.last_id = event.id or forwarded.last_id
+            if len(forwarded.output) > _MAX_OUTPUT_BYTES:
+                state.reason = "an output without an end"
+                self._exchange.record_failure(state, choice, state.reason)
+                state.responder.abort()
+                return _AttemptEnd.ANSWERED
             state.tokens += event_tokens * len(events)
             now_s = asyncio.get_running_loop().time()
             state.answer_times.record_events(now_s, event_tokens * len(events))
@@ -301,7 +310,7 @@
         Returns:
             Whether the turn is settled already.
         """
-        if not state.route.keeps_history or not state.call.program:
+        if not _is_kept(state):
             state.responder.finish()
             return False
         data = state.body + bytes(forwarded.output)
@@ -341,6 +350,11 @@
         return state.run_count <= state.route.max_attempts
 
 
+def _is_kept(state: OpenCall) -> bool:
+    """Returns whether a stream's output becomes a part of its history."""
+    return state.route.keeps_history and bool(state.call.program)
+
+
 def _reported_slowdowns(state: OpenCall) -> list[ServerSlowdown]:
     """Returns the slowdown that the turn's last server reported, if any."""
     load = state.answer_times.load
--- a/catkinpin/core/requests/events.py
+++ b/catkinpin/core/requests/events.py
@@ -8,6 +8,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 # An empty line ends an event; lines end with LF or CR LF.
 _EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+_MAX_TERMINATOR_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -27,7 +28,7 @@
     """Splits a byte stream into complete events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def is_at_boundary(self) -> bool:
@@ -46,14 +47,20 @@
         the caller, it could not be withdrawn when another server continues the
         stream.
         """
-        text = self._buffer + data
+        # An end may have begun in bytes that were received before. Searching
+        # them all again would take ever longer while a long event dribbles in.
+        start = max(0, len(self._buffer) - _MAX_TERMINATOR_BYTES)
+        self._buffer += data
         ends = [
-            text.rfind(mark) + len(mark)
+            self._buffer.rfind(mark, start) + len(mark)
             for mark in _EVENT_TERMINATORS
-            if mark in text
+            if self._buffer.find(mark, start) >= 0
         ]
-        end = max(ends, default=0)
-        complete, self._buffer = text[:end], text[end:]
+        if not ends:
+            return [], b""
+        end = max(ends)
+        complete = bytes(self._buffer[:end])
+        del self._buffer[:end]
         blocks = complete.replace(b"\r\n", b"\n").split(b"\n\n")
         return [_event(block) for block in blocks if block], complete
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -188,12 +188,14 @@
 
         self.run_async(scenario())
 
-    async def _read_until_closed(self, address: str) -> None:
+    async def _read_until_closed(
+        self, address: str, fields: bytes = b""
+    ) -> None:
         """Sends a request and discards the answer, which must not be whole."""
         host, port = address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(b"POST /x/y HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\n")
-        writer.write(b"Content-Length: 0\r\n\r\n")
+        writer.write(fields + b"Content-Length: 0\r\n\r\n")
         last = b""
         try:
             while data := await reader.read(65_536):
@@ -230,6 +232,39 @@
 
         self.run_async(scenario())
 
+    def test_events_without_end(self) -> None:
+        """Guards against an output that is kept though nobody stores it."""
+        self._check_events(keeps_history=False)
+
+    def test_events_without_end_of_a_stored_turn(self) -> None:
+        """Guards against an output that is stored until memory is full."""
+        self._check_events(keeps_history=True)
+
+    def _check_events(self, *, keeps_history: bool) -> None:
+        begin = (
+            _HEAD + b"Request-Id: {id}\r\nSealed: yes\r\n"
+            b"Content-Type: text/event-stream\r\n\r\n"
+        )
+        event = b"id: 1\ndata: " + b"x" * 4_000 + b"\n\n"
+
+        async def scenario() -> None:
+            rig = Rig(
+                RouteKind.STREAM,
+                has_engine=False,
+                max_attempts=1,
+                keeps_history=keeps_history,
+            )
+            server = _EndlessServer(begin, event)
+            await rig.start(server.answer)
+            before_kb = _peak_kb()
+            async with asyncio.timeout(4 * _EARLY_S):
+                await self._read_until_closed(rig.address, b"Program: p\r\n")
+            self.assertLess(_peak_kb() - before_kb, _MAX_GROWTH_KB)
+            self.assertEqual([], rig.turns.finished)
+            await rig.stop()
+
+        self.run_async(scenario())
+
     def test_keep_alive_values_that_are_no_numbers(self) -> None:
         """Guards against a sound answer that is lost by its Keep-Alive."""
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import time
+
 import testtools
 
 from catkinpin.core.requests.events import EventReader
 
+_PIECE_BYTES = 9
+
 
 class EventReaderTest(testtools.TestCase):
     """Events whose bytes arrive in pieces of any size."""
@@ -42,3 +46,17 @@
         self.assertEqual(1, len(events))
         self.assertEqual(b"id: 1\ndata: one\n\n", raw)
         self.assertFalse(reader.is_at_boundary)
+
+    def test_long_event_in_small_pieces_takes_linear_time(self) -> None:
+        """Guards against a slow event that takes up a gateway's processor."""
+
+        def cpu_s(size: int) -> float:
+            reader = EventReader()
+            started_s = time.process_time()
+            for _ in range(size // _PIECE_BYTES):
+                reader.feed(b"x" * _PIECE_BYTES)
+            return time.process_time() - started_s
+
+        short_s = min(cpu_s(90_000) for _ in range(3))
+        # Ten times the bytes take some ten times as long, not a hundred times.
+        self.assertLess(cpu_s(900_000), 40 * short_s)
