--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -8,14 +8,13 @@
 
 import asyncio
 import dataclasses
-import http
 import logging
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, cast
 
 import httptools
 
-from catkinpin import listening
-from catkinpin.adapters.http.headers import Headers
+from catkinpin import listening, waiting
+from catkinpin.adapters.http.headers import Headers, default_phrase
 from catkinpin.adapters.http.requestparser import (
     RequestParser,
     ServerLimits,
@@ -94,7 +93,7 @@
         if length is None and not self._chunked:
             self._conn.close_after = True
         head = [
-            b"HTTP/1.1 %d %s\r\n" % (status, reason or _default_phrase(status))
+            b"HTTP/1.1 %d %s\r\n" % (status, reason or default_phrase(status))
         ]
         head.append(headers.encode())
         if self._chunked:
@@ -163,13 +162,16 @@
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> str:
-        """Starts to listen; returns the address with the actual port."""
+        """Starts to listen; returns the address with the actual port.
+
+        Waits while the port can't be opened.
+        """
         loop = asyncio.get_running_loop()
-        host, _, port = address.rpartition(":")
-        sock = listening.claim_socket(address)
-        where: Any = {"sock": sock} if sock else {"host": host, "port": port}
+        host, _, _ = address.rpartition(":")
         self._server = await loop.create_server(
-            lambda: Connection(self), backlog=listening.BACKLOG, **where
+            lambda: Connection(self),
+            sock=await waiting.open_port(address),
+            backlog=listening.BACKLOG,
         )
         return f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
@@ -442,10 +444,3 @@
             self.abort()
         else:
             self._start_close_timer(left_bytes)
-
-
-def _default_phrase(status: int) -> bytes:
-    try:
-        return http.HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b"Unknown"
