Ignore signals at the end of a stop without a moment of the default action

An entry or replica that had stopped removed its handlers with the signals blocked. The handlers are now replaced by ones that do nothing; the process exits inside the event loop, which would restore the default actions when it closes.

tests/test_entries.py: the test of a signal between two steps of the removal called the function with a stand-in of the loop. It is replaced by another process that sends all three signals without a pause while a real loop's handlers are replaced 300 times; that one fails on the code before.

--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -120,22 +120,18 @@
         await process.stop()
         return "stopped"
     finally:
-        _ignore_signals(loop)
+        _ignore_signals()
 
 
-def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
-    """Ignores signals until the process has exited.
+def _ignore_signals() -> None:
+    """Makes signals harmless until the process has exited.
 
-    The event loop restores their default actions when it closes. A signal
-    during interpreter shutdown would make a clean stop look like a failure.
-    They are blocked meanwhile, as removing a handler also restores the default.
+    A signal would make a clean stop look like a failure. The handlers are
+    replaced, as removing one restores the default action for a moment, and not
+    by SIG_IGN, as the interpreter reports a pending signal that it ignores.
     """
-    signums = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    signal.pthread_sigmask(signal.SIG_BLOCK, signums)
-    for signum in signums:
-        loop.remove_signal_handler(signum)
-        signal.signal(signum, signal.SIG_IGN)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, signums)
+    for signum in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(signum, lambda *_: None)
 
 
 def _log_ignored_reload() -> None:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -23,6 +23,38 @@
     from collections.abc import Awaitable, Callable
 
 
+# Another process sends signals while this one, which has a second thread,
+# ignores them and handles them again.
+_REPLACE_HANDLERS = """
+import asyncio, itertools, os, signal, threading, time, uvloop
+from catkinpin import process
+SIGNUMS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+def send_signals(receiver):
+    try:
+        for signum in itertools.cycle(SIGNUMS):
+            os.kill(receiver, signum)
+    finally:
+        os._exit(0)
+async def main():
+    loop = asyncio.get_running_loop()
+    for signum in SIGNUMS:
+        loop.add_signal_handler(signum, lambda: None)
+    receiver = os.getpid()
+    sender = os.fork()
+    if sender == 0:
+        send_signals(receiver)
+    threading.Thread(target=time.sleep, args=(30,), daemon=True).start()
+    await asyncio.sleep(0.05)
+    for _ in range(300):
+        process._ignore_signals()
+        for signum in SIGNUMS:
+            loop.add_signal_handler(signum, lambda: None)
+    os.kill(sender, signal.SIGKILL)
+    os._exit(0)
+uvloop.run(main())
+"""
+
+
 class EntryFaultsTest(cells.FaultsTest):
     """Faults of the entry that a caller is connected to."""
 
@@ -166,22 +198,15 @@
 
     def test_signal_while_handlers_are_removed_ends_no_process(self) -> None:
         """Guards against the default action between handler and ignoring."""
-        code = (
-            "import os, signal\n"
-            "from catkinpin import process\n"
-            "class Loop:\n"
-            "    def remove_signal_handler(self, signum):\n"
-            "        signal.signal(signum, signal.SIG_DFL)\n"
-            "        os.kill(os.getpid(), signum)\n"
-            "process._ignore_signals(Loop())\n"
-        )
         completed = subprocess.run(
-            [sys.executable, "-c", code],
+            [sys.executable, "-c", _REPLACE_HANDLERS],
             cwd=processes.ROOT,
             timeout=60,
+            capture_output=True,
+            text=True,
             check=False,
         )
-        self.assertEqual(0, completed.returncode)
+        self.assertEqual((0, ""), (completed.returncode, completed.stderr))
 
     def test_second_signal_ends_at_once(self) -> None:
         """Guards against a stop that an operator can't shorten.
