End connections that a stopping peers' server accepts

Cause: the other end's link was up, and answered by the server that had stopped. A server that stops cancels the sessions it knows; one whose task begins after that served on. With a socket that is opened before, the event loop accepts longer.

--- a/catkinpin/adapters/peers/links.py
+++ b/catkinpin/adapters/peers/links.py
@@ -82,6 +82,7 @@
         self._on_message = on_message
         self._on_closed = on_closed
         self._server: asyncio.Server | None = None
+        self._stopped = False
         self._sessions: set[asyncio.Task[None]] = set()
         # Sessions without a Hello, oldest first.
         self._unidentified: dict[asyncio.Task[None], None] = {}
@@ -103,6 +104,7 @@
 
     async def stop(self) -> None:
         """Stops listening and ends all streams."""
+        self._stopped = True
         if self._server is not None:
             self._server.close()
         for stream in list(self.streams):
@@ -118,6 +120,10 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._stopped:
+            # It was accepted before the port was closed.
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         assert task is not None
         self._sessions.add(task)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -44,6 +44,34 @@
 
         self.run_async(main())
 
+    def test_stopped_server_serves_no_stream(self) -> None:
+        """Guards against a stream to a component that has stopped.
+
+        Its successor would get nothing from the host at the other end.
+        """
+
+        async def main() -> None:
+            for iterations in range(_LOOP_ITERATIONS // 4):
+                server = links.PeerServer(
+                    protocol.ToKeeper, lambda *_: None, lambda _: None
+                )
+                address = await server.start("127.0.0.1:0")
+                link = links.PeerLink(
+                    address, GATEWAY_HELLO, Any, lambda _: None
+                )
+                host, _, port = address.rpartition(":")
+                with socket.create_connection((host, int(port))):
+                    link.start()
+                    for _ in range(iterations):
+                        await asyncio.sleep(0)
+                    await server.stop()
+                    await asyncio.sleep(0.05)
+                    self.assertEqual(set(), server.streams)
+                    self.assertFalse(link.connected.is_set())
+                await link.stop()
+
+        self.run_async(main())
+
     async def _stop_after(self, iterations: int, address: str) -> None:
         link = links.PeerLink(address, GATEWAY_HELLO, Any, lambda _: None)
         link.start()
