Answer each request before a planned stop ends

Calls that ran on a server when a gateway's grace ended were cut without an answer, among them calls that may not be repeated, and so were callers whose body came slowly.

From the beginning of the stop, each request has a time before its end by which it is answered: with 503 if it has not run, with 502 if it may have run; a stream that has begun is broken off, so that it can't look complete. At that time the gateway stops listening and refuses requests that are still read. While the load balancer may not know of the stop, requests are refused that are expected to take longer than the time left, and at any time those are served whose deadline is before the end.

--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -54,6 +54,8 @@
 _UNRESPONSIVE_EJECTION_MS = 1_500
 # Part of the stop timeout reserved for closing once no request is in flight.
 _CLOSE_RESERVE_MS = 200
+# Part before that reserved for answering what has not ended by then.
+_ANSWER_RESERVE_MS = 400
 
 
 class Gateway:
@@ -150,14 +152,19 @@
             loop.time()
             + (self.cfg.stop_timeout_ms - _CLOSE_RESERVE_MS) / _MS_PER_S
         )
+        end_s = deadline_s - _ANSWER_RESERVE_MS / _MS_PER_S
+        self._handler.end_by(end_s)
         self.server.close_when_answered()
         # The load balancer opens new connections until it has probed readiness
         # twice. Refusing one would cost its caller an attempt.
         await asyncio.sleep(self.cfg.balancer_wait_ms / _MS_PER_S)
-        self._handler.stop_deadline_s = deadline_s
+        self._handler.stop_deadline_s = end_s
         while loop.time() < deadline_s and (
             self.server.count_busy() or self._turns.unsettled_count
         ):
+            if loop.time() >= end_s:
+                self.server.stop_listening()
+                self.server.refuse_unread(self._handler.encode_refusal)
             self.server.close_idle()
             await asyncio.sleep(_TICK_INTERVAL_S)
         self.server.close_idle()
--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -19,9 +19,10 @@
 
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.context import GatewayContext
+    from catkinpin.adapters.http.headers import Headers
     from catkinpin.adapters.http.server import Request, Responder
     from catkinpin.core.control.accounts import ClientAccount
-    from catkinpin.core.control.routes import Route, Service
+    from catkinpin.core.control.routes import Route
     from catkinpin.core.requests.calls import RouteCall
 
 _MS_PER_S = 1_000
@@ -37,6 +38,8 @@
 # requests would end in time are still served.
 _STOPPING_TIME_FACTOR = 6.0
 _MIN_STOPPING_TIME_S = 2.5
+# The same while the load balancer may not know that the gateway stops.
+_WAITING_TIME_FACTOR = 2.0
 # Share of its time that a request may wait for the routes of a gateway that
 # has just started. The rest must suffice for serving it, here or at another
 # gateway.
@@ -60,7 +63,7 @@
 
     Attributes:
         stop_deadline_s: loop time by which all requests must have ended; None
-            unless the gateway is stopping.
+            unless the gateway is stopping and the load balancer knows it.
     """
 
     def __init__(self, context: GatewayContext) -> None:
@@ -76,6 +79,8 @@
         )
         self._rng = random.Random()
         self.stop_deadline_s: float | None = None
+        self._end_s: float | None = None
+        self._end_limits: set[asyncio.Timeout] = set()
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Serves one request; cancels that if the caller disconnects."""
@@ -135,7 +140,45 @@
                 host, request.method, request.target, request.body, call
             ),
         )
-        await self._serve_on_route(state, account)
+        await self._serve_before_end(state, account)
+
+    def end_by(self, end_s: float) -> None:
+        """Has each request answered by a time, as the gateway stops then.
+
+        What has not run by then is refused, and what may have run fails: an
+        answer tells its caller more than a connection that breaks.
+
+        Args:
+            end_s: the loop's time.
+        """
+        self._end_s = end_s
+        for limit in self._end_limits:
+            limit.reschedule(end_s)
+
+    def encode_refusal(self, request: Headers) -> Headers:
+        """Returns the fields with which a request that is not read is refused.
+
+        Args:
+            request: the fields of the request.
+        """
+        call = self._codec.decode_request(request)
+        return self._codec.encode_refusal(call.attempt, _STOPPING_RETRY_AFTER_S)
+
+    async def _serve_before_end(
+        self, state: OpenCall, account: ClientAccount | None
+    ) -> None:
+        limit = asyncio.timeout_at(self._end_s)
+        try:
+            async with limit:
+                self._end_limits.add(limit)
+                await self._serve_on_route(state, account)
+        except TimeoutError:
+            state.reason = "the gateway stops"
+            if not state.responder.finished:
+                self._answers.answer_failure(state)
+            self._answers.log_outcome(state)
+        finally:
+            self._end_limits.discard(limit)
 
     async def _serve_on_route(
         self, state: OpenCall, account: ClientAccount | None
@@ -151,7 +194,7 @@
             reason = f"quarantined as {digest}, which crashed servers"
             refuse(responder, call, 503, reason, _QUARANTINE_RETRY_AFTER_S)
             return
-        if self._may_stop_first(call, state.route, state.service):
+        if self._may_stop_first(state):
             # This gateway is stopping. It might abort the request while a
             # server runs it, and the server's work would be lost. Another
             # gateway has enough time for it.
@@ -207,21 +250,27 @@
         self._usage.record(account, in_program=in_program)
         return True
 
-    def _may_stop_first(
-        self, call: RouteCall, route: Route, service: Service
-    ) -> bool:
+    def _may_stop_first(self, state: OpenCall) -> bool:
         """Returns whether the gateway may stop before the request ends."""
-        if self.stop_deadline_s is None:
+        end_s = self.stop_deadline_s or self._end_s
+        if end_s is None:
             return False
-        expected_ms = self._speeds.expected_ms(service.name, route.name, call)
-        required_s = max(
-            _MIN_STOPPING_TIME_S,
-            _STOPPING_TIME_FACTOR * expected_ms / _MS_PER_S,
+        left_s = end_s - asyncio.get_running_loop().time()
+        if 0 < state.remaining_s <= left_s:
+            return False
+        expected_s = (
+            self._speeds.expected_ms(
+                state.service.name, state.route.name, state.call
+            )
+            / _MS_PER_S
         )
-        return (
-            asyncio.get_running_loop().time() + required_s
-            > self.stop_deadline_s
+        if self.stop_deadline_s is None:
+            # The load balancer still sends new requests here.
+            return _WAITING_TIME_FACTOR * expected_s > left_s
+        required_s = max(
+            _MIN_STOPPING_TIME_S, _STOPPING_TIME_FACTOR * expected_s
         )
+        return required_s > left_s
 
     async def _forward(self, state: OpenCall) -> None:
         is_plain = state.route.kind is not RouteKind.STREAM
--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -20,7 +20,7 @@
     ServerLimits,
     TooLargeError,
 )
-from catkinpin.adapters.http.timers import Timer
+from catkinpin.adapters.http.timers import Timer, UnreadTimer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -191,10 +191,24 @@
             if not conn.is_busy:
                 conn.close()
 
-    async def stop(self) -> None:
-        """Stops listening and resets all connections."""
+    def refuse_unread(self, encode: Callable[[Headers], Headers]) -> None:
+        """Refuses the requests that are not read to their end.
+
+        Args:
+            encode: returns the fields of the answer to a request's fields.
+        """
+        for conn in list(self.connections):
+            conn.refuse_unread(encode)
+
+    def stop_listening(self) -> None:
+        """Stops accepting connections; open ones stay open."""
         if self._server is not None:
             self._server.close()
+            self._server = None
+
+    async def stop(self) -> None:
+        """Stops listening and resets all connections."""
+        self.stop_listening()
         for conn in list(self.connections):
             conn.abort()
 
@@ -216,8 +230,14 @@
         self._current: Request | None = None
         # Runs while a request is read.
         self._read_timer = Timer()
-        # Runs while none is read or answered, or the connection is closing.
+        # Runs while none is read or answered.
         self._idle_timer = Timer()
+        # Runs while the connection waits for its caller or is closing.
+        self._unread_timer = UnreadTimer(
+            lambda: server.limits().idle_timeout_s,
+            lambda: self._transport.get_write_buffer_size(),
+            self.abort,
+        )
         self._drained = asyncio.Event()
         self._drained.set()
         self._refused = False
@@ -249,6 +269,7 @@
         self._drained.set()
         self._read_timer.cancel()
         self._idle_timer.cancel()
+        self._unread_timer.cancel()
         if self._current is not None:
             self._current.disconnected.set()
         for request in self._pipelined:
@@ -298,9 +319,8 @@
             self._end_reading()
 
     def _start_head_timer(self) -> None:
-        self._read_timer.start(
-            self._server.limits().header_timeout_s, self._on_read_timeout
-        )
+        timeout_s = self._server.limits().header_timeout_s
+        self._read_timer.start(timeout_s, self._refuse, 408, "the head is late")
 
     def _end_reading(self) -> None:
         self._reading = False
@@ -313,9 +333,8 @@
     def _on_head(self, headers: Headers) -> None:
         """Notes when the head arrived, and has the body sent."""
         self._arrived_s = self._loop.time()
-        self._read_timer.start(
-            self._server.limits().body_timeout_s, self._on_read_timeout
-        )
+        timeout_s = self._server.limits().body_timeout_s
+        self._read_timer.start(timeout_s, self._refuse, 408, "the body is late")
         if headers.get(b"expect").lower() == "100-continue":
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -355,7 +374,7 @@
         """Closes the connection once all buffered bytes are sent."""
         if not self.closed and not self._transport.is_closing():
             self._transport.close()
-            self._start_close_timer(self._transport.get_write_buffer_size())
+            self._unread_timer.start()
 
     def abort(self) -> None:
         """Resets the connection."""
@@ -396,31 +415,29 @@
 
     async def _wait_until_read(self) -> None:
         """Waits while the write buffer is full and the caller reads from it."""
-        while not self._drained.is_set():
-            unsent_bytes = self._transport.get_write_buffer_size()
-            try:
-                async with asyncio.timeout(
-                    self._server.limits().idle_timeout_s
-                ):
-                    await self._drained.wait()
-            except TimeoutError:
-                if self._transport.get_write_buffer_size() >= unsent_bytes:
-                    self.abort()
-                    return
-
-    def _refuse(self, status: int, reason: str) -> None:
+        if not self._drained.is_set():
+            self._unread_timer.start()
+            await self._drained.wait()
+            self._unread_timer.cancel()
+
+    def refuse_unread(self, encode: Callable[[Headers], Headers]) -> None:
+        """Refuses the request that is being read, if there is one."""
+        if self._reading and not self._refused:
+            headers = self._parser.headers if self._parser.in_body else None
+            self._refuse(503, "stopping", encode(headers or Headers()))
+
+    def _refuse(
+        self, status: int, reason: str, headers: Headers | None = None
+    ) -> None:
         """Refuses a request; answers if no earlier one is in progress."""
         self._refused = True
         self._end_reading()
         log.info("request refused: %s", reason, extra={"status": status})
         self.close_after = True
         if self._task is None and not self.closed:
-            Responder(self, "1.1").answer(status)
+            Responder(self, "1.1").answer(status, headers)
             self.close()
 
-    def _on_read_timeout(self) -> None:
-        self._refuse(408, "the request took too long")
-
     def _start_idle_timer(self) -> None:
         self._idle_timer.start(
             self._server.limits().idle_timeout_s, self._on_idle
@@ -429,18 +446,3 @@
     def _on_idle(self) -> None:
         if not self.is_busy:
             self.close()
-
-    def _start_close_timer(self, unsent_bytes: int) -> None:
-        """Resets the closing connection unless its caller reads."""
-        self._idle_timer.start(
-            self._server.limits().idle_timeout_s,
-            self._on_closing,
-            unsent_bytes,
-        )
-
-    def _on_closing(self, unsent_bytes: int) -> None:
-        left_bytes = self._transport.get_write_buffer_size()
-        if left_bytes >= unsent_bytes:
-            self.abort()
-        else:
-            self._start_close_timer(left_bytes)
--- a/catkinpin/adapters/http/timers.py
+++ b/catkinpin/adapters/http/timers.py
@@ -28,3 +28,38 @@
         if self._handle is not None:
             self._handle.cancel()
             self._handle = None
+
+
+class UnreadTimer:
+    """Calls a function if what was sent is not read for a time.
+
+    Args:
+        timeout_s: returns the time.
+        unsent_bytes: returns how many bytes wait until the other end reads.
+        on_unread: the function.
+    """
+
+    def __init__(
+        self,
+        timeout_s: Callable[[], float],
+        unsent_bytes: Callable[[], int],
+        on_unread: Callable[[], None],
+    ) -> None:
+        self._timeout_s = timeout_s
+        self._unsent_bytes = unsent_bytes
+        self._on_unread = on_unread
+        self._timer = Timer()
+
+    def start(self) -> None:
+        """Starts to watch the bytes that are unsent now."""
+        self._timer.start(self._timeout_s(), self._check, self._unsent_bytes())
+
+    def cancel(self) -> None:
+        """Ends the watch."""
+        self._timer.cancel()
+
+    def _check(self, unsent_bytes: int) -> None:
+        if self._unsent_bytes() >= unsent_bytes:
+            self._on_unread()
+        else:
+            self.start()
