Answer calls that outlast an entry's planned stop

An entry whose stop timeout passed reset the connections of the callers that still waited. They now get the refusal "stopping" with the verdict that is known: the call may have run, or has not, in which case its grant, should it still come, is not used. The exit code stays that of a stop that cut calls.

tests/test_entries.py::test_call_that_outlasts_a_stop_gets_an_answer failed before (the server disconnected) and passes now.

--- a/catkinpin/adapters/entry/calls.py
+++ b/catkinpin/adapters/entry/calls.py
@@ -162,6 +162,7 @@
         self._shard_count = shard_count
         self._recovery_tasks: set[asyncio.Task[None]] = set()
         self.running: dict[asyncio.Task[None], CallRequest] = {}
+        self._callers: dict[asyncio.Task[None], RunningCall] = {}
 
     def describe_running(self) -> list[str]:
         """Returns the programs and request ids of the running calls."""
@@ -173,10 +174,21 @@
         call = RunningCall(asyncio.get_running_loop().time)
         task = asyncio.create_task(self._run(req, call))
         self.running[task] = req
+        self._callers[task] = call
         metrics.CALLS_IN_FLIGHT.set(len(self.running))
         task.add_done_callback(self._forget_task)
         return call
 
+    def answer_running(self) -> None:
+        """Answers callers whose calls a stop cuts; later grants aren't used."""
+        for task, call in list(self._callers.items()):
+            verdict = call.verdict
+            if verdict is Verdict.NOT_RUN:
+                task.cancel()
+                if self.running[task].is_resendable:
+                    verdict = Verdict.MAY_HAVE_RUN
+            call.end(_refusal(Reason.STOPPING, "this host stops", verdict))
+
     def handle_recall(self, recall: messages.Recall) -> None:
         """Revokes a grant for the leader and reports what became of it.
 
@@ -232,6 +244,7 @@
 
     def _forget_task(self, task: asyncio.Task[None]) -> None:
         self.running.pop(task, None)
+        self._callers.pop(task, None)
         metrics.CALLS_IN_FLIGHT.set(len(self.running))
 
     async def _run(self, req: CallRequest, call: RunningCall) -> None:
--- a/catkinpin/adapters/entry/process.py
+++ b/catkinpin/adapters/entry/process.py
@@ -140,6 +140,7 @@
                 self._tasks_in_flight(), timeout=min(1.0, end - loop.time())
             )
         cut_count = len(self._tasks_in_flight())
+        self.calls.answer_running()
         answered = await self._web_servers[0].close(max(1.0, end - loop.time()))
         await self._web_servers[1].close()
         for task in self._background_tasks:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -223,6 +223,20 @@
 
         self.run_on_cluster(body, stop_timeout_ms=500)
 
+    def test_call_that_outlasts_a_stop_gets_an_answer(self) -> None:
+        """Guards against callers that a stop leaves without an answer."""
+
+        async def body(cluster: base.Cluster) -> None:
+            await cluster.steer("service-1", delay_ms=60_000)
+            call = asyncio.create_task(self.call_pay(cluster))
+            await self.wait_for_effect(cluster, "pay-1")
+            self.assertEqual(4, cluster.processes["entry-1"].stop())
+            reply = await call
+            self.assertEqual("stopping", reply.json["error"]["code"])
+            self.assertEqual("may-have-run", reply.verdict)
+
+        self.run_on_cluster(body, stop_timeout_ms=500)
+
     def test_caller_leaves_mid_stream(self) -> None:
         """Guards against generating an answer again for a resent request.
 
