End a keeper's HTTP calls with an answer before it stops

A keeper that got SIGTERM reset the connections of servers and operators at once: a call that waited for a commit, and one whose body had not all come, got no answer. It now waits for the calls in progress, for as long as a commit may take, has later and unread ones refused with 503, and only then stops.

--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -13,6 +13,7 @@
 
 from catkinpin import clock, decisions, exits
 from catkinpin.adapters.disk.turnbytes import TurnBytes
+from catkinpin.adapters.http import draining
 from catkinpin.adapters.http.server import HttpServer
 from catkinpin.adapters.keeper import host, nodeconfig, publisher, repair
 from catkinpin.adapters.keeper.asks import AskHandler
@@ -66,6 +67,8 @@
 _ORPHAN_SCAN_INTERVAL_S = 20.0
 # Longest wait for a quorum: an election and a round trip between regions.
 _COMMIT_TIMEOUT_S = 1.5
+# Time for answering a call that waited for one in vain, before a stop.
+_ANSWER_TIME_S = 0.2
 
 
 class Keeper:
@@ -205,7 +208,7 @@
     async def stop(self) -> None:
         """Hands leadership over and stops the process."""
         decisions.note("stop", "", led=self.host.leading)
-        self._http.close_when_answered()
+        await draining.drain(self._http, _COMMIT_TIMEOUT_S + _ANSWER_TIME_S)
         await self.node.stop()
         await self._http.stop()
         self._tasks.cancel()
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -388,6 +388,10 @@
         """Returns a gateway's URL for callers."""
         return f"http://{self.hosts[gateway].ip}:{self._ports[1]}{path}"
 
+    def control_url(self, keeper: str, path: str) -> str:
+        """Returns a keeper's URL for servers and operators."""
+        return f"http://{self.hosts[keeper].ip}:{self._ports[3]}{path}"
+
     async def send_turn(
         self,
         name: str,
