Tell damaged storage from faults, and play full and read-only disks at a start

Any error of this package that ended a process counted as one of its storage, and a failed read of the disk as a fault of the program. After a storage error while it runs, a process says `ended` as well, in one line in place of a traceback, and a second stop signal leaves a line with `forced`.

--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -5,7 +5,6 @@
 import asyncio
 import gc
 import logging
-import os
 import signal
 import sys
 from typing import TYPE_CHECKING, NoReturn, Protocol
@@ -14,10 +13,9 @@
 
 from catkinpin import clock, decisions, exits, metrics, waiting
 from catkinpin.adapters import startstop, tasks
-from catkinpin.adapters.disk import files
 from catkinpin.adapters.http.headers import Headers
 from catkinpin.adapters.http.server import HttpServer
-from catkinpin.exceptions import CatkinpinError
+from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -128,20 +126,11 @@
     """
     try:
         await _serve(cfg, make_process, read_seeds)
-    except CatkinpinError as exc:
-        _exit(exits.STORAGE_ERROR, "storage", str(exc))
+    except StorageError as exc:
+        exits.end_process(exits.STORAGE_ERROR, "storage", str(exc))
     except Exception as exc:
-        _exit(exits.FAILED, "fault", tasks.brief(exc))
-    _exit(exits.OK, "stopped", "")
-
-
-def _exit(code: int, outcome: str, reason: str) -> NoReturn:
-    """Writes a line about the end of the process, and exits."""
-    reason = reason.encode(errors="backslashreplace").decode()
-    decisions.note("ended", "", outcome=outcome, code=code, reason=reason)
-    if reason:
-        log.critical("%s: %s", outcome, reason)
-    os._exit(code)
+        exits.end_process(exits.FAILED, "fault", tasks.brief(exc))
+    exits.end_process(exits.OK, "stopped", "")
 
 
 async def _serve(
@@ -160,7 +149,7 @@
     # Nothing depends on the metrics, so nothing waits for their port.
     metrics_task = asyncio.create_task(_serve_metrics(cfg.metrics_listen))
     if not await startstop.start_unless_stopped(process.start(), stop):
-        _exit(exits.OK, "stopped-in-start", "")
+        exits.end_process(exits.OK, "stopped-in-start", "")
     reloader = SeedReloader(process, cfg.seeds, read_seeds)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     while not stop.is_set():
@@ -175,7 +164,7 @@
             await process.stop()
     except TimeoutError:
         decisions.note("stopped", "", outcome="cut", reason="took too long")
-        _exit(exits.STOP_TIMEOUT, "cut", "the stop took too long")
+        exits.end_process(exits.STOP_TIMEOUT, "cut", "the stop took too long")
 
 
 async def _make_when_possible(
@@ -188,8 +177,8 @@
     if not hasattr(cfg, "data_folder"):
         return make_process()
     await waiting.reserve_port(cfg.peer_listen)
-    return await waiting.retry(
-        f"folder {cfg.data_folder}", make_process, files.is_temporary
+    return await startstop.create_when_possible(
+        f"folder {cfg.data_folder}", make_process
     )
 
 
--- a/catkinpin/adapters/startstop.py
+++ b/catkinpin/adapters/startstop.py
@@ -1,18 +1,36 @@
-"""Starts that a stop signal can end."""
+"""Starts that wait for the disk, and that a stop signal can end."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from catkinpin import waiting
+from catkinpin.adapters.disk import files
+from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Callable, Coroutine
+
+_T = TypeVar("_T")
 
 # A start that waits for nothing is over sooner, so it can be followed by a
 # graceful stop.
 _FINISH_S = 0.5
 
 
+async def create_when_possible(resource: str, create: Callable[[], _T]) -> _T:
+    """Creates a process; waits while its data folder can't be used.
+
+    Raises:
+        StorageError: the stored data can't be used.
+    """
+    try:
+        return await waiting.retry(resource, create, files.is_temporary)
+    except OSError as exc:
+        raise StorageError(f"{resource}: {exc}") from exc
+
+
 async def start_unless_stopped(
     start: Coroutine[Any, Any, None], stop: asyncio.Event
 ) -> bool:
--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import os
 import signal
 from typing import TYPE_CHECKING, NoReturn, Protocol
 
@@ -12,11 +11,10 @@
 
 from catkinpin import exits, logs, tracing, waiting
 from catkinpin.adapters import startstop, tasks
-from catkinpin.adapters.disk import files
 from catkinpin.exceptions import (
-    CatkinpinError,
     SettingsError,
     StopTimeoutError,
+    StorageError,
 )
 
 if TYPE_CHECKING:
@@ -69,25 +67,14 @@
     try:
         outcome = await _serve(cfg, create_process)
     except StopTimeoutError as exc:
-        _exit(EXIT_STOP_TIMEOUT, "cut", str(exc))
+        exits.end_process(EXIT_STOP_TIMEOUT, "cut", str(exc))
     except SettingsError as exc:
-        _exit(exits.USAGE_ERROR, "settings", str(exc))
-    except CatkinpinError as exc:
-        _exit(EXIT_STORAGE_ERROR, "storage", str(exc))
+        exits.end_process(exits.USAGE_ERROR, "settings", str(exc))
+    except StorageError as exc:
+        exits.end_process(EXIT_STORAGE_ERROR, "storage", str(exc))
     except Exception as exc:
-        _exit(EXIT_FAILED, "fault", tasks.brief(exc))
-    _exit(EXIT_OK, outcome, "")
-
-
-def _exit(code: int, outcome: str, reason: str) -> NoReturn:
-    """Writes a line about the end of the process, and exits."""
-    log.log(
-        logging.CRITICAL if code else logging.INFO,
-        "ended",
-        extra={"outcome": outcome, "code": code, "reason": reason},
-    )
-    logging.shutdown()
-    os._exit(code)
+        exits.end_process(EXIT_FAILED, "fault", tasks.brief(exc))
+    exits.end_process(EXIT_OK, outcome, "")
 
 
 async def _serve(
@@ -97,8 +84,8 @@
     loop = asyncio.get_running_loop()
     # The port comes first: while a predecessor has it, the data may change.
     await waiting.reserve_port(cfg.peer_listen)
-    process = await waiting.retry(
-        "the data folder", create_process, files.is_temporary
+    process = await startstop.create_when_possible(
+        "the data folder", create_process
     )
     # Until here, `startup` ends the process at a stop signal.
     stop = asyncio.Event()
@@ -106,8 +93,9 @@
     def handle_stop_signal() -> None:
         if stop.is_set():
             # A second signal means: don't wait for work in flight any longer.
-            log.error("second stop signal; exiting immediately")
-            os._exit(EXIT_FORCED_STOP)
+            exits.end_process(
+                EXIT_FORCED_STOP, "forced", "a second stop signal"
+            )
         stop.set()
 
     for signum in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -737,9 +737,64 @@
     raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
 
+# Runs a program one of whose file operations fails while a file exists.
+_FAULTY_DISK = """
+import os, runpy, sys
+marker, operation, number, program = sys.argv[1:5]
+original = getattr(os, operation)
+def fail(*args, **kwargs):
+    if os.path.exists(marker):
+        raise OSError(int(number), os.strerror(int(number)))
+    return original(*args, **kwargs)
+setattr(os, operation, fail)
+sys.argv[:5] = ["program"]
+sys.path[0] = program
+if program == "catkinpin":
+    runpy.run_module(program, run_name="__main__", alter_sys=True)
+else:
+    runpy.run_path(program, run_name="__main__")
+"""
+
+
 class DiskTest(_StartCase):
     """Data folders that can't be used yet."""
 
+    def _check_faulty(self, role: str, operation: str, number: int) -> None:
+        """Checks that a process waits until its disk can be used again."""
+        listeners = self.new_ports()
+        script = self.folder / "faulty.py"
+        script.write_text(_FAULTY_DISK)
+        marker = self.folder / "faulty"
+        marker.touch()
+        words = [str(script), str(marker), operation, str(number)]
+        env: dict[str, str] = {}
+        if role in _ROLES:
+            words += ["platform", role]
+            path = self.settings(role, listeners)
+            env["CATKINPIN_NODE_FILE"] = str(path)
+        else:
+            words += self._command(role, listeners)[1:]
+        out = self.folder / f"{role}-{operation}-{number}.out"
+        process = _Started(words, env, out, listeners)
+        self.addCleanup(process.end)
+        line = process.wait_for("waiting", "waiting for the data folder")
+        self.assertIn(os.strerror(number), line["reason"])
+        marker.unlink()
+        process.wait_for(*_READY_LINES)
+        process.popen.terminate()
+        self.assertEqual(0, process.popen.wait(_TIMEOUT_S), process.text)
+
+    def test_start_waits_for_a_full_disk(self) -> None:
+        """Guards against a start that a disk full for a while ends."""
+        for role in ("keeper", "store", "replica"):
+            self._check_faulty(role, "pwrite", errno.ENOSPC)
+
+    def test_start_waits_for_a_folder_that_cannot_be_made_yet(self) -> None:
+        """Guards against an end as the disk isn't mounted or writable yet."""
+        for role in ("keeper", "store", "replica"):
+            for number in (errno.EROFS, errno.EACCES):
+                self._check_faulty(role, "mkdir", number)
+
     def test_keeper_waits_for_a_folder_that_another_process_uses(self) -> None:
         """Guards against a successor that ends while its predecessor stops."""
         for role in ("keeper", "replica"):
