--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -132,12 +132,8 @@
         """Listens and connects to the keepers."""
         await self.server.start(self.cfg.listen)
         self.keepers.add(self.cfg.seeds)
-        for loop in (
-            self._tick,
-            self._route_fetcher.run,
-            self._usage.run,
-        ):
-            self._tasks.spawn(keep_running(loop))
+        for work in (self._tick, self._route_fetcher.run, self._usage.run):
+            self._tasks.spawn(keep_running(work))
         # Callers are served even if the port for readiness is in use.
         self._tasks.spawn(self._readiness_server.start(self.cfg.ready_listen))
         await asyncio.sleep(0)
