Let no committed record end or stop all replicas

A committed record is applied by every replica alike, and again after each restart.

A chain ends at a turn without a name, and a state with larger numbers is stored with the nearest ones in range. Nothing else that a record does has changed, so replicas of both builds reach the same state. The leading keeper refuses a turn without a name and a store whose address is no host and port; addresses that an earlier build replicated are not dialled.

--- a/catkinpin/adapters/keeper/asks.py
+++ b/catkinpin/adapters/keeper/asks.py
@@ -8,6 +8,7 @@
 
 from catkinpin import exits
 from catkinpin.adapters.keeper.host import Undecided
+from catkinpin.core import addresses
 from catkinpin.core.control import protocol, routes
 from catkinpin.core.control.suspects import Strike
 from catkinpin.exceptions import StorageError
@@ -108,6 +109,9 @@
     async def _begin(
         self, stream: links.Stream, message: protocol.AskBegin
     ) -> None:
+        if not message.begin.attempt:
+            self._reply(stream, message.ask, Undecided("no attempt"))
+            return
         began = await self._turn_requests.begin(message, _sender(stream))
         if isinstance(began, Undecided):
             self._reply(stream, message.ask, began)
@@ -148,11 +152,15 @@
     async def _register(
         self, stream: links.Stream, message: protocol.AskRegister
     ) -> None:
+        if not addresses.is_host_port(message.store.address):
+            error = Undecided("the address is no host and port")
+            self._reply(stream, message.ask, error)
+            return
         outcome = await self._copy_repair.register(message.store)
         if outcome is True:
             self._publisher.publish_info()
-        error = outcome if isinstance(outcome, Undecided) else None
-        self._reply(stream, message.ask, error)
+        failure = outcome if isinstance(outcome, Undecided) else None
+        self._reply(stream, message.ask, failure)
 
     async def _answer_retire(
         self, stream: links.Stream, message: protocol.AskRetire
--- a/catkinpin/adapters/peers/keepers.py
+++ b/catkinpin/adapters/peers/keepers.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin.adapters.peers import links
+from catkinpin.core.addresses import is_host_port
 from catkinpin.core.control import protocol
 from catkinpin.exceptions import PeerLostError
 
@@ -28,6 +29,8 @@
 # Longest wait for one keeper's reply: a sync on a slow disk, a round trip
 # between regions, and some reserve. After that another keeper may lead.
 _SINGLE_ASK_TIMEOUT_S = 0.7
+# More hosts can only come from foreign messages.
+_MAX_HOSTS = 4_096
 
 
 @dataclasses.dataclass
@@ -83,6 +86,10 @@
         for address in addresses:
             if address in self._hosts or address == self._hello.address:
                 continue
+            # Keepers of earlier releases also know hosts without an address.
+            is_usable = is_host_port(address)
+            if not is_usable or len(self._hosts) >= _MAX_HOSTS:
+                continue
             link = links.PeerLink(
                 address,
                 self._hello,
--- a/catkinpin/codec.py
+++ b/catkinpin/codec.py
@@ -30,6 +30,33 @@
     return _encoder.encode(value)
 
 
+def encode_state(value: Any) -> bytes:
+    """Returns the state of a log group as MessagePack.
+
+    A sum of numbers that other processes sent may exceed 64 bits. Each replica
+    would fail at its next snapshot, so such numbers are stored as the nearest
+    ones up to `MAX_NUMBER`.
+    """
+    try:
+        return encode(value)
+    except OverflowError:
+        plain = msgspec.to_builtins(value, builtin_types=(bytes, bytearray))
+        return encode(_with_bounded_numbers(plain))
+
+
+def _with_bounded_numbers(value: Any) -> Any:
+    match value:
+        case bool():
+            return value
+        case int():
+            return max(-MAX_NUMBER, min(value, MAX_NUMBER))
+        case list():
+            return [_with_bounded_numbers(item) for item in value]
+        case dict():
+            return {k: _with_bounded_numbers(v) for k, v in value.items()}
+    return value
+
+
 def decoder(kind: Any) -> msgspec.msgpack.Decoder[Any]:
     """Returns a decoder that validates against the type `kind`."""
     return msgspec.msgpack.Decoder(kind)
--- a/catkinpin/core/control/ledger.py
+++ b/catkinpin/core/control/ledger.py
@@ -372,7 +372,9 @@
     def _retain_chain(self, attempt: str, retain_ms: int) -> None:
         """Retains the chain that ends with `attempt` for `retain_ms`."""
         until_ms = self.now_ms + retain_ms
-        while (turn := self.turns.get(attempt)) is not None:
+        # A turn without a name, which a foreign record may add, would continue
+        # itself.
+        while attempt and (turn := self.turns.get(attempt)) is not None:
             turn.until_ms = max(turn.until_ms, until_ms)
             attempt = turn.previous
 
--- a/catkinpin/core/control/state.py
+++ b/catkinpin/core/control/state.py
@@ -241,7 +241,7 @@
             terms=list(self.suspects.terms.running.values()),
             trials=list(self.suspects.terms.trials.values()),
         )
-        return codec.encode(state)
+        return codec.encode_state(state)
 
     def restore(self, index: int, data: bytes) -> None:
         """Replaces the whole state by a snapshot's.
--- a/catkinpin/core/operations/snapshot.py
+++ b/catkinpin/core/operations/snapshot.py
@@ -96,7 +96,7 @@
         terms=list(state.quarantine.terms.running.values()),
         trials=list(state.quarantine.terms.trials.values()),
     )
-    return bytes([FORMAT_VERSION]) + codec.encode(saved)
+    return bytes([FORMAT_VERSION]) + codec.encode_state(saved)
 
 
 def decode_state(data: bytes) -> control.ControlState:
--- a/catkinpin/core/programs/shard.py
+++ b/catkinpin/core/programs/shard.py
@@ -86,7 +86,7 @@
 
     def snapshot(self) -> bytes:
         """Returns the encoded state, without message texts."""
-        return codec.encode(
+        return codec.encode_state(
             ShardSnapshot(
                 name=self.name,
                 programs=list(self.programs.values()),
--- /dev/null
+++ b/tests/fuzzpeers.py
@@ -0,0 +1,139 @@
+"""Draws odd messages and records, and passes them to what handles them."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import msgspec
+from msgspec import inspect
+
+from catkinpin import codec
+from catkinpin.core.control import state as control
+from catkinpin.core.operations import changes, snapshot
+from catkinpin.core.operations.control import ControlState
+from catkinpin.core.programs import records, shard
+
+_INTS = [0, 1, -1, 2, 5, 1_000, 2**31, 2**53, 2**62, -(2**62), 2**63, -(2**63)]
+_HUGE = 2**64 - 1
+# Few names, so that records refer to the same things.
+_TEXTS = [
+    "",
+    "a",
+    "b",
+    "a",
+    "b",
+    "a/b",
+    "127.0.0.1:\u00b2",
+    "x" * 300,
+    "\u0000",
+]
+_FLOATS = [0.0, -1.0, 1e308, float("inf"), float("nan")]
+_RECORDS_PER_SEED = 60
+
+
+class Drawer:
+    """Draws values of a type; most are plain, some are odd.
+
+    Args:
+        rng: random source.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._infos: dict[Any, inspect.Type] = {}
+
+    def draw(self, kind: Any) -> Any:
+        """Returns a value that a decoder of the type accepts."""
+        if kind not in self._infos:
+            self._infos[kind] = inspect.type_info(kind)
+        return self._draw(self._infos[kind])
+
+    def _draw(self, info: inspect.Type) -> Any:
+        rng = self._rng
+        match info:
+            case inspect.BoolType():
+                return rng.random() < 0.5
+            case inspect.IntType():
+                plain = rng.randrange(3) if rng.random() < 0.6 else None
+                odd = rng.choice([*_INTS, _HUGE])
+                return odd if plain is None else plain
+            case inspect.FloatType():
+                return rng.choice(_FLOATS)
+            case inspect.StrType():
+                return rng.choice(_TEXTS)
+            case inspect.BytesType():
+                return rng.choice([b"", b"a", b"b", b"x" * 300])
+            case inspect.NoneType():
+                return None
+            case inspect.EnumType():
+                return rng.choice(list(info.cls))
+            case inspect.ListType():
+                count = rng.randrange(4)
+                return [self._draw(info.item_type) for _ in range(count)]
+            case inspect.TupleType():
+                return tuple(map(self._draw, info.item_types))
+            case inspect.VarTupleType():
+                return (self._draw(info.item_type),)
+            case inspect.DictType():
+                return {
+                    self._draw(info.key_type): self._draw(info.value_type)
+                    for _ in range(rng.randrange(3))
+                }
+            case inspect.UnionType():
+                return self._draw(rng.choice(info.types))
+            case inspect.StructType() | inspect.DataclassType():
+                return info.cls(
+                    **{f.name: self._draw(f.type) for f in info.fields}
+                )
+        raise TypeError(info)
+
+
+def fuzz(seed: int) -> None:
+    """Applies drawn records to each state machine, with snapshots between.
+
+    Raises:
+        Exception: a record or a snapshot failed.
+    """
+    rng = random.Random(seed)
+    drawer = Drawer(rng)
+    _play_control(rng, drawer)
+    _play_operations(rng, drawer)
+    _play_shard(rng, drawer)
+
+
+def _play_control(rng: random.Random, drawer: Drawer) -> None:
+    machine = control.ControlState()
+    for index in range(1, _RECORDS_PER_SEED):
+        data = codec.encode(drawer.draw(control.Record))
+        machine.apply(index, control.record_decoder.decode(data))
+        if rng.random() < 0.05:
+            stored = machine.snapshot()
+            machine = control.ControlState()
+            machine.restore(index, stored)
+
+
+def _play_operations(rng: random.Random, drawer: Drawer) -> None:
+    machine = ControlState()
+    decoder = codec.decoder(changes.ControlRecord)
+    for index in range(1, _RECORDS_PER_SEED):
+        data = codec.encode(drawer.draw(changes.ControlRecord))
+        machine.apply(index, decoder.decode(data))
+        if rng.random() < 0.05:
+            machine = snapshot.decode_state(snapshot.encode_state(machine))
+
+
+def _play_shard(rng: random.Random, drawer: Drawer) -> None:
+    machine = shard.Shard("s0")
+    decoder = codec.decoder(records.ShardRecord)
+    for index in range(1, _RECORDS_PER_SEED):
+        record = drawer.draw(records.ShardRecord)
+        if isinstance(record, records.AttemptFinished):
+            # Half of them name an attempt that exists.
+            attempt = f"s0-{rng.randrange(1, index + 1)}"
+            record = msgspec.structs.replace(record, attempt=attempt)
+        machine.apply(index, decoder.decode(codec.encode(record)))
+        if rng.random() < 0.05:
+            stored = machine.snapshot()
+            machine = shard.Shard("s0")
+            machine.restore(stored)
