Restart a process's loops after an exception

A gateway's tick, its route fetcher and its usage reports, a keeper's periodic work and a store's registration ran as tasks that nothing awaits: one exception, such as an AskCurrent reply that can't be decompressed, ended the loop, and the process went on without it. keep_running logs the exception as one bounded line with the innermost calls and starts the loop again; failed background tasks are logged in the same way.

The test is of the new function; the loops had no such protection before.

--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -20,6 +20,7 @@
 from catkinpin.adapters.http.server import HttpServer, ServerLimits
 from catkinpin.adapters.keeper.publisher import GATEWAY_ROLE
 from catkinpin.adapters.peers import keepers
+from catkinpin.adapters.tasks import keep_running
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
 from catkinpin.core.control.feeds import FeedSelector
@@ -132,9 +133,9 @@
         await self.server.start(self.cfg.listen)
         self.keepers.add(self.cfg.seeds)
         self._tasks = [
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._route_fetcher.run()),
-            asyncio.create_task(self._usage.run()),
+            asyncio.create_task(keep_running(self._tick)),
+            asyncio.create_task(keep_running(self._route_fetcher.run)),
+            asyncio.create_task(keep_running(self._usage.run)),
         ]
         decisions.note(
             "start", "", listen=self.cfg.listen, seeds=list(self.cfg.seeds)
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -24,7 +24,7 @@
 from catkinpin.adapters.replica.config import NodeConfig
 from catkinpin.adapters.replica.founding import AutoJoin
 from catkinpin.adapters.store.turnserver import TurnServer
-from catkinpin.adapters.tasks import BackgroundTasks
+from catkinpin.adapters.tasks import BackgroundTasks, keep_running
 from catkinpin.core import messages
 from catkinpin.core.consensus.state import Timing
 from catkinpin.core.control import protocol, routes
@@ -194,9 +194,9 @@
         await self._peer_server.start(self.address)
         self.other_hosts.add(self.cfg.seeds)
         await self._http.start(self.cfg.listen)
-        self._tasks.spawn(self._run_periodic_work())
-        self._tasks.spawn(self._publish_currency())
-        self._tasks.spawn(self._drop_orphaned_bytes())
+        self._tasks.spawn(keep_running(self._run_periodic_work))
+        self._tasks.spawn(keep_running(self._publish_currency))
+        self._tasks.spawn(keep_running(self._drop_orphaned_bytes))
         decisions.note(
             "start",
             "",
--- a/catkinpin/adapters/store/process.py
+++ b/catkinpin/adapters/store/process.py
@@ -14,7 +14,7 @@
 from catkinpin.adapters.peers import keepers, links
 from catkinpin.adapters.replica.identity import Identity
 from catkinpin.adapters.store.turnserver import TurnServer
-from catkinpin.adapters.tasks import BackgroundTasks
+from catkinpin.adapters.tasks import BackgroundTasks, keep_running
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
 from catkinpin.core.control.stores import Store as StoreInfo
@@ -75,8 +75,8 @@
         """Listens and registers with the keepers."""
         await self._peers.start(self.cfg.peer_listen)
         self.keepers.add(self.cfg.seeds)
-        for coroutine in (self._register(), self._tick()):
-            self._tasks.spawn(coroutine)
+        for work in (self._register, self._tick):
+            self._tasks.spawn(keep_running(work))
         decisions.note(
             "start",
             "",
--- a/catkinpin/adapters/tasks.py
+++ b/catkinpin/adapters/tasks.py
@@ -1,16 +1,25 @@
-"""Background tasks that nothing awaits."""
+"""Background tasks that nothing awaits, and unexpected exceptions in them."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import pathlib
+import traceback
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Awaitable, Callable, Coroutine
 
 log = logging.getLogger(__name__)
 
+# The text of an exception may contain input of any length.
+_MAX_TEXT = 200
+# Innermost calls that a line about an exception names.
+_MAX_FRAMES = 4
+# Wait before work that failed is started again.
+_RESTART_DELAY_S = 0.2
+
 
 class BackgroundTasks:
     """Keeps background tasks until they end, and logs their exceptions.
@@ -40,5 +49,39 @@
 
     def _handle_end(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("background task failed", exc_info=task.exception())
+        if task.cancelled():
+            return
+        exc = task.exception()
+        if exc is not None:
+            log.error("background task failed: %s", brief(exc))
+
+
+async def keep_running(work: Callable[[], Awaitable[None]]) -> None:
+    """Runs work that lasts as long as its process; restarts it if it fails.
+
+    Otherwise an exception in one round of a loop would end all later rounds,
+    and the process would go on without them.
+    """
+    while True:
+        try:
+            await work()
+        except Exception as exc:
+            log.error("%s failed: %s", _name_of(work), brief(exc))
+        await asyncio.sleep(_RESTART_DELAY_S)
+
+
+def brief(exc: BaseException) -> str:
+    """Returns an exception and where it was raised, as one bounded line."""
+    frames = traceback.extract_tb(exc.__traceback__)[-_MAX_FRAMES:]
+    places = [
+        f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}"
+        for frame in frames
+    ]
+    text = ascii(str(exc))[1:-1]
+    if len(text) > _MAX_TEXT:
+        text = text[:_MAX_TEXT] + "..."
+    return f"{type(exc).__name__}: {text} at {' '.join(places)}"
+
+
+def _name_of(work: Callable[[], Awaitable[None]]) -> str:
+    return getattr(work, "__qualname__", repr(work))
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from catkinpin.adapters.tasks import BackgroundTasks
+from catkinpin.adapters.tasks import BackgroundTasks, brief, keep_running
 from tests import base
 
 
@@ -41,3 +41,40 @@
 
         with self.assertNoLogs("catkinpin.adapters.tasks", "ERROR"):
             self.run_async(main())
+
+    def test_loop_goes_on_after_a_failed_round(self) -> None:
+        """Guards against a process that runs on without one of its loops."""
+        rounds = 0
+
+        async def work() -> None:
+            nonlocal rounds
+            while True:
+                await asyncio.sleep(0)
+                rounds += 1
+                if rounds == 3:
+                    raise ValueError("odd" * 5_000)
+
+        async def main() -> None:
+            tasks = BackgroundTasks()
+            tasks.spawn(keep_running(work))
+            async with asyncio.timeout(10):
+                while rounds < 6:
+                    await asyncio.sleep(0.01)
+            tasks.cancel()
+            await asyncio.sleep(0)
+
+        with self.assertLogs("catkinpin.adapters.tasks", "ERROR") as logs:
+            self.run_async(main())
+        self.assertEqual(1, len(logs.output))
+        self.assertIn("test_tasks.py", logs.output[0])
+        self.assertLess(len(logs.output[0]), 1_000)
+
+    def test_line_about_an_exception_is_one_short_line(self) -> None:
+        """Guards against logs that hold what another program sent."""
+        try:
+            raise ValueError("a\nb\ud800" + "9" * 5_000)
+        except ValueError as exc:
+            line = brief(exc)
+        self.assertEqual(1, len(line.splitlines()))
+        self.assertLess(len(line), 400)
+        line.encode()
