--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -17,10 +17,11 @@
 from catkinpin.adapters.gateway.usage import UsageReporter
 from catkinpin.adapters.gateway.view import GatewayView
 from catkinpin.adapters.http.pool import Pool
-from catkinpin.adapters.http.server import HttpServer, ServerLimits
+from catkinpin.adapters.http.requestparser import ServerLimits
+from catkinpin.adapters.http.server import HttpServer
 from catkinpin.adapters.keeper.publisher import GATEWAY_ROLE
 from catkinpin.adapters.peers import keepers
-from catkinpin.adapters.tasks import keep_running
+from catkinpin.adapters.tasks import BackgroundTasks, keep_running
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
 from catkinpin.core.control.feeds import FeedSelector
@@ -53,6 +54,8 @@
 _UNRESPONSIVE_EJECTION_MS = 1_500
 # Part of the stop timeout reserved for closing once no request is in flight.
 _CLOSE_RESERVE_MS = 200
+# Part before that reserved for answering what has not ended by then.
+_ANSWER_RESERVE_MS = 400
 
 
 class Gateway:
@@ -113,7 +116,7 @@
         self._last_connected_ms = self.clock.now_ms()
         self._was_ready = False
         self._route_fetcher = RouteFetcher(self.keepers, self.view, cfg.region)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks()
 
     def _new_feed(self) -> FeedSubscription:
         selector = FeedSelector(self.cfg.name, self.cfg.region)
@@ -129,14 +132,13 @@
 
     async def start(self) -> None:
         """Listens and connects to the keepers."""
-        await self._readiness_server.start(self.cfg.ready_listen)
         await self.server.start(self.cfg.listen)
         self.keepers.add(self.cfg.seeds)
-        self._tasks = [
-            asyncio.create_task(keep_running(self._tick)),
-            asyncio.create_task(keep_running(self._route_fetcher.run)),
-            asyncio.create_task(keep_running(self._usage.run)),
-        ]
+        for work in (self._tick, self._route_fetcher.run, self._usage.run):
+            self._tasks.spawn(keep_running(work))
+        # Callers are served even if the port for readiness is in use.
+        self._tasks.spawn(self._readiness_server.start(self.cfg.ready_listen))
+        await asyncio.sleep(0)
         decisions.note(
             "start", "", listen=self.cfg.listen, seeds=list(self.cfg.seeds)
         )
@@ -150,14 +152,19 @@
             loop.time()
             + (self.cfg.stop_timeout_ms - _CLOSE_RESERVE_MS) / _MS_PER_S
         )
+        end_s = deadline_s - _ANSWER_RESERVE_MS / _MS_PER_S
+        self._handler.end_by(end_s)
         self.server.close_when_answered()
         # The load balancer opens new connections until it has probed readiness
         # twice. Refusing one would cost its caller an attempt.
         await asyncio.sleep(self.cfg.balancer_wait_ms / _MS_PER_S)
-        self._handler.stop_deadline_s = deadline_s
+        self._handler.stop_deadline_s = end_s
         while loop.time() < deadline_s and (
             self.server.count_busy() or self._turns.unsettled_count
         ):
+            if loop.time() >= end_s:
+                self.server.stop_listening()
+                self.server.refuse_unread(self._handler.encode_refusal)
             self.server.close_idle()
             await asyncio.sleep(_TICK_INTERVAL_S)
         self.server.close_idle()
@@ -165,8 +172,7 @@
         self._feed.stop()
         await self.server.stop()
         await self._readiness_server.stop()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         await self.keepers.stop()
 
     def set_seeds(self, seeds: list[str]) -> None:
--- /dev/null
+++ b/catkinpin/adapters/http/timers.py
@@ -0,0 +1,65 @@
+"""A timer of the event loop that can be started again."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class Timer:
+    """Calls a function after a time, unless it is cancelled or restarted."""
+
+    def __init__(self) -> None:
+        self._handle: asyncio.TimerHandle | None = None
+
+    def start(
+        self, wait_s: float, callback: Callable[..., None], *args: Any
+    ) -> None:
+        """Starts the timer, in place of one that is running."""
+        self.cancel()
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(wait_s, callback, *args)
+
+    def cancel(self) -> None:
+        """Cancels the timer if it is running."""
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+
+
+class UnreadTimer:
+    """Calls a function if what was sent is not read for a time.
+
+    Args:
+        timeout_s: returns the time.
+        unsent_bytes: returns how many bytes wait until the other end reads.
+        on_unread: the function.
+    """
+
+    def __init__(
+        self,
+        timeout_s: Callable[[], float],
+        unsent_bytes: Callable[[], int],
+        on_unread: Callable[[], None],
+    ) -> None:
+        self._timeout_s = timeout_s
+        self._unsent_bytes = unsent_bytes
+        self._on_unread = on_unread
+        self._timer = Timer()
+
+    def start(self) -> None:
+        """Starts to watch the bytes that are unsent now."""
+        self._timer.start(self._timeout_s(), self._check, self._unsent_bytes())
+
+    def cancel(self) -> None:
+        """Ends the watch."""
+        self._timer.cancel()
+
+    def _check(self, unsent_bytes: int) -> None:
+        if self._unsent_bytes() >= unsent_bytes:
+            self._on_unread()
+        else:
+            self.start()
--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -5,17 +5,17 @@
 import asyncio
 import gc
 import logging
-import os
 import signal
 import sys
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NoReturn, Protocol
 
 import uvloop
 
-from catkinpin import clock, decisions, exits, metrics
+from catkinpin import clock, decisions, exits, metrics, waiting
+from catkinpin.adapters import startstop, tasks
 from catkinpin.adapters.http.headers import Headers
 from catkinpin.adapters.http.server import HttpServer
-from catkinpin.exceptions import CatkinpinError
+from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -110,11 +110,27 @@
     # The loaded modules are never freed, so garbage collections skip them.
     gc.freeze()
     gc.enable()
+    uvloop.run(_run_to_end(cfg, make_process, read_seeds))
+
+
+async def _run_to_end(
+    cfg: RoleSettings,
+    make_process: Callable[[], ReloadableProcess],
+    read_seeds: Callable[[], list[str]],
+) -> NoReturn:
+    """Serves until a stop signal, and exits in each case.
+
+    The process exits here because the event loop restores the signals' default
+    actions when it closes, and a regular shutdown of the interpreter would only
+    use up the stop timeout.
+    """
     try:
-        uvloop.run(_serve(cfg, make_process, read_seeds))
-    except CatkinpinError as exc:
-        log.critical("%s", exc)
-        sys.exit(exits.STORAGE_ERROR)
+        await _serve(cfg, make_process, read_seeds)
+    except StorageError as exc:
+        exits.end_process(exits.STORAGE_ERROR, "storage", str(exc))
+    except Exception as exc:
+        exits.end_process(exits.FAILED, "fault", tasks.brief(exc))
+    exits.end_process(exits.OK, "stopped", "")
 
 
 async def _serve(
@@ -123,15 +139,17 @@
     read_seeds: Callable[[], list[str]],
 ) -> None:
     loop = asyncio.get_running_loop()
+    loaded_ms = _age_ms()
+    process = await _make_when_possible(cfg, make_process)
+    # Until here, `startup` ends the process at a stop signal.
     stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
-    loaded_ms = _age_ms()
-    process = make_process()
     decisions.note("loaded", "", loaded_ms=loaded_ms, made_ms=_age_ms())
-    if cfg.metrics_listen:
-        await HttpServer(_answer_metrics).start(cfg.metrics_listen)
-    await process.start()
+    # Nothing depends on the metrics, so nothing waits for their port.
+    metrics_task = asyncio.create_task(_serve_metrics(cfg.metrics_listen))
+    if not await startstop.start_unless_stopped(process.start(), stop):
+        exits.end_process(exits.OK, "stopped-in-start", "")
     reloader = SeedReloader(process, cfg.seeds, read_seeds)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     while not stop.is_set():
@@ -140,15 +158,33 @@
                 await stop.wait()
         except TimeoutError:
             reloader.reload()
+    metrics_task.cancel()
     try:
         async with asyncio.timeout(cfg.stop_timeout_ms / _MS_PER_S):
             await process.stop()
     except TimeoutError:
         decisions.note("stopped", "", outcome="cut", reason="took too long")
-        os._exit(exits.STOP_TIMEOUT)
-    # Nothing is left to write, and a regular shutdown of the interpreter would
-    # only use up the stop timeout.
-    os._exit(exits.OK)
+        exits.end_process(exits.STOP_TIMEOUT, "cut", "the stop took too long")
+
+
+async def _make_when_possible(
+    cfg: RoleSettings, make_process: Callable[[], ReloadableProcess]
+) -> ReloadableProcess:
+    """Creates the process; waits while its port or its disk can't be used.
+
+    The port comes first: while a predecessor has it, the data may change.
+    """
+    if not hasattr(cfg, "data_folder"):
+        return make_process()
+    await waiting.reserve_port(cfg.peer_listen)
+    return await startstop.create_when_possible(
+        f"folder {cfg.data_folder}", make_process
+    )
+
+
+async def _serve_metrics(address: str) -> None:
+    if address:
+        await HttpServer(_answer_metrics).start(address)
 
 
 def _age_ms() -> int:
@@ -179,14 +215,24 @@
         self._process = process
         self._read_seeds = read_seeds
         self._seeds = seeds
+        self._kept_reason = ""
 
     def reload(self) -> None:
         """Reads the settings; keeps the seeds if they can't be read."""
         try:
             seeds = self._read_seeds()
-        except (OSError, ValueError, KeyError, TypeError) as exc:
-            decisions.note("reload", "", outcome="kept", reason=repr(exc))
+        except Exception as exc:
+            # Whatever is wrong with the file, the process can go on.
+            self._note_kept(str(exc))
             return
+        self._kept_reason = ""
         if seeds != self._seeds:
             self._seeds = seeds
             self._process.set_seeds(seeds)
+
+    def _note_kept(self, reason: str) -> None:
+        """Writes why the seeds are kept, once per reason."""
+        reason = reason.encode(errors="backslashreplace").decode()
+        if reason != self._kept_reason:
+            self._kept_reason = reason
+            decisions.note("reload", "", outcome="kept", reason=reason)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -13,8 +13,8 @@
 from catkinpin.core.control.routes import RouteKind
 from catkinpin.core.messages import CallKey, Granted, ServerRef
 from tests import base
-from tests.fakes.gatewayrig import Rig, encode_stream
-from tests.fakes.rawserver import RawServer
+from tests.fakes.gatewayrig import Rig, encode_stream, stream_events
+from tests.fakes.rawserver import RawServer, sealed_answer
 
 if TYPE_CHECKING:
     from tests.fakes.rawserver import ReceivedRequest
@@ -124,6 +124,53 @@
         )
         self._check(RouteKind.STREAM, begin, b"x")
 
+    def test_refusal_with_a_body_without_end_is_retried(self) -> None:
+        """Guards against reading a refusal to its end before another try."""
+        self._check_refusal(RouteKind.NON_IDEMPOTENT, b"x" * _UNIT_BYTES)
+        self._check_refusal(RouteKind.STREAM, b"x" * _UNIT_BYTES)
+
+    def test_refusal_whose_body_does_not_come_is_retried(self) -> None:
+        """Guards against waiting for a refusal's body before another try."""
+        self._check_refusal(RouteKind.NON_IDEMPOTENT, b"")
+        self._check_refusal(RouteKind.STREAM, b"")
+
+    def _check_refusal(self, kind: RouteKind, unit: bytes) -> None:
+        """Has the first server refuse with a body that has no end."""
+
+        async def scenario() -> None:
+            rig = Rig(kind, has_engine=False, max_attempts=2)
+            sent_bytes = 0
+
+            async def answer(
+                seen: ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> None:
+                nonlocal sent_bytes
+                if rig.count_server_requests() > 1:
+                    await stream_events(seen, writer)
+                    return
+                refusal = sealed_answer(
+                    seen,
+                    b"",
+                    "503 Service Unavailable",
+                    Not_Run="1",
+                    Content_Length="99000000000",
+                )
+                writer.write(refusal)
+                while not writer.transport.is_closing():
+                    writer.write(unit)
+                    await writer.drain()
+                    sent_bytes += len(unit)
+                    await asyncio.sleep(0)
+
+            await rig.start(answer, answer)
+            got = await rig.ask()
+            self.assertEqual((200, True), (got.status, got.is_complete))
+            self.assertLess(got.took_s, _EARLY_S)
+            self.assertLess(sent_bytes, _MAX_SENT_BYTES)
+            await rig.stop()
+
+        self.run_async(scenario())
+
     def test_body_without_end(self) -> None:
         """Guards against a body that is passed on until the deadline."""
         begin = _HEAD + b"Request-Id: {id}\r\nSealed: yes\r\n\r\n"
@@ -141,12 +188,14 @@
 
         self.run_async(scenario())
 
-    async def _read_until_closed(self, address: str) -> None:
+    async def _read_until_closed(
+        self, address: str, fields: bytes = b""
+    ) -> None:
         """Sends a request and discards the answer, which must not be whole."""
         host, port = address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write(b"POST /x/y HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\n")
-        writer.write(b"Content-Length: 0\r\n\r\n")
+        writer.write(fields + b"Content-Length: 0\r\n\r\n")
         last = b""
         try:
             while data := await reader.read(65_536):
@@ -183,6 +232,64 @@
 
         self.run_async(scenario())
 
+    def test_events_without_end(self) -> None:
+        """Guards against an output that is kept though nobody stores it."""
+        self._check_events(keeps_history=False)
+
+    def test_events_without_end_of_a_stored_turn(self) -> None:
+        """Guards against an output that is stored until memory is full."""
+        self._check_events(keeps_history=True)
+
+    def _check_events(self, *, keeps_history: bool) -> None:
+        begin = (
+            _HEAD + b"Request-Id: {id}\r\nSealed: yes\r\n"
+            b"Content-Type: text/event-stream\r\n\r\n"
+        )
+        event = b"id: 1\ndata: " + b"x" * 4_000 + b"\n\n"
+
+        async def scenario() -> None:
+            rig = Rig(
+                RouteKind.STREAM,
+                has_engine=False,
+                max_attempts=1,
+                keeps_history=keeps_history,
+            )
+            server = _EndlessServer(begin, event)
+            await rig.start(server.answer)
+            before_kb = _peak_kb()
+            async with asyncio.timeout(4 * _EARLY_S):
+                await self._read_until_closed(rig.address, b"Program: p\r\n")
+            self.assertLess(_peak_kb() - before_kb, _MAX_GROWTH_KB)
+            self.assertEqual([], rig.turns.finished)
+            await rig.stop()
+
+        self.run_async(scenario())
+
+    def test_keep_alive_values_that_are_no_numbers(self) -> None:
+        """Guards against a sound answer that is lost by its Keep-Alive."""
+
+        async def scenario() -> None:
+            values = ["\xb2", "9" * 5_000, "-1", "1e9", "", "5"]
+            for value in values:
+                rig = Rig(RouteKind.NON_IDEMPOTENT, has_engine=False)
+
+                async def answer(
+                    seen: ReceivedRequest,
+                    writer: asyncio.StreamWriter,
+                    value: str = value,
+                ) -> None:
+                    ok = sealed_answer(seen, b"ok", Keep_Alive="{value}")
+                    field = f"timeout={value}".encode("latin-1")
+                    writer.write(ok.replace(b"{value}", field))
+
+                await rig.start(answer)
+                for _ in range(2):
+                    got = await rig.ask()
+                    self.assertEqual((200, b"ok"), (got.status, got.body))
+                await rig.stop()
+
+        self.run_async(scenario())
+
     def test_long_answer_with_small_chunks_is_whole(self) -> None:
         """Guards against taking the framing of a sound answer for garbage."""
 
