--- a/tests/drawnlive.py
+++ b/tests/drawnlive.py
@@ -32,6 +32,7 @@
 
 # Longer than any request may take: routes time out after 4 s.
 _ANSWER_TIMEOUT_S = 8.0
+_ODD_BYTES_TIMEOUT_S = 0.3
 _PAUSE_S = 0.02
 _MAX_ATTEMPTS = 6
 _RETRY_WAIT_S = 0.3
@@ -84,6 +85,7 @@
             self._call_keeper_oddly,
             self._request_oddly,
             self._request_oddly,
+            self._send_odd_bytes,
         )
         async with self._deployment:
             await self._deployment.wait_until(self._announce_odd_server)
@@ -307,6 +309,33 @@
         if not answer.startswith(b"HTTP/1.1 "):
             self._add_error(f"{lines[:600]!r} got {answer[:100]!r}")
 
+    async def _send_odd_bytes(self) -> None:
+        """Sends a request with changed or missing bytes, as a cut one has."""
+        host = self._rng.choice(
+            [h for h in self._deployment.hosts.values() if h.role != "store"]
+        )
+        port = self._deployment.front_port
+        if host.role == "keeper":
+            port = self._deployment.control_port
+        data = bytearray(
+            b"%s %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: x\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+            % (
+                self._rng.choice((b"PUT", b"GET", b"POST", b"\xff", b"HEAD")),
+                self._rng.choice(
+                    (b"/safe/x", b"/-/config", b"*", b"/-/instances/i9", b"//")
+                ),
+            )
+        )
+        for _ in range(self._rng.randrange(1, 6)):
+            data[self._rng.randrange(len(data))] = self._rng.randrange(256)
+        if self._rng.random() < 0.3:
+            del data[self._rng.randrange(len(data)) :]
+        with contextlib.suppress(TimeoutError):
+            # It may wait for the rest, so that there may be no answer.
+            async with asyncio.timeout(_ODD_BYTES_TIMEOUT_S):
+                await _exchange(f"{host.ip}:{port}", bytes(data))
+
     async def _answer_oddly(
         self, received: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
