--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -139,6 +139,7 @@
     read_seeds: Callable[[], list[str]],
 ) -> None:
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(tasks.log_loop_error)
     loaded_ms = _age_ms()
     process = await _make_when_possible(cfg, make_process)
     # Until here, `startup` ends the process at a stop signal.
--- a/catkinpin/adapters/tasks.py
+++ b/catkinpin/adapters/tasks.py
@@ -70,6 +70,22 @@
         await asyncio.sleep(_RESTART_DELAY_S)
 
 
+def log_loop_error(
+    loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+) -> None:
+    """Logs an exception that nothing handles, as one bounded line.
+
+    An event loop calls it for exceptions of its callbacks and for those of
+    tasks that nothing awaits.
+    """
+    exc = context.get("exception")
+    text = str(context.get("message"))[:_MAX_TEXT]
+    if exc is None:
+        loop.default_exception_handler(context)
+    else:
+        log.error("callback failed: %s: %s", text, brief(exc))
+
+
 def brief(exc: BaseException) -> str:
     """Returns an exception and where it was raised, as one bounded line."""
     frames = traceback.extract_tb(exc.__traceback__)[-_MAX_FRAMES:]
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -4,7 +4,12 @@
 
 import asyncio
 
-from catkinpin.adapters.tasks import BackgroundTasks, brief, keep_running
+from catkinpin.adapters.tasks import (
+    BackgroundTasks,
+    brief,
+    keep_running,
+    log_loop_error,
+)
 from tests import base
 
 
@@ -69,6 +74,24 @@
         self.assertIn("test_tasks.py", logs.output[0])
         self.assertLess(len(logs.output[0]), 1_000)
 
+    def test_failed_callback_is_one_short_line(self) -> None:
+        """Guards against tracebacks with what another program sent."""
+
+        def fail() -> None:
+            raise ValueError("9" * 5_000)
+
+        async def main() -> None:
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(log_loop_error)
+            loop.call_soon(fail)
+            await asyncio.sleep(0.01)
+
+        with self.assertLogs("catkinpin.adapters.tasks", "ERROR") as logs:
+            self.run_async(main())
+        self.assertEqual(1, len(logs.output))
+        self.assertEqual(1, len(logs.output[0].splitlines()))
+        self.assertLess(len(logs.output[0]), 1_000)
+
     def test_line_about_an_exception_is_one_short_line(self) -> None:
         """Guards against logs that hold what another program sent."""
         try:
