--- a/tests/test_borders.py
+++ b/tests/test_borders.py
@@ -11,6 +11,7 @@
 from catkinpin import clock, decisions
 from catkinpin.adapters.gateway.view import GatewayView
 from catkinpin.adapters.http.client import Failure
+from catkinpin.adapters.http.headers import Headers
 from catkinpin.adapters.http.pool import Pool
 from catkinpin.adapters.keeper.host import KeeperHost, Undecided
 from catkinpin.core.control import protocol, servers, state
@@ -297,6 +298,20 @@
         self.assertEqual(["s1"], list(self.host._last_sequence))
 
 
+class RequestTest(base.TestCase):
+    """Headers of callers' requests."""
+
+    def test_id_of_any_length_is_no_id(self) -> None:
+        """Guards against ids that fill the memory and disks of keepers."""
+        decode = drawndecoders.names.header_codec().decode_request
+        good = drawndecoders.REQUEST
+        for name in (b"X-Attempt-Id", b"X-Program-Id", b"X-Previous-Turn"):
+            call = decode(Headers([*{**good, name: b"x" * 513}.items()]))
+            self.assertEqual("", call.attempt, name)
+            call = decode(Headers([*{**good, name: b"x" * 512}.items()]))
+            self.assertNotEqual("", call.attempt, name)
+
+
 class LineTest(base.TestCase):
     """Lines about requests."""
 
