Log a store whose registration was undecided at first

Keeper-2 led term 1 for 0.4 s, lost it and led term 2.

Cause, from the logs and by reading: the registrations were proposed in term 1, answered as undecided, and committed in term 2. The stores registered again, nothing changed any more, so that the leader neither logged them nor told the gateways at once.

The test gives such an outcome and fails before. Where another keeper leads by then, the line is still missing.

--- a/catkinpin/adapters/keeper/repair.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -84,6 +84,8 @@
         self._commit_timeout_s = commit_timeout_s
         self._silent_ms = cfg.catch_up_ms * _SILENT_SHARE
         self._last_seen_ms: dict[str, int] = {}
+        # Stores whose registration is not known to be committed.
+        self._undecided: set[str] = set()
         self._retiring_since_ms: dict[str, int] = {}
         self._is_repairing = False
 
@@ -97,13 +99,17 @@
         # Other keepers name a store only when they next describe themselves.
         # Until the leader is connected to a store, it can't copy its turns.
         self._other_hosts.add([store.address])
-        if not self._host.state.stores.would_change(store):
+        if self._host.state.stores.would_change(store):
+            self._undecided.add(store.node)
+            outcome = await self._host.propose(
+                Register(store=store), self._commit_timeout_s
+            )
+            if isinstance(outcome, Undecided):
+                return outcome
+        elif store.node not in self._undecided:
             return False
-        outcome = await self._host.propose(
-            Register(store=store), self._commit_timeout_s
-        )
-        if isinstance(outcome, Undecided):
-            return outcome
+        # Also one that was undecided may have been committed.
+        self._undecided.discard(store.node)
         decisions.note("store", "", store=store.name, address=store.address)
         return True
 
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -5,10 +5,12 @@
 import asyncio
 import types
 from typing import Any
+from unittest import mock
 
 import testtools
 
-from catkinpin import clock
+from catkinpin import clock, decisions
+from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.adapters.keeper.repair import CopyRepair
 from catkinpin.core.control import protocol, state
 from catkinpin.core.control.ledger import Moved, Outcome, Turn
@@ -49,6 +51,45 @@
         self.assertIs(False, outcome)
         self.assertEqual([store.address], connected)
 
+    def test_store_whose_registration_was_undecided_is_logged(self) -> None:
+        """Guards against a store that counts and that no line names."""
+        store = Store(
+            node="0" * 32,
+            name="store-1",
+            address="10.0.0.1:7160",
+            domain="a",
+            region="a",
+        )
+        control = state.ControlState()
+
+        async def propose(*_: object) -> Undecided:
+            control.stores.register(store)
+            return Undecided("leadership was lost")
+
+        parts: list[Any] = [
+            KeeperSettings(name="k", seeds=["10.0.0.2:7160"]),
+            "1" * 32,
+            clock.system_clock(),
+            types.SimpleNamespace(
+                holds_lease=lambda: True, state=control, propose=propose
+            ),
+            types.SimpleNamespace(add=lambda _: None),
+            None,
+            1.0,
+        ]
+        notes: list[str] = []
+
+        async def register() -> None:
+            repair = CopyRepair(*parts)
+            for _ in range(3):
+                await repair.register(store)
+
+        with mock.patch.object(
+            decisions, "note", lambda name, *_, **__: notes.append(name)
+        ):
+            asyncio.run(register())
+        self.assertEqual(["store"], notes)
+
 
 _TURN_BYTES = 400_000
 
