Let a host that becomes known during a stop not fail the stop

A store that was asked to stop ended with 1: closing its links waits for each of them, and a link opened meanwhile to a host that had just become known changed the dictionary that was gone through. The links to keepers, of the replicas' mesh and between entries are now closed from a copy. The test that adds hosts during a stop fails before. A failed check of a stop now shows the end of that process's log.

--- a/catkinpin/adapters/entry/process.py
+++ b/catkinpin/adapters/entry/process.py
@@ -144,7 +144,7 @@
         await self._web_servers[1].close()
         for task in self._background_tasks:
             task.cancel()
-        for link in self._links.values():
+        for link in list(self._links.values()):
             await link.stop()
         await self._order_sender.stop()
         await self.replicas.stop()
--- a/catkinpin/adapters/peers/keepers.py
+++ b/catkinpin/adapters/peers/keepers.py
@@ -99,7 +99,7 @@
 
     async def stop(self) -> None:
         """Closes all links."""
-        for host in self._hosts.values():
+        for host in list(self._hosts.values()):
             await host.link.stop()
 
     def connected(self) -> list[Host]:
--- a/catkinpin/adapters/replica/mesh.py
+++ b/catkinpin/adapters/replica/mesh.py
@@ -64,7 +64,7 @@
 
     async def stop(self) -> None:
         """Closes all streams."""
-        for link in self._links.values():
+        for link in list(self._links.values()):
             await link.stop()
 
     def set_address(self, node: str, address: str) -> None:
--- a/tests/test_startorder.py
+++ b/tests/test_startorder.py
@@ -11,7 +11,9 @@
 import socket
 from typing import TYPE_CHECKING
 
-from tests import base
+from catkinpin.adapters.peers import keepers
+from catkinpin.adapters.replica import mesh
+from tests import base, hellos
 from tests.fakes import deployment
 
 if TYPE_CHECKING:
@@ -24,6 +26,8 @@
 _LATE_KEEPER_S = 4.0
 _STOP_S = 12.0
 _ROUNDS = 8
+# Characters of a log that a failed check shows.
+_SHOWN_LOG = 2_000
 
 
 class _DrawnDeployment(deployment.Deployment):
@@ -83,6 +87,11 @@
         }
         return self.draw.choice((*listeners[role], _METRICS_PORT))
 
+    def log_end(self, name: str) -> str:
+        """Returns the name of a process and the end of its log."""
+        text = (self.folder / f"{name}.log").read_text(errors="replace")
+        return f"{name}: {text[-_SHOWN_LOG:]}"
+
     def ended_processes(self) -> list[tuple[str, int]]:
         """Returns the processes that don't run, with their exit codes."""
         found = []
@@ -106,6 +115,36 @@
             await asyncio.sleep(0.001)
 
 
+class StopTest(base.TestCase):
+    """A stop while other hosts become known."""
+
+    def test_host_that_becomes_known_in_a_stop_does_not_fail_it(self) -> None:
+        """Guards against a stop that ends with 1 as a host came just then."""
+        for kind in ("keepers", "mesh"):
+            asyncio.run(self._check(kind))
+
+    async def _check(self, kind: str) -> None:
+        hello = hellos.GATEWAY_HELLO
+        hosts: keepers.Keepers | mesh.Mesh
+        if kind == "keepers":
+            hosts = keepers.Keepers(hello, lambda *_: None)
+            hosts.add(["127.0.0.1:1", "127.0.0.1:2"])
+        else:
+            known = ["127.0.0.1:1", "127.0.0.1:2"]
+            hosts = mesh.Mesh(known, lambda _: None, growable=True)
+            hosts.start(hello)
+        stopping = asyncio.ensure_future(hosts.stop())
+        for port in range(3, 9):
+            await asyncio.sleep(0)
+            address = f"127.0.0.1:{port}"
+            if isinstance(hosts, mesh.Mesh):
+                hosts.add(address)
+            else:
+                hosts.add([address])
+        await stopping
+        await hosts.stop()
+
+
 class StartOrderTest(base.TestCase):
     """No process ends by itself, and all serve in the end."""
 
@@ -223,7 +262,7 @@
             while process.poll() is None:
                 system.kill(name, system.draw.choice(signals))
                 await asyncio.sleep(0.01)
-        self.assertEqual(0, process.returncode, name)
+        self.assertEqual(0, process.returncode, system.log_end(name))
 
     @contextlib.contextmanager
     def _held(self, ip: str, port: int) -> Iterator[None]:
