Start also where standard output is closed

With standard input, output or error closed, the first sockets got their numbers: the process ended, or would have sent its log lines to a peer. Closed ones are now opened on the null device, in all five roles, before anything else is opened. The test fails before: nothing listens.

--- a/catkinpin/__main__.py
+++ b/catkinpin/__main__.py
@@ -27,6 +27,7 @@
 def _run_process(name: str) -> None:
     """Runs a command that serves, with signals handled from its start on."""
     startup.handle_signals(startup.STDERR_FD)
+    startup.open_standard_files()
     try:
         from catkinpin import cli
 
--- a/catkinpin/startup.py
+++ b/catkinpin/startup.py
@@ -30,6 +30,7 @@
 # Read when this package is imported, before any slow import.
 BEGAN_MS = time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
 
+STDIN_FD = 0
 STDOUT_FD = 1
 STDERR_FD = 2
 
@@ -67,6 +68,20 @@
         _signal.signal(signum, end)
 
 
+def open_standard_files() -> None:
+    """Opens standard input, output and error if they are closed.
+
+    Otherwise a socket would get the number of one of them, and lines of the
+    log would be sent to another process.
+    """
+    for fd in (STDIN_FD, STDOUT_FD, STDERR_FD):
+        try:
+            os.fstat(fd)
+        except OSError:
+            # The lowest free number is the one that is closed.
+            os.open(os.devnull, os.O_RDWR)
+
+
 def _write(fd: int, line: bytes) -> None:
     """Writes a line, unless it would block as nobody reads the pipe."""
     try:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import random
+import shlex
 import signal
 import socket
 import subprocess
@@ -471,6 +472,38 @@
         self.assertEqual("[]", done.stdout.strip())
 
 
+class StandardFilesTest(_StartCase):
+    """Standard files that are closed at a start."""
+
+    def test_closed_standard_files_end_no_process(self) -> None:
+        """Guards against an end, or log lines that go to a socket."""
+        for role in (*_ROLES, "entry", "replica"):
+            listeners = self.new_ports()
+            command = ["platform", role]
+            env = {"PYTHONPATH": str(processes.ROOT)}
+            if role in _ROLES:
+                path = self.settings(role, listeners)
+                env["CATKINPIN_NODE_FILE"] = str(path)
+            else:
+                command = self._command(role, listeners)
+            closing = shlex.join([sys.executable, *command])
+            popen = subprocess.Popen(
+                ["sh", "-c", f"exec {closing} <&- >&- 2>&-"],
+                cwd=processes.ROOT,
+                env=env,
+            )
+            self.addCleanup(popen.kill)
+            names = {"gateway": "front", "store": "peer", "keeper": "control"}
+            port = listeners[names.get(role, "admin")]
+            self.wait_until_open(port)
+            time.sleep(0.5)
+            with socket.create_connection((self.ip, port), 1.0) as conn:
+                conn.settimeout(0.3)
+                self.assertRaises(TimeoutError, conn.recv, 1)
+            popen.terminate()
+            self.assertEqual(0, popen.wait(_TIMEOUT_S), role)
+
+
 class UsageTest(_StartCase):
     """Starts that can't be mended by waiting."""
 
