Leave no files or descriptors behind when storage can't be opened yet

A start that waits for its disk tries again. Each attempt that lacked a descriptor for the folder's sync left a new empty file of turns (a keeper with 20 descriptors had made four within 2 s), and a new log segment whose header could not be synced stayed open. Both are now removed and closed; attempts are 0.3 s apart, as each reads the stored data. The test fails before.

--- a/catkinpin/adapters/disk/segments.py
+++ b/catkinpin/adapters/disk/segments.py
@@ -72,17 +72,17 @@
             self._write_file_header()
 
     def _write_file_header(self) -> None:
-        """Writes and syncs a new file's header; removes it on a full disk."""
+        """Writes and syncs a new header; removes the file if it cannot."""
         try:
             self._write(FILE_MAGIC + bytes([FORMAT_VERSION]))
-        except DiskFullError:
+            self._ops.fsync(self.fd)
+            files.sync_folder(self._ops, self.path.parent)
+        except (OSError, DiskFullError):
             # Only the last segment may end in a torn frame. If this file
             # stayed, a torn frame in the one before would count as damage.
             self.close()
             self.path.unlink()
             raise
-        self._ops.fsync(self.fd)
-        files.sync_folder(self._ops, self.path.parent)
 
     def write(self, sequence: int, payload: bytes) -> int:
         """Writes a frame without a sync; returns its payload's offset."""
--- a/catkinpin/adapters/disk/turnbytes.py
+++ b/catkinpin/adapters/disk/turnbytes.py
@@ -155,6 +155,10 @@
             self._fds[number] = os.open(path, flags, 0o600)
             files.sync_folder(self._ops, self._folder)
         except OSError as exc:
+            # Each attempt to start on a lacking host would leave a file.
+            if number in self._fds:
+                os.close(self._fds.pop(number))
+                path.unlink()
             raise files.write_error(path, exc) from exc
         self._active_file = number
         self._live_counts[self._active_file] = 0
--- a/catkinpin/adapters/startstop.py
+++ b/catkinpin/adapters/startstop.py
@@ -17,6 +17,8 @@
 # A start that waits for nothing is over sooner, so it can be followed by a
 # graceful stop.
 _FINISH_S = 0.5
+# Each attempt reads the stored data, which may take long.
+_DISK_INTERVAL_S = 0.3
 
 
 async def create_when_possible(resource: str, create: Callable[[], _T]) -> _T:
@@ -26,7 +28,9 @@
         StorageError: the stored data can't be used.
     """
     try:
-        return await waiting.retry(resource, create, files.is_temporary)
+        return await waiting.retry(
+            resource, create, files.is_temporary, _DISK_INTERVAL_S
+        )
     except OSError as exc:
         raise StorageError(f"{resource}: {exc}") from exc
 
--- a/catkinpin/waiting.py
+++ b/catkinpin/waiting.py
@@ -67,7 +67,10 @@
 
 
 async def retry(
-    resource: str, work: Callable[[], _T], can_wait: Callable[[Exception], bool]
+    resource: str,
+    work: Callable[[], _T],
+    can_wait: Callable[[Exception], bool],
+    interval_s: float = startup.RETRY_INTERVAL_S,
 ) -> _T:
     """Repeats work until it succeeds, and returns its result.
 
@@ -75,6 +78,7 @@
         resource: what is waited for, in the log.
         work: the work.
         can_wait: whether another attempt may succeed after an exception.
+        interval_s: time between two attempts.
 
     Raises:
         Exception: the work failed for good.
@@ -90,7 +94,7 @@
         else:
             wait_log.succeeded()
             return result
-        await asyncio.sleep(startup.RETRY_INTERVAL_S)
+        await asyncio.sleep(interval_s)
 
 
 async def open_port(address: str) -> socket.socket:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -20,10 +20,16 @@
 from typing import TYPE_CHECKING, Any
 
 from catkinpin import startup
-from catkinpin.adapters.disk import files
+from catkinpin.adapters.disk import files, segments
 from catkinpin.adapters.disk.storage import Storage
+from catkinpin.adapters.disk.turnbytes import TurnBytes
 from catkinpin.adapters.replica.identity import Identity
-from catkinpin.exceptions import DiskFullError, SettingsError, StorageError
+from catkinpin.exceptions import (
+    DiskFullError,
+    SettingsError,
+    StorageError,
+    UnavailableStorageError,
+)
 from tests import base, ports, processes
 
 if TYPE_CHECKING:
@@ -895,6 +901,27 @@
             # The same process tries again, so the folder is locked no more.
             make(files.FileOps())
 
+    def test_failed_attempts_leave_no_files(self) -> None:
+        """Guards against a wait that fills the disk or uses up descriptors."""
+
+        def fail(_: int) -> None:
+            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+        ops = files.FileOps(fsync=fail)
+        turns = self.folder / "turns"
+        before = len(os.listdir("/proc/self/fd"))
+        for _ in range(3):
+            self.assertRaises(UnavailableStorageError, TurnBytes, turns, ops)
+            Storage(self.folder / "made").close()
+            for path in (self.folder / "made/log").iterdir():
+                path.unlink()
+            log = segments.Segment
+            path = self.folder / "made/log/00000001.segment"
+            self.assertRaises(OSError, log, path, ops, True)
+            self.assertEqual([], list((self.folder / "made/log").iterdir()))
+        self.assertEqual([], list(turns.iterdir()))
+        self.assertEqual(before, len(os.listdir("/proc/self/fd")))
+
     def test_errors_that_may_pass_are_told_apart(self) -> None:
         """Guards against a wait for a fault, and an end for a short lack."""
         for number in (errno.ENOSPC, errno.EROFS, errno.EACCES, errno.EMFILE):
