Check servers' announcements and engines' events on the OpenAI interface

An entry answered 200 to an announcement with a count beyond 64 bits, and the loop that passes reports to the replicas ended: after 2 s all its servers counted as silent, and callers got 503 until a restart. An address such as "http://127.0.0.1:²" was stored, and each call placed there failed. An event of an engine with a field of another type raised past the attempt, and a usage beyond 64 bits made an outcome that can't be sent, so that the program's next call waited until the deadline.

Counts are bounded and the address is checked at the entry; a replica drops reports that an entry of an earlier release passes on, one by one, so that they cost no other server. Events are decoded with the types of the fields that are used; a usage that is no count of tokens counts as absent. Whatever an engine sends, an attempt ends with an outcome. The loops of entries and replicas continue after an exception.

--- a/catkinpin/adapters/entry/admin.py
+++ b/catkinpin/adapters/entry/admin.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Literal, TypeVar
+from typing import TYPE_CHECKING, Annotated, Any, Literal, TypeVar
 
 import pydantic
 import sanic
@@ -10,7 +10,7 @@
 
 from catkinpin import configuration, metrics
 from catkinpin.adapters.entry import web
-from catkinpin.core import messages
+from catkinpin.core import addresses, messages
 from catkinpin.exceptions import BadRequestError
 
 if TYPE_CHECKING:
@@ -20,8 +20,19 @@
 
 _MAX_BODY_BYTES = 4 * 1024 * 1024
 _ANNOUNCE_INTERVAL_MS = 500
+_MAX_SEQ = 2**62
 
-Count = pydantic.NonNegativeInt
+# Larger counts can't be added up in 64 bits, and count nothing.
+_MAX_COUNT = 10**12
+
+
+def _validate_url(value: str) -> str:
+    if not addresses.is_http_url(value):
+        raise ValueError("a URL with a host and a port is needed")
+    return value
+
+
+Count = Annotated[int, pydantic.Field(ge=0, le=_MAX_COUNT)]
 _Body = TypeVar("_Body", bound=pydantic.BaseModel)
 
 
@@ -43,12 +54,12 @@
 
     server: str = pydantic.Field(min_length=1, max_length=200)
     incarnation: str = pydantic.Field(min_length=1, max_length=100)
-    address: str = pydantic.Field(pattern=r"^https?://[^/]+$")
+    address: Annotated[str, pydantic.AfterValidator(_validate_url)]
     kind: Literal["model", "service"]
     serves: list[str] = pydantic.Field(min_length=1)
     failure_domain: str = ""
     region: str = ""
-    capacity: int = pydantic.Field(default=1, gt=0)
+    capacity: int = pydantic.Field(default=1, gt=0, le=_MAX_COUNT)
     cache_tokens: Count = 0
     running: Count = 0
     waiting: Count = 0
@@ -69,7 +80,7 @@
 
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
-    seq: int = pydantic.Field(gt=0)
+    seq: int = pydantic.Field(gt=0, le=_MAX_SEQ)
     kind: Literal["held", "evicted"]
     program: str = pydantic.Field(min_length=1, max_length=500)
     tokens: Count = 0
--- a/catkinpin/adapters/entry/backends.py
+++ b/catkinpin/adapters/entry/backends.py
@@ -223,5 +223,5 @@
     """Returns the error message in a server's answer, if possible from JSON."""
     try:
         return str(json.loads(body)["error"])[:500]
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return body[:500].decode(errors="replace")
--- a/catkinpin/adapters/entry/callers.py
+++ b/catkinpin/adapters/entry/callers.py
@@ -387,14 +387,14 @@
 
 
 class _Event(msgspec.Struct):
-    choices: list[_Choice] = []
+    choices: list[_Choice] | None = None
 
 
 _event_decoder = msgspec.json.Decoder(_Event)
 
 
 def _ends_answer(data: bytes) -> bool:
-    choices = _event_decoder.decode(data).choices
+    choices = _event_decoder.decode(data).choices or []
     return any(choice.finish_reason for choice in choices)
 
 
--- a/catkinpin/adapters/entry/dispatch.py
+++ b/catkinpin/adapters/entry/dispatch.py
@@ -17,6 +17,7 @@
     outcomes,
     servicecalls,
 )
+from catkinpin.adapters.peers import borders
 from catkinpin.core import messages
 from catkinpin.core.requests import pauses
 from catkinpin.verdicts import Reason, Verdict
@@ -155,7 +156,14 @@
             except TimeoutError:
                 text = "the deadline passed"
                 finish = outcomes.may_have_run(grant, Reason.DEADLINE, text)
-            except ValueError as exc:
+            except Exception as exc:
+                # Without an outcome, the attempt would block its slot and the
+                # program's next call until the deadline.
+                log.warning(
+                    "attempt failed: %s",
+                    borders.shown(exc),
+                    extra={"server": grant.server.server},
+                )
                 finish = outcomes.may_have_run(
                     grant,
                     Reason.SERVER_FAILED,
@@ -197,9 +205,13 @@
             TimeoutError,
             ValueError,
             KeyError,
+            TypeError,
+            RecursionError,
         ) as exc:
             log.warning(
-                "release failed: %s", exc, extra={"server": order.server.server}
+                "release failed: %s",
+                borders.shown(exc),
+                extra={"server": order.server.server},
             )
         if not released:
             return None
--- a/catkinpin/adapters/entry/modelcalls.py
+++ b/catkinpin/adapters/entry/modelcalls.py
@@ -5,8 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from catkinpin import chat, metrics
 from catkinpin.adapters.entry import backends, outcomes
 from catkinpin.exceptions import BrokenStreamError
@@ -226,7 +224,7 @@
         )
 
     def _handle_event(self, data: bytes) -> None:
-        chunk = msgspec.json.decode(data)
+        chunk = chat.parse_chunk(data)
         if _has_text(chunk):
             self._offset += 1
             self._record_gap()
--- a/catkinpin/adapters/entry/process.py
+++ b/catkinpin/adapters/entry/process.py
@@ -22,6 +22,7 @@
     web,
 )
 from catkinpin.adapters.peers import links, wire
+from catkinpin.adapters.tasks import keep_running
 from catkinpin.core import messages
 from catkinpin.core.operations import changes, deployments
 from catkinpin.core.programs import sharding
@@ -104,8 +105,12 @@
         )
         self.replicas.start()
         await self._listen()
-        self._background_tasks.append(asyncio.create_task(self._send_reports()))
-        self._background_tasks.append(asyncio.create_task(self.lease.run()))
+        self._background_tasks.append(
+            asyncio.create_task(keep_running(self._send_reports))
+        )
+        self._background_tasks.append(
+            asyncio.create_task(keep_running(self.lease.run))
+        )
         log.info(
             "entry ready",
             extra={
--- a/catkinpin/adapters/peers/links.py
+++ b/catkinpin/adapters/peers/links.py
@@ -208,7 +208,7 @@
             self._handle_hello(stream, message)
         elif stream.hello is None:
             raise BadHelloError(f"{type(message).__name__} before the Hello")
-        if codec.has_odd_number(message):
+        if codec.must_be_refused(message):
             log.warning(
                 "%s with a number out of range refused",
                 type(message).__name__,
--- a/catkinpin/adapters/replica/process.py
+++ b/catkinpin/adapters/replica/process.py
@@ -15,9 +15,11 @@
     mesh,
     node,
     repairs,
+    reportchecks,
     shardhost,
 )
 from catkinpin.adapters.replica.config import NodeConfig
+from catkinpin.adapters.tasks import keep_running
 from catkinpin.core import messages
 from catkinpin.core.operations import changes
 from catkinpin.core.placement import servers
@@ -86,8 +88,8 @@
         repairs.add_routes(app, self.node, self.cfg.operator_key_sha256)
         self._admin = await web.serve(app, self.cfg.admin_listen)
         self._tasks = [
-            asyncio.create_task(self._run_ticks()),
-            asyncio.create_task(self.lease.run()),
+            asyncio.create_task(keep_running(self._run_ticks)),
+            asyncio.create_task(keep_running(self.lease.run)),
         ]
         log.info(
             "replica ready",
@@ -230,11 +232,15 @@
 
     def _handle_reports(self, reports: messages.Reports) -> None:
         now_ms = self.clock.now_ms()
+        usable = []
         for report, age_ms in zip(reports.reports, reports.age_ms, strict=True):
+            if not reportchecks.is_usable(report, age_ms):
+                continue
+            usable.append(report)
             self.view.apply_report(report, now_ms - age_ms)
             for host in self.shards.values():
                 host.handle_report(report, now_ms - age_ms)
-        self.control.handle_reports(reports.reports)
+        self.control.handle_reports(usable)
 
     async def _run_ticks(self) -> None:
         while True:
--- a/catkinpin/chat.py
+++ b/catkinpin/chat.py
@@ -32,6 +32,8 @@
     messages: list[msgspec.Raw]
 
 
+# A larger count can't be the number of tokens of a call.
+_MAX_COUNTED_TOKENS = 10**9
 _messages_decoder = msgspec.json.Decoder(_Messages)
 _fields_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
@@ -160,6 +162,50 @@
     )
 
 
+class _Function(msgspec.Struct):
+    name: str | None = None
+    arguments: str | None = None
+
+
+class _ToolCall(msgspec.Struct):
+    index: int | None = None
+    id: str | None = None
+    function: _Function | None = None
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+    tool_calls: list[_ToolCall] | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    """The fields of a `chat.completion.chunk` object that are used."""
+
+    choices: list[_Choice] | None = None
+
+
+_chunk_decoder = msgspec.json.Decoder(_Chunk)
+
+
+def parse_chunk(data: bytes) -> dict[str, Any]:
+    """Returns a `chat.completion.chunk` object.
+
+    Raises:
+        ValueError: a field that is used has another type.
+    """
+    try:
+        _chunk_decoder.decode(data)
+        chunk: dict[str, Any] = msgspec.json.decode(data)
+    except RecursionError as exc:
+        raise ValueError("nested too deeply") from exc
+    return chunk
+
+
 class StreamAssembler:
     """Assembles an answer from the chunks of its stream.
 
@@ -179,9 +225,9 @@
         """Adds a `chat.completion.chunk` object."""
         if not self._first_chunk:
             self._first_chunk = chunk
-        if chunk.get("usage"):
-            self.usage = _parse_usage(chunk["usage"])
-        for choice in chunk.get("choices", []):
+        if usage := _parse_usage(chunk.get("usage")):
+            self.usage = usage
+        for choice in chunk.get("choices") or []:
             delta = choice.get("delta") or {}
             if delta.get("content"):
                 self._content.append(delta["content"])
@@ -228,7 +274,7 @@
 
     def _add_tool_call(self, part: dict[str, Any]) -> None:
         call = self._tool_calls.setdefault(
-            int(part.get("index", 0)),
+            part.get("index") or 0,
             {
                 "id": "",
                 "type": "function",
@@ -241,13 +287,25 @@
             call["function"][field] += function.get(field) or ""
 
 
-def _parse_usage(usage: dict[str, Any]) -> Usage:
-    details = usage.get("prompt_tokens_details") or {}
+def _parse_usage(usage: Any) -> Usage | None:
+    """Returns the token counts of an answer, None if it has none."""
+    if not isinstance(usage, dict) or not usage:
+        return None
+    details = usage.get("prompt_tokens_details")
     return Usage(
-        prompt_tokens=int(usage.get("prompt_tokens") or 0),
-        completion_tokens=int(usage.get("completion_tokens") or 0),
-        cached_tokens=int(details.get("cached_tokens") or 0),
+        prompt_tokens=_token_count(usage, "prompt_tokens"),
+        completion_tokens=_token_count(usage, "completion_tokens"),
+        cached_tokens=_token_count(details, "cached_tokens"),
+    )
+
+
+def _token_count(counts: Any, name: str) -> int:
+    """Returns a count that an engine reports, 0 if it can't be one."""
+    value = counts.get(name) if isinstance(counts, dict) else None
+    is_number = (
+        isinstance(value, int | float) and 0 <= value <= _MAX_COUNTED_TOKENS
     )
+    return int(value) if is_number and value is not None else 0
 
 
 def completion_chunks(completion: bytes) -> list[dict[str, Any]]:
--- a/catkinpin/codec.py
+++ b/catkinpin/codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import Any, TypeVar
+from typing import Any, ClassVar, TypeVar
 
 import msgspec
 
@@ -19,8 +19,14 @@
 
     Fields are encoded by name and a decoder skips unknown names, so that
     processes of two versions can communicate during an upgrade.
+
+    Attributes:
+        has_checked_parts: whether the receiver checks the numbers of each part
+            by itself, so that an odd part doesn't cost the others.
     """
 
+    has_checked_parts: ClassVar[bool] = False
+
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -62,8 +68,14 @@
     return msgspec.msgpack.Decoder(kind)
 
 
+def must_be_refused(message: Any) -> bool:
+    """Returns whether a message has a number that can't be calculated with."""
+    has_checked_parts = getattr(message, "has_checked_parts", False)
+    return not has_checked_parts and has_odd_number(message)
+
+
 def has_odd_number(value: Any) -> bool:
-    """Returns whether a message has a number that can't be calculated with.
+    """Returns whether a value has a number that can't be calculated with.
 
     That is an integer beyond `MAX_NUMBER`, either way, or a float that is not
     finite. Sums with the former can't be encoded.
--- a/catkinpin/core/messages.py
+++ b/catkinpin/core/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 from catkinpin.codec import Message
 from catkinpin.verdicts import Reason, Verdict
 
@@ -372,6 +374,8 @@
         age_ms: age of each report when this message was sent.
     """
 
+    has_checked_parts: ClassVar[bool] = True
+
     reports: list[ServerReport]
     age_ms: list[int]
 
