--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -94,8 +94,19 @@
     *,
     deadline_ms: int = _DEADLINE_MS,
     byte_gap_s: float = 0.0,
+    idle_s: float = 0.0,
 ) -> _Outcome:
-    """Sends a request on a new connection, its body slowly if asked to."""
+    """Sends a request on a connection that was idle for a time before.
+
+    Args:
+        system: the deployment.
+        path: the request's path.
+        name: the request's id.
+        wait_ms: time that the server takes for it.
+        deadline_ms: time that the caller waits.
+        byte_gap_s: time between two bytes of the body.
+        idle_s: time between opening the connection and the request.
+    """
     outcome = _Outcome()
     url = urllib.parse.urlsplit(system.url("gateway-1", path))
     host, port = url.netloc.split(":")
@@ -104,6 +115,7 @@
     except OSError:
         outcome.is_reset = True
         return outcome
+    await asyncio.sleep(idle_s)
     body = b"x" * 40 + b"%d" % wait_ms
     head = (
         f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {name}\r\n"
@@ -214,8 +226,8 @@
     def test_calls_at_each_moment_of_the_grace(self) -> None:
         """Guards against passing on what the end of the stop cuts.
 
-        Calls that may not be repeated and streams arrive on new connections
-        until the process is gone, while the leader is killed.
+        Calls that may not be repeated and streams arrive on new and on open
+        connections until the process is gone, while the leader is killed.
         """
 
         async def work(system: Deployment) -> None:
@@ -224,13 +236,24 @@
             assert process is not None
             outcomes: dict[str, _Outcome] = {}
 
-            async def send(path: str, name: str, wait_ms: int) -> None:
+            async def send(
+                path: str, name: str, wait_ms: int, idle_s: float = 0.0
+            ) -> None:
                 outcomes[name] = await _ask(
-                    system, path, name, wait_ms, deadline_ms=6_000
+                    system,
+                    path,
+                    name,
+                    wait_ms,
+                    deadline_ms=6_000,
+                    idle_s=idle_s,
                 )
 
+            sending = [
+                asyncio.ensure_future(send("/u/x", f"o{n}", 500, 0.1 * n))
+                for n in range(80)
+            ]
+            await asyncio.sleep(0.3)
             system.kill("gateway-1", signal.SIGTERM)
-            sending = []
             number = 0
             end_s = time.monotonic() + _GRACE_S
             while process.poll() is None and time.monotonic() < end_s:
@@ -262,3 +285,33 @@
             await server.raw.stop()
 
         self.run_test(work)
+
+    def test_stop_beside_frozen_keepers(self) -> None:
+        """Guards against a stop that waits for other processes.
+
+        A turn can't be settled, another one not begun, and the links to the
+        keepers are silent.
+        """
+
+        async def work(system: Deployment) -> None:
+            server = await self._use_patient_server(system)
+            stream = asyncio.ensure_future(_ask(system, "/t/x", "t", 2_000))
+            await asyncio.sleep(0.5)
+            for host in system.hosts.values():
+                if host.role != "gateway":
+                    system.kill(host.name, signal.SIGSTOP)
+            waiting = asyncio.ensure_future(_ask(system, "/t/x", "w", 100))
+            unsafe = asyncio.ensure_future(_ask(system, "/u/x", "u", 1_000))
+            await asyncio.sleep(0.3)
+            system.kill("gateway-1", signal.SIGTERM)
+            self.assertEqual(0, await self._wait_for_end(system))
+            got = await unsafe
+            self.assertEqual((200, True), (got.status, got.is_whole))
+            got = await waiting
+            self.assertEqual((503, True), (got.status, got.is_whole))
+            self.assertNotIn("w", server.attempts)
+            # A turn that could not be stored must not look complete.
+            self.assertFalse((await stream).is_whole)
+            await server.raw.stop()
+
+        self.run_test(work)
