--- a/catkinpin/adapters/replica/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import dataclasses
 import logging
 import random
@@ -12,7 +11,14 @@
 
 from catkinpin import clock
 from catkinpin.adapters.disk.storage import Storage
-from catkinpin.adapters.replica import heartbeats, mesh, slowdisk, transport
+from catkinpin.adapters.replica import (
+    checks,
+    heartbeats,
+    mesh,
+    rebalancing,
+    slowdisk,
+    transport,
+)
 from catkinpin.adapters.replica.founding import Founding
 from catkinpin.adapters.replica.groups import Group
 from catkinpin.adapters.replica.identity import Identity
@@ -30,7 +36,7 @@
     from collections.abc import Callable
 
     from catkinpin.adapters.replica.config import NodeConfig
-    from catkinpin.adapters.replica.groups import StateMachine
+    from catkinpin.adapters.replica.machines import StateMachine
     from catkinpin.core import messages
     from catkinpin.core.consensus import commands
     from catkinpin.core.consensus.state import Timing
@@ -40,8 +46,6 @@
 _TICK_INTERVAL_S = 0.05
 _INTRODUCTION_INTERVAL_TICKS = 4
 _REBALANCE_INTERVAL_TICKS = 200
-# Groups that one replica may lead more than another; transfers cost time.
-_MAX_LED_GROUP_IMBALANCE = 2
 _TRANSFER_TIMEOUT_S = 1.5
 _MS_PER_S = 1_000
 
@@ -239,7 +243,7 @@
 
     def handle(self, message: Any) -> None:
         """Handles a message of another replica; fails the node on an error."""
-        if self._stopped:
+        if self._stopped or checks.is_refused(message):
             return
         try:
             self._handle(message)
@@ -339,30 +343,10 @@
             self._founding.tick()
             self._connect_members()
             self._request_membership()
-        if self._ticks % _REBALANCE_INTERVAL_TICKS == 0:
-            self._rebalance_leaders()
-
-    def _rebalance_leaders(self) -> None:
-        """Transfers one group if this replica leads too many.
-
-        After a replica was down, the others lead all of its groups, and one
-        processor may do the work that three should share.
-        """
-        leaders = [group.leader for group in self.groups.values()]
-        if not self._started or "" in leaders:
-            return
-        led = collections.Counter(leaders)
-        least_loaded = min(
-            self._mesh.addresses, key=led.__getitem__, default=""
-        )
-        if (
-            least_loaded
-            and led[self.address] - led[least_loaded] > _MAX_LED_GROUP_IMBALANCE
-        ):
-            for group in self.groups.values():
-                if group.is_leader() and group.transfer(least_loaded):
-                    log.info("handing over", extra={"group": group.name})
-                    return
+        if self._started and self._ticks % _REBALANCE_INTERVAL_TICKS == 0:
+            rebalancing.rebalance(
+                self.groups.values(), self.address, self._mesh.addresses
+            )
 
     def _connect_members(self) -> None:
         """Connects to members that are known only from the groups' logs."""
--- a/catkinpin/process.py
+++ b/catkinpin/process.py
@@ -4,19 +4,17 @@
 
 import asyncio
 import logging
-import os
 import signal
 from typing import TYPE_CHECKING, NoReturn, Protocol
 
 import uvloop
 
-from catkinpin import exits, logs, startup, tracing, waiting
-from catkinpin.adapters import startstop
-from catkinpin.adapters.disk import files
+from catkinpin import exits, logs, tracing, waiting
+from catkinpin.adapters import startstop, tasks
 from catkinpin.exceptions import (
-    CatkinpinError,
     SettingsError,
     StopTimeoutError,
+    StorageError,
 )
 
 if TYPE_CHECKING:
@@ -69,25 +67,14 @@
     try:
         outcome = await _serve(cfg, create_process)
     except StopTimeoutError as exc:
-        _exit(EXIT_STOP_TIMEOUT, "cut", str(exc))
+        exits.end_process(EXIT_STOP_TIMEOUT, "cut", str(exc))
     except SettingsError as exc:
-        _exit(exits.USAGE_ERROR, "settings", str(exc))
-    except CatkinpinError as exc:
-        _exit(EXIT_STORAGE_ERROR, "storage", str(exc))
+        exits.end_process(exits.USAGE_ERROR, "settings", str(exc))
+    except StorageError as exc:
+        exits.end_process(EXIT_STORAGE_ERROR, "storage", str(exc))
     except Exception as exc:
-        _exit(EXIT_FAILED, "fault", startup.describe_fault(exc))
-    _exit(EXIT_OK, outcome, "")
-
-
-def _exit(code: int, outcome: str, reason: str) -> NoReturn:
-    """Writes a line about the end of the process, and exits."""
-    log.log(
-        logging.CRITICAL if code else logging.INFO,
-        "ended",
-        extra={"outcome": outcome, "code": code, "reason": reason},
-    )
-    logging.shutdown()
-    os._exit(code)
+        exits.end_process(EXIT_FAILED, "fault", tasks.brief(exc))
+    exits.end_process(EXIT_OK, outcome, "")
 
 
 async def _serve(
@@ -97,8 +84,8 @@
     loop = asyncio.get_running_loop()
     # The port comes first: while a predecessor has it, the data may change.
     await waiting.reserve_port(cfg.peer_listen)
-    process = await waiting.retry(
-        "the data folder", create_process, files.is_temporary
+    process = await startstop.create_when_possible(
+        "the data folder", create_process
     )
     # Until here, `startup` ends the process at a stop signal.
     stop = asyncio.Event()
@@ -106,8 +93,9 @@
     def handle_stop_signal() -> None:
         if stop.is_set():
             # A second signal means: don't wait for work in flight any longer.
-            log.error("second stop signal; exiting immediately")
-            os._exit(EXIT_FORCED_STOP)
+            exits.end_process(
+                EXIT_FORCED_STOP, "forced", "a second stop signal"
+            )
         stop.set()
 
     for signum in (signal.SIGTERM, signal.SIGINT):
@@ -120,22 +108,18 @@
         await process.stop()
         return "stopped"
     finally:
-        _ignore_signals(loop)
+        _ignore_signals()
 
 
-def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
-    """Ignores signals until the process has exited.
+def _ignore_signals() -> None:
+    """Makes signals harmless until the process has exited.
 
-    The event loop restores their default actions when it closes. A signal
-    during interpreter shutdown would make a clean stop look like a failure.
-    They are blocked meanwhile, as removing a handler also restores the default.
+    A signal would make a clean stop look like a failure. The handlers are
+    replaced, as removing one restores the default action for a moment, and not
+    by SIG_IGN, as the interpreter reports a pending signal that it ignores.
     """
-    signums = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    signal.pthread_sigmask(signal.SIG_BLOCK, signums)
-    for signum in signums:
-        loop.remove_signal_handler(signum)
-        signal.signal(signum, signal.SIG_IGN)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, signums)
+    for signum in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(signum, lambda *_: None)
 
 
 def _log_ignored_reload() -> None:
