Bound what a keeper remembers of announced servers

Anybody may announce servers. A leader kept the time and number of the last announcement under each id for ever, also of ends of servers that it never knew, and there was no bound on the servers known at once. It now forgets ids that are no server's, and refuses new ones with 503 beyond 16,384; the bound holds where announcements are proposed, so replicas of other builds agree.

--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -36,6 +36,8 @@
 
 
 _MAX_FAULT_TEXT = 300
+# Anybody may announce servers under ever new ids. More are refused.
+MAX_SERVERS = 16_384
 # The metrics have one line per account, for at most so many accounts.
 _MAX_EXPOSED_ACCOUNTS = 20
 
@@ -300,6 +302,9 @@
             # A keeper of an earlier release passes on whatever it gets.
             unusable.log_servers([instance])
             return None
+        known = self.state.fleet.servers
+        if instance.id not in known and len(known) >= MAX_SERVERS:
+            return Undecided("too many servers")
         self._last_announced_ms[instance.id] = self._clock.now_ms()
         if instance.state is ServerState.GONE:
             last_sequence = self._last_sequence.get(instance.id, 0)
@@ -331,8 +336,12 @@
         be given to another server.
         """
         now_ms = self._clock.now_ms()
+        known = self.state.fleet.servers
+        for times in (self._last_announced_ms, self._last_sequence):
+            for server in [one for one in times if one not in known]:
+                del times[server]
         lost = []
-        for instance in self.state.fleet.servers.values():
+        for instance in known.values():
             last_announced_ms = self._last_announced_ms.setdefault(
                 instance.id, now_ms
             )
