--- a/catkinpin/adapters/http/pool.py
+++ b/catkinpin/adapters/http/pool.py
@@ -196,6 +196,8 @@
             self._open_counts[address] = remaining
         else:
             self._open_counts.pop(address, None)
+            # All connections in it are closed.
+            self._idle.pop(address, None)
 
 
 async def _connect(host: str, port: int) -> ServerConnection:
--- a/tests/fakes/rawserver.py
+++ b/tests/fakes/rawserver.py
@@ -68,6 +68,7 @@
     Attributes:
         requests: the requests received so far.
         connections: number of connections accepted so far.
+        writers: writes to the callers of these connections.
         address: IP and port, empty before the start.
     """
 
@@ -81,6 +82,7 @@
         self._server: asyncio.Server | None = None
         self.requests: list[ReceivedRequest] = []
         self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
         self.address = ""
 
     async def start(self) -> None:
@@ -98,6 +100,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self.writers.append(writer)
         parser = _Parser()
         try:
             while data := await reader.read(65_536):
