--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -38,6 +38,8 @@
 _MAX_FAULT_TEXT = 300
 # Servers that are not known, of which announcements are remembered.
 _MAX_REMEMBERED = 1_000
+# Anybody may announce servers under ever new ids. More are refused.
+MAX_SERVERS = 16_384
 # The metrics have one line per account, for at most so many accounts.
 _MAX_EXPOSED_ACCOUNTS = 20
 
@@ -302,6 +304,9 @@
             # A keeper of an earlier release passes on whatever it gets.
             unusable.log_servers([instance])
             return None
+        known = self.state.fleet.servers
+        if instance.id not in known and len(known) >= MAX_SERVERS:
+            return Undecided("too many servers")
         self._last_announced_ms[instance.id] = self._clock.now_ms()
         if instance.state is ServerState.GONE:
             last_sequence = self._last_sequence.get(instance.id, 0)
@@ -334,8 +339,9 @@
         """
         now_ms = self._clock.now_ms()
         self._forget_removed()
+        known = self.state.fleet.servers
         lost = []
-        for instance in self.state.fleet.servers.values():
+        for instance in known.values():
             last_announced_ms = self._last_announced_ms.setdefault(
                 instance.id, now_ms
             )
