Take an entry's refusal by a server from its head alone

A server of the OpenAI interface that refused a request as not run, with a body that had no end or did not come, had the entry read 16 MB or wait; then the request counted as one that may have run, and was lost. Of an answer that is passed on to nobody an entry now reads at most 64 KB in 0.2 s, for its error message, and the refusal stands.

tests/test_endless_answers.py: both plays, with calls to models and services, failed before (no outcome within 1.5 s) and pass now.

--- a/catkinpin/adapters/entry/backends.py
+++ b/catkinpin/adapters/entry/backends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import enum
 import json
@@ -33,6 +34,8 @@
 _CANCEL_TIMEOUT_S = 2.0
 # A server may send bytes without end. Longer bodies are not read.
 _MAX_BODY_BYTES = 16 * 1024 * 1024
+_MAX_ERROR_BYTES = 64 * 1024
+_ERROR_TIMEOUT_S = 0.2
 
 
 class AttemptState(enum.Enum):
@@ -219,6 +222,23 @@
     return bytes(body)
 
 
+async def read_error_text(resp: ClientResponse) -> str:
+    """Reads the error message of an answer that is passed on to nobody.
+
+    A long or late rest is left unread: what the head says stands without it.
+    """
+    body = bytearray()
+    try:
+        async with asyncio.timeout(_ERROR_TIMEOUT_S):
+            async for data in resp.content.iter_any():
+                body += data
+                if len(body) > _MAX_ERROR_BYTES:
+                    break
+    except (*CONNECTION_ERRORS, TimeoutError) as exc:
+        log.debug("error message not read: %s", type(exc).__name__)
+    return error_text(bytes(body))
+
+
 def error_text(body: bytes) -> str:
     """Returns the error message in a server's answer, if possible from JSON."""
     try:
--- a/catkinpin/adapters/entry/modelcalls.py
+++ b/catkinpin/adapters/entry/modelcalls.py
@@ -207,7 +207,7 @@
         if backends.answers_other_attempt(self._grant, resp):
             raise BrokenStreamError("an answer to another attempt came")
         if backends.confirms_not_run(self._grant, resp):
-            text = backends.error_text(await backends.read_body(resp))
+            text = await backends.read_error_text(resp)
             return outcomes.not_run(self._grant, Reason.SERVER_REFUSED, text)
         if backends.is_other_incarnation(self._grant, resp) and not is_first:
             raise BrokenStreamError(
@@ -218,7 +218,7 @@
         if is_first and resp.status in _FINAL_STATUSES:
             answer = await backends.read_answer(resp)
             return outcomes.ran(self._grant, answer)
-        text = backends.error_text(await backends.read_body(resp))
+        text = await backends.read_error_text(resp)
         return outcomes.may_have_run(
             self._grant,
             Reason.SERVER_REFUSED,
--- a/catkinpin/adapters/entry/servicecalls.py
+++ b/catkinpin/adapters/entry/servicecalls.py
@@ -84,7 +84,7 @@
                 if backends.answers_other_attempt(self.grant, resp):
                     return None
                 if backends.confirms_not_run(self.grant, resp):
-                    text = backends.error_text(await backends.read_body(resp))
+                    text = await backends.read_error_text(resp)
                     return outcomes.not_run(
                         self.grant, Reason.SERVER_REFUSED, text
                     )
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,10 +8,17 @@
 
 import aiohttp
 
-from catkinpin.adapters.entry import backends
+from catkinpin.adapters.entry import (
+    backends,
+    modelcalls,
+    outgoing,
+    servicecalls,
+)
 from catkinpin.adapters.http import pool
 from catkinpin.core.control.routes import RouteKind
 from catkinpin.core.messages import CallKey, Granted, ServerRef
+from catkinpin.core.requests.pauses import GapEstimator
+from catkinpin.verdicts import Reason, Verdict
 from tests import base
 from tests.fakes.gatewayrig import Rig, encode_stream, stream_events
 from tests.fakes.rawserver import RawServer, sealed_answer
@@ -365,3 +372,59 @@
             b"Catkinpin-Attempt-State: done\r\n\r\n"
         )
         self._check(begin, b"x")
+
+    def test_refusal_with_a_body_without_end(self) -> None:
+        """Guards against a refusal that counts as a request that ran."""
+        self._check_refusals(b"Content-Length: 99000000000\r\n\r\n", b"x" * 999)
+
+    def test_refusal_whose_body_does_not_come(self) -> None:
+        """Guards against waiting for a refusal's body."""
+        self._check_refusals(b"Content-Length: 99000000000\r\n\r\n", b"")
+
+    def _check_refusals(self, fields: bytes, unit: bytes) -> None:
+        begin = b"HTTP/1.1 503 Full\r\nCatkinpin-Verdict: not-run\r\n" + fields
+
+        async def refuse(
+            _: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(begin)
+            while not writer.transport.is_closing():
+                writer.write(unit)
+                await writer.drain()
+                await asyncio.sleep(0)
+
+        async def scenario() -> None:
+            raw = RawServer(refuse)
+            await raw.start()
+            sessions = backends.BackendSessions(connect_timeout_s=1.0)
+            for call in _calls(sessions, f"http://{raw.address}"):
+                async with asyncio.timeout(2 * _EARLY_S):
+                    finish = await call.run()
+                self.assertEqual(Verdict.NOT_RUN, finish.verdict)
+                self.assertEqual(Reason.SERVER_REFUSED, finish.reason)
+            await sessions.close()
+            await raw.stop()
+
+        self.run_async(scenario())
+
+
+def _calls(
+    sessions: backends.BackendSessions, address: str
+) -> tuple[modelcalls.ModelCall, servicecalls.ServiceCall]:
+    """Returns a call to a model and one to a service at an address."""
+    grant = _granted(address)
+    req = outgoing.BackendRequest(
+        kind="model",
+        method="POST",
+        path="/v1/work",
+        headers=[],
+        body=b'{"messages":[]}',
+        deadline_ms=10_000,
+        traceparent="",
+    )
+    gaps = GapEstimator(5_000, 5_000)
+    model_call = modelcalls.ModelCall(
+        sessions, grant, req, {}, gaps, 5.0, lambda _: None
+    )
+    service_call = servicecalls.ServiceCall(sessions, grant, req, {}, 5.0)
+    return model_call, service_call
