Cut a model's stream that has no end at an entry

An entry kept the output of a stream, and the events that its caller had not read, for as long as the server sent them. Beyond 32 MB of events the attempt fails now, as one that may have run.

tests/test_endless_answers.py::EndlessBackendTest::test_stream_without_end had no outcome within 30 s before and passes now.

--- a/catkinpin/adapters/entry/modelcalls.py
+++ b/catkinpin/adapters/entry/modelcalls.py
@@ -27,6 +27,8 @@
 # The attempt fails after this many new connections in a row on which the server
 # sends no further token, because the server is probably hung.
 _MAX_EMPTY_RESUMES = 3
+# A server may send events without end. An event of one token has some 250 B.
+_MAX_STREAM_BYTES = 32 * 1024 * 1024
 _MS_PER_S = 1000
 # Error statuses that any other engine would return as well.
 _FINAL_STATUSES = frozenset({400, 404, 413, 422})
@@ -66,6 +68,7 @@
         self._offset = 0
         self._skipped_events = 0
         self._event_count = 0
+        self._received_bytes = 0
         # Events after the last token, such as the finish reason: number
         # received, and number that a resumed stream will repeat.
         self._trailing_count = 0
@@ -180,6 +183,11 @@
                             return outcomes.ran_stream(
                                 self._grant, self._assembler
                             )
+                        self._received_bytes += len(data)
+                        if self._received_bytes > _MAX_STREAM_BYTES:
+                            return self._server_failed(
+                                "a stream without an end", crashed=False
+                            )
                         self._handle_event(data)
                         timer.reschedule(_now() + self._silence_timeout_s())
                 raise BrokenStreamError("the stream ended early")
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -32,6 +32,7 @@
 _MAX_SENT_BYTES = 24 * 1024 * 1024
 _MAX_GROWTH_KB = 64 * 1024
 _UNIT_BYTES = 16_384
+_STREAM_LIMIT_S = 30.0
 _HEAD = b"HTTP/1.1 200 OK\r\n"
 
 
@@ -407,6 +408,32 @@
 
         self.run_async(scenario())
 
+    def test_stream_without_end(self) -> None:
+        """Guards against an output that is kept until memory is full."""
+        chunk = b'{"choices":[{"delta":{"content":"' + b"x" * 9_000 + b'"}}]}'
+        server = _EndlessServer(
+            _HEAD + b"Content-Type: text/event-stream\r\n\r\n",
+            b"data: " + chunk + b"\n\n",
+        )
+
+        async def scenario() -> None:
+            raw = RawServer(server.answer)
+            await raw.start()
+            sessions = backends.BackendSessions(connect_timeout_s=1.0)
+            model_call, _ = _calls(sessions, f"http://{raw.address}")
+            before_kb = _peak_kb()
+            finish = await model_call.run()
+            self.assertEqual(Verdict.MAY_HAVE_RUN, finish.verdict)
+            self.assertEqual(Reason.SERVER_FAILED, finish.reason)
+            self.assertLess(_peak_kb() - before_kb, 4 * _MAX_GROWTH_KB)
+            await sessions.close()
+            await raw.stop()
+
+        async def bounded() -> None:
+            await asyncio.wait_for(scenario(), _STREAM_LIMIT_S)
+
+        self.run_async(bounded())
+
 
 def _calls(
     sessions: backends.BackendSessions, address: str
