--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -40,9 +40,9 @@
 _FAILED_RETRY_AFTER_S = 0.15
 _INTERNAL_ERROR = "an internal error"
 _MAX_ID_LENGTH = 64
-# A stopping gateway accepts a request only if this multiple of its expected
-# time, and at least the minimum, is left before the stop. Callers whose
-# requests would end in time are still served.
+# A stopping gateway accepts an idempotent request only if this multiple of its
+# expected time, and at least the minimum, is left before the stop. Callers
+# whose requests would end in time are still served.
 _STOPPING_TIME_FACTOR = 6.0
 _MIN_STOPPING_TIME_S = 2.5
 # The same while the load balancer may not know that the gateway stops.
@@ -301,6 +301,9 @@
         if self.stop_deadline_s is None:
             # The load balancer still sends new requests here.
             return _WAITING_TIME_FACTOR * expected_s > left_s
+        if state.route.kind is not RouteKind.IDEMPOTENT:
+            # Its caller may not send it again after a failure.
+            return True
         required_s = max(
             _MIN_STOPPING_TIME_S, _STOPPING_TIME_FACTOR * expected_s
         )
