Wait in tests for the handlers of both stop signals

A test slept 0.5 s before its signal, which a slow machine's start may exceed. SIGINT's handler is now set first, so that a handler of SIGTERM, which Python sets none for, means that both are there; the tests wait for that.

--- a/catkinpin/startup.py
+++ b/catkinpin/startup.py
@@ -40,7 +40,7 @@
 RETRY_INTERVAL_S = 0.05
 WAIT_LINE_INTERVAL_S = 5.0
 
-_STOP_SIGNALS = {_signal.SIGTERM: "SIGTERM", _signal.SIGINT: "SIGINT"}
+_STOP_SIGNALS = {_signal.SIGINT: "SIGINT", _signal.SIGTERM: "SIGTERM"}
 
 
 def handle_signals(out_fd: int = STDOUT_FD) -> None:
--- a/tests/test_startorder.py
+++ b/tests/test_startorder.py
@@ -4,19 +4,18 @@
 
 import asyncio
 import contextlib
-import pathlib
 import random
-import re
 import signal
 import socket
 from typing import TYPE_CHECKING
 
 from catkinpin.adapters.peers import keepers
 from catkinpin.adapters.replica import mesh
-from tests import base, hellos
+from tests import base, hellos, test_starts
 from tests.fakes import deployment
 
 if TYPE_CHECKING:
+    import pathlib
     import subprocess
     from collections.abc import Iterator
 
@@ -102,16 +101,9 @@
         return found
 
 
-def _handles_stops(process: subprocess.Popen[bytes]) -> bool:
-    """Returns whether a process's own code handles SIGTERM."""
-    text = pathlib.Path(f"/proc/{process.pid}/status").read_text()
-    (mask,) = re.findall("SigCgt:\\s+(\\w+)", text)
-    return bool(int(mask, 16) & 1 << (signal.SIGTERM - 1))
-
-
 async def _wait_for_handlers(process: subprocess.Popen[bytes]) -> None:
     async with asyncio.timeout(_STOP_S):
-        while not _handles_stops(process):
+        while not test_starts.handles_stops(process):
             await asyncio.sleep(0.001)
 
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import random
+import re
 import shlex
 import signal
 import socket
@@ -122,16 +123,8 @@
         )
 
     def wait_for_handlers(self) -> None:
-        """Waits until the process's own code handles SIGTERM."""
-        path = pathlib.Path(f"/proc/{self.popen.pid}/status")
-        mask = 1 << (signal.SIGTERM - 1)
-        for _ in range(int(_TIMEOUT_S / 0.001)):
-            for line in path.read_text().splitlines():
-                name, _, value = line.partition(":")
-                if name == "SigCgt" and int(value, 16) & mask:
-                    return
-            time.sleep(0.001)
-        raise AssertionError("no handler")
+        """Waits until the process's own code handles stop signals."""
+        wait_for_handlers(self.popen)
 
     def end(self) -> None:
         """Kills the process if it still runs."""
@@ -140,6 +133,23 @@
         self.popen.wait()
 
 
+def handles_stops(process: subprocess.Popen[bytes]) -> bool:
+    """Returns whether a process's own code handles SIGTERM and SIGINT."""
+    text = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    (caught,) = re.findall(r"SigCgt:\s+(\w+)", text)
+    mask = sum(1 << (signum - 1) for signum in _STOP_SIGNALS)
+    return int(caught, 16) & mask == mask
+
+
+def wait_for_handlers(process: subprocess.Popen[bytes]) -> None:
+    """Waits until a process's own code handles stop signals."""
+    end_s = time.monotonic() + _TIMEOUT_S
+    while not handles_stops(process):
+        if time.monotonic() > end_s:
+            raise AssertionError("no handlers")
+        time.sleep(0.001)
+
+
 class _StartCase(base.TestCase):
     """Starts processes on loopback addresses."""
 
@@ -425,7 +435,8 @@
             stderr=writer,
         )
         self.addCleanup(popen.kill)
-        time.sleep(0.5)
+        wait_for_handlers(popen)
+        time.sleep(0.2)
         self.assertIsNone(popen.poll())
         popen.terminate()
         self.assertEqual(0, popen.wait(_TIMEOUT_S))
