Read or refuse any data folder, and notice a lost segment

A foreign file such as log/x.segment, or a folder in the place of a file, ended a start with a traceback, as did an identity file nested deeply. A lost segment before one that holds no entries yet was not noticed: the replica started without entries that it had acknowledged. A flipped bit in a file of turns lost all later turns of the file, and a tail of zero bytes counted as a turn without a name, so that the file was never removed.

Each segment begins with the index of the last entry (a field with a default, which earlier builds skip), and a start is refused if that entry is neither there nor covered by the base. A turn that fails its checksum is counted in the log, and those after it are kept. Storage closes its files if it can't read them.

--- a/catkinpin/adapters/disk/files.py
+++ b/catkinpin/adapters/disk/files.py
@@ -4,7 +4,9 @@
 
 import dataclasses
 import errno
+import logging
 import os
+import re
 from typing import TYPE_CHECKING
 
 from catkinpin.exceptions import DiskFullError, StorageError
@@ -14,6 +16,9 @@
     from collections.abc import Callable
 
 
+log = logging.getLogger(__name__)
+
+_NUMBER = re.compile(r"[0-9]{1,18}")
 _DISK_FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT)
 
 
@@ -53,6 +58,18 @@
         raise StorageError(f"{folder}: {exc.strerror}") from exc
 
 
+def numbered_files(folder: pathlib.Path, suffix: str) -> list[pathlib.Path]:
+    """Returns the files with numbers for names, in the order of the names.
+
+    Others are foreign. They are logged and stay as they are.
+    """
+    paths = sorted(folder.glob(f"*{suffix}"))
+    foreign = [path for path in paths if not _NUMBER.fullmatch(path.stem)]
+    if foreign:
+        log.warning("ignoring %d foreign files in %s", len(foreign), folder)
+    return [path for path in paths if path not in foreign]
+
+
 def sync_folder(ops: FileOps, folder: pathlib.Path) -> None:
     """Syncs a folder; otherwise a crash could lose a new file's name."""
     fd = os.open(folder, os.O_RDONLY)
--- a/catkinpin/adapters/disk/grouplog.py
+++ b/catkinpin/adapters/disk/grouplog.py
@@ -217,6 +217,7 @@
                 base=self.base,
                 base_term=self.base_term,
                 members=self.members,
+                last=self.last,
             )
         )
 
@@ -314,6 +315,8 @@
         self.log = log
         self._positions_before_base: dict[int, int] = {}
         self._has_gap = False
+        # Last entry that a removed segment held, 0 for none.
+        self._missing_up_to = 0
 
     def replay(self, record: Record) -> None:
         """Applies the next record."""
@@ -340,6 +343,10 @@
         log = self.log
         if self._has_gap:
             raise DamagedLogError(_missing_message(log.name, log.base))
+        if self._missing_up_to > log.base:
+            raise DamagedLogError(
+                _missing_message(log.name, self._missing_up_to)
+            )
         snapshot = log.load_snapshot()
         if snapshot is None:
             return
@@ -359,15 +366,20 @@
             log._positions = array.array("Q")
             log.base = record.index - 1
             self._has_gap = True
+        # An entry that follows what was read replaces all that was missing.
+        self._missing_up_to = 0
         del log._positions[record.index - log.base - 1 :]
         log._positions.append(record.position)
 
     def _replay_base(self, base: Base) -> None:
         log = self.log
+        if base.last > max(log.last, base.base):
+            self._missing_up_to = base.last
         if self._has_gap and base.base < log.base:
             return
         self._has_gap = False
         if base.drops_tail:
+            self._missing_up_to = 0
             log._positions = array.array("Q")
         dropped_count = max(0, base.base - log.base)
         for offset, position in enumerate(log._positions[:dropped_count]):
--- a/catkinpin/adapters/disk/logrecords.py
+++ b/catkinpin/adapters/disk/logrecords.py
@@ -69,6 +69,7 @@
         base_term: term of the entry at `base`.
         members: the members as of `base`.
         drops_tail: whether the entries after `base` are removed as well.
+        last: index of the last entry, 0 if it isn't stated.
     """
 
     snapshot: int
@@ -76,6 +77,7 @@
     base_term: int
     members: Members
     drops_tail: bool = False
+    last: int = 0
 
 
 base_decoder = codec.decoder(Base)
--- a/catkinpin/adapters/disk/segments.py
+++ b/catkinpin/adapters/disk/segments.py
@@ -67,7 +67,10 @@
         self.size = 0
         self._ops = ops
         flags = os.O_RDWR | (os.O_CREAT if create else 0)
-        self.fd = os.open(path, flags, 0o600)
+        try:
+            self.fd = os.open(path, flags, 0o600)
+        except OSError as exc:
+            raise files.write_error(path, exc) from exc
         if create:
             self._write_file_header()
 
--- a/catkinpin/adapters/disk/snapshots.py
+++ b/catkinpin/adapters/disk/snapshots.py
@@ -148,6 +148,8 @@
         raise DamagedLogError(
             f"{path}: the log needs this snapshot and it is gone"
         ) from exc
+    except OSError as exc:
+        raise StorageError(f"{path}: {exc}") from exc
     return decode(content, str(path))
 
 
@@ -161,5 +163,5 @@
     """
     kept_path = snapshot_path(folder, group, index)
     for path in folder.glob(f"{group}-*.snapshot*"):
-        if path != kept_path:
+        if path != kept_path and not path.is_dir():
             path.unlink()
--- a/catkinpin/adapters/disk/storage.py
+++ b/catkinpin/adapters/disk/storage.py
@@ -80,7 +80,11 @@
         files.sync_folder(self.ops, folder)
         self._lock_fd = _lock_folder(folder)
         self._groups: dict[str, GroupLog] = {}
-        self._recover()
+        try:
+            self._recover()
+        except Exception:
+            self.close()
+            raise
 
     def group_log(self, name: str) -> GroupLog:
         """Returns the log of a group; creates it if there is none."""
@@ -295,7 +299,7 @@
         self._sync_active()
 
     def _recover(self) -> None:
-        paths = sorted(self._log_folder.glob("*.segment"))
+        paths = files.numbered_files(self._log_folder, ".segment")
         if not paths:
             self._start_segment()
             return
@@ -345,7 +349,10 @@
 
 def _lock_folder(folder: pathlib.Path) -> int:
     """Locks the folder, since two processes would destroy the log."""
-    fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fd = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+    except OSError as exc:
+        raise StorageError(f"{folder}: {exc}") from exc
     try:
         fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except OSError as exc:
--- a/catkinpin/adapters/disk/turnbytes.py
+++ b/catkinpin/adapters/disk/turnbytes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import struct
 import zlib
@@ -20,6 +21,8 @@
     import pathlib
     from collections.abc import Iterable
 
+log = logging.getLogger(__name__)
+
 # A file is removed once none of its turns is needed. Small files are removed
 # sooner, but each file costs a descriptor.
 _MAX_FILE_BYTES = 4 * 1024 * 1024
@@ -55,8 +58,11 @@
         self._active_size = 0
         self._has_unsynced_writes = False
         files.make_folder(folder)
-        for path in sorted(folder.glob("*.turns")):
-            self._recover(path)
+        for path in files.numbered_files(folder, ".turns"):
+            try:
+                self._recover(path)
+            except (OSError, UnicodeDecodeError) as exc:
+                raise StorageError(f"{path}: {exc}") from exc
         self._start_file()
 
     def __contains__(self, attempt: str) -> bool:
@@ -157,25 +163,34 @@
         self._active_size = 0
 
     def _recover(self, path: pathlib.Path) -> None:
-        """Reads a file up to the first invalid record.
+        """Reads the valid records of a file.
 
-        A power loss may leave a torn tail. Acknowledged records were synced, so
-        they are before it.
+        A power loss may leave a torn tail. A record before it that fails its
+        checksum is lost here; another host has a copy.
         """
         number = int(path.stem)
         self._fds[number] = os.open(path, os.O_RDWR)
         self._live_counts[number] = 0
         content = path.read_bytes()
         offset = 0
+        damaged_count = torn_count = 0
         while offset + _HEADER.size <= len(content):
             name_size, size, crc = _HEADER.unpack_from(content, offset)
             start = offset + _HEADER.size
             end = start + name_size + size
-            if end > len(content) or zlib.crc32(content[start:end]) != crc:
+            if end > len(content) or not name_size:
                 break
+            if zlib.crc32(content[start:end]) != crc:
+                torn_count += 1
+                offset = end
+                continue
+            damaged_count += torn_count
+            torn_count = 0
             name = content[start : start + name_size].decode()
             self._add_location(name, _Location(number, start + name_size, size))
             offset = end
+        if damaged_count:
+            log.warning("%s: %d turns are damaged", path, damaged_count)
         # A killed process may have written records without a sync. A power
         # loss could still erase them, though this process offers them.
         os.fdatasync(self._fds[number])
--- a/catkinpin/adapters/replica/identity.py
+++ b/catkinpin/adapters/replica/identity.py
@@ -129,7 +129,7 @@
                     f" knows only version {VERSION}"
                 )
             return msgspec.json.decode(content, type=_IdentityFile)
-        except (OSError, msgspec.DecodeError, AttributeError) as exc:
+        except (OSError, ValueError, AttributeError, RecursionError) as exc:
             raise StorageError(f"{self._path}: {exc}") from exc
 
     def _write(self) -> None:
--- a/tests/fuzzpeers.py
+++ b/tests/fuzzpeers.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
+import array
+import pathlib
 import random
+import tempfile
 from typing import Any
 
 import msgspec
 from msgspec import inspect
 
 from catkinpin import codec
+from catkinpin.adapters.disk import files, snapshots
+from catkinpin.adapters.disk.storage import Storage
+from catkinpin.adapters.disk.turnbytes import TurnBytes
+from catkinpin.adapters.replica.identity import Identity
+from catkinpin.core.consensus.log import LogIndex, encode_members
+from catkinpin.core.consensus.messages import Entry, EntryKind, Member, Members
 from catkinpin.core.control import state as control
 from catkinpin.core.operations import changes, snapshot
 from catkinpin.core.operations.control import ControlState
 from catkinpin.core.programs import records, shard
+from catkinpin.exceptions import StorageError
 
 _INTS = [0, 1, -1, 2, 5, 1_000, 2**31, 2**53, 2**62, -(2**62), 2**63, -(2**63)]
 _HUGE = 2**64 - 1
@@ -90,16 +100,113 @@
 
 
 def fuzz(seed: int) -> None:
-    """Applies drawn records to each state machine, with snapshots between.
+    """Applies drawn records to each state machine, and damages a folder.
 
     Raises:
-        Exception: a record or a snapshot failed.
+        Exception: a record, a snapshot or a start failed.
     """
     rng = random.Random(seed)
     drawer = Drawer(rng)
     _play_control(rng, drawer)
     _play_operations(rng, drawer)
     _play_shard(rng, drawer)
+    with tempfile.TemporaryDirectory(prefix="catkinpin-") as folder:
+        fuzz_folder(seed, pathlib.Path(folder) / "data")
+
+
+def fuzz_folder(seed: int, folder: pathlib.Path) -> str:
+    """Damages one file of a data folder at random, and reads the folder.
+
+    Args:
+        seed: random seed.
+        folder: a new folder.
+
+    Returns:
+        What was done, and what became of it: "refused" with a `StorageError`,
+        or the last entry of the log and the number of turns.
+    """
+    rng = random.Random(seed)
+    write_folder(folder)
+    paths = [p for p in folder.rglob("*") if p.is_file() and p.name != "lock"]
+    path = rng.choice(sorted(paths))
+    damage = rng.choice(["cut", "zero", "flip", "junk", "folder", "foreign"])
+    data = bytearray(path.read_bytes())
+    offset = rng.randrange(len(data) + 1)
+    match damage:
+        case "cut":
+            data = data[:offset]
+        case "zero":
+            data[offset:] = bytes(len(data) - offset)
+        case "flip":
+            data[offset - 1] ^= 1 << rng.randrange(8)
+        case "junk":
+            data = bytearray(rng.randbytes(offset))
+        case "folder":
+            path.unlink()
+            path.mkdir()
+        case "foreign":
+            path = path.with_stem(rng.choice(["x", "-1", "\u00b2", " 1"]))
+    if not path.is_dir():
+        path.write_bytes(data)
+    try:
+        result = str(read_folder(folder))
+    except StorageError:
+        result = "refused"
+    return f"{path.name} {damage}: {result}"
+
+
+def write_folder(folder: pathlib.Path, record_bytes: int = 30) -> None:
+    """Writes a log of 20 entries, a snapshot, an identity and 5 turns."""
+    storage = Storage(folder, segment_bytes=600)
+    Identity(folder, files.FileOps())
+    log = storage.group_log("control")
+    log.save_state(2, "n1", led=True)
+    members = Members(members=[Member(node="n1", address="127.0.0.1:1")])
+    first = Entry(1, 2, EntryKind.MEMBERS, encode_members(members))
+    for index in range(1, 21):
+        entry = Entry(index, 2, EntryKind.DATA, bytes(record_bytes))
+        log.append([first if index == 1 else entry])
+        storage.sync()
+    description = snapshots.Description(
+        group="control",
+        index=15,
+        term=2,
+        members=members,
+        referenced=snapshots.pack_indexes(array.array("Q", [3, 12])),
+    )
+    snapshot = snapshots.Snapshot(description, b"state")
+    log.save_snapshot(snapshot, 10, 2, members)
+    storage.remove_unneeded_segments()
+    storage.close()
+    turns = TurnBytes(folder / "turns")
+    for number in range(5):
+        turns.add(f"a{number}", b"x" * 50)
+    turns.sync()
+    turns.close()
+
+
+def read_folder(folder: pathlib.Path) -> tuple[int, int]:
+    """Returns the last entry of the log, and the number of turns.
+
+    Raises:
+        StorageError: the folder is damaged.
+    """
+    storage = Storage(folder, segment_bytes=600)
+    try:
+        Identity(folder, files.FileOps())
+        log = storage.group_log("control")
+        log.load_snapshot()
+        stored = log.stored_state(Members())
+        index = LogIndex(stored.base, stored.base_term, stored.members)
+        for entry in stored.entries:
+            index.append(entry)
+        storage.sync()
+    finally:
+        storage.close()
+    turns = TurnBytes(folder / "turns")
+    count = len(turns.attempts())
+    turns.close()
+    return index.last, count
 
 
 def _play_control(rng: random.Random, drawer: Drawer) -> None:
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -2,20 +2,26 @@
 
 from __future__ import annotations
 
+import shutil
 import threading
 from typing import Any
 
 import msgspec
 
 from catkinpin import codec
+from catkinpin.adapters.disk.files import FileOps
+from catkinpin.adapters.disk.turnbytes import TurnBytes
 from catkinpin.adapters.keeper.asks import AskHandler
+from catkinpin.adapters.replica.identity import Identity
 from catkinpin.core.control import ledger, protocol, state
 from catkinpin.core.control.stores import Store
+from catkinpin.exceptions import StorageError
 from tests import base, fuzzpeers
 
 _SEEDS = 40
 _TIMEOUT_S = 20.0
 _HUGE = 2**64 - 1
+_FOLDERS = 150
 
 
 class CommittedRecordTest(base.TestCase):
@@ -146,3 +152,60 @@
         for message in odd:
             (reply,) = self._ask(message)
             self.assertIsInstance(reply, protocol.Refused)
+
+
+class DataFolderTest(base.TestCase):
+    """Files that another program, or a failing disk, has changed."""
+
+    def test_damaged_folder_is_read_or_refused(self) -> None:
+        """Guards against a traceback at a start, and against silent loss."""
+        for seed in range(_FOLDERS):
+            result = fuzzpeers.fuzz_folder(seed, self.folder / str(seed))
+            what, _, outcome = result.partition(": ")
+            if outcome != "refused" and ".turns" not in what:
+                self.assertIn("(20, ", outcome, f"seed {seed}: {what}")
+
+    def test_foreign_names(self) -> None:
+        """Guards against a foreign file that prevents a start."""
+        fuzzpeers.write_folder(self.folder / "data")
+        for name in ("log/x.segment", "log/\u00b2.segment", "turns/x.turns"):
+            (self.folder / "data" / name).write_bytes(b"x")
+        (self.folder / "data/log/y.segment").mkdir()
+        self.assertEqual((20, 5), fuzzpeers.read_folder(self.folder / "data"))
+
+    def test_lost_segment_is_noticed(self) -> None:
+        """Guards against a replica that forgets what it acknowledged."""
+        for record_bytes in range(5, 40):
+            folder = self.folder / str(record_bytes)
+            fuzzpeers.write_folder(folder, record_bytes)
+            *older, _ = sorted((folder / "log").glob("*.segment"))
+            for path in older:
+                copied = folder.with_name(f"{record_bytes} {path.stem}")
+                shutil.copytree(folder, copied)
+                (copied / "log" / path.name).unlink()
+                self.assertRaises(StorageError, fuzzpeers.read_folder, copied)
+
+    def test_deep_identity(self) -> None:
+        """Guards against a traceback instead of one line."""
+        fuzzpeers.write_folder(self.folder / "data")
+        path = self.folder / "data/identity.json"
+        contents = (b'{"version":' + b"[" * 50_000, b"[]", b"", b"\0" * 9)
+        for content in contents:
+            path.write_bytes(content)
+            self.assertRaises(StorageError, Identity, path.parent, FileOps())
+
+    def test_damaged_turn_costs_no_other(self) -> None:
+        """Guards against a flipped bit that loses all later turns."""
+        turns = TurnBytes(self.folder / "turns")
+        for number in range(5):
+            turns.add(f"a{number}", b"%d" % number * 50)
+        turns.sync()
+        turns.close()
+        (path,) = (self.folder / "turns").glob("*.turns")
+        content = bytearray(path.read_bytes())
+        content[content.index(b"1" * 50)] ^= 1
+        path.write_bytes(content + bytes(100))
+        turns = TurnBytes(self.folder / "turns")
+        self.assertEqual(["a0", "a2", "a3", "a4"], turns.attempts())
+        self.assertEqual(b"4" * 50, turns.read("a4"))
+        turns.close()
