Bound the bodies that a process holds, and let refusals arrive

Many callers that sent large bodies slowly, each within its limit, could fill a process's memory together. Beyond 48 MB of all bodies that are read or whose requests run, bodies over 64 KB are refused with 503; smaller ones are served.

A caller that was refused while it still sent lost the answer: the connection was closed with unread bytes, so it was reset. The server now ends its side and discards what comes, for at most a second and 8 MB, before it closes.

tests/test_endless_callers.py::test_large_bodies_of_many_slow_callers refused none of 30 callers before, and test_caller_that_still_sends_gets_its_refusal got a reset in place of 413; both pass now.

--- a/catkinpin/adapters/http/requestparser.py
+++ b/catkinpin/adapters/http/requestparser.py
@@ -18,6 +18,10 @@
 # framing: a chunk of one byte takes six.
 _MAX_OTHER_BYTES = 32 * 1024
 _MAX_FRAMING_FACTOR = 8
+# Many callers may send large bodies at once, and slowly. Beyond this size of
+# all, bodies that are larger than a small one are refused.
+_MAX_HELD_BYTES = 48 * 1024 * 1024
+_SMALL_BODY_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass
@@ -52,6 +56,35 @@
         self.status = status
 
 
+class BodyMemory:
+    """Counts the bodies that a process holds for its callers' requests."""
+
+    def __init__(self) -> None:
+        self._held_bytes = 0
+
+    def add(self, size: int, body_bytes: int) -> None:
+        """Adds a part of a body.
+
+        Args:
+            size: size of the part.
+            body_bytes: size of the body with this part.
+
+        Raises:
+            TooLargeError: there is no room for more of this body.
+        """
+        self._held_bytes += size
+        is_large = body_bytes > _SMALL_BODY_BYTES
+        if is_large and self._held_bytes > _MAX_HELD_BYTES:
+            raise TooLargeError(503)
+
+    def release(self, size: int) -> None:
+        """Removes a body, or the part of it that was received."""
+        self._held_bytes -= size
+
+
+bodies = BodyMemory()
+
+
 class RequestParser:
     """Parses the requests of one connection.
 
@@ -77,6 +110,7 @@
         self._on_request = on_request
         self._parser = httptools.HttpRequestParser(self)
         self._received_bytes = 0
+        self.body = bytearray()
         self._begin_request()
 
     def feed(self, data: bytes) -> None:
@@ -100,6 +134,11 @@
         if self._received_bytes - len(self.body) > limit:
             raise TooLargeError(431)
 
+    def release(self) -> None:
+        """Drops the request that is not complete."""
+        bodies.release(len(self.body))
+        self.body = bytearray()
+
     @property
     def method(self) -> bytes:
         """The method of the last request."""
@@ -147,6 +186,7 @@
     def on_body(self, data: bytes) -> None:
         """Adds a part of the body."""
         self.body += data
+        bodies.add(len(data), len(self.body))
         if len(self.body) > self._limits().body_bytes:
             raise TooLargeError(413)
 
--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -19,8 +19,9 @@
     RequestParser,
     ServerLimits,
     TooLargeError,
+    bodies,
 )
-from catkinpin.adapters.http.timers import Timer, UnreadTimer
+from catkinpin.adapters.http.timers import LingeringClose, Timer, UnreadTimer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -224,7 +225,6 @@
         self._pipelined: list[Request] = []
         self._task: asyncio.Task[None] | None = None
         self._current: Request | None = None
-        # Runs while a request is read.
         self._read_timer = Timer()
         # Runs while none is read or answered.
         self._idle_timer = Timer()
@@ -237,6 +237,7 @@
         self._drained = asyncio.Event()
         self._drained.set()
         self._refused = False
+        self._linger = LingeringClose(self.close)
         self.closed = False
         self.close_after = server.closing
         self._reading = False
@@ -266,16 +267,19 @@
         self._read_timer.cancel()
         self._idle_timer.cancel()
         self._unread_timer.cancel()
+        self._linger.cancel()
         if self._current is not None:
             self._current.disconnected.set()
+        self._parser.release()
         for request in self._pipelined:
+            bodies.release(len(request.body))
             request.disconnected.set()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
         if self._refused:
-            return
-        if self._unparsed:
+            self._linger.discard(len(data))
+        elif self._unparsed:
             self._unparsed += data
         else:
             self._parse(data)
@@ -396,6 +400,7 @@
         except Exception:
             log.exception("a request failed")
         self._current = None
+        bodies.release(len(request.body))
         if responder.finished:
             # Otherwise answers that nobody reads would fill the memory.
             await self._wait_until_read()
@@ -432,7 +437,8 @@
         self.close_after = True
         if self._task is None and not self.closed:
             Responder(self, "1.1").answer(status, headers)
-            self.close()
+            self._transport.write_eof()
+            self._linger.start()
 
     def _start_idle_timer(self) -> None:
         self._idle_timer.start(
--- a/catkinpin/adapters/http/timers.py
+++ b/catkinpin/adapters/http/timers.py
@@ -1,4 +1,4 @@
-"""A timer of the event loop that can be started again."""
+"""Timers of connections."""
 
 from __future__ import annotations
 
@@ -8,6 +8,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# Longest wait for a caller that still sends a request that is refused, and most
+# bytes read of it.
+_LINGER_S = 1.0
+_MAX_LINGER_BYTES = 8 * 1024 * 1024
+
 
 class Timer:
     """Calls a function after a time, unless it is cancelled or restarted."""
@@ -63,3 +68,33 @@
             self._on_unread()
         else:
             self.start()
+
+
+class LingeringClose:
+    """Closes a connection a while after its last answer was written.
+
+    If it were closed while its caller still sends, the caller's system would
+    drop the answer.
+
+    Args:
+        close: closes the connection.
+    """
+
+    def __init__(self, close: Callable[[], None]) -> None:
+        self._close = close
+        self._timer = Timer()
+        self._discarded_bytes = 0
+
+    def start(self) -> None:
+        """Begins to wait until the caller has stopped to send."""
+        self._timer.start(_LINGER_S, self._close)
+
+    def discard(self, size: int) -> None:
+        """Counts bytes that the caller sent meanwhile."""
+        self._discarded_bytes += size
+        if self._discarded_bytes > _MAX_LINGER_BYTES:
+            self._close()
+
+    def cancel(self) -> None:
+        """Ends the wait, as the connection is closed."""
+        self._timer.cancel()
--- a/tests/test_endless_callers.py
+++ b/tests/test_endless_callers.py
@@ -223,6 +223,64 @@
 
         self._serve(work, handle, idle_timeout_s=0.5)
 
+    def test_caller_that_still_sends_gets_its_refusal(self) -> None:
+        """Guards against a refusal that is lost as the connection is reset."""
+
+        async def work(server: HttpServer, address: str) -> None:
+            body = b"x" * 5_000_000
+            for _ in range(5):
+                host, port = address.split(":")
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(_HEAD + b"Content-Length: 5000000\r\n\r\n")
+                writer.write(body)
+                await asyncio.sleep(0.1)
+                self.assertIn(b" 413 ", await reader.read())
+                writer.close()
+            while server.connections:
+                await asyncio.sleep(0.01)
+
+        self._serve(work)
+
+    def test_large_bodies_of_many_slow_callers(self) -> None:
+        """Guards against bodies, each within its limit, that fill the memory.
+
+        Callers with small requests are served beside them, and later, once
+        the others have left, those with large ones.
+        """
+        part = b"x" * 3_500_000
+
+        async def send_part(address: str) -> asyncio.StreamReader:
+            host, port = address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(_HEAD + b"Content-Length: 4000000\r\n\r\n" + part)
+            writers.append(writer)
+            return reader
+
+        writers: list[asyncio.StreamWriter] = []
+
+        async def work(server: HttpServer, address: str) -> None:
+            readers = [await send_part(address) for _ in range(30)]
+            await asyncio.sleep(0.5)
+            small = _HEAD + b"Content-Length: 9\r\nConnection: close\r\n\r\n"
+            self.assertIn(b" 200 ", await _ask(address, small + b"x" * 9))
+            refused = []
+            for reader in readers:
+                with contextlib.suppress(ConnectionError, TimeoutError):
+                    async with asyncio.timeout(0.02):
+                        refused.append((await reader.read(999))[9:12])
+            self.assertGreater(len(refused), 10)
+            self.assertEqual({b"503"}, {status for status in refused if status})
+            for writer in writers:
+                writer.transport.abort()
+            while server.connections:
+                await asyncio.sleep(0.01)
+            large = _HEAD + b"Content-Length: 3500000\r\nConnection: close"
+            for _ in range(30):
+                answer = await _ask(address, large + b"\r\n\r\n" + part)
+                self.assertIn(b" 200 ", answer)
+
+        self._serve(work)
+
 
 async def _answer_late(_: Request, responder: Responder) -> None:
     await asyncio.sleep(0.1)
