--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -36,6 +36,8 @@
 
 
 _MAX_FAULT_TEXT = 300
+# Servers that are not known, of which announcements are remembered.
+_MAX_REMEMBERED = 1_000
 # Anybody may announce servers under ever new ids. More are refused.
 MAX_SERVERS = 16_384
 # The metrics have one line per account, for at most so many accounts.
@@ -336,10 +338,8 @@
         be given to another server.
         """
         now_ms = self._clock.now_ms()
+        self._forget_removed()
         known = self.state.fleet.servers
-        for times in (self._last_announced_ms, self._last_sequence):
-            for server in [one for one in times if one not in known]:
-                del times[server]
         lost = []
         for instance in known.values():
             last_announced_ms = self._last_announced_ms.setdefault(
@@ -360,6 +360,15 @@
                 )
         return lost
 
+    def _forget_removed(self) -> None:
+        """Forgets when servers announced themselves that are not known."""
+        known = self.state.fleet.servers
+        if len(self._last_announced_ms) <= len(known) + _MAX_REMEMBERED:
+            return
+        for noted in (self._last_announced_ms, self._last_sequence):
+            for server in [s for s in noted if s not in known]:
+                del noted[server]
+
     def _fail_pending(self, reason: str) -> None:
         for pending in self._pending.values():
             if not pending.fut.done():
--- a/catkinpin/adapters/peers/borders.py
+++ b/catkinpin/adapters/peers/borders.py
@@ -81,7 +81,7 @@
         except DECODE_ERRORS:
             batch = self._decode_each(data, peer)
         if codec.may_have_odd_number(data):
-            batch = [m for m in batch if not _has_odd_number(m, peer)]
+            batch = [m for m in batch if not _is_refused(m, peer)]
         return batch
 
     def _decode_each(self, data: bytes, peer: str) -> list[Any]:
@@ -106,8 +106,8 @@
         return batch
 
 
-def _has_odd_number(message: Any, peer: str) -> bool:
-    if not codec.has_odd_number(message):
+def _is_refused(message: Any, peer: str) -> bool:
+    if not codec.must_be_refused(message):
         return False
     log.warning(
         "%s with a number out of range refused",
