Bound the limits for callers that a manifest sets

A manifest may set max_header_bytes, max_body_bytes and the timeouts to any number, and a gateway let callers use them in full. It now applies at most 256 KB, 32 MB and 120 s; the usual limits stay as they are set. The tests call the new function; there is no run of them on the code before.

--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -38,6 +38,7 @@
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.headers import HeaderCodec
     from catkinpin.adapters.http.server import Request, Responder
+    from catkinpin.core.control.routes import CallerLimits
     from catkinpin.core.control.servers import Instance
     from catkinpin.roles import GatewaySettings
 
@@ -56,6 +57,10 @@
 _CLOSE_RESERVE_MS = 200
 # Part before that reserved for answering what has not ended by then.
 _ANSWER_RESERVE_MS = 400
+# Bounds of the limits for callers, which an operator may set to any number.
+_MAX_HEADER_BYTES = 256 * 1024
+_MAX_BODY_BYTES = 32 * 1024 * 1024
+_MAX_TIMEOUT_S = 120.0
 
 
 class Gateway:
@@ -229,13 +234,7 @@
         table = self.view.table
         if table is None:
             return ServerLimits()
-        limits = table.routing.limits
-        return ServerLimits(
-            header_bytes=limits.max_header_bytes,
-            body_bytes=limits.max_body_bytes,
-            header_timeout_s=limits.header_timeout_ms / _MS_PER_S,
-            idle_timeout_s=limits.idle_timeout_ms / _MS_PER_S,
-        )
+        return bounded_limits(table.routing.limits)
 
     def _on_server_gone(self, instance: Instance) -> None:
         self._pool.retire(instance.address)
@@ -256,6 +255,18 @@
                 decisions.note("ready", "", ready=not reason, reason=reason)
 
 
+def bounded_limits(limits: CallerLimits) -> ServerLimits:
+    """Returns a manifest's limits, within those that a process can bear."""
+    return ServerLimits(
+        header_bytes=min(limits.max_header_bytes, _MAX_HEADER_BYTES),
+        body_bytes=min(limits.max_body_bytes, _MAX_BODY_BYTES),
+        header_timeout_s=min(
+            limits.header_timeout_ms / _MS_PER_S, _MAX_TIMEOUT_S
+        ),
+        idle_timeout_s=min(limits.idle_timeout_ms / _MS_PER_S, _MAX_TIMEOUT_S),
+    )
+
+
 def _make_hello(cfg: GatewaySettings) -> messages.Hello:
     """Returns the first message of the gateway on links to other hosts."""
     return messages.Hello(
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -7,8 +7,11 @@
 from unittest import mock
 
 from catkinpin import clock
+from catkinpin.adapters.gateway import process
+from catkinpin.adapters.http.requestparser import ServerLimits
 from catkinpin.adapters.keeper import host
 from catkinpin.core.control.quotas import QuotaTolerance
+from catkinpin.core.control.routes import CallerLimits
 from catkinpin.core.control.servers import Instance, ServerState
 from catkinpin.core.control.state import Announce
 from tests import base
@@ -37,6 +40,26 @@
     return sum(stat.size_diff for stat in now.compare_to(before, "filename"))
 
 
+class CallerLimitsTest(base.TestCase):
+    """Limits that an operator may set to any number."""
+
+    def test_huge_limits_are_bounded(self) -> None:
+        """Guards against callers that a manifest lets fill the memory."""
+        huge = 2**53
+        limits = process.bounded_limits(CallerLimits(huge, huge, huge, huge))
+        self.assertLessEqual(limits.header_bytes, 1024 * 1024)
+        self.assertLessEqual(limits.body_bytes, 64 * 1024 * 1024)
+        self.assertLessEqual(limits.header_timeout_s, 300.0)
+        self.assertLessEqual(limits.idle_timeout_s, 300.0)
+
+    def test_usual_limits_are_kept(self) -> None:
+        """Guards against limits other than those that the operator set."""
+        limits = process.bounded_limits(
+            CallerLimits(16_384, 4_194_304, 3_000, 15_000)
+        )
+        self.assertEqual(ServerLimits(16_384, 4_194_304, 3.0, 15.0), limits)
+
+
 class AnnouncementTest(base.TestCase):
     """Announcements by strangers, each under a new id."""
 
