Test strangers' messages against real keepers and stores

The odd streams and messages of the unit tests go to the peers' port of three keepers and two stores as processes, with two gateways and turns before and after.

--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -36,7 +36,9 @@
 )
 from catkinpin.core.control import protocol
 from catkinpin.core.control.ledger import Begin
+from catkinpin.core.control.stores import Store
 from tests import base, ports, simulation
+from tests.fakes.deployment import Deployment
 from tests.fakes.lognode import LogNode
 from tests.hellos import GATEWAY_HELLO
 
@@ -397,11 +399,25 @@
 
 def odd_replica_messages(log_node: LogNode) -> Iterator[Any]:
     """Yields messages to a replica whose values are out of range."""
-    group, to = "g0", log_node.node.identity
     state = log_node.groups[0]._core.state  # type: ignore[union-attr]
-    term, last = state.term, state.log.last
-    snapshot = log_node.groups[0].log.snapshot_index
+    return _odd_replica_messages(
+        "g0",
+        log_node.node.identity,
+        state.term,
+        state.log.last,
+        log_node.groups[0].log.snapshot_index,
+        ["x", *state.log.voters],
+    )
+
 
+def _odd_replica_messages(
+    group: str,
+    to: str,
+    term: int,
+    last: int,
+    snapshot: int,
+    senders: list[str],
+) -> Iterator[Any]:
     def entry(index: int, kind: int = 0, payload: bytes = b"") -> Entry:
         return Entry(index, term, EntryKind(kind), payload)
 
@@ -453,7 +469,7 @@
             group=group, sender="x", to=to, indexes=[number, last, number]
         )
     for body in bodies:
-        for sender in ("x", *state.log.voters):
+        for sender in senders:
             yield transport.Routed(group=group, sender=sender, to=to, body=body)
     yield transport.Heartbeats(
         sender="x", to=to, sent_ms=0, groups=[group] * 9, terms=[], commits=[1]
@@ -525,3 +541,78 @@
             await server.stop()
 
         self.run_async(main())
+
+
+class DeploymentTest(base.TestCase):
+    """Odd messages to real keepers and stores."""
+
+    def test_strangers_end_no_process(self) -> None:
+        """Guards against a message that ends the keepers one by one."""
+
+        async def main() -> None:
+            async with Deployment(self.folder) as system:
+                self.assertTrue(await system.retry_turn_until_served("first"))
+                hosts = [
+                    h for h in system.hosts.values() if h.role != "gateway"
+                ]
+                (port,) = {
+                    line["address"].rpartition(":")[2]
+                    for line in system.read_log("keeper-1")
+                    if line["decision"] == "start"
+                }
+                for host in hosts:
+                    identity = _identity(system, host.name)
+                    for data in _odd_streams(identity):
+                        await _send(host.ip, int(port), data)
+                self.assertTrue(await system.retry_turn_until_served("second"))
+                await asyncio.sleep(2.0)
+                self.assertTrue(await system.retry_turn_until_served("third"))
+                for host in system.hosts.values():
+                    assert host.process is not None
+                    self.assertIsNone(host.process.poll(), host.name)
+                    log = (self.folder / f"{host.name}.log").read_text()
+                    self.assertNotIn("Traceback", log, host.name)
+
+        self.run_async(main())
+
+
+def _identity(system: Deployment, name: str) -> str:
+    starts = [x for x in system.read_log(name) if x["decision"] == "start"]
+    identity: str = starts[0]["identity"]
+    return identity
+
+
+def _odd_streams(identity: str) -> Iterator[bytes]:
+    """Yields streams to the process with an identity."""
+    yield from _ENDING.values()
+    gateway = frame(_OPENING) + frame(_HELLO)
+    for data in _REFUSED.values():
+        yield gateway + frame(data)
+    asks = [
+        _begin(1, attempt=""),
+        protocol.AskRegister(
+            ask=2,
+            store=Store(
+                node="x",
+                name="x",
+                address="127.0.0.1:\u00b2",
+                domain="",
+                region="",
+            ),
+        ),
+        protocol.Put(ask=3, attempt="x" * 100_000, data=b""),
+    ]
+    yield gateway + frame(codec.encode(asks))
+    replica = frame(_OPENING) + frame(_hello(role="replica", process="x"))
+    for message in _odd_replica_messages("control", identity, 1, 5, 0, ["x"]):
+        yield replica + frame(codec.encode([message]))
+
+
+async def _send(host: str, port: int, data: bytes) -> None:
+    """Sends bytes, and leaves the receiver a moment to handle them."""
+    reader, writer = await asyncio.open_connection(host, port)
+    with contextlib.suppress(OSError, TimeoutError):
+        writer.write(data)
+        async with asyncio.timeout(0.02):
+            await reader.read()
+    writer.close()
