Accept lists of servers from earlier keepers with odd numbers

A keeper of an earlier release lists whatever a server announced, so one sequence number near 2^64 would have kept a gateway from each list of servers that holds it. The view leaves out the servers that it can't use, one by one, so the list itself needs no check.

tests/test_peer_messages.py: the new test fails without the change ([] in place of the list) and passes with it.

--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 from catkinpin.codec import Message
 from catkinpin.core.control.ledger import Begin, Finish, Link
 from catkinpin.core.control.quotas import AccountUse
@@ -117,6 +119,9 @@
         whole: whether the list contains all servers.
     """
 
+    # A keeper of an earlier release lists whatever a server announced.
+    has_checked_parts: ClassVar[bool] = True
+
     index: int
     instances: list[Instance]
     whole: bool
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from catkinpin import codec
-from catkinpin.adapters.peers import links
+from catkinpin.adapters.peers import borders, links
 from catkinpin.adapters.replica import transport
 from catkinpin.core import messages
 from catkinpin.core.consensus.core import Core
@@ -36,6 +36,7 @@
 )
 from catkinpin.core.control import protocol
 from catkinpin.core.control.ledger import Begin
+from catkinpin.core.control.servers import Instance, ServerState
 from catkinpin.core.control.stores import Store
 from tests import base, ports, simulation
 from tests.fakes.deployment import Deployment
@@ -512,6 +513,28 @@
         self.run_async(main())
         self.assertEqual(len(addresses), len(log.lines), log.lines)
 
+    def test_odd_server_costs_no_other(self) -> None:
+        """Guards against a gateway that never hears of a change of servers.
+
+        A keeper of an earlier release stored a server's odd numbers.
+        """
+        instance = Instance(
+            id="a",
+            service="s",
+            address="127.0.0.1:1",
+            domain="a",
+            state=ServerState.READY,
+            started_ms=1,
+            sequence=2**64 - 1,
+            slots=1,
+        )
+        update = protocol.ServersUpdate(
+            index=1, instances=[instance], whole=True
+        )
+        decoder = borders.BatchDecoder(protocol.FromKeeper)
+        batch = decoder.decode(codec.encode([update]), "peer")
+        self.assertEqual([update], batch)
+
     def test_failing_listener_does_not_end_a_link(self) -> None:
         """Guards against a link that never reconnects after a failure."""
 
