--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -256,7 +256,7 @@
 
 
 def bounded_limits(limits: CallerLimits) -> ServerLimits:
-    """Returns a manifest's limits, within those that a process can bear."""
+    """Returns an operator's limits, within those that a process can bear."""
     return ServerLimits(
         header_bytes=min(limits.max_header_bytes, _MAX_HEADER_BYTES),
         body_bytes=min(limits.max_body_bytes, _MAX_BODY_BYTES),
