Refuse late in a stop what its deadline does not end in time

A stopping gateway took a request of unknown length if 2.5 s were left. Once the load balancer sends no new requests, only those whose deadline is before the end are taken; others get 503 and have not run.

--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -40,12 +40,9 @@
 _FAILED_RETRY_AFTER_S = 0.15
 _INTERNAL_ERROR = "an internal error"
 _MAX_ID_LENGTH = 64
-# A stopping gateway accepts a request only if this multiple of its expected
-# time, and at least the minimum, is left before the stop. Callers whose
-# requests would end in time are still served.
-_STOPPING_TIME_FACTOR = 6.0
-_MIN_STOPPING_TIME_S = 2.5
-# The same while the load balancer may not know that the gateway stops.
+# A stopping gateway accepts a request whose deadline is before the stop. While
+# the load balancer may not know that it stops, it also accepts one that is
+# expected to take less than the time left, by this factor.
 _WAITING_TIME_FACTOR = 2.0
 # Share of its time that a request may wait for the routes of a gateway that
 # has just started. The rest must suffice for serving it, here or at another
@@ -298,13 +295,12 @@
             )
             / _MS_PER_S
         )
-        if self.stop_deadline_s is None:
-            # The load balancer still sends new requests here.
-            return _WAITING_TIME_FACTOR * expected_s > left_s
-        required_s = max(
-            _MIN_STOPPING_TIME_S, _STOPPING_TIME_FACTOR * expected_s
+        # A longer time than expected would cut a request, so only the deadline
+        # counts once the load balancer sends no new ones.
+        return (
+            self.stop_deadline_s is not None
+            or _WAITING_TIME_FACTOR * expected_s > left_s
         )
-        return required_s > left_s
 
     async def _forward(self, state: OpenCall) -> None:
         is_plain = state.route.kind is not RouteKind.STREAM
