--- a/catkinpin/adapters/keeper/repair.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -84,8 +84,8 @@
         self._commit_timeout_s = commit_timeout_s
         self._silent_ms = cfg.catch_up_ms * _SILENT_SHARE
         self._last_seen_ms: dict[str, int] = {}
-        # Stores whose registration is not known to be committed.
-        self._undecided: set[str] = set()
+        # Stores that this keeper has logged while it led.
+        self._logged: set[str] = set()
         self._retiring_since_ms: dict[str, int] = {}
         self._is_repairing = False
 
@@ -99,19 +99,18 @@
         # Other keepers name a store only when they next describe themselves.
         # Until the leader is connected to a store, it can't copy its turns.
         self._other_hosts.add([store.address])
-        if self._host.state.stores.would_change(store):
-            self._undecided.add(store.node)
+        is_changed = self._host.state.stores.would_change(store)
+        if is_changed:
             outcome = await self._host.propose(
                 Register(store=store), self._commit_timeout_s
             )
             if isinstance(outcome, Undecided):
                 return outcome
-        elif store.node not in self._undecided:
-            return False
-        # Also one that was undecided may have been committed.
-        self._undecided.discard(store.node)
-        decisions.note("store", "", store=store.name, address=store.address)
-        return True
+        # An earlier leader may have proposed it without learning the outcome.
+        if is_changed or store.node not in self._logged:
+            self._logged.add(store.node)
+            decisions.note("store", "", store=store.name, address=store.address)
+        return is_changed
 
     async def retire(
         self, name: str, *, begin: bool
