Accept only versions of routes that can be sent

Cause: the border took versions up to 2^63-1, and peers drop messages with numbers beyond 2^62. Both have one bound now. The test compares them, and fails before.

--- a/catkinpin/core/control/routes.py
+++ b/catkinpin/core/control/routes.py
@@ -24,7 +24,7 @@
 
 # A fast level: names repeat so often that a higher one gains little.
 _COMPRESSION_LEVEL = 3
-_MAX_VERSION = 2**63 - 1
+_MAX_VERSION = codec.MAX_NUMBER
 _MAX_NAME_LENGTH = 256
 _MAX_WEIGHT = 10**9
 # Timers and messages take no times of any length; these are months.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,8 +7,9 @@
 import socket
 from typing import Any
 
+from catkinpin import codec
 from catkinpin.adapters.peers import links
-from catkinpin.core.control import protocol
+from catkinpin.core.control import protocol, routes
 from tests import base, ports
 from tests.hellos import GATEWAY_HELLO
 
@@ -144,3 +145,15 @@
             self.assertEqual(_PROCESSES, len(connected))
 
         self.run_async(main())
+
+
+class VersionTest(base.TestCase):
+    """Versions of routes in messages."""
+
+    def test_every_version_in_range_can_be_sent(self) -> None:
+        """Guards against routes that are in force and never sent."""
+        for version in (0, 1, codec.MAX_NUMBER, codec.MAX_NUMBER + 1):
+            update = protocol.RoutingUpdate(version=version, is_current=True)
+            self.assertEqual(
+                routes.is_version(version), not codec.must_be_refused(update)
+            )
