Bound what compressed parts of messages expand to

Cause: zlib.decompress without a bound. Parts expand to at most 64 MB, the largest frame; others are refused as what can't be decoded is. The test expands 65 MB of zeros; the function is new.

--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -11,11 +11,8 @@
 import dataclasses
 import itertools
 import logging
-import zlib
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from catkinpin import codec, decisions, metrics
 from catkinpin.adapters import unusable
 from catkinpin.adapters.tasks import brief
@@ -380,7 +377,8 @@
     """Returns why a document can't be put in force; empty if it can."""
     try:
         found = routes.problems(routes.unpack(packed))
-    except (msgspec.MsgspecError, zlib.error, ValueError) as exc:
+    except Exception as exc:
+        # A decoder may raise anything for what another process sent.
         return brief(exc)
     if packed.version < 0 or not routes.is_version(packed.version):
         return "the version is out of range"
--- a/catkinpin/codec.py
+++ b/catkinpin/codec.py
@@ -4,6 +4,7 @@
 
 import math
 import re
+import zlib
 from typing import Any, ClassVar, TypeVar
 
 import msgspec
@@ -11,6 +12,9 @@
 T = TypeVar("T")
 # Sums of numbers up to this bound still fit into 64 bits.
 MAX_NUMBER = 2**62
+# Largest size of what was compressed, that of the largest frame between
+# processes. A few bytes may expand to gigabytes.
+_MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
 # MessagePack's encodings of integers beyond that bound and of floats that are
 # not finite. The same bytes may occur within texts.
 _ODD_NUMBER = re.compile(
@@ -112,3 +116,17 @@
         case dict():
             return any(map(has_odd_number, value.values()))
     return False
+
+
+def decompress(data: bytes) -> bytes:
+    """Returns what zlib compressed.
+
+    Raises:
+        ValueError: it is incomplete, or longer than any message.
+        zlib.error: it was not compressed by zlib.
+    """
+    stream = zlib.decompressobj()
+    found = stream.decompress(data, _MAX_DECOMPRESSED_BYTES)
+    if not stream.eof:
+        raise ValueError("the compressed data are incomplete or too long")
+    return found
--- a/catkinpin/core/control/routes.py
+++ b/catkinpin/core/control/routes.py
@@ -219,8 +219,8 @@
 
 def unpack(packed: PackedRouting) -> Routing:
     """Decompresses a document; an omitted source stays empty."""
-    found: Routing = _routing_decoder.decode(zlib.decompress(packed.data))
-    source = zlib.decompress(packed.source) if packed.source else b""
+    found: Routing = _routing_decoder.decode(codec.decompress(packed.data))
+    source = codec.decompress(packed.source) if packed.source else b""
     return structs.replace(
         found, accounts=unpack_accounts(packed), source=source
     )
@@ -231,7 +231,7 @@
     if not packed.accounts:
         return None
     found: list[ClientAccount] = _accounts_decoder.decode(
-        zlib.decompress(packed.accounts)
+        codec.decompress(packed.accounts)
     )
     return found
 
--- a/catkinpin/core/control/servers.py
+++ b/catkinpin/core/control/servers.py
@@ -121,7 +121,7 @@
 
 def unpack(data: bytes) -> list[Instance]:
     """Decompresses instances."""
-    found: list[Instance] = _instances_decoder.decode(zlib.decompress(data))
+    found: list[Instance] = _instances_decoder.decode(codec.decompress(data))
     return found
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+import zlib
 from typing import Any
 
 from catkinpin import codec
@@ -147,8 +148,16 @@
         self.run_async(main())
 
 
-class VersionTest(base.TestCase):
-    """Versions of routes in messages."""
+class CompressedTest(base.TestCase):
+    """Compressed parts of messages."""
+
+    def test_data_that_expand_without_end_are_refused(self) -> None:
+        """Guards against a short message that fills the memory."""
+        packed = zlib.compress(bytes(65 * 1024 * 1024))
+        self.assertLess(len(packed), 100_000)
+        self.assertRaises(ValueError, codec.decompress, packed)
+        self.assertRaises(ValueError, codec.decompress, packed[:1000])
+        self.assertEqual(b"whole", codec.decompress(zlib.compress(b"whole")))
 
     def test_every_version_in_range_can_be_sent(self) -> None:
         """Guards against routes that are in force and never sent."""
