Fetch routes from another keeper whatever makes one's unreadable

Cause: unpack raised a RecursionError past the handler, the loop began again, and the keeper was still known for the version. Any exception now makes the gateway ask another. No test of its own.

--- a/catkinpin/adapters/gateway/routefetch.py
+++ b/catkinpin/adapters/gateway/routefetch.py
@@ -4,11 +4,8 @@
 
 import asyncio
 import logging
-import zlib
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from catkinpin.adapters.tasks import brief
 from catkinpin.core.control import protocol, routes
 from catkinpin.exceptions import PeerLostError
@@ -80,13 +77,11 @@
         if reply.routing is None:
             return
         try:
-            routing = routes.unpack(reply.routing)
-        except (msgspec.MsgspecError, zlib.error, ValueError) as exc:
+            self._view.replace_routes(routes.unpack(reply.routing))
+        except Exception as exc:
             # Another keeper may hold a document that can be read.
             log.warning("routes can't be read: %s", brief(exc))
             self._versions.pop(host.link.address, None)
-            return
-        self._view.replace_routes(routing)
 
     def _newer_source(self) -> Host | None:
         """Returns a keeper with a newer version, preferably in this region."""
