Let refusals arrive in a planned stop as well

Cause: the refusal lingers so that its caller can read it, but counted as idle and was closed in the same round. No test of its own; tests/test_planned_stop.py and test_endless_callers.py pass.

--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -244,8 +244,13 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being read or answered."""
-        return self._reading or bool(self._pipelined) or self._task is not None
+        """Whether a request is read or answered, or was refused unread."""
+        return (
+            self._reading
+            or bool(self._pipelined)
+            or self._task is not None
+            or self._linger.is_waiting
+        )
 
     @property
     def has_unsent_bytes(self) -> bool:
--- a/catkinpin/adapters/http/timers.py
+++ b/catkinpin/adapters/http/timers.py
@@ -28,6 +28,11 @@
         loop = asyncio.get_running_loop()
         self._handle = loop.call_later(wait_s, callback, *args)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the timer was started and not cancelled since."""
+        return self._handle is not None
+
     def cancel(self) -> None:
         """Cancels the timer if it is running."""
         if self._handle is not None:
@@ -85,6 +90,11 @@
         self._timer = Timer()
         self._discarded_bytes = 0
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the caller may still send."""
+        return self._timer.is_running
+
     def start(self) -> None:
         """Begins to wait until the caller has stopped to send."""
         self._timer.start(_LINGER_S, self._close)
