Try few addresses that other replicas only name

Beyond 1,024 links a real replica got none. Cause: whatever a NodeInfo names becomes a link. Sixteen such addresses are tried at a time, for 30 s unless they connect, and only others are passed on; members, seeds and replicas that introduce themselves are connected as before.

--- a/catkinpin/adapters/replica/founding.py
+++ b/catkinpin/adapters/replica/founding.py
@@ -135,7 +135,7 @@
             node=self._identity.node,
             address=self._address,
             founded=bool(self._known_members().members),
-            known=list(self._mesh.addresses),
+            known=self._mesh.known(),
             empty=self._founder.record.empty,
             knows_group=self._founder.knows_group,
         )
--- a/catkinpin/adapters/replica/mesh.py
+++ b/catkinpin/adapters/replica/mesh.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Any
 
 from catkinpin.adapters.peers import links
 from catkinpin.adapters.replica import transport
+from catkinpin.adapters.tasks import BackgroundTasks
 from catkinpin.core import addresses, messages
 
 if TYPE_CHECKING:
@@ -16,6 +18,10 @@
 # recorded again at an interval, so that the oldest ones are others.
 _MAX_REPLICAS = 4_096
 _MAX_LINKS = 1_024
+# Links to addresses that only another process has named, and that never
+# connected. They are dropped after a while for others.
+_MAX_UNPROVED_LINKS = 16
+_UNPROVED_LINK_S = 30.0
 # Each replica sends on the streams that it opened itself; the other end sends
 # only pings back.
 _ReturnMessage = messages.Ping | transport.NodeInfo
@@ -42,7 +48,10 @@
         self._hello: messages.Hello | None = None
         self._on_connected = on_connected
         self._links: dict[str, links.PeerLink] = {}
+        # For each address that only another process named: when it did.
+        self._unproved_since_s: dict[str, float] = {}
         self._address_of: dict[str, str] = {}
+        self._stopping = BackgroundTasks()
 
     def start(self, hello: messages.Hello) -> None:
         """Starts to connect."""
@@ -50,8 +59,39 @@
         for address in self.addresses:
             self._connect(address, hello)
 
+    def add_named(self, address: str) -> None:
+        """Connects to an address that another process named.
+
+        It may name addresses without end, and each costs an attempt to connect
+        every moment; so few are tried at a time, and not for ever.
+        """
+        self._drop_unproved()
+        if (
+            address not in self._links
+            and len(self._unproved_since_s) < _MAX_UNPROVED_LINKS
+        ):
+            self.add(address)
+            if address in self._links:
+                self._unproved_since_s[address] = time.monotonic()
+
+    def known(self) -> list[str]:
+        """Returns the addresses that were more than named by a process."""
+        return [a for a in self.addresses if a not in self._unproved_since_s]
+
+    def _drop_unproved(self) -> None:
+        now_s = time.monotonic()
+        for address, since_s in list(self._unproved_since_s.items()):
+            link = self._links[address]
+            if link.connected.is_set():
+                del self._unproved_since_s[address]
+            elif now_s - since_s > _UNPROVED_LINK_S:
+                del self._unproved_since_s[address], self._links[address]
+                self.addresses.remove(address)
+                self._stopping.spawn(link.stop())
+
     def add(self, address: str) -> None:
         """Connects to a replica that became known, if the mesh can grow."""
+        self._unproved_since_s.pop(address, None)
         if not self._growable or self._hello is None or not address:
             return
         if len(self._links) >= _MAX_LINKS or not addresses.is_host_port(
--- a/catkinpin/adapters/replica/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -202,7 +202,7 @@
 
     def known_addresses(self) -> list[str]:
         """Returns the peer addresses of all other known replicas."""
-        return list(self._mesh.addresses)
+        return self._mesh.known()
 
     def not_ready(self) -> str:
         """Returns why this replica is not ready, or an empty string."""
@@ -267,7 +267,7 @@
             case transport.NodeInfo():
                 self._mesh.set_address(message.node, message.address)
                 for address in message.known:
-                    self._mesh.add(address)
+                    self._mesh.add_named(address)
                 self._founding.handle_info(message)
             case transport.Found():
                 self._founding.handle_founded(message.members)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,9 +7,11 @@
 import socket
 import zlib
 from typing import Any
+from unittest import mock
 
 from catkinpin import codec
 from catkinpin.adapters.peers import links
+from catkinpin.adapters.replica import mesh
 from catkinpin.core.control import protocol, routes
 from tests import base, ports
 from tests.hellos import GATEWAY_HELLO
@@ -148,6 +150,33 @@
         self.run_async(main())
 
 
+class NamedAddressesTest(base.TestCase):
+    """Addresses of replicas that other processes name."""
+
+    def test_many_named_addresses_cost_few_links(self) -> None:
+        """Guards against links without end, and a member that gets none."""
+
+        async def main() -> None:
+            group = mesh.Mesh([], lambda _: None, growable=True)
+            group.start(GATEWAY_HELLO)
+            for number in range(1_100):
+                group.add_named(f"127.0.0.1:{number + 1}")
+            self.assertLess(len(group.addresses), 100)
+            self.assertEqual([], group.known())
+            group.set_address("member", "127.0.0.1:2000")
+            group.set_address("named", "127.0.0.1:1")
+            self.assertEqual(
+                {"127.0.0.1:2000", "127.0.0.1:1"}, set(group.known())
+            )
+            with mock.patch.object(mesh, "_UNPROVED_LINK_S", 0.0):
+                group.add_named("127.0.0.1:3000")
+            self.assertIn("127.0.0.1:3000", group.addresses)
+            self.assertLess(len(group.addresses), 10)
+            await group.stop()
+
+        self.run_async(main())
+
+
 class CompressedTest(base.TestCase):
     """Compressed parts of messages."""
 
