--- a/tests/test_startorder.py
+++ b/tests/test_startorder.py
@@ -11,8 +11,8 @@
 
 from catkinpin.adapters.peers import keepers
 from catkinpin.adapters.replica import mesh
-from tests import base, hellos, test_starts
-from tests.fakes import deployment
+from tests import base, hellos
+from tests.fakes import deployment, startcase
 
 if TYPE_CHECKING:
     import pathlib
@@ -103,7 +103,7 @@
 
 async def _wait_for_handlers(process: subprocess.Popen[bytes]) -> None:
     async with asyncio.timeout(_STOP_S):
-        while not test_starts.handles_stops(process):
+        while not startcase.handles_stops(process):
             await asyncio.sleep(0.001)
 
 
