--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -24,6 +24,9 @@
         self.addresses = [_OTHER_ADDRESS]
         self.sent: list[Any] = []
 
+    def known(self) -> list[str]:
+        return self.addresses
+
     def broadcast(self, message: Any) -> None:
         self.sent.append(message)
 
