--- a/catkinpin/adapters/http/server.py
+++ b/catkinpin/adapters/http/server.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import logging
 from typing import TYPE_CHECKING, cast
 
@@ -15,6 +14,7 @@
 
 from catkinpin import listening, waiting
 from catkinpin.adapters.http.headers import Headers, default_phrase
+from catkinpin.adapters.http.request import Request as Request
 from catkinpin.adapters.http.requestparser import (
     RequestParser,
     ServerLimits,
@@ -37,26 +37,6 @@
 _PARSED_BYTES = 16 * 1024
 
 
-@dataclasses.dataclass
-class Request:
-    """A complete request.
-
-    Attributes:
-        target: path and query as received.
-        version: HTTP version, such as '1.1'.
-        arrived_s: the loop's time at which its head was read.
-        disconnected: set once the caller has disconnected.
-    """
-
-    method: bytes
-    target: bytes
-    version: str
-    headers: Headers
-    body: bytes
-    arrived_s: float
-    disconnected: asyncio.Event
-
-
 class Responder:
     """Writes the response to one request."""
 
@@ -245,12 +225,8 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is read or answered, or was refused unread."""
-        return (
-            self._reading
-            or bool(self._pipelined)
-            or self._task is not None
-            or self._linger.is_waiting
-        )
+        has_work = self._task is not None or bool(self._pipelined)
+        return has_work or self._reading or self._linger.is_waiting
 
     @property
     def has_unsent_bytes(self) -> bool:
