--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -35,7 +35,7 @@
 _MAX_FAULT_TEXT = 300
 # Servers that are not known, of which announcements are remembered.
 _MAX_REMEMBERED = 1_000
-# Anybody may announce servers under ever new ids. More are refused.
+# Announcements of more servers are refused, as anybody may send them.
 MAX_SERVERS = 16_384
 # The metrics have one line per account, for at most so many accounts.
 _MAX_EXPOSED_ACCOUNTS = 20
--- a/catkinpin/adapters/peers/borders.py
+++ b/catkinpin/adapters/peers/borders.py
@@ -80,7 +80,7 @@
             batch: list[Any] = self._batch_decoder.decode(data)
         except DECODE_ERRORS:
             batch = self._decode_each(data, peer)
-        if codec.may_have_odd_number(data):
+        if codec.may_have_number_out_of_range(data):
             batch = [m for m in batch if not _is_refused(m, peer)]
         return batch
 
--- a/catkinpin/adapters/replica/reportchecks.py
+++ b/catkinpin/adapters/replica/reportchecks.py
@@ -30,7 +30,7 @@
         and report.capacity > 0
         and min(counts) >= 0
         and 0 <= age_ms <= codec.MAX_NUMBER
-        and not codec.has_odd_number(report)
+        and not codec.has_number_out_of_range(report)
     )
     if not is_valid:
         log.warning(
--- a/catkinpin/codec.py
+++ b/catkinpin/codec.py
@@ -17,7 +17,7 @@
 _MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
 # MessagePack's encodings of integers beyond that bound and of floats that are
 # not finite. The same bytes may occur within texts.
-_ODD_NUMBER = re.compile(
+_OUT_OF_RANGE = re.compile(
     rb"\xcf[\x40-\xff]|\xd3[\x40-\xbf]"
     rb"|\xca[\x7f\xff][\x80-\xff]|\xcb[\x7f\xff][\xf0-\xff]",
     re.DOTALL,
@@ -80,22 +80,22 @@
     return msgspec.msgpack.Decoder(kind)
 
 
-def may_have_odd_number(data: bytes) -> bool:
-    """Returns whether encoded messages may have a number that is odd.
+def may_have_number_out_of_range(data: bytes) -> bool:
+    """Returns whether encoded messages may have a number out of range.
 
-    Takes a small part of the time that `has_odd_number` takes for what was
-    decoded.
+    Takes a small part of the time that `has_number_out_of_range` takes for
+    what was decoded.
     """
-    return _ODD_NUMBER.search(data) is not None
+    return _OUT_OF_RANGE.search(data) is not None
 
 
 def must_be_refused(message: Any) -> bool:
     """Returns whether a message has a number that can't be calculated with."""
     has_checked_parts = getattr(message, "has_checked_parts", False)
-    return not has_checked_parts and has_odd_number(message)
+    return not has_checked_parts and has_number_out_of_range(message)
 
 
-def has_odd_number(value: Any) -> bool:
+def has_number_out_of_range(value: Any) -> bool:
     """Returns whether a value has a number that can't be calculated with.
 
     That is an integer beyond `MAX_NUMBER`, either way, or a float that is not
@@ -110,11 +110,13 @@
             return not math.isfinite(value)
         case msgspec.Struct():
             names = value.__struct_fields__
-            return any(has_odd_number(getattr(value, name)) for name in names)
+            return any(
+                has_number_out_of_range(getattr(value, name)) for name in names
+            )
         case list() | tuple():
-            return any(map(has_odd_number, value))
+            return any(map(has_number_out_of_range, value))
         case dict():
-            return any(map(has_odd_number, value.values()))
+            return any(map(has_number_out_of_range, value.values()))
     return False
 
 
--- a/tests/test_endless_memory.py
+++ b/tests/test_endless_memory.py
@@ -21,7 +21,7 @@
 _PLAY_S = 4.0
 _UNIT_BYTES = 16_384
 _MAX_GROWTH_KB = 24 * 1024
-# What a server gets rid of for an answer that is forwarded to nobody: mostly
+# Bytes that a server can send of an answer that nobody reads: mostly
 # what the sockets hold.
 _MAX_UNREAD_BYTES = 16 * 1024 * 1024
 
--- a/tests/test_entry_borders.py
+++ b/tests/test_entry_borders.py
@@ -222,7 +222,9 @@
                 dispatcher.dispatch(grant, req, lambda _: None), 10.0
             )
             self.assertIn(finish.verdict, (Verdict.RAN, Verdict.MAY_HAVE_RUN))
-            self.assertFalse(codec.has_odd_number(finish), self.event[:80])
+            self.assertFalse(
+                codec.has_number_out_of_range(finish), self.event[:80]
+            )
             self.assertGreaterEqual(finish.usage.prompt_tokens, 0)
             codec.encode(finish)
         await dispatcher.close()
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -1,4 +1,4 @@
-"""Memory that others could fill with ever new names."""
+"""Bounds of the state that is kept by names which others choose."""
 
 from __future__ import annotations
 
