--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 for path in target/platform/__main__.py target/deps; do
   [ -e "$path" ] || { echo "$path is missing: build the deploy file first"; exit 1; }
 done
-for source in review/stand_ins.py review/[4-8]/case.py; do
+for source in review/stand_ins.py review/platform_rig.py review/[4-8]/*.py; do
   python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$source"
 done
 echo "stand-ins are ready"
