Count in how many failure domains a gateway stores turns

Nothing that a process wrote said where a turn was stored at first, so a wrong choice at first looked like copies that can't be read later.

--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -7,7 +7,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from catkinpin import decisions
+from catkinpin import decisions, metrics
 from catkinpin.adapters.gateway.turncache import TurnCache
 from catkinpin.adapters.tasks import BackgroundTasks
 from catkinpin.core.control import copies, protocol
@@ -364,7 +364,16 @@
             if len(stored) < self._copies:
                 for _ in range(extra_puts):
                     self._start_put(hosts, attempt, data, running)
-        return stored[: self._copies] if len(stored) >= self._copies else []
+        if len(stored) < self._copies:
+            return []
+        stored = stored[: self._copies]
+        domains = {
+            host.info.domain
+            for host in self._keepers.connected()
+            if host.info is not None and host.info.node in stored
+        }
+        metrics.STORED_TURNS.labels(str(len(domains))).inc()
+        return stored
 
     def _start_put(
         self,
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -145,6 +145,12 @@
     " afterwards.",
     ["result"],
 )
+STORED_TURNS = Counter(
+    "catkinpin_stored_turns_total",
+    "Turns stored by this gateway, by the number of failure domains that hold"
+    " copies.",
+    ["domains"],
+)
 QUARANTINED_CONTENTS = Gauge(
     "catkinpin_quarantined_contents",
     "Contents of requests that no server may get, as known to this process.",
