--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -15,7 +15,13 @@
 from catkinpin.adapters.disk.turnbytes import TurnBytes
 from catkinpin.adapters.http import draining
 from catkinpin.adapters.http.server import HttpServer
-from catkinpin.adapters.keeper import host, nodeconfig, publisher, repair
+from catkinpin.adapters.keeper import (
+    host,
+    nodeconfig,
+    orphans,
+    publisher,
+    repair,
+)
 from catkinpin.adapters.keeper.asks import AskHandler
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.adapters.keeper.quarantines import QuarantineDecider
@@ -62,9 +68,6 @@
 # Ticks between states of the feed. A gateway replaces a keeper from which none
 # came for 1.2 s.
 _TICKS_PER_FEED_STATE = 5
-# Between scans for bytes without a turn. Bytes are dropped once two scans in a
-# row find them, which takes longer than any turn lasts.
-_ORPHAN_SCAN_INTERVAL_S = 20.0
 # Longest wait for a quorum: an election and a round trip between regions.
 _COMMIT_TIMEOUT_S = 1.5
 # Time for answering a call that waited for one in vain, before a stop.
@@ -410,21 +413,7 @@
                 self._publisher.publish_feed_state()
 
     async def _drop_orphaned_bytes(self) -> None:
-        """Drops turns' bytes that no program can ask for any more.
-
-        A host that was disconnected when turns expired does not learn of it,
-        and a gateway that crashed after storing bytes never settles its turn.
-        """
-        unknown_before: set[str] = set()
-        while True:
-            await asyncio.sleep(_ORPHAN_SCAN_INTERVAL_S)
-            turns = self.host.state.ledger.turns
-            if not self.host.group.is_current():
-                unknown_before = set()
-                continue
-            unknown = {a for a in self.turn_bytes.attempts() if a not in turns}
-            self.turn_bytes.drop(unknown & unknown_before)
-            unknown_before = unknown - unknown_before
+        await orphans.drop(self.host, self.turn_bytes)
 
 
 def _note_full_disk(full: bool) -> None:
