Spread the copies of turns over the places that may be lost

Cause: the settings reached the gateway and the leader as a number of copies. The gateway prefers its region, so where that has one failure domain with two disks, both copies are in it. Repair and the emptying of stores counted copies without their places, so nothing moved them.

Change: one rule of the core (tolerance.py) says whether holders are enough and which host is next; first copies, slow hosts' replacements, repair and the emptying of stores use it. Without zones and regions to tolerate, hosts are ranked as before. Histories are read from all holders, also from more than the settings ask for now.

--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -93,7 +93,7 @@
             self.keepers,
             cfg.region,
             cfg.cache_bytes,
-            cfg.copies,
+            cfg.tolerance,
         )
         self._pending_calls = PendingCalls()
         self._usage = self._new_usage()
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -7,17 +7,16 @@
 import logging
 from typing import TYPE_CHECKING
 
-from catkinpin import decisions, metrics
+from catkinpin import decisions
 from catkinpin.adapters.gateway.turncache import TurnCache
+from catkinpin.adapters.gateway.turnstorage import TurnStorage
 from catkinpin.adapters.tasks import BackgroundTasks
-from catkinpin.core.control import copies, protocol
+from catkinpin.core.control import protocol
 from catkinpin.core.control.ledger import Begin, Denial, Finish
 from catkinpin.core.placement.placer import PlaceTurn, TurnReport
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from catkinpin.adapters.gateway.work import ServerRun
     from catkinpin.adapters.peers.keepers import Host, Keepers
     from catkinpin.core.control.ledger import Link
@@ -25,16 +24,12 @@
     from catkinpin.core.placement.urgency import ProgramStatus
     from catkinpin.core.requests.calls import RouteCall
     from catkinpin.core.requests.digests import RequestDigests
+    from catkinpin.core.tolerance import Tolerance
 
 log = logging.getLogger(__name__)
 
-# If a host takes longer than this to store a turn, the gateway also sends it to
-# another one. Several times a disk sync plus a round trip between regions.
-_SLOW_STORE_S = 0.15
-_STORE_TIMEOUT_S = 1.5
-# A slow host is ranked last in its region for this long. So only one turn per
-# period waits for it, which shows whether it is still slow.
-_SLOW_HOLDER_S = 2.0
+# Timeout for the leader's reply to the end of a turn.
+_FINISH_TIMEOUT_S = 1.5
 # Timeout for reading the bytes of a chain from one host that stores them.
 _FETCH_TIMEOUT_S = 0.6
 # An unsettled turn keeps its tokens reserved, so the gateway keeps asking for
@@ -123,20 +118,21 @@
         keepers: links to keepers and stores.
         region: region of this gateway.
         cache_bytes: maximum size of the cached turns.
-        copies: number of hosts that must store a turn before it finishes.
+        tolerance: the losses that a turn must survive before it finishes.
     """
 
     def __init__(
-        self, keepers: Keepers, region: str, cache_bytes: int, copies: int
+        self,
+        keepers: Keepers,
+        region: str,
+        cache_bytes: int,
+        tolerance: Tolerance,
     ) -> None:
-        self._copies = copies
         self._keepers = keepers
         self._region = region
         self._cache = TurnCache(cache_bytes)
         self._tasks = BackgroundTasks()
-        self._rotation = 0
-        # For each slow host the loop time until which it is ranked last.
-        self._slow_until_s: dict[str, float] = {}
+        self._storage = TurnStorage(keepers, region, self._tasks, tolerance)
 
     @property
     def unsettled_count(self) -> int:
@@ -199,7 +195,7 @@
         Returns:
             Why this failed, or an empty string.
         """
-        holders = await self._store(call.attempt, data)
+        holders = await self._storage.store(call.attempt, data)
         if not holders:
             self.settle(call, outcome)
             return "its bytes were not stored"
@@ -219,7 +215,7 @@
                 lambda ask: protocol.AskFinish(
                     ask=ask, finish=finish, report=outcome.report
                 ),
-                _STORE_TIMEOUT_S,
+                _FINISH_TIMEOUT_S,
             )
         except PeerLostError as exc:
             return str(exc)
@@ -296,7 +292,8 @@
 
     async def _fetch(self, links: list[Link], found: dict[str, bytes]) -> None:
         """Reads the bytes of turns into `found`, nearest hosts first."""
-        for holder_index in range(self._copies):
+        max_holders = max((len(link.holders) for link in links), default=0)
+        for holder_index in range(max_holders):
             requested: dict[str, list[str]] = {}
             for link in links:
                 if link.attempt in found:
@@ -338,105 +335,6 @@
             if data is not None:
                 found[attempt] = data
 
-    async def _store(self, attempt: str, data: bytes) -> list[str]:
-        """Stores bytes on `copies` hosts; returns them, or none if too few."""
-        hosts = self._ranked_hosts()
-        stored: list[str] = []
-        running: dict[asyncio.Task[str], str] = {}
-        loop = asyncio.get_running_loop()
-        until_s = loop.time() + _STORE_TIMEOUT_S
-        for _ in range(self._copies):
-            self._start_put(hosts, attempt, data, running)
-        while running and len(stored) < self._copies and loop.time() < until_s:
-            done, _ = await asyncio.wait(
-                running,
-                timeout=_SLOW_STORE_S,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if not done:
-                self._mark_slow(running.values())
-            stored += [node for task in done if (node := task.result())]
-            failed = sum(not task.result() for task in done)
-            self._mark_slow(running[task] for task in done if not task.result())
-            for task in done:
-                del running[task]
-            extra_puts = failed if done else 1
-            if len(stored) < self._copies:
-                for _ in range(extra_puts):
-                    self._start_put(hosts, attempt, data, running)
-        if len(stored) < self._copies:
-            return []
-        stored = stored[: self._copies]
-        domains = {
-            host.info.domain
-            for host in self._keepers.connected()
-            if host.info is not None and host.info.node in stored
-        }
-        metrics.STORED_TURNS.labels(str(len(domains))).inc()
-        return stored
-
-    def _start_put(
-        self,
-        hosts: list[Host],
-        attempt: str,
-        data: bytes,
-        running: dict[asyncio.Task[str], str],
-    ) -> None:
-        """Starts a put on the next host, if there is one."""
-        if not hosts:
-            return
-        host = hosts.pop(0)
-        task = self._tasks.spawn(self._put(host, attempt, data))
-        running[task] = host.info.node if host.info is not None else ""
-
-    def _mark_slow(self, nodes: Iterable[str]) -> None:
-        """Marks hosts that were slow or failed to store a turn.
-
-        For the next `_SLOW_HOLDER_S`, such a host is asked only after the other
-        hosts of its region.
-        """
-        until_s = asyncio.get_running_loop().time() + _SLOW_HOLDER_S
-        for node in nodes:
-            if node not in self._slow_until_s:
-                decisions.note("slow-holder", "", holder=node)
-            self._slow_until_s[node] = until_s
-
-    async def _put(self, host: Host, attempt: str, data: bytes) -> str:
-        """Stores on one host; returns its identity, empty after a failure."""
-        node = host.info.node if host.info is not None else ""
-        try:
-            reply = await self._keepers.ask(
-                host,
-                lambda ask: protocol.Put(ask=ask, attempt=attempt, data=data),
-                _STORE_TIMEOUT_S,
-            )
-        except PeerLostError as exc:
-            log.info("storing a turn failed: %s", exc)
-            return ""
-        return node if isinstance(reply, protocol.Done) else ""
-
-    def _ranked_hosts(self) -> list[Host]:
-        """Returns the hosts to store on, the best first."""
-        self._rotation += 1
-        retiring = self._keepers.retiring
-        now_s = asyncio.get_running_loop().time()
-        for node, until_s in list(self._slow_until_s.items()):
-            if until_s < now_s:
-                del self._slow_until_s[node]
-        hosts = {
-            host.info.node: (host, copies.holder_of(host.info))
-            for host in self._keepers.connected()
-            if host.info is not None and host.info.node not in retiring
-        }
-        ordered = copies.rank_hosts(
-            [holder for _, holder in hosts.values()],
-            self._region,
-            self._keepers.leader,
-            self._rotation,
-            self._slow_until_s,
-        )
-        return [hosts[holder.node][0] for holder in ordered]
-
     def _region_rank(self, host: Host) -> int:
         region = host.info.region if host.info is not None else ""
         return int(region != self._region)
--- a/catkinpin/adapters/keeper/repair.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -14,9 +14,11 @@
 from catkinpin import decisions
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.adapters.store.turnserver import COPY_TIMEOUT_S
+from catkinpin.core import tolerance
 from catkinpin.core.control import copies, protocol
 from catkinpin.core.control.ledger import Moved
 from catkinpin.core.control.stores import Register, Retire
+from catkinpin.core.tolerance import Location
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
@@ -25,6 +27,7 @@
     from catkinpin.adapters.store.turnserver import TurnServer
     from catkinpin.clock import Clock
     from catkinpin.core.control.stores import Store
+    from catkinpin.core.tolerance import Located
     from catkinpin.roles import KeeperSettings
 
 log = logging.getLogger(__name__)
@@ -63,6 +66,9 @@
         other_hosts: links to the other hosts that hold copies.
         turn_server: serves this keeper's own copies.
         commit_timeout_s: longest wait for a quorum.
+
+    Attributes:
+        tolerance: the losses that each turn must survive.
     """
 
     def __init__(
@@ -75,6 +81,7 @@
         turn_server: TurnServer,
         commit_timeout_s: float,
     ) -> None:
+        self.tolerance = cfg.tolerance
         self._cfg = cfg
         self._node = node
         self._clock = clock
@@ -84,6 +91,8 @@
         self._commit_timeout_s = commit_timeout_s
         self._silent_ms = cfg.catch_up_ms * _SILENT_SHARE
         self._last_seen_ms: dict[str, int] = {}
+        # Where the hosts are that are, or were, connected to this keeper.
+        self._places: dict[str, Located] = {}
         # Stores that this keeper has logged while it led.
         self._logged: set[str] = set()
         self._retiring_since_ms: dict[str, int] = {}
@@ -124,7 +133,7 @@
         if store is None:
             return _retirement(is_known=False)
         if begin and not store.retiring:
-            if stores.count_without(name) < self._cfg.copies:
+            if self._is_needed(store):
                 return _retirement(too_few=True)
             outcome = await self._host.propose(
                 Retire(name=name), self._commit_timeout_s
@@ -134,6 +143,15 @@
             decisions.note("retire", "", store=name)
         return _retirement(is_empty=self._is_empty(store))
 
+    def _is_needed(self, store: Store) -> bool:
+        """Returns whether turns could survive fewer losses without a store."""
+        stores = self._host.state.stores
+        if stores.count_without(store.name) < self.tolerance.copies:
+            return True
+        hosts = self._known_hosts()
+        others = [hosts[node] for node in hosts if node != store.node]
+        return any(tolerance.gain_of_copy(store, others, self.tolerance))
+
     def _is_empty(self, store: Store) -> bool:
         """Returns whether a retiring store can be removed with its disk.
 
@@ -144,11 +162,18 @@
         since_ms = self._retiring_since_ms.setdefault(store.node, now_ms)
         if now_ms - since_ms < _SETTLE_MS:
             return False
-        counted_hosts = self._counted_hosts()
-        return not any(
-            store.node in turn.holders
-            or sum(n in counted_hosts for n in turn.holders) < self._cfg.copies
-            for turn in self._host.state.ledger.turns.values()
+        turns = self._host.state.ledger.turns.values()
+        if any(store.node in turn.holders for turn in turns):
+            return False
+        counted = self._counted_hosts()
+        holders = {tuple(n for n in t.holders if n in counted) for t in turns}
+        return all(
+            tolerance.are_enough_copies(
+                [counted[node] for node in nodes],
+                counted.values(),
+                self.tolerance,
+            )
+            for nodes in holders
         )
 
     # Copies.
@@ -175,7 +200,7 @@
             self._host.state.ledger.turns.values(),
             self._counted_hosts(),
             self._reachable_holders(),
-            self._cfg.copies,
+            self.tolerance,
         )
 
     def _reachable_holders(self) -> list[copies.Holder]:
@@ -191,29 +216,35 @@
         ]
         return [this_host, *others]
 
-    def _counted_hosts(self) -> set[str]:
-        """Returns the identities of the hosts whose copies count.
+    def _counted_hosts(self) -> dict[str, Located]:
+        """Returns the hosts whose copies count, by identity.
 
         They are this keeper, and the group's keepers and the stores that were
         connected recently and are not retiring. A silent host may have lost
         its disk for good; a second loss could then take the last copy.
         """
         now_ms = self._clock.now_ms()
-        for host in self._other_hosts.connected():
-            if host.info is not None:
-                self._last_seen_ms[host.info.node] = now_ms
-        self._last_seen_ms[self._node] = now_ms
+        for holder in self._reachable_holders():
+            self._last_seen_ms[holder.node] = now_ms
+            self._places[holder.node] = holder
+        return {
+            node: host
+            for node, host in self._known_hosts().items()
+            if now_ms - self._last_seen_ms.setdefault(node, now_ms)
+            < self._silent_ms
+        }
+
+    def _known_hosts(self) -> dict[str, Located]:
+        """Returns the group's keepers and the stores that are not retiring."""
         keepers = [m.node for m in self._host.group.members.members]
-        stores = [
-            store.node
+        stores = {
+            store.node: store
             for store in self._host.state.stores.by_node.values()
             if not store.retiring
-        ]
+        }
         return {
-            node
+            node: self._places.get(node) or stores.get(node) or Location(node)
             for node in (*keepers, *stores)
-            if now_ms - self._last_seen_ms.setdefault(node, now_ms)
-            < self._silent_ms
         }
 
     async def _copy(self, copy: copies.CopyBatch) -> bool:
--- a/catkinpin/core/control/copies.py
+++ b/catkinpin/core/control/copies.py
@@ -10,11 +10,14 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from catkinpin.core import tolerance
+
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
     from catkinpin.core.control.ledger import Turn
     from catkinpin.core.control.protocol import HostInfo
+    from catkinpin.core.tolerance import Located, Tolerance
 
 # Size of one batch: about 0.3 s of the bandwidth between regions.
 _MAX_BATCH_BYTES = 512 * 1024
@@ -56,49 +59,49 @@
 
 def plan(
     turns: Iterable[Turn],
-    counted: set[str],
+    counted: Mapping[str, Located],
     hosts: list[Holder],
-    wanted: int,
+    tolerated: Tolerance,
 ) -> list[CopyBatch]:
     """Returns the next batches to copy.
 
     Args:
         turns: all turns that must be retained.
-        counted: identities of the hosts whose copies count, without those that
+        counted: the hosts whose copies count, by identity: all but those that
             lost their disk, are gone or are to be emptied.
         hosts: hosts that can be reached now.
-        wanted: number of hosts that each turn should be stored at.
+        tolerated: the losses that each turn must survive.
     """
     reachable = {host.node: host for host in hosts}
     targets = [host for host in hosts if host.node in counted]
     batches: dict[tuple[str, ...], CopyBatch] = {}
     added_bytes = dict.fromkeys(reachable, 0)
+    # Many turns have the same holders.
+    is_enough: dict[tuple[str, ...], bool] = {}
     for turn in turns:
         nodes = tuple(node for node in turn.holders if node in counted)
-        if len(nodes) >= wanted:
+        if nodes not in is_enough:
+            is_enough[nodes] = tolerance.are_enough_copies(
+                [counted[node] for node in nodes], targets, tolerated
+            )
+        if is_enough[nodes]:
             continue
-        source = next(
-            (
-                reachable[node]
-                for node in (*nodes, *turn.holders)
-                if node in reachable
-            ),
-            None,
-        )
+        source = _find_source((*nodes, *turn.holders), reachable)
         if source is None:
             continue
-        used_domains = {reachable[n].domain for n in nodes if n in reachable}
         target = _choose_target(
-            source, nodes, used_domains, targets, added_bytes
+            source,
+            [counted[node] for node in nodes],
+            targets,
+            added_bytes,
+            tolerated,
         )
         if target is None:
             continue
         key = (source.node, target.node, *nodes)
-        if key not in batches:
-            if len(batches) >= _MAX_BATCHES:
-                continue
-            batches[key] = CopyBatch([], source, target, nodes)
-        batch = batches[key]
+        if key not in batches and len(batches) >= _MAX_BATCHES:
+            continue
+        batch = batches.setdefault(key, CopyBatch([], source, target, nodes))
         if batch.size < _MAX_BATCH_BYTES:
             batch.attempts.append(turn.attempt)
             batch.size += turn.size
@@ -116,7 +119,8 @@
     """Returns the hosts to store a turn at, the best first.
 
     Hosts in the gateway's region come first, alternating between its failure
-    domains: if all copies were in one domain, its loss would lose the turn.
+    domains, as these may fail as a whole. `tolerance.next_holder` says how far
+    down the list a copy must go for the losses that a turn has to survive.
 
     Args:
         hosts: hosts that can be reached.
@@ -157,28 +161,44 @@
     return ranked
 
 
+def _find_source(
+    nodes: Iterable[str], reachable: Mapping[str, Holder]
+) -> Holder | None:
+    """Returns the first of these hosts that can be reached."""
+    return next((reachable[n] for n in nodes if n in reachable), None)
+
+
 def _choose_target(
     source: Holder,
-    counted_holders: tuple[str, ...],
-    used_domains: set[str],
+    holders: list[Located],
     targets: list[Holder],
     added_bytes: dict[str, int],
+    tolerated: Tolerance,
 ) -> Holder | None:
     """Returns the target for copying a turn from `source`; None for no host.
 
-    Prefers hosts in the source's region, then failure domains without a copy
-    (those with one are in `used_domains`), then hosts that get fewer bytes.
+    Prefers hosts in a place that the turn still needs, then those in the
+    source's region, then failure domains without a copy, then hosts that get
+    fewer bytes.
     """
+    holding_nodes = {holder.node for holder in holders}
+    holding_domains = {holder.domain for holder in holders}
     others = [
         host
         for host in targets
-        if host.node not in counted_holders and host.node != source.node
+        if host.node not in holding_nodes and host.node != source.node
     ]
     return min(
         others,
         key=lambda host: (
+            [
+                not is_needed
+                for is_needed in tolerance.gain_of_copy(
+                    host, holders, tolerated
+                )
+            ],
             host.region != source.region,
-            host.domain in {source.domain, *used_domains},
+            host.domain in {source.domain, *holding_domains},
             added_bytes[host.node],
         ),
         default=None,
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -33,8 +33,7 @@
 _COMMON_SETTINGS = """
 bootstrap = {first}
 [zones]
-a = "r"
-b = "r"
+{regions}
 [listen]
 front = "{ip}:{front}"
 ready = "{ip}:{ready}"
@@ -42,9 +41,9 @@
 [limits]
 memory_mb = 200
 [tolerate]
-machines = 1
-zones = 0
-regions = 0
+machines = {tolerate[machines]}
+zones = {tolerate[zones]}
+regions = {tolerate[regions]}
 [bounds]
 grace_s = 8
 catch_up_s = {catch_up}
@@ -71,16 +70,23 @@
 
 
 class Deployment:
-    """Three keepers, some stores and gateways, and a model server.
+    """Some keepers, stores and gateways, and a model server.
+
+    The first three keepers are the seeds.
 
     Args:
         folder: folder for settings, logs and data.
         gateways: number of gateways.
         stores: number of stores.
+        keepers: number of keepers.
     """
 
     def __init__(
-        self, folder: pathlib.Path, gateways: int = 2, stores: int = 2
+        self,
+        folder: pathlib.Path,
+        gateways: int = 2,
+        stores: int = 2,
+        keepers: int = 3,
     ) -> None:
         self._folder = folder
         self._ports = ports.free_ports(4)
@@ -88,7 +94,7 @@
         # collide.
         network = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
         self.hosts: dict[str, Host] = {}
-        roles = [("keeper", 3), ("store", stores), ("gateway", gateways)]
+        roles = [("keeper", keepers), ("store", stores), ("gateway", gateways)]
         last_octet = 1
         for role, count in roles:
             for number in range(1, count + 1):
@@ -109,6 +115,11 @@
         self.policies: list[str] = []
         # How long a lost host counts as lost once it or its successor is back.
         self.catch_up_s = 15.0
+        # What may be lost at the same time.
+        self.tolerate = {"machines": 1, "zones": 0, "regions": 0}
+        # Failure domain of each host that isn't in "a", and their regions.
+        self.domains: dict[str, str] = {}
+        self.regions = {"a": "r", "b": "r"}
         self._sequence = 0
         self._session: aiohttp.ClientSession
         self._heartbeat_task: asyncio.Task[None]
@@ -164,12 +175,21 @@
         data = self._folder / name
         self.hosts[name] = Host(name, "store", ip, data, is_first_start=False)
 
+    def domain_of(self, name: str) -> str:
+        """Returns the failure domain of a host."""
+        return self.domains.get(name, "a")
+
+    def write_settings(self, name: str) -> pathlib.Path:
+        """Writes a host's settings file, which its process reads again."""
+        settings = self._folder / f"{name}.toml"
+        settings.write_text(self._settings_text(self.hosts[name]))
+        return settings
+
     def start(self, name: str) -> None:
         """Starts a process, after writing its settings file."""
         host = self.hosts[name]
         host.folder.mkdir(exist_ok=True)
-        settings = self._folder / f"{name}.toml"
-        settings.write_text(self._settings_text(host))
+        settings = self.write_settings(name)
         env = dict(os.environ, PYTHONPATH=str(processes.ROOT))
         env["CATKINPIN_NODE_FILE"] = str(settings)
         with (self._folder / f"{name}.log").open("ab") as out:
@@ -500,12 +520,14 @@
         writer.write(b"0\r\n\r\n")
 
     def _settings_text(self, host: Host) -> str:
-        seeds = [h.ip for h in self.hosts.values() if h.role == "keeper"]
+        keepers = [h.ip for h in self.hosts.values() if h.role == "keeper"]
+        seeds = keepers[:3]
+        domain = self.domain_of(host.name)
         peer, front, ready, control = self._ports
         quoted_seeds = ",".join(f'"{ip}:{control}"' for ip in seeds)
         head = (
-            f'node_name = "{host.name}"\nip = "{host.ip}"\nzone = "a"\n'
-            f'region = "r"\nport_range = [{peer},{peer}]\n'
+            f'node_name = "{host.name}"\nip = "{host.ip}"\nzone = "{domain}"\n'
+            f'region = "{self.regions[domain]}"\nport_range = [{peer},{peer}]\n'
             f'seeds = [{quoted_seeds}]\ndata_dir = "{host.folder}"'
         )
         policies = ",".join(f'"{policy}"' for policy in self.policies)
@@ -518,4 +540,6 @@
             control=control,
             first=first,
             catch_up=self.catch_up_s,
+            tolerate=self.tolerate,
+            regions="\n".join(f'{d} = "{r}"' for d, r in self.regions.items()),
         )
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -7,6 +7,7 @@
 from catkinpin.core.control import copies
 from catkinpin.core.control.copies import Holder
 from catkinpin.core.control.ledger import Turn
+from catkinpin.core.tolerance import Tolerance
 
 
 def _turn(number: int, holders: list[str], size: int = 1_000) -> Turn:
@@ -24,6 +25,14 @@
     return Holder(node, f"{node}:1", region, domain or node)
 
 
+def _plan(
+    turns: list[Turn], counted: set[str], hosts: list[Holder], wanted: int
+) -> list[copies.CopyBatch]:
+    places = {host.node: host for host in hosts}
+    known = {node: places.get(node) or _host(node) for node in counted}
+    return copies.plan(turns, known, hosts, Tolerance(hosts=wanted - 1))
+
+
 class PlanTest(testtools.TestCase):
     """Plans of the next batches to copy."""
 
@@ -36,7 +45,7 @@
         turns = [_turn(n, ["lost", "a"]) for n in range(5)]
         turns += [_turn(9, ["a", "b"])]
         hosts = [_host("a"), _host("b"), _host("new")]
-        plan = copies.plan(turns, {"a", "b", "new"}, hosts, 2)
+        plan = _plan(turns, {"a", "b", "new"}, hosts, 2)
         copied = {t for copy in plan for t in copy.attempts}
         self.assertEqual({f"t{n}" for n in range(5)}, copied)
         for copy in plan:
@@ -52,7 +61,7 @@
         """
         turns = [_turn(n, ["lost", "a"], 1_000) for n in range(20)]
         hosts = [_host(n) for n in ("a", "b", "c")]
-        plan = copies.plan(turns, {"a", "b", "c"}, hosts, 2)
+        plan = _plan(turns, {"a", "b", "c"}, hosts, 2)
         sizes = {copy.target.node: copy.size for copy in plan}
         self.assertEqual({"b": 10_000, "c": 10_000}, sizes)
 
@@ -66,7 +75,7 @@
         """
         turns = [_turn(1, ["leaving", "down"])]
         hosts = [_host("leaving"), _host("a")]
-        (copy,) = copies.plan(turns, {"a", "down"}, hosts, 2)
+        (copy,) = _plan(turns, {"a", "down"}, hosts, 2)
         self.assertEqual("leaving", copy.source.node)
         self.assertEqual("a", copy.target.node)
         self.assertEqual(("down",), copy.counted_holders)
@@ -75,12 +84,12 @@
         """Hosts of both regions can be targets; the link between is narrow."""
         turns = [_turn(1, ["lost", "a"])]
         hosts = [_host("a"), _host("far", "other"), _host("near")]
-        (copy,) = copies.plan(turns, {"a", "far", "near"}, hosts, 2)
+        (copy,) = _plan(turns, {"a", "far", "near"}, hosts, 2)
         self.assertEqual("near", copy.target.node)
 
     def test_nothing_is_copied_where_nothing_can_be_read(self) -> None:
         """Neither holder can be reached for a while."""
-        plan = copies.plan([_turn(1, ["x", "y"])], {"y"}, [_host("a")], 2)
+        plan = _plan([_turn(1, ["x", "y"])], {"y"}, [_host("a")], 2)
         self.assertEqual([], plan)
 
     def test_two_losses_at_once_need_a_third_copy(self) -> None:
@@ -93,7 +102,7 @@
         hosts = [_host(n, domain=n[0]) for n in ("a", "a2", "b", "b2", "c")]
         counted = {host.node for host in hosts}
         for _ in range(3):
-            for copy in copies.plan(turns, counted, hosts, 3):
+            for copy in _plan(turns, counted, hosts, 3):
                 turns[0].holders = [*copy.counted_holders, copy.target.node]
         self.assertEqual(["a", "b", "c"], sorted(turns[0].holders))
 
--- /dev/null
+++ b/tests/test_lost_domain.py
@@ -0,0 +1,88 @@
+"""A failure domain loses its disks, as the settings tolerate."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from tests.fakes.deployment import Deployment
+from tests.test_deployment import DeploymentCase
+
+if TYPE_CHECKING:
+    import pathlib
+
+_CATCH_UP_S = 3.0
+_TURNS = 8
+_TRIES = 200
+_RETRY_S = 0.05
+_REGIONS = {"a": "r", "b": "s", "c": "r"}
+
+
+def _deployment(folder: pathlib.Path, keeper_domains: str) -> Deployment:
+    """Returns a deployment with a store in each of three failure domains.
+
+    Domain "b" is alone in its region, and has the only gateway.
+
+    Args:
+        folder: folder for settings, logs and data.
+        keeper_domains: the failure domain of each keeper, one letter each.
+    """
+    system = Deployment(
+        folder, gateways=1, stores=3, keepers=len(keeper_domains)
+    )
+    system.catch_up_s = _CATCH_UP_S
+    system.regions = _REGIONS
+    system.domains = {"gateway-1": "b", "store-2": "b", "store-3": "c"}
+    for number, domain in enumerate(keeper_domains, 1):
+        system.domains[f"keeper-{number}"] = domain
+    return system
+
+
+def _lose_disks(system: Deployment, domain: str) -> None:
+    """Kills all processes and starts them without the disks of a domain."""
+    for name in system.hosts:
+        system.kill(name)
+    for name, host in system.hosts.items():
+        if host.role != "gateway" and system.domain_of(name) == domain:
+            system.wipe(name)
+    for name in system.hosts:
+        system.start(name)
+
+
+async def _send_turns(system: Deployment) -> list[str]:
+    names = [f"t{number}" for number in range(_TURNS)]
+    assert await system.retry_turn_until_served("first")
+    for name in names:
+        assert await system.send_turn(name) == 200
+    return names
+
+
+async def _continue(system: Deployment, name: str) -> bool:
+    """Returns whether a turn that continues another one is served."""
+    for number in range(_TRIES):
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            if await system.send_turn(f"{name}.{number}", name) == 200:
+                return True
+        await asyncio.sleep(_RETRY_S)
+    return False
+
+
+class LostDomainTest(DeploymentCase):
+    """All disks of a failure domain are lost at once."""
+
+    def test_turns_outlast_the_domain_of_their_gateway(self) -> None:
+        """Guards against copies that all are in one failure domain."""
+
+        async def main() -> None:
+            system = _deployment(self.folder, "abcab")
+            system.tolerate["zones"] = 1
+            async with system:
+                names = await _send_turns(system)
+                _lose_disks(system, "b")
+                lost = [n for n in names if not await _continue(system, n)]
+                self.assertEqual([], lost)
+
+        self.run_async(main())
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -9,6 +9,7 @@
 from catkinpin.adapters.gateway.turns import TurnClient, TurnResult
 from catkinpin.core.control import protocol
 from catkinpin.core.requests.calls import RouteCall
+from catkinpin.core.tolerance import Tolerance
 from tests import base
 
 if TYPE_CHECKING:
@@ -72,7 +73,9 @@
 
         async def main() -> None:
             holders = _FakeHolders("b")
-            turns = TurnClient(cast("Keepers", holders), "r", 1_000, 2)
+            turns = TurnClient(
+                cast("Keepers", holders), "r", 1_000, Tolerance(hosts=1)
+            )
             loop = asyncio.get_running_loop()
             slow_count = 0
             for number in range(9):
