Choose voters by the failure domains that may be lost

Cause: seeds vote first, then learners in the order in which they join, up to five. Places were not regarded, so a domain could have three of five votes.

Change: the leader compares the sets of replicas that may vote by the losses that they survive (tolerance.py), and moves votes one step at a time: a voter is added before a live one is removed. Places come from the first message on each stream; no message or record changes.

--- a/catkinpin/adapters/keeper/nodeconfig.py
+++ b/catkinpin/adapters/keeper/nodeconfig.py
@@ -33,4 +33,5 @@
         segment_bytes=_SEGMENT_BYTES,
         timing=_TIMING,
         process_begun_ms=clock.process_start_ms(),
+        tolerance=cfg.tolerance,
     )
--- a/catkinpin/adapters/replica/config.py
+++ b/catkinpin/adapters/replica/config.py
@@ -7,6 +7,7 @@
 
 from catkinpin.adapters.disk.storage import SEGMENT_BYTES
 from catkinpin.core.consensus.state import Timing
+from catkinpin.core.tolerance import Tolerance
 
 if TYPE_CHECKING:
     import pathlib
@@ -28,6 +29,7 @@
         timing: intervals and timeouts of heartbeats and elections.
         process_begun_ms: start of this process, by the node's clock, if the
             process runs no other node; None if it is not known.
+        tolerance: which losses the voters of each group must survive.
     """
 
     data_folder: pathlib.Path
@@ -37,3 +39,4 @@
     segment_bytes: int = SEGMENT_BYTES
     timing: Timing = dataclasses.field(default_factory=Timing)
     process_begun_ms: int | None = None
+    tolerance: Tolerance = dataclasses.field(default_factory=Tolerance)
--- a/catkinpin/adapters/replica/groups.py
+++ b/catkinpin/adapters/replica/groups.py
@@ -22,6 +22,7 @@
     from catkinpin.adapters.replica.heartbeats import Outbox
     from catkinpin.adapters.replica.machines import StateMachine
     from catkinpin.core.consensus.messages import Entry
+    from catkinpin.core.consensus.placement import ReplicaPlacement
     from catkinpin.core.consensus.state import Timing
 
 log = logging.getLogger(__name__)
@@ -34,11 +35,13 @@
         identity: unique name of this replica.
         rng: draws election timeouts.
         heartbeats: heartbeats to send with the next flush.
+        placement: where the replicas are, and which losses must be survived.
     """
 
     identity: str
     rng: random.Random
     heartbeats: Outbox
+    placement: ReplicaPlacement
 
     @property
     def timing(self) -> Timing:
@@ -162,6 +165,7 @@
             self._node.now_ms(),
             self._node.timing,
             self._node.process_begun_ms,
+            self._node.placement,
         )
         self._node.schedule_flush(self)
 
--- a/catkinpin/adapters/replica/node.py
+++ b/catkinpin/adapters/replica/node.py
@@ -30,6 +30,8 @@
     Promise,
     Propose,
 )
+from catkinpin.core.consensus.placement import ReplicaPlacement
+from catkinpin.core.tolerance import Location
 from catkinpin.exceptions import DiskFullError, SettingsError
 
 if TYPE_CHECKING:
@@ -76,6 +78,7 @@
     Attributes:
         identity: unique name of this replica, new for each new data folder.
         address: the peer address that this replica advertises.
+        placement: where the replicas are, and which losses must be survived.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         self.address = ""
         self.groups: dict[str, Group] = {}
         self.heartbeats = heartbeats.Outbox()
+        self.placement = ReplicaPlacement(cfg.tolerance)
         self._cfg = cfg
         self._on_leader_changed = on_leader_changed
         self._on_failure = on_failure
@@ -160,6 +164,7 @@
         """Connects to the other replicas and starts `Founding`."""
         self.storage.sync()
         self.address = hello.address
+        self._record_location(hello)
         listed = self._cfg.replicas
         is_fixed = self._cfg.auto_join is None
         if is_fixed and listed and self.address not in listed:
@@ -238,8 +243,14 @@
         }
 
     def handle_hello(self, hello: messages.Hello) -> None:
-        """Records the identity and the address of another replica."""
+        """Records the identity, the address and the place of a replica."""
         self._mesh.set_address(hello.process, hello.address)
+        self._record_location(hello)
+
+    def _record_location(self, hello: messages.Hello) -> None:
+        self.placement.record(
+            Location(hello.process, hello.domain, hello.region)
+        )
 
     def handle(self, message: Any) -> None:
         """Handles a message of another replica; fails the node on an error."""
--- a/catkinpin/core/consensus/core.py
+++ b/catkinpin/core/consensus/core.py
@@ -19,6 +19,7 @@
     import random
 
     from catkinpin.core.consensus import commands
+    from catkinpin.core.consensus.placement import ReplicaPlacement
 
 
 class Core:
@@ -31,6 +32,7 @@
         now_ms: monotonic time, which must advance while the host is suspended.
         timing: timeouts and limits of the group.
         started_ms: start of this process by the same clock; None: now.
+        placement: where the replicas are, and which losses must be survived.
     """
 
     def __init__(
@@ -41,9 +43,12 @@
         now_ms: int,
         timing: Timing | None = None,
         started_ms: int | None = None,
+        placement: ReplicaPlacement | None = None,
     ) -> None:
         timing = timing or Timing()
-        self.state = State(node, stored, rng, now_ms, timing, started_ms)
+        self.state = State(
+            node, stored, rng, now_ms, timing, started_ms, placement
+        )
         if self.state.log.voters == [node]:
             election.start_pre_vote(self.state, now_ms)
 
@@ -100,7 +105,7 @@
         if state.role is Role.LEADER:
             leading.tick(state, now_ms)
             if state.role is Role.LEADER:
-                membership.promote_learner(state, now_ms)
+                membership.update_voters(state, now_ms)
         elif now_ms >= state.election_deadline_ms and state.is_voter():
             election.start_pre_vote(state, now_ms)
 
--- a/catkinpin/core/consensus/membership.py
+++ b/catkinpin/core/consensus/membership.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from catkinpin.core import tolerance
 from catkinpin.core.consensus import leading
 from catkinpin.core.consensus.log import encode_members
 from catkinpin.core.consensus.messages import EntryKind, Member, Members
 
 if TYPE_CHECKING:
     from catkinpin.core.consensus.state import State
+    from catkinpin.core.tolerance import Location, Loss, Tolerance
 
 
 def add_learner(state: State, node: str, address: str, now_ms: int) -> bool:
@@ -39,52 +42,144 @@
     return True
 
 
-def promote_learner(state: State, now_ms: int) -> None:
-    """Takes the next step of making a caught-up learner a voter.
+def update_voters(state: State, now_ms: int) -> None:
+    """Takes the next step towards the voters that survive most losses.
 
-    The voter that it replaces is removed first. In the other order a group of
-    three would have four voters for a while, one of them lost, and a second
-    loss before the next step would leave it without a quorum for ever.
+    Learners become voters once they have caught up. A voter that is lost is
+    removed before another replica takes its place. In the other order a group
+    of three would have four voters for a while, one of them lost, and a second
+    loss before the next step would leave it without a quorum for ever. A voter
+    that is heard is removed last, as the others tolerate no less until then.
     """
     _sample_log(state, now_ms)
-    learner = _find_caught_up_learner(state)
-    if learner is None or not _may_change_members(state):
+    if not _may_change_members(state) or _is_place_missing(state, now_ms):
         return
-    members = state.log.members.members
-    replaced = _find_voter_at(state, learner.address) or _find_silent_voter(
-        state, now_ms
-    )
-    if replaced is None and len(state.log.voters) >= state.timing.max_voters:
+    learners = _caught_up_learners(state, now_ms)
+    lost = _lost_voters(state, learners, now_ms)
+    selected = _select_voters(state, learners, lost)
+    added = [m for m in learners if m.node in selected]
+    for voter in _present_voters(state):
+        if voter.node in selected:
+            continue
+        if voter.node in lost and added:
+            _propose_without(state, voter, now_ms)
+            return
+    if added:
+        _propose_voter(state, added[0], voter=True, now_ms=now_ms)
         return
-    if replaced is not None:
-        new_members = [m for m in members if m is not replaced]
-    else:
-        voter = msgspec.structs.replace(learner, voter=True)
-        new_members = [voter if m is learner else m for m in members]
-    _propose_members(state, new_members, now_ms)
+    for voter in _present_voters(state):
+        if voter.node not in selected:
+            _propose_voter(state, voter, voter=False, now_ms=now_ms)
+            return
 
 
-def _find_silent_voter(state: State, now_ms: int) -> Member | None:
-    """Returns a voter that is silent for so long that it may be replaced.
+def unkept_losses(state: State) -> list[Loss]:
+    """Returns the kinds of tolerated losses that may take the majority."""
+    placement = state.placement
+    return tolerance.unkept_by_voters(
+        placement.locate(state.log.voters), placement.tolerance
+    )
+
 
-    Otherwise each permanently lost host would remain a voter. After a few
-    such replacements the lost voters would be a majority, and nothing could be
-    committed. A voter may only be replaced while the remaining voters can
-    commit without it.
+def _is_place_missing(state: State, now_ms: int) -> bool:
+    """Returns whether a place that matters is not known yet.
+
+    A leader that has just started learns the places as the others connect. It
+    must not replace voters by what it doesn't know.
     """
-    timing = state.timing
-    remaining_count = len(state.log.voters) - 1
-    responsive_count = 1
-    silent_voter = None
-    for node in state.log.voters:
-        if node == state.node:
-            continue
-        last_reply_ms = max(state.progress[node].acked_ms, state.elected_ms)
-        if now_ms - last_reply_ms < timing.election_timeout_ms:
-            responsive_count += 1
-        elif now_ms - last_reply_ms > timing.silent_voter_timeout_ms:
-            silent_voter = state.log.members.find(node)
-    return silent_voter if responsive_count > remaining_count // 2 else None
+    placement = state.placement
+    return placement.tolerance.is_by_place and any(
+        member.node not in placement.locations
+        and _is_responsive(state, member, now_ms)
+        for member in state.log.members.members
+    )
+
+
+def _select_voters(
+    state: State, learners: list[Member], lost: set[str]
+) -> frozenset[str]:
+    """Returns the identities of the replicas that should vote.
+
+    Args:
+        state: the leader's state.
+        learners: the learners that may vote.
+        lost: identities of the voters that may be replaced.
+    """
+    replaced = {m.address for m in learners}
+    voters = [m for m in _present_voters(state) if m.address not in replaced]
+    # A voter that leads comes first, as its removal costs an election.
+    candidates = sorted(
+        [*voters, *learners],
+        key=lambda m: (m.node in lost, not m.voter, m.node != state.node),
+    )
+    placement = state.placement
+    return _select_voters_at(
+        placement.locate(state.log.voters),
+        placement.locate(m.node for m in candidates),
+        frozenset(lost),
+        placement.tolerance,
+        state.timing.max_voters,
+    )
+
+
+# The leader asks at each tick, and the answer seldom changes.
+@functools.lru_cache(maxsize=64)
+def _select_voters_at(
+    voters: tuple[Location, ...],
+    candidates: tuple[Location, ...],
+    lost: frozenset[str],
+    tolerated: Tolerance,
+    max_voters: int,
+) -> frozenset[str]:
+    selected = tolerance.select_voters(
+        voters, candidates, lost, tolerated, max_voters
+    )
+    return frozenset(location.node for location in selected)
+
+
+def _lost_voters(state: State, learners: list[Member], now_ms: int) -> set[str]:
+    """Returns the identities of the voters that may be replaced.
+
+    They are silent for long, or a learner has their address, which has lost
+    the voter's disk. Otherwise each permanently lost host would remain a voter.
+    After a few such replacements the lost voters would be a majority, and
+    nothing could be committed.
+    """
+    replaced = {m.address for m in learners}
+    silent_ms = state.timing.silent_voter_timeout_ms
+    return {
+        voter.node
+        for voter in _present_voters(state)
+        if voter.node != state.node
+        and (
+            voter.address in replaced
+            or now_ms - _last_reply_ms(state, voter) > silent_ms
+        )
+    }
+
+
+def _propose_without(state: State, voter: Member, now_ms: int) -> None:
+    """Removes a lost voter, if the remaining ones can commit without it."""
+    remaining = [m for m in _present_voters(state) if m is not voter]
+    if _can_commit(state, remaining, now_ms):
+        members = state.log.members.members
+        _propose_members(state, [m for m in members if m is not voter], now_ms)
+
+
+def _propose_voter(
+    state: State, member: Member, *, voter: bool, now_ms: int
+) -> None:
+    """Makes a learner a voter or a voter a learner, if they can commit it."""
+    changed = msgspec.structs.replace(member, voter=voter)
+    members = [changed if m is member else m for m in state.log.members.members]
+    if _can_commit(state, [m for m in members if m.voter], now_ms):
+        _propose_members(state, members, now_ms)
+
+
+def _can_commit(state: State, voters: list[Member], now_ms: int) -> bool:
+    """Returns whether a majority of these voters answers."""
+    heard = sum(_is_responsive(state, voter, now_ms) for voter in voters)
+    return heard > len(voters) // 2
 
 
 def _sample_log(state: State, now_ms: int) -> None:
@@ -95,23 +190,27 @@
         state.sample_last = state.log.last
 
 
-def _find_caught_up_learner(state: State) -> Member | None:
-    """Returns a learner that has all entries up to the previous sample.
+def _caught_up_learners(state: State, now_ms: int) -> list[Member]:
+    """Returns the learners that answer and have the log up to a sample.
 
-    Comparing with the present commit index would not work: under constant load
-    nearby voters commit each entry before a distant learner has it, so the
-    learner would never become a voter. A learner that lags by less than an
-    election timeout keeps up.
+    It is the sample before the latest one. Comparing with the present commit
+    index would not work: under constant load nearby voters commit each entry
+    before a distant learner has it, so the learner would never become a voter.
+    A learner that lags by less than an election timeout keeps up.
     """
-    for member in state.log.members.members:
-        if member.voter or member.node not in state.progress:
-            continue
-        if (
-            state.progress[member.node].match_index
-            >= state.previous_sample_last
-        ):
-            return member
-    return None
+    return [
+        member
+        for member in state.log.members.members
+        if not member.voter
+        and member.node in state.progress
+        and state.progress[member.node].match_index
+        >= state.previous_sample_last
+        and _is_responsive(state, member, now_ms)
+    ]
+
+
+def _present_voters(state: State) -> list[Member]:
+    return [member for member in state.log.members.members if member.voter]
 
 
 def _find_voter_at(state: State, address: str) -> Member | None:
@@ -130,6 +229,11 @@
     return now_ms - last_reply_ms < state.timing.election_timeout_ms
 
 
+def _last_reply_ms(state: State, voter: Member) -> int:
+    """Returns when a voter last replied; a new leader counts from its start."""
+    return max(state.progress[voter.node].acked_ms, state.elected_ms)
+
+
 def _may_change_members(state: State) -> bool:
     # Two concurrent changes, or a change before this term has committed an
     # entry, could allow two majorities that have no voter in common.
--- a/catkinpin/core/consensus/state.py
+++ b/catkinpin/core/consensus/state.py
@@ -8,6 +8,7 @@
 
 from catkinpin.core.consensus import commands, messages
 from catkinpin.core.consensus.log import LogIndex
+from catkinpin.core.consensus.placement import ReplicaPlacement
 
 if TYPE_CHECKING:
     import random
@@ -61,8 +62,8 @@
             not completed is cancelled.
         silent_voter_timeout_ms: time without a reply after which a voter may
             be replaced by a learner that has caught up.
-        max_voters: number of voters up to which learners become voters
-            without replacing one.
+        max_voters: largest number of voters, unless the losses that the group
+            must survive need more.
     """
 
     heartbeat_interval_ms: int = 100
@@ -149,6 +150,7 @@
         transfer_to: identity of the replica that leadership is being
             transferred to; empty for none.
         transfer_until_ms: time at which the transfer is cancelled.
+        placement: where the replicas are, and which losses must be survived.
         out: commands that the driver has not taken yet.
     """
 
@@ -160,7 +162,9 @@
         now_ms: int,
         timing: Timing,
         started_ms: int | None = None,
+        placement: ReplicaPlacement | None = None,
     ) -> None:
+        self.placement = placement or ReplicaPlacement()
         started_ms = now_ms if started_ms is None else started_ms
         self.node = node
         self.rng = rng
@@ -190,11 +194,9 @@
         self.term_start_index = 0
         self.leadership_reported = False
         self.sample_ms = 0
-        self.sample_last = 0
-        self.previous_sample_last = 0
+        self.sample_last = self.previous_sample_last = 0
         self.heartbeat_slot = -1
-        self.transfer_to = ""
-        self.transfer_until_ms = 0
+        self.transfer_to, self.transfer_until_ms = "", 0
         self.out: list[commands.Command] = []
         self.reset_election_deadline(started_ms)
         self.void_term = stored.term if stored.led else 0
--- a/tests/test_lost_domain.py
+++ b/tests/test_lost_domain.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -86,3 +87,22 @@
                 self.assertEqual([], lost)
 
         self.run_async(main())
+
+    def test_control_group_outlasts_the_domain_of_its_seeds(self) -> None:
+        """Guards against voters of whom one failure domain has a majority."""
+
+        async def main() -> None:
+            system = _deployment(self.folder, "aaabbcc")
+            system.tolerate["zones"] = 1
+            async with system:
+                await asyncio.sleep(_CATCH_UP_S)
+                for number in (1, 2, 3):
+                    system.wipe(f"keeper-{number}")
+                for number in (1, 2, 3):
+                    system.start(f"keeper-{number}")
+                version = await system.wait_until(system.send_manifest)
+                status, body = await system.call_keeper("GET", "/-/config")
+                self.assertEqual(200, status)
+                self.assertEqual(version, json.loads(body)["version"])
+
+        self.run_async(main())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -36,7 +36,7 @@
 def _promote_until_done(state: State) -> list[str]:
     """Takes all promotion steps that are possible; returns the voters."""
     for _ in range(4):
-        membership.promote_learner(state, _NOW_MS)
+        membership.update_voters(state, _NOW_MS)
         state.commit = state.log.last
         for progress in state.progress.values():
             progress.match_index = state.log.last
@@ -61,7 +61,7 @@
         """Guards against a step that does not tolerate another lost voter."""
         state = _leader_state("abcde", learners="f")
         _mark_silent(state, "e")
-        membership.promote_learner(state, _NOW_MS)
+        membership.update_voters(state, _NOW_MS)
         self.assertEqual(list("abcd"), sorted(state.log.voters))
 
     def test_voter_stays_while_all_are_heard(self) -> None:
@@ -119,7 +119,7 @@
             # The learner lags by 30 ms, that is by a few records.
             state.progress["f"].acked_ms = now_ms
             state.progress["f"].match_index = state.log.last - 3
-            membership.promote_learner(state, now_ms)
+            membership.update_voters(state, now_ms)
             for _ in range(6):
                 leading.append_entry(state, EntryKind.DATA, b"", now_ms)
             state.commit = state.log.last
@@ -143,7 +143,7 @@
             for node in "bcdf":
                 state.progress[node].acked_ms = now_ms
             state.progress["f"].match_index += 1
-            membership.promote_learner(state, now_ms)
+            membership.update_voters(state, now_ms)
             for _ in range(6):
                 leading.append_entry(state, EntryKind.DATA, b"", now_ms)
             state.commit = state.log.last
