Apply changed tolerated losses without a restart

Callers saw: turns stored before the settings promise to survive the loss of a failure domain are lost with one. Only the seeds were read again while a process runs, so gateways and the leader kept the old promise until their next start.

Change: the tolerated losses are read again together with the seeds. The leader repairs copies that were stored under other settings and moves votes.

--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -40,6 +40,7 @@
     from catkinpin.adapters.http.server import Request, Responder
     from catkinpin.core.control.routes import CallerLimits
     from catkinpin.core.control.servers import Instance
+    from catkinpin.core.tolerance import Tolerance
     from catkinpin.roles import GatewaySettings
 
 log = logging.getLogger(__name__)
@@ -185,6 +186,11 @@
         decisions.note("reload", "", seeds=seeds)
         self.keepers.add(seeds)
 
+    def set_tolerance(self, tolerance: Tolerance) -> None:
+        """Stores turns from now on so that they survive other losses."""
+        decisions.note("reload", "", **tolerance.described())
+        self._turns.set_tolerance(tolerance)
+
     def not_ready_reason(self) -> str:
         """Returns why the gateway is not ready; an empty string if it is."""
         if self._stopping:
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -139,6 +139,10 @@
         """Number of running background tasks: settling and storing turns."""
         return len(self._tasks)
 
+    def set_tolerance(self, tolerance: Tolerance) -> None:
+        """Sets the losses that each turn must survive from now on."""
+        self._storage.tolerance = tolerance
+
     async def begin(
         self,
         call: RouteCall,
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -44,6 +44,7 @@
     from catkinpin.core.control.routes import Routing
     from catkinpin.core.control.servers import Instance
     from catkinpin.core.control.state import SuspectChange
+    from catkinpin.core.tolerance import Tolerance
     from catkinpin.roles import KeeperSettings
 
     ControlHandler = Callable[
@@ -226,6 +227,15 @@
         for address in seeds:
             self.node.connect_to(address)
 
+    def set_tolerance(self, tolerance: Tolerance) -> None:
+        """Repairs copies and chooses voters so that other losses are survived.
+
+        What is stored already is moved to where it must be as well.
+        """
+        decisions.note("reload", "", **tolerance.described())
+        self.node.placement.tolerance = tolerance
+        self._copy_repair.tolerance = tolerance
+
     # Calls by servers and operators, which any keeper takes.
 
     async def announce(self, instance: Instance) -> str:
--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -1,4 +1,4 @@
-"""Runs gateways, keepers and stores, and reloads their seeds."""
+"""Runs gateways, keepers and stores, and reloads their settings."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 from catkinpin.adapters.http.headers import Headers
 from catkinpin.adapters.http.server import HttpServer
 from catkinpin.exceptions import StorageError
+from catkinpin.roles import ReloadedSettings
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,6 +24,7 @@
     from catkinpin.adapters.gateway.headers import HeaderCodec
     from catkinpin.adapters.http.server import Request, Responder
     from catkinpin.adapters.keeper.process import ControlHandler
+    from catkinpin.core.tolerance import Tolerance
     from catkinpin.roles import (
         GatewaySettings,
         KeeperSettings,
@@ -38,7 +40,7 @@
 
 
 class ReloadableProcess(Protocol):
-    """A process whose seeds can change while it runs."""
+    """A process of which some settings can change while it runs."""
 
     async def start(self) -> None:
         """Starts to serve."""
@@ -49,12 +51,15 @@
     def set_seeds(self, seeds: list[str]) -> None:
         """Replaces the seeds."""
 
+    def set_tolerance(self, tolerance: Tolerance) -> None:
+        """Replaces the losses that must not take what is durable."""
+
 
 def run_gateway(
     cfg: GatewaySettings,
     regions: dict[str, str],
     codec: HeaderCodec,
-    read_seeds: Callable[[], list[str]],
+    read_settings: Callable[[], ReloadedSettings],
 ) -> None:
     """Runs a gateway until it is asked to stop.
 
@@ -62,18 +67,18 @@
         cfg: the settings.
         regions: region of each failure domain.
         codec: translates the headers of requests and answers.
-        read_seeds: returns the seeds in the current settings.
+        read_settings: returns what may have changed in the settings.
     """
     from catkinpin.adapters.gateway.process import Gateway
 
-    _run_process(cfg, lambda: Gateway(cfg, regions, codec), read_seeds)
+    _run_process(cfg, lambda: Gateway(cfg, regions, codec), read_settings)
 
 
 def run_keeper(
     cfg: KeeperSettings,
     regions: dict[str, str],
     control: ControlHandler,
-    read_seeds: Callable[[], list[str]],
+    read_settings: Callable[[], ReloadedSettings],
 ) -> None:
     """Runs a keeper until it is asked to stop.
 
@@ -81,42 +86,44 @@
         cfg: the settings.
         regions: region of each failure domain.
         control: returns the HTTP handler of calls by servers and operators.
-        read_seeds: returns the seeds in the current settings.
+        read_settings: returns what may have changed in the settings.
     """
     from catkinpin.adapters.keeper.process import Keeper
 
-    _run_process(cfg, lambda: Keeper(cfg, regions, control), read_seeds)
+    _run_process(cfg, lambda: Keeper(cfg, regions, control), read_settings)
 
 
-def run_store(cfg: StoreSettings, read_seeds: Callable[[], list[str]]) -> None:
+def run_store(
+    cfg: StoreSettings, read_settings: Callable[[], ReloadedSettings]
+) -> None:
     """Runs a store until it is asked to stop.
 
     Args:
         cfg: the settings.
-        read_seeds: returns the seeds in the current settings.
+        read_settings: returns what may have changed in the settings.
     """
     from catkinpin.adapters.store.process import Store
 
-    _run_process(cfg, lambda: Store(cfg), read_seeds)
+    _run_process(cfg, lambda: Store(cfg), read_settings)
 
 
 def _run_process(
     cfg: RoleSettings,
     make_process: Callable[[], ReloadableProcess],
-    read_seeds: Callable[[], list[str]],
+    read_settings: Callable[[], ReloadedSettings],
 ) -> None:
     logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
     decisions.set_up(cfg.name)
     # The loaded modules are never freed, so garbage collections skip them.
     gc.freeze()
     gc.enable()
-    uvloop.run(_run_to_end(cfg, make_process, read_seeds))
+    uvloop.run(_run_to_end(cfg, make_process, read_settings))
 
 
 async def _run_to_end(
     cfg: RoleSettings,
     make_process: Callable[[], ReloadableProcess],
-    read_seeds: Callable[[], list[str]],
+    read_settings: Callable[[], ReloadedSettings],
 ) -> NoReturn:
     """Serves until a stop signal, and exits in each case.
 
@@ -125,7 +132,7 @@
     use up the stop timeout.
     """
     try:
-        await _serve(cfg, make_process, read_seeds)
+        await _serve(cfg, make_process, read_settings)
     except StorageError as exc:
         exits.end_process(exits.STORAGE_ERROR, "storage", str(exc))
     except Exception as exc:
@@ -136,7 +143,7 @@
 async def _serve(
     cfg: RoleSettings,
     make_process: Callable[[], ReloadableProcess],
-    read_seeds: Callable[[], list[str]],
+    read_settings: Callable[[], ReloadedSettings],
 ) -> None:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(tasks.log_loop_error)
@@ -151,7 +158,8 @@
     metrics_task = asyncio.create_task(_serve_metrics(cfg.metrics_listen))
     if not await startstop.start_unless_stopped(process.start(), stop):
         exits.end_process(exits.OK, "stopped-in-start", "")
-    reloader = SeedReloader(process, cfg.seeds, read_seeds)
+    in_force = ReloadedSettings(seeds=cfg.seeds, tolerance=cfg.tolerance)
+    reloader = SettingsReloader(process, in_force, read_settings)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     while not stop.is_set():
         try:
@@ -198,41 +206,43 @@
     responder.answer(200, headers, metrics.exposition())
 
 
-class SeedReloader:
-    """Passes changed seeds to a process.
+class SettingsReloader:
+    """Passes changed settings to a process.
 
     Args:
-        process: gets the seeds.
-        seeds: the seeds that it was started with.
-        read_seeds: returns the seeds in the current settings.
+        process: gets the settings.
+        in_force: what it was started with.
+        read_settings: returns what may have changed in the settings.
     """
 
     def __init__(
         self,
         process: ReloadableProcess,
-        seeds: list[str],
-        read_seeds: Callable[[], list[str]],
+        in_force: ReloadedSettings,
+        read_settings: Callable[[], ReloadedSettings],
     ) -> None:
         self._process = process
-        self._read_seeds = read_seeds
-        self._seeds = seeds
+        self._read_settings = read_settings
+        self._in_force = in_force
         self._kept_reason = ""
 
     def reload(self) -> None:
-        """Reads the settings; keeps the seeds if they can't be read."""
+        """Reads the settings; keeps those in force if they can't be read."""
         try:
-            seeds = self._read_seeds()
+            new = self._read_settings()
         except Exception as exc:
             # Whatever is wrong with the file, the process can go on.
             self._note_kept(str(exc))
             return
         self._kept_reason = ""
-        if seeds != self._seeds:
-            self._seeds = seeds
-            self._process.set_seeds(seeds)
+        old, self._in_force = self._in_force, new
+        if new.seeds != old.seeds:
+            self._process.set_seeds(new.seeds)
+        if new.tolerance != old.tolerance:
+            self._process.set_tolerance(new.tolerance)
 
     def _note_kept(self, reason: str) -> None:
-        """Writes why the seeds are kept, once per reason."""
+        """Writes why the settings are kept, once per reason."""
         reason = reason.encode(errors="backslashreplace").decode()
         if reason != self._kept_reason:
             self._kept_reason = reason
--- a/catkinpin/adapters/store/process.py
+++ b/catkinpin/adapters/store/process.py
@@ -21,6 +21,7 @@
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
+    from catkinpin.core.tolerance import Tolerance
     from catkinpin.roles import StoreSettings
 
 log = logging.getLogger(__name__)
@@ -98,6 +99,9 @@
         decisions.note("reload", "", seeds=seeds)
         self.keepers.add(seeds)
 
+    def set_tolerance(self, tolerance: Tolerance) -> None:
+        """Does nothing: others decide what a store stores."""
+
     def _on_message(self, stream: links.Stream, message: Any) -> None:
         match message:
             case messages.Hello():
--- a/catkinpin/core/tolerance.py
+++ b/catkinpin/core/tolerance.py
@@ -64,6 +64,10 @@
             (Loss.REGIONS, self.regions),
         )
 
+    def described(self) -> dict[str, int]:
+        """Returns the fields of a log line."""
+        return {f"tolerated_{loss.name.lower()}": n for loss, n in self._all()}
+
     @property
     def is_by_place(self) -> bool:
         """Whether failure domains or regions may be lost."""
--- a/catkinpin/roles.py
+++ b/catkinpin/roles.py
@@ -33,6 +33,18 @@
 Seeds = Annotated[list[Address], Meta(min_length=1)]
 
 
+class ReloadedSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings that may change while a process runs.
+
+    Attributes:
+        seeds: peer addresses of some keepers.
+        tolerance: which losses must not take what is durable.
+    """
+
+    seeds: list[str]
+    tolerance: Tolerance = Tolerance()
+
+
 class RoleSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings that gateways, keepers and stores share.
 
@@ -57,6 +69,11 @@
     seeds: Seeds
     stop_timeout_ms: Milliseconds = 7_000
 
+    @property
+    def tolerance(self) -> Tolerance:
+        """Which losses must not take what is durable; none by itself."""
+        return Tolerance()
+
     def __post_init__(self) -> None:
         problems = [
             f"  {field.name}: {problem}, got {value!r}"
--- a/tests/test_lost_domain.py
+++ b/tests/test_lost_domain.py
@@ -16,6 +16,8 @@
     import pathlib
 
 _CATCH_UP_S = 3.0
+# Settings are read again every two seconds, and copies are made after that.
+_RELOAD_S = 5.0
 _TURNS = 8
 _TRIES = 200
 _RETRY_S = 0.05
@@ -88,6 +90,23 @@
 
         self.run_async(main())
 
+    def test_turns_stored_before_a_domain_may_be_lost_outlast_it(self) -> None:
+        """Guards against copies that stay where older settings put them."""
+
+        async def main() -> None:
+            system = _deployment(self.folder, "abcab")
+            async with system:
+                names = await _send_turns(system)
+                system.tolerate["zones"] = 1
+                for name in system.hosts:
+                    system.write_settings(name)
+                await asyncio.sleep(_RELOAD_S)
+                _lose_disks(system, "b")
+                lost = [n for n in names if not await _continue(system, n)]
+                self.assertEqual([], lost)
+
+        self.run_async(main())
+
     def test_control_group_outlasts_the_domain_of_its_seeds(self) -> None:
         """Guards against voters of whom one failure domain has a majority."""
 
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -11,7 +11,9 @@
 
 from catkinpin import roles
 from catkinpin.adapters import running
+from catkinpin.core.tolerance import Tolerance
 from catkinpin.exceptions import SettingsError
+from catkinpin.roles import ReloadedSettings
 from tests import base, processes
 
 _TIMEOUT_S = 10.0
@@ -188,6 +190,7 @@
 
     def __init__(self) -> None:
         self.seeds: list[str] = []
+        self.tolerance = Tolerance()
 
     async def start(self) -> None:
         """Does nothing."""
@@ -199,6 +202,10 @@
         """Records the new seeds."""
         self.seeds = seeds
 
+    def set_tolerance(self, tolerance: Tolerance) -> None:
+        """Records the new tolerance."""
+        self.tolerance = tolerance
+
 
 class ReloadTest(base.TestCase):
     """Settings that change while a process starts."""
@@ -206,8 +213,24 @@
     def test_seeds_that_changed_during_the_start_are_taken(self) -> None:
         """Guards against seeds that are reloaded but not applied."""
         process = _RecordingProcess()
-        reloader = running.SeedReloader(
-            process, ["127.0.0.1:1"], lambda: _NEW_SEEDS
+        reloader = running.SettingsReloader(
+            process,
+            ReloadedSettings(seeds=["127.0.0.1:1"]),
+            lambda: ReloadedSettings(seeds=_NEW_SEEDS),
         )
         reloader.reload()
         self.assertEqual(_NEW_SEEDS, process.seeds)
+
+    def test_losses_that_must_be_survived_change_without_a_restart(
+        self,
+    ) -> None:
+        """Guards against copies in one failure domain until the next start."""
+        process = _RecordingProcess()
+        tolerance = Tolerance(hosts=1, domains=1)
+        reloader = running.SettingsReloader(
+            process,
+            ReloadedSettings(seeds=_NEW_SEEDS, tolerance=Tolerance(hosts=1)),
+            lambda: ReloadedSettings(seeds=_NEW_SEEDS, tolerance=tolerance),
+        )
+        reloader.reload()
+        self.assertEqual(tolerance, process.tolerance)
