Report which tolerated losses the hosts' places can't survive

Settings may promise more than a layout can keep, for instance the loss of one of two domains that hold all votes. Nothing said so. The leader now writes one line for each such kind of loss, once it lasted for the catch-up time, and shows catkinpin_unkept_losses.

--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -26,6 +26,7 @@
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.adapters.keeper.quarantines import QuarantineDecider
 from catkinpin.adapters.keeper.turns import TurnRequests
+from catkinpin.adapters.keeper.unkept import UnkeptLosses
 from catkinpin.adapters.peers import keepers, links
 from catkinpin.adapters.replica import mesh, node, transport
 from catkinpin.adapters.store.turnserver import TurnServer
@@ -130,6 +131,7 @@
             self._turn_server,
             _COMMIT_TIMEOUT_S,
         )
+        self._unkept_losses = self._new_unkept_losses()
         self._turn_requests = self._new_turn_requests(regions)
         self._quarantines = QuarantineDecider(self.host, self.clock)
         self._ask_handler = self._new_ask_handler()
@@ -166,6 +168,16 @@
             self.cfg.account_weights,
         )
 
+    def _new_unkept_losses(self) -> UnkeptLosses:
+        return UnkeptLosses(
+            self.clock,
+            {
+                "copies of turns": self._copy_repair.unkept_losses,
+                "voters": self.host.group.unkept_losses,
+            },
+            self.cfg.catch_up_ms,
+        )
+
     def _new_ask_handler(self) -> AskHandler:
         return AskHandler(
             self.host,
@@ -355,6 +367,7 @@
     def _handle_leader_change(self, group: Group) -> None:
         decisions.note("leader", "", address=group.leader, term=group.term)
         self._turn_requests.reset()
+        self._unkept_losses.reset()
         self._publisher.publish_status()
 
     def _handle_routing_change(self) -> None:
@@ -403,6 +416,7 @@
                 self._tasks.spawn(self.host.commit_use(_COMMIT_TIMEOUT_S))
             if ticks % _TICKS_PER_REPAIR == 0:
                 self._tasks.spawn(self._copy_repair.repair())
+                self._unkept_losses.update()
 
     async def _publish_currency(self) -> None:
         """Publishes whether this keeper's state is known to be current.
--- a/catkinpin/adapters/keeper/repair.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -27,7 +27,7 @@
     from catkinpin.adapters.store.turnserver import TurnServer
     from catkinpin.clock import Clock
     from catkinpin.core.control.stores import Store
-    from catkinpin.core.tolerance import Located
+    from catkinpin.core.tolerance import Located, Loss
     from catkinpin.roles import KeeperSettings
 
 log = logging.getLogger(__name__)
@@ -203,6 +203,11 @@
             self.tolerance,
         )
 
+    def unkept_losses(self) -> list[Loss]:
+        """Returns the kinds of losses that no choice of hosts can survive."""
+        counted = self._counted_hosts().values()
+        return tolerance.unkept_by_copies(counted, self.tolerance)
+
     def _reachable_holders(self) -> list[copies.Holder]:
         """Returns the connected hosts and this one."""
         cfg = self._cfg
--- a/catkinpin/adapters/replica/groups.py
+++ b/catkinpin/adapters/replica/groups.py
@@ -11,7 +11,7 @@
 from catkinpin import metrics
 from catkinpin.adapters.disk import snapshots
 from catkinpin.adapters.replica import transfers, transport
-from catkinpin.core.consensus import commands, core, messages
+from catkinpin.core.consensus import commands, core, membership, messages
 from catkinpin.core.consensus.messages import EntryKind, Members
 from catkinpin.exceptions import StorageError
 
@@ -24,6 +24,7 @@
     from catkinpin.core.consensus.messages import Entry
     from catkinpin.core.consensus.placement import ReplicaPlacement
     from catkinpin.core.consensus.state import Timing
+    from catkinpin.core.tolerance import Loss
 
 log = logging.getLogger(__name__)
 
@@ -127,6 +128,12 @@
             return False
         return self._core.is_current(self._applied, self._node.now_ms())
 
+    def unkept_losses(self) -> list[Loss]:
+        """Returns the kinds of tolerated losses that may take the majority."""
+        if self._core is None:
+            return []
+        return membership.unkept_losses(self._core.state)
+
     def propose(self, payload: bytes) -> None:
         """Appends a record; it is passed to `apply` once it is committed.
 
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -151,6 +151,12 @@
     " copies.",
     ["domains"],
 )
+UNKEPT_LOSSES = Gauge(
+    "catkinpin_unkept_losses",
+    "Kinds of losses that the settings tolerate and that the hosts' number or"
+    " places don't allow to survive, by what is lost with them; by the leader.",
+    ["of", "loss"],
+)
 QUARANTINED_CONTENTS = Gauge(
     "catkinpin_quarantined_contents",
     "Contents of requests that no server may get, as known to this process.",
--- a/tests/test_lost_domain.py
+++ b/tests/test_lost_domain.py
@@ -125,3 +125,27 @@
                 self.assertEqual(version, json.loads(body)["version"])
 
         self.run_async(main())
+
+    def test_domains_that_are_too_few_are_reported_once(self) -> None:
+        """Guards against settings that promise what no host can keep."""
+
+        async def main() -> None:
+            system = _deployment(self.folder, "aab")
+            system.domains["store-3"] = "b"
+            system.tolerate["zones"] = 2
+            async with system:
+                await asyncio.sleep(3 * _CATCH_UP_S)
+                lines = [
+                    (line["of"], line["loss"])
+                    for name in ("keeper-1", "keeper-2", "keeper-3")
+                    for line in system.read_log(name)
+                    if line["decision"] == "tolerance"
+                ]
+                expected = [
+                    ("copies of turns", "failure domains"),
+                    ("voters", "failure domains"),
+                    ("voters", "hosts"),
+                ]
+                self.assertEqual(expected, sorted(lines))
+
+        self.run_async(main())
