End a request at once whose answer has a status below 100

Callers saw: a server in trouble answers with status 000 or 099 and keeps its connection open; each caller waits until its deadline and gets 504.

Cause: everything below 200 was taken for an interim answer, after which the answer follows. Numbers below 100 are no statuses (RFC 9110, section 15).

Change: such a head is no response; the connection is closed and the request has failed (502, or another server if it may be repeated). Statuses from 600 on are passed on as they are, as before.

--- a/catkinpin/adapters/http/client.py
+++ b/catkinpin/adapters/http/client.py
@@ -34,6 +34,10 @@
 # body so many of framing: a chunk of one byte takes six.
 _MAX_OTHER_BYTES = 256 * 1024
 _MAX_FRAMING_FACTOR = 8
+# Lower numbers are no statuses; statuses up to the second bound announce that
+# the answer follows.
+_MIN_STATUS = 100
+_MIN_FINAL_STATUS = 200
 # Most bytes of the fields of one message, trailers included. Each field takes
 # some more in memory than its bytes, which short ones would multiply.
 _MAX_FIELDS_BYTES = 128 * 1024
@@ -332,9 +336,15 @@
     def on_headers_complete(self) -> None:
         """Accepts the head if the response answers the current request."""
         status = self._parser.get_status_code()
+        if status < _MIN_STATUS:
+            raise _NoStatusError(status)
         self._in_body = False
         self._in_trailers = True
-        if status < 200 or self._complete or self._head is not None:
+        if (
+            status < _MIN_FINAL_STATUS
+            or self._complete
+            or self._head is not None
+        ):
             return
         if not self._matches_request(self._headers):
             # A late response to an earlier request; the expected response may
@@ -391,6 +401,13 @@
         self.idle_until_s = asyncio.get_running_loop().time() + max(wait_s, 0.0)
 
 
+class _NoStatusError(Exception):
+    """The head of a message has a number that is no status."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"status {status:03}")
+
+
 class _TooManyFieldsError(Exception):
     """The fields of a message exceed their size limit."""
 
