Don't pass on a backend's answer whose status is below 100

Callers of the OpenAI interface saw: a plain service answers with status 000, and the caller gets it as an answer with verdict ran.

Cause: aiohttp takes each status outside 100 to 199 for a final one.

Change: an answer with such a status counts as a connection that broke, so the server is asked what became of the attempt.

Tests: BrokenBackendTest, test_status_that_is_none (verdict ran before).

--- a/catkinpin/adapters/entry/backends.py
+++ b/catkinpin/adapters/entry/backends.py
@@ -30,6 +30,7 @@
 STATE_WAITING = "waiting"
 STATE_RUNNING = "running"
 STATE_DONE = "done"
+_MIN_STATUS = 100
 _STATUS_NOT_FOUND = 404
 _CANCEL_TIMEOUT_S = 2.0
 # A server may send bytes without end. Longer bodies are not read.
@@ -64,19 +65,24 @@
 async def _send_once(
     req: ClientRequest, handler: ClientHandlerType
 ) -> ClientResponse:
-    """Prevents aiohttp from sending a request a second time by itself.
+    """Sends a request once, and refuses an answer whose status is none.
 
     aiohttp resends GET, PUT and DELETE if a connection breaks before the
     response, even on a new connection. A service that acted before the
     connection broke would then act twice. Raising an error of a type that
-    aiohttp does not catch ends its retries.
+    aiohttp does not catch ends its retries. It also takes a status below 100
+    for one.
     """
     try:
-        return await handler(req)
+        resp = await handler(req)
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as exc:
         raise SentError(type(exc).__name__) from exc
+    if resp.status < _MIN_STATUS:
+        resp.close()
+        raise SentError(f"status {resp.status:03}")
+    return resp
 
 
 # Connection errors after which the request may have left this host.
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -8,7 +8,16 @@
 import struct
 from typing import TYPE_CHECKING
 
+from catkinpin.adapters.entry import (
+    backends,
+    modelcalls,
+    outgoing,
+    servicecalls,
+)
 from catkinpin.core.control.routes import RouteKind
+from catkinpin.core.messages import CallKey, Granted, ServerRef
+from catkinpin.core.requests.pauses import GapEstimator
+from catkinpin.verdicts import Verdict
 from tests import base
 from tests.fakes.gatewayrig import Rig
 from tests.fakes.instances import instance
@@ -24,6 +33,7 @@
 # A linger time of zero has the kernel reset a connection that is closed.
 _NO_LINGER = struct.pack("ii", 1, 0)
 _GATEWAY_FIELDS = b"Request-Id: {id}\r\nSealed: yes\r\n"
+_BACKEND_FIELDS = b"Catkinpin-Attempt: a\r\nCatkinpin-Attempt-State: done\r\n"
 _EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 _FRAMINGS = {
     "length": b"Content-Length: 30\r\n\r\n" + _EVENTS,
@@ -222,3 +232,76 @@
             self.assertEqual((999, _EVENTS), (got.status, got.body))
 
         self.run_async(main())
+
+
+class BrokenBackendTest(base.TestCase):
+    """Requests and probes of the OpenAI interface."""
+
+    def _check_failures(
+        self, answers: Iterator[tuple[str, bytes, _End]], body: bytes = b"{}"
+    ) -> None:
+        """Checks that no call takes an answer for a whole one."""
+
+        async def check(name: str, answer: bytes, end: _End) -> None:
+            server = _BreakingServer(
+                answer, end, reads_body=len(body) < len(_LONG_BODY)
+            )
+            await server.start()
+            sessions = backends.BackendSessions(connect_timeout_s=1.0)
+            address = f"http://{server.address}"
+            for call in _calls(sessions, address, body):
+                what = f"{type(call).__name__}: {name}"
+                async with asyncio.timeout(2 * _EARLY_S):
+                    finish = await call.run()
+                self.assertIsNot(Verdict.RAN, finish.verdict, what)
+            status = await sessions.query_attempt(_granted(address), 1.0)
+            self.assertIsNone(status.answer, name)
+            await sessions.close()
+            await server.stop()
+
+        async def main() -> None:
+            for name, answer, end in answers:
+                await check(name, answer, end)
+
+        self.run_async(main())
+
+    def test_head_that_breaks_off(self) -> None:
+        """Guards against a success made of a part of its head."""
+        self._check_failures(_cut_heads(_BACKEND_FIELDS))
+
+    def test_status_that_is_none(self) -> None:
+        """Guards against a status below 100 that callers get as an answer."""
+        for status in (b"000", b"001", b"099"):
+            head = b"HTTP/1.1 " + status + b" Odd\r\n" + _BACKEND_FIELDS
+            self._check_failures(
+                (f"{status.decode()} {name}", head + rest, _End.CLOSE)
+                for name, rest in _FRAMINGS.items()
+            )
+
+
+def _granted(address: str) -> Granted:
+    server = ServerRef(server="s", incarnation="i", address=address)
+    key = CallKey(account="a", program="p", request_id="r")
+    return Granted(ask=1, key=key, attempt="a", server=server)
+
+
+def _calls(
+    sessions: backends.BackendSessions, address: str, body: bytes
+) -> tuple[modelcalls.ModelCall, servicecalls.ServiceCall]:
+    """Returns a call to a model and one to a service at an address."""
+    req = outgoing.BackendRequest(
+        kind="model",
+        method="POST",
+        path="/v1/work",
+        headers=[],
+        body=body,
+        deadline_ms=10_000,
+        traceparent="",
+    )
+    grant = _granted(address)
+    gaps = GapEstimator(5_000, 5_000)
+    model_call = modelcalls.ModelCall(
+        sessions, grant, req, {}, gaps, 5.0, lambda _: None
+    )
+    service_call = servicecalls.ServiceCall(sessions, grant, req, {}, 5.0)
+    return model_call, service_call
