Don't take a body without a length for whole after a reset

Callers of the OpenAI interface saw: a plain service answers without a length, sends a part of the body and resets the connection, for instance as 3 MB of the request are still being written. The part is passed on as the whole answer.

Cause: a body without a length ends with its connection, and aiohttp ends it in the same way for an orderly end and for a reset.

Change: the connection's end is observed from its start, and such a body counts only after an orderly one.

Tests: BrokenBackendTest, test_body_that_breaks_off and test_answer_reset_while_its_request_is_written (verdict ran before); test_body_that_ends_with_its_connection_is_whole guards the orderly end.

--- a/catkinpin/adapters/entry/backends.py
+++ b/catkinpin/adapters/entry/backends.py
@@ -32,6 +32,7 @@
 STATE_DONE = "done"
 _MIN_STATUS = 100
 _STATUS_NOT_FOUND = 404
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 _CANCEL_TIMEOUT_S = 2.0
 # A server may send bytes without end. Longer bodies are not read.
 _MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -91,6 +92,72 @@
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
 
+class _ObservedConnector(aiohttp.TCPConnector):
+    """Observes from the start how each connection ends."""
+
+    async def connect(
+        self,
+        req: ClientRequest,
+        traces: list[aiohttp.tracing.Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Returns a connection for a request."""
+        conn = await super().connect(req, traces, timeout)
+        # The future exists only if it is asked for while the connection is
+        # open. An error that nobody reads from it would be logged.
+        closing = conn.protocol.closed if conn.protocol is not None else None
+        if closing is not None:
+            closing.remove_done_callback(_ignore_error)
+            closing.add_done_callback(_ignore_error)
+        return conn
+
+
+def _ignore_error(closing: asyncio.Future[None]) -> None:
+    if not closing.cancelled():
+        closing.exception()
+
+
+class _ObservedResponse(aiohttp.ClientResponse):
+    """An answer that knows how its connection ended.
+
+    Attributes:
+        closing: done once the connection has ended, with an error if it broke;
+            None if it ended before the answer began.
+    """
+
+    closing: asyncio.Future[None] | None = None
+
+    async def start(
+        self, connection: aiohttp.connector.Connection
+    ) -> aiohttp.ClientResponse:
+        """Reads the head of the answer."""
+        if connection.protocol is not None:
+            self.closing = connection.protocol.closed
+        return await super().start(connection)
+
+    def is_cut_off(self) -> bool:
+        """Returns whether a body that was read may lack its end.
+
+        A body without a length ends with its connection. aiohttp ends it in
+        the same way when the connection is reset.
+        """
+        has_end = (
+            "Content-Length" in self.headers
+            or "chunked" in self.headers.get("Transfer-Encoding", "").lower()
+            or self.method == "HEAD"
+            or self.status in _STATUSES_WITHOUT_BODY
+        )
+        if has_end:
+            return False
+        closing = self.closing
+        return (
+            closing is None
+            or not closing.done()
+            or closing.cancelled()
+            or closing.exception() is not None
+        )
+
+
 class BackendSessions:
     """Client sessions for backend servers.
 
@@ -141,7 +208,8 @@
     connect_timeout_s: float, *, force_close: bool
 ) -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=force_close),
+        connector=_ObservedConnector(limit=0, force_close=force_close),
+        response_class=_ObservedResponse,
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=connect_timeout_s
         ),
@@ -225,6 +293,8 @@
         body += data
         if len(body) > _MAX_BODY_BYTES:
             raise aiohttp.ClientPayloadError("the body is too long")
+    if isinstance(resp, _ObservedResponse) and resp.is_cut_off():
+        raise aiohttp.ClientPayloadError("the connection broke")
     return bytes(body)
 
 
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -265,6 +265,41 @@
 
         self.run_async(main())
 
+    def test_body_that_breaks_off(self) -> None:
+        """Guards against a part of an answer that is passed on as whole."""
+        self._check_failures(_broken_answers(_BACKEND_FIELDS))
+
+    def test_body_that_ends_with_its_connection_is_whole(self) -> None:
+        """Guards against taking an orderly end for a break."""
+
+        async def main() -> None:
+            head = b"HTTP/1.1 200 OK\r\n" + _BACKEND_FIELDS
+            server = _BreakingServer(head + _FRAMINGS["close"], _End.CLOSE)
+            await server.start()
+            sessions = backends.BackendSessions(connect_timeout_s=1.0)
+            address = f"http://{server.address}"
+            _, call = _calls(sessions, address, b"{}")
+            finish = await call.run()
+            self.assertIs(Verdict.RAN, finish.verdict)
+            status = await sessions.query_attempt(_granted(address), 1.0)
+            assert status.answer is not None
+            self.assertEqual(_EVENTS, status.answer.body)
+            await sessions.close()
+            await server.stop()
+
+        self.run_async(main())
+
+    def test_answer_reset_while_its_request_is_written(self) -> None:
+        """Guards against a part that counts as whole, as the upload failed."""
+        self._check_failures(
+            (
+                answer
+                for answer in _broken_answers(_BACKEND_FIELDS)
+                if answer[2] is _End.RESET
+            ),
+            body=b'{"text":"' + _LONG_BODY + b'"}',
+        )
+
     def test_head_that_breaks_off(self) -> None:
         """Guards against a success made of a part of its head."""
         self._check_failures(_cut_heads(_BACKEND_FIELDS))
