Test broken answers through gateways that run as processes

Bodies of three framings that break off, heads cut after every 13th byte, and the statuses 000 and 099 on a connection that stays open, each on a route of streams and one of requests that must not run twice: 60 requests reach the server, none ends as a whole success, each ends within 0.75 s.

--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -8,6 +8,8 @@
 import struct
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 from catkinpin.adapters.entry import (
     backends,
     modelcalls,
@@ -19,8 +21,10 @@
 from catkinpin.core.requests.pauses import GapEstimator
 from catkinpin.verdicts import Verdict
 from tests import base
+from tests.fakes.deployment import Deployment
 from tests.fakes.gatewayrig import Rig
 from tests.fakes.instances import instance
+from tests.test_deployment import DeploymentCase
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -33,6 +37,8 @@
 # A linger time of zero has the kernel reset a connection that is closed.
 _NO_LINGER = struct.pack("ii", 1, 0)
 _GATEWAY_FIELDS = b"Request-Id: {id}\r\nSealed: yes\r\n"
+_PLATFORM_FIELDS = b"X-Attempt-Id: {id}\r\nX-Response-Seal: s\r\n"
+_NOT_RUN_STATUS = 503
 _BACKEND_FIELDS = b"Catkinpin-Attempt: a\r\nCatkinpin-Attempt-State: done\r\n"
 _EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 _FRAMINGS = {
@@ -59,13 +65,19 @@
         answer: bytes to send, with "{id}" for the request's id.
         end: what it does with the connection afterwards.
         reads_body: whether it reads what follows the head of a request.
+
+    Attributes:
+        answer: as above; tests may change it and `end` between requests.
+        end: as above.
+        address: IP and port, empty before the start.
+        requests: number of requests whose head was received.
     """
 
     def __init__(
         self, answer: bytes, end: _End, *, reads_body: bool = True
     ) -> None:
-        self._answer = answer
-        self._end = end
+        self.answer = answer
+        self.end = end
         self._reads_body = reads_body
         self._server: asyncio.Server | None = None
         self.address = ""
@@ -97,13 +109,13 @@
         if self._reads_body:
             length = int(fields.get(b"content-length", b"0"))
             await reader.readexactly(length)
-        name = fields.get(b"request-id", b"")
-        writer.write(self._answer.replace(b"{id}", name))
+        name = fields.get(b"request-id") or fields.get(b"x-attempt-id", b"")
+        writer.write(self.answer.replace(b"{id}", name))
         # What was sent before a reset must have been read by then.
         await asyncio.sleep(0.05)
-        if self._end is _End.WAIT:
+        if self.end is _End.WAIT:
             await reader.read()
-        if self._end is _End.RESET:
+        if self.end is _End.RESET:
             sock = writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
             writer.transport.abort()
@@ -234,6 +246,60 @@
         self.run_async(main())
 
 
+class GatewayProcessTest(DeploymentCase):
+    """Requests through gateways that run as processes."""
+
+    def test_broken_answers_are_no_successes(self) -> None:
+        """Guards against parts of answers that leave a process as whole."""
+        answers = [
+            *_broken_answers(_PLATFORM_FIELDS),
+            *list(_cut_heads(_PLATFORM_FIELDS))[::13],
+        ]
+        for status in (b"000", b"099"):
+            head = b"HTTP/1.1 " + status + b" Odd\r\n" + _PLATFORM_FIELDS
+            answers.append((str(status), head + b"\r\n", _End.WAIT))
+
+        async def main() -> None:
+            server = _BreakingServer(b"", _End.CLOSE)
+            await server.start()
+            system = Deployment(self.folder, gateways=1)
+            system.server_address = server.address
+            async with system:
+                await system.wait_until(lambda: _is_forwarding(system))
+                for number, (name, answer, end) in enumerate(answers):
+                    server.answer, server.end = answer, end
+                    for path in ("/t/x", "/u/x"):
+                        attempt = f"a{number}{path[1]}"
+                        got, took_s = await _call(system, path, attempt)
+                        what = f"{path} {name}: {got} after {took_s}"
+                        self.assertNotEqual(200, got, what)
+                        self.assertLess(took_s, _EARLY_S, what)
+                self.assertEqual(1 + 2 * len(answers), server.requests)
+            await server.stop()
+
+        self.run_async(main())
+
+
+async def _is_forwarding(system: Deployment) -> bool:
+    """Returns whether a gateway sends requests to the server."""
+    return (await _call(system, "/u/x", "first"))[0] != _NOT_RUN_STATUS
+
+
+async def _call(
+    system: Deployment, path: str, attempt: str
+) -> tuple[int, float]:
+    """Returns the status, 0 for a broken answer, and the time in seconds."""
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    try:
+        status = await system.call(
+            path, attempt, "gateway-1", b"in", X_Program_Id=attempt
+        )
+    except aiohttp.ClientError:
+        status = 0
+    return status, loop.time() - began_s
+
+
 class BrokenBackendTest(base.TestCase):
     """Requests and probes of the OpenAI interface."""
 
