Test first copies and emptied stores where places count

Drawn hosts that refuse or never answer: the copies of a turn are as spread as the hosts that answer allow. A store that is the only one of a needed domain is kept, and a store is not empty while a turn is in one domain; before the rule on places, both orders were accepted.

--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -8,13 +8,14 @@
 from unittest import mock
 
 import testtools
+from msgspec import structs
 
 from catkinpin import clock, decisions
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.adapters.keeper.repair import CopyRepair
 from catkinpin.core.control import protocol, state
 from catkinpin.core.control.ledger import Moved, Outcome, Turn
-from catkinpin.core.control.stores import Store
+from catkinpin.core.control.stores import Retire, Store
 from catkinpin.roles import KeeperSettings
 
 
@@ -97,9 +98,13 @@
 class _Hosts:
     """Links to hosts that copy what they are asked to, after some ms."""
 
-    def __init__(self, names: list[str]) -> None:
+    def __init__(
+        self, names: list[str], domains: dict[str, str] | None = None
+    ) -> None:
+        places = domains or {name: name for name in names}
         self._hosts = {
-            name: types.SimpleNamespace(info=_info(name)) for name in names
+            name: types.SimpleNamespace(info=_info(name, places[name]))
+            for name in names
         }
 
     def connected(self) -> list[Any]:
@@ -113,11 +118,11 @@
         return protocol.Done(ask=make(1).ask)
 
 
-def _info(name: str) -> protocol.HostInfo:
+def _info(name: str, domain: str) -> protocol.HostInfo:
     return protocol.HostInfo(
         node=name,
         address=f"{name}:1",
-        domain=name,
+        domain=domain,
         region="r",
         known=[],
         leader="",
@@ -174,6 +179,79 @@
             self.assertEqual(2, len(set(turn.holders)))
 
 
+class EmptiedStoreTest(testtools.TestCase):
+    """Stores that an operator takes away where a domain may be lost."""
+
+    def _repair(self, domains: dict[str, str]) -> CopyRepair:
+        """Returns the repair of a leader in domain "a", with some stores.
+
+        Args:
+            domains: failure domain of each store.
+        """
+        control = state.ControlState()
+        for name, domain in domains.items():
+            store = structs.replace(_store(name), domain=domain)
+            control.stores.register(store)
+
+        async def propose(body: Any, wait_s: float) -> Outcome:
+            if isinstance(body, Retire):
+                control.stores.retire(body.name)
+            return Outcome()
+
+        group = types.SimpleNamespace(
+            members=types.SimpleNamespace(
+                members=[types.SimpleNamespace(node="me")]
+            )
+        )
+        host = types.SimpleNamespace(
+            holds_lease=lambda: True,
+            state=control,
+            propose=propose,
+            group=group,
+        )
+        cfg = KeeperSettings(
+            name="me",
+            seeds=["k:1"],
+            failure_domain="a",
+            tolerated_domains=1,
+        )
+        hosts = _Hosts(list(domains), domains)
+        self.now_ms = 0
+        time = types.SimpleNamespace(now_ms=lambda: self.now_ms)
+        parts: list[Any] = [cfg, "me", time, host, hosts, _LocalTurns(), 1.0]
+        self.control = control
+        return CopyRepair(*parts)
+
+    def _retire(self, repair: CopyRepair, name: str) -> protocol.Retirement:
+        outcome = asyncio.run(repair.retire(name, begin=True))
+        assert isinstance(outcome, protocol.Retirement)
+        return outcome
+
+    def test_only_store_of_a_needed_domain_is_kept(self) -> None:
+        """Guards against turns in one domain after a store is taken away."""
+        repair = self._repair({"a1": "a", "a2": "a", "b1": "b"})
+        self.assertTrue(self._retire(repair, "b1").too_few)
+        self.assertFalse(self._retire(repair, "a1").too_few)
+
+    def test_store_is_not_empty_before_its_turns_are_spread(self) -> None:
+        """Guards against a disk that goes while turns are in one domain."""
+        repair = self._repair({"a1": "a", "a2": "a", "b1": "b", "b2": "b"})
+        turn = Turn(
+            attempt="t",
+            program="p",
+            previous="",
+            holders=["me", "a2"],
+            size=1,
+            until_ms=1_000_000,
+        )
+        self.control.ledger.turns["t"] = turn
+        self.assertFalse(self._retire(repair, "b1").is_empty)
+        self.now_ms = 10_000
+        self.assertFalse(self._retire(repair, "b1").is_empty)
+        turn.holders = ["me", "b2"]
+        self.assertTrue(self._retire(repair, "b1").is_empty)
+
+
 class _LocalTurns:
     """The copies of the keeper itself."""
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import types
 from typing import TYPE_CHECKING, Any, cast
 
 from catkinpin.adapters.gateway.turns import TurnClient, TurnResult
-from catkinpin.core.control import protocol
+from catkinpin.adapters.gateway.turnstorage import TurnStorage
+from catkinpin.adapters.tasks import BackgroundTasks
+from catkinpin.core import tolerance
+from catkinpin.core.control import copies, protocol
 from catkinpin.core.requests.calls import RouteCall
-from catkinpin.core.tolerance import Tolerance
+from catkinpin.core.tolerance import Tolerance, tolerance_of
+from catkinpin.exceptions import PeerLostError
 from tests import base
 
 if TYPE_CHECKING:
@@ -21,6 +26,18 @@
 _MAX_FAST_STORE_S = 0.1
 
 
+def _info(name: str, domain: str, region: str) -> protocol.HostInfo:
+    return protocol.HostInfo(
+        node=name,
+        address=f"{name}:1",
+        domain=domain,
+        region=region,
+        known=[],
+        leader="",
+        term=1,
+    )
+
+
 class _FakeHolders:
     """Fakes the links to keepers and stores; the slow holder never answers."""
 
@@ -35,16 +52,7 @@
         return [self._host(name) for name in ("a", "b", "c")]
 
     def _host(self, name: str) -> Any:
-        info = protocol.HostInfo(
-            node=name,
-            address=f"{name}:1",
-            domain=name,
-            region="r",
-            known=[],
-            leader="",
-            term=1,
-        )
-        return types.SimpleNamespace(info=info)
+        return types.SimpleNamespace(info=_info(name, name, "r"))
 
     async def ask(
         self, host: Any, make: Callable[[int], Any], wait_s: float
@@ -60,6 +68,79 @@
         return protocol.Done(ask=1)
 
 
+class _DrawnHolders(_FakeHolders):
+    """Hosts in drawn places, some of which refuse or never answer.
+
+    Attributes:
+        answering: the hosts that store what they are sent, by identity.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__("")
+        regions = rng.randint(1, 2)
+        domains = {f"d{n}": f"r{rng.randrange(regions)}" for n in range(4)}
+        self._infos = []
+        for number in range(rng.randint(3, 8)):
+            domain = rng.choice(list(domains))
+            self._infos.append(_info(f"h{number}", domain, domains[domain]))
+        self._refusing = {i.node for i in self._infos if rng.random() < 0.2}
+        self._silent = {i.node for i in self._infos if rng.random() < 0.1}
+        self.answering = {
+            info.node: copies.holder_of(info)
+            for info in self._infos
+            if info.node not in self._refusing | self._silent
+        }
+
+    def connected(self) -> list[Any]:
+        return [types.SimpleNamespace(info=info) for info in self._infos]
+
+    async def ask(
+        self, host: Any, make: Callable[[int], Any], wait_s: float
+    ) -> Any:
+        node = host.info.node
+        if node in self._silent:
+            await asyncio.sleep(wait_s)
+        if node in self._silent | self._refusing:
+            raise PeerLostError("no answer")
+        return protocol.Done(ask=1)
+
+
+class PlacesTest(base.TestCase):
+    """Hosts of several failure domains and regions, some out of order."""
+
+    def test_copies_are_as_spread_as_the_hosts_that_answer(self) -> None:
+        """Guards against giving up a place since its first host failed."""
+
+        async def check(seed: int) -> None:
+            rng = random.Random(seed)
+            holders = _DrawnHolders(rng)
+            tolerated = tolerance_of(
+                hosts=1, domains=rng.randint(0, 2), regions=rng.randint(0, 1)
+            )
+            tasks = BackgroundTasks()
+            storage = TurnStorage(
+                cast("Keepers", holders), "r0", tasks, tolerated
+            )
+            stored = await storage.store("t", b"bytes")
+            answering = holders.answering
+            if len(answering) < tolerated.copies:
+                self.assertEqual([], stored)
+                return
+            self.assertTrue(
+                tolerance.are_enough_copies(
+                    [answering[node] for node in stored],
+                    answering.values(),
+                    tolerated,
+                ),
+                f"seed {seed}: {stored} of {answering}",
+            )
+
+        async def main() -> None:
+            await asyncio.gather(*(check(seed) for seed in range(300)))
+
+        self.run_async(main())
+
+
 class SlowHolderTest(base.TestCase):
     """One of three holders has a disk that hangs."""
 
