--- a/catkinpin/core/tolerance.py
+++ b/catkinpin/core/tolerance.py
@@ -17,8 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Sequence
 
-# Voters are chosen among at most so many replicas, as all combinations are
-# compared.
+# All combinations of voters are compared, so the candidates must be few.
 _MAX_CANDIDATES = 12
 
 
@@ -135,7 +134,7 @@
     if len(holders) < tolerance.copies:
         return False
     return not tolerance.is_by_place or not any(
-        any(_gain(other, holders, tolerance)) for other in others
+        any(gain_of_copy(other, holders, tolerance)) for other in others
     )
 
 
@@ -157,7 +156,7 @@
     """
     if not tolerance.is_by_place:
         return ranked[0]
-    return max(ranked, key=lambda host: _gain(host, holders, tolerance))
+    return max(ranked, key=lambda host: gain_of_copy(host, holders, tolerance))
 
 
 def select_holders(
@@ -179,14 +178,6 @@
 
     Of two hosts the one with the larger result is the better target.
     """
-    if not tolerance.is_by_place:
-        return False, False
-    return _gain(host, holders, tolerance)
-
-
-def _gain(
-    host: Located, holders: Collection[Located], tolerance: Tolerance
-) -> tuple[bool, bool]:
     return (
         _adds_place(host, holders, Loss.REGIONS, tolerance.regions),
         _adds_place(host, holders, Loss.DOMAINS, tolerance.domains),
@@ -250,7 +241,7 @@
         max_voters: largest number of voters, unless the losses need more.
     """
     present = {voter.node for voter in voters}
-    # A majority is one more than half of them.
+    # A majority must remain of them.
     needed = 2 * tolerance.copies - 1
     pool = _spread(candidates, _MAX_CANDIDATES)
     largest = min(max(max_voters, needed), len(pool))
