--- a/tests/test_lost_domain.py
+++ b/tests/test_lost_domain.py
@@ -44,12 +44,12 @@
     return system
 
 
-def _lose_disks(system: Deployment, domain: str) -> None:
-    """Kills all processes and starts them without the disks of a domain."""
+def _lose_disks(system: Deployment, domains: str) -> None:
+    """Kills all processes and starts them without the disks of domains."""
     for name in system.hosts:
         system.kill(name)
     for name, host in system.hosts.items():
-        if host.role != "gateway" and system.domain_of(name) == domain:
+        if host.role != "gateway" and system.domain_of(name) in domains:
             system.wipe(name)
     for name in system.hosts:
         system.start(name)
@@ -92,6 +92,22 @@
 
         self.run_async(main())
 
+    def test_turns_outlast_the_region_of_their_gateway(self) -> None:
+        """Guards against copies in two domains of one region."""
+
+        async def main() -> None:
+            system = _deployment(self.folder, "abcde")
+            system.regions = {"a": "r", "b": "s", "c": "t", "d": "s", "e": "r"}
+            system.domains["store-3"] = "d"
+            system.tolerate["regions"] = 1
+            async with system:
+                names = await _send_turns(system)
+                _lose_disks(system, "bd")
+                lost = [n for n in names if not await _continue(system, n)]
+                self.assertEqual([], lost)
+
+        self.run_async(main())
+
     def test_turns_stored_before_a_domain_may_be_lost_outlast_it(self) -> None:
         """Guards against copies that stay where older settings put them."""
 
