Don't store all copies in a region that was slow lately

Callers would see: turns stored while all hosts of the gateway's region were slow within the last two seconds are lost with that region's only domain.

Cause: in the new choice of places, a host that was slow for an earlier turn counted as not covering its place. The second copy went to the same domain, and once both were stored nobody was asked further.

Change: only hosts that are late for the turn at hand count so, and as long as another host would help, one more is asked. Without domains and regions to survive, the hosts that are asked are the same as before.

Test: SlowPlaceTest, which failed before; found by reading.

--- a/catkinpin/adapters/gateway/turnstorage.py
+++ b/catkinpin/adapters/gateway/turnstorage.py
@@ -80,13 +80,15 @@
             )
             if not done:
                 self._mark_slow(puts.running.values())
+                puts.late.update(h.node for h in puts.running.values())
             failed = [task for task in done if not task.result()]
             self._mark_slow(puts.running[task] for task in failed)
             for task in done:
                 holder = puts.running.pop(task)
                 if task.result():
                     puts.stored.append(holder)
-            for _ in range(len(failed) if done else 1):
+            is_one_needed = not done or not puts.running
+            for _ in range(max(len(failed), int(is_one_needed))):
                 self._start_put(puts)
         if len(puts.stored) < puts.tolerance.copies:
             return []
@@ -116,7 +118,7 @@
 
     def _start_put(self, puts: _Puts) -> None:
         """Starts a put on the next host, if one is left that would help."""
-        holder = puts.next_holder(self._slow_nodes())
+        holder = puts.next_holder()
         if holder is not None:
             puts.untried.remove(holder)
             task = self._tasks.spawn(self._put(puts, holder))
@@ -170,6 +172,7 @@
         untried: the hosts that were not asked yet, the best first.
         stored: the hosts that have stored it.
         running: the puts without a result yet.
+        late: identities of the hosts that took long to answer.
     """
 
     attempt: str
@@ -181,20 +184,19 @@
     running: dict[asyncio.Task[bool], Holder] = dataclasses.field(
         default_factory=dict
     )
+    late: set[str] = dataclasses.field(default_factory=set)
 
     def are_enough(self) -> bool:
         """Returns whether no copy at another host is needed."""
         others = [*self.running.values(), *self.untried]
         return tolerance.are_enough_copies(self.stored, others, self.tolerance)
 
-    def next_holder(self, slow_nodes: Collection[str]) -> Holder | None:
+    def next_holder(self) -> Holder | None:
         """Returns the next host to ask; None if no other one would help."""
         if not self.untried:
             return None
-        # A slow host may be lost, so the next one must do in its place.
-        expected = [
-            h for h in self.running.values() if h.node not in slow_nodes
-        ]
+        # A late host may be lost, so the next one must do in its place.
+        expected = [h for h in self.running.values() if h.node not in self.late]
         holder = tolerance.next_holder(
             self.untried, [*self.stored, *expected], self.tolerance
         )
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -85,6 +85,8 @@
             self._infos.append(_info(f"h{number}", domain, domains[domain]))
         self._refusing = {i.node for i in self._infos if rng.random() < 0.2}
         self._silent = {i.node for i in self._infos if rng.random() < 0.1}
+        # These answer the first time after a while only.
+        self._late = {i.node for i in self._infos if rng.random() < 0.5}
         self.answering = {
             info.node: copies.holder_of(info)
             for info in self._infos
@@ -100,6 +102,9 @@
         node = host.info.node
         if node in self._silent:
             await asyncio.sleep(wait_s)
+        if node in self._late:
+            self._late.remove(node)
+            await asyncio.sleep(2 * _MAX_FAST_STORE_S)
         if node in self._silent | self._refusing:
             raise PeerLostError("no answer")
         return protocol.Done(ask=1)
@@ -121,7 +126,9 @@
             storage = TurnStorage(
                 cast("Keepers", holders), "r0", tasks, tolerated
             )
-            stored = await storage.store("t", b"bytes")
+            # Hosts that are late for the first turn are ranked last then.
+            await storage.store("t0", b"bytes")
+            stored = await storage.store("t1", b"bytes")
             answering = holders.answering
             if len(answering) < tolerated.copies:
                 self.assertEqual([], stored)
@@ -141,6 +148,45 @@
         self.run_async(main())
 
 
+class SlowPlaceTest(base.TestCase):
+    """All hosts of the gateway's region were slow lately."""
+
+    def test_slow_region_does_not_get_all_copies(self) -> None:
+        """Guards against a slow host whose place counts as not covered."""
+
+        class Holders(_FakeHolders):
+            is_late = True
+
+            def connected(self) -> list[Any]:
+                return [
+                    types.SimpleNamespace(info=_info(name, name[0], name[0]))
+                    for name in ("a1", "a2", "b1")
+                ]
+
+            async def ask(
+                self, host: Any, make: Callable[[int], Any], wait_s: float
+            ) -> Any:
+                if self.is_late:
+                    await asyncio.sleep(4 * _MAX_FAST_STORE_S)
+                return protocol.Done(ask=1)
+
+        async def main() -> None:
+            holders = Holders("")
+            storage = TurnStorage(
+                cast("Keepers", holders),
+                "a",
+                BackgroundTasks(),
+                Tolerance(hosts=1, domains=1),
+            )
+            await storage.store("t0", b"bytes")
+            holders.is_late = False
+            for number in range(4):
+                stored = await storage.store(f"t{number}", b"bytes")
+                self.assertEqual({"a", "b"}, {node[0] for node in stored})
+
+        self.run_async(main())
+
+
 class SlowHolderTest(base.TestCase):
     """One of three holders has a disk that hangs."""
 
