--- a/catkinpin/adapters/entry/backends.py
+++ b/catkinpin/adapters/entry/backends.py
@@ -66,13 +66,15 @@
 async def _send_once(
     req: ClientRequest, handler: ClientHandlerType
 ) -> ClientResponse:
-    """Sends a request once, and refuses an answer whose status is none.
+    """Sends a request once, and refuses answers without a valid status.
 
     aiohttp resends GET, PUT and DELETE if a connection breaks before the
     response, even on a new connection. A service that acted before the
     connection broke would then act twice. Raising an error of a type that
-    aiohttp does not catch ends its retries. It also takes a status below 100
-    for one.
+    aiohttp does not catch ends its retries.
+
+    aiohttp also takes a status below 100 for that of an answer, and such an
+    answer raises the same error.
     """
     try:
         resp = await handler(req)
--- a/catkinpin/adapters/keeper/orphans.py
+++ b/catkinpin/adapters/keeper/orphans.py
@@ -14,7 +14,7 @@
 _SCAN_INTERVAL_S = 20.0
 
 
-async def drop(host: KeeperHost, turn_bytes: TurnBytes) -> None:
+async def drop_periodically(host: KeeperHost, turn_bytes: TurnBytes) -> None:
     """Drops a keeper's bytes without a turn, for as long as it runs.
 
     A host that was disconnected when turns expired does not learn of it, and a
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -437,7 +437,7 @@
                 self._publisher.publish_feed_state()
 
     async def _drop_orphaned_bytes(self) -> None:
-        await orphans.drop(self.host, self.turn_bytes)
+        await orphans.drop_periodically(self.host, self.turn_bytes)
 
 
 def _note_full_disk(full: bool) -> None:
--- a/catkinpin/adapters/running.py
+++ b/catkinpin/adapters/running.py
@@ -52,7 +52,7 @@
         """Replaces the seeds."""
 
     def set_tolerance(self, tolerance: Tolerance) -> None:
-        """Replaces the losses that must not take what is durable."""
+        """Replaces the losses that stored data must survive."""
 
 
 def run_gateway(
--- a/catkinpin/core/tolerance.py
+++ b/catkinpin/core/tolerance.py
@@ -205,7 +205,7 @@
     return [
         loss
         for loss, limit in tolerance.limits
-        if _survived_by_voters(voters, loss, limit) < limit
+        if _count_survived(voters, loss, limit) < limit
     ]
 
 
@@ -214,8 +214,7 @@
 ) -> tuple[int, ...]:
     """Returns how many of each kind of tolerated loss leave a majority."""
     return tuple(
-        _survived_by_voters(voters, loss, limit)
-        for loss, limit in tolerance.limits
+        _count_survived(voters, loss, limit) for loss, limit in tolerance.limits
     )
 
 
@@ -265,9 +264,7 @@
     return list(best)
 
 
-def _survived_by_voters(
-    voters: Collection[Located], loss: Loss, limit: int
-) -> int:
+def _count_survived(voters: Collection[Located], loss: Loss, limit: int) -> int:
     """Returns how many hosts or places, up to `limit`, may be lost."""
     dispensable = (len(voters) - 1) // 2
     if loss is Loss.HOSTS:
--- a/catkinpin/roles.py
+++ b/catkinpin/roles.py
@@ -38,7 +38,7 @@
 
     Attributes:
         seeds: peer addresses of some keepers.
-        tolerance: which losses must not take what is durable.
+        tolerance: losses that stored data must survive.
     """
 
     seeds: list[str]
@@ -71,7 +71,7 @@
 
     @property
     def tolerance(self) -> Tolerance:
-        """Which losses must not take what is durable; none by itself."""
+        """Losses that stored data must survive; none for most roles."""
         return Tolerance()
 
     def __post_init__(self) -> None:
@@ -89,7 +89,31 @@
             raise SettingsError("\n".join([count, *problems]))
 
 
-class KeeperSettings(RoleSettings, frozen=True, kw_only=True):
+class PlacingSettings(RoleSettings, frozen=True, kw_only=True):
+    """Settings of processes that choose where turns are stored.
+
+    Attributes:
+        copies: number of hosts that store each turn: one more than the hosts,
+            failure domains or regions that may be lost at once.
+        tolerated_domains: failure domains that may be lost at once.
+        tolerated_regions: regions that may be lost at once.
+    """
+
+    copies: PositiveInt = 2
+    tolerated_domains: NonNegativeInt = 0
+    tolerated_regions: NonNegativeInt = 0
+
+    @property
+    def tolerance(self) -> Tolerance:
+        """Losses that stored data must survive."""
+        return tolerance_of(
+            hosts=self.copies - 1,
+            domains=self.tolerated_domains,
+            regions=self.tolerated_regions,
+        )
+
+
+class KeeperSettings(PlacingSettings, frozen=True, kw_only=True):
     """Settings of a keeper.
 
     Attributes:
@@ -98,10 +122,6 @@
         first_start: whether the whole system starts for the first time. If
             so, a seed founds it; if not, a keeper with an empty folder joins.
         snapshot_entries: log records between two snapshots.
-        copies: number of hosts that store each turn: one more than the hosts,
-            failure domains or regions that may be lost at once.
-        tolerated_domains: failure domains that may be lost at once.
-        tolerated_regions: regions that may be lost at once.
         silent_server_ms: time without an announcement after which a server
             counts as gone.
         catch_up_ms: time after which the next host may be lost once a lost one
@@ -119,9 +139,6 @@
     data_folder: pathlib.Path = pathlib.Path("data")
     first_start: bool = False
     snapshot_entries: PositiveInt = 5_000
-    copies: PositiveInt = 2
-    tolerated_domains: NonNegativeInt = 0
-    tolerated_regions: NonNegativeInt = 0
     silent_server_ms: Milliseconds = 15_000
     catch_up_ms: Milliseconds = 15_000
     quota_window_ms: Milliseconds = 5_000
@@ -130,15 +147,6 @@
     contended_capacity: bool = False
     account_weights: dict[str, PositiveFloat] = {}
 
-    @property
-    def tolerance(self) -> Tolerance:
-        """Which losses must not take what is durable."""
-        return tolerance_of(
-            hosts=self.copies - 1,
-            domains=self.tolerated_domains,
-            regions=self.tolerated_regions,
-        )
-
 
 class StoreSettings(RoleSettings, frozen=True, kw_only=True):
     """Settings of a store.
@@ -150,7 +158,7 @@
     data_folder: pathlib.Path = pathlib.Path("data")
 
 
-class GatewaySettings(RoleSettings, frozen=True, kw_only=True):
+class GatewaySettings(PlacingSettings, frozen=True, kw_only=True):
     """Settings of a gateway.
 
     Attributes:
@@ -158,10 +166,6 @@
         ready_listen: IP and port at which the balancer checks readiness.
         balancer_wait_ms: time that a stopping gateway still accepts new calls
             after it reports not ready, so that the balancer notices.
-        copies: number of hosts that store each turn: one more than the hosts,
-            failure domains or regions that may be lost at once.
-        tolerated_domains: failure domains that may be lost at once.
-        tolerated_regions: regions that may be lost at once.
         cache_bytes: size of the memory cache of turns, for the turns that
             continue them.
         gateways_expected: number of gateways assumed to share each server's
@@ -172,22 +176,10 @@
     listen: Address = "127.0.0.1:8080"
     ready_listen: Address = "127.0.0.1:8081"
     balancer_wait_ms: NonNegativeInt = 3_000
-    copies: PositiveInt = 2
-    tolerated_domains: NonNegativeInt = 0
-    tolerated_regions: NonNegativeInt = 0
     cache_bytes: NonNegativeInt = 8 * 1024 * 1024
     gateways_expected: PositiveInt = 9
     contended_capacity: bool = False
 
-    @property
-    def tolerance(self) -> Tolerance:
-        """Which losses must not take what is durable."""
-        return tolerance_of(
-            hosts=self.copies - 1,
-            domains=self.tolerated_domains,
-            regions=self.tolerated_regions,
-        )
-
 
 def _find_problem(value: Any, field: msgspec.structs.FieldInfo) -> str:
     """Returns why a setting is invalid, or an empty string."""
