--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -27,12 +27,14 @@
 from tests.test_deployment import DeploymentCase
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from tests.fakes.gatewayrig import CallerResponse
 
 # Requests have 1.5 s. A request ends early if much of that is left.
 _EARLY_S = 0.75
+# Answers that are tried beside each other.
+_BATCH = 8
 _LONG_BODY = b"u" * 3_000_000
 # A linger time of zero has the kernel reset a connection that is closed.
 _NO_LINGER = struct.pack("ii", 1, 0)
@@ -152,6 +154,16 @@
             yield f"{framing}, {count} bytes, {end}", head[:count], end
 
 
+def _batches(
+    answers: Iterable[tuple[str, bytes, _End]],
+) -> Iterator[list[tuple[str, bytes, _End]]]:
+    """Yields the answers that are tried beside each other."""
+    left = list(answers)
+    while left:
+        yield left[:_BATCH]
+        del left[:_BATCH]
+
+
 async def _ask(
     kind: RouteKind,
     answer: bytes,
@@ -197,9 +209,13 @@
             self.assertLess(got.took_s, _EARLY_S, what)
 
         async def main() -> None:
-            for name, answer, end in answers:
+            for batch in _batches(answers):
                 await asyncio.gather(
-                    *(check(kind, name, answer, end) for kind in RouteKind)
+                    *(
+                        check(kind, *answer)
+                        for kind in RouteKind
+                        for answer in batch
+                    )
                 )
 
         self.run_async(main())
@@ -326,8 +342,8 @@
             await server.stop()
 
         async def main() -> None:
-            for name, answer, end in answers:
-                await check(name, answer, end)
+            for batch in _batches(answers):
+                await asyncio.gather(*(check(*answer) for answer in batch))
 
         self.run_async(main())
 
