--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -24,6 +24,7 @@
 import random
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -425,7 +426,13 @@
             process = self._deployment.hosts[name].process
             assert process is not None
             series = await soakstarts.send_series(process, self._rng)
-            code = await soakstarts.wait_for_end(process, series)
+            try:
+                code = await soakstarts.wait_for_end(process, series)
+            except subprocess.TimeoutExpired:
+                names = [number.name for number in series]
+                self._add_problem(f"{name} still runs after {names}")
+                self._deployment.kill(name)
+                code = process.returncode
             if code and (self._has_run(name) or code not in _SIGNAL_EXITS):
                 self._add_problem(f"{name} ended with {code} while it started")
             if code is not None:
