--- a/bench/deciding/gateway.py
+++ b/bench/deciding/gateway.py
@@ -6,7 +6,7 @@
 import enum
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.core.control.ledger import Begin, Finish
+from catkinpin.core.control.turnrecords import Begin, Finish
 from catkinpin.core.placement import urgency
 from catkinpin.core.placement.speeds import StreamTimings
 from catkinpin.core.requests.calls import PromptPart, RouteCall
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -16,7 +16,7 @@
 )
 from catkinpin.adapters.gateway.usage import wait_for_quota
 from catkinpin.adapters.http.client import Failure
-from catkinpin.core.control.ledger import Denial
+from catkinpin.core.control.turnrecords import Denial
 from catkinpin.core.placement import urgency
 from catkinpin.core.placement.placer import (
     PlaceTurn,
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -12,15 +12,15 @@
 from catkinpin.adapters.gateway.turnstorage import TurnStorage
 from catkinpin.adapters.tasks import BackgroundTasks
 from catkinpin.core.control import protocol
-from catkinpin.core.control.ledger import Begin, Denial, Finish
+from catkinpin.core.control.turnrecords import Begin, Denial, Finish
 from catkinpin.core.placement.placer import PlaceTurn, TurnReport
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
     from catkinpin.adapters.gateway.work import ServerRun
     from catkinpin.adapters.peers.keepers import Host, Keepers
-    from catkinpin.core.control.ledger import Link
     from catkinpin.core.control.routes import Route
+    from catkinpin.core.control.turnrecords import Link
     from catkinpin.core.placement.urgency import ProgramStatus
     from catkinpin.core.requests.calls import RouteCall
     from catkinpin.core.requests.digests import RequestDigests
--- a/catkinpin/adapters/keeper/admitting.py
+++ b/catkinpin/adapters/keeper/admitting.py
@@ -15,8 +15,8 @@
     from catkinpin.adapters.keeper.host import KeeperHost
     from catkinpin.clock import Clock
     from catkinpin.core.control import protocol
-    from catkinpin.core.control.ledger import Begin
     from catkinpin.core.control.servers import Instance
+    from catkinpin.core.control.turnrecords import Begin
     from catkinpin.core.placement.admission import AdmissionDecision
     from catkinpin.core.placement.contention import ContendedServices
 
--- a/catkinpin/adapters/keeper/host.py
+++ b/catkinpin/adapters/keeper/host.py
@@ -17,9 +17,9 @@
 from catkinpin.adapters import unusable
 from catkinpin.adapters.tasks import brief
 from catkinpin.core.control import accounts, routes, servers, state
-from catkinpin.core.control.ledger import Begin, Outcome
 from catkinpin.core.control.quotas import Quotas
 from catkinpin.core.control.servers import Instance, ServerState
+from catkinpin.core.control.turnrecords import Begin, Outcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/catkinpin/adapters/keeper/repair.py
+++ b/catkinpin/adapters/keeper/repair.py
@@ -16,8 +16,8 @@
 from catkinpin.adapters.store.turnserver import COPY_TIMEOUT_S
 from catkinpin.core import tolerance
 from catkinpin.core.control import copies, protocol
-from catkinpin.core.control.ledger import Moved
 from catkinpin.core.control.stores import Register, Retire
+from catkinpin.core.control.turnrecords import Moved
 from catkinpin.core.tolerance import Location
 from catkinpin.exceptions import PeerLostError
 
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -12,7 +12,7 @@
 from catkinpin.adapters.keeper.admitting import ProgramAdmission
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.core.control import protocol
-from catkinpin.core.control.ledger import Denial
+from catkinpin.core.control.turnrecords import Denial
 from catkinpin.core.placement.placer import Placer
 from catkinpin.core.placement.unresponsive import UnresponsiveServers
 
@@ -21,8 +21,8 @@
 
     from catkinpin.adapters.keeper.host import KeeperHost
     from catkinpin.clock import Clock
-    from catkinpin.core.control.ledger import Begin
     from catkinpin.core.control.servers import Instance
+    from catkinpin.core.control.turnrecords import Begin
     from catkinpin.core.placement.contention import ContendedServices
     from catkinpin.core.placement.placer import ServerSlowdown, TurnReport
 
--- a/catkinpin/core/control/copies.py
+++ b/catkinpin/core/control/copies.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
-    from catkinpin.core.control.ledger import Turn
     from catkinpin.core.control.protocol import HostInfo
+    from catkinpin.core.control.turnrecords import Turn
     from catkinpin.core.tolerance import Located, Tolerance
 
 # Size of one batch: about 0.3 s of the bandwidth between regions.
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -10,12 +10,12 @@
 from typing import ClassVar
 
 from catkinpin.codec import Message
-from catkinpin.core.control.ledger import Begin, Finish, Link
 from catkinpin.core.control.quotas import AccountUse
 from catkinpin.core.control.routes import PackedRouting
 from catkinpin.core.control.servers import Instance
 from catkinpin.core.control.stores import Store
 from catkinpin.core.control.suspects import AnsweredRequest
+from catkinpin.core.control.turnrecords import Begin, Finish, Link
 from catkinpin.core.messages import Hello, Ping
 from catkinpin.core.placement.placer import PlaceTurn, TurnReport
 from catkinpin.core.placement.urgency import ProgramStatus
@@ -338,7 +338,7 @@
     """Answers `AskBegin`.
 
     Attributes:
-        denial: value of `ledger.Denial`; empty where the turn may begin.
+        denial: value of `turnrecords.Denial`; empty where the turn may begin.
         chain: the turns that this one continues, oldest first.
         retry_ms: in how many ms to retry, where the account's quota is used up
             or the servers have no room for the program.
--- a/catkinpin/core/control/state.py
+++ b/catkinpin/core/control/state.py
@@ -11,14 +11,7 @@
 
 from catkinpin import codec
 from catkinpin.codec import Message
-from catkinpin.core.control.ledger import (
-    Begin,
-    Finish,
-    Ledger,
-    LedgerState,
-    Moved,
-    Outcome,
-)
+from catkinpin.core.control.ledger import Ledger
 from catkinpin.core.control.quotas import AccountUse
 from catkinpin.core.control.routes import PackedRouting, is_version
 from catkinpin.core.control.servers import Fleet, Instance
@@ -28,6 +21,13 @@
     Strike,
     Suspects,
 )
+from catkinpin.core.control.turnrecords import (
+    Begin,
+    Finish,
+    LedgerState,
+    Moved,
+    Outcome,
+)
 from catkinpin.core.terms import Term
 
 if TYPE_CHECKING:
--- a/tests/drawndecoders.py
+++ b/tests/drawndecoders.py
@@ -19,7 +19,7 @@
 from catkinpin.adapters.http.headers import Headers
 from catkinpin.adapters.tasks import brief
 from catkinpin.core.control import routes, servers, state
-from catkinpin.core.control.ledger import Begin
+from catkinpin.core.control.turnrecords import Begin
 from catkinpin.core.placement.placer import PlaceTurn
 from catkinpin.core.requests.digests import digests_of
 from catkinpin.core.requests.events import EventReader
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -51,7 +51,7 @@
 
     from catkinpin.adapters.gateway.work import ServerRun
     from catkinpin.core.control.accounts import ClientAccount
-    from catkinpin.core.control.ledger import Denial
+    from catkinpin.core.control.turnrecords import Denial
     from catkinpin.core.requests.digests import RequestDigests
 
     Answer = Callable[[ReceivedRequest, asyncio.StreamWriter], Awaitable[None]]
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -6,7 +6,7 @@
 
 from catkinpin.core.control import copies
 from catkinpin.core.control.copies import Holder
-from catkinpin.core.control.ledger import Turn
+from catkinpin.core.control.turnrecords import Turn
 from catkinpin.core.tolerance import Tolerance
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -6,11 +6,11 @@
 import testtools
 
 from catkinpin import codec
-from catkinpin.core.control.ledger import (
+from catkinpin.core.control.ledger import Ledger
+from catkinpin.core.control.turnrecords import (
     Begin,
     Denial,
     Finish,
-    Ledger,
     LedgerState,
 )
 
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -35,9 +35,9 @@
     VoteReply,
 )
 from catkinpin.core.control import protocol
-from catkinpin.core.control.ledger import Begin
 from catkinpin.core.control.servers import Instance, ServerState
 from catkinpin.core.control.stores import Store
+from catkinpin.core.control.turnrecords import Begin
 from tests import base, ports, simulation
 from tests.fakes.deployment import Deployment
 from tests.fakes.lognode import LogNode
--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -14,8 +14,8 @@
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.adapters.keeper.repair import CopyRepair
 from catkinpin.core.control import protocol, state
-from catkinpin.core.control.ledger import Moved, Outcome, Turn
 from catkinpin.core.control.stores import Retire, Store
+from catkinpin.core.control.turnrecords import Moved, Outcome, Turn
 from catkinpin.roles import KeeperSettings
 
 
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -13,7 +13,7 @@
 from catkinpin.adapters.disk.turnbytes import TurnBytes
 from catkinpin.adapters.keeper.asks import AskHandler
 from catkinpin.adapters.replica.identity import Identity
-from catkinpin.core.control import ledger, protocol, state
+from catkinpin.core.control import protocol, state, turnrecords
 from catkinpin.core.control.stores import Store
 from catkinpin.exceptions import StorageError
 from tests import base, fuzzpeers
@@ -55,7 +55,7 @@
     def test_turn_without_a_name(self) -> None:
         """Guards against a turn that continues itself for ever."""
         machine = state.ControlState()
-        begin = ledger.Begin(
+        begin = turnrecords.Begin(
             attempt="",
             program="p",
             previous="",
@@ -64,7 +64,7 @@
             retain_ms=1_000,
             at_ms=1,
         )
-        finish = ledger.Finish(
+        finish = turnrecords.Finish(
             attempt="",
             program="p",
             tokens=1,
@@ -75,7 +75,11 @@
         )
 
         def work() -> None:
-            bodies: list[ledger.Begin | ledger.Finish] = [begin, finish, begin]
+            bodies: list[turnrecords.Begin | turnrecords.Finish] = [
+                begin,
+                finish,
+                begin,
+            ]
             for index, body in enumerate(bodies):
                 machine.apply(index, state.Record(tag="", body=body))
 
@@ -85,7 +89,7 @@
         """Guards against numbers that fail each replica's next snapshot."""
         machine = state.ControlState()
         for number in range(3):
-            begin = ledger.Begin(
+            begin = turnrecords.Begin(
                 attempt=f"a{number}",
                 program="p",
                 previous="",
@@ -135,7 +139,7 @@
 
     def test_odd_requests_are_refused(self) -> None:
         """Guards against a store or a turn that no process can use."""
-        begin = ledger.Begin(
+        begin = turnrecords.Begin(
             attempt="",
             program="",
             previous="",
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from catkinpin.adapters.gateway.turns import BeginFailed, StartedTurn
-from catkinpin.core.control.ledger import Denial
 from catkinpin.core.control.routes import (
     RouteKind,
 )
+from catkinpin.core.control.turnrecords import Denial
 from catkinpin.core.placement.urgency import ProgramStatus
 from tests.fakes.rawserver import ReceivedRequest, sealed_answer
 
--- a/tests/test_tolerance.py
+++ b/tests/test_tolerance.py
@@ -11,7 +11,7 @@
 from catkinpin.core import tolerance
 from catkinpin.core.control import copies
 from catkinpin.core.control.copies import Holder
-from catkinpin.core.control.ledger import Turn
+from catkinpin.core.control.turnrecords import Turn
 from catkinpin.core.tolerance import Loss, Tolerance, tolerance_of
 
 if TYPE_CHECKING:
--- a/tests/test_turnrequests.py
+++ b/tests/test_turnrequests.py
@@ -12,15 +12,15 @@
 from catkinpin.adapters.keeper.turns import TurnRequests
 from catkinpin.core.control import protocol
 from catkinpin.core.control.accounts import ClientAccount, Quota
-from catkinpin.core.control.ledger import (
+from catkinpin.core.control.ledger import Ledger
+from catkinpin.core.control.quotas import AccountUse, Quotas, QuotaTolerance
+from catkinpin.core.control.servers import Fleet, ServerState
+from catkinpin.core.control.turnrecords import (
     Begin,
     Denial,
     Finish,
-    Ledger,
     Outcome,
 )
-from catkinpin.core.control.quotas import AccountUse, Quotas, QuotaTolerance
-from catkinpin.core.control.servers import Fleet, ServerState
 from catkinpin.core.placement.contention import ContendedServices
 from catkinpin.core.placement.placer import PlaceTurn
 from catkinpin.core.requests.calls import PromptPart
