Keep a resumed turn with all events that its client has

Cause: a gateway stored what passed through it as the turn's output. A new run would make other events, and nothing told one gateway what another one had sent.

Why this works: such a route's events are stored, where the tolerated losses are survived, before the client gets them. The ledger remembers these turns by a digest of what a resumed request has in common with them (account, program, session, the turn before, path, body). A resumed request first asks the leader which turns it may go on with, reads their events from all hosts, and begins with those up to its Last-Event-Id; its own first part repeats them. The turn that it left can't finish any more, and its later events don't count. An event that no turn has, or turns with different events up to it, get 409 and reach no server; silent hosts that may have it get 503. Tokens of the part sent before count once. Parts go with their turn: when the leader lets it expire.

A whole end of a turn that is not open was acknowledged though nothing was kept; it is refused now, so its caller gets no whole answer.

A gateway of the previous release can't begin a turn that may resume one whose events are stored.

--- a/catkinpin/adapters/disk/turnbytes.py
+++ b/catkinpin/adapters/disk/turnbytes.py
@@ -1,5 +1,7 @@
 """Files with the bytes of turns, which are written once and expire.
 
+The parts of a turn's stream lie beside them, see `core.requests.sentevents`.
+
 A turn's bytes are large and never change, so they are not in the replicated
 log. Two hosts near the caller store them, and the log names these hosts.
 """
@@ -15,6 +17,7 @@
 import msgspec
 
 from catkinpin.adapters.disk import files
+from catkinpin.core.requests import sentevents
 from catkinpin.exceptions import StorageError
 
 if TYPE_CHECKING:
@@ -52,6 +55,8 @@
         self._folder = folder
         self._ops = ops or files.FileOps()
         self._locations: dict[str, _Location] = {}
+        # Names of the parts of each turn, which are dropped together.
+        self._parts: dict[str, list[str]] = {}
         self._fds: dict[int, int] = {}
         self._live_counts: dict[int, int] = {}
         self._active_file = 0
@@ -75,8 +80,10 @@
         return attempt in self._locations
 
     def attempts(self) -> list[str]:
-        """Returns the attempts whose bytes are stored here."""
-        return list(self._locations)
+        """Returns the turns of which bytes are stored here."""
+        return list(
+            {sentevents.turn_of(name): None for name in self._locations}
+        )
 
     def add(self, attempt: str, data: bytes) -> None:
         """Writes a turn's bytes; the next sync makes them durable.
@@ -130,11 +137,12 @@
         )
 
     def drop(self, attempts: Iterable[str]) -> None:
-        """Drops turns, and removes files in which no turn is left."""
+        """Drops turns with their parts, and files in which none is left."""
         for attempt in attempts:
-            location = self._locations.pop(attempt, None)
-            if location is not None:
-                self._live_counts[location.file] -= 1
+            for name in (attempt, *self._parts.pop(attempt, ())):
+                location = self._locations.pop(name, None)
+                if location is not None:
+                    self._live_counts[location.file] -= 1
         for number, live in list(self._live_counts.items()):
             if not live and number != self._active_file:
                 os.close(self._fds.pop(number))
@@ -150,6 +158,9 @@
         return self._folder / f"{number:08}.turns"
 
     def _add_location(self, attempt: str, location: _Location) -> None:
+        if sentevents.is_part(attempt) and attempt not in self._locations:
+            turn = sentevents.turn_of(attempt)
+            self._parts.setdefault(turn, []).append(attempt)
         self._locations[attempt] = location
         self._live_counts[location.file] = (
             self._live_counts.get(location.file, 0) + 1
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import enum
 from typing import TYPE_CHECKING
 
-from catkinpin.adapters.gateway.turns import (
+from catkinpin.adapters.gateway.forwarded import Forwarded
+from catkinpin.adapters.gateway.turnresults import (
     BeginFailed,
     OverCapacity,
     OverQuota,
+    Resumability,
     StartedTurn,
     TurnResult,
 )
@@ -23,6 +24,7 @@
     ServerSlowdown,
     TurnReport,
 )
+from catkinpin.core.requests import digests
 from catkinpin.core.requests.events import EventReader
 from catkinpin.verdicts import Verdict
 
@@ -44,9 +46,13 @@
 # takes about a second.
 _LEADER_TIMEOUT_S = 1.3
 _LEADER_TIMEOUT_SHARE = 0.4
-# An output that is to be stored is cut off beyond this size: a server may send
-# events without end. One of 100,000 tokens has about 1 MB.
-_MAX_OUTPUT_BYTES = 8 * 1024 * 1024
+# Turns that can't be resumed are refused for good: their callers can only send
+# them again from the start.
+_RESUME_REFUSALS = {
+    Denial.NO_SUCH_EVENT: "no turn that it may resume has the event",
+    Denial.SEVERAL_TURNS: "several turns that it may resume have the event",
+    Denial.NOT_RESUMABLE: "its turns can't be resumed, or its id is in use",
+}
 # Retry time for the caller when the leader could not begin a turn.
 _LEADER_RETRY_AFTER_S = 0.3
 
@@ -60,21 +66,6 @@
     BROKEN = "broken"
 
 
-@dataclasses.dataclass
-class _Forwarded:
-    """The part of a stream that was forwarded to the caller.
-
-    Attributes:
-        last_id: id of the last forwarded event.
-        started: whether the head of the answer was sent.
-        output: data of all events, each followed by a line feed.
-    """
-
-    last_id: str = ""
-    started: bool = False
-    output: bytearray = dataclasses.field(default_factory=bytearray)
-
-
 class StreamForwarder:
     """Forwards event streams.
 
@@ -106,7 +97,9 @@
         if state.is_turn:
             await self._serve_turn(state)
         else:
-            await self._stream_answer(state, b"")
+            await self._stream_answer(
+                state, b"", Forwarded(state.call.resume_at)
+            )
 
     async def _serve_turn(self, state: OpenCall) -> None:
         began = await self._begin_turn(state)
@@ -119,7 +112,13 @@
         self._record_cached_prompt(state, began.server)
         is_settled = False
         try:
-            is_settled = await self._stream_answer(state, began.history)
+            forwarded = Forwarded(
+                state.call.resume_at, _is_kept(state), began.events
+            )
+            forwarded.add_kept(began.kept)
+            is_settled = await self._stream_answer(
+                state, began.history, forwarded
+            )
         finally:
             if not is_settled:
                 self._turns.settle(state.call, self._turn_result(state))
@@ -134,7 +133,11 @@
                 _LEADER_TIMEOUT_S, state.remaining_s * _LEADER_TIMEOUT_SHARE
             )
             began = await self._turns.begin(
-                state.call, state.route, wait_s, self._placement_request(state)
+                state.call,
+                state.route,
+                wait_s,
+                self._placement_request(state),
+                _resumability(state),
             )
             if not isinstance(began, OverQuota):
                 return began
@@ -172,6 +175,8 @@
             self._answers.refuse_over_capacity(responder, call, why.retry_ms)
         elif why is Denial.NO_SUCH_TURN:
             self._answers.refuse(responder, call, 404, "no such turn")
+        elif why in _RESUME_REFUSALS:
+            self._answers.refuse(responder, call, 409, _RESUME_REFUSALS[why])
         else:
             self._answers.refuse(responder, call, 402, "the budget is spent")
 
@@ -186,10 +191,11 @@
         if instance is not None:
             self._balancer.record_prompt(instance, state.call.prompt[:-1])
 
-    async def _stream_answer(self, state: OpenCall, history: bytes) -> bool:
+    async def _stream_answer(
+        self, state: OpenCall, history: bytes, forwarded: Forwarded
+    ) -> bool:
         """Streams an answer; returns whether its turn is settled already."""
         body = history + state.body
-        forwarded = _Forwarded(state.call.resume_at)
         while True:
             choice = await self._exchange.next_server(state)
             if choice is None:
@@ -214,7 +220,7 @@
         state: OpenCall,
         choice: Choice,
         body: bytes,
-        forwarded: _Forwarded,
+        forwarded: Forwarded,
     ) -> _AttemptEnd:
         sent = await self._exchange.send(state, choice, body, forwarded.last_id)
         if isinstance(sent, Failure):
@@ -240,7 +246,7 @@
         choice: Choice,
         conn: ServerConnection,
         head: ResponseHead,
-        forwarded: _Forwarded,
+        forwarded: Forwarded,
     ) -> _AttemptEnd:
         if head.status >= 300:
             if forwarded.started:
@@ -260,7 +266,7 @@
         state: OpenCall,
         choice: Choice,
         conn: ServerConnection,
-        forwarded: _Forwarded,
+        forwarded: Forwarded,
     ) -> _AttemptEnd:
         reader = EventReader()
         event_tokens = (
@@ -287,13 +293,10 @@
                 return _AttemptEnd.BROKEN
             if not events:
                 continue
-            for event in events:
-                if _is_kept(state):
-                    forwarded.output += event.data + b"\n"
-                forwarded.last_id = event.id or forwarded.last_id
-            if len(forwarded.output) > _MAX_OUTPUT_BYTES:
-                state.reason = "an output without an end"
-                self._exchange.record_failure(state, choice, state.reason)
+            if problem := await forwarded.add(events):
+                state.reason = problem
+                if forwarded.is_endless:
+                    self._exchange.record_failure(state, choice, problem)
                 state.responder.abort()
                 return _AttemptEnd.ANSWERED
             state.tokens += event_tokens * len(events)
@@ -303,7 +306,7 @@
             await state.responder.drain()
 
     async def _finish_stream(
-        self, state: OpenCall, forwarded: _Forwarded
+        self, state: OpenCall, forwarded: Forwarded
     ) -> bool:
         """Ends a complete stream after storing its turn.
 
@@ -350,6 +353,17 @@
         return state.run_count <= state.route.max_attempts
 
 
+def _resumability(state: OpenCall) -> Resumability | None:
+    """Returns how a turn is resumed; None if its output is not kept."""
+    if not (state.route.resumable and state.route.keeps_history):
+        return None
+    engine = state.service.engine
+    return Resumability(
+        key=digests.resume_key(state.digests, state.call),
+        event_tokens=engine.event_tokens if engine is not None else 0,
+    )
+
+
 def _is_kept(state: OpenCall) -> bool:
     """Returns whether a stream's output becomes a part of its history."""
     return state.route.keeps_history and bool(state.call.program)
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -7,23 +7,42 @@
 import logging
 from typing import TYPE_CHECKING
 
-from catkinpin import decisions
+from msgspec import structs
+
+from catkinpin import decisions, metrics
+from catkinpin.adapters.gateway.resuming import (
+    EventStorage,
+    FoundStream,
+    SentStreamReader,
+)
 from catkinpin.adapters.gateway.turncache import TurnCache
+from catkinpin.adapters.gateway.turnresults import (
+    BeginFailed,
+    OverCapacity,
+    OverQuota,
+    Resumability,
+    StartedTurn,
+    TurnResult,
+)
 from catkinpin.adapters.gateway.turnstorage import TurnStorage
 from catkinpin.adapters.tasks import BackgroundTasks
 from catkinpin.core.control import protocol
+from catkinpin.core.control.resumption import Resumption
 from catkinpin.core.control.turnrecords import Begin, Denial, Finish
-from catkinpin.core.placement.placer import PlaceTurn, TurnReport
+from catkinpin.core.requests.sentevents import Mismatch
 from catkinpin.exceptions import PeerLostError
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from catkinpin.adapters.gateway.work import ServerRun
     from catkinpin.adapters.peers.keepers import Host, Keepers
     from catkinpin.core.control.routes import Route
     from catkinpin.core.control.turnrecords import Link
-    from catkinpin.core.placement.urgency import ProgramStatus
+    from catkinpin.core.placement.placer import PlaceTurn, TurnReport
     from catkinpin.core.requests.calls import RouteCall
     from catkinpin.core.requests.digests import RequestDigests
+    from catkinpin.core.requests.sentevents import SentEvent
     from catkinpin.core.tolerance import Tolerance
 
 log = logging.getLogger(__name__)
@@ -39,78 +58,15 @@
 # of the next one. A caller may read the end a request's timeout later, and its
 # next request may wait for as long until the leader begins it.
 _MARGIN_TIMEOUTS = 2
+_MISMATCH_DENIALS = {
+    Mismatch.NO_SUCH_EVENT: Denial.NO_SUCH_EVENT,
+    Mismatch.SEVERAL_TURNS: Denial.SEVERAL_TURNS,
+}
 # A crash that is not reported allows the request to crash one server more. All
 # keepers may just be restarting.
 _CRASH_REPORT_TIMEOUT_S = 10.0
 
 
-@dataclasses.dataclass(frozen=True)
-class BeginFailed:
-    """Result of a begin whose outcome the gateway could not learn.
-
-    Attributes:
-        reason: why, for the log.
-    """
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True)
-class OverQuota:
-    """Result of a begin that was refused because of the account's quota.
-
-    Attributes:
-        retry_ms: time until the quota has room again.
-    """
-
-    retry_ms: int
-
-
-@dataclasses.dataclass(frozen=True)
-class OverCapacity:
-    """Result of a begin that was refused as the servers have no room.
-
-    Attributes:
-        retry_ms: time until the leader expects room for the program.
-    """
-
-    retry_ms: int
-
-
-@dataclasses.dataclass(frozen=True)
-class StartedTurn:
-    """A turn that the leader has begun.
-
-    Attributes:
-        history: bytes of the preceding turns in its chain.
-        program_status: time and turns used by its program so far.
-        server: the server that ran the program's latest turn.
-        assigned_server: server selected by the leader; empty if none.
-    """
-
-    history: bytes
-    program_status: ProgramStatus
-    server: str
-    assigned_server: str = ""
-
-
-@dataclasses.dataclass(frozen=True)
-class TurnResult:
-    """Outcome of a turn, as reported to the leader.
-
-    Attributes:
-        tokens: number of tokens delivered to the caller.
-        server: the server that cached its prompt; empty if none ran it.
-        lost_ms: additional time compared with an idle server.
-        report: failures and speed of the servers.
-    """
-
-    tokens: int = 0
-    server: str = ""
-    lost_ms: int = 0
-    report: TurnReport = dataclasses.field(default_factory=TurnReport)
-
-
 class TurnClient:
     """Sends requests about turns to the leader and to the storing hosts.
 
@@ -133,6 +89,7 @@
         self._cache = TurnCache(cache_bytes)
         self._tasks = BackgroundTasks()
         self._storage = TurnStorage(keepers, region, self._tasks, tolerance)
+        self._sent_streams = SentStreamReader(keepers)
 
     @property
     def unsettled_count(self) -> int:
@@ -149,47 +106,97 @@
         route: Route,
         wait_s: float,
         place: PlaceTurn | None = None,
+        resumability: Resumability | None = None,
     ) -> StartedTurn | Denial | OverQuota | OverCapacity | BeginFailed:
         """Begins a turn at the leader, which reserves tokens; loads its chain.
 
+        For a turn that resumes another one, it first finds what the caller has.
+
         Args:
             call: the request.
             route: its route.
             wait_s: timeout of the leader's reply.
             place: what the leader needs to select a server; None for no server.
+            resumability: how the turn is resumed; None if it can't be.
         """
-        begin = Begin(
-            attempt=call.attempt,
-            program=call.program,
-            previous=call.previous if route.keeps_history else "",
-            budget=call.budget,
-            max_tokens=call.max_tokens,
-            retain_ms=route.retain_ms + _MARGIN_TIMEOUTS * route.timeout_ms,
-            at_ms=0,
-            left_ms=call.program_left_ms,
-            account=call.account,
+        begin = _begin_record(call, route, resumability)
+        kept: Sequence[SentEvent] = ()
+        if call.resume_at and route.keeps_history:
+            if resumability is None:
+                return Denial.NOT_RESUMABLE
+            found = await self._find_sent(begin, call, wait_s)
+            if not isinstance(found, FoundStream):
+                return found
+            kept = found.kept
+            resumption = _resumption_of(found, resumability.event_tokens)
+            begin = structs.replace(begin, resumption=resumption)
+        ask_begin = protocol.AskBegin(ask=0, begin=begin, place=place)
+        began = await self._ask_begin(ask_begin, call, wait_s)
+        if isinstance(began, BeginFailed):
+            return began
+        if began.denial:
+            return _denial_result(began)
+        history = await self._load_chain(began.chain)
+        if history is None:
+            self.settle(call, TurnResult())
+            return BeginFailed("the history can't be read now")
+        started = StartedTurn(
+            history, began.program_status, began.server, began.placed
         )
+        if resumability is None:
+            return started
+        events = EventStorage(self._storage, call.attempt, kept)
+        return dataclasses.replace(started, events=events, kept=kept)
+
+    async def _ask_begin(
+        self, message: protocol.AskBegin, call: RouteCall, wait_s: float
+    ) -> protocol.Began | BeginFailed:
+        """Sends the leader a request to begin a turn, with retries."""
         try:
-            began = await self._keepers.ask_leader(
-                lambda ask: protocol.AskBegin(
-                    ask=ask, begin=begin, place=place
-                ),
-                wait_s,
+            began: protocol.Began = await self._keepers.ask_leader(
+                lambda ask: structs.replace(message, ask=ask), wait_s
             )
         except PeerLostError as exc:
             # The leader may have reserved tokens. Without a settle they would
             # stay reserved forever.
             self.settle(call, TurnResult())
             return BeginFailed(str(exc))
+        return began
+
+    async def _find_sent(
+        self, begin: Begin, call: RouteCall, wait_s: float
+    ) -> FoundStream | Denial | BeginFailed:
+        """Finds the stream that a caller resumes, which it has in part."""
+        ask_begin = protocol.AskBegin(ask=0, begin=begin, finds_sent=True)
+        began = await self._ask_begin(ask_begin, call, wait_s)
+        if isinstance(began, BeginFailed):
+            return began
         if began.denial:
-            return _denial_result(began)
-        history = await self._load_chain(began.chain)
-        if history is None:
+            return Denial(began.denial)
+        if began.sent is None:
+            # It began the turn instead.
             self.settle(call, TurnResult())
-            return BeginFailed("the history can't be read now")
-        return StartedTurn(
-            history, began.program_status, began.server, began.placed
+            return BeginFailed("the leader is of an earlier release")
+        copies = self._storage.tolerance.copies
+        found = await self._sent_streams.find(
+            began.sent, call.resume_at, copies
+        )
+        result = "resumed" if isinstance(found, FoundStream) else found.value
+        metrics.RESUMED_TURNS.labels(result).inc()
+        decisions.note(
+            "resume",
+            call.attempt,
+            program=call.program,
+            result=result,
+            resumed=found.attempt if isinstance(found, FoundStream) else "",
+            event=call.resume_at,
+            candidates=len(began.sent),
         )
+        if isinstance(found, FoundStream):
+            return found
+        if found is Mismatch.UNKNOWN:
+            return BeginFailed("too few hosts with parts of turns answer")
+        return _MISMATCH_DENIALS[found]
 
     async def finish(
         self, call: RouteCall, data: bytes, outcome: TurnResult
@@ -344,6 +351,34 @@
         return int(region != self._region)
 
 
+def _begin_record(
+    call: RouteCall, route: Route, resumability: Resumability | None
+) -> Begin:
+    """Returns the record that begins a turn."""
+    return Begin(
+        attempt=call.attempt,
+        program=call.program,
+        previous=call.previous if route.keeps_history else "",
+        budget=call.budget,
+        max_tokens=call.max_tokens,
+        retain_ms=route.retain_ms + _MARGIN_TIMEOUTS * route.timeout_ms,
+        at_ms=0,
+        left_ms=call.program_left_ms,
+        account=call.account,
+        resume_key="" if resumability is None else resumability.key,
+        handles_resumption=True,
+    )
+
+
+def _resumption_of(found: FoundStream, event_tokens: int) -> Resumption:
+    return Resumption(
+        attempt=found.attempt,
+        kept_events=len(found.kept),
+        kept_tokens=len(found.kept) * event_tokens,
+        sent_tokens=found.sent_count * event_tokens,
+    )
+
+
 def _denial_result(began: protocol.Began) -> Denial | OverQuota | OverCapacity:
     """Returns the result of a begin that the leader denied."""
     if began.denial == Denial.QUOTA_USED_UP:
--- a/catkinpin/adapters/keeper/orphans.py
+++ b/catkinpin/adapters/keeper/orphans.py
@@ -23,10 +23,15 @@
     unknown_before: set[str] = set()
     while True:
         await asyncio.sleep(_SCAN_INTERVAL_S)
-        turns = host.state.ledger.turns
+        ledger = host.state.ledger
         if not host.group.is_current():
             unknown_before = set()
             continue
-        unknown = {a for a in turn_bytes.attempts() if a not in turns}
+        unknown = {
+            attempt
+            for attempt in turn_bytes.attempts()
+            if attempt not in ledger.turns
+            and ledger.resumable.get(attempt) is None
+        }
         turn_bytes.drop(unknown & unknown_before)
         unknown_before = unknown - unknown_before
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -70,6 +70,10 @@
             message: the request.
             gateway: name of the asking gateway; empty if it is unknown.
         """
+        if message.finds_sent:
+            return self._find_sent(message)
+        if self._may_resume_unnoticed(message.begin):
+            return Undecided("a gateway of an earlier release can't resume it")
         begin = structs.replace(message.begin, at_ms=self._host.log_time_ms())
         is_limited = self._is_limited(begin)
         quota_wait_ms = self._quota_wait_ms(begin) if is_limited else 0
@@ -120,8 +124,42 @@
             decisions.note(
                 "finish-ignored", finish.attempt, program=finish.program
             )
+            return Undecided("the turn is not open")
         return None
 
+    def _may_resume_unnoticed(self, begin: Begin) -> bool:
+        """Returns whether a gateway of the previous release may resume a turn.
+
+        It would store what follows the break as the turn's whole output.
+        """
+        return (
+            not begin.handles_resumption
+            and self._host.state.ledger.resumable.has_turn_after(
+                begin.account, begin.program, begin.previous
+            )
+        )
+
+    def _find_sent(
+        self, message: protocol.AskBegin
+    ) -> protocol.Began | Undecided:
+        """Returns the turns that a turn may resume."""
+        if not self._host.holds_lease() or not self._host.group.is_current():
+            return Undecided("not the leader")
+        ledger = self._host.state.ledger
+        attempt = message.begin.attempt
+        if ledger.knows_turn(attempt) or ledger.resumable.get(attempt):
+            # Its own events would be stored under names that are in use.
+            return protocol.Began(
+                ask=message.ask, denial=Denial.NOT_RESUMABLE, chain=[]
+            )
+        begin = message.begin
+        found = ledger.resumable.find(
+            begin.account, begin.program, begin.resume_key
+        )
+        return protocol.Began(
+            ask=message.ask, denial=Denial.NONE, chain=[], sent=found
+        )
+
     def unresponsive_servers(self, gateways: int) -> list[str]:
         """Returns plain servers that several gateways report unresponsive.
 
--- a/catkinpin/adapters/peers/keepers.py
+++ b/catkinpin/adapters/peers/keepers.py
@@ -117,6 +117,10 @@
             if host.is_connected and host.info is not None
         ]
 
+    def host_count(self) -> int:
+        """Returns how many hosts are known, connected or not."""
+        return len(self._hosts)
+
     def by_node(self, node: str) -> Host | None:
         """Returns a host by its identity, None if it isn't connected."""
         for host in self.connected():
--- a/catkinpin/core/control/ledger.py
+++ b/catkinpin/core/control/ledger.py
@@ -13,6 +13,7 @@
 
 from typing import TYPE_CHECKING
 
+from catkinpin.core.control.resumption import ResumableTurn, ResumableTurns
 from catkinpin.core.control.turnrecords import (
     Denial,
     LedgerState,
@@ -25,6 +26,7 @@
 from catkinpin.core.placement.urgency import ProgramStatus
 
 if TYPE_CHECKING:
+    from catkinpin.core.control.resumption import Resumption
     from catkinpin.core.control.turnrecords import Begin, Finish, Moved
 
 # A budget is retained for this much longer than the program's last turn: a
@@ -39,11 +41,13 @@
 
     Attributes:
         turns: finished turns that may be continued, by attempt.
+        resumable: turns whose streams callers may resume.
         now_ms: the log's time.
     """
 
     def __init__(self) -> None:
         self.turns: dict[str, Turn] = {}
+        self.resumable = ResumableTurns()
         self.now_ms = 0
         self._open_turns: dict[str, Open] = {}
         # By account and program: two accounts may choose the same program id.
@@ -76,23 +80,35 @@
         out.server = budget.server
         if self.knows_turn(record.attempt):
             return out
-        if not _has_budget_left(budget, record):
+        resumed = record.resumption
+        if resumed is not None and not self.resumable.get(resumed.attempt):
+            out.denial = Denial.NO_SUCH_EVENT
+        elif not self._has_budget_left(budget, record):
             out.denial = Denial.BUDGET_SPENT
-            return out
+        else:
+            self._open_turn(record, budget)
+        return out
+
+    def _open_turn(self, record: Begin, budget: ProgramBudget) -> None:
+        """Opens a turn that may begin."""
+        if record.resumption is not None:
+            self._supersede(record.resumption, budget)
         self._retain_chain(record.previous, record.retain_ms)
         self._budgets[(budget.account, budget.program)] = budget
-        budget.reserved += record.max_tokens
+        max_tokens = _tokens_to_reserve(record)
+        budget.reserved += max_tokens
         self._extend_retention(budget, record.retain_ms)
+        if record.resume_key:
+            self.resumable.add(_resumable_turn(record))
         self._open_turns[record.attempt] = Open(
             attempt=record.attempt,
             program=record.program,
             previous=record.previous,
-            max_tokens=record.max_tokens,
+            max_tokens=max_tokens,
             retain_ms=record.retain_ms,
             at_ms=self.now_ms,
             account=record.account,
         )
-        return out
 
     def finish(self, record: Finish) -> Outcome:
         """Finishes a turn; a resent record changes nothing."""
@@ -101,6 +117,7 @@
         if open_turn is None:
             if record.attempt not in self.turns:
                 out.missing = record.attempt
+                self._charge_late(record)
             return out
         budget = self._budget_of(open_turn.account, open_turn.program)
         if budget is not None:
@@ -110,6 +127,8 @@
             budget.turns += record.tokens > 0
             budget.server = record.server or budget.server
             self._extend_retention(budget, open_turn.retain_ms)
+        until_ms = self.now_ms + open_turn.retain_ms
+        self.resumable.end(record.attempt, record.tokens, until_ms)
         if record.is_whole:
             self._add_turn(open_turn, record)
         return out
@@ -176,6 +195,7 @@
             budgets=list(self._budgets.values()),
             now_ms=self.now_ms,
             swept_ms=self._last_sweep_ms,
+            resumable=self.resumable.state(),
         )
 
     def restore(self, state: LedgerState) -> None:
@@ -187,6 +207,7 @@
         self._budgets = {(b.account, b.program): b for b in state.budgets}
         self.now_ms = state.now_ms
         self._last_sweep_ms = state.swept_ms
+        self.resumable.restore(state.resumable)
 
     def _budget_of(self, account: str, program: str) -> ProgramBudget | None:
         """Returns a program's budget; None for a new program.
@@ -196,6 +217,54 @@
         account_budget = self._budgets.get((account, program))
         return account_budget or self._budgets.get(("", program))
 
+    def _has_budget_left(self, budget: ProgramBudget, record: Begin) -> bool:
+        """Returns whether a turn may begin.
+
+        What the caller of a resumed turn has of it is not generated again, so
+        the turn passed this check with these tokens to come.
+        """
+        if record.budget < 0:
+            return True
+        used = budget.spent + budget.reserved
+        resumed = record.resumption
+        if resumed is not None:
+            open_turn = self._open_turns.get(resumed.attempt)
+            if open_turn is not None:
+                used += self._own_tokens(resumed) - open_turn.max_tokens
+            used -= resumed.kept_tokens
+        return used < record.budget
+
+    def _supersede(self, resumed: Resumption, budget: ProgramBudget) -> None:
+        """Ends a turn that a new one resumes, unless it has ended already.
+
+        It can't finish whole any more: its caller has left it.
+        """
+        self.resumable.limit(resumed)
+        open_turn = self._open_turns.pop(resumed.attempt, None)
+        if open_turn is None:
+            return
+        budget.reserved -= open_turn.max_tokens
+        tokens = self._own_tokens(resumed)
+        budget.spent += tokens
+        until_ms = self.now_ms + open_turn.retain_ms
+        self.resumable.end(resumed.attempt, tokens, until_ms)
+
+    def _own_tokens(self, resumed: Resumption) -> int:
+        """Returns how many tokens a resumed turn itself may have sent."""
+        turn = self.resumable.get(resumed.attempt)
+        kept_tokens = turn.kept_tokens if turn is not None else 0
+        return max(0, resumed.sent_tokens - kept_tokens)
+
+    def _charge_late(self, record: Finish) -> None:
+        """Charges what a superseded turn has sent after that."""
+        turn = self.resumable.get(record.attempt)
+        if turn is None or record.tokens <= turn.charged:
+            return
+        budget = self._budget_of(turn.account, turn.program)
+        if budget is not None:
+            budget.spent += record.tokens - turn.charged
+        turn.charged = record.tokens
+
     def _add_turn(self, open_turn: Open, record: Finish) -> None:
         """Adds a finished turn, and retains its whole chain as long."""
         self.turns[open_turn.attempt] = Turn(
@@ -268,10 +337,23 @@
         ]
         for attempt in orphaned:
             del self._open_turns[attempt]
+        expired += self.resumable.expire(now_ms, self.knows_turn)
         return expired
 
 
-def _has_budget_left(budget: ProgramBudget, record: Begin) -> bool:
-    if record.budget < 0:
-        return True
-    return budget.spent + budget.reserved < record.budget
+def _resumable_turn(record: Begin) -> ResumableTurn:
+    return ResumableTurn(
+        attempt=record.attempt,
+        account=record.account,
+        program=record.program,
+        previous=record.previous,
+        key=record.resume_key,
+        kept_tokens=record.resumption.kept_tokens if record.resumption else 0,
+    )
+
+
+def _tokens_to_reserve(record: Begin) -> int:
+    """Returns how many tokens a turn may still generate."""
+    if record.resumption is None:
+        return record.max_tokens
+    return max(0, record.max_tokens - record.resumption.kept_tokens)
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -11,6 +11,7 @@
 
 from catkinpin.codec import Message
 from catkinpin.core.control.quotas import AccountUse
+from catkinpin.core.control.resumption import SentTurn
 from catkinpin.core.control.routes import PackedRouting
 from catkinpin.core.control.servers import Instance
 from catkinpin.core.control.stores import Store
@@ -133,11 +134,13 @@
     Attributes:
         place: asks the leader to select a server as well; None if the gateway
             needs none.
+        finds_sent: whether only to return the turns that it may resume.
     """
 
     ask: int
     begin: Begin
     place: PlaceTurn | None = None
+    finds_sent: bool = False
 
 
 class AskFinish(Message, frozen=True):
@@ -346,6 +349,8 @@
         server: the server that ran the program's latest turn.
         placed: the server that the leader selected for this turn, empty for
             none.
+        sent: the turns that the turn may resume, which then has not begun;
+            None in all other replies and from a leader of the previous release.
     """
 
     ask: int
@@ -355,6 +360,7 @@
     program_status: ProgramStatus = ProgramStatus()
     server: str = ""
     placed: str = ""
+    sent: list[SentTurn] | None = None
 
 
 class Done(Message, frozen=True):
--- a/catkinpin/core/control/turnrecords.py
+++ b/catkinpin/core/control/turnrecords.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from catkinpin.codec import Message
+from catkinpin.core.control.resumption import ResumableTurn, Resumption
 from catkinpin.core.placement.urgency import ProgramStatus
 
 
@@ -23,6 +24,11 @@
         at_ms: the log's time.
         left_ms: time left to finish the whole program.
         account: client account that the turn belongs to, empty for none.
+        resume_key: digest by which a request that resumes the turn finds it;
+            empty if the turn's events are not stored.
+        resumption: the turn that it resumes; None for a new one.
+        handles_resumption: whether the gateway knows which turns resume others.
+            One of the previous release does not.
     """
 
     attempt: str
@@ -34,6 +40,9 @@
     at_ms: int
     left_ms: int = 0
     account: str = ""
+    resume_key: str = ""
+    resumption: Resumption | None = None
+    handles_resumption: bool = False
 
 
 class Finish(Message, frozen=True):
@@ -74,6 +83,9 @@
 
     NONE = ""
     NO_SUCH_TURN = "no-such-turn"
+    NO_SUCH_EVENT = "no-such-event"
+    SEVERAL_TURNS = "several-turns"
+    NOT_RESUMABLE = "not-resumable"
     BUDGET_SPENT = "budget-spent"
     QUOTA_USED_UP = "quota-used-up"
     NO_CAPACITY = "no-capacity"
@@ -105,7 +117,11 @@
 
 
 class Open(Message, frozen=True):
-    """A turn that has begun and not finished."""
+    """A turn that has begun and not finished.
+
+    Attributes:
+        max_tokens: tokens that are reserved for it.
+    """
 
     attempt: str
     program: str
@@ -152,6 +168,7 @@
     budgets: list[ProgramBudget] = msgspec.field(name="accounts")
     now_ms: int
     swept_ms: int
+    resumable: list[ResumableTurn] = []
 
 
 @dataclasses.dataclass
--- a/catkinpin/core/requests/digests.py
+++ b/catkinpin/core/requests/digests.py
@@ -62,6 +62,16 @@
     return RequestDigests(shared.hex(), content.hex(), _digest(path).hex())
 
 
+def resume_key(digests: RequestDigests, call: RouteCall) -> str:
+    """Returns a digest that a request has in common with those that resume it.
+
+    Args:
+        digests: the request's digests.
+        call: its decoded headers.
+    """
+    return _digest((digests.content.encode(), call.session.encode())).hex()
+
+
 def _digest(parts: Iterable[bytes]) -> bytes:
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
     for part in parts:
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -145,6 +145,11 @@
     " afterwards.",
     ["result"],
 )
+RESUMED_TURNS = Counter(
+    "catkinpin_resumed_turns_total",
+    "Turns that callers resumed, by whether what they have was found.",
+    ["result"],
+)
 STORED_TURNS = Counter(
     "catkinpin_stored_turns_total",
     "Turns stored by this gateway, by the number of failure domains that hold"
--- a/tests/fakes/gatewayrig.py
+++ b/tests/fakes/gatewayrig.py
@@ -13,7 +13,7 @@
 from catkinpin.adapters.gateway.context import GatewayContext
 from catkinpin.adapters.gateway.headers import ForwardingFields, HeaderCodec
 from catkinpin.adapters.gateway.serving import RequestHandler
-from catkinpin.adapters.gateway.turns import (
+from catkinpin.adapters.gateway.turnresults import (
     BeginFailed,
     OverCapacity,
     OverQuota,
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from catkinpin.adapters.gateway.turns import (
+from catkinpin.adapters.gateway.turnresults import (
     OverCapacity,
     OverQuota,
     StartedTurn,
--- a/tests/test_placed.py
+++ b/tests/test_placed.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from catkinpin.adapters.gateway.turns import StartedTurn
+from catkinpin.adapters.gateway.turnresults import StartedTurn
 from catkinpin.core.control.routes import RouteKind
 from catkinpin.core.control.servers import ServerState
 from catkinpin.core.placement.urgency import ProgramStatus
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from catkinpin.adapters.gateway.turns import BeginFailed, StartedTurn
+from catkinpin.adapters.gateway.turnresults import BeginFailed, StartedTurn
 from catkinpin.core.control.routes import (
     RouteKind,
 )
--- a/tests/test_turnrequests.py
+++ b/tests/test_turnrequests.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING, Any, cast
 from unittest import mock
 
+from msgspec import structs
+
 from catkinpin import clock, decisions
 from catkinpin.adapters.keeper.host import Undecided
 from catkinpin.adapters.keeper.turns import TurnRequests
@@ -14,6 +16,7 @@
 from catkinpin.core.control.accounts import ClientAccount, Quota
 from catkinpin.core.control.ledger import Ledger
 from catkinpin.core.control.quotas import AccountUse, Quotas, QuotaTolerance
+from catkinpin.core.control.resumption import SentTurn
 from catkinpin.core.control.servers import Fleet, ServerState
 from catkinpin.core.control.turnrecords import (
     Begin,
@@ -40,6 +43,8 @@
         self.counted_attempts: list[str] = []
         self.outcome: Outcome | Undecided = Outcome()
         self.has_lease = True
+        self.is_current = True
+        self.group = types.SimpleNamespace(is_current=lambda: self.is_current)
         self.proposed: list[Any] = []
         for number in range(4):
             self.state.fleet.apply(instance(f"s{number}"))
@@ -151,6 +156,45 @@
         costs = [line.kwargs["connection_ms"] for line in routine.mock_calls]
         self.assertEqual([8.0, 8.0, 0.0, 0.0], costs)
 
+    def test_gateway_of_the_previous_release_resumes_no_turn(self) -> None:
+        """Guards against a stored output that begins at the break.
+
+        Such a gateway passes on a resumed turn like a new one.
+        """
+        message = _ask_begin("t")
+        self.assertEqual("", self._begin(message).denial)
+        new = structs.replace(
+            message.begin, resume_key="k", handles_resumption=True
+        )
+        self.host.state.ledger.begin(new)
+        self.assertIsInstance(self._begin(_ask_begin("u")), Undecided)
+        other = _ask_begin("u", previous="before")
+        self.assertEqual("", self._begin(other).denial)
+        handled = structs.replace(message.begin, handles_resumption=True)
+        handled_message = structs.replace(message, begin=handled)
+        self.assertEqual("", self._begin(handled_message).denial)
+
+    def test_turns_to_resume_are_found_without_beginning_one(self) -> None:
+        """Guards against tokens that a refused request keeps reserved."""
+        begin = structs.replace(_ask_begin("t").begin, resume_key="k")
+        self.host.state.ledger.begin(begin)
+        for attempt, sent in (("u", [SentTurn(attempt="t")]), ("t", None)):
+            asking = structs.replace(begin, attempt=attempt)
+            message = protocol.AskBegin(ask=1, begin=asking, finds_sent=True)
+            self.assertEqual(sent, self._begin(message).sent)
+        self.assertEqual([], self.host.proposed)
+        self.host.is_current = False
+        self.assertIsInstance(self._begin(message), Undecided)
+
+    def test_whole_end_of_a_turn_that_is_not_open_is_refused(self) -> None:
+        """Guards against an answer that ends whole though it isn't kept."""
+        self.host.outcome = Outcome(missing="t")
+        finish = structs.replace(_ask_finish("t").finish, is_whole=True)
+        ended = protocol.AskFinish(ask=1, finish=finish)
+        refused = asyncio.run(self.requests.finish(ended))
+        self.assertIsInstance(refused, Undecided)
+        self.assertIsNone(asyncio.run(self.requests.finish(_ask_finish("t"))))
+
     def test_gateway_that_asks_for_no_server_gets_no_name(self) -> None:
         """Guards against counting plain streams as load of model servers."""
         self.assertEqual("", self._begin(_ask_begin("t", place=False)).placed)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -7,7 +7,8 @@
 import types
 from typing import TYPE_CHECKING, Any, cast
 
-from catkinpin.adapters.gateway.turns import TurnClient, TurnResult
+from catkinpin.adapters.gateway.turnresults import TurnResult
+from catkinpin.adapters.gateway.turns import TurnClient
 from catkinpin.adapters.gateway.turnstorage import TurnStorage
 from catkinpin.adapters.tasks import BackgroundTasks
 from catkinpin.core import tolerance
