Don't resume a stream after an event without an id

What callers saw: on a resumable route, a server breaks off after an event that has no id. Found by reading, on the path of resumes within one gateway.

Cause: the id after which a server goes on was kept, but not whether later events had been forwarded. Why this works: such a stream goes on nowhere else, and its server isn't left for being silent; the answer breaks off.

Test: tests/test_streaming.py, stream without ids; before, two servers were asked and the answer ended whole.

--- a/catkinpin/adapters/gateway/forwarded.py
+++ b/catkinpin/adapters/gateway/forwarded.py
@@ -24,12 +24,14 @@
     """The part of a stream that the caller has.
 
     Attributes:
-        last_id: id of the last event.
+        last_id: id of the last event that has one.
         is_kept: whether the output becomes a part of a history.
         events: stores events before they are forwarded; None if it need not.
         started: whether the head of the answer was sent.
         output: data of all events, each followed by a line feed.
         size: size of what is stored of these events.
+        may_go_on: whether another server can go on after the last event, as
+            that has an id or there is none yet.
     """
 
     last_id: str = ""
@@ -38,6 +40,7 @@
     started: bool = False
     output: bytearray = dataclasses.field(default_factory=bytearray)
     size: int = 0
+    may_go_on: bool = True
 
     @property
     def is_endless(self) -> bool:
@@ -56,6 +59,7 @@
         """
         for event in events:
             self.last_id = event.id or self.last_id
+        self.may_go_on = bool(events[-1].id)
         if not self.is_kept:
             return ""
         self._add(events)
--- a/catkinpin/adapters/gateway/streaming.py
+++ b/catkinpin/adapters/gateway/streaming.py
@@ -209,7 +209,9 @@
                 return False
             if attempt_end is _AttemptEnd.REFUSED:
                 continue
-            if not await self._may_try_another(state, choice):
+            if not forwarded.may_go_on or not await self._may_try_another(
+                state, choice
+            ):
                 break
         await self._exchange.wait_until_reported(state)
         self._answers.answer_failure(state)
@@ -273,7 +275,7 @@
             state.service.engine.event_tokens if state.service.engine else 0
         )
         while True:
-            data = await _next_chunk(state, conn)
+            data = await _next_chunk(state, conn, forwarded)
             if data is None:
                 if not reader.is_at_boundary:
                     state.reason = "the stream ended in the middle of an event"
@@ -383,9 +385,9 @@
 
 
 async def _next_chunk(
-    state: OpenCall, conn: ServerConnection
+    state: OpenCall, conn: ServerConnection, forwarded: Forwarded
 ) -> bytes | Failure | None:
-    if not state.may_switch_server:
+    if not (state.may_switch_server and forwarded.may_go_on):
         return await conn.read_chunk()
     timeout_s = max(
         _MIN_SILENCE_S, _SILENCE_FACTOR * state.route.target_ms / _MS_PER_S
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -212,6 +212,32 @@
 
         self.run_within_limit(scenario())
 
+    def test_stream_without_ids_does_not_go_on_elsewhere(self) -> None:
+        """Guards against events that the caller gets twice.
+
+        A server can only go on after an event that has an id.
+        """
+
+        async def abort_without_ids(
+            seen: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            part = encode_events(1, 2) + b"data: e3\n\n"
+            writer.write(encode_stream(seen, part, end=False))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.transport.abort()
+
+        async def scenario() -> None:
+            rig = Rig(RouteKind.STREAM, resumable=True)
+            await rig.start(abort_without_ids, abort_without_ids)
+            got = await rig.ask()
+            self.assertFalse(got.is_complete)
+            self.assertEqual(encode_events(1, 2) + b"data: e3\n\n", got.body)
+            self.assertEqual(1, rig.count_server_requests())
+            await rig.stop()
+
+        self.run_within_limit(scenario())
+
     def test_silent_server_is_kept_where_no_other_may_be_asked(self) -> None:
         """Guards against losing an answer that is only late.
 
