--- a/catkinpin/adapters/entry/process.py
+++ b/catkinpin/adapters/entry/process.py
@@ -21,7 +21,7 @@
     shards,
     web,
 )
-from catkinpin.adapters.peers import links, wire
+from catkinpin.adapters.peers import links, peerserver, wire
 from catkinpin.adapters.tasks import keep_running
 from catkinpin.core import messages
 from catkinpin.core.operations import changes, deployments
@@ -62,7 +62,7 @@
         self._release_tasks: set[asyncio.Task[None]] = set()
         self._background_tasks: list[asyncio.Task[None]] = []
         self._web_servers: list[web.WebServer] = []
-        self._peer_server = links.PeerServer(
+        self._peer_server = peerserver.PeerServer(
             wire.BetweenEntries,
             self._on_peer_message,
             lambda _: None,
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -27,7 +27,7 @@
 from catkinpin.adapters.keeper.quarantines import QuarantineDecider
 from catkinpin.adapters.keeper.turns import TurnRequests
 from catkinpin.adapters.keeper.unkept import UnkeptLosses
-from catkinpin.adapters.peers import keepers, links
+from catkinpin.adapters.peers import keepers, links, peerserver
 from catkinpin.adapters.replica import mesh, node, transport
 from catkinpin.adapters.store.turnserver import TurnServer
 from catkinpin.adapters.tasks import BackgroundTasks, keep_running
@@ -108,7 +108,7 @@
         self.other_hosts = keepers.Keepers(
             self._hello(ROLE), self._on_keeper_message
         )
-        self._peer_server = links.PeerServer(
+        self._peer_server = peerserver.PeerServer(
             protocol.ToKeeper | transport.ReplicaMessage,
             self._on_message,
             lambda stream: self._publisher.drop_stream(stream),
--- a/catkinpin/adapters/keeper/publisher.py
+++ b/catkinpin/adapters/keeper/publisher.py
@@ -11,7 +11,7 @@
 
 from catkinpin import decisions, metrics
 from catkinpin.adapters.keeper.serverupdates import ServerUpdates
-from catkinpin.adapters.peers import streams
+from catkinpin.adapters.peers import peerserver, streams
 from catkinpin.adapters.replica import mesh
 from catkinpin.core.control import protocol
 
@@ -45,7 +45,7 @@
         cfg: KeeperSettings,
         replica: node.Node,
         host: KeeperHost,
-        server: links.PeerServer,
+        server: peerserver.PeerServer,
     ) -> None:
         self._cfg = cfg
         self._node = replica
--- a/catkinpin/adapters/peers/streams.py
+++ b/catkinpin/adapters/peers/streams.py
@@ -39,6 +39,16 @@
 AnyMessage = Any
 
 
+class Opening(msgspec.Struct):
+    """First frame of a connection.
+
+    Attributes:
+        compressed: whether all later frames are, in both directions.
+    """
+
+    compressed: bool
+
+
 class _Deflate:
     """Compresses batches, each with the earlier batches as its dictionary.
 
--- a/catkinpin/adapters/replica/process.py
+++ b/catkinpin/adapters/replica/process.py
@@ -9,7 +9,7 @@
 
 from catkinpin import clock, exits, waiting
 from catkinpin.adapters.entry import admin, configured, shards, web
-from catkinpin.adapters.peers import links, wire
+from catkinpin.adapters.peers import links, peerserver, wire
 from catkinpin.adapters.replica import (
     controlhost,
     mesh,
@@ -63,7 +63,7 @@
         self.control = controlhost.ControlHost(self)
         with self.node.storage.closed_on_error():
             self.node.sync()
-        self._peers = links.PeerServer(
+        self._peers = peerserver.PeerServer(
             wire.ToReplica, self._handle_message, self._handle_closed
         )
         self._admin: web.WebServer | None = None
--- a/catkinpin/adapters/store/process.py
+++ b/catkinpin/adapters/store/process.py
@@ -11,7 +11,7 @@
 from catkinpin.adapters.disk import files
 from catkinpin.adapters.disk.turnbytes import TurnBytes
 from catkinpin.adapters.keeper.publisher import STORE_ROLE
-from catkinpin.adapters.peers import keepers, links
+from catkinpin.adapters.peers import keepers, links, peerserver
 from catkinpin.adapters.replica.identity import Identity
 from catkinpin.adapters.store.turnserver import TurnServer
 from catkinpin.adapters.tasks import BackgroundTasks, keep_running
@@ -67,7 +67,7 @@
             self.keepers,
             exits.exit_immediately,
         )
-        self._peers = links.PeerServer(
+        self._peers = peerserver.PeerServer(
             protocol.ToKeeper, self._on_message, lambda _: None, link="store"
         )
         self._tasks = BackgroundTasks()
--- a/tests/fakes/lognode.py
+++ b/tests/fakes/lognode.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters.peers import links, wire
+from catkinpin.adapters.peers import links, peerserver, wire
 from catkinpin.adapters.replica import mesh, node
 from catkinpin.adapters.replica.config import NodeConfig
 from catkinpin.core import messages
@@ -88,7 +88,7 @@
             self.node.add_group(f"g{number}", machine)
             for number, machine in enumerate(self.machines)
         ]
-        self._server = links.PeerServer(
+        self._server = peerserver.PeerServer(
             wire.ToReplica, self._handle, lambda _: None
         )
 
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from catkinpin.adapters.peers import keepers, links
+from catkinpin.adapters.peers import keepers, links, peerserver
 from catkinpin.core import messages
 from catkinpin.core.control import protocol
 from tests import base
@@ -31,7 +31,7 @@
         self.term = 1
         self.on_asked: Callable[[], None] = lambda: None
         self._answers = answers
-        self._server = links.PeerServer(
+        self._server = peerserver.PeerServer(
             protocol.ToKeeper, self._handle, lambda _: None
         )
 
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -10,7 +10,7 @@
 
 from catkinpin import listening
 from catkinpin.adapters.http.server import HttpServer
-from catkinpin.adapters.peers import links
+from catkinpin.adapters.peers import links, peerserver
 from catkinpin.core import messages
 from tests import base, hellos, ports, processes
 
@@ -73,7 +73,7 @@
             )
             link.start()
             await asyncio.sleep(_LOADING_S)
-            server = links.PeerServer(
+            server = peerserver.PeerServer(
                 messages.Hello | messages.Ping, lambda *_: None, lambda _: None
             )
             await server.start(address)
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from catkinpin import codec
-from catkinpin.adapters.peers import borders, links
+from catkinpin.adapters.peers import borders, links, peerserver
 from catkinpin.adapters.replica import transport
 from catkinpin.core import messages
 from catkinpin.core.consensus.core import Core
@@ -141,7 +141,7 @@
         logging.getLogger().addHandler(self.log)
         self.addCleanup(logging.getLogger().removeHandler, self.log)
 
-    async def _serve(self) -> links.PeerServer:
+    async def _serve(self) -> peerserver.PeerServer:
         """Starts a server that answers `AskCurrent`, and fails on `Put`."""
 
         def on_message(stream: links.Stream, message: Any) -> None:
@@ -152,7 +152,9 @@
             self.received.append(message)
 
         self.received: list[Any] = []
-        server = links.PeerServer(protocol.ToKeeper, on_message, lambda _: None)
+        server = peerserver.PeerServer(
+            protocol.ToKeeper, on_message, lambda _: None
+        )
         self.address = await server.start("127.0.0.1:0")
         return server
 
@@ -274,7 +276,9 @@
             self.assertEqual([True, True], await closing)
             await server.stop()
 
-        with mock.patch.object(links, "_HELLO_TIMEOUT_S", 0.5, create=True):
+        with mock.patch.object(
+            peerserver, "_HELLO_TIMEOUT_S", 0.5, create=True
+        ):
             self.run_async(main())
 
     def test_strangers_leave_room_for_processes(self) -> None:
@@ -302,8 +306,10 @@
             await server.stop()
 
         with (
-            mock.patch.object(links, "_MAX_UNIDENTIFIED", 8, create=True),
-            mock.patch.object(links, "_HELLO_TIMEOUT_S", 60.0, create=True),
+            mock.patch.object(peerserver, "_MAX_UNIDENTIFIED", 8, create=True),
+            mock.patch.object(
+                peerserver, "_HELLO_TIMEOUT_S", 60.0, create=True
+            ),
         ):
             self.run_async(main())
 
@@ -539,7 +545,7 @@
         """Guards against a link that never reconnects after a failure."""
 
         async def main() -> None:
-            server = links.PeerServer(
+            server = peerserver.PeerServer(
                 protocol.ToKeeper, lambda *_: None, lambda _: None
             )
             address = await server.start("127.0.0.1:0")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,7 +10,7 @@
 from unittest import mock
 
 from catkinpin import codec
-from catkinpin.adapters.peers import links
+from catkinpin.adapters.peers import links, peerserver
 from catkinpin.adapters.replica import mesh
 from catkinpin.core.control import protocol, routes
 from tests import base, ports
@@ -38,7 +38,7 @@
         """
 
         async def main() -> None:
-            server = links.PeerServer(
+            server = peerserver.PeerServer(
                 protocol.ToKeeper, lambda *_: None, lambda _: None
             )
             address = await server.start("127.0.0.1:0")
@@ -56,7 +56,7 @@
 
         async def main() -> None:
             for iterations in range(_LOOP_ITERATIONS // 4):
-                server = links.PeerServer(
+                server = peerserver.PeerServer(
                     protocol.ToKeeper, lambda *_: None, lambda _: None
                 )
                 address = await server.start("127.0.0.1:0")
@@ -113,7 +113,7 @@
             await asyncio.sleep(0.2)
             for sock in [unaccepting, *backlog_fillers]:
                 sock.close()
-            server = links.PeerServer(
+            server = peerserver.PeerServer(
                 protocol.ToKeeper, lambda *_: None, lambda _: None
             )
             await server.start(address)
@@ -132,7 +132,7 @@
         """Guards against a backlog so small that connects take seconds."""
 
         async def main() -> None:
-            server = links.PeerServer(
+            server = peerserver.PeerServer(
                 protocol.ToKeeper, lambda *_: None, lambda _: None
             )
             host, _, port = (await server.start("127.0.0.1:0")).rpartition(":")
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from catkinpin.adapters.entry import shards
-from catkinpin.adapters.peers import links, wire
+from catkinpin.adapters.peers import links, peerserver, wire
 from catkinpin.core import messages
 from tests import base
 
@@ -25,7 +25,7 @@
     def __init__(self, *, answers: bool) -> None:
         self._answers = answers
         self.received_ask = asyncio.Event()
-        self.server = links.PeerServer(
+        self.server = peerserver.PeerServer(
             wire.ToReplica, self._handle, lambda _: None
         )
         self.address = ""
