Count a line of a log only once it is written to its end

What was seen: test_turns_are_served_beside_drawn_input fails once in a whole run with JSONDecodeError, 'Unterminated string'; no process was at fault. Cause: the readers of logs parsed the last line while its process was writing it, and split lines at separators within texts (U+2028), and could cut a character in two.

Why this works: only what lies before the last line feed is parsed, as bytes.

--- a/tests/drawnlive.py
+++ b/tests/drawnlive.py
@@ -22,7 +22,7 @@
 import uvloop
 
 from catkinpin.adapters.tasks import brief
-from tests import drawn
+from tests import drawn, logfiles
 from tests.drawndecoders import ANSWER, REQUEST, documents, is_refused
 from tests.fakes.deployment import Deployment
 from tests.fakes.rawserver import RawServer, ReceivedRequest
@@ -124,8 +124,8 @@
         ]
 
     def _check_log(self, name: str) -> None:
-        text = (self._folder / f"{name}.log").read_text(errors="replace")
-        for line in text.splitlines():
+        data = (self._folder / f"{name}.log").read_bytes()
+        for line in logfiles.complete_lines(data):
             if any(odd in line for odd in _ODD_LOG_TEXTS):
                 self._add_error(f"{name} logged {line[:300]}")
 
--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from tests import ports, processes
+from tests import logfiles, ports, processes
 from tests.fakes.rawserver import RawServer, ReceivedRequest
 
 if TYPE_CHECKING:
@@ -226,9 +226,8 @@
 
     def read_log(self, name: str) -> list[dict[str, Any]]:
         """Returns the decisions that a process has logged."""
-        text = (self._folder / f"{name}.log").read_text()
-        lines = [ln for ln in text.splitlines() if ln.startswith("{")]
-        return [json.loads(line) for line in lines]
+        log = self._folder / f"{name}.log"
+        return logfiles.decisions(log.read_bytes())
 
     def find_leader(self) -> str:
         """Returns the keeper that logged leadership in the newest term."""
--- a/tests/fakes/startcase.py
+++ b/tests/fakes/startcase.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import json
 import os
 import pathlib
 import re
@@ -14,7 +13,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-from tests import base, ports, processes
+from tests import base, logfiles, ports, processes
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -84,13 +83,11 @@
 
     def lines(self, name: str) -> list[dict[str, Any]]:
         """Returns the JSON lines with a decision or a message."""
-        found = []
-        for text in self.text.splitlines():
-            if text.startswith("{"):
-                line = json.loads(text)
-                if name in (line.get("decision"), line.get("message")):
-                    found.append(line)
-        return found
+        return [
+            line
+            for line in logfiles.decisions(self._out.read_bytes())
+            if name in (line.get("decision"), line.get("message"))
+        ]
 
     def wait_for(self, *names: str) -> dict[str, Any]:
         """Returns the first line with one of the names; fails if it ends."""
