Keep trying keepers and stores that were away for long

Cause: a host that was not connected for 30 s was dropped, as others would name it again; nobody is left to do so when all are away, and seeds were dropped too.

Why this works: no host is dropped for being away. After 30 s it counts as lost and is tried up to every 3 s, at other times by each process. It is seen in host-lost, host-back and catkinpin_lost_hosts. At 4,096 hosts the one that was away longest makes room, never a seed of the settings.

--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -139,7 +139,7 @@
     async def start(self) -> None:
         """Listens and connects to the keepers."""
         await self.server.start(self.cfg.listen)
-        self.keepers.add(self.cfg.seeds)
+        self.keepers.set_seeds(self.cfg.seeds)
         for work in (self._tick, self._route_fetcher.run, self._usage.run):
             self._tasks.spawn(keep_running(work))
         # Callers are served even if the port for readiness is in use.
@@ -184,7 +184,7 @@
     def set_seeds(self, seeds: list[str]) -> None:
         """Applies changed seeds while the gateway runs."""
         decisions.note("reload", "", seeds=seeds)
-        self.keepers.add(seeds)
+        self.keepers.set_seeds(seeds)
 
     def set_tolerance(self, tolerance: Tolerance) -> None:
         """Stores turns from now on so that they survive other losses."""
--- a/catkinpin/adapters/keeper/process.py
+++ b/catkinpin/adapters/keeper/process.py
@@ -204,7 +204,7 @@
         """Starts the replica of the control group, and listens."""
         self.node.start(self._hello(mesh.ROLE))
         await self._peer_server.start(self.address)
-        self.other_hosts.add(self.cfg.seeds)
+        self.other_hosts.set_seeds(self.cfg.seeds)
         # The other hosts need this keeper, even if its port for servers and
         # operators is in use.
         self._tasks.spawn(self._http.start(self.cfg.listen))
@@ -235,7 +235,7 @@
     def set_seeds(self, seeds: list[str]) -> None:
         """Connects to the seeds of changed settings."""
         decisions.note("reload", "", seeds=seeds)
-        self.other_hosts.add(seeds)
+        self.other_hosts.set_seeds(seeds)
         for address in seeds:
             self.node.connect_to(address)
 
--- a/catkinpin/adapters/peers/keepers.py
+++ b/catkinpin/adapters/peers/keepers.py
@@ -6,9 +6,11 @@
 import dataclasses
 import functools
 import logging
+import random
 import time
 from typing import TYPE_CHECKING, Any
 
+from catkinpin import decisions, metrics
 from catkinpin.adapters.peers import links
 from catkinpin.core.addresses import is_host_port
 from catkinpin.core.control import protocol
@@ -23,13 +25,17 @@
 
 # Between two attempts to reach the leader; an election takes some hundred ms.
 _RETRY_DELAY_S = 0.04
-# A host that was not connected for this long counts as removed. A new link is
-# made if another host still names it.
-_FORGET_AFTER_S = 30.0
+# A host that was not connected for this long counts as lost. It may be back at
+# any time, so it is still tried, but less often the longer it is away.
+_LOST_AFTER_S = 30.0
+_MAX_RECONNECT_DELAY_S = 3.0
+# Share of a host's time away that passes between two attempts to reach it.
+_RECONNECT_SHARE = 0.02
 # Longest wait for one keeper's reply: a sync on a slow disk, a round trip
 # between regions, and some reserve. After that another keeper may lead.
 _SINGLE_ASK_TIMEOUT_S = 0.7
-# More hosts can only come from foreign messages.
+# More hosts can only come from foreign messages, or from years of replaced
+# hosts; the one that was away longest is dropped for a new one.
 _MAX_HOSTS = 4_096
 
 
@@ -39,6 +45,8 @@
 
     Attributes:
         info: its latest description of itself, None before the first.
+        is_seed: whether the settings name it.
+        is_lost: whether it has been away for so long that it counts as lost.
         last_connected_s: monotonic time at which it was last connected.
         leader_ask_ids: ids of the pending requests that this host was sent
             because it led. They fail once another host leads.
@@ -46,6 +54,8 @@
 
     link: links.PeerLink
     info: protocol.HostInfo | None = None
+    is_seed: bool = False
+    is_lost: bool = False
     last_connected_s: float = 0.0
     leader_ask_ids: set[int] = dataclasses.field(default_factory=set)
 
@@ -81,14 +91,20 @@
         self._term = 0
         self.retiring: frozenset[str] = frozenset()
 
+    def set_seeds(self, addresses: Iterable[str]) -> None:
+        """Connects to the hosts that the settings name, as long as they do."""
+        seeds = list(addresses)
+        self.add(seeds)
+        for address, host in self._hosts.items():
+            host.is_seed = address in seeds
+
     def add(self, addresses: Iterable[str]) -> None:
         """Connects to the hosts at these peer addresses."""
         for address in addresses:
             if address in self._hosts or address == self._hello.address:
                 continue
             # Keepers of earlier releases also know hosts without an address.
-            is_usable = is_host_port(address)
-            if not is_usable or len(self._hosts) >= _MAX_HOSTS:
+            if not is_host_port(address) or not self._has_room():
                 continue
             link = links.PeerLink(
                 address,
@@ -99,6 +115,9 @@
                     self._handle_disconnect, address
                 ),
                 link="to-keeper",
+                reconnect_delay_s=functools.partial(
+                    self._reconnect_delay_s, address
+                ),
             )
             host = Host(link, last_connected_s=time.monotonic())
             self._hosts[address] = host
@@ -117,9 +136,13 @@
             if host.is_connected and host.info is not None
         ]
 
+    def addresses(self) -> list[str]:
+        """Returns the peer addresses of all hosts, connected or not."""
+        return list(self._hosts)
+
     def host_count(self) -> int:
-        """Returns how many hosts are known, connected or not."""
-        return len(self._hosts)
+        """Returns how many hosts are connected or were so recently."""
+        return sum(not host.is_lost for host in self._hosts.values())
 
     def by_node(self, node: str) -> Host | None:
         """Returns a host by its identity, None if it isn't connected."""
@@ -144,19 +167,57 @@
         return max(counts, default=0)
 
     def tick(self) -> None:
-        """Drops the hosts that were not connected for a long time."""
-        now = time.monotonic()
-        for address, host in list(self._hosts.items()):
+        """Notes which hosts were lost or are back."""
+        now_s = time.monotonic()
+        for address, host in self._hosts.items():
+            away_s = now_s - host.last_connected_s
             if host.is_connected:
-                host.last_connected_s = now
-            elif now - host.last_connected_s > _FORGET_AFTER_S:
-                log.info(
-                    "dropped the link to a lost host", extra={"peer": address}
+                host.last_connected_s = now_s
+            is_lost = not host.is_connected and away_s > _LOST_AFTER_S
+            if is_lost != host.is_lost:
+                host.is_lost = is_lost
+                decisions.note(
+                    "host-lost" if is_lost else "host-back",
+                    "",
+                    address=address,
+                    is_seed=host.is_seed,
+                    away_s=int(away_s),
                 )
-                del self._hosts[address]
-                # Nothing needs to wait for this task.
-                stopping = asyncio.ensure_future(host.link.stop())
-                stopping.add_done_callback(lambda _: None)
+        lost_count = len(self._hosts) - self.host_count()
+        metrics.LOST_HOSTS.set(lost_count)
+
+    def _reconnect_delay_s(self, address: str) -> float:
+        """Returns the pause before the next attempt to reach a host.
+
+        Processes that lost the same host try it at different times.
+        """
+        host = self._hosts.get(address)
+        if host is None or not host.is_lost:
+            return links.RECONNECT_DELAY_S
+        away_s = time.monotonic() - host.last_connected_s
+        delay_s = min(_MAX_RECONNECT_DELAY_S, _RECONNECT_SHARE * away_s)
+        return delay_s * random.uniform(0.5, 1.0)
+
+    def _has_room(self) -> bool:
+        """Returns whether one more host may be added.
+
+        Drops the host that was away longest, if there are too many.
+        """
+        if len(self._hosts) < _MAX_HOSTS:
+            return True
+        lost = [
+            address
+            for address, host in self._hosts.items()
+            if host.is_lost and not host.is_seed
+        ]
+        if not lost:
+            return False
+        oldest = min(lost, key=lambda a: self._hosts[a].last_connected_s)
+        host = self._hosts.pop(oldest)
+        # Nothing needs to wait for this task.
+        stopping = asyncio.ensure_future(host.link.stop())
+        stopping.add_done_callback(lambda _: None)
+        return True
 
     async def ask(
         self, host: Host, make_message: Callable[[int], Any], wait_s: float
--- a/catkinpin/adapters/peers/links.py
+++ b/catkinpin/adapters/peers/links.py
@@ -29,7 +29,7 @@
 
 log = logging.getLogger(__name__)
 
-_RECONNECT_DELAY_S = 0.1
+RECONNECT_DELAY_S = 0.1
 # A host without power answers no packet, and without a timeout the attempt
 # would hang for minutes. After a power loss of all hosts, the first ones that
 # are back connect to hosts that are still down. The operating system would
@@ -50,6 +50,7 @@
         on_disconnected: called after a stream has ended.
         compressed: whether to compress batches, for links of low bandwidth.
         link: label of the sent bytes in the metrics.
+        reconnect_delay_s: returns the pause before the next connection.
 
     Attributes:
         connected: set while there is a stream.
@@ -66,8 +67,10 @@
         on_disconnected: Callable[[], None] = lambda: None,
         compressed: bool = False,
         link: str = "entry-replica",
+        reconnect_delay_s: Callable[[], float] = lambda: RECONNECT_DELAY_S,
     ) -> None:
         self.address = address
+        self._reconnect_delay_s = reconnect_delay_s
         self._compressed = compressed
         self._link_label = link
         self._hello = hello
@@ -162,7 +165,7 @@
                 borders.note_failure("stream failed", exc, self.address)
             finally:
                 self._handle_disconnect()
-            await asyncio.sleep(_RECONNECT_DELAY_S)
+            await asyncio.sleep(self._reconnect_delay_s())
 
     async def _connect_once(self) -> None:
         """Connects, and runs the stream until it ends."""
--- a/catkinpin/adapters/store/process.py
+++ b/catkinpin/adapters/store/process.py
@@ -75,7 +75,7 @@
     async def start(self) -> None:
         """Listens and registers with the keepers."""
         await self._peers.start(self.cfg.peer_listen)
-        self.keepers.add(self.cfg.seeds)
+        self.keepers.set_seeds(self.cfg.seeds)
         for work in (self._register, self._tick):
             self._tasks.spawn(keep_running(work))
         decisions.note(
@@ -97,7 +97,7 @@
     def set_seeds(self, seeds: list[str]) -> None:
         """Applies changed seeds while the store runs."""
         decisions.note("reload", "", seeds=seeds)
-        self.keepers.add(seeds)
+        self.keepers.set_seeds(seeds)
 
     def set_tolerance(self, tolerance: Tolerance) -> None:
         """Does nothing: others decide what a store stores."""
--- a/catkinpin/metrics.py
+++ b/catkinpin/metrics.py
@@ -145,6 +145,10 @@
     " afterwards.",
     ["result"],
 )
+LOST_HOSTS = Gauge(
+    "catkinpin_lost_hosts",
+    "Keepers and stores that this process has not reached for 30 s.",
+)
 RESUMED_TURNS = Counter(
     "catkinpin_resumed_turns_total",
     "Turns that callers resumed, by whether what they have was found.",
--- a/tests/test_keepers.py
+++ b/tests/test_keepers.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import time
+import types
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
 from catkinpin.adapters.peers import keepers, links, peerserver
 from catkinpin.core import messages
@@ -30,13 +32,20 @@
         self.leader = ""
         self.term = 1
         self.on_asked: Callable[[], None] = lambda: None
+        # Addresses of other keepers that it names.
+        self.known: list[str] = []
         self._answers = answers
-        self._server = peerserver.PeerServer(
+        self._server = self._new_server()
+
+    def _new_server(self) -> peerserver.PeerServer:
+        return peerserver.PeerServer(
             protocol.ToKeeper, self._handle, lambda _: None
         )
 
     async def start(self) -> None:
-        self.address = await self._server.start("127.0.0.1:0")
+        """Starts, again at the address that it had."""
+        self._server = self._new_server()
+        self.address = await self._server.start(self.address or "127.0.0.1:0")
 
     async def stop(self) -> None:
         await self._server.stop()
@@ -47,7 +56,7 @@
             address=self.address,
             domain="a",
             region="a",
-            known=[],
+            known=self.known,
             leader=self.leader,
             term=self.term,
         )
@@ -103,6 +112,85 @@
         self.run_async(main())
 
 
+class LostKeepersTest(base.TestCase):
+    """A process that was cut off from all keepers for a while."""
+
+    def _check_outage(self, away_s: float) -> None:
+        """Loses all keepers, a seed and a learned one, and gets them back."""
+        shift_s = 0.0
+        shifted = types.SimpleNamespace(
+            monotonic=lambda: time.monotonic() + shift_s
+        )
+
+        async def main() -> None:
+            nonlocal shift_s
+            seed, learned = _Keeper(answers=True), _Keeper(answers=True)
+            for keeper in (seed, learned):
+                await keeper.start()
+            seed.known = [learned.address]
+            links_to_keepers = keepers.Keepers(GATEWAY_HELLO)
+            links_to_keepers.add([seed.address])
+            for number in range(2):
+
+                async def are_connected() -> bool:
+                    return len(links_to_keepers.connected()) == 2
+
+                await base.until(are_connected, "both keepers are connected")
+                if number:
+                    break
+                links_to_keepers.tick()
+                for keeper in (seed, learned):
+                    await keeper.stop()
+                seed.known = []
+                await asyncio.sleep(0.2)
+                shift_s = away_s
+                for _ in range(2):
+                    links_to_keepers.tick()
+                for keeper in (seed, learned):
+                    await keeper.start()
+            await links_to_keepers.stop()
+            for keeper in (seed, learned):
+                await keeper.stop()
+
+        with mock.patch.object(keepers, "time", shifted):
+            self.run_async(main())
+
+    def test_new_host_takes_the_room_of_the_one_lost_longest(self) -> None:
+        """Guards against hosts that years of replacements leave no room for."""
+        shift_s = 0.0
+        shifted = types.SimpleNamespace(monotonic=lambda: shift_s)
+
+        async def main() -> None:
+            nonlocal shift_s
+            links_to_keepers = keepers.Keepers(GATEWAY_HELLO)
+            # No process listens on these ports.
+            links_to_keepers.set_seeds(["127.0.0.1:1"])
+            links_to_keepers.add(["127.0.0.1:2"])
+            links_to_keepers.tick()
+            self.assertEqual(2, links_to_keepers.host_count())
+            shift_s = 31.0
+            links_to_keepers.add(["127.0.0.1:3"])
+            links_to_keepers.tick()
+            links_to_keepers.add(["127.0.0.1:4", "127.0.0.1:5"])
+            addresses = sorted(links_to_keepers.addresses())
+            self.assertEqual(
+                ["127.0.0.1:1", "127.0.0.1:3", "127.0.0.1:4"], addresses
+            )
+            self.assertEqual(2, links_to_keepers.host_count())
+            await links_to_keepers.stop()
+
+        with (
+            mock.patch.object(keepers, "time", shifted),
+            mock.patch.object(keepers, "_MAX_HOSTS", 3),
+        ):
+            self.run_async(main())
+
+    def test_keepers_that_were_away_are_found_again(self) -> None:
+        """Guards against a process that needs a restart after an outage."""
+        for away_s in (36.0, 300.0):
+            self._check_outage(away_s)
+
+
 class LeaderTest(base.TestCase):
     """Leaders that change while a request is pending."""
 
