Settle turns whose callers leave while they begin

Cause: the leader had reserved the tokens, and the cancelled begin told it nothing. Why this works: a cancelled begin settles its turn with no tokens, as one without a reply does; a turn that the leader doesn't know is not changed by that.

Test: tests/test_resuming.py, a caller that leaves in either wait; before, the leader was asked to begin and heard nothing more.

--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -131,22 +131,33 @@
             resumption = _resumption_of(found, resumability.event_tokens)
             begin = structs.replace(begin, resumption=resumption)
         ask_begin = protocol.AskBegin(ask=0, begin=begin, place=place)
-        began = await self._ask_begin(ask_begin, call, wait_s)
-        if isinstance(began, BeginFailed):
-            return began
-        if began.denial:
-            return _denial_result(began)
-        history = await self._load_chain(began.chain)
+        started = await self._start(ask_begin, call, wait_s)
+        if resumability is None or not isinstance(started, StartedTurn):
+            return started
+        events = EventStorage(self._storage, call.attempt, kept)
+        return dataclasses.replace(started, events=events, kept=kept)
+
+    async def _start(
+        self, message: protocol.AskBegin, call: RouteCall, wait_s: float
+    ) -> StartedTurn | Denial | OverQuota | OverCapacity | BeginFailed:
+        """Begins a turn at the leader and loads its chain."""
+        try:
+            began = await self._ask_begin(message, call, wait_s)
+            if isinstance(began, BeginFailed):
+                return began
+            if began.denial:
+                return _denial_result(began)
+            history = await self._load_chain(began.chain)
+        except asyncio.CancelledError:
+            # The caller has left; nobody else would settle the turn.
+            self.settle(call, TurnResult())
+            raise
         if history is None:
             self.settle(call, TurnResult())
             return BeginFailed("the history can't be read now")
-        started = StartedTurn(
+        return StartedTurn(
             history, began.program_status, began.server, began.placed
         )
-        if resumability is None:
-            return started
-        events = EventStorage(self._storage, call.attempt, kept)
-        return dataclasses.replace(started, events=events, kept=kept)
 
     async def _ask_begin(
         self, message: protocol.AskBegin, call: RouteCall, wait_s: float
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -16,7 +16,7 @@
 from catkinpin.core.control import protocol
 from catkinpin.core.control.resumption import SentTurn
 from catkinpin.core.control.routes import RouteKind
-from catkinpin.core.control.turnrecords import Denial
+from catkinpin.core.control.turnrecords import Denial, Link
 from catkinpin.core.placement.urgency import ProgramStatus
 from catkinpin.core.requests import sentevents
 from catkinpin.core.requests.calls import RouteCall
@@ -45,6 +45,8 @@
         parts: what each host has, by its name and the part's; None for a host
             that does not answer.
         leader_replies: what the leader answers, one after the other.
+        reply_delay_s: time that the leader takes.
+        read_delay_s: time that a host takes.
         asked_leader: the requests that the leader got.
     """
 
@@ -54,6 +56,8 @@
     def __init__(self, **parts: dict[str, bytes] | None) -> None:
         self.parts = parts
         self.leader_replies: list[Any] = []
+        self.reply_delay_s = 0.0
+        self.read_delay_s = 0.0
         self.asked_leader: list[Any] = []
 
     def host_count(self) -> int:
@@ -67,7 +71,8 @@
     async def ask(
         self, host: Any, make: Callable[[int], Any], wait_s: float
     ) -> Any:
-        parts = self.parts[host.name]
+        await asyncio.sleep(self.read_delay_s)
+        parts = self.parts.get(host.name)
         if parts is None:
             raise PeerLostError("no answer")
         message = make(1)
@@ -79,8 +84,17 @@
         self, make: Callable[[int], Any], wait_s: float
     ) -> Any:
         self.asked_leader.append(make(1))
+        await asyncio.sleep(self.reply_delay_s)
         return self.leader_replies.pop(0)
 
+    def by_node(self, node: str) -> Any:
+        return types.SimpleNamespace(
+            info=None, link=types.SimpleNamespace(address=node)
+        )
+
+    def by_address(self, address: str) -> Any:
+        return types.SimpleNamespace(name=address)
+
 
 def _event(number: int) -> SentEvent:
     return SentEvent(id=str(number), data=b"e%d" % number)
@@ -259,7 +273,7 @@
 class BegunTurnTest(base.TestCase):
     """A gateway begins a turn that resumes another one."""
 
-    def _begin(self, hosts: _FakeHosts, **route: bool) -> Any:
+    def _begin(self, hosts: _FakeHosts, call: RouteCall | None = None) -> Any:
         client = TurnClient(
             cast("Keepers", hosts),
             "r",
@@ -267,14 +281,13 @@
             tolerance_of(hosts=1, domains=0, regions=0),
         )
         fields = {"keeps_history": True, "retain_ms": 1, "timeout_ms": 1}
-        call = RouteCall("b", program="p", resume_at="1", max_tokens=300)
-        resumability = Resumability("k", 10)
+        resumed = RouteCall("b", program="p", resume_at="1", max_tokens=300)
         return client.begin(
-            call,
-            cast("Route", types.SimpleNamespace(**{**fields, **route})),
+            call or resumed,
+            cast("Route", types.SimpleNamespace(**fields)),
             1.0,
             None,
-            resumability,
+            Resumability("k", 10),
         )
 
     def test_resumed_turn_names_what_its_caller_has(self) -> None:
@@ -306,6 +319,31 @@
 
         self.run_async(main())
 
+    def test_turn_whose_caller_leaves_while_it_begins_is_settled(self) -> None:
+        """Guards against tokens reserved for good by a turn that never ran."""
+
+        async def main() -> None:
+            for chain in ([], [Link(attempt="a", holders=["h"], size=1)]):
+                hosts = _FakeHosts()
+                hosts.leader_replies = [
+                    protocol.Began(ask=1, denial="", chain=chain),
+                    protocol.Done(ask=1),
+                ]
+                hosts.reply_delay_s = 0.0 if chain else 0.05
+                hosts.read_delay_s = 0.05
+                call = RouteCall("b", program="p", previous="a", max_tokens=9)
+                beginning = asyncio.ensure_future(self._begin(hosts, call))
+                await asyncio.sleep(0.01)
+                beginning.cancel()
+                await asyncio.wait([beginning])
+                await asyncio.sleep(0.1)
+                begun, settled = hosts.asked_leader
+                self.assertIsInstance(begun, protocol.AskBegin)
+                self.assertEqual("b", settled.finish.attempt)
+                self.assertFalse(settled.finish.is_whole)
+
+        self.run_async(main())
+
     def test_leader_of_the_previous_release_finds_nothing(self) -> None:
         """Guards against a turn that runs without its first events.
 
