Write the soak harness's logs with line feeds

Two tests of the soak's harness write a log whose last line has no line feed. The reader of logs counts a line only once it has one, so test_what_a_host_wrote_before failed since then. Processes end each line; the fixtures do now, too. The tests check the same as before and pass.

--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -99,7 +99,7 @@
         process = types.SimpleNamespace(poll=lambda: code)
         system.hosts["store-1"].process = cast("Any", process)
         lines = [{"decision": "start"}] if has_started else []
-        text = "\n".join(json.dumps(line) for line in lines)
+        text = "".join(json.dumps(line) + "\n" for line in lines)
         (self.folder / "store-1.log").write_text(text)
         self.patch(soakplatform, "_RESTART_DELAY_S", 0.01)
 
@@ -181,5 +181,5 @@
         self.run_async(wait())
 
     def _write_log(self, lines: list[dict[str, str]]) -> None:
-        text = "\n".join(json.dumps(line) for line in lines)
+        text = "".join(json.dumps(line) + "\n" for line in lines)
         (self.folder / "keeper-1.log").write_text(text)
