Don't act on routes that no keeper confirms any more

Cause: that the routes are current was found out once, after the start.

Why this works: the routes are as new as the newest message of a keeper whose state is current, by the earliest time at which that can have been sent; old messages that a woken process reads first confirm nothing. From max_routes_age_ms on, which is the time within which a change is in force, requests wait for a keeper for a short time after a freeze, and get 503 after that.

--- a/catkinpin/adapters/gateway/context.py
+++ b/catkinpin/adapters/gateway/context.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from catkinpin.adapters.gateway.freshroutes import FreshRoutes
     from catkinpin.adapters.gateway.headers import HeaderCodec
     from catkinpin.adapters.gateway.turns import TurnClient
     from catkinpin.adapters.gateway.usage import UsageReporter
@@ -41,6 +42,8 @@
         hedging: decides on second attempts of plain calls.
         gateways: returns how many gateways share the servers' limits.
         domain: failure domain of this gateway.
+        fresh_routes: tells whether the routes may be relied on; None if they
+            always may.
     """
 
     view: GatewayView
@@ -57,3 +60,4 @@
     hedging: Hedging
     gateways: Callable[[], int]
     domain: str = ""
+    fresh_routes: FreshRoutes | None = None
--- a/catkinpin/adapters/gateway/process.py
+++ b/catkinpin/adapters/gateway/process.py
@@ -11,6 +11,7 @@
 from catkinpin import clock, decisions
 from catkinpin.adapters.gateway.context import GatewayContext
 from catkinpin.adapters.gateway.feed import FeedSubscription
+from catkinpin.adapters.gateway.freshroutes import FreshRoutes
 from catkinpin.adapters.gateway.routefetch import RouteFetcher
 from catkinpin.adapters.gateway.serving import RequestHandler
 from catkinpin.adapters.gateway.turns import TurnClient
@@ -87,7 +88,7 @@
         self.keepers = keepers.Keepers(
             _make_hello(cfg),
             self._on_keeper_message,
-            lambda host: self._feed.handle_disconnect(host),
+            self._on_keeper_lost,
         )
         self._feed = self._new_feed()
         self._turns = TurnClient(
@@ -96,9 +97,24 @@
             cfg.cache_bytes,
             cfg.tolerance,
         )
+        self._fresh_routes = FreshRoutes(
+            self.keepers, self.view, self.clock, cfg.max_routes_age_ms
+        )
         self._pending_calls = PendingCalls()
         self._usage = self._new_usage()
-        self._handler = RequestHandler(
+        self._handler = self._new_handler(speeds, regions, codec)
+        self.server = HttpServer(self._handler.handle, self._caller_limits)
+        self._readiness_server = HttpServer(self._answer_readiness)
+        self._stopping = False
+        self._last_connected_ms = self.clock.now_ms()
+        self._was_ready = False
+        self._route_fetcher = RouteFetcher(self.keepers, self.view, cfg.region)
+        self._tasks = BackgroundTasks()
+
+    def _new_handler(
+        self, speeds: Speeds, regions: dict[str, str], codec: HeaderCodec
+    ) -> RequestHandler:
+        return RequestHandler(
             GatewayContext(
                 view=self.view,
                 balancer=self._balancer,
@@ -109,20 +125,18 @@
                 clock=self.clock,
                 usage=self._usage,
                 waiting=self._pending_calls,
-                contention=ContendedServices(configured=cfg.contended_capacity),
-                subsets=Subsets(cfg.name, cfg.failure_domain, regions),
+                contention=ContendedServices(
+                    configured=self.cfg.contended_capacity
+                ),
+                subsets=Subsets(
+                    self.cfg.name, self.cfg.failure_domain, regions
+                ),
                 hedging=Hedging(),
                 gateways=self._count_gateways,
-                domain=cfg.failure_domain,
+                domain=self.cfg.failure_domain,
+                fresh_routes=self._fresh_routes,
             )
         )
-        self.server = HttpServer(self._handler.handle, self._caller_limits)
-        self._readiness_server = HttpServer(self._answer_readiness)
-        self._stopping = False
-        self._last_connected_ms = self.clock.now_ms()
-        self._was_ready = False
-        self._route_fetcher = RouteFetcher(self.keepers, self.view, cfg.region)
-        self._tasks = BackgroundTasks()
 
     def _new_feed(self) -> FeedSubscription:
         selector = FeedSelector(self.cfg.name, self.cfg.region)
@@ -199,16 +213,23 @@
             return "no routes known yet"
         if self.clock.now_ms() - self._last_connected_ms > _MAX_DISCONNECTED_MS:
             return "no keeper can be reached"
+        if not self._fresh_routes.are_fresh():
+            return "no keeper confirms the routes"
         return ""
 
     def _on_keeper_message(self, host: keepers.Host, message: Any) -> None:
         self.view.handle(message)
         self._feed.handle(host, message)
+        self._fresh_routes.handle(host, message)
         if isinstance(message, protocol.RoutingUpdate):
             self._route_fetcher.record_announcement(host, message)
         if isinstance(message, protocol.UnresponsiveUpdate):
             self._eject_unresponsive(message.servers)
 
+    def _on_keeper_lost(self, host: keepers.Host) -> None:
+        self._feed.handle_disconnect(host)
+        self._fresh_routes.handle_disconnect(host)
+
     def _eject_unresponsive(self, servers: list[str]) -> None:
         """Ejects servers that other gateways reported as unresponsive."""
         decisions.note("unresponsive-servers", "", servers=servers)
@@ -253,6 +274,7 @@
             await asyncio.sleep(_TICK_INTERVAL_S)
             self.keepers.tick()
             self._feed.update()
+            self._fresh_routes.update()
             if self.keepers.connected():
                 self._last_connected_ms = self.clock.now_ms()
             reason = self.not_ready_reason()
--- a/catkinpin/adapters/gateway/serving.py
+++ b/catkinpin/adapters/gateway/serving.py
@@ -31,7 +31,8 @@
 
 _MS_PER_S = 1_000
 # Retry times for refused callers. A stopping gateway: retry at another one at
-# once. A starting one: once it should know the routes. Quarantined content:
+# once. One that has just started or can't reach a keeper: once it should know
+# the routes. Quarantined content:
 # hardly ever. Routes that lag: once the newer ones should be here.
 _STOPPING_RETRY_AFTER_S = 0.02
 _STARTING_RETRY_AFTER_S = 0.5
@@ -74,6 +75,7 @@
         self._view = context.view
         self._codec = context.codec
         self._speeds = context.speeds
+        self._fresh_routes = context.fresh_routes
         self._answers = AnswerWriter(context.view, context.codec, context.clock)
         exchange = Exchange(context)
         self._usage = context.usage
@@ -143,6 +145,10 @@
             reason = "no routes known yet"
             refuse(responder, call, 503, reason, _STARTING_RETRY_AFTER_S)
             return
+        if not await self._has_fresh_routes(wait_s):
+            reason = "no keeper has confirmed the routes for long"
+            refuse(responder, call, 503, reason, _STARTING_RETRY_AFTER_S)
+            return
         if not call.attempt:
             refuse(responder, call, 400, "the request names no id")
             return
@@ -173,6 +179,13 @@
         )
         await self._serve_before_end(state, account)
 
+    async def _has_fresh_routes(self, wait_s: float) -> bool:
+        """Returns whether the routes may be relied on, after a short wait."""
+        fresh = self._fresh_routes
+        if fresh is None or fresh.are_fresh():
+            return True
+        return await fresh.wait(wait_s)
+
     def end_by(self, end_s: float) -> None:
         """Has each request answered by a time, as the gateway stops then.
 
--- a/catkinpin/roles.py
+++ b/catkinpin/roles.py
@@ -171,6 +171,9 @@
         gateways_expected: number of gateways assumed to share each server's
             connections until the keepers report the number.
         contended_capacity: whether callers compete for the servers' capacity.
+        max_routes_age_ms: time after which a change of the routes must be in
+            force everywhere. A gateway that doesn't know for this long whether
+            its routes are the current ones serves nothing.
     """
 
     listen: Address = "127.0.0.1:8080"
@@ -179,6 +182,7 @@
     cache_bytes: NonNegativeInt = 8 * 1024 * 1024
     gateways_expected: PositiveInt = 9
     contended_capacity: bool = False
+    max_routes_age_ms: PositiveInt = 2_500
 
 
 def _find_problem(value: Any, field: msgspec.structs.FieldInfo) -> str:
