Probe with several calls until a second engine is used

Cause, by a trial that prints each probe: single probes go to the engine that has their prompt cached, and only the 94th to 121st one went to the new engine, once other programs had used up the room.

Why this works: eight probes at a time are more than one engine is given, so the new one gets a call as soon as it is known. What the tests check is unchanged.

--- a/tests/cells.py
+++ b/tests/cells.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Any
 
 from tests import base, replies
@@ -12,6 +13,8 @@
 SHORT_TIMEOUTS_MS = {"progress_timeout_ms": 600, "progress_timeout_low_ms": 200}
 PROMPT_REPLY_S = 3.0
 TOKENS = 20
+# More than an engine of these tests runs at a time.
+_PROBES = 8
 
 
 def call_at_token(number: int, act: Callable[[], Any]) -> Any:
@@ -54,10 +57,20 @@
         self.assertTrue(got.done)
 
     async def wait_until_called(self, cluster: base.Cluster, name: str) -> None:
-        """Sends probe calls until an engine has received one."""
+        """Sends probe calls until an engine has received one.
+
+        Several at a time: a single one goes to the engine that has its prompt
+        cached, until some hundred programs have used up its room.
+        """
 
         async def check() -> bool:
-            await cluster.chat("entry-1", "berater", [base.user("probe")])
+            probe = [base.user("probe")]
+            await asyncio.gather(
+                *(
+                    cluster.chat("entry-1", "berater", probe)
+                    for _ in range(_PROBES)
+                )
+            )
             return bool((await cluster.look(name))["seen"])
 
         await base.until(check, f"{name} receives a call")
