Have processes of tests handle SIGINT from their start

Cause: the harness. A shell starts its background jobs with SIGINT ignored; processes inherit that until they handle the signal, and lose one that comes before.

Why this works: whoever starts processes in tests first gives SIGINT a handler, which a new program doesn't inherit. The test fails without that.

--- a/tests/fakes/deployment.py
+++ b/tests/fakes/deployment.py
@@ -192,6 +192,7 @@
         settings = self.write_settings(name)
         env = dict(os.environ, PYTHONPATH=str(processes.ROOT))
         env["CATKINPIN_NODE_FILE"] = str(settings)
+        processes.handle_interrupts()
         with (self._folder / f"{name}.log").open("ab") as out:
             self._log_sizes[name] = out.tell()
             host.process = subprocess.Popen(
--- a/tests/fakes/startcase.py
+++ b/tests/fakes/startcase.py
@@ -67,6 +67,7 @@
     ) -> None:
         self.ports = listeners
         self._out = out
+        processes.handle_interrupts()
         with out.open("ab") as file:
             self.popen = subprocess.Popen(
                 [sys.executable, *command],
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -12,6 +12,16 @@
 _STOP_TIMEOUT_S = 15.0
 
 
+def handle_interrupts() -> None:
+    """Lets the processes that are started from now on be interrupted.
+
+    A shell starts its background jobs with SIGINT ignored. Their processes
+    inherit that, and would lose a SIGINT that arrives before they handle it.
+    """
+    if signal.getsignal(signal.SIGINT) is signal.SIG_IGN:
+        signal.signal(signal.SIGINT, signal.default_int_handler)
+
+
 class Process:
     """A child process that runs a Python module.
 
@@ -27,6 +37,7 @@
 
     def start(self) -> None:
         """Starts the process; a restart uses the same arguments."""
+        handle_interrupts()
         with self.log.open("ab") as log_file:
             self._popen = subprocess.Popen(
                 self._command, stdout=log_file, stderr=log_file, cwd=ROOT
--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -86,6 +86,21 @@
             self._problems(2, has_started=False),
         )
 
+    def test_stop_signal_at_the_start_ends_a_process(self) -> None:
+        """Guards against a harness that has its processes ignore SIGINT.
+
+        So they do at first if it is a background job of a shell.
+        """
+        before = signal.signal(signal.SIGINT, signal.SIG_IGN)
+        self.addCleanup(signal.signal, signal.SIGINT, before)
+        system = deployment.Deployment(self.folder)
+        system.start("gateway-1")
+        process = system.hosts["gateway-1"].process
+        assert process is not None
+        self.addCleanup(process.kill)
+        process.send_signal(signal.SIGINT)
+        self.assertIn(process.wait(_SECONDS), (0, -signal.SIGINT))
+
     def _problems(self, code: int, *, has_started: bool) -> list[str]:
         """Ends a process during a soak; returns the problems that it finds."""
         system = deployment.Deployment(self.folder)
