Soak: clients that resume turns at other gateways

From seed 8000 on, clients leave or lose their gateway in the middle of a turn and go on after their last event, at any gateway, beside all other faults. Checked are the events that they get and, at the server, that each turn comes with all that its client got before.

--- a/tests/soakplatform.py
+++ b/tests/soakplatform.py
@@ -10,6 +10,7 @@
 3000 on also have a call that crashes the servers that run it, seeds from 4000
 on a turn with another body each time. Seeds from 5000 on start the hosts in any
 order, one of them late, and send series of signals to processes that start.
+Seeds from 8000 on have clients that resume turns at other gateways.
 """
 
 from __future__ import annotations
@@ -36,6 +37,7 @@
 from tests import base, ports, processes, soakstarts
 from tests.fakes.deployment import Deployment
 from tests.soakcrashes import CrashLoad
+from tests.soakresumes import ResumeLoad
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -54,6 +56,8 @@
 _CRASHING_SEED = 3_000
 # Seeds from here on start hosts in any order and signal them while they start.
 _SIGNAL_SEED = 5_000
+# Seeds from here on also have clients that resume turns.
+_RESUMING_SEED = 8_000
 # Time from the end of a process until the platform starts it again.
 _RESTART_DELAY_S = 0.2
 # Exit codes of a process that a signal ends while its interpreter starts: no
@@ -87,6 +91,8 @@
         run_counts: how often the server received each request.
         problems: violations that were found.
         faults: faults that were injected.
+        resumed: number of turns that were whole after a break.
+        restarted: number of times that a client had to start a turn again.
     """
 
     statuses: collections.Counter[int] = dataclasses.field(
@@ -98,6 +104,8 @@
     )
     problems: list[str] = dataclasses.field(default_factory=list)
     faults: list[str] = dataclasses.field(default_factory=list)
+    resumed: int = 0
+    restarted: int = 0
 
 
 class Soak:
@@ -531,21 +539,29 @@
         crashes = None
         if _CRASHING_SEED <= seed < _SIGNAL_SEED:
             crashes = CrashLoad(deployment, seed)
-        elif seed >= _CONTENDED_SEED:
+        elif _CONTENDED_SEED <= seed < _RESUMING_SEED:
             deployment.policies = ["pressure"]
+        resumes = None
+        if seed >= _RESUMING_SEED:
+            resumes = ResumeLoad(deployment, seed)
         try:
             async with deployment:
                 soak = Soak(
                     deployment, f"http://127.0.0.1:{control}", seed, seconds
                 )
                 await base.until(soak.is_proxy_ready, "the proxy listens")
-                if crashes is None:
-                    found = await soak.run()
-                else:
-                    found, _ = await asyncio.gather(
-                        soak.run(), crashes.run(seconds)
-                    )
+                loads = [load for load in (crashes, resumes) if load]
+                running = [
+                    asyncio.ensure_future(load.run(seconds)) for load in loads
+                ]
+                found = await soak.run()
+                await asyncio.gather(*running)
+                if crashes is not None:
                     found.problems += crashes.problems()
+                if resumes is not None:
+                    found.problems += resumes.problems
+                    found.resumed = resumes.resumed
+                    found.restarted = resumes.restarted
                 found.faults[:0] = first_start_faults
                 if found.problems:
                     _copy_logs(pathlib.Path(folder), seed)
@@ -572,6 +588,8 @@
         found = await run_seed(seed, seconds)
         statuses = dict(sorted(found.statuses.items()))
         print(f"seed {seed}: {len(found.faults)} faults, answers {statuses}")
+        if found.resumed or found.restarted:
+            print(f"  resumed {found.resumed}, restarted {found.restarted}")
         for problem in found.problems:
             print(f"PROBLEM {problem}")
         if found.problems:
--- a/tests/test_soakplatform.py
+++ b/tests/test_soakplatform.py
@@ -55,6 +55,13 @@
         """
         self._run_seed(5000)
 
+    def test_faults_beside_resumed_turns_break_no_promise(self) -> None:
+        """Guards against histories that lack what a client got.
+
+        Clients leave or lose their gateway, and go on at another one.
+        """
+        self._run_seed(8000)
+
     def _run_seed(self, seed: int) -> None:
         async def main() -> None:
             found = await soakplatform.run_seed(seed, _SECONDS)
