Bound what a resumed turn reads, and count hosts that aren't known yet

By reading the new code: a gateway that has just started doesn't know all stores, and took an event that they have for one that no host has: 409, and the client starts its turn again. All streams that a request may resume were asked for in one message, which may grow beyond the largest frame, and were in memory at once.

Now the leader says how many hosts there are, streams are read one after the other, and a turn that was sent more than eight times can't be resumed (409).

--- a/catkinpin/adapters/gateway/resuming.py
+++ b/catkinpin/adapters/gateway/resuming.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import logging
 from typing import TYPE_CHECKING
 
@@ -33,6 +34,9 @@
 _READ_TIMEOUT_S = 0.6
 # Parts of a turn that are asked for at once. Most turns have fewer.
 _PARTS_PER_READ = 64
+# A caller that sent one turn more often than this can't resume it: all of its
+# streams would be in memory at once.
+_MAX_STREAMS = 8
 
 
 class EventStorage:
@@ -88,7 +92,11 @@
         self._keepers = keepers
 
     async def find(
-        self, turns: Sequence[SentTurn], event_id: str, copies: int
+        self,
+        turns: Sequence[SentTurn],
+        event_id: str,
+        copies: int,
+        host_count: int = 0,
     ) -> FoundStream | Mismatch:
         """Returns the stream that a caller has up to an event.
 
@@ -96,69 +104,77 @@
             turns: the turns that it may belong to, oldest first.
             event_id: the last event that the caller has.
             copies: number of hosts that store each part.
+            host_count: number of hosts that may have stored parts.
         """
-        events, is_complete = await self._read(
-            [t.attempt for t in turns], copies
-        )
-        streams = [
-            SentStream(
-                turn.attempt,
-                events[turn.attempt][: _end_of(turn)],
-                is_complete or _is_limit_reached(turn, events[turn.attempt]),
+        if len(turns) > _MAX_STREAMS:
+            return Mismatch.SEVERAL_TURNS
+        streams = []
+        sent_counts = {}
+        for turn in turns:
+            events, answer_count = await self._read(turn.attempt)
+            silent_count = self._known_count(host_count) - answer_count
+            sent_counts[turn.attempt] = len(events)
+            # Each part lies on several hosts, so one that all but a few hosts
+            # say they lack does not exist.
+            is_complete = silent_count < copies
+            streams.append(
+                SentStream(
+                    turn.attempt,
+                    events[: _end_of(turn)],
+                    is_complete or _is_limit_reached(turn, events),
+                )
             )
-            for turn in turns
-        ]
         chosen = sentevents.choose_stream(streams, event_id)
         if isinstance(chosen, Mismatch):
             return chosen
-        sent_count = len(events[chosen.attempt])
+        sent_count = sent_counts[chosen.attempt]
         return FoundStream(chosen.attempt, chosen.events, sent_count)
 
-    async def _read(
-        self, attempts: list[str], copies: int
-    ) -> tuple[dict[str, list[SentEvent]], bool]:
-        """Returns all stored events of turns, and whether none can be missing.
+    def _known_count(self, host_count: int) -> int:
+        """Returns how many hosts may have parts, as the leader or this knows.
+
+        A gateway that has just started does not know the stores yet.
+        """
+        return max(host_count, self._keepers.host_count())
 
-        Each part lies on several hosts, so one that all but a few answers lack
-        does not exist.
+    async def _read(self, attempt: str) -> tuple[list[SentEvent], int]:
+        """Reads the stored events of a turn.
+
+        Returns:
+            The events up to the first part that no host has; the number of
+            hosts that have answered each time.
         """
-        events: dict[str, list[SentEvent]] = {name: [] for name in attempts}
-        unfinished = list(attempts)
-        first = 0
-        is_complete = True
-        while unfinished:
+        events: list[SentEvent] = []
+        answer_counts = []
+        for first in itertools.count(0, _PARTS_PER_READ):
             names = [
                 sentevents.part_name(attempt, number)
-                for attempt in unfinished
                 for number in range(first, first + _PARTS_PER_READ)
             ]
-            parts, silent_count = await self._read_parts(names)
-            is_complete = is_complete and silent_count < copies
-            first += _PARTS_PER_READ
-            for attempt in list(unfinished):
-                for number in range(first - _PARTS_PER_READ, first):
-                    part = parts.get(sentevents.part_name(attempt, number))
-                    if part is None:
-                        unfinished.remove(attempt)
-                        break
-                    events[attempt] += part
-        return events, is_complete
+            parts, answer_count = await self._read_parts(names)
+            answer_counts.append(answer_count)
+            for name in names:
+                part = parts.get(name)
+                if part is None:
+                    return events, min(answer_counts)
+                events += part
+        raise AssertionError("the count is endless")
 
     async def _read_parts(
         self, names: list[str]
     ) -> tuple[dict[str, list[SentEvent]], int]:
-        """Asks all hosts for parts.
+        """Asks all connected hosts for parts.
 
         Returns:
             The events of the parts found, by name; the number of hosts that
-            did not answer.
+            answered.
         """
         parts: dict[str, list[SentEvent]] = {}
         hosts = self._keepers.connected()
         answered = await asyncio.gather(
             *(self._read_from(host, names, parts) for host in hosts)
         )
-        return parts, self._keepers.host_count() - sum(answered)
+        return parts, sum(answered)
 
     async def _read_from(
         self, host: Host, names: list[str], parts: dict[str, list[SentEvent]]
--- a/catkinpin/adapters/gateway/turns.py
+++ b/catkinpin/adapters/gateway/turns.py
@@ -190,7 +190,7 @@
             return BeginFailed("the leader is of an earlier release")
         copies = self._storage.tolerance.copies
         found = await self._sent_streams.find(
-            began.sent, call.resume_at, copies
+            began.sent, call.resume_at, copies, began.hosts
         )
         result = "resumed" if isinstance(found, FoundStream) else found.value
         metrics.RESUMED_TURNS.labels(result).inc()
--- a/catkinpin/adapters/keeper/turns.py
+++ b/catkinpin/adapters/keeper/turns.py
@@ -156,8 +156,15 @@
         found = ledger.resumable.find(
             begin.account, begin.program, begin.resume_key
         )
+        stores = self._host.state.stores.by_node.values()
+        host_count = len(self._host.group.members.members)
+        host_count += sum(not store.retiring for store in stores)
         return protocol.Began(
-            ask=message.ask, denial=Denial.NONE, chain=[], sent=found
+            ask=message.ask,
+            denial=Denial.NONE,
+            chain=[],
+            sent=found,
+            hosts=host_count,
         )
 
     def unresponsive_servers(self, gateways: int) -> list[str]:
--- a/catkinpin/core/control/protocol.py
+++ b/catkinpin/core/control/protocol.py
@@ -351,6 +351,7 @@
             none.
         sent: the turns that the turn may resume, which then has not begun;
             None in all other replies and from a leader of the previous release.
+        hosts: with these, how many hosts may have stored events of them.
     """
 
     ask: int
@@ -361,6 +362,7 @@
     server: str = ""
     placed: str = ""
     sent: list[SentTurn] | None = None
+    hosts: int = 0
 
 
 class Done(Message, frozen=True):
--- a/tests/test_resuming.py
+++ b/tests/test_resuming.py
@@ -152,6 +152,37 @@
 
         self.run_async(main())
 
+    def test_host_that_is_not_known_yet_may_have_the_event(self) -> None:
+        """Guards against a new gateway that refuses for good what exists."""
+
+        async def main() -> None:
+            hosts = _FakeHosts(one={}, two={})
+            turns = [SentTurn(attempt="a")]
+            reader = SentStreamReader(cast("Keepers", hosts))
+            self.assertIs(
+                Mismatch.UNKNOWN, await reader.find(turns, "1", _COPIES, 4)
+            )
+            self.assertIs(
+                Mismatch.NO_SUCH_EVENT,
+                await reader.find(turns, "1", _COPIES, 3),
+            )
+
+        self.run_async(main())
+
+    def test_turn_that_was_sent_too_often_is_not_read(self) -> None:
+        """Guards against a gateway that reads streams without end."""
+
+        async def main() -> None:
+            turns = [SentTurn(attempt=f"a{n}") for n in range(9)]
+            hosts = _FakeHosts(one=_parts("a8", 3))
+            self.assertIs(
+                Mismatch.SEVERAL_TURNS, await _find(hosts, turns, "1")
+            )
+            found = await _find(hosts, turns[1:], "1")
+            self.assertEqual(2, len(found.kept))
+
+        self.run_async(main())
+
     def test_events_after_a_break_do_not_count(self) -> None:
         """Guards against events that a server sent to a client that left."""
 
